--- /dev/null
+++ b/source/announcement/index.ts
@@ -0,0 +1,3 @@
+export * from './announcement.js';
+export * from './presence.js';
+export * from './registry.js';
--- /dev/null
+++ b/source/choice/index.ts
@@ -0,0 +1,3 @@
+export * from './candidate.js';
+export * from './chooser.js';
+export * from './joint-counts.js';
--- /dev/null
+++ b/source/choice/joint-counts.ts
@@ -0,0 +1,111 @@
+/**
+ * Joins the requests in flight that peers report with an entry's own. Each peer
+ * sends only the counts that changed; a peer that is gone counts for nothing.
+ */
+
+/** Counts that changed in a peer since its last message. */
+export type CountsMessage = {
+	readonly kind: 'counts';
+	readonly entry: string;
+	/** Whether `servers` holds every server with requests in flight, rather than the changes. */
+	readonly isWhole: boolean;
+	readonly servers: readonly number[];
+	/** Requests in flight, in the order of `servers`. */
+	readonly inFlight: readonly number[];
+};
+
+/** Requests in flight of all peers. */
+export type JointCounts = {
+	/** Takes a message and returns the servers whose sums changed. */
+	receive(message: CountsMessage): readonly number[];
+	/** Forgets a peer and returns the servers whose sums changed. */
+	forget(entry: string): readonly number[];
+	get(server: number): number;
+};
+
+/** Creates counts without peers. */
+export function createJointCounts(): JointCounts {
+	const byPeer = new Map<string, Map<number, number>>();
+	const sums = new Map<number, number>();
+
+	function change(counts: Map<number, number>, server: number, count: number): void {
+		const difference = count - (counts.get(server) ?? 0);
+		const sum = (sums.get(server) ?? 0) + difference;
+		if (count === 0) {
+			counts.delete(server);
+		} else {
+			counts.set(server, count);
+		}
+
+		if (sum === 0) {
+			sums.delete(server);
+		} else {
+			sums.set(server, sum);
+		}
+	}
+
+	function forget(entry: string): readonly number[] {
+		const counts = byPeer.get(entry) ?? new Map<number, number>();
+		const servers = [...counts.keys()];
+		for (const server of servers) {
+			change(counts, server, 0);
+		}
+
+		byPeer.delete(entry);
+		return servers;
+	}
+
+	return {
+		receive(message) {
+			const cleared = message.isWhole ? forget(message.entry) : [];
+			const counts = byPeer.get(message.entry) ?? new Map<number, number>();
+			byPeer.set(message.entry, counts);
+			for (const [index, server] of message.servers.entries()) {
+				change(counts, server, message.inFlight[index] ?? 0);
+			}
+
+			return [...cleared, ...message.servers];
+		},
+		forget,
+		get: server => sums.get(server) ?? 0,
+	};
+}
+
+/** Collects an entry's own counts for its peers. */
+export type CountsReporter = {
+	/** Gets the counts that changed since the last call, or undefined when none did. */
+	takeChanges(counts: Iterable<{readonly server: number; readonly inFlight: number}>): CountsMessage | undefined;
+	/** Gets every count, for a peer that has just connected. */
+	getWhole(): CountsMessage;
+};
+
+/**
+ * Creates a reporter.
+ * @param entry - Name of the entry.
+ */
+export function createCountsReporter(entry: string): CountsReporter {
+	const sent = new Map<number, number>();
+
+	return {
+		takeChanges(counts) {
+			const servers: number[] = [];
+			const inFlight: number[] = [];
+			for (const count of counts) {
+				if ((sent.get(count.server) ?? 0) !== count.inFlight) {
+					sent.set(count.server, count.inFlight);
+					servers.push(count.server);
+					inFlight.push(count.inFlight);
+				}
+			}
+
+			return servers.length === 0
+				? undefined
+				: {
+					kind: 'counts', entry, isWhole: false, servers, inFlight,
+				};
+		},
+		getWhole: () => ({
+			kind: 'counts', entry, isWhole: true, servers: [...sent.keys()], inFlight: [...sent.values()],
+		}),
+	};
+}
--- /dev/null
+++ b/source/cold-start/index.ts
@@ -0,0 +1,2 @@
+export * from './allocator.js';
+export * from './capacity.js';
--- /dev/null
+++ b/source/configuration/document.ts
@@ -0,0 +1,108 @@
+/**
+ * The environment document: which services exist, which availability zones are in
+ * service, how new servers are eased in, and what measuring may cost.
+ */
+import {z} from 'zod';
+
+const name = z.string().regex(/^[a-z\d][a-z\d\-]{0,62}$/v, 'use 1 to 63 lower-case letters, digits and hyphens');
+const share = z.number().gt(0).lt(1);
+
+const objective = z.strictObject({
+	availability: share.default(0.999),
+	latencyMilliseconds: z.number().positive().default(250),
+	latencyShare: share.default(0.99),
+}).readonly();
+
+const easing = z.strictObject({
+	initialSlots: z.number().int().min(1).max(1000).default(1),
+	growthPerSuccess: z.number().min(0.001).max(10).default(0.1),
+	ceilingMilliseconds: z.number().int().min(100).max(3_600_000).default(30_000),
+}).readonly();
+
+const service = z.strictObject({
+	name,
+	host: z.string().min(1).max(253).optional(),
+	path: z.string().startsWith('/').default('/'),
+	idempotentMethods: z.array(z.string().regex(/^[A-Z]+$/v)).default(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']).readonly(),
+	keyHeader: z.string().regex(/^[a-z\-]+$/v, 'use lower-case letters and hyphens').default('idempotency-key'),
+	deadlineMilliseconds: z.number().int().min(10).max(600_000).default(2000),
+	queueLength: z.number().int().min(0).max(100_000).default(200),
+	retryRatio: z.number().min(0).max(1).default(0.1),
+	hedgeRatio: z.number().min(0).max(0.5).default(0),
+	policy: z.enum(['round-robin', 'least-in-flight', 'two-choices', 'two-joint-choices', 'stale-report']).default('two-joint-choices'),
+	objective: objective.prefault({}),
+	easing: easing.prefault({}),
+}).readonly();
+
+const zone = z.strictObject({
+	name,
+	inService: z.boolean().default(true),
+}).readonly();
+
+const measuring = z.strictObject({
+	probesPerSecondPerServer: z.number().min(0).max(100).default(1),
+	probesPerSecond: z.number().min(0).max(10_000).default(50),
+}).readonly();
+
+const outliers = z.strictObject({
+	consecutiveFailures: z.number().int().min(1).max(1000).default(5),
+	ejectionMilliseconds: z.number().int().min(100).max(600_000).default(2000),
+	largestShare: z.number().min(0).max(1).default(0.4),
+}).readonly();
+
+/** Schema of an environment document; unknown keys are errors. */
+export const documentSchema = z.strictObject({
+	zones: z.array(zone).min(1, 'name at least one zone').readonly(),
+	services: z.array(service).min(1, 'name at least one service').readonly(),
+	measuring: measuring.prefault({}),
+	outliers: outliers.prefault({}),
+}).readonly().superRefine((document, context) => {
+	reportDuplicates(document.zones.map(zone => zone.name), 'zones', context);
+	reportDuplicates(document.services.map(service => service.name), 'services', context);
+	const routes = document.services.map(service => `${service.host ?? '*'} ${service.path}`);
+	for (const [index, route] of routes.entries()) {
+		if (routes.indexOf(route) !== index) {
+			context.addIssue({
+				code: 'custom', path: ['services', index, 'path'], message: `the route "${route}" is taken by services.${routes.indexOf(route)}; change its host or path`, input: route,
+			});
+		}
+	}
+
+	if (!document.zones.some(zone => zone.inService)) {
+		context.addIssue({
+			code: 'custom', path: ['zones'], message: 'no zone is in service; keep at least one', input: false,
+		});
+	}
+});
+
+function reportDuplicates(names: readonly string[], path: string, context: z.RefinementCtx): void {
+	for (const [index, candidate] of names.entries()) {
+		if (names.indexOf(candidate) !== index) {
+			context.addIssue({
+				code: 'custom', path: [path, index, 'name'], message: `"${candidate}" is a duplicate of ${path}.${names.indexOf(candidate)}; give it another name`, input: candidate,
+			});
+		}
+	}
+}
+
+/** An environment document. */
+export type EnvironmentDocument = z.infer<typeof documentSchema>;
+
+/** One service of a document. */
+export type Service = EnvironmentDocument['services'][number];
+
+/** One availability zone of a document. */
+export type Zone = EnvironmentDocument['zones'][number];
+
+/**
+ * Gets a copy of a document with one zone taken out of service or brought back.
+ * @param document - Document to change.
+ * @param zoneName - Name of the zone.
+ * @param inService - Whether the zone serves.
+ */
+export function withZone(document: EnvironmentDocument, zoneName: string, inService: boolean): EnvironmentDocument {
+	return {
+		...document,
+		zones: document.zones.map(zone => zone.name === zoneName ? {...zone, inService} : zone),
+	};
+}
--- /dev/null
+++ b/source/configuration/index.ts
@@ -0,0 +1,2 @@
+export * from './document.js';
+export * from './register.js';
--- /dev/null
+++ b/source/configuration/register.ts
@@ -0,0 +1,147 @@
+/**
+ * The versioned register of environment documents: a deterministic state machine
+ * that runs inside the replicated log. A change is accepted only on the current
+ * version (compare-and-set); a change id seen before gets its first answer again.
+ */
+import {Maybe} from 'true-myth';
+import {type EnvironmentDocument} from './document.js';
+
+/** Name of an environment. */
+export type Environment = 'trial' | 'production';
+
+/** Change ids that are remembered, newest kept. */
+const rememberedChanges = 20_000;
+
+/** Versions whose documents are kept per environment. */
+const keptVersions = 50;
+
+/** A command of the register. */
+export type ConfigurationCommand
+	= | {
+		readonly kind: 'apply';
+		readonly environment: Environment;
+		readonly base: number;
+		readonly change: string;
+		readonly document: EnvironmentDocument;
+		readonly author: string;
+		/** Wall-clock time in milliseconds, set by the leader. */
+		readonly at: number;
+	}
+	| {
+		readonly kind: 'promote';
+		/** Trial version that is copied. */
+		readonly source: number;
+		readonly base: number;
+		readonly change: string;
+		readonly author: string;
+		readonly at: number;
+	};
+
+/** Answer to a configuration command. */
+export type ConfigurationAnswer
+	= | {readonly kind: 'accepted'; readonly environment: Environment; readonly version: number}
+		| {readonly kind: 'conflict'; readonly environment: Environment; readonly base: number; readonly current: number}
+		| {readonly kind: 'unknownVersion'; readonly environment: Environment; readonly version: number};
+
+/** An accepted version. */
+export type Version = {
+	readonly version: number;
+	readonly change: string;
+	readonly author: string;
+	readonly at: number;
+	readonly document: EnvironmentDocument;
+};
+
+type Answered = {readonly change: string; readonly answer: ConfigurationAnswer};
+
+/** Contents of a register, for snapshots. */
+export type RegisterImage = {
+	readonly trial: readonly Version[];
+	readonly production: readonly Version[];
+	readonly answered: readonly Answered[];
+};
+
+/** The versioned register. */
+export type Register = {
+	/** Applies a committed command. */
+	apply(command: ConfigurationCommand): ConfigurationAnswer;
+	/** Gets the newest version of an environment. */
+	getCurrent(environment: Environment): Maybe<Version>;
+	/** Gets the number of the newest version, 0 before the first. */
+	getCurrentNumber(environment: Environment): number;
+	/** Gets the kept versions, oldest first. */
+	getHistory(environment: Environment): readonly Version[];
+	getImage(): RegisterImage;
+	restore(image: RegisterImage): void;
+};
+
+/** Creates an empty register. */
+export function createRegister(): Register {
+	let versions: Record<Environment, Version[]> = {trial: [], production: []};
+	let answered = new Map<string, ConfigurationAnswer>();
+
+	function getCurrentNumber(environment: Environment): number {
+		return versions[environment].at(-1)?.version ?? 0;
+	}
+
+	function remember(change: string, answer: ConfigurationAnswer): ConfigurationAnswer {
+		answered.set(change, answer);
+		if (answered.size > rememberedChanges) {
+			const [oldest] = answered.keys();
+			answered.delete(oldest!);
+		}
+
+		return answer;
+	}
+
+	function accept(environment: Environment, command: ConfigurationCommand, document: EnvironmentDocument): ConfigurationAnswer {
+		const current = getCurrentNumber(environment);
+		if (command.base !== current) {
+			return remember(command.change, {
+				kind: 'conflict', environment, base: command.base, current,
+			});
+		}
+
+		const {change, author, at} = command;
+		const version = current + 1;
+		versions[environment].push({
+			version, change, author, at, document,
+		});
+		versions[environment] = versions[environment].slice(-keptVersions);
+		return remember(change, {kind: 'accepted', environment, version});
+	}
+
+	return {
+		apply(command) {
+			const earlier = answered.get(command.change);
+			if (earlier !== undefined) {
+				return earlier;
+			}
+
+			switch (command.kind) {
+				case 'apply': {
+					return accept(command.environment, command, command.document);
+				}
+
+				case 'promote': {
+					const source = versions.trial.find(version => version.version === command.source);
+					return source === undefined
+						? remember(command.change, {kind: 'unknownVersion', environment: 'trial', version: command.source})
+						: accept('production', command, source.document);
+				}
+			}
+		},
+		getCurrent: environment => Maybe.of(versions[environment].at(-1)),
+		getCurrentNumber,
+		getHistory: environment => versions[environment],
+		getImage: () => ({
+			trial: [...versions.trial],
+			production: [...versions.production],
+			answered: [...answered].map(([change, answer]) => ({change, answer})),
+		}),
+		restore(image) {
+			versions = {trial: [...image.trial], production: [...image.production]};
+			answered = new Map(image.answered.map(({change, answer}) => [change, answer]));
+		},
+	};
+}
--- /dev/null
+++ b/source/consensus/log.ts
@@ -0,0 +1,73 @@
+/**
+ * The in-memory part of the replicated log: the entries after the newest snapshot.
+ */
+import {type LogEntry, type Membership} from './message.js';
+
+/** Entries after a snapshot. */
+export type Log = {
+	getFirstIndex(): number;
+	getLastIndex(): number;
+	getLastTerm(): number;
+	/** Gets the term at an index, or undefined when the log does not hold it. */
+	getTerm(index: number): number | undefined;
+	getOrThrow(index: number): LogEntry;
+	getRange(from: number, count: number): readonly LogEntry[];
+	append(entry: LogEntry): void;
+	truncate(from: number): void;
+	/** Drops the entries up to an index that a snapshot covers. */
+	compact(index: number, term: number): void;
+	/** Gets the newest membership in the entries, or the fallback. */
+	getMembership(fallback: Membership): Membership;
+	/** Gets the index of the newest membership entry, or 0. */
+	getMembershipIndex(): number;
+};
+
+/**
+ * Creates a log.
+ * @param baseIndex - Index of the snapshot before the first entry.
+ * @param baseTerm - Term at that index.
+ * @param initial - Entries after the snapshot, in order.
+ */
+export function createLog(baseIndex: number, baseTerm: number, initial: readonly LogEntry[]): Log {
+	let entries = [...initial];
+
+	function getMembershipEntry(): LogEntry | undefined {
+		return entries.findLast(entry => entry.payload.kind === 'membership');
+	}
+
+	return {
+		getFirstIndex: () => baseIndex + 1,
+		getLastIndex: () => baseIndex + entries.length,
+		getLastTerm: () => entries.at(-1)?.term ?? baseTerm,
+		getTerm(index) {
+			return index === baseIndex ? baseTerm : entries[index - baseIndex - 1]?.term;
+		},
+		getOrThrow(index) {
+			const entry = entries[index - baseIndex - 1];
+			if (entry === undefined) {
+				throw new Error(`the log holds no entry ${index}`);
+			}
+
+			return entry;
+		},
+		getRange(from, count) {
+			return entries.slice(from - baseIndex - 1, from - baseIndex - 1 + count);
+		},
+		append(entry) {
+			entries.push(entry);
+		},
+		truncate(from) {
+			entries.length = from - baseIndex - 1;
+		},
+		compact(index, term) {
+			entries = index - baseIndex >= entries.length ? [] : entries.slice(index - baseIndex);
+			baseIndex = index;
+			baseTerm = term;
+		},
+		getMembership(fallback) {
+			const payload = getMembershipEntry()?.payload;
+			return payload?.kind === 'membership' ? payload.membership : fallback;
+		},
+		getMembershipIndex: () => getMembershipEntry()?.index ?? 0,
+	};
+}
--- /dev/null
+++ b/source/control-client/client.ts
@@ -0,0 +1,162 @@
+/**
+ * Sends requests to whichever control host leads. A request that meets another
+ * host, or no answer, is sent again to the next one until its time is up; requests
+ * carry change, attempt or boot ids, so a second arrival changes nothing.
+ */
+import {performance} from 'node:perf_hooks';
+import {
+	type ControlAnswer, type ControlInbound, type ControlOutbound, type ControlRequest,
+} from '../control/message.js';
+import {createDialer, type Dialer, type LinkIdentity} from '../wire/index.js';
+
+const attemptMilliseconds = 1000;
+const pauseMilliseconds = 25;
+
+/** A control host's name and address. */
+export type ControlAddress = {readonly name: string; readonly host: string; readonly port: number};
+
+/** Links to all control hosts. */
+export type ControlClient = {
+	/** Sends a request to the leader; resolves to `unknown` when no leader answered in time. */
+	submit(request: ControlRequest, timeoutMilliseconds: number): Promise<ControlAnswer>;
+	/** Sends a message to the control host that is believed to lead, or to all when none is. */
+	sendToLeader(message: ControlInbound): void;
+	/** Sends a message to one control host. */
+	sendTo(host: string, message: ControlInbound): void;
+	broadcast(message: ControlInbound): void;
+	/** Takes a hint about the leader; undefined when nothing is known. */
+	setLeader(name: string | undefined): void;
+	getLeader(): string | undefined;
+	close(): void;
+};
+
+/** Options of a client. */
+export type ControlClientOptions = {
+	readonly identity: LinkIdentity;
+	readonly hosts: readonly ControlAddress[];
+	received(host: string, message: ControlOutbound): void;
+	opened(host: string): void;
+};
+
+type Waiter = {readonly settle: (answer: ControlAnswer) => void};
+
+/**
+ * Connects to all control hosts.
+ * @param options - Addresses, identity and functions that take events.
+ */
+export function createControlClient(options: ControlClientOptions): ControlClient {
+	const dialers = new Map<string, Dialer>();
+	const waiters = new Map<number, Waiter>();
+	let leader: string | undefined;
+	let nextId = 1;
+	let turn = 0;
+	let isClosed = false;
+
+	for (const host of options.hosts) {
+		dialers.set(host.name, createDialer<ControlOutbound>({
+			identity: options.identity,
+			host: host.host,
+			port: host.port,
+			received(message) {
+				if (message.kind === 'reply') {
+					waiters.get(message.id)?.settle(message.answer);
+				} else {
+					options.received(host.name, message);
+				}
+			},
+			opened() {
+				options.opened(host.name);
+			},
+			closed() {
+				if (leader === host.name) {
+					leader = undefined;
+				}
+			},
+		}));
+	}
+
+	function chooseHost(): string | undefined {
+		if (leader !== undefined && dialers.get(leader)?.isConnected()) {
+			return leader;
+		}
+
+		const connected = options.hosts.filter(host => dialers.get(host.name)?.isConnected());
+		turn++;
+		return connected[turn % Math.max(1, connected.length)]?.name;
+	}
+
+	async function attempt(host: string, request: ControlRequest, timeoutMilliseconds: number): Promise<ControlAnswer> {
+		const id = nextId++;
+		return new Promise(resolve => {
+			const timer = setTimeout(settle, timeoutMilliseconds, {kind: 'unknown'});
+			function settle(answer: ControlAnswer): void {
+				clearTimeout(timer);
+				waiters.delete(id);
+				resolve(answer);
+			}
+
+			waiters.set(id, {settle});
+			dialers.get(host)?.send({kind: 'request', id, request});
+		});
+	}
+
+	return {
+		async submit(request, timeoutMilliseconds) {
+			const until = performance.now() + timeoutMilliseconds;
+			while (!isClosed) {
+				const left = until - performance.now();
+				if (left <= 0) {
+					break;
+				}
+
+				const host = chooseHost();
+				const answer: ControlAnswer = host === undefined ? {kind: 'unknown'} : await attempt(host, request, Math.min(left, attemptMilliseconds));
+				if (answer.kind !== 'notLeader' && answer.kind !== 'unknown') {
+					return answer;
+				}
+
+				leader = answer.kind === 'notLeader' ? answer.leader : undefined;
+				await delay(Math.min(pauseMilliseconds, Math.max(0, until - performance.now())));
+			}
+
+			return {kind: 'unknown'};
+		},
+		sendToLeader(message) {
+			if (leader !== undefined && dialers.get(leader)?.isConnected()) {
+				dialers.get(leader)?.send(message);
+			} else {
+				for (const dialer of dialers.values()) {
+					dialer.send(message);
+				}
+			}
+		},
+		sendTo(host, message) {
+			dialers.get(host)?.send(message);
+		},
+		broadcast(message) {
+			for (const dialer of dialers.values()) {
+				dialer.send(message);
+			}
+		},
+		setLeader(name) {
+			leader = name;
+		},
+		getLeader: () => leader,
+		close() {
+			isClosed = true;
+			for (const dialer of dialers.values()) {
+				dialer.close();
+			}
+
+			for (const waiter of waiters.values()) {
+				waiter.settle({kind: 'unknown'});
+			}
+		},
+	};
+}
+
+async function delay(milliseconds: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
--- /dev/null
+++ b/source/control-client/index.ts
@@ -0,0 +1,1 @@
+export * from './client.js';
--- /dev/null
+++ b/source/control/api.ts
@@ -0,0 +1,236 @@
+/** The HTTP interface for operators and for servers' announcements. */
+import {randomUUID} from 'node:crypto';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import process from 'node:process';
+import {z} from 'zod';
+import {announcementSchema} from '../announcement/index.js';
+import {documentSchema, type ConfigurationCommand, type Environment} from '../configuration/index.js';
+import {checkValue} from '../settings/index.js';
+import {
+	answerJson, isAuthorized, maximumApiBodyBytes, readJson,
+} from './http.js';
+import {type ControlAnswer, type ControlRequest, type BurnSummary} from './message.js';
+
+const maximumAnnouncementBytes = 16_384;
+
+const applySchema = z.strictObject({
+	base: z.number().int().min(0),
+	change: z.string().min(1).max(128),
+	author: z.string().max(128).default('unknown'),
+	document: documentSchema,
+});
+
+const promoteSchema = z.strictObject({
+	source: z.number().int().min(1),
+	base: z.number().int().min(0),
+	change: z.string().min(1).max(128),
+	author: z.string().max(128).default('unknown'),
+	despiteBurn: z.boolean().default(false),
+});
+
+const drainSchema = z.strictObject({key: z.string().min(3).max(128)});
+
+/** What the interface needs from its process. */
+export type ApiOptions = {
+	readonly operatorKey: string | undefined;
+	submit(request: ControlRequest): Promise<ControlAnswer>;
+	getBurn(environment: Environment): BurnSummary | undefined;
+	getMetrics(): Promise<string>;
+	isReady(): boolean;
+};
+
+/** Takes a request of the interface. */
+export type Api = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
+
+/**
+ * Creates the interface.
+ * @param options - Functions of the process.
+ */
+export function createApi(options: ApiOptions): Api {
+	async function relay(response: ServerResponse, request: ControlRequest): Promise<void> {
+		const answer = await options.submit(request);
+		answerJson(response, getAnswerStatus(answer), answer);
+	}
+
+	async function takeBody<Schema extends z.ZodType>(request: IncomingMessage, response: ServerResponse, schema: Schema, bound: number): Promise<z.infer<Schema> | undefined> {
+		const body = await readJson(request, bound);
+		const checked = body.mapErr(fault => [fault] as readonly string[]).andThen(value => checkValue('body', value, schema));
+		if (checked.isOk) {
+			return checked.value;
+		}
+
+		answerJson(response, 400, {kind: 'faults', faults: checked.error});
+		return undefined;
+	}
+
+	async function announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const announcement = await takeBody(request, response, announcementSchema, maximumAnnouncementBytes);
+		if (announcement !== undefined) {
+			await relay(response, {kind: 'announce', announcement});
+		}
+	}
+
+	async function apply(request: IncomingMessage, response: ServerResponse, environment: Environment): Promise<void> {
+		const body = await takeBody(request, response, applySchema, maximumApiBodyBytes);
+		if (body !== undefined) {
+			const command: ConfigurationCommand = {
+				kind: 'apply', environment, ...body, at: 0,
+			};
+			await relay(response, {kind: 'configure', command});
+		}
+	}
+
+	async function promote(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const body = await takeBody(request, response, promoteSchema, maximumApiBodyBytes);
+		if (body === undefined) {
+			return;
+		}
+
+		const burning = options.getBurn('trial')?.services.filter(service => service.isBurning || service.budgetLeft < 0).map(service => service.service) ?? [];
+		if (burning.length > 0 && !body.despiteBurn) {
+			answerJson(response, 409, {kind: 'burning', services: burning});
+			return;
+		}
+
+		const {despiteBurn, ...rest} = body;
+		await relay(response, {kind: 'configure', command: {kind: 'promote', ...rest, at: 0}});
+	}
+
+	async function routeEnvironment(request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> {
+		const [name, action] = url.pathname.split('/').slice(3);
+		if (name !== 'trial' && name !== 'production') {
+			answerJson(response, 404, {kind: 'faults', faults: [`${name ?? ''}: no such environment; use trial or production`]});
+			return;
+		}
+
+		const route = `${request.method} ${action ?? ''}`;
+		switch (route) {
+			case 'POST apply': {
+				await apply(request, response, name);
+				return;
+			}
+
+			case 'POST promote': {
+				await promote(request, response);
+				return;
+			}
+
+			case 'GET ': {
+				await relay(response, {kind: 'readVersion', environment: name});
+				return;
+			}
+
+			case 'GET history': {
+				await relay(response, {kind: 'readHistory', environment: name});
+				return;
+			}
+
+			case 'GET in-force': {
+				await relay(response, {kind: 'readInForce', environment: name, version: Number(url.searchParams.get('version') ?? 0)});
+				return;
+			}
+
+			case 'GET burn': {
+				const summary = options.getBurn(name);
+				answerJson(response, summary === undefined ? 404 : 200, summary ?? {kind: 'faults', faults: [`${name}: no document yet; apply one`]});
+				return;
+			}
+
+			default: {
+				answerNotFound(response);
+			}
+		}
+	}
+
+	async function routeOperator(request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> {
+		if (!isAuthorized(request, options.operatorKey)) {
+			answerJson(response, 401, {kind: 'faults', faults: ['the operator key is missing or wrong; pass --key-file']});
+			return;
+		}
+
+		if (url.pathname.startsWith('/v1/environments/')) {
+			await routeEnvironment(request, response, url);
+			return;
+		}
+
+		if (request.method === 'GET' && url.pathname === '/v1/status') {
+			await relay(response, {kind: 'readStatus'});
+			return;
+		}
+
+		if (request.method === 'POST' && url.pathname === '/v1/servers/drain') {
+			const body = await takeBody(request, response, drainSchema, maximumAnnouncementBytes);
+			if (body !== undefined) {
+				await relay(response, {kind: 'drain', key: body.key});
+			}
+
+			return;
+		}
+
+		answerNotFound(response);
+	}
+
+	return async (request, response) => {
+		const url = new URL(request.url ?? '/', 'http://control');
+		switch (`${request.method} ${url.pathname}`) {
+			case 'POST /v1/announce': {
+				await announce(request, response);
+				return;
+			}
+
+			case 'GET /metrics': {
+				response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
+				response.end(await options.getMetrics());
+				return;
+			}
+
+			case 'GET /live': {
+				answerJson(response, 200, {live: true});
+				return;
+			}
+
+			case 'GET /ready': {
+				answerJson(response, options.isReady() ? 200 : 503, {ready: options.isReady()});
+				return;
+			}
+
+			default: {
+				await routeOperator(request, response, url);
+			}
+		}
+	};
+}
+
+function answerNotFound(response: ServerResponse): void {
+	answerJson(response, 404, {kind: 'faults', faults: [`no such resource; see docs/OPERATIONS.md (request ${randomUUID()})`]});
+}
+
+function getAnswerStatus(answer: ControlAnswer): number {
+	switch (answer.kind) {
+		case 'configured': {
+			return answer.answer.kind === 'accepted' ? 200 : 409;
+		}
+
+		case 'drained': {
+			return answer.isKnown ? 200 : 404;
+		}
+
+		case 'version': {
+			return answer.version === undefined ? 404 : 200;
+		}
+
+		case 'notLeader':
+		case 'unknown': {
+			return 503;
+		}
+
+		case 'announced':
+		case 'crashes':
+		case 'history':
+		case 'inForce':
+		case 'ledger':
+		case 'status': {
+			return 200;
+		}
+	}
+}
--- /dev/null
+++ b/source/control/control.ts
@@ -0,0 +1,359 @@
+/** A control host: replica, links, leases and the operators' interface in one process. */
+import {createServer, type Server} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import path from 'node:path';
+import process from 'node:process';
+import {
+	Counter, Gauge, Registry as MetricsRegistry, collectDefaultMetrics,
+} from 'prom-client';
+import {interval, type Subscription} from 'rxjs';
+import {Result} from 'true-myth';
+import {type Environment} from '../configuration/index.js';
+import {getNextMembership, type ReplicaMessage} from '../consensus/index.js';
+import {createControlClient} from '../control-client/index.js';
+import {type Renewal} from '../lease/index.js';
+import {createRandom} from '../randomness/index.js';
+import {createBurnBook} from '../service-level/index.js';
+import {type ControlSettings, type Security} from '../settings/index.js';
+import {
+	getFounderId, getHostName, openDataFolder, openStore,
+} from '../storage/index.js';
+import {type Log} from '../telemetry/index.js';
+import {listenForLinks, type Link} from '../wire/index.js';
+import {createApi} from './api.js';
+import {startDriver, type RoleChange} from './driver.js';
+import {createLeader} from './leader.js';
+import {createLeadership, type Leadership} from './leadership.js';
+import {createMachine} from './machine.js';
+import {
+	type ControlAnswer, type ControlInbound, type ControlOutbound, type ControlRequest,
+} from './message.js';
+
+const housekeepingMilliseconds = 100;
+const nudgeMilliseconds = 10;
+const joinMilliseconds = 500;
+const forwardMilliseconds = 5000;
+const forwardAttemptMilliseconds = 200;
+const millisecondsPerHour = 3_600_000;
+
+/** A running control host. */
+export type Control = {
+	readonly apiPort: number;
+	readonly linksPort: number;
+	/** Hands leadership over and stops. */
+	stop(): Promise<void>;
+};
+
+/** Options of `startControl`. */
+export type ControlOptions = {
+	readonly settings: ControlSettings;
+	readonly security: Security;
+	readonly log: Log;
+	readonly seed: number;
+	/** Called when the process can't go on. */
+	failed(error: Error): void;
+};
+
+/**
+ * Starts a control host.
+ * @param options - Settings, keys and log.
+ */
+export async function startControl(options: ControlOptions): Promise<Result<Control, string>> {
+	const {settings, security, log} = options;
+	const opened = await openDataFolder(settings.dataFolder, settings.name, settings.founding);
+	if (opened.isErr) {
+		return Result.err(opened.error);
+	}
+
+	const folder = opened.value;
+	const self = folder.replica;
+	const machine = createMachine({
+		retentionMilliseconds: settings.ledger.retentionHours * millisecondsPerHour,
+		maximumClaims: settings.ledger.maximumClaims,
+		maximumStoredBytes: settings.ledger.maximumStoredBytes,
+	});
+	const metrics = new MetricsRegistry();
+	collectDefaultMetrics({register: metrics});
+	const renewals = new Counter({
+		name: 'guavadeck_lease_renewals_total', help: 'Lease renewals received', labelNames: ['outcome'], registers: [metrics],
+	});
+	const links = new Set<Link<ControlInbound>>();
+	const joining: string[] = [];
+	const burnBook = createBurnBook();
+	let leadership: Leadership | undefined;
+	let lastUrgency = 0;
+	let lastVersions = '';
+
+	const driver = startDriver({
+		id: self,
+		founders: {voters: settings.control.map(host => getFounderId(host.name)), learners: []},
+		store: openStore(path.join(settings.dataFolder, 'log')),
+		machine,
+		electionMilliseconds: settings.election.timeoutMilliseconds,
+		heartbeatMilliseconds: settings.election.heartbeatMilliseconds,
+		snapshotEvery: settings.snapshotEvery,
+		random: createRandom(options.seed),
+		send: sendConsensus,
+		failed: options.failed,
+	});
+	const leader = createLeader({driver, machine, getLeadership: () => leadership});
+	const client = createControlClient({
+		identity: security.link,
+		hosts: settings.control.filter(host => host.name !== settings.name),
+		received() {
+			// Replies are taken by the client; control hosts send each other nothing else on dialed links.
+		},
+		opened() {
+			announceReplica();
+		},
+	});
+	registerGauges();
+
+	function registerGauges(): void {
+		const gauges: ReadonlyArray<readonly [string, string, () => number]> = [
+			['guavadeck_consensus_term', 'Consensus term', () => driver.replica.getTerm()],
+			['guavadeck_consensus_commit_index', 'Highest committed index', () => driver.replica.getCommitIndex()],
+			['guavadeck_consensus_leads', 'Whether this host leads', () => driver.replica.getRole() === 'leader' ? 1 : 0],
+			['guavadeck_storage_syncs_total', 'Batches synced to disk', () => driver.getSyncs()],
+			['guavadeck_ledger_claims', 'Claims in the ledger', () => machine.ledger.getSize()],
+			['guavadeck_ledger_answer_bytes', 'Bytes of stored answers', () => machine.ledger.getStoredBytes()],
+			['guavadeck_registry_servers', 'Servers in the registry', () => machine.registry.getSize()],
+		];
+		for (const [name, help, read] of gauges) {
+			// eslint-disable-next-line no-new
+			new Gauge({
+				name,
+				help,
+				registers: [metrics],
+				collect() {
+					this.set(read());
+				},
+			});
+		}
+	}
+
+	function sendConsensus(to: string, message: ReplicaMessage): void {
+		client.sendTo(getHostName(to), {
+			kind: 'consensus', from: self, to, message,
+		});
+	}
+
+	function announceReplica(): void {
+		const {voters} = driver.replica.getMembership();
+		if (!voters.includes(self)) {
+			client.broadcast({kind: 'join', replica: self});
+		}
+	}
+
+	async function renew(link: Link<ControlInbound>, renewal: Renewal): Promise<void> {
+		const receivedAt = performance.now();
+		const current = leadership;
+		const isConfirmed = current !== undefined && await driver.confirm();
+		if (isConfirmed && leadership === current) {
+			renewals.inc({outcome: 'granted'});
+			link.send(current.grant(renewal, receivedAt, performance.now()));
+			return;
+		}
+
+		renewals.inc({outcome: 'refused'});
+		const known = driver.replica.getLeader();
+		const refusal: ControlOutbound = {kind: 'refusal', sequence: renewal.sequence, leader: known === undefined || known === self ? undefined : getHostName(known)};
+		link.send(refusal);
+	}
+
+	function join(replica: string): void {
+		const isKnownHost = settings.control.some(host => host.name === getHostName(replica));
+		if (isKnownHost && !joining.includes(replica)) {
+			joining.push(replica);
+			log.info({replica}, 'replica asks to join');
+		}
+	}
+
+	function receive(link: Link<ControlInbound>, message: ControlInbound): void {
+		switch (message.kind) {
+			case 'consensus': {
+				if (message.to === self) {
+					driver.receive(message.from, message.message);
+				}
+
+				return;
+			}
+
+			case 'join': {
+				join(message.replica);
+				return;
+			}
+
+			case 'renewal': {
+				void renew(link, message);
+				return;
+			}
+
+			case 'request': {
+				void leader.answer(message.request).then(answer => {
+					link.send({kind: 'reply', id: message.id, answer});
+				});
+				return;
+			}
+
+			case 'burnReport': {
+				burnBook.add(message);
+			}
+		}
+	}
+
+	const listener = await listenForLinks<ControlInbound>({
+		identity: security.link,
+		host: settings.links.host,
+		port: settings.links.port,
+		opened(link) {
+			links.add(link);
+			link.messages.subscribe({
+				next(message) {
+					receive(link, message);
+				},
+				complete() {
+					links.delete(link);
+				},
+			});
+		},
+	});
+
+	function nudgeWhenUrgent(): void {
+		const versions = `${machine.register.getCurrentNumber('trial')} ${machine.register.getCurrentNumber('production')}`;
+		const urgency = leadership?.getUrgency() ?? 0;
+		if (leadership === undefined || (urgency === lastUrgency && versions === lastVersions)) {
+			return;
+		}
+
+		lastUrgency = urgency;
+		lastVersions = versions;
+		for (const link of links) {
+			link.send({kind: 'nudge'});
+		}
+	}
+
+	function keepHouse(): void {
+		if (leadership === undefined) {
+			return;
+		}
+
+		for (const command of leadership.tick(performance.now())) {
+			void driver.propose({area: 'registry', command});
+		}
+
+		changeMembership();
+	}
+
+	function changeMembership(): void {
+		const {replica} = driver;
+		if (replica.getRole() !== 'leader' || !replica.isMembershipSettled()) {
+			return;
+		}
+
+		const next = getNextMembership({
+			self, membership: replica.getMembership(), lastIndex: replica.getLog().getLastIndex(), joining, getMatchIndex: replica.getMatchIndex, getHost: getHostName,
+		});
+		if (next !== undefined) {
+			log.info({membership: next}, 'membership changes');
+			driver.proposeMembership(next);
+		}
+	}
+
+	function changeRole(change: RoleChange): void {
+		const {role, term, leader: leaderId} = change;
+		log.info({role, term, leader: leaderId}, 'role changed');
+		client.setLeader(leaderId === undefined || leaderId === self ? undefined : getHostName(leaderId));
+		if (role !== 'leader') {
+			leadership = undefined;
+		}
+	}
+
+	function lead(term: number): void {
+		lastUrgency = -1;
+		leadership = createLeadership({
+			epoch: term, startedAt: performance.now(), termMilliseconds: settings.lease.termMilliseconds, machine, getWallClock: Date.now,
+		});
+	}
+
+	const subscription: Subscription = driver.roles.subscribe(changeRole);
+	subscription.add(driver.leading.subscribe(lead));
+	subscription.add(driver.applied.subscribe(answer => {
+		if (answer.area === 'registry') {
+			leadership?.serversChanged(answer.changed, performance.now());
+		}
+	}));
+	subscription.add(interval(housekeepingMilliseconds).subscribe(keepHouse));
+	subscription.add(interval(nudgeMilliseconds).subscribe(nudgeWhenUrgent));
+	subscription.add(interval(joinMilliseconds).subscribe(announceReplica));
+
+	/** Answers a request here or at the leader, also when an election is under way. */
+	async function forward(request: ControlRequest): Promise<ControlAnswer> {
+		const until = performance.now() + forwardMilliseconds;
+		for (;;) {
+			const own = await leader.answer(request);
+			const answer = own.kind === 'notLeader' ? await client.submit(request, forwardAttemptMilliseconds) : own;
+			const isAnswered = answer.kind !== 'notLeader' && answer.kind !== 'unknown';
+			if (isAnswered || performance.now() > until) {
+				return answer;
+			}
+		}
+	}
+
+	const api = createApi({
+		operatorKey: security.operatorKey,
+		submit: forward,
+		getBurn(environment: Environment) {
+			const current = machine.register.getCurrent(environment);
+			return current.isJust ? burnBook.getSummary(environment, current.value.document, Date.now()) : undefined;
+		},
+		getMetrics: async () => metrics.metrics(),
+		isReady: () => driver.replica.getLeader() !== undefined,
+	});
+	const server: Server = createServer((request, response) => {
+		void api(request, response);
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(settings.api.port, settings.api.host, resolve);
+	});
+
+	async function handOver(): Promise<void> {
+		const {replica} = driver;
+		const successor = replica.getMembership().voters
+			.filter(voter => voter !== self)
+			.toSorted((left, right) => replica.getMatchIndex(right) - replica.getMatchIndex(left))[0];
+		if (replica.getRole() !== 'leader' || successor === undefined) {
+			return;
+		}
+
+		driver.transfer(successor);
+		const until = performance.now() + (settings.election.timeoutMilliseconds * 2);
+		while (replica.getRole() === 'leader' && performance.now() < until) {
+			await new Promise(resolve => {
+				setTimeout(resolve, 10);
+			});
+		}
+	}
+
+	log.info({replica: self, commitIndex: driver.replica.getCommitIndex()}, 'control host started');
+	const address = server.address();
+	return Result.ok({
+		apiPort: typeof address === 'object' && address !== null ? address.port : settings.api.port,
+		linksPort: listener.port,
+		async stop() {
+			await handOver();
+			subscription.unsubscribe();
+			const closed = new Promise(resolve => {
+				server.close(resolve);
+			});
+			server.closeIdleConnections();
+			await closed;
+			client.close();
+			await listener.close();
+			await driver.stop();
+			folder.unlock();
+			log.info({replica: self}, 'control host stopped');
+		},
+	});
+}
--- /dev/null
+++ b/source/control/index.ts
@@ -0,0 +1,7 @@
+export * from './control.js';
+export * from './driver.js';
+export * from './http.js';
+export * from './leader.js';
+export * from './leadership.js';
+export * from './machine.js';
+export type * from './message.js';
--- /dev/null
+++ b/source/control/leader.ts
@@ -0,0 +1,172 @@
+/** Answers the requests that only a leader may answer. */
+import {performance} from 'node:perf_hooks';
+import {type Announcement, getServerKey} from '../announcement/index.js';
+import {type ConfigurationCommand} from '../configuration/index.js';
+import {type LedgerCommand} from '../ledger/index.js';
+import {getHostName} from '../storage/index.js';
+import {type Driver, type Proposed} from './driver.js';
+import {type Leadership} from './leadership.js';
+import {type Command, type CommandAnswer, type Machine} from './machine.js';
+import {
+	type ClusterStatus, type ControlAnswer, type ControlRequest, type ReplicaStatus,
+} from './message.js';
+
+/** Answers requests while its replica leads. */
+export type Leader = {
+	answer(request: ControlRequest): Promise<ControlAnswer>;
+};
+
+/** Options of a leader. */
+export type LeaderOptions = {
+	readonly driver: Driver;
+	readonly machine: Machine;
+	getLeadership(): Leadership | undefined;
+};
+
+/**
+ * Creates the answering part of a control host.
+ * @param options - Driver, state machine and the current leadership.
+ */
+export function createLeader(options: LeaderOptions): Leader {
+	const {driver, machine, getLeadership} = options;
+
+	function getNotLeader(): ControlAnswer {
+		const leader = driver.replica.getLeader();
+		return {kind: 'notLeader', leader: leader === undefined ? undefined : getHostName(leader)};
+	}
+
+	async function propose(command: Command, toAnswer: (answer: CommandAnswer) => ControlAnswer): Promise<ControlAnswer> {
+		const proposed: Proposed = await driver.propose(command);
+		switch (proposed.kind) {
+			case 'applied': {
+				return toAnswer(proposed.answer);
+			}
+
+			case 'notLeader': {
+				return getNotLeader();
+			}
+
+			case 'unknown': {
+				return {kind: 'unknown'};
+			}
+		}
+	}
+
+	async function announce(announcement: Announcement): Promise<ControlAnswer> {
+		if (machine.registry.isTransition(announcement)) {
+			const answer = await propose({area: 'registry', command: {kind: 'announced', announcement, at: Date.now()}}, () => ({kind: 'announced', state: ''}));
+			if (answer.kind !== 'announced') {
+				return answer;
+			}
+		}
+
+		const server = machine.registry.get(getServerKey(announcement));
+		if (server.isNothing) {
+			return {kind: 'unknown'};
+		}
+
+		getLeadership()?.heard(server.value.id, performance.now());
+		return {kind: 'announced', state: server.value.state};
+	}
+
+	async function configure(command: ConfigurationCommand): Promise<ControlAnswer> {
+		return propose({area: 'configuration', command: {...command, at: Date.now()}}, answer => answer.area === 'configuration' ? {kind: 'configured', answer: answer.answer} : {kind: 'unknown'});
+	}
+
+	async function runLedger(command: LedgerCommand): Promise<ControlAnswer> {
+		return propose({area: 'ledger', command: {...command, at: Date.now()}}, answer => answer.area === 'ledger' ? {kind: 'ledger', answer: answer.answer} : {kind: 'unknown'});
+	}
+
+	async function drain(key: string): Promise<ControlAnswer> {
+		const isKnown = machine.registry.get(key).isJust;
+		return isKnown
+			? propose({area: 'registry', command: {kind: 'drained', key, at: Date.now()}}, () => ({kind: 'drained', isKnown}))
+			: {kind: 'drained', isKnown};
+	}
+
+	async function read(toAnswer: (leadership: Leadership) => ControlAnswer): Promise<ControlAnswer> {
+		const isConfirmed = await driver.confirm();
+		const leadership = getLeadership();
+		return isConfirmed && leadership !== undefined ? toAnswer(leadership) : getNotLeader();
+	}
+
+	function getReplicas(): readonly ReplicaStatus[] {
+		const {voters, learners} = driver.replica.getMembership();
+		const leader = driver.replica.getLeader();
+		return [
+			...voters.map(replica => ({replica, role: replica === leader ? 'leader' as const : 'voter' as const, matchIndex: driver.replica.getMatchIndex(replica)})),
+			...learners.map(replica => ({replica, role: 'learner' as const, matchIndex: driver.replica.getMatchIndex(replica)})),
+		];
+	}
+
+	function getStatus(leadership: Leadership): ClusterStatus {
+		const now = performance.now();
+		const current = machine.register.getCurrent('production');
+		return {
+			leader: getHostName(driver.replica.getLeader() ?? ':'),
+			term: driver.replica.getTerm(),
+			commitIndex: driver.replica.getCommitIndex(),
+			versions: {trial: machine.register.getCurrentNumber('trial'), production: machine.register.getCurrentNumber('production')},
+			replicas: getReplicas(),
+			entries: leadership.getEntries(now),
+			servers: leadership.getServers(now),
+			claims: machine.ledger.getSize(),
+			quarantined: leadership.getQuarantined(now),
+			measuring: {
+				planned: leadership.getPlannedProbes(now),
+				budget: current.isJust ? current.value.document.measuring.probesPerSecond : 0,
+			},
+		};
+	}
+
+	return {
+		async answer(request) {
+			if (driver.replica.getRole() !== 'leader') {
+				return getNotLeader();
+			}
+
+			switch (request.kind) {
+				case 'announce': {
+					return announce(request.announcement);
+				}
+
+				case 'configure': {
+					return configure(request.command);
+				}
+
+				case 'ledger': {
+					return runLedger(request.command);
+				}
+
+				case 'drain': {
+					return drain(request.key);
+				}
+
+				case 'crash': {
+					return read(leadership => ({kind: 'crashes', count: leadership.reportCrash(request.fingerprint, request.server, performance.now())}));
+				}
+
+				case 'clearCrashes': {
+					getLeadership()?.clearCrashes(request.fingerprint);
+					return {kind: 'crashes', count: 0};
+				}
+
+				case 'readVersion': {
+					return read(() => ({kind: 'version', version: machine.register.getCurrent(request.environment).unwrapOr(undefined as never)}));
+				}
+
+				case 'readHistory': {
+					return read(() => ({kind: 'history', versions: machine.register.getHistory(request.environment)}));
+				}
+
+				case 'readInForce': {
+					return read(leadership => ({kind: 'inForce', isInForce: leadership.isInForce(request.environment, request.version, performance.now())}));
+				}
+
+				case 'readStatus': {
+					return read(leadership => ({kind: 'status', status: getStatus(leadership)}));
+				}
+			}
+		},
+	};
+}
--- /dev/null
+++ b/source/control/leadership.ts
@@ -0,0 +1,321 @@
+/**
+ * What a leader decides while it leads: leases, permits for cold servers, probing
+ * duties, presence and quarantine. All of it is soft state that a new leader builds
+ * again; permits and duties of servers known to an earlier leader stay closed until
+ * that leader's leases have ended.
+ */
+import {
+	createPresence, type RegisteredServer, type RegistryCommand,
+} from '../announcement/index.js';
+import {createAllocator, type Allocator} from '../cold-start/index.js';
+import {type EnvironmentDocument, type Service} from '../configuration/index.js';
+import {
+	createLeaseBook, type Grant, type Holder, type LeaseBook, type Renewal, type ServerView,
+} from '../lease/index.js';
+import {createDuties, getProbeInterval, type Duties} from '../measuring/index.js';
+import {createQuarantine, type Quarantine} from '../quarantine/index.js';
+import {type EntryStatus, type ServerStatus} from './message.js';
+import {type Machine} from './machine.js';
+
+/** Silence after which a server counts as absent, in milliseconds. */
+const absenceMilliseconds = 3500;
+
+/** Silence after which a server is removed from the registry, in milliseconds. */
+const removalMilliseconds = 600_000;
+
+/** Silence after which a leaving server is removed, in milliseconds. */
+const leavingRemovalMilliseconds = 60_000;
+
+const unknownDeadlineMilliseconds = 60_000;
+const failedProbesUntilAbsent = 3;
+
+/** One leadership. */
+export type Leadership = {
+	readonly epoch: number;
+	/** Grants a lease; call it only when leadership was confirmed after the receipt. */
+	grant(renewal: Renewal, receivedAt: number, now: number): Grant;
+	/** Takes the servers that a committed command changed. */
+	serversChanged(servers: readonly RegisteredServer[], now: number): void;
+	/** Notes that a server announced itself. */
+	heard(id: number, now: number): void;
+	reportCrash(fingerprint: string, server: number, now: number): number;
+	clearCrashes(fingerprint: string): void;
+	/** Ends leases, and returns the registry commands that are due. */
+	tick(now: number): readonly RegistryCommand[];
+	isInForce(environment: string, version: number, now: number): boolean;
+	getEntries(now: number): readonly EntryStatus[];
+	getServers(now: number): readonly ServerStatus[];
+	getQuarantined(now: number): readonly string[];
+	getPlannedProbes(now: number): number;
+	/** Gets a number that rises whenever entries should renew at once. */
+	getUrgency(): number;
+};
+
+/** Options of a leadership. */
+export type LeadershipOptions = {
+	readonly epoch: number;
+	readonly startedAt: number;
+	readonly termMilliseconds: number;
+	readonly machine: Machine;
+	/** Wall-clock time in milliseconds. */
+	getWallClock(): number;
+};
+
+type Change = {readonly revision: number; readonly view: ServerView};
+
+/**
+ * Creates the soft state of a new leader.
+ * @param options - Consensus term, start and the state machine.
+ */
+export function createLeadership(options: LeadershipOptions): Leadership {
+	const {machine, startedAt, termMilliseconds} = options;
+	const book: LeaseBook = createLeaseBook(startedAt, termMilliseconds);
+	const allocator: Allocator = createAllocator({startedAt, termMilliseconds});
+	const duties: Duties = createDuties();
+	const presence = createPresence(startedAt, absenceMilliseconds);
+	const quarantine: Quarantine = createQuarantine();
+	const changes = new Map<number, Change>();
+	const inherited = new Set<number>();
+	const failedProbes = new Map<number, number>();
+	const proposed = new Map<number, number>();
+	const cooled = new Set<number>();
+	const ended = new Set<string>();
+	let revision = 0;
+	let urgency = 0;
+
+	for (const server of machine.registry.getAll()) {
+		inherited.add(server.id);
+		touch(server, startedAt);
+		addCold(server, startedAt);
+	}
+
+	function getDocument(environment: string): EnvironmentDocument | undefined {
+		const current = machine.register.getCurrent(environment === 'trial' ? 'trial' : 'production');
+		return current.isJust ? current.value.document : undefined;
+	}
+
+	function getServices(name: string): readonly Service[] {
+		const documents = [getDocument('production'), getDocument('trial')];
+		return documents.flatMap(document => document?.services.filter(service => service.name === name) ?? []);
+	}
+
+	function addCold(server: RegisteredServer, now: number): void {
+		if (server.state !== 'cold') {
+			return;
+		}
+
+		const services = getServices(server.announcement.service);
+		const deadline = Math.max(...services.map(service => service.deadlineMilliseconds), services.length === 0 ? unknownDeadlineMilliseconds : 0);
+		const {easing} = services[0] ?? {easing: {initialSlots: 1, growthPerSuccess: 0.1, ceilingMilliseconds: 30_000}};
+		allocator.add({
+			id: server.id, slots: server.announcement.slots, easing, deadlineMilliseconds: deadline, hasEarlierHolders: inherited.has(server.id),
+		}, now);
+	}
+
+	function isAbsent(id: number, now: number): boolean {
+		return presence.isAbsent(id, now) || (failedProbes.get(id) ?? 0) >= failedProbesUntilAbsent;
+	}
+
+	function touch(server: RegisteredServer, now: number): void {
+		const current = machine.registry.getById(server.id);
+		revision++;
+		changes.set(server.id, {
+			revision,
+			view: {
+				id: server.id,
+				announcement: server.announcement,
+				state: server.state,
+				isAbsent: isAbsent(server.id, now),
+				isRemoved: current.isNothing,
+			},
+		});
+	}
+
+	function endLeases(now: number): void {
+		for (const holder of book.getAll()) {
+			if (holder.expiresAt > now) {
+				ended.delete(holder.entry);
+			} else if (!ended.has(holder.entry)) {
+				ended.add(holder.entry);
+				allocator.lose(holder.entry, now);
+				duties.lose(holder.entry);
+			}
+		}
+	}
+
+	function observe(renewal: Renewal, now: number): void {
+		allocator.report(renewal.entry, renewal.acknowledged, renewal.observations, now);
+		duties.acknowledge(renewal.entry, renewal.acknowledged);
+		for (const id of renewal.failedProbes) {
+			failedProbes.set(id, (failedProbes.get(id) ?? 0) + 1);
+			refreshPresence(id, now);
+		}
+	}
+
+	function refreshPresence(id: number, now: number): void {
+		const server = machine.registry.getById(id);
+		const known = changes.get(id);
+		if (server.isJust && known !== undefined && known.view.isAbsent !== isAbsent(id, now)) {
+			touch(server.value, now);
+		}
+	}
+
+	function getLiveNames(environment: string, now: number): readonly string[] {
+		return book.getLive(now).filter(holder => holder.environment === environment).map(holder => holder.entry).toSorted();
+	}
+
+	function getProbed(now: number): readonly number[] {
+		const isOpen = now - startedAt >= termMilliseconds;
+		return [...machine.registry.getAll()]
+			.filter(server => server.state !== 'leaving' && (isOpen || !inherited.has(server.id)))
+			.map(server => server.id);
+	}
+
+	function getViews(renewal: Renewal): readonly ServerView[] {
+		const all = [...changes.values()];
+		if (renewal.epoch !== options.epoch) {
+			return all.filter(change => !change.view.isRemoved).map(change => change.view);
+		}
+
+		return renewal.revision >= revision ? [] : all.filter(change => change.revision > renewal.revision).map(change => change.view);
+	}
+
+	function findCooled(renewal: Renewal): void {
+		for (const observation of renewal.observations) {
+			if (observation.isCold && machine.registry.getById(observation.server).map(server => server.state === 'warm').unwrapOr(false)) {
+				cooled.add(observation.server);
+			}
+		}
+	}
+
+	function getTransitions(now: number): readonly RegistryCommand[] {
+		const at = options.getWallClock();
+		const commands: RegistryCommand[] = [...cooled].map(id => ({kind: 'cooled', id, at}));
+		for (const id of allocator.getWarmed(now)) {
+			commands.push({kind: 'warmed', id, at});
+		}
+
+		for (const server of machine.registry.getAll()) {
+			const allowed = server.state === 'leaving' ? leavingRemovalMilliseconds : removalMilliseconds;
+			if (presence.getSilence(server.id, now) > allowed) {
+				commands.push({kind: 'removed', id: server.id, at});
+			}
+		}
+
+		return commands;
+	}
+
+	/** Leaves out commands that were proposed a moment ago and may still be on their way. */
+	function takeUnproposed(commands: readonly RegistryCommand[], now: number): readonly RegistryCommand[] {
+		const due = commands.filter(command => 'id' in command && now - (proposed.get(command.id) ?? Number.NEGATIVE_INFINITY) > termMilliseconds);
+		for (const command of due) {
+			if ('id' in command) {
+				proposed.set(command.id, now);
+			}
+		}
+
+		return due;
+	}
+
+	return {
+		epoch: options.epoch,
+		grant(renewal, receivedAt, now) {
+			endLeases(now);
+			book.enter(renewal, receivedAt);
+			endLeases(now);
+			observe(renewal, now);
+			findCooled(renewal);
+			const live = getLiveNames(renewal.environment, now);
+			const document = getDocument(renewal.environment);
+			const version = machine.register.getCurrentNumber(renewal.environment);
+			const probed = getProbed(now);
+			return {
+				kind: 'grant',
+				sequence: renewal.sequence,
+				termMilliseconds,
+				epoch: options.epoch,
+				revision,
+				isWhole: renewal.epoch !== options.epoch,
+				servers: getViews(renewal),
+				version,
+				document: version === renewal.version ? undefined : document,
+				permits: allocator.grant(renewal.entry, renewal.sequence, live, now),
+				duties: document === undefined ? [] : duties.grant(renewal.entry, renewal.sequence, probed, getLiveNames('production', now).length > 0 ? getLiveNames('production', now) : live),
+				probeMilliseconds: document === undefined ? Number.POSITIVE_INFINITY : getProbeInterval(document.measuring, probed.length),
+				quarantined: quarantine.getQuarantined(now),
+				peers: getPeers(book.getLive(now), renewal.entry),
+			};
+		},
+		serversChanged(servers, now) {
+			for (const server of servers) {
+				cooled.delete(server.id);
+				proposed.delete(server.id);
+				const isCurrent = machine.registry.getById(server.id).isJust;
+				if (!isCurrent || server.state !== 'cold') {
+					allocator.remove(server.id);
+				}
+
+				if (isCurrent) {
+					presence.heard(server.id, now);
+					addCold(server, now);
+				} else {
+					presence.forget(server.id);
+					failedProbes.delete(server.id);
+				}
+
+				touch(server, now);
+			}
+
+			urgency++;
+		},
+		heard(id, now) {
+			presence.heard(id, now);
+			failedProbes.delete(id);
+			refreshPresence(id, now);
+		},
+		reportCrash(fingerprint, server, now) {
+			const count = quarantine.report(fingerprint, server, now);
+			urgency++;
+			return count;
+		},
+		clearCrashes: quarantine.clear,
+		tick(now) {
+			endLeases(now);
+			for (const id of changes.keys()) {
+				refreshPresence(id, now);
+			}
+
+			for (const entry of book.forgetEnded(now - removalMilliseconds)) {
+				ended.delete(entry);
+			}
+
+			return takeUnproposed(getTransitions(now), now);
+		},
+		isInForce: book.isInForce,
+		getEntries: now => book.getAll().map(holder => ({
+			entry: holder.entry, environment: holder.environment, version: holder.version, leaseMilliseconds: Math.round(holder.expiresAt - now),
+		})),
+		getServers: now => [...machine.registry.getAll()].map(server => ({
+			key: server.key,
+			id: server.id,
+			zone: server.announcement.zone,
+			state: server.state,
+			isAbsent: isAbsent(server.id, now),
+			slots: server.announcement.slots,
+			permits: allocator.getUse(server.id, now),
+			prober: duties.getProber(server.id),
+		})),
+		getQuarantined: now => quarantine.getQuarantined(now),
+		getPlannedProbes(now) {
+			const document = getDocument('production');
+			const probed = getProbed(now);
+			const interval = document === undefined ? Number.POSITIVE_INFINITY : getProbeInterval(document.measuring, probed.length);
+			return probed.filter(id => duties.getProber(id) !== undefined).length * 1000 / interval;
+		},
+		getUrgency: () => urgency,
+	};
+}
+
+function getPeers(live: readonly Holder[], entry: string): Grant['peers'] {
+	return live.filter(holder => holder.entry !== entry && holder.peer !== undefined).map(holder => holder.peer!);
+}
--- /dev/null
+++ b/source/entry/admin.ts
@@ -0,0 +1,69 @@
+/** The admin interface of an entry: metrics, readiness, and announcements to pass on. */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {type Registry} from 'prom-client';
+import {announcementSchema} from '../announcement/index.js';
+import {type ControlClient} from '../control-client/index.js';
+import {answerJson, readJson} from '../control/http.js';
+import {checkValue} from '../settings/index.js';
+
+const maximumAnnouncementBytes = 16_384;
+const announceMilliseconds = 3000;
+
+/** What the interface needs from its entry. */
+export type AdminOptions = {
+	readonly client: ControlClient;
+	readonly metrics: Registry;
+	isReady(): boolean;
+	getVersion(): number;
+	getExpiresAt(): number;
+};
+
+/**
+ * Creates the interface.
+ * @param options - Functions of the entry.
+ */
+export function createAdmin(options: AdminOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
+	async function announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const body = await readJson(request, maximumAnnouncementBytes);
+		const checked = body.mapErr(fault => [fault] as readonly string[]).andThen(value => checkValue('body', value, announcementSchema));
+		if (checked.isErr) {
+			answerJson(response, 400, {kind: 'faults', faults: checked.error});
+			return;
+		}
+
+		const answer = await options.client.submit({kind: 'announce', announcement: checked.value}, announceMilliseconds);
+		answerJson(response, answer.kind === 'announced' ? 200 : 503, answer);
+	}
+
+	return async (request, response) => {
+		switch (`${request.method} ${request.url}`) {
+			case 'POST /v1/announce': {
+				await announce(request, response);
+				return;
+			}
+
+			case 'GET /metrics': {
+				response.writeHead(200, {'content-type': options.metrics.contentType});
+				response.end(await options.metrics.metrics());
+				return;
+			}
+
+			case 'GET /ready': {
+				answerJson(response, options.isReady() ? 200 : 503, {
+					ready: options.isReady(), version: options.getVersion(), leaseMilliseconds: Math.max(0, Math.round(options.getExpiresAt() - performance.now())),
+				});
+				return;
+			}
+
+			case 'GET /live': {
+				answerJson(response, 200, {live: true});
+				return;
+			}
+
+			default: {
+				answerJson(response, 404, {kind: 'faults', faults: ['no such resource; use /metrics, /ready, /live or POST /v1/announce']});
+			}
+		}
+	};
+}
--- /dev/null
+++ b/source/entry/attempt.ts
@@ -0,0 +1,218 @@
+/**
+ * One attempt of a request on one server. The outcome states whether the request
+ * may have run; an answer counts only when it is whole. Answers up to the bound are
+ * held in memory, larger ones are handed on as a stream.
+ */
+import {Buffer} from 'node:buffer';
+import {request as startRequest, type ClientRequest, type IncomingMessage} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {
+	getHeaderValue, mayHaveRun, notRun, verdictHeader, type Verdict,
+} from '../verdict/index.js';
+import {getAnswerHeaders, loadHeader, stateHeader} from './headers.js';
+import {type Pool} from './pool.js';
+
+const shedStatus = 503;
+const notRunValue = getHeaderValue(notRun('server-shed'));
+
+/** Status and headers of an answer, names and values in turn. */
+export type AnswerHead = {readonly status: number; readonly headers: readonly string[]};
+
+/** Outcome of an attempt. */
+export type Outcome
+	= | {readonly kind: 'whole'; readonly head: AnswerHead; readonly body: Buffer}
+	/** The head and the first bytes of an answer that is too large to hold. */
+		| {readonly kind: 'large'; readonly head: AnswerHead; readonly start: readonly Buffer[]; readonly rest: IncomingMessage}
+		| {readonly kind: 'failed'; readonly verdict: Verdict; readonly hasCrashed: boolean};
+
+/** What a server said of itself in an answer. */
+export type ServerHints = {readonly isCold: boolean; readonly load: number | undefined};
+
+/** Options of an attempt. */
+export type AttemptOptions = {
+	readonly pool: Pool;
+	readonly method: string;
+	readonly target: string;
+	/** Names and values in turn. */
+	readonly headers: readonly string[];
+	readonly body: Buffer | undefined;
+	/** Body that is still arriving from the caller, sent with back-pressure. */
+	readonly stream: IncomingMessage | undefined;
+	readonly deadlineAt: number;
+	readonly maximumHeldBytes: number;
+	/** Checks in the turn of the write whether the request may still be dispatched. */
+	mayDispatch(): boolean;
+	hinted(hints: ServerHints): void;
+	ended(outcome: Outcome): void;
+};
+
+/** A running attempt. */
+export type Attempt = {
+	/** Abandons the attempt and destroys its connection. */
+	cancel(): void;
+	/** Checks whether a byte may have reached the server. */
+	wasDispatched(): boolean;
+};
+
+/**
+ * Starts an attempt.
+ * @param options - Request, server and functions that take events.
+ */
+export function startAttempt(options: AttemptOptions): Attempt {
+	let isDispatched = false;
+	let isEnded = false;
+	let isRefused = false;
+	const request: ClientRequest = startRequest({
+		agent: options.pool.agent, method: options.method, path: options.target, headers: options.headers as string[], setHost: false,
+	});
+	const timer = setTimeout(() => {
+		fail('deadline');
+	}, Math.max(0, options.deadlineAt - performance.now()));
+
+	function end(outcome: Outcome): void {
+		if (isEnded) {
+			return;
+		}
+
+		isEnded = true;
+		clearTimeout(timer);
+		options.ended(outcome);
+	}
+
+	function fail(reason: 'deadline' | 'connection-lost' | 'answer-truncated'): void {
+		if (isEnded) {
+			return;
+		}
+
+		const verdict = getFailure(reason);
+		const hasCrashed = isDispatched && reason !== 'deadline';
+		end({kind: 'failed', verdict, hasCrashed});
+		request.destroy();
+	}
+
+	function getFailure(reason: 'deadline' | 'connection-lost' | 'answer-truncated'): Verdict {
+		if (isRefused) {
+			return notRun(performance.now() < options.deadlineAt ? 'lease-expired' : 'deadline');
+		}
+
+		if (!isDispatched) {
+			return notRun(reason === 'deadline' ? 'deadline' : 'unreachable');
+		}
+
+		return mayHaveRun(reason);
+	}
+
+	request.once('socket', () => {
+		// An expired lease must not send even the first byte; the socket is unused so far.
+		if (isEnded || !options.mayDispatch()) {
+			isRefused = true;
+			fail('connection-lost');
+			return;
+		}
+
+		isDispatched = true;
+	});
+	request.once('error', () => {
+		fail('connection-lost');
+	});
+	request.once('response', answer => {
+		receive(answer);
+	});
+	request.once('close', () => {
+		fail('connection-lost');
+	});
+
+	function receive(answer: IncomingMessage): void {
+		options.hinted(getHints(answer));
+		const head: AnswerHead = {status: answer.statusCode ?? 502, headers: getAnswerHeaders(answer)};
+		if (head.status === shedStatus && answer.headers[verdictHeader] === notRunValue) {
+			answer.resume();
+			end({kind: 'failed', verdict: notRun('server-shed'), hasCrashed: false});
+			return;
+		}
+
+		if (!isDelimited(answer, options.method)) {
+			fail('answer-truncated');
+			return;
+		}
+
+		hold(answer, head);
+	}
+
+	function hold(answer: IncomingMessage, head: AnswerHead): void {
+		const chunks: Buffer[] = [];
+		let size = 0;
+		function take(chunk: Buffer): void {
+			chunks.push(chunk);
+			size += chunk.length;
+			if (size > options.maximumHeldBytes) {
+				answer.off('data', take);
+				answer.off('end', finish);
+				answer.pause();
+				end({
+					kind: 'large', head, start: chunks, rest: answer,
+				});
+			}
+		}
+
+		function finish(): void {
+			if (!answer.complete) {
+				fail('answer-truncated');
+				return;
+			}
+
+			const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+			const isChunked = answer.headers['transfer-encoding'] !== undefined;
+			const headers = isChunked ? [...head.headers, 'content-length', String(body.length)] : head.headers;
+			end({kind: 'whole', head: {status: head.status, headers}, body});
+			stopUnfinishedRequest();
+		}
+
+		answer.on('data', take);
+		answer.once('end', finish);
+		answer.once('error', () => {
+			fail('answer-truncated');
+		});
+		answer.once('aborted', () => {
+			fail('answer-truncated');
+		});
+	}
+
+	/** A connection whose request was answered before it was sent can't be used again. */
+	function stopUnfinishedRequest(): void {
+		if (!request.writableFinished) {
+			request.destroy();
+		}
+	}
+
+	if (options.stream === undefined) {
+		request.end(options.body);
+	} else {
+		options.stream.pipe(request);
+	}
+
+	return {
+		cancel() {
+			if (!isEnded) {
+				isEnded = true;
+				clearTimeout(timer);
+				request.destroy();
+			}
+		},
+		wasDispatched: () => isDispatched,
+	};
+}
+
+/** Checks whether the end of an answer's body can be told from a lost connection. */
+function isDelimited(answer: IncomingMessage, method: string): boolean {
+	const hasNoBody = method === 'HEAD' || answer.statusCode === 204 || answer.statusCode === 304;
+	return hasNoBody || answer.headers['content-length'] !== undefined || answer.headers['transfer-encoding'] !== undefined;
+}
+
+function getHints(answer: IncomingMessage): ServerHints {
+	const load = answer.headers[loadHeader];
+	return {
+		isCold: answer.headers[stateHeader] === 'cold',
+		load: typeof load === 'string' ? Number(load) : undefined,
+	};
+}
--- /dev/null
+++ b/source/entry/body.ts
@@ -0,0 +1,58 @@
+/** Reads the body of a caller's request. */
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage} from 'node:http';
+
+/** What became of a body. */
+export type Body
+	= | {readonly kind: 'whole'; readonly bytes: Buffer}
+		| {readonly kind: 'tooLarge'}
+		| {readonly kind: 'cut'};
+
+/**
+ * Checks whether a request has a body.
+ * @param request - Request of a caller.
+ */
+export function hasBody(request: IncomingMessage): boolean {
+	const length = request.headers['content-length'];
+	return request.headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
+}
+
+/**
+ * Gets the announced length of a body in bytes, or infinity when it is not announced.
+ * @param request - Request of a caller.
+ */
+export function getAnnouncedLength(request: IncomingMessage): number {
+	const length = request.headers['content-length'];
+	return length === undefined ? Number.POSITIVE_INFINITY : Number(length);
+}
+
+/**
+ * Reads a whole body within a bound.
+ * @param request - Request of a caller.
+ * @param maximumBytes - Largest body in bytes.
+ */
+export async function readBody(request: IncomingMessage, maximumBytes: number): Promise<Body> {
+	return new Promise(resolve => {
+		const chunks: Buffer[] = [];
+		let size = 0;
+		request.on('data', (chunk: Buffer) => {
+			size += chunk.length;
+			if (size > maximumBytes) {
+				chunks.length = 0;
+				resolve({kind: 'tooLarge'});
+				return;
+			}
+
+			chunks.push(chunk);
+		});
+		request.once('end', () => {
+			resolve(request.complete ? {kind: 'whole', bytes: Buffer.concat(chunks)} : {kind: 'cut'});
+		});
+		request.once('close', () => {
+			resolve({kind: 'cut'});
+		});
+		request.once('error', () => {
+			resolve({kind: 'cut'});
+		});
+	});
+}
--- /dev/null
+++ b/source/entry/claims.ts
@@ -0,0 +1,139 @@
+/** Claims the keys of non-idempotent requests in the ledger, and settles them. */
+import {createHash, randomUUID} from 'node:crypto';
+import {type ControlClient} from '../control-client/index.js';
+import {type ControlAnswer} from '../control/message.js';
+import {type StoredAnswer} from '../ledger/index.js';
+import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
+
+const settleAttemptMilliseconds = 5000;
+const settleMilliseconds = 120_000;
+const claimMilliseconds = 2000;
+
+/** A claim that was granted. */
+export type Claim = {
+	/** Records that the request ran, with the answer to replay if it is small enough. */
+	finish(answer: StoredAnswer | undefined): void;
+	/** Gives the key back, because the request is known not to have run; resolves when that is recorded. */
+	release(): Promise<void>;
+};
+
+/** Outcome of a claim. */
+export type ClaimOutcome
+	= | {readonly kind: 'granted'; readonly claim: Claim}
+		| {readonly kind: 'replay'; readonly answer: StoredAnswer}
+		| {readonly kind: 'refused'; readonly verdict: Verdict};
+
+/** Claims keys. */
+export type Claims = {
+	claim(options: ClaimOptions): Promise<ClaimOutcome>;
+	/** Gets the number of claims whose outcome is not yet recorded. */
+	getUnsettled(): number;
+};
+
+/** A key to claim. */
+export type ClaimOptions = {
+	readonly service: string;
+	readonly key: string;
+	/** Digest of the request, from `getRequestDigest`. */
+	readonly digest: string;
+	readonly remainingMilliseconds: number;
+};
+
+/**
+ * Gets a digest of what a request asks for.
+ * @param method - Method of the request.
+ * @param target - Target of the request.
+ * @param body - Whole body.
+ */
+export function getRequestDigest(method: string, target: string, body: Uint8Array): string {
+	return createHash('sha256').update(`${method} ${target}\n`).update(body).digest('hex');
+}
+
+/**
+ * Creates the claiming part of an entry.
+ * @param client - Links to the control hosts.
+ * @param environment - Environment that the entry serves.
+ */
+export function createClaims(client: ControlClient, environment: string): Claims {
+	let unsettled = 0;
+
+	async function settle(command: Parameters<ControlClient['submit']>[0]): Promise<void> {
+		unsettled++;
+		for (let left = settleMilliseconds; left > 0; left -= settleAttemptMilliseconds) {
+			const answer = await client.submit(command, settleAttemptMilliseconds);
+			if (answer.kind === 'ledger') {
+				break;
+			}
+		}
+
+		unsettled--;
+	}
+
+	function createClaim(key: string, attempt: string): Claim {
+		const common = {
+			shard: 0, key, attempt, at: 0,
+		} as const;
+		return {
+			finish(answer) {
+				void settle({kind: 'ledger', command: {kind: 'finish', ...common, answer}});
+			},
+			async release() {
+				await settle({kind: 'ledger', command: {kind: 'release', ...common}});
+			},
+		};
+	}
+
+	function getOutcome(answer: ControlAnswer, claim: Claim): ClaimOutcome {
+		if (answer.kind !== 'ledger') {
+			// Nothing was dispatched, so "not run" holds even if the claim is granted later.
+			void claim.release();
+			return {kind: 'refused', verdict: notRun('ledger-unavailable')};
+		}
+
+		switch (answer.answer.kind) {
+			case 'granted': {
+				return {kind: 'granted', claim};
+			}
+
+			case 'replay': {
+				return {kind: 'replay', answer: answer.answer.answer};
+			}
+
+			case 'alreadyRan': {
+				return {kind: 'refused', verdict: mayHaveRun('already-ran')};
+			}
+
+			case 'inProgress': {
+				return {kind: 'refused', verdict: mayHaveRun('in-progress')};
+			}
+
+			case 'mismatch': {
+				return {kind: 'refused', verdict: notRun('key-mismatch')};
+			}
+
+			case 'full': {
+				return {kind: 'refused', verdict: notRun('ledger-full')};
+			}
+
+			case 'released':
+			case 'done': {
+				return {kind: 'refused', verdict: notRun('ledger-unavailable')};
+			}
+		}
+	}
+
+	return {
+		async claim(options) {
+			const key = `${environment}/${options.service}/${options.key}`;
+			const attempt = randomUUID();
+			const answer = await client.submit({
+				kind: 'ledger',
+				command: {
+					kind: 'claim', shard: 0, key, attempt, digest: options.digest, at: 0,
+				},
+			}, Math.min(claimMilliseconds, options.remainingMilliseconds));
+			return getOutcome(answer, createClaim(key, attempt));
+		},
+		getUnsettled: () => unsettled,
+	};
+}
--- /dev/null
+++ b/source/entry/entry.ts
@@ -0,0 +1,344 @@
+/** An entry: HTTP from callers, HTTP to servers, under a lease from the control hosts. */
+import {randomBytes} from 'node:crypto';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import {interval, Subscription} from 'rxjs';
+import {createJointCounts, createCountsReporter} from '../choice/index.js';
+import {type EnvironmentDocument} from '../configuration/index.js';
+import {createControlClient, type ControlClient} from '../control-client/index.js';
+import {type Grant} from '../lease/index.js';
+import {createRandom} from '../randomness/index.js';
+import {createServiceLevelCounter, periodMilliseconds} from '../service-level/index.js';
+import {type EntrySettings, type Security} from '../settings/index.js';
+import {type Log} from '../telemetry/index.js';
+import {notRun, type Verdict} from '../verdict/index.js';
+import {answerVerdict} from './answer.js';
+import {createAdmin} from './admin.js';
+import {answerCall, type CallContext} from './call.js';
+import {createClaims} from './claims.js';
+import {createFleet} from './fleet.js';
+import {keepLease} from './lease-keeper.js';
+import {createEntryMetrics} from './metrics.js';
+import {startPeers, type StartedPeers} from './peers.js';
+import {createProber} from './prober.js';
+import {createRouter, type Router} from './router.js';
+import {createSuspects} from './suspects.js';
+
+const queueTickMilliseconds = 20;
+const probeTickMilliseconds = 50;
+const drainCheckMilliseconds = 20;
+const callerKeepAliveMilliseconds = 65_000;
+const headersTimeoutMilliseconds = 10_000;
+const requestTimeoutMilliseconds = 60_000;
+const storedAnswerBytes = 16_384;
+
+/** A running entry. */
+export type Entry = {
+	readonly callersPort: number;
+	readonly adminPort: number;
+	isReady(): boolean;
+	/** Stops gracefully: not ready, grace, then every request in flight finishes. */
+	stop(): Promise<void>;
+	getInFlight(): number;
+};
+
+/** Options of `startEntry`. */
+export type EntryOptions = {
+	readonly settings: EntrySettings;
+	readonly security: Security;
+	readonly log: Log;
+	readonly seed: number;
+};
+
+/**
+ * Starts an entry.
+ * @param options - Settings, keys and log.
+ */
+export async function startEntry(options: EntryOptions): Promise<Entry> {
+	const {settings, security, log} = options;
+	const random = createRandom(options.seed);
+	const metrics = createEntryMetrics();
+	const fleet = createFleet(random);
+	const counts = createJointCounts();
+	const counter = createServiceLevelCounter(settings.name, settings.environment);
+	const subscription = new Subscription();
+	const idPrefix = randomBytes(6).toString('hex');
+	let router: Router = createRouter([]);
+	let document: EnvironmentDocument | undefined;
+	let isDraining = false;
+	let inFlight = 0;
+	let nextId = 1;
+	let wasReady = false;
+
+	const prober = createProber({
+		fleet, mayProbe: now => keeper.holder.isValid(now), probed: metrics.probed,
+	});
+	const started = await startExchange();
+	const keeper = keepLease({
+		entry: settings.name,
+		environment: settings.environment,
+		renewMilliseconds: settings.lease.renewMilliseconds,
+		peer: started === undefined || settings.peers === undefined ? undefined : {name: settings.name, host: settings.peers.host, port: started.port},
+		getClient: () => client,
+		takeObservations: fleet.takeObservations,
+		takeFailedProbes: prober.takeFailed,
+		enforce,
+	});
+	const client: ControlClient = createControlClient({
+		identity: security.link,
+		hosts: settings.control,
+		received: keeper.receive,
+		opened() {
+			keeper.renew();
+		},
+	});
+	const claims = createClaims(client, settings.environment);
+	const suspects = createSuspects(client);
+
+	async function startExchange(): Promise<StartedPeers | undefined> {
+		return settings.peers === undefined
+			? undefined
+			: startPeers({
+				identity: security.link,
+				address: settings.peers,
+				counts,
+				reporter: createCountsReporter(settings.name),
+				getOwnCounts: () => [...fleet.getServers()].map(({candidate}) => ({server: candidate.id, inFlight: candidate.getInFlight()})),
+				changed(servers) {
+					for (const id of servers) {
+						fleet.get(id)?.candidate.setPeerInFlight(counts.get(id));
+					}
+				},
+			});
+	}
+
+	function enforce(grant: Grant): void {
+		if (grant.document !== undefined) {
+			document = grant.document;
+			router = createRouter(document.services);
+			fleet.setDocument(document);
+			log.info({version: grant.version}, 'document in force');
+		}
+
+		if (grant.isWhole || grant.servers.length > 0) {
+			fleet.update(grant.servers, grant.isWhole);
+		}
+
+		fleet.setPermits(grant.permits);
+		fleet.setConnectionShare(grant.peers.length + 1);
+		started?.peers.set(grant.peers);
+		prober.schedule.assign(grant.duties, grant.probeMilliseconds, performance.now());
+		suspects.setQuarantined(grant.quarantined);
+		drainQueues();
+	}
+
+	function drainQueues(): void {
+		const now = performance.now();
+		for (const state of fleet.getStates()) {
+			if (state.queue.getLength() > 0) {
+				state.queue.expire(now);
+				state.queue.drain(now);
+			}
+		}
+	}
+
+	function isReady(): boolean {
+		return !isDraining && document !== undefined && keeper.holder.isValid(performance.now());
+	}
+
+	function logReadiness(): void {
+		if (isReady() !== wasReady) {
+			wasReady = !wasReady;
+			log.info({ready: wasReady, version: keeper.holder.getVersion()}, wasReady ? 'ready' : 'not ready');
+		}
+	}
+
+	function createRequestId(): string {
+		return `${idPrefix}-${(nextId++).toString(36)}`;
+	}
+
+	function ended(service: {readonly name: string; readonly objective: {readonly latencyMilliseconds: number}}, verdict: Verdict, milliseconds: number): void {
+		inFlight--;
+		metrics.answered(service.name, verdict.kind, milliseconds / 1000);
+		if (!isCallersFault(verdict)) {
+			counter.record(service.name, milliseconds, isFailure(verdict), milliseconds > service.objective.latencyMilliseconds);
+		}
+	}
+
+	const context: CallContext = {
+		zone: settings.zone,
+		fleet,
+		claims,
+		suspects,
+		metrics,
+		maximumBodyBytes: settings.maximumBodyBytes,
+		maximumHeldBytes: settings.maximumHeldAnswerBytes,
+		maximumStoredBytes: storedAnswerBytes,
+		isLeaseValid: now => keeper.holder.isValid(now),
+		isClosing: () => isDraining,
+		createRequestId,
+		ended,
+	};
+
+	function handle(request: IncomingMessage, response: ServerResponse): void {
+		response.on('error', () => {
+			response.destroy();
+		});
+		const service = router.get(request.headers.host, request.url ?? '/');
+		const state = service === undefined ? undefined : fleet.getState(service.name);
+		if (state === undefined) {
+			const verdict = document === undefined ? notRun('lease-expired') : notRun('unknown-service');
+			metrics.refused(document === undefined ? 'lease-expired' : 'unknown-service');
+			answerVerdict(response, verdict, createRequestId(), isDraining);
+			return;
+		}
+
+		inFlight++;
+		answerCall(context, state, request, response).catch((error: unknown) => {
+			log.error({error}, 'a request failed inside the entry');
+			response.destroy();
+		});
+	}
+
+	const callers = createServer({
+		maxHeaderSize: settings.maximumHeaderBytes, keepAliveTimeout: callerKeepAliveMilliseconds, headersTimeout: headersTimeoutMilliseconds, requestTimeout: requestTimeoutMilliseconds, noDelay: true,
+	}, handle);
+	callers.on('checkContinue', handle);
+	callers.on('upgrade', (_request, socket) => {
+		socket.end('HTTP/1.1 400 Bad Request\r\nguavadeck-verdict: not-run\r\nguavadeck-reason: bad-request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n');
+	});
+	callers.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+		if (error.code === 'ECONNRESET' || !socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
+		socket.end(`HTTP/1.1 ${status}\r\nguavadeck-verdict: not-run\r\nguavadeck-reason: bad-request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
+	});
+
+	const admin = createAdmin({
+		client, metrics: metrics.registry, isReady, getVersion: () => keeper.holder.getVersion(), getExpiresAt: () => keeper.holder.getExpiresAt(),
+	});
+	const adminServer = createServer((request, response) => {
+		void admin(request, response);
+	});
+	await listen(callers, settings.callers);
+	await listen(adminServer, settings.admin);
+	registerGauges();
+
+	function registerGauges(): void {
+		metrics.addGauge('guavadeck_in_flight', 'Requests in flight', () => inFlight);
+		metrics.addGauge('guavadeck_document_version', 'Version of the document in force', () => keeper.holder.getVersion());
+		metrics.addGauge('guavadeck_lease_seconds', 'Time until the lease ends', () => Math.max(0, keeper.holder.getExpiresAt() - performance.now()) / 1000);
+		metrics.addGauge('guavadeck_peers', 'Peers that counts are exchanged with', () => started?.peers.getCount() ?? 0);
+		metrics.addGauge('guavadeck_exchange_frames_total', 'Count messages sent to peers', () => started?.peers.getSentFrames() ?? 0);
+		metrics.addGauge('guavadeck_probe_duties', 'Servers that this entry probes', () => prober.schedule.getDuties().length);
+	}
+
+	function report(): void {
+		client.broadcast(counter.take(Math.floor(Date.now() / periodMilliseconds) * periodMilliseconds));
+	}
+
+	subscription.add(interval(queueTickMilliseconds).subscribe(drainQueues));
+	subscription.add(interval(queueTickMilliseconds).subscribe(logReadiness));
+	subscription.add(interval(probeTickMilliseconds).subscribe(prober.tick));
+	subscription.add(interval(periodMilliseconds).subscribe(report));
+	if (started !== undefined) {
+		subscription.add(interval(settings.exchangeMilliseconds).subscribe(started.peers.exchange));
+	}
+
+	async function finishInFlight(): Promise<void> {
+		while (inFlight > 0 || claims.getUnsettled() > 0) {
+			await delay(drainCheckMilliseconds);
+		}
+	}
+
+	log.info({callers: getPort(callers), admin: getPort(adminServer)}, 'entry started');
+	return {
+		callersPort: getPort(callers),
+		adminPort: getPort(adminServer),
+		isReady,
+		getInFlight: () => inFlight,
+		async stop() {
+			isDraining = true;
+			logReadiness();
+			await delay(settings.graceMilliseconds);
+			const closed = new Promise(resolve => {
+				callers.close(resolve);
+			});
+			callers.closeIdleConnections();
+			await finishInFlight();
+			await closed;
+			report();
+			keeper.giveUp();
+			await delay(drainCheckMilliseconds);
+			subscription.unsubscribe();
+			keeper.stop();
+			client.close();
+			await started?.peers.stop();
+			fleet.close();
+			adminServer.close();
+			adminServer.closeAllConnections();
+			log.info({}, 'entry stopped');
+		},
+	};
+}
+
+function isFailure(verdict: Verdict): boolean {
+	return verdict.kind === 'ran' ? verdict.status >= 500 : true;
+}
+
+/** Checks whether a refusal says nothing about the service. */
+function isCallersFault(verdict: Verdict): boolean {
+	if (verdict.kind === 'ran') {
+		return false;
+	}
+
+	switch (verdict.reason) {
+		case 'already-ran':
+		case 'bad-request':
+		case 'body-too-large':
+		case 'caller-left':
+		case 'in-progress':
+		case 'key-mismatch':
+		case 'unknown-service': {
+			return true;
+		}
+
+		case 'answer-truncated':
+		case 'connection-lost':
+		case 'crashes-servers':
+		case 'deadline':
+		case 'draining':
+		case 'lease-expired':
+		case 'ledger-full':
+		case 'ledger-unavailable':
+		case 'no-server':
+		case 'overload':
+		case 'server-shed':
+		case 'unreachable': {
+			return false;
+		}
+	}
+}
+
+type Listening = ReturnType<typeof createServer>;
+
+async function listen(server: Listening, address: {readonly host: string; readonly port: number}): Promise<void> {
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(address.port, address.host, resolve);
+	});
+}
+
+function getPort(server: Listening): number {
+	return (server.address() as AddressInfo | undefined)?.port ?? 0;
+}
+
+async function delay(milliseconds: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
--- /dev/null
+++ b/source/entry/fleet.ts
@@ -0,0 +1,237 @@
+/**
+ * The servers that an entry may use, by service: what the control hosts say of
+ * them, joined with what the entry and its peers see.
+ */
+import {
+	createCandidate, createChooser, type Candidate, type Chooser,
+} from '../choice/index.js';
+import {type EnvironmentDocument, type Service} from '../configuration/index.js';
+import {type Observation, type Permit, type ServerView} from '../lease/index.js';
+import {createWaitQueue, type WaitQueue} from '../limits/index.js';
+import {type Random} from '../randomness/index.js';
+import {
+	createAttemptBudget, createHedgeDelay, type AttemptBudget, type HedgeDelay,
+} from '../retry/index.js';
+import {createPool, type Pool} from './pool.js';
+
+const initialRetries = 10;
+const initialHedgeMilliseconds = 50;
+const hedgeQuantile = 0.95;
+
+/** A server with its connections. */
+export type FleetServer = {readonly candidate: Candidate; readonly pool: Pool};
+
+/** What an entry keeps for one service. */
+export type ServiceState = {
+	getService(): Service;
+	readonly queue: WaitQueue;
+	readonly retries: AttemptBudget;
+	readonly hedges: AttemptBudget;
+	readonly hedgeDelay: HedgeDelay;
+	getChooser(): Chooser;
+	getCandidates(): readonly Candidate[];
+};
+
+/** The servers that an entry may use. */
+export type Fleet = {
+	/** Puts a document in force. */
+	setDocument(document: EnvironmentDocument): void;
+	/** Takes servers; `isWhole` says that all others are gone. */
+	update(views: readonly ServerView[], isWhole: boolean): void;
+	setPermits(permits: readonly Permit[]): void;
+	setConnectionShare(entries: number): void;
+	getState(service: string): ServiceState | undefined;
+	getStates(): Iterable<ServiceState>;
+	get(id: number): FleetServer | undefined;
+	getServers(): Iterable<FleetServer>;
+	/** Gets what the entry saw of cold, suspect and shedding servers since the last call. */
+	takeObservations(): readonly Observation[];
+	/** Ejects servers that fail too often, up to the document's share. */
+	ejectFailing(service: string, candidate: Candidate, now: number): boolean;
+	close(): void;
+};
+
+type MutableState = ServiceState & {
+	setService(service: Service): void;
+	setCandidates(candidates: readonly Candidate[]): void;
+};
+
+function createServiceState(initial: Service, random: Random): MutableState {
+	let service = initial;
+	let candidates: readonly Candidate[] = [];
+	let chooser = createChooser(service.policy, random);
+	return {
+		getService: () => service,
+		queue: createWaitQueue(() => service.queueLength),
+		retries: createAttemptBudget(() => service.retryRatio, initialRetries),
+		hedges: createAttemptBudget(() => service.hedgeRatio, 0),
+		hedgeDelay: createHedgeDelay(hedgeQuantile, initialHedgeMilliseconds),
+		getChooser: () => chooser,
+		getCandidates: () => candidates,
+		setService(next) {
+			if (next.policy !== service.policy) {
+				chooser = createChooser(next.policy, random);
+			}
+
+			service = next;
+		},
+		setCandidates(next) {
+			candidates = next;
+		},
+	};
+}
+
+/**
+ * Creates a fleet without servers.
+ * @param random - Source of random numbers.
+ */
+export function createFleet(random: Random): Fleet {
+	const servers = new Map<number, FleetServer>();
+	const states = new Map<string, MutableState>();
+	let document: EnvironmentDocument | undefined;
+	let entries = 1;
+
+	function isInService(candidate: Candidate): boolean {
+		const announcement = candidate.getAnnouncement();
+		const zone = document?.zones.find(zone => zone.name === announcement.zone);
+		return zone?.inService === true && candidate.getState() !== 'leaving';
+	}
+
+	function rebuild(): void {
+		const byService = new Map<string, Candidate[]>();
+		for (const {candidate} of servers.values()) {
+			if (isInService(candidate)) {
+				const {service} = candidate.getAnnouncement();
+				byService.set(service, [...byService.get(service) ?? [], candidate]);
+			}
+		}
+
+		for (const [name, state] of states) {
+			state.setCandidates(byService.get(name) ?? []);
+		}
+	}
+
+	function remove(id: number): void {
+		const server = servers.get(id);
+		if (server !== undefined) {
+			servers.delete(id);
+			closeWhenIdle(server);
+		}
+	}
+
+	function put(view: ServerView): void {
+		const {id, announcement, state, isAbsent} = view;
+		const known = servers.get(id);
+		if (known !== undefined) {
+			known.candidate.update(announcement, state, isAbsent);
+			return;
+		}
+
+		const candidate = createCandidate(id, announcement, state);
+		candidate.update(announcement, state, isAbsent);
+		candidate.setConnectionShare(getConnectionShare(announcement.connections));
+		servers.set(id, {candidate, pool: createPool(announcement.host, announcement.port, announcement.connections)});
+	}
+
+	function getConnectionShare(connections: number): number {
+		return Math.max(1, Math.floor(connections / entries));
+	}
+
+	return {
+		setDocument(next) {
+			document = next;
+			const names = new Set(next.services.map(service => service.name));
+			for (const service of next.services) {
+				const known = states.get(service.name);
+				if (known === undefined) {
+					states.set(service.name, createServiceState(service, random));
+				} else {
+					known.setService(service);
+				}
+			}
+
+			for (const name of states.keys()) {
+				if (!names.has(name)) {
+					states.delete(name);
+				}
+			}
+
+			rebuild();
+		},
+		update(views, isWhole) {
+			const present = new Set(views.map(view => view.id));
+			for (const id of servers.keys()) {
+				if (isWhole && !present.has(id)) {
+					remove(id);
+				}
+			}
+
+			for (const view of views) {
+				if (view.isRemoved) {
+					remove(view.id);
+				} else {
+					put(view);
+				}
+			}
+
+			rebuild();
+		},
+		setPermits(permits) {
+			const slots = new Map(permits.map(permit => [permit.server, permit.slots]));
+			for (const {candidate} of servers.values()) {
+				candidate.setPermit(slots.get(candidate.id) ?? 0);
+			}
+		},
+		setConnectionShare(count) {
+			if (count === entries) {
+				return;
+			}
+
+			entries = count;
+			for (const {candidate} of servers.values()) {
+				candidate.setConnectionShare(getConnectionShare(candidate.getAnnouncement().connections));
+			}
+		},
+		getState: service => states.get(service),
+		getStates: () => states.values(),
+		get: id => servers.get(id),
+		getServers: () => servers.values(),
+		takeObservations() {
+			const observations: Observation[] = [];
+			for (const {candidate} of servers.values()) {
+				const counts = candidate.takeCounts();
+				if (candidate.isCold() || counts.isCold || counts.sheds > 0) {
+					observations.push({server: candidate.id, inFlight: candidate.getInFlight(), ...counts});
+				}
+			}
+
+			return observations;
+		},
+		ejectFailing(service, candidate, now) {
+			if (document === undefined) {
+				return false;
+			}
+
+			const candidates = states.get(service)?.getCandidates() ?? [];
+			const ejected = candidates.filter(other => other.isEjected(now)).length;
+			return ejected + 1 <= candidates.length * document.outliers.largestShare && candidate.ejectWhenFailing(document.outliers, now);
+		},
+		close() {
+			for (const {pool} of servers.values()) {
+				pool.close();
+			}
+		},
+	};
+}
+
+const closeCheckMilliseconds = 100;
+
+/** Closes the connections of a server that is gone once no request is in flight on them. */
+function closeWhenIdle(server: FleetServer): void {
+	if (server.candidate.getInFlight() === 0) {
+		server.pool.close();
+		return;
+	}
+
+	setTimeout(closeWhenIdle, closeCheckMilliseconds, server).unref();
+}
--- /dev/null
+++ b/source/entry/index.ts
@@ -0,0 +1,1 @@
+export * from './entry.js';
--- /dev/null
+++ b/source/entry/lease-keeper.ts
@@ -0,0 +1,150 @@
+/** Keeps the entry's lease: sends renewals, takes grants and puts them in force. */
+import {performance} from 'node:perf_hooks';
+import {Subject, type Observable} from 'rxjs';
+import {type Environment} from '../configuration/index.js';
+import {
+	createLeaseHolder, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Renewal,
+} from '../lease/index.js';
+import {type ControlClient} from '../control-client/index.js';
+import {type ControlOutbound} from '../control/message.js';
+
+const nudgeSpacingMilliseconds = 20;
+const unansweredMilliseconds = 300;
+
+/** Keeps a lease. */
+export type LeaseKeeper = {
+	readonly holder: LeaseHolder;
+	/** Emits each grant after it is in force. */
+	readonly grants: Observable<Grant>;
+	receive(host: string, message: ControlOutbound): void;
+	renew(): void;
+	/** Hands the lease back. */
+	giveUp(): void;
+	stop(): void;
+};
+
+/** Options of a keeper. */
+export type LeaseKeeperOptions = {
+	readonly entry: string;
+	readonly environment: Environment;
+	readonly renewMilliseconds: number;
+	readonly peer: PeerAddress | undefined;
+	getClient(): ControlClient;
+	takeObservations(): readonly Observation[];
+	takeFailedProbes(): readonly number[];
+	/** Puts a grant in force; runs before the grant is acknowledged. */
+	enforce(grant: Grant): void;
+};
+
+/**
+ * Starts to keep a lease.
+ * @param options - Entry, timing and functions that take grants.
+ */
+export function keepLease(options: LeaseKeeperOptions): LeaseKeeper {
+	const holder = createLeaseHolder();
+	const grants = new Subject<Grant>();
+	let lastRenewedAt = Number.NEGATIVE_INFINITY;
+	let lastAnsweredAt = performance.now();
+	let nudge: NodeJS.Timeout | undefined;
+
+	function send(isFinal: boolean): void {
+		const now = performance.now();
+		const client = options.getClient();
+		if (now - lastAnsweredAt > options.renewMilliseconds + unansweredMilliseconds) {
+			client.setLeader(undefined);
+		}
+
+		lastRenewedAt = now;
+		const renewal: Renewal = {
+			kind: 'renewal',
+			entry: options.entry,
+			environment: options.environment,
+			sequence: holder.renew(now),
+			acknowledged: holder.getAcknowledged(),
+			version: holder.getVersion(),
+			epoch: holder.getEpoch(),
+			revision: holder.getRevision(),
+			observations: options.takeObservations(),
+			failedProbes: options.takeFailedProbes(),
+			crashes: [],
+			peer: options.peer,
+			isFinal,
+		};
+		client.sendToLeader(renewal);
+	}
+
+	function renewSoon(): void {
+		if (nudge !== undefined) {
+			return;
+		}
+
+		const wait = Math.max(0, lastRenewedAt + nudgeSpacingMilliseconds - performance.now());
+		nudge = setTimeout(() => {
+			nudge = undefined;
+			send(false);
+		}, wait);
+	}
+
+	function accept(host: string, grant: Grant): void {
+		lastAnsweredAt = performance.now();
+		options.getClient().setLeader(host);
+		const isFirst = holder.getAcknowledged() === 0;
+		if (!holder.accept(grant, performance.now())) {
+			return;
+		}
+
+		options.enforce(grant);
+		grants.next(grant);
+		if (isFirst || grant.document !== undefined) {
+			renewSoon();
+		}
+	}
+
+	const timer = setInterval(() => {
+		send(false);
+	}, options.renewMilliseconds);
+
+	return {
+		holder,
+		grants,
+		receive(host, message) {
+			switch (message.kind) {
+				case 'grant': {
+					accept(host, message);
+					return;
+				}
+
+				case 'refusal': {
+					if (message.leader !== undefined && message.leader !== host) {
+						options.getClient().setLeader(message.leader);
+						renewSoon();
+					}
+
+					return;
+				}
+
+				case 'nudge': {
+					renewSoon();
+					break;
+				}
+
+				case 'reply': {
+					// The client has matched replies with their requests.
+					break;
+				}
+			}
+		},
+		renew() {
+			send(false);
+		},
+		giveUp() {
+			send(true);
+			holder.giveUp();
+		},
+		stop() {
+			clearInterval(timer);
+			clearTimeout(nudge);
+			grants.complete();
+		},
+	};
+}
--- /dev/null
+++ b/source/entry/metrics.ts
@@ -0,0 +1,78 @@
+/** Counters, gauges and histograms of an entry. */
+import {
+	collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import {type Verdict} from '../verdict/index.js';
+
+const latencyBuckets = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
+
+/** Metrics of an entry. */
+export type EntryMetrics = {
+	readonly registry: Registry;
+	/** Counts an answered request. */
+	answered(service: string, verdict: Verdict['kind'], seconds: number): void;
+	attempted(service: string, kind: 'first' | 'retry' | 'hedge'): void;
+	refused(reason: string): void;
+	probed(isHealthy: boolean): void;
+	ejected(service: string): void;
+	/** Adds a gauge that is read when the metrics are. */
+	addGauge(name: string, help: string, read: () => number): void;
+};
+
+/** Creates the metrics of an entry. */
+export function createEntryMetrics(): EntryMetrics {
+	const registry = new Registry();
+	collectDefaultMetrics({register: registry});
+	const latency = new Histogram({
+		name: 'guavadeck_request_seconds', help: 'Time from a request to the end of its answer', labelNames: ['service'], buckets: latencyBuckets, registers: [registry],
+	});
+	const requests = new Counter({
+		name: 'guavadeck_requests_total', help: 'Requests by verdict', labelNames: ['service', 'verdict'], registers: [registry],
+	});
+	const attempts = new Counter({
+		name: 'guavadeck_attempts_total', help: 'Attempts on servers', labelNames: ['service', 'kind'], registers: [registry],
+	});
+	const refusals = new Counter({
+		name: 'guavadeck_refusals_total', help: 'Answers that the entry made itself, by reason', labelNames: ['reason'], registers: [registry],
+	});
+	const probes = new Counter({
+		name: 'guavadeck_probes_total', help: 'Probes sent', labelNames: ['result'], registers: [registry],
+	});
+	const ejections = new Counter({
+		name: 'guavadeck_ejections_total', help: 'Servers ejected for failures', labelNames: ['service'], registers: [registry],
+	});
+	const latencies = new Map<string, Histogram.Internal<'service'>>();
+
+	return {
+		registry,
+		answered(service, verdict, seconds) {
+			requests.inc({service, verdict});
+			const child = latencies.get(service) ?? latency.labels(service);
+			latencies.set(service, child);
+			child.observe(seconds);
+		},
+		attempted(service, kind) {
+			attempts.inc({service, kind});
+		},
+		refused(reason) {
+			refusals.inc({reason});
+		},
+		probed(isHealthy) {
+			probes.inc({result: isHealthy ? 'healthy' : 'failed'});
+		},
+		ejected(service) {
+			ejections.inc({service});
+		},
+		addGauge(name, help, read) {
+			// eslint-disable-next-line no-new
+			new Gauge({
+				name,
+				help,
+				registers: [registry],
+				collect() {
+					this.set(read());
+				},
+			});
+		},
+	};
+}
--- /dev/null
+++ b/source/entry/peers.ts
@@ -0,0 +1,118 @@
+/** Exchanges requests in flight with the other entries. */
+import {type JointCounts, type CountsMessage, type CountsReporter} from '../choice/index.js';
+import {type PeerAddress} from '../lease/index.js';
+import {
+	createDialer, listenForLinks, type Dialer, type LinkIdentity, type LinkListener,
+} from '../wire/index.js';
+import {type Address} from '../settings/index.js';
+
+/** Links to the other entries. */
+export type Peers = {
+	/** Keeps links to exactly these peers. */
+	set(addresses: readonly PeerAddress[]): void;
+	/** Sends the counts that changed. */
+	exchange(): void;
+	getCount(): number;
+	getSentFrames(): number;
+	stop(): Promise<void>;
+};
+
+/** Options of `startPeers`. */
+export type PeersOptions = {
+	readonly identity: LinkIdentity;
+	readonly address: Address;
+	readonly counts: JointCounts;
+	readonly reporter: CountsReporter;
+	getOwnCounts(): Iterable<{readonly server: number; readonly inFlight: number}>;
+	/** Takes servers whose joint counts changed. */
+	changed(servers: readonly number[]): void;
+};
+
+/** Peers, and the port on which they reach this entry. */
+export type StartedPeers = {readonly peers: Peers; readonly port: number};
+
+/**
+ * Starts to listen for peers.
+ * @param options - Address, identity and counts.
+ */
+export async function startPeers(options: PeersOptions): Promise<StartedPeers> {
+	const dialers = new Map<string, Dialer>();
+	let sentFrames = 0;
+	const listener: LinkListener = await listenForLinks<CountsMessage>({
+		identity: options.identity,
+		host: options.address.host,
+		port: options.address.port,
+		opened(link) {
+			link.messages.subscribe({
+				next(message) {
+					options.changed(options.counts.receive({...message, entry: link.peer}));
+				},
+				complete() {
+					options.changed(options.counts.forget(link.peer));
+				},
+			});
+		},
+	});
+
+	function dial(peer: PeerAddress): Dialer {
+		const dialer: Dialer = createDialer({
+			identity: options.identity,
+			host: peer.host,
+			port: peer.port,
+			received() {
+				// Counts arrive on the links that peers dial.
+			},
+			opened() {
+				dialer.send(options.reporter.getWhole());
+			},
+			closed() {
+				// The dialer connects again by itself.
+			},
+		});
+		return dialer;
+	}
+
+	const peers: Peers = {
+		set(addresses) {
+			const keys = new Set(addresses.map(peer => getKey(peer)));
+			for (const [key, dialer] of dialers) {
+				if (!keys.has(key)) {
+					dialer.close();
+					dialers.delete(key);
+				}
+			}
+
+			for (const peer of addresses) {
+				const key = getKey(peer);
+				if (!dialers.has(key)) {
+					dialers.set(key, dial(peer));
+				}
+			}
+		},
+		exchange() {
+			const message = options.reporter.takeChanges(options.getOwnCounts());
+			if (message === undefined) {
+				return;
+			}
+
+			for (const dialer of dialers.values()) {
+				sentFrames++;
+				dialer.send(message);
+			}
+		},
+		getCount: () => dialers.size,
+		getSentFrames: () => sentFrames,
+		async stop() {
+			for (const dialer of dialers.values()) {
+				dialer.close();
+			}
+
+			await listener.close();
+		},
+	};
+	return {peers, port: listener.port};
+}
+
+function getKey(peer: PeerAddress): string {
+	return `${peer.name} ${peer.host} ${peer.port}`;
+}
--- /dev/null
+++ b/source/lease/book.ts
@@ -0,0 +1,74 @@
+/**
+ * The leader's book of leases: who holds one until when, what each holder may still
+ * believe that it holds, and which version it reports. Times are the leader's own,
+ * counted from the receipt of a renewal, so they end after the holder's.
+ */
+import {type PeerAddress, type Renewal} from './message.js';
+
+/** One entry in the book. */
+export type Holder = {
+	readonly entry: string;
+	readonly expiresAt: number;
+	readonly version: number;
+	readonly acknowledged: number;
+	readonly peer: PeerAddress | undefined;
+	readonly environment: string;
+};
+
+/** The leader's book of leases. */
+export type LeaseBook = {
+	/** Enters a renewal whose leadership was confirmed after its receipt. */
+	enter(renewal: Renewal, receivedAt: number): void;
+	/** Gets the holders whose leases have not ended. */
+	getLive(now: number): readonly Holder[];
+	isLive(entry: string, now: number): boolean;
+	/** Gets every entry that was entered and not forgotten, ended leases included. */
+	getAll(): readonly Holder[];
+	/** Checks whether every live lease of an environment reports a version, or a newer one. */
+	isInForce(environment: string, version: number, now: number): boolean;
+	/** Forgets entries whose leases ended long ago. */
+	forgetEnded(before: number): readonly string[];
+};
+
+/**
+ * Creates an empty book.
+ * @param startedAt - Start of the leadership in milliseconds.
+ * @param termMilliseconds - Term of each lease.
+ */
+export function createLeaseBook(startedAt: number, termMilliseconds: number): LeaseBook {
+	const holders = new Map<string, Holder>();
+
+	function isLive(holder: Holder | undefined, now: number): boolean {
+		return holder !== undefined && holder.expiresAt > now;
+	}
+
+	function getLive(now: number): readonly Holder[] {
+		return [...holders.values()].filter(holder => isLive(holder, now));
+	}
+
+	return {
+		enter(renewal, receivedAt) {
+			const {entry, version, acknowledged, peer, environment} = renewal;
+			const previous = holders.get(entry);
+			const end = renewal.isFinal ? receivedAt : receivedAt + termMilliseconds;
+			holders.set(entry, {
+				entry, version, acknowledged, peer, environment, expiresAt: renewal.isFinal ? end : Math.max(end, previous?.expiresAt ?? 0),
+			});
+		},
+		getLive,
+		isLive: (entry, now) => isLive(holders.get(entry), now),
+		getAll: () => [...holders.values()],
+		isInForce(environment, version, now) {
+			const isSettled = now - startedAt > termMilliseconds;
+			return isSettled && getLive(now).every(holder => holder.environment !== environment || holder.version >= version);
+		},
+		forgetEnded(before) {
+			const ended = [...holders.values()].filter(holder => holder.expiresAt < before).map(holder => holder.entry);
+			for (const entry of ended) {
+				holders.delete(entry);
+			}
+
+			return ended;
+		},
+	};
+}
--- /dev/null
+++ b/source/lease/holder.ts
@@ -0,0 +1,74 @@
+/**
+ * The entry's side of the lease. The term counts from the moment at which the
+ * renewal was sent, on the monotonic clock, and is shortened by the allowed drift.
+ */
+import {type Grant} from './message.js';
+
+/** Share of the term that is given up to clocks that run at different speeds. */
+const driftShare = 0.02;
+
+/** Renewals whose time of sending is remembered. */
+const rememberedRenewals = 64;
+
+/** An entry's lease. */
+export type LeaseHolder = {
+	/** Notes that a renewal is sent and returns its sequence. */
+	renew(now: number): number;
+	/** Takes a grant; returns false for one that is stale and must be ignored. */
+	accept(grant: Grant, now: number): boolean;
+	/** Checks whether new work may be dispatched. */
+	isValid(now: number): boolean;
+	getExpiresAt(): number;
+	getAcknowledged(): number;
+	getEpoch(): number;
+	getRevision(): number;
+	getVersion(): number;
+	/** Ends the lease at once. */
+	giveUp(): void;
+};
+
+/** Creates a lease that is not yet granted. */
+export function createLeaseHolder(): LeaseHolder {
+	const sentAt = new Map<number, number>();
+	let sequence = 0;
+	let expiresAt = Number.NEGATIVE_INFINITY;
+	let acknowledged = 0;
+	let epoch = 0;
+	let revision = 0;
+	let version = 0;
+	let hasEnded = false;
+
+	return {
+		renew(now) {
+			sequence++;
+			sentAt.set(sequence, now);
+			sentAt.delete(sequence - rememberedRenewals);
+			return sequence;
+		},
+		accept(grant, now) {
+			const sent = sentAt.get(grant.sequence);
+			const isStale = sent === undefined || grant.sequence <= acknowledged || grant.epoch < epoch || grant.version < version;
+			const end = (sent ?? 0) + (grant.termMilliseconds * (1 - driftShare));
+			if (isStale || hasEnded || end <= now) {
+				return false;
+			}
+
+			expiresAt = Math.max(expiresAt, end);
+			acknowledged = grant.sequence;
+			epoch = grant.epoch;
+			revision = grant.revision;
+			version = grant.version;
+			return true;
+		},
+		isValid: now => now < expiresAt,
+		getExpiresAt: () => expiresAt,
+		getAcknowledged: () => acknowledged,
+		getEpoch: () => epoch,
+		getRevision: () => revision,
+		getVersion: () => version,
+		giveUp() {
+			hasEnded = true;
+			expiresAt = Number.NEGATIVE_INFINITY;
+		},
+	};
+}
--- /dev/null
+++ b/source/lease/index.ts
@@ -0,0 +1,3 @@
+export * from './book.js';
+export * from './holder.js';
+export type * from './message.js';
--- /dev/null
+++ b/source/ledger/index.ts
@@ -0,0 +1,1 @@
+export * from './ledger.js';
--- /dev/null
+++ b/source/ledger/ledger.ts
@@ -0,0 +1,202 @@
+/**
+ * The ledger of non-idempotent requests: a deterministic state machine that runs
+ * inside the replicated log. A request's key is claimed by one attempt before its
+ * first byte goes to a server; a released attempt can never claim again, however
+ * late a duplicate of its claim arrives.
+ */
+
+/** Stored answer of a finished request. */
+export type StoredAnswer = {
+	readonly status: number;
+	/** Header names and values in turn. */
+	readonly headers: readonly string[];
+	readonly body: Uint8Array;
+};
+
+/** A command of the ledger. */
+export type LedgerCommand
+	= | {
+		readonly kind: 'claim';
+		readonly shard: number;
+		readonly key: string;
+		readonly attempt: string;
+		/** Digest of method, path and body, in hexadecimal. */
+		readonly digest: string;
+		/** Wall-clock time in milliseconds, set by the leader. */
+		readonly at: number;
+	}
+	| {
+		readonly kind: 'finish';
+		readonly shard: number;
+		readonly key: string;
+		readonly attempt: string;
+		/** Answer to replay, or undefined when it is too large to store. */
+		readonly answer: StoredAnswer | undefined;
+		readonly at: number;
+	}
+	| {readonly kind: 'release'; readonly shard: number; readonly key: string; readonly attempt: string; readonly at: number};
+
+/** Answer to a ledger command. */
+export type LedgerAnswer
+	= | {readonly kind: 'granted'}
+		| {readonly kind: 'replay'; readonly answer: StoredAnswer}
+		| {readonly kind: 'alreadyRan'}
+		| {readonly kind: 'inProgress'}
+		| {readonly kind: 'mismatch'}
+		| {readonly kind: 'full'}
+		| {readonly kind: 'released'}
+		| {readonly kind: 'done'};
+
+/** Bounds of a ledger. */
+export type LedgerLimits = {
+	readonly retentionMilliseconds: number;
+	readonly maximumClaims: number;
+	/** Bytes of stored answers over all claims. */
+	readonly maximumStoredBytes: number;
+};
+
+type Claim = {
+	readonly key: string;
+	readonly attempt: string;
+	readonly digest: string;
+	readonly at: number;
+	readonly state: 'claimed' | 'finished';
+	readonly answer: StoredAnswer | undefined;
+};
+
+type Release = {readonly attempt: string; readonly at: number};
+
+/** Contents of a ledger, for snapshots. */
+export type LedgerImage = {readonly claims: readonly Claim[]; readonly releases: readonly Release[]};
+
+/** The ledger. */
+export type Ledger = {
+	/** Applies a committed command. */
+	apply(command: LedgerCommand): LedgerAnswer;
+	getSize(): number;
+	getStoredBytes(): number;
+	getImage(): LedgerImage;
+	restore(image: LedgerImage): void;
+};
+
+/**
+ * Creates an empty ledger.
+ * @param limits - Retention and size; the same on every replica.
+ */
+export function createLedger(limits: LedgerLimits): Ledger {
+	let claims = new Map<string, Claim>();
+	let releases = new Map<string, number>();
+	let storedBytes = 0;
+
+	function remove(claim: Claim): void {
+		claims.delete(claim.key);
+		storedBytes -= claim.answer?.body.length ?? 0;
+	}
+
+	function expire(now: number): void {
+		for (const claim of claims.values()) {
+			if (claim.at + limits.retentionMilliseconds > now) {
+				break;
+			}
+
+			remove(claim);
+		}
+
+		for (const [attempt, at] of releases) {
+			if (at + limits.retentionMilliseconds > now) {
+				break;
+			}
+
+			releases.delete(attempt);
+		}
+	}
+
+	function claim(command: LedgerCommand & {readonly kind: 'claim'}): LedgerAnswer {
+		if (releases.has(command.attempt)) {
+			return {kind: 'released'};
+		}
+
+		const existing = claims.get(command.key);
+		if (existing !== undefined) {
+			return getExistingAnswer(existing, command);
+		}
+
+		if (claims.size >= limits.maximumClaims) {
+			return {kind: 'full'};
+		}
+
+		const {key, attempt, digest, at} = command;
+		claims.set(key, {
+			key, attempt, digest, at, state: 'claimed', answer: undefined,
+		});
+		return {kind: 'granted'};
+	}
+
+	function finish(command: LedgerCommand & {readonly kind: 'finish'}): LedgerAnswer {
+		const existing = claims.get(command.key);
+		if (existing?.attempt !== command.attempt || existing.state === 'finished') {
+			return {kind: 'done'};
+		}
+
+		const bytes = command.answer?.body.length ?? 0;
+		const isStored = storedBytes + bytes <= limits.maximumStoredBytes;
+		storedBytes += isStored ? bytes : 0;
+		claims.set(command.key, {...existing, state: 'finished', answer: isStored ? command.answer : undefined});
+		return {kind: 'done'};
+	}
+
+	function release(command: LedgerCommand & {readonly kind: 'release'}): LedgerAnswer {
+		const existing = claims.get(command.key);
+		if (existing?.attempt === command.attempt && existing.state === 'claimed') {
+			remove(existing);
+		}
+
+		releases.set(command.attempt, command.at);
+		return {kind: 'done'};
+	}
+
+	return {
+		apply(command) {
+			expire(command.at);
+			switch (command.kind) {
+				case 'claim': {
+					return claim(command);
+				}
+
+				case 'finish': {
+					return finish(command);
+				}
+
+				case 'release': {
+					return release(command);
+				}
+			}
+		},
+		getSize: () => claims.size,
+		getStoredBytes: () => storedBytes,
+		getImage: () => ({
+			claims: [...claims.values()],
+			releases: [...releases].map(([attempt, at]) => ({attempt, at})),
+		}),
+		restore(image) {
+			claims = new Map(image.claims.map(claim => [claim.key, claim]));
+			releases = new Map(image.releases.map(({attempt, at}) => [attempt, at]));
+			storedBytes = 0;
+			for (const claim of claims.values()) {
+				storedBytes += claim.answer?.body.length ?? 0;
+			}
+		},
+	};
+}
+
+function getExistingAnswer(existing: Claim, command: LedgerCommand & {readonly kind: 'claim'}): LedgerAnswer {
+	if (existing.digest !== command.digest) {
+		return {kind: 'mismatch'};
+	}
+
+	if (existing.state === 'claimed') {
+		return existing.attempt === command.attempt ? {kind: 'granted'} : {kind: 'inProgress'};
+	}
+
+	return existing.answer === undefined ? {kind: 'alreadyRan'} : {kind: 'replay', answer: existing.answer};
+}
--- /dev/null
+++ b/source/limits/index.ts
@@ -0,0 +1,1 @@
+export * from './queue.js';
--- /dev/null
+++ b/source/limits/queue.ts
@@ -0,0 +1,118 @@
+/**
+ * A bounded queue of requests that wait for an open server. A request that could
+ * not be served before its deadline is refused on arrival, while "not run" is true
+ * and cheap to say.
+ */
+
+/** Time over which the rate of departures is averaged, in milliseconds. */
+const rateWindowMilliseconds = 1000;
+
+/** A request that waits. */
+export type Waiter = {
+	/** Deadline in milliseconds. */
+	readonly deadlineAt: number;
+	/** Tries to start the request; returns false when no server is open for it. */
+	start(): boolean;
+	/** Refuses the request because its deadline has passed. */
+	expire(): void;
+	isGone(): boolean;
+};
+
+/** A bounded queue. */
+export type WaitQueue = {
+	/** Adds a request; returns false when it must be shed. */
+	add(waiter: Waiter, now: number): boolean;
+	/** Starts as many waiting requests as servers are open. */
+	drain(now: number): void;
+	/** Counts a request that ended, for the estimate of waiting times. */
+	departed(now: number): void;
+	expire(now: number): void;
+	getLength(): number;
+};
+
+/**
+ * Creates an empty queue.
+ * @param getBound - Gets the largest number of waiting requests.
+ */
+export function createWaitQueue(getBound: () => number): WaitQueue {
+	let waiters: Waiter[] = [];
+	let head = 0;
+	let rate = 0;
+	let departures = 0;
+	let countedAt = 0;
+
+	function getLength(): number {
+		return waiters.length - head;
+	}
+
+	function trim(): void {
+		if (head > 64 && head * 2 > waiters.length) {
+			waiters = waiters.slice(head);
+			head = 0;
+		}
+	}
+
+	function getExpectedWait(): number {
+		return rate === 0 ? 0 : getLength() / rate;
+	}
+
+	function dropEnded(now: number): void {
+		while (head < waiters.length) {
+			const waiter = waiters[head]!;
+			if (!waiter.isGone() && waiter.deadlineAt > now) {
+				return;
+			}
+
+			head++;
+			if (!waiter.isGone()) {
+				waiter.expire();
+			}
+		}
+	}
+
+	return {
+		add(waiter, now) {
+			if (getLength() >= getBound() || now + getExpectedWait() > waiter.deadlineAt) {
+				return false;
+			}
+
+			waiters.push(waiter);
+			return true;
+		},
+		drain(now) {
+			dropEnded(now);
+			while (head < waiters.length && waiters[head]!.start()) {
+				head++;
+				dropEnded(now);
+			}
+
+			trim();
+		},
+		departed(now) {
+			departures++;
+			if (now - countedAt >= rateWindowMilliseconds) {
+				rate = departures / (now - countedAt);
+				departures = 0;
+				countedAt = now;
+			}
+		},
+		expire(now) {
+			const kept: Waiter[] = [];
+			for (const waiter of waiters.slice(head)) {
+				if (waiter.isGone()) {
+					continue;
+				}
+
+				if (waiter.deadlineAt <= now) {
+					waiter.expire();
+				} else {
+					kept.push(waiter);
+				}
+			}
+
+			waiters = kept;
+			head = 0;
+		},
+		getLength,
+	};
+}
--- /dev/null
+++ b/source/measuring/index.ts
@@ -0,0 +1,3 @@
+export * from './budget.js';
+export * from './duties.js';
+export * from './schedule.js';
--- /dev/null
+++ b/source/program/main.ts
@@ -0,0 +1,112 @@
+/** The command line of `guavadeck`. */
+import process from 'node:process';
+import {cac} from 'cac';
+import {showBurn, type BurnOptions} from './burn.js';
+import {type OperatorOptions} from './client.js';
+import {Exit, exitCode, rejectInput} from './exit.js';
+import {loadAndPrint} from './load.js';
+import {
+	apply, changeZone, check, drainServer, promote, show, showHistory, showStatus, type ChangeOptions,
+} from './operate.js';
+import {serveControl, serveEntry} from './serve.js';
+import {runTrial} from './trial.js';
+import {version} from './version.js';
+
+const program = cac('guavadeck');
+
+type ServeOptions = {readonly settings?: string};
+type LoadOptions = {readonly rate: number; readonly seconds: number; readonly seed: number; readonly method: string; readonly key?: string; readonly json?: boolean};
+
+function getSettings(options: ServeOptions): string {
+	return options.settings ?? rejectInput(['--settings: missing; name a TOML file']);
+}
+
+function addOperatorOptions(command: ReturnType<typeof program.command>): ReturnType<typeof program.command> {
+	return command
+		.option('--control <addresses>', 'Addresses of control hosts, separated by commas (or GUAVADECK_CONTROL)')
+		.option('--key-file <file>', 'File with the operators\' key')
+		.option('--json', 'Print JSON');
+}
+
+program.command('control', 'Run a control host').option('--settings <file>', 'Settings in TOML').action(async (options: ServeOptions) => serveControl(getSettings(options)));
+program.command('entry', 'Run an entry').option('--settings <file>', 'Settings in TOML').action(async (options: ServeOptions) => serveEntry(getSettings(options)));
+program.command('try', 'Run everything in one process on loopback').option('--port <port>', 'Port for callers', {default: 0}).action(async (options: {readonly port: number}) => runTrial(Number(options.port)));
+program.command('load <...targets>', 'Send an open-loop load')
+	.option('--rate <n>', 'Requests a second', {default: 100})
+	.option('--seconds <n>', 'Length', {default: 10})
+	.option('--seed <n>', 'Seed of the arrivals', {default: 1})
+	.option('--method <method>', 'HTTP method', {default: 'GET'})
+	.option('--key <prefix>', 'Prefix of a fresh idempotency key for each request')
+	.option('--json', 'Print JSON')
+	.action(async (targets: readonly string[], options: LoadOptions) => loadAndPrint({
+		targets, requestsPerSecond: Number(options.rate), seconds: Number(options.seconds), seed: Number(options.seed), method: options.method, keyPrefix: options.key,
+	}, options.json ?? false));
+program.command('check <...files>', 'Check files without applying anything').option('--kind <kind>', 'document, control or entry', {default: 'document'}).action((files: readonly string[], options: {readonly kind: string}) => {
+	check(files, options.kind);
+});
+addOperatorOptions(program.command('apply <file>', 'Apply a document'))
+	.option('--environment <name>', 'trial or production', {default: 'trial'})
+	.option('--base <version>', 'Version that the document is based on (default: the current one)')
+	.option('--change <id>', 'Id of the change, to send it again after a lost answer')
+	.option('--wait', 'Return when the version is in force everywhere')
+	.action(async (file: string, options: ChangeOptions) => apply(file, normalize(options)));
+addOperatorOptions(program.command('promote', 'Copy a trial version to production'))
+	.option('--source <version>', 'Trial version (default: the current one)')
+	.option('--base <version>', 'Production version that is replaced (default: the current one)')
+	.option('--change <id>', 'Id of the change, to send it again after a lost answer')
+	.option('--despite-burn', 'Promote although the trial burns its budget')
+	.option('--wait', 'Return when the version is in force everywhere')
+	.action(async (options: ChangeOptions & {readonly source?: number}) => promote(normalize(options)));
+addOperatorOptions(program.command('show [environment]', 'Show the document of an environment')).action(async (environment: string | undefined, options: OperatorOptions) => show(environment ?? 'production', options));
+addOperatorOptions(program.command('history [environment]', 'Show the versions of an environment')).action(async (environment: string | undefined, options: OperatorOptions) => showHistory(environment ?? 'production', options));
+addOperatorOptions(program.command('zone <action> <zone>', 'Take a zone out of service or bring it in'))
+	.option('--environment <name>', 'trial or production', {default: 'production'})
+	.option('--change <id>', 'Id of the change, to send it again after a lost answer')
+	.option('--wait', 'Return when the change is in force everywhere')
+	.action(async (action: string, zone: string, options: ChangeOptions) => changeZone(action, zone, options));
+addOperatorOptions(program.command('server <action> <server>', 'Let a server leave: server drain SERVICE/NAME')).action(async (action: string, key: string, options: OperatorOptions) => drainServer(action, key, options));
+addOperatorOptions(program.command('status', 'Show the state of the system')).action(async (options: OperatorOptions) => showStatus(options));
+addOperatorOptions(program.command('burn', 'Show service-level burn'))
+	.option('--environment <name>', 'trial or production', {default: 'production'})
+	.option('--html <file>', 'Write a page with plots')
+	.action(async (options: BurnOptions) => showBurn(options));
+program.help();
+program.version(version);
+
+/** Turns version numbers that arrived as text into numbers. */
+function normalize<Options extends {readonly base?: number; readonly source?: number; readonly change?: string}>(options: Options): Options {
+	return {
+		...options,
+		...(options.base === undefined ? {} : {base: getVersion('--base', options.base)}),
+		...(options.source === undefined ? {} : {source: getVersion('--source', options.source)}),
+		...(options.change === undefined ? {} : {change: String(options.change)}),
+	};
+}
+
+function getVersion(name: string, value: unknown): number {
+	const number = Number(value);
+	return Number.isInteger(number) && number >= 0 ? number : rejectInput([`${name}: "${String(value)}" is not a version; write a whole number`]);
+}
+
+async function run(): Promise<void> {
+	try {
+		program.parse(process.argv, {run: false});
+		const isAnswered = program.options.help === true || program.options.version === true;
+		if (program.matchedCommand === undefined && !isAnswered) {
+			rejectInput([`${program.args[0] ?? 'no command'}: no such command; see guavadeck --help`]);
+		}
+
+		await program.runMatchedCommand();
+	} catch (error) {
+		end(error as Error);
+	}
+}
+
+function end(error: Error): void {
+	const isUsage = error.name === 'CACError';
+	const lines = error instanceof Exit ? error.lines : [isUsage ? `${error.message}; see guavadeck --help` : error.stack ?? error.message];
+	process.stderr.write(`${lines.join('\n')}\n`);
+	process.exitCode = error instanceof Exit ? error.code : (isUsage ? exitCode.badInput : exitCode.refused);
+}
+
+await run();
--- /dev/null
+++ b/source/program/print.ts
@@ -0,0 +1,31 @@
+/** Prints results as tables or JSON on standard output. */
+import process from 'node:process';
+
+/**
+ * Prints one line.
+ * @param line - Text without a line break.
+ */
+export function printLine(line: string): void {
+	process.stdout.write(`${line}\n`);
+}
+
+/**
+ * Prints a value as JSON.
+ * @param value - Plain data.
+ */
+export function printJson(value: unknown): void {
+	printLine(JSON.stringify(value, undefined, 2));
+}
+
+/**
+ * Prints rows in columns.
+ * @param header - Names of the columns.
+ * @param rows - Cells of each row.
+ */
+export function printTable(header: readonly string[], rows: ReadonlyArray<readonly string[]>): void {
+	const all = [header, ...rows];
+	const widths = header.map((_, column) => Math.max(...all.map(row => row[column]?.length ?? 0)));
+	for (const row of all) {
+		printLine(row.map((cell, column) => cell.padEnd(widths[column]!)).join('  ').trimEnd());
+	}
+}
--- /dev/null
+++ b/source/program/trial.ts
@@ -0,0 +1,174 @@
+/** `guavadeck try`: control, one entry and stand-in servers in one process on loopback. */
+import {randomUUID} from 'node:crypto';
+import {mkdtempSync, rmSync} from 'node:fs';
+import {createServer} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {documentSchema} from '../configuration/index.js';
+import {startControl} from '../control/index.js';
+import {startEntry} from '../entry/index.js';
+import {
+	controlSettingsSchema, entrySettingsSchema, resolveSecurity, type Address,
+} from '../settings/index.js';
+import {createLog} from '../telemetry/index.js';
+import {startStandIn, type StandIn} from '../../stand-in/index.js';
+import {callApi, getBodyOrThrow} from './client.js';
+import {exitCode, refuse} from './exit.js';
+import {printLine} from './print.js';
+
+const loopback = '127.0.0.1';
+const serversPerService = 4;
+const pollMilliseconds = 20;
+const seed = 1;
+
+const document = documentSchema.parse({
+	zones: [{name: 'north'}, {name: 'south'}],
+	services: [
+		{name: 'catalogue', path: '/catalogue', easing: {initialSlots: 1, growthPerSuccess: 0.5}},
+		{
+			name: 'orders', path: '/orders', idempotentMethods: ['GET', 'HEAD'], easing: {initialSlots: 1, growthPerSuccess: 0.5},
+		},
+	],
+});
+
+/** A running trial. */
+export type Trial = {
+	readonly callersPort: number;
+	readonly apiPort: number;
+	readonly adminPort: number;
+	stop(): Promise<void>;
+};
+
+/**
+ * Starts the whole system in this process.
+ * @param port - Port for callers, 0 for any.
+ */
+export async function startTrial(port: number): Promise<Trial> {
+	const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-try-'));
+	const links = await getFreeAddress();
+	const common = {zone: 'north', control: [{name: 'control', ...links}], logLevel: 'warn' as const};
+	const security = resolveSecurity({
+		file: 'try', name: 'try', security: {}, listening: [],
+	}).unwrapOrElse(faults => refuse(...faults));
+	const log = createLog('try', 'warn');
+	const started = await startControl({
+		settings: controlSettingsSchema.parse({
+			...common, name: 'control', dataFolder: folder, founding: true, links, api: {host: loopback, port: 0}, election: {timeoutMilliseconds: 100, heartbeatMilliseconds: 20},
+		}),
+		security,
+		log,
+		seed,
+		failed(error) {
+			throw error;
+		},
+	});
+	const control = started.unwrapOrElse(fault => refuse(fault));
+	const entry = await startEntry({
+		settings: entrySettingsSchema.parse({
+			...common, name: 'entry', callers: {host: loopback, port}, admin: {host: loopback, port: 0}, graceMilliseconds: 0,
+		}),
+		security,
+		log,
+		seed,
+	});
+	const api = {control: `http://${loopback}:${control.apiPort}`};
+	const servers = await startServers(`http://${loopback}:${entry.adminPort}`);
+	const applied = await applyWhenLed(api);
+	getBodyOrThrow(applied);
+	await waitUntilServed(`http://${loopback}:${entry.callersPort}`);
+	return {
+		callersPort: entry.callersPort,
+		apiPort: control.apiPort,
+		adminPort: entry.adminPort,
+		async stop() {
+			await entry.stop();
+			await Promise.all(servers.map(async server => server.stop()));
+			await control.stop();
+			rmSync(folder, {recursive: true, force: true});
+		},
+	};
+}
+
+async function startServers(announceTo: string): Promise<readonly StandIn[]> {
+	const starts = document.services.flatMap(service => Array.from({length: serversPerService}, async (_, index) => startStandIn({
+		service: service.name,
+		name: `${service.name}-${index + 1}`,
+		zone: document.zones[index % document.zones.length]!.name,
+		host: loopback,
+		port: 0,
+		connections: 50,
+		behaviour: {isCold: false, answerBytes: 64},
+		announceTo: [announceTo],
+		seed: index,
+		record() {
+			// The trial keeps no record of runs.
+		},
+	})));
+	return Promise.all(starts);
+}
+
+async function applyWhenLed(api: {readonly control: string}): ReturnType<typeof callApi> {
+	const change = randomUUID();
+	for (;;) {
+		try {
+			return await callApi(api, 'POST', '/v1/environments/production/apply', {
+				base: 0, change, author: 'try', document,
+			});
+		} catch {
+			await pause();
+		}
+	}
+}
+
+async function waitUntilServed(base: string): Promise<void> {
+	const paths = document.services.map(service => service.path);
+	for (const path of paths) {
+		for (;;) {
+			const response = await fetch(new URL(path, base)).catch(() => undefined);
+			await response?.arrayBuffer();
+			if (response?.status === 200) {
+				break;
+			}
+
+			await pause();
+		}
+	}
+}
+
+async function getFreeAddress(): Promise<Address> {
+	return new Promise(resolve => {
+		const server = createServer();
+		server.listen(0, loopback, () => {
+			const address = server.address();
+			server.close(() => {
+				resolve({host: loopback, port: typeof address === 'object' && address !== null ? address.port : 0});
+			});
+		});
+	});
+}
+
+async function pause(): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, pollMilliseconds);
+	});
+}
+
+/**
+ * Runs `guavadeck try` until a signal stops it.
+ * @param port - Port for callers, 0 for any.
+ */
+export async function runTrial(port: number): Promise<void> {
+	const trial = await startTrial(port);
+	const base = `http://${loopback}:${trial.callersPort}`;
+	printLine(`ready ${base}`);
+	printLine(`curl -i ${base}/catalogue/jerseys`);
+	printLine(`curl -i -X POST -H 'Idempotency-Key: order-1' -d '12 jerseys' ${base}/orders`);
+	printLine(`curl -i -X POST -H 'Idempotency-Key: order-1' -d '12 jerseys' ${base}/orders`);
+	await new Promise<void>(resolve => {
+		process.once('SIGINT', resolve);
+		process.once('SIGTERM', resolve);
+	});
+	await trial.stop();
+	process.exit(exitCode.done);
+}
--- /dev/null
+++ b/source/quarantine/index.ts
@@ -0,0 +1,1 @@
+export * from './quarantine.js';
--- /dev/null
+++ b/source/quarantine/quarantine.ts
@@ -0,0 +1,64 @@
+/**
+ * Counts the servers that crashed while they ran requests with one fingerprint, and
+ * quarantines the fingerprint once too many did.
+ */
+
+/** Servers that one fingerprint may crash. */
+export const allowedCrashes = 2;
+
+/** Time for which a fingerprint is counted and refused, in milliseconds. */
+export const quarantineMilliseconds = 600_000;
+
+const maximumFingerprints = 10_000;
+
+type Crashes = {readonly servers: Set<number>; reportedAt: number};
+
+/** Crash counts by fingerprint. */
+export type Quarantine = {
+	/** Counts a crash and returns the number of servers that crashed so far. */
+	report(fingerprint: string, server: number, now: number): number;
+	isQuarantined(fingerprint: string, now: number): boolean;
+	/** Forgets the crashes of a fingerprint that has since succeeded, unless it is quarantined. */
+	clear(fingerprint: string): void;
+	getQuarantined(now: number): readonly string[];
+};
+
+/** Creates a quarantine without fingerprints. */
+export function createQuarantine(): Quarantine {
+	const counts = new Map<string, Crashes>();
+
+	function expire(now: number): void {
+		for (const [fingerprint, crashes] of counts) {
+			const isFresh = now - crashes.reportedAt < quarantineMilliseconds;
+			if (isFresh && counts.size <= maximumFingerprints) {
+				break;
+			}
+
+			counts.delete(fingerprint);
+		}
+	}
+
+	function isQuarantined(fingerprint: string, now: number): boolean {
+		const crashes = counts.get(fingerprint);
+		return crashes !== undefined && crashes.servers.size >= allowedCrashes && now - crashes.reportedAt < quarantineMilliseconds;
+	}
+
+	return {
+		report(fingerprint, server, now) {
+			expire(now);
+			const crashes = counts.get(fingerprint) ?? {servers: new Set<number>(), reportedAt: now};
+			crashes.servers.add(server);
+			crashes.reportedAt = now;
+			counts.delete(fingerprint);
+			counts.set(fingerprint, crashes);
+			return crashes.servers.size;
+		},
+		isQuarantined,
+		clear(fingerprint) {
+			if ((counts.get(fingerprint)?.servers.size ?? 0) < allowedCrashes) {
+				counts.delete(fingerprint);
+			}
+		},
+		getQuarantined: now => [...counts.keys()].filter(fingerprint => isQuarantined(fingerprint, now)),
+	};
+}
--- /dev/null
+++ b/source/randomness/index.ts
@@ -0,0 +1,1 @@
+export * from './randomness.js';
--- /dev/null
+++ b/source/retry/delay.ts
@@ -0,0 +1,31 @@
+/**
+ * Estimates the latency after which a request is hedged: a high quantile of recent
+ * latencies, followed by steps up and down in proportion to the quantile (stochastic
+ * approximation after Robbins and Monro, 1951).
+ */
+
+const stepShare = 0.02;
+const smallestDelayMilliseconds = 1;
+
+/** Delay after which a request is hedged. */
+export type HedgeDelay = {
+	record(milliseconds: number): void;
+	getMilliseconds(): number;
+};
+
+/**
+ * Creates an estimate.
+ * @param quantile - Share of requests that end before the delay.
+ * @param initialMilliseconds - Delay before any request ended.
+ */
+export function createHedgeDelay(quantile: number, initialMilliseconds: number): HedgeDelay {
+	let estimate = initialMilliseconds;
+	return {
+		record(milliseconds) {
+			const step = estimate * stepShare;
+			estimate += milliseconds > estimate ? step * quantile : -step * (1 - quantile);
+			estimate = Math.max(smallestDelayMilliseconds, estimate);
+		},
+		getMilliseconds: () => estimate,
+	};
+}
--- /dev/null
+++ b/source/retry/index.ts
@@ -0,0 +1,3 @@
+export * from './budget.js';
+export * from './decision.js';
+export * from './delay.js';
--- /dev/null
+++ b/source/service-level/book.ts
@@ -0,0 +1,182 @@
+/**
+ * Merges the counts of all entries: ten-second periods for the last hour, with
+ * histograms, and five-minute periods for three days.
+ */
+import {decodeFromCompressedBase64, type Histogram} from 'hdr-histogram-js';
+import {type EnvironmentDocument, type Service} from '../configuration/index.js';
+import {createLatencyHistogram, periodMilliseconds, unitsPerMillisecond} from './counter.js';
+import {
+	type BurnReport, type BurnSummary, type BurnWindow, type ServiceBurn, type ServiceCount,
+} from './report.js';
+
+const millisecondsPerMinute = 60_000;
+const finePeriods = 360;
+const coarseMilliseconds = 300_000;
+const coarsePeriods = 864;
+const histogramMilliseconds = 300_000;
+const keptHistograms = 12;
+
+/** Burn over which a fast window and its confirming window count as burning. */
+const burningSpeed = 14.4;
+
+const windows = [
+	{window: '5 min', minutes: 5},
+	{window: '1 h', minutes: 60},
+	{window: '6 h', minutes: 360},
+	{window: '3 d', minutes: 4320},
+] as const;
+
+/** Sums over a ring of periods. */
+type Ring = {
+	add(at: number, count: ServiceCount): void;
+	sum(from: number, to: number): {readonly total: number; readonly failed: number; readonly slow: number};
+};
+
+const fieldsPerPeriod = 3;
+
+function createRing(size: number, lengthMilliseconds: number): Ring {
+	const fields = new Uint32Array(size * fieldsPerPeriod);
+	const numbers = new Float64Array(size).fill(-1);
+
+	return {
+		add(at, count) {
+			const number = Math.floor(at / lengthMilliseconds);
+			const slot = number % size;
+			const offset = slot * fieldsPerPeriod;
+			if (numbers[slot]! < number) {
+				numbers[slot] = number;
+				fields.fill(0, offset, offset + fieldsPerPeriod);
+			}
+
+			if (numbers[slot] === number) {
+				fields[offset]! += count.total;
+				fields[offset + 1]! += count.failed;
+				fields[offset + 2]! += count.slow;
+			}
+		},
+		sum(from, to) {
+			let total = 0;
+			let failed = 0;
+			let slow = 0;
+			for (let number = Math.max(0, Math.floor(from / lengthMilliseconds)); number <= Math.floor(to / lengthMilliseconds); number++) {
+				const slot = number % size;
+				if (numbers[slot] === number) {
+					const offset = slot * fieldsPerPeriod;
+					total += fields[offset]!;
+					failed += fields[offset + 1]!;
+					slow += fields[offset + 2]!;
+				}
+			}
+
+			return {total, failed, slow};
+		},
+	};
+}
+
+type TimedHistogram = {readonly number: number; readonly histogram: Histogram};
+type ServiceState = {readonly fine: Ring; readonly coarse: Ring; histograms: TimedHistogram[]};
+
+/** Counts of all services. */
+export type BurnBook = {
+	add(report: BurnReport): void;
+	/** Gets the burn of every service of a document. */
+	getSummary(environment: string, document: EnvironmentDocument, now: number): BurnSummary;
+};
+
+/** Creates an empty book. */
+export function createBurnBook(): BurnBook {
+	const states = new Map<string, ServiceState>();
+
+	function getState(environment: string, service: string): ServiceState {
+		const key = `${environment}/${service}`;
+		const existing = states.get(key);
+		if (existing !== undefined) {
+			return existing;
+		}
+
+		const created: ServiceState = {
+			fine: createRing(finePeriods, periodMilliseconds),
+			coarse: createRing(coarsePeriods, coarseMilliseconds),
+			histograms: [],
+		};
+		states.set(key, created);
+		return created;
+	}
+
+	function addCount(environment: string, startedAt: number, count: ServiceCount): void {
+		const state = getState(environment, count.service);
+		state.fine.add(startedAt, count);
+		state.coarse.add(startedAt, count);
+		const number = Math.floor(startedAt / histogramMilliseconds);
+		let timed = state.histograms.find(candidate => candidate.number === number);
+		if (timed === undefined) {
+			timed = {number, histogram: createLatencyHistogram()};
+			state.histograms = [...state.histograms, timed].slice(-keptHistograms);
+		}
+
+		timed.histogram.add(decodeFromCompressedBase64(count.histogram, 32, false));
+	}
+
+	function getWindow(service: Service, state: ServiceState, window: (typeof windows)[number], now: number): BurnWindow {
+		const from = now - (window.minutes * millisecondsPerMinute);
+		const sums = window.minutes <= 60 ? state.fine.sum(from, now) : state.coarse.sum(from, now);
+		const {availability, latencyShare} = service.objective;
+		return {
+			...window,
+			...sums,
+			availabilityBurn: getBurn(sums.failed, sums.total, availability),
+			latencyBurn: getBurn(sums.slow, sums.total, latencyShare),
+		};
+	}
+
+	function getServiceBurn(environment: string, service: Service, now: number): ServiceBurn {
+		const state = getState(environment, service.name);
+		const burns = windows.map(window => getWindow(service, state, window, now));
+		const merged = createLatencyHistogram();
+		for (const {histogram} of state.histograms) {
+			merged.add(histogram);
+		}
+
+		const [fast, confirming] = burns;
+		const isBurning = (fast!.availabilityBurn > burningSpeed && confirming!.availabilityBurn > burningSpeed)
+			|| (fast!.latencyBurn > burningSpeed && confirming!.latencyBurn > burningSpeed);
+		return {
+			service: service.name,
+			objective: service.objective,
+			windows: burns,
+			budgetLeft: 1 - burns.at(-1)!.availabilityBurn,
+			p50: merged.getValueAtPercentile(50) / unitsPerMillisecond,
+			p99: merged.getValueAtPercentile(99) / unitsPerMillisecond,
+			p999: merged.getValueAtPercentile(99.9) / unitsPerMillisecond,
+			recent: getRecent(state, now),
+			isBurning,
+		};
+	}
+
+	return {
+		add(report) {
+			for (const count of report.services) {
+				addCount(report.environment, report.startedAt, count);
+			}
+		},
+		getSummary: (environment, document, now) => ({
+			environment,
+			services: document.services.map(service => getServiceBurn(environment, service, now)),
+		}),
+	};
+}
+
+function getBurn(bad: number, total: number, objective: number): number {
+	return total === 0 ? 0 : bad / total / (1 - objective);
+}
+
+function getRecent(state: ServiceState, now: number): readonly number[] {
+	const shares: number[] = [];
+	for (let minute = 59; minute >= 0; minute--) {
+		const to = now - (minute * millisecondsPerMinute);
+		const sums = state.fine.sum(to - millisecondsPerMinute + 1, to - 1);
+		shares.push(sums.total === 0 ? 0 : (sums.failed + sums.slow) / sums.total);
+	}
+
+	return shares;
+}
--- /dev/null
+++ b/source/settings/index.ts
@@ -0,0 +1,3 @@
+export * from './file.js';
+export * from './security.js';
+export * from './settings.js';
--- /dev/null
+++ b/source/settings/settings.ts
@@ -0,0 +1,91 @@
+/**
+ * Settings of the two kinds of process. A process learns its addresses, its
+ * availability zone and the control hosts from here, and nothing else.
+ */
+import process from 'node:process';
+import {z} from 'zod';
+
+const port = z.number().int().min(0).max(65_535);
+const address = z.strictObject({
+	host: z.union([z.ipv4(), z.ipv6()], 'use an IP number'),
+	port,
+}).readonly();
+
+const controlHost = z.strictObject({
+	name: z.string().min(1).max(63),
+	host: z.union([z.ipv4(), z.ipv6()], 'use an IP number'),
+	port: port.min(1),
+}).readonly();
+
+const security = z.strictObject({
+	sharedKeyFile: z.string().min(1).optional(),
+	operatorKeyFile: z.string().min(1).optional(),
+	certificateFile: z.string().min(1).optional(),
+	certificateKeyFile: z.string().min(1).optional(),
+	authorityFile: z.string().min(1).optional(),
+}).readonly();
+
+const common = {
+	name: z.string().regex(/^[a-z\d][a-z\d\-]{0,62}$/v, 'use 1 to 63 lower-case letters, digits and hyphens'),
+	zone: z.string().min(1).max(63),
+	control: z.array(controlHost).min(1, 'name at least one control host').readonly(),
+	security: security.prefault({}),
+	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+};
+
+const lease = z.strictObject({
+	termMilliseconds: z.number().int().min(200).max(60_000).default(3000),
+	renewMilliseconds: z.number().int().min(20).max(10_000).default(500),
+}).readonly();
+
+/** Settings of an entry process. */
+export const entrySettingsSchema = z.strictObject({
+	...common,
+	environment: z.enum(['trial', 'production']).default('production'),
+	callers: address,
+	admin: address,
+	peers: address.optional(),
+	exchangeMilliseconds: z.number().int().min(5).max(10_000).default(100),
+	graceMilliseconds: z.number().int().min(0).max(600_000).default(1000),
+	maximumHeaderBytes: z.number().int().min(1024).max(1_048_576).default(16_384),
+	maximumBodyBytes: z.number().int().min(1024).max(1_073_741_824).default(1_048_576),
+	maximumHeldAnswerBytes: z.number().int().min(0).max(16_777_216).default(262_144),
+	lease: lease.prefault({}),
+}).readonly();
+
+const election = z.strictObject({
+	timeoutMilliseconds: z.number().int().min(50).max(10_000).default(300),
+	heartbeatMilliseconds: z.number().int().min(10).max(2000).default(60),
+}).readonly();
+
+const ledger = z.strictObject({
+	retentionHours: z.number().min(0.001).max(8760).default(168),
+	maximumClaims: z.number().int().min(1).max(10_000_000).default(200_000),
+	maximumAnswerBytes: z.number().int().min(0).max(1_048_576).default(16_384),
+	maximumStoredBytes: z.number().int().min(0).max(4_294_967_296).default(268_435_456),
+}).readonly();
+
+/** Settings of a control process. */
+export const controlSettingsSchema = z.strictObject({
+	...common,
+	dataFolder: z.string().min(1),
+	founding: z.boolean().default(false),
+	links: address,
+	api: address,
+	election: election.prefault({}),
+	ledger: ledger.prefault({}),
+	lease: lease.prefault({}),
+	snapshotEvery: z.number().int().min(10).max(10_000_000).default(10_000),
+}).readonly();
+
+/** Settings of an entry process. */
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
+
+/** Settings of a control process. */
+export type ControlSettings = z.infer<typeof controlSettingsSchema>;
+
+/** Keys and certificates of a process. */
+export type SecuritySettings = z.infer<typeof security>;
+
+/** An IP number with a port. */
+export type Address = z.infer<typeof address>;
--- /dev/null
+++ b/source/storage/index.ts
@@ -0,0 +1,3 @@
+export * from './folder.js';
+export * from './record.js';
+export * from './store.js';
--- /dev/null
+++ b/source/storage/record.ts
@@ -0,0 +1,66 @@
+/**
+ * Records of the log file: length, CRC-32 and a CBOR payload. One write batch is
+ * one record, so that a crash can only damage the last record of a file.
+ */
+import {Buffer} from 'node:buffer';
+import {crc32} from 'node:zlib';
+import {decode, encode} from '../wire/index.js';
+
+const headerBytes = 8;
+
+/** Raised when a record before the end of a file is damaged. */
+export class CorruptionError extends Error {
+	override readonly name = 'CorruptionError';
+}
+
+/** Records of a file and the length of its undamaged part in bytes. */
+export type Records = {readonly values: readonly unknown[]; readonly validBytes: number};
+
+/**
+ * Encodes a value as one record.
+ * @param value - Plain data.
+ */
+export function encodeRecord(value: unknown): Buffer {
+	const payload = encode(value);
+	const record = Buffer.allocUnsafe(headerBytes + payload.length);
+	record.writeUInt32BE(payload.length, 0);
+	record.writeUInt32BE(crc32(payload), 4);
+	payload.copy(record, headerBytes);
+	return record;
+}
+
+/**
+ * Reads the records of a file and leaves out a torn last record.
+ * @param file - Name of the file, for the error.
+ * @param bytes - Contents of the file.
+ * @throws CorruptionError when a damaged record is followed by further data.
+ */
+export function readRecords(file: string, bytes: Buffer): Records {
+	const values: unknown[] = [];
+	let offset = 0;
+	while (offset + headerBytes <= bytes.length) {
+		const length = bytes.readUInt32BE(offset);
+		const end = offset + headerBytes + length;
+		if (length === 0 || end > bytes.length) {
+			break;
+		}
+
+		const payload = bytes.subarray(offset + headerBytes, end);
+		if (crc32(payload) !== bytes.readUInt32BE(offset + 4)) {
+			assertTorn(file, bytes, offset, end);
+			break;
+		}
+
+		values.push(decode(payload));
+		offset = end;
+	}
+
+	return {values, validBytes: offset};
+}
+
+function assertTorn(file: string, bytes: Buffer, offset: number, end: number): void {
+	const rest = bytes.subarray(end);
+	if (rest.some(byte => byte !== 0)) {
+		throw new CorruptionError(`${file}: the record at byte ${offset} is damaged and is not the last one; replace this host's data folder`);
+	}
+}
--- /dev/null
+++ b/source/telemetry/index.ts
@@ -0,0 +1,1 @@
+export * from './log.js';
--- /dev/null
+++ b/source/verdict/index.ts
@@ -0,0 +1,1 @@
+export * from './verdict.js';
--- /dev/null
+++ b/source/wire/index.ts
@@ -0,0 +1,2 @@
+export * from './frame.js';
+export * from './link.js';
--- /dev/null
+++ b/stand-in/index.ts
@@ -0,0 +1,2 @@
+export * from './behaviour.js';
+export * from './server.js';
