--- /dev/null
+++ b/scenario/runner.ts
@@ -0,0 +1,561 @@
+/** Runs the statements of a scenario against real processes and checks the history. */
+import {Agent} from 'node:http';
+import {documentSchema, withZone, type EnvironmentDocument, type Version} from '../source/configuration/index.js';
+import {createRandom} from '../source/randomness/index.js';
+import {
+	crashHeader, startStandIn, type Behaviour, type Run, type StandIn,
+} from '../stand-in/index.js';
+import {
+	sendOnce, startStream, type EntryAddress, type Stream,
+} from './caller.js';
+import {createCluster, getFreePort, type Cluster, type Member} from './cluster.js';
+import {
+	checkers, type Change, type Departure, type History, type Reading, type Sending, type Violation,
+} from './history.js';
+import {type Option, type Statement, type Target} from './statement.js';
+
+const readinessMilliseconds = 100;
+const pollMilliseconds = 20;
+const startLimitMilliseconds = 20_000;
+const servedConnections = 250;
+
+/** What a scenario came to. */
+export type Outcome = {
+	readonly seed: number;
+	readonly violations: readonly Violation[];
+	readonly sendings: number;
+	readonly answered: number;
+	readonly runs: number;
+};
+
+type ServiceShape = {readonly name: string; readonly servers: number; readonly behaviour: Partial<Behaviour>; readonly easingGrowth: number; readonly isRead: boolean};
+
+/**
+ * Runs a scenario.
+ * @param statements - Parsed statements.
+ * @param seedOverride - Seed that replaces the scenario's own.
+ */
+export async function runScenario(statements: readonly Statement[], seedOverride?: number): Promise<Outcome> {
+	const sendings: Sending[] = [];
+	const runs: Run[] = [];
+	const changes: Change[] = [];
+	const readings: Reading[] = [];
+	const departures: Departure[] = [];
+	const violations: Violation[] = [];
+	const services: ServiceShape[] = [];
+	const servers = new Map<string, StandIn>();
+	const streams: Stream[] = [];
+	const ready = new Map<string, EntryAddress>();
+	let seed = seedOverride ?? 1;
+	let controlHosts = 3;
+	let entries = 3;
+	let zones: readonly string[] = ['north', 'south', 'east'];
+	let termMilliseconds = 3000;
+	let cluster: Cluster | undefined;
+	let watch: NodeJS.Timeout | undefined;
+	let nextStream = 1;
+
+	function getCluster(): Cluster {
+		if (cluster === undefined) {
+			throw new Error('the scenario uses the system before "start"');
+		}
+
+		return cluster;
+	}
+
+	async function change(edit: (document: EnvironmentDocument) => EnvironmentDocument, id: string): Promise<number> {
+		for (let attempt = 0; attempt < 100; attempt++) {
+			const current = await getCluster().call('GET', '/v1/environments/production');
+			if (current === undefined) {
+				continue;
+			}
+
+			const known = current.status === 404 ? undefined : (current.body as {readonly version: Version}).version;
+			const base = known?.version ?? 0;
+			const version = await sendChange(`${id}-${attempt}`, base, edit(known?.document ?? createDocument()));
+			if (version !== undefined) {
+				return version;
+			}
+		}
+
+		throw new Error(`the change ${id} was never accepted`);
+	}
+
+	async function sendChange(id: string, base: number, document: EnvironmentDocument): Promise<number | undefined> {
+		const sentAt = Date.now();
+		const answer = await getCluster().call('POST', '/v1/environments/production/apply', {
+			base, change: id, author: 'scenario', document,
+		});
+		const {answer: outcome} = (answer?.body ?? {}) as {readonly answer?: {readonly kind: string; readonly version?: number}};
+		const version = outcome?.kind === 'accepted' ? outcome.version : undefined;
+		changes.push({
+			change: id, base, sentAt, endedAt: Date.now(), version,
+		});
+		return version;
+	}
+
+	function createDocument(): EnvironmentDocument {
+		return documentSchema.parse({
+			zones: zones.map(name => ({name})),
+			services: services.map(service => ({
+				name: service.name, path: `/${service.name}`, idempotentMethods: ['GET', 'HEAD'], easing: {initialSlots: 1, growthPerSuccess: service.easingGrowth, ceilingMilliseconds: 10_000},
+			})),
+			measuring: {probesPerSecondPerServer: 1, probesPerSecond: 1000},
+		});
+	}
+
+	async function start(): Promise<void> {
+		cluster = await createCluster({
+			controlHosts, entries, zones, termMilliseconds, graceMilliseconds: 600, entrySettings: {},
+		});
+		await Promise.all(cluster.controls.map(async member => getCluster().start(member, true)));
+		await Promise.all(cluster.entries.map(async member => getCluster().start(member, false)));
+		watch = setInterval(watchEntries, readinessMilliseconds);
+		await change(() => createDocument(), 'first');
+		await startServers();
+		await waitUntil('every entry is ready and every server is warm', startLimitMilliseconds, async () => {
+			const status = await getCluster().getStatus();
+			return ready.size === entries && status !== undefined && status.servers.length === servers.size;
+		});
+	}
+
+	async function startServers(): Promise<void> {
+		const announceTo = [...getCluster().entries, ...getCluster().controls].map(member => `http://127.0.0.1:${member.adminPort}`);
+		for (const service of services) {
+			for (let number = 1; number <= service.servers; number++) {
+				const name = `${service.name}-${number}`;
+				servers.set(name, await startStandIn({
+					service: service.name,
+					name,
+					zone: zones[(number - 1) % zones.length]!,
+					host: '127.0.0.1',
+					port: await getFreePort(),
+					connections: servedConnections,
+					behaviour: {isCold: true, requestsPerColdSlot: 1 / service.easingGrowth, ...service.behaviour},
+					announceTo,
+					seed: seed + number,
+					record(run) {
+						runs.push(run);
+					},
+				}));
+			}
+		}
+	}
+
+	function watchEntries(): void {
+		for (const member of getCluster().entries) {
+			void readEntry(member);
+		}
+	}
+
+	async function readEntry(member: Member): Promise<void> {
+		try {
+			const response = await fetch(`http://127.0.0.1:${member.adminPort}/ready`, {signal: AbortSignal.timeout(readinessMilliseconds * 5)});
+			const {version} = await response.json() as {readonly version: number};
+			if (response.status === 200) {
+				ready.set(member.name, {name: member.name, port: member.port});
+				readings.push({
+					entry: member.name, at: Date.now(), version, incarnation: member.incarnation,
+				});
+			} else {
+				ready.delete(member.name);
+			}
+		} catch {
+			ready.delete(member.name);
+		}
+	}
+
+	async function findTargets(target: Target): Promise<readonly Member[]> {
+		const {controls, entries: all} = getCluster();
+		switch (target.kind) {
+			case 'allControl': {
+				return controls;
+			}
+
+			case 'allEntries': {
+				return all;
+			}
+
+			case 'control': {
+				return [controls[target.number - 1]!];
+			}
+
+			case 'entry': {
+				return [all[target.number - 1]!];
+			}
+
+			case 'leader': {
+				let found: Member | undefined;
+				await waitUntil('there is a leader', startLimitMilliseconds, async () => {
+					const status = await getCluster().getStatus();
+					found = controls.find(member => member.name === status?.leader);
+					return found !== undefined;
+				});
+				return [found!];
+			}
+		}
+	}
+
+	async function runOnProcess(verb: Extract<Statement, {readonly kind: 'process'}>['verb'], member: Member): Promise<void> {
+		const running = getCluster();
+		switch (verb) {
+			case 'kill': {
+				running.signal(member, 'SIGKILL');
+				await running.ended(member);
+				ready.delete(member.name);
+				return;
+			}
+
+			case 'freeze': {
+				running.signal(member, 'SIGSTOP');
+				return;
+			}
+
+			case 'thaw': {
+				running.signal(member, 'SIGCONT');
+				return;
+			}
+
+			case 'lose': {
+				running.signal(member, 'SIGKILL');
+				await running.ended(member);
+				running.loseData(member);
+				return;
+			}
+
+			case 'restart': {
+				if (running.controls.includes(member) || running.entries.includes(member)) {
+					await restart(member);
+				}
+
+				return;
+			}
+
+			case 'stop': {
+				await stopGracefully(member);
+			}
+		}
+	}
+
+	async function stopGracefully(member: Member): Promise<void> {
+		getCluster().signal(member, 'SIGTERM');
+		const code = await getCluster().ended(member);
+		ready.delete(member.name);
+		if (code !== 0) {
+			violations.push(`${member.name} ended a graceful stop with code ${code ?? 'none'}`);
+		}
+	}
+
+	/** Starts a process again; one that still runs is stopped gracefully first. */
+	async function restart(member: Member): Promise<void> {
+		const {child} = member;
+		if (child !== undefined && child.exitCode === null && child.signalCode === null) {
+			await stopGracefully(member);
+		}
+
+		await getCluster().start(member, false);
+		if (member.kind === 'entry') {
+			await waitUntil(`${member.name} is ready`, startLimitMilliseconds, async () => ready.has(member.name));
+		}
+	}
+
+	async function runOnServer(statement: Extract<Statement, {readonly kind: 'server'}>): Promise<void> {
+		const server = getServerOrThrow(statement.server);
+		switch (statement.verb) {
+			case 'leave': {
+				const askedAt = Date.now();
+				await server.leave();
+				departures.push({
+					zone: undefined, server: server.name, acceptedAt: askedAt, returnedAt: Number.POSITIVE_INFINITY,
+				});
+				return;
+			}
+
+			case 'crash': {
+				server.crash();
+				return;
+			}
+
+			case 'restart': {
+				await server.restart();
+				return;
+			}
+
+			case 'drain': {
+				const service = server.name.replace(/-\d+$/v, '');
+				await getCluster().call('POST', '/v1/servers/drain', {key: `${service}/${server.name}`});
+				departures.push({
+					zone: undefined, server: server.name, acceptedAt: Date.now(), returnedAt: Number.POSITIVE_INFINITY,
+				});
+			}
+		}
+	}
+
+	function getServerOrThrow(name: string): StandIn {
+		const server = servers.get(name);
+		if (server === undefined) {
+			throw new Error(`there is no server ${name}`);
+		}
+
+		return server;
+	}
+
+	async function changeZone(action: 'out' | 'in', zone: string): Promise<void> {
+		await change(document => withZone(document, zone, action === 'in'), `zone-${zone}-${action}-${Date.now()}`);
+		const now = Date.now();
+		if (action === 'out') {
+			departures.push({
+				zone, server: undefined, acceptedAt: now, returnedAt: Number.POSITIVE_INFINITY,
+			});
+			return;
+		}
+
+		for (const [index, departure] of departures.entries()) {
+			if (departure.zone === zone) {
+				departures[index] = {...departure, returnedAt: Math.min(departure.returnedAt, now)};
+			}
+		}
+	}
+
+	/** Operators race changes on the versions that they know, and resend those that got no answer. */
+	async function race(operators: number, each: number): Promise<void> {
+		const random = createRandom(seed);
+		await Promise.all(Array.from({length: operators}, async (_, operator) => {
+			for (let number = 0; number < each; number++) {
+				const id = `race-${operator}-${number}`;
+				const current = await getCluster().call('GET', '/v1/environments/production');
+				if (current?.status !== 200) {
+					continue;
+				}
+
+				const {version} = current.body as {readonly version: Version};
+				const resends = random() < 0.3 ? 2 : 1;
+				for (let sending = 0; sending < resends; sending++) {
+					await sendChange(id, version.version, version.document);
+				}
+			}
+		}));
+	}
+
+	/** One caller sends a request that crashes its server, again and again through other entries. */
+	async function resendCrashing(service: string, times: number): Promise<void> {
+		const agent = new Agent();
+		for (let number = 0; number < times; number++) {
+			const entry = [...ready.values()][number % ready.size];
+			if (entry !== undefined) {
+				await sendOnce({
+					agent, entry, service, token: 'crash', key: undefined, sendId: `crash/${number}`, headers: {[crashHeader]: '1'},
+				});
+			}
+		}
+
+		const crashed = runs.filter(run => run.outcome === 'crashed').length;
+		if (crashed > 2) {
+			violations.push(`a request crashed ${crashed} servers`);
+		}
+	}
+
+	function check(names: readonly string[]): void {
+		const history: History = {
+			sendings, runs, changes, readings, departures, departureBound: 5000, probesPerSecond: 1, inForceBound: 5000,
+		};
+		for (const name of names) {
+			const checker = checkers[name];
+			if (checker === undefined) {
+				throw new Error(`there is no check ${name}`);
+			}
+
+			violations.push(...checker(history).slice(0, 5).map(violation => `${name}: ${violation}`));
+		}
+	}
+
+	async function run(statement: Statement): Promise<void> {
+		switch (statement.kind) {
+			case 'seed': {
+				seed = seedOverride ?? statement.number;
+				return;
+			}
+
+			case 'control': {
+				controlHosts = statement.number;
+				return;
+			}
+
+			case 'entries': {
+				entries = statement.number;
+				return;
+			}
+
+			case 'zones': {
+				({zones} = statement);
+				return;
+			}
+
+			case 'term': {
+				termMilliseconds = statement.milliseconds;
+				return;
+			}
+
+			case 'service': {
+				services.push(getServiceShape(statement.name, statement.options));
+				return;
+			}
+
+			case 'start': {
+				await start();
+				return;
+			}
+
+			case 'load': {
+				const prefix = `${statement.service}-${nextStream++}`;
+				streams.push(startStream({
+					service: statement.service, rate: statement.rate, isKeyed: statement.isKeyed, seed: seed + nextStream, prefix, headers: {}, getReady: () => [...ready.values()], record(sending) {
+						sendings.push(sending);
+					},
+				}));
+				return;
+			}
+
+			case 'quiet': {
+				await Promise.all(streams.map(async stream => stream.stop()));
+				return;
+			}
+
+			case 'wait': {
+				await delay(statement.milliseconds);
+				return;
+			}
+
+			case 'process': {
+				const members = await findTargets(statement.target);
+				if (statement.verb === 'kill' || statement.verb === 'freeze' || statement.verb === 'thaw') {
+					await Promise.all(members.map(async member => runOnProcess(statement.verb, member)));
+					return;
+				}
+
+				for (const member of members) {
+					await runOnProcess(statement.verb, member);
+				}
+
+				return;
+			}
+
+			case 'cut': {
+				const [member] = await findTargets(statement.from);
+				getCluster().cut(member!, statement.way);
+				return;
+			}
+
+			case 'heal': {
+				getCluster().heal();
+				return;
+			}
+
+			case 'zone': {
+				await changeZone(statement.action, statement.zone);
+				return;
+			}
+
+			case 'server': {
+				await runOnServer(statement);
+				return;
+			}
+
+			case 'change': {
+				getServerOrThrow(statement.server).change(getBehaviour(statement.options));
+				return;
+			}
+
+			case 'race': {
+				await race(statement.operators, statement.changes);
+				return;
+			}
+
+			case 'resendCrashing': {
+				await resendCrashing(statement.service, statement.times);
+				return;
+			}
+
+			case 'expectReady': {
+				await waitUntil('every entry is ready', statement.milliseconds, async () => ready.size === entries);
+				return;
+			}
+
+			case 'expectMembers': {
+				await waitUntil(`there are ${statement.number} voters on known hosts`, statement.milliseconds, async () => {
+					const status = await getCluster().getStatus();
+					return status !== undefined && status.replicas.length === statement.number && status.replicas.every(replica => replica.role !== 'learner');
+				});
+				return;
+			}
+
+			case 'check': {
+				check(statement.checks);
+			}
+		}
+	}
+
+	try {
+		for (const statement of statements) {
+			await runOrExplain(statement, run);
+		}
+	} catch (error) {
+		violations.push((error as Error).message);
+	}
+
+	clearInterval(watch);
+	await Promise.all(streams.map(async stream => stream.stop()));
+	await Promise.all([...servers.values()].map(async server => server.stop()));
+	await cluster?.stop();
+	return {
+		seed, violations, sendings: sendings.length, answered: sendings.filter(sending => sending.told === 'answered').length, runs: runs.length,
+	};
+}
+
+async function runOrExplain(statement: Statement, run: (statement: Statement) => Promise<void>): Promise<void> {
+	try {
+		await run(statement);
+	} catch (error) {
+		throw new Error(`line ${statement.line}: ${(error as Error).message}`);
+	}
+}
+
+async function waitUntil(what: string, milliseconds: number, isTrue: () => Promise<boolean>): Promise<void> {
+	const until = Date.now() + milliseconds;
+	while (!await isTrue()) {
+		if (Date.now() > until) {
+			throw new Error(`after ${milliseconds} ms it is not so that ${what}`);
+		}
+
+		await delay(pollMilliseconds);
+	}
+}
+
+function getServiceShape(name: string, options: readonly Option[]): ServiceShape {
+	const numbers = new Map(options.map(option => [option.name, Number(option.value)]));
+	return {
+		name,
+		servers: numbers.get('servers') ?? 3,
+		easingGrowth: numbers.get('growth') ?? 0.5,
+		isRead: false,
+		behaviour: getBehaviour(options.filter(option => option.name !== 'servers' && option.name !== 'growth')),
+	};
+}
+
+function getBehaviour(options: readonly Option[]): Partial<Behaviour> {
+	return Object.fromEntries(options.map(({name, value}) => [name, getValue(value)]));
+}
+
+function getValue(text: string): number | boolean | string {
+	if (text === 'true' || text === 'false') {
+		return text === 'true';
+	}
+
+	return Number.isNaN(Number(text)) ? text : Number(text);
+}
+
+async function delay(milliseconds: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
--- /dev/null
+++ b/scripts/build.js
@@ -0,0 +1,34 @@
+/** Builds dist/guavadeck: a bundle in one executable. With `--bundle`, the bundle alone. */
+import {execFileSync} from 'node:child_process';
+import {
+	chmodSync, copyFileSync, mkdirSync, writeFileSync,
+} from 'node:fs';
+import process from 'node:process';
+import {build} from 'esbuild';
+
+const bundle = 'dist/guavadeck.cjs';
+const executable = 'dist/guavadeck';
+const configuration = 'dist/executable.json';
+const blob = 'dist/guavadeck.blob';
+const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+mkdirSync('dist', {recursive: true});
+await build({
+	entryPoints: ['source/program/main.ts'],
+	outfile: bundle,
+	bundle: true,
+	platform: 'node',
+	target: 'node20',
+	format: 'cjs',
+	alias: {'dtrace-provider': './scripts/absent.cjs', 'cbor-extract': './scripts/absent.cjs', 'source-map-support': './scripts/absent.cjs'},
+	minifySyntax: true,
+	logLevel: 'warning',
+});
+
+if (!process.argv.includes('--bundle')) {
+	writeFileSync(configuration, JSON.stringify({main: bundle, output: blob, disableExperimentalSEAWarning: true}));
+	execFileSync(process.execPath, ['--experimental-sea-config', configuration]);
+	copyFileSync(process.execPath, executable);
+	chmodSync(executable, 0o755);
+	execFileSync(process.execPath, ['node_modules/postject/dist/cli.js', executable, 'NODE_SEA_BLOB', blob, '--sentinel-fuse', fuse]);
+}
--- a/source/program/main.ts
+++ b/source/program/main.ts
@@ -112,4 +112,4 @@
 	process.exitCode = error instanceof Exit ? error.code : (isUsage ? exitCode.badInput : exitCode.refused);
 }
 
-await run();
+void run();
--- a/stand-in/index.ts
+++ b/stand-in/index.ts
@@ -1,2 +1,3 @@
 export * from './behaviour.js';
 export * from './server.js';
+export * from './cuttable-link.js';
--- a/stand-in/server.ts
+++ b/stand-in/server.ts
@@ -19,6 +19,9 @@
 /** Header that a caller sends and that the answer repeats. */
 export const tokenHeader = 'x-caller-token';
 
+/** Header with the caller's id of one sending. */
+export const sendHeader = 'x-send-id';
+
 /** Header with the SHA-256 digest of the answer's body. */
 export const digestHeader = 'x-body-digest';
 
@@ -35,10 +38,15 @@
 	/** Wall-clock milliseconds. */
 	readonly startedAt: number;
 	readonly endedAt: number;
+	/** Id that the caller gives each sending of a request. */
+	readonly sendId: string | undefined;
+	/** Whether the server began to run the request. */
+	readonly hasStarted: boolean;
 	/** Requests at the server when this one arrived, itself included. */
 	readonly inFlight: number;
 	/** Requests that the server could carry when this one arrived. */
 	readonly capacity: number;
+	readonly isCold: boolean;
 	readonly outcome: RunOutcome;
 };
 
@@ -88,6 +96,7 @@
 	let behaviour: Behaviour = {...ordinaryBehaviour, ...options.behaviour};
 	const random = createRandom(options.seed);
 	const sockets = new Set<Socket>();
+	const started = new WeakSet<IncomingMessage>();
 	let boot: string = randomUUID();
 	let waiting: Job[] = [];
 	let busy = 0;
@@ -142,6 +151,7 @@
 		largest = Math.max(largest, present);
 		const capacity = getCapacity();
 		const inFlight = present;
+		const {isCold} = behaviour;
 		overloads += behaviour.isCold && inFlight > capacity ? 1 : 0;
 		let isRecorded = false;
 		function end(outcome: RunOutcome): void {
@@ -157,10 +167,13 @@
 				requestId: getHeader(request, 'guavadeck-request-id') ?? '',
 				key: getHeader(request, 'idempotency-key'),
 				token: getHeader(request, tokenHeader),
+				sendId: getHeader(request, sendHeader),
+				hasStarted: started.has(request),
 				startedAt,
 				endedAt: Date.now(),
 				inFlight,
 				capacity,
+				isCold,
 				outcome,
 			});
 		}
@@ -215,6 +228,7 @@
 	}
 
 	function run(request: IncomingMessage, response: ServerResponse, end: (outcome: RunOutcome) => void): void {
+		started.add(request);
 		if (behaviour.crashesOnMarker && request.headers[crashHeader] !== undefined) {
 			end('crashed');
 			crash();
@@ -297,7 +311,7 @@
 	function finishProbe(response: ServerResponse): void {
 		const now = Date.now();
 		options.record({
-			server: options.name, zone: options.zone, requestId: '', key: undefined, token: undefined, startedAt: now, endedAt: now, inFlight: present, capacity: getCapacity(), outcome: 'probe',
+			server: options.name, zone: options.zone, requestId: '', key: undefined, token: undefined, sendId: undefined, hasStarted: false, startedAt: now, endedAt: now, inFlight: present, capacity: getCapacity(), isCold: behaviour.isCold, outcome: 'probe',
 		});
 		response.writeHead(behaviour.isHealthy ? 200 : 500, {'content-length': 0});
 		response.end();
