Mend what the scenarios found: shed estimate, quarantine race, status of replicas

(3) The status could not tell a lost voter from a live one. Change: the rate counts only while requests wait; the leader tells every entry of a quarantine before it answers the report; replicas show the time since their last answer.

--- a/scenario/runner.ts
+++ b/scenario/runner.ts
@@ -18,6 +18,7 @@
 const pollMilliseconds = 20;
 const startLimitMilliseconds = 20_000;
 const servedConnections = 250;
+const answeringMilliseconds = 300;
 
 /** What a scenario came to. */
 export type Outcome = {
@@ -26,6 +27,8 @@
 	readonly sendings: number;
 	readonly answered: number;
 	readonly runs: number;
+	/** Sendings that were not answered, by what they were told. */
+	readonly reasons: Readonly<Record<string, number>>;
 };
 
 type ServiceShape = {readonly name: string; readonly servers: number; readonly behaviour: Partial<Behaviour>; readonly easingGrowth: number; readonly isRead: boolean};
@@ -54,6 +57,7 @@
 	let cluster: Cluster | undefined;
 	let watch: NodeJS.Timeout | undefined;
 	let nextStream = 1;
+	let nextRace = 1;
 
 	function getCluster(): Cluster {
 		if (cluster === undefined) {
@@ -320,9 +324,10 @@
 	/** Operators race changes on the versions that they know, and resend those that got no answer. */
 	async function race(operators: number, each: number): Promise<void> {
 		const random = createRandom(seed);
+		const prefix = `race-${nextRace++}`;
 		await Promise.all(Array.from({length: operators}, async (_, operator) => {
 			for (let number = 0; number < each; number++) {
-				const id = `race-${operator}-${number}`;
+				const id = `${prefix}-${operator}-${number}`;
 				const current = await getCluster().call('GET', '/v1/environments/production');
 				if (current?.status !== 200) {
 					continue;
@@ -344,7 +349,7 @@
 			const entry = [...ready.values()][number % ready.size];
 			if (entry !== undefined) {
 				await sendOnce({
-					agent, entry, service, token: 'crash', key: undefined, sendId: `crash/${number}`, headers: {[crashHeader]: '1'},
+					agent, entry, service: `${service}/crash`, token: 'crash', key: undefined, sendId: `crash/${number}`, headers: {[crashHeader]: '1'},
 				});
 			}
 		}
@@ -482,9 +487,9 @@
 			}
 
 			case 'expectMembers': {
-				await waitUntil(`there are ${statement.number} voters on known hosts`, statement.milliseconds, async () => {
+				await waitUntil(`there are ${statement.number} voters that all answer`, statement.milliseconds, async () => {
 					const status = await getCluster().getStatus();
-					return status !== undefined && status.replicas.length === statement.number && status.replicas.every(replica => replica.role !== 'learner');
+					return status !== undefined && status.replicas.length === statement.number && status.replicas.every(replica => replica.role !== 'learner' && replica.silentMilliseconds < answeringMilliseconds);
 				});
 				return;
 			}
@@ -508,10 +513,22 @@
 	await Promise.all([...servers.values()].map(async server => server.stop()));
 	await cluster?.stop();
 	return {
-		seed, violations, sendings: sendings.length, answered: sendings.filter(sending => sending.told === 'answered').length, runs: runs.length,
+		seed, violations, sendings: sendings.length, answered: sendings.filter(sending => sending.told === 'answered').length, runs: runs.length, reasons: countReasons(sendings),
 	};
 }
 
+function countReasons(sendings: readonly Sending[]): Readonly<Record<string, number>> {
+	const counts: Record<string, number> = {};
+	for (const {told, reason} of sendings) {
+		if (told !== 'answered') {
+			const name = `${told} ${reason}`;
+			counts[name] = (counts[name] ?? 0) + 1;
+		}
+	}
+
+	return counts;
+}
+
 async function runOrExplain(statement: Statement, run: (statement: Statement) => Promise<void>): Promise<void> {
 	try {
 		await run(statement);
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -98,7 +98,16 @@
 		send: sendConsensus,
 		failed: options.failed,
 	});
-	const leader = createLeader({driver, machine, getLeadership: () => leadership});
+	const leader = createLeader({
+		driver,
+		machine,
+		getLeadership: () => leadership,
+		announceQuarantine(fingerprints) {
+			for (const link of links) {
+				link.send({kind: 'quarantined', fingerprints});
+			}
+		},
+	});
 	const client = createControlClient({
 		identity: security.link,
 		hosts: settings.control.filter(host => host.name !== settings.name),
--- a/source/control/leader.ts
+++ b/source/control/leader.ts
@@ -3,6 +3,7 @@
 import {type Announcement, getServerKey} from '../announcement/index.js';
 import {type ConfigurationCommand} from '../configuration/index.js';
 import {type LedgerCommand} from '../ledger/index.js';
+import {allowedCrashes} from '../quarantine/index.js';
 import {getHostName} from '../storage/index.js';
 import {type Driver, type Proposed} from './driver.js';
 import {type Leadership} from './leadership.js';
@@ -21,6 +22,8 @@
 	readonly driver: Driver;
 	readonly machine: Machine;
 	getLeadership(): Leadership | undefined;
+	/** Tells every entry which fingerprints are refused. */
+	announceQuarantine(fingerprints: readonly string[]): void;
 };
 
 /**
@@ -90,12 +93,30 @@
 		return isConfirmed && leadership !== undefined ? toAnswer(leadership) : getNotLeader();
 	}
 
-	function getReplicas(): readonly ReplicaStatus[] {
+	/** Counts a crash; entries hear of a quarantine before the caller that caused it gets its answer. */
+	function reportCrash(leadership: Leadership, fingerprint: string, server: number): ControlAnswer {
+		const now = performance.now();
+		const count = leadership.reportCrash(fingerprint, server, now);
+		if (count >= allowedCrashes) {
+			options.announceQuarantine(leadership.getQuarantined(now));
+		}
+
+		return {kind: 'crashes', count};
+	}
+
+	function getReplica(replica: string, role: 'voter' | 'learner', now: number): ReplicaStatus {
+		const isLeader = replica === driver.replica.getLeader();
+		const answeredAt = isLeader ? now : driver.replica.getAnsweredAt(replica) ?? 0;
+		return {
+			replica, role: isLeader ? 'leader' : role, matchIndex: driver.replica.getMatchIndex(replica), silentMilliseconds: Math.round(now - answeredAt),
+		};
+	}
+
+	function getReplicas(now: number): readonly ReplicaStatus[] {
 		const {voters, learners} = driver.replica.getMembership();
-		const leader = driver.replica.getLeader();
 		return [
-			...voters.map(replica => ({replica, role: replica === leader ? 'leader' as const : 'voter' as const, matchIndex: driver.replica.getMatchIndex(replica)})),
-			...learners.map(replica => ({replica, role: 'learner' as const, matchIndex: driver.replica.getMatchIndex(replica)})),
+			...voters.map(replica => getReplica(replica, 'voter', now)),
+			...learners.map(replica => getReplica(replica, 'learner', now)),
 		];
 	}
 
@@ -107,7 +128,7 @@
 			term: driver.replica.getTerm(),
 			commitIndex: driver.replica.getCommitIndex(),
 			versions: {trial: machine.register.getCurrentNumber('trial'), production: machine.register.getCurrentNumber('production')},
-			replicas: getReplicas(),
+			replicas: getReplicas(now),
 			entries: leadership.getEntries(now),
 			servers: leadership.getServers(now),
 			claims: machine.ledger.getSize(),
@@ -143,7 +164,7 @@
 				}
 
 				case 'crash': {
-					return read(leadership => ({kind: 'crashes', count: leadership.reportCrash(request.fingerprint, request.server, performance.now())}));
+					return read(leadership => reportCrash(leadership, request.fingerprint, request.server));
 				}
 
 				case 'clearCrashes': {
--- a/source/control/message.ts
+++ b/source/control/message.ts
@@ -5,7 +5,7 @@
 } from '../configuration/index.js';
 import {type ReplicaMessage} from '../consensus/index.js';
 import {
-	type Grant, type Nudge, type Refusal, type Renewal,
+	type Grant, type Nudge, type QuarantineNotice, type Refusal, type Renewal,
 } from '../lease/index.js';
 import {type LedgerAnswer, type LedgerCommand} from '../ledger/index.js';
 import {type BurnReport} from '../service-level/index.js';
@@ -39,7 +39,13 @@
 		| {readonly kind: 'unknown'};
 
 /** A control host in the status. */
-export type ReplicaStatus = {readonly replica: string; readonly role: 'leader' | 'voter' | 'learner'; readonly matchIndex: number};
+export type ReplicaStatus = {
+	readonly replica: string;
+	readonly role: 'leader' | 'voter' | 'learner';
+	readonly matchIndex: number;
+	/** Time since the replica last answered the leader in milliseconds. */
+	readonly silentMilliseconds: number;
+};
 
 /** An entry in the status. */
 export type EntryStatus = {
@@ -94,6 +100,6 @@
 export type ControlInbound = ConsensusMessage | JoinMessage | Renewal | RequestMessage | BurnReport;
 
 /** A message that a control host sends on a link that it accepted. */
-export type ControlOutbound = ReplyMessage | Grant | Refusal | Nudge;
+export type ControlOutbound = ReplyMessage | Grant | Refusal | Nudge | QuarantineNotice;
 
 export {type BurnSummary} from '../service-level/index.js';
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -84,6 +84,9 @@
 		takeObservations: fleet.takeObservations,
 		takeFailedProbes: prober.takeFailed,
 		enforce,
+		quarantine(fingerprints) {
+			suspects.setQuarantined(fingerprints);
+		},
 	});
 	const client: ControlClient = createControlClient({
 		identity: security.link,
--- a/source/entry/lease-keeper.ts
+++ b/source/entry/lease-keeper.ts
@@ -34,6 +34,8 @@
 	takeFailedProbes(): readonly number[];
 	/** Puts a grant in force; runs before the grant is acknowledged. */
 	enforce(grant: Grant): void;
+	/** Takes the fingerprints that are refused. */
+	quarantine(fingerprints: readonly string[]): void;
 };
 
 /**
@@ -128,6 +130,11 @@
 					break;
 				}
 
+				case 'quarantined': {
+					options.quarantine(message.fingerprints);
+					break;
+				}
+
 				case 'reply': {
 					// The client has matched replies with their requests.
 					break;
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -83,5 +83,8 @@
 	readonly leader: string | undefined;
 };
 
+/** Tells entries at once which fingerprints are refused, ahead of their next grant. */
+export type QuarantineNotice = {readonly kind: 'quarantined'; readonly fingerprints: readonly string[]};
+
 /** Tells entries to renew at once, because something changed. */
 export type Nudge = {readonly kind: 'nudge'};
--- /dev/null
+++ b/source/limits/queue.test.ts
@@ -0,0 +1,91 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {createWaitQueue} from './index.js';
+
+type Step =
+	| {readonly kind: 'add'; readonly name: string; readonly deadlineAt: number; readonly at: number}
+	| {readonly kind: 'departed' | 'drain' | 'expire' | 'open'; readonly at: number};
+
+describe('createWaitQueue', () => {
+	function doTest(steps: readonly Step[], expected: readonly string[], bound = 3): void {
+		const events: string[] = [];
+		let open = 0;
+		const queue = createWaitQueue(() => bound);
+		for (const step of steps) {
+			switch (step.kind) {
+				case 'add': {
+					const {name} = step;
+					const isAdded = queue.add({
+						deadlineAt: step.deadlineAt,
+						start() {
+							if (open === 0) {
+								return false;
+							}
+
+							open--;
+							events.push(`start ${name}`);
+							return true;
+						},
+						expire() {
+							events.push(`expire ${name}`);
+						},
+						isGone: () => name.startsWith('gone'),
+					}, step.at);
+					if (!isAdded) {
+						events.push(`shed ${name}`);
+					}
+
+					break;
+				}
+
+				case 'departed': {
+					queue.departed(step.at);
+					break;
+				}
+
+				case 'drain': {
+					queue.drain(step.at);
+					break;
+				}
+
+				case 'expire': {
+					queue.expire(step.at);
+					break;
+				}
+
+				case 'open': {
+					open++;
+					break;
+				}
+			}
+		}
+
+		expect(events).toEqual([...expected]);
+	}
+
+	function add(name: string, at = 0, deadlineAt = 1000): Step {
+		return {
+			kind: 'add', name, at, deadlineAt,
+		};
+	}
+
+	test('starts requests in their order', () => {
+		doTest([add('a'), add('b'), {kind: 'open', at: 1}, {kind: 'drain', at: 1}, {kind: 'open', at: 2}, {kind: 'drain', at: 2}], ['start a', 'start b']);
+	});
+	test('sheds over its bound', () => {
+		doTest([add('a'), add('b'), add('c'), add('d')], ['shed d']);
+	});
+	test('passes over requests whose callers have gone', () => {
+		doTest([add('gone'), add('b'), {kind: 'open', at: 1}, {kind: 'drain', at: 1}], ['start b']);
+	});
+	test('refuses requests whose deadline passes while they wait', () => {
+		doTest([add('a', 0, 10), add('b', 0, 100), {kind: 'expire', at: 50}], ['expire a']);
+	});
+	test('does not take a quiet service for a slow one', () => {
+		doTest([{kind: 'departed', at: 1}, {kind: 'departed', at: 60_000}, add('a', 60_001, 60_500), add('b', 60_001, 60_500)], []);
+	});
+	test('sheds what can\'t be served before its deadline', () => {
+		const departures: Step[] = [100, 400, 700].map(at => ({kind: 'departed', at}));
+		doTest([add('a', 0, 9000), add('b', 0, 9000), ...departures, add('late', 700, 900), add('c', 700, 9000)], ['shed late']);
+	});
+});
--- a/source/limits/queue.ts
+++ b/source/limits/queue.ts
@@ -5,7 +5,7 @@
  */
 
 /** Time over which the rate of departures is averaged, in milliseconds. */
-const rateWindowMilliseconds = 1000;
+const rateWindowMilliseconds = 250;
 
 /** A request that waits. */
 export type Waiter = {
@@ -39,7 +39,7 @@
 	let head = 0;
 	let rate = 0;
 	let departures = 0;
-	let countedAt = 0;
+	let countedFrom: number | undefined;
 
 	function getLength(): number {
 		return waiters.length - head;
@@ -53,7 +53,7 @@
 	}
 
 	function getExpectedWait(): number {
-		return rate === 0 ? 0 : getLength() / rate;
+		return rate === 0 || countedFrom === undefined ? 0 : getLength() / rate;
 	}
 
 	function dropEnded(now: number): void {
@@ -89,11 +89,23 @@
 			trim();
 		},
 		departed(now) {
+			// Only while requests wait does the rate show what the servers can do.
+			if (getLength() === 0) {
+				countedFrom = undefined;
+				return;
+			}
+
+			if (countedFrom === undefined) {
+				countedFrom = now;
+				departures = 0;
+				return;
+			}
+
 			departures++;
-			if (now - countedAt >= rateWindowMilliseconds) {
-				rate = departures / (now - countedAt);
+			if (now - countedFrom >= rateWindowMilliseconds) {
+				rate = departures / (now - countedFrom);
+				countedFrom = now;
 				departures = 0;
-				countedAt = now;
 			}
 		},
 		expire(now) {
--- a/stand-in/server.ts
+++ b/stand-in/server.ts
@@ -113,6 +113,18 @@
 		return behaviour.isCold ? Math.min(behaviour.slots, behaviour.coldSlots + Math.floor(servedCold / behaviour.requestsPerColdSlot)) : behaviour.slots;
 	}
 
+	/** Counts a request towards the end of the cold start. */
+	function warmUp(): void {
+		if (!behaviour.isCold) {
+			return;
+		}
+
+		servedCold++;
+		if (getCapacity() >= behaviour.slots) {
+			behaviour = {...behaviour, isCold: false};
+		}
+	}
+
 	function createHttpServer(): ReturnType<typeof createServer> {
 		const created = createServer({keepAliveTimeout: 20_000, noDelay: true}, handle);
 		created.on('connection', socket => {
@@ -247,7 +259,7 @@
 		}
 
 		const timer = setTimeout(() => {
-			servedCold += behaviour.isCold ? 1 : 0;
+			warmUp();
 			finish(request, response, end);
 			done();
 		}, drawServiceTime(behaviour, random));
