--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,34 @@
+/** `npm run bench -- NAME [--seed N] [--json] [--quick]`. */
+import process from 'node:process';
+import {cac} from 'cac';
+import {runAddedLatency} from './added-latency.js';
+import {runChoice} from './choice.js';
+import {printReport, type BenchOptions, type BenchReport} from './report.js';
+import {runThroughput} from './throughput.js';
+
+const benches: Readonly<Record<string, (options: BenchOptions) => Promise<BenchReport>>> = {
+	'added-latency': runAddedLatency,
+	'choice': runChoice,
+	'throughput': runThroughput,
+};
+
+const program = cac('bench');
+program.command('<name>', `One of ${Object.keys(benches).join(', ')}`)
+	.option('--seed <n>', 'Seed', {default: 1})
+	.option('--policies <names>', 'Policies to compare, separated by commas')
+	.option('--json', 'Print JSON', {default: false})
+	.option('--quick', 'Finish within 40 s', {default: false})
+	.action(async (name: string, options: {readonly seed: number; readonly policies?: string; readonly json: boolean; readonly quick: boolean}) => {
+		const bench = benches[name];
+		if (bench === undefined) {
+			process.stderr.write(`${name}: no such bench; use one of ${Object.keys(benches).join(', ')}\n`);
+			process.exit(2);
+		}
+
+		const report = await bench({
+			seed: Number(options.seed), isQuick: options.quick, isJson: options.json, policies: options.policies?.split(',') ?? [],
+		});
+		printReport(report, options.json);
+	});
+program.help();
+program.parse();
--- /dev/null
+++ b/bench/rig.ts
@@ -0,0 +1,197 @@
+/** Processes of a bench: the system, stand-in servers and load generators, each on its own. */
+import {spawn, execFile, type ChildProcess} from 'node:child_process';
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {promisify} from 'node:util';
+import {build} from 'esbuild';
+import {documentSchema, type EnvironmentDocument} from '../source/configuration/index.js';
+import {type LoadResult} from '../source/program/load.js';
+import {createCluster, type Cluster, type Member} from '../stand-in/cluster.js';
+
+const execute = promisify(execFile);
+const host = '127.0.0.1';
+const standInBundle = 'dist/stand-in.cjs';
+const programBundle = 'dist/guavadeck.cjs';
+const pollMilliseconds = 50;
+const startLimitMilliseconds = 30_000;
+const ticksPerSecond = 100;
+const warmUpSeconds = 1.5;
+
+/** A process of stand-ins. */
+export type StandInProcess = {
+	readonly child: ChildProcess;
+	readonly control: number;
+	readonly ports: readonly number[];
+};
+
+/** What a process of stand-ins reports. */
+export type StandInReport = {
+	readonly probes: number;
+	readonly runs: number;
+	readonly servers: ReadonlyArray<{readonly name: string; readonly inFlight: number; readonly largest: number; readonly overloads: number; readonly served: number; readonly isCold: boolean}>;
+};
+
+/** Processor time and memory of a process. */
+export type Usage = {readonly cpuSeconds: number; readonly residentMegabytes: number};
+
+/** A running bench. */
+export type Rig = {
+	readonly cluster: Cluster;
+	startStandIn(arguments_: readonly string[]): Promise<StandInProcess>;
+	/** Sends an order to a process of stand-ins and gets its report. */
+	order(standIn: StandInProcess, order?: unknown): Promise<StandInReport>;
+	/** Puts a document in force in every entry. */
+	apply(document: unknown): Promise<void>;
+	/** Waits until the registry holds warm servers, sending a light load meanwhile. */
+	warm(servers: number, path: string): Promise<void>;
+	getEntryUrls(path: string): readonly string[];
+	getUsage(member: Member): Usage;
+	stop(): Promise<void>;
+};
+
+/** Options of a load in a process of its own. */
+export type LoadOptions = {
+	readonly targets: readonly string[];
+	readonly rate?: number;
+	readonly callers?: number;
+	readonly seconds: number;
+	readonly seed: number;
+	readonly method?: string;
+	readonly key?: string;
+};
+
+/**
+ * Runs a load in a process of its own.
+ * @param options - Rate, length and targets.
+ */
+export async function runLoadProcess(options: LoadOptions): Promise<LoadResult> {
+	const {stdout} = await execute(process.execPath, [
+		programBundle, 'load', ...options.targets, '--json', '--seconds', String(options.seconds), '--seed', String(options.seed), '--rate', String(options.rate ?? 1), '--callers', String(options.callers ?? 0), '--warm-up', String(warmUpSeconds), '--method', options.method ?? 'GET', ...options.key === undefined ? [] : ['--key', options.key],
+	], {maxBuffer: 10_000_000});
+	return JSON.parse(stdout) as LoadResult;
+}
+
+/**
+ * Starts the system.
+ * @param controlHosts - Number of control hosts.
+ * @param entries - Number of entries.
+ * @param entrySettings - Further settings of every entry.
+ */
+export async function startRig(controlHosts: number, entries: number, entrySettings: Readonly<Record<string, unknown>> = {}): Promise<Rig> {
+	await build({
+		entryPoints: ['stand-in/main.ts'], outfile: standInBundle, bundle: true, platform: 'node', target: 'node20', format: 'cjs', logLevel: 'error', alias: {'dtrace-provider': './scripts/absent.cjs', 'cbor-extract': './scripts/absent.cjs', 'source-map-support': './scripts/absent.cjs'},
+	});
+	const cluster = await createCluster({
+		controlHosts, entries, zones: ['north', 'south', 'east'], termMilliseconds: 3000, graceMilliseconds: 300, entrySettings,
+	});
+	await Promise.all(cluster.controls.map(async member => cluster.start(member, true)));
+	await Promise.all(cluster.entries.map(async member => cluster.start(member, false)));
+	const standIns: StandInProcess[] = [];
+	let changes = 0;
+
+	async function startStandIn(arguments_: readonly string[]): Promise<StandInProcess> {
+		const child = spawn(process.execPath, [standInBundle, ...arguments_], {stdio: ['ignore', 'pipe', 'inherit']});
+		const line = await new Promise<string>(resolve => {
+			child.stdout.once('data', (chunk: Uint8Array) => {
+				resolve(new TextDecoder().decode(chunk));
+			});
+		});
+		const started: StandInProcess = {child, ...(JSON.parse(line) as {readonly control: number; readonly ports: readonly number[]})};
+		standIns.push(started);
+		return started;
+	}
+
+	function getEntryUrls(path: string): readonly string[] {
+		return cluster.entries.map(member => `http://${host}:${member.port}${path}`);
+	}
+
+	async function isInForce(version: number): Promise<boolean> {
+		const versions = await Promise.all(cluster.entries.map(async member => readVersion(member)));
+		return versions.every(known => known >= version);
+	}
+
+	return {
+		cluster,
+		startStandIn,
+		async order(standIn, order) {
+			const response = await fetch(`http://${host}:${standIn.control}/`, order === undefined ? {} : {method: 'POST', body: JSON.stringify(order)});
+			return await response.json() as StandInReport;
+		},
+		async apply(document) {
+			const checked: EnvironmentDocument = documentSchema.parse(document);
+			let version: number | undefined;
+			await waitUntil('a document is accepted', async () => {
+				const current = await cluster.call('GET', '/v1/environments/production');
+				const base = current?.status === 200 ? (current.body as {readonly version: {readonly version: number}}).version.version : 0;
+				const answer = await cluster.call('POST', '/v1/environments/production/apply', {
+					base, change: `bench-${process.pid}-${changes++}`, author: 'bench', document: checked,
+				});
+				const outcome = (answer?.body as {readonly answer?: {readonly version?: number; readonly kind: string}} | undefined)?.answer;
+				version = outcome?.kind === 'accepted' ? outcome.version : undefined;
+				return version !== undefined;
+			});
+			await waitUntil('it is in force', async () => isInForce(version!));
+		},
+		async warm(servers, path) {
+			await waitUntil('all servers are warm', async () => {
+				await runLoadProcess({
+					targets: getEntryUrls(path), rate: 200, seconds: 0.5, seed: 1,
+				});
+				const status = await cluster.getStatus();
+				return status !== undefined && status.servers.filter(server => server.state === 'warm').length >= servers;
+			});
+		},
+		getEntryUrls,
+		getUsage: member => readUsage(member.child?.pid ?? 0),
+		async stop() {
+			for (const {child} of standIns) {
+				child.kill('SIGKILL');
+			}
+
+			await cluster.stop();
+		},
+	};
+}
+
+async function readVersion(member: Member): Promise<number> {
+	try {
+		const response = await fetch(`http://${host}:${member.adminPort}/ready`);
+		const body = await response.json() as {readonly version: number};
+		return response.status === 200 ? body.version : 0;
+	} catch {
+		return 0;
+	}
+}
+
+/** Reads processor time and memory from the proc file system. */
+function readUsage(pid: number): Usage {
+	const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
+	const resident = /VmRSS:\s+(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.groups?.['kilobytes'] ?? '0';
+	return {cpuSeconds: (Number(fields[11]) + Number(fields[12])) / ticksPerSecond, residentMegabytes: Number(resident) / 1024};
+}
+
+/**
+ * Waits until something is so.
+ * @param what - What is waited for, for the error.
+ * @param isTrue - Checks it.
+ */
+export async function waitUntil(what: string, isTrue: () => Promise<boolean>): Promise<void> {
+	const until = Date.now() + startLimitMilliseconds;
+	while (!await isTrue()) {
+		if (Date.now() > until) {
+			throw new Error(`after ${startLimitMilliseconds} ms it is not so that ${what}`);
+		}
+
+		await pause(pollMilliseconds);
+	}
+}
+
+/**
+ * Waits.
+ * @param milliseconds - Time to wait.
+ */
+export async function pause(milliseconds: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
--- a/scenario/runner.ts
+++ b/scenario/runner.ts
@@ -8,7 +8,7 @@
 import {
 	sendOnce, startStream, type EntryAddress, type Stream,
 } from './caller.js';
-import {createCluster, getFreePort, type Cluster, type Member} from './cluster.js';
+import {createCluster, getFreePort, type Cluster, type Member} from '../stand-in/cluster.js';
 import {
 	checkers, type Change, type Departure, type History, type Reading, type Sending, type Violation,
 } from './history.js';
--- a/source/choice/candidate.ts
+++ b/source/choice/candidate.ts
@@ -36,6 +36,8 @@
 	setPermit(slots: number): void;
 	setPeerInFlight(count: number): void;
 	setConnectionShare(connections: number): void;
+	/** Keeps a warm server's requests in flight to its slots, for a single entry that sees them all. */
+	setStrict(isStrict: boolean): void;
 	setReportedLoad(load: number): void;
 	getReportedLoad(): number;
 	getInFlight(): number;
@@ -76,6 +78,7 @@
 	let ejectedUntil = 0;
 	let ejections = 0;
 	let isOnProbation = false;
+	let overcommit = overcommitFactor;
 	let localLimit = Number.POSITIVE_INFINITY;
 	let hasTurnedCold = false;
 	let successes = 0;
@@ -87,7 +90,7 @@
 	}
 
 	function getLimit(): number {
-		const limit = state === 'cold' ? permit : (announcement.slots * overcommitFactor) - peerInFlight;
+		const limit = state === 'cold' ? permit : (announcement.slots * overcommit) - peerInFlight;
 		const bounded = Math.min(limit, connectionShare, localLimit);
 		return isOnProbation ? Math.min(1, bounded) : bounded;
 	}
@@ -128,6 +131,9 @@
 		setConnectionShare(connections) {
 			connectionShare = connections;
 		},
+		setStrict(isStrict) {
+			overcommit = isStrict ? 1 : overcommitFactor;
+		},
 		setReportedLoad(load) {
 			reportedLoad = load;
 		},
--- a/source/choice/chooser.ts
+++ b/source/choice/chooser.ts
@@ -76,6 +76,7 @@
 				return candidate.getLoad(choice.now, true);
 			}
 
+			case 'central-queue':
 			case 'round-robin':
 			case 'least-in-flight':
 			case 'two-choices': {
@@ -128,6 +129,7 @@
 					return scan(choice, turn);
 				}
 
+				case 'central-queue':
 				case 'least-in-flight': {
 					return chooseOfAll(choice);
 				}
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -107,7 +107,11 @@
 		}
 
 		for (const [name, state] of states) {
-			state.setCandidates(byService.get(name) ?? []);
+			const candidates = byService.get(name) ?? [];
+			state.setCandidates(candidates);
+			for (const candidate of candidates) {
+				candidate.setStrict(state.getService().policy === 'central-queue');
+			}
 		}
 	}
 
--- a/source/program/load.ts
+++ b/source/program/load.ts
@@ -8,16 +8,21 @@
 import {printJson, printTable} from './print.js';
 
 const requestTimeoutMilliseconds = 30_000;
-const connectionsPerTarget = 2000;
+const connectionsPerTarget = 256;
 
 /** Options of a load. */
 export type Load = {
 	/** Addresses that take turns. */
 	readonly targets: readonly string[];
 	readonly requestsPerSecond: number;
+	/** Length after the warm-up. */
 	readonly seconds: number;
+	/** Time at the start in which requests are sent and not counted. */
+	readonly warmUpSeconds: number;
 	readonly seed: number;
 	readonly method: string;
+	/** Callers that each wait for their answer before they send again; 0 for open-loop arrivals. */
+	readonly callers: number;
 	/** Prefix of a fresh idempotency key for each request, if any. */
 	readonly keyPrefix: string | undefined;
 };
@@ -42,6 +47,7 @@
  */
 export async function runLoad(load: Load): Promise<LoadResult> {
 	const random = createRandom(load.seed);
+	const targets = load.targets.map(target => new URL(target)).map(({hostname, port, pathname, search}) => ({hostname, port, path: `${pathname}${search}`}));
 	const agent = new Agent({keepAlive: true, maxSockets: connectionsPerTarget});
 	const histogram: Histogram = createLatencyHistogram();
 	const statuses = new Map<string, number>();
@@ -49,26 +55,41 @@
 	let answered = 0;
 	let errors = 0;
 	let open = 0;
+	let until = 0;
+	let countedFrom = 0;
+	let turn = 0;
 	let finished: (() => void) | undefined;
 
 	function end(): void {
 		open--;
+		const now = performance.now();
+		if (load.callers > 0 && now < until) {
+			send(now);
+			return;
+		}
+
 		if (open === 0) {
 			finished?.();
 		}
 	}
 
 	function send(arrivedAt: number): void {
-		const target = load.targets[sent % load.targets.length]!;
-		sent++;
+		const {hostname, port, path} = targets[turn++ % targets.length]!;
+		const isCounted = arrivedAt >= countedFrom;
+		sent += isCounted ? 1 : 0;
 		open++;
-		const headers = load.keyPrefix === undefined ? {} : {'idempotency-key': `${load.keyPrefix}-${sent}`};
-		const request = startRequest(target, {
-			agent, method: load.method, headers, timeout: requestTimeoutMilliseconds,
+		const headers = load.keyPrefix === undefined ? {} : {'idempotency-key': `${load.keyPrefix}-${turn}`};
+		const request = startRequest({
+			hostname, port, path, agent, method: load.method, headers, timeout: requestTimeoutMilliseconds,
 		});
 		request.once('response', response => {
 			response.resume();
 			response.once('close', () => {
+				if (!isCounted) {
+					end();
+					return;
+				}
+
 				const status = response.complete ? String(response.statusCode) : 'truncated';
 				statuses.set(status, (statuses.get(status) ?? 0) + 1);
 				answered++;
@@ -80,15 +101,20 @@
 			request.destroy(new Error('timed out'));
 		});
 		request.once('error', () => {
-			errors++;
+			errors += isCounted ? 1 : 0;
 			end();
 		});
 		request.end();
 	}
 
 	const startedAt = performance.now();
-	const until = startedAt + (load.seconds * 1000);
-	let nextAt = startedAt;
+	countedFrom = startedAt + (load.warmUpSeconds * 1000);
+	until = countedFrom + (load.seconds * 1000);
+	let nextAt = load.callers > 0 ? until : startedAt;
+	for (let caller = 0; caller < load.callers; caller++) {
+		send(startedAt);
+	}
+
 	while (nextAt < until) {
 		const now = performance.now();
 		while (nextAt <= now && nextAt < until) {
@@ -107,7 +133,7 @@
 		});
 	}
 
-	const elapsed = performance.now() - startedAt;
+	const elapsed = performance.now() - countedFrom;
 	agent.destroy();
 	return {
 		sent,
--- a/source/program/main.ts
+++ b/source/program/main.ts
@@ -15,7 +15,7 @@
 const program = cac('guavadeck');
 
 type ServeOptions = {readonly settings?: string};
-type LoadOptions = {readonly rate: number; readonly seconds: number; readonly seed: number; readonly method: string; readonly key?: string; readonly json?: boolean};
+type LoadOptions = {readonly rate: number; readonly seconds: number; readonly seed: number; readonly method: string; readonly callers: number; readonly warmUp: number; readonly key?: string; readonly json?: boolean};
 
 function getSettings(options: ServeOptions): string {
 	return options.settings ?? rejectInput(['--settings: missing; name a TOML file']);
@@ -39,10 +39,12 @@
 	.option('--seconds <n>', 'Length', {default: 10})
 	.option('--seed <n>', 'Seed of the arrivals', {default: 1})
 	.option('--method <method>', 'HTTP method', {default: 'GET'})
+	.option('--warm-up <n>', 'Seconds at the start that are not counted', {default: 0})
+	.option('--callers <n>', 'Callers that wait for each answer, in place of open-loop arrivals', {default: 0})
 	.option('--key <prefix>', 'Prefix of a fresh idempotency key for each request')
 	.option('--json', 'Print JSON')
 	.action(async (targets: readonly string[], options: LoadOptions) => loadAndPrint({
-		targets, requestsPerSecond: Number(options.rate), seconds: Number(options.seconds), seed: Number(options.seed), method: options.method, keyPrefix: options.key,
+		targets, requestsPerSecond: Number(options.rate), seconds: Number(options.seconds), seed: Number(options.seed), method: options.method, callers: Number(options.callers), warmUpSeconds: Number(options.warmUp), keyPrefix: options.key,
 	}, options.json ?? false));
 program.command('check <...files>', 'Check files without applying anything').option('--kind <kind>', 'document, control or entry', {default: 'document'}).action((files: readonly string[], options: {readonly kind: string}) => {
 	check(files, options.kind);
--- a/scenario/cluster.ts
+++ b/stand-in/cluster.ts
@@ -10,7 +10,7 @@
 import {build} from 'esbuild';
 import {stringify} from 'smol-toml';
 import {type ClusterStatus} from '../source/control/index.js';
-import {startCuttableLink, type Cut, type CuttableLink} from '../stand-in/index.js';
+import {startCuttableLink, type Cut, type CuttableLink} from './cuttable-link.js';
 
 const host = '127.0.0.1';
 const requestMilliseconds = 2000;
--- /dev/null
+++ b/stand-in/noise.ts
@@ -0,0 +1,45 @@
+/** Noisy neighbours: slows servers at random for short times. */
+import {type Random} from '../source/randomness/index.js';
+import {type StandIn} from './server.js';
+
+const meanQuietMilliseconds = 1500;
+const shortestMilliseconds = 20;
+const longestMilliseconds = 500;
+
+/** Noise over some servers. */
+export type Noise = {stop(): void};
+
+/**
+ * Starts to slow servers at random, each on its own.
+ * @param servers - Servers to slow.
+ * @param factor - Factor on service times while a server is slowed.
+ * @param random - Source of random numbers.
+ */
+export function startNoise(servers: readonly StandIn[], factor: number, random: Random): Noise {
+	const timers = new Map<string, NodeJS.Timeout>();
+
+	function plan(server: StandIn): void {
+		const quiet = -Math.log(1 - random()) * meanQuietMilliseconds;
+		timers.set(server.name, setTimeout(() => {
+			server.change({slowness: factor});
+			const slowed = shortestMilliseconds + (random() * (longestMilliseconds - shortestMilliseconds));
+			timers.set(server.name, setTimeout(() => {
+				server.change({slowness: 1});
+				plan(server);
+			}, slowed));
+		}, quiet));
+	}
+
+	for (const server of servers) {
+		plan(server);
+	}
+
+	return {
+		stop() {
+			for (const server of servers) {
+				clearTimeout(timers.get(server.name));
+				server.change({slowness: 1});
+			}
+		},
+	};
+}
--- a/stand-in/server.ts
+++ b/stand-in/server.ts
@@ -12,6 +12,7 @@
 import {drawServiceTime, ordinaryBehaviour, type Behaviour} from './behaviour.js';
 
 const announceMilliseconds = 1000;
+const trailingMilliseconds = 3;
 
 /** Header that asks a server to crash. */
 export const crashHeader = 'x-crash';
@@ -83,6 +84,9 @@
 	getLargestInFlight(): number;
 	/** Gets how often more requests arrived than a cold server can carry. */
 	getOverloads(): number;
+	/** Gets the requests that were answered. */
+	getServed(): number;
+	resetCounts(): void;
 	isUp(): boolean;
 };
 
@@ -103,6 +107,7 @@
 	let present = 0;
 	let largest = 0;
 	let overloads = 0;
+	let served = 0;
 	let servedCold = 0;
 	let isUp = false;
 	let {port} = options;
@@ -283,10 +288,14 @@
 			return;
 		}
 
+		served++;
 		end('ran');
 		answer(response, request, 200, body);
 		if (random() < behaviour.trailingShare) {
-			response.socket?.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother');
+			const {socket} = response;
+			setTimeout(() => {
+				socket?.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother');
+			}, trailingMilliseconds);
 		}
 	}
 
@@ -414,6 +423,12 @@
 		getInFlight: () => present,
 		getLargestInFlight: () => largest,
 		getOverloads: () => overloads,
+		getServed: () => served,
+		resetCounts() {
+			largest = present;
+			overloads = 0;
+			served = 0;
+		},
 		isUp: () => isUp,
 	};
 }
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,7 +1,8 @@
 /** @type {import('xo').FlatXoConfig} */
 const config = [
 	{
-		ignores: ['dist/**'],
+		// The parser is generated from grammar.peggy.
+		ignores: ['dist/**', 'scenario/grammar.js', 'scenario/grammar.d.ts'],
 	},
 	{
 		files: ['**/*.ts', '**/*.js'],
