--- /dev/null
+++ b/bench/limits.ts
@@ -0,0 +1,72 @@
+/** Overload: goodput at 150% and 300% of what the servers can do, and the time to recover. */
+import {type LoadResult} from '../source/program/load.js';
+import {atLeast, atMost, type BenchOptions, type BenchReport, type BenchRow, type BenchTarget} from './report.js';
+import {pause, runLoadProcess, startRig, type Rig} from './rig.js';
+
+const servers = 6;
+const slots = 4;
+const meanMilliseconds = 60;
+const capacityPerSecond = servers * slots * 1000 / meanMilliseconds;
+const loadProcesses = 2;
+const deadlineMilliseconds = 1000;
+const recoveryMilliseconds = 2000;
+
+async function load(rig: Rig, share: number, seconds: number, seed: number): Promise<readonly LoadResult[]> {
+	return Promise.all(Array.from({length: loadProcesses}, async (_, index) => runLoadProcess({
+		targets: rig.getEntryUrls('/'), rate: capacityPerSecond * share / loadProcesses, seconds, seed: seed + index,
+	})));
+}
+
+function sum(results: readonly LoadResult[], read: (result: LoadResult) => number): number {
+	return results.reduce((total, result) => total + read(result), 0);
+}
+
+/**
+ * Runs the bench.
+ * @param options - Seed and length.
+ */
+export async function runLimits(options: BenchOptions): Promise<BenchReport> {
+	const rig = await startRig(1, 3);
+	const seconds = options.isQuick ? 3 : 8;
+	const rows: BenchRow[] = [];
+	const targets: BenchTarget[] = [];
+	try {
+		await rig.apply({
+			zones: [{name: 'north'}, {name: 'south'}, {name: 'east'}], services: [{
+				name: 'catalogue', deadlineMilliseconds, queueLength: 100, easing: {initialSlots: slots},
+			}],
+		});
+		const announceTo = rig.cluster.controls.map(member => `http://127.0.0.1:${member.adminPort}`).join(',');
+		const standIn = await rig.startStandIn(['server', '--count', String(servers), '--slots', String(slots), '--mean', String(meanMilliseconds), '--zones', 'north,south,east', '--announce', announceTo, '--seed', String(options.seed)]);
+		await rig.warm(servers, '/');
+		let largest = 0;
+		for (const share of [0.9, 1.5, 3]) {
+			const before = await rig.order(standIn, {verb: 'reset'});
+			const results = await load(rig, share, seconds, options.seed);
+			const after = await rig.order(standIn);
+			const goodput = sum(results, result => result.statuses['200'] ?? 0) / seconds;
+			const notRun = sum(results, result => result.statuses['503'] ?? 0);
+			const sent = sum(results, result => result.sent);
+			largest = Math.max(largest, share === 0.9 ? goodput : 0);
+			rows.push({
+				share, sent, goodput, notRun, attemptsForEachSent: after.servers.reduce((total, server) => total + server.arrived, 0) / sent, p99: Math.max(...results.map(result => result.p99)), runs: after.runs - before.runs,
+			});
+			if (share > 1) {
+				targets.push(atLeast(`goodput at ${share * 100}% over what the servers can do`, 0.9, goodput / capacityPerSecond));
+			}
+		}
+
+		await pause(recoveryMilliseconds);
+		const recovered = await load(rig, 0.5, 2, options.seed);
+		const unanswered = sum(recovered, result => result.sent - (result.statuses['200'] ?? 0));
+		rows.push({
+			share: 0.5, sent: sum(recovered, result => result.sent), goodput: 0, notRun: unanswered, attemptsForEachSent: 1, p99: Math.max(...recovered.map(result => result.p99)), runs: 0,
+		});
+		targets.push(atMost('requests refused 2 s after the load fell', 0, unanswered));
+		return {
+			bench: 'limits', seed: options.seed, rows, targets,
+		};
+	} finally {
+		await rig.stop();
+	}
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,11 +4,13 @@
 import {runAddedLatency} from './added-latency.js';
 import {runChoice} from './choice.js';
 import {printReport, type BenchOptions, type BenchReport} from './report.js';
+import {runLimits} from './limits.js';
 import {runThroughput} from './throughput.js';
 
 const benches: Readonly<Record<string, (options: BenchOptions) => Promise<BenchReport>>> = {
 	'added-latency': runAddedLatency,
 	'choice': runChoice,
+	'limits': runLimits,
 	'throughput': runThroughput,
 };
 
--- a/bench/rig.ts
+++ b/bench/rig.ts
@@ -28,7 +28,7 @@
 export type StandInReport = {
 	readonly probes: number;
 	readonly runs: number;
-	readonly servers: ReadonlyArray<{readonly name: string; readonly inFlight: number; readonly largest: number; readonly overloads: number; readonly served: number; readonly isCold: boolean}>;
+	readonly servers: ReadonlyArray<{readonly name: string; readonly inFlight: number; readonly largest: number; readonly overloads: number; readonly arrived: number; readonly isCold: boolean}>;
 };
 
 /** Processor time and memory of a process. */
--- /dev/null
+++ b/source/entry/router.test.ts
@@ -0,0 +1,65 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {documentSchema} from '../configuration/index.js';
+import {getDeadline} from './headers.js';
+import {createRouter} from './router.js';
+
+describe('createRouter', () => {
+	const {services} = documentSchema.parse({
+		zones: [{name: 'north'}],
+		services: [
+			{name: 'stock', path: '/stock'},
+			{name: 'weeks', path: '/stock/weeks/'},
+			{name: 'club', host: 'club.example', path: '/'},
+			{name: 'club-orders', host: 'Club.example', path: '/orders'},
+		],
+	});
+
+	function doTest(host: string | undefined, target: string, expected: string | undefined): void {
+		expect(createRouter(services).get(host, target)?.name).toEqual(expected);
+	}
+
+	test('finds a service by its path', () => {
+		doTest('any', '/stock', 'stock');
+	});
+	test('finds a service below its path', () => {
+		doTest('any', '/stock/bone?week=3', 'stock');
+	});
+	test('prefers the longest path', () => {
+		doTest('any', '/stock/weeks/7', 'weeks');
+	});
+	test('does not match half a segment', () => {
+		doTest('any', '/stocks', undefined);
+	});
+	test('finds a service by its host, whatever its port and case', () => {
+		doTest('CLUB.example:8080', '/jerseys', 'club');
+	});
+	test('finds the longest path of a host', () => {
+		doTest('club.example', '/orders/1', 'club-orders');
+	});
+	test('falls back to services of any host only where the host has none', () => {
+		doTest(undefined, '/stock', 'stock');
+	});
+	test('finds nothing for an unknown path', () => {
+		doTest('any', '/', undefined);
+	});
+});
+
+describe('getDeadline', () => {
+	function doTest(header: string | undefined, expected: number | undefined): void {
+		expect(getDeadline(header, 2000)).toEqual(expected);
+	}
+
+	test('takes the service\'s deadline without a header', () => {
+		doTest(undefined, 2000);
+	});
+	test('takes a shorter one', () => {
+		doTest('150', 150);
+	});
+	test('bounds a longer one', () => {
+		doTest('99999', 2000);
+	});
+	test('refuses what is not a number of milliseconds', () => {
+		doTest('1.5', undefined);
+	});
+});
--- /dev/null
+++ b/source/settings/file.test.ts
@@ -0,0 +1,94 @@
+import {Buffer} from 'node:buffer';
+import {describe, test, type TestContext} from 'node:test';
+import {expect} from 'earl';
+import {documentSchema} from '../configuration/index.js';
+import {
+	controlSettingsSchema, entrySettingsSchema, parseToml, readTomlFile, resolveSecurity,
+} from './index.js';
+
+const good = `
+[[zones]]
+name = "north"
+
+[[services]]
+name = "stock"
+`;
+
+describe('parseToml on a document', () => {
+	function doTest(text: string | Uint8Array, context: TestContext): void {
+		const outcome = parseToml('document.toml', typeof text === 'string' ? Buffer.from(text) : text, documentSchema);
+		expect(outcome.isOk ? ['ok'] : [...outcome.error]).toMatchSnapshot(context);
+	}
+
+	test('takes a small document', t => {
+		doTest(good, t);
+	});
+	test('names an unknown key', t => {
+		doTest(`${good}colour = "red"\n`, t);
+	});
+	test('names an unknown key at the top', t => {
+		doTest(`colour = "red"\n${good}`, t);
+	});
+	test('names a wrong type', t => {
+		doTest(`${good}deadlineMilliseconds = "2 s"\n`, t);
+	});
+	test('names a value out of range', t => {
+		doTest(`${good}deadlineMilliseconds = 1\n`, t);
+	});
+	test('names a duplicate service', t => {
+		doTest(`${good}\n[[services]]\nname = "stock"\npath = "/other"\n`, t);
+	});
+	test('names a route that is taken', t => {
+		doTest(`${good}\n[[services]]\nname = "other"\n`, t);
+	});
+	test('asks for a zone in service', t => {
+		doTest(good.replace('"north"', '"north"\ninService = false'), t);
+	});
+	test('names a missing table', t => {
+		doTest('[[zones]]\nname = "north"\n', t);
+	});
+	test('names the line of a TOML fault', t => {
+		doTest(`${good}path = "/a\n`, t);
+	});
+	test('names a duplicate key', t => {
+		doTest(`${good}name = "again"\n`, t);
+	});
+	test('asks for UTF-8', t => {
+		doTest(Uint8Array.from([0x61, 0xFF, 0xFE]), t);
+	});
+});
+
+describe('readTomlFile', () => {
+	function doTest(file: string, schema: typeof documentSchema | typeof controlSettingsSchema | typeof entrySettingsSchema, expected: readonly string[]): void {
+		const outcome = readTomlFile(file, schema);
+		expect(outcome.isOk ? [] : [...outcome.error]).toEqual([...expected]);
+	}
+
+	for (const name of ['kopano', 'muscat']) {
+		test(`takes the files of ${name}`, () => {
+			doTest(`examples/${name}/document.toml`, documentSchema, []);
+			doTest(`examples/${name}/control.toml`, controlSettingsSchema, []);
+			doTest(`examples/${name}/entry.toml`, entrySettingsSchema, []);
+		});
+	}
+
+	test('names a missing file', () => {
+		doTest('examples/none.toml', documentSchema, ['examples/none.toml: no such file; check the path']);
+	});
+});
+
+describe('resolveSecurity', () => {
+	function doTest(host: string, expected: readonly string[]): void {
+		const outcome = resolveSecurity({
+			file: 'entry.toml', name: 'entry', security: {}, listening: [{host, port: 1}],
+		});
+		expect(outcome.isOk ? [] : [...outcome.error]).toEqual([...expected]);
+	}
+
+	test('allows loopback without keys', () => {
+		doTest('127.0.0.1', []);
+	});
+	test('refuses other addresses without keys', () => {
+		doTest('10.0.0.1', ['entry.toml: security: 10.0.0.1 is not a loopback address; set security.sharedKeyFile and security.operatorKeyFile']);
+	});
+});
--- /dev/null
+++ b/source/wire/wire.test.ts
@@ -0,0 +1,96 @@
+import {Buffer} from 'node:buffer';
+import {connect} from 'node:net';
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {
+	createDialer, createFrameReader, encodeFrame, FrameError, listenForLinks,
+} from './index.js';
+
+describe('createFrameReader', () => {
+	function doTest(bytes: Buffer, chunk: number, expected: readonly unknown[]): void {
+		const reader = createFrameReader(1000);
+		const messages: unknown[] = [];
+		for (let at = 0; at < bytes.length; at += chunk) {
+			messages.push(...reader.push(bytes.subarray(at, at + chunk)));
+		}
+
+		expect(messages).toEqual([...expected]);
+	}
+
+	const two = Buffer.concat([encodeFrame({a: 1}), encodeFrame({b: ['x', undefined]})]);
+	for (const chunk of [1, 3, 7, 1000]) {
+		test(`joins frames cut into pieces of ${chunk} bytes`, () => {
+			doTest(two, chunk, [{a: 1}, {b: ['x', undefined]}]);
+		});
+	}
+
+	test('refuses a frame over the bound before it is whole', () => {
+		const header = Buffer.alloc(4);
+		header.writeUInt32BE(1001);
+		expect(() => createFrameReader(1000).push(header)).toThrow(FrameError);
+	});
+	test('refuses what is not CBOR', () => {
+		expect(() => createFrameReader(1000).push(Buffer.from([0, 0, 0, 2, 0xFF, 0xFF]))).toThrow(FrameError);
+	});
+});
+
+describe('listenForLinks and createDialer', () => {
+	async function doTest(key: string, isAccepted: boolean): Promise<void> {
+		const received: unknown[] = [];
+		const listener = await listenForLinks<unknown>({
+			identity: {name: 'server', sharedKey: 'the shared key of both', certificates: undefined}, host: '127.0.0.1', port: 0, opened(link) {
+				link.messages.subscribe(message => {
+					received.push([link.peer, message]);
+					link.send({back: 1});
+				});
+			},
+		});
+		await new Promise<void>(resolve => {
+			const dialer = createDialer<unknown>({
+				identity: {name: 'client', sharedKey: key, certificates: undefined}, host: '127.0.0.1', port: listener.port,
+				opened() {
+					dialer.send({there: 1});
+				},
+				closed() {
+					// Only a break after the handshake is told.
+				},
+				received() {
+					dialer.close();
+					resolve();
+				},
+			});
+			if (!isAccepted) {
+				setTimeout(() => {
+					dialer.close();
+					resolve();
+				}, 300);
+			}
+		});
+		await listener.close();
+		expect(received).toEqual(isAccepted ? [['client', {there: 1}]] : []);
+	}
+
+	test('carry messages both ways under the same key', async () => doTest('the shared key of both', true));
+	test('carry nothing under another key', async () => doTest('another key', false));
+	test('a malformed handshake closes only its own connection', async () => {
+		const listener = await listenForLinks({
+			identity: {name: 'server', sharedKey: 'key', certificates: undefined}, host: '127.0.0.1', port: 0, opened() {
+				throw new Error('nothing may open');
+			},
+		});
+		await new Promise<void>(resolve => {
+			const socket = connect(listener.port, '127.0.0.1');
+			socket.on('data', () => {
+				// The server's greeting.
+			});
+			socket.on('error', () => {
+				// The server may reset.
+			});
+			socket.once('close', () => {
+				resolve();
+			});
+			socket.write(Buffer.from([0xFF, 0xFF, 0xFF, 0xFF, 1, 2, 3]));
+		});
+		await listener.close();
+	});
+});
--- a/stand-in/main.ts
+++ b/stand-in/main.ts
@@ -119,7 +119,7 @@
 
 			response.end(JSON.stringify({
 				probes, runs, servers: servers.map(server => ({
-					name: server.name, port: server.port, inFlight: server.getInFlight(), largest: server.getLargestInFlight(), overloads: server.getOverloads(), served: server.getServed(), isCold: server.getBehaviour().isCold,
+					name: server.name, port: server.port, inFlight: server.getInFlight(), largest: server.getLargestInFlight(), overloads: server.getOverloads(), arrived: server.getArrived(), isCold: server.getBehaviour().isCold,
 				})),
 			}));
 		})();
--- a/stand-in/noise.ts
+++ b/stand-in/noise.ts
@@ -2,9 +2,10 @@
 import {type Random} from '../source/randomness/index.js';
 import {type StandIn} from './server.js';
 
-const meanQuietMilliseconds = 1500;
-const shortestMilliseconds = 20;
-const longestMilliseconds = 500;
+/** Times in units of the mean service time: 20 to 500 ms for servers of 20 ms. */
+const meanQuiet = 75;
+const shortest = 1;
+const longest = 25;
 
 /** Noise over some servers. */
 export type Noise = {stop(): void};
@@ -19,10 +20,10 @@
 	const timers = new Map<string, NodeJS.Timeout>();
 
 	function plan(server: StandIn): void {
-		const quiet = -Math.log(1 - random()) * meanQuietMilliseconds;
+		const quiet = -Math.log(1 - random()) * meanQuiet * server.getBehaviour().serviceMilliseconds;
 		timers.set(server.name, setTimeout(() => {
 			server.change({slowness: factor});
-			const slowed = shortestMilliseconds + (random() * (longestMilliseconds - shortestMilliseconds));
+			const slowed = (shortest + (random() * (longest - shortest))) * server.getBehaviour().serviceMilliseconds;
 			timers.set(server.name, setTimeout(() => {
 				server.change({slowness: 1});
 				plan(server);
--- a/stand-in/server.ts
+++ b/stand-in/server.ts
@@ -84,8 +84,8 @@
 	getLargestInFlight(): number;
 	/** Gets how often more requests arrived than a cold server can carry. */
 	getOverloads(): number;
-	/** Gets the requests that were answered. */
-	getServed(): number;
+	/** Gets the requests that arrived. */
+	getArrived(): number;
 	resetCounts(): void;
 	isUp(): boolean;
 };
@@ -107,7 +107,7 @@
 	let present = 0;
 	let largest = 0;
 	let overloads = 0;
-	let served = 0;
+	let arrived = 0;
 	let servedCold = 0;
 	let isUp = false;
 	let {port} = options;
@@ -164,6 +164,7 @@
 		}
 
 		const startedAt = Date.now();
+		arrived++;
 		present++;
 		largest = Math.max(largest, present);
 		const capacity = getCapacity();
@@ -288,7 +289,6 @@
 			return;
 		}
 
-		served++;
 		end('ran');
 		answer(response, request, 200, body);
 		if (random() < behaviour.trailingShare) {
@@ -423,11 +423,11 @@
 		getInFlight: () => present,
 		getLargestInFlight: () => largest,
 		getOverloads: () => overloads,
-		getServed: () => served,
+		getArrived: () => arrived,
 		resetCounts() {
 			largest = present;
 			overloads = 0;
-			served = 0;
+			arrived = 0;
 		},
 		isUp: () => isUp,
 	};
