Test the entry as callers see it and the binary with every operators' command

A refused request without a body no longer ends the caller's connection: the check for an unread body took every request for one that is still arriving.

--- a/source/entry/call.ts
+++ b/source/entry/call.ts
@@ -73,7 +73,7 @@
 
 	function refuse(verdict: Verdict): void {
 		if (!response.headersSent && !response.destroyed) {
-			answerVerdict(response, verdict, requestId, context.isClosing() || !incoming.complete);
+			answerVerdict(response, verdict, requestId, context.isClosing() || (hasBody(incoming) && !incoming.complete));
 		}
 
 		if (verdict.kind !== 'ran') {
--- /dev/null
+++ b/source/program/binary.test.ts
@@ -0,0 +1,106 @@
+import {execFileSync, spawn, spawnSync} from 'node:child_process';
+import {
+	mkdtempSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {
+	after, before, describe, test,
+} from 'node:test';
+import {expect} from 'earl';
+
+const binary = 'dist/guavadeck';
+const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-binary-'));
+
+before(() => {
+	execFileSync(process.execPath, ['scripts/build.js'], {stdio: 'ignore'});
+});
+after(() => {
+	rmSync(folder, {recursive: true});
+});
+
+describe('dist/guavadeck', () => {
+	function doTest(arguments_: readonly string[], code: number, output: RegExp): void {
+		const {status, stdout, stderr} = spawnSync(binary, arguments_, {encoding: 'utf8', env: {...process.env, NODE_NO_WARNINGS: '1'}});
+		expect({arguments_, status, matches: output.test(stdout + stderr)}).toEqual({arguments_, status: code, matches: true});
+	}
+
+	const bad = path.join(folder, 'bad.toml');
+	writeFileSync(bad, 'zones = 3\n');
+
+	test('prints its version', () => {
+		doTest(['--version'], 0, /^guavadeck\/0\.1\.0/v);
+	});
+	test('prints help for a command', () => {
+		doTest(['apply', '--help'], 0, /--despite-burn|--wait/v);
+	});
+	test('checks a good file', () => {
+		doTest(['check', 'examples/kopano/document.toml'], 0, /: ok\n$/v);
+	});
+	test('checks a bad file', () => {
+		doTest(['check', bad], 2, /bad\.toml: zones: .*expected array/v);
+	});
+	test('names an unknown command', () => {
+		doTest(['nonsense'], 2, /nonsense: no such command; see guavadeck --help/v);
+	});
+	test('asks for settings', () => {
+		doTest(['entry'], 2, /--settings: missing/v);
+	});
+	test('names an unknown option', () => {
+		doTest(['status', '--colour'], 2, /colour/v);
+	});
+	test('says that no control host answers', () => {
+		doTest(['status', '--control', 'http://127.0.0.1:9'], 1, /no control host answered/v);
+	});
+	test('names a bad control address', () => {
+		doTest(['status', '--control', 'nowhere'], 2, /is not an address/v);
+	});
+});
+
+describe('guavadeck try, and the operators\' commands', () => {
+	test('serve, apply, promote, take a zone out and report burn', async () => {
+		const child = spawn(binary, ['try'], {stdio: ['ignore', 'pipe', 'ignore']});
+		try {
+			const text = await new Promise<string>(resolve => {
+				let all = '';
+				child.stdout.on('data', (chunk: Uint8Array) => {
+					all += new TextDecoder().decode(chunk);
+					if (all.split('\n').length > 4) {
+						resolve(all);
+					}
+				});
+			});
+			const [, base] = /^ready (?<base>http:\S+)$/mv.exec(text) ?? [];
+			const [, control] = /^operators (?<control>http:\S+)$/mv.exec(text) ?? [];
+			const response = await fetch(`${base}/catalogue`);
+			expect(response.status).toEqual(200);
+
+			function doTest(arguments_: readonly string[], code: number, output: RegExp): void {
+				const {status, stdout, stderr} = spawnSync(binary, [...arguments_, '--control', control ?? ''], {encoding: 'utf8'});
+				expect({arguments_, status, output: output.test(stdout + stderr) ? '' : stdout + stderr}).toEqual({arguments_, status: code, output: ''});
+			}
+
+			const document = 'examples/kopano/document.toml';
+			doTest(['apply', document], 0, /^trial version 1 accepted/v);
+			doTest(['apply', document, '--base', '0', '--change', 'mine'], 1, /trial is at version 1, not at 0/v);
+			doTest(['promote', '--source', '9'], 1, /trial has no version 9/v);
+			doTest(['zone', 'out', 'south', '--wait'], 0, /production version 2 is in force everywhere/v);
+			doTest(['zone', 'out', 'north'], 1, /last zone in service/v);
+			doTest(['zone', 'out', 'west'], 2, /"west" is unknown; use one of north, south/v);
+			doTest(['zone', 'in', 'south'], 0, /production version 3 accepted/v);
+			doTest(['server', 'drain', 'orders/orders-1'], 0, /gets no new work/v);
+			doTest(['server', 'drain', 'orders/none'], 1, /no such server/v);
+			doTest(['status'], 0, /orders\/orders-1 +north +leaving/v);
+			doTest(['history'], 0, /VERSION.*\n1 .*\n2 .*\n3 /v);
+			doTest(['show'], 0, /"version": 3/v);
+			doTest(['burn'], 0, /SERVICE.*BUDGET LEFT/v);
+			const page = path.join(folder, 'burn.html');
+			doTest(['burn', '--html', page], 0, /wrote/v);
+			expect(/<svg/v.test(readFileSync(page, 'utf8'))).toEqual(true);
+			doTest(['promote'], 0, /^production version 4 accepted/v);
+		} finally {
+			child.kill('SIGTERM');
+		}
+	});
+});
--- a/source/program/trial.ts
+++ b/source/program/trial.ts
@@ -163,6 +163,7 @@
 	const trial = await startTrial(port);
 	const base = `http://${loopback}:${trial.callersPort}`;
 	printLine(`ready ${base}`);
+	printLine(`operators http://${loopback}:${trial.apiPort}`);
 	printLine(`curl -i ${base}/catalogue/jerseys`);
 	printLine(`curl -i -X POST -H 'Idempotency-Key: order-1' -d '12 jerseys' ${base}/orders`);
 	printLine(`curl -i -X POST -H 'Idempotency-Key: order-1' -d '12 jerseys' ${base}/orders`);
