--- a/bench/rig.ts
+++ b/bench/rig.ts
@@ -2,16 +2,15 @@
 import {spawn, execFile, type ChildProcess} from 'node:child_process';
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
-import {promisify} from 'node:util';
 import {build} from 'esbuild';
 import {documentSchema, type EnvironmentDocument} from '../source/configuration/index.js';
 import {type LoadResult} from '../source/program/load.js';
 import {createCluster, type Cluster, type Member} from '../stand-in/cluster.js';
 
-const execute = promisify(execFile);
 const host = '127.0.0.1';
 const standInBundle = 'dist/stand-in.cjs';
 const programBundle = 'dist/guavadeck.cjs';
+const maximumOutputBytes = 10_000_000;
 const pollMilliseconds = 50;
 const startLimitMilliseconds = 30_000;
 const ticksPerSecond = 100;
@@ -65,12 +64,24 @@
  * @param options - Rate, length and targets.
  */
 export async function runLoadProcess(options: LoadOptions): Promise<LoadResult> {
-	const {stdout} = await execute(process.execPath, [
+	const stdout = await execute([
 		programBundle, 'load', ...options.targets, '--json', '--seconds', String(options.seconds), '--seed', String(options.seed), '--rate', String(options.rate ?? 1), '--callers', String(options.callers ?? 0), '--warm-up', String(warmUpSeconds), '--method', options.method ?? 'GET', ...options.key === undefined ? [] : ['--key', options.key],
-	], {maxBuffer: 10_000_000});
+	]);
 	return JSON.parse(stdout) as LoadResult;
 }
 
+async function execute(arguments_: readonly string[]): Promise<string> {
+	return new Promise((resolve, reject) => {
+		execFile(process.execPath, arguments_, {maxBuffer: maximumOutputBytes}, (error, stdout) => {
+			if (error === null) {
+				resolve(stdout);
+			} else {
+				reject(error);
+			}
+		});
+	});
+}
+
 /**
  * Starts the system.
  * @param controlHosts - Number of control hosts.
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -7,14 +7,16 @@
 } from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import {performance} from 'node:perf_hooks';
+import {monitorEventLoopDelay, performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 import {announcementSchema, type Announcement} from '../source/announcement/index.js';
 import {createCandidate, createChooser} from '../source/choice/index.js';
 import {documentSchema, type EnvironmentDocument} from '../source/configuration/index.js';
-import {createLeadership, createMachine, type Machine} from '../source/control/index.js';
+import {
+	createLeadership, createMachine, machineCodec, type Machine,
+} from '../source/control/index.js';
 import {createFleet} from '../source/entry/fleet.js';
 import {createRouter} from '../source/entry/router.js';
 import {type Grant, type Renewal} from '../source/lease/index.js';
@@ -27,6 +29,7 @@
 
 const termMilliseconds = 3000;
 const microsecondsPerMillisecond = 1000;
+const nanosecondsPerMillisecond = 1_000_000;
 const limits = {retentionMilliseconds: 600_000_000, maximumClaims: 10_000_000, maximumStoredBytes: 4_000_000_000};
 
 setFlagsFromString('--expose-gc');
@@ -204,6 +207,34 @@
 	};
 }
 
+/** A snapshot beside the running log, and the longest time for which it holds up the loop. */
+async function measureSnapshots(claims: number): Promise<BenchRow> {
+	const machine = createMachine(limits);
+	for (let number = 0; number < claims; number++) {
+		machine.apply({
+			area: 'ledger', command: {
+				kind: 'claim', shard: 0, key: `production/orders/key-${number}`, attempt: `attempt-${number}`, digest: 'a'.repeat(64), at: number,
+			},
+		});
+	}
+
+	const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-slopes-'));
+	const store = openStore(folder, machineCodec);
+	const delay = monitorEventLoopDelay({resolution: 1});
+	delay.enable();
+	const startedAt = performance.now();
+	await store.prepareSnapshot({
+		index: 1, term: 1, membership: {voters: ['a'], learners: []}, data: machine.getImage(),
+	});
+	const milliseconds = performance.now() - startedAt;
+	delay.disable();
+	store.close();
+	rmSync(folder, {recursive: true});
+	return {
+		slope: 'snapshot', claims, milliseconds, longestBlockMilliseconds: delay.max / nanosecondsPerMillisecond,
+	};
+}
+
 /** Restart with changes piled up in the log. */
 async function measureRestart(changes: number): Promise<BenchRow> {
 	const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-slopes-'));
@@ -291,6 +322,10 @@
 		measureAnnouncements(2000),
 		...[10_000, options.isQuick ? 50_000 : 200_000].map(claims => measureClaims(claims)),
 	);
+	for (const claims of [10_000, 200_000]) {
+		rows.push(await measureSnapshots(claims));
+	}
+
 	for (const changes of [100, 1000, options.isQuick ? 2000 : 5000]) {
 		const row = await measureRestart(changes);
 		rows.push(row);
--- a/scenario/main.ts
+++ b/scenario/main.ts
@@ -36,4 +36,4 @@
 	}
 }
 
-void main();
+await main();
--- a/scenario/runner.ts
+++ b/scenario/runner.ts
@@ -8,7 +8,7 @@
 	crashHeader, startStandIn, type Behaviour, type Run, type StandIn,
 } from '../stand-in/index.js';
 import {
-	createCluster, getFreePort, type Cluster, type Member,
+	createCluster, getFreePort, isRunning, type Cluster, type Member,
 } from '../stand-in/cluster.js';
 import {
 	sendOnce, startStream, type EntryAddress, type Stream,
@@ -123,7 +123,7 @@
 		await startServers();
 		await waitUntil('every entry is ready and every server is warm', startLimitMilliseconds, async () => {
 			const status = await getCluster().getStatus();
-			return ready.size === entries && status !== undefined && status.servers.length === servers.size;
+			return ready.size === entries && status?.servers.length === servers.size;
 		});
 	}
 
@@ -256,8 +256,7 @@
 
 	/** Starts a process again; one that still runs is stopped gracefully first. */
 	async function restart(member: Member): Promise<void> {
-		const {child} = member;
-		if (child !== undefined && child.exitCode === null && child.signalCode === null) {
+		if (isRunning(member)) {
 			await stopGracefully(member);
 		}
 
@@ -493,7 +492,9 @@
 			case 'expectMembers': {
 				await waitUntil(`there are ${statement.number} voters that all answer`, statement.milliseconds, async () => {
 					const status = await getCluster().getStatus();
-					return status !== undefined && status.replicas.length === statement.number && status.replicas.every(replica => replica.role !== 'learner' && replica.silentMilliseconds < answeringMilliseconds);
+					const replicas = status?.replicas ?? [];
+					const answering = replicas.filter(replica => replica.role !== 'learner' && replica.silentMilliseconds < answeringMilliseconds);
+					return replicas.length === statement.number && answering.length === statement.number;
 				});
 				return;
 			}
@@ -537,7 +538,7 @@
 	try {
 		await run(statement);
 	} catch (error) {
-		throw new Error(`line ${statement.line}: ${(error as Error).message}`);
+		throw new Error(`line ${statement.line}: ${(error as Error).message}`, {cause: error});
 	}
 }
 
--- a/source/consensus/replica.ts
+++ b/source/consensus/replica.ts
@@ -11,7 +11,7 @@
 import {createProgress, type Progress} from './progress.js';
 
 const entriesPerAppend = 256;
-const installRetryMilliseconds = 2000;
+const installRetryMilliseconds = 10_000;
 
 /** Options of a replica. */
 export type ReplicaOptions = {
@@ -37,6 +37,8 @@
 	getLeader(): string | undefined;
 	getCommitIndex(): number;
 	getMembership(): Membership;
+	/** Gets the membership that was in force at an index of the log. */
+	getMembershipAt(index: number): Membership;
 	getLog(): Log;
 	/** Gets the index up to which a replica is known to hold the log, for leaders. */
 	getMatchIndex(id: string): number;
@@ -522,16 +524,19 @@
 		sendTransfer(to, state);
 	}
 
+	function getMembershipAt(index: number): Membership {
+		const earlier = log.getRange(log.getFirstIndex(), index - log.getFirstIndex() + 1).findLast(entry => entry.payload.kind === 'membership');
+		return earlier?.payload.kind === 'membership' ? earlier.payload.membership : snapshot?.membership ?? options.founders;
+	}
+
 	function compact(index: number, data: unknown): void {
 		const snapshotTerm = log.getTerm(index);
 		if (index > commitIndex || index < log.getFirstIndex() || snapshotTerm === undefined) {
 			return;
 		}
 
-		const earlier = log.getRange(log.getFirstIndex(), index - log.getFirstIndex() + 1).findLast(entry => entry.payload.kind === 'membership');
-		const members = earlier?.payload.kind === 'membership' ? earlier.payload.membership : snapshot?.membership ?? options.founders;
 		snapshot = {
-			index, term: snapshotTerm, membership: members, data,
+			index, term: snapshotTerm, membership: getMembershipAt(index), data,
 		};
 		log.compact(index, snapshotTerm);
 		act({kind: 'persistSnapshot', snapshot});
@@ -680,6 +685,7 @@
 		getLeader: () => leader,
 		getCommitIndex: () => commitIndex,
 		getMembership: () => membership,
+		getMembershipAt,
 		getLog: () => log,
 		getMatchIndex: member => member === id ? durableIndex : progress.get(member)?.matchIndex ?? 0,
 		getAnsweredAt: member => progress.get(member)?.answeredAt,
--- a/source/control-client/client.ts
+++ b/source/control-client/client.ts
@@ -24,6 +24,8 @@
 	/** Sends a message to one control host. */
 	sendTo(host: string, message: ControlInbound): void;
 	broadcast(message: ControlInbound): void;
+	/** Gets the bytes that wait to be sent to one control host. */
+	getBacklogBytes(host: string): number;
 	/** Takes a hint about the leader; undefined when nothing is known. */
 	setLeader(name: string | undefined): void;
 	getLeader(): string | undefined;
@@ -138,6 +140,7 @@
 				dialer.send(message);
 			}
 		},
+		getBacklogBytes: host => dialers.get(host)?.getBacklogBytes() ?? 0,
 		setLeader(name) {
 			leader = name;
 		},
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -24,7 +24,8 @@
 import {startDriver, type RoleChange} from './driver.js';
 import {createLeader} from './leader.js';
 import {createLeadership, type Leadership} from './leadership.js';
-import {createMachine} from './machine.js';
+import {createMachine, machineCodec} from './machine.js';
+import {createSnapshotReceiver, createSnapshotSender} from './transfer.js';
 import {
 	type ControlAnswer, type ControlInbound, type ControlOutbound, type ControlRequest,
 } from './message.js';
@@ -89,7 +90,7 @@
 	const driver = startDriver({
 		id: self,
 		founders: {voters: settings.control.map(host => getFounderId(host.name)), learners: []},
-		store: openStore(path.join(settings.dataFolder, 'log')),
+		store: openStore(path.join(settings.dataFolder, 'log'), machineCodec),
 		machine,
 		electionMilliseconds: settings.election.timeoutMilliseconds,
 		heartbeatMilliseconds: settings.election.heartbeatMilliseconds,
@@ -118,6 +119,15 @@
 			announceReplica();
 		},
 	});
+	const sender = createSnapshotSender({
+		self,
+		codec: machineCodec,
+		send(to, part) {
+			client.sendTo(getHostName(to), part);
+		},
+		getBacklogBytes: to => client.getBacklogBytes(getHostName(to)),
+	});
+	const receiver = createSnapshotReceiver(machineCodec);
 	registerGauges();
 
 	function registerGauges(): void {
@@ -144,6 +154,11 @@
 	}
 
 	function sendConsensus(to: string, message: ReplicaMessage): void {
+		if (message.kind === 'install') {
+			void sender.send(to, message);
+			return;
+		}
+
 		client.sendTo(getHostName(to), {
 			kind: 'consensus', from: self, to, message,
 		});
@@ -190,6 +205,15 @@
 				return;
 			}
 
+			case 'snapshotPart': {
+				const install = message.to === self ? receiver.receive(message) : undefined;
+				if (install !== undefined) {
+					driver.receive(message.from, install);
+				}
+
+				return;
+			}
+
 			case 'join': {
 				join(message.replica);
 				return;
--- a/source/control/driver.ts
+++ b/source/control/driver.ts
@@ -94,6 +94,7 @@
 	let nextToken = 1;
 	let syncs = 0;
 	let isWriting = false;
+	let isCompacting = false;
 	let isStopped = false;
 	let idle: (() => void) | undefined;
 
@@ -170,14 +171,29 @@
 		}
 	}
 
-	function compactWhenDue(): void {
-		const applied = replica.getCommitIndex();
-		if (applied - snapshotIndex < options.snapshotEvery) {
+	/** Writes a snapshot beside the log, then lets it replace the log's head. */
+	async function compactWhenDue(): Promise<void> {
+		const index = replica.getCommitIndex();
+		const term = replica.getLog().getTerm(index);
+		if (isCompacting || index - snapshotIndex < options.snapshotEvery || term === undefined) {
 			return;
 		}
 
-		snapshotIndex = applied;
-		feed({kind: 'compact', index: applied, data: machine.getImage()});
+		isCompacting = true;
+		const data = machine.getImage();
+		try {
+			await store.prepareSnapshot({
+				index, term, membership: replica.getMembershipAt(index), data,
+			});
+			snapshotIndex = Math.max(snapshotIndex, index);
+			feed({kind: 'compact', index, data});
+		} catch (error) {
+			isStopped = true;
+			options.failed(error as Error);
+		}
+
+		isCompacting = false;
+		idle?.();
 	}
 
 	async function flush(): Promise<void> {
@@ -218,7 +234,7 @@
 
 		if (persists.length > 0) {
 			feed({kind: 'persisted', lastIndex, lastTerm});
-			compactWhenDue();
+			void compactWhenDue();
 		}
 	}
 
@@ -271,7 +287,7 @@
 			clearInterval(ticker);
 			isStopped = true;
 			pending = [];
-			if (isWriting) {
+			while (isWriting || isCompacting) {
 				await new Promise<void>(resolve => {
 					idle = resolve;
 				});
--- a/source/control/machine.ts
+++ b/source/control/machine.ts
@@ -77,3 +77,50 @@
 		},
 	};
 }
+
+const itemsPerPart = 2000;
+
+/** One part of the state machine's contents. */
+type ImagePart
+	= | {readonly kind: 'head'; readonly image: MachineImage}
+		| {readonly kind: 'claims'; readonly claims: LedgerImage['claims']}
+		| {readonly kind: 'releases'; readonly releases: LedgerImage['releases']};
+
+/** Splits the state machine's contents, most of which are claims, into parts of bounded size. */
+export const machineCodec = {
+	/**
+	 * Splits an image.
+	 * @param data - Image of a state machine.
+	 */
+	* split(data: unknown): Iterable<ImagePart> {
+		const image = data as MachineImage;
+		const {claims, releases} = image.ledger;
+		yield {kind: 'head', image: {...image, ledger: {claims: [], releases: []}}};
+		for (let from = 0; from < claims.length; from += itemsPerPart) {
+			yield {kind: 'claims', claims: claims.slice(from, from + itemsPerPart)};
+		}
+
+		for (let from = 0; from < releases.length; from += itemsPerPart) {
+			yield {kind: 'releases', releases: releases.slice(from, from + itemsPerPart)};
+		}
+	},
+	/**
+	 * Joins the parts of an image.
+	 * @param parts - Parts in their order.
+	 */
+	join(parts: Iterable<unknown>): MachineImage {
+		const typed = [...parts] as readonly ImagePart[];
+		const head = typed.find(part => part.kind === 'head');
+		if (head === undefined) {
+			throw new Error('a snapshot lacks its head');
+		}
+
+		return {
+			...head.image,
+			ledger: {
+				claims: typed.flatMap(part => part.kind === 'claims' ? part.claims : []),
+				releases: typed.flatMap(part => part.kind === 'releases' ? part.releases : []),
+			},
+		};
+	},
+};
--- a/source/control/message.ts
+++ b/source/control/message.ts
@@ -9,6 +9,7 @@
 } from '../lease/index.js';
 import {type LedgerAnswer, type LedgerCommand} from '../ledger/index.js';
 import {type BurnReport} from '../service-level/index.js';
+import {type SnapshotPart} from './transfer.js';
 
 /** Something that only the leader can answer. */
 export type ControlRequest
@@ -97,7 +98,7 @@
 export type JoinMessage = {readonly kind: 'join'; readonly replica: string};
 
 /** A message that a control host receives. */
-export type ControlInbound = ConsensusMessage | JoinMessage | Renewal | RequestMessage | BurnReport;
+export type ControlInbound = ConsensusMessage | SnapshotPart | JoinMessage | Renewal | RequestMessage | BurnReport;
 
 /** A message that a control host sends on a link that it accepted. */
 export type ControlOutbound = ReplyMessage | Grant | Refusal | Nudge | QuarantineNotice;
--- /dev/null
+++ b/source/control/transfer.test.ts
@@ -0,0 +1,86 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {type Snapshot} from '../consensus/index.js';
+import {openStore} from '../storage/index.js';
+import {createMachine, machineCodec, type MachineImage} from './machine.js';
+import {createSnapshotReceiver, createSnapshotSender, type SnapshotPart} from './transfer.js';
+
+const limits = {retentionMilliseconds: 1_000_000, maximumClaims: 100_000, maximumStoredBytes: 1_000_000};
+
+function createImage(claims: number): MachineImage {
+	const machine = createMachine(limits);
+	for (let number = 0; number < claims; number++) {
+		machine.apply({
+			area: 'ledger', command: {
+				kind: 'claim', shard: 0, key: `k${number}`, attempt: `a${number}`, digest: 'd', at: number,
+			},
+		});
+		machine.apply({
+			area: 'ledger', command: {
+				kind: 'release', shard: 0, key: `k${number}`, attempt: number % 2 === 0 ? `a${number}` : 'other', at: number,
+			},
+		});
+	}
+
+	return machine.getImage();
+}
+
+function createSnapshot(claims: number): Snapshot {
+	return {
+		index: 5, term: 1, membership: {voters: ['a', 'b'], learners: []}, data: createImage(claims),
+	};
+}
+
+describe('machineCodec', () => {
+	function doTest(claims: number): void {
+		const image = createImage(claims);
+		expect(machineCodec.join(machineCodec.split(image))).toEqual(image);
+	}
+
+	test('keeps an empty image', () => {
+		doTest(0);
+	});
+	test('keeps an image of several parts', () => {
+		doTest(9000);
+	});
+});
+
+describe('createSnapshotSender and createSnapshotReceiver', () => {
+	async function doTest(change: (parts: readonly SnapshotPart[]) => readonly SnapshotPart[], isWhole: boolean): Promise<void> {
+		const parts: SnapshotPart[] = [];
+		const sender = createSnapshotSender({
+			self: 'a', codec: machineCodec, getBacklogBytes: () => 0, send(_, part) {
+				parts.push(part);
+			},
+		});
+		const snapshot = createSnapshot(9000);
+		await sender.send('b', {
+			kind: 'install', term: 1, snapshot, round: 3,
+		});
+		const receiver = createSnapshotReceiver(machineCodec);
+		const received = change(parts).map(part => receiver.receive(part)).find(install => install !== undefined);
+		expect(received?.snapshot).toEqual(isWhole ? snapshot : undefined);
+	}
+
+	test('carry a snapshot whole', async () => doTest(parts => parts, true));
+	test('give up a transfer that lacks a part', async () => doTest(parts => parts.filter((_, index) => index !== 1), false));
+	test('give up a transfer whose parts come out of order', async () => doTest(parts => [parts[1]!, parts[0]!, ...parts.slice(2)], false));
+});
+
+describe('openStore with machineCodec', () => {
+	test('reads a prepared snapshot of several parts, and goes on from it', async () => {
+		const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-transfer-'));
+		const snapshot = createSnapshot(9000);
+		const store = openStore(folder, machineCodec);
+		await store.prepareSnapshot(snapshot);
+		await store.persist([{kind: 'persistSnapshot', snapshot}]);
+		store.close();
+		const reopened = openStore(folder, machineCodec);
+		expect(reopened.initial.snapshot).toEqual(snapshot);
+		reopened.close();
+		rmSync(folder, {recursive: true});
+	});
+});
--- a/source/program/main.ts
+++ b/source/program/main.ts
@@ -114,4 +114,6 @@
 	process.exitCode = error instanceof Exit ? error.code : (isUsage ? exitCode.badInput : exitCode.refused);
 }
 
+// The executable's bundle is a script, which has no top-level await.
+// eslint-disable-next-line unicorn/prefer-top-level-await
 void run();
--- a/source/storage/store.ts
+++ b/source/storage/store.ts
@@ -7,6 +7,7 @@
 	mkdirSync, openSync, closeSync, readdirSync, readFileSync, renameSync, fsyncSync, writeSync, ftruncateSync, unlinkSync, fdatasync, write,
 } from 'node:fs';
 import path from 'node:path';
+import {setImmediate} from 'node:timers/promises';
 import {promisify} from 'node:util';
 import {
 	type Action, type HardState, type LogEntry, type Snapshot,
@@ -30,29 +31,46 @@
 	readonly entries: readonly LogEntry[];
 };
 
+/** Splits snapshot contents into parts that are each encoded in one turn. */
+export type SnapshotCodec = {
+	split(data: unknown): Iterable<unknown>;
+	join(parts: Iterable<unknown>): unknown;
+};
+
 /** Durable storage of one replica. */
 export type Store = {
 	readonly initial: StoredState;
+	/** Writes and syncs a snapshot part by part beside the log, which goes on; `persist` then takes it over. */
+	prepareSnapshot(snapshot: Snapshot): Promise<void>;
 	/** Writes a batch and syncs it; resolves when it is durable. */
 	persist(batch: readonly PersistAction[]): Promise<void>;
 	close(): void;
 };
 
+type SnapshotHead = Omit<Snapshot, 'data'> & {readonly parts: number};
+
+const wholeCodec: SnapshotCodec = {
+	split: data => [data],
+	join: parts => [...parts][0],
+};
+
 const logPattern = /^log-(?<generation>\d{9})\.bin$/v;
 const snapshotPattern = /^snapshot-(?<index>\d{15})\.bin$/v;
 
 /**
  * Opens the storage of a replica, and repairs a torn tail.
  * @param folder - Folder of the replica's files; made when it is missing.
+ * @param codec - Splits snapshots; the default keeps them in one part.
  */
-export function openStore(folder: string): Store {
+export function openStore(folder: string, codec: SnapshotCodec = wholeCodec): Store {
 	mkdirSync(folder, {recursive: true});
-	const snapshot = readNewestSnapshot(folder);
+	const snapshot = readNewestSnapshot(folder, codec);
 	const generations = listMatches(folder, logPattern);
 	let generation = generations.at(-1) ?? 0;
 	let state: HardState = {term: 0, votedFor: undefined};
 	let entries: LogEntry[] = [];
 	let validBytes = 0;
+	let preparedIndex = 0;
 
 	function applyOperation(operation: Operation): void {
 		if (operation.kind === 'state') {
@@ -117,14 +135,42 @@
 		}
 	}
 
-	function persistSnapshot(taken: Snapshot): void {
-		const file = path.join(folder, `snapshot-${String(taken.index).padStart(15, '0')}.bin`);
-		writeAside(folder, file, encodeRecord(taken));
+	function getSnapshotPath(index: number): string {
+		return path.join(folder, `snapshot-${String(index).padStart(15, '0')}.bin`);
+	}
+
+	async function prepareSnapshot(taken: Snapshot): Promise<void> {
+		const file = getSnapshotPath(taken.index);
+		const aside = openSync(`${file}.new`, 'w');
+		const {data, ...head} = taken;
+		let parts = 0;
+		for (const part of codec.split(data)) {
+			const record = encodeRecord(part);
+			await writeFile(aside, record, 0, record.length);
+			parts++;
+			await setImmediate();
+		}
+
+		// The head comes last, so that a file without it is known to be incomplete.
+		const record = encodeRecord({...head, parts});
+		await writeFile(aside, record, 0, record.length);
+		await syncData(aside);
+		closeSync(aside);
+		renameSync(`${file}.new`, file);
+		syncFolder(folder);
+		preparedIndex = taken.index;
+	}
+
+	async function persistSnapshot(taken: Snapshot): Promise<void> {
+		if (preparedIndex !== taken.index) {
+			await prepareSnapshot(taken);
+		}
+
 		entries = [...getTail(entries, taken)];
 		rotate();
 		for (const index of listMatches(folder, snapshotPattern)) {
 			if (index < taken.index) {
-				unlinkSync(path.join(folder, `snapshot-${String(index).padStart(15, '0')}.bin`));
+				unlinkSync(getSnapshotPath(index));
 			}
 		}
 	}
@@ -138,12 +184,13 @@
 
 	return {
 		initial,
+		prepareSnapshot,
 		async persist(batch) {
 			let operations: Operation[] = [];
 			for (const action of batch) {
 				if (action.kind === 'persistSnapshot') {
 					// The new log file takes over the tail, with what this batch added to it.
-					persistSnapshot(action.snapshot);
+					await persistSnapshot(action.snapshot);
 					operations = [];
 					continue;
 				}
@@ -175,7 +222,7 @@
 	return isContinuous ? entries.filter(entry => entry.index > snapshot.index) : [];
 }
 
-function readNewestSnapshot(folder: string): Snapshot | undefined {
+function readNewestSnapshot(folder: string, codec: SnapshotCodec): Snapshot | undefined {
 	const newest = listMatches(folder, snapshotPattern).at(-1);
 	if (newest === undefined) {
 		return undefined;
@@ -183,11 +230,13 @@
 
 	const file = path.join(folder, `snapshot-${String(newest).padStart(15, '0')}.bin`);
 	const {values} = readRecords(file, readFileSync(file));
-	if (values.length !== 1) {
+	const head = values.at(-1) as SnapshotHead | undefined;
+	if (head?.parts !== values.length - 1) {
 		throw new CorruptionError(`${file}: the snapshot is damaged; replace this host's data folder`);
 	}
 
-	return values[0] as Snapshot;
+	const {parts: _, ...rest} = head;
+	return {...rest, data: codec.join(values.slice(0, -1))};
 }
 
 function listMatches(folder: string, pattern: RegExp): readonly number[] {
--- a/source/wire/link.ts
+++ b/source/wire/link.ts
@@ -223,6 +223,8 @@
 	/** Sends a message, or drops it while there is no connection. */
 	send(message: unknown): void;
 	isConnected(): boolean;
+	/** Gets the bytes that wait to be sent. */
+	getBacklogBytes(): number;
 	close(): void;
 };
 
@@ -292,6 +294,7 @@
 			current?.send(message);
 		},
 		isConnected: () => current !== undefined,
+		getBacklogBytes: () => socket?.writableLength ?? 0,
 		close() {
 			isClosed = true;
 			clearTimeout(timer);
--- a/stand-in/cluster.ts
+++ b/stand-in/cluster.ts
@@ -169,7 +169,7 @@
 
 	async function ended(member: Member): Promise<number | undefined> {
 		const {child} = member;
-		if (child === undefined || child.exitCode !== null || child.signalCode !== null) {
+		if (child === undefined || !isRunning(member)) {
 			return child?.exitCode ?? undefined;
 		}
 
@@ -244,6 +244,14 @@
 	};
 }
 
+/**
+ * Checks whether a process of the system runs.
+ * @param member - Process to check.
+ */
+export function isRunning(member: Member): boolean {
+	return member.child?.exitCode === null && member.child.signalCode === null;
+}
+
 function invert(cut: Cut): Cut {
 	switch (cut) {
 		case 'to': {
--- a/stand-in/echo.ts
+++ b/stand-in/echo.ts
@@ -54,7 +54,9 @@
 		}
 	}
 
-	setInterval(announce, announceMilliseconds);
+	setInterval(() => {
+		void announce();
+	}, announceMilliseconds);
 	await announce();
 	return port;
 }
