Add the cost bench; exchange counts every 150 ms

At 15 entries and 35 servers a message of counts has 146 bytes, so 14 peers every 100 ms would cost 20 KB a second before packet headers; the target is 21 KB for all control.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,6 +4,7 @@
 import {runAddedLatency} from './added-latency.js';
 import {runChoice} from './choice.js';
 import {printReport, type BenchOptions, type BenchReport} from './report.js';
+import {runCost} from './cost.js';
 import {runLimits} from './limits.js';
 import {runSlopes} from './slopes.js';
 import {runThroughput} from './throughput.js';
@@ -11,6 +12,7 @@
 const benches: Readonly<Record<string, (options: BenchOptions) => Promise<BenchReport>>> = {
 	'added-latency': runAddedLatency,
 	choice: runChoice,
+	cost: runCost,
 	limits: runLimits,
 	slopes: runSlopes,
 	throughput: runThroughput,
--- a/bench/rig.ts
+++ b/bench/rig.ts
@@ -76,7 +76,7 @@
 			if (error === null) {
 				resolve(stdout);
 			} else {
-				reject(error);
+				reject(new Error(error.message, {cause: error}));
 			}
 		});
 	});
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -12,7 +12,9 @@
 import {setFlagsFromString} from 'node:v8';
 import {runInNewContext} from 'node:vm';
 import {announcementSchema, type Announcement} from '../source/announcement/index.js';
-import {createCandidate, createChooser} from '../source/choice/index.js';
+import {
+	createCandidate, createChooser, createCountsReporter, createJointCounts,
+} from '../source/choice/index.js';
 import {documentSchema, type EnvironmentDocument} from '../source/configuration/index.js';
 import {
 	createLeadership, createMachine, machineCodec, type Machine,
@@ -163,6 +165,19 @@
 	};
 }
 
+/** One message of counts between entries. */
+function measureCounts(servers: number): BenchRow {
+	const reporter = createCountsReporter('entry-10');
+	const counts = Array.from({length: servers}, (_, index) => ({server: index + 1, inFlight: 1}));
+	const message = reporter.takeChanges(counts);
+	const joint = createJointCounts();
+	return {
+		slope: 'counts', servers, bytes: encodeFrame(message).length, takeMicroseconds: time(200, () => {
+			joint.receive(message!);
+		}),
+	};
+}
+
 /** Announcements that change nothing. */
 function measureAnnouncements(servers: number): BenchRow {
 	const machine = createFilled(servers, 2);
@@ -318,6 +333,7 @@
 		...[2, 50, 300, 1300].map(services => measureDocuments(services)),
 		...serverCounts.map(servers => measureViews(servers)),
 		...[12, 35, 200, 2000].map(candidates => measureChoices(candidates)),
+		...[12, 35, 200].map(servers => measureCounts(servers)),
 		measureAnnouncements(35),
 		measureAnnouncements(2000),
 		...[10_000, options.isQuick ? 50_000 : 200_000].map(claims => measureClaims(claims)),
--- a/source/settings/settings.ts
+++ b/source/settings/settings.ts
@@ -45,7 +45,7 @@
 	callers: address,
 	admin: address,
 	peers: address.optional(),
-	exchangeMilliseconds: z.number().int().min(5).max(10_000).default(100),
+	exchangeMilliseconds: z.number().int().min(5).max(10_000).default(150),
 	graceMilliseconds: z.number().int().min(0).max(600_000).default(1000),
 	maximumHeaderBytes: z.number().int().min(1024).max(1_048_576).default(16_384),
 	maximumBodyBytes: z.number().int().min(1024).max(1_073_741_824).default(1_048_576),
