Halve the timers of an idle entry

Cause: three timers of an entry woke it 120 times a second, and the control host's tick and nudge 200 times. Change: one housekeeping timer of 50 ms in an entry, ticks of 20 and 25 ms in a control host.

--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -31,7 +31,7 @@
 } from './message.js';
 
 const housekeepingMilliseconds = 100;
-const nudgeMilliseconds = 10;
+const nudgeMilliseconds = 25;
 const joinMilliseconds = 500;
 const forwardMilliseconds = 5000;
 const forwardAttemptMilliseconds = 200;
--- a/source/control/driver.ts
+++ b/source/control/driver.ts
@@ -13,7 +13,7 @@
 	type Command, type CommandAnswer, type Machine, type MachineImage,
 } from './machine.js';
 
-const tickMilliseconds = 10;
+const tickMilliseconds = 20;
 const proposalTimeoutMilliseconds = 5000;
 
 /** Outcome of a proposed command. */
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -25,8 +25,7 @@
 import {createRouter, type Router} from './router.js';
 import {createSuspects} from './suspects.js';
 
-const queueTickMilliseconds = 20;
-const probeTickMilliseconds = 50;
+const housekeepingMilliseconds = 50;
 const drainCheckMilliseconds = 20;
 const callerKeepAliveMilliseconds = 65_000;
 const headersTimeoutMilliseconds = 10_000;
@@ -244,9 +243,13 @@
 		client.broadcast(counter.take(Math.floor(Date.now() / periodMilliseconds) * periodMilliseconds));
 	}
 
-	subscription.add(interval(queueTickMilliseconds).subscribe(drainQueues));
-	subscription.add(interval(queueTickMilliseconds).subscribe(logReadiness));
-	subscription.add(interval(probeTickMilliseconds).subscribe(prober.tick));
+	function keepHouse(): void {
+		drainQueues();
+		logReadiness();
+		prober.tick();
+	}
+
+	subscription.add(interval(housekeepingMilliseconds).subscribe(keepHouse));
 	subscription.add(interval(periodMilliseconds).subscribe(report));
 	if (started !== undefined) {
 		subscription.add(interval(settings.exchangeMilliseconds).subscribe(started.peers.exchange));
