--- a/bench/cost.ts
+++ b/bench/cost.ts
@@ -2,9 +2,13 @@
  * What control and measuring cost: three control hosts, fifteen entries and 35
  * servers on one machine, first without calls, then with a load through every entry.
  */
-import {atMost, type BenchOptions, type BenchReport, type BenchRow, type BenchTarget} from './report.js';
-import {pause, runLoadProcess, startRig, type Rig, type StandInProcess} from './rig.js';
 import {type Member} from '../stand-in/cluster.js';
+import {
+	atMost, type BenchOptions, type BenchReport, type BenchRow, type BenchTarget,
+} from './report.js';
+import {
+	pause, runLoadProcess, startRig, type Rig, type StandInProcess,
+} from './rig.js';
 
 const servers = 35;
 const entries = 15;
