--- a/bench/choice.ts
+++ b/bench/choice.ts
@@ -4,12 +4,13 @@
  * a third of its rate, so that no process is short of processor time). The
  * central queue runs in one entry that sees every request, as the bound.
  */
+import {setTimeout as delay} from 'node:timers/promises';
 import {type LoadResult} from '../source/program/load.js';
 import {
 	atMost, getMedian, type BenchOptions, type BenchReport, type BenchRow, type BenchTarget,
 } from './report.js';
 import {
-	pause, runLoadProcess, startRig, type Rig, type StandInProcess,
+	runLoadProcess, startRig, type Rig, type StandInProcess,
 } from './rig.js';
 
 const servers = 10;
@@ -141,7 +142,7 @@
 			for (let round = 0; round < rounds; round++) {
 				for (const policy of policies) {
 					await rig.apply(getDocument(policy));
-					await pause(settleMilliseconds);
+					await delay(settleMilliseconds);
 					const result = await measure(rig, standIns, {
 						policy, rate: capacityPerSecond * condition.share, seconds, seed: options.seed + round,
 					});
--- a/bench/cost.ts
+++ b/bench/cost.ts
@@ -2,12 +2,13 @@
  * What control and measuring cost: three control hosts, fifteen entries and 35
  * servers on one machine, first without calls, then with a load through every entry.
  */
+import {setTimeout as delay} from 'node:timers/promises';
 import {type Member} from '../stand-in/cluster.js';
 import {
 	atMost, type BenchOptions, type BenchReport, type BenchRow, type BenchTarget,
 } from './report.js';
 import {
-	pause, runLoadProcess, startRig, type Rig, type StandInProcess,
+	runLoadProcess, startRig, type Rig, type StandInProcess,
 } from './rig.js';
 
 const servers = 35;
@@ -71,7 +72,7 @@
 		await rig.warm(servers, '/');
 		const members = [...rig.cluster.controls, ...rig.cluster.entries];
 		const conditions: ReadonlyArray<readonly [string, () => Promise<void>]> = [
-			['no calls', async () => pause(seconds * 1000)],
+			['no calls', async () => delay(seconds * 1000)],
 			['calls', async () => {
 				await runLoadProcess({
 					targets: rig.getEntryUrls('/'), rate: loadPerSecond, seconds, seed: options.seed,
--- a/bench/limits.ts
+++ b/bench/limits.ts
@@ -1,10 +1,11 @@
 /** Overload: goodput at 150% and 300% of what the servers can do, and the time to recover. */
+import {setTimeout as delay} from 'node:timers/promises';
 import {type LoadResult} from '../source/program/load.js';
 import {
 	atLeast, atMost, type BenchOptions, type BenchReport, type BenchRow, type BenchTarget,
 } from './report.js';
 import {
-	pause, runLoadProcess, startRig, type Rig,
+	runLoadProcess, startRig, type Rig,
 } from './rig.js';
 
 const servers = 6;
@@ -60,7 +61,7 @@
 			}
 		}
 
-		await pause(recoveryMilliseconds);
+		await delay(recoveryMilliseconds);
 		const recovered = await load(rig, 0.5, 2, options.seed);
 		const unanswered = sum(recovered, result => result.sent - (result.statuses['200'] ?? 0));
 		rows.push({
--- a/bench/rig.ts
+++ b/bench/rig.ts
@@ -2,7 +2,8 @@
 import {spawn, execFile, type ChildProcess} from 'node:child_process';
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
-import {build} from 'esbuild';
+import {setTimeout as delay} from 'node:timers/promises';
+import {bundleProgram} from '../scripts/bundle.js';
 import {documentSchema, type EnvironmentDocument} from '../source/configuration/index.js';
 import {type LoadResult} from '../source/program/load.js';
 import {createCluster, type Cluster, type Member} from '../stand-in/cluster.js';
@@ -89,9 +90,7 @@
  * @param entrySettings - Further settings of every entry.
  */
 export async function startRig(controlHosts: number, entries: number, entrySettings: Readonly<Record<string, unknown>> = {}): Promise<Rig> {
-	await build({
-		entryPoints: ['stand-in/main.ts'], outfile: standInBundle, bundle: true, platform: 'node', target: 'node20', format: 'cjs', logLevel: 'error', alias: {'dtrace-provider': './scripts/absent.cjs', 'cbor-extract': './scripts/absent.cjs', 'source-map-support': './scripts/absent.cjs'},
-	});
+	await bundleProgram('stand-in/main.ts', standInBundle);
 	const cluster = await createCluster({
 		controlHosts, entries, zones: ['north', 'south', 'east'], termMilliseconds: 3000, graceMilliseconds: 300, entrySettings,
 	});
@@ -193,16 +192,6 @@
 			throw new Error(`after ${startLimitMilliseconds} ms it is not so that ${what}`);
 		}
 
-		await pause(pollMilliseconds);
+		await delay(pollMilliseconds);
 	}
 }
-
-/**
- * Waits.
- * @param milliseconds - Time to wait.
- */
-export async function pause(milliseconds: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
--- a/scenario/caller.ts
+++ b/scenario/caller.ts
@@ -6,6 +6,7 @@
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {Agent, request as startRequest, type IncomingMessage} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {createRandom} from '../source/randomness/index.js';
 import {digestHeader, sendHeader, tokenHeader} from '../stand-in/index.js';
 import {type Sending} from './history.js';
@@ -147,9 +148,7 @@
 				}
 			}
 
-			await new Promise(resolve => {
-				setTimeout(resolve, resendMilliseconds);
-			});
+			await delay(resendMilliseconds);
 		}
 	}
 
--- a/scenario/runner.ts
+++ b/scenario/runner.ts
@@ -1,5 +1,6 @@
 /** Runs the statements of a scenario against real processes and checks the history. */
 import {Agent} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
 	documentSchema, withZone, type EnvironmentDocument, type Version,
 } from '../source/configuration/index.js';
@@ -575,9 +576,3 @@
 
 	return Number.isNaN(Number(text)) ? text : Number(text);
 }
-
-async function delay(milliseconds: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -4,7 +4,7 @@
 	chmodSync, copyFileSync, mkdirSync, writeFileSync,
 } from 'node:fs';
 import process from 'node:process';
-import {build} from 'esbuild';
+import {bundleProgram} from './bundle.js';
 
 const bundle = 'dist/guavadeck.cjs';
 const executable = 'dist/guavadeck';
@@ -13,17 +13,7 @@
 const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
 mkdirSync('dist', {recursive: true});
-await build({
-	entryPoints: ['source/program/main.ts'],
-	outfile: bundle,
-	bundle: true,
-	platform: 'node',
-	target: 'node20',
-	format: 'cjs',
-	alias: {'dtrace-provider': './scripts/absent.cjs', 'cbor-extract': './scripts/absent.cjs', 'source-map-support': './scripts/absent.cjs'},
-	minifySyntax: true,
-	logLevel: 'warning',
-});
+await bundleProgram('source/program/main.ts', bundle);
 
 if (!process.argv.includes('--bundle')) {
 	writeFileSync(configuration, JSON.stringify({main: bundle, output: blob, disableExperimentalSEAWarning: true}));
--- /dev/null
+++ b/scripts/bundle.d.ts
@@ -0,0 +1,1 @@
+export function bundleProgram(entryPoint: string, outfile: string): Promise<void>;
--- a/source/control-client/client.ts
+++ b/source/control-client/client.ts
@@ -4,6 +4,7 @@
  * carry change, attempt or boot ids, so a second arrival changes nothing.
  */
 import {performance} from 'node:perf_hooks';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
 	type ControlAnswer, type ControlInbound, type ControlOutbound, type ControlRequest,
 } from '../control/message.js';
@@ -157,9 +158,3 @@
 		},
 	};
 }
-
-async function delay(milliseconds: number): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -2,6 +2,7 @@
 import {createServer, type Server} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import path from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
 import process from 'node:process';
 import {
 	Counter, Gauge, Registry as MetricsRegistry, collectDefaultMetrics,
@@ -33,6 +34,7 @@
 const housekeepingMilliseconds = 100;
 const nudgeMilliseconds = 25;
 const joinMilliseconds = 500;
+const handOverCheckMilliseconds = 10;
 const forwardMilliseconds = 5000;
 const forwardAttemptMilliseconds = 200;
 const millisecondsPerHour = 3_600_000;
@@ -365,9 +367,7 @@
 		driver.transfer(successor);
 		const until = performance.now() + (settings.election.timeoutMilliseconds * 2);
 		while (replica.getRole() === 'leader' && performance.now() < until) {
-			await new Promise(resolve => {
-				setTimeout(resolve, 10);
-			});
+			await delay(handOverCheckMilliseconds);
 		}
 	}
 
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -3,6 +3,7 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
+import {setTimeout as delay} from 'node:timers/promises';
 import {interval, Subscription} from 'rxjs';
 import {createJointCounts, createCountsReporter} from '../choice/index.js';
 import {type EnvironmentDocument} from '../configuration/index.js';
@@ -342,9 +343,3 @@
 function getPort(server: Listening): number {
 	return (server.address() as AddressInfo | undefined)?.port ?? 0;
 }
-
-async function delay(milliseconds: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
--- /dev/null
+++ b/source/entry/run.ts
@@ -0,0 +1,370 @@
+/** Attempts an admitted call on servers until it is answered or refused. */
+import {type Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {type AttemptResult, type Candidate} from '../choice/index.js';
+import {type Service} from '../configuration/index.js';
+import {mayRetry} from '../retry/index.js';
+import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
+import {writeHead} from './answer.js';
+import {startAttempt, type Attempt, type Outcome} from './attempt.js';
+import {type CallContext} from './call.js';
+import {type Claim} from './claims.js';
+import {type ServiceState} from './fleet.js';
+import {deadlineHeader, getRequestHeaders, requestIdHeader} from './headers.js';
+
+/** What a caller asks for. */
+export type Request = {
+	readonly method: string;
+	readonly target: string;
+	readonly key: string | undefined;
+	readonly isIdempotent: boolean;
+	readonly body: Buffer | undefined;
+	readonly stream: IncomingMessage | undefined;
+};
+
+type Running = {readonly attempt: Attempt; readonly candidate: Candidate; readonly startedAt: number};
+
+const noZones: ReadonlySet<string> = new Set();
+
+/** An admitted call. */
+export type Call = {
+	readonly context: CallContext;
+	readonly state: ServiceState;
+	readonly service: Service;
+	readonly request: Request;
+	readonly incoming: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly requestId: string;
+	readonly startedAt: number;
+	readonly deadlineAt: number;
+	readonly claim: Claim | undefined;
+	refuse(verdict: Verdict): void;
+	fingerprint(): string;
+};
+
+/**
+ * Attempts a call on servers until it is answered or refused.
+ * @param call - Admitted call.
+ */
+export function runCall(call: Call): void {
+	const {context, state, service, request, response, deadlineAt} = call;
+	const running = new Set<Running>();
+	const excluded = new Set<number>();
+	let avoidedZones: Set<string> | undefined;
+	let attempts = 0;
+	let hedgeTimer: NodeJS.Timeout | undefined;
+	let isSettled = false;
+	let hasDispatched = false;
+	let mayHaveRunBefore = false;
+
+	function settle(): boolean {
+		if (isSettled) {
+			return false;
+		}
+
+		isSettled = true;
+		clearTimeout(hedgeTimer);
+		return true;
+	}
+
+	/** Ends the call with a verdict of the entry's own. */
+	function refuse(verdict: Verdict): void {
+		if (!settle()) {
+			return;
+		}
+
+		cancelRunning();
+		if (verdict.kind === 'notRun' && call.claim !== undefined) {
+			void call.claim.release().then(() => {
+				call.refuse(verdict);
+			});
+			return;
+		}
+
+		call.refuse(verdict);
+	}
+
+	function cancelRunning(): void {
+		const now = performance.now();
+		for (const {attempt, candidate} of running) {
+			attempt.cancel();
+			candidate.finish('cancelled', now);
+		}
+
+		running.clear();
+		state.queue.drain(now);
+	}
+
+	function choose(now: number): Candidate | undefined {
+		return state.getChooser().choose({
+			candidates: state.getCandidates(), excluded, zone: context.zone, avoidedZones: avoidedZones ?? noZones, now,
+		});
+	}
+
+	function mayDispatch(): boolean {
+		const now = performance.now();
+		return !isSettled && context.isLeaseValid(now) && now < deadlineAt;
+	}
+
+	function getHeaders(remaining: number): string[] {
+		const {method, body, stream} = request;
+		const headers = getRequestHeaders(call.incoming);
+		const {host, 'content-length': length} = call.incoming.headers;
+		headers.push('host', host ?? '', deadlineHeader, String(Math.max(1, Math.round(remaining))), requestIdHeader, call.requestId);
+		const address = call.incoming.socket.remoteAddress;
+		if (address !== undefined) {
+			headers.push('x-forwarded-for', address);
+		}
+
+		if (body !== undefined) {
+			headers.push('content-length', String(body.length));
+		} else if (stream !== undefined) {
+			headers.push(...(length === undefined ? ['transfer-encoding', 'chunked'] : ['content-length', length]));
+		} else if (method !== 'GET' && method !== 'HEAD') {
+			headers.push('content-length', '0');
+		}
+
+		return headers;
+	}
+
+	function start(candidate: Candidate, kind: 'first' | 'retry' | 'hedge'): void {
+		const now = performance.now();
+		const server = context.fleet.get(candidate.id);
+		if (server === undefined) {
+			refuse(notRun('no-server'));
+			return;
+		}
+
+		attempts++;
+		excluded.add(candidate.id);
+		context.metrics.attempted(service.name, kind);
+		candidate.start();
+		const attempt = startAttempt({
+			pool: server.pool,
+			method: request.method,
+			target: request.target,
+			headers: getHeaders(deadlineAt - now),
+			body: request.body,
+			stream: request.stream,
+			deadlineAt,
+			maximumHeldBytes: context.maximumHeldBytes,
+			mayDispatch,
+			hinted(hints) {
+				if (hints.isCold) {
+					candidate.turnCold();
+				}
+
+				if (hints.load !== undefined) {
+					candidate.setReportedLoad(hints.load);
+				}
+			},
+			ended(outcome) {
+				end(self, outcome);
+			},
+		});
+		const self: Running = {attempt, candidate, startedAt: now};
+		running.add(self);
+	}
+
+	function end(self: Running, outcome: Outcome): void {
+		running.delete(self);
+		hasDispatched ||= self.attempt.wasDispatched();
+		mayHaveRunBefore ||= outcome.kind === 'failed' && outcome.verdict.kind === 'mayHaveRun';
+		const now = performance.now();
+		self.candidate.finish(getResult(outcome), now);
+		state.queue.departed(now);
+		if (outcome.kind === 'failed') {
+			fail(self.candidate, outcome);
+		} else {
+			succeed(self, outcome, now);
+		}
+
+		state.queue.drain(now);
+	}
+
+	function succeed(self: Running, outcome: Exclude<Outcome, {readonly kind: 'failed'}>, now: number): void {
+		state.hedgeDelay.record(now - self.startedAt);
+		if (outcome.head.status >= 500) {
+			ejectFailing(self.candidate, now);
+		}
+
+		if (!settle()) {
+			return;
+		}
+
+		cancelRunning();
+		context.suspects.succeeded(call.fingerprint);
+		if (outcome.kind === 'whole') {
+			answerWhole(outcome);
+		} else {
+			answerLarge(outcome);
+		}
+	}
+
+	function ejectFailing(candidate: Candidate, now: number): void {
+		if (context.fleet.ejectFailing(service.name, candidate, now)) {
+			context.metrics.ejected(service.name);
+		}
+	}
+
+	function answerWhole(outcome: Extract<Outcome, {readonly kind: 'whole'}>): void {
+		const {head, body} = outcome;
+		call.claim?.finish(body.length <= context.maximumStoredBytes ? {status: head.status, headers: head.headers, body} : undefined);
+		if (!response.destroyed) {
+			writeHead(response, head, call.requestId, context.isClosing());
+			response.end(body);
+		}
+
+		context.ended(service, {kind: 'ran', status: head.status}, performance.now() - call.startedAt);
+	}
+
+	/** Streams a large answer; a truncated one resets the caller's connection. */
+	function answerLarge(outcome: Extract<Outcome, {readonly kind: 'large'}>): void {
+		const {head, start: chunks, rest} = outcome;
+		call.claim?.finish(undefined);
+		writeHead(response, head, call.requestId, context.isClosing());
+		for (const chunk of chunks) {
+			response.write(chunk);
+		}
+
+		const timer = setTimeout(() => {
+			rest.destroy();
+		}, Math.max(0, deadlineAt - performance.now()));
+		response.once('close', () => {
+			clearTimeout(timer);
+			if (!rest.complete) {
+				rest.destroy();
+			}
+		});
+		rest.once('close', () => {
+			clearTimeout(timer);
+			if (!rest.complete) {
+				response.destroy();
+			}
+
+			const verdict: Verdict = rest.complete ? {kind: 'ran', status: head.status} : mayHaveRun('answer-truncated');
+			context.ended(service, verdict, performance.now() - call.startedAt);
+		});
+		rest.pipe(response);
+	}
+
+	function fail(candidate: Candidate, outcome: Extract<Outcome, {readonly kind: 'failed'}>): void {
+		const now = performance.now();
+		ejectFailing(candidate, now);
+		avoidedZones ??= new Set();
+		avoidedZones.add(candidate.getAnnouncement().zone);
+		if (!outcome.hasCrashed) {
+			retryOrRefuse(outcome.verdict, false);
+			return;
+		}
+
+		void context.suspects.reportCrash(call.fingerprint(), candidate.id).then(isQuarantined => {
+			retryOrRefuse(outcome.verdict, isQuarantined);
+		});
+	}
+
+	function retryOrRefuse(verdict: Verdict, isQuarantined: boolean): void {
+		if (isSettled || running.size > 0) {
+			return;
+		}
+
+		const isAllowed = mayRetry({
+			verdict,
+			isIdempotent: request.isIdempotent,
+			isRepeatable: request.stream === undefined,
+			attempts,
+			remainingMilliseconds: deadlineAt - performance.now(),
+			isQuarantined,
+		});
+		const candidate = isAllowed ? choose(performance.now()) : undefined;
+		if (candidate !== undefined && state.retries.spend()) {
+			start(candidate, 'retry');
+			return;
+		}
+
+		refuse(getFinalVerdict(verdict));
+	}
+
+	/** An earlier attempt may have run even if the last one did not. */
+	function getFinalVerdict(verdict: Verdict): Verdict {
+		return verdict.kind === 'notRun' && mayHaveRunBefore ? mayHaveRun('connection-lost') : verdict;
+	}
+
+	function planHedge(): void {
+		const isHedged = service.hedgeRatio > 0 && request.isIdempotent && request.stream === undefined;
+		if (!isHedged) {
+			return;
+		}
+
+		state.hedges.earn();
+		hedgeTimer = setTimeout(hedge, state.hedgeDelay.getMilliseconds());
+	}
+
+	function hedge(): void {
+		const candidate = isSettled || running.size !== 1 ? undefined : choose(performance.now());
+		if (candidate !== undefined && mayDispatch() && state.hedges.spend()) {
+			start(candidate, 'hedge');
+		}
+	}
+
+	function startFirst(): boolean {
+		const candidate = choose(performance.now());
+		if (candidate === undefined) {
+			return false;
+		}
+
+		start(candidate, 'first');
+		planHedge();
+		return true;
+	}
+
+	function wait(): void {
+		const isQueued = state.getCandidates().length > 0 && state.queue.add({
+			deadlineAt,
+			start: startFirst,
+			expire() {
+				refuse(notRun('deadline'));
+			},
+			isGone: () => isSettled,
+		}, performance.now());
+		if (!isQueued) {
+			refuse(notRun(state.getCandidates().length > 0 ? 'overload' : 'no-server'));
+		}
+	}
+
+	response.once('close', () => {
+		if (!response.writableFinished) {
+			leave();
+		}
+	});
+
+	/** The caller went away; work that a server has begun is cancelled there. */
+	function leave(): void {
+		const wasDispatched = hasDispatched || [...running].some(({attempt}) => attempt.wasDispatched());
+		refuse(wasDispatched ? mayHaveRun('caller-left') : notRun('caller-left'));
+	}
+
+	state.retries.earn();
+	if (response.destroyed) {
+		leave();
+	} else if (state.queue.getLength() > 0 || !startFirst()) {
+		wait();
+	}
+}
+
+/** Gets what an outcome says of the server. */
+function getResult(outcome: Outcome): AttemptResult {
+	if (outcome.kind !== 'failed') {
+		return outcome.head.status >= 500 ? 'failure' : 'success';
+	}
+
+	const {verdict} = outcome;
+	if (verdict.kind !== 'notRun') {
+		return 'failure';
+	}
+
+	const isOwnRefusal = verdict.reason === 'lease-expired' || verdict.reason === 'deadline';
+	const result = verdict.reason === 'server-shed' ? 'shed' : 'failure';
+	return isOwnRefusal ? 'cancelled' : result;
+}
--- a/source/program/operate.ts
+++ b/source/program/operate.ts
@@ -1,6 +1,7 @@
 /** The operators' commands. */
 import {randomUUID} from 'node:crypto';
 import {userInfo} from 'node:os';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
 	documentSchema, withZone, type ConfigurationAnswer, type Environment, type EnvironmentDocument, type Version,
 } from '../configuration/index.js';
@@ -258,9 +259,7 @@
 			return;
 		}
 
-		await new Promise(resolve => {
-			setTimeout(resolve, waitMilliseconds);
-		});
+		await delay(waitMilliseconds);
 	}
 
 	refuse(`version ${version} is accepted, but not yet in force everywhere after ${waitLimitMilliseconds / 1000} s; see guavadeck status`);
--- a/source/program/trial.ts
+++ b/source/program/trial.ts
@@ -4,6 +4,7 @@
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import {setTimeout as delay} from 'node:timers/promises';
 import process from 'node:process';
 import {documentSchema} from '../configuration/index.js';
 import {startControl} from '../control/index.js';
@@ -117,7 +118,7 @@
 				base: 0, change, author: 'try', document,
 			});
 		} catch {
-			await pause();
+			await delay(pollMilliseconds);
 		}
 	}
 }
@@ -132,7 +133,7 @@
 				break;
 			}
 
-			await pause();
+			await delay(pollMilliseconds);
 		}
 	}
 }
@@ -149,12 +150,6 @@
 	});
 }
 
-async function pause(): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, pollMilliseconds);
-	});
-}
-
 /**
  * Runs `guavadeck try` until a signal stops it.
  * @param port - Port for callers, 0 for any.
--- a/stand-in/cluster.ts
+++ b/stand-in/cluster.ts
@@ -7,8 +7,8 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
-import {build} from 'esbuild';
 import {stringify} from 'smol-toml';
+import {bundleProgram} from '../scripts/bundle.js';
 import {type ClusterStatus} from '../source/control/index.js';
 import {startCuttableLink, type Cut, type CuttableLink} from './cuttable-link.js';
 
@@ -62,9 +62,7 @@
 
 /** Bundles the program, so that processes start fast. */
 export async function buildBundle(): Promise<string> {
-	await build({
-		entryPoints: ['source/program/main.ts'], outfile: bundleFile, bundle: true, platform: 'node', target: 'node20', format: 'cjs', alias: {'dtrace-provider': './scripts/absent.cjs', 'cbor-extract': './scripts/absent.cjs', 'source-map-support': './scripts/absent.cjs'}, logLevel: 'error',
-	});
+	await bundleProgram('source/program/main.ts', bundleFile);
 	return bundleFile;
 }
 
--- a/stand-in/server.ts
+++ b/stand-in/server.ts
@@ -8,6 +8,7 @@
 	createServer, request as startRequest, type IncomingMessage, type ServerResponse,
 } from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {createRandom} from '../source/randomness/index.js';
 import {drawServiceTime, ordinaryBehaviour, type Behaviour} from './behaviour.js';
 
@@ -456,9 +457,3 @@
 		request.end(body);
 	});
 }
-
-async function delay(milliseconds: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, milliseconds);
-	});
-}
