--- a/source/wire/index.ts
+++ b/source/wire/index.ts
@@ -1,2 +1,4 @@
+export * from './dialer.js';
 export * from './frame.js';
-export * from './link.js';
+export type * from './link.js';
+export * from './listener.js';
--- /dev/null
+++ b/source/wire/listener.ts
@@ -0,0 +1,66 @@
+/** Accepts links. */
+import {createServer, type Server, type Socket} from 'node:net';
+import {createServer as createTlsServer} from 'node:tls';
+import {startHandshake} from './handshake.js';
+import {type Link, type LinkIdentity} from './link.js';
+
+/** Accepts links. */
+export type LinkListener = {
+	readonly port: number;
+	close(): Promise<void>;
+};
+
+/** Options of a listener. */
+export type LinkListenerOptions<Message> = {
+	readonly identity: LinkIdentity;
+	readonly host: string;
+	readonly port: number;
+	opened(link: Link<Message>): void;
+};
+
+/**
+ * Listens for links.
+ * @param options - Address, identity and the function that takes each new link.
+ */
+export async function listenForLinks<Message>(options: LinkListenerOptions<Message>): Promise<LinkListener> {
+	const sockets = new Set<Socket>();
+
+	function accept(socket: Socket): void {
+		sockets.add(socket);
+		startHandshake<Message>({
+			socket,
+			identity: options.identity,
+			side: 'server',
+			opened: options.opened,
+			closed() {
+				sockets.delete(socket);
+			},
+		});
+	}
+
+	const {certificates} = options.identity;
+	const server: Server = certificates === undefined
+		? createServer(accept)
+		: createTlsServer({
+			cert: certificates.certificate, key: certificates.key, ca: certificates.authority, requestCert: true,
+		}, accept);
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(options.port, options.host, resolve);
+	});
+	const address = server.address();
+	return {
+		port: typeof address === 'object' && address !== null ? address.port : options.port,
+		async close() {
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+		},
+	};
+}
