--- a/source/control/leadership.test.ts
+++ b/source/control/leadership.test.ts
@@ -1,6 +1,6 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {announcementSchema, type Announcement} from '../announcement/index.js';
+import {announcementSchema, type Announcement, type ServerState} from '../announcement/index.js';
 import {documentSchema} from '../configuration/index.js';
 import {type Grant, type Renewal} from '../lease/index.js';
 import {createLeadership, type Leadership} from './leadership.js';
@@ -62,7 +62,7 @@
 });
 
 describe('createLeadership: what a grant carries', () => {
-	function doTest(change: (machine: Machine, leadership: Leadership) => void, expected: ReadonlyArray<readonly [id: number, state: string, isRemoved: boolean]>): void {
+	function doTest(change: (machine: Machine, leadership: Leadership) => void, expected: ReadonlyArray<readonly [id: number, state: ServerState, isRemoved: boolean]>): void {
 		const {machine, leadership} = start();
 		const first = renew(leadership, 1, 10);
 		expect(first.servers.map(server => server.id)).toEqual([1]);
--- a/source/retry/retry.test.ts
+++ b/source/retry/retry.test.ts
@@ -2,7 +2,9 @@
 import {expect} from 'earl';
 import {createRandom} from '../randomness/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
-import {createAttemptBudget, createHedgeDelay, mayRetry, type FailedAttempt} from './index.js';
+import {
+	createAttemptBudget, createHedgeDelay, mayRetry, type FailedAttempt,
+} from './index.js';
 
 describe('mayRetry', () => {
 	function doTest(verdict: Verdict, changes: Partial<FailedAttempt>, expected: boolean): void {
