Choose least in flight; check repeated request ids; stop with connections that never sent

(2) A stop could wait for connections on which no request was ever sent. Change: an answer must repeat the request id once its server has repeated one; what is left after the last answer is closed; least in flight, with ties broken at random, is the default.

--- a/bench/choice.ts
+++ b/bench/choice.ts
@@ -21,7 +21,8 @@
 const settleMilliseconds = 400;
 const capacityPerSecond = servers * slots * 1000 / meanMilliseconds;
 const centralQueue = 'central-queue';
-const hedged = 'two-joint-choices+hedge';
+const hedgeSuffix = '+hedge';
+const chosenPolicy = 'least-in-flight';
 
 /** A condition under which the policies are compared. */
 type Condition = {
@@ -56,8 +57,8 @@
 	},
 ];
 
-const allPolicies = ['round-robin', 'two-choices', 'two-joint-choices', hedged, 'least-in-flight', 'stale-report', centralQueue];
-const quickPolicies = ['round-robin', 'two-joint-choices', centralQueue];
+const allPolicies = ['round-robin', 'two-choices', 'two-joint-choices', `two-joint-choices${hedgeSuffix}`, chosenPolicy, `${chosenPolicy}${hedgeSuffix}`, 'stale-report', centralQueue];
+const quickPolicies = ['round-robin', chosenPolicy, centralQueue];
 const quickConditions = new Set(['steady 85%', 'noisy 70%']);
 
 type Measured = {
@@ -74,7 +75,7 @@
 	return {
 		zones: [{name: 'north'}, {name: 'south'}, {name: 'east'}],
 		services: [{
-			name: 'catalogue', policy: policy === hedged ? 'two-joint-choices' : policy, hedgeRatio: policy === hedged ? 0.05 : 0, deadlineMilliseconds: 5000, queueLength: 5000, easing: {initialSlots: 6},
+			name: 'catalogue', policy: policy.replace(hedgeSuffix, ''), hedgeRatio: policy.endsWith(hedgeSuffix) ? 0.05 : 0, deadlineMilliseconds: 5000, queueLength: 5000, easing: {initialSlots: 6},
 		}],
 	};
 }
@@ -112,8 +113,8 @@
 	const rig = await startRig(1, 5);
 	const chosen = options.isQuick ? quickPolicies : allPolicies;
 	const policies = options.policies.length > 0 ? options.policies : chosen;
-	const rounds = options.isQuick ? 1 : 3;
-	const seconds = options.isQuick ? 3 : 5;
+	const rounds = options.isQuick ? 2 : 3;
+	const seconds = options.isQuick ? 4 : 5;
 	const rows: BenchRow[] = [];
 	const medians = new Map<string, Measured>();
 	try {
@@ -182,11 +183,11 @@
 		}
 	}
 
-	compare('p99 with noise at 70% over round robin\'s', 0.5, 'noisy 70% two-joint-choices', 'noisy 70% round-robin');
-	compare('p99 with noise at 70% over the central queue\'s', 1.25, 'noisy 70% two-joint-choices', `noisy 70% ${centralQueue}`);
-	compare('p99 steady at 85% over the central queue\'s', 1.1, 'steady 85% two-joint-choices', `steady 85% ${centralQueue}`);
-	compare('p99 with hedges and noise at 70% over the central queue\'s without', 1, `noisy 70% ${hedged}`, `noisy 70% ${centralQueue}`);
-	const failing = medians.get('fail-fast 50% two-joint-choices');
+	compare('p99 with noise at 70% over round robin\'s', 0.5, `noisy 70% ${chosenPolicy}`, 'noisy 70% round-robin');
+	compare('p99 with noise at 70% over the central queue\'s', 1.25, `noisy 70% ${chosenPolicy}`, `noisy 70% ${centralQueue}`);
+	compare('p99 steady at 85% over the central queue\'s', 1.1, `steady 85% ${chosenPolicy}`, `steady 85% ${centralQueue}`);
+	compare('p99 with hedges and noise at 70% over the central queue\'s without', 1, `noisy 70% ${chosenPolicy}${hedgeSuffix}`, `noisy 70% ${centralQueue}`);
+	const failing = medians.get(`fail-fast 50% ${chosenPolicy}`);
 	if (failing !== undefined) {
 		targets.push(atMost('requests at a fail-fast server over its even share', 1, failing.firstShare));
 	}
--- a/source/choice/chooser.ts
+++ b/source/choice/chooser.ts
@@ -107,8 +107,11 @@
 	}
 
 	function chooseOfAll(choice: Choice): Candidate | undefined {
+		const {candidates} = choice;
+		const from = Math.floor(random() * candidates.length);
 		let best: Candidate | undefined;
-		for (const candidate of choice.candidates) {
+		for (let step = 0; step < candidates.length; step++) {
+			const candidate = candidates[(from + step) % candidates.length]!;
 			if (isEligible(candidate, choice)) {
 				best = best === undefined ? candidate : pickBetter(best, candidate, choice);
 			}
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -9,7 +9,9 @@
 import {
 	getHeaderValue, mayHaveRun, notRun, verdictHeader, type Verdict,
 } from '../verdict/index.js';
-import {getAnswerHeaders, loadHeader, stateHeader} from './headers.js';
+import {
+	getAnswerHeaders, loadHeader, requestIdHeader, stateHeader,
+} from './headers.js';
 import {type Pool} from './pool.js';
 
 const shedStatus = 503;
@@ -31,6 +33,7 @@
 /** Options of an attempt. */
 export type AttemptOptions = {
 	readonly pool: Pool;
+	readonly requestId: string;
 	readonly method: string;
 	readonly target: string;
 	/** Names and values in turn. */
@@ -46,6 +49,9 @@
 	ended(outcome: Outcome): void;
 };
 
+/** Why an attempt failed. */
+type FailureReason = 'deadline' | 'connection-lost' | 'answer-truncated' | 'answer-mismatched';
+
 /** A running attempt. */
 export type Attempt = {
 	/** Abandons the attempt and destroys its connection. */
@@ -79,18 +85,18 @@
 		options.ended(outcome);
 	}
 
-	function fail(reason: 'deadline' | 'connection-lost' | 'answer-truncated'): void {
+	function fail(reason: FailureReason): void {
 		if (isEnded) {
 			return;
 		}
 
 		const verdict = getFailure(reason);
-		const hasCrashed = isDispatched && reason !== 'deadline';
+		const hasCrashed = isDispatched && reason !== 'deadline' && reason !== 'answer-mismatched';
 		end({kind: 'failed', verdict, hasCrashed});
 		request.destroy();
 	}
 
-	function getFailure(reason: 'deadline' | 'connection-lost' | 'answer-truncated'): Verdict {
+	function getFailure(reason: FailureReason): Verdict {
 		if (isRefused) {
 			return notRun(performance.now() < options.deadlineAt ? 'lease-expired' : 'deadline');
 		}
@@ -123,6 +129,12 @@
 	});
 
 	function receive(answer: IncomingMessage): void {
+		const repeatedId = answer.headers[requestIdHeader];
+		if (!options.pool.isOwnAnswer(options.requestId, Array.isArray(repeatedId) ? repeatedId.join(',') : repeatedId)) {
+			fail('answer-mismatched');
+			return;
+		}
+
 		options.hinted(getHints(answer));
 		const head: AnswerHead = {status: answer.statusCode ?? 502, headers: getAnswerHeaders(answer)};
 		if (head.status === shedStatus && answer.headers[verdictHeader] === notRunValue) {
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -68,6 +68,7 @@
 	let document: EnvironmentDocument | undefined;
 	let isDraining = false;
 	let inFlight = 0;
+	let unfinished = 0;
 	let nextId = 1;
 	let wasReady = false;
 
@@ -185,9 +186,13 @@
 	};
 
 	function handle(request: IncomingMessage, response: ServerResponse): void {
+		unfinished++;
 		response.on('error', () => {
 			response.destroy();
 		});
+		response.once('close', () => {
+			unfinished--;
+		});
 		const service = router.get(request.headers.host, request.url ?? '/');
 		const state = service === undefined ? undefined : fleet.getState(service.name);
 		if (state === undefined) {
@@ -257,7 +262,7 @@
 	}
 
 	async function finishInFlight(): Promise<void> {
-		while (inFlight > 0 || claims.getUnsettled() > 0) {
+		while (inFlight > 0 || unfinished > 0 || claims.getUnsettled() > 0) {
 			await delay(drainCheckMilliseconds);
 		}
 	}
@@ -277,6 +282,8 @@
 			});
 			callers.closeIdleConnections();
 			await finishInFlight();
+			// What is left are connections on which no request is under way.
+			callers.closeAllConnections();
 			await closed;
 			report();
 			keeper.giveUp();
@@ -314,6 +321,7 @@
 			return true;
 		}
 
+		case 'answer-mismatched':
 		case 'answer-truncated':
 		case 'connection-lost':
 		case 'crashes-servers':
--- a/source/entry/pool.ts
+++ b/source/entry/pool.ts
@@ -80,6 +80,8 @@
 /** Connections to one server. */
 export type Pool = {
 	readonly agent: Agent;
+	/** Checks an answer's request id; a server that has repeated one must repeat each one. */
+	isOwnAnswer(requestId: string, repeatedId: string | undefined): boolean;
 	close(): void;
 };
 
@@ -93,8 +95,13 @@
 	const agent = createAgent(host, port, {
 		keepAlive: true, maxSockets: connections, maxFreeSockets: connections, scheduling: 'lifo',
 	});
+	let hasRepeated = false;
 	return {
 		agent,
+		isOwnAnswer(requestId, repeatedId) {
+			hasRepeated ||= repeatedId !== undefined;
+			return !hasRepeated || repeatedId === requestId;
+		},
 		close() {
 			agent.destroy();
 		},
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -142,6 +142,7 @@
 		candidate.start();
 		const attempt = startAttempt({
 			pool: server.pool,
+			requestId: call.requestId,
 			method: request.method,
 			target: request.target,
 			headers: getHeaders(deadlineAt - now),
--- /dev/null
+++ b/source/program/stop.test.ts
@@ -0,0 +1,54 @@
+import {once} from 'node:events';
+import {Agent, get} from 'node:http';
+import {connect} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {startTrial} from './trial.js';
+
+const requests = 40;
+
+/** Gets the status of a request, or 0 when its connection was cut. */
+async function request(url: string, agent: Agent): Promise<number> {
+	return new Promise(resolve => {
+		get(url, {agent}, response => {
+			response.resume();
+			response.once('close', () => {
+				resolve(response.complete ? response.statusCode ?? 0 : 0);
+			});
+		}).once('error', () => {
+			resolve(0);
+		});
+	});
+}
+
+describe('the graceful stop of an entry', () => {
+	async function doTest(hasIdleConnection: boolean): Promise<void> {
+		const trial = await startTrial(0);
+		const agent = new Agent({keepAlive: true});
+		const socket = connect(trial.callersPort, '127.0.0.1');
+		await once(socket, 'connect');
+		if (!hasIdleConnection) {
+			socket.destroy();
+		}
+
+		const url = `http://127.0.0.1:${trial.callersPort}/catalogue`;
+		await request(url, agent);
+		let answered = 0;
+		const answers = Array.from({length: requests}, async () => {
+			const status = await request(url, agent);
+			answered++;
+			return status;
+		});
+		while (trial.getInFlight() + answered < requests) {
+			await setImmediate();
+		}
+
+		await trial.stop();
+		expect(await Promise.all(answers)).toEqual(Array.from({length: requests}, () => 200));
+		agent.destroy();
+	}
+
+	test('finishes every request in flight', {timeout: 20_000}, async () => doTest(false));
+	test('does not wait for a connection without a request', {timeout: 20_000}, async () => doTest(true));
+});
--- a/source/program/trial.ts
+++ b/source/program/trial.ts
@@ -38,6 +38,8 @@
 	readonly callersPort: number;
 	readonly apiPort: number;
 	readonly adminPort: number;
+	/** Gets the requests in flight in the entry. */
+	getInFlight(): number;
 	stop(): Promise<void>;
 };
 
@@ -83,6 +85,7 @@
 		callersPort: entry.callersPort,
 		apiPort: control.apiPort,
 		adminPort: entry.adminPort,
+		getInFlight: entry.getInFlight,
 		async stop() {
 			await entry.stop();
 			await Promise.all(servers.map(async server => server.stop()));
--- a/source/verdict/verdict.ts
+++ b/source/verdict/verdict.ts
@@ -25,6 +25,7 @@
 /** Reasons for which a request may have run without a whole answer. */
 export type MayHaveRunReason
 	= | 'already-ran'
+		| 'answer-mismatched'
 		| 'answer-truncated'
 		| 'connection-lost'
 		| 'deadline'
@@ -144,6 +145,7 @@
 			return 504;
 		}
 
+		case 'answer-mismatched':
 		case 'answer-truncated':
 		case 'caller-left':
 		case 'connection-lost': {
--- a/stand-in/server.ts
+++ b/stand-in/server.ts
@@ -301,7 +301,7 @@
 	}
 
 	function truncate(response: ServerResponse, body: Buffer): void {
-		response.writeHead(200, {'content-length': body.length});
+		response.writeHead(200, {'content-length': body.length, 'guavadeck-request-id': String(response.req.headers['guavadeck-request-id'] ?? '')});
 		response.write(body.subarray(0, Math.floor(body.length / 2)), () => {
 			response.socket?.destroy();
 		});
@@ -313,6 +313,7 @@
 			'content-length': body.length,
 			'guavadeck-state': getState(),
 			'guavadeck-load': String(behaviour.reportedLoad ?? present),
+			'guavadeck-request-id': getHeader(request, 'guavadeck-request-id') ?? '',
 			[digestHeader]: createHash('sha256').update(body).digest('hex'),
 			[tokenHeader]: getHeader(request, tokenHeader) ?? '',
 			...(behaviour.isLeaving ? {connection: 'close'} : {}),
@@ -325,6 +326,7 @@
 		response.writeHead(503, {
 			'content-length': 0,
 			'guavadeck-state': getState(),
+			'guavadeck-request-id': getHeader(request, 'guavadeck-request-id') ?? '',
 			...(behaviour.declaresSheds ? {'guavadeck-verdict': 'not-run'} : {}),
 		});
 		response.end();
