End a process whose address is taken, with the setting's name and exit code 2

A run of the tests here hung the same way: control-1 of the freeze scenario had lost its API port to a link of the test itself, which had taken it as an ephemeral port between the check and the start. startControl rejected, the command printed the error and set an exit code, but the listener, the replica and the timers kept the process alive: a voter without an operators' interface, and a scenario that waited for its ready line without a limit. Ruled out: the stop of entries (unsettled claims are bounded by 120 s), earl's failures (a failing file ends). Before: five new cases in binary.test.ts hang until killed. After: they end with code 2 and one line.

--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,7 +1,7 @@
 /** Builds dist/guavadeck: a bundle in one executable. With `--bundle`, the bundle alone. */
 import {execFileSync} from 'node:child_process';
 import {
-	chmodSync, copyFileSync, mkdirSync, writeFileSync,
+	chmodSync, copyFileSync, mkdirSync, rmSync, writeFileSync,
 } from 'node:fs';
 import process from 'node:process';
 import {bundleProgram} from './bundle.js';
@@ -18,6 +18,8 @@
 if (!process.argv.includes('--bundle')) {
 	writeFileSync(configuration, JSON.stringify({main: bundle, output: blob, disableExperimentalSEAWarning: true}));
 	execFileSync(process.execPath, ['--experimental-sea-config', configuration]);
+	// A copy over an executable that still runs would fail.
+	rmSync(executable, {force: true});
 	copyFileSync(process.execPath, executable);
 	chmodSync(executable, 0o755);
 	execFileSync(process.execPath, ['node_modules/postject/dist/cli.js', executable, 'NODE_SEA_BLOB', blob, '--sentinel-fuse', fuse]);
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -20,7 +20,7 @@
 	getFounderId, getHostName, openDataFolder, openStore,
 } from '../storage/index.js';
 import {type Log} from '../telemetry/index.js';
-import {listenForLinks, type Link} from '../wire/index.js';
+import {listen, listenForLinks, type Link} from '../wire/index.js';
 import {createApi} from './api.js';
 import {startDriver, type RoleChange} from './driver.js';
 import {createLeader} from './leader.js';
@@ -241,6 +241,7 @@
 
 	const listener = await listenForLinks<ControlInbound>({
 		identity: security.link,
+		setting: 'links',
 		host: settings.links.host,
 		port: settings.links.port,
 		opened(link) {
@@ -347,13 +348,15 @@
 		getMetrics: async () => metrics.metrics(),
 		isReady: () => driver.replica.getLeader() !== undefined,
 	});
+	let unfinished = 0;
 	const server: Server = createServer((request, response) => {
+		unfinished++;
+		response.once('close', () => {
+			unfinished--;
+		});
 		void api(request, response);
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(settings.api.port, settings.api.host, resolve);
-	});
+	const apiPort = await listen(server, {setting: 'api', ...settings.api});
 
 	async function handOver(): Promise<void> {
 		const {replica} = driver;
@@ -371,10 +374,16 @@
 		}
 	}
 
+	async function finishRequests(): Promise<void> {
+		const until = performance.now() + forwardMilliseconds + forwardAttemptMilliseconds;
+		while (unfinished > 0 && performance.now() < until) {
+			await delay(handOverCheckMilliseconds);
+		}
+	}
+
 	log.info({replica: self, commitIndex: driver.replica.getCommitIndex()}, 'control host started');
-	const address = server.address();
 	return Result.ok({
-		apiPort: typeof address === 'object' && address !== null ? address.port : settings.api.port,
+		apiPort,
 		linksPort: listener.port,
 		async stop() {
 			await handOver();
@@ -382,7 +391,9 @@
 			const closed = new Promise(resolve => {
 				server.close(resolve);
 			});
-			server.closeIdleConnections();
+			await finishRequests();
+			// What is left are connections on which no request is under way.
+			server.closeAllConnections();
 			await closed;
 			client.close();
 			await listener.close();
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -1,7 +1,6 @@
 /** An entry: HTTP from callers, HTTP to servers, under a lease from the control hosts. */
 import {randomBytes} from 'node:crypto';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {type AddressInfo} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {interval, Subscription} from 'rxjs';
@@ -14,6 +13,7 @@
 import {type EntrySettings, type Security} from '../settings/index.js';
 import {type Log} from '../telemetry/index.js';
 import {notRun, type Verdict} from '../verdict/index.js';
+import {listen} from '../wire/index.js';
 import {answerVerdict} from './answer.js';
 import {createAdmin} from './admin.js';
 import {answerCall, type CallContext} from './call.js';
@@ -232,8 +232,8 @@
 	const adminServer = createServer((request, response) => {
 		void admin(request, response);
 	});
-	await listen(callers, settings.callers);
-	await listen(adminServer, settings.admin);
+	const callersPort = await listen(callers, {setting: 'callers', ...settings.callers});
+	const adminPort = await listen(adminServer, {setting: 'admin', ...settings.admin});
 	registerGauges();
 
 	function registerGauges(): void {
@@ -267,10 +267,10 @@
 		}
 	}
 
-	log.info({callers: getPort(callers), admin: getPort(adminServer)}, 'entry started');
+	log.info({callers: callersPort, admin: adminPort}, 'entry started');
 	return {
-		callersPort: getPort(callers),
-		adminPort: getPort(adminServer),
+		callersPort,
+		adminPort,
 		isReady,
 		getInFlight: () => inFlight,
 		async stop() {
@@ -338,16 +338,3 @@
 		}
 	}
 }
-
-type Listening = ReturnType<typeof createServer>;
-
-async function listen(server: Listening, address: {readonly host: string; readonly port: number}): Promise<void> {
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(address.port, address.host, resolve);
-	});
-}
-
-function getPort(server: Listening): number {
-	return (server.address() as AddressInfo | undefined)?.port ?? 0;
-}
--- a/source/entry/peers.ts
+++ b/source/entry/peers.ts
@@ -40,6 +40,7 @@
 	let sentFrames = 0;
 	const listener: LinkListener = await listenForLinks<CountsMessage>({
 		identity: options.identity,
+		setting: 'peers',
 		host: options.address.host,
 		port: options.address.port,
 		opened(link) {
--- a/source/program/binary.test.ts
+++ b/source/program/binary.test.ts
@@ -2,6 +2,8 @@
 import {
 	mkdtempSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -9,7 +11,9 @@
 	after, before, describe, test,
 } from 'node:test';
 import {expect} from 'earl';
+import {stringify} from 'smol-toml';
 
+const hungMilliseconds = 10_000;
 const binary = 'dist/guavadeck';
 const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-binary-'));
 
@@ -58,6 +62,43 @@
 	});
 });
 
+describe('a process whose address is taken', () => {
+	const taken = createServer();
+	before(async () => {
+		taken.listen(0, '127.0.0.1');
+		await once(taken, 'listening');
+	});
+	after(() => {
+		taken.close();
+	});
+
+	function doTest(kind: 'control' | 'entry', setting: string): void {
+		const {port} = taken.address() as AddressInfo;
+		const free = {host: '127.0.0.1', port: 0};
+		const addresses = kind === 'control' ? {links: free, api: free, dataFolder: folder} : {callers: free, admin: free, peers: free};
+		const file = path.join(folder, `${kind}-${setting}.toml`);
+		writeFileSync(file, stringify({
+			name: 'one', zone: 'north', control: [{name: 'one', host: '127.0.0.1', port: 9}], ...addresses, [setting]: {host: '127.0.0.1', port},
+		}));
+		const {status, stderr} = spawnSync(binary, [kind, '--settings', file, ...kind === 'control' && setting === 'links' ? ['--found'] : []], {encoding: 'utf8', timeout: hungMilliseconds});
+		expect({setting, status, message: stderr.trim().split('\n').at(-1)}).toEqual({
+			setting, status: 2, message: `${file}: ${setting}: 127.0.0.1 port ${port} is taken by another process; stop it or choose another port`,
+		});
+	}
+
+	for (const setting of ['links', 'api']) {
+		test(`ends with a clear error: ${setting} of a control host`, () => {
+			doTest('control', setting);
+		});
+	}
+
+	for (const setting of ['callers', 'admin', 'peers']) {
+		test(`ends with a clear error: ${setting} of an entry`, () => {
+			doTest('entry', setting);
+		});
+	}
+});
+
 describe('guavadeck try, and the operators\' commands', () => {
 	test('serve, apply, promote, take a zone out and report burn', async () => {
 		const child = spawn(binary, ['try'], {stdio: ['ignore', 'pipe', 'ignore']});
--- a/source/program/main.ts
+++ b/source/program/main.ts
@@ -111,7 +111,8 @@
 	const isUsage = error.name === 'CACError';
 	const lines = error instanceof Exit ? error.lines : [isUsage ? `${error.message}; see guavadeck --help` : error.stack ?? error.message];
 	process.stderr.write(`${lines.join('\n')}\n`);
-	process.exitCode = error instanceof Exit ? error.code : (isUsage ? exitCode.badInput : exitCode.refused);
+	// Servers and timers that were started before the error must not keep the process alive.
+	process.exit(error instanceof Exit ? error.code : (isUsage ? exitCode.badInput : exitCode.refused));
 }
 
 // The executable's bundle is a script, which has no top-level await.
--- a/source/program/serve.ts
+++ b/source/program/serve.ts
@@ -7,6 +7,7 @@
 	controlSettingsSchema, entrySettingsSchema, readTomlFile, resolveSecurity,
 } from '../settings/index.js';
 import {createLog, type Log} from '../telemetry/index.js';
+import {ListenError} from '../wire/index.js';
 import {exitCode, refuse, rejectInput} from './exit.js';
 import {printLine} from './print.js';
 
@@ -27,11 +28,11 @@
 		file, name: settings.name, security: settings.security, listening: [settings.links, settings.api],
 	}).unwrapOrElse(rejectInput);
 	const log = createLog(settings.name, settings.logLevel);
-	const started = await startControl({
+	const started = await explainAddress(file, startControl({
 		settings, security, log, seed: randomInt(2 ** 31), founding, failed(error) {
 			fail(log, error);
 		},
-	});
+	}));
 	const control = started.unwrapOrElse(fault => refuse(fault));
 	printLine(`ready control ${settings.name} api ${control.apiPort} links ${control.linksPort}`);
 	await runUntilSignal(log, {stop: control.stop, getInFlight: () => 0});
@@ -47,13 +48,26 @@
 		file, name: settings.name, security: settings.security, listening: [settings.admin, ...settings.peers === undefined ? [] : [settings.peers]],
 	}).unwrapOrElse(rejectInput);
 	const log = createLog(settings.name, settings.logLevel);
-	const entry = await startEntry({
+	const entry = await explainAddress(file, startEntry({
 		settings, security, log, seed: randomInt(2 ** 31),
-	});
+	}));
 	printLine(`ready entry ${settings.name} callers ${entry.callersPort} admin ${entry.adminPort}`);
 	await runUntilSignal(log, entry);
 }
 
+/** Turns an address that can't be listened on into an error that names the file. */
+async function explainAddress<Started>(file: string, starting: Promise<Started>): Promise<Started> {
+	try {
+		return await starting;
+	} catch (error) {
+		if (error instanceof ListenError) {
+			rejectInput([`${file}: ${error.message}`]);
+		}
+
+		throw error;
+	}
+}
+
 function fail(log: Log, error: Error): void {
 	log.error({error}, 'storage failed; the process stops');
 	process.exit(exitCode.refused);
--- a/source/wire/index.ts
+++ b/source/wire/index.ts
@@ -1,4 +1,5 @@
 export * from './dialer.js';
 export * from './frame.js';
 export type * from './link.js';
+export * from './listen.js';
 export * from './listener.js';
--- a/source/wire/listener.ts
+++ b/source/wire/listener.ts
@@ -3,6 +3,7 @@
 import {createServer as createTlsServer} from 'node:tls';
 import {startHandshake} from './handshake.js';
 import {type Link, type LinkIdentity} from './link.js';
+import {listen} from './listen.js';
 
 /** Accepts links. */
 export type LinkListener = {
@@ -13,6 +14,8 @@
 /** Options of a listener. */
 export type LinkListenerOptions<Message> = {
 	readonly identity: LinkIdentity;
+	/** Name of the setting that holds the address. */
+	readonly setting: string;
 	readonly host: string;
 	readonly port: number;
 	opened(link: Link<Message>): void;
@@ -44,13 +47,9 @@
 		: createTlsServer({
 			cert: certificates.certificate, key: certificates.key, ca: certificates.authority, requestCert: true,
 		}, accept);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(options.port, options.host, resolve);
-	});
-	const address = server.address();
+	const port = await listen(server, {setting: options.setting, host: options.host, port: options.port});
 	return {
-		port: typeof address === 'object' && address !== null ? address.port : options.port,
+		port,
 		async close() {
 			for (const socket of sockets) {
 				socket.destroy();
--- a/source/wire/wire.test.ts
+++ b/source/wire/wire.test.ts
@@ -38,7 +38,7 @@
 	async function doTest(key: string, isAccepted: boolean): Promise<void> {
 		const received: unknown[] = [];
 		const listener = await listenForLinks<unknown>({
-			identity: {name: 'server', sharedKey: 'the shared key of both', certificates: undefined}, host: '127.0.0.1', port: 0, opened(link) {
+			identity: {name: 'server', sharedKey: 'the shared key of both', certificates: undefined}, setting: 'links', host: '127.0.0.1', port: 0, opened(link) {
 				link.messages.subscribe(message => {
 					received.push([link.peer, message]);
 					link.send({back: 1});
@@ -74,7 +74,7 @@
 	test('carry nothing under another key', async () => doTest('another key', false));
 	test('a malformed handshake closes only its own connection', async () => {
 		const listener = await listenForLinks({
-			identity: {name: 'server', sharedKey: 'key', certificates: undefined}, host: '127.0.0.1', port: 0, opened() {
+			identity: {name: 'server', sharedKey: 'key', certificates: undefined}, setting: 'links', host: '127.0.0.1', port: 0, opened() {
 				throw new Error('nothing may open');
 			},
 		});
--- a/stand-in/cluster.ts
+++ b/stand-in/cluster.ts
@@ -14,7 +14,21 @@
 
 const host = '127.0.0.1';
 const requestMilliseconds = 2000;
+const startMilliseconds = 20_000;
 const bundleFile = 'dist/guavadeck.cjs';
+const running = new Set<ChildProcess>();
+
+/** Ends the processes that are left when the test itself ends early. */
+function endAll(): void {
+	for (const child of running) {
+		child.kill('SIGKILL');
+	}
+}
+
+process.once('exit', endAll);
+process.once('SIGTERM', () => {
+	process.exit(1);
+});
 
 /** Shape of the system under test. */
 export type Shape = {
@@ -66,19 +80,36 @@
 	return bundleFile;
 }
 
-/** Gets a port that is free at the moment. */
-export async function getFreePort(): Promise<number> {
+/** Ports below the range from which outgoing connections take theirs, so that a process that restarts finds its port free. */
+const firstPort = 12_000;
+const lastPort = 32_000;
+let nextPort = firstPort + (process.pid * 37 % (lastPort - firstPort));
+
+async function isFree(port: number): Promise<boolean> {
 	return new Promise(resolve => {
 		const server = createServer();
-		server.listen(0, host, () => {
-			const address = server.address();
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, host, () => {
 			server.close(() => {
-				resolve(typeof address === 'object' && address !== null ? address.port : 0);
+				resolve(true);
 			});
 		});
 	});
 }
 
+/** Gets a port that is free and that this process has not handed out before. */
+export async function getFreePort(): Promise<number> {
+	for (;;) {
+		const port = nextPort++;
+		nextPort = nextPort > lastPort ? firstPort : nextPort;
+		if (await isFree(port)) {
+			return port;
+		}
+	}
+}
+
 /**
  * Creates the settings and links of a system; no process runs yet.
  * @param shape - Numbers of processes, zones and times.
@@ -189,11 +220,20 @@
 			const child = spawn(process.execPath, arguments_, {stdio: ['ignore', 'pipe', 'pipe']});
 			child.stderr.pipe(createWriteStream(path.join(folder, `${member.name}.log`), {flags: 'a'}));
 			member.child = child;
+			running.add(child);
+			child.once('exit', () => {
+				running.delete(child);
+			});
 			await new Promise<void>((resolve, reject) => {
+				const timer = setTimeout(() => {
+					reject(new Error(`${member.name} was not ready after ${startMilliseconds} ms; see ${folder}/${member.name}.log`));
+				}, startMilliseconds);
 				child.stdout.once('data', () => {
+					clearTimeout(timer);
 					resolve();
 				});
 				child.once('exit', code => {
+					clearTimeout(timer);
 					reject(new Error(`${member.name} ended with code ${code ?? 'none'}; see ${folder}/${member.name}.log`));
 				});
 			});
