Take the slots that a cold server announces now; bound the released attempts of the ledger

The scenario sets slots=1 one second after the start; on a slow machine the server is then still cold. The allocator ignored a second announcement of a server that it knew, so permits went on as for six slots. The scenario also changed servers at a time that depends on the machine. Change: the allocator takes announced slots; the scenario waits until every server is warm ('expect warm within 10s'), so that the check keeps its strictness and does not depend on the machine's speed. Also: the ledger remembered every released attempt for the whole retention (7 days by default), outside maximumClaims: a service that sheds 100 keyed requests a second would hold 60 million. Now the newest maximumClaims are kept; a forgotten one can at worst hold a key, never run it twice. Tests that failed first: 'carries no more than they are' (5 granted, 2 announced), 'are bounded, and the newest are kept'.

--- a/scenario/grammar.js
+++ b/scenario/grammar.js
@@ -211,15 +211,16 @@
   const peg$c39 = "expect";
   const peg$c40 = "ready";
   const peg$c41 = "within";
-  const peg$c42 = "members";
-  const peg$c43 = "check";
-  const peg$c44 = "=";
-  const peg$c45 = "leader";
-  const peg$c46 = "all";
-  const peg$c47 = "entry";
-  const peg$c48 = ".";
-  const peg$c49 = "ms";
-  const peg$c50 = "s";
+  const peg$c42 = "warm";
+  const peg$c43 = "members";
+  const peg$c44 = "check";
+  const peg$c45 = "=";
+  const peg$c46 = "leader";
+  const peg$c47 = "all";
+  const peg$c48 = "entry";
+  const peg$c49 = ".";
+  const peg$c50 = "ms";
+  const peg$c51 = "s";
 
   const peg$r0 = /^[^\n]/;
   const peg$r1 = /^[a-zA-Z]/;
@@ -271,20 +272,21 @@
   const peg$e40 = peg$literalExpectation("expect", false);
   const peg$e41 = peg$literalExpectation("ready", false);
   const peg$e42 = peg$literalExpectation("within", false);
-  const peg$e43 = peg$literalExpectation("members", false);
-  const peg$e44 = peg$literalExpectation("check", false);
-  const peg$e45 = peg$classExpectation([["a", "z"], ["A", "Z"]], false, false, false);
-  const peg$e46 = peg$literalExpectation("=", false);
-  const peg$e47 = peg$classExpectation([["a", "z"], ["A", "Z"], ["0", "9"], ".", "-"], false, false, false);
-  const peg$e48 = peg$literalExpectation("leader", false);
-  const peg$e49 = peg$literalExpectation("all", false);
-  const peg$e50 = peg$literalExpectation("entry", false);
-  const peg$e51 = peg$classExpectation([["a", "z"], ["A", "Z"], ["0", "9"], "-"], false, false, false);
-  const peg$e52 = peg$classExpectation([["0", "9"]], false, false, false);
-  const peg$e53 = peg$literalExpectation(".", false);
-  const peg$e54 = peg$literalExpectation("ms", false);
-  const peg$e55 = peg$literalExpectation("s", false);
-  const peg$e56 = peg$classExpectation([" ", "\t"], false, false, false);
+  const peg$e43 = peg$literalExpectation("warm", false);
+  const peg$e44 = peg$literalExpectation("members", false);
+  const peg$e45 = peg$literalExpectation("check", false);
+  const peg$e46 = peg$classExpectation([["a", "z"], ["A", "Z"]], false, false, false);
+  const peg$e47 = peg$literalExpectation("=", false);
+  const peg$e48 = peg$classExpectation([["a", "z"], ["A", "Z"], ["0", "9"], ".", "-"], false, false, false);
+  const peg$e49 = peg$literalExpectation("leader", false);
+  const peg$e50 = peg$literalExpectation("all", false);
+  const peg$e51 = peg$literalExpectation("entry", false);
+  const peg$e52 = peg$classExpectation([["a", "z"], ["A", "Z"], ["0", "9"], "-"], false, false, false);
+  const peg$e53 = peg$classExpectation([["0", "9"]], false, false, false);
+  const peg$e54 = peg$literalExpectation(".", false);
+  const peg$e55 = peg$literalExpectation("ms", false);
+  const peg$e56 = peg$literalExpectation("s", false);
+  const peg$e57 = peg$classExpectation([" ", "\t"], false, false, false);
 
   function peg$f0(lines) {    return flatten(lines);  }
   function peg$f1(statement) {    return statement ? {...statement, line: location().start.line} : undefined;  }
@@ -307,16 +309,17 @@
   function peg$f18(operators, changes) {    return {kind: "race", operators, changes};  }
   function peg$f19(service, times) {    return {kind: "resendCrashing", service, times};  }
   function peg$f20(milliseconds) {    return {kind: "expectReady", milliseconds};  }
-  function peg$f21(number, milliseconds) {    return {kind: "expectMembers", number, milliseconds};  }
-  function peg$f22(checks) {    return {kind: "check", checks};  }
-  function peg$f23(name, value) {    return {name, value};  }
-  function peg$f24() {    return {kind: "leader"};  }
-  function peg$f25() {    return {kind: "allControl"};  }
-  function peg$f26() {    return {kind: "allEntries"};  }
-  function peg$f27(number) {    return {kind: "control", number};  }
-  function peg$f28(number) {    return {kind: "entry", number};  }
-  function peg$f29(digits) {    return Number(digits);  }
-  function peg$f30(number, unit) {    return Number(number) * (unit === "s" ? 1000 : 1);  }
+  function peg$f21(milliseconds) {    return {kind: "expectWarm", milliseconds};  }
+  function peg$f22(number, milliseconds) {    return {kind: "expectMembers", number, milliseconds};  }
+  function peg$f23(checks) {    return {kind: "check", checks};  }
+  function peg$f24(name, value) {    return {name, value};  }
+  function peg$f25() {    return {kind: "leader"};  }
+  function peg$f26() {    return {kind: "allControl"};  }
+  function peg$f27() {    return {kind: "allEntries"};  }
+  function peg$f28(number) {    return {kind: "control", number};  }
+  function peg$f29(number) {    return {kind: "entry", number};  }
+  function peg$f30(digits) {    return Number(digits);  }
+  function peg$f31(number, unit) {    return Number(number) * (unit === "s" ? 1000 : 1);  }
   let peg$currPos = options.peg$currPos | 0;
   let peg$savedPos = peg$currPos;
   const peg$posDetailsCache = [{ line: 1, column: 1 }];
@@ -1476,9 +1479,9 @@
                                           if (s1 !== peg$FAILED) {
                                             s2 = peg$parse__();
                                             if (s2 !== peg$FAILED) {
-                                              if (input.substr(peg$currPos, 7) === peg$c42) {
+                                              if (input.substr(peg$currPos, 4) === peg$c42) {
                                                 s3 = peg$c42;
-                                                peg$currPos += 7;
+                                                peg$currPos += 4;
                                               } else {
                                                 s3 = peg$FAILED;
                                                 if (peg$silentFails === 0) { peg$fail(peg$e43); }
@@ -1486,32 +1489,20 @@
                                               if (s3 !== peg$FAILED) {
                                                 s4 = peg$parse__();
                                                 if (s4 !== peg$FAILED) {
-                                                  s5 = peg$parseinteger();
+                                                  if (input.substr(peg$currPos, 6) === peg$c41) {
+                                                    s5 = peg$c41;
+                                                    peg$currPos += 6;
+                                                  } else {
+                                                    s5 = peg$FAILED;
+                                                    if (peg$silentFails === 0) { peg$fail(peg$e42); }
+                                                  }
                                                   if (s5 !== peg$FAILED) {
                                                     s6 = peg$parse__();
                                                     if (s6 !== peg$FAILED) {
-                                                      if (input.substr(peg$currPos, 6) === peg$c41) {
-                                                        s7 = peg$c41;
-                                                        peg$currPos += 6;
-                                                      } else {
-                                                        s7 = peg$FAILED;
-                                                        if (peg$silentFails === 0) { peg$fail(peg$e42); }
-                                                      }
+                                                      s7 = peg$parseduration();
                                                       if (s7 !== peg$FAILED) {
-                                                        s8 = peg$parse__();
-                                                        if (s8 !== peg$FAILED) {
-                                                          s9 = peg$parseduration();
-                                                          if (s9 !== peg$FAILED) {
-                                                            peg$savedPos = s0;
-                                                            s0 = peg$f21(s5, s9);
-                                                          } else {
-                                                            peg$currPos = s0;
-                                                            s0 = peg$FAILED;
-                                                          }
-                                                        } else {
-                                                          peg$currPos = s0;
-                                                          s0 = peg$FAILED;
-                                                        }
+                                                        peg$savedPos = s0;
+                                                        s0 = peg$f21(s7);
                                                       } else {
                                                         peg$currPos = s0;
                                                         s0 = peg$FAILED;
@@ -1542,20 +1533,68 @@
                                           }
                                           if (s0 === peg$FAILED) {
                                             s0 = peg$currPos;
-                                            if (input.substr(peg$currPos, 5) === peg$c43) {
-                                              s1 = peg$c43;
-                                              peg$currPos += 5;
+                                            if (input.substr(peg$currPos, 6) === peg$c39) {
+                                              s1 = peg$c39;
+                                              peg$currPos += 6;
                                             } else {
                                               s1 = peg$FAILED;
-                                              if (peg$silentFails === 0) { peg$fail(peg$e44); }
+                                              if (peg$silentFails === 0) { peg$fail(peg$e40); }
                                             }
                                             if (s1 !== peg$FAILED) {
                                               s2 = peg$parse__();
                                               if (s2 !== peg$FAILED) {
-                                                s3 = peg$parsenames();
+                                                if (input.substr(peg$currPos, 7) === peg$c43) {
+                                                  s3 = peg$c43;
+                                                  peg$currPos += 7;
+                                                } else {
+                                                  s3 = peg$FAILED;
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e44); }
+                                                }
                                                 if (s3 !== peg$FAILED) {
-                                                  peg$savedPos = s0;
-                                                  s0 = peg$f22(s3);
+                                                  s4 = peg$parse__();
+                                                  if (s4 !== peg$FAILED) {
+                                                    s5 = peg$parseinteger();
+                                                    if (s5 !== peg$FAILED) {
+                                                      s6 = peg$parse__();
+                                                      if (s6 !== peg$FAILED) {
+                                                        if (input.substr(peg$currPos, 6) === peg$c41) {
+                                                          s7 = peg$c41;
+                                                          peg$currPos += 6;
+                                                        } else {
+                                                          s7 = peg$FAILED;
+                                                          if (peg$silentFails === 0) { peg$fail(peg$e42); }
+                                                        }
+                                                        if (s7 !== peg$FAILED) {
+                                                          s8 = peg$parse__();
+                                                          if (s8 !== peg$FAILED) {
+                                                            s9 = peg$parseduration();
+                                                            if (s9 !== peg$FAILED) {
+                                                              peg$savedPos = s0;
+                                                              s0 = peg$f22(s5, s9);
+                                                            } else {
+                                                              peg$currPos = s0;
+                                                              s0 = peg$FAILED;
+                                                            }
+                                                          } else {
+                                                            peg$currPos = s0;
+                                                            s0 = peg$FAILED;
+                                                          }
+                                                        } else {
+                                                          peg$currPos = s0;
+                                                          s0 = peg$FAILED;
+                                                        }
+                                                      } else {
+                                                        peg$currPos = s0;
+                                                        s0 = peg$FAILED;
+                                                      }
+                                                    } else {
+                                                      peg$currPos = s0;
+                                                      s0 = peg$FAILED;
+                                                    }
+                                                  } else {
+                                                    peg$currPos = s0;
+                                                    s0 = peg$FAILED;
+                                                  }
                                                 } else {
                                                   peg$currPos = s0;
                                                   s0 = peg$FAILED;
@@ -1568,6 +1607,35 @@
                                               peg$currPos = s0;
                                               s0 = peg$FAILED;
                                             }
+                                            if (s0 === peg$FAILED) {
+                                              s0 = peg$currPos;
+                                              if (input.substr(peg$currPos, 5) === peg$c44) {
+                                                s1 = peg$c44;
+                                                peg$currPos += 5;
+                                              } else {
+                                                s1 = peg$FAILED;
+                                                if (peg$silentFails === 0) { peg$fail(peg$e45); }
+                                              }
+                                              if (s1 !== peg$FAILED) {
+                                                s2 = peg$parse__();
+                                                if (s2 !== peg$FAILED) {
+                                                  s3 = peg$parsenames();
+                                                  if (s3 !== peg$FAILED) {
+                                                    peg$savedPos = s0;
+                                                    s0 = peg$f23(s3);
+                                                  } else {
+                                                    peg$currPos = s0;
+                                                    s0 = peg$FAILED;
+                                                  }
+                                                } else {
+                                                  peg$currPos = s0;
+                                                  s0 = peg$FAILED;
+                                                }
+                                              } else {
+                                                peg$currPos = s0;
+                                                s0 = peg$FAILED;
+                                              }
+                                            }
                                           }
                                         }
                                       }
@@ -1604,7 +1672,7 @@
       peg$currPos++;
     } else {
       s4 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e45); }
+      if (peg$silentFails === 0) { peg$fail(peg$e46); }
     }
     if (s4 !== peg$FAILED) {
       while (s4 !== peg$FAILED) {
@@ -1614,7 +1682,7 @@
           peg$currPos++;
         } else {
           s4 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e45); }
+          if (peg$silentFails === 0) { peg$fail(peg$e46); }
         }
       }
     } else {
@@ -1627,11 +1695,11 @@
     }
     if (s2 !== peg$FAILED) {
       if (input.charCodeAt(peg$currPos) === 61) {
-        s3 = peg$c44;
+        s3 = peg$c45;
         peg$currPos++;
       } else {
         s3 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e46); }
+        if (peg$silentFails === 0) { peg$fail(peg$e47); }
       }
       if (s3 !== peg$FAILED) {
         s4 = peg$currPos;
@@ -1641,7 +1709,7 @@
           peg$currPos++;
         } else {
           s6 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e47); }
+          if (peg$silentFails === 0) { peg$fail(peg$e48); }
         }
         if (s6 !== peg$FAILED) {
           while (s6 !== peg$FAILED) {
@@ -1651,7 +1719,7 @@
               peg$currPos++;
             } else {
               s6 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e47); }
+              if (peg$silentFails === 0) { peg$fail(peg$e48); }
             }
           }
         } else {
@@ -1665,7 +1733,7 @@
         if (s4 !== peg$FAILED) {
           s5 = peg$parse_();
           peg$savedPos = s0;
-          s0 = peg$f23(s2, s4);
+          s0 = peg$f24(s2, s4);
         } else {
           peg$currPos = s0;
           s0 = peg$FAILED;
@@ -1686,26 +1754,26 @@
     let s0, s1, s2, s3;
 
     s0 = peg$currPos;
-    if (input.substr(peg$currPos, 6) === peg$c45) {
-      s1 = peg$c45;
+    if (input.substr(peg$currPos, 6) === peg$c46) {
+      s1 = peg$c46;
       peg$currPos += 6;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e48); }
+      if (peg$silentFails === 0) { peg$fail(peg$e49); }
     }
     if (s1 !== peg$FAILED) {
       peg$savedPos = s0;
-      s1 = peg$f24();
+      s1 = peg$f25();
     }
     s0 = s1;
     if (s0 === peg$FAILED) {
       s0 = peg$currPos;
-      if (input.substr(peg$currPos, 3) === peg$c46) {
-        s1 = peg$c46;
+      if (input.substr(peg$currPos, 3) === peg$c47) {
+        s1 = peg$c47;
         peg$currPos += 3;
       } else {
         s1 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e49); }
+        if (peg$silentFails === 0) { peg$fail(peg$e50); }
       }
       if (s1 !== peg$FAILED) {
         s2 = peg$parse__();
@@ -1719,7 +1787,7 @@
           }
           if (s3 !== peg$FAILED) {
             peg$savedPos = s0;
-            s0 = peg$f25();
+            s0 = peg$f26();
           } else {
             peg$currPos = s0;
             s0 = peg$FAILED;
@@ -1734,12 +1802,12 @@
       }
       if (s0 === peg$FAILED) {
         s0 = peg$currPos;
-        if (input.substr(peg$currPos, 3) === peg$c46) {
-          s1 = peg$c46;
+        if (input.substr(peg$currPos, 3) === peg$c47) {
+          s1 = peg$c47;
           peg$currPos += 3;
         } else {
           s1 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e49); }
+          if (peg$silentFails === 0) { peg$fail(peg$e50); }
         }
         if (s1 !== peg$FAILED) {
           s2 = peg$parse__();
@@ -1753,7 +1821,7 @@
             }
             if (s3 !== peg$FAILED) {
               peg$savedPos = s0;
-              s0 = peg$f26();
+              s0 = peg$f27();
             } else {
               peg$currPos = s0;
               s0 = peg$FAILED;
@@ -1781,7 +1849,7 @@
               s3 = peg$parseinteger();
               if (s3 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f27(s3);
+                s0 = peg$f28(s3);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -1796,12 +1864,12 @@
           }
           if (s0 === peg$FAILED) {
             s0 = peg$currPos;
-            if (input.substr(peg$currPos, 5) === peg$c47) {
-              s1 = peg$c47;
+            if (input.substr(peg$currPos, 5) === peg$c48) {
+              s1 = peg$c48;
               peg$currPos += 5;
             } else {
               s1 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e50); }
+              if (peg$silentFails === 0) { peg$fail(peg$e51); }
             }
             if (s1 !== peg$FAILED) {
               s2 = peg$parse__();
@@ -1809,7 +1877,7 @@
                 s3 = peg$parseinteger();
                 if (s3 !== peg$FAILED) {
                   peg$savedPos = s0;
-                  s0 = peg$f28(s3);
+                  s0 = peg$f29(s3);
                 } else {
                   peg$currPos = s0;
                   s0 = peg$FAILED;
@@ -1872,7 +1940,7 @@
       peg$currPos++;
     } else {
       s2 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e51); }
+      if (peg$silentFails === 0) { peg$fail(peg$e52); }
     }
     if (s2 !== peg$FAILED) {
       while (s2 !== peg$FAILED) {
@@ -1882,7 +1950,7 @@
           peg$currPos++;
         } else {
           s2 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e51); }
+          if (peg$silentFails === 0) { peg$fail(peg$e52); }
         }
       }
     } else {
@@ -1908,7 +1976,7 @@
       peg$currPos++;
     } else {
       s3 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e52); }
+      if (peg$silentFails === 0) { peg$fail(peg$e53); }
     }
     if (s3 !== peg$FAILED) {
       while (s3 !== peg$FAILED) {
@@ -1918,7 +1986,7 @@
           peg$currPos++;
         } else {
           s3 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e52); }
+          if (peg$silentFails === 0) { peg$fail(peg$e53); }
         }
       }
     } else {
@@ -1931,7 +1999,7 @@
     }
     if (s1 !== peg$FAILED) {
       peg$savedPos = s0;
-      s1 = peg$f29(s1);
+      s1 = peg$f30(s1);
     }
     s0 = s1;
 
@@ -1950,7 +2018,7 @@
       peg$currPos++;
     } else {
       s4 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e52); }
+      if (peg$silentFails === 0) { peg$fail(peg$e53); }
     }
     if (s4 !== peg$FAILED) {
       while (s4 !== peg$FAILED) {
@@ -1960,7 +2028,7 @@
           peg$currPos++;
         } else {
           s4 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e52); }
+          if (peg$silentFails === 0) { peg$fail(peg$e53); }
         }
       }
     } else {
@@ -1969,11 +2037,11 @@
     if (s3 !== peg$FAILED) {
       s4 = peg$currPos;
       if (input.charCodeAt(peg$currPos) === 46) {
-        s5 = peg$c48;
+        s5 = peg$c49;
         peg$currPos++;
       } else {
         s5 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e53); }
+        if (peg$silentFails === 0) { peg$fail(peg$e54); }
       }
       if (s5 !== peg$FAILED) {
         s6 = [];
@@ -1982,7 +2050,7 @@
           peg$currPos++;
         } else {
           s7 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e52); }
+          if (peg$silentFails === 0) { peg$fail(peg$e53); }
         }
         if (s7 !== peg$FAILED) {
           while (s7 !== peg$FAILED) {
@@ -1992,7 +2060,7 @@
               peg$currPos++;
             } else {
               s7 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e52); }
+              if (peg$silentFails === 0) { peg$fail(peg$e53); }
             }
           }
         } else {
@@ -2024,25 +2092,25 @@
       s1 = s2;
     }
     if (s1 !== peg$FAILED) {
-      if (input.substr(peg$currPos, 2) === peg$c49) {
-        s2 = peg$c49;
+      if (input.substr(peg$currPos, 2) === peg$c50) {
+        s2 = peg$c50;
         peg$currPos += 2;
       } else {
         s2 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e54); }
+        if (peg$silentFails === 0) { peg$fail(peg$e55); }
       }
       if (s2 === peg$FAILED) {
         if (input.charCodeAt(peg$currPos) === 115) {
-          s2 = peg$c50;
+          s2 = peg$c51;
           peg$currPos++;
         } else {
           s2 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e55); }
+          if (peg$silentFails === 0) { peg$fail(peg$e56); }
         }
       }
       if (s2 !== peg$FAILED) {
         peg$savedPos = s0;
-        s0 = peg$f30(s1, s2);
+        s0 = peg$f31(s1, s2);
       } else {
         peg$currPos = s0;
         s0 = peg$FAILED;
@@ -2064,7 +2132,7 @@
       peg$currPos++;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e56); }
+      if (peg$silentFails === 0) { peg$fail(peg$e57); }
     }
     while (s1 !== peg$FAILED) {
       s0.push(s1);
@@ -2073,7 +2141,7 @@
         peg$currPos++;
       } else {
         s1 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e56); }
+        if (peg$silentFails === 0) { peg$fail(peg$e57); }
       }
     }
 
@@ -2089,7 +2157,7 @@
       peg$currPos++;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e56); }
+      if (peg$silentFails === 0) { peg$fail(peg$e57); }
     }
     if (s1 !== peg$FAILED) {
       while (s1 !== peg$FAILED) {
@@ -2099,7 +2167,7 @@
           peg$currPos++;
         } else {
           s1 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e56); }
+          if (peg$silentFails === 0) { peg$fail(peg$e57); }
         }
       }
     } else {
--- a/scenario/grammar.peggy
+++ b/scenario/grammar.peggy
@@ -31,6 +31,7 @@
 	/ "race" __ "operators" __ operators:integer __ "changes" __ changes:integer { return {kind: "race", operators, changes}; }
 	/ "resend" __ "crashing" __ service:name __ "times" __ times:integer { return {kind: "resendCrashing", service, times}; }
 	/ "expect" __ "ready" __ "within" __ milliseconds:duration { return {kind: "expectReady", milliseconds}; }
+	/ "expect" __ "warm" __ "within" __ milliseconds:duration { return {kind: "expectWarm", milliseconds}; }
 	/ "expect" __ "members" __ number:integer __ "within" __ milliseconds:duration { return {kind: "expectMembers", number, milliseconds}; }
 	/ "check" __ checks:names { return {kind: "check", checks}; }
 
--- a/scenario/runner.ts
+++ b/scenario/runner.ts
@@ -123,7 +123,7 @@
 		watch = setInterval(watchEntries, readinessMilliseconds);
 		await change(() => createDocument(), 'first');
 		await startServers();
-		await waitUntil('every entry is ready and every server is warm', startLimitMilliseconds, async () => {
+		await waitUntil('every entry is ready and every server is known', startLimitMilliseconds, async () => {
 			const status = await getCluster().getStatus();
 			return ready.size === entries && status?.servers.length === servers.size;
 		});
@@ -491,6 +491,14 @@
 				return;
 			}
 
+			case 'expectWarm': {
+				await waitUntil('every server is warm', statement.milliseconds, async () => {
+					const status = await getCluster().getStatus();
+					return status?.servers.every(server => server.state === 'warm') ?? false;
+				});
+				return;
+			}
+
 			case 'expectMembers': {
 				await waitUntil(`there are ${statement.number} voters that all answer`, statement.milliseconds, async () => {
 					const status = await getCluster().getStatus();
--- a/scenario/statement.ts
+++ b/scenario/statement.ts
@@ -22,7 +22,7 @@
 	| {readonly kind: 'service'; readonly name: string; readonly options: readonly Option[]}
 	| {readonly kind: 'start' | 'quiet' | 'heal'}
 	| {readonly kind: 'load'; readonly service: string; readonly rate: number; readonly isKeyed: boolean}
-	| {readonly kind: 'wait' | 'expectReady'; readonly milliseconds: number}
+	| {readonly kind: 'wait' | 'expectReady' | 'expectWarm'; readonly milliseconds: number}
 	| {readonly kind: 'expectMembers'; readonly number: number; readonly milliseconds: number}
 	| {readonly kind: 'process'; readonly verb: ProcessVerb; readonly target: Target}
 	| {readonly kind: 'cut'; readonly from: Target; readonly way: 'both' | 'to' | 'from'}
--- a/source/cold-start/allocator.test.ts
+++ b/source/cold-start/allocator.test.ts
@@ -42,6 +42,26 @@
 
 type Holder = {name: string; sequence: number; acknowledged: number; permit: number; expiresAt: number; inFlight: number[]};
 
+describe('createAllocator: a cold server that announces fewer slots', () => {
+	function doTest(slots: number, expected: {readonly capacity: number; readonly granted: number}): void {
+		const allocator = createAllocator({startedAt: 0, termMilliseconds});
+		allocator.add(server, 0);
+		allocator.report('a', 0, [{
+			server: 7, inFlight: 0, successes: 40, sheds: 0, isCold: false,
+		}], 10);
+		allocator.add({...server, slots}, 20);
+		const [permit] = allocator.grant('a', 1, ['a'], 30);
+		expect({capacity: allocator.getUse(7, 30)!.capacity, granted: permit!.slots}).toEqual(expected);
+	}
+
+	test('carries no more than they are', () => {
+		doTest(2, {capacity: 2, granted: 2});
+	});
+	test('keeps what it has grown to while there are more', () => {
+		doTest(5, {capacity: 5, granted: 5});
+	});
+});
+
 describe('createAllocator: what entries believe they hold', () => {
 	/** Entries that lose grants and answers, run requests up to their deadline, and lose their leases. */
 	function doTest(hasEarlierHolders: boolean, seed: number): void {
--- a/source/cold-start/allocator.ts
+++ b/source/cold-start/allocator.ts
@@ -35,7 +35,7 @@
 
 /** Hands out slots of cold servers. */
 export type Allocator = {
-	/** Adds a cold server. */
+	/** Adds a cold server, or takes the slots that a known one announces now. */
 	add(server: ColdServer, now: number): void;
 	remove(id: number): void;
 	has(id: number): boolean;
@@ -121,7 +121,9 @@
 
 	return {
 		add(server, now) {
-			if (states.has(server.id)) {
+			const known = states.get(server.id);
+			if (known !== undefined) {
+				known.capacity.setSlots(server.slots);
 				return;
 			}
 
--- a/source/cold-start/capacity.ts
+++ b/source/cold-start/capacity.ts
@@ -16,6 +16,8 @@
 /** Capacity of one cold server. */
 export type Capacity = {
 	report(successes: number, sheds: number, now: number): void;
+	/** Takes the slots that the server announces now. */
+	setSlots(slots: number): void;
 	/** Gets the whole slots that the server can carry. */
 	getSlots(now: number): number;
 	isWarm(now: number): boolean;
@@ -23,11 +25,12 @@
 
 /**
  * Creates the capacity of a server that has just started.
- * @param slots - Slots of the warm server.
+ * @param initialSlots - Slots of the warm server.
  * @param easing - How it is eased in.
  * @param startedAt - Start in milliseconds.
  */
-export function createCapacity(slots: number, easing: Easing, startedAt: number): Capacity {
+export function createCapacity(initialSlots: number, easing: Easing, startedAt: number): Capacity {
+	let slots = initialSlots;
 	let carried = Math.min(slots, easing.initialSlots);
 	let successes = 0;
 	let shedAt = startedAt;
@@ -47,6 +50,10 @@
 				shedAt = now;
 			}
 		},
+		setSlots(next) {
+			slots = next;
+			carried = Math.min(slots, carried);
+		},
 		getSlots: now => Math.floor(isWarm(now) ? slots : carried),
 		isWarm,
 	};
--- a/source/ledger/ledger.test.ts
+++ b/source/ledger/ledger.test.ts
@@ -84,6 +84,25 @@
 	});
 });
 
+describe('createLedger: released attempts', () => {
+	function doTest(released: number, expected: number): void {
+		const ledger = createLedger(limits);
+		for (let attempt = 0; attempt < released; attempt++) {
+			ledger.apply(release('k', String(attempt)));
+		}
+
+		expect(ledger.getReleased()).toEqual(expected);
+		expect(ledger.apply(claim('k', String(released - 1))).kind).toEqual('released');
+	}
+
+	test('are remembered', () => {
+		doTest(2, 2);
+	});
+	test('are bounded, and the newest are kept', () => {
+		doTest(100, limits.maximumClaims);
+	});
+});
+
 describe('createLedger: any order of commands', () => {
 	test('lets at most one attempt of a key be dispatched', () => {
 		const attempt = fc.constantFrom('1', '2', '3');
--- a/source/ledger/ledger.ts
+++ b/source/ledger/ledger.ts
@@ -50,6 +50,7 @@
 /** Bounds of a ledger. */
 export type LedgerLimits = {
 	readonly retentionMilliseconds: number;
+	/** Claims that are kept, and also released attempts that are remembered. */
 	readonly maximumClaims: number;
 	/** Bytes of stored answers over all claims. */
 	readonly maximumStoredBytes: number;
@@ -74,6 +75,8 @@
 	/** Applies a committed command. */
 	apply(command: LedgerCommand): LedgerAnswer;
 	getSize(): number;
+	/** Gets the number of released attempts that are remembered. */
+	getReleased(): number;
 	getStoredBytes(): number;
 	getImage(): LedgerImage;
 	restore(image: LedgerImage): void;
@@ -145,13 +148,23 @@
 		return {kind: 'done'};
 	}
 
+	/** Remembers a released attempt; over the bound the oldest is forgotten, whose late claim would only hold its key. */
+	function remember(attempt: string, at: number): void {
+		releases.delete(attempt);
+		releases.set(attempt, at);
+		if (releases.size > limits.maximumClaims) {
+			const [oldest] = releases.keys();
+			releases.delete(oldest!);
+		}
+	}
+
 	function release(command: LedgerCommand & {readonly kind: 'release'}): LedgerAnswer {
 		const existing = claims.get(command.key);
 		if (existing?.attempt === command.attempt && existing.state === 'claimed') {
 			remove(existing);
 		}
 
-		releases.set(command.attempt, command.at);
+		remember(command.attempt, command.at);
 		return {kind: 'done'};
 	}
 
@@ -173,6 +186,7 @@
 			}
 		},
 		getSize: () => claims.size,
+		getReleased: () => releases.size,
 		getStoredBytes: () => storedBytes,
 		getImage: () => ({
 			claims: [...claims.values()],
