Confirm leases with heartbeats; carry unchanged announcements in renewals

Profile of the leader: each of 30 renewals a second started a round of its own (2 appends out, 2 answers in), and each of 35 announcements was a request and a reply; a write to a socket costs more than the decisions (173 of 811 ms in writeBuffer). Change: questions whether a replica leads are urgent (operators' reads, crash reports) or wait for the next heartbeat (renewals); rounds are a module of their own (confirmation.ts).

--- a/source/announcement/registry.ts
+++ b/source/announcement/registry.ts
@@ -55,6 +55,17 @@
 	return `${announcement.service}/${announcement.name}`;
 }
 
+/**
+ * Checks whether an announcement changes anything that binds.
+ * @param known - What is known of the server.
+ * @param announcement - What the server says now.
+ */
+export function isTransition(known: Pick<RegisteredServer, 'announcement' | 'state'>, announcement: Announcement): boolean {
+	return known.announcement.boot !== announcement.boot
+		|| (announcement.state === 'leaving' && known.state !== 'leaving')
+		|| !isSamePlace(known.announcement, announcement);
+}
+
 /** Creates an empty registry. */
 export function createRegistry(): Registry {
 	let servers = new Map<ServerKey, RegisteredServer>();
@@ -135,9 +146,7 @@
 		},
 		isTransition(announcement) {
 			const known = servers.get(getServerKey(announcement));
-			return known?.announcement.boot !== announcement.boot
-				|| (announcement.state === 'leaving' && known.state !== 'leaving')
-				|| !isSamePlace(known.announcement, announcement);
+			return known === undefined || isTransition(known, announcement);
 		},
 		get: key => Maybe.of(servers.get(key)),
 		getById: id => Maybe.of(byId.get(id)),
--- a/source/choice/candidate.ts
+++ b/source/choice/candidate.ts
@@ -31,6 +31,8 @@
 	readonly id: number;
 	getAnnouncement(): Announcement;
 	getState(): ServerState;
+	/** Checks whether the server has been silent or fails its probes. */
+	isAbsent(): boolean;
 	/** Replaces what the control hosts say of the server. */
 	update(announcement: Announcement, state: ServerState, isAbsent: boolean): void;
 	setPermit(slots: number): void;
@@ -113,6 +115,7 @@
 		id,
 		getAnnouncement: () => announcement,
 		getState: () => state,
+		isAbsent: () => isAbsent,
 		update(nextAnnouncement, nextState, nextIsAbsent) {
 			if (state === 'cold' && nextState === 'warm') {
 				localLimit = Number.POSITIVE_INFINITY;
--- a/source/consensus/exploration.test.ts
+++ b/source/consensus/exploration.test.ts
@@ -215,7 +215,7 @@
 		} else if (kind < 95) {
 			const token = nextToken++;
 			asked.set(`${node.id} ${token}`, getHighestCommitted());
-			handle(node, {kind: 'confirm', token});
+			handle(node, {kind: 'confirm', token, isUrgent: token % 2 === 0});
 		} else if (kind < 97) {
 			handle(node, {kind: 'compact', index: node.applied, data: node.applied});
 		} else if (kind < 98) {
--- a/source/consensus/message.ts
+++ b/source/consensus/message.ts
@@ -96,7 +96,7 @@
 		| {readonly kind: 'persisted'; readonly lastIndex: number; readonly lastTerm: number}
 		| {readonly kind: 'propose'; readonly payload: Payload}
 	/** Asks for proof that this replica led at some time after this event. */
-		| {readonly kind: 'confirm'; readonly token: number}
+		| {readonly kind: 'confirm'; readonly token: number; readonly isUrgent: boolean}
 		| {readonly kind: 'transfer'; readonly to: string}
 	/** The state machine's contents up to an applied index, to replace the log's head. */
 		| {readonly kind: 'compact'; readonly index: number; readonly data: unknown};
--- a/source/consensus/replica.test.ts
+++ b/source/consensus/replica.test.ts
@@ -64,7 +64,7 @@
 		replica.handle(receive('b', {
 			kind: 'appended', term: 1, isSuccess: true, index: 1, round: 0,
 		}), 210);
-		replica.handle({kind: 'confirm', token: 9}, 220);
+		replica.handle({kind: 'confirm', token: 9, isUrgent: true}, 220);
 		const actions = replica.handle(receive('b', {
 			kind: 'appended', term: 1, isSuccess: true, index: 1, round,
 		}), 230);
@@ -80,6 +80,29 @@
 	});
 });
 
+describe('createReplica: questions that can wait', () => {
+	function doTest(isUrgent: boolean, expected: readonly [asked: number, atHeartbeat: number]): void {
+		const replica = createOne(0, []);
+		elect(replica);
+		replica.handle({kind: 'persisted', lastIndex: 1, lastTerm: 1}, 210);
+		replica.handle(receive('b', {
+			kind: 'appended', term: 1, isSuccess: true, index: 1, round: 0,
+		}), 210);
+		const countRounds = (actions: readonly Action[]): number => actions.filter(action => action.kind === 'send' && action.message.kind === 'append' && action.message.round === 1).length;
+		const asked = countRounds(replica.handle({kind: 'confirm', token: 9, isUrgent}, 212));
+		replica.handle({kind: 'confirm', token: 10, isUrgent}, 213);
+		const atHeartbeat = countRounds(replica.handle({kind: 'tick'}, 260));
+		expect([asked, atHeartbeat]).toEqual([...expected]);
+	}
+
+	test('are asked with the next heartbeat', () => {
+		doTest(false, [0, 2]);
+	});
+	test('are asked at once when they are urgent', () => {
+		doTest(true, [2, 0]);
+	});
+});
+
 describe('createReplica: actions', () => {
 	function doTest(event: ReplicaEvent, context: TestContext): void {
 		const replica = createOne(1, [{index: 1, term: 1, payload: {kind: 'noOperation'}}]);
@@ -115,6 +138,6 @@
 	});
 
 	test('a confirmation asked of a follower is refused', t => {
-		doTest({kind: 'confirm', token: 7}, t);
+		doTest({kind: 'confirm', token: 7, isUrgent: true}, t);
 	});
 });
--- a/source/consensus/replica.ts
+++ b/source/consensus/replica.ts
@@ -4,6 +4,7 @@
  * sends. Elections use pre-vote; a leader that hears from no quorum for an election
  * timeout steps down; confirmation rounds prove leadership for leases and reads.
  */
+import {createConfirmations} from './confirmation.js';
 import {createLog, type Log} from './log.js';
 import {
 	type Action, type HardState, type LogEntry, type Membership, type Payload, type ReplicaEvent, type ReplicaMessage, type Role, type Snapshot,
@@ -48,8 +49,6 @@
 	getTimeoutAt(): number;
 };
 
-type Confirmation = {readonly token: number; readonly round: number};
-
 /**
  * Creates a replica from its durable state.
  * @param options - Identity, durable state and timing.
@@ -71,8 +70,7 @@
 	let votes = new Set<string>();
 	let progress = new Map<string, Progress>();
 	let termStartIndex = 0;
-	let round = 0;
-	let confirmations: Confirmation[] = [];
+	const confirmations = createConfirmations();
 	let transferTo: string | undefined;
 	let transferUntil = 0;
 	let actions: Action[] = [];
@@ -140,11 +138,9 @@
 	}
 
 	function rejectConfirmations(): void {
-		for (const {token} of confirmations) {
+		for (const token of confirmations.reject()) {
 			act({kind: 'unconfirmed', token});
 		}
-
-		confirmations = [];
 	}
 
 	function startPreVote(): void {
@@ -193,7 +189,6 @@
 	function becomeLeader(): void {
 		changeRole('leader', id);
 		progress = new Map(getOthers().map(member => [member, createProgress(log.getLastIndex() + 1, now)]));
-		confirmations = [];
 		transferTo = undefined;
 		termStartIndex = log.getLastIndex() + 1;
 		append({kind: 'noOperation'});
@@ -246,7 +241,7 @@
 		state.nextIndex += entries.length;
 		state.sentAt = now;
 		send(member, {
-			kind: 'append', term, previousIndex, previousTerm, entries, commitIndex, round,
+			kind: 'append', term, previousIndex, previousTerm, entries, commitIndex, round: confirmations.getRound(),
 		}, false);
 	}
 
@@ -257,7 +252,7 @@
 
 		state.installAt = now;
 		send(member, {
-			kind: 'install', term, snapshot, round,
+			kind: 'install', term, snapshot, round: confirmations.getRound(),
 		}, false);
 	}
 
@@ -465,44 +460,41 @@
 		}
 	}
 
-	function confirm(token: number): void {
+	function confirm(token: number, isUrgent: boolean): void {
 		if (role !== 'leader' || transferTo !== undefined) {
 			act({kind: 'unconfirmed', token});
 			return;
 		}
 
-		const isIdle = confirmations.length === 0;
-		confirmations.push({token, round: round + 1});
-		if (isIdle) {
+		confirmations.ask(token, isUrgent);
+		startRoundWhenDue();
+	}
+
+	function startRoundWhenDue(): void {
+		if (confirmations.isRoundDue()) {
 			startRound();
 		}
 	}
 
 	function startRound(): void {
-		round++;
+		confirmations.startRound();
 		broadcast();
 		settleConfirmations();
 	}
 
 	function settleConfirmations(): void {
-		if (confirmations.length === 0 || commitIndex < termStartIndex) {
-			return;
-		}
-
-		const answered = [...membership.voters].map(voter => voter === id ? round : progress.get(voter)?.round ?? 0).toSorted((left, right) => right - left);
-		const confirmedRound = answered[Math.floor(membership.voters.length / 2)] ?? 0;
-		const settled = confirmations.filter(confirmation => confirmation.round <= confirmedRound);
-		if (settled.length === 0) {
+		if (commitIndex < termStartIndex) {
 			return;
 		}
 
-		confirmations = confirmations.filter(confirmation => confirmation.round > confirmedRound);
-		for (const {token} of settled) {
+		const answered = membership.voters.map(voter => voter === id ? confirmations.getRound() : progress.get(voter)?.round ?? 0).toSorted((left, right) => right - left);
+		const settled = confirmations.settle(answered[Math.floor(membership.voters.length / 2)] ?? 0);
+		for (const token of settled) {
 			act({kind: 'confirmed', token, index: commitIndex});
 		}
 
-		if (confirmations.length > 0 && confirmations.every(confirmation => confirmation.round > round)) {
-			startRound();
+		if (settled.length > 0) {
+			startRoundWhenDue();
 		}
 	}
 
@@ -563,7 +555,11 @@
 
 		if (now >= heartbeatAt) {
 			resendUnanswered();
-			broadcast();
+			if (confirmations.isRoundWanted()) {
+				startRound();
+			} else {
+				broadcast();
+			}
 		}
 	}
 
@@ -658,7 +654,7 @@
 			}
 
 			case 'confirm': {
-				confirm(event.token);
+				confirm(event.token, event.isUrgent);
 				return;
 			}
 
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -176,7 +176,7 @@
 	async function renew(link: Link<ControlInbound>, renewal: Renewal): Promise<void> {
 		const receivedAt = performance.now();
 		const current = leadership;
-		const isConfirmed = current !== undefined && await driver.confirm();
+		const isConfirmed = current !== undefined && await driver.confirm(false);
 		if (isConfirmed && leadership === current) {
 			renewals.inc({outcome: 'granted'});
 			link.send(current.grant(renewal, receivedAt, performance.now()));
--- a/source/control/driver.ts
+++ b/source/control/driver.ts
@@ -36,8 +36,8 @@
 	receive(from: string, message: ReplicaMessage): void;
 	propose(command: Command): Promise<Proposed>;
 	proposeMembership(membership: Membership): void;
-	/** Resolves to whether this replica led at some time after the call. */
-	confirm(): Promise<boolean>;
+	/** Resolves to whether this replica led at some time after the call: at once when urgent, else with the next heartbeat. */
+	confirm(isUrgent: boolean): Promise<boolean>;
 	transfer(to: string): void;
 	getSyncs(): number;
 	stop(): Promise<void>;
@@ -272,11 +272,11 @@
 		proposeMembership(membership) {
 			feed({kind: 'propose', payload: {kind: 'membership', membership}});
 		},
-		async confirm() {
+		async confirm(isUrgent) {
 			const token = nextToken++;
 			return new Promise<boolean>(resolve => {
 				confirmations.set(token, resolve);
-				feed({kind: 'confirm', token});
+				feed({kind: 'confirm', token, isUrgent});
 			});
 		},
 		transfer(to) {
--- a/source/control/leader.ts
+++ b/source/control/leader.ts
@@ -88,7 +88,7 @@
 	}
 
 	async function read(toAnswer: (leadership: Leadership) => ControlAnswer): Promise<ControlAnswer> {
-		const isConfirmed = await driver.confirm();
+		const isConfirmed = await driver.confirm(true);
 		const leadership = getLeadership();
 		return isConfirmed && leadership !== undefined ? toAnswer(leadership) : getNotLeader();
 	}
--- a/source/control/leadership.test.ts
+++ b/source/control/leadership.test.ts
@@ -35,9 +35,9 @@
 	};
 }
 
-function renew(leadership: Leadership, sequence: number, now: number, last?: Grant): Grant {
+function renew(leadership: Leadership, sequence: number, now: number, last?: Grant, heard: readonly number[] = []): Grant {
 	const renewal: Renewal = {
-		kind: 'renewal', entry: 'e1', environment: 'production', sequence, acknowledged: last?.sequence ?? 0, version: last?.version ?? 0, epoch: last?.epoch ?? 0, revision: last?.revision ?? 0, observations: [], failedProbes: [], crashes: [], peer: undefined, isFinal: false,
+		kind: 'renewal', entry: 'e1', environment: 'production', sequence, acknowledged: last?.sequence ?? 0, version: last?.version ?? 0, epoch: last?.epoch ?? 0, revision: last?.revision ?? 0, observations: [], failedProbes: [], heard, crashes: [], peer: undefined, isFinal: false,
 	};
 	return leadership.grant(renewal, now, now);
 }
@@ -106,3 +106,26 @@
 		doTest(3501, true);
 	});
 });
+
+describe('createLeadership: servers that entries heard', () => {
+	function doTest(heard: readonly number[], expected: readonly boolean[]): void {
+		const {leadership} = start();
+		const first = renew(leadership, 1, 10);
+		for (let sequence = 2; sequence < 10; sequence++) {
+			renew(leadership, sequence, sequence * 1000, first, heard);
+			leadership.tick((sequence * 1000) + 1);
+		}
+
+		expect(leadership.getServers(9002).map(server => server.isAbsent)).toEqual([...expected]);
+	}
+
+	test('are present', () => {
+		doTest([1], [false]);
+	});
+	test('are absent when no entry hears them', () => {
+		doTest([], [true]);
+	});
+	test('do not come back when the registry has dropped them', () => {
+		doTest([99], [true]);
+	});
+});
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -150,6 +150,19 @@
 			failedProbes.set(id, (failedProbes.get(id) ?? 0) + 1);
 			refreshPresence(id, now);
 		}
+
+		for (const id of renewal.heard) {
+			hear(id, now);
+		}
+	}
+
+	/** Notes that a server announced itself; one that is gone from the registry stays gone. */
+	function hear(id: number, now: number): void {
+		if (machine.registry.getById(id).isJust) {
+			presence.heard(id, now);
+			failedProbes.delete(id);
+			refreshPresence(id, now);
+		}
 	}
 
 	function refreshPresence(id: number, now: number): void {
@@ -269,11 +282,7 @@
 
 			urgency++;
 		},
-		heard(id, now) {
-			presence.heard(id, now);
-			failedProbes.delete(id);
-			refreshPresence(id, now);
-		},
+		heard: hear,
 		reportCrash(fingerprint, server, now) {
 			const count = quarantine.report(fingerprint, server, now);
 			urgency++;
--- a/source/entry/admin.ts
+++ b/source/entry/admin.ts
@@ -2,17 +2,16 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {type Registry} from 'prom-client';
-import {announcementSchema} from '../announcement/index.js';
-import {type ControlClient} from '../control-client/index.js';
+import {announcementSchema, type Announcement} from '../announcement/index.js';
 import {answerJson, readJson} from '../control/http.js';
+import {type ControlAnswer} from '../control/message.js';
 import {checkValue} from '../settings/index.js';
 
 const maximumAnnouncementBytes = 16_384;
-const announceMilliseconds = 3000;
 
 /** What the interface needs from its entry. */
 export type AdminOptions = {
-	readonly client: ControlClient;
+	announce(announcement: Announcement): Promise<ControlAnswer>;
 	readonly metrics: Registry;
 	isReady(): boolean;
 	getVersion(): number;
@@ -32,7 +31,7 @@
 			return;
 		}
 
-		const answer = await options.client.submit({kind: 'announce', announcement: checked.value}, announceMilliseconds);
+		const answer = await options.announce(checked.value);
 		answerJson(response, answer.kind === 'announced' ? 200 : 503, answer);
 	}
 
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -16,6 +16,7 @@
 import {listen} from '../wire/index.js';
 import {answerVerdict} from './answer.js';
 import {createAdmin} from './admin.js';
+import {createAnnouncements} from './announcements.js';
 import {answerCall, type CallContext} from './call.js';
 import {createClaims} from './claims.js';
 import {createFleet} from './fleet.js';
@@ -75,6 +76,9 @@
 	const prober = createProber({
 		fleet, mayProbe: now => keeper.holder.isValid(now), probed: metrics.probed,
 	});
+	const announcements = createAnnouncements({
+		fleet, getClient: () => client, isLeaseValid: () => keeper.holder.isValid(performance.now()),
+	});
 	const started = await startExchange();
 	const keeper = keepLease({
 		entry: settings.name,
@@ -84,6 +88,7 @@
 		getClient: () => client,
 		takeObservations: fleet.takeObservations,
 		takeFailedProbes: prober.takeFailed,
+		takeHeard: announcements.takeHeard,
 		enforce,
 		quarantine(fingerprints) {
 			suspects.setQuarantined(fingerprints);
@@ -227,7 +232,7 @@
 	});
 
 	const admin = createAdmin({
-		client, metrics: metrics.registry, isReady, getVersion: () => keeper.holder.getVersion(), getExpiresAt: () => keeper.holder.getExpiresAt(),
+		announce: announcements.take, metrics: metrics.registry, isReady, getVersion: () => keeper.holder.getVersion(), getExpiresAt: () => keeper.holder.getExpiresAt(),
 	});
 	const adminServer = createServer((request, response) => {
 		void admin(request, response);
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -2,6 +2,7 @@
  * The servers that an entry may use, by service: what the control hosts say of
  * them, joined with what the entry and its peers see.
  */
+import {getServerKey, type ServerKey} from '../announcement/index.js';
 import {
 	createCandidate, createChooser, type Candidate, type Chooser,
 } from '../choice/index.js';
@@ -43,6 +44,8 @@
 	getState(service: string): ServiceState | undefined;
 	getStates(): Iterable<ServiceState>;
 	get(id: number): FleetServer | undefined;
+	/** Gets a server by its name in its service. */
+	getByKey(key: ServerKey): Candidate | undefined;
 	getServers(): Iterable<FleetServer>;
 	/** Gets what the entry saw of cold, suspect and shedding servers since the last call. */
 	takeObservations(): readonly Observation[];
@@ -87,6 +90,7 @@
  */
 export function createFleet(random: Random): Fleet {
 	const servers = new Map<number, FleetServer>();
+	const byKey = new Map<ServerKey, Candidate>();
 	const states = new Map<string, MutableState>();
 	let document: EnvironmentDocument | undefined;
 	let entries = 1;
@@ -116,10 +120,19 @@
 		const server = servers.get(id);
 		if (server !== undefined) {
 			servers.delete(id);
+			forgetKey(server.candidate);
 			closeWhenIdle(server);
 		}
 	}
 
+	/** Forgets a boot of a server unless a newer boot has its name. */
+	function forgetKey(candidate: Candidate): void {
+		const key = getServerKey(candidate.getAnnouncement());
+		if (byKey.get(key) === candidate) {
+			byKey.delete(key);
+		}
+	}
+
 	function put(view: ServerView): void {
 		const {id, announcement, state, isAbsent} = view;
 		const known = servers.get(id);
@@ -131,6 +144,7 @@
 		const candidate = createCandidate(id, announcement, state);
 		candidate.update(announcement, state, isAbsent);
 		candidate.setConnectionShare(getConnectionShare(announcement.connections));
+		byKey.set(getServerKey(announcement), candidate);
 		servers.set(id, {candidate, pool: createPool(announcement.host, announcement.port, announcement.connections)});
 	}
 
@@ -196,6 +210,7 @@
 		getState: service => states.get(service),
 		getStates: () => states.values(),
 		get: id => servers.get(id),
+		getByKey: key => byKey.get(key),
 		getServers: () => servers.values(),
 		takeObservations() {
 			const observations: Observation[] = [];
--- a/source/entry/lease-keeper.ts
+++ b/source/entry/lease-keeper.ts
@@ -32,6 +32,7 @@
 	getClient(): ControlClient;
 	takeObservations(): readonly Observation[];
 	takeFailedProbes(): readonly number[];
+	takeHeard(): readonly number[];
 	/** Puts a grant in force; runs before the grant is acknowledged. */
 	enforce(grant: Grant): void;
 	/** Takes the fingerprints that are refused. */
@@ -68,6 +69,7 @@
 			revision: holder.getRevision(),
 			observations: options.takeObservations(),
 			failedProbes: options.takeFailedProbes(),
+			heard: options.takeHeard(),
 			crashes: [],
 			peer: options.peer,
 			isFinal,
--- a/source/lease/lease.test.ts
+++ b/source/lease/lease.test.ts
@@ -60,7 +60,7 @@
 describe('createLeaseBook', () => {
 	function renewal(entry: string, version: number, isFinal = false): Renewal {
 		return {
-			kind: 'renewal', entry, environment: 'production', sequence: 1, acknowledged: 0, version, epoch: 1, revision: 0, observations: [], failedProbes: [], crashes: [], peer: undefined, isFinal,
+			kind: 'renewal', entry, environment: 'production', sequence: 1, acknowledged: 0, version, epoch: 1, revision: 0, observations: [], failedProbes: [], heard: [], crashes: [], peer: undefined, isFinal,
 		};
 	}
 
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -36,6 +36,8 @@
 	readonly revision: number;
 	readonly observations: readonly Observation[];
 	readonly failedProbes: readonly number[];
+	/** Servers that announced themselves at the entry, unchanged, since its last renewal. */
+	readonly heard: readonly number[];
 	readonly crashes: readonly CrashCount[];
 	readonly peer: PeerAddress | undefined;
 	/** Whether the entry is stopping and hands everything back. */
