Make a grant, the leader's tick and a changed server cost what they concern

Cause: the slopes bench has them grow with all servers: a grant walked all servers three times (probed, wanted, held duties), the tick walked all twice, a changed server rebuilt the candidates of every service in an entry. Also, found by reading: slots of a lost holder came back after the deadline that was in force when the server joined, also when the document had raised it since; a test failed first.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -96,6 +96,10 @@
 	const leadership = createLeadership({
 		epoch: 2, startedAt: -10_000, termMilliseconds, machine, getWallClock: () => 0,
 	});
+	for (let id = 1; id <= servers; id++) {
+		leadership.heard(id, 0);
+	}
+
 	let sequence = 0;
 	const first = new Map<string, Grant>();
 	for (let entry = 0; entry < entries; entry++) {
--- a/source/cold-start/allocator.ts
+++ b/source/cold-start/allocator.ts
@@ -27,7 +27,7 @@
 };
 
 type ColdState = {
-	readonly server: ColdServer;
+	server: ColdServer;
 	readonly capacity: Capacity;
 	readonly holdings: Map<string, Holding>;
 	readonly openAt: number;
@@ -35,7 +35,7 @@
 
 /** Hands out slots of cold servers. */
 export type Allocator = {
-	/** Adds a cold server, or takes the slots that a known one announces now. */
+	/** Adds a cold server, or takes the slots and the longest deadline that a known one has now. */
 	add(server: ColdServer, now: number): void;
 	remove(id: number): void;
 	has(id: number): boolean;
@@ -124,6 +124,8 @@
 			const known = states.get(server.id);
 			if (known !== undefined) {
 				known.capacity.setSlots(server.slots);
+				// Requests that were sent under a longer deadline may still be running.
+				known.server = {...server, deadlineMilliseconds: Math.max(server.deadlineMilliseconds, known.server.deadlineMilliseconds)};
 				return;
 			}
 
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -319,6 +319,8 @@
 	subscription.add(driver.applied.subscribe(answer => {
 		if (answer.area === 'registry') {
 			leadership?.serversChanged(answer.changed, performance.now());
+		} else if (answer.area === 'configuration') {
+			leadership?.documentChanged(performance.now());
 		}
 	}));
 	subscription.add(interval(housekeepingMilliseconds).subscribe(keepHouse));
--- a/source/control/leader.ts
+++ b/source/control/leader.ts
@@ -134,7 +134,7 @@
 			claims: machine.ledger.getSize(),
 			quarantined: leadership.getQuarantined(now),
 			measuring: {
-				planned: leadership.getPlannedProbes(now),
+				planned: leadership.getPlannedProbes(),
 				budget: current.isJust ? current.value.document.measuring.probesPerSecond : 0,
 			},
 		};
--- a/source/control/leadership.test.ts
+++ b/source/control/leadership.test.ts
@@ -35,11 +35,14 @@
 	};
 }
 
-function renew(leadership: Leadership, sequence: number, now: number, last?: Grant, heard: readonly number[] = []): Grant {
-	const renewal: Renewal = {
+function getRenewal(sequence: number, last: Grant | undefined, heard: readonly number[]): Renewal {
+	return {
 		kind: 'renewal', entry: 'e1', environment: 'production', sequence, acknowledged: last?.sequence ?? 0, version: last?.version ?? 0, epoch: last?.epoch ?? 0, revision: last?.revision ?? 0, observations: [], failedProbes: [], heard, crashes: [], peer: undefined, isFinal: false,
 	};
-	return leadership.grant(renewal, now, now);
+}
+
+function renew(leadership: Leadership, sequence: number, now: number, last?: Grant, heard: readonly number[] = []): Grant {
+	return leadership.grant(getRenewal(sequence, last, heard), now, now);
 }
 
 describe('createLeadership: what an earlier leader may have given', () => {
@@ -107,6 +110,34 @@
 	});
 });
 
+describe('createLeadership: a deadline that is raised while a server is cold', () => {
+	function doTest(raised: number, at: number, expected: readonly number[]): void {
+		const {machine, leadership} = start();
+		announce(machine, leadership, getAnnouncement('new'), 10);
+		renew(leadership, 1, 20);
+		machine.apply({
+			area: 'configuration', command: {
+				kind: 'apply', environment: 'production', base: 1, change: 'raised', author: 'a', at: 0, document: documentSchema.parse({zones: [{name: 'north'}], services: [{name: 'stock', deadlineMilliseconds: raised}]}),
+			},
+		});
+		leadership.documentChanged(30);
+		leadership.tick(20 + termMilliseconds + 1);
+		const grant = leadership.grant({...getRenewal(1, undefined, []), entry: 'e2'}, at, at);
+		expect(grant.permits.map(permit => permit.server).filter(server => server !== 1)).toEqual([...expected]);
+	}
+
+	const lostAt = 20 + termMilliseconds + 1;
+	test('keeps the slots of a lost holder until the longer one is over', () => {
+		doTest(5000, lostAt + deadlineMilliseconds + 1, []);
+	});
+	test('gives them back after it', () => {
+		doTest(5000, lostAt + 5001, [2]);
+	});
+	test('keeps the longer one when it is lowered', () => {
+		doTest(50, lostAt + 51, []);
+	});
+});
+
 describe('createLeadership: servers that entries heard', () => {
 	function doTest(heard: readonly number[], expected: readonly boolean[]): void {
 		const {leadership} = start();
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -16,6 +16,7 @@
 import {createQuarantine, type Quarantine} from '../quarantine/index.js';
 import {type EntryStatus, type ServerStatus} from './message.js';
 import {type Machine} from './machine.js';
+import {createServerViews} from './views.js';
 
 /** Silence after which a server counts as absent, in milliseconds. */
 const absenceMilliseconds = 3500;
@@ -28,12 +29,15 @@
 
 const unknownDeadlineMilliseconds = 60_000;
 const failedProbesUntilAbsent = 3;
+const millisecondsPerSecond = 1000;
 
 /** One leadership. */
 export type Leadership = {
 	readonly epoch: number;
 	/** Grants a lease; call it only when leadership was confirmed after the receipt. */
 	grant(renewal: Renewal, receivedAt: number, now: number): Grant;
+	/** Takes a committed change of the documents. */
+	documentChanged(now: number): void;
 	/** Takes the servers that a committed command changed. */
 	serversChanged(servers: readonly RegisteredServer[], now: number): void;
 	/** Notes that a server announced itself. */
@@ -46,7 +50,7 @@
 	getEntries(now: number): readonly EntryStatus[];
 	getServers(now: number): readonly ServerStatus[];
 	getQuarantined(now: number): readonly string[];
-	getPlannedProbes(now: number): number;
+	getPlannedProbes(): number;
 	/** Gets a number that rises whenever entries should renew at once. */
 	getUrgency(): number;
 };
@@ -61,8 +65,6 @@
 	getWallClock(): number;
 };
 
-type Change = {readonly revision: number; readonly view: ServerView};
-
 /**
  * Creates the soft state of a new leader.
  * @param options - Consensus term, start and the state machine.
@@ -72,15 +74,15 @@
 	const book: LeaseBook = createLeaseBook(startedAt, termMilliseconds);
 	const allocator: Allocator = createAllocator({startedAt, termMilliseconds});
 	const duties: Duties = createDuties();
-	const presence = createPresence(startedAt, absenceMilliseconds);
+	const presence = createPresence(startedAt, absenceMilliseconds, [...machine.registry.getAll()].map(server => server.id));
 	const quarantine: Quarantine = createQuarantine();
-	const changes = new Map<number, Change>();
+	const views = createServerViews();
 	const inherited = new Set<number>();
 	const failedProbes = new Map<number, number>();
 	const proposed = new Map<number, number>();
 	const cooled = new Set<number>();
 	const ended = new Set<string>();
-	let revision = 0;
+	let areInheritedOpen = false;
 	let urgency = 0;
 
 	for (const server of machine.registry.getAll()) {
@@ -117,17 +119,12 @@
 	}
 
 	function touch(server: RegisteredServer, now: number): void {
-		const current = machine.registry.getById(server.id);
-		revision++;
-		changes.set(server.id, {
-			revision,
-			view: {
-				id: server.id,
-				announcement: server.announcement,
-				state: server.state,
-				isAbsent: isAbsent(server.id, now),
-				isRemoved: current.isNothing,
-			},
+		views.put({
+			id: server.id,
+			announcement: server.announcement,
+			state: server.state,
+			isAbsent: isAbsent(server.id, now),
+			isRemoved: machine.registry.getById(server.id).isNothing,
 		});
 	}
 
@@ -167,8 +164,8 @@
 
 	function refreshPresence(id: number, now: number): void {
 		const server = machine.registry.getById(id);
-		const known = changes.get(id);
-		if (server.isJust && known !== undefined && known.view.isAbsent !== isAbsent(id, now)) {
+		const known = views.get(id);
+		if (server.isJust && known !== undefined && known.isAbsent !== isAbsent(id, now)) {
 			touch(server.value, now);
 		}
 	}
@@ -177,21 +174,36 @@
 		return book.getLive(now).filter(holder => holder.environment === environment).map(holder => holder.entry).toSorted();
 	}
 
-	function getProbed(now: number): readonly number[] {
-		const isOpen = now - startedAt >= termMilliseconds;
-		return [...machine.registry.getAll()]
-			.filter(server => server.state !== 'leaving' && (isOpen || !inherited.has(server.id)))
-			.map(server => server.id);
+	/** Opens the duties of servers that an earlier leader knew, once its leases have ended. */
+	function openInherited(now: number): void {
+		if (areInheritedOpen || now - startedAt < termMilliseconds) {
+			return;
+		}
+
+		areInheritedOpen = true;
+		for (const server of machine.registry.getAll()) {
+			setProbed(server);
+		}
 	}
 
-	function getViews(renewal: Renewal): readonly ServerView[] {
-		const isWhole = renewal.epoch !== options.epoch;
-		if (!isWhole && renewal.revision >= revision) {
-			return [];
+	function setProbed(server: RegisteredServer): void {
+		const isCurrent = machine.registry.getById(server.id).isJust;
+		const isOpen = areInheritedOpen || !inherited.has(server.id);
+		if (isCurrent && isOpen && server.state !== 'leaving') {
+			duties.add(server.id);
+		} else {
+			duties.remove(server.id);
 		}
+	}
+
+	/** Sets who probes: the entries of production, or those of the trial while there are none. */
+	function setProbers(live: readonly string[], now: number): void {
+		const production = getLiveNames('production', now);
+		duties.setProbers(production.length > 0 ? production : live);
+	}
 
-		const wanted = [...changes.values()].filter(change => isWhole ? !change.view.isRemoved : change.revision > renewal.revision);
-		return wanted.map(change => change.view);
+	function getViews(renewal: Renewal): readonly ServerView[] {
+		return renewal.epoch === options.epoch ? views.getSince(renewal.revision) : views.getWhole();
 	}
 
 	function findCooled(renewal: Renewal): void {
@@ -209,10 +221,10 @@
 			commands.push({kind: 'warmed', id, at});
 		}
 
-		for (const server of machine.registry.getAll()) {
-			const allowed = server.state === 'leaving' ? leavingRemovalMilliseconds : removalMilliseconds;
-			if (presence.getSilence(server.id, now) > allowed) {
-				commands.push({kind: 'removed', id: server.id, at});
+		for (const id of presence.getAbsent(now)) {
+			const isLeaving = machine.registry.getById(id).map(server => server.state === 'leaving').unwrapOr(false);
+			if (presence.getSilence(id, now) > (isLeaving ? leavingRemovalMilliseconds : removalMilliseconds)) {
+				commands.push({kind: 'removed', id, at});
 			}
 		}
 
@@ -239,27 +251,33 @@
 			endLeases(now);
 			observe(renewal, now);
 			findCooled(renewal);
+			openInherited(now);
 			const live = getLiveNames(renewal.environment, now);
+			setProbers(live, now);
 			const document = getDocument(renewal.environment);
 			const version = machine.register.getCurrentNumber(renewal.environment);
-			const probed = getProbed(now);
 			return {
 				kind: 'grant',
 				sequence: renewal.sequence,
 				termMilliseconds,
 				epoch: options.epoch,
-				revision,
+				revision: views.getRevision(),
 				isWhole: renewal.epoch !== options.epoch,
 				servers: getViews(renewal),
 				version,
 				document: version === renewal.version ? undefined : document,
 				permits: allocator.grant(renewal.entry, renewal.sequence, live, now),
-				duties: document === undefined ? [] : duties.grant(renewal.entry, renewal.sequence, probed, getLiveNames('production', now).length > 0 ? getLiveNames('production', now) : live),
-				probeMilliseconds: document === undefined ? Number.POSITIVE_INFINITY : getProbeInterval(document.measuring, probed.length),
+				duties: document === undefined ? [] : duties.grant(renewal.entry, renewal.sequence),
+				probeMilliseconds: document === undefined ? Number.POSITIVE_INFINITY : getProbeInterval(document.measuring, duties.getSize()),
 				quarantined: quarantine.getQuarantined(now),
 				peers: getPeers(book.getLive(now), renewal.entry),
 			};
 		},
+		documentChanged(now) {
+			for (const server of machine.registry.getAll()) {
+				addCold(server, now);
+			}
+		},
 		serversChanged(servers, now) {
 			for (const server of servers) {
 				cooled.delete(server.id);
@@ -277,6 +295,7 @@
 					failedProbes.delete(server.id);
 				}
 
+				setProbed(server);
 				touch(server, now);
 			}
 
@@ -291,7 +310,7 @@
 		clearCrashes: quarantine.clear,
 		tick(now) {
 			endLeases(now);
-			for (const id of changes.keys()) {
+			for (const id of presence.getAbsent(now)) {
 				refreshPresence(id, now);
 			}
 
@@ -316,11 +335,10 @@
 			prober: duties.getProber(server.id),
 		})),
 		getQuarantined: now => quarantine.getQuarantined(now),
-		getPlannedProbes(now) {
+		getPlannedProbes() {
 			const document = getDocument('production');
-			const probed = getProbed(now);
-			const interval = document === undefined ? Number.POSITIVE_INFINITY : getProbeInterval(document.measuring, probed.length);
-			return probed.filter(id => duties.getProber(id) !== undefined).length * 1000 / interval;
+			const interval = document === undefined ? Number.POSITIVE_INFINITY : getProbeInterval(document.measuring, duties.getSize());
+			return duties.getHeld() * millisecondsPerSecond / interval;
 		},
 		getUrgency: () => urgency,
 	};
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -91,28 +91,43 @@
 export function createFleet(random: Random): Fleet {
 	const servers = new Map<number, FleetServer>();
 	const byKey = new Map<ServerKey, Candidate>();
+	const byService = new Map<string, Set<Candidate>>();
 	const states = new Map<string, MutableState>();
 	let document: EnvironmentDocument | undefined;
+	let zonesInService: ReadonlySet<string> = new Set();
 	let entries = 1;
 
-	function rebuild(): void {
-		const zones = new Set(document?.zones.filter(zone => zone.inService).map(zone => zone.name));
-		const byService = new Map<string, Candidate[]>();
-		for (const {candidate} of servers.values()) {
-			const {service, zone} = candidate.getAnnouncement();
-			if (zones.has(zone) && candidate.getState() !== 'leaving') {
-				const candidates = byService.get(service) ?? [];
-				candidates.push(candidate);
-				byService.set(service, candidates);
-			}
+	function isEligible(candidate: Candidate): boolean {
+		return zonesInService.has(candidate.getAnnouncement().zone) && candidate.getState() !== 'leaving';
+	}
+
+	/** Chooses the candidates of one service again. */
+	function rebuild(service: string): void {
+		const state = states.get(service);
+		if (state === undefined) {
+			return;
 		}
 
-		for (const [name, state] of states) {
-			const candidates = byService.get(name) ?? [];
-			state.setCandidates(candidates);
-			for (const candidate of candidates) {
-				candidate.setStrict(state.getService().policy === 'central-queue');
-			}
+		const candidates = [...byService.get(service) ?? []].filter(candidate => isEligible(candidate));
+		state.setCandidates(candidates);
+		for (const candidate of candidates) {
+			candidate.setStrict(state.getService().policy === 'central-queue');
+		}
+	}
+
+	function addToService(candidate: Candidate): void {
+		const {service} = candidate.getAnnouncement();
+		const candidates = byService.get(service) ?? new Set();
+		candidates.add(candidate);
+		byService.set(service, candidates);
+	}
+
+	function removeFromService(candidate: Candidate): void {
+		const {service} = candidate.getAnnouncement();
+		const candidates = byService.get(service);
+		candidates?.delete(candidate);
+		if (candidates?.size === 0) {
+			byService.delete(service);
 		}
 	}
 
@@ -121,10 +136,22 @@
 		if (server !== undefined) {
 			servers.delete(id);
 			forgetKey(server.candidate);
+			removeFromService(server.candidate);
 			closeWhenIdle(server);
 		}
 	}
 
+	/** Removes every server that is not among the views, and returns their services. */
+	function removeOthers(views: readonly ServerView[]): readonly string[] {
+		const present = new Set(views.map(view => view.id));
+		const gone = [...servers.values()].filter(({candidate}) => !present.has(candidate.id));
+		for (const {candidate} of gone) {
+			remove(candidate.id);
+		}
+
+		return gone.map(({candidate}) => candidate.getAnnouncement().service);
+	}
+
 	/** Forgets a boot of a server unless a newer boot has its name. */
 	function forgetKey(candidate: Candidate): void {
 		const key = getServerKey(candidate.getAnnouncement());
@@ -145,6 +172,7 @@
 		candidate.update(announcement, state, isAbsent);
 		candidate.setConnectionShare(getConnectionShare(announcement.connections));
 		byKey.set(getServerKey(announcement), candidate);
+		addToService(candidate);
 		servers.set(id, {candidate, pool: createPool(announcement.host, announcement.port, announcement.connections)});
 	}
 
@@ -155,6 +183,7 @@
 	return {
 		setDocument(next) {
 			document = next;
+			zonesInService = new Set(next.zones.filter(zone => zone.inService).map(zone => zone.name));
 			const names = new Set(next.services.map(service => service.name));
 			for (const service of next.services) {
 				const known = states.get(service.name);
@@ -171,13 +200,15 @@
 				}
 			}
 
-			rebuild();
+			for (const name of names) {
+				rebuild(name);
+			}
 		},
 		update(views, isWhole) {
-			const present = new Set(views.map(view => view.id));
-			for (const id of servers.keys()) {
-				if (isWhole && !present.has(id)) {
-					remove(id);
+			const touched = new Set(views.map(view => view.announcement.service));
+			if (isWhole) {
+				for (const service of removeOthers(views)) {
+					touched.add(service);
 				}
 			}
 
@@ -189,7 +220,9 @@
 				}
 			}
 
-			rebuild();
+			for (const service of touched) {
+				rebuild(service);
+			}
 		},
 		setPermits(permits) {
 			const slots = new Map(permits.map(permit => [permit.server, permit.slots]));
--- a/source/measuring/measuring.test.ts
+++ b/source/measuring/measuring.test.ts
@@ -19,6 +19,49 @@
 	});
 });
 
+describe('createDuties: shares', () => {
+	type Expected = {readonly sizes: readonly number[]; readonly moved: number};
+
+	/** Counts the duties of each prober, and how many changed hands after a change of probers. */
+	function doTest(before: readonly string[], after: readonly string[], expected: Expected): void {
+		const duties = createDuties();
+		for (let server = 1; server <= 60; server++) {
+			duties.add(server);
+		}
+
+		function settle(probers: readonly string[]): ReadonlyMap<number, string | undefined> {
+			duties.setProbers(probers);
+			for (const sequence of [1, 2, 3]) {
+				for (const entry of new Set([...before, ...after])) {
+					duties.acknowledge(entry, sequence);
+					duties.grant(entry, sequence);
+				}
+			}
+
+			return new Map(Array.from({length: 60}, (_, index) => [index + 1, duties.getProber(index + 1)]));
+		}
+
+		const first = settle(before);
+		const second = settle(after);
+		const sizes = after.map(entry => [...second.values()].filter(prober => prober === entry).length);
+		const moved = [...second].filter(([server, prober]) => first.get(server) !== prober).length;
+		expect({sizes, moved}).toEqual({sizes: [...expected.sizes], moved: expected.moved});
+	}
+
+	test('are even', () => {
+		doTest([], ['a', 'b', 'c'], {sizes: [20, 20, 20], moved: 60});
+	});
+	test('move only to a prober that comes', () => {
+		doTest(['a', 'b', 'c'], ['a', 'b', 'c', 'd'], {sizes: [15, 15, 15, 15], moved: 15});
+	});
+	test('move only from a prober that goes', () => {
+		doTest(['a', 'b', 'c'], ['a', 'c'], {sizes: [30, 30], moved: 20});
+	});
+	test('rest while there is no prober', () => {
+		doTest(['a'], [], {sizes: [], moved: 60});
+	});
+});
+
 describe('createDuties and createProbeSchedule', () => {
 	/** Entries that lose grants and leases while they probe; probes are counted at the server. */
 	function doTest(probesPerSecond: number, seed: number): void {
@@ -26,6 +69,10 @@
 		let total = 0;
 		fc.assert(fc.property(fc.array(fc.tuple(fc.nat(99), fc.nat(3), fc.nat(120)), {minLength: 100, maxLength: 500, size: 'max'}), steps => {
 			const duties = createDuties();
+			for (const server of [1, 2, 3]) {
+				duties.add(server);
+			}
+
 			const holders = ['a', 'b', 'c', 'd'].map(name => ({
 				name, sequence: 0, acknowledged: 0, expiresAt: 0, schedule: createProbeSchedule(),
 			}));
@@ -46,7 +93,8 @@
 					holder.sequence++;
 					leaderExpiry.set(holder.name, now + 1000);
 					duties.acknowledge(holder.name, holder.acknowledged);
-					const granted = duties.grant(holder.name, holder.sequence, [1, 2, 3], [...leaderExpiry.keys()].toSorted());
+					duties.setProbers([...leaderExpiry.keys()].toSorted());
+					const granted = duties.grant(holder.name, holder.sequence);
 					if (kind % 4 !== 0) {
 						holder.acknowledged = holder.sequence;
 						holder.expiresAt = now + 1000;
