--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -15,7 +15,9 @@
 import {
 	createCandidate, createChooser, createCountsReporter, createJointCounts,
 } from '../source/choice/index.js';
-import {documentSchema, type EnvironmentDocument} from '../source/configuration/index.js';
+import {
+	applyDocumentUpdate, documentSchema, getDocumentUpdate, type DocumentUpdate, type EnvironmentDocument,
+} from '../source/configuration/index.js';
 import {
 	createLeadership, createMachine, machineCodec, type Machine,
 } from '../source/control/index.js';
@@ -24,7 +26,7 @@
 import {type Grant, type Renewal} from '../source/lease/index.js';
 import {createRandom} from '../source/randomness/index.js';
 import {openStore, type PersistAction} from '../source/storage/index.js';
-import {encode, encodeFrame} from '../source/wire/index.js';
+import {decode, encode, encodeFrame} from '../source/wire/index.js';
 import {
 	atMost, getMedian, type BenchOptions, type BenchReport, type BenchRow, type BenchTarget,
 } from './report.js';
@@ -73,7 +75,7 @@
 	const machine = createMachine(limits);
 	machine.apply({
 		area: 'configuration', command: {
-			kind: 'apply', environment: 'production', base: 0, change: 'first', document: getDocument(services), author: 'bench', at: 0,
+			kind: 'apply', environment: 'production', base: 0, change: 'first', update: {kind: 'whole', document: getDocument(services)}, author: 'bench', at: 0,
 		},
 	});
 	for (let number = 0; number < servers; number++) {
@@ -127,8 +129,15 @@
 function measureDocuments(services: number): BenchRow {
 	const document = getDocument(services);
 	const fleet = createFleet(createRandom(1));
+	const changed = {...document, services: document.services.map((service, index) => index === 0 ? {...service, queueLength: 7} : service)};
+	const update = getDocumentUpdate(document, changed);
+	const decoded = decode(encode(update)) as DocumentUpdate;
 	return {
-		slope: 'document', services, bytes: encode(document).length, checkMicroseconds: time(3, () => {
+		slope: 'document', services, bytes: encode(document).length, updateBytes: encode(update).length, makeUpdateMicroseconds: time(3, () => {
+			getDocumentUpdate(document, changed);
+		}), applyUpdateMicroseconds: time(3, () => {
+			applyDocumentUpdate(document, decoded);
+		}), checkMicroseconds: time(3, () => {
 			documentSchema.parse(document);
 		}), enforceMicroseconds: time(3, () => {
 			createRouter(document.services);
@@ -137,6 +146,28 @@
 	};
 }
 
+/** Versions of a large document that differ in one service each, in memory and in a snapshot. */
+function measureVersions(versions: number): BenchRow {
+	const services = 1300;
+	const before = getLiveBytes();
+	const machine = createMachine(limits);
+	let logBytes = 0;
+	for (let base = 0; base < versions; base++) {
+		const document = getDocument(services);
+		const edited = {...document, services: document.services.map((service, index) => index === base ? {...service, queueLength: 7} : service)};
+		const command = machine.register.shorten({
+			kind: 'apply', environment: 'production', base, change: `change-${base}`, update: {kind: 'whole', document: edited}, author: 'bench', at: 0,
+		});
+		logBytes += encode(command).length;
+		machine.apply({area: 'configuration', command: decode(encode(command)) as typeof command});
+	}
+
+	const heapBytes = getLiveBytes() - before;
+	return {
+		slope: 'versions', versions, services, logBytesForEach: logBytes / versions, heapMegabytes: heapBytes / 1_000_000, snapshotBytes: encode(machine.getImage()).length,
+	};
+}
+
 /** An entry's view as the number of servers grows. */
 function measureViews(servers: number): BenchRow {
 	const before = getLiveBytes();
@@ -265,7 +296,7 @@
 				index, term: 1, payload: {
 					kind: 'command', command: {
 						area: 'configuration', command: {
-							kind: 'apply', environment: 'production', base: index - 1, change: `change-${index}`, document, author: 'bench', at: 0,
+							kind: 'apply', environment: 'production', base: index - 1, change: `change-${index}`, update: {kind: 'whole', document}, author: 'bench', at: 0,
 						},
 					},
 				},
@@ -335,6 +366,7 @@
 		...serverCounts.map(servers => measureGrants(servers, 15)),
 		...entryCounts.map(entries => measureGrants(35, entries)),
 		...[2, 50, 300, 1300].map(services => measureDocuments(services)),
+		...[1, 50].map(versions => measureVersions(versions)),
 		...serverCounts.map(servers => measureViews(servers)),
 		...[12, 35, 200, 2000].map(candidates => measureChoices(candidates)),
 		...[12, 35, 200].map(servers => measureCounts(servers)),
--- a/source/configuration/document.ts
+++ b/source/configuration/document.ts
@@ -59,13 +59,10 @@
 }).readonly().superRefine((document, context) => {
 	reportDuplicates(document.zones.map(zone => zone.name), 'zones', context);
 	reportDuplicates(document.services.map(service => service.name), 'services', context);
-	const routes = document.services.map(service => `${service.host ?? '*'} ${service.path}`);
-	for (const [index, route] of routes.entries()) {
-		if (routes.indexOf(route) !== index) {
-			context.addIssue({
-				code: 'custom', path: ['services', index, 'path'], message: `the route "${route}" is taken by services.${routes.indexOf(route)}; change its host or path`, input: route,
-			});
-		}
+	for (const {value, index, first} of findDuplicates(document.services.map(service => `${service.host ?? '*'} ${service.path}`))) {
+		context.addIssue({
+			code: 'custom', path: ['services', index, 'path'], message: `the route "${value}" is taken by services.${first}; change its host or path`, input: value,
+		});
 	}
 
 	if (!document.zones.some(zone => zone.inService)) {
@@ -76,13 +73,29 @@
 });
 
 function reportDuplicates(names: readonly string[], path: string, context: z.RefinementCtx): void {
-	for (const [index, candidate] of names.entries()) {
-		if (names.indexOf(candidate) !== index) {
-			context.addIssue({
-				code: 'custom', path: [path, index, 'name'], message: `"${candidate}" is a duplicate of ${path}.${names.indexOf(candidate)}; give it another name`, input: candidate,
-			});
+	for (const {value, index, first} of findDuplicates(names)) {
+		context.addIssue({
+			code: 'custom', path: [path, index, 'name'], message: `"${value}" is a duplicate of ${path}.${first}; give it another name`, input: value,
+		});
+	}
+}
+
+type Duplicate = {readonly value: string; readonly index: number; readonly first: number};
+
+/** Finds values that stand earlier in the list already, with their first place. */
+function findDuplicates(values: readonly string[]): readonly Duplicate[] {
+	const firsts = new Map<string, number>();
+	const duplicates: Duplicate[] = [];
+	for (const [index, value] of values.entries()) {
+		const first = firsts.get(value);
+		if (first === undefined) {
+			firsts.set(value, index);
+		} else {
+			duplicates.push({value, index, first});
 		}
 	}
+
+	return duplicates;
 }
 
 /** An environment document. */
--- a/source/configuration/index.ts
+++ b/source/configuration/index.ts
@@ -1,2 +1,3 @@
 export * from './document.js';
 export * from './register.js';
+export * from './update.js';
--- a/source/configuration/register.test.ts
+++ b/source/configuration/register.test.ts
@@ -9,7 +9,7 @@
 
 function apply(base: number, change: string, applied: EnvironmentDocument = document): ConfigurationCommand {
 	return {
-		kind: 'apply', environment: 'trial', base, change, document: applied, author: 'ann', at: 1,
+		kind: 'apply', environment: 'trial', base, change, update: {kind: 'whole', document: applied}, author: 'ann', at: 1,
 	};
 }
 
@@ -51,6 +51,37 @@
 	});
 });
 
+describe('createRegister: commands made short', () => {
+	const changed = {...document, measuring: {...document.measuring, probesPerSecond: 9}};
+
+	function doTest(command: ConfigurationCommand, expected: {readonly update: string; readonly answer: string}): void {
+		const register = createRegister();
+		register.apply(apply(0, '1'));
+		register.apply(apply(1, '2', withZone(document, 'b', false)));
+		const short = register.shorten(command);
+		const twin = createRegister();
+		twin.restore(structuredClone(register.getImage()));
+		const answers = [register.apply(short), twin.apply(command)];
+		expect(short.kind === 'apply' ? short.update.kind : '').toEqual(expected.update);
+		expect(answers.map(answer => answer.kind)).toEqual([expected.answer as 'accepted', expected.answer as 'accepted']);
+		expect(register.getHistory('trial')).toEqual(twin.getHistory('trial'));
+	}
+
+	test('have the same effect', () => {
+		doTest(apply(2, '3', changed), {update: 'delta', answer: 'accepted'});
+	});
+	test('stay whole on an old base, and are refused', () => {
+		doTest(apply(1, '3', changed), {update: 'whole', answer: 'conflict'});
+	});
+	test('that lost a race are refused', () => {
+		const register = createRegister();
+		register.apply(apply(0, '1'));
+		const short = register.shorten(apply(1, '2', changed));
+		register.apply(apply(1, '3', withZone(document, 'b', false)));
+		expect(register.apply(short).kind).toEqual('conflict');
+	});
+});
+
 describe('createRegister: racing operators who resend', () => {
 	test('accepts one change for each version, and versions only rise', () => {
 		const random = createRandom(7);
--- a/source/configuration/register.ts
+++ b/source/configuration/register.ts
@@ -5,6 +5,7 @@
  */
 import {Maybe} from 'true-myth';
 import {type EnvironmentDocument} from './document.js';
+import {applyDocumentUpdate, getDocumentUpdate, type DocumentUpdate} from './update.js';
 
 /** Name of an environment. */
 export type Environment = 'trial' | 'production';
@@ -22,7 +23,7 @@
 		readonly environment: Environment;
 		readonly base: number;
 		readonly change: string;
-		readonly document: EnvironmentDocument;
+		readonly update: DocumentUpdate;
 		readonly author: string;
 		/** Wall-clock time in milliseconds, set by the leader. */
 		readonly at: number;
@@ -54,10 +55,13 @@
 
 type Answered = {readonly change: string; readonly answer: ConfigurationAnswer};
 
+/** A version whose document is told apart from the one before it. */
+type ImageVersion = Omit<Version, 'document'> & {readonly update: DocumentUpdate};
+
 /** Contents of a register, for snapshots. */
 export type RegisterImage = {
-	readonly trial: readonly Version[];
-	readonly production: readonly Version[];
+	readonly trial: readonly ImageVersion[];
+	readonly production: readonly ImageVersion[];
 	readonly answered: readonly Answered[];
 };
 
@@ -65,6 +69,10 @@
 export type Register = {
 	/** Applies a committed command. */
 	apply(command: ConfigurationCommand): ConfigurationAnswer;
+	/** Gets a command with the same effect whose document is told apart from the current one, where that is its base. */
+	shorten(command: ConfigurationCommand): ConfigurationCommand;
+	/** Gets what leads an entry from the version that it has to the current one; undefined before the first version. */
+	getUpdate(environment: Environment, known: number): DocumentUpdate | undefined;
 	/** Gets the newest version of an environment. */
 	getCurrent(environment: Environment): Maybe<Version>;
 	/** Gets the number of the newest version, 0 before the first. */
@@ -94,9 +102,10 @@
 		return answer;
 	}
 
-	function accept(environment: Environment, command: ConfigurationCommand, document: EnvironmentDocument): ConfigurationAnswer {
+	function accept(environment: Environment, command: ConfigurationCommand, update: DocumentUpdate): ConfigurationAnswer {
 		const current = getCurrentNumber(environment);
-		if (command.base !== current) {
+		const document = applyDocumentUpdate(versions[environment].at(-1)?.document, update);
+		if (command.base !== current || document.isErr) {
 			return remember(command.change, {
 				kind: 'conflict', environment, base: command.base, current,
 			});
@@ -105,12 +114,22 @@
 		const {change, author, at} = command;
 		const version = current + 1;
 		versions[environment].push({
-			version, change, author, at, document,
+			version, change, author, at, document: document.value,
 		});
 		versions[environment] = versions[environment].slice(-keptVersions);
 		return remember(change, {kind: 'accepted', environment, version});
 	}
 
+	function getUpdate(environment: Environment, known: number): DocumentUpdate | undefined {
+		const current = versions[environment].at(-1);
+		const base = versions[environment].find(version => version.version === known);
+		if (current === undefined) {
+			return undefined;
+		}
+
+		return base === undefined ? {kind: 'whole', document: current.document} : getDocumentUpdate(base.document, current.document);
+	}
+
 	return {
 		apply(command) {
 			const earlier = answered.get(command.change);
@@ -120,28 +139,57 @@
 
 			switch (command.kind) {
 				case 'apply': {
-					return accept(command.environment, command, command.document);
+					return accept(command.environment, command, command.update);
 				}
 
 				case 'promote': {
 					const source = versions.trial.find(version => version.version === command.source);
 					return source === undefined
 						? remember(command.change, {kind: 'unknownVersion', environment: 'trial', version: command.source})
-						: accept('production', command, source.document);
+						: accept('production', command, {kind: 'whole', document: source.document});
 				}
 			}
 		},
+		shorten(command) {
+			const current = command.kind === 'apply' ? versions[command.environment].at(-1) : undefined;
+			return command.kind === 'apply' && command.update.kind === 'whole' && current?.version === command.base
+				? {...command, update: getDocumentUpdate(current.document, command.update.document)}
+				: command;
+		},
+		getUpdate,
 		getCurrent: environment => Maybe.of(versions[environment].at(-1)),
 		getCurrentNumber,
 		getHistory: environment => versions[environment],
 		getImage: () => ({
-			trial: [...versions.trial],
-			production: [...versions.production],
+			trial: toImage(versions.trial),
+			production: toImage(versions.production),
 			answered: [...answered].map(([change, answer]) => ({change, answer})),
 		}),
 		restore(image) {
-			versions = {trial: [...image.trial], production: [...image.production]};
+			versions = {trial: fromImage(image.trial), production: fromImage(image.production)};
 			answered = new Map(image.answered.map(({change, answer}) => [change, answer]));
 		},
 	};
 }
+
+/** Tells each document apart from the one before it, so that an image holds what changed and not every version whole. */
+function toImage(versions: readonly Version[]): readonly ImageVersion[] {
+	return versions.map(({document, ...rest}, index) => {
+		const before = versions[index - 1]?.document;
+		return {...rest, update: before === undefined ? {kind: 'whole', document} : getDocumentUpdate(before, document)};
+	});
+}
+
+function fromImage(image: readonly ImageVersion[]): Version[] {
+	const versions: Version[] = [];
+	for (const {update, ...rest} of image) {
+		const document = applyDocumentUpdate(versions.at(-1)?.document, update);
+		if (document.isErr) {
+			throw new Error(`the snapshot's version ${rest.version} is damaged: ${document.error}`);
+		}
+
+		versions.push({...rest, document: document.value});
+	}
+
+	return versions;
+}
--- a/source/control/api.ts
+++ b/source/control/api.ts
@@ -73,8 +73,9 @@
 	async function apply(request: IncomingMessage, response: ServerResponse, environment: Environment): Promise<void> {
 		const body = await takeBody(request, response, applySchema, maximumApiBodyBytes);
 		if (body !== undefined) {
+			const {document, ...rest} = body;
 			const command: ConfigurationCommand = {
-				kind: 'apply', environment, ...body, at: 0,
+				kind: 'apply', environment, ...rest, update: {kind: 'whole', document}, at: 0,
 			};
 			await relay(response, {kind: 'configure', command});
 		}
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -97,6 +97,7 @@
 		electionMilliseconds: settings.election.timeoutMilliseconds,
 		heartbeatMilliseconds: settings.election.heartbeatMilliseconds,
 		snapshotEvery: settings.snapshotEvery,
+		snapshotBytes: settings.snapshotBytes,
 		random: createRandom(options.seed),
 		send: sendConsensus,
 		failed: options.failed,
--- /dev/null
+++ b/source/control/driver.test.ts
@@ -0,0 +1,68 @@
+import {mkdtempSync, readdirSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {createRandom} from '../randomness/index.js';
+import {openStore} from '../storage/index.js';
+import {startDriver, type Driver} from './driver.js';
+import {createMachine, machineCodec} from './machine.js';
+
+const limits = {retentionMilliseconds: 1_000_000, maximumClaims: 10_000, maximumStoredBytes: 100_000_000};
+
+async function lead(driver: Driver): Promise<void> {
+	await new Promise<void>(resolve => {
+		const subscription = driver.leading.subscribe(() => {
+			subscription.unsubscribe();
+			resolve();
+		});
+	});
+}
+
+describe('startDriver: snapshots', () => {
+	/** Claims and finishes keys with answers of 10 kB each on a single voter, then starts it again. */
+	async function doTest(options: {readonly snapshotEvery: number; readonly snapshotBytes: number}, expected: {readonly hasSnapshot: boolean}): Promise<void> {
+		const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-driver-'));
+		const store = openStore(folder, machineCodec);
+		const machine = createMachine(limits);
+		const driver = startDriver({
+			id: 'a', founders: {voters: ['a'], learners: []}, store, machine, electionMilliseconds: 20, heartbeatMilliseconds: 10, random: createRandom(1), ...options,
+			send() {
+				// A single voter sends nothing.
+			},
+			failed(error) {
+				throw error;
+			},
+		});
+		await lead(driver);
+		for (let number = 0; number < 60; number++) {
+			const common = {
+				shard: 0, key: `key-${number}`, attempt: `attempt-${number}`, at: 0,
+			};
+			await driver.propose({area: 'ledger', command: {kind: 'claim', ...common, digest: 'd'}});
+			await driver.propose({area: 'ledger', command: {kind: 'finish', ...common, answer: {status: 200, headers: [], body: new Uint8Array(10_000)}}});
+		}
+
+		await driver.stop();
+		expect(readdirSync(folder).some(file => file.startsWith('snapshot-'))).toEqual(expected.hasSnapshot);
+		const reopened = openStore(folder, machineCodec);
+		const restored = createMachine(limits);
+		if (reopened.initial.snapshot !== undefined) {
+			restored.restore(reopened.initial.snapshot.data as ReturnType<typeof restored.getImage>);
+		}
+
+		for (const entry of reopened.initial.entries) {
+			if (entry.payload.kind === 'command') {
+				restored.apply(entry.payload.command as Parameters<typeof restored.apply>[0]);
+			}
+		}
+
+		expect([restored.ledger.getSize(), restored.ledger.getStoredBytes()]).toEqual([60, 600_000]);
+		reopened.close();
+		rmSync(folder, {recursive: true});
+	}
+
+	test('are taken after enough bytes, also of few entries', async () => doTest({snapshotEvery: 10_000, snapshotBytes: 100_000}, {hasSnapshot: true}));
+	test('are taken after enough entries', async () => doTest({snapshotEvery: 20, snapshotBytes: 100_000_000}, {hasSnapshot: true}));
+	test('are not taken before', async () => doTest({snapshotEvery: 10_000, snapshotBytes: 100_000_000}, {hasSnapshot: false}));
+});
--- a/source/control/driver.ts
+++ b/source/control/driver.ts
@@ -53,6 +53,8 @@
 	readonly heartbeatMilliseconds: number;
 	/** Committed entries after which a snapshot is taken. */
 	readonly snapshotEvery: number;
+	/** Bytes of the log after which a snapshot is taken, also of fewer entries. */
+	readonly snapshotBytes: number;
 	readonly random: Random;
 	send(to: string, message: ReplicaMessage): void;
 	/** Called once when storage fails; the process must stop. */
@@ -175,7 +177,8 @@
 	async function compactWhenDue(): Promise<void> {
 		const index = replica.getCommitIndex();
 		const term = replica.getLog().getTerm(index);
-		if (isCompacting || index - snapshotIndex < options.snapshotEvery || term === undefined) {
+		const isDue = index - snapshotIndex >= options.snapshotEvery || (index > snapshotIndex && store.getGrownBytes() >= options.snapshotBytes);
+		if (isCompacting || !isDue || term === undefined) {
 			return;
 		}
 
--- a/source/control/leader.ts
+++ b/source/control/leader.ts
@@ -73,7 +73,7 @@
 	}
 
 	async function configure(command: ConfigurationCommand): Promise<ControlAnswer> {
-		return propose({area: 'configuration', command: {...command, at: Date.now()}}, answer => answer.area === 'configuration' ? {kind: 'configured', answer: answer.answer} : {kind: 'unknown'});
+		return propose({area: 'configuration', command: machine.register.shorten({...command, at: Date.now()})}, answer => answer.area === 'configuration' ? {kind: 'configured', answer: answer.answer} : {kind: 'unknown'});
 	}
 
 	async function runLedger(command: LedgerCommand): Promise<ControlAnswer> {
--- a/source/control/leadership.test.ts
+++ b/source/control/leadership.test.ts
@@ -24,7 +24,7 @@
 	const machine = createMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 10});
 	machine.apply({
 		area: 'configuration', command: {
-			kind: 'apply', environment: 'production', base: 0, change: 'c', author: 'a', at: 0, document: documentSchema.parse({zones: [{name: 'north'}], services: [{name: 'stock', deadlineMilliseconds}]}),
+			kind: 'apply', environment: 'production', base: 0, change: 'c', author: 'a', at: 0, update: {kind: 'whole', document: documentSchema.parse({zones: [{name: 'north'}], services: [{name: 'stock', deadlineMilliseconds}]})},
 		},
 	});
 	announce(machine, undefined, getAnnouncement('old'), 0);
@@ -117,7 +117,7 @@
 		renew(leadership, 1, 20);
 		machine.apply({
 			area: 'configuration', command: {
-				kind: 'apply', environment: 'production', base: 1, change: 'raised', author: 'a', at: 0, document: documentSchema.parse({zones: [{name: 'north'}], services: [{name: 'stock', deadlineMilliseconds: raised}]}),
+				kind: 'apply', environment: 'production', base: 1, change: 'raised', author: 'a', at: 0, update: {kind: 'whole', document: documentSchema.parse({zones: [{name: 'north'}], services: [{name: 'stock', deadlineMilliseconds: raised}]})},
 			},
 		});
 		leadership.documentChanged(30);
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -265,7 +265,7 @@
 				isWhole: renewal.epoch !== options.epoch,
 				servers: getViews(renewal),
 				version,
-				document: version === renewal.version ? undefined : document,
+				document: version === renewal.version ? undefined : machine.register.getUpdate(renewal.environment, renewal.version),
 				permits: allocator.grant(renewal.entry, renewal.sequence, live, now),
 				duties: document === undefined ? [] : duties.grant(renewal.entry, renewal.sequence),
 				probeMilliseconds: document === undefined ? Number.POSITIVE_INFINITY : getProbeInterval(document.measuring, duties.getSize()),
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -122,9 +122,9 @@
 			});
 	}
 
-	function enforce(grant: Grant): void {
-		if (grant.document !== undefined) {
-			document = grant.document;
+	function enforce(grant: Grant, next: EnvironmentDocument | undefined): void {
+		if (next !== undefined) {
+			document = next;
 			router = createRouter(document.services);
 			fleet.setDocument(document);
 			log.info({version: grant.version}, 'document in force');
--- a/source/entry/lease-keeper.ts
+++ b/source/entry/lease-keeper.ts
@@ -1,7 +1,9 @@
 /** Keeps the entry's lease: sends renewals, takes grants and puts them in force. */
 import {performance} from 'node:perf_hooks';
 import {Subject, type Observable} from 'rxjs';
-import {type Environment} from '../configuration/index.js';
+import {
+	applyDocumentUpdate, type DocumentUpdate, type Environment, type EnvironmentDocument,
+} from '../configuration/index.js';
 import {
 	createLeaseHolder, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Renewal,
 } from '../lease/index.js';
@@ -33,8 +35,8 @@
 	takeObservations(): readonly Observation[];
 	takeFailedProbes(): readonly number[];
 	takeHeard(): readonly number[];
-	/** Puts a grant in force; runs before the grant is acknowledged. */
-	enforce(grant: Grant): void;
+	/** Puts a grant in force, with its document if it brings another one; runs before the grant is acknowledged. */
+	enforce(grant: Grant, document: EnvironmentDocument | undefined): void;
 	/** Takes the fingerprints that are refused. */
 	quarantine(fingerprints: readonly string[]): void;
 };
@@ -49,6 +51,8 @@
 	let lastRenewedAt = Number.NEGATIVE_INFINITY;
 	let lastAnsweredAt = performance.now();
 	let nudge: NodeJS.Timeout | undefined;
+	let document: EnvironmentDocument | undefined;
+	let wantsWhole = false;
 
 	function send(isFinal: boolean): void {
 		const now = performance.now();
@@ -64,7 +68,7 @@
 			environment: options.environment,
 			sequence: holder.renew(now),
 			acknowledged: holder.getAcknowledged(),
-			version: holder.getVersion(),
+			version: wantsWhole ? 0 : holder.getVersion(),
 			epoch: holder.getEpoch(),
 			revision: holder.getRevision(),
 			observations: options.takeObservations(),
@@ -89,17 +93,35 @@
 		}, wait);
 	}
 
+	/** Updates the document; returns false when the update belongs to another one. */
+	function update(change: DocumentUpdate): boolean {
+		const next = applyDocumentUpdate(document, change);
+		document = next.unwrapOr(document);
+		return next.isOk;
+	}
+
 	function accept(host: string, grant: Grant): void {
 		lastAnsweredAt = performance.now();
 		options.getClient().setLeader(host);
 		const isFirst = holder.getAcknowledged() === 0;
-		if (!holder.accept(grant, performance.now())) {
+		const now = performance.now();
+		if (!holder.mayAccept(grant, now)) {
+			return;
+		}
+
+		const isNewVersion = grant.document !== undefined && grant.version !== holder.getVersion();
+		if (isNewVersion && !update(grant.document)) {
+			// Without its document the grant must not be in force; the next renewal asks for a whole one.
+			wantsWhole = true;
+			renewSoon();
 			return;
 		}
 
-		options.enforce(grant);
+		wantsWhole = false;
+		holder.accept(grant, now);
+		options.enforce(grant, isNewVersion ? document : undefined);
 		grants.next(grant);
-		if (isFirst || grant.document !== undefined) {
+		if (isFirst || isNewVersion) {
 			renewSoon();
 		}
 	}
--- a/source/lease/holder.ts
+++ b/source/lease/holder.ts
@@ -14,6 +14,8 @@
 export type LeaseHolder = {
 	/** Notes that a renewal is sent and returns its sequence. */
 	renew(now: number): number;
+	/** Checks whether a grant is neither stale nor over. */
+	mayAccept(grant: Grant, now: number): boolean;
 	/** Takes a grant; returns false for one that is stale and must be ignored. */
 	accept(grant: Grant, now: number): boolean;
 	/** Checks whether new work may be dispatched. */
@@ -38,6 +40,15 @@
 	let version = 0;
 	let hasEnded = false;
 
+	function getEnd(grant: Grant): number {
+		return (sentAt.get(grant.sequence) ?? Number.NEGATIVE_INFINITY) + (grant.termMilliseconds * (1 - driftShare));
+	}
+
+	function mayAccept(grant: Grant, now: number): boolean {
+		const isStale = grant.sequence <= acknowledged || grant.epoch < epoch || grant.version < version;
+		return !isStale && !hasEnded && getEnd(grant) > now;
+	}
+
 	return {
 		renew(now) {
 			sequence++;
@@ -45,15 +56,13 @@
 			sentAt.delete(sequence - rememberedRenewals);
 			return sequence;
 		},
+		mayAccept,
 		accept(grant, now) {
-			const sent = sentAt.get(grant.sequence);
-			const isStale = sent === undefined || grant.sequence <= acknowledged || grant.epoch < epoch || grant.version < version;
-			const end = (sent ?? 0) + (grant.termMilliseconds * (1 - driftShare));
-			if (isStale || hasEnded || end <= now) {
+			if (!mayAccept(grant, now)) {
 				return false;
 			}
 
-			expiresAt = Math.max(expiresAt, end);
+			expiresAt = Math.max(expiresAt, getEnd(grant));
 			acknowledged = grant.sequence;
 			epoch = grant.epoch;
 			revision = grant.revision;
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -4,7 +4,7 @@
  * probing duties.
  */
 import {type Announcement, type ServerState} from '../announcement/index.js';
-import {type Environment, type EnvironmentDocument} from '../configuration/index.js';
+import {type DocumentUpdate, type Environment} from '../configuration/index.js';
 
 /** What an entry saw of one cold or suspect server since its last renewal. */
 export type Observation = {
@@ -69,7 +69,8 @@
 	readonly isWhole: boolean;
 	readonly servers: readonly ServerView[];
 	readonly version: number;
-	readonly document: EnvironmentDocument | undefined;
+	/** What leads from the renewal's version to `version`, or undefined when they are the same. */
+	readonly document: DocumentUpdate | undefined;
 	readonly permits: readonly Permit[];
 	readonly duties: readonly number[];
 	readonly probeMilliseconds: number;
--- a/source/settings/settings.ts
+++ b/source/settings/settings.ts
@@ -75,6 +75,7 @@
 	ledger: ledger.prefault({}),
 	lease: lease.prefault({}),
 	snapshotEvery: z.number().int().min(10).max(10_000_000).default(10_000),
+	snapshotBytes: z.number().int().min(65_536).max(1_073_741_824).default(16_777_216),
 }).readonly();
 
 /** Settings of an entry process. */
--- a/source/storage/store.ts
+++ b/source/storage/store.ts
@@ -44,6 +44,8 @@
 	prepareSnapshot(snapshot: Snapshot): Promise<void>;
 	/** Writes a batch and syncs it; resolves when it is durable. */
 	persist(batch: readonly PersistAction[]): Promise<void>;
+	/** Gets the bytes written to the log since the last snapshot replaced its head. */
+	getGrownBytes(): number;
 	close(): void;
 };
 
@@ -70,6 +72,7 @@
 	let state: HardState = {term: 0, votedFor: undefined};
 	let entries: LogEntry[] = [];
 	let validBytes = 0;
+	let rotatedBytes = 0;
 	let preparedIndex = 0;
 
 	function applyOperation(operation: Operation): void {
@@ -120,10 +123,12 @@
 
 		generation++;
 		const file = getLogPath(generation);
-		writeAside(folder, file, encodeRecord(tail));
+		const record = encodeRecord(tail);
+		writeAside(folder, file, record);
 		const previous = descriptor;
 		descriptor = openSync(file, 'r+');
-		validBytes = encodeRecord(tail).length;
+		validBytes = record.length;
+		rotatedBytes = record.length;
 		if (previous !== -1) {
 			closeSync(previous);
 		}
@@ -206,6 +211,7 @@
 				await writeOperations(operations);
 			}
 		},
+		getGrownBytes: () => validBytes - rotatedBytes,
 		close() {
 			closeSync(descriptor);
 		},
