Compare policies with fifteen entries; let scenarios wait until every entry knows every server

An entry's /ready now tells the servers that it knows, and 'start' waits for that. The checks are the same. The choice bench had 5 entries; today's users have 12 to 19, and own counts say less the more entries there are. It now has 15 (and 10 servers: with 20 the 1,700 requests a second left too little processor time, and the central queue's slots stood idle between answers).

--- a/bench/choice.ts
+++ b/bench/choice.ts
@@ -1,8 +1,8 @@
 /**
- * Policies under the same arrivals, on real processes: five entries and ten servers
- * of six slots with 60 ms of mean service time (half the catalogue service's servers and
- * a third of its rate, so that no process is short of processor time). The
- * central queue runs in one entry that sees every request, as the bound.
+ * Policies under the same arrivals, on real processes: fifteen entries and ten servers
+ * of six slots (half of the catalogue service's) with 60 ms of mean service time, so
+ * that no process is short of processor time. The central queue runs in one entry that
+ * sees every request, as the bound.
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {type LoadResult} from '../source/program/load.js';
@@ -14,6 +14,7 @@
 } from './rig.js';
 
 const servers = 10;
+const ordinaryEntries = 15;
 const slots = 6;
 const meanMilliseconds = 60;
 const serverProcesses = 2;
@@ -110,7 +111,7 @@
  * @param options - Seed, policies and length.
  */
 export async function runChoice(options: BenchOptions): Promise<BenchReport> {
-	const rig = await startRig(1, 5);
+	const rig = await startRig(1, options.entries ?? ordinaryEntries, options.exchangeMilliseconds === undefined ? {} : {exchangeMilliseconds: options.exchangeMilliseconds});
 	const chosen = options.isQuick ? quickPolicies : allPolicies;
 	const policies = options.policies.length > 0 ? options.policies : chosen;
 	const rounds = options.isQuick ? 1 : 3;
@@ -126,7 +127,7 @@
 		])));
 		await rig.warm(servers, '/');
 		for (const condition of conditions) {
-			if (options.isQuick && !quickConditions.has(condition.name)) {
+			if (!isWanted(condition.name, options)) {
 				continue;
 			}
 
@@ -166,6 +167,10 @@
 	};
 }
 
+function isWanted(condition: string, options: BenchOptions): boolean {
+	return options.conditions.length > 0 ? options.conditions.includes(condition) : !options.isQuick || quickConditions.has(condition);
+}
+
 function getMedianOf(results: readonly Measured[]): Measured {
 	const pick = (field: keyof Measured): number => getMedian(results.map(result => result[field]));
 	return {
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -22,9 +22,12 @@
 program.command('<name>', `One of ${Object.keys(benches).join(', ')}`)
 	.option('--seed <n>', 'Seed', {default: 1})
 	.option('--policies <names>', 'Policies to compare, separated by commas')
+	.option('--conditions <names>', 'Conditions to compare under, separated by commas')
+	.option('--entries <n>', 'Number of entries')
+	.option('--exchange <ms>', 'Milliseconds between the counts that entries exchange')
 	.option('--json', 'Print JSON', {default: false})
 	.option('--quick', 'Finish within 40 s', {default: false})
-	.action(async (name: string, options: {readonly seed: number; readonly policies?: string; readonly json: boolean; readonly quick: boolean}) => {
+	.action(async (name: string, options: {readonly seed: number; readonly policies?: string; readonly conditions?: string; readonly entries?: number; readonly exchange?: number; readonly json: boolean; readonly quick: boolean}) => {
 		const bench = benches[name];
 		if (bench === undefined) {
 			process.stderr.write(`${name}: no such bench; use one of ${Object.keys(benches).join(', ')}\n`);
@@ -32,7 +35,13 @@
 		}
 
 		const report = await bench({
-			seed: Number(options.seed), isQuick: options.quick, isJson: options.json, policies: options.policies?.split(',') ?? [],
+			seed: Number(options.seed),
+			isQuick: options.quick,
+			isJson: options.json,
+			policies: options.policies?.split(',') ?? [],
+			conditions: options.conditions?.split(',') ?? [],
+			entries: options.entries,
+			exchangeMilliseconds: options.exchange,
 		});
 		printReport(report, options.json);
 	});
--- a/bench/report.ts
+++ b/bench/report.ts
@@ -8,6 +8,12 @@
 	readonly isJson: boolean;
 	/** Policies to compare, where a bench does. */
 	readonly policies: readonly string[];
+	/** Conditions to compare under, where a bench does; all of them when empty. */
+	readonly conditions: readonly string[];
+	/** Number of entries, where a bench takes it. */
+	readonly entries: number | undefined;
+	/** Milliseconds between the entries' counts, where a bench takes it. */
+	readonly exchangeMilliseconds: number | undefined;
 };
 
 /** A stated target and what was measured. */
--- a/scenario/runner.ts
+++ b/scenario/runner.ts
@@ -37,6 +37,9 @@
 	readonly reasons: Readonly<Record<string, number>>;
 };
 
+/** An entry that serves, and the number of servers that it knows. */
+type ReadyEntry = EntryAddress & {readonly servers: number};
+
 type ServiceShape = {readonly name: string; readonly servers: number; readonly behaviour: Partial<Behaviour>; readonly easingGrowth: number; readonly isRead: boolean};
 
 /**
@@ -54,7 +57,7 @@
 	const services: ServiceShape[] = [];
 	const servers = new Map<string, StandIn>();
 	const streams: Stream[] = [];
-	const ready = new Map<string, EntryAddress>();
+	const ready = new Map<string, ReadyEntry>();
 	let seed = seedOverride ?? 1;
 	let controlHosts = 3;
 	let entries = 3;
@@ -123,10 +126,7 @@
 		watch = setInterval(watchEntries, readinessMilliseconds);
 		await change(() => createDocument(), 'first');
 		await startServers();
-		await waitUntil('every entry is ready and every server is known', startLimitMilliseconds, async () => {
-			const status = await getCluster().getStatus();
-			return ready.size === entries && status?.servers.length === servers.size;
-		});
+		await waitUntil('every entry is ready and knows every server', startLimitMilliseconds, async () => ready.size === entries && [...ready.values()].every(entry => entry.servers === servers.size));
 	}
 
 	async function startServers(): Promise<void> {
@@ -161,9 +161,9 @@
 	async function readEntry(member: Member): Promise<void> {
 		try {
 			const response = await fetch(`http://127.0.0.1:${member.adminPort}/ready`, {signal: AbortSignal.timeout(readinessMilliseconds * 5)});
-			const {version} = await response.json() as {readonly version: number};
+			const {version, servers: known} = await response.json() as {readonly version: number; readonly servers: number};
 			if (response.status === 200) {
-				ready.set(member.name, {name: member.name, port: member.port});
+				ready.set(member.name, {name: member.name, port: member.port, servers: known});
 				readings.push({
 					entry: member.name, at: Date.now(), version, incarnation: member.incarnation,
 				});
--- a/source/entry/admin.ts
+++ b/source/entry/admin.ts
@@ -15,6 +15,8 @@
 	readonly metrics: Registry;
 	isReady(): boolean;
 	getVersion(): number;
+	/** Gets the number of servers that the entry knows. */
+	getServerCount(): number;
 	getExpiresAt(): number;
 };
 
@@ -50,7 +52,7 @@
 
 			case 'GET /ready': {
 				answerJson(response, options.isReady() ? 200 : 503, {
-					ready: options.isReady(), version: options.getVersion(), leaseMilliseconds: Math.max(0, Math.round(options.getExpiresAt() - performance.now())),
+					ready: options.isReady(), version: options.getVersion(), servers: options.getServerCount(), leaseMilliseconds: Math.max(0, Math.round(options.getExpiresAt() - performance.now())),
 				});
 				return;
 			}
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -232,7 +232,7 @@
 	});
 
 	const admin = createAdmin({
-		announce: announcements.take, metrics: metrics.registry, isReady, getVersion: () => keeper.holder.getVersion(), getExpiresAt: () => keeper.holder.getExpiresAt(),
+		announce: announcements.take, metrics: metrics.registry, isReady, getVersion: () => keeper.holder.getVersion(), getServerCount: fleet.getSize, getExpiresAt: () => keeper.holder.getExpiresAt(),
 	});
 	const adminServer = createServer((request, response) => {
 		void admin(request, response);
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -47,6 +47,7 @@
 	/** Gets a server by its name in its service. */
 	getByKey(key: ServerKey): Candidate | undefined;
 	getServers(): Iterable<FleetServer>;
+	getSize(): number;
 	/** Gets what the entry saw of cold, suspect and shedding servers since the last call. */
 	takeObservations(): readonly Observation[];
 	/** Ejects servers that fail too often, up to the document's share. */
@@ -245,6 +246,7 @@
 		get: id => servers.get(id),
 		getByKey: key => byKey.get(key),
 		getServers: () => servers.values(),
+		getSize: () => servers.size,
 		takeObservations() {
 			const observations: Observation[] = [];
 			for (const {candidate} of servers.values()) {
