Try: tell peers of overdue requests

Idea: with fifteen entries each sees 0.3 requests in flight at a server, so a slow server is known to few.

--- a/source/choice/chooser.ts
+++ b/source/choice/chooser.ts
@@ -73,14 +73,18 @@
 			}
 
 			case 'two-joint-choices': {
-				return candidate.getLoad(choice.now, true);
+				return candidate.getLoad(choice.now, 'inFlight');
+			}
+
+			case 'least-overdue': {
+				return candidate.getLoad(choice.now, 'overdue');
 			}
 
 			case 'central-queue':
 			case 'round-robin':
 			case 'least-in-flight':
 			case 'two-choices': {
-				return candidate.getLoad(choice.now, false);
+				return candidate.getLoad(choice.now, 'none');
 			}
 		}
 	}
@@ -133,6 +137,7 @@
 				}
 
 				case 'central-queue':
+				case 'least-overdue':
 				case 'least-in-flight': {
 					return chooseOfAll(choice);
 				}
--- a/source/choice/joint-counts.ts
+++ b/source/choice/joint-counts.ts
@@ -3,14 +3,17 @@
  * sends only the counts that changed; a peer that is gone counts for nothing.
  */
 
+/** What is counted: requests in flight, or those of them that take longer than nearly all others did. */
+export type CountsKind = 'counts' | 'overdue';
+
 /** Counts that changed in a peer since its last message. */
 export type CountsMessage = {
-	readonly kind: 'counts';
+	readonly kind: CountsKind;
 	readonly entry: string;
 	/** Whether `servers` holds every server with requests in flight, rather than the changes. */
 	readonly isWhole: boolean;
 	readonly servers: readonly number[];
-	/** Requests in flight, in the order of `servers`. */
+	/** Numbers of requests, in the order of `servers`. */
 	readonly inFlight: readonly number[];
 };
 
@@ -81,9 +84,10 @@
 
 /**
  * Creates a reporter.
+ * @param kind - What is counted.
  * @param entry - Name of the entry.
  */
-export function createCountsReporter(entry: string): CountsReporter {
+export function createCountsReporter(kind: CountsKind, entry: string): CountsReporter {
 	const sent = new Map<number, number>();
 
 	return {
@@ -101,11 +105,11 @@
 			return servers.length === 0
 				? undefined
 				: {
-					kind: 'counts', entry, isWhole: false, servers, inFlight,
+					kind, entry, isWhole: false, servers, inFlight,
 				};
 		},
 		getWhole: () => ({
-			kind: 'counts', entry, isWhole: true, servers: [...sent.keys()], inFlight: [...sent.values()],
+			kind, entry, isWhole: true, servers: [...sent.keys()], inFlight: [...sent.values()],
 		}),
 	};
 }
--- a/source/entry/peers.ts
+++ b/source/entry/peers.ts
@@ -1,5 +1,7 @@
 /** Exchanges requests in flight with the other entries. */
-import {type JointCounts, type CountsMessage, type CountsReporter} from '../choice/index.js';
+import {
+	type CountsKind, type CountsMessage, type CountsReporter, type JointCounts,
+} from '../choice/index.js';
 import {type PeerAddress} from '../lease/index.js';
 import {
 	createDialer, listenForLinks, type Dialer, type LinkIdentity, type LinkListener,
@@ -10,24 +12,29 @@
 export type Peers = {
 	/** Keeps links to exactly these peers. */
 	set(addresses: readonly PeerAddress[]): void;
-	/** Sends the counts that changed. */
-	exchange(): void;
+	/** Sends the counts of one kind that changed. */
+	exchange(kind: CountsKind): void;
 	getCount(): number;
 	getSentFrames(): number;
 	stop(): Promise<void>;
 };
 
-/** Options of `startPeers`. */
-export type PeersOptions = {
-	readonly identity: LinkIdentity;
-	readonly address: Address;
+/** One kind of counts that peers exchange. */
+export type Exchange = {
 	readonly counts: JointCounts;
 	readonly reporter: CountsReporter;
-	getOwnCounts(): Iterable<{readonly server: number; readonly inFlight: number}>;
+	getOwn(): Iterable<{readonly server: number; readonly inFlight: number}>;
 	/** Takes servers whose joint counts changed. */
 	changed(servers: readonly number[]): void;
 };
 
+/** Options of `startPeers`. */
+export type PeersOptions = {
+	readonly identity: LinkIdentity;
+	readonly address: Address;
+	readonly exchanges: Readonly<Record<CountsKind, Exchange>>;
+};
+
 /** Peers, and the port on which they reach this entry. */
 export type StartedPeers = {readonly peers: Peers; readonly port: number};
 
@@ -36,6 +43,7 @@
  * @param options - Address, identity and counts.
  */
 export async function startPeers(options: PeersOptions): Promise<StartedPeers> {
+	const {exchanges} = options;
 	const dialers = new Map<string, Dialer>();
 	let sentFrames = 0;
 	const listener: LinkListener = await listenForLinks<CountsMessage>({
@@ -46,10 +54,13 @@
 		opened(link) {
 			link.messages.subscribe({
 				next(message) {
-					options.changed(options.counts.receive({...message, entry: link.peer}));
+					const {counts, changed} = exchanges[message.kind];
+					changed(counts.receive({...message, entry: link.peer}));
 				},
 				complete() {
-					options.changed(options.counts.forget(link.peer));
+					for (const {counts, changed} of Object.values(exchanges)) {
+						changed(counts.forget(link.peer));
+					}
 				},
 			});
 		},
@@ -64,7 +75,9 @@
 				// Counts arrive on the links that peers dial.
 			},
 			opened() {
-				dialer.send(options.reporter.getWhole());
+				for (const {reporter} of Object.values(exchanges)) {
+					dialer.send(reporter.getWhole());
+				}
 			},
 			closed() {
 				// The dialer connects again by itself.
@@ -90,8 +103,9 @@
 				}
 			}
 		},
-		exchange() {
-			const message = options.reporter.takeChanges(options.getOwnCounts());
+		exchange(kind) {
+			const {reporter, getOwn} = exchanges[kind];
+			const message = reporter.takeChanges(getOwn());
 			if (message === undefined) {
 				return;
 			}
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -11,6 +11,7 @@
 import {type CallContext} from './call.js';
 import {type Claim} from './claims.js';
 import {type ServiceState} from './fleet.js';
+import {watchOverdue, type Overdue} from './overdue.js';
 import {deadlineHeader, getRequestHeaders, requestIdHeader} from './headers.js';
 
 /** What a caller asks for. */
@@ -23,7 +24,7 @@
 	readonly stream: IncomingMessage | undefined;
 };
 
-type Running = {readonly attempt: Attempt; readonly candidate: Candidate; readonly startedAt: number};
+type Running = {readonly attempt: Attempt; readonly candidate: Candidate; readonly startedAt: number; readonly overdue: Overdue};
 
 const noZones: ReadonlySet<string> = new Set();
 
@@ -87,7 +88,8 @@
 
 	function cancelRunning(): void {
 		const now = performance.now();
-		for (const {attempt, candidate} of running) {
+		for (const {attempt, candidate, overdue} of running) {
+			overdue.end();
 			attempt.cancel();
 			candidate.finish('cancelled', now);
 		}
@@ -164,12 +166,15 @@
 				end(self, outcome);
 			},
 		});
-		const self: Running = {attempt, candidate, startedAt: now};
+		const self: Running = {
+			attempt, candidate, startedAt: now, overdue: watchOverdue(candidate, state.hedgeDelay.getMilliseconds(), context.overdueChanged),
+		};
 		running.add(self);
 	}
 
 	function end(self: Running, outcome: Outcome): void {
 		running.delete(self);
+		self.overdue.end();
 		hasDispatched ||= self.attempt.wasDispatched();
 		mayHaveRunBefore ||= outcome.kind === 'failed' && outcome.verdict.kind === 'mayHaveRun';
 		const now = performance.now();
