--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -202,7 +202,7 @@
 
 /** One message of counts between entries. */
 function measureCounts(servers: number): BenchRow {
-	const reporter = createCountsReporter('counts', 'entry-10');
+	const reporter = createCountsReporter('entry-10');
 	const counts = Array.from({length: servers}, (_, index) => ({server: index + 1, inFlight: 1}));
 	const message = reporter.takeChanges(counts);
 	const joint = createJointCounts();
--- a/source/choice/candidate.ts
+++ b/source/choice/candidate.ts
@@ -26,9 +26,6 @@
 /** Result of one attempt, as far as the choice of servers cares. */
 export type AttemptResult = 'success' | 'failure' | 'shed' | 'cancelled';
 
-/** Counts of peers that a policy adds to the entry's own. */
-export type PeerCounts = 'none' | 'inFlight' | 'overdue';
-
 /** One server as an entry sees it. */
 export type Candidate = {
 	readonly id: number;
@@ -40,11 +37,6 @@
 	update(announcement: Announcement, state: ServerState, isAbsent: boolean): void;
 	setPermit(slots: number): void;
 	setPeerInFlight(count: number): void;
-	/** Takes the number of peers' requests that take longer than nearly all others did. */
-	setPeerOverdue(count: number): void;
-	/** Notes that one of the entry's own requests became overdue, or that it has ended. */
-	changeOverdue(difference: 1 | -1): void;
-	getOverdue(): number;
 	setConnectionShare(connections: number): void;
 	/** Keeps a warm server's requests in flight to its slots, for a single entry that sees them all. */
 	setStrict(isStrict: boolean): void;
@@ -53,8 +45,8 @@
 	getInFlight(): number;
 	/** Checks whether the server may take one more request. */
 	isOpen(now: number): boolean;
-	/** Gets the load per slot that a further request would meet, by the entry's own counts and those of peers that are wanted. */
-	getLoad(now: number, peers: PeerCounts): number;
+	/** Gets the load per slot that a further request would meet. */
+	getLoad(now: number, withPeers: boolean): number;
 	start(): void;
 	finish(result: AttemptResult, now: number): void;
 	/** Notes that a server that should be warm behaved like a cold one. */
@@ -79,8 +71,6 @@
 	let isAbsent = false;
 	let permit = 0;
 	let peerInFlight = 0;
-	let peerOverdue = 0;
-	let overdue = 0;
 	let connectionShare = initial.connections;
 	let reportedLoad = 0;
 	let inFlight = 0;
@@ -107,22 +97,6 @@
 		return isOnProbation ? Math.min(1, bounded) : bounded;
 	}
 
-	function getPeerCount(peers: PeerCounts): number {
-		switch (peers) {
-			case 'none': {
-				return 0;
-			}
-
-			case 'inFlight': {
-				return peerInFlight;
-			}
-
-			case 'overdue': {
-				return peerOverdue;
-			}
-		}
-	}
-
 	function succeed(): void {
 		successes++;
 		consecutiveFailures = 0;
@@ -157,13 +131,6 @@
 		setPeerInFlight(count) {
 			peerInFlight = count;
 		},
-		setPeerOverdue(count) {
-			peerOverdue = count;
-		},
-		changeOverdue(difference) {
-			overdue += difference;
-		},
-		getOverdue: () => overdue,
 		setConnectionShare(connections) {
 			connectionShare = connections;
 		},
@@ -176,12 +143,12 @@
 		getReportedLoad: () => reportedLoad,
 		getInFlight: () => inFlight,
 		isOpen: now => state !== 'leaving' && !isAbsent && ejectedUntil <= now && inFlight < getLimit(),
-		getLoad(now, peers) {
+		getLoad(now, withPeers) {
 			if (failures > 0) {
 				fade(now);
 			}
 
-			return (inFlight + failures + getPeerCount(peers)) / announcement.slots;
+			return (inFlight + (withPeers ? peerInFlight : 0) + failures) / announcement.slots;
 		},
 		start() {
 			inFlight++;
--- a/source/choice/choice.test.ts
+++ b/source/choice/choice.test.ts
@@ -123,7 +123,7 @@
 describe('createJointCounts and createCountsReporter', () => {
 	function doTest(counts: ReadonlyArray<ReadonlyArray<readonly [server: number, inFlight: number]>>, expected: number): void {
 		const joint = createJointCounts();
-		const reporter = createCountsReporter('counts', 'a');
+		const reporter = createCountsReporter('a');
 		for (const step of counts) {
 			const message = reporter.takeChanges(step.map(([server, inFlight]) => ({server, inFlight})));
 			if (message !== undefined) {
--- a/source/choice/chooser.ts
+++ b/source/choice/chooser.ts
@@ -73,18 +73,14 @@
 			}
 
 			case 'two-joint-choices': {
-				return candidate.getLoad(choice.now, 'inFlight');
-			}
-
-			case 'least-overdue': {
-				return candidate.getLoad(choice.now, 'overdue');
+				return candidate.getLoad(choice.now, true);
 			}
 
 			case 'central-queue':
 			case 'round-robin':
 			case 'least-in-flight':
 			case 'two-choices': {
-				return candidate.getLoad(choice.now, 'none');
+				return candidate.getLoad(choice.now, false);
 			}
 		}
 	}
@@ -137,7 +133,6 @@
 				}
 
 				case 'central-queue':
-				case 'least-overdue':
 				case 'least-in-flight': {
 					return chooseOfAll(choice);
 				}
--- a/source/choice/joint-counts.ts
+++ b/source/choice/joint-counts.ts
@@ -3,17 +3,14 @@
  * sends only the counts that changed; a peer that is gone counts for nothing.
  */
 
-/** What is counted: requests in flight, or those of them that take longer than nearly all others did. */
-export type CountsKind = 'counts' | 'overdue';
-
 /** Counts that changed in a peer since its last message. */
 export type CountsMessage = {
-	readonly kind: CountsKind;
+	readonly kind: 'counts';
 	readonly entry: string;
 	/** Whether `servers` holds every server with requests in flight, rather than the changes. */
 	readonly isWhole: boolean;
 	readonly servers: readonly number[];
-	/** Numbers of requests, in the order of `servers`. */
+	/** Requests in flight, in the order of `servers`. */
 	readonly inFlight: readonly number[];
 };
 
@@ -84,10 +81,9 @@
 
 /**
  * Creates a reporter.
- * @param kind - What is counted.
  * @param entry - Name of the entry.
  */
-export function createCountsReporter(kind: CountsKind, entry: string): CountsReporter {
+export function createCountsReporter(entry: string): CountsReporter {
 	const sent = new Map<number, number>();
 
 	return {
@@ -105,11 +101,11 @@
 			return servers.length === 0
 				? undefined
 				: {
-					kind, entry, isWhole: false, servers, inFlight,
+					kind: 'counts', entry, isWhole: false, servers, inFlight,
 				};
 		},
 		getWhole: () => ({
-			kind, entry, isWhole: true, servers: [...sent.keys()], inFlight: [...sent.values()],
+			kind: 'counts', entry, isWhole: true, servers: [...sent.keys()], inFlight: [...sent.values()],
 		}),
 	};
 }
--- a/source/entry/call.ts
+++ b/source/entry/call.ts
@@ -31,8 +31,6 @@
 	isLeaseValid(now: number): boolean;
 	isClosing(): boolean;
 	createRequestId(): string;
-	/** Tells the peers soon which servers have overdue requests. */
-	overdueChanged(): void;
 	/** Takes the end of a call. */
 	ended(service: Service, verdict: Verdict, milliseconds: number): void;
 };
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -4,9 +4,7 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {interval, Subscription} from 'rxjs';
-import {
-	createCountsReporter, createJointCounts, type Candidate, type CountsKind,
-} from '../choice/index.js';
+import {createJointCounts, createCountsReporter} from '../choice/index.js';
 import {type EnvironmentDocument} from '../configuration/index.js';
 import {createControlClient, type ControlClient} from '../control-client/index.js';
 import {type Grant} from '../lease/index.js';
@@ -24,14 +22,13 @@
 import {createFleet} from './fleet.js';
 import {keepLease} from './lease-keeper.js';
 import {createEntryMetrics} from './metrics.js';
-import {startPeers, type Exchange, type StartedPeers} from './peers.js';
+import {startPeers, type StartedPeers} from './peers.js';
 import {createProber} from './prober.js';
 import {createRouter, type Router} from './router.js';
 import {createSuspects} from './suspects.js';
 
 const housekeepingMilliseconds = 50;
 const drainCheckMilliseconds = 20;
-const overdueMilliseconds = 10;
 const callerKeepAliveMilliseconds = 65_000;
 const headersTimeoutMilliseconds = 10_000;
 const requestTimeoutMilliseconds = 60_000;
@@ -64,6 +61,7 @@
 	const random = createRandom(options.seed);
 	const metrics = createEntryMetrics();
 	const fleet = createFleet(random);
+	const counts = createJointCounts();
 	const counter = createServiceLevelCounter(settings.name, settings.environment);
 	const subscription = new Subscription();
 	const idPrefix = randomBytes(6).toString('hex');
@@ -113,44 +111,17 @@
 			: startPeers({
 				identity: security.link,
 				address: settings.peers,
-				exchanges: {
-					counts: createExchange('counts', candidate => candidate.getInFlight(), (candidate, count) => {
-						candidate.setPeerInFlight(count);
-					}),
-					overdue: createExchange('overdue', candidate => candidate.getOverdue(), (candidate, count) => {
-						candidate.setPeerOverdue(count);
-					}),
+				counts,
+				reporter: createCountsReporter(settings.name),
+				getOwnCounts: () => [...fleet.getServers()].map(({candidate}) => ({server: candidate.id, inFlight: candidate.getInFlight()})),
+				changed(servers) {
+					for (const id of servers) {
+						fleet.get(id)?.candidate.setPeerInFlight(counts.get(id));
+					}
 				},
 			});
 	}
 
-	function createExchange(kind: CountsKind, getOwn: (candidate: Candidate) => number, take: (candidate: Candidate, count: number) => void): Exchange {
-		const counts = createJointCounts();
-		return {
-			counts,
-			reporter: createCountsReporter(kind, settings.name),
-			getOwn: () => [...fleet.getServers()].map(({candidate}) => ({server: candidate.id, inFlight: getOwn(candidate)})),
-			changed(servers) {
-				for (const id of servers) {
-					const known = fleet.get(id);
-					if (known !== undefined) {
-						take(known.candidate, counts.get(id));
-					}
-				}
-			},
-		};
-	}
-
-	let overdueTimer: NodeJS.Timeout | undefined;
-
-	/** Tells the peers of overdue requests, once for all that change within a moment. */
-	function overdueChanged(): void {
-		overdueTimer ??= setTimeout(() => {
-			overdueTimer = undefined;
-			started?.peers.exchange('overdue');
-		}, overdueMilliseconds);
-	}
-
 	function enforce(grant: Grant, next: EnvironmentDocument | undefined): void {
 		if (next !== undefined) {
 			document = next;
@@ -216,7 +187,6 @@
 		isLeaseValid: now => keeper.holder.isValid(now),
 		isClosing: () => isDraining,
 		createRequestId,
-		overdueChanged,
 		ended,
 	};
 
@@ -293,9 +263,7 @@
 	subscription.add(interval(housekeepingMilliseconds).subscribe(keepHouse));
 	subscription.add(interval(periodMilliseconds).subscribe(report));
 	if (started !== undefined) {
-		subscription.add(interval(settings.exchangeMilliseconds).subscribe(() => {
-			started.peers.exchange('counts');
-		}));
+		subscription.add(interval(settings.exchangeMilliseconds).subscribe(started.peers.exchange));
 	}
 
 	async function finishInFlight(): Promise<void> {
--- a/source/entry/peers.ts
+++ b/source/entry/peers.ts
@@ -1,7 +1,5 @@
 /** Exchanges requests in flight with the other entries. */
-import {
-	type CountsKind, type CountsMessage, type CountsReporter, type JointCounts,
-} from '../choice/index.js';
+import {type JointCounts, type CountsMessage, type CountsReporter} from '../choice/index.js';
 import {type PeerAddress} from '../lease/index.js';
 import {
 	createDialer, listenForLinks, type Dialer, type LinkIdentity, type LinkListener,
@@ -12,27 +10,22 @@
 export type Peers = {
 	/** Keeps links to exactly these peers. */
 	set(addresses: readonly PeerAddress[]): void;
-	/** Sends the counts of one kind that changed. */
-	exchange(kind: CountsKind): void;
+	/** Sends the counts that changed. */
+	exchange(): void;
 	getCount(): number;
 	getSentFrames(): number;
 	stop(): Promise<void>;
 };
 
-/** One kind of counts that peers exchange. */
-export type Exchange = {
-	readonly counts: JointCounts;
-	readonly reporter: CountsReporter;
-	getOwn(): Iterable<{readonly server: number; readonly inFlight: number}>;
-	/** Takes servers whose joint counts changed. */
-	changed(servers: readonly number[]): void;
-};
-
 /** Options of `startPeers`. */
 export type PeersOptions = {
 	readonly identity: LinkIdentity;
 	readonly address: Address;
-	readonly exchanges: Readonly<Record<CountsKind, Exchange>>;
+	readonly counts: JointCounts;
+	readonly reporter: CountsReporter;
+	getOwnCounts(): Iterable<{readonly server: number; readonly inFlight: number}>;
+	/** Takes servers whose joint counts changed. */
+	changed(servers: readonly number[]): void;
 };
 
 /** Peers, and the port on which they reach this entry. */
@@ -43,7 +36,6 @@
  * @param options - Address, identity and counts.
  */
 export async function startPeers(options: PeersOptions): Promise<StartedPeers> {
-	const {exchanges} = options;
 	const dialers = new Map<string, Dialer>();
 	let sentFrames = 0;
 	const listener: LinkListener = await listenForLinks<CountsMessage>({
@@ -54,13 +46,10 @@
 		opened(link) {
 			link.messages.subscribe({
 				next(message) {
-					const {counts, changed} = exchanges[message.kind];
-					changed(counts.receive({...message, entry: link.peer}));
+					options.changed(options.counts.receive({...message, entry: link.peer}));
 				},
 				complete() {
-					for (const {counts, changed} of Object.values(exchanges)) {
-						changed(counts.forget(link.peer));
-					}
+					options.changed(options.counts.forget(link.peer));
 				},
 			});
 		},
@@ -75,9 +64,7 @@
 				// Counts arrive on the links that peers dial.
 			},
 			opened() {
-				for (const {reporter} of Object.values(exchanges)) {
-					dialer.send(reporter.getWhole());
-				}
+				dialer.send(options.reporter.getWhole());
 			},
 			closed() {
 				// The dialer connects again by itself.
@@ -103,9 +90,8 @@
 				}
 			}
 		},
-		exchange(kind) {
-			const {reporter, getOwn} = exchanges[kind];
-			const message = reporter.takeChanges(getOwn());
+		exchange() {
+			const message = options.reporter.takeChanges(options.getOwnCounts());
 			if (message === undefined) {
 				return;
 			}
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -11,7 +11,6 @@
 import {type CallContext} from './call.js';
 import {type Claim} from './claims.js';
 import {type ServiceState} from './fleet.js';
-import {watchOverdue, type Overdue} from './overdue.js';
 import {deadlineHeader, getRequestHeaders, requestIdHeader} from './headers.js';
 
 /** What a caller asks for. */
@@ -24,7 +23,7 @@
 	readonly stream: IncomingMessage | undefined;
 };
 
-type Running = {readonly attempt: Attempt; readonly candidate: Candidate; readonly startedAt: number; readonly overdue: Overdue};
+type Running = {readonly attempt: Attempt; readonly candidate: Candidate; readonly startedAt: number};
 
 const noZones: ReadonlySet<string> = new Set();
 
@@ -88,8 +87,7 @@
 
 	function cancelRunning(): void {
 		const now = performance.now();
-		for (const {attempt, candidate, overdue} of running) {
-			overdue.end();
+		for (const {attempt, candidate} of running) {
 			attempt.cancel();
 			candidate.finish('cancelled', now);
 		}
@@ -166,15 +164,12 @@
 				end(self, outcome);
 			},
 		});
-		const self: Running = {
-			attempt, candidate, startedAt: now, overdue: watchOverdue(candidate, state.hedgeDelay.getMilliseconds(), context.overdueChanged),
-		};
+		const self: Running = {attempt, candidate, startedAt: now};
 		running.add(self);
 	}
 
 	function end(self: Running, outcome: Outcome): void {
 		running.delete(self);
-		self.overdue.end();
 		hasDispatched ||= self.attempt.wasDispatched();
 		mayHaveRunBefore ||= outcome.kind === 'failed' && outcome.verdict.kind === 'mayHaveRun';
 		const now = performance.now();
