--- a/source/wire/listener.ts
+++ b/source/wire/listener.ts
@@ -5,6 +5,8 @@
 import {type Link, type LinkIdentity} from './link.js';
 import {listen} from './listen.js';
 
+const tlsHandshakeMilliseconds = 2000;
+
 /** Accepts links. */
 export type LinkListener = {
 	readonly port: number;
@@ -29,24 +31,32 @@
 	const sockets = new Set<Socket>();
 
 	function accept(socket: Socket): void {
-		sockets.add(socket);
 		startHandshake<Message>({
 			socket,
 			identity: options.identity,
 			side: 'server',
 			opened: options.opened,
 			closed() {
-				sockets.delete(socket);
+				// The connection below is forgotten when it closes.
 			},
 		});
 	}
 
+	/** Remembers a connection, also one whose TLS handshake has not ended. */
+	function remember(socket: Socket): void {
+		sockets.add(socket);
+		socket.once('close', () => {
+			sockets.delete(socket);
+		});
+	}
+
 	const {certificates} = options.identity;
 	const server: Server = certificates === undefined
 		? createServer(accept)
 		: createTlsServer({
-			cert: certificates.certificate, key: certificates.key, ca: certificates.authority, requestCert: true,
+			cert: certificates.certificate, key: certificates.key, ca: certificates.authority, requestCert: true, handshakeTimeout: tlsHandshakeMilliseconds,
 		}, accept);
+	server.on('connection', remember);
 	const port = await listen(server, {setting: options.setting, host: options.host, port: options.port});
 	return {
 		port,
