Hedge only methods that change nothing; add the zone bench

Found by reading, after hedges became the default: a hedged PUT leaves a slower attempt behind whose cancellation may come too late; it could take effect after the caller's next PUT. The rule stood in the driver as 'idempotent'; it is now a decision (mayHedge) with its tests.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import {runLimits} from './limits.js';
 import {runSlopes} from './slopes.js';
 import {runThroughput} from './throughput.js';
+import {runZone} from './zone.js';
 
 const benches: Readonly<Record<string, (options: BenchOptions) => Promise<BenchReport>>> = {
 	'added-latency': runAddedLatency,
@@ -16,6 +17,7 @@
 	limits: runLimits,
 	slopes: runSlopes,
 	throughput: runThroughput,
+	zone: runZone,
 };
 
 const program = cac('bench');
--- a/bench/rig.ts
+++ b/bench/rig.ts
@@ -58,6 +58,8 @@
 	readonly seed: number;
 	readonly method?: string;
 	readonly key?: string;
+	/** Seconds at the start that are not counted. */
+	readonly warmUp?: number;
 };
 
 /**
@@ -66,7 +68,7 @@
  */
 export async function runLoadProcess(options: LoadOptions): Promise<LoadResult> {
 	const stdout = await execute([
-		programBundle, 'load', ...options.targets, '--json', '--seconds', String(options.seconds), '--seed', String(options.seed), '--rate', String(options.rate ?? 1), '--callers', String(options.callers ?? 0), '--warm-up', String(warmUpSeconds), '--method', options.method ?? 'GET', ...options.key === undefined ? [] : ['--key', options.key],
+		programBundle, 'load', ...options.targets, '--json', '--seconds', String(options.seconds), '--seed', String(options.seed), '--rate', String(options.rate ?? 1), '--callers', String(options.callers ?? 0), '--warm-up', String(options.warmUp ?? warmUpSeconds), '--method', options.method ?? 'GET', ...options.key === undefined ? [] : ['--key', options.key],
 	]);
 	return JSON.parse(stdout) as LoadResult;
 }
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -4,7 +4,7 @@
 import {performance} from 'node:perf_hooks';
 import {type AttemptResult, type Candidate} from '../choice/index.js';
 import {type Service} from '../configuration/index.js';
-import {mayRetry} from '../retry/index.js';
+import {mayHedge, mayRetry} from '../retry/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {writeHead} from './answer.js';
 import {startAttempt, type Attempt, type Outcome} from './attempt.js';
@@ -293,8 +293,11 @@
 	}
 
 	function planHedge(): void {
-		const isHedged = service.hedgeRatio > 0 && request.isIdempotent && request.stream === undefined;
-		if (!isHedged) {
+		const {method, isIdempotent, stream} = request;
+		const {hedgeRatio} = service;
+		if (!mayHedge({
+			method, isIdempotent, isRepeatable: stream === undefined, hedgeRatio,
+		})) {
 			return;
 		}
 
--- a/source/retry/retry.test.ts
+++ b/source/retry/retry.test.ts
@@ -3,7 +3,7 @@
 import {createRandom} from '../randomness/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {
-	createAttemptBudget, createHedgeDelay, mayRetry, type FailedAttempt,
+	createAttemptBudget, createHedgeDelay, mayHedge, mayRetry, type FailedAttempt, type HedgeableRequest,
 } from './index.js';
 
 describe('mayRetry', () => {
@@ -36,6 +36,31 @@
 	});
 });
 
+describe('mayHedge', () => {
+	function doTest(method: string, changes: Partial<HedgeableRequest>, expected: boolean): void {
+		expect(mayHedge({
+			method, isIdempotent: true, isRepeatable: true, hedgeRatio: 0.05, ...changes,
+		})).toEqual(expected);
+	}
+
+	test('allows a request that changes nothing', () => {
+		doTest('GET', {}, true);
+	});
+	test('never allows an idempotent request that changes something, whose late attempt could undo a later one', () => {
+		doTest('PUT', {}, false);
+		doTest('DELETE', {}, false);
+	});
+	test('never allows a method that the service does not call idempotent', () => {
+		doTest('GET', {isIdempotent: false}, false);
+	});
+	test('never allows a body that is gone', () => {
+		doTest('GET', {isRepeatable: false}, false);
+	});
+	test('allows none without a budget', () => {
+		doTest('GET', {hedgeRatio: 0}, false);
+	});
+});
+
 describe('createAttemptBudget', () => {
 	function doTest(ratio: number, requests: number, expected: number): void {
 		const budget = createAttemptBudget(() => ratio, 2);
