--- a/scenario/runner.ts
+++ b/scenario/runner.ts
@@ -2,11 +2,10 @@
 import {Agent} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	documentSchema, withZone, type EnvironmentDocument, type Version,
+	documentSchema, withZone, type EnvironmentDocument,
 } from '../source/configuration/index.js';
-import {createRandom} from '../source/randomness/index.js';
 import {
-	crashHeader, startStandIn, type Behaviour, type Run, type StandIn,
+	crashHeader, startStandIn, type Run, type StandIn,
 } from '../stand-in/index.js';
 import {
 	createCluster, getFreePort, isRunning, type Cluster, type Member,
@@ -17,10 +16,12 @@
 import {
 	checkers, type Change, type Departure, type History, type Reading, type Sending, type Violation,
 } from './history.js';
-import {type Option, type Statement, type Target} from './statement.js';
+import {createOperators} from './operators.js';
+import {getBehaviour, getServiceShape, type ServiceShape} from './options.js';
+import {type Statement, type Target} from './statement.js';
+import {waitUntil} from './wait.js';
 
 const readinessMilliseconds = 100;
-const pollMilliseconds = 20;
 const startLimitMilliseconds = 20_000;
 const servedConnections = 250;
 const answeringMilliseconds = 300;
@@ -40,8 +41,6 @@
 /** An entry that serves, and the number of servers that it knows. */
 type ReadyEntry = EntryAddress & {readonly servers: number};
 
-type ServiceShape = {readonly name: string; readonly servers: number; readonly behaviour: Partial<Behaviour>; readonly easingGrowth: number; readonly isRead: boolean};
-
 /**
  * Runs a scenario.
  * @param statements - Parsed statements.
@@ -66,7 +65,12 @@
 	let cluster: Cluster | undefined;
 	let watch: NodeJS.Timeout | undefined;
 	let nextStream = 1;
-	let nextRace = 1;
+
+	const operators = createOperators({
+		getCluster, createDocument, getSeed: () => seed, record(change) {
+			changes.push(change);
+		},
+	});
 
 	function getCluster(): Cluster {
 		if (cluster === undefined) {
@@ -76,37 +80,6 @@
 		return cluster;
 	}
 
-	async function change(edit: (document: EnvironmentDocument) => EnvironmentDocument, id: string): Promise<number> {
-		for (let attempt = 0; attempt < 100; attempt++) {
-			const current = await getCluster().call('GET', '/v1/environments/production');
-			if (current === undefined) {
-				continue;
-			}
-
-			const known = current.status === 404 ? undefined : (current.body as {readonly version: Version}).version;
-			const base = known?.version ?? 0;
-			const version = await sendChange(`${id}-${attempt}`, base, edit(known?.document ?? createDocument()));
-			if (version !== undefined) {
-				return version;
-			}
-		}
-
-		throw new Error(`the change ${id} was never accepted`);
-	}
-
-	async function sendChange(id: string, base: number, document: EnvironmentDocument): Promise<number | undefined> {
-		const sentAt = Date.now();
-		const answer = await getCluster().call('POST', '/v1/environments/production/apply', {
-			base, change: id, author: 'scenario', document,
-		});
-		const {answer: outcome} = (answer?.body ?? {}) as {readonly answer?: {readonly kind: string; readonly version?: number}};
-		const version = outcome?.kind === 'accepted' ? outcome.version : undefined;
-		changes.push({
-			change: id, base, sentAt, endedAt: Date.now(), version,
-		});
-		return version;
-	}
-
 	function createDocument(): EnvironmentDocument {
 		return documentSchema.parse({
 			zones: zones.map(name => ({name})),
@@ -124,7 +97,7 @@
 		await Promise.all(cluster.controls.map(async member => getCluster().start(member, true)));
 		await Promise.all(cluster.entries.map(async member => getCluster().start(member, false)));
 		watch = setInterval(watchEntries, readinessMilliseconds);
-		await change(() => createDocument(), 'first');
+		await operators.change(() => createDocument(), 'first');
 		await startServers();
 		await waitUntil('every entry is ready and knows every server', startLimitMilliseconds, async () => ready.size === entries && [...ready.values()].every(entry => entry.servers === servers.size));
 	}
@@ -310,7 +283,7 @@
 	}
 
 	async function changeZone(action: 'out' | 'in', zone: string): Promise<void> {
-		await change(document => withZone(document, zone, action === 'in'), `zone-${zone}-${action}-${Date.now()}`);
+		await operators.change(document => withZone(document, zone, action === 'in'), `zone-${zone}-${action}-${Date.now()}`);
 		const now = Date.now();
 		if (action === 'out') {
 			departures.push({
@@ -326,27 +299,6 @@
 		}
 	}
 
-	/** Operators race changes on the versions that they know, and resend those that got no answer. */
-	async function race(operators: number, each: number): Promise<void> {
-		const random = createRandom(seed);
-		const prefix = `race-${nextRace++}`;
-		await Promise.all(Array.from({length: operators}, async (_, operator) => {
-			for (let number = 0; number < each; number++) {
-				const id = `${prefix}-${operator}-${number}`;
-				const current = await getCluster().call('GET', '/v1/environments/production');
-				if (current?.status !== 200) {
-					continue;
-				}
-
-				const {version} = current.body as {readonly version: Version};
-				const resends = random() < 0.3 ? 2 : 1;
-				for (let sending = 0; sending < resends; sending++) {
-					await sendChange(id, version.version, version.document);
-				}
-			}
-		}));
-	}
-
 	/** One caller sends a request that crashes its server, again and again through other entries. */
 	async function resendCrashing(service: string, times: number): Promise<void> {
 		const agent = new Agent();
@@ -477,7 +429,7 @@
 			}
 
 			case 'race': {
-				await race(statement.operators, statement.changes);
+				await operators.race(statement.operators, statement.changes);
 				return;
 			}
 
@@ -551,37 +503,3 @@
 		throw new Error(`line ${statement.line}: ${(error as Error).message}`, {cause: error});
 	}
 }
-
-async function waitUntil(what: string, milliseconds: number, isTrue: () => Promise<boolean>): Promise<void> {
-	const until = Date.now() + milliseconds;
-	while (!await isTrue()) {
-		if (Date.now() > until) {
-			throw new Error(`after ${milliseconds} ms it is not so that ${what}`);
-		}
-
-		await delay(pollMilliseconds);
-	}
-}
-
-function getServiceShape(name: string, options: readonly Option[]): ServiceShape {
-	const numbers = new Map(options.map(option => [option.name, Number(option.value)]));
-	return {
-		name,
-		servers: numbers.get('servers') ?? 3,
-		easingGrowth: numbers.get('growth') ?? 0.5,
-		isRead: false,
-		behaviour: getBehaviour(options.filter(option => option.name !== 'servers' && option.name !== 'growth')),
-	};
-}
-
-function getBehaviour(options: readonly Option[]): Partial<Behaviour> {
-	return Object.fromEntries(options.map(({name, value}) => [name, getValue(value)]));
-}
-
-function getValue(text: string): number | boolean | string {
-	if (text === 'true' || text === 'false') {
-		return text === 'true';
-	}
-
-	return Number.isNaN(Number(text)) ? text : Number(text);
-}
