--- a/source/choice/candidate.ts
+++ b/source/choice/candidate.ts
@@ -11,12 +11,6 @@
 /** Load that one failure counts for. */
 const failureLoad = 2;
 
-/** Time in which the load of a slow answer fades to a third, in milliseconds. */
-const slownessFadeMilliseconds = 400;
-
-/** Load that one slow answer counts for. */
-const slownessLoad = 1.5;
-
 /** Requests in flight that a warm server may have from all entries together, per slot. */
 const overcommitFactor = 3;
 
@@ -53,10 +47,6 @@
 	isOpen(now: number): boolean;
 	/** Gets the load per slot that a further request would meet. */
 	getLoad(now: number, withPeers: boolean): number;
-	/** Gets the load per slot with what recent slow answers count for. */
-	getLoadWithSlowness(now: number): number;
-	/** Notes an answer that took longer than nearly all others did. */
-	noteSlow(now: number): void;
 	start(): void;
 	finish(result: AttemptResult, now: number): void;
 	/** Notes that a server that should be warm behaved like a cold one. */
@@ -91,8 +81,6 @@
 	let ejections = 0;
 	let isOnProbation = false;
 	let overcommit = overcommitFactor;
-	let slowness = 0;
-	let slowAt = 0;
 	let localLimit = Number.POSITIVE_INFINITY;
 	let hasTurnedCold = false;
 	let successes = 0;
@@ -162,14 +150,6 @@
 
 			return (inFlight + (withPeers ? peerInFlight : 0) + failures) / announcement.slots;
 		},
-		getLoadWithSlowness(now) {
-			const faded = slowness * Math.exp((slowAt - now) / slownessFadeMilliseconds);
-			return this.getLoad(now, false) + (faded / announcement.slots);
-		},
-		noteSlow(now) {
-			slowness = (slowness * Math.exp((slowAt - now) / slownessFadeMilliseconds)) + slownessLoad;
-			slowAt = now;
-		},
 		start() {
 			inFlight++;
 		},
--- a/source/choice/chooser.ts
+++ b/source/choice/chooser.ts
@@ -76,10 +76,6 @@
 				return candidate.getLoad(choice.now, true);
 			}
 
-			case 'least-slow': {
-				return candidate.getLoadWithSlowness(choice.now);
-			}
-
 			case 'central-queue':
 			case 'round-robin':
 			case 'least-in-flight':
@@ -137,7 +133,6 @@
 				}
 
 				case 'central-queue':
-				case 'least-slow':
 				case 'least-in-flight': {
 					return chooseOfAll(choice);
 				}
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -185,10 +185,6 @@
 	}
 
 	function succeed(self: Running, outcome: Exclude<Outcome, {readonly kind: 'failed'}>, now: number): void {
-		if (now - self.startedAt > state.hedgeDelay.getMilliseconds()) {
-			self.candidate.noteSlow(now);
-		}
-
 		state.hedgeDelay.record(now - self.startedAt);
 		if (outcome.head.status >= 500) {
 			ejectFailing(self.candidate, now);
