--- a/bench/rig.ts
+++ b/bench/rig.ts
@@ -2,17 +2,16 @@
 import {spawn, execFile, type ChildProcess} from 'node:child_process';
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
-import {setTimeout as delay} from 'node:timers/promises';
 import {bundleProgram} from '../scripts/bundle.js';
 import {documentSchema, type EnvironmentDocument} from '../source/configuration/index.js';
 import {type LoadResult} from '../source/program/load.js';
 import {createCluster, type Cluster, type Member} from '../stand-in/cluster.js';
+import {waitUntil} from '../stand-in/wait.js';
 
 const host = '127.0.0.1';
 const standInBundle = 'dist/stand-in.cjs';
 const programBundle = 'dist/guavadeck.cjs';
 const maximumOutputBytes = 10_000_000;
-const pollMilliseconds = 50;
 const startLimitMilliseconds = 30_000;
 const ticksPerSecond = 100;
 const warmUpSeconds = 1.5;
@@ -132,7 +131,7 @@
 		async apply(document) {
 			const checked: EnvironmentDocument = documentSchema.parse(document);
 			let version: number | undefined;
-			await waitUntil('a document is accepted', async () => {
+			await waitUntil('a document is accepted', startLimitMilliseconds, async () => {
 				const current = await cluster.call('GET', '/v1/environments/production');
 				const base = current?.status === 200 ? (current.body as {readonly version: {readonly version: number}}).version.version : 0;
 				const answer = await cluster.call('POST', '/v1/environments/production/apply', {
@@ -142,10 +141,10 @@
 				version = outcome?.kind === 'accepted' ? outcome.version : undefined;
 				return version !== undefined;
 			});
-			await waitUntil('it is in force', async () => isInForce(version!));
+			await waitUntil('it is in force', startLimitMilliseconds, async () => isInForce(version!));
 		},
 		async warm(servers, path) {
-			await waitUntil('all servers are warm', async () => {
+			await waitUntil('all servers are warm', startLimitMilliseconds, async () => {
 				await runLoadProcess({
 					targets: getEntryUrls(path), rate: 200, seconds: 0.5, seed: 1,
 				});
@@ -181,19 +180,3 @@
 	const resident = /VmRSS:\s+(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.groups?.kilobytes ?? '0';
 	return {cpuSeconds: (Number(fields[11]) + Number(fields[12])) / ticksPerSecond, residentMegabytes: Number(resident) / 1024};
 }
-
-/**
- * Waits until something is so.
- * @param what - What is waited for, for the error.
- * @param isTrue - Checks it.
- */
-export async function waitUntil(what: string, isTrue: () => Promise<boolean>): Promise<void> {
-	const until = Date.now() + startLimitMilliseconds;
-	while (!await isTrue()) {
-		if (Date.now() > until) {
-			throw new Error(`after ${startLimitMilliseconds} ms it is not so that ${what}`);
-		}
-
-		await delay(pollMilliseconds);
-	}
-}
--- a/scenario/runner.ts
+++ b/scenario/runner.ts
@@ -10,6 +10,7 @@
 import {
 	createCluster, getFreePort, isRunning, type Cluster, type Member,
 } from '../stand-in/cluster.js';
+import {waitUntil} from '../stand-in/wait.js';
 import {
 	sendOnce, startStream, type EntryAddress, type Stream,
 } from './caller.js';
@@ -19,7 +20,6 @@
 import {createOperators} from './operators.js';
 import {getBehaviour, getServiceShape, type ServiceShape} from './options.js';
 import {type Statement, type Target} from './statement.js';
-import {waitUntil} from './wait.js';
 
 const readinessMilliseconds = 100;
 const startLimitMilliseconds = 20_000;
--- a/source/consensus/replica.test.ts
+++ b/source/consensus/replica.test.ts
@@ -28,6 +28,15 @@
 	}), 200);
 }
 
+/** Brings a replica to leadership of an empty log whose first entry is committed. */
+function lead(replica: Replica): void {
+	elect(replica);
+	replica.handle({kind: 'persisted', lastIndex: 1, lastTerm: 1}, 210);
+	replica.handle(receive('b', {
+		kind: 'appended', term: 1, isSuccess: true, index: 1, round: 0,
+	}), 210);
+}
+
 describe('createReplica: commitment', () => {
 	function doTest(matchIndex: number, expectedCommit: number, isPersisted = true): void {
 		const replica = createOne(2, [{index: 1, term: 1, payload: {kind: 'command', command: 'old'}}]);
@@ -59,11 +68,7 @@
 describe('createReplica: confirmation', () => {
 	function doTest(round: number, expected: readonly string[]): void {
 		const replica = createOne(0, []);
-		elect(replica);
-		replica.handle({kind: 'persisted', lastIndex: 1, lastTerm: 1}, 210);
-		replica.handle(receive('b', {
-			kind: 'appended', term: 1, isSuccess: true, index: 1, round: 0,
-		}), 210);
+		lead(replica);
 		replica.handle({kind: 'confirm', token: 9, isUrgent: true}, 220);
 		const actions = replica.handle(receive('b', {
 			kind: 'appended', term: 1, isSuccess: true, index: 1, round,
@@ -83,11 +88,7 @@
 describe('createReplica: questions that can wait', () => {
 	function doTest(isUrgent: boolean, expected: readonly [asked: number, atHeartbeat: number]): void {
 		const replica = createOne(0, []);
-		elect(replica);
-		replica.handle({kind: 'persisted', lastIndex: 1, lastTerm: 1}, 210);
-		replica.handle(receive('b', {
-			kind: 'appended', term: 1, isSuccess: true, index: 1, round: 0,
-		}), 210);
+		lead(replica);
 		const countRounds = (actions: readonly Action[]): number => actions.filter(action => action.kind === 'send' && action.message.kind === 'append' && action.message.round === 1).length;
 		const asked = countRounds(replica.handle({kind: 'confirm', token: 9, isUrgent}, 212));
 		replica.handle({kind: 'confirm', token: 10, isUrgent}, 213);
--- a/source/consensus/replica.ts
+++ b/source/consensus/replica.ts
@@ -9,6 +9,7 @@
 import {
 	type Action, type HardState, type LogEntry, type Membership, type Payload, type ReplicaEvent, type ReplicaMessage, type Role, type Snapshot,
 } from './message.js';
+import {getQuorumValue, isQuorum} from './quorum.js';
 import {createProgress, type Progress} from './progress.js';
 
 const entriesPerAppend = 256;
@@ -98,7 +99,7 @@
 	}
 
 	function hasQuorum(count: number): boolean {
-		return count * 2 > membership.voters.length;
+		return isQuorum(count, membership.voters.length);
 	}
 
 	function countVoters(predicate: (voter: string) => boolean): number {
@@ -437,7 +438,7 @@
 
 	function advanceLeaderCommit(): void {
 		const matches = membership.voters.map(voter => voter === id ? durableIndex : progress.get(voter)?.matchIndex ?? 0);
-		const majority = matches.toSorted((left, right) => right - left)[Math.floor(membership.voters.length / 2)] ?? 0;
+		const majority = getQuorumValue(matches);
 		if (majority > commitIndex && log.getTerm(majority) === term) {
 			advanceCommit(majority);
 			settleConfirmations();
@@ -487,8 +488,8 @@
 			return;
 		}
 
-		const answered = membership.voters.map(voter => voter === id ? confirmations.getRound() : progress.get(voter)?.round ?? 0).toSorted((left, right) => right - left);
-		const settled = confirmations.settle(answered[Math.floor(membership.voters.length / 2)] ?? 0);
+		const answered = membership.voters.map(voter => voter === id ? confirmations.getRound() : progress.get(voter)?.round ?? 0);
+		const settled = confirmations.settle(getQuorumValue(answered));
 		for (const token of settled) {
 			act({kind: 'confirmed', token, index: commitIndex});
 		}
