Tell entries their peers only when they change

Cause: CAPACITY.md has the leader of a cell send 165 KB/s of grants to 43 entries, most of it the same list of peers (39 B for each entry in every grant). The list now has a revision that renewals name, as servers have.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -88,7 +88,7 @@
 
 function getRenewal(entry: string, sequence: number, grant: Grant | undefined): Renewal {
 	return {
-		kind: 'renewal', entry, environment: 'production', sequence, acknowledged: sequence - 1, version: grant?.version ?? 0, epoch: grant?.epoch ?? 0, revision: grant?.revision ?? 0, observations: [], failedProbes: [], heard: [], crashes: [], peer: {name: entry, host: '10.0.0.2', port: 8082}, isFinal: false,
+		kind: 'renewal', entry, environment: 'production', sequence, acknowledged: sequence - 1, version: grant?.version ?? 0, epoch: grant?.epoch ?? 0, revision: grant?.revision ?? 0, peersRevision: grant?.peersRevision ?? 0, observations: [], failedProbes: [], heard: [], crashes: [], peer: {name: entry, host: '10.0.0.2', port: 8082}, isFinal: false,
 	};
 }
 
--- a/source/control/leadership.test.ts
+++ b/source/control/leadership.test.ts
@@ -37,7 +37,7 @@
 
 function getRenewal(sequence: number, last: Grant | undefined, heard: readonly number[]): Renewal {
 	return {
-		kind: 'renewal', entry: 'e1', environment: 'production', sequence, acknowledged: last?.sequence ?? 0, version: last?.version ?? 0, epoch: last?.epoch ?? 0, revision: last?.revision ?? 0, observations: [], failedProbes: [], heard, crashes: [], peer: undefined, isFinal: false,
+		kind: 'renewal', entry: 'e1', environment: 'production', sequence, acknowledged: last?.sequence ?? 0, version: last?.version ?? 0, epoch: last?.epoch ?? 0, revision: last?.revision ?? 0, peersRevision: last?.peersRevision ?? 0, observations: [], failedProbes: [], heard, crashes: [], peer: undefined, isFinal: false,
 	};
 }
 
@@ -160,3 +160,35 @@
 		doTest([99], [true]);
 	});
 });
+
+describe('createLeadership: peers', () => {
+	const peer = {name: 'e2', host: '127.0.0.1', port: 7};
+
+	/** Renews twice as `e1`; `e2` comes before, or between the two renewals, or goes between them. */
+	function doTest(order: readonly ['e2' | 'e2 gone' | '', 'e2' | 'e2 gone' | ''], expected: ReadonlyArray<readonly string[] | undefined>): void {
+		const {leadership} = start();
+		let last: Grant | undefined;
+		const found = order.map((event, index) => {
+			const now = (index + 1) * 10;
+			if (event !== '') {
+				leadership.grant({
+					...getRenewal(index + 1, undefined, []), entry: 'e2', peer, isFinal: event === 'e2 gone',
+				}, now, now);
+			}
+
+			last = leadership.grant({...getRenewal(index + 1, last, []), peer: {...peer, name: 'e1'}}, now, now);
+			return last.peers?.map(other => other.name);
+		});
+		expect(found).toEqual([...expected.map(names => names === undefined ? undefined : [...names])]);
+	}
+
+	test('are told once', () => {
+		doTest(['e2', ''], [['e2'], undefined]);
+	});
+	test('are told again when one comes', () => {
+		doTest(['', 'e2'], [[], ['e2']]);
+	});
+	test('are told again when one goes', () => {
+		doTest(['e2', 'e2 gone'], [['e2'], []]);
+	});
+});
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -10,7 +10,7 @@
 import {createAllocator, type Allocator} from '../cold-start/index.js';
 import {type EnvironmentDocument, type Service} from '../configuration/index.js';
 import {
-	createLeaseBook, type Grant, type Holder, type LeaseBook, type Renewal, type ServerView,
+	createLeaseBook, type Grant, type LeaseBook, type Renewal, type ServerView,
 } from '../lease/index.js';
 import {createDuties, getProbeInterval, type Duties} from '../measuring/index.js';
 import {createQuarantine, type Quarantine} from '../quarantine/index.js';
@@ -84,6 +84,8 @@
 	const ended = new Set<string>();
 	let areInheritedOpen = false;
 	let urgency = 0;
+	let peersKey = '';
+	let peersRevision = 0;
 
 	for (const server of machine.registry.getAll()) {
 		inherited.add(server.id);
@@ -206,6 +208,19 @@
 		return renewal.epoch === options.epoch ? views.getSince(renewal.revision) : views.getWhole();
 	}
 
+	/** Gets the other entries, unless the renewal names their current revision. */
+	function getPeers(renewal: Renewal, now: number): Pick<Grant, 'peers' | 'peersRevision'> {
+		const addresses = book.getLive(now).map(holder => holder.peer).filter(peer => peer !== undefined);
+		const key = addresses.map(peer => `${peer.name} ${peer.host} ${peer.port}`).toSorted().join(',');
+		if (key !== peersKey || peersRevision === 0) {
+			peersKey = key;
+			peersRevision++;
+		}
+
+		const isKnown = renewal.epoch === options.epoch && renewal.peersRevision === peersRevision;
+		return {peersRevision, peers: isKnown ? undefined : addresses.filter(peer => peer.name !== renewal.entry)};
+	}
+
 	function findCooled(renewal: Renewal): void {
 		for (const observation of renewal.observations) {
 			if (observation.isCold && machine.registry.getById(observation.server).map(server => server.state === 'warm').unwrapOr(false)) {
@@ -270,7 +285,7 @@
 				duties: document === undefined ? [] : duties.grant(renewal.entry, renewal.sequence),
 				probeMilliseconds: document === undefined ? Number.POSITIVE_INFINITY : getProbeInterval(document.measuring, duties.getSize()),
 				quarantined: quarantine.getQuarantined(now),
-				peers: getPeers(book.getLive(now), renewal.entry),
+				...getPeers(renewal, now),
 			};
 		},
 		documentChanged(now) {
@@ -343,7 +358,3 @@
 		getUrgency: () => urgency,
 	};
 }
-
-function getPeers(live: readonly Holder[], entry: string): Grant['peers'] {
-	return live.filter(holder => holder.entry !== entry && holder.peer !== undefined).map(holder => holder.peer!);
-}
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -135,8 +135,11 @@
 		}
 
 		fleet.setPermits(grant.permits);
-		fleet.setConnectionShare(grant.peers.length + 1);
-		started?.peers.set(grant.peers);
+		if (grant.peers !== undefined) {
+			fleet.setConnectionShare(grant.peers.length + 1);
+			started?.peers.set(grant.peers);
+		}
+
 		prober.schedule.assign(grant.duties, grant.probeMilliseconds, performance.now());
 		suspects.setQuarantined(grant.quarantined);
 		drainQueues();
--- a/source/entry/lease-keeper.ts
+++ b/source/entry/lease-keeper.ts
@@ -71,6 +71,7 @@
 			version: wantsWhole ? 0 : holder.getVersion(),
 			epoch: holder.getEpoch(),
 			revision: holder.getRevision(),
+			peersRevision: holder.getPeersRevision(),
 			observations: options.takeObservations(),
 			failedProbes: options.takeFailedProbes(),
 			heard: options.takeHeard(),
--- a/source/lease/holder.ts
+++ b/source/lease/holder.ts
@@ -25,6 +25,7 @@
 	getEpoch(): number;
 	getRevision(): number;
 	getVersion(): number;
+	getPeersRevision(): number;
 	/** Ends the lease at once. */
 	giveUp(): void;
 };
@@ -38,6 +39,7 @@
 	let epoch = 0;
 	let revision = 0;
 	let version = 0;
+	let peersRevision = 0;
 	let hasEnded = false;
 
 	function getEnd(grant: Grant): number {
@@ -67,6 +69,7 @@
 			epoch = grant.epoch;
 			revision = grant.revision;
 			version = grant.version;
+			peersRevision = grant.peersRevision;
 			return true;
 		},
 		isValid: now => now < expiresAt,
@@ -75,6 +78,7 @@
 		getEpoch: () => epoch,
 		getRevision: () => revision,
 		getVersion: () => version,
+		getPeersRevision: () => peersRevision,
 		giveUp() {
 			hasEnded = true;
 			expiresAt = Number.NEGATIVE_INFINITY;
--- a/source/lease/lease.test.ts
+++ b/source/lease/lease.test.ts
@@ -8,7 +8,7 @@
 
 function grant(sequence: number, changes: Partial<Grant> = {}): Grant {
 	return {
-		kind: 'grant', sequence, termMilliseconds, epoch: 1, revision: 0, isWhole: true, servers: [], version: 1, document: undefined, permits: [], duties: [], probeMilliseconds: 1000, quarantined: [], peers: [], ...changes,
+		kind: 'grant', sequence, termMilliseconds, epoch: 1, revision: 0, isWhole: true, servers: [], version: 1, document: undefined, permits: [], duties: [], probeMilliseconds: 1000, quarantined: [], peersRevision: 0, peers: [], ...changes,
 	};
 }
 
@@ -60,7 +60,7 @@
 describe('createLeaseBook', () => {
 	function renewal(entry: string, version: number, isFinal = false): Renewal {
 		return {
-			kind: 'renewal', entry, environment: 'production', sequence: 1, acknowledged: 0, version, epoch: 1, revision: 0, observations: [], failedProbes: [], heard: [], crashes: [], peer: undefined, isFinal,
+			kind: 'renewal', entry, environment: 'production', sequence: 1, acknowledged: 0, version, epoch: 1, revision: 0, peersRevision: 0, observations: [], failedProbes: [], heard: [], crashes: [], peer: undefined, isFinal,
 		};
 	}
 
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -34,6 +34,8 @@
 	readonly version: number;
 	readonly epoch: number;
 	readonly revision: number;
+	/** Revision of the peers that the entry knows, 0 before the first. */
+	readonly peersRevision: number;
 	readonly observations: readonly Observation[];
 	readonly failedProbes: readonly number[];
 	/** Servers that announced themselves at the entry, unchanged, since its last renewal. */
@@ -75,7 +77,10 @@
 	readonly duties: readonly number[];
 	readonly probeMilliseconds: number;
 	readonly quarantined: readonly string[];
-	readonly peers: readonly PeerAddress[];
+	/** Revision of the peers; counts within the epoch. */
+	readonly peersRevision: number;
+	/** Other entries, or undefined when they are the same as in the renewal's revision. */
+	readonly peers: readonly PeerAddress[] | undefined;
 };
 
 /** Answer of a control host that cannot grant a lease. */
