--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -108,6 +108,11 @@
 		first.set(`entry-${entry}`, leadership.grant(getRenewal(`entry-${entry}`, ++sequence, undefined), 0, 0));
 	}
 
+	const whole = [...first.values()][0]!;
+	for (const [entry, grant] of first) {
+		first.set(entry, leadership.grant(getRenewal(entry, ++sequence, grant), 0, 0));
+	}
+
 	let now = 0;
 	let last: Grant | undefined;
 	const names = [...first.keys()];
@@ -117,7 +122,6 @@
 		const entry = names[sequence % names.length]!;
 		last = leadership.grant(getRenewal(entry, sequence, first.get(entry)), now, now);
 	});
-	const whole = first.get(names[0]!)!;
 	return {
 		slope: 'grant', servers, entries, grantMicroseconds: microseconds, tickMicroseconds: time(5, () => {
 			leadership.tick(now);
