--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -4,9 +4,6 @@
 import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import process from 'node:process';
-import {
-	Counter, Gauge, Registry as MetricsRegistry, collectDefaultMetrics,
-} from 'prom-client';
 import {interval, type Subscription} from 'rxjs';
 import {Result} from 'true-myth';
 import {type Environment} from '../configuration/index.js';
@@ -26,6 +23,7 @@
 import {createLeader} from './leader.js';
 import {createLeadership, type Leadership} from './leadership.js';
 import {createMachine, machineCodec} from './machine.js';
+import {createControlMetrics} from './metrics.js';
 import {createSnapshotReceiver, createSnapshotSender} from './transfer.js';
 import {
 	type ControlAnswer, type ControlInbound, type ControlOutbound, type ControlRequest,
@@ -77,11 +75,6 @@
 		maximumClaims: settings.ledger.maximumClaims,
 		maximumStoredBytes: settings.ledger.maximumStoredBytes,
 	});
-	const metrics = new MetricsRegistry();
-	collectDefaultMetrics({register: metrics});
-	const renewals = new Counter({
-		name: 'guavadeck_lease_renewals_total', help: 'Lease renewals received', labelNames: ['outcome'], registers: [metrics],
-	});
 	const links = new Set<Link<ControlInbound>>();
 	const joining: string[] = [];
 	const burnBook = createBurnBook();
@@ -131,30 +124,7 @@
 		getBacklogBytes: to => client.getBacklogBytes(getHostName(to)),
 	});
 	const receiver = createSnapshotReceiver(machineCodec);
-	registerGauges();
-
-	function registerGauges(): void {
-		const gauges: ReadonlyArray<readonly [string, string, () => number]> = [
-			['guavadeck_consensus_term', 'Consensus term', () => driver.replica.getTerm()],
-			['guavadeck_consensus_commit_index', 'Highest committed index', () => driver.replica.getCommitIndex()],
-			['guavadeck_consensus_leads', 'Whether this host leads', () => driver.replica.getRole() === 'leader' ? 1 : 0],
-			['guavadeck_storage_syncs_total', 'Batches synced to disk', () => driver.getSyncs()],
-			['guavadeck_ledger_claims', 'Claims in the ledger', () => machine.ledger.getSize()],
-			['guavadeck_ledger_answer_bytes', 'Bytes of stored answers', () => machine.ledger.getStoredBytes()],
-			['guavadeck_registry_servers', 'Servers in the registry', () => machine.registry.getSize()],
-		];
-		for (const [name, help, read] of gauges) {
-			// eslint-disable-next-line no-new
-			new Gauge({
-				name,
-				help,
-				registers: [metrics],
-				collect() {
-					this.set(read());
-				},
-			});
-		}
-	}
+	const metrics = createControlMetrics(driver, machine);
 
 	function sendConsensus(to: string, message: ReplicaMessage): void {
 		if (message.kind === 'install') {
@@ -179,12 +149,12 @@
 		const current = leadership;
 		const isConfirmed = current !== undefined && await driver.confirm(false);
 		if (isConfirmed && leadership === current) {
-			renewals.inc({outcome: 'granted'});
+			metrics.renewed('granted');
 			link.send(current.grant(renewal, receivedAt, performance.now()));
 			return;
 		}
 
-		renewals.inc({outcome: 'refused'});
+		metrics.renewed('refused');
 		const known = driver.replica.getLeader();
 		const refusal: ControlOutbound = {kind: 'refusal', sequence: renewal.sequence, leader: known === undefined || known === self ? undefined : getHostName(known)};
 		link.send(refusal);
@@ -348,7 +318,7 @@
 			const current = machine.register.getCurrent(environment);
 			return current.isJust ? burnBook.getSummary(environment, current.value.document, Date.now()) : undefined;
 		},
-		getMetrics: async () => metrics.metrics(),
+		getMetrics: metrics.getText,
 		isReady: () => driver.replica.getLeader() !== undefined,
 	});
 	let unfinished = 0;
--- /dev/null
+++ b/source/control/metrics.ts
@@ -0,0 +1,55 @@
+/** Counters and gauges of a control host. */
+import {
+	collectDefaultMetrics, Counter, Gauge, Registry,
+} from 'prom-client';
+import {type Driver} from './driver.js';
+import {type Machine} from './machine.js';
+
+/** Metrics of a control host. */
+export type ControlMetrics = {
+	/** Counts a lease renewal. */
+	renewed(outcome: 'granted' | 'refused'): void;
+	/** Gets all metrics in the text format of Prometheus. */
+	getText(): Promise<string>;
+};
+
+/**
+ * Creates the metrics.
+ * @param driver - Driver of the replica.
+ * @param machine - Replicated state machine.
+ */
+export function createControlMetrics(driver: Driver, machine: Machine): ControlMetrics {
+	const registry = new Registry();
+	collectDefaultMetrics({register: registry});
+	const renewals = new Counter({
+		name: 'guavadeck_lease_renewals_total', help: 'Lease renewals received', labelNames: ['outcome'], registers: [registry],
+	});
+
+	function addGauge(name: string, help: string, read: () => number): void {
+		// eslint-disable-next-line no-new
+		new Gauge({
+			name,
+			help,
+			registers: [registry],
+			collect() {
+				this.set(read());
+			},
+		});
+	}
+
+	addGauge('guavadeck_consensus_term', 'Consensus term', () => driver.replica.getTerm());
+	addGauge('guavadeck_consensus_commit_index', 'Highest committed index', () => driver.replica.getCommitIndex());
+	addGauge('guavadeck_consensus_leads', 'Whether this host leads', () => driver.replica.getRole() === 'leader' ? 1 : 0);
+	addGauge('guavadeck_storage_syncs_total', 'Batches synced to disk', () => driver.getSyncs());
+	addGauge('guavadeck_ledger_claims', 'Claims in the ledger', () => machine.ledger.getSize());
+	addGauge('guavadeck_ledger_released', 'Released attempts that the ledger remembers', () => machine.ledger.getReleased());
+	addGauge('guavadeck_ledger_answer_bytes', 'Bytes of stored answers', () => machine.ledger.getStoredBytes());
+	addGauge('guavadeck_registry_servers', 'Servers in the registry', () => machine.registry.getSize());
+
+	return {
+		renewed(outcome) {
+			renewals.inc({outcome});
+		},
+		getText: async () => registry.metrics(),
+	};
+}
