Answer heartbeats before the sync; keep the disk out of the loop's turns

A follower answered every append, heartbeats too, only after its pending sync. While one sync lasted longer than two election timeouts the leader lost its quorum and stepped down, confirmations were refused, and the next election waited for the same disk. Two of three control hosts on one slow disk therefore ended all leases.

Ruled out: slow starts alone.

Change: a follower answers at once up to what is synced, with the round that confirms leases, and again after the sync for the rest. The store opens, rotates and removes files without waiting in the loop's own turn.

After: 1 term, none refused, each confirmed within three heartbeats, all committed.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -273,7 +273,7 @@
 	}
 
 	const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-slopes-'));
-	const store = openStore(folder, machineCodec);
+	const store = await openStore(folder, machineCodec);
 	const delay = monitorEventLoopDelay({resolution: 1});
 	delay.enable();
 	const startedAt = performance.now();
@@ -282,7 +282,7 @@
 	});
 	const milliseconds = performance.now() - startedAt;
 	delay.disable();
-	store.close();
+	await store.close();
 	rmSync(folder, {recursive: true});
 	return {
 		slope: 'snapshot', claims, milliseconds, longestBlockMilliseconds: delay.max / nanosecondsPerMillisecond,
@@ -292,7 +292,7 @@
 /** Restart with changes piled up in the log. */
 async function measureRestart(changes: number): Promise<BenchRow> {
 	const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-slopes-'));
-	const store = openStore(folder);
+	const store = await openStore(folder);
 	const document = getDocument(2);
 	for (let index = 1; index <= changes; index++) {
 		const action: PersistAction = {
@@ -309,10 +309,10 @@
 		await store.persist([action]);
 	}
 
-	store.close();
+	await store.close();
 	const bytes = readdirSync(folder).reduce((sum, file) => sum + statSync(path.join(folder, file)).size, 0);
 	const startedAt = performance.now();
-	const reopened = openStore(folder);
+	const reopened = await openStore(folder);
 	const machine = createMachine(limits);
 	for (const entry of reopened.initial.entries) {
 		if (entry.payload.kind === 'command') {
@@ -321,7 +321,7 @@
 	}
 
 	const milliseconds = performance.now() - startedAt;
-	reopened.close();
+	await reopened.close();
 	rmSync(folder, {recursive: true});
 	return {
 		slope: 'restart', changes, milliseconds, bytesForEach: bytes / changes,
@@ -331,7 +331,7 @@
 /** Syncs of the log, alone and in groups. */
 async function measureSyncs(group: number): Promise<BenchRow> {
 	const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-slopes-'));
-	const store = openStore(folder);
+	const store = await openStore(folder);
 	const rounds = 60;
 	const startedAt = performance.now();
 	for (let round = 0; round < rounds; round++) {
@@ -350,7 +350,7 @@
 	}
 
 	const milliseconds = (performance.now() - startedAt) / rounds;
-	store.close();
+	await store.close();
 	rmSync(folder, {recursive: true});
 	return {
 		slope: 'sync', group, milliseconds, microsecondsForEach: milliseconds / group * microsecondsPerMillisecond,
--- a/source/consensus/replica.ts
+++ b/source/consensus/replica.ts
@@ -67,6 +67,8 @@
 	let {now} = options;
 	let timeoutAt = now + getTimeout();
 	let leaderHeardAt = Number.NEGATIVE_INFINITY;
+	let answeredRound = 0;
+	let answeredAt = Number.NEGATIVE_INFINITY;
 	let heartbeatAt = Number.POSITIVE_INFINITY;
 	let votes = new Set<string>();
 	let progress = new Map<string, Progress>();
@@ -125,6 +127,8 @@
 		if (nextTerm > term) {
 			term = nextTerm;
 			votedFor = undefined;
+			answeredRound = 0;
+			answeredAt = Number.NEGATIVE_INFINITY;
 			persistState();
 		}
 
@@ -343,6 +347,26 @@
 		}, true);
 	}
 
+	/**
+	 * Answers an append up to what is synced. That this replica follows the leader is
+	 * true before any sync, so a slow disk delays commits and neither heartbeats nor leases.
+	 */
+	function answerMatch(to: string, matchIndex: number, messageRound: number): void {
+		const syncedIndex = Math.min(matchIndex, durableIndex);
+		const isAwaited = messageRound > answeredRound || matchIndex <= durableIndex || now - answeredAt >= heartbeatMilliseconds;
+		if (isAwaited) {
+			answeredRound = messageRound;
+			answeredAt = now;
+			send(to, {
+				kind: 'appended', term, isSuccess: true, index: syncedIndex, round: messageRound,
+			}, false);
+		}
+
+		if (matchIndex > syncedIndex) {
+			answerAppend(to, true, matchIndex, messageRound);
+		}
+	}
+
 	function receiveAppend(from: string, message: ReplicaMessage & {readonly kind: 'append'}): void {
 		if (!followLeader(from, message.term)) {
 			answerAppend(from, false, log.getLastIndex(), 0);
@@ -359,7 +383,7 @@
 
 		storeEntries(entries.filter(entry => entry.index > covered));
 		advanceCommit(Math.min(message.commitIndex, Math.max(lastNew, covered)));
-		answerAppend(from, true, Math.max(lastNew, covered), message.round);
+		answerMatch(from, Math.max(lastNew, covered), message.round);
 	}
 
 	function storeEntries(entries: readonly LogEntry[]): void {
@@ -393,11 +417,12 @@
 		if (received.index > commitIndex) {
 			snapshot = received;
 			if (log.getTerm(received.index) !== received.term) {
+				// Of the old log only what was committed is known to match the snapshot.
+				durableIndex = Math.min(durableIndex, commitIndex);
 				log.truncate(log.getFirstIndex());
 			}
 
 			log.compact(received.index, received.term);
-			durableIndex = Math.max(log.getFirstIndex() - 1, Math.min(durableIndex, log.getLastIndex()));
 			membership = log.getMembership(received.membership);
 			commitIndex = received.index;
 			act({kind: 'persistSnapshot', snapshot: received});
--- /dev/null
+++ b/source/consensus/slow-disk.test.ts
@@ -0,0 +1,180 @@
+/** Runs three replicas in virtual time while syncs of every disk take longer than elections and leases. */
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {createRandom} from '../randomness/index.js';
+import {
+	createReplica, type Action, type Replica, type ReplicaEvent,
+} from './index.js';
+
+const ids = ['a', 'b', 'c'];
+const electionMilliseconds = 100;
+const heartbeatMilliseconds = 20;
+const tickMilliseconds = 5;
+const calmMilliseconds = 1000;
+const slowMilliseconds = 5000;
+const askEveryMilliseconds = 50;
+
+type Host = {readonly id: string; readonly replica: Replica; pending: Action[]; isWriting: boolean};
+type Happening = {readonly at: number; readonly run: () => void};
+
+/** What the hosts did while their disks were slow. */
+type Observation = {readonly terms: ReadonlySet<number>; readonly longestConfirmation: number; readonly unconfirmed: number; readonly committed: boolean};
+
+function observe(seed: number, syncMilliseconds: number): Observation {
+	const random = createRandom(seed);
+	const hosts = new Map<string, Host>(ids.map(id => [id, {
+		id, replica: createReplica({
+			id, state: {term: 0, votedFor: undefined}, snapshot: undefined, entries: [], founders: {voters: ids, learners: []}, electionMilliseconds, heartbeatMilliseconds, random, now: 0,
+		}), pending: [], isWriting: false,
+	}]));
+	const asked = new Map<number, number>();
+	const terms = new Set<number>();
+	let happenings: Happening[] = [];
+	let now = 0;
+	let longestConfirmation = 0;
+	let unconfirmed = 0;
+
+	function later(milliseconds: number, run: () => void): void {
+		happenings.push({at: now + milliseconds, run});
+	}
+
+	function getSyncTime(): number {
+		return now > calmMilliseconds && now < calmMilliseconds + slowMilliseconds ? syncMilliseconds : 1;
+	}
+
+	function handle(host: Host, event: ReplicaEvent): void {
+		for (const action of host.replica.handle(event, now)) {
+			run(host, action);
+		}
+
+		flush(host);
+	}
+
+	function run(host: Host, action: Action): void {
+		switch (action.kind) {
+			case 'send': {
+				if (action.isAfterSync) {
+					host.pending.push(action);
+				} else {
+					transmit(host, action);
+				}
+
+				return;
+			}
+
+			case 'persistState':
+			case 'persistEntries':
+			case 'persistSnapshot': {
+				host.pending.push(action);
+				return;
+			}
+
+			case 'confirmed': {
+				longestConfirmation = Math.max(longestConfirmation, now - asked.get(action.token)!);
+				return;
+			}
+
+			case 'unconfirmed': {
+				unconfirmed++;
+				break;
+			}
+
+			case 'restore':
+			case 'commit':
+			case 'roleChanged':
+				// What is applied and who leads is read from the replicas.
+		}
+	}
+
+	function transmit(host: Host, {to, message}: Extract<Action, {readonly kind: 'send'}>): void {
+		later(1, () => {
+			handle(hosts.get(to)!, {kind: 'received', from: host.id, message});
+		});
+	}
+
+	/** Writes what is pending in one batch, as the driver does. */
+	function flush(host: Host): void {
+		const batch = host.pending;
+		if (host.isWriting || batch.length === 0) {
+			return;
+		}
+
+		host.isWriting = true;
+		host.pending = [];
+		const lastIndex = host.replica.getLog().getLastIndex();
+		const lastTerm = host.replica.getLog().getLastTerm();
+		later(batch.some(action => action.kind !== 'send') ? getSyncTime() : 0, () => {
+			host.isWriting = false;
+			for (const action of batch) {
+				if (action.kind === 'send') {
+					transmit(host, action);
+				}
+			}
+
+			handle(host, {kind: 'persisted', lastIndex, lastTerm});
+		});
+	}
+
+	function getLeader(): Host | undefined {
+		return [...hosts.values()].find(host => host.replica.getRole() === 'leader');
+	}
+
+	function runUntil(end: number, everyTick: () => void): void {
+		while (now < end) {
+			now += tickMilliseconds;
+			for (;;) {
+				const due = happenings.filter(happening => happening.at <= now);
+				if (due.length === 0) {
+					break;
+				}
+
+				happenings = happenings.filter(happening => happening.at > now);
+				for (const happening of due) {
+					happening.run();
+				}
+			}
+
+			for (const host of hosts.values()) {
+				handle(host, {kind: 'tick'});
+			}
+
+			everyTick();
+		}
+	}
+
+	function ask(): void {
+		const leader = getLeader();
+		terms.add(leader?.replica.getTerm() ?? 0);
+		if (leader !== undefined && now % askEveryMilliseconds === 0) {
+			asked.set(now, now);
+			handle(leader, {kind: 'confirm', token: now, isUrgent: false});
+			handle(leader, {kind: 'propose', payload: {kind: 'command', command: now}});
+		}
+	}
+
+	runUntil(calmMilliseconds, () => undefined);
+	runUntil(calmMilliseconds + slowMilliseconds, ask);
+	runUntil(calmMilliseconds + slowMilliseconds + (syncMilliseconds * 2) + calmMilliseconds, () => undefined);
+	const commits = [...hosts.values()].map(host => host.replica.getCommitIndex());
+	return {
+		terms, longestConfirmation, unconfirmed, committed: commits.every(index => index > slowMilliseconds / askEveryMilliseconds && index === commits[0]),
+	};
+}
+
+describe('createReplica: disks whose syncs take longer than an election', () => {
+	function doTest(seed: number, syncMilliseconds: number): void {
+		const {terms, longestConfirmation, unconfirmed, committed} = observe(seed, syncMilliseconds);
+		expect([terms.size, unconfirmed, committed]).toEqual([1, 0, true]);
+		expect(longestConfirmation <= heartbeatMilliseconds * 3).toEqual(true);
+	}
+
+	test('cost no leadership, and leases are confirmed meanwhile', () => {
+		doTest(61, electionMilliseconds * 3);
+	});
+	test('cost none either when one sync takes as long as a lease', () => {
+		doTest(62, 3000);
+	});
+	test('make no difference when they are fast', () => {
+		doTest(63, 1);
+	});
+});
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -85,7 +85,7 @@
 	const driver = startDriver({
 		id: self,
 		founders: {voters: settings.control.map(host => getFounderId(host.name)), learners: []},
-		store: openStore(path.join(settings.dataFolder, 'log'), machineCodec),
+		store: await openStore(path.join(settings.dataFolder, 'log'), machineCodec),
 		machine,
 		electionMilliseconds: settings.election.timeoutMilliseconds,
 		heartbeatMilliseconds: settings.election.heartbeatMilliseconds,
--- a/source/control/driver.ts
+++ b/source/control/driver.ts
@@ -301,7 +301,7 @@
 				waiter.settle({kind: 'unknown'});
 			}
 
-			store.close();
+			await store.close();
 		},
 	};
 }
--- a/source/storage/store.ts
+++ b/source/storage/store.ts
@@ -1,22 +1,21 @@
 /**
  * Durable storage of one replica: a log file of checksummed records and snapshot
  * files. A snapshot is written aside, synced and renamed; then a new log file takes
- * over the hard state and the tail, and the old files are removed.
+ * over the hard state and the tail, and the old files are removed. While the replica
+ * runs nothing here waits for the disk in the loop's own turn: a slow disk must not
+ * keep heartbeats and leases waiting.
  */
+import {readdirSync, readFileSync} from 'node:fs';
 import {
-	mkdirSync, openSync, closeSync, readdirSync, readFileSync, renameSync, fsyncSync, writeSync, ftruncateSync, unlinkSync, fdatasync, write,
-} from 'node:fs';
+	mkdir, open, rename, unlink, type FileHandle,
+} from 'node:fs/promises';
 import path from 'node:path';
 import {setImmediate} from 'node:timers/promises';
-import {promisify} from 'node:util';
 import {
 	type Action, type HardState, type LogEntry, type Snapshot,
 } from '../consensus/index.js';
 import {CorruptionError, encodeRecord, readRecords} from './record.js';
 
-const writeFile = promisify(write);
-const syncData = promisify(fdatasync);
-
 /** An action that changes durable state. */
 export type PersistAction = Extract<Action, {readonly kind: 'persistState' | 'persistEntries' | 'persistSnapshot'}>;
 
@@ -46,7 +45,7 @@
 	persist(batch: readonly PersistAction[]): Promise<void>;
 	/** Gets the bytes written to the log since the last snapshot replaced its head. */
 	getGrownBytes(): number;
-	close(): void;
+	close(): Promise<void>;
 };
 
 type SnapshotHead = Omit<Snapshot, 'data'> & {readonly parts: number};
@@ -64,8 +63,8 @@
  * @param folder - Folder of the replica's files; made when it is missing.
  * @param codec - Splits snapshots; the default keeps them in one part.
  */
-export function openStore(folder: string, codec: SnapshotCodec = wholeCodec): Store {
-	mkdirSync(folder, {recursive: true});
+export async function openStore(folder: string, codec: SnapshotCodec = wholeCodec): Promise<Store> {
+	await mkdir(folder, {recursive: true});
 	const snapshot = readNewestSnapshot(folder, codec);
 	const generations = listMatches(folder, logPattern);
 	let generation = generations.at(-1) ?? 0;
@@ -105,17 +104,12 @@
 
 	const initial: StoredState = {state, snapshot, entries: getTail(entries, snapshot)};
 	entries = [...initial.entries];
-	let descriptor: number;
-	if (generation === 0) {
-		descriptor = -1;
-		rotate();
-	} else {
-		descriptor = openSync(getLogPath(generation), 'r+');
-		ftruncateSync(descriptor, validBytes);
-		fsyncSync(descriptor);
-	}
+	let log: FileHandle = generation === 0 ? await startLog() : await open(getLogPath(generation), 'r+');
+	await log.truncate(validBytes);
+	await log.sync();
 
-	function rotate(): void {
+	/** Starts the next log file with the hard state and the tail. */
+	async function startLog(): Promise<FileHandle> {
 		const tail: Operation[] = [{kind: 'state', state}];
 		if (entries.length > 0) {
 			tail.push({kind: 'entries', entries, truncateFrom: entries[0]!.index});
@@ -124,18 +118,19 @@
 		generation++;
 		const file = getLogPath(generation);
 		const record = encodeRecord(tail);
-		writeAside(folder, file, record);
-		const previous = descriptor;
-		descriptor = openSync(file, 'r+');
+		await writeAside(folder, file, record);
 		validBytes = record.length;
 		rotatedBytes = record.length;
-		if (previous !== -1) {
-			closeSync(previous);
-		}
+		return open(file, 'r+');
+	}
 
+	async function rotate(): Promise<void> {
+		const previous = log;
+		log = await startLog();
+		await previous.close();
 		for (const number of listMatches(folder, logPattern)) {
 			if (number < generation) {
-				unlinkSync(getLogPath(number));
+				await unlink(getLogPath(number));
 			}
 		}
 	}
@@ -146,23 +141,20 @@
 
 	async function prepareSnapshot(taken: Snapshot): Promise<void> {
 		const file = getSnapshotPath(taken.index);
-		const aside = openSync(`${file}.new`, 'w');
+		const aside = await open(`${file}.new`, 'w');
 		const {data, ...head} = taken;
 		let parts = 0;
 		for (const part of codec.split(data)) {
 			const record = encodeRecord(part);
-			await writeFile(aside, record, 0, record.length);
+			await writeAll(aside, record);
 			parts++;
 			await setImmediate();
 		}
 
 		// The head comes last, so that a file without it is known to be incomplete.
 		const record = encodeRecord({...head, parts});
-		await writeFile(aside, record, 0, record.length);
-		await syncData(aside);
-		closeSync(aside);
-		renameSync(`${file}.new`, file);
-		syncFolder(folder);
+		await writeAll(aside, record);
+		await putInPlace(folder, file, aside);
 		preparedIndex = taken.index;
 	}
 
@@ -172,19 +164,19 @@
 		}
 
 		entries = [...getTail(entries, taken)];
-		rotate();
+		await rotate();
 		for (const index of listMatches(folder, snapshotPattern)) {
 			if (index < taken.index) {
-				unlinkSync(getSnapshotPath(index));
+				await unlink(getSnapshotPath(index));
 			}
 		}
 	}
 
 	async function writeOperations(operations: readonly Operation[]): Promise<void> {
 		const record = encodeRecord(operations);
-		await writeFile(descriptor, record, 0, record.length, validBytes);
+		await writeAll(log, record, validBytes);
 		validBytes += record.length;
-		await syncData(descriptor);
+		await log.datasync();
 	}
 
 	return {
@@ -212,9 +204,7 @@
 			}
 		},
 		getGrownBytes: () => validBytes - rotatedBytes,
-		close() {
-			closeSync(descriptor);
-		},
+		close: async () => log.close(),
 	};
 }
 
@@ -253,18 +243,28 @@
 		.toSorted((left, right) => left - right);
 }
 
-function writeAside(folder: string, file: string, bytes: Uint8Array): void {
-	const aside = `${file}.new`;
-	const descriptor = openSync(aside, 'w');
-	writeSync(descriptor, bytes);
-	fsyncSync(descriptor);
-	closeSync(descriptor);
-	renameSync(aside, file);
-	syncFolder(folder);
+/** Writes a whole record, at a position or after what was written before. */
+async function writeAll(file: FileHandle, record: Uint8Array, position?: number): Promise<void> {
+	let written = 0;
+	while (written < record.length) {
+		const at = position === undefined ? undefined : position + written;
+		const {bytesWritten} = await file.write(record, written, record.length - written, at);
+		written += bytesWritten;
+	}
+}
+
+async function writeAside(folder: string, file: string, record: Uint8Array): Promise<void> {
+	const aside = await open(`${file}.new`, 'w');
+	await writeAll(aside, record);
+	await putInPlace(folder, file, aside);
 }
 
-function syncFolder(folder: string): void {
-	const descriptor = openSync(folder, 'r');
-	fsyncSync(descriptor);
-	closeSync(descriptor);
+/** Syncs a file that was written aside and gives it its name. */
+async function putInPlace(folder: string, file: string, aside: FileHandle): Promise<void> {
+	await aside.sync();
+	await aside.close();
+	await rename(`${file}.new`, file);
+	const directory = await open(folder, 'r');
+	await directory.sync();
+	await directory.close();
 }
