--- a/source/consensus/progress.ts
+++ b/source/consensus/progress.ts
@@ -10,6 +10,8 @@
 	sentAt: number;
 	/** Time at which a snapshot was sent, in milliseconds. */
 	installAt: number;
+	/** Snapshots sent since the replica last needed none. */
+	installs: number;
 };
 
 /**
@@ -19,6 +21,6 @@
  */
 export function createProgress(nextIndex: number, now: number): Progress {
 	return {
-		nextIndex, matchIndex: 0, answeredAt: now, round: 0, sentAt: Number.NEGATIVE_INFINITY, installAt: Number.NEGATIVE_INFINITY,
+		nextIndex, matchIndex: 0, answeredAt: now, round: 0, sentAt: Number.NEGATIVE_INFINITY, installAt: Number.NEGATIVE_INFINITY, installs: 0,
 	};
 }
--- a/source/consensus/replica.test.ts
+++ b/source/consensus/replica.test.ts
@@ -181,3 +181,37 @@
 		doTest(install, 7, 7, true);
 	});
 });
+
+describe('createReplica: a replica that needs a snapshot', () => {
+	const startedAt = 1000;
+
+	/** Leads with a compacted log; `b` answers all the time, `c` only while `answers` says so. */
+	function doTest(milliseconds: number, answers: (time: number) => boolean, expected: {readonly installs: readonly number[]; readonly isHeardOf: boolean}): void {
+		const replica = createOne(0, []);
+		lead(replica);
+		replica.handle({kind: 'compact', index: 1, data: 'contents'}, 220);
+		const installs: number[] = [];
+		let heartbeats = 0;
+		for (let time = startedAt; time < startedAt + milliseconds; time += 20) {
+			const answered = (answers(time) ? ['b', 'c'] : ['b']).flatMap(other => replica.handle(receive(other, {
+				kind: 'appended', term: 1, isSuccess: true, index: other === 'b' ? 1 : 0, round: 0,
+			}), time));
+			const sent = [...answered, ...replica.handle({kind: 'tick'}, time + 1)].flatMap(action => action.kind === 'send' && action.to === 'c' ? [action.message.kind] : []);
+			installs.push(...sent.filter(kind => kind === 'install').map(() => time - startedAt));
+			heartbeats += sent.includes('append') ? 1 : 0;
+		}
+
+		expect(installs).toEqual([...expected.installs]);
+		expect(heartbeats === milliseconds / 20).toEqual(expected.isHeardOf);
+	}
+
+	test('gets it as soon as it answers again, and hears from its leader before', () => {
+		doTest(2000, time => time >= 2000, {installs: [1000], isHeardOf: true});
+	});
+	test('gets it again, after twice the time each, while it answers without having it', () => {
+		doTest(4000, () => true, {installs: [0, 1000, 3000], isHeardOf: true});
+	});
+	test('gets it again after it was silent', () => {
+		doTest(2000, time => time < 1400 || time >= 2200, {installs: [0, 1200], isHeardOf: true});
+	});
+});
--- a/source/consensus/replica.ts
+++ b/source/consensus/replica.ts
@@ -13,7 +13,10 @@
 import {createProgress, type Progress} from './progress.js';
 
 const entriesPerAppend = 256;
-const installRetryMilliseconds = 10_000;
+
+/** Election timeouts that a first snapshot may take on its way; each further attempt may take twice as many. */
+const installTimeouts = 10;
+const largestInstallExponent = 8;
 
 /** Options of a replica. */
 export type ReplicaOptions = {
@@ -225,10 +228,27 @@
 	function broadcast(): void {
 		heartbeatAt = now + heartbeatMilliseconds;
 		for (const member of getOthers()) {
+			if (needsSnapshot(member)) {
+				sendHeartbeat(member);
+			}
+
 			sendAppend(member);
 		}
 	}
 
+	/** Checks whether the log no longer holds what a member needs next. */
+	function needsSnapshot(member: string): boolean {
+		const state = progress.get(member);
+		return state !== undefined && log.getTerm(state.nextIndex - 1) === undefined;
+	}
+
+	/** Tells a member that waits for a snapshot that its leader is alive; an append after index 0 suits any log. */
+	function sendHeartbeat(member: string): void {
+		send(member, {
+			kind: 'append', term, previousIndex: 0, previousTerm: 0, entries: [], commitIndex, round: confirmations.getRound(),
+		}, false);
+	}
+
 	function sendAppend(member: string): void {
 		const state = progress.get(member);
 		if (state === undefined) {
@@ -250,12 +270,22 @@
 		}, false);
 	}
 
+	/** Sends a snapshot to a member that answers, unless one is on its way. */
 	function sendSnapshot(member: string, state: Progress): void {
-		if (snapshot === undefined || now - state.installAt < installRetryMilliseconds) {
+		const isSilent = now - state.answeredAt >= electionMilliseconds * 2;
+		if (isSilent) {
+			// What was on its way may be lost.
+			state.installAt = Number.NEGATIVE_INFINITY;
+			return;
+		}
+
+		const patience = electionMilliseconds * installTimeouts * (2 ** Math.min(state.installs - 1, largestInstallExponent));
+		if (snapshot === undefined || now - state.installAt < patience) {
 			return;
 		}
 
 		state.installAt = now;
+		state.installs++;
 		send(member, {
 			kind: 'install', term, snapshot, round: confirmations.getRound(),
 		}, false);
@@ -449,7 +479,11 @@
 		if (message.isSuccess) {
 			state.matchIndex = Math.max(state.matchIndex, message.index);
 			state.nextIndex = Math.max(state.nextIndex, state.matchIndex + 1);
-			state.installAt = Number.NEGATIVE_INFINITY;
+			if (!needsSnapshot(from)) {
+				state.installAt = Number.NEGATIVE_INFINITY;
+				state.installs = 0;
+			}
+
 			advanceLeaderCommit();
 			sendTransfer(from, state);
 		} else {
