Let a control host wait until the others can spare it before it stops

Cause: planned restarts of control hosts that follow each other more closely than a host takes to come back leave no quorum, and callers are refused once the term is over. So far only a sentence for operators stood against it.

Weighed: the rule alone; permission from the leader (lost when the leader itself hands over); each host asks, tells the others, and checks the leader's view. Chosen: the last, as a pure decision (control/departure.ts) and one message. handOver also picks only a voter that answers; it could pick a dead one before.

In scenarios "restart all control" now stops all hosts at once, which asks more than one after the other did.

--- a/scenario/grammar.js
+++ b/scenario/grammar.js
@@ -189,38 +189,39 @@
   const peg$c17 = "lose";
   const peg$c18 = "restart";
   const peg$c19 = "stop";
-  const peg$c20 = "cut";
-  const peg$c21 = "both";
-  const peg$c22 = "to";
-  const peg$c23 = "from";
-  const peg$c24 = "heal";
-  const peg$c25 = "zone";
-  const peg$c26 = "out";
-  const peg$c27 = "in";
-  const peg$c28 = "server";
-  const peg$c29 = "leave";
-  const peg$c30 = "crash";
-  const peg$c31 = "drain";
-  const peg$c32 = "change";
-  const peg$c33 = "race";
-  const peg$c34 = "operators";
-  const peg$c35 = "changes";
-  const peg$c36 = "resend";
-  const peg$c37 = "crashing";
-  const peg$c38 = "times";
-  const peg$c39 = "expect";
-  const peg$c40 = "ready";
-  const peg$c41 = "within";
-  const peg$c42 = "warm";
-  const peg$c43 = "members";
-  const peg$c44 = "check";
-  const peg$c45 = "=";
-  const peg$c46 = "leader";
-  const peg$c47 = "all";
-  const peg$c48 = "entry";
-  const peg$c49 = ".";
-  const peg$c50 = "ms";
-  const peg$c51 = "s";
+  const peg$c20 = "after";
+  const peg$c21 = "cut";
+  const peg$c22 = "both";
+  const peg$c23 = "to";
+  const peg$c24 = "from";
+  const peg$c25 = "heal";
+  const peg$c26 = "zone";
+  const peg$c27 = "out";
+  const peg$c28 = "in";
+  const peg$c29 = "server";
+  const peg$c30 = "leave";
+  const peg$c31 = "crash";
+  const peg$c32 = "drain";
+  const peg$c33 = "change";
+  const peg$c34 = "race";
+  const peg$c35 = "operators";
+  const peg$c36 = "changes";
+  const peg$c37 = "resend";
+  const peg$c38 = "crashing";
+  const peg$c39 = "times";
+  const peg$c40 = "expect";
+  const peg$c41 = "ready";
+  const peg$c42 = "within";
+  const peg$c43 = "warm";
+  const peg$c44 = "members";
+  const peg$c45 = "check";
+  const peg$c46 = "=";
+  const peg$c47 = "leader";
+  const peg$c48 = "all";
+  const peg$c49 = "entry";
+  const peg$c50 = ".";
+  const peg$c51 = "ms";
+  const peg$c52 = "s";
 
   const peg$r0 = /^[^\n]/;
   const peg$r1 = /^[a-zA-Z]/;
@@ -250,43 +251,44 @@
   const peg$e18 = peg$literalExpectation("lose", false);
   const peg$e19 = peg$literalExpectation("restart", false);
   const peg$e20 = peg$literalExpectation("stop", false);
-  const peg$e21 = peg$literalExpectation("cut", false);
-  const peg$e22 = peg$literalExpectation("both", false);
-  const peg$e23 = peg$literalExpectation("to", false);
-  const peg$e24 = peg$literalExpectation("from", false);
-  const peg$e25 = peg$literalExpectation("heal", false);
-  const peg$e26 = peg$literalExpectation("zone", false);
-  const peg$e27 = peg$literalExpectation("out", false);
-  const peg$e28 = peg$literalExpectation("in", false);
-  const peg$e29 = peg$literalExpectation("server", false);
-  const peg$e30 = peg$literalExpectation("leave", false);
-  const peg$e31 = peg$literalExpectation("crash", false);
-  const peg$e32 = peg$literalExpectation("drain", false);
-  const peg$e33 = peg$literalExpectation("change", false);
-  const peg$e34 = peg$literalExpectation("race", false);
-  const peg$e35 = peg$literalExpectation("operators", false);
-  const peg$e36 = peg$literalExpectation("changes", false);
-  const peg$e37 = peg$literalExpectation("resend", false);
-  const peg$e38 = peg$literalExpectation("crashing", false);
-  const peg$e39 = peg$literalExpectation("times", false);
-  const peg$e40 = peg$literalExpectation("expect", false);
-  const peg$e41 = peg$literalExpectation("ready", false);
-  const peg$e42 = peg$literalExpectation("within", false);
-  const peg$e43 = peg$literalExpectation("warm", false);
-  const peg$e44 = peg$literalExpectation("members", false);
-  const peg$e45 = peg$literalExpectation("check", false);
-  const peg$e46 = peg$classExpectation([["a", "z"], ["A", "Z"]], false, false, false);
-  const peg$e47 = peg$literalExpectation("=", false);
-  const peg$e48 = peg$classExpectation([["a", "z"], ["A", "Z"], ["0", "9"], ".", "-"], false, false, false);
-  const peg$e49 = peg$literalExpectation("leader", false);
-  const peg$e50 = peg$literalExpectation("all", false);
-  const peg$e51 = peg$literalExpectation("entry", false);
-  const peg$e52 = peg$classExpectation([["a", "z"], ["A", "Z"], ["0", "9"], "-"], false, false, false);
-  const peg$e53 = peg$classExpectation([["0", "9"]], false, false, false);
-  const peg$e54 = peg$literalExpectation(".", false);
-  const peg$e55 = peg$literalExpectation("ms", false);
-  const peg$e56 = peg$literalExpectation("s", false);
-  const peg$e57 = peg$classExpectation([" ", "\t"], false, false, false);
+  const peg$e21 = peg$literalExpectation("after", false);
+  const peg$e22 = peg$literalExpectation("cut", false);
+  const peg$e23 = peg$literalExpectation("both", false);
+  const peg$e24 = peg$literalExpectation("to", false);
+  const peg$e25 = peg$literalExpectation("from", false);
+  const peg$e26 = peg$literalExpectation("heal", false);
+  const peg$e27 = peg$literalExpectation("zone", false);
+  const peg$e28 = peg$literalExpectation("out", false);
+  const peg$e29 = peg$literalExpectation("in", false);
+  const peg$e30 = peg$literalExpectation("server", false);
+  const peg$e31 = peg$literalExpectation("leave", false);
+  const peg$e32 = peg$literalExpectation("crash", false);
+  const peg$e33 = peg$literalExpectation("drain", false);
+  const peg$e34 = peg$literalExpectation("change", false);
+  const peg$e35 = peg$literalExpectation("race", false);
+  const peg$e36 = peg$literalExpectation("operators", false);
+  const peg$e37 = peg$literalExpectation("changes", false);
+  const peg$e38 = peg$literalExpectation("resend", false);
+  const peg$e39 = peg$literalExpectation("crashing", false);
+  const peg$e40 = peg$literalExpectation("times", false);
+  const peg$e41 = peg$literalExpectation("expect", false);
+  const peg$e42 = peg$literalExpectation("ready", false);
+  const peg$e43 = peg$literalExpectation("within", false);
+  const peg$e44 = peg$literalExpectation("warm", false);
+  const peg$e45 = peg$literalExpectation("members", false);
+  const peg$e46 = peg$literalExpectation("check", false);
+  const peg$e47 = peg$classExpectation([["a", "z"], ["A", "Z"]], false, false, false);
+  const peg$e48 = peg$literalExpectation("=", false);
+  const peg$e49 = peg$classExpectation([["a", "z"], ["A", "Z"], ["0", "9"], ".", "-"], false, false, false);
+  const peg$e50 = peg$literalExpectation("leader", false);
+  const peg$e51 = peg$literalExpectation("all", false);
+  const peg$e52 = peg$literalExpectation("entry", false);
+  const peg$e53 = peg$classExpectation([["a", "z"], ["A", "Z"], ["0", "9"], "-"], false, false, false);
+  const peg$e54 = peg$classExpectation([["0", "9"]], false, false, false);
+  const peg$e55 = peg$literalExpectation(".", false);
+  const peg$e56 = peg$literalExpectation("ms", false);
+  const peg$e57 = peg$literalExpectation("s", false);
+  const peg$e58 = peg$classExpectation([" ", "\t"], false, false, false);
 
   function peg$f0(lines) {    return flatten(lines);  }
   function peg$f1(statement) {    return statement ? {...statement, line: location().start.line} : undefined;  }
@@ -300,7 +302,7 @@
   function peg$f9(service, rate, keyed) {    return {kind: "load", service, rate, isKeyed: keyed !== null};  }
   function peg$f10() {    return {kind: "quiet"};  }
   function peg$f11(milliseconds) {    return {kind: "wait", milliseconds};  }
-  function peg$f12(verb, target) {    return {kind: "process", verb, target};  }
+  function peg$f12(verb, target, after) {    return {kind: "process", verb, target, downMilliseconds: after ?? 0};  }
   function peg$f13(from, way) {    return {kind: "cut", from, way};  }
   function peg$f14() {    return {kind: "heal"};  }
   function peg$f15(action, zone) {    return {kind: "zone", action, zone};  }
@@ -953,8 +955,43 @@
                           if (s2 !== peg$FAILED) {
                             s3 = peg$parseprocess();
                             if (s3 !== peg$FAILED) {
+                              s4 = peg$currPos;
+                              s5 = peg$parse__();
+                              if (s5 !== peg$FAILED) {
+                                if (input.substr(peg$currPos, 5) === peg$c20) {
+                                  s6 = peg$c20;
+                                  peg$currPos += 5;
+                                } else {
+                                  s6 = peg$FAILED;
+                                  if (peg$silentFails === 0) { peg$fail(peg$e21); }
+                                }
+                                if (s6 !== peg$FAILED) {
+                                  s7 = peg$parse__();
+                                  if (s7 !== peg$FAILED) {
+                                    s8 = peg$parseduration();
+                                    if (s8 !== peg$FAILED) {
+                                      s4 = s8;
+                                    } else {
+                                      peg$currPos = s4;
+                                      s4 = peg$FAILED;
+                                    }
+                                  } else {
+                                    peg$currPos = s4;
+                                    s4 = peg$FAILED;
+                                  }
+                                } else {
+                                  peg$currPos = s4;
+                                  s4 = peg$FAILED;
+                                }
+                              } else {
+                                peg$currPos = s4;
+                                s4 = peg$FAILED;
+                              }
+                              if (s4 === peg$FAILED) {
+                                s4 = null;
+                              }
                               peg$savedPos = s0;
-                              s0 = peg$f12(s1, s3);
+                              s0 = peg$f12(s1, s3, s4);
                             } else {
                               peg$currPos = s0;
                               s0 = peg$FAILED;
@@ -969,12 +1006,12 @@
                         }
                         if (s0 === peg$FAILED) {
                           s0 = peg$currPos;
-                          if (input.substr(peg$currPos, 3) === peg$c20) {
-                            s1 = peg$c20;
+                          if (input.substr(peg$currPos, 3) === peg$c21) {
+                            s1 = peg$c21;
                             peg$currPos += 3;
                           } else {
                             s1 = peg$FAILED;
-                            if (peg$silentFails === 0) { peg$fail(peg$e21); }
+                            if (peg$silentFails === 0) { peg$fail(peg$e22); }
                           }
                           if (s1 !== peg$FAILED) {
                             s2 = peg$parse__();
@@ -983,28 +1020,28 @@
                               if (s3 !== peg$FAILED) {
                                 s4 = peg$parse__();
                                 if (s4 !== peg$FAILED) {
-                                  if (input.substr(peg$currPos, 4) === peg$c21) {
-                                    s5 = peg$c21;
+                                  if (input.substr(peg$currPos, 4) === peg$c22) {
+                                    s5 = peg$c22;
                                     peg$currPos += 4;
                                   } else {
                                     s5 = peg$FAILED;
-                                    if (peg$silentFails === 0) { peg$fail(peg$e22); }
+                                    if (peg$silentFails === 0) { peg$fail(peg$e23); }
                                   }
                                   if (s5 === peg$FAILED) {
-                                    if (input.substr(peg$currPos, 2) === peg$c22) {
-                                      s5 = peg$c22;
+                                    if (input.substr(peg$currPos, 2) === peg$c23) {
+                                      s5 = peg$c23;
                                       peg$currPos += 2;
                                     } else {
                                       s5 = peg$FAILED;
-                                      if (peg$silentFails === 0) { peg$fail(peg$e23); }
+                                      if (peg$silentFails === 0) { peg$fail(peg$e24); }
                                     }
                                     if (s5 === peg$FAILED) {
-                                      if (input.substr(peg$currPos, 4) === peg$c23) {
-                                        s5 = peg$c23;
+                                      if (input.substr(peg$currPos, 4) === peg$c24) {
+                                        s5 = peg$c24;
                                         peg$currPos += 4;
                                       } else {
                                         s5 = peg$FAILED;
-                                        if (peg$silentFails === 0) { peg$fail(peg$e24); }
+                                        if (peg$silentFails === 0) { peg$fail(peg$e25); }
                                       }
                                     }
                                   }
@@ -1051,12 +1088,12 @@
                           }
                           if (s0 === peg$FAILED) {
                             s0 = peg$currPos;
-                            if (input.substr(peg$currPos, 4) === peg$c24) {
-                              s1 = peg$c24;
+                            if (input.substr(peg$currPos, 4) === peg$c25) {
+                              s1 = peg$c25;
                               peg$currPos += 4;
                             } else {
                               s1 = peg$FAILED;
-                              if (peg$silentFails === 0) { peg$fail(peg$e25); }
+                              if (peg$silentFails === 0) { peg$fail(peg$e26); }
                             }
                             if (s1 !== peg$FAILED) {
                               peg$savedPos = s0;
@@ -1065,30 +1102,30 @@
                             s0 = s1;
                             if (s0 === peg$FAILED) {
                               s0 = peg$currPos;
-                              if (input.substr(peg$currPos, 4) === peg$c25) {
-                                s1 = peg$c25;
+                              if (input.substr(peg$currPos, 4) === peg$c26) {
+                                s1 = peg$c26;
                                 peg$currPos += 4;
                               } else {
                                 s1 = peg$FAILED;
-                                if (peg$silentFails === 0) { peg$fail(peg$e26); }
+                                if (peg$silentFails === 0) { peg$fail(peg$e27); }
                               }
                               if (s1 !== peg$FAILED) {
                                 s2 = peg$parse__();
                                 if (s2 !== peg$FAILED) {
-                                  if (input.substr(peg$currPos, 3) === peg$c26) {
-                                    s3 = peg$c26;
+                                  if (input.substr(peg$currPos, 3) === peg$c27) {
+                                    s3 = peg$c27;
                                     peg$currPos += 3;
                                   } else {
                                     s3 = peg$FAILED;
-                                    if (peg$silentFails === 0) { peg$fail(peg$e27); }
+                                    if (peg$silentFails === 0) { peg$fail(peg$e28); }
                                   }
                                   if (s3 === peg$FAILED) {
-                                    if (input.substr(peg$currPos, 2) === peg$c27) {
-                                      s3 = peg$c27;
+                                    if (input.substr(peg$currPos, 2) === peg$c28) {
+                                      s3 = peg$c28;
                                       peg$currPos += 2;
                                     } else {
                                       s3 = peg$FAILED;
-                                      if (peg$silentFails === 0) { peg$fail(peg$e28); }
+                                      if (peg$silentFails === 0) { peg$fail(peg$e29); }
                                     }
                                   }
                                   if (s3 !== peg$FAILED) {
@@ -1120,30 +1157,30 @@
                               }
                               if (s0 === peg$FAILED) {
                                 s0 = peg$currPos;
-                                if (input.substr(peg$currPos, 6) === peg$c28) {
-                                  s1 = peg$c28;
+                                if (input.substr(peg$currPos, 6) === peg$c29) {
+                                  s1 = peg$c29;
                                   peg$currPos += 6;
                                 } else {
                                   s1 = peg$FAILED;
-                                  if (peg$silentFails === 0) { peg$fail(peg$e29); }
+                                  if (peg$silentFails === 0) { peg$fail(peg$e30); }
                                 }
                                 if (s1 !== peg$FAILED) {
                                   s2 = peg$parse__();
                                   if (s2 !== peg$FAILED) {
-                                    if (input.substr(peg$currPos, 5) === peg$c29) {
-                                      s3 = peg$c29;
+                                    if (input.substr(peg$currPos, 5) === peg$c30) {
+                                      s3 = peg$c30;
                                       peg$currPos += 5;
                                     } else {
                                       s3 = peg$FAILED;
-                                      if (peg$silentFails === 0) { peg$fail(peg$e30); }
+                                      if (peg$silentFails === 0) { peg$fail(peg$e31); }
                                     }
                                     if (s3 === peg$FAILED) {
-                                      if (input.substr(peg$currPos, 5) === peg$c30) {
-                                        s3 = peg$c30;
+                                      if (input.substr(peg$currPos, 5) === peg$c31) {
+                                        s3 = peg$c31;
                                         peg$currPos += 5;
                                       } else {
                                         s3 = peg$FAILED;
-                                        if (peg$silentFails === 0) { peg$fail(peg$e31); }
+                                        if (peg$silentFails === 0) { peg$fail(peg$e32); }
                                       }
                                       if (s3 === peg$FAILED) {
                                         if (input.substr(peg$currPos, 7) === peg$c18) {
@@ -1154,12 +1191,12 @@
                                           if (peg$silentFails === 0) { peg$fail(peg$e19); }
                                         }
                                         if (s3 === peg$FAILED) {
-                                          if (input.substr(peg$currPos, 5) === peg$c31) {
-                                            s3 = peg$c31;
+                                          if (input.substr(peg$currPos, 5) === peg$c32) {
+                                            s3 = peg$c32;
                                             peg$currPos += 5;
                                           } else {
                                             s3 = peg$FAILED;
-                                            if (peg$silentFails === 0) { peg$fail(peg$e32); }
+                                            if (peg$silentFails === 0) { peg$fail(peg$e33); }
                                           }
                                         }
                                       }
@@ -1193,12 +1230,12 @@
                                 }
                                 if (s0 === peg$FAILED) {
                                   s0 = peg$currPos;
-                                  if (input.substr(peg$currPos, 6) === peg$c32) {
-                                    s1 = peg$c32;
+                                  if (input.substr(peg$currPos, 6) === peg$c33) {
+                                    s1 = peg$c33;
                                     peg$currPos += 6;
                                   } else {
                                     s1 = peg$FAILED;
-                                    if (peg$silentFails === 0) { peg$fail(peg$e33); }
+                                    if (peg$silentFails === 0) { peg$fail(peg$e34); }
                                   }
                                   if (s1 !== peg$FAILED) {
                                     s2 = peg$parse__();
@@ -1253,22 +1290,22 @@
                                   }
                                   if (s0 === peg$FAILED) {
                                     s0 = peg$currPos;
-                                    if (input.substr(peg$currPos, 4) === peg$c33) {
-                                      s1 = peg$c33;
+                                    if (input.substr(peg$currPos, 4) === peg$c34) {
+                                      s1 = peg$c34;
                                       peg$currPos += 4;
                                     } else {
                                       s1 = peg$FAILED;
-                                      if (peg$silentFails === 0) { peg$fail(peg$e34); }
+                                      if (peg$silentFails === 0) { peg$fail(peg$e35); }
                                     }
                                     if (s1 !== peg$FAILED) {
                                       s2 = peg$parse__();
                                       if (s2 !== peg$FAILED) {
-                                        if (input.substr(peg$currPos, 9) === peg$c34) {
-                                          s3 = peg$c34;
+                                        if (input.substr(peg$currPos, 9) === peg$c35) {
+                                          s3 = peg$c35;
                                           peg$currPos += 9;
                                         } else {
                                           s3 = peg$FAILED;
-                                          if (peg$silentFails === 0) { peg$fail(peg$e35); }
+                                          if (peg$silentFails === 0) { peg$fail(peg$e36); }
                                         }
                                         if (s3 !== peg$FAILED) {
                                           s4 = peg$parse__();
@@ -1277,12 +1314,12 @@
                                             if (s5 !== peg$FAILED) {
                                               s6 = peg$parse__();
                                               if (s6 !== peg$FAILED) {
-                                                if (input.substr(peg$currPos, 7) === peg$c35) {
-                                                  s7 = peg$c35;
+                                                if (input.substr(peg$currPos, 7) === peg$c36) {
+                                                  s7 = peg$c36;
                                                   peg$currPos += 7;
                                                 } else {
                                                   s7 = peg$FAILED;
-                                                  if (peg$silentFails === 0) { peg$fail(peg$e36); }
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e37); }
                                                 }
                                                 if (s7 !== peg$FAILED) {
                                                   s8 = peg$parse__();
@@ -1329,22 +1366,22 @@
                                     }
                                     if (s0 === peg$FAILED) {
                                       s0 = peg$currPos;
-                                      if (input.substr(peg$currPos, 6) === peg$c36) {
-                                        s1 = peg$c36;
+                                      if (input.substr(peg$currPos, 6) === peg$c37) {
+                                        s1 = peg$c37;
                                         peg$currPos += 6;
                                       } else {
                                         s1 = peg$FAILED;
-                                        if (peg$silentFails === 0) { peg$fail(peg$e37); }
+                                        if (peg$silentFails === 0) { peg$fail(peg$e38); }
                                       }
                                       if (s1 !== peg$FAILED) {
                                         s2 = peg$parse__();
                                         if (s2 !== peg$FAILED) {
-                                          if (input.substr(peg$currPos, 8) === peg$c37) {
-                                            s3 = peg$c37;
+                                          if (input.substr(peg$currPos, 8) === peg$c38) {
+                                            s3 = peg$c38;
                                             peg$currPos += 8;
                                           } else {
                                             s3 = peg$FAILED;
-                                            if (peg$silentFails === 0) { peg$fail(peg$e38); }
+                                            if (peg$silentFails === 0) { peg$fail(peg$e39); }
                                           }
                                           if (s3 !== peg$FAILED) {
                                             s4 = peg$parse__();
@@ -1353,12 +1390,12 @@
                                               if (s5 !== peg$FAILED) {
                                                 s6 = peg$parse__();
                                                 if (s6 !== peg$FAILED) {
-                                                  if (input.substr(peg$currPos, 5) === peg$c38) {
-                                                    s7 = peg$c38;
+                                                  if (input.substr(peg$currPos, 5) === peg$c39) {
+                                                    s7 = peg$c39;
                                                     peg$currPos += 5;
                                                   } else {
                                                     s7 = peg$FAILED;
-                                                    if (peg$silentFails === 0) { peg$fail(peg$e39); }
+                                                    if (peg$silentFails === 0) { peg$fail(peg$e40); }
                                                   }
                                                   if (s7 !== peg$FAILED) {
                                                     s8 = peg$parse__();
@@ -1405,32 +1442,32 @@
                                       }
                                       if (s0 === peg$FAILED) {
                                         s0 = peg$currPos;
-                                        if (input.substr(peg$currPos, 6) === peg$c39) {
-                                          s1 = peg$c39;
+                                        if (input.substr(peg$currPos, 6) === peg$c40) {
+                                          s1 = peg$c40;
                                           peg$currPos += 6;
                                         } else {
                                           s1 = peg$FAILED;
-                                          if (peg$silentFails === 0) { peg$fail(peg$e40); }
+                                          if (peg$silentFails === 0) { peg$fail(peg$e41); }
                                         }
                                         if (s1 !== peg$FAILED) {
                                           s2 = peg$parse__();
                                           if (s2 !== peg$FAILED) {
-                                            if (input.substr(peg$currPos, 5) === peg$c40) {
-                                              s3 = peg$c40;
+                                            if (input.substr(peg$currPos, 5) === peg$c41) {
+                                              s3 = peg$c41;
                                               peg$currPos += 5;
                                             } else {
                                               s3 = peg$FAILED;
-                                              if (peg$silentFails === 0) { peg$fail(peg$e41); }
+                                              if (peg$silentFails === 0) { peg$fail(peg$e42); }
                                             }
                                             if (s3 !== peg$FAILED) {
                                               s4 = peg$parse__();
                                               if (s4 !== peg$FAILED) {
-                                                if (input.substr(peg$currPos, 6) === peg$c41) {
-                                                  s5 = peg$c41;
+                                                if (input.substr(peg$currPos, 6) === peg$c42) {
+                                                  s5 = peg$c42;
                                                   peg$currPos += 6;
                                                 } else {
                                                   s5 = peg$FAILED;
-                                                  if (peg$silentFails === 0) { peg$fail(peg$e42); }
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e43); }
                                                 }
                                                 if (s5 !== peg$FAILED) {
                                                   s6 = peg$parse__();
@@ -1469,32 +1506,32 @@
                                         }
                                         if (s0 === peg$FAILED) {
                                           s0 = peg$currPos;
-                                          if (input.substr(peg$currPos, 6) === peg$c39) {
-                                            s1 = peg$c39;
+                                          if (input.substr(peg$currPos, 6) === peg$c40) {
+                                            s1 = peg$c40;
                                             peg$currPos += 6;
                                           } else {
                                             s1 = peg$FAILED;
-                                            if (peg$silentFails === 0) { peg$fail(peg$e40); }
+                                            if (peg$silentFails === 0) { peg$fail(peg$e41); }
                                           }
                                           if (s1 !== peg$FAILED) {
                                             s2 = peg$parse__();
                                             if (s2 !== peg$FAILED) {
-                                              if (input.substr(peg$currPos, 4) === peg$c42) {
-                                                s3 = peg$c42;
+                                              if (input.substr(peg$currPos, 4) === peg$c43) {
+                                                s3 = peg$c43;
                                                 peg$currPos += 4;
                                               } else {
                                                 s3 = peg$FAILED;
-                                                if (peg$silentFails === 0) { peg$fail(peg$e43); }
+                                                if (peg$silentFails === 0) { peg$fail(peg$e44); }
                                               }
                                               if (s3 !== peg$FAILED) {
                                                 s4 = peg$parse__();
                                                 if (s4 !== peg$FAILED) {
-                                                  if (input.substr(peg$currPos, 6) === peg$c41) {
-                                                    s5 = peg$c41;
+                                                  if (input.substr(peg$currPos, 6) === peg$c42) {
+                                                    s5 = peg$c42;
                                                     peg$currPos += 6;
                                                   } else {
                                                     s5 = peg$FAILED;
-                                                    if (peg$silentFails === 0) { peg$fail(peg$e42); }
+                                                    if (peg$silentFails === 0) { peg$fail(peg$e43); }
                                                   }
                                                   if (s5 !== peg$FAILED) {
                                                     s6 = peg$parse__();
@@ -1533,22 +1570,22 @@
                                           }
                                           if (s0 === peg$FAILED) {
                                             s0 = peg$currPos;
-                                            if (input.substr(peg$currPos, 6) === peg$c39) {
-                                              s1 = peg$c39;
+                                            if (input.substr(peg$currPos, 6) === peg$c40) {
+                                              s1 = peg$c40;
                                               peg$currPos += 6;
                                             } else {
                                               s1 = peg$FAILED;
-                                              if (peg$silentFails === 0) { peg$fail(peg$e40); }
+                                              if (peg$silentFails === 0) { peg$fail(peg$e41); }
                                             }
                                             if (s1 !== peg$FAILED) {
                                               s2 = peg$parse__();
                                               if (s2 !== peg$FAILED) {
-                                                if (input.substr(peg$currPos, 7) === peg$c43) {
-                                                  s3 = peg$c43;
+                                                if (input.substr(peg$currPos, 7) === peg$c44) {
+                                                  s3 = peg$c44;
                                                   peg$currPos += 7;
                                                 } else {
                                                   s3 = peg$FAILED;
-                                                  if (peg$silentFails === 0) { peg$fail(peg$e44); }
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e45); }
                                                 }
                                                 if (s3 !== peg$FAILED) {
                                                   s4 = peg$parse__();
@@ -1557,12 +1594,12 @@
                                                     if (s5 !== peg$FAILED) {
                                                       s6 = peg$parse__();
                                                       if (s6 !== peg$FAILED) {
-                                                        if (input.substr(peg$currPos, 6) === peg$c41) {
-                                                          s7 = peg$c41;
+                                                        if (input.substr(peg$currPos, 6) === peg$c42) {
+                                                          s7 = peg$c42;
                                                           peg$currPos += 6;
                                                         } else {
                                                           s7 = peg$FAILED;
-                                                          if (peg$silentFails === 0) { peg$fail(peg$e42); }
+                                                          if (peg$silentFails === 0) { peg$fail(peg$e43); }
                                                         }
                                                         if (s7 !== peg$FAILED) {
                                                           s8 = peg$parse__();
@@ -1609,12 +1646,12 @@
                                             }
                                             if (s0 === peg$FAILED) {
                                               s0 = peg$currPos;
-                                              if (input.substr(peg$currPos, 5) === peg$c44) {
-                                                s1 = peg$c44;
+                                              if (input.substr(peg$currPos, 5) === peg$c45) {
+                                                s1 = peg$c45;
                                                 peg$currPos += 5;
                                               } else {
                                                 s1 = peg$FAILED;
-                                                if (peg$silentFails === 0) { peg$fail(peg$e45); }
+                                                if (peg$silentFails === 0) { peg$fail(peg$e46); }
                                               }
                                               if (s1 !== peg$FAILED) {
                                                 s2 = peg$parse__();
@@ -1672,7 +1709,7 @@
       peg$currPos++;
     } else {
       s4 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e46); }
+      if (peg$silentFails === 0) { peg$fail(peg$e47); }
     }
     if (s4 !== peg$FAILED) {
       while (s4 !== peg$FAILED) {
@@ -1682,7 +1719,7 @@
           peg$currPos++;
         } else {
           s4 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e46); }
+          if (peg$silentFails === 0) { peg$fail(peg$e47); }
         }
       }
     } else {
@@ -1695,11 +1732,11 @@
     }
     if (s2 !== peg$FAILED) {
       if (input.charCodeAt(peg$currPos) === 61) {
-        s3 = peg$c45;
+        s3 = peg$c46;
         peg$currPos++;
       } else {
         s3 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e47); }
+        if (peg$silentFails === 0) { peg$fail(peg$e48); }
       }
       if (s3 !== peg$FAILED) {
         s4 = peg$currPos;
@@ -1709,7 +1746,7 @@
           peg$currPos++;
         } else {
           s6 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e48); }
+          if (peg$silentFails === 0) { peg$fail(peg$e49); }
         }
         if (s6 !== peg$FAILED) {
           while (s6 !== peg$FAILED) {
@@ -1719,7 +1756,7 @@
               peg$currPos++;
             } else {
               s6 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e48); }
+              if (peg$silentFails === 0) { peg$fail(peg$e49); }
             }
           }
         } else {
@@ -1754,12 +1791,12 @@
     let s0, s1, s2, s3;
 
     s0 = peg$currPos;
-    if (input.substr(peg$currPos, 6) === peg$c46) {
-      s1 = peg$c46;
+    if (input.substr(peg$currPos, 6) === peg$c47) {
+      s1 = peg$c47;
       peg$currPos += 6;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e49); }
+      if (peg$silentFails === 0) { peg$fail(peg$e50); }
     }
     if (s1 !== peg$FAILED) {
       peg$savedPos = s0;
@@ -1768,12 +1805,12 @@
     s0 = s1;
     if (s0 === peg$FAILED) {
       s0 = peg$currPos;
-      if (input.substr(peg$currPos, 3) === peg$c47) {
-        s1 = peg$c47;
+      if (input.substr(peg$currPos, 3) === peg$c48) {
+        s1 = peg$c48;
         peg$currPos += 3;
       } else {
         s1 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e50); }
+        if (peg$silentFails === 0) { peg$fail(peg$e51); }
       }
       if (s1 !== peg$FAILED) {
         s2 = peg$parse__();
@@ -1802,12 +1839,12 @@
       }
       if (s0 === peg$FAILED) {
         s0 = peg$currPos;
-        if (input.substr(peg$currPos, 3) === peg$c47) {
-          s1 = peg$c47;
+        if (input.substr(peg$currPos, 3) === peg$c48) {
+          s1 = peg$c48;
           peg$currPos += 3;
         } else {
           s1 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e50); }
+          if (peg$silentFails === 0) { peg$fail(peg$e51); }
         }
         if (s1 !== peg$FAILED) {
           s2 = peg$parse__();
@@ -1864,12 +1901,12 @@
           }
           if (s0 === peg$FAILED) {
             s0 = peg$currPos;
-            if (input.substr(peg$currPos, 5) === peg$c48) {
-              s1 = peg$c48;
+            if (input.substr(peg$currPos, 5) === peg$c49) {
+              s1 = peg$c49;
               peg$currPos += 5;
             } else {
               s1 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e51); }
+              if (peg$silentFails === 0) { peg$fail(peg$e52); }
             }
             if (s1 !== peg$FAILED) {
               s2 = peg$parse__();
@@ -1940,7 +1977,7 @@
       peg$currPos++;
     } else {
       s2 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e52); }
+      if (peg$silentFails === 0) { peg$fail(peg$e53); }
     }
     if (s2 !== peg$FAILED) {
       while (s2 !== peg$FAILED) {
@@ -1950,7 +1987,7 @@
           peg$currPos++;
         } else {
           s2 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e52); }
+          if (peg$silentFails === 0) { peg$fail(peg$e53); }
         }
       }
     } else {
@@ -1976,7 +2013,7 @@
       peg$currPos++;
     } else {
       s3 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e53); }
+      if (peg$silentFails === 0) { peg$fail(peg$e54); }
     }
     if (s3 !== peg$FAILED) {
       while (s3 !== peg$FAILED) {
@@ -1986,7 +2023,7 @@
           peg$currPos++;
         } else {
           s3 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e53); }
+          if (peg$silentFails === 0) { peg$fail(peg$e54); }
         }
       }
     } else {
@@ -2018,7 +2055,7 @@
       peg$currPos++;
     } else {
       s4 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e53); }
+      if (peg$silentFails === 0) { peg$fail(peg$e54); }
     }
     if (s4 !== peg$FAILED) {
       while (s4 !== peg$FAILED) {
@@ -2028,7 +2065,7 @@
           peg$currPos++;
         } else {
           s4 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e53); }
+          if (peg$silentFails === 0) { peg$fail(peg$e54); }
         }
       }
     } else {
@@ -2037,11 +2074,11 @@
     if (s3 !== peg$FAILED) {
       s4 = peg$currPos;
       if (input.charCodeAt(peg$currPos) === 46) {
-        s5 = peg$c49;
+        s5 = peg$c50;
         peg$currPos++;
       } else {
         s5 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e54); }
+        if (peg$silentFails === 0) { peg$fail(peg$e55); }
       }
       if (s5 !== peg$FAILED) {
         s6 = [];
@@ -2050,7 +2087,7 @@
           peg$currPos++;
         } else {
           s7 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e53); }
+          if (peg$silentFails === 0) { peg$fail(peg$e54); }
         }
         if (s7 !== peg$FAILED) {
           while (s7 !== peg$FAILED) {
@@ -2060,7 +2097,7 @@
               peg$currPos++;
             } else {
               s7 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e53); }
+              if (peg$silentFails === 0) { peg$fail(peg$e54); }
             }
           }
         } else {
@@ -2092,20 +2129,20 @@
       s1 = s2;
     }
     if (s1 !== peg$FAILED) {
-      if (input.substr(peg$currPos, 2) === peg$c50) {
-        s2 = peg$c50;
+      if (input.substr(peg$currPos, 2) === peg$c51) {
+        s2 = peg$c51;
         peg$currPos += 2;
       } else {
         s2 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e55); }
+        if (peg$silentFails === 0) { peg$fail(peg$e56); }
       }
       if (s2 === peg$FAILED) {
         if (input.charCodeAt(peg$currPos) === 115) {
-          s2 = peg$c51;
+          s2 = peg$c52;
           peg$currPos++;
         } else {
           s2 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e56); }
+          if (peg$silentFails === 0) { peg$fail(peg$e57); }
         }
       }
       if (s2 !== peg$FAILED) {
@@ -2132,7 +2169,7 @@
       peg$currPos++;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e57); }
+      if (peg$silentFails === 0) { peg$fail(peg$e58); }
     }
     while (s1 !== peg$FAILED) {
       s0.push(s1);
@@ -2141,7 +2178,7 @@
         peg$currPos++;
       } else {
         s1 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e57); }
+        if (peg$silentFails === 0) { peg$fail(peg$e58); }
       }
     }
 
@@ -2157,7 +2194,7 @@
       peg$currPos++;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e57); }
+      if (peg$silentFails === 0) { peg$fail(peg$e58); }
     }
     if (s1 !== peg$FAILED) {
       while (s1 !== peg$FAILED) {
@@ -2167,7 +2204,7 @@
           peg$currPos++;
         } else {
           s1 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e57); }
+          if (peg$silentFails === 0) { peg$fail(peg$e58); }
         }
       }
     } else {
--- a/scenario/grammar.peggy
+++ b/scenario/grammar.peggy
@@ -22,7 +22,7 @@
 	/ "load" __ service:name __ "rate" __ rate:integer keyed:(__ "keyed")? { return {kind: "load", service, rate, isKeyed: keyed !== null}; }
 	/ "quiet" { return {kind: "quiet"}; }
 	/ "wait" __ milliseconds:duration { return {kind: "wait", milliseconds}; }
-	/ verb:("kill" / "freeze" / "thaw" / "lose" / "restart" / "stop") __ target:process { return {kind: "process", verb, target}; }
+	/ verb:("kill" / "freeze" / "thaw" / "lose" / "restart" / "stop") __ target:process after:(__ "after" __ @duration)? { return {kind: "process", verb, target, downMilliseconds: after ?? 0}; }
 	/ "cut" __ from:process __ way:("both" / "to" / "from") __ "control" { return {kind: "cut", from, way}; }
 	/ "heal" { return {kind: "heal"}; }
 	/ "zone" __ action:("out" / "in") __ zone:name { return {kind: "zone", action, zone}; }
--- a/scenario/runner.ts
+++ b/scenario/runner.ts
@@ -179,9 +179,9 @@
 		}
 	}
 
-	async function runOnProcess(verb: Extract<Statement, {readonly kind: 'process'}>['verb'], member: Member): Promise<void> {
+	async function runOnProcess(statement: Extract<Statement, {readonly kind: 'process'}>, member: Member): Promise<void> {
 		const running = getCluster();
-		switch (verb) {
+		switch (statement.verb) {
 			case 'kill': {
 				running.signal(member, 'SIGKILL');
 				await running.ended(member);
@@ -208,7 +208,7 @@
 
 			case 'restart': {
 				if (running.controls.includes(member) || running.entries.includes(member)) {
-					await restart(member);
+					await restart(member, statement.downMilliseconds);
 				}
 
 				return;
@@ -230,11 +230,13 @@
 	}
 
 	/** Starts a process again; one that still runs is stopped gracefully first. */
-	async function restart(member: Member): Promise<void> {
+	async function restart(member: Member, downMilliseconds: number): Promise<void> {
 		if (isRunning(member)) {
 			await stopGracefully(member);
 		}
 
+		await delay(downMilliseconds);
+
 		await getCluster().start(member, false);
 		if (member.kind === 'entry') {
 			await waitUntil(`${member.name} is ready`, startLimitMilliseconds, async () => ready.has(member.name));
@@ -390,13 +392,15 @@
 
 			case 'process': {
 				const members = await findTargets(statement.target);
-				if (statement.verb === 'kill' || statement.verb === 'freeze' || statement.verb === 'thaw') {
-					await Promise.all(members.map(async member => runOnProcess(statement.verb, member)));
+				// Control hosts wait for each other when they stop; entries are restarted one by one.
+				const isTogether = statement.verb === 'kill' || statement.verb === 'freeze' || statement.verb === 'thaw' || (statement.verb === 'restart' && statement.target.kind === 'allControl');
+				if (isTogether) {
+					await Promise.all(members.map(async member => runOnProcess(statement, member)));
 					return;
 				}
 
 				for (const member of members) {
-					await runOnProcess(statement.verb, member);
+					await runOnProcess(statement, member);
 				}
 
 				return;
--- a/scenario/statement.ts
+++ b/scenario/statement.ts
@@ -24,7 +24,8 @@
 	| {readonly kind: 'load'; readonly service: string; readonly rate: number; readonly isKeyed: boolean}
 	| {readonly kind: 'wait' | 'expectReady' | 'expectWarm'; readonly milliseconds: number}
 	| {readonly kind: 'expectMembers'; readonly number: number; readonly milliseconds: number}
-	| {readonly kind: 'process'; readonly verb: ProcessVerb; readonly target: Target}
+	/** A process that restarts stays down for a time. */
+	| {readonly kind: 'process'; readonly verb: ProcessVerb; readonly target: Target; readonly downMilliseconds: number}
 	| {readonly kind: 'cut'; readonly from: Target; readonly way: 'both' | 'to' | 'from'}
 	| {readonly kind: 'zone'; readonly action: 'out' | 'in'; readonly zone: string}
 	| {readonly kind: 'server'; readonly verb: 'leave' | 'crash' | 'restart' | 'drain'; readonly server: string}
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -7,7 +7,7 @@
 import {interval, type Subscription} from 'rxjs';
 import {Result} from 'true-myth';
 import {type Environment} from '../configuration/index.js';
-import {getNextMembership, type ReplicaMessage} from '../consensus/index.js';
+import {getNextMembership, isQuorum, type ReplicaMessage} from '../consensus/index.js';
 import {createControlClient} from '../control-client/index.js';
 import {type Renewal} from '../lease/index.js';
 import {createRandom} from '../randomness/index.js';
@@ -19,6 +19,7 @@
 import {type Log} from '../telemetry/index.js';
 import {listen, listenForLinks, type Link} from '../wire/index.js';
 import {createApi} from './api.js';
+import {getSuccessor, mayStop} from './departure.js';
 import {startDriver, type RoleChange} from './driver.js';
 import {createLeader} from './leader.js';
 import {createLeadership, type Leadership} from './leadership.js';
@@ -26,13 +27,14 @@
 import {createControlMetrics} from './metrics.js';
 import {createSnapshotReceiver, createSnapshotSender} from './transfer.js';
 import {
-	type ControlAnswer, type ControlInbound, type ControlOutbound, type ControlRequest,
+	type Availability, type ControlAnswer, type ControlInbound, type ControlOutbound, type ControlRequest,
 } from './message.js';
 
 const housekeepingMilliseconds = 100;
 const nudgeMilliseconds = 25;
 const joinMilliseconds = 500;
 const handOverCheckMilliseconds = 10;
+const departureCheckMilliseconds = 100;
 const forwardMilliseconds = 5000;
 const forwardAttemptMilliseconds = 200;
 const millisecondsPerHour = 3_600_000;
@@ -41,7 +43,7 @@
 export type Control = {
 	readonly apiPort: number;
 	readonly linksPort: number;
-	/** Hands leadership over and stops. */
+	/** Waits until the others can spare this host, hands leadership over and stops. */
 	stop(): Promise<void>;
 };
 
@@ -78,6 +80,8 @@
 	const links = new Set<Link<ControlInbound>>();
 	const joining: string[] = [];
 	const burnBook = createBurnBook();
+	const availabilities = new Map<string, Availability>();
+	let availability: Availability = 'serving';
 	let leadership: Leadership | undefined;
 	let lastUrgency = 0;
 	let lastVersions = '';
@@ -111,8 +115,9 @@
 		received() {
 			// Replies are taken by the client; control hosts send each other nothing else on dialed links.
 		},
-		opened() {
+		opened(host) {
 			announceReplica();
+			client.sendTo(host, {kind: 'availability', replica: self, availability});
 		},
 	});
 	const sender = createSnapshotSender({
@@ -192,6 +197,11 @@
 				return;
 			}
 
+			case 'availability': {
+				availabilities.set(message.replica, message.availability);
+				return;
+			}
+
 			case 'renewal': {
 				void renew(link, message);
 				return;
@@ -331,11 +341,49 @@
 	});
 	const apiPort = await listen(server, {setting: 'api', ...settings.api});
 
+	function setAvailability(next: Availability): void {
+		availability = next;
+		client.broadcast({kind: 'availability', replica: self, availability});
+	}
+
+	async function isSpared(): Promise<boolean> {
+		const answer = await leader.answer({kind: 'readStatus'});
+		const known = answer.kind === 'notLeader' ? await client.submit({kind: 'readStatus'}, forwardAttemptMilliseconds) : answer;
+		return known.kind === 'status' && mayStop({
+			self, replicas: known.status.replicas, commitIndex: known.status.commitIndex, availabilities, silenceMilliseconds: settings.election.timeoutMilliseconds,
+		});
+	}
+
+	/** Waits until the other voters form a quorum without this host, up to a limit; too few hosts never can. */
+	async function waitUntilSpared(): Promise<void> {
+		const voters = driver.replica.getMembership().voters.length;
+		if (!isQuorum(voters - 1, voters)) {
+			return;
+		}
+
+		const until = performance.now() + settings.stopPatienceMilliseconds;
+		setAvailability('asking');
+		// Hosts that ask at the same moment hear of each other meanwhile.
+		await delay(Math.min(departureCheckMilliseconds, settings.stopPatienceMilliseconds));
+		while (!await isSpared()) {
+			if (performance.now() >= until) {
+				log.warn({patienceMilliseconds: settings.stopPatienceMilliseconds}, 'stopping although the others are no quorum');
+				break;
+			}
+
+			await delay(departureCheckMilliseconds);
+		}
+
+		setAvailability('stopping');
+	}
+
 	async function handOver(): Promise<void> {
 		const {replica} = driver;
-		const successor = replica.getMembership().voters
-			.filter(voter => voter !== self)
-			.toSorted((left, right) => replica.getMatchIndex(right) - replica.getMatchIndex(left))[0];
+		const now = performance.now();
+		const others = replica.getMembership().voters.filter(voter => voter !== self);
+		const successor = getSuccessor(others.map(voter => ({
+			replica: voter, matchIndex: replica.getMatchIndex(voter), silentMilliseconds: now - (replica.getAnsweredAt(voter) ?? 0),
+		})), settings.election.timeoutMilliseconds);
 		if (replica.getRole() !== 'leader' || successor === undefined) {
 			return;
 		}
@@ -359,6 +407,7 @@
 		apiPort,
 		linksPort: listener.port,
 		async stop() {
+			await waitUntilSpared();
 			await handOver();
 			subscription.unsubscribe();
 			const closed = new Promise(resolve => {
--- a/source/control/index.ts
+++ b/source/control/index.ts
@@ -1,4 +1,5 @@
 export * from './control.js';
+export * from './departure.js';
 export * from './driver.js';
 export * from './http.js';
 export * from './leader.js';
--- a/source/control/message.ts
+++ b/source/control/message.ts
@@ -97,8 +97,14 @@
 /** Asks to take part in the replicated log. */
 export type JoinMessage = {readonly kind: 'join'; readonly replica: string};
 
+/** What a control host is about to do: serve on, stop as soon as the others can spare it, or stop now. */
+export type Availability = 'serving' | 'asking' | 'stopping';
+
+/** Tells the other control hosts what this one is about to do. */
+export type AvailabilityMessage = {readonly kind: 'availability'; readonly replica: string; readonly availability: Availability};
+
 /** A message that a control host receives. */
-export type ControlInbound = ConsensusMessage | SnapshotPart | JoinMessage | Renewal | RequestMessage | BurnReport;
+export type ControlInbound = ConsensusMessage | SnapshotPart | JoinMessage | AvailabilityMessage | Renewal | RequestMessage | BurnReport;
 
 /** A message that a control host sends on a link that it accepted. */
 export type ControlOutbound = ReplyMessage | Grant | Refusal | Nudge | QuarantineNotice;
--- a/source/settings/settings.ts
+++ b/source/settings/settings.ts
@@ -74,6 +74,7 @@
 	election: election.prefault({}),
 	ledger: ledger.prefault({}),
 	lease: lease.prefault({}),
+	stopPatienceMilliseconds: z.number().int().min(0).max(600_000).default(10_000),
 	snapshotEvery: z.number().int().min(10).max(10_000_000).default(10_000),
 	snapshotBytes: z.number().int().min(65_536).max(1_073_741_824).default(16_777_216),
 }).readonly();
--- a/stand-in/cluster.ts
+++ b/stand-in/cluster.ts
@@ -15,6 +15,7 @@
 const host = '127.0.0.1';
 const requestMilliseconds = 2000;
 const startMilliseconds = 20_000;
+const stopPatienceMilliseconds = 60_000;
 const bundleFile = 'dist/guavadeck.cjs';
 const running = new Set<ChildProcess>();
 
@@ -162,7 +163,7 @@
 		};
 		const settings = member.kind === 'control'
 			? {
-				...common, dataFolder: getDataFolder(member), links: {host, port: member.port}, api: {host, port: member.adminPort}, election: {timeoutMilliseconds: 250, heartbeatMilliseconds: 50}, snapshotEvery: 500,
+				...common, dataFolder: getDataFolder(member), links: {host, port: member.port}, api: {host, port: member.adminPort}, election: {timeoutMilliseconds: 250, heartbeatMilliseconds: 50}, snapshotEvery: 500, stopPatienceMilliseconds,
 			}
 			: {
 				...common, callers: {host, port: member.port}, admin: {host, port: member.adminPort}, peers: {host, port: 0}, graceMilliseconds: shape.graceMilliseconds, ...shape.entrySettings,
