--- /dev/null
+++ b/source/consensus/core.ts
@@ -0,0 +1,150 @@
+/**
+ * State that the parts of a replica share: its durable state, its role, the log, and
+ * the actions that answer the event at hand.
+ */
+import {createLog, type Log} from './log.js';
+import {
+	type Action, type HardState, type LogEntry, type Membership, type ReplicaMessage, type Role, type Snapshot,
+} from './message.js';
+import {isQuorum} from './quorum.js';
+
+/** Durable state and identity of a replica. */
+export type CoreOptions = {
+	readonly id: string;
+	readonly state: HardState;
+	readonly snapshot: Snapshot | undefined;
+	readonly entries: readonly LogEntry[];
+	/** Members in force before the first membership entry. */
+	readonly founders: Membership;
+	/** Start in milliseconds. */
+	readonly now: number;
+};
+
+/** Shared state of a replica. */
+export type Core = {
+	readonly id: string;
+	readonly log: Log;
+	term: number;
+	votedFor: string | undefined;
+	role: Role;
+	leader: string | undefined;
+	commitIndex: number;
+	/** Index up to which this replica's log is synced. */
+	durableIndex: number;
+	snapshot: Snapshot | undefined;
+	membership: Membership;
+	/** Time of the event at hand in milliseconds. */
+	now: number;
+	act(action: Action): void;
+	send(to: string, message: ReplicaMessage, isAfterSync: boolean): void;
+	/** Starts an event and forgets the actions of the last one. */
+	begin(now: number): void;
+	getActions(): readonly Action[];
+	/** Takes over a term without a vote in it. */
+	adoptTerm(term: number): void;
+	/** Enters the next term with a vote for this replica. */
+	voteForSelf(): void;
+	voteFor(candidate: string): void;
+	changeRole(role: Role, leader: string | undefined): void;
+	advanceCommit(index: number): void;
+	/** Takes the membership again from the log or the snapshot. */
+	refreshMembership(): void;
+	/** Gets the membership that was in force at an index of the log. */
+	getMembershipAt(index: number): Membership;
+	isVoter(): boolean;
+	/** Gets every other voter and learner. */
+	getOthers(): readonly string[];
+	/** Checks whether the voters that fulfil a condition are a majority. */
+	hasQuorum(predicate: (voter: string) => boolean): boolean;
+};
+
+/**
+ * Creates the shared state of a follower.
+ * @param options - Durable state and identity.
+ */
+export function createCore(options: CoreOptions): Core {
+	const {id, founders, snapshot} = options;
+	const log = createLog(snapshot?.index ?? 0, snapshot?.term ?? 0, options.entries);
+	let actions: Action[] = [];
+
+	function persistState(): void {
+		core.act({kind: 'persistState', state: {term: core.term, votedFor: core.votedFor}});
+	}
+
+	function getFallback(): Membership {
+		return core.snapshot?.membership ?? founders;
+	}
+
+	const core: Core = {
+		id,
+		log,
+		term: options.state.term,
+		votedFor: options.state.votedFor,
+		role: 'follower',
+		leader: undefined,
+		commitIndex: snapshot?.index ?? 0,
+		durableIndex: log.getLastIndex(),
+		snapshot,
+		membership: log.getMembership(snapshot?.membership ?? founders),
+		now: options.now,
+		act(action) {
+			actions.push(action);
+		},
+		send(to, message, isAfterSync) {
+			actions.push({
+				kind: 'send', to, message, isAfterSync,
+			});
+		},
+		begin(now) {
+			core.now = Math.max(core.now, now);
+			actions = [];
+		},
+		getActions: () => actions,
+		adoptTerm(term) {
+			core.term = term;
+			core.votedFor = undefined;
+			persistState();
+		},
+		voteForSelf() {
+			core.term++;
+			core.votedFor = id;
+			persistState();
+		},
+		voteFor(candidate) {
+			core.votedFor = candidate;
+			persistState();
+		},
+		changeRole(role, leader) {
+			const isChanged = core.role !== role || core.leader !== leader;
+			core.role = role;
+			core.leader = leader;
+			if (isChanged) {
+				core.act({
+					kind: 'roleChanged', role, term: core.term, leader,
+				});
+			}
+		},
+		advanceCommit(index) {
+			const target = Math.min(index, log.getLastIndex());
+			while (core.commitIndex < target) {
+				core.commitIndex++;
+				core.act({kind: 'commit', entry: log.getOrThrow(core.commitIndex)});
+			}
+		},
+		refreshMembership() {
+			core.membership = log.getMembership(getFallback());
+		},
+		getMembershipAt(index) {
+			const first = log.getFirstIndex();
+			const earlier = log.getRange(first, index - first + 1).findLast(entry => entry.payload.kind === 'membership');
+			return earlier?.payload.kind === 'membership' ? earlier.payload.membership : getFallback();
+		},
+		isVoter: () => core.membership.voters.includes(id),
+		getOthers: () => [...core.membership.voters, ...core.membership.learners].filter(member => member !== id),
+		hasQuorum(predicate) {
+			const {voters} = core.membership;
+			return isQuorum(voters.filter(voter => predicate(voter)).length, voters.length);
+		},
+	};
+	return core;
+}
--- /dev/null
+++ b/source/consensus/election.ts
@@ -0,0 +1,193 @@
+/**
+ * Elections of a replica: pre-votes, votes, and the time at which a silent leader is
+ * given up. A replica that has heard from a leader a moment ago supports no other
+ * one, unless that leader itself asked for the election.
+ */
+import {type Core} from './core.js';
+import {type ReplicaMessage} from './message.js';
+
+type VoteRequest = Extract<ReplicaMessage, {readonly kind: 'voteRequest'}>;
+type Vote = Extract<ReplicaMessage, {readonly kind: 'vote'}>;
+
+/** Elections of one replica. */
+export type Election = {
+	/** Starts a pre-vote when the leader has been silent for too long. */
+	tick(): void;
+	/** Starts an election at once, because the leader hands over. */
+	takeOver(): void;
+	receiveVoteRequest(from: string, message: VoteRequest): void;
+	receiveVote(from: string, message: Vote): void;
+	/** Notes that a leader is alive. */
+	heardLeader(): void;
+	/** Waits a whole timeout before the next election. */
+	postpone(): void;
+	getTimeoutAt(): number;
+};
+
+/** Options of elections. */
+export type ElectionOptions = {
+	readonly core: Core;
+	readonly electionMilliseconds: number;
+	/** Returns a number from 0 up to 1. */
+	random(): number;
+	/** Called when this replica is elected. */
+	won(): void;
+	/** Follows in a term whose leader is not known. */
+	follow(term: number): void;
+};
+
+/**
+ * Creates the elections of a replica.
+ * @param options - Shared state, timing and functions that take outcomes.
+ */
+export function createElection(options: ElectionOptions): Election {
+	const {core, electionMilliseconds} = options;
+	const {log} = core;
+	let timeoutAt = core.now + getTimeout();
+	let leaderHeardAt = Number.NEGATIVE_INFINITY;
+	let votes = new Set<string>();
+
+	function getTimeout(): number {
+		return electionMilliseconds * (1 + options.random());
+	}
+
+	function postpone(): void {
+		timeoutAt = core.now + getTimeout();
+	}
+
+	function hasWon(): boolean {
+		return core.hasQuorum(voter => votes.has(voter));
+	}
+
+	function startPreVote(): void {
+		postpone();
+		if (!core.isVoter()) {
+			return;
+		}
+
+		core.changeRole('preCandidate', undefined);
+		votes = new Set([core.id]);
+		requestVotes(true, false);
+		if (hasWon()) {
+			startElection(false);
+		}
+	}
+
+	function startElection(isTransfer: boolean): void {
+		postpone();
+		core.voteForSelf();
+		core.changeRole('candidate', undefined);
+		votes = new Set([core.id]);
+		requestVotes(false, isTransfer);
+		if (hasWon()) {
+			options.won();
+		}
+	}
+
+	function requestVotes(isPreVote: boolean, isTransfer: boolean): void {
+		const message: ReplicaMessage = {
+			kind: 'voteRequest',
+			term: isPreVote ? core.term + 1 : core.term,
+			isPreVote,
+			isTransfer,
+			lastIndex: log.getLastIndex(),
+			lastTerm: log.getLastTerm(),
+		};
+		for (const voter of core.membership.voters) {
+			if (voter !== core.id) {
+				core.send(voter, message, !isPreVote);
+			}
+		}
+	}
+
+	function answer(to: string, term: number, isPreVote: boolean, isGranted: boolean): void {
+		core.send(to, {
+			kind: 'vote', term, isPreVote, isGranted,
+		}, true);
+	}
+
+	function isUpToDate(message: VoteRequest): boolean {
+		const lastTerm = log.getLastTerm();
+		return message.lastTerm > lastTerm || (message.lastTerm === lastTerm && message.lastIndex >= log.getLastIndex());
+	}
+
+	function decideVote(from: string, message: VoteRequest): void {
+		if (message.term > core.term) {
+			options.follow(message.term);
+		}
+
+		const isFree = core.votedFor === undefined || core.votedFor === from;
+		const isGranted = message.term === core.term && isUpToDate(message) && isFree;
+		if (isGranted) {
+			if (core.votedFor === undefined) {
+				core.voteFor(from);
+			}
+
+			postpone();
+		}
+
+		answer(from, core.term, false, isGranted);
+	}
+
+	return {
+		tick() {
+			if (core.now >= timeoutAt) {
+				startPreVote();
+			}
+		},
+		takeOver() {
+			startElection(true);
+		},
+		receiveVoteRequest(from, message) {
+			const isLeaderAlive = core.role === 'leader' || core.now - leaderHeardAt < electionMilliseconds;
+			if (isLeaderAlive && !message.isTransfer) {
+				if (message.isPreVote) {
+					answer(from, core.term, true, false);
+				}
+
+				return;
+			}
+
+			if (message.isPreVote) {
+				const isGranted = isUpToDate(message) && message.term > core.term;
+				answer(from, isGranted ? message.term : core.term, true, isGranted);
+				return;
+			}
+
+			decideVote(from, message);
+		},
+		receiveVote(from, message) {
+			if (!message.isGranted) {
+				if (message.term > core.term) {
+					options.follow(message.term);
+				}
+
+				return;
+			}
+
+			const isAwaited = message.isPreVote
+				? core.role === 'preCandidate' && message.term === core.term + 1
+				: core.role === 'candidate' && message.term === core.term;
+			if (!isAwaited) {
+				return;
+			}
+
+			votes.add(from);
+			if (!hasWon()) {
+				return;
+			}
+
+			if (message.isPreVote) {
+				startElection(false);
+			} else {
+				options.won();
+			}
+		},
+		heardLeader() {
+			leaderHeardAt = core.now;
+			postpone();
+		},
+		postpone,
+		getTimeoutAt: () => timeoutAt,
+	};
+}
--- /dev/null
+++ b/source/consensus/leading.ts
@@ -0,0 +1,226 @@
+/**
+ * What a replica does while it leads: appends and commits entries, confirms that it
+ * still leads, and hands leadership over. It steps down when it has heard from no
+ * quorum for two election timeouts, or when a membership without it is committed.
+ */
+import {createConfirmations} from './confirmation.js';
+import {type Core} from './core.js';
+import {type LogEntry, type Payload, type ReplicaMessage} from './message.js';
+import {type Progress} from './progress.js';
+import {getQuorumValue} from './quorum.js';
+import {createReplication} from './replication.js';
+
+type Appended = Extract<ReplicaMessage, {readonly kind: 'appended'}>;
+
+/** Leadership of one replica. */
+export type Leading = {
+	/** Starts to lead in the current term. */
+	start(): void;
+	/** Stops leading. */
+	end(): void;
+	tick(): void;
+	receiveAppended(from: string, message: Appended): void;
+	propose(payload: Payload): void;
+	/** Asks for proof that this replica leads at some time after the call. */
+	confirm(token: number, isUrgent: boolean): void;
+	transfer(to: string): void;
+	/** Commits what a sync of the own log allows. */
+	advanceCommit(): void;
+	getProgress(member: string): Progress | undefined;
+	isMembershipSettled(): boolean;
+};
+
+/** Options of a leadership. */
+export type LeadingOptions = {
+	readonly core: Core;
+	readonly electionMilliseconds: number;
+	readonly heartbeatMilliseconds: number;
+	/** Follows, in a term whose leader is not known. */
+	follow(term: number): void;
+};
+
+/**
+ * Creates the leadership of a replica that does not lead yet.
+ * @param options - Shared state and timing.
+ */
+export function createLeading(options: LeadingOptions): Leading {
+	const {core, electionMilliseconds, heartbeatMilliseconds} = options;
+	const {log} = core;
+	const confirmations = createConfirmations();
+	const replication = createReplication({
+		core, electionMilliseconds, heartbeatMilliseconds, getRound: confirmations.getRound,
+	});
+	let heartbeatAt = Number.POSITIVE_INFINITY;
+	let termStartIndex = 0;
+	let transferTo: string | undefined;
+	let transferUntil = 0;
+
+	function append(payload: Payload): void {
+		const entry: LogEntry = {index: log.getLastIndex() + 1, term: core.term, payload};
+		log.append(entry);
+		core.act({kind: 'persistEntries', entries: [entry], truncateFrom: entry.index});
+		if (payload.kind === 'membership') {
+			core.membership = payload.membership;
+			replication.addMembers();
+		}
+	}
+
+	function broadcast(): void {
+		heartbeatAt = core.now + heartbeatMilliseconds;
+		replication.broadcast();
+	}
+
+	function advanceCommit(): void {
+		const matches = core.membership.voters.map(voter => voter === core.id ? core.durableIndex : replication.get(voter)?.matchIndex ?? 0);
+		const majority = getQuorumValue(matches);
+		if (majority > core.commitIndex && log.getTerm(majority) === core.term) {
+			core.advanceCommit(majority);
+			settleConfirmations();
+			stepDownWhenRemoved();
+		}
+	}
+
+	function stepDownWhenRemoved(): void {
+		if (!core.isVoter() && log.getMembershipIndex() <= core.commitIndex) {
+			broadcast();
+			options.follow(core.term);
+		}
+	}
+
+	function startRoundWhenDue(): void {
+		if (confirmations.isRoundDue()) {
+			startRound();
+		}
+	}
+
+	function startRound(): void {
+		confirmations.startRound();
+		broadcast();
+		settleConfirmations();
+	}
+
+	function settleConfirmations(): void {
+		if (core.commitIndex < termStartIndex) {
+			return;
+		}
+
+		const answered = core.membership.voters.map(voter => voter === core.id ? confirmations.getRound() : replication.get(voter)?.round ?? 0);
+		const settled = confirmations.settle(getQuorumValue(answered));
+		for (const token of settled) {
+			core.act({kind: 'confirmed', token, index: core.commitIndex});
+		}
+
+		if (settled.length > 0) {
+			startRoundWhenDue();
+		}
+	}
+
+	/** Lets the successor start its election once it holds the whole log. */
+	function handOver(member: string, state: Progress): void {
+		if (transferTo === member && state.matchIndex === log.getLastIndex()) {
+			core.send(member, {kind: 'timeoutNow', term: core.term}, false);
+		}
+	}
+
+	function takeAnswer(from: string, state: Progress, message: Appended): void {
+		if (message.isSuccess) {
+			replication.matched(state, message.index);
+			advanceCommit();
+			handOver(from, state);
+		} else {
+			replication.mismatched(state, message.index);
+		}
+
+		const isReadyForMore = !message.isSuccess || state.matchIndex + 1 === state.nextIndex;
+		if (state.nextIndex <= log.getLastIndex() && isReadyForMore) {
+			replication.send(from);
+		}
+	}
+
+	function beat(): void {
+		replication.resendUnanswered();
+		if (confirmations.isRoundWanted()) {
+			startRound();
+		} else {
+			broadcast();
+		}
+	}
+
+	return {
+		start() {
+			core.changeRole('leader', core.id);
+			replication.start();
+			transferTo = undefined;
+			termStartIndex = log.getLastIndex() + 1;
+			append({kind: 'noOperation'});
+			broadcast();
+		},
+		end() {
+			for (const token of confirmations.reject()) {
+				core.act({kind: 'unconfirmed', token});
+			}
+
+			heartbeatAt = Number.POSITIVE_INFINITY;
+			transferTo = undefined;
+		},
+		tick() {
+			if (!core.hasQuorum(voter => voter === core.id || replication.isAnswering(voter))) {
+				options.follow(core.term);
+				return;
+			}
+
+			if (transferTo !== undefined && core.now > transferUntil) {
+				transferTo = undefined;
+			}
+
+			if (core.now >= heartbeatAt) {
+				beat();
+			}
+		},
+		receiveAppended(from, message) {
+			if (message.term > core.term) {
+				options.follow(message.term);
+				return;
+			}
+
+			if (core.role !== 'leader' || message.term !== core.term) {
+				return;
+			}
+
+			const state = replication.answered(from, message.round);
+			if (state !== undefined) {
+				settleConfirmations();
+				takeAnswer(from, state, message);
+			}
+		},
+		propose(payload) {
+			if (core.role === 'leader' && transferTo === undefined) {
+				append(payload);
+				replication.sendToAnswering();
+			}
+		},
+		confirm(token, isUrgent) {
+			if (core.role !== 'leader' || transferTo !== undefined) {
+				core.act({kind: 'unconfirmed', token});
+				return;
+			}
+
+			confirmations.ask(token, isUrgent);
+			startRoundWhenDue();
+		},
+		transfer(to) {
+			const state = replication.get(to);
+			if (core.role !== 'leader' || state === undefined || !core.membership.voters.includes(to)) {
+				return;
+			}
+
+			transferTo = to;
+			transferUntil = core.now + electionMilliseconds;
+			replication.send(to);
+			handOver(to, state);
+		},
+		advanceCommit,
+		getProgress: replication.get,
+		isMembershipSettled: () => core.commitIndex >= termStartIndex && log.getMembershipIndex() <= core.commitIndex,
+	};
+}
--- /dev/null
+++ b/source/consensus/replication.ts
@@ -0,0 +1,175 @@
+/** Sends a leader's log to the other members, and keeps what each of them is known to hold. */
+import {type Core} from './core.js';
+import {createProgress, type Progress} from './progress.js';
+
+const entriesPerAppend = 256;
+
+/** Election timeouts that a first snapshot may take on its way; each further attempt may take twice as many. */
+const installTimeouts = 10;
+const largestInstallExponent = 8;
+
+/** The log on its way to the other members. */
+export type Replication = {
+	/** Starts with members of which nothing is known. */
+	start(): void;
+	/** Starts with the members that a new membership added. */
+	addMembers(): void;
+	/** Sends each member what it lacks, or a heartbeat. */
+	broadcast(): void;
+	/** Sends a member what it lacks. */
+	send(member: string): void;
+	/** Sends new entries to the members that answer. */
+	sendToAnswering(): void;
+	/** Goes back to what members are known to hold, where an answer is overdue. */
+	resendUnanswered(): void;
+	/** Notes a member's answer; returns its progress, or undefined for a stranger. */
+	answered(member: string, round: number): Progress | undefined;
+	matched(state: Progress, index: number): void;
+	mismatched(state: Progress, hintIndex: number): void;
+	get(member: string): Progress | undefined;
+	/** Checks whether a member answered within two election timeouts. */
+	isAnswering(member: string): boolean;
+};
+
+/** Options of a replication. */
+export type ReplicationOptions = {
+	readonly core: Core;
+	readonly electionMilliseconds: number;
+	readonly heartbeatMilliseconds: number;
+	/** Gets the number of the newest confirmation round. */
+	getRound(): number;
+};
+
+/**
+ * Creates a replication without members.
+ * @param options - Shared state and timing.
+ */
+export function createReplication(options: ReplicationOptions): Replication {
+	const {core, electionMilliseconds, heartbeatMilliseconds} = options;
+	const {log} = core;
+	let progress = new Map<string, Progress>();
+
+	/** Checks whether the log no longer holds what a member needs next. */
+	function needsSnapshot(state: Progress): boolean {
+		return log.getTerm(state.nextIndex - 1) === undefined;
+	}
+
+	function isSilent(state: Progress): boolean {
+		return core.now - state.answeredAt >= electionMilliseconds * 2;
+	}
+
+	/** Tells a member that waits for a snapshot that its leader is alive; an append after index 0 suits any log. */
+	function sendHeartbeat(member: string): void {
+		core.send(member, {
+			kind: 'append', term: core.term, previousIndex: 0, previousTerm: 0, entries: [], commitIndex: core.commitIndex, round: options.getRound(),
+		}, false);
+	}
+
+	function send(member: string): void {
+		const state = progress.get(member);
+		if (state === undefined) {
+			return;
+		}
+
+		const previousIndex = state.nextIndex - 1;
+		const previousTerm = log.getTerm(previousIndex);
+		if (previousTerm === undefined) {
+			sendSnapshot(member, state);
+			return;
+		}
+
+		const entries = log.getRange(state.nextIndex, entriesPerAppend);
+		state.nextIndex += entries.length;
+		state.sentAt = core.now;
+		core.send(member, {
+			kind: 'append', term: core.term, previousIndex, previousTerm, entries, commitIndex: core.commitIndex, round: options.getRound(),
+		}, false);
+	}
+
+	/** Sends a snapshot to a member that answers, unless one is on its way. */
+	function sendSnapshot(member: string, state: Progress): void {
+		if (isSilent(state)) {
+			// What was on its way may be lost.
+			state.installAt = Number.NEGATIVE_INFINITY;
+			return;
+		}
+
+		const patience = electionMilliseconds * installTimeouts * (2 ** Math.min(state.installs - 1, largestInstallExponent));
+		const {snapshot} = core;
+		if (snapshot === undefined || core.now - state.installAt < patience) {
+			return;
+		}
+
+		state.installAt = core.now;
+		state.installs++;
+		core.send(member, {
+			kind: 'install', term: core.term, snapshot, round: options.getRound(),
+		}, false);
+	}
+
+	return {
+		start() {
+			progress = new Map(core.getOthers().map(member => [member, createProgress(log.getLastIndex() + 1, core.now)]));
+		},
+		addMembers() {
+			for (const member of core.getOthers()) {
+				if (!progress.has(member)) {
+					progress.set(member, createProgress(log.getLastIndex(), core.now));
+				}
+			}
+		},
+		broadcast() {
+			for (const member of core.getOthers()) {
+				const state = progress.get(member);
+				if (state !== undefined && needsSnapshot(state)) {
+					sendHeartbeat(member);
+				}
+
+				send(member);
+			}
+		},
+		send,
+		sendToAnswering() {
+			for (const member of core.getOthers()) {
+				const state = progress.get(member);
+				if (state !== undefined && core.now - state.answeredAt <= heartbeatMilliseconds * 2) {
+					send(member);
+				}
+			}
+		},
+		resendUnanswered() {
+			for (const state of progress.values()) {
+				const isOverdue = core.now - state.answeredAt > heartbeatMilliseconds * 2;
+				const isUnanswered = state.matchIndex + 1 < state.nextIndex && core.now - state.sentAt >= heartbeatMilliseconds;
+				if (isOverdue || isUnanswered) {
+					state.nextIndex = state.matchIndex + 1;
+				}
+			}
+		},
+		answered(member, round) {
+			const state = progress.get(member);
+			if (state !== undefined) {
+				state.answeredAt = core.now;
+				state.round = Math.max(state.round, round);
+			}
+
+			return state;
+		},
+		matched(state, index) {
+			state.matchIndex = Math.max(state.matchIndex, index);
+			state.nextIndex = Math.max(state.nextIndex, state.matchIndex + 1);
+			if (!needsSnapshot(state)) {
+				state.installAt = Number.NEGATIVE_INFINITY;
+				state.installs = 0;
+			}
+		},
+		mismatched(state, hintIndex) {
+			state.nextIndex = Math.max(state.matchIndex + 1, Math.min(state.nextIndex - 1, hintIndex + 1));
+		},
+		get: member => progress.get(member),
+		isAnswering(member) {
+			const state = progress.get(member);
+			return state !== undefined && !isSilent(state);
+		},
+	};
+}
