Compare at most 32 candidates for the least in flight

Weighed: two draws for large services (the herding is small, but own counts are mostly 0 there and a draw of two meets a busy server often); a heap by load (every start and end would move it); a bounded sample. Chosen: the sample of 32 with a random stride; all are looked at when none of them is open. Services of up to 32 servers, and central-queue, choose as before.

--- a/source/choice/choice.test.ts
+++ b/source/choice/choice.test.ts
@@ -65,6 +65,32 @@
 	});
 });
 
+describe('createChooser: least in flight in a large service', () => {
+	/** Starts requests on 500 servers, of which only some are open, and gets the most at one of them. */
+	function doTest(isOpen: (id: number) => boolean, requests: number, expected: number): void {
+		const candidates = Array.from({length: 500}, (_, index) => create(index + 1));
+		for (const candidate of candidates) {
+			candidate.update(candidate.getAnnouncement(), 'warm', !isOpen(candidate.id));
+		}
+
+		const chooser = createChooser('least-in-flight', createRandom(6));
+		for (let request = 0; request < requests; request++) {
+			chooser.choose({
+				candidates, excluded: new Set(), zone: 'north', avoidedZones: new Set(), now: 0,
+			})!.start();
+		}
+
+		expect(Math.max(...candidates.map(candidate => candidate.getInFlight()))).toEqual(expected);
+	}
+
+	test('spreads requests nearly as evenly as a look at all of them', () => {
+		doTest(() => true, 400, 2);
+	});
+	test('finds the only open server', () => {
+		doTest(id => id === 333, 5, 5);
+	});
+});
+
 describe('createCandidate', () => {
 	function doTest(candidate: Candidate, steps: ReadonlyArray<(candidate: Candidate) => void>, now: number, isOpen: boolean): void {
 		for (const step of steps) {
--- a/source/choice/chooser.ts
+++ b/source/choice/chooser.ts
@@ -12,6 +12,9 @@
 /** Random draws before all candidates are scanned. */
 const draws = 6;
 
+/** Candidates that are compared for the least in flight; in larger services as many are drawn. */
+const comparedCandidates = 32;
+
 /** Constraints of one choice. */
 export type Choice = {
 	readonly candidates: readonly Candidate[];
@@ -106,18 +109,21 @@
 		return first === undefined || second === undefined ? first : pickBetter(first, second, choice);
 	}
 
-	function chooseOfAll(choice: Choice): Candidate | undefined {
+	/** Gets the best of at most so many candidates, which are spread over all of them from a random one on. */
+	function chooseBest(choice: Choice, compared: number): Candidate | undefined {
 		const {candidates} = choice;
 		const from = Math.floor(random() * candidates.length);
+		const stride = candidates.length > compared ? 1 + Math.floor(random() * (candidates.length - 1)) : 1;
+		const steps = Math.min(candidates.length, compared);
 		let best: Candidate | undefined;
-		for (let step = 0; step < candidates.length; step++) {
-			const candidate = candidates[(from + step) % candidates.length]!;
+		for (let step = 0; step < steps; step++) {
+			const candidate = candidates[(from + (step * stride)) % candidates.length]!;
 			if (isEligible(candidate, choice)) {
 				best = best === undefined ? candidate : pickBetter(best, candidate, choice);
 			}
 		}
 
-		return best;
+		return best ?? scan(choice, from);
 	}
 
 	return {
@@ -132,9 +138,12 @@
 					return scan(choice, turn);
 				}
 
-				case 'central-queue':
+				case 'central-queue': {
+					return chooseBest(choice, Number.POSITIVE_INFINITY);
+				}
+
 				case 'least-in-flight': {
-					return chooseOfAll(choice);
+					return chooseBest(choice, comparedCandidates);
 				}
 
 				case 'two-choices':
