Read what has arrived before a hedge is sent; let the load generator arrive on time

Cause: at saturation of the entry itself 5,294 of 135,711 attempts were hedges, and each cancelled one closes its connection: 1,015 to 2,238 connections opened in 3 s where the bare proxy opens 73. A hedge timer that is due late, because the loop was busy, ran before the answers that lay in the sockets were read.

Ruled out: too few kept connections (they are bounded by 4,000 here).

Change: the hedge waits for the turn after the timer's, in which arrived answers are read first. `guavadeck load` waits for the last 2 ms of an arrival in turns in place of timers, which came up to a millisecond late.

--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -302,7 +302,8 @@
 		}
 
 		state.hedges.earn();
-		hedgeTimer = setTimeout(hedge, state.hedgeDelay.getMilliseconds());
+		// In the turn after the timer's, answers that have already arrived are read before the hedge is sent.
+		hedgeTimer = setTimeout(setImmediate, state.hedgeDelay.getMilliseconds(), hedge);
 	}
 
 	function hedge(): void {
--- a/source/program/load.ts
+++ b/source/program/load.ts
@@ -1,6 +1,7 @@
 /** Open-loop load: arrivals follow their own clock and never wait for answers. */
 import {Agent, request as startRequest} from 'node:http';
 import {performance} from 'node:perf_hooks';
+import {setImmediate as nextTurn, setTimeout as delay} from 'node:timers/promises';
 import {type Histogram} from 'hdr-histogram-js';
 import {createRandom} from '../randomness/index.js';
 import {createLatencyHistogram, unitsPerMillisecond} from '../service-level/index.js';
@@ -9,6 +10,7 @@
 
 const requestTimeoutMilliseconds = 30_000;
 const connectionsPerTarget = 256;
+const timerMilliseconds = 2;
 
 /** Options of a load. */
 export type Load = {
@@ -122,9 +124,7 @@
 			nextAt += -Math.log(1 - random()) * 1000 / load.requestsPerSecond;
 		}
 
-		await new Promise(resolve => {
-			setTimeout(resolve, Math.max(0, Math.min(nextAt - performance.now(), 1)));
-		});
+		await waitUntil(nextAt);
 	}
 
 	if (open > 0) {
@@ -148,6 +148,17 @@
 	};
 }
 
+/** Waits until a time in milliseconds; timers only for the most of it, since they come up to a millisecond late. */
+async function waitUntil(time: number): Promise<void> {
+	const milliseconds = time - performance.now();
+	if (milliseconds > timerMilliseconds) {
+		await delay(milliseconds - timerMilliseconds);
+		return;
+	}
+
+	await nextTurn();
+}
+
 /**
  * Runs `guavadeck load` and prints its result.
  * @param load - Rate, length and targets.
