--- a/source/entry/hedge.test.ts
+++ b/source/entry/hedge.test.ts
@@ -25,7 +25,8 @@
 
 async function getHedges(adminPort: number): Promise<number> {
 	const response = await fetch(`http://127.0.0.1:${adminPort}/metrics`);
-	const line = (await response.text()).split('\n').find(text => text.startsWith('guavadeck_attempts_total') && text.includes('hedge'));
+	const text = await response.text();
+	const line = text.split('\n').find(metric => metric.startsWith('guavadeck_attempts_total') && metric.includes('hedge'));
 	return Number(line?.split(' ').at(-1) ?? 0);
 }
 
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -303,7 +303,9 @@
 
 		state.hedges.earn();
 		// In the turn after the timer's, answers that have already arrived are read before the hedge is sent.
-		hedgeTimer = setTimeout(setImmediate, state.hedgeDelay.getMilliseconds(), hedge);
+		hedgeTimer = setTimeout(() => {
+			setImmediate(hedge);
+		}, state.hedgeDelay.getMilliseconds());
 	}
 
 	function hedge(): void {
