--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -214,7 +214,7 @@
 		call.claim?.finish(body.length <= context.maximumStoredBytes ? {status: head.status, headers: head.headers, body} : undefined);
 		if (!response.destroyed) {
 			writeHead(response, head, call.requestId, context.isClosing());
-			response.end(body.latin1Slice(), "latin1");
+			response.end(body);
 		}
 
 		context.ended(service, {kind: 'ran', status: head.status}, performance.now() - call.startedAt);
