Never hedge within the first 10 ms, unless the document says otherwise

Cause: where answers take less than a millisecond, the 95th percentile is the entry's own loop and the machine's scheduling. A second attempt then adds work to what is late, and its cancelled twin closes a connection.

Change: hedgeDelayMilliseconds (10) in the document is the shortest time before a hedge. Services whose 95th percentile is longer behave as before.

--- a/bench/choice.ts
+++ b/bench/choice.ts
@@ -56,6 +56,10 @@
 	{
 		name: 'steady 95%', share: 0.95, order: {}, firstOrder: undefined,
 	},
+	// Comes last, since an order can't take back what a server says of its load.
+	{
+		name: 'lying 70%', share: 0.7, order: {}, firstOrder: {servers: ['catalogue-1', 'catalogue-2'], behaviour: {reportedLoad: 0}},
+	},
 ];
 
 const allPolicies = ['round-robin', 'two-choices', 'two-joint-choices', `two-joint-choices${hedgeSuffix}`, chosenPolicy, `${chosenPolicy}${hedgeSuffix}`, 'stale-report', centralQueue];
--- a/source/configuration/document.ts
+++ b/source/configuration/document.ts
@@ -29,6 +29,7 @@
 	queueLength: z.number().int().min(0).max(100_000).default(200),
 	retryRatio: z.number().min(0).max(1).default(0.1),
 	hedgeRatio: z.number().min(0).max(0.5).default(0.05),
+	hedgeDelayMilliseconds: z.number().int().min(1).max(60_000).default(10),
 	policy: z.enum(['round-robin', 'least-in-flight', 'two-choices', 'two-joint-choices', 'stale-report', 'central-queue']).default('least-in-flight'),
 	objective: objective.prefault({}),
 	easing: easing.prefault({}),
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -69,7 +69,7 @@
 		queue: createWaitQueue(() => service.queueLength),
 		retries: createAttemptBudget(() => service.retryRatio, initialRetries),
 		hedges: createAttemptBudget(() => service.hedgeRatio, 0),
-		hedgeDelay: createHedgeDelay(hedgeQuantile, initialHedgeMilliseconds),
+		hedgeDelay: createHedgeDelay(hedgeQuantile, initialHedgeMilliseconds, () => service.hedgeDelayMilliseconds),
 		getChooser: () => chooser,
 		getCandidates: () => candidates,
 		setService(next) {
--- a/source/retry/delay.ts
+++ b/source/retry/delay.ts
@@ -5,11 +5,12 @@
  */
 
 const stepShare = 0.02;
-const smallestDelayMilliseconds = 1;
+const smallestEstimateMilliseconds = 1;
 
 /** Delay after which a request is hedged. */
 export type HedgeDelay = {
 	record(milliseconds: number): void;
+	/** Gets the estimate, or the shortest delay where that is longer. */
 	getMilliseconds(): number;
 };
 
@@ -17,15 +18,17 @@
  * Creates an estimate.
  * @param quantile - Share of requests that end before the delay.
  * @param initialMilliseconds - Delay before any request ended.
+ * @param getShortest - Gets the shortest delay in milliseconds. Where answers take a
+ * millisecond, what is late is the entry's own loop, which a second attempt only burdens.
  */
-export function createHedgeDelay(quantile: number, initialMilliseconds: number): HedgeDelay {
+export function createHedgeDelay(quantile: number, initialMilliseconds: number, getShortest: () => number): HedgeDelay {
 	let estimate = initialMilliseconds;
 	return {
 		record(milliseconds) {
 			const step = estimate * stepShare;
 			estimate += milliseconds > estimate ? step * quantile : -step * (1 - quantile);
-			estimate = Math.max(smallestDelayMilliseconds, estimate);
+			estimate = Math.max(smallestEstimateMilliseconds, estimate);
 		},
-		getMilliseconds: () => estimate,
+		getMilliseconds: () => Math.max(getShortest(), estimate),
 	};
 }
--- a/source/retry/retry.test.ts
+++ b/source/retry/retry.test.ts
@@ -82,9 +82,9 @@
 });
 
 describe('createHedgeDelay', () => {
-	function doTest(quantile: number, expected: number): void {
+	function doTest(quantile: number, expected: number, shortest = 1): void {
 		const random = createRandom(3);
-		const delay = createHedgeDelay(quantile, 50);
+		const delay = createHedgeDelay(quantile, 50, () => shortest);
 		for (let sample = 0; sample < 20_000; sample++) {
 			delay.record(random() * 100);
 		}
@@ -98,4 +98,7 @@
 	test('follows the median', () => {
 		doTest(0.5, 50);
 	});
+	test('is never shorter than the shortest', () => {
+		doTest(0.5, 200, 200);
+	});
 });
