--- a/scenario/runner.ts
+++ b/scenario/runner.ts
@@ -4,26 +4,20 @@
 import {
 	documentSchema, withZone, type EnvironmentDocument,
 } from '../source/configuration/index.js';
-import {
-	crashHeader, startStandIn, type Run, type StandIn,
-} from '../stand-in/index.js';
-import {
-	createCluster, getFreePort, isRunning, type Cluster, type Member,
-} from '../stand-in/cluster.js';
+import {crashHeader, type Run} from '../stand-in/index.js';
+import {createCluster, type Cluster} from '../stand-in/cluster.js';
 import {waitUntil} from '../stand-in/wait.js';
-import {
-	sendOnce, startStream, type EntryAddress, type Stream,
-} from './caller.js';
+import {sendOnce, startStream, type Stream} from './caller.js';
 import {
 	checkers, type Change, type Departure, type History, type Reading, type Sending, type Violation,
 } from './history.js';
 import {createOperators} from './operators.js';
 import {getBehaviour, getServiceShape, type ServiceShape} from './options.js';
-import {type Statement, type Target} from './statement.js';
+import {createProcesses, startLimitMilliseconds} from './processes.js';
+import {createReadiness} from './readiness.js';
+import {createServers} from './servers.js';
+import {type Statement} from './statement.js';
 
-const readinessMilliseconds = 100;
-const startLimitMilliseconds = 20_000;
-const servedConnections = 250;
 const answeringMilliseconds = 300;
 const deadlineMilliseconds = 5000;
 
@@ -38,9 +32,6 @@
 	readonly reasons: Readonly<Record<string, number>>;
 };
 
-/** An entry that serves, and the number of servers that it knows. */
-type ReadyEntry = EntryAddress & {readonly servers: number};
-
 /**
  * Runs a scenario.
  * @param statements - Parsed statements.
@@ -54,16 +45,13 @@
 	const departures: Departure[] = [];
 	const violations: Violation[] = [];
 	const services: ServiceShape[] = [];
-	const servers = new Map<string, StandIn>();
 	const streams: Stream[] = [];
-	const ready = new Map<string, ReadyEntry>();
 	let seed = seedOverride ?? 1;
 	let controlHosts = 3;
 	let entries = 3;
 	let zones: readonly string[] = ['north', 'south', 'east'];
 	let termMilliseconds = 3000;
 	let cluster: Cluster | undefined;
-	let watch: NodeJS.Timeout | undefined;
 	let nextStream = 1;
 
 	const operators = createOperators({
@@ -72,6 +60,29 @@
 		},
 	});
 
+	const readiness = createReadiness(reading => {
+		readings.push(reading);
+	});
+
+	const servers = createServers({
+		getCluster,
+		recordRun(run) {
+			runs.push(run);
+		},
+		recordDeparture(departure) {
+			departures.push(departure);
+		},
+	});
+
+	const processes = createProcesses({
+		getCluster,
+		isReady: readiness.has,
+		ended: readiness.forget,
+		violate(violation) {
+			violations.push(violation);
+		},
+	});
+
 	function getCluster(): Cluster {
 		if (cluster === undefined) {
 			throw new Error('the scenario uses the system before "start"');
@@ -80,6 +91,10 @@
 		return cluster;
 	}
 
+	function areEntriesReady(): boolean {
+		return readiness.getAll().length === entries;
+	}
+
 	function createDocument(): EnvironmentDocument {
 		return documentSchema.parse({
 			zones: zones.map(name => ({name})),
@@ -96,192 +111,10 @@
 		});
 		await Promise.all(cluster.controls.map(async member => getCluster().start(member, true)));
 		await Promise.all(cluster.entries.map(async member => getCluster().start(member, false)));
-		watch = setInterval(watchEntries, readinessMilliseconds);
+		readiness.start(cluster);
 		await operators.change(() => createDocument(), 'first');
-		await startServers();
-		await waitUntil('every entry is ready and knows every server', startLimitMilliseconds, async () => ready.size === entries && [...ready.values()].every(entry => entry.servers === servers.size));
-	}
-
-	async function startServers(): Promise<void> {
-		const announceTo = [...getCluster().entries, ...getCluster().controls].map(member => `http://127.0.0.1:${member.adminPort}`);
-		for (const service of services) {
-			for (let number = 1; number <= service.servers; number++) {
-				const name = `${service.name}-${number}`;
-				servers.set(name, await startStandIn({
-					service: service.name,
-					name,
-					zone: zones[(number - 1) % zones.length]!,
-					host: '127.0.0.1',
-					port: await getFreePort(),
-					connections: servedConnections,
-					behaviour: {isCold: true, requestsPerColdSlot: 1 / service.easingGrowth, ...service.behaviour},
-					announceTo,
-					seed: seed + number,
-					record(run) {
-						runs.push(run);
-					},
-				}));
-			}
-		}
-	}
-
-	function watchEntries(): void {
-		for (const member of getCluster().entries) {
-			void readEntry(member);
-		}
-	}
-
-	async function readEntry(member: Member): Promise<void> {
-		try {
-			const response = await fetch(`http://127.0.0.1:${member.adminPort}/ready`, {signal: AbortSignal.timeout(readinessMilliseconds * 5)});
-			const {version, servers: known} = await response.json() as {readonly version: number; readonly servers: number};
-			if (response.status === 200) {
-				ready.set(member.name, {name: member.name, port: member.port, servers: known});
-				readings.push({
-					entry: member.name, at: Date.now(), version, incarnation: member.incarnation,
-				});
-			} else {
-				ready.delete(member.name);
-			}
-		} catch {
-			ready.delete(member.name);
-		}
-	}
-
-	async function findTargets(target: Target): Promise<readonly Member[]> {
-		const {controls, entries: all} = getCluster();
-		switch (target.kind) {
-			case 'allControl': {
-				return controls;
-			}
-
-			case 'allEntries': {
-				return all;
-			}
-
-			case 'control': {
-				return [controls[target.number - 1]!];
-			}
-
-			case 'entry': {
-				return [all[target.number - 1]!];
-			}
-
-			case 'leader': {
-				let found: Member | undefined;
-				await waitUntil('there is a leader', startLimitMilliseconds, async () => {
-					const status = await getCluster().getStatus();
-					found = controls.find(member => member.name === status?.leader);
-					return found !== undefined;
-				});
-				return [found!];
-			}
-		}
-	}
-
-	async function runOnProcess(statement: Extract<Statement, {readonly kind: 'process'}>, member: Member): Promise<void> {
-		const running = getCluster();
-		switch (statement.verb) {
-			case 'kill': {
-				running.signal(member, 'SIGKILL');
-				await running.ended(member);
-				ready.delete(member.name);
-				return;
-			}
-
-			case 'freeze': {
-				running.signal(member, 'SIGSTOP');
-				return;
-			}
-
-			case 'thaw': {
-				running.signal(member, 'SIGCONT');
-				return;
-			}
-
-			case 'lose': {
-				running.signal(member, 'SIGKILL');
-				await running.ended(member);
-				running.loseData(member);
-				return;
-			}
-
-			case 'restart': {
-				if (running.controls.includes(member) || running.entries.includes(member)) {
-					await restart(member, statement.downMilliseconds);
-				}
-
-				return;
-			}
-
-			case 'stop': {
-				await stopGracefully(member);
-			}
-		}
-	}
-
-	async function stopGracefully(member: Member): Promise<void> {
-		getCluster().signal(member, 'SIGTERM');
-		const code = await getCluster().ended(member);
-		ready.delete(member.name);
-		if (code !== 0) {
-			violations.push(`${member.name} ended a graceful stop with code ${code ?? 'none'}`);
-		}
-	}
-
-	/** Starts a process again; one that still runs is stopped gracefully first. */
-	async function restart(member: Member, downMilliseconds: number): Promise<void> {
-		if (isRunning(member)) {
-			await stopGracefully(member);
-		}
-
-		await delay(downMilliseconds);
-
-		await getCluster().start(member, false);
-		if (member.kind === 'entry') {
-			await waitUntil(`${member.name} is ready`, startLimitMilliseconds, async () => ready.has(member.name));
-		}
-	}
-
-	async function runOnServer(statement: Extract<Statement, {readonly kind: 'server'}>): Promise<void> {
-		const server = getServerOrThrow(statement.server);
-		switch (statement.verb) {
-			case 'leave': {
-				const askedAt = Date.now();
-				await server.leave();
-				departures.push({
-					zone: undefined, server: server.name, acceptedAt: askedAt, returnedAt: Number.POSITIVE_INFINITY,
-				});
-				return;
-			}
-
-			case 'crash': {
-				server.crash();
-				return;
-			}
-
-			case 'restart': {
-				await server.restart();
-				return;
-			}
-
-			case 'drain': {
-				const service = server.name.replace(/-\d+$/v, '');
-				await getCluster().call('POST', '/v1/servers/drain', {key: `${service}/${server.name}`});
-				departures.push({
-					zone: undefined, server: server.name, acceptedAt: Date.now(), returnedAt: Number.POSITIVE_INFINITY,
-				});
-			}
-		}
-	}
-
-	function getServerOrThrow(name: string): StandIn {
-		const server = servers.get(name);
-		if (server === undefined) {
-			throw new Error(`there is no server ${name}`);
-		}
-
-		return server;
+		await servers.start(services, zones, seed);
+		await waitUntil('every entry is ready and knows every server', startLimitMilliseconds, async () => areEntriesReady() && readiness.getAll().every(entry => entry.servers === servers.getCount()));
 	}
 
 	async function changeZone(action: 'out' | 'in', zone: string): Promise<void> {
@@ -305,7 +138,8 @@
 	async function resendCrashing(service: string, times: number): Promise<void> {
 		const agent = new Agent();
 		for (let number = 0; number < times; number++) {
-			const entry = [...ready.values()][number % ready.size];
+			const ready = readiness.getAll();
+			const entry = ready[number % ready.length];
 			if (entry !== undefined) {
 				await sendOnce({
 					agent, entry, service: `${service}/crash`, token: 'crash', key: undefined, sendId: `crash/${number}`, headers: {[crashHeader]: '1'},
@@ -373,7 +207,7 @@
 			case 'load': {
 				const prefix = `${statement.service}-${nextStream++}`;
 				streams.push(startStream({
-					service: statement.service, rate: statement.rate, isKeyed: statement.isKeyed, seed: seed + nextStream, prefix, headers: {}, getReady: () => [...ready.values()], record(sending) {
+					service: statement.service, rate: statement.rate, isKeyed: statement.isKeyed, seed: seed + nextStream, prefix, headers: {}, getReady: readiness.getAll, record(sending) {
 						sendings.push(sending);
 					},
 				}));
@@ -391,23 +225,12 @@
 			}
 
 			case 'process': {
-				const members = await findTargets(statement.target);
-				// Control hosts wait for each other when they stop; entries are restarted one by one.
-				const isTogether = statement.verb === 'kill' || statement.verb === 'freeze' || statement.verb === 'thaw' || (statement.verb === 'restart' && statement.target.kind === 'allControl');
-				if (isTogether) {
-					await Promise.all(members.map(async member => runOnProcess(statement, member)));
-					return;
-				}
-
-				for (const member of members) {
-					await runOnProcess(statement, member);
-				}
-
+				await processes.run(statement);
 				return;
 			}
 
 			case 'cut': {
-				const [member] = await findTargets(statement.from);
+				const [member] = await processes.find(statement.from);
 				getCluster().cut(member!, statement.way);
 				return;
 			}
@@ -423,12 +246,12 @@
 			}
 
 			case 'server': {
-				await runOnServer(statement);
+				await servers.run(statement);
 				return;
 			}
 
 			case 'change': {
-				getServerOrThrow(statement.server).change(getBehaviour(statement.options));
+				servers.getOrThrow(statement.server).change(getBehaviour(statement.options));
 				return;
 			}
 
@@ -443,7 +266,7 @@
 			}
 
 			case 'expectReady': {
-				await waitUntil('every entry is ready', statement.milliseconds, async () => ready.size === entries);
+				await waitUntil('every entry is ready', statement.milliseconds, async () => areEntriesReady());
 				return;
 			}
 
@@ -479,9 +302,9 @@
 		violations.push((error as Error).message);
 	}
 
-	clearInterval(watch);
+	readiness.stop();
 	await Promise.all(streams.map(async stream => stream.stop()));
-	await Promise.all([...servers.values()].map(async server => server.stop()));
+	await servers.stop();
 	await cluster?.stop();
 	return {
 		seed, violations, sendings: sendings.length, answered: sendings.filter(sending => sending.told === 'answered').length, runs: runs.length, reasons: countReasons(sendings),
--- /dev/null
+++ b/scenario/servers.ts
@@ -0,0 +1,107 @@
+/** Starts the stand-in servers of a scenario, and lets them leave, crash and return. */
+import {getFreePort, type Cluster} from '../stand-in/cluster.js';
+import {startStandIn, type Run, type StandIn} from '../stand-in/index.js';
+import {type Departure} from './history.js';
+import {type ServiceShape} from './options.js';
+import {type Statement} from './statement.js';
+
+const connections = 250;
+
+/** The servers of a scenario. */
+export type Servers = {
+	start(services: readonly ServiceShape[], zones: readonly string[], seed: number): Promise<void>;
+	run(statement: Extract<Statement, {readonly kind: 'server'}>): Promise<void>;
+	getOrThrow(name: string): StandIn;
+	getCount(): number;
+	stop(): Promise<void>;
+};
+
+/** What servers need of a scenario. */
+export type ServersOptions = {
+	getCluster(): Cluster;
+	recordRun(run: Run): void;
+	recordDeparture(departure: Departure): void;
+};
+
+/**
+ * Creates a scenario's servers, none of which runs yet.
+ * @param options - System and history.
+ */
+export function createServers(options: ServersOptions): Servers {
+	const {getCluster} = options;
+	const servers = new Map<string, StandIn>();
+
+	function getOrThrow(name: string): StandIn {
+		const server = servers.get(name);
+		if (server === undefined) {
+			throw new Error(`there is no server ${name}`);
+		}
+
+		return server;
+	}
+
+	function recordDeparture(server: string, acceptedAt: number): void {
+		options.recordDeparture({
+			zone: undefined, server, acceptedAt, returnedAt: Number.POSITIVE_INFINITY,
+		});
+	}
+
+	async function drain(server: StandIn): Promise<void> {
+		const service = server.name.replace(/-\d+$/v, '');
+		await getCluster().call('POST', '/v1/servers/drain', {key: `${service}/${server.name}`});
+		recordDeparture(server.name, Date.now());
+	}
+
+	return {
+		async start(services, zones, seed) {
+			const announceTo = [...getCluster().entries, ...getCluster().controls].map(member => `http://127.0.0.1:${member.adminPort}`);
+			for (const service of services) {
+				for (let number = 1; number <= service.servers; number++) {
+					const name = `${service.name}-${number}`;
+					servers.set(name, await startStandIn({
+						service: service.name,
+						name,
+						zone: zones[(number - 1) % zones.length]!,
+						host: '127.0.0.1',
+						port: await getFreePort(),
+						connections,
+						behaviour: {isCold: true, requestsPerColdSlot: 1 / service.easingGrowth, ...service.behaviour},
+						announceTo,
+						seed: seed + number,
+						record: options.recordRun,
+					}));
+				}
+			}
+		},
+		async run(statement) {
+			const server = getOrThrow(statement.server);
+			switch (statement.verb) {
+				case 'leave': {
+					const askedAt = Date.now();
+					await server.leave();
+					recordDeparture(server.name, askedAt);
+					return;
+				}
+
+				case 'crash': {
+					server.crash();
+					return;
+				}
+
+				case 'restart': {
+					await server.restart();
+					return;
+				}
+
+				case 'drain': {
+					await drain(server);
+				}
+			}
+		},
+		getOrThrow,
+		getCount: () => servers.size,
+		async stop() {
+			await Promise.all([...servers.values()].map(async server => server.stop()));
+		},
+	};
+}
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -7,7 +7,7 @@
 import {interval, type Subscription} from 'rxjs';
 import {Result} from 'true-myth';
 import {type Environment} from '../configuration/index.js';
-import {getNextMembership, isQuorum, type ReplicaMessage} from '../consensus/index.js';
+import {getNextMembership, type ReplicaMessage} from '../consensus/index.js';
 import {createControlClient} from '../control-client/index.js';
 import {type Renewal} from '../lease/index.js';
 import {createRandom} from '../randomness/index.js';
@@ -19,22 +19,21 @@
 import {type Log} from '../telemetry/index.js';
 import {listen, listenForLinks, type Link} from '../wire/index.js';
 import {createApi} from './api.js';
-import {getSuccessor, mayStop} from './departure.js';
 import {startDriver, type RoleChange} from './driver.js';
 import {createLeader} from './leader.js';
 import {createLeadership, type Leadership} from './leadership.js';
 import {createMachine, machineCodec} from './machine.js';
 import {createControlMetrics} from './metrics.js';
+import {createShutdown} from './shutdown.js';
 import {createSnapshotReceiver, createSnapshotSender} from './transfer.js';
 import {
-	type Availability, type ControlAnswer, type ControlInbound, type ControlOutbound, type ControlRequest,
+	type ControlAnswer, type ControlInbound, type ControlOutbound, type ControlRequest,
 } from './message.js';
 
 const housekeepingMilliseconds = 100;
 const nudgeMilliseconds = 25;
 const joinMilliseconds = 500;
-const handOverCheckMilliseconds = 10;
-const departureCheckMilliseconds = 100;
+const unfinishedCheckMilliseconds = 10;
 const forwardMilliseconds = 5000;
 const forwardAttemptMilliseconds = 200;
 const millisecondsPerHour = 3_600_000;
@@ -80,8 +79,6 @@
 	const links = new Set<Link<ControlInbound>>();
 	const joining: string[] = [];
 	const burnBook = createBurnBook();
-	const availabilities = new Map<string, Availability>();
-	let availability: Availability = 'serving';
 	let leadership: Leadership | undefined;
 	let lastUrgency = 0;
 	let lastVersions = '';
@@ -117,7 +114,7 @@
 		},
 		opened(host) {
 			announceReplica();
-			client.sendTo(host, {kind: 'availability', replica: self, availability});
+			client.sendTo(host, shutdown.getAvailability());
 		},
 	});
 	const sender = createSnapshotSender({
@@ -129,6 +126,18 @@
 		getBacklogBytes: to => client.getBacklogBytes(getHostName(to)),
 	});
 	const receiver = createSnapshotReceiver(machineCodec);
+	const shutdown = createShutdown({
+		self,
+		driver,
+		log,
+		electionMilliseconds: settings.election.timeoutMilliseconds,
+		patienceMilliseconds: settings.stopPatienceMilliseconds,
+		broadcast: client.broadcast,
+		async readStatus() {
+			const answer = await answerOnce({kind: 'readStatus'});
+			return answer.kind === 'status' ? answer.status : undefined;
+		},
+	});
 	const metrics = createControlMetrics(driver, machine);
 
 	function sendConsensus(to: string, message: ReplicaMessage): void {
@@ -198,7 +207,7 @@
 			}
 
 			case 'availability': {
-				availabilities.set(message.replica, message.availability);
+				shutdown.receive(message);
 				return;
 			}
 
@@ -308,12 +317,17 @@
 	subscription.add(interval(nudgeMilliseconds).subscribe(nudgeWhenUrgent));
 	subscription.add(interval(joinMilliseconds).subscribe(announceReplica));
 
+	/** Answers a request here or at the host that is believed to lead. */
+	async function answerOnce(request: ControlRequest): Promise<ControlAnswer> {
+		const own = await leader.answer(request);
+		return own.kind === 'notLeader' ? client.submit(request, forwardAttemptMilliseconds) : own;
+	}
+
 	/** Answers a request here or at the leader, also when an election is under way. */
 	async function forward(request: ControlRequest): Promise<ControlAnswer> {
 		const until = performance.now() + forwardMilliseconds;
 		for (;;) {
-			const own = await leader.answer(request);
-			const answer = own.kind === 'notLeader' ? await client.submit(request, forwardAttemptMilliseconds) : own;
+			const answer = await answerOnce(request);
 			const isAnswered = answer.kind !== 'notLeader' && answer.kind !== 'unknown';
 			if (isAnswered || performance.now() > until) {
 				return answer;
@@ -341,64 +355,10 @@
 	});
 	const apiPort = await listen(server, {setting: 'api', ...settings.api});
 
-	function setAvailability(next: Availability): void {
-		availability = next;
-		client.broadcast({kind: 'availability', replica: self, availability});
-	}
-
-	async function isSpared(): Promise<boolean> {
-		const answer = await leader.answer({kind: 'readStatus'});
-		const known = answer.kind === 'notLeader' ? await client.submit({kind: 'readStatus'}, forwardAttemptMilliseconds) : answer;
-		return known.kind === 'status' && mayStop({
-			self, replicas: known.status.replicas, commitIndex: known.status.commitIndex, availabilities, silenceMilliseconds: settings.election.timeoutMilliseconds,
-		});
-	}
-
-	/** Waits until the other voters form a quorum without this host, up to a limit; too few hosts never can. */
-	async function waitUntilSpared(): Promise<void> {
-		const voters = driver.replica.getMembership().voters.length;
-		if (!isQuorum(voters - 1, voters)) {
-			return;
-		}
-
-		const until = performance.now() + settings.stopPatienceMilliseconds;
-		setAvailability('asking');
-		// Hosts that ask at the same moment hear of each other meanwhile.
-		await delay(Math.min(departureCheckMilliseconds, settings.stopPatienceMilliseconds));
-		while (!await isSpared()) {
-			if (performance.now() >= until) {
-				log.warn({patienceMilliseconds: settings.stopPatienceMilliseconds}, 'stopping although the others are no quorum');
-				break;
-			}
-
-			await delay(departureCheckMilliseconds);
-		}
-
-		setAvailability('stopping');
-	}
-
-	async function handOver(): Promise<void> {
-		const {replica} = driver;
-		const now = performance.now();
-		const others = replica.getMembership().voters.filter(voter => voter !== self);
-		const successor = getSuccessor(others.map(voter => ({
-			replica: voter, matchIndex: replica.getMatchIndex(voter), silentMilliseconds: now - (replica.getAnsweredAt(voter) ?? 0),
-		})), settings.election.timeoutMilliseconds);
-		if (replica.getRole() !== 'leader' || successor === undefined) {
-			return;
-		}
-
-		driver.transfer(successor);
-		const until = performance.now() + (settings.election.timeoutMilliseconds * 2);
-		while (replica.getRole() === 'leader' && performance.now() < until) {
-			await delay(handOverCheckMilliseconds);
-		}
-	}
-
 	async function finishRequests(): Promise<void> {
 		const until = performance.now() + forwardMilliseconds + forwardAttemptMilliseconds;
 		while (unfinished > 0 && performance.now() < until) {
-			await delay(handOverCheckMilliseconds);
+			await delay(unfinishedCheckMilliseconds);
 		}
 	}
 
@@ -407,8 +367,7 @@
 		apiPort,
 		linksPort: listener.port,
 		async stop() {
-			await waitUntilSpared();
-			await handOver();
+			await shutdown.prepare();
 			subscription.unsubscribe();
 			const closed = new Promise(resolve => {
 				server.close(resolve);
--- a/source/entry/answer.ts
+++ b/source/entry/answer.ts
@@ -1,6 +1,7 @@
 /** Writes answers to callers. */
 import {Buffer} from 'node:buffer';
-import {type ServerResponse} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {performance} from 'node:perf_hooks';
 import {
 	getHeaderValue, getStatus, reasonHeader, verdictHeader, type Verdict,
 } from '../verdict/index.js';
@@ -65,3 +66,46 @@
 
 	response.writeHead(head.status, headers as never);
 }
+
+/** A server's answer that is too large to hold. */
+export type StreamedAnswer = {
+	readonly response: ServerResponse;
+	/** First bytes of the body. */
+	readonly chunks: readonly Buffer[];
+	/** Rest of the body. */
+	readonly rest: IncomingMessage;
+	/** Time in milliseconds at which the answer must have ended. */
+	readonly deadlineAt: number;
+	/** Called at the end with whether the body was whole. */
+	ended(isWhole: boolean): void;
+};
+
+/**
+ * Streams an answer whose head is written; a truncated one resets the caller's connection.
+ * @param answer - Answer and response.
+ */
+export function streamAnswer(answer: StreamedAnswer): void {
+	const {response, rest} = answer;
+	for (const chunk of answer.chunks) {
+		response.write(chunk);
+	}
+
+	const timer = setTimeout(() => {
+		rest.destroy();
+	}, Math.max(0, answer.deadlineAt - performance.now()));
+	response.once('close', () => {
+		clearTimeout(timer);
+		if (!rest.complete) {
+			rest.destroy();
+		}
+	});
+	rest.once('close', () => {
+		clearTimeout(timer);
+		if (!rest.complete) {
+			response.destroy();
+		}
+
+		answer.ended(rest.complete);
+	});
+	rest.pipe(response);
+}
--- a/source/entry/headers.ts
+++ b/source/entry/headers.ts
@@ -1,4 +1,5 @@
 /** Headers between callers, entries and servers. */
+import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 
 /** Header with the time that is left for a request, in milliseconds. */
@@ -42,12 +43,46 @@
 	return kept;
 }
 
+/** A caller's request on its way to a server. */
+export type ForwardedRequest = {
+	readonly incoming: IncomingMessage;
+	readonly requestId: string;
+	readonly remainingMilliseconds: number;
+	/** Body that is held in memory, if it is. */
+	readonly body: Buffer | undefined;
+	/** Whether the body is still arriving. */
+	readonly isStreamed: boolean;
+};
+
 /**
- * Gets a caller's headers to forward to a server.
- * @param request - Request of the caller.
+ * Gets the headers of a request to a server, names and values in turn.
+ * @param request - Request of the caller, with what the entry adds.
  */
-export function getRequestHeaders(request: IncomingMessage): string[] {
-	return filterHeaders(request.rawHeaders, request.headers.connection, ownRequestHeaders);
+export function getForwardedHeaders(request: ForwardedRequest): string[] {
+	const {incoming} = request;
+	const headers = filterHeaders(incoming.rawHeaders, incoming.headers.connection, ownRequestHeaders);
+	headers.push('host', incoming.headers.host ?? '', deadlineHeader, String(Math.max(1, Math.round(request.remainingMilliseconds))), requestIdHeader, request.requestId);
+	const address = incoming.socket.remoteAddress;
+	if (address !== undefined) {
+		headers.push('x-forwarded-for', address);
+	}
+
+	headers.push(...getLengthHeaders(request));
+	return headers;
+}
+
+function getLengthHeaders({incoming, body, isStreamed}: ForwardedRequest): readonly string[] {
+	const {method, headers} = incoming;
+	if (body !== undefined) {
+		return ['content-length', String(body.length)];
+	}
+
+	if (isStreamed) {
+		const length = headers['content-length'];
+		return length === undefined ? ['transfer-encoding', 'chunked'] : ['content-length', length];
+	}
+
+	return method === 'GET' || method === 'HEAD' ? [] : ['content-length', '0'];
 }
 
 /**
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -6,12 +6,12 @@
 import {type Service} from '../configuration/index.js';
 import {mayHedge, mayRetry} from '../retry/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
-import {writeHead} from './answer.js';
+import {streamAnswer, writeHead} from './answer.js';
 import {startAttempt, type Attempt, type Outcome} from './attempt.js';
 import {type CallContext} from './call.js';
 import {type Claim} from './claims.js';
 import {type ServiceState} from './fleet.js';
-import {deadlineHeader, getRequestHeaders, requestIdHeader} from './headers.js';
+import {getForwardedHeaders} from './headers.js';
 
 /** What a caller asks for. */
 export type Request = {
@@ -107,27 +107,6 @@
 		return !isSettled && context.isLeaseValid(now) && now < deadlineAt;
 	}
 
-	function getHeaders(remaining: number): string[] {
-		const {method, body, stream} = request;
-		const headers = getRequestHeaders(call.incoming);
-		const {host, 'content-length': length} = call.incoming.headers;
-		headers.push('host', host ?? '', deadlineHeader, String(Math.max(1, Math.round(remaining))), requestIdHeader, call.requestId);
-		const address = call.incoming.socket.remoteAddress;
-		if (address !== undefined) {
-			headers.push('x-forwarded-for', address);
-		}
-
-		if (body !== undefined) {
-			headers.push('content-length', String(body.length));
-		} else if (stream !== undefined) {
-			headers.push(...(length === undefined ? ['transfer-encoding', 'chunked'] : ['content-length', length]));
-		} else if (method !== 'GET' && method !== 'HEAD') {
-			headers.push('content-length', '0');
-		}
-
-		return headers;
-	}
-
 	function start(candidate: Candidate, kind: 'first' | 'retry' | 'hedge'): void {
 		const now = performance.now();
 		const server = context.fleet.get(candidate.id);
@@ -145,7 +124,9 @@
 			requestId: call.requestId,
 			method: request.method,
 			target: request.target,
-			headers: getHeaders(deadlineAt - now),
+			headers: getForwardedHeaders({
+				incoming: call.incoming, requestId: call.requestId, remainingMilliseconds: deadlineAt - now, body: request.body, isStreamed: request.stream !== undefined,
+			}),
 			body: request.body,
 			stream: request.stream,
 			deadlineAt,
@@ -220,34 +201,16 @@
 		context.ended(service, {kind: 'ran', status: head.status}, performance.now() - call.startedAt);
 	}
 
-	/** Streams a large answer; a truncated one resets the caller's connection. */
 	function answerLarge(outcome: Extract<Outcome, {readonly kind: 'large'}>): void {
 		const {head, start: chunks, rest} = outcome;
 		call.claim?.finish(undefined);
 		writeHead(response, head, call.requestId, context.isClosing());
-		for (const chunk of chunks) {
-			response.write(chunk);
-		}
-
-		const timer = setTimeout(() => {
-			rest.destroy();
-		}, Math.max(0, deadlineAt - performance.now()));
-		response.once('close', () => {
-			clearTimeout(timer);
-			if (!rest.complete) {
-				rest.destroy();
-			}
-		});
-		rest.once('close', () => {
-			clearTimeout(timer);
-			if (!rest.complete) {
-				response.destroy();
-			}
-
-			const verdict: Verdict = rest.complete ? {kind: 'ran', status: head.status} : mayHaveRun('answer-truncated');
-			context.ended(service, verdict, performance.now() - call.startedAt);
+		streamAnswer({
+			response, chunks, rest, deadlineAt, ended(isWhole) {
+				const verdict: Verdict = isWhole ? {kind: 'ran', status: head.status} : mayHaveRun('answer-truncated');
+				context.ended(service, verdict, performance.now() - call.startedAt);
+			},
 		});
-		rest.pipe(response);
 	}
 
 	function fail(candidate: Candidate, outcome: Extract<Outcome, {readonly kind: 'failed'}>): void {
