--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,7 +6,7 @@
 import {printReport, type BenchOptions, type BenchReport} from './report.js';
 import {runCost} from './cost.js';
 import {runLimits} from './limits.js';
-import {runSlopes} from './slopes.js';
+import {runSlopes} from './slopes/index.js';
 import {runThroughput} from './throughput.js';
 import {runZone} from './zone.js';
 
--- /dev/null
+++ b/bench/slopes/documents.ts
@@ -0,0 +1,55 @@
+/** Slopes of documents and their versions. */
+import {
+	applyDocumentUpdate, documentSchema, getDocumentUpdate, type DocumentUpdate,
+} from '../../source/configuration/index.js';
+import {createMachine} from '../../source/control/index.js';
+import {createFleet} from '../../source/entry/fleet.js';
+import {createRouter} from '../../source/entry/router.js';
+import {createRandom} from '../../source/randomness/index.js';
+import {decode, encode} from '../../source/wire/index.js';
+import {type BenchRow} from '../report.js';
+import {getDocument, limits} from './sample.js';
+import {time, getLiveBytes} from './tools.js';
+
+/** Documents as the number of services grows. */
+export function measureDocuments(services: number): BenchRow {
+	const document = getDocument(services);
+	const fleet = createFleet(createRandom(1));
+	const changed = {...document, services: document.services.map((service, index) => index === 0 ? {...service, queueLength: 7} : service)};
+	const update = getDocumentUpdate(document, changed);
+	const decoded = decode(encode(update)) as DocumentUpdate;
+	return {
+		slope: 'document', services, bytes: encode(document).length, updateBytes: encode(update).length, makeUpdateMicroseconds: time(3, () => {
+			getDocumentUpdate(document, changed);
+		}), applyUpdateMicroseconds: time(3, () => {
+			applyDocumentUpdate(document, decoded);
+		}), checkMicroseconds: time(3, () => {
+			documentSchema.parse(document);
+		}), enforceMicroseconds: time(3, () => {
+			createRouter(document.services);
+			fleet.setDocument(document);
+		}),
+	};
+}
+
+/** Versions of a large document that differ in one service each, in memory and in a snapshot. */
+export function measureVersions(versions: number): BenchRow {
+	const services = 1300;
+	const before = getLiveBytes();
+	const machine = createMachine(limits);
+	let logBytes = 0;
+	for (let base = 0; base < versions; base++) {
+		const document = getDocument(services);
+		const edited = {...document, services: document.services.map((service, index) => index === base ? {...service, queueLength: 7} : service)};
+		const command = machine.register.shorten({
+			kind: 'apply', environment: 'production', base, change: `change-${base}`, update: {kind: 'whole', document: edited}, author: 'bench', at: 0,
+		});
+		logBytes += encode(command).length;
+		machine.apply({area: 'configuration', command: decode(encode(command)) as typeof command});
+	}
+
+	const heapBytes = getLiveBytes() - before;
+	return {
+		slope: 'versions', versions, services, logBytesForEach: logBytes / versions, heapMegabytes: heapBytes / 1_000_000, snapshotBytes: encode(machine.getImage()).length,
+	};
+}
--- /dev/null
+++ b/bench/slopes/index.ts
@@ -0,0 +1,1 @@
+export {runSlopes} from './slopes.js';
--- a/source/configuration/document.ts
+++ b/source/configuration/document.ts
@@ -29,7 +29,8 @@
 	queueLength: z.number().int().min(0).max(100_000).default(200),
 	retryRatio: z.number().min(0).max(1).default(0.1),
 	hedgeRatio: z.number().min(0).max(0.5).default(0.05),
-	hedgeDelayMilliseconds: z.number().int().min(1).max(60_000).default(10),
+	// Its default is not written into documents, which travel whole to every entry.
+	hedgeDelayMilliseconds: z.number().int().min(1).max(60_000).optional(),
 	policy: z.enum(['round-robin', 'least-in-flight', 'two-choices', 'two-joint-choices', 'stale-report', 'central-queue']).default('least-in-flight'),
 	objective: objective.prefault({}),
 	easing: easing.prefault({}),
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -3,7 +3,6 @@
 import {performance} from 'node:perf_hooks';
 import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
-import process from 'node:process';
 import {interval, type Subscription} from 'rxjs';
 import {Result} from 'true-myth';
 import {type Environment} from '../configuration/index.js';
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -11,7 +11,7 @@
 import {createWaitQueue, type WaitQueue} from '../limits/index.js';
 import {type Random} from '../randomness/index.js';
 import {
-	createAttemptBudget, createHedgeDelay, type AttemptBudget, type HedgeDelay,
+	createAttemptBudget, createHedgeDelay, ordinaryHedgeDelayMilliseconds, type AttemptBudget, type HedgeDelay,
 } from '../retry/index.js';
 import {createPool, type Pool} from './pool.js';
 
@@ -69,7 +69,7 @@
 		queue: createWaitQueue(() => service.queueLength),
 		retries: createAttemptBudget(() => service.retryRatio, initialRetries),
 		hedges: createAttemptBudget(() => service.hedgeRatio, 0),
-		hedgeDelay: createHedgeDelay(hedgeQuantile, initialHedgeMilliseconds, () => service.hedgeDelayMilliseconds),
+		hedgeDelay: createHedgeDelay(hedgeQuantile, initialHedgeMilliseconds, () => service.hedgeDelayMilliseconds ?? ordinaryHedgeDelayMilliseconds),
 		getChooser: () => chooser,
 		getCandidates: () => candidates,
 		setService(next) {
--- a/source/retry/delay.ts
+++ b/source/retry/delay.ts
@@ -7,6 +7,9 @@
 const stepShare = 0.02;
 const smallestEstimateMilliseconds = 1;
 
+/** Shortest delay of a hedge where the document names none, in milliseconds. */
+export const ordinaryHedgeDelayMilliseconds = 10;
+
 /** Delay after which a request is hedged. */
 export type HedgeDelay = {
 	record(milliseconds: number): void;
--- a/source/settings/security.ts
+++ b/source/settings/security.ts
@@ -3,7 +3,6 @@
  * beyond loopback without them.
  */
 import {readFileSync} from 'node:fs';
-import process from 'node:process';
 import {Result} from 'true-myth';
 import {type LinkCertificates, type LinkIdentity} from '../wire/index.js';
 import {readSecretFile, type Fault} from './file.js';
--- a/source/settings/settings.ts
+++ b/source/settings/settings.ts
@@ -2,7 +2,6 @@
  * Settings of the two kinds of process. A process learns its addresses, its
  * availability zone and the control hosts from here, and nothing else.
  */
-import process from 'node:process';
 import {z} from 'zod';
 
 const port = z.number().int().min(0).max(65_535);
--- a/source/storage/folder.ts
+++ b/source/storage/folder.ts
@@ -9,7 +9,6 @@
 } from 'node:fs';
 import {createServer, type Server} from 'node:net';
 import path from 'node:path';
-import process from 'node:process';
 import {Result} from 'true-myth';
 
 const identityFile = 'identity';
