Wake control hosts only when something is due

Cause: each control host woke 50 times a second for ticks and 40 times to look for changes to nudge entries about, whether or not anything was due.

Change: the driver sleeps until the next heartbeat or election timeout, and reads what has arrived in one more turn before a peer counts as silent. Nudges follow what is applied, once for all changes within 25 ms; housekeeping looks for the rest, ten times a second.

--- a/source/consensus/leading.ts
+++ b/source/consensus/leading.ts
@@ -26,6 +26,8 @@
 	transfer(to: string): void;
 	/** Commits what a sync of the own log allows. */
 	advanceCommit(): void;
+	/** Gets the time of the next heartbeat in milliseconds. */
+	getHeartbeatAt(): number;
 	getProgress(member: string): Progress | undefined;
 	isMembershipSettled(): boolean;
 };
@@ -220,6 +222,7 @@
 			handOver(to, state);
 		},
 		advanceCommit,
+		getHeartbeatAt: () => heartbeatAt,
 		getProgress: replication.get,
 		isMembershipSettled: () => core.commitIndex >= termStartIndex && log.getMembershipIndex() <= core.commitIndex,
 	};
--- a/source/consensus/replica.ts
+++ b/source/consensus/replica.ts
@@ -38,7 +38,8 @@
 	/** Gets the time of the last answer of a replica, for leaders. */
 	getAnsweredAt(id: string): number | undefined;
 	isMembershipSettled(): boolean;
-	getTimeoutAt(): number;
+	/** Gets the time in milliseconds at which the next tick has something to do. */
+	getWakeAt(): number;
 };
 
 /**
@@ -193,6 +194,6 @@
 		getMatchIndex: member => member === core.id ? core.durableIndex : leading.getProgress(member)?.matchIndex ?? 0,
 		getAnsweredAt: member => leading.getProgress(member)?.answeredAt,
 		isMembershipSettled: leading.isMembershipSettled,
-		getTimeoutAt: election.getTimeoutAt,
+		getWakeAt: () => core.role === 'leader' ? leading.getHeartbeatAt() : election.getTimeoutAt(),
 	};
 }
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -79,6 +79,7 @@
 	const joining: string[] = [];
 	const burnBook = createBurnBook();
 	let leadership: Leadership | undefined;
+	let nudge: NodeJS.Timeout | undefined;
 	let lastUrgency = 0;
 	let lastVersions = '';
 
@@ -260,11 +261,25 @@
 		}
 	}
 
+	/** Nudges once for all changes that come close together. */
+	function planNudge(): void {
+		if (leadership === undefined || nudge !== undefined) {
+			return;
+		}
+
+		nudge = setTimeout(() => {
+			nudge = undefined;
+			nudgeWhenUrgent();
+		}, nudgeMilliseconds);
+	}
+
 	function keepHouse(): void {
 		if (leadership === undefined) {
 			return;
 		}
 
+		nudgeWhenUrgent();
+
 		for (const command of leadership.tick(performance.now())) {
 			void driver.propose({area: 'registry', command});
 		}
@@ -301,6 +316,7 @@
 		leadership = createLeadership({
 			epoch: term, startedAt: performance.now(), termMilliseconds: settings.lease.termMilliseconds, machine, getWallClock: Date.now,
 		});
+		planNudge();
 	}
 
 	const subscription: Subscription = driver.roles.subscribe(changeRole);
@@ -311,9 +327,10 @@
 		} else if (answer.area === 'configuration') {
 			leadership?.documentChanged(performance.now());
 		}
+
+		planNudge();
 	}));
 	subscription.add(interval(housekeepingMilliseconds).subscribe(keepHouse));
-	subscription.add(interval(nudgeMilliseconds).subscribe(nudgeWhenUrgent));
 	subscription.add(interval(joinMilliseconds).subscribe(announceReplica));
 
 	/** Answers a request here or at the host that is believed to lead. */
@@ -368,6 +385,7 @@
 		async stop() {
 			await shutdown.prepare();
 			subscription.unsubscribe();
+			clearTimeout(nudge);
 			const closed = new Promise(resolve => {
 				server.close(resolve);
 			});
--- a/source/control/driver.ts
+++ b/source/control/driver.ts
@@ -13,7 +13,6 @@
 	type Command, type CommandAnswer, type Machine, type MachineImage,
 } from './machine.js';
 
-const tickMilliseconds = 20;
 const proposalTimeoutMilliseconds = 5000;
 
 /** Outcome of a proposed command. */
@@ -99,6 +98,8 @@
 	let isCompacting = false;
 	let isStopped = false;
 	let idle: (() => void) | undefined;
+	let timer: NodeJS.Timeout | undefined;
+	let wakeAt = Number.POSITIVE_INFINITY;
 
 	function feed(event: ReplicaEvent): void {
 		if (isStopped) {
@@ -109,9 +110,28 @@
 			run(action);
 		}
 
+		if (replica.getWakeAt() < wakeAt) {
+			sleep();
+		}
+
 		void flush();
 	}
 
+	/** Sleeps until a tick has something to do; a time that moves on meanwhile costs one tick in vain. */
+	function sleep(): void {
+		clearTimeout(timer);
+		wakeAt = replica.getWakeAt();
+		timer = setTimeout(() => {
+			// After a turn that took long, messages that have arrived are read before a peer counts as silent.
+			setImmediate(tick);
+		}, Math.max(0, wakeAt - performance.now()));
+	}
+
+	function tick(): void {
+		wakeAt = Number.POSITIVE_INFINITY;
+		feed({kind: 'tick'});
+	}
+
 	function run(action: Action): void {
 		switch (action.kind) {
 			case 'persistState':
@@ -241,10 +261,7 @@
 		}
 	}
 
-	const ticker = setInterval(() => {
-		feed({kind: 'tick'});
-	}, tickMilliseconds);
-
+	sleep();
 	return {
 		replica,
 		roles,
@@ -287,7 +304,7 @@
 		},
 		getSyncs: () => syncs,
 		async stop() {
-			clearInterval(ticker);
+			clearTimeout(timer);
 			isStopped = true;
 			pending = [];
 			while (isWriting || isCompacting) {
