Count the confirmations of the slow disk test; keep the allowed lag in one place

Cause, found on rereading: the test took the longest confirmation for a proof, and would have passed had none been confirmed and none refused.

--- a/source/consensus/membership.ts
+++ b/source/consensus/membership.ts
@@ -5,8 +5,8 @@
  */
 import {type Membership} from './message.js';
 
-/** Entries that a learner may lack when it becomes a voter. */
-const allowedLag = 16;
+/** Entries that a replica may lack and still count as caught up. */
+export const allowedLag = 16;
 
 /** What a leader knows when it decides. */
 export type MembershipView = {
--- a/source/consensus/slow-disk.test.ts
+++ b/source/consensus/slow-disk.test.ts
@@ -18,7 +18,7 @@
 type Happening = {readonly at: number; readonly run: () => void};
 
 /** What the hosts did while their disks were slow. */
-type Observation = {readonly terms: ReadonlySet<number>; readonly longestConfirmation: number; readonly unconfirmed: number; readonly committed: boolean};
+type Observation = {readonly terms: ReadonlySet<number>; readonly longestConfirmation: number; readonly confirmed: number; readonly asked: number; readonly committed: boolean};
 
 function observe(seed: number, syncMilliseconds: number): Observation {
 	const random = createRandom(seed);
@@ -32,7 +32,7 @@
 	let happenings: Happening[] = [];
 	let now = 0;
 	let longestConfirmation = 0;
-	let unconfirmed = 0;
+	let confirmed = 0;
 
 	function later(milliseconds: number, run: () => void): void {
 		happenings.push({at: now + milliseconds, run});
@@ -70,19 +70,16 @@
 			}
 
 			case 'confirmed': {
+				confirmed++;
 				longestConfirmation = Math.max(longestConfirmation, now - asked.get(action.token)!);
-				return;
-			}
-
-			case 'unconfirmed': {
-				unconfirmed++;
 				break;
 			}
 
+			case 'unconfirmed':
 			case 'restore':
 			case 'commit':
 			case 'roleChanged':
-				// What is applied and who leads is read from the replicas.
+				// What is applied and who leads is read from the replicas; what is not confirmed is missing from the count.
 		}
 	}
 
@@ -157,14 +154,15 @@
 	runUntil(calmMilliseconds + slowMilliseconds + (syncMilliseconds * 2) + calmMilliseconds, () => undefined);
 	const commits = [...hosts.values()].map(host => host.replica.getCommitIndex());
 	return {
-		terms, longestConfirmation, unconfirmed, committed: commits.every(index => index > slowMilliseconds / askEveryMilliseconds && index === commits[0]),
+		terms, longestConfirmation, confirmed, asked: asked.size, committed: commits.every(index => index > slowMilliseconds / askEveryMilliseconds && index === commits[0]),
 	};
 }
 
 describe('createReplica: disks whose syncs take longer than an election', () => {
 	function doTest(seed: number, syncMilliseconds: number): void {
-		const {terms, longestConfirmation, unconfirmed, committed} = observe(seed, syncMilliseconds);
-		expect([terms.size, unconfirmed, committed]).toEqual([1, 0, true]);
+		const {terms, longestConfirmation, confirmed, asked, committed} = observe(seed, syncMilliseconds);
+		expect([terms.size, confirmed, committed]).toEqual([1, slowMilliseconds / askEveryMilliseconds, true]);
+		expect(asked).toEqual(confirmed);
 		expect(longestConfirmation <= heartbeatMilliseconds * 3).toEqual(true);
 	}
 
--- a/source/control/departure.ts
+++ b/source/control/departure.ts
@@ -5,12 +5,9 @@
  * tell each other what they are about to do; of two that ask at the same time the one
  * whose replica sorts first goes first.
  */
-import {isQuorum} from '../consensus/index.js';
+import {allowedLag, isQuorum} from '../consensus/index.js';
 import {type Availability, type ReplicaStatus} from './message.js';
 
-/** Committed entries that a voter may lack and still count. */
-const allowedLag = 16;
-
 /** What a control host knows when it wants to stop. */
 export type DepartureView = {
 	readonly self: string;
