--- a/scripts/test.js
+++ b/scripts/test.js
@@ -11,7 +11,7 @@
 /** Time after which a test or a whole test file counts as hung, in milliseconds. */
 const hungMilliseconds = 600_000;
 
-const folders = ['source', 'stand-in', 'bench', 'scenario'].filter(folder => existsSync(folder));
+const folders = ['source', 'platform', 'stand-in', 'bench', 'scenario'].filter(folder => existsSync(folder));
 
 function findTests(folder) {
 	return readdirSync(folder, {withFileTypes: true, recursive: true})
--- a/source/announcement/announcement.ts
+++ b/source/announcement/announcement.ts
@@ -16,6 +16,12 @@
 	boot: z.string().min(1).max(64),
 	state: z.enum(['cold', 'warm', 'leaving']),
 	load: z.number().min(0).max(1_000_000).default(0),
+	/** Wall-clock time of the boot in milliseconds, where the server tells; a later boot replaces an earlier one at its address. */
+	bornAt: z.number().int().min(0).optional(),
+	/** Rises with each announcement of one boot, where the server counts them. */
+	sequence: z.number().int().min(0).optional(),
+	/** How much longer the server stays cold in milliseconds, where it tells. */
+	coldMilliseconds: z.number().min(0).optional(),
 	probePath: z.string().startsWith('/').max(256).default('/health'),
 }).readonly();
 
--- a/source/choice/candidate.ts
+++ b/source/choice/candidate.ts
@@ -15,6 +15,7 @@
 const overcommitFactor = 3;
 
 const largestEjectionExponent = 5;
+const millisecondsPerSecond = 1000;
 
 /** How failing servers are ejected. */
 export type OutlierLimits = {
@@ -36,10 +37,16 @@
 	/** Replaces what the control hosts say of the server. */
 	update(announcement: Announcement, state: ServerState, isAbsent: boolean): void;
 	setPermit(slots: number): void;
+	/** Sets the requests a second that the entry may send while the server is cold; undefined where slots bound it. */
+	setRate(requestsPerSecond: number | undefined, now: number): void;
+	/** Ends the permits for a cold server, because the lease that carried them has. */
+	endPermits(): void;
 	setPeerInFlight(count: number): void;
 	setConnectionShare(connections: number): void;
 	/** Keeps a warm server's requests in flight to its slots, for a single entry that sees them all. */
 	setStrict(isStrict: boolean): void;
+	/** Says whether the server answers for itself before each request, so that its silence towards the control hosts does not count. */
+	setOutspoken(isOutspoken: boolean): void;
 	setReportedLoad(load: number): void;
 	getReportedLoad(): number;
 	getInFlight(): number;
@@ -47,10 +54,10 @@
 	isOpen(now: number): boolean;
 	/** Gets the load per slot that a further request would meet. */
 	getLoad(now: number, withPeers: boolean): number;
-	start(): void;
+	start(now?: number): void;
 	finish(result: AttemptResult, now: number): void;
-	/** Notes that a server that should be warm behaved like a cold one. */
-	turnCold(): void;
+	/** Notes that a server that should be warm is cold; until a time, if one is given, it gets nothing from this entry. */
+	turnCold(until?: number): void;
 	isEjected(now: number): boolean;
 	/** Ejects the server if it has failed too often; returns whether it did. */
 	ejectWhenFailing(limits: OutlierLimits, now: number): boolean;
@@ -70,6 +77,7 @@
 	let state = initialState;
 	let isAbsent = false;
 	let permit = 0;
+	let rate: {readonly requestsPerSecond: number; nextAt: number} | undefined;
 	let peerInFlight = 0;
 	let connectionShare = initial.connections;
 	let reportedLoad = 0;
@@ -83,6 +91,8 @@
 	let overcommit = overcommitFactor;
 	let localLimit = Number.POSITIVE_INFINITY;
 	let hasTurnedCold = false;
+	let closedUntil = 0;
+	let isOutspoken = false;
 	let successes = 0;
 	let sheds = 0;
 
@@ -91,8 +101,17 @@
 		fadedAt = now;
 	}
 
-	function getLimit(): number {
-		const limit = state === 'cold' ? permit : (announcement.slots * overcommit) - peerInFlight;
+	/** Gets the requests that a cold server may have in flight from this entry now. */
+	function getColdLimit(now: number): number {
+		if (rate === undefined) {
+			return permit;
+		}
+
+		return now >= rate.nextAt ? inFlight + 1 : 0;
+	}
+
+	function getLimit(now: number): number {
+		const limit = state === 'cold' ? getColdLimit(now) : (announcement.slots * overcommit) - peerInFlight;
 		const bounded = Math.min(limit, connectionShare, localLimit);
 		return isOnProbation ? Math.min(1, bounded) : bounded;
 	}
@@ -128,6 +147,15 @@
 		setPermit(slots) {
 			permit = slots;
 		},
+		setRate(requestsPerSecond, now) {
+			if (requestsPerSecond !== rate?.requestsPerSecond) {
+				rate = requestsPerSecond === undefined ? undefined : {requestsPerSecond, nextAt: now};
+			}
+		},
+		endPermits() {
+			permit = 0;
+			rate = undefined;
+		},
 		setPeerInFlight(count) {
 			peerInFlight = count;
 		},
@@ -137,12 +165,15 @@
 		setStrict(isStrict) {
 			overcommit = isStrict ? 1 : overcommitFactor;
 		},
+		setOutspoken(next) {
+			isOutspoken = next;
+		},
 		setReportedLoad(load) {
 			reportedLoad = load;
 		},
 		getReportedLoad: () => reportedLoad,
 		getInFlight: () => inFlight,
-		isOpen: now => state !== 'leaving' && !isAbsent && ejectedUntil <= now && inFlight < getLimit(),
+		isOpen: now => state !== 'leaving' && (!isAbsent || isOutspoken) && ejectedUntil <= now && closedUntil <= now && inFlight < getLimit(now),
 		getLoad(now, withPeers) {
 			if (failures > 0) {
 				fade(now);
@@ -150,8 +181,11 @@
 
 			return (inFlight + (withPeers ? peerInFlight : 0) + failures) / announcement.slots;
 		},
-		start() {
+		start(now = 0) {
 			inFlight++;
+			if (rate !== undefined && state === 'cold') {
+				rate.nextAt = now + (millisecondsPerSecond / rate.requestsPerSecond);
+			}
 		},
 		finish(result, now) {
 			inFlight--;
@@ -178,10 +212,11 @@
 				}
 			}
 		},
-		turnCold() {
+		turnCold(until) {
 			if (state === 'warm') {
 				hasTurnedCold = true;
 				localLimit = 1;
+				closedUntil = until ?? 0;
 			}
 		},
 		isEjected: now => ejectedUntil > now,
--- a/source/choice/index.ts
+++ b/source/choice/index.ts
@@ -1,3 +1,4 @@
 export * from './candidate.js';
 export * from './chooser.js';
 export * from './joint-counts.js';
+export * from './reading.js';
--- /dev/null
+++ b/source/choice/reading.ts
@@ -0,0 +1,93 @@
+/**
+ * Chooses by what servers say of themselves just before a request is sent. Load pattern:
+ * servers share their hosts with others, so work takes several times as long for some
+ * hundred milliseconds, on a quarter of them, and nobody's counts show it in time. A few
+ * candidates are asked, the nearest first; the first one that is quiet takes the request.
+ */
+import {type Random} from '../randomness/index.js';
+import {type Candidate} from './candidate.js';
+
+/** What a server says of its load at one moment. */
+export type Reading = {
+	readonly running: number;
+	readonly waiting: number;
+	readonly slots: number;
+	/** How long work takes now, as a multiple of the usual. */
+	readonly slowness: number;
+};
+
+/** Slowness up to which a server counts as quiet: beyond it, asking another one costs less than it saves. */
+const quietSlowness = 1.5;
+
+/** Share of its slots beyond which a server slows down by its own load. */
+const kneeShare = 0.8;
+
+/** Factor by which work takes longer beyond the knee. */
+const kneeFactor = 1.7;
+
+/** Load that a candidate in another zone counts for, since its bytes are dear. */
+const remoteLoad = 0.5;
+
+/** Load that a candidate counts for while the control hosts have not heard of it. */
+const absentLoad = 1;
+
+/** Spread that keeps equal candidates from being asked in the same order everywhere. */
+const spread = 0.2;
+
+/**
+ * Gets how long a request would take, as a multiple of its usual time.
+ * @param reading - What the server says.
+ */
+export function getExpectedTime(reading: Reading): number {
+	const slots = Math.max(1, reading.slots);
+	const isBeyondKnee = reading.running + 1 > slots * kneeShare;
+	const turns = Math.max(0, reading.running + reading.waiting + 1 - slots) / slots;
+	return reading.slowness * (isBeyondKnee ? kneeFactor : 1) * (1 + turns);
+}
+
+/**
+ * Checks whether a server has a slot that is free.
+ * @param reading - What the server says.
+ */
+export function hasRoom(reading: Reading): boolean {
+	return reading.waiting === 0 && reading.running < reading.slots;
+}
+
+/**
+ * Checks whether looking further is not worth the time.
+ * @param reading - What the server says.
+ */
+export function isQuiet(reading: Reading): boolean {
+	return hasRoom(reading) && reading.slowness <= quietSlowness && reading.running + 1 <= reading.slots * kneeShare;
+}
+
+/** Which candidates may be asked. */
+export type AskedChoice = {
+	readonly candidates: readonly Candidate[];
+	readonly excluded: ReadonlySet<number>;
+	readonly zone: string;
+	readonly avoidedZones: ReadonlySet<string>;
+	readonly count: number;
+	readonly now: number;
+};
+
+/**
+ * Gets the candidates to ask, the best first.
+ * @param choice - Candidates and constraints.
+ * @param random - Source of random numbers.
+ */
+export function getAskedCandidates(choice: AskedChoice, random: Random): readonly Candidate[] {
+	const {excluded, now} = choice;
+	const scored = choice.candidates
+		.filter(candidate => !excluded.has(candidate.id) && candidate.isOpen(now))
+		.map(candidate => ({candidate, score: getAskingScore(candidate, choice) + (random() * spread)}));
+	return scored.toSorted((left, right) => left.score - right.score).slice(0, choice.count).map(({candidate}) => candidate);
+}
+
+function getAskingScore(candidate: Candidate, choice: AskedChoice): number {
+	const {zone} = candidate.getAnnouncement();
+	const distance = zone === choice.zone ? 0 : remoteLoad;
+	const avoidance = choice.avoidedZones.has(zone) ? remoteLoad : 0;
+	const presence = candidate.isAbsent() ? absentLoad : 0;
+	return candidate.getLoad(choice.now, false) + distance + avoidance + presence;
+}
--- /dev/null
+++ b/source/cold-start/rate.ts
@@ -0,0 +1,87 @@
+/**
+ * Hands out the rate of requests that cold servers can carry. Load pattern: a zone
+ * comes back, or a release starts new servers, while every entry has requests for them;
+ * each entry that "sends only one" adds up to a crash. A few entries hold a permit for
+ * a server at a time, each with an even part of its rate and a burst of one request, so
+ * the sum over entries in any second is at most the rate and one for each holder.
+ */
+
+/** Entries at most that hold a permit for one server at the same time, each of which may send one request at once. */
+const maximumHolders = 4;
+
+/** A cold server whose rate is handed out. */
+export type RatedServer = {
+	readonly id: number;
+	/** Requests a second that it can carry. */
+	readonly requestsPerSecond: number;
+	/** Time in milliseconds before which another leader's permits may still be used. */
+	readonly openAt: number;
+	/** Time in milliseconds at which the server counts as warm. */
+	readonly coldUntil: number;
+};
+
+/** An entry's part of a cold server's rate. */
+export type RatePermit = {readonly server: number; readonly requestsPerSecond: number};
+
+/** Hands out rates of cold servers. */
+export type RateAllocator = {
+	/** Adds a cold server, or prolongs the time for which a known one is cold. */
+	add(server: RatedServer): void;
+	remove(id: number): void;
+	/** Gets the permits of an entry whose lease ends at a time. */
+	grant(entry: string, expiresAt: number, now: number): readonly RatePermit[];
+	/** Notes that an entry holds nothing any more. */
+	lose(entry: string): void;
+	/** Gets the servers that count as warm. */
+	getWarmed(now: number): readonly number[];
+};
+
+type RatedState = {server: RatedServer; readonly holders: Map<string, number>};
+
+/** Creates an allocator without servers. */
+export function createRateAllocator(): RateAllocator {
+	const states = new Map<number, RatedState>();
+
+	function dropEnded(holders: Map<string, number>, now: number): void {
+		for (const [entry, expiresAt] of holders) {
+			if (expiresAt <= now) {
+				holders.delete(entry);
+			}
+		}
+	}
+
+	return {
+		add(server) {
+			const known = states.get(server.id);
+			if (known === undefined) {
+				states.set(server.id, {server, holders: new Map()});
+				return;
+			}
+
+			known.server = {...server, openAt: known.server.openAt, coldUntil: Math.max(server.coldUntil, known.server.coldUntil)};
+		},
+		remove(id) {
+			states.delete(id);
+		},
+		grant(entry, expiresAt, now) {
+			const permits: RatePermit[] = [];
+			for (const {server, holders} of states.values()) {
+				dropEnded(holders, now);
+				if (now < server.openAt || (!holders.has(entry) && holders.size >= maximumHolders)) {
+					continue;
+				}
+
+				holders.set(entry, expiresAt);
+				permits.push({server: server.id, requestsPerSecond: server.requestsPerSecond / maximumHolders});
+			}
+
+			return permits;
+		},
+		lose(entry) {
+			for (const {holders} of states.values()) {
+				holders.delete(entry);
+			}
+		},
+		getWarmed: now => [...states.values()].filter(({server}) => server.coldUntil <= now).map(({server}) => server.id),
+	};
+}
--- a/source/configuration/document.ts
+++ b/source/configuration/document.ts
@@ -19,6 +19,41 @@
 	ceilingMilliseconds: z.number().int().min(100).max(3_600_000).default(30_000),
 }).readonly();
 
+const warmUp = z.strictObject({
+	/** Time for which a server stays cold after its start, in milliseconds. */
+	milliseconds: z.number().min(0).max(3_600_000),
+	/** Requests a second that a cold server can carry, from all entries together. */
+	requestsPerSecond: z.number().min(0).max(1_000_000),
+}).readonly();
+
+const part = z.strictObject({
+	service: name,
+	weight: z.number().min(0),
+}).readonly();
+
+const route = z.strictObject({
+	name: z.string().min(1).max(253),
+	host: z.string().min(1).max(253).optional(),
+	path: z.string().startsWith('/').default('/'),
+	/** Services that take the route's requests, each in proportion to its weight. */
+	parts: z.array(part).min(1, 'name at least one service').readonly(),
+	/** Whether its requests may run more than once. */
+	isIdempotent: z.boolean(),
+	timeoutMilliseconds: z.number().min(1).max(3_600_000),
+	targetMilliseconds: z.number().min(1).max(3_600_000),
+	/** Rank, 0 is the most urgent. */
+	priority: z.number().int().min(0).max(1000).default(0),
+	/** Servers at most to which one request may be sent. */
+	attempts: z.number().int().min(1).max(100),
+}).readonly();
+
+const clientLimits = z.strictObject({
+	headerBytes: z.number().int().min(256),
+	bodyBytes: z.number().int().min(0),
+	headerMilliseconds: z.number().min(1),
+	idleMilliseconds: z.number().min(1),
+}).readonly();
+
 const service = z.strictObject({
 	name,
 	host: z.string().min(1).max(253).optional(),
@@ -34,6 +69,14 @@
 	policy: z.enum(['round-robin', 'least-in-flight', 'two-choices', 'two-joint-choices', 'stale-report', 'central-queue']).default('least-in-flight'),
 	objective: objective.prefault({}),
 	easing: easing.prefault({}),
+	// The following have no default, so that documents that do not name them stay short.
+	warmUp: warmUp.optional(),
+	probePath: z.string().startsWith('/').optional(),
+	connections: z.number().int().min(1).optional(),
+	/** Candidates that are asked for their load just before a request is sent; none when absent. */
+	askedCandidates: z.number().int().min(0).max(16).optional(),
+	/** Longest wait for their answers in milliseconds. */
+	askMilliseconds: z.number().min(1).max(1000).optional(),
 }).readonly();
 
 const zone = z.strictObject({
@@ -58,7 +101,11 @@
 	services: z.array(service).min(1, 'name at least one service').readonly(),
 	measuring: measuring.prefault({}),
 	outliers: outliers.prefault({}),
+	/** Routes to services; a service that no route names is reached by its own host and path. */
+	routes: z.array(route).readonly().optional(),
+	clientLimits: clientLimits.optional(),
 }).readonly().superRefine((document, context) => {
+	reportRoutes(document, context);
 	reportDuplicates(document.zones.map(zone => zone.name), 'zones', context);
 	reportDuplicates(document.services.map(service => service.name), 'services', context);
 	for (const {value, index, first} of findDuplicates(document.services.map(service => `${service.host ?? '*'} ${service.path}`))) {
@@ -74,6 +121,24 @@
 	}
 });
 
+function reportRoutes(document: {readonly routes?: readonly Route[]; readonly services: ReadonlyArray<{readonly name: string}>}, context: z.RefinementCtx): void {
+	const {routes = []} = document;
+	const names = new Set(document.services.map(service => service.name));
+	for (const [index, {parts}] of routes.entries()) {
+		for (const {service} of parts.filter(part => !names.has(part.service))) {
+			context.addIssue({
+				code: 'custom', path: ['routes', index, 'parts'], message: `there is no service "${service}"; add it or mend the name`, input: service,
+			});
+		}
+	}
+
+	for (const {value, index, first} of findDuplicates(routes.map(route => `${route.host ?? '*'} ${route.path}`))) {
+		context.addIssue({
+			code: 'custom', path: ['routes', index, 'path'], message: `the route "${value}" is taken by routes.${first}; change its host or path`, input: value,
+		});
+	}
+}
+
 function reportDuplicates(names: readonly string[], path: string, context: z.RefinementCtx): void {
 	for (const {value, index, first} of findDuplicates(names)) {
 		context.addIssue({
@@ -106,6 +171,12 @@
 /** One service of a document. */
 export type Service = EnvironmentDocument['services'][number];
 
+/** One route of a document. */
+export type Route = z.infer<typeof route>;
+
+/** What callers may send, and how long they may take. */
+export type ClientLimits = z.infer<typeof clientLimits>;
+
 /** One availability zone of a document. */
 export type Zone = EnvironmentDocument['zones'][number];
 
--- a/source/configuration/register.test.ts
+++ b/source/configuration/register.test.ts
@@ -7,7 +7,7 @@
 
 const document = documentSchema.parse({zones: [{name: 'a'}, {name: 'b'}], services: [{name: 'stock'}]});
 
-function apply(base: number, change: string, applied: EnvironmentDocument = document): ConfigurationCommand {
+function apply(base: number, change: string, applied: EnvironmentDocument = document): Extract<ConfigurationCommand, {readonly kind: 'apply'}> {
 	return {
 		kind: 'apply', environment: 'trial', base, change, update: {kind: 'whole', document: applied}, author: 'ann', at: 1,
 	};
@@ -88,7 +88,7 @@
 		const register = createRegister();
 		const accepted = new Map<number, string>();
 		let highest = 0;
-		const sent: ConfigurationCommand[] = [];
+		const sent: Array<ReturnType<typeof apply>> = [];
 		for (let step = 0; step < 5000; step++) {
 			const isResent = sent.length > 0 && random() < 0.3;
 			const base = Math.max(0, register.getCurrentNumber('trial') - Math.floor(random() * 3));
--- a/source/configuration/register.ts
+++ b/source/configuration/register.ts
@@ -16,6 +16,9 @@
 /** Versions whose documents are kept per environment. */
 const keptVersions = 50;
 
+/** Declared versions that are kept; older ones are in their author's own version control. */
+const keptDeclarations = 8;
+
 /** A command of the register. */
 export type ConfigurationCommand
 	= | {
@@ -36,12 +39,25 @@
 		readonly change: string;
 		readonly author: string;
 		readonly at: number;
+	}
+	/** Declares a document under a version of its author's own; the highest version is in force. */
+	| {
+		readonly kind: 'declare';
+		readonly environment: Environment;
+		readonly version: number;
+		readonly document: EnvironmentDocument;
+		/** The declaration as its author wrote it, to be read back unchanged. */
+		readonly source: string;
+		readonly author: string;
+		readonly at: number;
 	};
 
 /** Answer to a configuration command. */
 export type ConfigurationAnswer
 	= | {readonly kind: 'accepted'; readonly environment: Environment; readonly version: number}
 		| {readonly kind: 'conflict'; readonly environment: Environment; readonly base: number; readonly current: number}
+	/** A declaration whose version is not higher than the current one; it changed nothing. */
+		| {readonly kind: 'superseded'; readonly environment: Environment; readonly version: number; readonly current: number}
 		| {readonly kind: 'unknownVersion'; readonly environment: Environment; readonly version: number};
 
 /** An accepted version. */
@@ -51,6 +67,8 @@
 	readonly author: string;
 	readonly at: number;
 	readonly document: EnvironmentDocument;
+	/** Text of a declaration, as its author wrote it. */
+	readonly source?: string;
 };
 
 type Answered = {readonly change: string; readonly answer: ConfigurationAnswer};
@@ -102,7 +120,7 @@
 		return answer;
 	}
 
-	function accept(environment: Environment, command: ConfigurationCommand, update: DocumentUpdate): ConfigurationAnswer {
+	function accept(environment: Environment, command: Exclude<ConfigurationCommand, {readonly kind: 'declare'}>, update: DocumentUpdate): ConfigurationAnswer {
 		const current = getCurrentNumber(environment);
 		const document = applyDocumentUpdate(versions[environment].at(-1)?.document, update);
 		if (command.base !== current || document.isErr) {
@@ -120,6 +138,22 @@
 		return remember(change, {kind: 'accepted', environment, version});
 	}
 
+	function declare(command: Extract<ConfigurationCommand, {readonly kind: 'declare'}>): ConfigurationAnswer {
+		const {environment, version, document, source, author, at} = command;
+		const current = getCurrentNumber(environment);
+		if (version <= current) {
+			return {
+				kind: 'superseded', environment, version, current,
+			};
+		}
+
+		versions[environment].push({
+			version, change: `declared-${version}`, author, at, document, source,
+		});
+		versions[environment] = versions[environment].slice(-keptDeclarations);
+		return {kind: 'accepted', environment, version};
+	}
+
 	function getUpdate(environment: Environment, known: number): DocumentUpdate | undefined {
 		const current = versions[environment].at(-1);
 		const base = versions[environment].find(version => version.version === known);
@@ -132,6 +166,10 @@
 
 	return {
 		apply(command) {
+			if (command.kind === 'declare') {
+				return declare(command);
+			}
+
 			const earlier = answered.get(command.change);
 			if (earlier !== undefined) {
 				return earlier;
--- a/source/configuration/update.ts
+++ b/source/configuration/update.ts
@@ -5,7 +5,7 @@
  */
 import {createHash} from 'node:crypto';
 import {Result} from 'true-myth';
-import {type EnvironmentDocument, type Service} from './document.js';
+import {type EnvironmentDocument, type Route, type Service} from './document.js';
 
 /** Share of services that may change before a whole document is shorter to say. */
 const largestChangedShare = 0.5;
@@ -15,6 +15,9 @@
 	readonly zones: EnvironmentDocument['zones'] | undefined;
 	readonly measuring: EnvironmentDocument['measuring'] | undefined;
 	readonly outliers: EnvironmentDocument['outliers'] | undefined;
+	/** All routes and limits, where they differ. */
+	readonly routes?: readonly Route[];
+	readonly clientLimits?: EnvironmentDocument['clientLimits'];
 	/** Services that are new or differ. */
 	readonly services: readonly Service[];
 	/** Names of services that are gone. */
@@ -44,7 +47,9 @@
 	}
 
 	const {zones, measuring, outliers, services} = document;
-	const hash = createHash('sha256').update(JSON.stringify([zones, measuring, outliers]));
+	const {routes, clientLimits} = document;
+	const head = routes === undefined && clientLimits === undefined ? [zones, measuring, outliers] : [zones, measuring, outliers, routes, clientLimits];
+	const hash = createHash('sha256').update(JSON.stringify(head));
 	for (const service of services) {
 		hash.update(getText(service));
 	}
@@ -88,6 +93,7 @@
 			zones: getChanged(base.zones, next.zones),
 			measuring: getChanged(base.measuring, next.measuring),
 			outliers: getChanged(base.outliers, next.outliers),
+			...getChangedRoutes(base, next),
 			services,
 			removed,
 			order: natural.every((name, index) => name === order[index]) ? undefined : order,
@@ -113,8 +119,15 @@
 	const {delta} = update;
 	const merged = mergeServices(base.services, delta.services, delta.removed);
 	const services = delta.order === undefined ? merged : sortServices(merged, delta.order);
+	const routes = delta.routes ?? base.routes;
+	const clientLimits = delta.clientLimits ?? base.clientLimits;
 	const document: EnvironmentDocument = {
-		zones: delta.zones ?? base.zones, services, measuring: delta.measuring ?? base.measuring, outliers: delta.outliers ?? base.outliers,
+		zones: delta.zones ?? base.zones,
+		services,
+		measuring: delta.measuring ?? base.measuring,
+		outliers: delta.outliers ?? base.outliers,
+		...(routes === undefined ? {} : {routes}),
+		...(clientLimits === undefined ? {} : {clientLimits}),
 	};
 	return getDocumentDigest(document) === delta.digest ? Result.ok(document) : Result.err('the difference belongs to another document');
 }
@@ -137,6 +150,13 @@
 	return services.toSorted((left, right) => (positions.get(left.name) ?? 0) - (positions.get(right.name) ?? 0));
 }
 
+/** Gets the later routes and limits where they differ; documents without any say nothing of them. */
+function getChangedRoutes(base: EnvironmentDocument, next: EnvironmentDocument): Pick<DocumentDelta, 'routes' | 'clientLimits'> {
+	const routes = getChanged(base.routes, next.routes);
+	const clientLimits = getChanged(base.clientLimits, next.clientLimits);
+	return {...(routes === undefined ? {} : {routes}), ...(clientLimits === undefined ? {} : {clientLimits})};
+}
+
 /** Gets the later of two values if it differs. */
 function getChanged<Value>(before: Value, after: Value): Value | undefined {
 	return JSON.stringify(before) === JSON.stringify(after) ? undefined : after;
--- a/source/consensus/membership.ts
+++ b/source/consensus/membership.ts
@@ -1,7 +1,11 @@
 /**
  * Decides membership changes for a leader, one at a time: a replica with a new
  * identity joins as a learner, becomes a voter once it has caught up, and then
- * replaces the voter with the lost identity of the same host.
+ * replaces the voter with the lost identity of the same host. Where the number of
+ * voters is bounded, a learner of another host stands by until there is a place, or
+ * until it can replace a voter that has been silent. A silent voter goes only after
+ * its successor has a vote, so the voters never fall below their number, and a cut
+ * minority for which nobody stands by stays.
  */
 import {type Membership} from './message.js';
 
@@ -17,14 +21,24 @@
 	readonly joining: readonly string[];
 	getMatchIndex(id: string): number;
 	getHost(id: string): string;
+	/** Largest number of voters; unbounded when absent. */
+	readonly voters?: number;
+	/** Gets the time since a member last answered in milliseconds, for members other than the leader. */
+	getSilence?(id: string): number;
 };
 
+/** Silence after which a voter may be replaced, in milliseconds; longer than an election and a reconnection take. */
+export const replaceableSilenceMilliseconds = 1500;
+
+/** Silence after which a learner that does not return is dropped, in milliseconds. */
+const droppedSilenceMilliseconds = 10_000;
+
 /**
  * Gets the next membership, or undefined when nothing is to change.
  * @param view - What the leader knows.
  */
 export function getNextMembership(view: MembershipView): Membership | undefined {
-	return removeReplaced(view) ?? promoteLearner(view) ?? addLearner(view);
+	return removeReplaced(view) ?? removeExcess(view) ?? promoteLearner(view) ?? addLearner(view) ?? dropSilentLearner(view);
 }
 
 function removeReplaced(view: MembershipView): Membership | undefined {
@@ -34,9 +48,39 @@
 	return replaced === undefined ? undefined : {...membership, voters: voters.filter(voter => voter !== replaced)};
 }
 
+/** Gets the voter that has been silent for longest, if it may be replaced. */
+function getMostSilent(view: MembershipView): string | undefined {
+	const {getSilence = () => 0} = view;
+	return view.membership.voters
+		.filter(voter => voter !== view.self && getSilence(voter) >= replaceableSilenceMilliseconds)
+		.toSorted((left, right) => getSilence(right) - getSilence(left))[0];
+}
+
+/** Removes a silent voter after its successor was added. */
+function removeExcess(view: MembershipView): Membership | undefined {
+	const {membership} = view;
+	const excess = membership.voters.length > (view.voters ?? Number.POSITIVE_INFINITY) ? getMostSilent(view) : undefined;
+	return excess === undefined ? undefined : {...membership, voters: membership.voters.filter(voter => voter !== excess)};
+}
+
+/** Checks whether there is a place for one more voter, or a voter whose place it can take. */
+function hasPlace(view: MembershipView, learner: string): boolean {
+	const {voters} = view.membership;
+	const bound = view.voters ?? Number.POSITIVE_INFINITY;
+	return voters.length < bound
+		|| voters.some(voter => view.getHost(voter) === view.getHost(learner))
+		|| (voters.length === bound && getMostSilent(view) !== undefined);
+}
+
+function dropSilentLearner(view: MembershipView): Membership | undefined {
+	const {membership, getSilence = () => 0} = view;
+	const silent = membership.learners.find(learner => getSilence(learner) >= droppedSilenceMilliseconds);
+	return silent === undefined ? undefined : {...membership, learners: membership.learners.filter(learner => learner !== silent)};
+}
+
 function promoteLearner(view: MembershipView): Membership | undefined {
 	const {voters, learners} = view.membership;
-	const ready = learners.find(learner => view.joining.includes(learner) && view.getMatchIndex(learner) + allowedLag >= view.lastIndex);
+	const ready = learners.find(learner => view.joining.includes(learner) && view.getMatchIndex(learner) + allowedLag >= view.lastIndex && hasPlace(view, learner));
 	return ready === undefined ? undefined : {voters: [...voters, ready], learners: learners.filter(learner => learner !== ready)};
 }
 
--- a/source/control-client/client.ts
+++ b/source/control-client/client.ts
@@ -16,6 +16,23 @@
 /** A control host's name and address. */
 export type ControlAddress = {readonly name: string; readonly host: string; readonly port: number};
 
+/**
+ * Gets the address of a control host that is named after it: `host:port`.
+ * @param name - Name of the control host.
+ */
+export function getNamedAddress(name: string): ControlAddress {
+	const colon = name.lastIndexOf(':');
+	return {name, host: name.slice(0, colon), port: Number(name.slice(colon + 1))};
+}
+
+/**
+ * Gets the name of a control host that is named after its address.
+ * @param address - Address for links.
+ */
+export function getAddressName(address: {readonly host: string; readonly port: number}): string {
+	return `${address.host}:${address.port}`;
+}
+
 /** Links to all control hosts. */
 export type ControlClient = {
 	/** Sends a request to the leader; resolves to `unknown` when no leader answered in time. */
@@ -30,6 +47,8 @@
 	/** Takes a hint about the leader; undefined when nothing is known. */
 	setLeader(name: string | undefined): void;
 	getLeader(): string | undefined;
+	/** Links to exactly these control hosts from now on. */
+	setHosts(hosts: readonly ControlAddress[]): void;
 	close(): void;
 };
 
@@ -55,8 +74,8 @@
 	let turn = 0;
 	let isClosed = false;
 
-	for (const host of options.hosts) {
-		dialers.set(host.name, createDialer<ControlOutbound>({
+	function dial(host: ControlAddress): Dialer {
+		return createDialer<ControlOutbound>({
 			identity: options.identity,
 			host: host.host,
 			port: host.port,
@@ -75,17 +94,35 @@
 					leader = undefined;
 				}
 			},
-		}));
+		});
 	}
 
+	function setHosts(hosts: readonly ControlAddress[]): void {
+		const names = new Set(hosts.map(host => host.name));
+		for (const [name, dialer] of dialers) {
+			if (!names.has(name)) {
+				dialers.delete(name);
+				dialer.close();
+			}
+		}
+
+		for (const host of hosts) {
+			if (!dialers.has(host.name)) {
+				dialers.set(host.name, dial(host));
+			}
+		}
+	}
+
+	setHosts(options.hosts);
+
 	function chooseHost(): string | undefined {
 		if (leader !== undefined && dialers.get(leader)?.isConnected()) {
 			return leader;
 		}
 
-		const connected = options.hosts.filter(host => dialers.get(host.name)?.isConnected());
+		const connected = [...dialers].filter(([, dialer]) => dialer.isConnected()).map(([name]) => name);
 		turn++;
-		return connected[turn % Math.max(1, connected.length)]?.name;
+		return connected[turn % Math.max(1, connected.length)];
 	}
 
 	async function attempt(host: string, request: ControlRequest, timeoutMilliseconds: number): Promise<ControlAnswer> {
@@ -146,6 +183,7 @@
 			leader = name;
 		},
 		getLeader: () => leader,
+		setHosts,
 		close() {
 			isClosed = true;
 			for (const dialer of dialers.values()) {
--- /dev/null
+++ b/source/control-client/directory.ts
@@ -0,0 +1,52 @@
+/**
+ * The control hosts that a process links to: those that its settings list, or the seeds
+ * and the members of the newest directory that it was given. Seeds stay in it, since the
+ * members that it knows may all be gone when it returns from a long cut.
+ */
+import {type Directory} from '../control/message.js';
+import {getAddressName, getNamedAddress, type ControlAddress} from './client.js';
+
+/** The control hosts that a process knows. */
+export type HostDirectory = {
+	getHosts(): readonly ControlAddress[];
+	/** Takes a directory, unless it is older than what is known, and returns the hosts. */
+	learn(directory: Directory): readonly ControlAddress[];
+	/** Takes other seeds. */
+	setSeeds(seeds: ReadonlyArray<{readonly host: string; readonly port: number}>): readonly ControlAddress[];
+};
+
+/** Where a process finds control hosts at its start. */
+export type HostSources = {
+	readonly control: readonly ControlAddress[];
+	readonly seeds: ReadonlyArray<{readonly host: string; readonly port: number}>;
+};
+
+/**
+ * Creates the directory of a process that has met no control host yet.
+ * @param sources - Listed hosts, or seeds.
+ */
+export function createHostDirectory(sources: HostSources): HostDirectory {
+	let seeds = sources.seeds.map(seed => getAddressName(seed));
+	let members: readonly string[] = [];
+	let newest = -1;
+
+	function getHosts(): readonly ControlAddress[] {
+		return seeds.length === 0 ? sources.control : [...new Set([...members, ...seeds])].map(name => getNamedAddress(name));
+	}
+
+	return {
+		getHosts,
+		learn(directory) {
+			if (directory.index >= newest && directory.hosts.length > 0) {
+				newest = directory.index;
+				members = directory.hosts;
+			}
+
+			return getHosts();
+		},
+		setSeeds(next) {
+			seeds = next.map(seed => getAddressName(seed));
+			return getHosts();
+		},
+	};
+}
--- a/source/control-client/index.ts
+++ b/source/control-client/index.ts
@@ -1,1 +1,2 @@
 export * from './client.js';
+export * from './directory.js';
--- a/source/control/api.ts
+++ b/source/control/api.ts
@@ -36,6 +36,8 @@
 	getBurn(environment: Environment): BurnSummary | undefined;
 	getMetrics(): Promise<string>;
 	isReady(): boolean;
+	/** Gets the name of the control host that leads, as far as this one knows. */
+	getLeaderHost(): string | undefined;
 };
 
 /** Takes a request of the interface. */
@@ -226,6 +228,8 @@
 
 		case 'announced':
 		case 'crashes':
+		case 'left':
+		case 'zoneMoved':
 		case 'history':
 		case 'inForce':
 		case 'ledger':
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -11,29 +11,29 @@
 import {type Renewal} from '../lease/index.js';
 import {createRandom} from '../randomness/index.js';
 import {createBurnBook} from '../service-level/index.js';
-import {type ControlSettings, type Security} from '../settings/index.js';
+import {getSeeds, type ControlSettings, type Security} from '../settings/index.js';
 import {
-	getFounderId, getHostName, openDataFolder, openStore,
+	getHostName, openStore,
 } from '../storage/index.js';
 import {type Log} from '../telemetry/index.js';
 import {listen, listenForLinks, type Link} from '../wire/index.js';
-import {createApi} from './api.js';
+import {createApi, type Api, type ApiOptions} from './api.js';
 import {startDriver, type RoleChange} from './driver.js';
 import {createLeader} from './leader.js';
 import {createLeadership, type Leadership} from './leadership.js';
 import {createMachine, machineCodec} from './machine.js';
+import {createNeighbourhood} from './neighbours.js';
 import {createControlMetrics} from './metrics.js';
 import {createShutdown} from './shutdown.js';
 import {createSnapshotReceiver, createSnapshotSender} from './transfer.js';
 import {
-	type ControlAnswer, type ControlInbound, type ControlOutbound, type ControlRequest,
+	type ControlAnswer, type ControlInbound, type Directory, type ControlOutbound, type ControlRequest,
 } from './message.js';
 
 const housekeepingMilliseconds = 100;
 const nudgeMilliseconds = 25;
 const joinMilliseconds = 500;
 const unfinishedCheckMilliseconds = 10;
-const forwardMilliseconds = 5000;
 const forwardAttemptMilliseconds = 200;
 const millisecondsPerHour = 3_600_000;
 
@@ -41,6 +41,8 @@
 export type Control = {
 	readonly apiPort: number;
 	readonly linksPort: number;
+	/** Takes settings that were read again; of them the seeds change while it runs. */
+	reload(next: ControlSettings): void;
 	/** Waits until the others can spare this host, hands leadership over and stops. */
 	stop(): Promise<void>;
 };
@@ -53,6 +55,8 @@
 	readonly seed: number;
 	/** Whether the blank data folder belongs to a founding member; only for the very first start. */
 	readonly founding: boolean;
+	/** Serves operators and servers in another protocol than the product's own. */
+	readonly createApi?: (options: ApiOptions) => Api;
 	/** Called when the process can't go on. */
 	failed(error: Error): void;
 };
@@ -63,7 +67,8 @@
  */
 export async function startControl(options: ControlOptions): Promise<Result<Control, string>> {
 	const {settings, security, log} = options;
-	const opened = await openDataFolder(settings.dataFolder, settings.name, options.founding);
+	const neighbourhood = createNeighbourhood(settings, options.founding);
+	const opened = await neighbourhood.openFolder();
 	if (opened.isErr) {
 		return Result.err(opened.error);
 	}
@@ -82,10 +87,12 @@
 	let nudge: NodeJS.Timeout | undefined;
 	let lastUrgency = 0;
 	let lastVersions = '';
+	let announcedMembership = '';
+	const learned = new Set<string>();
 
 	const driver = startDriver({
 		id: self,
-		founders: {voters: settings.control.map(host => getFounderId(host.name)), learners: []},
+		founders: neighbourhood.getFounders(folder),
 		store: await openStore(path.join(settings.dataFolder, 'log'), machineCodec),
 		machine,
 		electionMilliseconds: settings.election.timeoutMilliseconds,
@@ -107,10 +114,13 @@
 		},
 	});
 	const client = createControlClient({
-		identity: security.link,
-		hosts: settings.control.filter(host => host.name !== settings.name),
-		received() {
-			// Replies are taken by the client; control hosts send each other nothing else on dialed links.
+		identity: {...security.link, name: neighbourhood.name},
+		hosts: neighbourhood.getOthers(driver.replica.getMembership(), []),
+		received(_host, message) {
+			// Replies are taken by the client; of the rest only the directory concerns control hosts.
+			if (message.kind === 'directory') {
+				learnHosts(message);
+			}
 		},
 		opened(host) {
 			announceReplica();
@@ -174,11 +184,51 @@
 		link.send(refusal);
 	}
 
+	/** Links to the hosts that another one knows, while this one is no member itself. */
+	function learnHosts(directory: Directory): void {
+		if (!driver.replica.getMembership().voters.includes(self)) {
+			for (const host of directory.hosts) {
+				learned.add(host);
+			}
+
+			linkToOthers();
+		}
+	}
+
+	/** Links to every host that takes part or asks to. */
+	function linkToOthers(): void {
+		const learnedReplicas = [...learned].map(host => `${host}:learned`);
+		client.setHosts(neighbourhood.getOthers(driver.replica.getMembership(), [...joining, ...learnedReplicas]));
+	}
+
+	function getDirectory(): Directory {
+		const {voters, learners} = driver.replica.getMembership();
+		const leaderId = driver.replica.getLeader();
+		return {
+			kind: 'directory', hosts: [...voters, ...learners].map(replica => getHostName(replica)), index: driver.replica.getLog().getMembershipIndex(), leader: leaderId === undefined ? undefined : getHostName(leaderId),
+		};
+	}
+
+	/** Tells everybody who is linked of a change among the control hosts. */
+	function announceMembership(): void {
+		const directory = getDirectory();
+		const key = directory.hosts.join(' ');
+		if (neighbourhood.voters === undefined || key === announcedMembership) {
+			return;
+		}
+
+		announcedMembership = key;
+		linkToOthers();
+		for (const link of links) {
+			link.send(directory);
+		}
+	}
+
 	function join(replica: string): void {
-		const isKnownHost = settings.control.some(host => host.name === getHostName(replica));
-		if (isKnownHost && !joining.includes(replica)) {
+		if (neighbourhood.isKnown(getHostName(replica)) && !joining.includes(replica)) {
 			joining.push(replica);
 			log.info({replica}, 'replica asks to join');
+			linkToOthers();
 		}
 	}
 
@@ -230,12 +280,16 @@
 	}
 
 	const listener = await listenForLinks<ControlInbound>({
-		identity: security.link,
+		identity: {...security.link, name: neighbourhood.name},
 		setting: 'links',
 		host: settings.links.host,
 		port: settings.links.port,
 		opened(link) {
 			links.add(link);
+			if (neighbourhood.voters !== undefined) {
+				link.send(getDirectory());
+			}
+
 			link.messages.subscribe({
 				next(message) {
 					receive(link, message);
@@ -274,6 +328,7 @@
 	}
 
 	function keepHouse(): void {
+		announceMembership();
 		if (leadership === undefined) {
 			return;
 		}
@@ -294,7 +349,14 @@
 		}
 
 		const next = getNextMembership({
-			self, membership: replica.getMembership(), lastIndex: replica.getLog().getLastIndex(), joining, getMatchIndex: replica.getMatchIndex, getHost: getHostName,
+			self,
+			membership: replica.getMembership(),
+			lastIndex: replica.getLog().getLastIndex(),
+			joining,
+			getMatchIndex: replica.getMatchIndex,
+			getHost: getHostName,
+			voters: neighbourhood.voters,
+			getSilence: member => performance.now() - (replica.getAnsweredAt(member) ?? performance.now()),
 		});
 		if (next !== undefined) {
 			log.info({membership: next}, 'membership changes');
@@ -324,6 +386,8 @@
 	subscription.add(driver.applied.subscribe(answer => {
 		if (answer.area === 'registry') {
 			leadership?.serversChanged(answer.changed, performance.now());
+		} else if (answer.area === 'zones') {
+			leadership?.serversChanged(answer.changed, performance.now());
 		} else if (answer.area === 'configuration') {
 			leadership?.documentChanged(performance.now());
 		}
@@ -341,7 +405,7 @@
 
 	/** Answers a request here or at the leader, also when an election is under way. */
 	async function forward(request: ControlRequest): Promise<ControlAnswer> {
-		const until = performance.now() + forwardMilliseconds;
+		const until = performance.now() + settings.forwardMilliseconds;
 		for (;;) {
 			const answer = await answerOnce(request);
 			const isAnswered = answer.kind !== 'notLeader' && answer.kind !== 'unknown';
@@ -351,7 +415,7 @@
 		}
 	}
 
-	const api = createApi({
+	const api = (options.createApi ?? createApi)({
 		operatorKey: security.operatorKey,
 		submit: forward,
 		getBurn(environment: Environment) {
@@ -360,6 +424,10 @@
 		},
 		getMetrics: metrics.getText,
 		isReady: () => driver.replica.getLeader() !== undefined,
+		getLeaderHost() {
+			const leaderId = driver.replica.getLeader();
+			return leaderId === undefined ? undefined : getHostName(leaderId);
+		},
 	});
 	let unfinished = 0;
 	const server: Server = createServer((request, response) => {
@@ -372,7 +440,7 @@
 	const apiPort = await listen(server, {setting: 'api', ...settings.api});
 
 	async function finishRequests(): Promise<void> {
-		const until = performance.now() + forwardMilliseconds + forwardAttemptMilliseconds;
+		const until = performance.now() + settings.forwardMilliseconds + forwardAttemptMilliseconds;
 		while (unfinished > 0 && performance.now() < until) {
 			await delay(unfinishedCheckMilliseconds);
 		}
@@ -382,6 +450,10 @@
 	return Result.ok({
 		apiPort,
 		linksPort: listener.port,
+		reload(next) {
+			neighbourhood.setSeeds(getSeeds(next));
+			linkToOthers();
+		},
 		async stop() {
 			await shutdown.prepare();
 			subscription.unsubscribe();
--- a/source/control/index.ts
+++ b/source/control/index.ts
@@ -6,3 +6,4 @@
 export * from './leadership.js';
 export * from './machine.js';
 export type * from './message.js';
+export type {Api, ApiOptions} from './api.js';
--- a/source/control/leader.ts
+++ b/source/control/leader.ts
@@ -56,6 +56,10 @@
 	}
 
 	async function announce(announcement: Announcement): Promise<ControlAnswer> {
+		if (machine.registry.isStale(announcement)) {
+			return {kind: 'announced', state: 'superseded'};
+		}
+
 		if (machine.registry.isTransition(announcement)) {
 			const answer = await propose({area: 'registry', command: {kind: 'announced', announcement, at: Date.now()}}, () => ({kind: 'announced', state: ''}));
 			if (answer.kind !== 'announced') {
@@ -68,7 +72,7 @@
 			return {kind: 'unknown'};
 		}
 
-		getLeadership()?.heard(server.value.id, performance.now());
+		getLeadership()?.announced(server.value.id, announcement, performance.now());
 		return {kind: 'announced', state: server.value.state};
 	}
 
@@ -87,6 +91,20 @@
 			: {kind: 'drained', isKnown};
 	}
 
+	async function leave(name: string, bornAt: number | undefined): Promise<ControlAnswer> {
+		return machine.registry.getKeyByName(name).isNothing
+			? read(() => ({kind: 'left'}))
+			: propose({area: 'registry', command: {
+				kind: 'left', name, bornAt, at: Date.now(),
+			}}, () => ({kind: 'left'}));
+	}
+
+	async function moveZone(zone: string, isOut: boolean): Promise<ControlAnswer> {
+		return propose({
+			area: 'zones', zone, isOut, at: Date.now(),
+		}, () => ({kind: 'zoneMoved'}));
+	}
+
 	async function read(toAnswer: (leadership: Leadership) => ControlAnswer): Promise<ControlAnswer> {
 		const isConfirmed = await driver.confirm(true);
 		const leadership = getLeadership();
@@ -155,6 +173,14 @@
 					return configure(request.command);
 				}
 
+				case 'leave': {
+					return leave(request.name, request.bornAt);
+				}
+
+				case 'moveZone': {
+					return moveZone(request.zone, request.isOut);
+				}
+
 				case 'ledger': {
 					return runLedger(request.command);
 				}
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -5,9 +5,11 @@
  * that leader's leases have ended.
  */
 import {
-	createPresence, type RegisteredServer, type RegistryCommand,
+	createPresence, type Announcement, type RegisteredServer, type RegistryCommand,
 } from '../announcement/index.js';
-import {createAllocator, type Allocator} from '../cold-start/index.js';
+import {
+	createAllocator, createRateAllocator, type Allocator, type RateAllocator,
+} from '../cold-start/index.js';
 import {type EnvironmentDocument, type Service} from '../configuration/index.js';
 import {
 	createLeaseBook, type Grant, type LeaseBook, type Renewal, type ServerView,
@@ -27,6 +29,9 @@
 /** Silence after which a leaving server is removed, in milliseconds. */
 const leavingRemovalMilliseconds = 60_000;
 
+/** Time for which a server counts as cold beyond what it says, since its word took time to arrive, in milliseconds. */
+const coldMarginMilliseconds = 300;
+
 const unknownDeadlineMilliseconds = 60_000;
 const failedProbesUntilAbsent = 3;
 const millisecondsPerSecond = 1000;
@@ -40,8 +45,10 @@
 	documentChanged(now: number): void;
 	/** Takes the servers that a committed command changed. */
 	serversChanged(servers: readonly RegisteredServer[], now: number): void;
-	/** Notes that a server announced itself. */
+	/** Notes that a server announced itself unchanged. */
 	heard(id: number, now: number): void;
+	/** Notes what a server says of itself now. */
+	announced(id: number, announcement: Announcement, now: number): void;
 	reportCrash(fingerprint: string, server: number, now: number): number;
 	clearCrashes(fingerprint: string): void;
 	/** Ends leases, and returns the registry commands that are due. */
@@ -73,6 +80,7 @@
 	const {machine, startedAt, termMilliseconds} = options;
 	const book: LeaseBook = createLeaseBook(startedAt, termMilliseconds);
 	const allocator: Allocator = createAllocator({startedAt, termMilliseconds});
+	const rates: RateAllocator = createRateAllocator();
 	const duties: Duties = createDuties();
 	const presence = createPresence(startedAt, absenceMilliseconds, [...machine.registry.getAll()].map(server => server.id));
 	const quarantine: Quarantine = createQuarantine();
@@ -82,6 +90,7 @@
 	const proposed = new Map<number, number>();
 	const cooled = new Set<number>();
 	const ended = new Set<string>();
+	const knownCold = new Set<number>();
 	let areInheritedOpen = false;
 	let urgency = 0;
 	let peersKey = '';
@@ -109,6 +118,12 @@
 		}
 
 		const services = getServices(server.announcement.service);
+		const warmUp = services[0]?.warmUp;
+		if (warmUp !== undefined) {
+			addRated(server, warmUp, server.announcement.coldMilliseconds ?? 0, now);
+			return;
+		}
+
 		const deadline = Math.max(...services.map(service => service.deadlineMilliseconds), services.length === 0 ? unknownDeadlineMilliseconds : 0);
 		const {easing} = services[0] ?? {easing: {initialSlots: 1, growthPerSuccess: 0.1, ceilingMilliseconds: 30_000}};
 		allocator.add({
@@ -116,6 +131,18 @@
 		}, now);
 	}
 
+	/** Bounds the rate of a cold server; one that turned cold unannounced stays so for the service's whole time. */
+	function addRated(server: RegisteredServer, warmUp: NonNullable<Service['warmUp']>, toldMilliseconds: number, now: number): void {
+		const coldMilliseconds = Math.max(toldMilliseconds, knownCold.has(server.id) ? 0 : warmUp.milliseconds);
+		knownCold.add(server.id);
+		rates.add({
+			id: server.id,
+			requestsPerSecond: warmUp.requestsPerSecond,
+			openAt: inherited.has(server.id) ? startedAt + termMilliseconds : now,
+			coldUntil: now + coldMilliseconds + coldMarginMilliseconds,
+		});
+	}
+
 	function isAbsent(id: number, now: number): boolean {
 		return presence.isAbsent(id, now) || (failedProbes.get(id) ?? 0) >= failedProbesUntilAbsent;
 	}
@@ -137,6 +164,7 @@
 			} else if (!ended.has(holder.entry)) {
 				ended.add(holder.entry);
 				allocator.lose(holder.entry, now);
+				rates.lose(holder.entry);
 				duties.lose(holder.entry);
 			}
 		}
@@ -232,7 +260,7 @@
 	function getTransitions(now: number): readonly RegistryCommand[] {
 		const at = options.getWallClock();
 		const commands: RegistryCommand[] = [...cooled].map(id => ({kind: 'cooled', id, at}));
-		for (const id of allocator.getWarmed(now)) {
+		for (const id of [...allocator.getWarmed(now), ...rates.getWarmed(now)]) {
 			commands.push({kind: 'warmed', id, at});
 		}
 
@@ -281,16 +309,22 @@
 				servers: getViews(renewal),
 				version,
 				document: version === renewal.version ? undefined : machine.register.getUpdate(renewal.environment, renewal.version),
-				permits: allocator.grant(renewal.entry, renewal.sequence, live, now),
+				permits: [
+					...allocator.grant(renewal.entry, renewal.sequence, live, now),
+					...rates.grant(renewal.entry, receivedAt + termMilliseconds, now).map(permit => ({...permit, slots: 0})),
+				],
 				duties: document === undefined ? [] : duties.grant(renewal.entry, renewal.sequence),
 				probeMilliseconds: document === undefined ? Number.POSITIVE_INFINITY : getProbeInterval(document.measuring, duties.getSize()),
 				quarantined: quarantine.getQuarantined(now),
+				zonesOut: machine.getZonesOut(),
+				entries: live.length,
 				...getPeers(renewal, now),
 			};
 		},
 		documentChanged(now) {
 			for (const server of machine.registry.getAll()) {
-				addCold(server, now);
+				// What it said when it was registered is over by now.
+				addCold({...server, announcement: {...server.announcement, coldMilliseconds: 0}}, now);
 			}
 		},
 		serversChanged(servers, now) {
@@ -300,6 +334,8 @@
 				const isCurrent = machine.registry.getById(server.id).isJust;
 				if (!isCurrent || server.state !== 'cold') {
 					allocator.remove(server.id);
+					rates.remove(server.id);
+					knownCold.delete(server.id);
 				}
 
 				if (isCurrent) {
@@ -317,6 +353,13 @@
 			urgency++;
 		},
 		heard: hear,
+		announced(id, announcement, now) {
+			hear(id, now);
+			const server = machine.registry.getById(id);
+			if (server.isJust && server.value.state === 'cold') {
+				addCold({...server.value, announcement}, now);
+			}
+		},
 		reportCrash(fingerprint, server, now) {
 			const count = quarantine.report(fingerprint, server, now);
 			urgency++;
--- a/source/control/machine.ts
+++ b/source/control/machine.ts
@@ -13,12 +13,15 @@
 export type Command
 	= | {readonly area: 'configuration'; readonly command: ConfigurationCommand}
 		| {readonly area: 'registry'; readonly command: RegistryCommand}
+	/** Takes a zone out of service or back, whatever document is in force. */
+		| {readonly area: 'zones'; readonly zone: string; readonly isOut: boolean; readonly at: number}
 		| {readonly area: 'ledger'; readonly command: LedgerCommand};
 
 /** Answer of the state machine to a command. */
 export type CommandAnswer
 	= | {readonly area: 'configuration'; readonly answer: ConfigurationAnswer}
 		| {readonly area: 'registry'; readonly changed: readonly RegisteredServer[]}
+		| {readonly area: 'zones'; readonly changed: readonly RegisteredServer[]}
 		| {readonly area: 'ledger'; readonly answer: LedgerAnswer};
 
 /** Contents of the state machine, for snapshots. */
@@ -26,6 +29,8 @@
 	readonly register: RegisterImage;
 	readonly registry: RegistryImage;
 	readonly ledger: LedgerImage;
+	/** Zones that operators took out of service. */
+	readonly zonesOut?: readonly string[];
 };
 
 /** The replicated state machine. */
@@ -33,6 +38,8 @@
 	readonly register: Register;
 	readonly registry: Registry;
 	readonly ledger: Ledger;
+	/** Gets the zones that operators took out of service, in order. */
+	getZonesOut(): readonly string[];
 	apply(command: Command): CommandAnswer;
 	getImage(): MachineImage;
 	restore(image: MachineImage): void;
@@ -46,10 +53,24 @@
 	const register = createRegister();
 	const registry = createRegistry();
 	const ledger = createLedger(limits);
+	let zonesOut: readonly string[] = [];
+
+	/** Moves a zone; the servers of one that comes back may have turned cold meanwhile. */
+	function moveZone(zone: string, isOut: boolean, at: number): readonly RegisteredServer[] {
+		const wasOut = zonesOut.includes(zone);
+		if (wasOut === isOut) {
+			return [];
+		}
+
+		zonesOut = isOut ? [...zonesOut, zone].toSorted() : zonesOut.filter(other => other !== zone);
+		return isOut ? [] : registry.apply({kind: 'zoneCooled', zone, at});
+	}
+
 	return {
 		register,
 		registry,
 		ledger,
+		getZonesOut: () => zonesOut,
 		apply(command) {
 			switch (command.area) {
 				case 'configuration': {
@@ -60,6 +81,10 @@
 					return {area: 'registry', changed: registry.apply(command.command)};
 				}
 
+				case 'zones': {
+					return {area: 'zones', changed: moveZone(command.zone, command.isOut, command.at)};
+				}
+
 				case 'ledger': {
 					return {area: 'ledger', answer: ledger.apply(command.command)};
 				}
@@ -69,11 +94,13 @@
 			register: register.getImage(),
 			registry: registry.getImage(),
 			ledger: ledger.getImage(),
+			...(zonesOut.length > 0 ? {zonesOut} : {}),
 		}),
 		restore(image) {
 			register.restore(image.register);
 			registry.restore(image.registry);
 			ledger.restore(image.ledger);
+			zonesOut = image.zonesOut ?? [];
 		},
 	};
 }
--- a/source/control/message.ts
+++ b/source/control/message.ts
@@ -16,6 +16,9 @@
 	= | {readonly kind: 'announce'; readonly announcement: Announcement}
 		| {readonly kind: 'configure'; readonly command: ConfigurationCommand}
 		| {readonly kind: 'ledger'; readonly command: LedgerCommand}
+	/** A server leaves for good, by its name and the time of its boot. */
+		| {readonly kind: 'leave'; readonly name: string; readonly bornAt: number | undefined}
+		| {readonly kind: 'moveZone'; readonly zone: string; readonly isOut: boolean}
 		| {readonly kind: 'drain'; readonly key: ServerKey}
 		| {readonly kind: 'crash'; readonly fingerprint: string; readonly server: number}
 		| {readonly kind: 'clearCrashes'; readonly fingerprint: string}
@@ -30,6 +33,8 @@
 		| {readonly kind: 'configured'; readonly answer: ConfigurationAnswer}
 		| {readonly kind: 'ledger'; readonly answer: LedgerAnswer}
 		| {readonly kind: 'drained'; readonly isKnown: boolean}
+		| {readonly kind: 'left'}
+		| {readonly kind: 'zoneMoved'}
 		| {readonly kind: 'crashes'; readonly count: number}
 		| {readonly kind: 'version'; readonly version: Version | undefined}
 		| {readonly kind: 'history'; readonly versions: readonly Version[]}
@@ -103,10 +108,20 @@
 /** Tells the other control hosts what this one is about to do. */
 export type AvailabilityMessage = {readonly kind: 'availability'; readonly replica: string; readonly availability: Availability};
 
+/** Tells whoever connects which control hosts there are, and which one leads. */
+export type Directory = {
+	readonly kind: 'directory';
+	/** Names of the members' hosts. */
+	readonly hosts: readonly string[];
+	/** Index in the log of the membership that names them; a higher one is newer. */
+	readonly index: number;
+	readonly leader: string | undefined;
+};
+
 /** A message that a control host receives. */
 export type ControlInbound = ConsensusMessage | SnapshotPart | JoinMessage | AvailabilityMessage | Renewal | RequestMessage | BurnReport;
 
 /** A message that a control host sends on a link that it accepted. */
-export type ControlOutbound = ReplyMessage | Grant | Refusal | Nudge | QuarantineNotice;
+export type ControlOutbound = ReplyMessage | Grant | Refusal | Nudge | QuarantineNotice | Directory;
 
 export {type BurnSummary} from '../service-level/index.js';
--- a/source/entry/answer.ts
+++ b/source/entry/answer.ts
@@ -6,7 +6,7 @@
 	getHeaderValue, getStatus, reasonHeader, verdictHeader, type Verdict,
 } from '../verdict/index.js';
 import {type AnswerHead} from './attempt.js';
-import {requestIdHeader} from './headers.js';
+import {type Dialect} from './dialect.js';
 
 const retryAfterSeconds = '1';
 
@@ -18,12 +18,13 @@
 
 /**
  * Answers with a verdict of the entry's own.
+ * @param dialect - Dialect of the caller.
  * @param response - Response to end.
  * @param verdict - Verdict to express.
  * @param requestId - Id of the request.
  * @param isClosing - Whether the connection ends with the answer.
  */
-export function answerVerdict(response: ServerResponse, verdict: Verdict, requestId: string, isClosing: boolean): void {
+export function answerVerdict(dialect: Dialect, response: ServerResponse, verdict: Verdict, requestId: string, isClosing: boolean): void {
 	const reason = verdict.kind === 'ran' ? '' : verdict.reason;
 	const status = getStatus(verdict);
 	const body = Buffer.from(`${JSON.stringify({verdict: getHeaderValue(verdict), reason, requestId})}\n`);
@@ -32,13 +33,13 @@
 		'application/json',
 		'content-length',
 		String(body.length),
-		verdictHeader,
-		getHeaderValue(verdict),
-		reasonHeader,
-		reason,
-		requestIdHeader,
+		dialect.requestIdHeader,
 		requestId,
 	];
+	if (dialect.hasVerdictHeaders) {
+		headers.push(verdictHeader, getHeaderValue(verdict), reasonHeader, reason);
+	}
+
 	if (status === 503) {
 		headers.push('retry-after', retryAfterSeconds);
 	}
@@ -53,13 +54,14 @@
 
 /**
  * Writes the head of a server's answer.
+ * @param dialect - Dialect of the caller.
  * @param response - Response to the caller.
  * @param head - Status and headers of the server's answer.
  * @param requestId - Id of the request.
  * @param isClosing - Whether the connection ends with the answer.
  */
-export function writeHead(response: ServerResponse, head: AnswerHead, requestId: string, isClosing: boolean): void {
-	const headers = [...head.headers, requestIdHeader, requestId];
+export function writeHead(dialect: Dialect, response: ServerResponse, head: AnswerHead, requestId: string, isClosing: boolean): void {
+	const headers = [...head.headers, dialect.requestIdHeader, requestId];
 	if (isClosing) {
 		headers.push('connection', 'close');
 	}
--- /dev/null
+++ b/source/entry/asker.ts
@@ -0,0 +1,132 @@
+/**
+ * Asks servers for their load just before a request is sent, on connections that are
+ * kept for it. An answer that does not come in time costs the server the request, and
+ * after a while its connection.
+ */
+import {Agent, request as startRequest} from 'node:http';
+import {getExpectedTime, isQuiet, type Candidate, type Reading} from '../choice/index.js';
+import {type Dialect, type ServerHints} from './dialect.js';
+import {type FleetServer} from './fleet.js';
+
+/** Time after which a question counts as lost and its connection ends, in milliseconds. */
+const lostMilliseconds = 400;
+
+/** Connections for questions to one server at most. */
+const questionConnections = 2;
+
+/** Factor for the load of a server that says that it is unwell: others go first, but its word may be false. */
+const unwellFactor = 4;
+
+function getReading({load}: ServerHints, isWell: boolean): Reading | undefined {
+	return load === undefined || isWell ? load : {...load, slowness: load.slowness * unwellFactor};
+}
+
+/** A candidate with what it said of itself. */
+export type AskedCandidate = {readonly candidate: Candidate; readonly reading: Reading};
+
+/** Options of a question to some candidates. */
+export type Question = {
+	readonly candidates: readonly Candidate[];
+	readonly waitMilliseconds: number;
+	/** Takes the answers: at once when one is quiet, else when all have come or the wait is over. */
+	answered(readings: readonly AskedCandidate[]): void;
+};
+
+/** Asks servers for their load. */
+export type Asker = {
+	/** Asks; the returned function forgets the question. */
+	ask(question: Question): () => void;
+	close(): void;
+};
+
+/** Options of an asker. */
+export type AskerOptions = {
+	readonly dialect: Dialect;
+	getServer(id: number): FleetServer | undefined;
+	/** Gets the path at which a service's servers tell their load. */
+	getPath(service: string): string;
+	/** Takes what a server says beside its load. */
+	hinted(candidate: Candidate, hints: ServerHints): void;
+	probed(isAnswered: boolean): void;
+};
+
+/**
+ * Creates an asker.
+ * @param options - Dialect, servers and functions that take answers.
+ */
+export function createAsker(options: AskerOptions): Asker {
+	const agent = new Agent({
+		keepAlive: true, maxSockets: questionConnections, maxFreeSockets: questionConnections, scheduling: 'lifo',
+	});
+
+	function askOne(candidate: Candidate, answered: (reading: Reading | undefined) => void): void {
+		const {host, port, service, name} = candidate.getAnnouncement();
+		let isEnded = false;
+		function end(reading: Reading | undefined): void {
+			if (!isEnded) {
+				isEnded = true;
+				clearTimeout(timer);
+				options.probed(reading !== undefined);
+				answered(reading);
+			}
+		}
+
+		const headers = options.dialect.serverHeader === undefined ? {} : {[options.dialect.serverHeader]: name};
+		const request = startRequest({
+			host, port, path: options.getPath(service), method: 'GET', agent, headers,
+		});
+		const timer = setTimeout(() => {
+			request.destroy();
+		}, lostMilliseconds);
+		request.once('response', answer => {
+			answer.resume();
+			const hints = options.dialect.getHints(answer.headers);
+			options.hinted(candidate, hints);
+			end(getReading(hints, answer.statusCode === 200));
+		});
+		request.once('error', () => {
+			end(undefined);
+		});
+		request.once('close', () => {
+			end(undefined);
+		});
+		request.end();
+	}
+
+	return {
+		ask(question) {
+			const readings: AskedCandidate[] = [];
+			let left = question.candidates.length;
+			let isAnswered = false;
+			function finish(): void {
+				if (!isAnswered) {
+					isAnswered = true;
+					clearTimeout(timer);
+					question.answered(readings.toSorted((one, other) => getExpectedTime(one.reading) - getExpectedTime(other.reading)));
+				}
+			}
+
+			const timer = setTimeout(finish, question.waitMilliseconds);
+			for (const candidate of question.candidates) {
+				askOne(candidate, reading => {
+					left--;
+					if (reading !== undefined) {
+						readings.push({candidate, reading});
+					}
+
+					if (left === 0 || (reading !== undefined && isQuiet(reading))) {
+						finish();
+					}
+				});
+			}
+
+			return () => {
+				isAnswered = true;
+				clearTimeout(timer);
+			};
+		},
+		close() {
+			agent.destroy();
+		},
+	};
+}
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -6,17 +6,11 @@
 import {Buffer} from 'node:buffer';
 import {request as startRequest, type ClientRequest, type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {
-	getHeaderValue, mayHaveRun, notRun, verdictHeader, type Verdict,
-} from '../verdict/index.js';
-import {
-	getAnswerHeaders, loadHeader, requestIdHeader, stateHeader,
-} from './headers.js';
+import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
+import {type Dialect, type ServerHints} from './dialect.js';
+import {getAnswerHeaders} from './headers.js';
 import {type Pool} from './pool.js';
 
-const shedStatus = 503;
-const notRunValue = getHeaderValue(notRun('server-shed'));
-
 /** Status and headers of an answer, names and values in turn. */
 export type AnswerHead = {readonly status: number; readonly headers: readonly string[]};
 
@@ -27,12 +21,10 @@
 		| {readonly kind: 'large'; readonly head: AnswerHead; readonly start: readonly Buffer[]; readonly rest: IncomingMessage}
 		| {readonly kind: 'failed'; readonly verdict: Verdict; readonly hasCrashed: boolean};
 
-/** What a server said of itself in an answer. */
-export type ServerHints = {readonly isCold: boolean; readonly load: number | undefined};
-
 /** Options of an attempt. */
 export type AttemptOptions = {
 	readonly pool: Pool;
+	readonly dialect: Dialect;
 	readonly requestId: string;
 	readonly method: string;
 	readonly target: string;
@@ -129,25 +121,21 @@
 	});
 
 	function receive(answer: IncomingMessage): void {
-		const repeatedId = answer.headers[requestIdHeader];
+		const {dialect} = options;
+		const repeatedId = answer.headers[dialect.requestIdHeader];
 		if (!options.pool.isOwnAnswer(options.requestId, Array.isArray(repeatedId) ? repeatedId.join(',') : repeatedId)) {
 			fail('answer-mismatched');
 			return;
 		}
 
-		options.hinted(getHints(answer));
-		const head: AnswerHead = {status: answer.statusCode ?? 502, headers: getAnswerHeaders(answer)};
-		if (head.status === shedStatus && answer.headers[verdictHeader] === notRunValue) {
+		options.hinted(dialect.getHints(answer.headers));
+		const head: AnswerHead = {status: answer.statusCode ?? 502, headers: getAnswerHeaders(dialect, answer)};
+		if (dialect.isNotRun(head.status, answer.headers)) {
 			answer.resume();
 			end({kind: 'failed', verdict: notRun('server-shed'), hasCrashed: false});
 			return;
 		}
 
-		if (!isDelimited(answer, options.method)) {
-			fail('answer-truncated');
-			return;
-		}
-
 		hold(answer, head);
 	}
 
@@ -174,8 +162,8 @@
 			}
 
 			const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-			const isChunked = answer.headers['transfer-encoding'] !== undefined;
-			const headers = isChunked ? [...head.headers, 'content-length', String(body.length)] : head.headers;
+			const isMeasured = answer.headers['content-length'] !== undefined || hasNoBody(answer, options.method);
+			const headers = isMeasured ? head.headers : [...head.headers, 'content-length', String(body.length)];
 			end({kind: 'whole', head: {status: head.status, headers}, body});
 			stopUnfinishedRequest();
 		}
@@ -215,16 +203,7 @@
 	};
 }
 
-/** Checks whether the end of an answer's body can be told from a lost connection. */
-function isDelimited(answer: IncomingMessage, method: string): boolean {
-	const hasNoBody = method === 'HEAD' || answer.statusCode === 204 || answer.statusCode === 304;
-	return hasNoBody || answer.headers['content-length'] !== undefined || answer.headers['transfer-encoding'] !== undefined;
-}
-
-function getHints(answer: IncomingMessage): ServerHints {
-	const load = answer.headers[loadHeader];
-	return {
-		isCold: answer.headers[stateHeader] === 'cold',
-		load: typeof load === 'string' ? Number(load) : undefined,
-	};
+/** Checks whether an answer never has a body, whatever its headers say. */
+function hasNoBody(answer: IncomingMessage, method: string): boolean {
+	return method === 'HEAD' || answer.statusCode === 204 || answer.statusCode === 304;
 }
--- a/source/entry/call.ts
+++ b/source/entry/call.ts
@@ -4,13 +4,18 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
+import {type Candidate} from '../choice/index.js';
 import {type Service} from '../configuration/index.js';
+import {type Random} from '../randomness/index.js';
 import {notRun, type Verdict} from '../verdict/index.js';
 import {answerVerdict, writeHead} from './answer.js';
 import {hasBody} from './body.js';
 import {getRequestDigest, type Claim, type Claims} from './claims.js';
 import {type Fleet, type ServiceState} from './fleet.js';
-import {deadlineHeader, getDeadline} from './headers.js';
+import {type Asker} from './asker.js';
+import {type Dialect, type ServerHints} from './dialect.js';
+import {getDeadline} from './headers.js';
+import {type RoutePolicy} from './router.js';
 import {type EntryMetrics} from './metrics.js';
 import {prepareBody} from './prepare.js';
 import {runCall, type Request} from './run.js';
@@ -21,6 +26,9 @@
 /** What calls share in an entry. */
 export type CallContext = {
 	readonly zone: string;
+	readonly dialect: Dialect;
+	readonly asker: Asker;
+	readonly random: Random;
 	readonly fleet: Fleet;
 	readonly claims: Claims;
 	readonly suspects: Suspects;
@@ -28,7 +36,12 @@
 	readonly maximumBodyBytes: number;
 	readonly maximumHeldBytes: number;
 	readonly maximumStoredBytes: number;
-	isLeaseValid(now: number): boolean;
+	/** Checks whether the entry may take and dispatch new work. */
+	mayDispatch(now: number): boolean;
+	/** Takes what a server says of itself. */
+	hinted(candidate: Candidate, hints: ServerHints): void;
+	/** Reports a crash and resolves to whether the request is refused from now on. */
+	reportCrash(fingerprint: string, server: number): Promise<boolean>;
 	isClosing(): boolean;
 	createRequestId(): string;
 	/** Takes the end of a call. */
@@ -38,23 +51,24 @@
 /**
  * Answers a caller's request.
  * @param context - What calls share.
+ * @param route - Route of the request.
  * @param state - Service of the request.
  * @param incoming - Request of the caller.
  * @param response - Response to the caller.
  */
-export async function answerCall(context: CallContext, state: ServiceState, incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+export async function answerCall(context: CallContext, route: RoutePolicy, state: ServiceState, incoming: IncomingMessage, response: ServerResponse): Promise<void> {
 	const service = state.getService();
 	const startedAt = performance.now();
-	const requestId = context.createRequestId();
+	const requestId = getRequestId(context, incoming);
 	const method = incoming.method ?? 'GET';
 	const target = incoming.url ?? '/';
-	const isIdempotent = service.idempotentMethods.includes(method);
-	const key = isIdempotent ? undefined : getKey(incoming, service.keyHeader);
-	const deadline = getDeadline(incoming.headers[deadlineHeader], service.deadlineMilliseconds);
+	const isIdempotent = route.isIdempotent ?? service.idempotentMethods.includes(method);
+	const key = isIdempotent || route.isIdempotent !== undefined ? undefined : getKey(incoming, service.keyHeader);
+	const deadline = getDeadline(incoming.headers[context.dialect.deadlineHeader], route.timeoutMilliseconds);
 
 	function refuse(verdict: Verdict): void {
 		if (!response.headersSent && !response.destroyed) {
-			answerVerdict(response, verdict, requestId, context.isClosing() || (hasBody(incoming) && !incoming.complete));
+			answerVerdict(context.dialect, response, verdict, requestId, context.isClosing() || (hasBody(incoming) && !incoming.complete));
 		}
 
 		if (verdict.kind !== 'ran') {
@@ -69,7 +83,7 @@
 		return;
 	}
 
-	if (!context.isLeaseValid(startedAt)) {
+	if (!context.mayDispatch(startedAt)) {
 		refuse(notRun('lease-expired'));
 		return;
 	}
@@ -103,7 +117,7 @@
 
 		if (outcome.kind === 'replay') {
 			const {status, headers, body: stored} = outcome.answer;
-			writeHead(response, {status, headers: [...headers, 'guavadeck-replayed', 'true']}, requestId, context.isClosing());
+			writeHead(context.dialect, response, {status, headers: [...headers, 'guavadeck-replayed', 'true']}, requestId, context.isClosing());
 			response.end(stored);
 			context.ended(service, {kind: 'ran', status}, performance.now() - startedAt);
 			return;
@@ -113,10 +127,15 @@
 	}
 
 	runCall({
-		context, state, service, request, incoming, response, requestId, startedAt, deadlineAt, claim, refuse, fingerprint,
+		context, state, service, route, request, incoming, response, requestId, startedAt, deadlineAt, claim, refuse, fingerprint,
 	});
 }
 
+function getRequestId(context: CallContext, incoming: IncomingMessage): string {
+	const given = context.dialect.keepsRequestId ? incoming.headers[context.dialect.requestIdHeader] : undefined;
+	return typeof given === 'string' ? given : context.createRequestId();
+}
+
 function getKey(incoming: IncomingMessage, header: string): string | undefined {
 	const value = incoming.headers[header];
 	return Array.isArray(value) ? value.join(',') : value;
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -4,21 +4,23 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {interval, Subscription} from 'rxjs';
-import {createJointCounts, createCountsReporter} from '../choice/index.js';
-import {type EnvironmentDocument} from '../configuration/index.js';
-import {createControlClient, type ControlClient} from '../control-client/index.js';
-import {type Grant} from '../lease/index.js';
+import {createJointCounts, createCountsReporter, type Candidate} from '../choice/index.js';
+import {type ClientLimits, type EnvironmentDocument} from '../configuration/index.js';
+import {createControlClient, createHostDirectory, type ControlClient} from '../control-client/index.js';
+import {createSuspensionWatch, type Grant} from '../lease/index.js';
 import {createRandom} from '../randomness/index.js';
 import {createServiceLevelCounter, periodMilliseconds} from '../service-level/index.js';
-import {type EntrySettings, type Security} from '../settings/index.js';
+import {getSeeds, type EntrySettings, type Security} from '../settings/index.js';
 import {type Log} from '../telemetry/index.js';
 import {notRun, type Verdict} from '../verdict/index.js';
 import {listen} from '../wire/index.js';
 import {answerVerdict} from './answer.js';
 import {createAdmin} from './admin.js';
+import {createAsker} from './asker.js';
 import {createAnnouncements} from './announcements.js';
 import {answerCall, type CallContext} from './call.js';
 import {createClaims} from './claims.js';
+import {ownDialect, type Dialect, type ServerHints} from './dialect.js';
 import {createFleet} from './fleet.js';
 import {keepLease} from './lease-keeper.js';
 import {createEntryMetrics} from './metrics.js';
@@ -34,6 +36,14 @@
 const requestTimeoutMilliseconds = 60_000;
 const storedAnswerBytes = 16_384;
 
+/** Time beyond the limit of callers' headers that covers the entry's own delay, in milliseconds. */
+const headersMarginMilliseconds = 1000;
+
+/** Entries that are assumed until a control host tells how many there are. */
+const largestEntries = 100;
+
+const ordinaryProbePath = '/health';
+
 /** A running entry. */
 export type Entry = {
 	readonly callersPort: number;
@@ -42,6 +52,8 @@
 	/** Stops gracefully: not ready, grace, then every request in flight finishes. */
 	stop(): Promise<void>;
 	getInFlight(): number;
+	/** Takes settings that were read again; of them the seeds change while it runs. */
+	reload(next: EntrySettings): void;
 };
 
 /** Options of `startEntry`. */
@@ -50,6 +62,8 @@
 	readonly security: Security;
 	readonly log: Log;
 	readonly seed: number;
+	/** Headers of callers and servers; the product's own by default. */
+	readonly dialect?: Dialect;
 };
 
 /**
@@ -57,10 +71,15 @@
  * @param options - Settings, keys and log.
  */
 export async function startEntry(options: EntryOptions): Promise<Entry> {
-	const {settings, security, log} = options;
+	const {settings, security, log, dialect = ownDialect} = options;
+	const isServingAlone = settings.withoutControl === 'serve';
 	const random = createRandom(options.seed);
 	const metrics = createEntryMetrics();
-	const fleet = createFleet(random);
+	const {attemptBudget} = settings;
+	const fleet = createFleet(random, attemptBudget === undefined ? undefined : {
+		ratio: attemptBudget.ratio, getSlack: () => attemptBudget.slack / entries,
+	});
+	const suspension = createSuspensionWatch();
 	const counts = createJointCounts();
 	const counter = createServiceLevelCounter(settings.name, settings.environment);
 	const subscription = new Subscription();
@@ -69,6 +88,7 @@
 	let document: EnvironmentDocument | undefined;
 	let isDraining = false;
 	let inFlight = 0;
+	let entries = largestEntries;
 	let unfinished = 0;
 	let nextId = 1;
 	let wasReady = false;
@@ -94,10 +114,18 @@
 			suspects.setQuarantined(fingerprints);
 		},
 	});
+	const directory = createHostDirectory({control: settings.control, seeds: getSeeds(settings)});
 	const client: ControlClient = createControlClient({
 		identity: security.link,
-		hosts: settings.control,
-		received: keeper.receive,
+		hosts: directory.getHosts(),
+		received(host, message) {
+			if (message.kind === 'directory') {
+				client.setHosts(directory.learn(message));
+				return;
+			}
+
+			keeper.receive(host, message);
+		},
 		opened() {
 			keeper.renew();
 		},
@@ -125,7 +153,8 @@
 	function enforce(grant: Grant, next: EnvironmentDocument | undefined): void {
 		if (next !== undefined) {
 			document = next;
-			router = createRouter(document.services);
+			router = createRouter(document.services, document.routes, random);
+			limitCallers(document.clientLimits);
 			fleet.setDocument(document);
 			log.info({version: grant.version}, 'document in force');
 		}
@@ -134,7 +163,9 @@
 			fleet.update(grant.servers, grant.isWhole);
 		}
 
-		fleet.setPermits(grant.permits);
+		entries = Math.max(1, grant.entries);
+		fleet.setZonesOut(grant.zonesOut);
+		fleet.setPermits(grant.permits, performance.now());
 		if (grant.peers !== undefined) {
 			fleet.setConnectionShare(grant.peers.length + 1);
 			started?.peers.set(grant.peers);
@@ -145,6 +176,26 @@
 		drainQueues();
 	}
 
+	/** Lets idle callers stay connected for as long as the document says. */
+	function limitCallers(limits: ClientLimits | undefined): void {
+		if (limits !== undefined) {
+			callers.keepAliveTimeout = limits.idleMilliseconds;
+			callers.headersTimeout = limits.headerMilliseconds + headersMarginMilliseconds;
+		}
+	}
+
+	/** Permits for cold servers end with the lease, and with any time that the host was suspended. */
+	function endPermitsWhenDue(): void {
+		if (suspension.hasBeenSuspended(Date.now(), performance.now()) || !keeper.holder.isValid(performance.now())) {
+			fleet.endPermits();
+		}
+	}
+
+	function mayDispatch(now: number): boolean {
+		endPermitsWhenDue();
+		return isServingAlone ? document !== undefined : keeper.holder.isValid(now);
+	}
+
 	function drainQueues(): void {
 		const now = performance.now();
 		for (const state of fleet.getStates()) {
@@ -156,7 +207,7 @@
 	}
 
 	function isReady(): boolean {
-		return !isDraining && document !== undefined && keeper.holder.isValid(performance.now());
+		return !isDraining && document !== undefined && (isServingAlone || keeper.holder.isValid(performance.now()));
 	}
 
 	function logReadiness(): void {
@@ -178,16 +229,47 @@
 		}
 	}
 
+	/** Takes what a server says of itself, in answers and when it is asked. */
+	function hinted(candidate: Candidate, hints: ServerHints): void {
+		const {coldMilliseconds = 0, load} = hints;
+		if (coldMilliseconds > 0) {
+			const isRated = fleet.getState(candidate.getAnnouncement().service)?.getService().warmUp !== undefined;
+			candidate.turnCold(isRated ? performance.now() + coldMilliseconds : undefined);
+		}
+
+		if (load !== undefined) {
+			candidate.setReportedLoad(load.running + load.waiting);
+		}
+	}
+
+	const asker = createAsker({
+		dialect,
+		getServer: fleet.get,
+		getPath: service => fleet.getState(service)?.getService().probePath ?? ordinaryProbePath,
+		hinted,
+		probed: metrics.probed,
+	});
 	const context: CallContext = {
 		zone: settings.zone,
+		dialect,
+		asker,
+		random,
 		fleet,
 		claims,
 		suspects,
 		metrics,
-		maximumBodyBytes: settings.maximumBodyBytes,
+		get maximumBodyBytes() {
+			return document?.clientLimits?.bodyBytes ?? settings.maximumBodyBytes;
+		},
 		maximumHeldBytes: settings.maximumHeldAnswerBytes,
 		maximumStoredBytes: storedAnswerBytes,
-		isLeaseValid: now => keeper.holder.isValid(now),
+		mayDispatch,
+		hinted,
+		async reportCrash(fingerprint, server) {
+			const reported = suspects.reportCrash(fingerprint, server);
+			// An entry that serves alone waits for no control host.
+			return isServingAlone ? suspects.isQuarantined(() => fingerprint) : reported;
+		},
 		isClosing: () => isDraining,
 		createRequestId,
 		ended,
@@ -201,17 +283,17 @@
 		response.once('close', () => {
 			unfinished--;
 		});
-		const service = router.get(request.headers.host, request.url ?? '/');
-		const state = service === undefined ? undefined : fleet.getState(service.name);
-		if (state === undefined) {
+		const route = router.get(request.headers.host, request.url ?? '/');
+		const state = route === undefined ? undefined : fleet.getState(route.takeService());
+		if (route === undefined || state === undefined) {
 			const verdict = document === undefined ? notRun('lease-expired') : notRun('unknown-service');
 			metrics.refused(document === undefined ? 'lease-expired' : 'unknown-service');
-			answerVerdict(response, verdict, createRequestId(), isDraining);
+			answerVerdict(dialect, response, verdict, createRequestId(), isDraining);
 			return;
 		}
 
 		inFlight++;
-		answerCall(context, state, request, response).catch((error: unknown) => {
+		answerCall(context, route, state, request, response).catch((error: unknown) => {
 			log.error({error}, 'a request failed inside the entry');
 			response.destroy();
 		});
@@ -258,6 +340,7 @@
 	}
 
 	function keepHouse(): void {
+		endPermitsWhenDue();
 		drainQueues();
 		logReadiness();
 		prober.tick();
@@ -281,6 +364,9 @@
 		adminPort,
 		isReady,
 		getInFlight: () => inFlight,
+		reload(next) {
+			client.setHosts(directory.setSeeds(getSeeds(next)));
+		},
 		async stop() {
 			isDraining = true;
 			logReadiness();
@@ -301,6 +387,7 @@
 			client.close();
 			await started?.peers.stop();
 			fleet.close();
+			asker.close();
 			adminServer.close();
 			adminServer.closeAllConnections();
 			log.info({}, 'entry stopped');
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -39,7 +39,11 @@
 	setDocument(document: EnvironmentDocument): void;
 	/** Takes servers; `isWhole` says that all others are gone. */
 	update(views: readonly ServerView[], isWhole: boolean): void;
-	setPermits(permits: readonly Permit[]): void;
+	setPermits(permits: readonly Permit[], now: number): void;
+	/** Ends the permits for cold servers, because the lease has ended. */
+	endPermits(): void;
+	/** Takes zones out of service, whatever the document says. */
+	setZonesOut(zones: readonly string[]): void;
 	setConnectionShare(entries: number): void;
 	getState(service: string): ServiceState | undefined;
 	getStates(): Iterable<ServiceState>;
@@ -60,15 +64,27 @@
 	setCandidates(candidates: readonly Candidate[]): void;
 };
 
-function createServiceState(initial: Service, random: Random): MutableState {
+/** Extra attempts that this entry may make for each service: a share of its requests, and its part of a slack that all entries share. */
+export type ExtraAttempts = {readonly ratio: number; getSlack(): number};
+
+/** Share of the permitted extra attempts that is used, since entries count their windows each for itself. */
+const usedBudgetShare = 0.85;
+
+function createSharedBudget(extra: ExtraAttempts): AttemptBudget {
+	return createAttemptBudget(() => extra.ratio * usedBudgetShare, 1, () => Math.max(1, extra.getSlack() * usedBudgetShare));
+}
+
+function createServiceState(initial: Service, random: Random, extra: ExtraAttempts | undefined): MutableState {
 	let service = initial;
 	let candidates: readonly Candidate[] = [];
 	let chooser = createChooser(service.policy, random);
+	const shared = extra === undefined ? undefined : createSharedBudget(extra);
 	return {
 		getService: () => service,
 		queue: createWaitQueue(() => service.queueLength),
-		retries: createAttemptBudget(() => service.retryRatio, initialRetries),
-		hedges: createAttemptBudget(() => service.hedgeRatio, 0),
+		retries: shared ?? createAttemptBudget(() => service.retryRatio, initialRetries),
+		// Where retries and hedges share a budget, a request earns for it once, as a retry.
+		hedges: shared === undefined ? createAttemptBudget(() => service.hedgeRatio, 0) : {...shared, earn: doNothing},
 		hedgeDelay: createHedgeDelay(hedgeQuantile, initialHedgeMilliseconds, () => service.hedgeDelayMilliseconds ?? ordinaryHedgeDelayMilliseconds),
 		getChooser: () => chooser,
 		getCandidates: () => candidates,
@@ -88,18 +104,23 @@
 /**
  * Creates a fleet without servers.
  * @param random - Source of random numbers.
+ * @param extra - Budget that retries and hedges of all entries share, if there is one.
  */
-export function createFleet(random: Random): Fleet {
+export function createFleet(random: Random, extra?: ExtraAttempts): Fleet {
 	const servers = new Map<number, FleetServer>();
 	const byKey = new Map<ServerKey, Candidate>();
 	const byService = new Map<string, Set<Candidate>>();
 	const states = new Map<string, MutableState>();
 	let document: EnvironmentDocument | undefined;
 	let zonesInService: ReadonlySet<string> = new Set();
+	let zonesOut: ReadonlySet<string> = new Set();
 	let entries = 1;
 
 	function isEligible(candidate: Candidate): boolean {
-		return zonesInService.has(candidate.getAnnouncement().zone) && candidate.getState() !== 'leaving';
+		const {zone} = candidate.getAnnouncement();
+		// A document without zones leaves them to the operators.
+		const isInService = zonesInService.size === 0 ? document !== undefined : zonesInService.has(zone);
+		return isInService && !zonesOut.has(zone) && candidate.getState() !== 'leaving';
 	}
 
 	/** Chooses the candidates of one service again. */
@@ -113,6 +134,7 @@
 		state.setCandidates(candidates);
 		for (const candidate of candidates) {
 			candidate.setStrict(state.getService().policy === 'central-queue');
+			candidate.setOutspoken((state.getService().askedCandidates ?? 0) > 0);
 		}
 	}
 
@@ -189,7 +211,7 @@
 			for (const service of next.services) {
 				const known = states.get(service.name);
 				if (known === undefined) {
-					states.set(service.name, createServiceState(service, random));
+					states.set(service.name, createServiceState(service, random, extra));
 				} else {
 					known.setService(service);
 				}
@@ -225,10 +247,27 @@
 				rebuild(service);
 			}
 		},
-		setPermits(permits) {
-			const slots = new Map(permits.map(permit => [permit.server, permit.slots]));
+		setPermits(permits, now) {
+			const byServer = new Map(permits.map(permit => [permit.server, permit]));
 			for (const {candidate} of servers.values()) {
-				candidate.setPermit(slots.get(candidate.id) ?? 0);
+				const permit = byServer.get(candidate.id);
+				candidate.setPermit(permit?.slots ?? 0);
+				candidate.setRate(permit?.requestsPerSecond, now);
+			}
+		},
+		endPermits() {
+			for (const {candidate} of servers.values()) {
+				candidate.endPermits();
+			}
+		},
+		setZonesOut(zones) {
+			if (zones.length === zonesOut.size && zones.every(zone => zonesOut.has(zone))) {
+				return;
+			}
+
+			zonesOut = new Set(zones);
+			for (const name of states.keys()) {
+				rebuild(name);
 			}
 		},
 		setConnectionShare(count) {
@@ -275,6 +314,10 @@
 	};
 }
 
+function doNothing(): void {
+	// There is nothing to earn.
+}
+
 const closeCheckMilliseconds = 100;
 
 /** Closes the connections of a server that is gone once no request is in flight on them. */
--- a/source/entry/headers.ts
+++ b/source/entry/headers.ts
@@ -1,29 +1,12 @@
 /** Headers between callers, entries and servers. */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
-
-/** Header with the time that is left for a request, in milliseconds. */
-export const deadlineHeader = 'guavadeck-deadline';
-
-/** Header with the id of a request. */
-export const requestIdHeader = 'guavadeck-request-id';
-
-/** Header with which a server states whether it is cold, warm or leaving. */
-export const stateHeader = 'guavadeck-state';
-
-/** Header with a server's requests in flight. */
-export const loadHeader = 'guavadeck-load';
+import {type Dialect} from './dialect.js';
 
 const hopByHop = new Set([
 	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect',
 ]);
 
-/** Headers that an entry sets itself towards servers. */
-const ownRequestHeaders = new Set([deadlineHeader, requestIdHeader, 'content-length', 'host', 'x-forwarded-for']);
-
-/** Headers that only concern the hop between server and entry. */
-const ownAnswerHeaders = new Set([stateHeader, loadHeader, requestIdHeader]);
-
 /**
  * Gets the headers to forward, names and values in turn, without those of one hop.
  * @param rawHeaders - Names and values in turn.
@@ -45,8 +28,11 @@
 
 /** A caller's request on its way to a server. */
 export type ForwardedRequest = {
+	readonly dialect: Dialect;
 	readonly incoming: IncomingMessage;
 	readonly requestId: string;
+	/** Name of the server that is to run the request. */
+	readonly server: string;
 	readonly remainingMilliseconds: number;
 	/** Body that is held in memory, if it is. */
 	readonly body: Buffer | undefined;
@@ -59,9 +45,13 @@
  * @param request - Request of the caller, with what the entry adds.
  */
 export function getForwardedHeaders(request: ForwardedRequest): string[] {
-	const {incoming} = request;
-	const headers = filterHeaders(incoming.rawHeaders, incoming.headers.connection, ownRequestHeaders);
-	headers.push('host', incoming.headers.host ?? '', deadlineHeader, String(Math.max(1, Math.round(request.remainingMilliseconds))), requestIdHeader, request.requestId);
+	const {incoming, dialect} = request;
+	const headers = filterHeaders(incoming.rawHeaders, incoming.headers.connection, getOwnRequestHeaders(dialect));
+	headers.push('host', incoming.headers.host ?? '', dialect.deadlineHeader, String(Math.max(1, Math.round(request.remainingMilliseconds))), dialect.requestIdHeader, request.requestId);
+	if (dialect.serverHeader !== undefined) {
+		headers.push(dialect.serverHeader, request.server);
+	}
+
 	const address = incoming.socket.remoteAddress;
 	if (address !== undefined) {
 		headers.push('x-forwarded-for', address);
@@ -71,6 +61,24 @@
 	return headers;
 }
 
+const ownRequestHeaders = new WeakMap<Dialect, ReadonlySet<string>>();
+
+/** Gets the headers that an entry sets itself towards servers. */
+function getOwnRequestHeaders(dialect: Dialect): ReadonlySet<string> {
+	const known = ownRequestHeaders.get(dialect);
+	if (known !== undefined) {
+		return known;
+	}
+
+	const names = new Set([dialect.deadlineHeader, dialect.requestIdHeader, 'content-length', 'host', 'x-forwarded-for']);
+	if (dialect.serverHeader !== undefined) {
+		names.add(dialect.serverHeader);
+	}
+
+	ownRequestHeaders.set(dialect, names);
+	return names;
+}
+
 function getLengthHeaders({incoming, body, isStreamed}: ForwardedRequest): readonly string[] {
 	const {method, headers} = incoming;
 	if (body !== undefined) {
@@ -87,10 +95,11 @@
 
 /**
  * Gets a server's headers to forward to the caller.
+ * @param dialect - Dialect of the server.
  * @param answer - Answer of the server.
  */
-export function getAnswerHeaders(answer: IncomingMessage): string[] {
-	return filterHeaders(answer.rawHeaders, answer.headers.connection, ownAnswerHeaders);
+export function getAnswerHeaders(dialect: Dialect, answer: IncomingMessage): string[] {
+	return filterHeaders(answer.rawHeaders, answer.headers.connection, dialect.hiddenAnswerHeaders);
 }
 
 /**
--- a/source/entry/index.ts
+++ b/source/entry/index.ts
@@ -1,1 +1,2 @@
+export * from './dialect.js';
 export * from './entry.js';
--- a/source/entry/lease-keeper.test.ts
+++ b/source/entry/lease-keeper.test.ts
@@ -41,7 +41,7 @@
 		function grant(version: number, document: DocumentUpdate): void {
 			keeper.renew();
 			const message: Grant = {
-				kind: 'grant', sequence: renewals.length, termMilliseconds: 60_000, epoch: 1, revision: 0, isWhole: true, servers: [], version, document, permits: [], duties: [], probeMilliseconds: 1000, quarantined: [], peersRevision: 0, peers: [],
+				kind: 'grant', sequence: renewals.length, termMilliseconds: 60_000, epoch: 1, revision: 0, isWhole: true, servers: [], version, document, permits: [], duties: [], probeMilliseconds: 1000, quarantined: [], zonesOut: [], entries: 1, peersRevision: 0, peers: [],
 			};
 			keeper.receive('control', message);
 		}
--- a/source/entry/lease-keeper.ts
+++ b/source/entry/lease-keeper.ts
@@ -160,8 +160,9 @@
 					break;
 				}
 
+				case 'directory':
 				case 'reply': {
-					// The client has matched replies with their requests.
+					// The client has matched replies with their requests, and the entry takes directories.
 					break;
 				}
 			}
--- a/source/entry/pool.ts
+++ b/source/entry/pool.ts
@@ -24,6 +24,17 @@
 	this.destroy();
 }
 
+/** Time by which an idle connection is given up before its server would close it, in milliseconds. */
+const idleMarginMilliseconds = 2000;
+
+/** Lets an idle connection end well before its server closes it, so that no request meets that close. */
+function shortenIdleTime(socket: Socket): void {
+	const {timeout} = socket;
+	if (timeout !== undefined && timeout > 0) {
+		socket.setTimeout(Math.max(timeout / 2, timeout - idleMarginMilliseconds));
+	}
+}
+
 /** Connects, and hands the socket out only once it is connected. */
 function connectSocket(host: string, port: number, callback: SocketCallback): void {
 	const socket = connect({host, port, noDelay: true});
@@ -64,6 +75,7 @@
 			const isKept = keepSocketAlive(socket);
 			if (isKept) {
 				socket.on('data', rejectIdleData);
+				shortenIdleTime(socket);
 			}
 
 			return isKept;
--- a/source/entry/router.ts
+++ b/source/entry/router.ts
@@ -1,44 +1,120 @@
-/** Finds the service of a request by host and longest path prefix. */
-import {type Service} from '../configuration/index.js';
+/**
+ * Finds the route of a request by host and longest path prefix, and the service that
+ * takes it. Services of a weighted route take turns in proportion to their weights, so
+ * that their parts hold over short times too; a request keeps its service even when
+ * that one has no room.
+ */
+import {type Route, type Service} from '../configuration/index.js';
 
 const anyHost = '*';
 
-/** Finds services. */
+/** How a request is treated, from a route of the document or from a service that is reached directly. */
+export type RoutePolicy = {
+	readonly name: string;
+	/** Whether its requests may run more than once; undefined where it depends on the method. */
+	readonly isIdempotent: boolean | undefined;
+	readonly timeoutMilliseconds: number;
+	/** Time within which an answer is worth its whole value, where the document says. */
+	readonly targetMilliseconds: number | undefined;
+	readonly priority: number;
+	/** Servers at most to which one request may be sent, where the document says. */
+	readonly attempts: number | undefined;
+	/** Gets the name of the service that takes the next request. */
+	takeService(): string;
+};
+
+/** Finds routes. */
 export type Router = {
-	/** Gets the service of a request, or undefined when no route matches. */
-	get(host: string | undefined, target: string): Service | undefined;
+	/** Gets the route of a request, or undefined when none matches. */
+	get(host: string | undefined, target: string): RoutePolicy | undefined;
 };
 
+type Turn = {readonly service: string; readonly weight: number; credit: number};
+
+/** Lets services take turns in proportion to their weights, as evenly as possible. */
+function createTurns(route: Route, random: () => number): () => string {
+	const total = route.parts.reduce((sum, part) => sum + part.weight, 0);
+	const turns: Turn[] = route.parts.map(part => ({...part, credit: random() * part.weight}));
+	if (turns.length === 1 || total <= 0) {
+		return () => turns[0]!.service;
+	}
+
+	return () => {
+		let best = turns[0]!;
+		for (const turn of turns) {
+			turn.credit += turn.weight;
+			best = turn.credit > best.credit ? turn : best;
+		}
+
+		best.credit -= total;
+		return best.service;
+	};
+}
+
+function fromRoute(route: Route, random: () => number): RoutePolicy {
+	const {name, isIdempotent, timeoutMilliseconds, targetMilliseconds, priority, attempts} = route;
+	return {
+		name, isIdempotent, timeoutMilliseconds, targetMilliseconds, priority, attempts, takeService: createTurns(route, random),
+	};
+}
+
+function fromService(service: Service): RoutePolicy {
+	return {
+		name: service.name, isIdempotent: undefined, timeoutMilliseconds: service.deadlineMilliseconds, targetMilliseconds: undefined, priority: 0, attempts: undefined, takeService: () => service.name,
+	};
+}
+
+/** A path that a route serves; a declared one matches only as it is written. */
+type Place = {readonly path: string; readonly policy: RoutePolicy};
+
 /**
  * Creates a router.
  * @param services - Services of the document in force.
+ * @param routes - Routes of the document, if it has any; services are then reached through them alone.
+ * @param random - Source of random numbers, for the service that begins.
  */
-export function createRouter(services: readonly Service[]): Router {
-	const routes = new Map<string, Map<string, Service>>();
-	for (const service of services) {
-		const host = service.host?.toLowerCase() ?? anyHost;
-		const paths = routes.get(host) ?? new Map<string, Service>();
-		paths.set(trimSlash(service.path), service);
-		routes.set(host, paths);
+export function createRouter(services: readonly Service[], routes?: readonly Route[], random: () => number = Math.random): Router {
+	const places = new Map<string, Map<string, Place>>();
+
+	function put(host: string | undefined, path: string, policy: RoutePolicy): void {
+		const key = host?.toLowerCase() ?? anyHost;
+		const paths = places.get(key) ?? new Map<string, Place>();
+		paths.set(trimSlash(path), {path: routes === undefined ? trimSlash(path) : path, policy});
+		places.set(key, paths);
 	}
 
-	function getByPath(paths: ReadonlyMap<string, Service> | undefined, target: string): Service | undefined {
+	if (routes === undefined) {
+		for (const service of services) {
+			put(service.host, service.path, fromService(service));
+		}
+	} else {
+		for (const route of routes) {
+			put(route.host, route.path, fromRoute(route, random));
+		}
+	}
+
+	function getByPath(paths: ReadonlyMap<string, Place> | undefined, target: string): RoutePolicy | undefined {
 		if (paths === undefined) {
 			return undefined;
 		}
 
-		for (let path = trimSlash(getPath(target)); ; path = path.slice(0, path.lastIndexOf('/'))) {
-			const service = paths.get(path);
-			if (service !== undefined || path === '') {
-				return service;
+		const whole = getPath(target);
+		for (let path = trimSlash(whole); ; path = path.slice(0, path.lastIndexOf('/'))) {
+			const place = paths.get(path);
+			if (place !== undefined && whole.startsWith(place.path)) {
+				return place.policy;
+			}
+
+			if (path === '') {
+				return undefined;
 			}
 		}
 	}
 
 	return {
 		get(host, target) {
-			const byHost = host === undefined || routes.size === 0 ? undefined : routes.get(getHostName(host));
-			return getByPath(byHost, target) ?? getByPath(routes.get(anyHost), target);
+			const byHost = host === undefined || places.size === 0 ? undefined : places.get(getHostName(host));
+			return getByPath(byHost, target) ?? getByPath(places.get(anyHost), target);
 		},
 	};
 }
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -2,16 +2,20 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {type AttemptResult, type Candidate} from '../choice/index.js';
+import {
+	getAskedCandidates, hasRoom, type AttemptResult, type Candidate,
+} from '../choice/index.js';
 import {type Service} from '../configuration/index.js';
-import {mayHedge, mayRetry} from '../retry/index.js';
+import {maximumAttempts, mayHedge, mayRetry} from '../retry/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {streamAnswer, writeHead} from './answer.js';
+import {type AskedCandidate} from './asker.js';
 import {startAttempt, type Attempt, type Outcome} from './attempt.js';
 import {type CallContext} from './call.js';
 import {type Claim} from './claims.js';
 import {type ServiceState} from './fleet.js';
 import {getForwardedHeaders} from './headers.js';
+import {type RoutePolicy} from './router.js';
 
 /** What a caller asks for. */
 export type Request = {
@@ -25,6 +29,12 @@
 
 type Running = {readonly attempt: Attempt; readonly candidate: Candidate; readonly startedAt: number};
 
+/** Time in which servers that are asked answer, where the document does not say, in milliseconds. */
+const ordinaryAskMilliseconds = 10;
+
+/** Share of the target latency after which a second attempt may still meet it. */
+const hedgedTargetShare = 0.5;
+
 const noZones: ReadonlySet<string> = new Set();
 
 /** An admitted call. */
@@ -32,6 +42,7 @@
 	readonly context: CallContext;
 	readonly state: ServiceState;
 	readonly service: Service;
+	readonly route: RoutePolicy;
 	readonly request: Request;
 	readonly incoming: IncomingMessage;
 	readonly response: ServerResponse;
@@ -48,7 +59,7 @@
  * @param call - Admitted call.
  */
 export function runCall(call: Call): void {
-	const {context, state, service, request, response, deadlineAt} = call;
+	const {context, state, service, route, request, response, deadlineAt} = call;
 	const running = new Set<Running>();
 	const excluded = new Set<number>();
 	let avoidedZones: Set<string> | undefined;
@@ -57,6 +68,8 @@
 	let isSettled = false;
 	let hasDispatched = false;
 	let mayHaveRunBefore = false;
+	let forgetQuestion: (() => void) | undefined;
+	const largestAttempts = route.attempts ?? maximumAttempts;
 
 	function settle(): boolean {
 		if (isSettled) {
@@ -65,6 +78,7 @@
 
 		isSettled = true;
 		clearTimeout(hedgeTimer);
+		forgetQuestion?.();
 		return true;
 	}
 
@@ -104,7 +118,7 @@
 
 	function mayDispatch(): boolean {
 		const now = performance.now();
-		return !isSettled && context.isLeaseValid(now) && now < deadlineAt;
+		return !isSettled && context.mayDispatch(now) && now < deadlineAt;
 	}
 
 	function start(candidate: Candidate, kind: 'first' | 'retry' | 'hedge'): void {
@@ -118,14 +132,15 @@
 		attempts++;
 		excluded.add(candidate.id);
 		context.metrics.attempted(service.name, kind);
-		candidate.start();
+		candidate.start(now);
 		const attempt = startAttempt({
 			pool: server.pool,
+			dialect: context.dialect,
 			requestId: call.requestId,
 			method: request.method,
 			target: request.target,
 			headers: getForwardedHeaders({
-				incoming: call.incoming, requestId: call.requestId, remainingMilliseconds: deadlineAt - now, body: request.body, isStreamed: request.stream !== undefined,
+				dialect: context.dialect, incoming: call.incoming, requestId: call.requestId, server: candidate.getAnnouncement().name, remainingMilliseconds: deadlineAt - now, body: request.body, isStreamed: request.stream !== undefined,
 			}),
 			body: request.body,
 			stream: request.stream,
@@ -133,13 +148,7 @@
 			maximumHeldBytes: context.maximumHeldBytes,
 			mayDispatch,
 			hinted(hints) {
-				if (hints.isCold) {
-					candidate.turnCold();
-				}
-
-				if (hints.load !== undefined) {
-					candidate.setReportedLoad(hints.load);
-				}
+				context.hinted(candidate, hints);
 			},
 			ended(outcome) {
 				end(self, outcome);
@@ -194,7 +203,7 @@
 		const {head, body} = outcome;
 		call.claim?.finish(body.length <= context.maximumStoredBytes ? {status: head.status, headers: head.headers, body} : undefined);
 		if (!response.destroyed) {
-			writeHead(response, head, call.requestId, context.isClosing());
+			writeHead(context.dialect, response, head, call.requestId, context.isClosing());
 			response.end(body);
 		}
 
@@ -204,7 +213,7 @@
 	function answerLarge(outcome: Extract<Outcome, {readonly kind: 'large'}>): void {
 		const {head, start: chunks, rest} = outcome;
 		call.claim?.finish(undefined);
-		writeHead(response, head, call.requestId, context.isClosing());
+		writeHead(context.dialect, response, head, call.requestId, context.isClosing());
 		streamAnswer({
 			response, chunks, rest, deadlineAt, ended(isWhole) {
 				const verdict: Verdict = isWhole ? {kind: 'ran', status: head.status} : mayHaveRun('answer-truncated');
@@ -223,7 +232,7 @@
 			return;
 		}
 
-		void context.suspects.reportCrash(call.fingerprint(), candidate.id).then(isQuarantined => {
+		void context.reportCrash(call.fingerprint(), candidate.id).then(isQuarantined => {
 			retryOrRefuse(outcome.verdict, isQuarantined);
 		});
 	}
@@ -238,16 +247,24 @@
 			isIdempotent: request.isIdempotent,
 			isRepeatable: request.stream === undefined,
 			attempts,
+			largestAttempts,
 			remainingMilliseconds: deadlineAt - performance.now(),
 			isQuarantined,
 		});
-		const candidate = isAllowed ? choose(performance.now()) : undefined;
-		if (candidate !== undefined && state.retries.spend()) {
-			start(candidate, 'retry');
+		// A server that was never reached has received no extra request.
+		const isFree = verdict.kind === 'notRun' && verdict.reason === 'unreachable';
+		if (!isAllowed || (!isFree && !state.retries.spend())) {
+			refuse(getFinalVerdict(verdict));
 			return;
 		}
 
-		refuse(getFinalVerdict(verdict));
+		place(candidate => {
+			if (candidate === undefined) {
+				refuse(getFinalVerdict(verdict));
+			} else {
+				start(candidate, 'retry');
+			}
+		});
 	}
 
 	/** An earlier attempt may have run even if the last one did not. */
@@ -264,33 +281,83 @@
 			return;
 		}
 
+		if (largestAttempts < 2) {
+			return;
+		}
+
 		state.hedges.earn();
+		const wait = route.targetMilliseconds === undefined ? state.hedgeDelay.getMilliseconds() : route.targetMilliseconds * hedgedTargetShare;
 		// In the turn after the timer's, answers that have already arrived are read before the hedge is sent.
 		hedgeTimer = setTimeout(() => {
 			setImmediate(hedge);
-		}, state.hedgeDelay.getMilliseconds());
+		}, wait);
 	}
 
 	function hedge(): void {
 		// While requests wait, a second attempt would take the slot of one that has had none.
-		const isPointless = isSettled || running.size !== 1 || state.queue.getLength() > 0;
-		const candidate = isPointless ? undefined : choose(performance.now());
-		if (candidate !== undefined && mayDispatch() && state.hedges.spend()) {
-			start(candidate, 'hedge');
+		if (isHedgePointless() || state.hedges.getBalance() < 1) {
+			return;
 		}
+
+		place(candidate => {
+			if (candidate !== undefined && !isHedgePointless() && mayDispatch() && state.hedges.spend()) {
+				start(candidate, 'hedge');
+			}
+		});
+	}
+
+	function isHedgePointless(): boolean {
+		return isSettled || running.size !== 1 || attempts >= largestAttempts || state.queue.getLength() > 0;
 	}
 
+	/** Starts the first attempt, or lets its servers be asked; returns false when no server is open. */
 	function startFirst(): boolean {
-		const candidate = choose(performance.now());
-		if (candidate === undefined) {
+		if (choose(performance.now()) === undefined) {
 			return false;
 		}
 
-		start(candidate, 'first');
-		planHedge();
+		place(candidate => {
+			if (candidate === undefined) {
+				wait();
+				return;
+			}
+
+			start(candidate, 'first');
+			planHedge();
+		});
 		return true;
 	}
 
+	/** Chooses a server, after asking a few where the service wants that. */
+	function place(take: (candidate: Candidate | undefined) => void): void {
+		const {askedCandidates = 0, askMilliseconds = ordinaryAskMilliseconds} = service;
+		const now = performance.now();
+		const asked = askedCandidates === 0 ? [] : getAskedCandidates({
+			candidates: state.getCandidates(), excluded, zone: context.zone, avoidedZones: avoidedZones ?? noZones, count: askedCandidates, now,
+		}, context.random);
+		if (asked.length === 0) {
+			take(choose(now));
+			return;
+		}
+
+		forgetQuestion = context.asker.ask({
+			candidates: asked, waitMilliseconds: askMilliseconds, answered(readings) {
+				forgetQuestion = undefined;
+				if (!isSettled) {
+					take(getPlace(readings, asked));
+				}
+			},
+		});
+	}
+
+	/** Gets the best of the servers that answered, or one of those that might not have been heard in time. */
+	function getPlace(readings: readonly AskedCandidate[], asked: readonly Candidate[]): Candidate | undefined {
+		const now = performance.now();
+		const open = readings.filter(({candidate}) => candidate.isOpen(now));
+		const best = open.find(({reading}) => hasRoom(reading)) ?? open[0];
+		return best?.candidate ?? asked.find(candidate => candidate.isOpen(now)) ?? choose(now);
+	}
+
 	function wait(): void {
 		const isQueued = state.getCandidates().length > 0 && state.queue.add({
 			deadlineAt,
--- a/source/lease/lease.test.ts
+++ b/source/lease/lease.test.ts
@@ -8,7 +8,7 @@
 
 function grant(sequence: number, changes: Partial<Grant> = {}): Grant {
 	return {
-		kind: 'grant', sequence, termMilliseconds, epoch: 1, revision: 0, isWhole: true, servers: [], version: 1, document: undefined, permits: [], duties: [], probeMilliseconds: 1000, quarantined: [], peersRevision: 0, peers: [], ...changes,
+		kind: 'grant', sequence, termMilliseconds, epoch: 1, revision: 0, isWhole: true, servers: [], version: 1, document: undefined, permits: [], duties: [], probeMilliseconds: 1000, quarantined: [], zonesOut: [], entries: 1, peersRevision: 0, peers: [], ...changes,
 	};
 }
 
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -56,8 +56,8 @@
 	readonly isRemoved: boolean;
 };
 
-/** Slots of one cold server that an entry may use. */
-export type Permit = {readonly server: number; readonly slots: number};
+/** Slots of one cold server that an entry may use, or requests a second where its rate is bounded. */
+export type Permit = {readonly server: number; readonly slots: number; readonly requestsPerSecond?: number};
 
 /** A confirmed lease. */
 export type Grant = {
@@ -77,6 +77,10 @@
 	readonly duties: readonly number[];
 	readonly probeMilliseconds: number;
 	readonly quarantined: readonly string[];
+	/** Zones that operators took out of service, whatever the document says. */
+	readonly zonesOut: readonly string[];
+	/** Entries of the environment that hold a lease, this one included. */
+	readonly entries: number;
 	/** Revision of the peers; counts within the epoch. */
 	readonly peersRevision: number;
 	/** Other entries, or undefined when they are the same as in the renewal's revision. */
--- /dev/null
+++ b/source/lease/suspension.ts
@@ -0,0 +1,30 @@
+/**
+ * Notices that a host was suspended: the steady clock stops meanwhile and the time of
+ * day goes on, or both go on and no turn of the loop ran. A lease that is counted on the
+ * steady clock would still look valid after ten seconds of sleep. A time of day that is
+ * set by hand looks the same and costs a lease, which the next renewal brings back.
+ */
+
+/** Difference between two clocks, or between two looks at them, that counts as a suspension, in milliseconds. */
+const toleratedMilliseconds = 400;
+
+/** Watches two clocks. */
+export type SuspensionWatch = {
+	/** Checks whether the host was suspended since the last look. */
+	hasBeenSuspended(wallClock: number, steadyClock: number): boolean;
+};
+
+/** Creates a watch that has not looked yet. */
+export function createSuspensionWatch(): SuspensionWatch {
+	let lastDifference: number | undefined;
+
+	return {
+		hasBeenSuspended(wallClock, steadyClock) {
+			const difference = wallClock - steadyClock;
+			const isFirst = lastDifference === undefined;
+			const jump = Math.abs(difference - (lastDifference ?? difference));
+			lastDifference = difference;
+			return !isFirst && jump > toleratedMilliseconds;
+		},
+	};
+}
--- a/source/program/exit.ts
+++ b/source/program/exit.ts
@@ -1,5 +1,7 @@
 /** Exit codes and the one way in which commands end. */
 
+import process from 'node:process';
+
 /** Exit codes of every command. */
 export const exitCode = {done: 0, refused: 1, badInput: 2} as const;
 
@@ -12,6 +14,18 @@
 	}
 }
 
+/**
+ * Ends the process with the exit code and the lines that an error asks for.
+ * @param error - Error that ended the command.
+ */
+export function endOnError(error: Error): never {
+	const isUsage = error.name === 'CACError';
+	const lines = error instanceof Exit ? error.lines : [isUsage ? `${error.message}; see guavadeck --help` : error.stack ?? error.message];
+	process.stderr.write(`${lines.join('\n')}\n`);
+	// Servers and timers that were started before the error must not keep the process alive.
+	process.exit(error instanceof Exit ? error.code : (isUsage ? exitCode.badInput : exitCode.refused));
+}
+
 /**
  * Ends the command because its input is bad.
  * @param faults - One line for each fault.
--- a/source/program/main.ts
+++ b/source/program/main.ts
@@ -3,12 +3,13 @@
 import {cac} from 'cac';
 import {showBurn, type BurnOptions} from './burn.js';
 import {type OperatorOptions} from './client.js';
-import {Exit, exitCode, rejectInput} from './exit.js';
+import {endOnError, rejectInput} from './exit.js';
 import {loadAndPrint} from './load.js';
 import {
 	apply, changeZone, check, drainServer, promote, show, showHistory, showStatus, type ChangeOptions,
 } from './operate.js';
-import {serveControl, serveEntry} from './serve.js';
+import {serveControl} from './serve-control.js';
+import {serveEntry} from './serve-entry.js';
 import {runTrial} from './trial.js';
 import {version} from './version.js';
 
@@ -31,7 +32,7 @@
 program.command('control', 'Run a control host')
 	.option('--settings <file>', 'Settings in TOML')
 	.option('--found', 'First start of a founding member, on a blank data folder')
-	.action(async (options: ServeOptions & {readonly found?: boolean}) => serveControl(getSettings(options), options.found ?? false));
+	.action(async (options: ServeOptions & {readonly found?: boolean}) => serveControl(getSettings(options), {founding: options.found ?? false}));
 program.command('entry', 'Run an entry').option('--settings <file>', 'Settings in TOML').action(async (options: ServeOptions) => serveEntry(getSettings(options)));
 program.command('try', 'Run everything in one process on loopback').option('--port <port>', 'Port for callers', {default: 0}).action(async (options: {readonly port: number}) => runTrial(Number(options.port)));
 program.command('load <...targets>', 'Send an open-loop load')
@@ -103,18 +104,10 @@
 
 		await program.runMatchedCommand();
 	} catch (error) {
-		end(error as Error);
+		endOnError(error as Error);
 	}
 }
 
-function end(error: Error): void {
-	const isUsage = error.name === 'CACError';
-	const lines = error instanceof Exit ? error.lines : [isUsage ? `${error.message}; see guavadeck --help` : error.stack ?? error.message];
-	process.stderr.write(`${lines.join('\n')}\n`);
-	// Servers and timers that were started before the error must not keep the process alive.
-	process.exit(error instanceof Exit ? error.code : (isUsage ? exitCode.badInput : exitCode.refused));
-}
-
 // The executable's bundle is a script, which has no top-level await.
 // eslint-disable-next-line unicorn/prefer-top-level-await
 void run();
--- /dev/null
+++ b/source/program/serve-control.ts
@@ -0,0 +1,49 @@
+/** Runs a control host until a signal stops it. */
+import {randomInt} from 'node:crypto';
+import process from 'node:process';
+import {startControl, type Api, type ApiOptions} from '../control/index.js';
+import {
+	controlSettingsSchema, readTomlFile, resolveSecurity, type ControlSettings,
+} from '../settings/index.js';
+import {createLog} from '../telemetry/index.js';
+import {exitCode, refuse, rejectInput} from './exit.js';
+import {printLine} from './print.js';
+import {explainAddress, runUntilSignal} from './signals.js';
+import {watchSettings} from './watch.js';
+
+/** Options of `serveControl`. */
+export type ServeControlOptions = {
+	/** Whether this is the first start of a founding member. */
+	readonly founding: boolean;
+	/** Gets an interface in another protocol than the product's own. */
+	getCreateApi?(settings: ControlSettings): (options: ApiOptions) => Api;
+};
+
+/**
+ * Runs a control host.
+ * @param file - Path of the settings.
+ * @param options - Founding, and the protocol of its interface.
+ */
+export async function serveControl(file: string, options: ServeControlOptions): Promise<void> {
+	const settings = readTomlFile(file, controlSettingsSchema).unwrapOrElse(rejectInput);
+	if (settings.seeds.length === 0 && !settings.control.some(host => host.name === settings.name)) {
+		rejectInput([`${file}: name: "${settings.name}" is not among the control hosts; add it to control`]);
+	}
+
+	const security = resolveSecurity({
+		file, name: settings.name, security: settings.security, listening: [settings.links, settings.api],
+	}).unwrapOrElse(rejectInput);
+	const log = createLog(settings.name, settings.logLevel);
+	const started = await explainAddress(file, startControl({
+		settings, security, log, seed: randomInt(2 ** 31), founding: options.founding, createApi: options.getCreateApi?.(settings), failed(error) {
+			log.error({error}, 'storage failed; the process stops');
+			process.exit(exitCode.refused);
+		},
+	}));
+	const control = started.unwrapOrElse(fault => refuse(fault));
+	printLine(`ready control ${settings.name} api ${control.apiPort} links ${control.linksPort}`);
+	watchSettings({
+		file, schema: controlSettingsSchema, log, changed: control.reload,
+	});
+	await runUntilSignal(log, {stop: control.stop, getInFlight: () => 0});
+}
--- a/source/retry/budget.ts
+++ b/source/retry/budget.ts
@@ -18,12 +18,13 @@
  * Creates a budget.
  * @param getRatio - Gets the share of requests that may have an extra attempt.
  * @param initial - Attempts that may be spent before any request earned.
+ * @param getLargest - Gets the largest balance.
  */
-export function createAttemptBudget(getRatio: () => number, initial: number): AttemptBudget {
+export function createAttemptBudget(getRatio: () => number, initial: number, getLargest: () => number = () => largestBalance): AttemptBudget {
 	let balance = initial;
 	return {
 		earn() {
-			balance = Math.min(largestBalance, balance + getRatio());
+			balance = Math.min(getLargest(), balance + getRatio());
 		},
 		spend() {
 			if (balance < 1) {
--- a/source/retry/decision.ts
+++ b/source/retry/decision.ts
@@ -11,6 +11,8 @@
 	/** Whether the body can be sent again. */
 	readonly isRepeatable: boolean;
 	readonly attempts: number;
+	/** Attempts at most, where the route says; `maximumAttempts` otherwise. */
+	readonly largestAttempts?: number;
 	readonly remainingMilliseconds: number;
 	readonly isQuarantined: boolean;
 };
@@ -24,7 +26,7 @@
 	return isAllowed
 		&& attempt.isRepeatable
 		&& !attempt.isQuarantined
-		&& attempt.attempts < maximumAttempts
+		&& attempt.attempts < (attempt.largestAttempts ?? maximumAttempts)
 		&& attempt.remainingMilliseconds > 0;
 }
 
--- a/source/settings/security.ts
+++ b/source/settings/security.ts
@@ -34,7 +34,7 @@
 export function resolveSecurity(options: SecurityOptions): Result<Security, readonly Fault[]> {
 	const {file, name, security, listening} = options;
 	const open = listening.find(address => !isLoopback(address.host));
-	if (open !== undefined && (security.sharedKeyFile === undefined || security.operatorKeyFile === undefined)) {
+	if (security.trustNetwork !== true && open !== undefined && (security.sharedKeyFile === undefined || security.operatorKeyFile === undefined)) {
 		return Result.err([`${file}: security: ${open.host} is not a loopback address; set security.sharedKeyFile and security.operatorKeyFile`]);
 	}
 
--- a/source/settings/settings.ts
+++ b/source/settings/settings.ts
@@ -5,10 +5,21 @@
 import {z} from 'zod';
 
 const port = z.number().int().min(0).max(65_535);
-const address = z.strictObject({
+
+/** Turns an address that is written as `host:port` into its parts. */
+function splitAddress(value: unknown): unknown {
+	if (typeof value !== 'string') {
+		return value;
+	}
+
+	const colon = value.lastIndexOf(':');
+	return {host: value.slice(0, colon), port: Number(value.slice(colon + 1))};
+}
+
+const address = z.preprocess(splitAddress, z.strictObject({
 	host: z.union([z.ipv4(), z.ipv6()], 'use an IP number'),
 	port,
-}).readonly();
+}).readonly());
 
 const controlHost = z.strictObject({
 	name: z.string().min(1).max(63),
@@ -22,25 +33,48 @@
 	certificateFile: z.string().min(1).optional(),
 	certificateKeyFile: z.string().min(1).optional(),
 	authorityFile: z.string().min(1).optional(),
+	/** Whether everybody who reaches the process is trusted, because the network is closed. */
+	trustNetwork: z.boolean().optional(),
 }).readonly();
 
 const common = {
 	name: z.string().regex(/^[a-z\d][a-z\d\-]{0,62}$/v, 'use 1 to 63 lower-case letters, digits and hyphens'),
 	zone: z.string().min(1).max(63),
-	control: z.array(controlHost).min(1, 'name at least one control host').readonly(),
+	control: z.array(controlHost).readonly().default([]),
+	/** Addresses for links of a few control hosts, from which the others are learned, in place of `control`. */
+	seeds: z.array(address).readonly().default([]),
+	/** Port for links on every control host, where seeds name another port. */
+	seedPort: port.min(1).optional(),
 	security: security.prefault({}),
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 };
 
+const missingControlHosts = {path: ['control'], message: 'name at least one control host, or seeds'};
+
+function namesControlHosts(settings: {readonly control: readonly unknown[]; readonly seeds: readonly unknown[]}): boolean {
+	return settings.control.length > 0 || settings.seeds.length > 0;
+}
+
 const lease = z.strictObject({
 	termMilliseconds: z.number().int().min(200).max(60_000).default(3000),
 	renewMilliseconds: z.number().int().min(20).max(10_000).default(500),
 }).readonly();
 
+const attemptBudget = z.strictObject({
+	/** Extra attempts for each request. */
+	ratio: z.number().min(0).max(1),
+	/** Further extra attempts in any ten seconds or so, shared by all entries. */
+	slack: z.number().min(0),
+}).readonly();
+
 /** Settings of an entry process. */
 export const entrySettingsSchema = z.strictObject({
 	...common,
 	environment: z.enum(['trial', 'production']).default('production'),
+	/** What becomes of new work while no control host can be reached: refused, or served by what is known. */
+	withoutControl: z.enum(['stop', 'serve']).default('stop'),
+	/** Extra attempts that all entries together may make for a service. */
+	attemptBudget: attemptBudget.optional(),
 	callers: address,
 	admin: address,
 	peers: address.optional(),
@@ -50,7 +84,7 @@
 	maximumBodyBytes: z.number().int().min(1024).max(1_073_741_824).default(1_048_576),
 	maximumHeldAnswerBytes: z.number().int().min(0).max(16_777_216).default(262_144),
 	lease: lease.prefault({}),
-}).readonly();
+}).readonly().refine(namesControlHosts, missingControlHosts);
 
 const election = z.strictObject({
 	timeoutMilliseconds: z.number().int().min(50).max(10_000).default(300),
@@ -68,15 +102,21 @@
 export const controlSettingsSchema = z.strictObject({
 	...common,
 	dataFolder: z.string().min(1),
+	/** Whether this is the first start of the whole system, which the seeds found. */
+	founding: z.boolean().default(false),
+	/** Control hosts that may be lost at the same time; with seeds, it decides how many vote. */
+	toleratedLosses: z.number().int().min(0).max(10).default(2),
 	links: address,
 	api: address,
 	election: election.prefault({}),
 	ledger: ledger.prefault({}),
 	lease: lease.prefault({}),
+	/** Longest time for which a call waits for the host that leads. */
+	forwardMilliseconds: z.number().int().min(50).max(60_000).default(5000),
 	stopPatienceMilliseconds: z.number().int().min(0).max(600_000).default(10_000),
 	snapshotEvery: z.number().int().min(10).max(10_000_000).default(10_000),
 	snapshotBytes: z.number().int().min(65_536).max(1_073_741_824).default(16_777_216),
-}).readonly();
+}).readonly().refine(namesControlHosts, missingControlHosts);
 
 /** Settings of an entry process. */
 export type EntrySettings = z.infer<typeof entrySettingsSchema>;
@@ -89,3 +129,11 @@
 
 /** An IP number with a port. */
 export type Address = z.infer<typeof address>;
+
+/**
+ * Gets the addresses for links of the control hosts that are seeds.
+ * @param settings - Settings of a process.
+ */
+export function getSeeds(settings: {readonly seeds: readonly Address[]; readonly seedPort?: number}): readonly Address[] {
+	return settings.seeds.map(({host, port}) => ({host, port: settings.seedPort ?? port}));
+}
--- a/source/storage/folder.ts
+++ b/source/storage/folder.ts
@@ -17,6 +17,8 @@
 export type DataFolder = {
 	/** Id of the replica whose state the folder holds. */
 	readonly replica: string;
+	/** Replicas of the founding members, where the folder belongs to one of them and names them. */
+	readonly founders: readonly string[] | undefined;
 	unlock(): void;
 };
 
@@ -33,7 +35,7 @@
  * @param replica - Id of a replica.
  */
 export function getHostName(replica: string): string {
-	return replica.slice(0, replica.indexOf(':'));
+	return replica.slice(0, replica.lastIndexOf(':'));
 }
 
 /**
@@ -56,24 +58,70 @@
 
 	return Result.ok({
 		replica: readIdentity(folder, name, founding),
+		founders: undefined,
 		unlock() {
 			lock.close();
 		},
 	});
 }
 
+/** Options of `openSeededFolder`. */
+export type SeededFolderOptions = {
+	/** Name of the control host. */
+	readonly name: string;
+	/** Hosts that found the system together, the same on each of them, if this is its first start. */
+	readonly founders: readonly string[];
+};
+
+/**
+ * Opens the data folder of a host that finds the others through seeds. On the very first
+ * start the hosts that are seeds themselves found the system; what they founded is
+ * written down before anything else, so that a later start with other seeds, or a blank
+ * folder, can never found a second one.
+ * @param folder - Path of the folder.
+ * @param options - Name of the host, and the founders.
+ */
+export function openSeededFolder(folder: string, options: SeededFolderOptions): DataFolder {
+	mkdirSync(folder, {recursive: true});
+	const file = path.join(folder, identityFile);
+	if (!existsSync(file)) {
+		const isFounder = options.founders.includes(options.name);
+		const replica = isFounder ? getFounderId(options.name) : getRandomId(options.name);
+		const founders = isFounder ? options.founders.map(founder => getFounderId(founder)) : [];
+		writeIdentity(folder, [replica, ...founders].join('\n'));
+	}
+
+	const [replica, ...founders] = readFileSync(file, 'utf8').trim().split('\n');
+	return {
+		replica: replica!,
+		founders,
+		unlock() {
+			// Whoever starts these processes runs one for each folder.
+		},
+	};
+}
+
 function readIdentity(folder: string, name: string, founding: boolean): string {
 	const file = path.join(folder, identityFile);
 	if (existsSync(file)) {
 		return readFileSync(file, 'utf8').trim();
 	}
 
-	const identity = founding ? getFounderId(name) : `${name}:${randomBytes(8).toString('hex')}`;
+	const identity = founding ? getFounderId(name) : getRandomId(name);
+	writeIdentity(folder, identity);
+	return identity;
+}
+
+function getRandomId(name: string): string {
+	return `${name}:${randomBytes(8).toString('hex')}`;
+}
+
+function writeIdentity(folder: string, identity: string): void {
+	const file = path.join(folder, identityFile);
 	writeFileSync(`${file}.new`, `${identity}\n`);
 	syncFile(`${file}.new`);
 	renameSync(`${file}.new`, file);
 	syncFile(folder);
-	return identity;
 }
 
 function syncFile(file: string): void {
--- a/source/storage/store.ts
+++ b/source/storage/store.ts
@@ -65,6 +65,7 @@
  */
 export async function openStore(folder: string, codec: SnapshotCodec = wholeCodec): Promise<Store> {
 	await mkdir(folder, {recursive: true});
+	await syncFolder(path.dirname(folder));
 	const snapshot = readNewestSnapshot(folder, codec);
 	const generations = listMatches(folder, logPattern);
 	let generation = generations.at(-1) ?? 0;
@@ -264,6 +265,11 @@
 	await aside.sync();
 	await aside.close();
 	await rename(`${file}.new`, file);
+	await syncFolder(folder);
+}
+
+/** Makes the names in a folder durable. */
+async function syncFolder(folder: string): Promise<void> {
 	const directory = await open(folder, 'r');
 	await directory.sync();
 	await directory.close();
--- a/source/wire/handshake.ts
+++ b/source/wire/handshake.ts
@@ -6,6 +6,7 @@
 import {type Buffer} from 'node:buffer';
 import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
 import {type Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {Subject} from 'rxjs';
 import {
 	createFrameReader, encodeFrame, maximumFrameBytes, maximumHandshakeBytes,
@@ -15,9 +16,21 @@
 const nonceBytes = 16;
 const handshakeTimeoutMilliseconds = 2000;
 
+/** Time without a message after which a link sends an empty one, in milliseconds. */
+const pingMilliseconds = 600;
+
+/** Silence after which a link counts as dead, in milliseconds: two pings and the time that a busy peer may take. */
+const silenceMilliseconds = 1800;
+
 /** Bytes that may wait in a link's socket before further messages are dropped. */
 const maximumBacklogBytes = 128 * 1024 * 1024;
 
+/** Interval at which a link is looked after, in milliseconds. */
+const pulseMilliseconds = 300;
+
+/** Message that says nothing but that the link works. */
+const ping = 0;
+
 type Hello = {readonly kind: 'hello'; readonly name: string; readonly nonce: Uint8Array};
 type Proof = {readonly kind: 'proof'; readonly mac: Uint8Array};
 
@@ -61,6 +74,9 @@
 	const nonce = randomBytes(nonceBytes);
 	let peer: Hello | undefined;
 	let isOpen = false;
+	let heardAt = performance.now();
+	let sentAt = heardAt;
+	let pulse: NodeJS.Timeout | undefined;
 	const timer = setTimeout(() => {
 		socket.destroy();
 	}, handshakeTimeoutMilliseconds);
@@ -73,11 +89,26 @@
 		return isOwn ? [prover, hello.nonce, nonce, identity.name] : [prover, nonce, hello.nonce, hello.name];
 	}
 
+	/** Keeps the link from falling silent, and ends it when the peer has. */
+	function beat(): void {
+		const now = performance.now();
+		if (now - heardAt >= silenceMilliseconds) {
+			socket.destroy();
+		} else if (now - sentAt >= pingMilliseconds) {
+			write(ping);
+		}
+	}
+
+	function write(message: unknown): void {
+		sentAt = performance.now();
+		socket.write(encodeFrame(message));
+	}
+
 	const link: Omit<Link<Message>, 'peer'> = {
 		messages,
 		send(message) {
 			if (!socket.destroyed && socket.writableLength < maximumBacklogBytes) {
-				socket.write(encodeFrame(message));
+				write(message);
 			}
 		},
 		close() {
@@ -87,7 +118,10 @@
 
 	function accept(message: unknown): void {
 		if (isOpen) {
-			messages.next(message as Message);
+			if (message !== ping) {
+				messages.next(message as Message);
+			}
+
 			return;
 		}
 
@@ -112,10 +146,12 @@
 		isOpen = true;
 		clearTimeout(timer);
 		reader.setBound(maximumFrameBytes);
+		pulse = setInterval(beat, pulseMilliseconds);
 		handshake.opened({...link, peer: peer.name});
 	}
 
 	socket.on('data', chunk => {
+		heardAt = performance.now();
 		try {
 			for (const message of reader.push(chunk)) {
 				accept(message);
@@ -129,6 +165,7 @@
 	});
 	socket.on('close', () => {
 		clearTimeout(timer);
+		clearInterval(pulse);
 		messages.complete();
 		handshake.closed();
 	});
--- a/xo.config.js
+++ b/xo.config.js
@@ -2,7 +2,7 @@
 const config = [
 	{
 		// The parser is generated from grammar.peggy.
-		ignores: ['dist/**', 'scenario/grammar.js', 'scenario/grammar.d.ts'],
+		ignores: ['dist/**', 'target/**', 'scenario/grammar.js', 'scenario/grammar.d.ts'],
 	},
 	{
 		files: ['**/*.ts', '**/*.js'],
