--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -384,12 +384,22 @@
 	const subscription: Subscription = driver.roles.subscribe(changeRole);
 	subscription.add(driver.leading.subscribe(lead));
 	subscription.add(driver.applied.subscribe(answer => {
-		if (answer.area === 'registry') {
-			leadership?.serversChanged(answer.changed, performance.now());
-		} else if (answer.area === 'zones') {
-			leadership?.serversChanged(answer.changed, performance.now());
-		} else if (answer.area === 'configuration') {
-			leadership?.documentChanged(performance.now());
+		switch (answer.area) {
+			case 'registry':
+			case 'zones': {
+				leadership?.serversChanged(answer.changed, performance.now());
+				break;
+			}
+
+			case 'configuration': {
+				leadership?.documentChanged(performance.now());
+				break;
+			}
+
+			case 'ledger': {
+				// Claims concern nobody but the one who asked.
+				break;
+			}
 		}
 
 		planNudge();
--- a/source/control/leader.ts
+++ b/source/control/leader.ts
@@ -94,9 +94,11 @@
 	async function leave(name: string, bornAt: number | undefined): Promise<ControlAnswer> {
 		return machine.registry.getKeyByName(name).isNothing
 			? read(() => ({kind: 'left'}))
-			: propose({area: 'registry', command: {
-				kind: 'left', name, bornAt, at: Date.now(),
-			}}, () => ({kind: 'left'}));
+			: propose({
+				area: 'registry', command: {
+					kind: 'left', name, bornAt, at: Date.now(),
+				},
+			}, () => ({kind: 'left'}));
 	}
 
 	async function moveZone(zone: string, isOut: boolean): Promise<ControlAnswer> {
--- a/source/control/neighbours.ts
+++ b/source/control/neighbours.ts
@@ -3,13 +3,13 @@
  * list, or with seeds, the seeds, the members of the replicated log and those that ask
  * to join. Hosts found through seeds are named after their address for links.
  */
+import {Result} from 'true-myth';
 import {type Membership} from '../consensus/index.js';
 import {getAddressName, getNamedAddress, type ControlAddress} from '../control-client/index.js';
 import {getSeeds, type ControlSettings} from '../settings/index.js';
 import {
 	getFounderId, getHostName, openDataFolder, openSeededFolder, type DataFolder,
 } from '../storage/index.js';
-import {Result} from 'true-myth';
 
 /** How a control host finds itself and the others. */
 export type Neighbourhood = {
--- a/source/entry/asker.ts
+++ b/source/entry/asker.ts
@@ -4,7 +4,9 @@
  * after a while its connection.
  */
 import {Agent, request as startRequest} from 'node:http';
-import {getExpectedTime, isQuiet, type Candidate, type Reading} from '../choice/index.js';
+import {
+	getExpectedTime, isQuiet, type Candidate, type Reading,
+} from '../choice/index.js';
 import {type Dialect, type ServerHints} from './dialect.js';
 import {type FleetServer} from './fleet.js';
 
--- a/source/entry/dialect.ts
+++ b/source/entry/dialect.ts
@@ -67,9 +67,11 @@
 		return {
 			// A cold server of this dialect doesn't say for how long; any positive time stands for it.
 			coldMilliseconds: headers[stateHeader] === 'cold' ? 1 : undefined,
-			load: typeof load === 'string' ? {
-				running: Number(load), waiting: 0, slots: 0, slowness: 1,
-			} : undefined,
+			load: typeof load === 'string'
+				? {
+					running: Number(load), waiting: 0, slots: 0, slowness: 1,
+				}
+				: undefined,
 		};
 	},
 	isNotRun: (status, headers) => status === shedStatus && headers[verdictHeader] === notRunValue,
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -76,9 +76,11 @@
 	const random = createRandom(options.seed);
 	const metrics = createEntryMetrics();
 	const {attemptBudget} = settings;
-	const fleet = createFleet(random, attemptBudget === undefined ? undefined : {
-		ratio: attemptBudget.ratio, getSlack: () => attemptBudget.slack / entries,
-	});
+	const fleet = createFleet(random, attemptBudget === undefined
+		? undefined
+		: {
+			ratio: attemptBudget.ratio, getSlack: () => attemptBudget.slack / entries,
+		});
 	const suspension = createSuspensionWatch();
 	const counts = createJointCounts();
 	const counter = createServiceLevelCounter(settings.name, settings.environment);
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -332,9 +332,11 @@
 	function place(take: (candidate: Candidate | undefined) => void): void {
 		const {askedCandidates = 0, askMilliseconds = ordinaryAskMilliseconds} = service;
 		const now = performance.now();
-		const asked = askedCandidates === 0 ? [] : getAskedCandidates({
-			candidates: state.getCandidates(), excluded, zone: context.zone, avoidedZones: avoidedZones ?? noZones, count: askedCandidates, now,
-		}, context.random);
+		const asked = askedCandidates === 0
+			? []
+			: getAskedCandidates({
+				candidates: state.getCandidates(), excluded, zone: context.zone, avoidedZones: avoidedZones ?? noZones, count: askedCandidates, now,
+			}, context.random);
 		if (asked.length === 0) {
 			take(choose(now));
 			return;
