--- /dev/null
+++ b/source/choice/reading.test.ts
@@ -0,0 +1,54 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {announcementSchema} from '../announcement/index.js';
+import {createRandom} from '../randomness/index.js';
+import {
+	createCandidate, getAskedCandidates, getExpectedTime, hasRoom, isQuiet, type Candidate,
+} from './index.js';
+
+function create(id: number, zone: string): Candidate {
+	return createCandidate(id, announcementSchema.parse({
+		service: 'stock', name: `s${id}`, host: '127.0.0.1', port: 1, zone, slots: 6, connections: 100, boot: 'b', state: 'warm',
+	}), 'warm');
+}
+
+describe('getAskedCandidates', () => {
+	function doTest(prepare: (candidates: readonly Candidate[]) => void, expected: readonly string[]): void {
+		const candidates = [create(1, 'north'), create(2, 'north'), create(3, 'south'), create(4, 'south')];
+		prepare(candidates);
+		const asked = getAskedCandidates({
+			candidates, excluded: new Set(), zone: 'north', avoidedZones: new Set(), count: 2, now: 0,
+		}, createRandom(3));
+		expect(asked.map(candidate => candidate.getAnnouncement().zone)).toEqual([...expected]);
+	}
+
+	test('asks in the own zone first', () => {
+		doTest(() => undefined, ['north', 'north']);
+	});
+	test('asks elsewhere where the own zone is loaded', () => {
+		doTest(([first, second]) => {
+			for (let count = 0; count < 6; count++) {
+				first!.start();
+				second!.start();
+			}
+		}, ['south', 'south']);
+	});
+});
+
+describe('readings of a server', () => {
+	test('a slow server takes longer than a loaded one', () => {
+		const slow = getExpectedTime({
+			running: 0, waiting: 0, slots: 6, slowness: 5,
+		});
+		const loaded = getExpectedTime({
+			running: 5, waiting: 0, slots: 6, slowness: 1,
+		});
+		expect(slow > loaded).toEqual(true);
+	});
+	test('one beyond its knee is not quiet although it has room', () => {
+		const reading = {
+			running: 4, waiting: 0, slots: 5, slowness: 1,
+		};
+		expect([hasRoom(reading), isQuiet(reading)]).toEqual([true, false]);
+	});
+});
--- /dev/null
+++ b/source/cold-start/rate.test.ts
@@ -0,0 +1,89 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {createRandom} from '../randomness/index.js';
+import {createCandidate} from '../choice/index.js';
+import {announcementSchema} from '../announcement/index.js';
+import {createRateAllocator} from './rate.js';
+
+const termMilliseconds = 3000;
+
+/** Requests that a server may get in any second, as its operators allow: half more than its rate, and five. */
+function getBound(requestsPerSecond: number): number {
+	return (requestsPerSecond * 1.5) + 5;
+}
+
+describe('createRateAllocator: a zone that returns while every entry has requests for it', () => {
+	/** Lets every entry send whenever its permit allows, and counts the busiest second of a cold server. */
+	function doTest(seed: number, entryCount: number, requestsPerSecond: number): void {
+		const random = createRandom(seed);
+		const allocator = createRateAllocator();
+		allocator.add({
+			id: 1, requestsPerSecond, openAt: 0, coldUntil: 10_000,
+		});
+		const announcement = announcementSchema.parse({
+			service: 'stock', name: 'one', host: '127.0.0.1', port: 1, zone: 'north', slots: 6, connections: 100, boot: 'b', state: 'warm',
+		});
+		const entries = Array.from({length: entryCount}, (_, index) => ({name: `e${index}`, candidate: createCandidate(1, announcement, 'cold'), renewAt: random() * 500, expiresAt: 0}));
+		const sentAt: number[] = [];
+		for (let now = 0; now < 9000; now++) {
+			for (const entry of entries) {
+				if (now >= entry.renewAt) {
+					entry.renewAt = now + 500;
+					entry.expiresAt = now + termMilliseconds;
+					const [permit] = allocator.grant(entry.name, entry.expiresAt, now);
+					entry.candidate.setRate(permit?.requestsPerSecond, now);
+				}
+
+				if (entry.candidate.isOpen(now)) {
+					entry.candidate.start(now);
+					sentAt.push(now);
+				}
+			}
+		}
+
+		const busiest = Math.max(...sentAt.map((from, index) => sentAt.slice(index).filter(at => at < from + 1000).length));
+		expect(busiest <= getBound(requestsPerSecond)).toEqual(true);
+		expect(sentAt.length >= requestsPerSecond * 9 * 0.8).toEqual(true);
+	}
+
+	test('uses the rate and stays within the bound with 19 entries', () => {
+		doTest(1, 19, 18);
+	});
+	test('uses the rate and stays within the bound with 60 entries', () => {
+		doTest(2, 60, 9.2);
+	});
+});
+
+describe('createRateAllocator: holders', () => {
+	test('gives nothing while an earlier leader\'s permits may be in use', () => {
+		const allocator = createRateAllocator();
+		allocator.add({
+			id: 1, requestsPerSecond: 8, openAt: 3000, coldUntil: 9000,
+		});
+		expect(allocator.grant('a', 4000, 1000)).toEqual([]);
+		expect(allocator.grant('a', 6000, 3000)).toEqual([{server: 1, requestsPerSecond: 2}]);
+	});
+	test('passes a place on only when its holder\'s lease has ended', () => {
+		const allocator = createRateAllocator();
+		allocator.add({
+			id: 1, requestsPerSecond: 8, openAt: 0, coldUntil: 9000,
+		});
+		for (const entry of ['a', 'b', 'c', 'd']) {
+			allocator.grant(entry, 3000, 0);
+		}
+
+		expect(allocator.grant('e', 5999, 2999)).toEqual([]);
+		expect(allocator.grant('e', 6000, 3000).length).toEqual(1);
+	});
+	test('stays cold for the longest time that was told', () => {
+		const allocator = createRateAllocator();
+		allocator.add({
+			id: 1, requestsPerSecond: 8, openAt: 0, coldUntil: 5000,
+		});
+		allocator.add({
+			id: 1, requestsPerSecond: 8, openAt: 0, coldUntil: 2000,
+		});
+		expect(allocator.getWarmed(4999)).toEqual([]);
+		expect(allocator.getWarmed(5000)).toEqual([1]);
+	});
+});
--- /dev/null
+++ b/source/configuration/declaration.test.ts
@@ -0,0 +1,48 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {createRandom} from '../randomness/index.js';
+import {createRegister, documentSchema, type ConfigurationCommand} from './index.js';
+
+function declare(version: number, source = `text of ${version}`): ConfigurationCommand {
+	const document = documentSchema.parse({
+		zones: [{name: 'north'}], services: [{name: 'stock'}], routes: [{
+			name: source, parts: [{service: 'stock', weight: 1}], isIdempotent: true, timeoutMilliseconds: 1000, targetMilliseconds: 200, attempts: 2,
+		}],
+	});
+	return {
+		kind: 'declare', environment: 'production', version, document, source, author: 'operator', at: 0,
+	};
+}
+
+describe('createRegister: declarations', () => {
+	function doTest(commands: readonly ConfigurationCommand[], expected: readonly string[], source: string): void {
+		let register = createRegister();
+		const answers: string[] = commands.map(command => {
+			const answer = register.apply(command);
+			const image = register.getImage();
+			register = createRegister();
+			register.restore(image);
+			return answer.kind;
+		});
+		expect(answers).toEqual([...expected]);
+		expect(register.getCurrent('production').map(version => version.source ?? '').unwrapOr('')).toEqual(source);
+	}
+
+	test('lets the highest version be in force', () => {
+		doTest([declare(7), declare(12), declare(9)], ['accepted', 'accepted', 'superseded'], 'text of 12');
+	});
+	test('changes nothing for other content under the version held', () => {
+		doTest([declare(7), declare(7, 'other')], ['accepted', 'superseded'], 'text of 7');
+	});
+	test('never falls back, however operators race and resend', () => {
+		const random = createRandom(9);
+		const register = createRegister();
+		let highest = 0;
+		for (let step = 0; step < 500; step++) {
+			const version = Math.max(1, highest + Math.floor(random() * 9) - 5);
+			register.apply(declare(version));
+			highest = Math.max(highest, version);
+			expect(register.getCurrentNumber('production')).toEqual(highest);
+		}
+	});
+});
--- /dev/null
+++ b/source/consensus/membership.test.ts
@@ -0,0 +1,77 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {getNextMembership, type MembershipView} from './membership.js';
+import {type Membership} from './message.js';
+
+const five = ['a:1', 'b:1', 'c:1', 'd:1', 'e:1'];
+
+function getHost(replica: string): string {
+	return replica.slice(0, replica.indexOf(':'));
+}
+
+function view(membership: Membership, changes: Partial<MembershipView> & {readonly silent?: readonly string[]} = {}): MembershipView {
+	const {silent = [], ...rest} = changes;
+	return {
+		self: 'a:1', membership, lastIndex: 100, joining: [], getMatchIndex: () => 100, getHost, voters: 5, getSilence: id => silent.includes(id) ? 1600 : 0, ...rest,
+	};
+}
+
+describe('getNextMembership: a bounded number of voters', () => {
+	function doTest(from: MembershipView, expected: Membership | undefined): void {
+		expect(getNextMembership(from)).toEqual(expected);
+	}
+
+	test('lets a sixth host stand by while all five answer', () => {
+		doTest(view({voters: five, learners: ['f:1']}, {joining: ['f:1']}), undefined);
+	});
+	test('lets it take a vote once a voter has been silent', () => {
+		doTest(view({voters: five, learners: ['f:1']}, {joining: ['f:1'], silent: ['c:1']}), {voters: [...five, 'f:1'], learners: []});
+	});
+	test('removes the silent voter only after its successor has a vote', () => {
+		doTest(view({voters: [...five, 'f:1'], learners: []}, {joining: ['f:1'], silent: ['c:1']}), {voters: ['a:1', 'b:1', 'd:1', 'e:1', 'f:1'], learners: []});
+	});
+	test('keeps silent voters for which nobody stands by', () => {
+		doTest(view({voters: five, learners: []}, {silent: ['c:1', 'd:1']}), undefined);
+	});
+	test('keeps a learner that lags from voting', () => {
+		doTest(view({voters: five, learners: ['f:1']}, {joining: ['f:1'], silent: ['c:1'], getMatchIndex: id => id === 'f:1' ? 10 : 100}), undefined);
+	});
+	test('replaces a lost identity of the same host although all places are taken', () => {
+		doTest(view({voters: five, learners: ['c:2']}, {joining: ['c:2']}), {voters: [...five, 'c:2'], learners: []});
+		doTest(view({voters: [...five, 'c:2'], learners: []}, {joining: ['c:2']}), {voters: ['a:1', 'b:1', 'd:1', 'e:1', 'c:2'], learners: []});
+	});
+	test('grows to the bound', () => {
+		doTest(view({voters: ['a:1', 'b:1', 'c:1'], learners: ['d:1']}, {joining: ['d:1']}), {voters: ['a:1', 'b:1', 'c:1', 'd:1'], learners: []});
+	});
+});
+
+describe('getNextMembership: two losses after each other', () => {
+	/** Plays repairs: each lost host is replaced at a new address, until nothing changes. */
+	function doTest(lost: ReadonlyArray<readonly string[]>): void {
+		let membership: Membership = {voters: five, learners: []};
+		const gone = new Set<string>();
+		const joining: string[] = [];
+		for (const [round, hosts] of lost.entries()) {
+			for (const replica of hosts) {
+				gone.add(replica);
+				joining.push(`${getHost(replica)}-new${round}:1`);
+			}
+
+			for (let next = getNextMembership(view(membership, {joining, silent: [...gone]})); next !== undefined; next = getNextMembership(view(membership, {joining, silent: [...gone]}))) {
+				const alive = next.voters.filter(voter => !gone.has(voter)).length;
+				expect(alive * 2 > next.voters.length).toEqual(true);
+				membership = next;
+			}
+		}
+
+		expect(membership.voters.length).toEqual(5);
+		expect(membership.voters.some(voter => gone.has(voter))).toEqual(false);
+	}
+
+	test('repairs one at a time', () => {
+		doTest([['b:1'], ['c:1']]);
+	});
+	test('repairs two at once, and two more after that', () => {
+		doTest([['b:1', 'c:1'], ['d:1', 'e:1']]);
+	});
+});
--- /dev/null
+++ b/source/control-client/directory.test.ts
@@ -0,0 +1,34 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {type Directory} from '../control/message.js';
+import {createHostDirectory} from './directory.js';
+
+function tell(index: number, ...hosts: readonly string[]): Directory {
+	return {
+		kind: 'directory', hosts, index, leader: undefined,
+	};
+}
+
+describe('createHostDirectory', () => {
+	function doTest(directories: readonly Directory[], expected: readonly string[]): void {
+		const directory = createHostDirectory({control: [], seeds: [{host: '10.0.0.1', port: 7}]});
+		for (const told of directories) {
+			directory.learn(told);
+		}
+
+		expect(directory.getHosts().map(host => host.name)).toEqual([...expected]);
+	}
+
+	test('starts with the seeds', () => {
+		doTest([], ['10.0.0.1:7']);
+	});
+	test('keeps the seeds beside the members', () => {
+		doTest([tell(4, '10.0.0.2:7', '10.0.0.3:7')], ['10.0.0.2:7', '10.0.0.3:7', '10.0.0.1:7']);
+	});
+	test('takes the newest members, not those that a cut host still tells', () => {
+		doTest([tell(9, '10.0.0.4:7'), tell(4, '10.0.0.2:7')], ['10.0.0.4:7', '10.0.0.1:7']);
+	});
+	test('takes nothing from a host that knows no member', () => {
+		doTest([tell(4, '10.0.0.2:7'), tell(0)], ['10.0.0.2:7', '10.0.0.1:7']);
+	});
+});
--- a/source/entry/answer.ts
+++ b/source/entry/answer.ts
@@ -33,13 +33,12 @@
 		'application/json',
 		'content-length',
 		String(body.length),
-		dialect.requestIdHeader,
-		requestId,
 	];
 	if (dialect.hasVerdictHeaders) {
 		headers.push(verdictHeader, getHeaderValue(verdict), reasonHeader, reason);
 	}
 
+	headers.push(dialect.requestIdHeader, requestId);
 	if (status === 503) {
 		headers.push('retry-after', retryAfterSeconds);
 	}
--- a/source/entry/router.test.ts
+++ b/source/entry/router.test.ts
@@ -1,6 +1,7 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {documentSchema} from '../configuration/index.js';
+import {documentSchema, type Route} from '../configuration/index.js';
+import {createRandom} from '../randomness/index.js';
 import {getDeadline} from './headers.js';
 import {createRouter} from './router.js';
 
@@ -63,3 +64,32 @@
 		doTest('1.5', undefined);
 	});
 });
+
+describe('createRouter: routes of a document', () => {
+	const route: Route = {
+		name: 'orders', host: 'shop.example', path: '/orders/', parts: [{service: 'old', weight: 90}, {service: 'new', weight: 10}], isIdempotent: false, timeoutMilliseconds: 800, targetMilliseconds: 200, priority: 1, attempts: 2,
+	};
+
+	function doTest(target: string, expected: string | undefined): void {
+		const router = createRouter([], [route, {...route, name: 'archive', path: '/orders/old/'}], createRandom(1));
+		expect(router.get('shop.example', target)?.name).toEqual(expected);
+	}
+
+	test('matches a prefix only as it is written', () => {
+		doTest('/orders/7?x=1', 'orders');
+		doTest('/orders', undefined);
+		doTest('/ordersx/7', undefined);
+	});
+	test('prefers the longest prefix', () => {
+		doTest('/orders/old/7', 'archive');
+		doTest('/orders/older/7', 'orders');
+	});
+	test('gives each service its part over any short time', () => {
+		const policy = createRouter([], [route], createRandom(1)).get('shop.example', '/orders/1')!;
+		const taken = Array.from({length: 200}, () => policy.takeService());
+		for (let from = 0; from + 50 <= taken.length; from += 10) {
+			const share = taken.slice(from, from + 50).filter(service => service === 'new').length / 50;
+			expect(share >= 0.08 && share <= 0.12).toEqual(true);
+		}
+	});
+});
--- a/source/storage/store.test.ts
+++ b/source/storage/store.test.ts
@@ -7,7 +7,7 @@
 import {expect} from 'earl';
 import {type LogEntry} from '../consensus/index.js';
 import {
-	CorruptionError, openDataFolder, openStore, type PersistAction, type StoredState,
+	CorruptionError, openDataFolder, openSeededFolder, openStore, type PersistAction, type StoredState,
 } from './index.js';
 
 function entry(index: number, term: number, command: unknown = index): LogEntry {
@@ -135,3 +135,32 @@
 	test('gives a founder its name, and locks and keeps it', async () => doTest(true, /^one:founder$/v));
 	test('gives a blank folder a random identity', async () => doTest(false, /^one:[\da-f]{16}$/v));
 });
+
+describe('openSeededFolder', () => {
+	type Start = {readonly name: string; readonly founders: readonly string[]};
+
+	function doTest(starts: readonly Start[], expected: {readonly isFounder: boolean; readonly founders: readonly string[]}): void {
+		const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-folder-'));
+		try {
+			const opened = starts.map(start => openSeededFolder(folder, start)).at(-1)!;
+			expect({isFounder: opened.replica.endsWith(':founder'), founders: opened.founders}).toEqual({...expected, founders: [...expected.founders]});
+		} finally {
+			rmSync(folder, {recursive: true});
+		}
+	}
+
+	const seeds = ['10.0.0.1:7', '10.0.0.2:7'];
+
+	test('lets a seed found the system on its first start', () => {
+		doTest([{name: '10.0.0.1:7', founders: seeds}], {isFounder: true, founders: ['10.0.0.1:7:founder', '10.0.0.2:7:founder']});
+	});
+	test('keeps what was founded, whatever later settings say', () => {
+		doTest([{name: '10.0.0.1:7', founders: seeds}, {name: '10.0.0.1:7', founders: ['10.0.0.9:7']}], {isFounder: true, founders: ['10.0.0.1:7:founder', '10.0.0.2:7:founder']});
+	});
+	test('lets a seed that lost its disk join under a new identity', () => {
+		doTest([{name: '10.0.0.1:7', founders: []}], {isFounder: false, founders: []});
+	});
+	test('lets a host that is no seed join from the start', () => {
+		doTest([{name: '10.0.0.3:7', founders: seeds}], {isFounder: false, founders: []});
+	});
+});
