Pass on answers without a length as they are: without a length

Ruled out: a reset taken for an end (the attempt fails then; the new test shows it). Nobody can tell a close from a crash there, so the caller gets the same framing: no length, and the connection ends.

attempt.test.ts failed before (no isUnmeasured).

--- a/source/entry/answer.ts
+++ b/source/entry/answer.ts
@@ -5,7 +5,7 @@
 import {
 	getHeaderValue, getStatus, reasonHeader, verdictHeader, type Verdict,
 } from '../verdict/index.js';
-import {type AnswerHead} from './attempt.js';
+import {endsWhole, type AnswerHead} from './attempt.js';
 import {type Dialect} from './dialect.js';
 
 const retryAfterSeconds = '1';
@@ -61,10 +61,12 @@
  */
 export function writeHead(dialect: Dialect, response: ServerResponse, head: AnswerHead, requestId: string, isClosing: boolean): void {
 	const headers = [...head.headers, dialect.requestIdHeader, requestId];
-	if (isClosing) {
+	if (isClosing || head.isUnmeasured) {
 		headers.push('connection', 'close');
 	}
 
+	// A body whose length nobody told must not look whole by a length of ours.
+	response.useChunkedEncodingByDefault = !head.isUnmeasured;
 	response.writeHead(head.status, headers as never);
 }
 
@@ -77,6 +79,7 @@
 	readonly rest: IncomingMessage;
 	/** Time in milliseconds at which the answer must have ended. */
 	readonly deadlineAt: number;
+	readonly head: AnswerHead;
 	/** Called at the end with whether the body was whole. */
 	ended(isWhole: boolean): void;
 };
@@ -102,11 +105,12 @@
 	});
 	rest.once('close', () => {
 		clearTimeout(timer);
-		if (!rest.complete) {
+		const isWhole = endsWhole(rest, answer.head);
+		if (!isWhole) {
 			response.destroy();
 		}
 
-		answer.ended(rest.complete);
+		answer.ended(isWhole);
 	});
 	rest.pipe(response);
 }
--- /dev/null
+++ b/source/entry/attempt.test.ts
@@ -0,0 +1,70 @@
+import {once} from 'node:events';
+import {createServer, type Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {startAttempt, type Outcome} from './attempt.js';
+import {ownDialect} from './dialect.js';
+import {createPool} from './pool.js';
+
+const deadlineMilliseconds = 2000;
+
+/** Sends one request to a server that answers by a function, and gets the outcome. */
+async function attempt(answer: (socket: Socket) => void): Promise<Outcome> {
+	const server = createServer(socket => {
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		socket.once('data', () => {
+			answer(socket);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as {readonly port: number};
+	const pool = createPool('127.0.0.1', port, 4);
+	const outcome = await new Promise<Outcome>(resolve => {
+		startAttempt({
+			pool,
+			dialect: ownDialect,
+			requestId: 'one',
+			method: 'GET',
+			target: '/',
+			headers: ['host', 'any'],
+			body: undefined,
+			stream: undefined,
+			deadlineAt: performance.now() + deadlineMilliseconds,
+			maximumHeldBytes: 1000,
+			mayDispatch: () => true,
+			hinted() {
+				// Nothing is learned here.
+			},
+			ended: resolve,
+		});
+	});
+	pool.close();
+	server.close();
+	return outcome;
+}
+
+describe('startAttempt: answers without a length', () => {
+	async function doTest(end: (socket: Socket) => void, expected: string): Promise<void> {
+		const outcome = await attempt(socket => {
+			socket.write('HTTP/1.1 200 OK\r\n\r\nhalf of the', () => {
+				setTimeout(end, 30, socket);
+			});
+		});
+		expect(outcome.kind === 'failed' ? outcome.verdict.kind : `${outcome.kind}${outcome.kind === 'whole' && outcome.head.isUnmeasured ? ', without a length' : ''}`).toEqual(expected);
+	}
+
+	test('are whole when the server closes the connection', async () => {
+		await doTest(socket => {
+			socket.end(' body');
+		}, 'whole, without a length');
+	});
+	test('are cut short when the connection is reset', async () => {
+		await doTest(socket => {
+			socket.resetAndDestroy();
+		}, 'mayHaveRun');
+	});
+});
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -12,7 +12,12 @@
 import {type Pool} from './pool.js';
 
 /** Status and headers of an answer, names and values in turn. */
-export type AnswerHead = {readonly status: number; readonly headers: readonly string[]};
+export type AnswerHead = {
+	readonly status: number;
+	readonly headers: readonly string[];
+	/** Whether only the end of its connection tells the end of the answer's body; nobody can say that such a body is whole. */
+	readonly isUnmeasured: boolean;
+};
 
 /** Outcome of an attempt. */
 export type Outcome
@@ -129,7 +134,7 @@
 		}
 
 		options.hinted(dialect.getHints(answer.headers));
-		const head: AnswerHead = {status: answer.statusCode ?? 502, headers: getAnswerHeaders(dialect, answer)};
+		const head: AnswerHead = {status: answer.statusCode ?? 502, headers: getAnswerHeaders(dialect, answer), isUnmeasured: !isMeasured(answer, options.method)};
 		if (dialect.isNotRun(head.status, answer.headers)) {
 			answer.resume();
 			end({kind: 'failed', verdict: notRun('server-shed'), hasCrashed: false});
@@ -156,15 +161,15 @@
 		}
 
 		function finish(): void {
-			if (!answer.complete) {
+			if (!endsWhole(answer, head)) {
 				fail('answer-truncated');
 				return;
 			}
 
 			const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-			const isMeasured = answer.headers['content-length'] !== undefined || hasNoBody(answer, options.method);
-			const headers = isMeasured ? head.headers : [...head.headers, 'content-length', String(body.length)];
-			end({kind: 'whole', head: {status: head.status, headers}, body});
+			const isChunked = answer.headers['transfer-encoding'] !== undefined;
+			const headers = isChunked ? [...head.headers, 'content-length', String(body.length)] : head.headers;
+			end({kind: 'whole', head: {...head, headers}, body});
 			stopUnfinishedRequest();
 		}
 
@@ -203,6 +208,22 @@
 	};
 }
 
+/** Checks whether the end of an answer's body is told by anything but its connection. */
+function isMeasured(answer: IncomingMessage, method: string): boolean {
+	return hasNoBody(answer, method) || answer.headers['content-length'] !== undefined || answer.headers['transfer-encoding'] !== undefined;
+}
+
+/**
+ * Checks at the end of an answer whether it did not break off. Node takes a reset for the
+ * end of a body without a length, too.
+ * @param answer - Answer of a server that has ended.
+ * @param head - Its head.
+ */
+export function endsWhole(answer: IncomingMessage, head: AnswerHead): boolean {
+	const {socket} = answer;
+	return answer.complete && (!head.isUnmeasured || (socket.readableEnded && socket.errored === null));
+}
+
 /** Checks whether an answer never has a body, whatever its headers say. */
 function hasNoBody(answer: IncomingMessage, method: string): boolean {
 	return method === 'HEAD' || answer.statusCode === 204 || answer.statusCode === 304;
--- a/source/entry/call.ts
+++ b/source/entry/call.ts
@@ -117,7 +117,7 @@
 
 		if (outcome.kind === 'replay') {
 			const {status, headers, body: stored} = outcome.answer;
-			writeHead(context.dialect, response, {status, headers: [...headers, 'guavadeck-replayed', 'true']}, requestId, context.isClosing());
+			writeHead(context.dialect, response, {status, headers: [...headers, 'guavadeck-replayed', 'true'], isUnmeasured: false}, requestId, context.isClosing());
 			response.end(stored);
 			context.ended(service, {kind: 'ran', status}, performance.now() - startedAt);
 			return;
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -215,7 +215,7 @@
 		call.claim?.finish(undefined);
 		writeHead(context.dialect, response, head, call.requestId, context.isClosing());
 		streamAnswer({
-			response, chunks, rest, deadlineAt, ended(isWhole) {
+			response, head, chunks, rest, deadlineAt, ended(isWhole) {
 				const verdict: Verdict = isWhole ? {kind: 'ran', status: head.status} : mayHaveRun('answer-truncated');
 				context.ended(service, verdict, performance.now() - call.startedAt);
 			},
