--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -16,8 +16,8 @@
 		platform: 'node',
 		target: 'node20',
 		format: 'cjs',
-		alias: {'dtrace-provider': absent, 'cbor-extract': absent, 'source-map-support': absent},
-		minifySyntax: true,
+		alias: {'@opentelemetry/api': './scripts/no-tracing.cjs', 'rxjs': './node_modules/rxjs/dist/esm/index.js', 'dtrace-provider': absent, 'cbor-extract': absent, 'source-map-support': absent},
+		minify: true,
 		logLevel: 'warning',
 	});
 }
--- a/source/announcement/announcement.ts
+++ b/source/announcement/announcement.ts
@@ -1,5 +1,5 @@
 /** What a server says of itself, once a second. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const name = z.string().regex(/^[a-zA-Z\d][\w.\-]{0,62}$/v, 'use 1 to 63 letters, digits, dots, hyphens and underscores');
 
--- a/source/configuration/document.ts
+++ b/source/configuration/document.ts
@@ -2,7 +2,7 @@
  * The environment document: which services exist, which availability zones are in
  * service, how new servers are eased in, and what measuring may cost.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const name = z.string().regex(/^[a-z\d][a-z\d\-]{0,62}$/v, 'use 1 to 63 lower-case letters, digits and hyphens');
 const share = z.number().gt(0).lt(1);
--- a/source/control/api.ts
+++ b/source/control/api.ts
@@ -1,7 +1,7 @@
 /** The HTTP interface for operators and for servers' announcements. */
 import {randomUUID} from 'node:crypto';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {z} from 'zod';
+import * as z from 'zod';
 import {announcementSchema} from '../announcement/index.js';
 import {documentSchema, type ConfigurationCommand, type Environment} from '../configuration/index.js';
 import {checkValue} from '../settings/index.js';
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -10,7 +10,7 @@
 import {createControlClient} from '../control-client/index.js';
 import {type Renewal} from '../lease/index.js';
 import {createRandom} from '../randomness/index.js';
-import {createBurnBook} from '../service-level/index.js';
+import {type BurnBook} from '../service-level/index.js';
 import {getSeeds, type ControlSettings, type Security} from '../settings/index.js';
 import {
 	getHostName, openStore,
@@ -82,7 +82,8 @@
 	});
 	const links = new Set<Link<ControlInbound>>();
 	const joining: string[] = [];
-	const burnBook = createBurnBook();
+	// What keeps service levels is loaded only where they are kept, since its histograms take memory.
+	const burnBook: BurnBook | undefined = settings.serviceLevels ? await loadBurnBook() : undefined;
 	let leadership: Leadership | undefined;
 	let nudge: NodeJS.Timeout | undefined;
 	let lastUrgency = 0;
@@ -274,7 +275,7 @@
 			}
 
 			case 'burnReport': {
-				burnBook.add(message);
+				burnBook?.add(message);
 			}
 		}
 	}
@@ -430,7 +431,7 @@
 		submit: forward,
 		getBurn(environment: Environment) {
 			const current = machine.register.getCurrent(environment);
-			return current.isJust ? burnBook.getSummary(environment, current.value.document, Date.now()) : undefined;
+			return current.isJust ? burnBook?.getSummary(environment, current.value.document, Date.now()) : undefined;
 		},
 		getMetrics: metrics.getText,
 		isReady: () => driver.replica.getLeader() !== undefined,
@@ -483,3 +484,8 @@
 		},
 	});
 }
+
+async function loadBurnBook(): Promise<BurnBook> {
+	const {createBurnBook} = await import('../service-level/book.js');
+	return createBurnBook();
+}
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -9,7 +9,8 @@
 import {createControlClient, createHostDirectory, type ControlClient} from '../control-client/index.js';
 import {createSuspensionWatch, type Grant} from '../lease/index.js';
 import {createRandom} from '../randomness/index.js';
-import {createServiceLevelCounter, periodMilliseconds} from '../service-level/index.js';
+import {type ServiceLevelCounter} from '../service-level/counter.js';
+import {periodMilliseconds} from '../service-level/report.js';
 import {getSeeds, type EntrySettings, type Security} from '../settings/index.js';
 import {type Log} from '../telemetry/index.js';
 import {notRun, type Verdict} from '../verdict/index.js';
@@ -83,7 +84,7 @@
 		});
 	const suspension = createSuspensionWatch();
 	const counts = createJointCounts();
-	const counter = createServiceLevelCounter(settings.name, settings.environment);
+	const counter = settings.serviceLevels ? await createCounter(settings) : undefined;
 	const subscription = new Subscription();
 	const idPrefix = randomBytes(6).toString('hex');
 	let router: Router = createRouter([]);
@@ -227,7 +228,7 @@
 		inFlight--;
 		metrics.answered(service.name, verdict.kind, milliseconds / 1000);
 		if (!isCallersFault(verdict)) {
-			counter.record(service.name, milliseconds, isFailure(verdict), milliseconds > service.objective.latencyMilliseconds);
+			counter?.record(service.name, milliseconds, isFailure(verdict), milliseconds > service.objective.latencyMilliseconds);
 		}
 	}
 
@@ -338,7 +339,9 @@
 	}
 
 	function report(): void {
-		client.broadcast(counter.take(Math.floor(Date.now() / periodMilliseconds) * periodMilliseconds));
+		if (counter !== undefined) {
+			client.broadcast(counter.take(Math.floor(Date.now() / periodMilliseconds) * periodMilliseconds));
+		}
 	}
 
 	function keepHouse(): void {
@@ -397,6 +400,12 @@
 	};
 }
 
+/** Loads what counts service levels only where they are counted, since its histograms take memory. */
+async function createCounter(settings: EntrySettings): Promise<ServiceLevelCounter> {
+	const {createServiceLevelCounter} = await import('../service-level/counter.js');
+	return createServiceLevelCounter(settings.name, settings.environment);
+}
+
 function isFailure(verdict: Verdict): boolean {
 	return verdict.kind === 'ran' ? verdict.status >= 500 : true;
 }
--- a/source/service-level/book.ts
+++ b/source/service-level/book.ts
@@ -4,9 +4,9 @@
  */
 import {decodeFromCompressedBase64, type Histogram} from 'hdr-histogram-js';
 import {type EnvironmentDocument, type Service} from '../configuration/index.js';
-import {createLatencyHistogram, periodMilliseconds, unitsPerMillisecond} from './counter.js';
+import {createLatencyHistogram, unitsPerMillisecond} from './counter.js';
 import {
-	type BurnReport, type BurnSummary, type BurnWindow, type ServiceBurn, type ServiceCount,
+	periodMilliseconds, type BurnReport, type BurnSummary, type BurnWindow, type ServiceBurn, type ServiceCount,
 } from './report.js';
 
 const millisecondsPerMinute = 60_000;
--- a/source/service-level/counter.ts
+++ b/source/service-level/counter.ts
@@ -2,9 +2,6 @@
 import {build, encodeIntoCompressedBase64, type Histogram} from 'hdr-histogram-js';
 import {type BurnReport, type ServiceCount} from './report.js';
 
-/** Length of a period in milliseconds. */
-export const periodMilliseconds = 10_000;
-
 /** Recorded units in one millisecond. */
 export const unitsPerMillisecond = 10;
 
--- a/source/service-level/index.ts
+++ b/source/service-level/index.ts
@@ -1,3 +1,3 @@
 export * from './book.js';
 export * from './counter.js';
-export type * from './report.js';
+export * from './report.js';
--- a/source/service-level/report.ts
+++ b/source/service-level/report.ts
@@ -52,3 +52,6 @@
 
 /** Burn of every service of an environment. */
 export type BurnSummary = {readonly environment: string; readonly services: readonly ServiceBurn[]};
+
+/** Length of a period in milliseconds. */
+export const periodMilliseconds = 10_000;
--- a/source/settings/settings.ts
+++ b/source/settings/settings.ts
@@ -2,7 +2,7 @@
  * Settings of the two kinds of process. A process learns its addresses, its
  * availability zone and the control hosts from here, and nothing else.
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const port = z.number().int().min(0).max(65_535);
 
@@ -46,6 +46,8 @@
 	/** Port for links on every control host, where seeds name another port. */
 	seedPort: port.min(1).optional(),
 	security: security.prefault({}),
+	/** Whether service levels are counted at entries and kept at control hosts. */
+	serviceLevels: z.boolean().default(true),
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
 };
 
