Tell the story of a request in one line; log to standard output without blocking; retry failed answers of safe requests

Cause: safe requests that a grey server fails came back to their caller although a second attempt was allowed; a server that could not be reached used up one of two attempts.

--- a/source/control/metrics.ts
+++ b/source/control/metrics.ts
@@ -1,7 +1,8 @@
 /** Counters and gauges of a control host. */
 import {
-	collectDefaultMetrics, Counter, Gauge, Registry,
+	Counter, Gauge, Registry,
 } from 'prom-client';
+import {addProcessMetrics} from '../telemetry/index.js';
 import {type Driver} from './driver.js';
 import {type Machine} from './machine.js';
 
@@ -20,7 +21,7 @@
  */
 export function createControlMetrics(driver: Driver, machine: Machine): ControlMetrics {
 	const registry = new Registry();
-	collectDefaultMetrics({register: registry});
+	addProcessMetrics(registry);
 	const renewals = new Counter({
 		name: 'guavadeck_lease_renewals_total', help: 'Lease renewals received', labelNames: ['outcome'], registers: [registry],
 	});
--- a/source/entry/call.ts
+++ b/source/entry/call.ts
@@ -16,6 +16,7 @@
 import {type Dialect, type ServerHints} from './dialect.js';
 import {getDeadline} from './headers.js';
 import {type RoutePolicy} from './router.js';
+import {type Story, type StoryHead} from './story.js';
 import {type EntryMetrics} from './metrics.js';
 import {prepareBody} from './prepare.js';
 import {runCall, type Request} from './run.js';
@@ -44,6 +45,8 @@
 	reportCrash(fingerprint: string, server: number): Promise<boolean>;
 	isClosing(): boolean;
 	createRequestId(): string;
+	/** Starts the story of a request, for the log. */
+	tell(head: Omit<StoryHead, 'version'>): Story;
 	/** Takes the end of a call. */
 	ended(service: Service, verdict: Verdict, milliseconds: number): void;
 };
@@ -66,6 +69,16 @@
 	const key = isIdempotent || route.isIdempotent !== undefined ? undefined : getKey(incoming, service.keyHeader);
 	const deadline = getDeadline(incoming.headers[context.dialect.deadlineHeader], route.timeoutMilliseconds);
 
+	const story = context.tell({
+		id: requestId, route: route.name, service: service.name, targetMilliseconds: route.targetMilliseconds, at: startedAt,
+	});
+
+	function ended(verdict: Verdict): void {
+		const milliseconds = performance.now() - startedAt;
+		story.end(verdict, milliseconds);
+		context.ended(service, verdict, milliseconds);
+	}
+
 	function refuse(verdict: Verdict): void {
 		if (!response.headersSent && !response.destroyed) {
 			answerVerdict(context.dialect, response, verdict, requestId, context.isClosing() || (hasBody(incoming) && !incoming.complete));
@@ -75,7 +88,7 @@
 			context.metrics.refused(verdict.reason);
 		}
 
-		context.ended(service, verdict, performance.now() - startedAt);
+		ended(verdict);
 	}
 
 	if (deadline === undefined || (key !== undefined && (key.length === 0 || key.length > maximumKeyLength))) {
@@ -119,7 +132,7 @@
 			const {status, headers, body: stored} = outcome.answer;
 			writeHead(context.dialect, response, {status, headers: [...headers, 'guavadeck-replayed', 'true'], isUnmeasured: false}, requestId, context.isClosing());
 			response.end(stored);
-			context.ended(service, {kind: 'ran', status}, performance.now() - startedAt);
+			ended({kind: 'ran', status});
 			return;
 		}
 
@@ -127,7 +140,7 @@
 	}
 
 	runCall({
-		context, state, service, route, request, incoming, response, requestId, startedAt, deadlineAt, claim, refuse, fingerprint,
+		context, state, service, route, request, incoming, response, requestId, startedAt, deadlineAt, claim, refuse, ended, note: story.note, fingerprint,
 	});
 }
 
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -28,6 +28,7 @@
 import {startPeers, type StartedPeers} from './peers.js';
 import {createProber} from './prober.js';
 import {createRouter, type Router} from './router.js';
+import {createStoryteller} from './story.js';
 import {createSuspects} from './suspects.js';
 
 const housekeepingMilliseconds = 50;
@@ -83,6 +84,7 @@
 			ratio: attemptBudget.ratio, getSlack: () => attemptBudget.slack / entries,
 		});
 	const suspension = createSuspensionWatch();
+	const storyteller = createStoryteller(log, () => performance.now());
 	const counts = createJointCounts();
 	const counter = settings.serviceLevels ? await createCounter(settings) : undefined;
 	const subscription = new Subscription();
@@ -275,6 +277,7 @@
 		},
 		isClosing: () => isDraining,
 		createRequestId,
+		tell: head => storyteller.start({...head, version: keeper.holder.getVersion()}),
 		ended,
 	};
 
--- a/source/entry/metrics.ts
+++ b/source/entry/metrics.ts
@@ -1,7 +1,8 @@
 /** Counters, gauges and histograms of an entry. */
 import {
-	collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
+	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import {addProcessMetrics} from '../telemetry/index.js';
 import {type Verdict} from '../verdict/index.js';
 
 const latencyBuckets = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
@@ -22,7 +23,7 @@
 /** Creates the metrics of an entry. */
 export function createEntryMetrics(): EntryMetrics {
 	const registry = new Registry();
-	collectDefaultMetrics({register: registry});
+	addProcessMetrics(registry);
 	const latency = new Histogram({
 		name: 'guavadeck_request_seconds', help: 'Time from a request to the end of its answer', labelNames: ['service'], buckets: latencyBuckets, registers: [registry],
 	});
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -16,6 +16,7 @@
 import {type ServiceState} from './fleet.js';
 import {getForwardedHeaders} from './headers.js';
 import {type RoutePolicy} from './router.js';
+import {type Decision} from './story.js';
 
 /** What a caller asks for. */
 export type Request = {
@@ -35,6 +36,9 @@
 /** Share of the target latency after which a second attempt may still meet it. */
 const hedgedTargetShare = 0.5;
 
+/** Servers that one request may fail to reach beside its attempts. */
+const largestUnreached = 4;
+
 const noZones: ReadonlySet<string> = new Set();
 
 /** An admitted call. */
@@ -50,7 +54,12 @@
 	readonly startedAt: number;
 	readonly deadlineAt: number;
 	readonly claim: Claim | undefined;
+	/** Answers with a verdict of the entry's own. */
 	refuse(verdict: Verdict): void;
+	/** Takes the end of the call. */
+	ended(verdict: Verdict): void;
+	/** Notes a decision for the log. */
+	note(decision: Decision): void;
 	fingerprint(): string;
 };
 
@@ -64,6 +73,8 @@
 	const excluded = new Set<number>();
 	let avoidedZones: Set<string> | undefined;
 	let attempts = 0;
+	let unreached = 0;
+	let failedAnswer: Exclude<Outcome, {readonly kind: 'failed'}> | undefined;
 	let hedgeTimer: NodeJS.Timeout | undefined;
 	let isSettled = false;
 	let hasDispatched = false;
@@ -133,6 +144,9 @@
 		excluded.add(candidate.id);
 		context.metrics.attempted(service.name, kind);
 		candidate.start(now);
+		call.note({
+			kind: 'send', attempt: kind, server: candidate.getAnnouncement().name, leftMilliseconds: Math.round(deadlineAt - now),
+		});
 		const attempt = startAttempt({
 			pool: server.pool,
 			dialect: context.dialect,
@@ -165,9 +179,13 @@
 		const now = performance.now();
 		self.candidate.finish(getResult(outcome), now);
 		state.queue.departed(now);
+		const {name} = self.candidate.getAnnouncement();
 		if (outcome.kind === 'failed') {
+			const {verdict} = outcome;
+			call.note({kind: 'failed', server: name, reason: verdict.kind === 'ran' ? '' : `${verdict.kind} ${verdict.reason}`});
 			fail(self.candidate, outcome);
 		} else {
+			call.note({kind: 'answered', server: name, status: outcome.head.status});
 			succeed(self, outcome, now);
 		}
 
@@ -180,12 +198,28 @@
 			ejectFailing(self.candidate, now);
 		}
 
+		if (mayImprove(outcome)) {
+			failedAnswer = outcome;
+			retryOrRefuse(mayHaveRun('connection-lost'), false);
+			return;
+		}
+
 		if (!settle()) {
 			return;
 		}
 
 		cancelRunning();
 		context.suspects.succeeded(call.fingerprint);
+		answer(outcome);
+	}
+
+	/** Checks whether a server's failure is kept back, because another server may do better or is about to. */
+	function mayImprove(outcome: Exclude<Outcome, {readonly kind: 'failed'}>): boolean {
+		const isFailure = outcome.kind === 'whole' && outcome.head.status >= 500;
+		return isFailure && !isSettled && request.isIdempotent && call.claim === undefined && (running.size > 0 || attempts < largestAttempts);
+	}
+
+	function answer(outcome: Exclude<Outcome, {readonly kind: 'failed'}>): void {
 		if (outcome.kind === 'whole') {
 			answerWhole(outcome);
 		} else {
@@ -207,7 +241,7 @@
 			response.end(body);
 		}
 
-		context.ended(service, {kind: 'ran', status: head.status}, performance.now() - call.startedAt);
+		call.ended({kind: 'ran', status: head.status});
 	}
 
 	function answerLarge(outcome: Extract<Outcome, {readonly kind: 'large'}>): void {
@@ -217,13 +251,18 @@
 		streamAnswer({
 			response, head, chunks, rest, deadlineAt, ended(isWhole) {
 				const verdict: Verdict = isWhole ? {kind: 'ran', status: head.status} : mayHaveRun('answer-truncated');
-				context.ended(service, verdict, performance.now() - call.startedAt);
+				call.ended(verdict);
 			},
 		});
 	}
 
 	function fail(candidate: Candidate, outcome: Extract<Outcome, {readonly kind: 'failed'}>): void {
 		const now = performance.now();
+		if (outcome.verdict.kind === 'notRun' && outcome.verdict.reason === 'unreachable' && unreached < largestUnreached) {
+			unreached++;
+			attempts--;
+		}
+
 		ejectFailing(candidate, now);
 		avoidedZones ??= new Set();
 		avoidedZones.add(candidate.getAnnouncement().zone);
@@ -251,22 +290,46 @@
 			remainingMilliseconds: deadlineAt - performance.now(),
 			isQuarantined,
 		});
+		if (!isAllowed) {
+			call.note({kind: 'noRetry', reason: getObstacle(verdict, isQuarantined)});
+			giveUp(verdict);
+			return;
+		}
+
 		// A server that was never reached has received no extra request.
 		const isFree = verdict.kind === 'notRun' && verdict.reason === 'unreachable';
-		if (!isAllowed || (!isFree && !state.retries.spend())) {
-			refuse(getFinalVerdict(verdict));
+		if (!isFree && !state.retries.spend()) {
+			call.note({kind: 'noRetry', reason: 'budget'});
+			giveUp(verdict);
 			return;
 		}
 
 		place(candidate => {
 			if (candidate === undefined) {
-				refuse(getFinalVerdict(verdict));
+				giveUp(verdict);
 			} else {
 				start(candidate, 'retry');
 			}
 		});
 	}
 
+	function getObstacle(verdict: Verdict, isQuarantined: boolean): 'attempts' | 'may-have-run' | 'quarantined' {
+		if (isQuarantined) {
+			return 'quarantined';
+		}
+
+		return attempts >= largestAttempts ? 'attempts' : 'may-have-run';
+	}
+
+	/** Ends the call with what a server answered, if one did, or with a verdict. */
+	function giveUp(verdict: Verdict): void {
+		if (failedAnswer === undefined) {
+			refuse(getFinalVerdict(verdict));
+		} else if (settle()) {
+			answer(failedAnswer);
+		}
+	}
+
 	/** An earlier attempt may have run even if the last one did not. */
 	function getFinalVerdict(verdict: Verdict): Verdict {
 		return verdict.kind === 'notRun' && mayHaveRunBefore ? mayHaveRun('connection-lost') : verdict;
@@ -357,7 +420,15 @@
 		const now = performance.now();
 		const open = readings.filter(({candidate}) => candidate.isOpen(now));
 		const best = open.find(({reading}) => hasRoom(reading)) ?? open[0];
-		return best?.candidate ?? asked.find(candidate => candidate.isOpen(now)) ?? choose(now);
+		const candidate = best?.candidate ?? asked.find(other => other.isOpen(now)) ?? choose(now);
+		if (candidate !== undefined) {
+			const reading = best === undefined ? undefined : `${best.reading.running},${best.reading.waiting},${best.reading.slots},${best.reading.slowness}`;
+			call.note({
+				kind: 'place', server: candidate.getAnnouncement().name, reading, asked: asked.length, answered: readings.length,
+			});
+		}
+
+		return candidate;
 	}
 
 	function wait(): void {
--- a/source/program/signals.ts
+++ b/source/program/signals.ts
@@ -2,8 +2,12 @@
 import process from 'node:process';
 import {type Log} from '../telemetry/index.js';
 import {ListenError} from '../wire/index.js';
+import {setTimeout as delay} from 'node:timers/promises';
 import {exitCode, rejectInput} from './exit.js';
 
+/** Time in which the log is written out at the end, in milliseconds. */
+const flushMilliseconds = 30;
+
 /** A process that a signal stops. */
 export type Running = {stop(): Promise<void>; getInFlight(): number};
 
@@ -46,5 +50,7 @@
 		process.on('SIGTERM', take);
 		process.on('SIGINT', take);
 	});
+	// The last lines of the log are on their way in the background.
+	await delay(flushMilliseconds);
 	process.exit(exitCode.done);
 }
--- a/source/telemetry/index.ts
+++ b/source/telemetry/index.ts
@@ -1,1 +1,3 @@
 export * from './log.js';
+export * from './line-writer.js';
+export * from './process-metrics.js';
--- a/source/telemetry/log.ts
+++ b/source/telemetry/log.ts
@@ -1,6 +1,8 @@
-/** Structured logs: one line for each change of state, never one for each request. */
-import process from 'node:process';
+/** Structured logs on standard output: a line for each decision that touches a request or changes what the process believes. */
 import bunyan, {type LogLevelString} from 'bunyan';
+import {createLineWriter, getDescriptorWriter} from './line-writer.js';
+
+const standardOutput = 1;
 
 /** A structured log. */
 export type Log = {
@@ -10,12 +12,13 @@
 };
 
 /**
- * Creates a log that writes JSON lines to standard error.
+ * Creates a log that writes JSON lines to standard output, without ever waiting for its reader.
  * @param name - Name of the process.
  * @param level - Lowest level that is written.
  */
 export function createLog(name: string, level: LogLevelString): Log {
+	const writer = createLineWriter(getDescriptorWriter(standardOutput));
 	return bunyan.createLogger({
-		name, level, stream: process.stderr, serializers: bunyan.stdSerializers,
+		name, level, streams: [{level, stream: writer as unknown as NodeJS.WritableStream}], serializers: bunyan.stdSerializers,
 	});
 }
--- /dev/null
+++ b/source/telemetry/process-metrics.ts
@@ -0,0 +1,30 @@
+/** Memory and processor time of the process, read only when the metrics are: nothing runs between two readings. */
+import process from 'node:process';
+import {Gauge, type Registry} from 'prom-client';
+
+const microsecondsPerSecond = 1_000_000;
+
+/**
+ * Adds the metrics of the process to a registry, under their usual names.
+ * @param registry - Registry of the process.
+ */
+export function addProcessMetrics(registry: Registry): void {
+	addGauge(registry, 'process_resident_memory_bytes', 'Resident memory', () => process.memoryUsage.rss());
+	addGauge(registry, 'nodejs_heap_size_used_bytes', 'Heap in use', () => process.memoryUsage().heapUsed);
+	addGauge(registry, 'process_cpu_seconds_total', 'Processor time', () => {
+		const {user, system} = process.cpuUsage();
+		return (user + system) / microsecondsPerSecond;
+	});
+}
+
+function addGauge(registry: Registry, name: string, help: string, read: () => number): void {
+	// eslint-disable-next-line no-new
+	new Gauge({
+		name,
+		help,
+		registers: [registry],
+		collect() {
+			this.set(read());
+		},
+	});
+}
