Refuse at once what no server has room for; ask others first

Change: a request is placed only where a free slot is told, the most urgent rank also where a third of the slots wait; two rounds of questions, then a refusal with a Retry-After of 80 to 220 ms; what waits for an open server waits an eighth of its target. Questions that stay unanswered count as load.

--- a/source/choice/candidate.ts
+++ b/source/choice/candidate.ts
@@ -14,6 +14,9 @@
 /** Requests in flight that a warm server may have from all entries together, per slot. */
 const overcommitFactor = 3;
 
+/** Load that answers which never came count for at most. */
+const largestMissedLoad = 12;
+
 const largestEjectionExponent = 5;
 const millisecondsPerSecond = 1000;
 
@@ -58,6 +61,8 @@
 	finish(result: AttemptResult, now: number): void;
 	/** Notes that a server that should be warm is cold; until a time, if one is given, it gets nothing from this entry. */
 	turnCold(until?: number): void;
+	/** Notes that the server did not answer a question in time. */
+	missAnswer(now: number): void;
 	isEjected(now: number): boolean;
 	/** Ejects the server if it has failed too often; returns whether it did. */
 	ejectWhenFailing(limits: OutlierLimits, now: number): boolean;
@@ -219,6 +224,10 @@
 				closedUntil = until ?? 0;
 			}
 		},
+		missAnswer(now) {
+			fade(now);
+			failures = Math.min(failures + 1, largestMissedLoad);
+		},
 		isEjected: now => ejectedUntil > now,
 		ejectWhenFailing(limits, now) {
 			const hasFailedProbation = isOnProbation && consecutiveFailures > 0;
--- a/source/choice/reading.ts
+++ b/source/choice/reading.ts
@@ -25,6 +25,9 @@
 /** Factor by which work takes longer beyond the knee. */
 const kneeFactor = 1.7;
 
+/** Share of a server's slots for which urgent requests may wait there; a wait of a fraction of their work. */
+const urgentWaitingShare = 0.34;
+
 /** Load that a candidate in another zone counts for, since its bytes are dear. */
 const remoteLoad = 0.5;
 
@@ -46,11 +49,16 @@
 }
 
 /**
- * Checks whether a server has a slot that is free.
+ * Checks whether a server has room for one more request. Load pattern: several times the
+ * usual load for some seconds, while a zone is away; what is sent beyond the slots is late
+ * for everybody, and a full server resets connections. The most urgent requests may wait
+ * there for a fraction of the slots, others go only where a slot is free.
  * @param reading - What the server says.
+ * @param isUrgent - Whether the request is of the most urgent rank of its service.
  */
-export function hasRoom(reading: Reading): boolean {
-	return reading.waiting === 0 && reading.running < reading.slots;
+export function hasRoom(reading: Reading, isUrgent = false): boolean {
+	const allowed = isUrgent ? Math.floor(reading.slots * urgentWaitingShare) : 0;
+	return reading.running + reading.waiting < reading.slots + allowed;
 }
 
 /**
--- a/source/entry/answer.ts
+++ b/source/entry/answer.ts
@@ -10,6 +10,14 @@
 
 const retryAfterSeconds = '1';
 
+/**
+ * Time after which callers of a dialect that knows fractions may return, in seconds: about
+ * as long as servers take to change between slow and quiet, spread so that they do not
+ * return together.
+ */
+const shortestReturnSeconds = 0.08;
+const returnSpreadSeconds = 0.14;
+
 /** How the entry treats the caller's connection. */
 export type ConnectionPolicy = {
 	/** Whether the connection ends with the answer, because the entry is stopping. */
@@ -40,7 +48,7 @@
 
 	headers.push(dialect.requestIdHeader, requestId);
 	if (status === 503) {
-		headers.push('retry-after', retryAfterSeconds);
+		headers.push('retry-after', dialect.hasVerdictHeaders ? retryAfterSeconds : (shortestReturnSeconds + (Math.random() * returnSpreadSeconds)).toFixed(3));
 	}
 
 	if (isClosing) {
--- a/source/entry/asker.ts
+++ b/source/entry/asker.ts
@@ -49,6 +49,8 @@
 	getPath(service: string): string;
 	/** Takes what a server says beside its load. */
 	hinted(candidate: Candidate, hints: ServerHints): void;
+	/** Takes a candidate whose answer did not come. */
+	missed(candidate: Candidate): void;
 	probed(isAnswered: boolean): void;
 };
 
@@ -112,6 +114,10 @@
 			for (const candidate of question.candidates) {
 				askOne(candidate, reading => {
 					left--;
+					if (reading === undefined) {
+						options.missed(candidate);
+					}
+
 					if (reading !== undefined) {
 						readings.push({candidate, reading});
 					}
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -252,6 +252,9 @@
 		getServer: fleet.get,
 		getPath: service => fleet.getState(service)?.getService().probePath ?? ordinaryProbePath,
 		hinted,
+		missed(candidate) {
+			candidate.missAnswer(performance.now());
+		},
 		probed: metrics.probed,
 	});
 	const context: CallContext = {
--- a/source/entry/router.ts
+++ b/source/entry/router.ts
@@ -16,7 +16,8 @@
 	readonly timeoutMilliseconds: number;
 	/** Time within which an answer is worth its whole value, where the document says. */
 	readonly targetMilliseconds: number | undefined;
-	readonly priority: number;
+	/** Whether no route to one of its services is of a more urgent rank. */
+	readonly isUrgent: boolean;
 	/** Servers at most to which one request may be sent, where the document says. */
 	readonly attempts: number | undefined;
 	/** Gets the name of the service that takes the next request. */
@@ -51,16 +52,29 @@
 	};
 }
 
-function fromRoute(route: Route, random: () => number): RoutePolicy {
-	const {name, isIdempotent, timeoutMilliseconds, targetMilliseconds, priority, attempts} = route;
+/** Gets the most urgent rank of the routes to each service. */
+function getUrgentRanks(routes: readonly Route[]): ReadonlyMap<string, number> {
+	const ranks = new Map<string, number>();
+	for (const {parts, priority} of routes) {
+		for (const {service} of parts) {
+			ranks.set(service, Math.min(priority, ranks.get(service) ?? priority));
+		}
+	}
+
+	return ranks;
+}
+
+function fromRoute(route: Route, ranks: ReadonlyMap<string, number>, random: () => number): RoutePolicy {
+	const {name, isIdempotent, timeoutMilliseconds, targetMilliseconds, attempts} = route;
+	const isUrgent = route.parts.some(part => route.priority <= (ranks.get(part.service) ?? route.priority));
 	return {
-		name, isIdempotent, timeoutMilliseconds, targetMilliseconds, priority, attempts, takeService: createTurns(route, random),
+		name, isIdempotent, timeoutMilliseconds, targetMilliseconds, isUrgent, attempts, takeService: createTurns(route, random),
 	};
 }
 
 function fromService(service: Service): RoutePolicy {
 	return {
-		name: service.name, isIdempotent: undefined, timeoutMilliseconds: service.deadlineMilliseconds, targetMilliseconds: undefined, priority: 0, attempts: undefined, takeService: () => service.name,
+		name: service.name, isIdempotent: undefined, timeoutMilliseconds: service.deadlineMilliseconds, targetMilliseconds: undefined, isUrgent: true, attempts: undefined, takeService: () => service.name,
 	};
 }
 
@@ -88,8 +102,9 @@
 			put(service.host, service.path, fromService(service));
 		}
 	} else {
+		const ranks = getUrgentRanks(routes);
 		for (const route of routes) {
-			put(route.host, route.path, fromRoute(route, random));
+			put(route.host, route.path, fromRoute(route, ranks, random));
 		}
 	}
 
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -36,6 +36,22 @@
 /** Share of the target latency after which a second attempt may still meet it. */
 const hedgedTargetShare = 0.5;
 
+/** Rounds of questions before a request is refused: the nearest candidates, then others. */
+const askingRounds = 2;
+
+/** Share of the target latency for which a request waits for a server; later it could hardly meet the target. */
+const waitedTargetShare = 0.125;
+
+/** One round of questions. */
+type AskingRound = {
+	readonly count: number;
+	/** Candidates that take no part, which each round adds to. */
+	readonly alreadyAsked: Set<number>;
+	readonly roundsLeft: number;
+	/** Answers that came in the rounds before. */
+	readonly answers: number;
+};
+
 /** Servers that one request may fail to reach beside its attempts. */
 const largestUnreached = 4;
 
@@ -381,7 +397,7 @@
 
 		place(candidate => {
 			if (candidate === undefined) {
-				wait();
+				refuse(notRun('overload'));
 				return;
 			}
 
@@ -391,52 +407,76 @@
 		return true;
 	}
 
-	/** Chooses a server, after asking a few where the service wants that. */
+	/** Chooses a server, after asking a few where the service wants that; undefined when none has room. */
 	function place(take: (candidate: Candidate | undefined) => void): void {
-		const {askedCandidates = 0, askMilliseconds = ordinaryAskMilliseconds} = service;
-		const now = performance.now();
-		const asked = askedCandidates === 0
-			? []
-			: getAskedCandidates({
-				candidates: state.getCandidates(), excluded, zone: context.zone, avoidedZones: avoidedZones ?? noZones, count: askedCandidates, now,
-			}, context.random);
+		const {askedCandidates = 0} = service;
+		if (askedCandidates === 0) {
+			take(choose(performance.now()));
+			return;
+		}
+
+		ask({
+			count: askedCandidates, alreadyAsked: new Set(excluded), roundsLeft: askingRounds, answers: 0,
+		}, take);
+	}
+
+	/** Asks some candidates, and others when none of the first has room. */
+	function ask(round: AskingRound, take: (candidate: Candidate | undefined) => void): void {
+		const {count, alreadyAsked} = round;
+		const asked = getAskedCandidates({
+			candidates: state.getCandidates(), excluded: alreadyAsked, zone: context.zone, avoidedZones: avoidedZones ?? noZones, count, now: performance.now(),
+		}, context.random);
 		if (asked.length === 0) {
-			take(choose(now));
+			// Where nobody answers anything, what is known without questions has to do.
+			take(round.answers === 0 ? choose(performance.now()) : undefined);
 			return;
 		}
 
 		forgetQuestion = context.asker.ask({
-			candidates: asked, waitMilliseconds: askMilliseconds, answered(readings) {
+			candidates: asked, waitMilliseconds: service.askMilliseconds ?? ordinaryAskMilliseconds, answered(readings) {
 				forgetQuestion = undefined;
-				if (!isSettled) {
-					take(getPlace(readings, asked));
+				if (isSettled) {
+					return;
+				}
+
+				const candidate = getPlace(readings, asked.length);
+				const answers = round.answers + readings.length;
+				if (candidate !== undefined || round.roundsLeft <= 1) {
+					take(candidate ?? (answers === 0 ? choose(performance.now()) : undefined));
+					return;
 				}
+
+				for (const other of asked) {
+					alreadyAsked.add(other.id);
+				}
+
+				ask({...round, roundsLeft: round.roundsLeft - 1, answers}, take);
 			},
 		});
 	}
 
-	/** Gets the best of the servers that answered, or one of those that might not have been heard in time. */
-	function getPlace(readings: readonly AskedCandidate[], asked: readonly Candidate[]): Candidate | undefined {
+	/** Gets the best of the servers that answered and have room. */
+	function getPlace(readings: readonly AskedCandidate[], asked: number): Candidate | undefined {
 		const now = performance.now();
-		const open = readings.filter(({candidate}) => candidate.isOpen(now));
-		const best = open.find(({reading}) => hasRoom(reading)) ?? open[0];
-		const candidate = best?.candidate ?? asked.find(other => other.isOpen(now)) ?? choose(now);
-		if (candidate !== undefined) {
-			const reading = best === undefined ? undefined : `${best.reading.running},${best.reading.waiting},${best.reading.slots},${best.reading.slowness}`;
+		const best = readings.find(({candidate, reading}) => candidate.isOpen(now) && hasRoom(reading, route.isUrgent));
+		if (best !== undefined) {
+			const {running, waiting, slots, slowness} = best.reading;
 			call.note({
-				kind: 'place', server: candidate.getAnnouncement().name, reading, asked: asked.length, answered: readings.length,
+				kind: 'place', server: best.candidate.getAnnouncement().name, reading: `${running},${waiting},${slots},${slowness}`, asked, answered: readings.length,
 			});
 		}
 
-		return candidate;
+		return best?.candidate;
 	}
 
 	function wait(): void {
+		const {targetMilliseconds} = route;
+		const waitUntil = targetMilliseconds === undefined ? deadlineAt : Math.min(deadlineAt, performance.now() + (targetMilliseconds * waitedTargetShare));
 		const isQueued = state.getCandidates().length > 0 && state.queue.add({
-			deadlineAt,
+			deadlineAt: waitUntil,
 			start: startFirst,
 			expire() {
-				refuse(notRun('deadline'));
+				refuse(notRun(waitUntil < deadlineAt ? 'overload' : 'deadline'));
 			},
 			isGone: () => isSettled,
 		}, performance.now());
