--- a/source/entry/call.ts
+++ b/source/entry/call.ts
@@ -6,6 +6,7 @@
 import {performance} from 'node:perf_hooks';
 import {type Candidate} from '../choice/index.js';
 import {type Service} from '../configuration/index.js';
+import {type QuestionBudget} from '../measuring/index.js';
 import {type Random} from '../randomness/index.js';
 import {notRun, type Verdict} from '../verdict/index.js';
 import {answerVerdict, writeHead} from './answer.js';
@@ -29,6 +30,7 @@
 	readonly zone: string;
 	readonly dialect: Dialect;
 	readonly asker: Asker;
+	readonly questions: QuestionBudget;
 	readonly random: Random;
 	readonly fleet: Fleet;
 	readonly claims: Claims;
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -8,6 +8,7 @@
 import {type ClientLimits, type EnvironmentDocument} from '../configuration/index.js';
 import {createControlClient, createHostDirectory, type ControlClient} from '../control-client/index.js';
 import {createSuspensionWatch, type Grant} from '../lease/index.js';
+import {createQuestionBudget} from '../measuring/index.js';
 import {createRandom} from '../randomness/index.js';
 import {type ServiceLevelCounter} from '../service-level/counter.js';
 import {periodMilliseconds} from '../service-level/report.js';
@@ -261,6 +262,9 @@
 		zone: settings.zone,
 		dialect,
 		asker,
+		questions: createQuestionBudget({
+			perServerAndSecond: settings.questionsPerServerAndSecond, getServers: fleet.getSize, getEntries: () => entries,
+		}),
 		random,
 		fleet,
 		claims,
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -423,8 +423,9 @@
 	/** Asks some candidates, and others when none of the first has room. */
 	function ask(round: AskingRound, take: (candidate: Candidate | undefined) => void): void {
 		const {count, alreadyAsked} = round;
+		const now = performance.now();
 		const asked = getAskedCandidates({
-			candidates: state.getCandidates(), excluded: alreadyAsked, zone: context.zone, avoidedZones: avoidedZones ?? noZones, count, now: performance.now(),
+			candidates: state.getCandidates(), excluded: alreadyAsked, zone: context.zone, avoidedZones: avoidedZones ?? noZones, count: context.questions.take(count, now), now,
 		}, context.random);
 		if (asked.length === 0) {
 			// Where nobody answers anything, what is known without questions has to do.
--- a/source/measuring/index.ts
+++ b/source/measuring/index.ts
@@ -1,3 +1,4 @@
 export * from './budget.js';
 export * from './duties.js';
 export * from './schedule.js';
+export * from './questions.js';
--- a/source/settings/settings.ts
+++ b/source/settings/settings.ts
@@ -77,6 +77,8 @@
 	withoutControl: z.enum(['stop', 'serve']).default('stop'),
 	/** Extra attempts that all entries together may make for a service. */
 	attemptBudget: attemptBudget.optional(),
+	/** Questions to one server in a second, from all entries together, for services whose servers are asked before each request. */
+	questionsPerServerAndSecond: z.number().min(0).default(60),
 	callers: address,
 	admin: address,
 	peers: address.optional(),
