--- a/source/control-client/client.ts
+++ b/source/control-client/client.ts
@@ -58,6 +58,8 @@
 	readonly hosts: readonly ControlAddress[];
 	received(host: string, message: ControlOutbound): void;
 	opened(host: string): void;
+	/** Called when a link that was open is lost. */
+	lost?(host: string): void;
 };
 
 type Waiter = {readonly settle: (answer: ControlAnswer) => void};
@@ -90,6 +92,7 @@
 				options.opened(host.name);
 			},
 			closed() {
+				options.lost?.(host.name);
 				if (leader === host.name) {
 					leader = undefined;
 				}
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -5,6 +5,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {interval, type Subscription} from 'rxjs';
 import {Result} from 'true-myth';
+import {type RegisteredServer} from '../announcement/index.js';
 import {type Environment} from '../configuration/index.js';
 import {getNextMembership, type ReplicaMessage} from '../consensus/index.js';
 import {createControlClient} from '../control-client/index.js';
@@ -123,7 +124,11 @@
 				learnHosts(message);
 			}
 		},
+		lost(host) {
+			log.warn({host}, 'control host lost');
+		},
 		opened(host) {
+			log.info({host}, 'control host reached');
 			announceReplica();
 			client.sendTo(host, shutdown.getAvailability());
 		},
@@ -365,6 +370,12 @@
 		}
 	}
 
+	/** Tells which servers changed by what was committed. */
+	function logServers(servers: readonly RegisteredServer[]): void {
+		const changes = servers.map(({key, state, announcement, id}) => `${key} at ${announcement.host}:${announcement.port} ${machine.registry.getById(id).isJust ? state : 'gone'}`);
+		log.info({commitIndex: driver.replica.getCommitIndex(), zonesOut: machine.getZonesOut(), changes}, 'servers committed');
+	}
+
 	function changeRole(change: RoleChange): void {
 		const {role, term, leader: leaderId} = change;
 		log.info({role, term, leader: leaderId}, 'role changed');
@@ -388,11 +399,13 @@
 		switch (answer.area) {
 			case 'registry':
 			case 'zones': {
+				logServers(answer.changed);
 				leadership?.serversChanged(answer.changed, performance.now());
 				break;
 			}
 
 			case 'configuration': {
+				log.info({answer: answer.answer, commitIndex: driver.replica.getCommitIndex()}, 'configuration committed');
 				leadership?.documentChanged(performance.now());
 				break;
 			}
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -45,6 +45,9 @@
 /** Entries that are assumed until a control host tells how many there are. */
 const largestEntries = 100;
 
+/** Changed servers that one line of the log names at most. */
+const toldServers = 40;
+
 const ordinaryProbePath = '/health';
 
 /** A running entry. */
@@ -132,7 +135,11 @@
 
 			keeper.receive(host, message);
 		},
-		opened() {
+		lost(host) {
+			log.warn({host, leaseMilliseconds: Math.round(keeper.holder.getExpiresAt() - performance.now())}, 'control host lost');
+		},
+		opened(host) {
+			log.info({host}, 'control host reached');
 			keeper.renew();
 		},
 	});
@@ -167,10 +174,14 @@
 
 		if (grant.isWhole || grant.servers.length > 0) {
 			fleet.update(grant.servers, grant.isWhole);
+			logServers(grant);
 		}
 
 		entries = Math.max(1, grant.entries);
-		fleet.setZonesOut(grant.zonesOut);
+		if (fleet.setZonesOut(grant.zonesOut)) {
+			log.info({zonesOut: grant.zonesOut, epoch: grant.epoch}, 'zones out of service');
+		}
+
 		fleet.setPermits(grant.permits, performance.now());
 		if (grant.peers !== undefined) {
 			fleet.setConnectionShare(grant.peers.length + 1);
@@ -182,6 +193,15 @@
 		drainQueues();
 	}
 
+	/** Tells which servers changed, with the leader and the revision that say so; of a long list only the number. */
+	function logServers(grant: Grant): void {
+		const {epoch, revision, isWhole, servers} = grant;
+		const changes = servers.slice(0, toldServers).map(({announcement, state, isAbsent, isRemoved}) => `${announcement.name} ${isRemoved ? 'gone' : state}${isAbsent ? ', absent' : ''}`);
+		log.info({
+			epoch, revision, isWhole, servers: servers.length, changes: isWhole ? [] : changes,
+		}, 'servers changed');
+	}
+
 	/** Lets idle callers stay connected for as long as the document says. */
 	function limitCallers(limits: ClientLimits | undefined): void {
 		if (limits !== undefined) {
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -42,8 +42,8 @@
 	setPermits(permits: readonly Permit[], now: number): void;
 	/** Ends the permits for cold servers, because the lease has ended. */
 	endPermits(): void;
-	/** Takes zones out of service, whatever the document says. */
-	setZonesOut(zones: readonly string[]): void;
+	/** Takes zones out of service, whatever the document says; returns whether that changed anything. */
+	setZonesOut(zones: readonly string[]): boolean;
 	setConnectionShare(entries: number): void;
 	getState(service: string): ServiceState | undefined;
 	getStates(): Iterable<ServiceState>;
@@ -262,13 +262,15 @@
 		},
 		setZonesOut(zones) {
 			if (zones.length === zonesOut.size && zones.every(zone => zonesOut.has(zone))) {
-				return;
+				return false;
 			}
 
 			zonesOut = new Set(zones);
 			for (const name of states.keys()) {
 				rebuild(name);
 			}
+
+			return true;
 		},
 		setConnectionShare(count) {
 			if (count === entries) {
--- /dev/null
+++ b/source/program/explain.test.ts
@@ -0,0 +1,26 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {getExplanation, readLogLines} from './explain.js';
+
+const text = [
+	'  1.5 e1 {"name":"e1","msg":"zones out of service","time":"2026-01-01T00:00:01.000Z"}',
+	'{"name":"e2","msg":"zones out of service","time":"2026-01-01T00:00:01.500Z"}',
+	'{"name":"e1","id":"r7","msg":"request","time":"2026-01-01T00:00:02.000Z"}',
+	'{"name":"e1","id":"r8","msg":"request","time":"2026-01-01T00:00:02.000Z"}',
+	'{"name":"e1","msg":"ready","time":"2026-01-01T00:00:03.000Z"}',
+	'no line of ours',
+	'{"name":"e1","msg":"cut o',
+].join('\n');
+
+describe('getExplanation', () => {
+	function doTest(id: string, expected: readonly string[]): void {
+		expect(getExplanation(readLogLines(text), id).map(line => `${line.name} ${line.msg}`)).toEqual([...expected]);
+	}
+
+	test('shows a request with what its entry believed before', () => {
+		doTest('r7', ['e1 zones out of service', 'e1 request']);
+	});
+	test('shows nothing for a request that nobody told of', () => {
+		doTest('r9', []);
+	});
+});
--- a/source/program/main.ts
+++ b/source/program/main.ts
@@ -4,6 +4,7 @@
 import {showBurn, type BurnOptions} from './burn.js';
 import {type OperatorOptions} from './client.js';
 import {endOnError, rejectInput} from './exit.js';
+import {explain} from './explain.js';
 import {loadAndPrint} from './load.js';
 import {
 	apply, changeZone, check, drainServer, promote, show, showHistory, showStatus, type ChangeOptions,
@@ -50,6 +51,9 @@
 program.command('check <...files>', 'Check files without applying anything').option('--kind <kind>', 'document, control or entry', {default: 'document'}).action((files: readonly string[], options: {readonly kind: string}) => {
 	check(files, options.kind);
 });
+program.command('explain <id> <...files>', 'Tell the story of a request from the logs of processes').action((id: string, files: readonly string[]) => {
+	explain(String(id), files);
+});
 addOperatorOptions(program.command('apply <file>', 'Apply a document'))
 	.option('--environment <name>', 'trial or production', {default: 'trial'})
 	.option('--base <version>', 'Version that the document is based on (default: the current one)')
