--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -3,6 +3,16 @@
 
 const absent = './scripts/absent.cjs';
 
+/** Modules that are replaced in bundles. */
+const alias = {
+	// Only the modules of the library that are used, not all of them.
+	rxjs: './node_modules/rxjs/dist/esm/index.js',
+	'@opentelemetry/api': './scripts/no-tracing.cjs',
+	'dtrace-provider': absent,
+	'cbor-extract': absent,
+	'source-map-support': absent,
+};
+
 /**
  * Bundles a program.
  * @param {string} entryPoint - First module.
@@ -16,7 +26,7 @@
 		platform: 'node',
 		target: 'node20',
 		format: 'cjs',
-		alias: {'@opentelemetry/api': './scripts/no-tracing.cjs', 'rxjs': './node_modules/rxjs/dist/esm/index.js', 'dtrace-provider': absent, 'cbor-extract': absent, 'source-map-support': absent},
+		alias,
 		minify: true,
 		logLevel: 'warning',
 	});
--- a/source/announcement/registry.test.ts
+++ b/source/announcement/registry.test.ts
@@ -33,13 +33,19 @@
 		doTest([announced(say('one', 5, 1)), announced(say('one', 5, 9, {state: 'leaving'})), announced(say('one', 5, 8))], {'stock/one': 'leaving 5'});
 	});
 	test('forgets one that has left, whatever arrives late', () => {
-		doTest([announced(say('one', 5, 1)), {kind: 'left', name: 'one', bornAt: 5, at: 0}, announced(say('one', 5, 2))], {});
+		doTest([announced(say('one', 5, 1)), {
+			kind: 'left', name: 'one', bornAt: 5, at: 0,
+		}, announced(say('one', 5, 2))], {});
 	});
 	test('takes a new boot under the old name, whose counts start anew', () => {
-		doTest([announced(say('one', 5, 90)), {kind: 'left', name: 'one', bornAt: 5, at: 0}, announced(say('one', 7, 1))], {'stock/one': 'warm 7'});
+		doTest([announced(say('one', 5, 90)), {
+			kind: 'left', name: 'one', bornAt: 5, at: 0,
+		}, announced(say('one', 7, 1))], {'stock/one': 'warm 7'});
 	});
 	test('ignores the late leave of an earlier boot', () => {
-		doTest([announced(say('one', 7, 1)), {kind: 'left', name: 'one', bornAt: 5, at: 0}], {'stock/one': 'warm 7'});
+		doTest([announced(say('one', 7, 1)), {
+			kind: 'left', name: 'one', bornAt: 5, at: 0,
+		}], {'stock/one': 'warm 7'});
 	});
 	test('gives an address to the one that was born later', () => {
 		doTest([announced(say('one', 5, 1)), announced(say('two', 7, 1, {service: 'orders'}))], {'orders/two': 'warm 7'});
--- a/source/cold-start/rate.test.ts
+++ b/source/cold-start/rate.test.ts
@@ -23,7 +23,9 @@
 		const announcement = announcementSchema.parse({
 			service: 'stock', name: 'one', host: '127.0.0.1', port: 1, zone: 'north', slots: 6, connections: 100, boot: 'b', state: 'warm',
 		});
-		const entries = Array.from({length: entryCount}, (_, index) => ({name: `e${index}`, candidate: createCandidate(1, announcement, 'cold'), renewAt: random() * 500, expiresAt: 0}));
+		const entries = Array.from({length: entryCount}, (_, index) => ({
+			name: `e${index}`, candidate: createCandidate(1, announcement, 'cold'), renewAt: random() * 500, expiresAt: 0,
+		}));
 		const sentAt: number[] = [];
 		for (let now = 0; now < 9000; now++) {
 			for (const entry of entries) {
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -7,7 +7,7 @@
 import {Result} from 'true-myth';
 import {type RegisteredServer} from '../announcement/index.js';
 import {type Environment} from '../configuration/index.js';
-import {getNextMembership, type ReplicaMessage} from '../consensus/index.js';
+import {type ReplicaMessage} from '../consensus/index.js';
 import {createControlClient} from '../control-client/index.js';
 import {type Renewal} from '../lease/index.js';
 import {createRandom} from '../randomness/index.js';
@@ -24,11 +24,12 @@
 import {createLeadership, type Leadership} from './leadership.js';
 import {createMachine, machineCodec} from './machine.js';
 import {createNeighbourhood} from './neighbours.js';
+import {createMembers} from './members.js';
 import {createControlMetrics} from './metrics.js';
 import {createShutdown} from './shutdown.js';
 import {createSnapshotReceiver, createSnapshotSender} from './transfer.js';
 import {
-	type ControlAnswer, type ControlInbound, type Directory, type ControlOutbound, type ControlRequest,
+	type ControlAnswer, type ControlInbound, type ControlOutbound, type ControlRequest,
 } from './message.js';
 
 const housekeepingMilliseconds = 100;
@@ -82,15 +83,12 @@
 		maximumStoredBytes: settings.ledger.maximumStoredBytes,
 	});
 	const links = new Set<Link<ControlInbound>>();
-	const joining: string[] = [];
 	// What keeps service levels is loaded only where they are kept, since its histograms take memory.
 	const burnBook: BurnBook | undefined = settings.serviceLevels ? await loadBurnBook() : undefined;
 	let leadership: Leadership | undefined;
 	let nudge: NodeJS.Timeout | undefined;
 	let lastUrgency = 0;
 	let lastVersions = '';
-	let announcedMembership = '';
-	const learned = new Set<string>();
 
 	const driver = startDriver({
 		id: self,
@@ -121,7 +119,7 @@
 		received(_host, message) {
 			// Replies are taken by the client; of the rest only the directory concerns control hosts.
 			if (message.kind === 'directory') {
-				learnHosts(message);
+				members.learn(message);
 			}
 		},
 		lost(host) {
@@ -129,7 +127,7 @@
 		},
 		opened(host) {
 			log.info({host}, 'control host reached');
-			announceReplica();
+			members.askToJoin();
 			client.sendTo(host, shutdown.getAvailability());
 		},
 	});
@@ -154,6 +152,9 @@
 			return answer.kind === 'status' ? answer.status : undefined;
 		},
 	});
+	const members = createMembers({
+		self, driver, neighbourhood, client, links, log,
+	});
 	const metrics = createControlMetrics(driver, machine);
 
 	function sendConsensus(to: string, message: ReplicaMessage): void {
@@ -167,13 +168,6 @@
 		});
 	}
 
-	function announceReplica(): void {
-		const {voters} = driver.replica.getMembership();
-		if (!voters.includes(self)) {
-			client.broadcast({kind: 'join', replica: self});
-		}
-	}
-
 	async function renew(link: Link<ControlInbound>, renewal: Renewal): Promise<void> {
 		const receivedAt = performance.now();
 		const current = leadership;
@@ -190,54 +184,6 @@
 		link.send(refusal);
 	}
 
-	/** Links to the hosts that another one knows, while this one is no member itself. */
-	function learnHosts(directory: Directory): void {
-		if (!driver.replica.getMembership().voters.includes(self)) {
-			for (const host of directory.hosts) {
-				learned.add(host);
-			}
-
-			linkToOthers();
-		}
-	}
-
-	/** Links to every host that takes part or asks to. */
-	function linkToOthers(): void {
-		const learnedReplicas = [...learned].map(host => `${host}:learned`);
-		client.setHosts(neighbourhood.getOthers(driver.replica.getMembership(), [...joining, ...learnedReplicas]));
-	}
-
-	function getDirectory(): Directory {
-		const {voters, learners} = driver.replica.getMembership();
-		const leaderId = driver.replica.getLeader();
-		return {
-			kind: 'directory', hosts: [...voters, ...learners].map(replica => getHostName(replica)), index: driver.replica.getLog().getMembershipIndex(), leader: leaderId === undefined ? undefined : getHostName(leaderId),
-		};
-	}
-
-	/** Tells everybody who is linked of a change among the control hosts. */
-	function announceMembership(): void {
-		const directory = getDirectory();
-		const key = directory.hosts.join(' ');
-		if (neighbourhood.voters === undefined || key === announcedMembership) {
-			return;
-		}
-
-		announcedMembership = key;
-		linkToOthers();
-		for (const link of links) {
-			link.send(directory);
-		}
-	}
-
-	function join(replica: string): void {
-		if (neighbourhood.isKnown(getHostName(replica)) && !joining.includes(replica)) {
-			joining.push(replica);
-			log.info({replica}, 'replica asks to join');
-			linkToOthers();
-		}
-	}
-
 	function receive(link: Link<ControlInbound>, message: ControlInbound): void {
 		switch (message.kind) {
 			case 'consensus': {
@@ -258,7 +204,7 @@
 			}
 
 			case 'join': {
-				join(message.replica);
+				members.join(message.replica);
 				return;
 			}
 
@@ -292,10 +238,7 @@
 		port: settings.links.port,
 		opened(link) {
 			links.add(link);
-			if (neighbourhood.voters !== undefined) {
-				link.send(getDirectory());
-			}
-
+			members.greet(link);
 			link.messages.subscribe({
 				next(message) {
 					receive(link, message);
@@ -334,7 +277,7 @@
 	}
 
 	function keepHouse(): void {
-		announceMembership();
+		members.announce();
 		if (leadership === undefined) {
 			return;
 		}
@@ -345,29 +288,7 @@
 			void driver.propose({area: 'registry', command});
 		}
 
-		changeMembership();
-	}
-
-	function changeMembership(): void {
-		const {replica} = driver;
-		if (replica.getRole() !== 'leader' || !replica.isMembershipSettled()) {
-			return;
-		}
-
-		const next = getNextMembership({
-			self,
-			membership: replica.getMembership(),
-			lastIndex: replica.getLog().getLastIndex(),
-			joining,
-			getMatchIndex: replica.getMatchIndex,
-			getHost: getHostName,
-			voters: neighbourhood.voters,
-			getSilence: member => performance.now() - (replica.getAnsweredAt(member) ?? performance.now()),
-		});
-		if (next !== undefined) {
-			log.info({membership: next}, 'membership changes');
-			driver.proposeMembership(next);
-		}
+		members.change();
 	}
 
 	/** Tells which servers changed by what was committed. */
@@ -419,7 +340,7 @@
 		planNudge();
 	}));
 	subscription.add(interval(housekeepingMilliseconds).subscribe(keepHouse));
-	subscription.add(interval(joinMilliseconds).subscribe(announceReplica));
+	subscription.add(interval(joinMilliseconds).subscribe(members.askToJoin));
 
 	/** Answers a request here or at the host that is believed to lead. */
 	async function answerOnce(request: ControlRequest): Promise<ControlAnswer> {
@@ -476,7 +397,7 @@
 		linksPort: listener.port,
 		reload(next) {
 			neighbourhood.setSeeds(getSeeds(next));
-			linkToOthers();
+			members.link();
 		},
 		async stop() {
 			await shutdown.prepare();
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -2,19 +2,17 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {
-	getAskedCandidates, hasRoom, type AttemptResult, type Candidate,
-} from '../choice/index.js';
+import {type AttemptResult, type Candidate} from '../choice/index.js';
 import {type Service} from '../configuration/index.js';
 import {maximumAttempts, mayHedge, mayRetry} from '../retry/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {streamAnswer, writeHead} from './answer.js';
-import {type AskedCandidate} from './asker.js';
 import {startAttempt, type Attempt, type Outcome} from './attempt.js';
 import {type CallContext} from './call.js';
 import {type Claim} from './claims.js';
 import {type ServiceState} from './fleet.js';
 import {getForwardedHeaders} from './headers.js';
+import {createPlacement} from './placement.js';
 import {type RoutePolicy} from './router.js';
 import {type Decision} from './story.js';
 
@@ -30,33 +28,15 @@
 
 type Running = {readonly attempt: Attempt; readonly candidate: Candidate; readonly startedAt: number};
 
-/** Time in which servers that are asked answer, where the document does not say, in milliseconds. */
-const ordinaryAskMilliseconds = 10;
-
 /** Share of the target latency after which a second attempt may still meet it. */
 const hedgedTargetShare = 0.5;
 
-/** Rounds of questions before a request is refused: the nearest candidates, then others. */
-const askingRounds = 2;
-
 /** Share of the target latency for which a request waits for a server; later it could hardly meet the target. */
 const waitedTargetShare = 0.125;
 
-/** One round of questions. */
-type AskingRound = {
-	readonly count: number;
-	/** Candidates that take no part, which each round adds to. */
-	readonly alreadyAsked: Set<number>;
-	readonly roundsLeft: number;
-	/** Answers that came in the rounds before. */
-	readonly answers: number;
-};
-
 /** Servers that one request may fail to reach beside its attempts. */
 const largestUnreached = 4;
 
-const noZones: ReadonlySet<string> = new Set();
-
 /** An admitted call. */
 export type Call = {
 	readonly context: CallContext;
@@ -87,7 +67,10 @@
 	const {context, state, service, route, request, response, deadlineAt} = call;
 	const running = new Set<Running>();
 	const excluded = new Set<number>();
-	let avoidedZones: Set<string> | undefined;
+	const avoidedZones = new Set<string>();
+	const placement = createPlacement({
+		context, state, route, excluded, avoidedZones, note: call.note,
+	});
 	let attempts = 0;
 	let unreached = 0;
 	let failedAnswer: Exclude<Outcome, {readonly kind: 'failed'}> | undefined;
@@ -95,7 +78,6 @@
 	let isSettled = false;
 	let hasDispatched = false;
 	let mayHaveRunBefore = false;
-	let forgetQuestion: (() => void) | undefined;
 	const largestAttempts = route.attempts ?? maximumAttempts;
 
 	function settle(): boolean {
@@ -105,7 +87,7 @@
 
 		isSettled = true;
 		clearTimeout(hedgeTimer);
-		forgetQuestion?.();
+		placement.forget();
 		return true;
 	}
 
@@ -137,12 +119,6 @@
 		state.queue.drain(now);
 	}
 
-	function choose(now: number): Candidate | undefined {
-		return state.getChooser().choose({
-			candidates: state.getCandidates(), excluded, zone: context.zone, avoidedZones: avoidedZones ?? noZones, now,
-		});
-	}
-
 	function mayDispatch(): boolean {
 		const now = performance.now();
 		return !isSettled && context.mayDispatch(now) && now < deadlineAt;
@@ -280,7 +256,6 @@
 		}
 
 		ejectFailing(candidate, now);
-		avoidedZones ??= new Set();
 		avoidedZones.add(candidate.getAnnouncement().zone);
 		if (!outcome.hasCrashed) {
 			retryOrRefuse(outcome.verdict, false);
@@ -320,7 +295,7 @@
 			return;
 		}
 
-		place(candidate => {
+		placement.place(candidate => {
 			if (candidate === undefined) {
 				giveUp(verdict);
 			} else {
@@ -378,7 +353,7 @@
 			return;
 		}
 
-		place(candidate => {
+		placement.place(candidate => {
 			if (candidate !== undefined && !isHedgePointless() && mayDispatch() && state.hedges.spend()) {
 				start(candidate, 'hedge');
 			}
@@ -391,11 +366,11 @@
 
 	/** Starts the first attempt, or lets its servers be asked; returns false when no server is open. */
 	function startFirst(): boolean {
-		if (choose(performance.now()) === undefined) {
+		if (placement.choose(performance.now()) === undefined) {
 			return false;
 		}
 
-		place(candidate => {
+		placement.place(candidate => {
 			if (candidate === undefined) {
 				refuse(notRun('overload'));
 				return;
@@ -407,69 +382,6 @@
 		return true;
 	}
 
-	/** Chooses a server, after asking a few where the service wants that; undefined when none has room. */
-	function place(take: (candidate: Candidate | undefined) => void): void {
-		const {askedCandidates = 0} = service;
-		if (askedCandidates === 0) {
-			take(choose(performance.now()));
-			return;
-		}
-
-		ask({
-			count: askedCandidates, alreadyAsked: new Set(excluded), roundsLeft: askingRounds, answers: 0,
-		}, take);
-	}
-
-	/** Asks some candidates, and others when none of the first has room. */
-	function ask(round: AskingRound, take: (candidate: Candidate | undefined) => void): void {
-		const {count, alreadyAsked} = round;
-		const now = performance.now();
-		const asked = getAskedCandidates({
-			candidates: state.getCandidates(), excluded: alreadyAsked, zone: context.zone, avoidedZones: avoidedZones ?? noZones, count: context.questions.take(count, now), now,
-		}, context.random);
-		if (asked.length === 0) {
-			// Where nobody answers anything, what is known without questions has to do.
-			take(round.answers === 0 ? choose(performance.now()) : undefined);
-			return;
-		}
-
-		forgetQuestion = context.asker.ask({
-			candidates: asked, waitMilliseconds: service.askMilliseconds ?? ordinaryAskMilliseconds, answered(readings) {
-				forgetQuestion = undefined;
-				if (isSettled) {
-					return;
-				}
-
-				const candidate = getPlace(readings, asked.length);
-				const answers = round.answers + readings.length;
-				if (candidate !== undefined || round.roundsLeft <= 1) {
-					take(candidate ?? (answers === 0 ? choose(performance.now()) : undefined));
-					return;
-				}
-
-				for (const other of asked) {
-					alreadyAsked.add(other.id);
-				}
-
-				ask({...round, roundsLeft: round.roundsLeft - 1, answers}, take);
-			},
-		});
-	}
-
-	/** Gets the best of the servers that answered and have room. */
-	function getPlace(readings: readonly AskedCandidate[], asked: number): Candidate | undefined {
-		const now = performance.now();
-		const best = readings.find(({candidate, reading}) => candidate.isOpen(now) && hasRoom(reading, route.isUrgent));
-		if (best !== undefined) {
-			const {running, waiting, slots, slowness} = best.reading;
-			call.note({
-				kind: 'place', server: best.candidate.getAnnouncement().name, reading: `${running},${waiting},${slots},${slowness}`, asked, answered: readings.length,
-			});
-		}
-
-		return best?.candidate;
-	}
-
 	function wait(): void {
 		const {targetMilliseconds} = route;
 		const waitUntil = targetMilliseconds === undefined ? deadlineAt : Math.min(deadlineAt, performance.now() + (targetMilliseconds * waitedTargetShare));
--- a/source/entry/story.test.ts
+++ b/source/entry/story.test.ts
@@ -10,6 +10,7 @@
 		const write = (fields: Readonly<Record<string, unknown>>): void => {
 			lines.push(fields);
 		};
+
 		let now = 0;
 		const teller = createStoryteller({info: write, warn: write, error: write}, () => now);
 		for (let index = 0; index < count; index++) {
--- a/source/program/signals.ts
+++ b/source/program/signals.ts
@@ -1,8 +1,8 @@
 /** What the running processes have in common: their signals, and errors that name the settings. */
 import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
 import {type Log} from '../telemetry/index.js';
 import {ListenError} from '../wire/index.js';
-import {setTimeout as delay} from 'node:timers/promises';
 import {exitCode, rejectInput} from './exit.js';
 
 /** Time in which the log is written out at the end, in milliseconds. */
