--- a/source/consensus/election.ts
+++ b/source/consensus/election.ts
@@ -43,7 +43,8 @@
 export function createElection(options: ElectionOptions): Election {
 	const {core, electionMilliseconds} = options;
 	const {log} = core;
-	let timeoutAt = core.now + getTimeout();
+	// A host that has just started knows of no leader; a pre-vote disturbs none that there is.
+	let timeoutAt = core.now + getPreVoteTimeout();
 	let leaderHeardAt = Number.NEGATIVE_INFINITY;
 	let votes = new Set<string>();
 
@@ -51,6 +52,11 @@
 		return electionMilliseconds * (1 + options.random());
 	}
 
+	/** Gets the time after which a pre-vote that met no quorum is tried again: half as long, since it changes nothing. */
+	function getPreVoteTimeout(): number {
+		return getTimeout() / 2;
+	}
+
 	function postpone(): void {
 		timeoutAt = core.now + getTimeout();
 	}
@@ -60,7 +66,7 @@
 	}
 
 	function startPreVote(): void {
-		postpone();
+		timeoutAt = core.now + getPreVoteTimeout();
 		if (!core.isVoter()) {
 			return;
 		}
--- a/source/wire/dialer.ts
+++ b/source/wire/dialer.ts
@@ -5,7 +5,8 @@
 import {type Link, type LinkIdentity} from './link.js';
 
 const reconnectMilliseconds = 100;
-const connectTimeoutMilliseconds = 1000;
+/** Time after which a connection that nobody answers is given up, in milliseconds: many round trips, less than a dark host takes to return. */
+const connectTimeoutMilliseconds = 500;
 
 /** A link that connects again whenever it breaks. */
 export type Dialer = {
