--- a/stand-in/platform/system.ts
+++ b/stand-in/platform/system.ts
@@ -14,7 +14,7 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {bundleProgram} from '../../scripts/bundle.js';
-import {callControl} from './upstream.js';
+import {callControl, readText} from './upstream.js';
 
 const bundle = 'target/guavadeck-test.cjs';
 const clientMilliseconds = 5000;
@@ -60,7 +60,11 @@
 /** Renders a template of the deploy folder with the fields that the platform would fill in. */
 function render(template: string, fields: Readonly<Record<string, unknown>>): string {
 	return template.replaceAll(/\{\{(?<name>[\w.]+)(?<format>\|json)?\}\}/gv, (_match, name: string, format: string | undefined) => {
-		const value = name.split('.').reduce<unknown>((current, part) => (current as Record<string, unknown> | undefined)?.[part], fields);
+		let value: unknown = fields;
+		for (const part of name.split('.')) {
+			value = (value as Record<string, unknown> | undefined)?.[part];
+		}
+
 		return format === undefined ? String(value) : JSON.stringify(value);
 	});
 }
@@ -107,19 +111,15 @@
 			};
 			const request = startRequest({
 				host, port, method: options.method ?? 'GET', path: options.path, headers: options.headers, agent: false, timeout: clientMilliseconds,
-			}, async answer => {
-				let body = '';
-				try {
-					for await (const chunk of answer.setEncoding('utf8') as AsyncIterable<string>) {
-						body += chunk;
-					}
-
-					resolve({
-						status: answer.statusCode ?? 0, body, signature: answer.headers['upstream-signature'] as string | undefined, retryAfter: answer.headers['retry-after'],
-					});
-				} catch {
-					resolve(failed);
-				}
+			}, answer => {
+				const text = readText(answer);
+				void text.then(body => {
+					resolve(body === undefined
+						? failed
+						: {
+							status: answer.statusCode ?? 0, body, signature: answer.headers['upstream-signature'] as string | undefined, retryAfter: answer.headers['retry-after'],
+						});
+				});
 			});
 			request.once('timeout', () => {
 				request.destroy();
@@ -176,7 +176,10 @@
 				},
 			});
 		},
-		isReady: async entry => (await ask(entry.host, ports.ready, {path: '/ready'})).status === 200,
+		async isReady(entry) {
+			const {status} = await ask(entry.host, ports.ready, {path: '/ready'});
+			return status === 200;
+		},
 		readLog: machine => readFileSync(path.join(folder, `${machine.name}.log`), 'utf8'),
 		async stop() {
 			await Promise.all([...controls, ...entries].map(async machine => end(machine, 'SIGKILL')));
--- a/stand-in/platform/upstream.ts
+++ b/stand-in/platform/upstream.ts
@@ -42,23 +42,30 @@
 	getControl(): readonly string[];
 };
 
+/** Reads a whole body as text, or undefined where it broke off. */
+export async function readText(message: IncomingMessage): Promise<string | undefined> {
+	const chunks: Buffer[] = [];
+	try {
+		for await (const chunk of message as AsyncIterable<Buffer>) {
+			chunks.push(chunk);
+		}
+
+		return Buffer.concat(chunks).toString('utf8');
+	} catch {
+		return undefined;
+	}
+}
+
 /** Calls a control host and resolves to the status, 0 when it does not answer in time. */
 export async function callControl(address: string, method: string, path: string, body?: string): Promise<{readonly status: number; readonly text: string}> {
 	const [host, port] = address.split(':');
 	return new Promise(resolve => {
 		const request = startRequest({
 			host, port: Number(port), method, path, agent: false, timeout: callMilliseconds, headers: body === undefined ? {} : {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)},
-		}, async answer => {
-			const chunks: Buffer[] = [];
-			try {
-				for await (const chunk of answer as AsyncIterable<Buffer>) {
-					chunks.push(chunk);
-				}
-
-				resolve({status: answer.statusCode ?? 0, text: Buffer.concat(chunks).toString('utf8')});
-			} catch {
-				resolve({status: 0, text: ''});
-			}
+		}, answer => {
+			void readText(answer).then(text => {
+				resolve({status: text === undefined ? 0 : answer.statusCode ?? 0, text: text ?? ''});
+			});
 		});
 		request.once('timeout', () => {
 			request.destroy();
@@ -110,14 +117,10 @@
 		}
 
 		running++;
-		const chunks: Buffer[] = [];
-		for await (const chunk of request as AsyncIterable<Buffer>) {
-			chunks.push(chunk);
-		}
-
+		const body = await readText(request);
 		const requestId = String(request.headers['request-id']);
 		runs.push({
-			id: requestId, path: request.url ?? '', body: Buffer.concat(chunks).toString('utf8'), at: Date.now(),
+			id: requestId, path: request.url ?? '', body: body ?? '', at: Date.now(),
 		});
 		await delay(options.workMilliseconds);
 		running--;
