Look further when the servers with room are slow; wait once for room; start no second attempt at a slow server

Change: a second round when the best would take over 2.2 times as long, the best of both rounds; one more question after a wait within an eighth of the target; hedges only at quick servers. placement.test.ts.

--- /dev/null
+++ b/source/entry/placement.test.ts
@@ -0,0 +1,81 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {announcementSchema} from '../announcement/index.js';
+import {createCandidate, type Candidate, type Reading} from '../choice/index.js';
+import {documentSchema} from '../configuration/index.js';
+import {createRandom} from '../randomness/index.js';
+import {type CallContext} from './call.js';
+import {type ServiceState} from './fleet.js';
+import {createPlacement, type Placement} from './placement.js';
+import {createRouter} from './router.js';
+
+const free: Reading = {
+	running: 1, waiting: 0, slots: 6, slowness: 1,
+};
+const slow: Reading = {...free, slowness: 5};
+const full: Reading = {...free, running: 6, waiting: 3};
+
+describe('createPlacement', () => {
+	/** Creates a placement on six servers, all of which answer at once; the near ones are 1 to 3. */
+	function create(readings: readonly Reading[]): {readonly placement: Placement; readonly rounds: number[]} {
+		const rounds: number[] = [];
+		const candidates: Candidate[] = readings.map((_, index) => createCandidate(index + 1, announcementSchema.parse({
+			service: 'stock', name: `s${index + 1}`, host: '127.0.0.1', port: 1, zone: index < 3 ? 'north' : 'south', slots: 6, connections: 100, boot: 'b', state: 'warm',
+		}), 'warm'));
+		const {services, routes} = documentSchema.parse({
+			zones: [{name: 'north'}], services: [{name: 'stock', askedCandidates: 3}], routes: [{
+				name: 'look', parts: [{service: 'stock', weight: 1}], isIdempotent: true, timeoutMilliseconds: 800, targetMilliseconds: 200, attempts: 2,
+			}],
+		});
+		const context = {
+			zone: 'north', random: createRandom(1), questions: {take: (wanted: number) => wanted}, asker: {
+				ask(question: {readonly candidates: readonly Candidate[]; answered(asked: ReadonlyArray<{readonly candidate: Candidate; readonly reading: Reading}>): void}) {
+					rounds.push(question.candidates.length);
+					setImmediate(() => {
+						question.answered(question.candidates.map(candidate => ({candidate, reading: readings[candidate.id - 1]!})).toSorted((one, other) => one.reading.slowness - other.reading.slowness));
+					});
+					return () => undefined;
+				},
+			},
+		} as unknown as CallContext;
+		const state = {getCandidates: () => candidates, getService: () => services[0]!} as unknown as ServiceState;
+		const placement = createPlacement({
+			context, state, route: createRouter(services, routes).get('any', '/1')!, excluded: new Set(), avoidedZones: new Set(), note() {
+				// Nobody reads it.
+			},
+		});
+		return {placement, rounds};
+	}
+
+	type Expected = {readonly id: number | undefined; readonly rounds: number};
+
+	async function doTest(readings: readonly Reading[], expected: Expected, isBeside = false): Promise<void> {
+		const {placement, rounds} = create(readings);
+		const candidate = await new Promise<Candidate | undefined>(resolve => {
+			if (isBeside) {
+				placement.placeBeside(resolve);
+			} else {
+				placement.place(resolve);
+			}
+		});
+		expect({id: candidate?.id, rounds: rounds.length}).toEqual(expected);
+	}
+
+	test('takes a near server that is quick', async () => {
+		await doTest([slow, free, full, free, free, free], {id: 2, rounds: 1});
+	});
+	test('asks others when the near ones are slow or full', async () => {
+		await doTest([slow, full, full, full, free, full], {id: 5, rounds: 2});
+	});
+	test('takes a slow server with room when there is nothing better', async () => {
+		await doTest([slow, full, full, full, full, full], {id: 1, rounds: 2});
+	});
+	test('asks once more after a short wait, then gives up, when nobody has room', async () => {
+		const startedAt = Date.now();
+		await doTest([full, full, full, full, full, full], {id: undefined, rounds: 3});
+		expect(Date.now() - startedAt < 200).toEqual(true);
+	});
+	test('starts no second attempt at a slow server', async () => {
+		await doTest([slow, full, full, full, full, full], {id: undefined, rounds: 1}, true);
+	});
+});
--- a/source/entry/placement.ts
+++ b/source/entry/placement.ts
@@ -4,7 +4,9 @@
  * room for gets no server, so that it can be refused at once.
  */
 import {performance} from 'node:perf_hooks';
-import {getAskedCandidates, hasRoom, type Candidate} from '../choice/index.js';
+import {
+	getAskedCandidates, getExpectedTime, hasRoom, type Candidate,
+} from '../choice/index.js';
 import {type AskedCandidate} from './asker.js';
 import {type CallContext} from './call.js';
 import {type ServiceState} from './fleet.js';
@@ -17,14 +19,30 @@
 /** Rounds of questions before a request is refused: the nearest candidates, then others. */
 const askingRounds = 2;
 
-/** One round of questions. */
-type AskingRound = {
+/** Time, as a multiple of the usual, beyond which others are asked although a server has room: it would be late there. */
+const acceptableTime = 2.2;
+
+/** Share of the target latency for which a request that nobody has room for waits before it asks once more. */
+const waitedTargetShare = 0.125;
+
+/** Shortest wait that is worth another question, in milliseconds. */
+const shortestWaitMilliseconds = 4;
+
+/** What was asked so far. */
+type Asking = {
 	readonly count: number;
 	/** Candidates that take no part, which each round adds to. */
 	readonly alreadyAsked: Set<number>;
 	readonly roundsLeft: number;
 	/** Answers that came in the rounds before. */
 	readonly answers: number;
+	/** Best server with room so far. */
+	readonly best: AskedCandidate | undefined;
+	/** Whether another attempt already runs, so that only a quick server is worth it. */
+	readonly isBeside: boolean;
+	/** Whether the request may still wait for room. */
+	readonly mayWait: boolean;
+	readonly startedAt: number;
 };
 
 /** Takes the chosen server, or undefined when none has room. */
@@ -36,6 +54,8 @@
 	choose(now: number): Candidate | undefined;
 	/** Chooses, after questions where the service wants them. */
 	place(take: PlaceTaker): void;
+	/** Chooses for an attempt beside one that runs: only a server that would be quick. */
+	placeBeside(take: PlaceTaker): void;
 	/** Forgets the question that is under way. */
 	forget(): void;
 };
@@ -71,18 +91,18 @@
 		});
 	}
 
-	function getCandidatesToAsk(round: AskingRound): readonly Candidate[] {
+	function getCandidatesToAsk(asking: Asking): readonly Candidate[] {
 		const now = performance.now();
 		return getAskedCandidates({
-			candidates: state.getCandidates(), excluded: round.alreadyAsked, zone, avoidedZones, count: context.questions.take(round.count, now), now,
+			candidates: state.getCandidates(), excluded: asking.alreadyAsked, zone, avoidedZones, count: context.questions.take(asking.count, now), now,
 		}, context.random);
 	}
 
-	/** Asks some candidates, and others when none of the first has room. */
-	function ask(round: AskingRound, take: PlaceTaker): void {
-		const asked = getCandidatesToAsk(round);
+	/** Asks some candidates; others after them when none has room or all are slow. */
+	function ask(asking: Asking, take: PlaceTaker): void {
+		const asked = getCandidatesToAsk(asking);
 		if (asked.length === 0) {
-			take(getUnasked(round.answers));
+			finish(asking, take);
 			return;
 		}
 
@@ -90,58 +110,100 @@
 			candidates: asked, waitMilliseconds: state.getService().askMilliseconds ?? ordinaryAskMilliseconds, answered(readings) {
 				forgetQuestion = undefined;
 				if (!isForgotten) {
-					takeReadings(round, asked, readings, take);
+					takeReadings(asking, asked, readings, take);
 				}
 			},
 		});
 	}
 
-	function takeReadings(round: AskingRound, asked: readonly Candidate[], readings: readonly AskedCandidate[], take: PlaceTaker): void {
-		const candidate = getRoomiest(readings, asked.length);
-		const answers = round.answers + readings.length;
-		if (candidate !== undefined || round.roundsLeft <= 1) {
-			take(candidate ?? getUnasked(answers));
+	function takeReadings(asking: Asking, asked: readonly Candidate[], readings: readonly AskedCandidate[], take: PlaceTaker): void {
+		const best = getBetter(asking.best, getRoomiest(readings));
+		const next: Asking = {
+			...asking, best, answers: asking.answers + readings.length, roundsLeft: asking.roundsLeft - 1,
+		};
+		const isGoodEnough = best !== undefined && getExpectedTime(best.reading) <= acceptableTime;
+		if (isGoodEnough || next.roundsLeft <= 0) {
+			finish(next, take);
 			return;
 		}
 
 		for (const other of asked) {
-			round.alreadyAsked.add(other.id);
+			asking.alreadyAsked.add(other.id);
 		}
 
-		ask({...round, roundsLeft: round.roundsLeft - 1, answers}, take);
+		ask(next, take);
 	}
 
-	/** Where nobody answered anything, what is known without questions has to do. */
-	function getUnasked(answers: number): Candidate | undefined {
-		return answers === 0 ? choose(performance.now()) : undefined;
-	}
+	/** Takes the best server, waits once for room, or gives up. */
+	function finish(asking: Asking, take: PlaceTaker): void {
+		const {best, answers, isBeside} = asking;
+		if (isBeside && (best === undefined || getExpectedTime(best.reading) > acceptableTime)) {
+			take(undefined);
+			return;
+		}
 
-	/** Gets the best of the servers that answered and have room. */
-	function getRoomiest(readings: readonly AskedCandidate[], asked: number): Candidate | undefined {
-		const now = performance.now();
-		const best = readings.find(({candidate, reading}) => candidate.isOpen(now) && hasRoom(reading, route.isUrgent));
 		if (best !== undefined) {
 			const {running, waiting, slots, slowness} = best.reading;
 			options.note({
-				kind: 'place', server: best.candidate.getAnnouncement().name, reading: `${running},${waiting},${slots},${slowness}`, asked, answered: readings.length,
+				kind: 'place', server: best.candidate.getAnnouncement().name, reading: `${running},${waiting},${slots},${slowness}`, answered: answers,
 			});
+			take(best.candidate);
+			return;
 		}
 
-		return best?.candidate;
+		// Where nobody answered anything, what is known without questions has to do.
+		if (answers === 0) {
+			take(choose(performance.now()));
+			return;
+		}
+
+		waitForRoom(asking, take);
 	}
 
-	return {
-		choose,
-		place(take) {
-			const {askedCandidates = 0} = state.getService();
-			if (askedCandidates === 0) {
-				take(choose(performance.now()));
-				return;
-			}
+	function waitForRoom(asking: Asking, take: PlaceTaker): void {
+		const elapsed = performance.now() - asking.startedAt;
+		const perRound = elapsed / askingRounds;
+		const pause = ((route.targetMilliseconds ?? 0) * waitedTargetShare) - elapsed - perRound;
+		if (!asking.mayWait || pause < shortestWaitMilliseconds) {
+			take(undefined);
+			return;
+		}
 
+		const timer = setTimeout(() => {
 			ask({
-				count: askedCandidates, alreadyAsked: new Set(excluded), roundsLeft: askingRounds, answers: 0,
+				...asking, alreadyAsked: new Set(excluded), roundsLeft: 1, mayWait: false,
 			}, take);
+		}, pause);
+		forgetQuestion = () => {
+			clearTimeout(timer);
+		};
+	}
+
+	/** Gets the best of the servers that answered and have room. */
+	function getRoomiest(readings: readonly AskedCandidate[]): AskedCandidate | undefined {
+		const now = performance.now();
+		return readings.find(({candidate, reading}) => candidate.isOpen(now) && hasRoom(reading, route.isUrgent));
+	}
+
+	function start(isBeside: boolean, take: PlaceTaker): void {
+		const {askedCandidates = 0} = state.getService();
+		if (askedCandidates === 0) {
+			take(choose(performance.now()));
+			return;
+		}
+
+		ask({
+			count: askedCandidates, alreadyAsked: new Set(excluded), roundsLeft: isBeside ? 1 : askingRounds, answers: 0, best: undefined, isBeside, mayWait: !isBeside, startedAt: performance.now(),
+		}, take);
+	}
+
+	return {
+		choose,
+		place(take) {
+			start(false, take);
+		},
+		placeBeside(take) {
+			start(true, take);
 		},
 		forget() {
 			isForgotten = true;
@@ -149,3 +211,11 @@
 		},
 	};
 }
+
+function getBetter(one: AskedCandidate | undefined, other: AskedCandidate | undefined): AskedCandidate | undefined {
+	if (one === undefined || other === undefined) {
+		return one ?? other;
+	}
+
+	return getExpectedTime(other.reading) < getExpectedTime(one.reading) ? other : one;
+}
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -353,7 +353,7 @@
 			return;
 		}
 
-		placement.place(candidate => {
+		placement.placeBeside(candidate => {
 			if (candidate !== undefined && !isHedgePointless() && mayDispatch() && state.hedges.spend()) {
 				start(candidate, 'hedge');
 			}
--- a/source/entry/story.ts
+++ b/source/entry/story.ts
@@ -17,7 +17,7 @@
 
 /** A decision for a request. */
 export type Decision
-	= | {readonly kind: 'place'; readonly server: string; readonly reading: string | undefined; readonly asked: number; readonly answered: number}
+	= | {readonly kind: 'place'; readonly server: string; readonly reading: string; readonly answered: number}
 		| {readonly kind: 'send'; readonly attempt: 'first' | 'retry' | 'hedge'; readonly server: string; readonly leftMilliseconds: number}
 		| {readonly kind: 'failed'; readonly server: string; readonly reason: string}
 		| {readonly kind: 'answered'; readonly server: string; readonly status: number}
