--- a/source/wire/frame.ts
+++ b/source/wire/frame.ts
@@ -1,8 +1,12 @@
 /**
  * Frames messages between the system's processes: a big-endian 32-bit length, then
- * a CBOR item. The length is bounded before any byte of the payload is kept.
+ * a CBOR item. The length is bounded before any byte of the payload is kept. Load
+ * pattern: documents with hundreds of routes that change several times a second and go
+ * to every host, over links between zones that are dear; a long payload is compressed,
+ * which the highest bit of its length tells.
  */
 import {Buffer} from 'node:buffer';
+import {constants, deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Encoder} from 'cbor-x';
 
 /** Largest payload of one frame in bytes. */
@@ -11,6 +15,12 @@
 /** Largest payload accepted before the peer has proved that it holds the shared key, in bytes. */
 export const maximumHandshakeBytes = 4096;
 
+/** Payloads from this length on are compressed, in bytes; below it the saving is not worth the time. */
+const compressedFromBytes = 2048;
+
+/** Bit of the length that tells that the payload is compressed. */
+const compressedBit = 0x80_00_00_00;
+
 const lengthBytes = 4;
 const encoder = new Encoder({useRecords: false, mapsAsObjects: true, tagUint8Array: false});
 
@@ -46,8 +56,12 @@
 		throw new FrameError(`a frame of ${payload.length} bytes exceeds ${maximumFrameBytes}`);
 	}
 
+	return payload.length < compressedFromBytes ? join(payload, 0) : join(deflateRawSync(payload, {level: constants.Z_BEST_SPEED}), compressedBit);
+}
+
+function join(payload: Buffer, flag: number): Buffer {
 	const frame = Buffer.allocUnsafe(lengthBytes + payload.length);
-	frame.writeUInt32BE(payload.length, 0);
+	frame.writeUInt32BE(payload.length + flag, 0);
 	payload.copy(frame, lengthBytes);
 	return frame;
 }
@@ -69,7 +83,8 @@
 	let chunks: Buffer[] = [];
 	let size = 0;
 
-	function peekLength(): number | undefined {
+	/** Gets the length of the next payload, with the bit that tells whether it is compressed. */
+	function peekHeader(): {readonly length: number; readonly isCompressed: boolean} | undefined {
 		if (size < lengthBytes) {
 			return undefined;
 		}
@@ -78,24 +93,26 @@
 			chunks = [Buffer.concat(chunks)];
 		}
 
-		const length = chunks[0]!.readUInt32BE(0);
+		const header = chunks[0]!.readUInt32BE(0);
+		const isCompressed = header >= compressedBit;
+		const length = isCompressed ? header - compressedBit : header;
 		if (length > bound) {
 			throw new FrameError(`a frame of ${length} bytes exceeds ${bound}`);
 		}
 
-		return length;
+		return {length, isCompressed};
 	}
 
-	function take(length: number): unknown {
+	function take(length: number, isCompressed: boolean): unknown {
 		const all = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
 		const end = lengthBytes + length;
 		const payload = all.subarray(lengthBytes, end);
 		chunks = all.length > end ? [all.subarray(end)] : [];
 		size = all.length - end;
 		try {
-			return decode(payload);
+			return decode(isCompressed ? inflateRawSync(payload, {maxOutputLength: bound}) : payload);
 		} catch {
-			throw new FrameError('a frame is not valid CBOR');
+			throw new FrameError('a frame is not valid CBOR, or longer than the bound');
 		}
 	}
 
@@ -104,8 +121,8 @@
 			chunks.push(chunk);
 			size += chunk.length;
 			const messages: unknown[] = [];
-			for (let length = peekLength(); length !== undefined && size >= lengthBytes + length; length = peekLength()) {
-				messages.push(take(length));
+			for (let header = peekHeader(); header !== undefined && size >= lengthBytes + header.length; header = peekHeader()) {
+				messages.push(take(header.length, header.isCompressed));
 			}
 
 			return messages;
--- a/source/wire/wire.test.ts
+++ b/source/wire/wire.test.ts
@@ -34,6 +34,21 @@
 	});
 });
 
+describe('encodeFrame: long messages', () => {
+	const routes = Array.from({length: 350}, (_, index) => ({name: `route-${index}`, host: 'shop.example', path: `/orders/${index}/`, timeoutMilliseconds: 800}));
+
+	test('take a fraction of their length on the wire, and arrive as they were', () => {
+		const frame = encodeFrame({routes});
+		expect(frame.length < JSON.stringify({routes}).length / 5).toEqual(true);
+		const reader = createFrameReader();
+		expect([...reader.push(frame.subarray(0, 100)), ...reader.push(frame.subarray(100)), ...reader.push(encodeFrame({a: 1}))]).toEqual([{routes}, {a: 1}]);
+	});
+	test('are refused when they unfold beyond the bound', () => {
+		const frame = encodeFrame('x'.repeat(1_000_000));
+		expect(() => createFrameReader(100_000).push(frame)).toThrow(FrameError);
+	});
+});
+
 describe('listenForLinks and createDialer', () => {
 	async function doTest(key: string, isAccepted: boolean): Promise<void> {
 		const received: unknown[] = [];
