--- a/source/choice/reading.ts
+++ b/source/choice/reading.ts
@@ -29,7 +29,10 @@
 const urgentWaitingShare = 0.34;
 
 /** Load that a candidate in another zone counts for, since its bytes are dear. */
-const remoteLoad = 0.5;
+const remoteLoad = 1;
+
+/** Candidates of the own zone that are enough for a round of questions; others are asked when these have no room or are slow. */
+const enoughNear = 2;
 
 /** Load that a candidate counts for while the control hosts have not heard of it. */
 const absentLoad = 1;
@@ -89,7 +92,9 @@
 	const scored = choice.candidates
 		.filter(candidate => !excluded.has(candidate.id) && candidate.isOpen(now))
 		.map(candidate => ({candidate, score: getAskingScore(candidate, choice) + (random() * spread)}));
-	return scored.toSorted((left, right) => left.score - right.score).slice(0, choice.count).map(({candidate}) => candidate);
+	const best = scored.toSorted((left, right) => left.score - right.score).slice(0, choice.count).map(({candidate}) => candidate);
+	const near = best.filter(candidate => candidate.getAnnouncement().zone === choice.zone);
+	return near.length >= enoughNear ? near : best;
 }
 
 function getAskingScore(candidate: Candidate, choice: AskedChoice): number {
--- a/source/entry/asker.ts
+++ b/source/entry/asker.ts
@@ -4,9 +4,7 @@
  * after a while its connection.
  */
 import {Agent, request as startRequest} from 'node:http';
-import {
-	getExpectedTime, isQuiet, type Candidate, type Reading,
-} from '../choice/index.js';
+import {getExpectedTime, type Candidate, type Reading} from '../choice/index.js';
 import {type Dialect, type ServerHints} from './dialect.js';
 import {type FleetServer} from './fleet.js';
 
@@ -30,7 +28,9 @@
 export type Question = {
 	readonly candidates: readonly Candidate[];
 	readonly waitMilliseconds: number;
-	/** Takes the answers: at once when one is quiet, else when all have come or the wait is over. */
+	/** Checks whether an answer is worth no further wait. */
+	isEnough(candidate: Candidate, reading: Reading): boolean;
+	/** Takes the answers: at once when one is enough, else when all have come or the wait is over. */
 	answered(readings: readonly AskedCandidate[]): void;
 };
 
@@ -122,7 +122,7 @@
 						readings.push({candidate, reading});
 					}
 
-					if (left === 0 || (reading !== undefined && isQuiet(reading))) {
+					if (left === 0 || (reading !== undefined && question.isEnough(candidate, reading))) {
 						finish();
 					}
 				});
--- a/source/entry/placement.test.ts
+++ b/source/entry/placement.test.ts
@@ -64,6 +64,9 @@
 	test('takes a near server that is quick', async () => {
 		await doTest([slow, free, full, free, free, free], {id: 2, rounds: 1});
 	});
+	test('takes a near server that is quick enough before a quicker one elsewhere', async () => {
+		await doTest([slow, {...free, slowness: 2}, full, free, free, free], {id: 2, rounds: 1});
+	});
 	test('asks others when the near ones are slow or full', async () => {
 		await doTest([slow, full, full, full, free, full], {id: 5, rounds: 2});
 	});
--- a/source/entry/placement.ts
+++ b/source/entry/placement.ts
@@ -5,7 +5,7 @@
  */
 import {performance} from 'node:perf_hooks';
 import {
-	getAskedCandidates, getExpectedTime, hasRoom, type Candidate,
+	getAskedCandidates, getExpectedTime, hasRoom, isQuiet, type Candidate,
 } from '../choice/index.js';
 import {type AskedCandidate} from './asker.js';
 import {type CallContext} from './call.js';
@@ -107,7 +107,7 @@
 		}
 
 		forgetQuestion = context.asker.ask({
-			candidates: asked, waitMilliseconds: state.getService().askMilliseconds ?? ordinaryAskMilliseconds, answered(readings) {
+			candidates: asked, waitMilliseconds: state.getService().askMilliseconds ?? ordinaryAskMilliseconds, isEnough: (candidate, reading) => isNear(candidate) && isQuiet(reading), answered(readings) {
 				forgetQuestion = undefined;
 				if (!isForgotten) {
 					takeReadings(asking, asked, readings, take);
@@ -179,10 +179,15 @@
 		};
 	}
 
-	/** Gets the best of the servers that answered and have room. */
+	function isNear(candidate: Candidate): boolean {
+		return candidate.getAnnouncement().zone === zone;
+	}
+
+	/** Gets the best of the servers that answered and have room; bytes between zones are dear, so a near one that is quick enough goes first. */
 	function getRoomiest(readings: readonly AskedCandidate[]): AskedCandidate | undefined {
 		const now = performance.now();
-		return readings.find(({candidate, reading}) => candidate.isOpen(now) && hasRoom(reading, route.isUrgent));
+		const roomy = readings.filter(({candidate, reading}) => candidate.isOpen(now) && hasRoom(reading, route.isUrgent));
+		return roomy.find(({candidate, reading}) => isNear(candidate) && getExpectedTime(reading) <= acceptableTime) ?? roomy[0];
 	}
 
 	function start(isBeside: boolean, take: PlaceTaker): void {
