--- a/stand-in/platform/system.ts
+++ b/stand-in/platform/system.ts
@@ -57,14 +57,20 @@
 /** Shape of the system. */
 export type PlatformShape = {readonly controls: number; readonly entries: number; readonly ports: Ports};
 
-/** Renders a template of the deploy folder with the fields that the platform would fill in. */
-function render(template: string, fields: Readonly<Record<string, unknown>>): string {
-	return template.replaceAll(/\{\{(?<name>[\w.]+)(?<format>\|json)?\}\}/gv, (_match, name: string, format: string | undefined) => {
-		let value: unknown = fields;
-		for (const part of name.split('.')) {
-			value = (value as Record<string, unknown> | undefined)?.[part];
-		}
+function getField(fields: Readonly<Record<string, unknown>>, name: string): unknown {
+	let value: unknown = fields;
+	for (const part of name.split('.')) {
+		value = (value as Record<string, unknown> | undefined)?.[part];
+	}
 
+	return value;
+}
+
+/** Renders a template of the deploy folder with the fields that the platform would fill in; a section without its field is left out. */
+function render(template: string, fields: Readonly<Record<string, unknown>>): string {
+	const sections = template.replaceAll(/\{\{#(?<name>[\w.]+)\}\}\n(?<text>[\s\S]*?)\{\{\/\k<name>\}\}\n/gv, (_match, name: string, text: string) => getField(fields, name) === undefined ? '' : text);
+	return sections.replaceAll(/\{\{(?<name>[\w.]+)(?<format>\|json)?\}\}/gv, (_match, name: string, format: string | undefined) => {
+		const value = getField(fields, name);
 		return format === undefined ? String(value) : JSON.stringify(value);
 	});
 }
