--- a/source/entry/answer.ts
+++ b/source/entry/answer.ts
@@ -1,5 +1,6 @@
 /** Writes answers to callers. */
 import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {
@@ -17,6 +18,13 @@
  */
 const shortestReturnSeconds = 0.08;
 const returnSpreadSeconds = 0.14;
+const largestShare = 65_535;
+
+/** Gets the time after which the caller of a request may return; ids are random, so that callers spread. */
+function getReturnSeconds(requestId: string): string {
+	const share = createHash('sha256').update(requestId).digest().readUInt16BE(0) / largestShare;
+	return (shortestReturnSeconds + (share * returnSpreadSeconds)).toFixed(3);
+}
 
 /** How the entry treats the caller's connection. */
 export type ConnectionPolicy = {
@@ -48,7 +56,7 @@
 
 	headers.push(dialect.requestIdHeader, requestId);
 	if (status === 503) {
-		headers.push('retry-after', dialect.hasVerdictHeaders ? retryAfterSeconds : (shortestReturnSeconds + (Math.random() * returnSpreadSeconds)).toFixed(3));
+		headers.push('retry-after', dialect.hasVerdictHeaders ? retryAfterSeconds : getReturnSeconds(requestId));
 	}
 
 	if (isClosing) {
--- a/source/wire/wire.test.ts
+++ b/source/wire/wire.test.ts
@@ -35,7 +35,9 @@
 });
 
 describe('encodeFrame: long messages', () => {
-	const routes = Array.from({length: 350}, (_, index) => ({name: `route-${index}`, host: 'shop.example', path: `/orders/${index}/`, timeoutMilliseconds: 800}));
+	const routes = Array.from({length: 350}, (_, index) => ({
+		name: `route-${index}`, host: 'shop.example', path: `/orders/${index}/`, timeoutMilliseconds: 800,
+	}));
 
 	test('take a fraction of their length on the wire, and arrive as they were', () => {
 		const frame = encodeFrame({routes});
