--- a/source/entry/placement.ts
+++ b/source/entry/placement.ts
@@ -5,7 +5,7 @@
  */
 import {performance} from 'node:perf_hooks';
 import {
-	getAskedCandidates, getExpectedTime, hasRoom, isQuiet, type Candidate,
+	getAskedCandidates, getExpectedTime, hasRoom, isQuiet, type Candidate, type Reading,
 } from '../choice/index.js';
 import {type AskedCandidate} from './asker.js';
 import {type CallContext} from './call.js';
@@ -36,6 +36,8 @@
 	readonly roundsLeft: number;
 	/** Answers that came in the rounds before. */
 	readonly answers: number;
+	/** What the servers said that had no room. */
+	readonly fullReadings: readonly string[];
 	/** Best server with room so far. */
 	readonly best: AskedCandidate | undefined;
 	/** Whether another attempt already runs, so that only a quick server is worth it. */
@@ -119,7 +121,7 @@
 	function takeReadings(asking: Asking, asked: readonly Candidate[], readings: readonly AskedCandidate[], take: PlaceTaker): void {
 		const best = getBetter(asking.best, getRoomiest(readings));
 		const next: Asking = {
-			...asking, best, answers: asking.answers + readings.length, roundsLeft: asking.roundsLeft - 1,
+			...asking, best, answers: asking.answers + readings.length, roundsLeft: asking.roundsLeft - 1, fullReadings: [...asking.fullReadings, ...readings.map(({candidate, reading}) => `${candidate.getAnnouncement().name} ${describe(reading)}`)],
 		};
 		const isGoodEnough = best !== undefined && getExpectedTime(best.reading) <= acceptableTime;
 		if (isGoodEnough || next.roundsLeft <= 0) {
@@ -143,9 +145,8 @@
 		}
 
 		if (best !== undefined) {
-			const {running, waiting, slots, slowness} = best.reading;
 			options.note({
-				kind: 'place', server: best.candidate.getAnnouncement().name, reading: `${running},${waiting},${slots},${slowness}`, answered: answers,
+				kind: 'place', server: best.candidate.getAnnouncement().name, reading: describe(best.reading), answered: answers,
 			});
 			take(best.candidate);
 			return;
@@ -165,6 +166,7 @@
 		const perRound = elapsed / askingRounds;
 		const pause = ((route.targetMilliseconds ?? 0) * waitedTargetShare) - elapsed - perRound;
 		if (!asking.mayWait || pause < shortestWaitMilliseconds) {
+			options.note({kind: 'noRoom', readings: asking.fullReadings, waited: !asking.mayWait});
 			take(undefined);
 			return;
 		}
@@ -198,7 +200,7 @@
 		}
 
 		ask({
-			count: askedCandidates, alreadyAsked: new Set(excluded), roundsLeft: isBeside ? 1 : askingRounds, answers: 0, best: undefined, isBeside, mayWait: !isBeside, startedAt: performance.now(),
+			count: askedCandidates, alreadyAsked: new Set(excluded), roundsLeft: isBeside ? 1 : askingRounds, answers: 0, fullReadings: [], best: undefined, isBeside, mayWait: !isBeside, startedAt: performance.now(),
 		}, take);
 	}
 
@@ -217,6 +219,11 @@
 	};
 }
 
+/** Describes a reading for the log: running, waiting, slots, slowness. */
+function describe({running, waiting, slots, slowness}: Reading): string {
+	return `${running},${waiting},${slots},${slowness}`;
+}
+
 function getBetter(one: AskedCandidate | undefined, other: AskedCandidate | undefined): AskedCandidate | undefined {
 	if (one === undefined || other === undefined) {
 		return one ?? other;
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -304,11 +304,15 @@
 		});
 	}
 
-	function getObstacle(verdict: Verdict, isQuarantined: boolean): 'attempts' | 'may-have-run' | 'quarantined' {
+	function getObstacle(verdict: Verdict, isQuarantined: boolean): 'attempts' | 'deadline' | 'may-have-run' | 'quarantined' {
 		if (isQuarantined) {
 			return 'quarantined';
 		}
 
+		if (performance.now() >= deadlineAt) {
+			return 'deadline';
+		}
+
 		return attempts >= largestAttempts ? 'attempts' : 'may-have-run';
 	}
 
--- a/source/entry/story.ts
+++ b/source/entry/story.ts
@@ -18,11 +18,13 @@
 /** A decision for a request. */
 export type Decision
 	= | {readonly kind: 'place'; readonly server: string; readonly reading: string; readonly answered: number}
+	/** No server that answered has room; each with what it said of its load. */
+		| {readonly kind: 'noRoom'; readonly readings: readonly string[]; readonly waited: boolean}
 		| {readonly kind: 'send'; readonly attempt: 'first' | 'retry' | 'hedge'; readonly server: string; readonly leftMilliseconds: number}
 		| {readonly kind: 'failed'; readonly server: string; readonly reason: string}
 		| {readonly kind: 'answered'; readonly server: string; readonly status: number}
 		| {readonly kind: 'wait'; readonly before: number}
-		| {readonly kind: 'noRetry'; readonly reason: 'attempts' | 'budget' | 'may-have-run' | 'quarantined'};
+		| {readonly kind: 'noRetry'; readonly reason: 'attempts' | 'budget' | 'deadline' | 'may-have-run' | 'quarantined'};
 
 /** The story of one request. */
 export type Story = {
