--- /dev/null
+++ b/source/entry/asker.test.ts
@@ -0,0 +1,59 @@
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {announcementSchema} from '../announcement/index.js';
+import {createCandidate} from '../choice/index.js';
+import {createAsker, type AskedCandidate} from './asker.js';
+import {ownDialect, type Dialect} from './dialect.js';
+
+const dialect: Dialect = {
+	...ownDialect,
+	getHints: headers => ({
+		coldMilliseconds: undefined, load: {
+			running: 0, waiting: 0, slots: 4, slowness: 1,
+		}, server: headers['x-server'] as string | undefined,
+	}),
+};
+
+describe('createAsker: a server that was replaced at its address', () => {
+	/** Asks the server "one" at an address where some server answers, and gets how many readings count. */
+	async function doTest(answering: string | undefined, expected: {readonly readings: number; readonly missed: number}): Promise<void> {
+		const server = createServer((_request, response) => {
+			response.writeHead(200, answering === undefined ? {} : {'x-server': answering});
+			response.end();
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const {port} = server.address() as {readonly port: number};
+		let missed = 0;
+		const asker = createAsker({
+			dialect, getServer: () => undefined, getPath: () => '/', hinted() {
+				// Nothing is learned here.
+			}, missed() {
+				missed++;
+			}, probed() {
+				// Nobody counts.
+			},
+		});
+		const candidate = createCandidate(1, announcementSchema.parse({
+			service: 'stock', name: 'one', host: '127.0.0.1', port, zone: 'north', slots: 4, connections: 100, boot: 'b', state: 'warm',
+		}), 'warm');
+		const readings = await new Promise<readonly AskedCandidate[]>(resolve => {
+			asker.ask({
+				candidates: [candidate], waitMilliseconds: 1000, isEnough: () => true, answered: resolve,
+			});
+		});
+		asker.close();
+		server.close();
+		expect({readings: readings.length, missed}).toEqual(expected);
+	}
+
+	test('its own answer counts, with or without its name', async () => {
+		await doTest('one', {readings: 1, missed: 0});
+		await doTest(undefined, {readings: 1, missed: 0});
+	});
+	test('another server\'s answer is none', async () => {
+		await doTest('two', {readings: 0, missed: 1});
+	});
+});
--- a/source/entry/asker.ts
+++ b/source/entry/asker.ts
@@ -85,6 +85,12 @@
 		request.once('response', answer => {
 			answer.resume();
 			const hints = options.dialect.getHints(answer.headers);
+			if (hints.server !== undefined && hints.server !== name) {
+				// Another server has the address now; what it says of itself is not about the candidate.
+				end(undefined);
+				return;
+			}
+
 			options.hinted(candidate, hints);
 			end(getReading(hints, answer.statusCode === 200));
 		});
--- /dev/null
+++ b/source/entry/crash-check.ts
@@ -0,0 +1,52 @@
+/**
+ * Tells a crash from a lost answer. Load pattern: servers lose the answers of requests that
+ * they ran, by a reset, while callers send the same path again and again; were each reset
+ * taken for a crash, the path would soon be refused everywhere. A server that crashed is
+ * away for seconds, so one that answers a question shortly after has not.
+ */
+import {type Candidate, type Reading} from '../choice/index.js';
+import {type Question} from './asker.js';
+
+/** Time after a lost connection at which the server is asked whether it lives, in milliseconds. */
+const pauseMilliseconds = 100;
+
+/** Time for its answer in milliseconds: longer than a busy server takes, shorter than a crashed one is away. */
+const waitMilliseconds = 350;
+
+/** Checks for crashes. */
+export type CrashCheck = {
+	/** Reports a crash later, unless the server answers by then. */
+	check(fingerprint: string, candidate: Candidate): void;
+};
+
+/** Options of a check. */
+export type CrashCheckOptions = {
+	ask(question: Question): () => void;
+	/** Takes a request whose server is gone. */
+	crashed(fingerprint: string, server: number): void;
+	/** Runs a function after a time in milliseconds. */
+	later(run: () => void, milliseconds: number): void;
+};
+
+/**
+ * Creates a check.
+ * @param options - Questions to servers, and the function that takes crashes.
+ */
+export function createCrashCheck(options: CrashCheckOptions): CrashCheck {
+	return {
+		check(fingerprint, candidate) {
+			options.later(() => {
+				options.ask({
+					candidates: [candidate],
+					waitMilliseconds,
+					isEnough: (_candidate: Candidate, _reading: Reading) => true,
+					answered(readings) {
+						if (readings.length === 0) {
+							options.crashed(fingerprint, candidate.id);
+						}
+					},
+				});
+			}, pauseMilliseconds);
+		},
+	};
+}
--- a/source/entry/dialect.ts
+++ b/source/entry/dialect.ts
@@ -19,6 +19,8 @@
 	/** How much longer the server stays cold in milliseconds, 0 when it is warm, undefined when it doesn't say. */
 	readonly coldMilliseconds: number | undefined;
 	readonly load: ServerLoad | undefined;
+	/** Name of the server that answers, where it says so. */
+	readonly server: string | undefined;
 };
 
 /** Names of headers and what they say, in one protocol between callers, entries and servers. */
@@ -72,6 +74,7 @@
 					running: Number(load), waiting: 0, slots: 0, slowness: 1,
 				}
 				: undefined,
+			server: undefined,
 		};
 	},
 	isNotRun: (status, headers) => status === shedStatus && headers[verdictHeader] === notRunValue,
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -22,6 +22,7 @@
 import {createAnnouncements} from './announcements.js';
 import {answerCall, type CallContext} from './call.js';
 import {createClaims} from './claims.js';
+import {createCrashCheck} from './crash-check.js';
 import {ownDialect, type Dialect, type ServerHints} from './dialect.js';
 import {createFleet} from './fleet.js';
 import {keepLease} from './lease-keeper.js';
@@ -278,6 +279,16 @@
 		},
 		probed: metrics.probed,
 	});
+	const crashCheck = createCrashCheck({
+		ask: asker.ask,
+		crashed(fingerprint, server) {
+			log.warn({fingerprint, server}, 'a server is gone after it took a request');
+			void suspects.reportCrash(fingerprint, server);
+		},
+		later(run, milliseconds) {
+			setTimeout(run, milliseconds);
+		},
+	});
 	const context: CallContext = {
 		zone: settings.zone,
 		dialect,
@@ -298,9 +309,14 @@
 		mayDispatch,
 		hinted,
 		async reportCrash(fingerprint, server) {
-			const reported = suspects.reportCrash(fingerprint, server);
-			// An entry that serves alone waits for no control host.
-			return isServingAlone ? suspects.isQuarantined(() => fingerprint) : reported;
+			const candidate = fleet.get(server)?.candidate;
+			if (!isServingAlone || candidate === undefined) {
+				return suspects.reportCrash(fingerprint, server);
+			}
+
+			// An entry that serves alone waits for no control host, and first makes sure that the server is gone.
+			crashCheck.check(fingerprint, candidate);
+			return suspects.isQuarantined(() => fingerprint);
 		},
 		isClosing: () => isDraining,
 		createRequestId,
--- a/stand-in/platform/system.ts
+++ b/stand-in/platform/system.ts
@@ -20,6 +20,9 @@
 const clientMilliseconds = 5000;
 const pollMilliseconds = 50;
 
+/** Time within which some control host answers an operator, with all of them killed just before. */
+const callLimitMilliseconds = 20_000;
+
 /** Ports that all machines share, as on the platform. */
 export type Ports = {readonly control: number; readonly links: number; readonly front: number; readonly ready: number};
 
@@ -166,7 +169,8 @@
 		},
 		getControl: () => controls.map(control => `${control.host}:${ports.control}`),
 		async call(method, resource, body) {
-			for (let attempt = 0; ; attempt++) {
+			const until = Date.now() + callLimitMilliseconds;
+			for (let attempt = 0; Date.now() < until; attempt++) {
 				const answer = await callControl(`${controls[attempt % controls.length]!.host}:${ports.control}`, method, resource, body);
 				if (answer.status > 0 && answer.status < 500) {
 					return answer;
@@ -174,6 +178,8 @@
 
 				await delay(pollMilliseconds);
 			}
+
+			throw new Error(`no control host answers ${method} ${resource}`);
 		},
 		async send(entry, request) {
 			return ask(entry.host, ports.front, {
