Spread the permits for cold servers over all entries

Ruled out: the rate itself (18 a second, half of what is used); the wait after a change of leader (the seconds after it show the same). Change: an entry holds at most its even part of all permits, the servers with the fewest holders first. Test first: createRateAllocator, many cold servers (12 servers and 19 entries: 12 permits for one before, 3 now).

--- a/source/cold-start/rate.test.ts
+++ b/source/cold-start/rate.test.ts
@@ -3,7 +3,7 @@
 import {createRandom} from '../randomness/index.js';
 import {createCandidate} from '../choice/index.js';
 import {announcementSchema} from '../announcement/index.js';
-import {createRateAllocator} from './rate.js';
+import {createRateAllocator, type RateAllocator, type RatePermit} from './rate.js';
 
 const termMilliseconds = 3000;
 
@@ -32,7 +32,9 @@
 				if (now >= entry.renewAt) {
 					entry.renewAt = now + 500;
 					entry.expiresAt = now + termMilliseconds;
-					const [permit] = allocator.grant(entry.name, entry.expiresAt, now);
+					const [permit] = allocator.grant({
+						entry: entry.name, expiresAt: entry.expiresAt, entries: entryCount, now,
+					});
 					entry.candidate.setRate(permit?.requestsPerSecond, now);
 				}
 
@@ -56,14 +58,49 @@
 	});
 });
 
+describe('createRateAllocator: many cold servers', () => {
+	/** Lets every entry renew a few times, and gets the fewest and the most permits of one. */
+	function doTest(serverCount: number, entryCount: number, expected: readonly [fewest: number, most: number]): void {
+		const allocator = createRateAllocator();
+		for (let id = 1; id <= serverCount; id++) {
+			allocator.add({
+				id, requestsPerSecond: 18, openAt: 0, coldUntil: 10_000,
+			});
+		}
+
+		let counts: readonly number[] = [];
+		for (let round = 0; round < 3; round++) {
+			counts = Array.from({length: entryCount}, (_, index) => allocator.grant({
+				entry: `e${index}`, expiresAt: (round * 500) + termMilliseconds, entries: entryCount, now: round * 500,
+			}).length);
+		}
+
+		expect([Math.min(...counts), Math.max(...counts)]).toEqual([expected[0], expected[1]]);
+	}
+
+	test('spreads the permits of a zone that returns over all entries', () => {
+		doTest(12, 19, [0, 3]);
+		doTest(19, 19, [4, 4]);
+	});
+	test('gives a single entry all of them', () => {
+		doTest(12, 1, [12, 12]);
+	});
+});
+
 describe('createRateAllocator: holders', () => {
+	function grant(allocator: RateAllocator, entry: string, expiresAt: number, now: number): readonly RatePermit[] {
+		return allocator.grant({
+			entry, expiresAt, entries: 5, now,
+		});
+	}
+
 	test('gives nothing while an earlier leader\'s permits may be in use', () => {
 		const allocator = createRateAllocator();
 		allocator.add({
 			id: 1, requestsPerSecond: 8, openAt: 3000, coldUntil: 9000,
 		});
-		expect(allocator.grant('a', 4000, 1000)).toEqual([]);
-		expect(allocator.grant('a', 6000, 3000)).toEqual([{server: 1, requestsPerSecond: 2}]);
+		expect(grant(allocator, 'a', 4000, 1000)).toEqual([]);
+		expect(grant(allocator, 'a', 6000, 3000)).toEqual([{server: 1, requestsPerSecond: 2}]);
 	});
 	test('passes a place on only when its holder\'s lease has ended', () => {
 		const allocator = createRateAllocator();
@@ -71,11 +108,11 @@
 			id: 1, requestsPerSecond: 8, openAt: 0, coldUntil: 9000,
 		});
 		for (const entry of ['a', 'b', 'c', 'd']) {
-			allocator.grant(entry, 3000, 0);
+			grant(allocator, entry, 3000, 0);
 		}
 
-		expect(allocator.grant('e', 5999, 2999)).toEqual([]);
-		expect(allocator.grant('e', 6000, 3000).length).toEqual(1);
+		expect(grant(allocator, 'e', 5999, 2999)).toEqual([]);
+		expect(grant(allocator, 'e', 6000, 3000).length).toEqual(1);
 	});
 	test('stays cold for the longest time that was told', () => {
 		const allocator = createRateAllocator();
--- a/source/cold-start/rate.ts
+++ b/source/cold-start/rate.ts
@@ -3,7 +3,9 @@
  * comes back, or a release starts new servers, while every entry has requests for them;
  * each entry that "sends only one" adds up to a crash. A few entries hold a permit for
  * a server at a time, each with an even part of its rate and a burst of one request, so
- * the sum over entries in any second is at most the rate and one for each holder.
+ * the sum over entries in any second is at most the rate and one for each holder. Where
+ * many servers are cold, the permits are spread over all entries, since every one of them
+ * has requests and none has enough to use them all.
  */
 
 /** Entries at most that hold a permit for one server at the same time, each of which may send one request at once. */
@@ -23,13 +25,23 @@
 /** An entry's part of a cold server's rate. */
 export type RatePermit = {readonly server: number; readonly requestsPerSecond: number};
 
+/** An entry that may have permits. */
+export type RateRequest = {
+	readonly entry: string;
+	/** Time in milliseconds at which its lease ends. */
+	readonly expiresAt: number;
+	/** Entries that share the permits, this one included. */
+	readonly entries: number;
+	readonly now: number;
+};
+
 /** Hands out rates of cold servers. */
 export type RateAllocator = {
 	/** Adds a cold server, or prolongs the time for which a known one is cold. */
 	add(server: RatedServer): void;
 	remove(id: number): void;
-	/** Gets the permits of an entry whose lease ends at a time. */
-	grant(entry: string, expiresAt: number, now: number): readonly RatePermit[];
+	/** Gets the permits of an entry. */
+	grant(request: RateRequest): readonly RatePermit[];
 	/** Notes that an entry holds nothing any more. */
 	lose(entry: string): void;
 	/** Gets the servers that count as warm. */
@@ -50,6 +62,15 @@
 		}
 	}
 
+	/** Chooses the servers for an entry up to its even part: those that it holds, then those with the fewest holders. */
+	function chooseFor(entry: string, entries: number, now: number): readonly RatedState[] {
+		const part = Math.ceil(states.size * maximumHolders / Math.max(1, entries));
+		const free = [...states.values()].filter(({server, holders}) => now >= server.openAt && (holders.has(entry) || holders.size < maximumHolders));
+		const held = free.filter(({holders}) => holders.has(entry));
+		const others = free.filter(({holders}) => !holders.has(entry)).toSorted((one, other) => one.holders.size - other.holders.size);
+		return [...held, ...others].slice(0, part);
+	}
+
 	return {
 		add(server) {
 			const known = states.get(server.id);
@@ -63,19 +84,15 @@
 		remove(id) {
 			states.delete(id);
 		},
-		grant(entry, expiresAt, now) {
-			const permits: RatePermit[] = [];
-			for (const {server, holders} of states.values()) {
+		grant({entry, expiresAt, entries, now}) {
+			for (const {holders} of states.values()) {
 				dropEnded(holders, now);
-				if (now < server.openAt || (!holders.has(entry) && holders.size >= maximumHolders)) {
-					continue;
-				}
-
-				holders.set(entry, expiresAt);
-				permits.push({server: server.id, requestsPerSecond: server.requestsPerSecond / maximumHolders});
 			}
 
-			return permits;
+			return chooseFor(entry, entries, now).map(({server, holders}) => {
+				holders.set(entry, expiresAt);
+				return {server: server.id, requestsPerSecond: server.requestsPerSecond / maximumHolders};
+			});
 		},
 		lose(entry) {
 			for (const {holders} of states.values()) {
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -311,7 +311,9 @@
 				document: version === renewal.version ? undefined : machine.register.getUpdate(renewal.environment, renewal.version),
 				permits: [
 					...allocator.grant(renewal.entry, renewal.sequence, live, now),
-					...rates.grant(renewal.entry, receivedAt + termMilliseconds, now).map(permit => ({...permit, slots: 0})),
+					...rates.grant({
+						entry: renewal.entry, expiresAt: receivedAt + termMilliseconds, entries: live.length, now,
+					}).map(permit => ({...permit, slots: 0})),
 				],
 				duties: document === undefined ? [] : duties.grant(renewal.entry, renewal.sequence),
 				probeMilliseconds: document === undefined ? Number.POSITIVE_INFINITY : getProbeInterval(document.measuring, duties.getSize()),
