Let a replica with a newer log stand at once when one with an older log asks in vain

Ruled out: disks (replay took some milliseconds), links (all reached by 34.00). Change: a refused pre-vote of a replica with an older log lets the refusing one stand within a tenth of the timeout.

--- a/source/consensus/election.ts
+++ b/source/consensus/election.ts
@@ -9,6 +9,9 @@
 type VoteRequest = Extract<ReplicaMessage, {readonly kind: 'voteRequest'}>;
 type Vote = Extract<ReplicaMessage, {readonly kind: 'vote'}>;
 
+/** Share of the election timeout within which a replica stands in place of one with an older log; spread, so that two seldom stand at once. */
+const standInsteadShare = 0.1;
+
 /** Elections of one replica. */
 export type Election = {
 	/** Starts a pre-vote when the leader has been silent for too long. */
@@ -52,6 +55,15 @@
 		return electionMilliseconds * (1 + options.random());
 	}
 
+	/**
+	 * Asks for votes soon, because a replica with an older log has just asked in vain and
+	 * knows of no leader either. Load pattern: all hosts lose power at once, and the first
+	 * ones to be back can't be elected without what the later ones hold.
+	 */
+	function standInstead(): void {
+		timeoutAt = Math.min(timeoutAt, core.now + (options.random() * electionMilliseconds * standInsteadShare));
+	}
+
 	/** Gets the time after which a pre-vote that met no quorum is tried again: half as long, since it changes nothing. */
 	function getPreVoteTimeout(): number {
 		return getTimeout() / 2;
@@ -157,6 +169,10 @@
 			if (message.isPreVote) {
 				const isGranted = isUpToDate(message) && message.term > core.term;
 				answer(from, isGranted ? message.term : core.term, true, isGranted);
+				if (!isUpToDate(message)) {
+					standInstead();
+				}
+
 				return;
 			}
 
--- a/source/consensus/replica.test.ts
+++ b/source/consensus/replica.test.ts
@@ -215,3 +215,36 @@
 		doTest(2000, time => time < 1400 || time >= 2200, {installs: [0, 1200], isHeardOf: true});
 	});
 });
+
+describe('createReplica: a pre-vote request while no leader is known', () => {
+	/** Gets the time at which `a`, which holds two entries, asks for votes itself. */
+	function doTest(lastIndex: number, hasLeader: boolean, expected: number): void {
+		const replica = createOne(2, [1, 2].map((index): LogEntry => ({index, term: 2, payload: {kind: 'noOperation'}})));
+		if (hasLeader) {
+			replica.handle(receive('c', {
+				kind: 'append', term: 2, previousIndex: 2, previousTerm: 2, entries: [], commitIndex: 0, round: 1,
+			}), 10);
+		}
+
+		replica.handle(receive('b', {
+			kind: 'voteRequest', term: 3, isPreVote: true, isTransfer: false, lastIndex, lastTerm: 2,
+		}), 20);
+		let time = 20;
+		while (replica.getRole() === 'follower') {
+			time++;
+			replica.handle({kind: 'tick'}, time);
+		}
+
+		expect(time).toEqual(expected);
+	}
+
+	test('of a replica with an older log lets it stand itself at once', () => {
+		doTest(1, false, 25);
+	});
+	test('of a replica with as much lets that one stand', () => {
+		doTest(2, false, 75);
+	});
+	test('changes nothing while a leader is heard', () => {
+		doTest(1, true, 160);
+	});
+});
