--- a/source/entry/asker.test.ts
+++ b/source/entry/asker.test.ts
@@ -28,7 +28,7 @@
 		const {port} = server.address() as {readonly port: number};
 		let missed = 0;
 		const asker = createAsker({
-			dialect, getServer: () => undefined, getPath: () => '/', hinted() {
+			dialect, getPath: () => '/', hinted() {
 				// Nothing is learned here.
 			}, missed() {
 				missed++;
--- a/source/entry/asker.ts
+++ b/source/entry/asker.ts
@@ -6,7 +6,6 @@
 import {Agent, request as startRequest} from 'node:http';
 import {getExpectedTime, type Candidate, type Reading} from '../choice/index.js';
 import {type Dialect, type ServerHints} from './dialect.js';
-import {type FleetServer} from './fleet.js';
 
 /** Time after which a question counts as lost and its connection ends, in milliseconds. */
 const lostMilliseconds = 400;
@@ -44,7 +43,6 @@
 /** Options of an asker. */
 export type AskerOptions = {
 	readonly dialect: Dialect;
-	getServer(id: number): FleetServer | undefined;
 	/** Gets the path at which a service's servers tell their load. */
 	getPath(service: string): string;
 	/** Takes what a server says beside its load. */
