Fill servers only to their knee while they are short, fresh requests first

Ruled out: too few questions (every request had three to six readings); waiting in the entries (24 to 79 ms). Change: the share of placements that find nobody with room says how short a service is (limits/pressure). While it is, a server is filled to its knee only, by the most urgent rank one further, by late callers half as far (choice/room); lateness is what is missing to the longest wait that callers of the route tell (limits/elapsed). Refused callers return later the longer the shortage has lasted. Ranks count only where a service has several.

--- a/source/choice/index.ts
+++ b/source/choice/index.ts
@@ -2,3 +2,4 @@
 export * from './chooser.js';
 export * from './joint-counts.js';
 export * from './reading.js';
+export * from './room.js';
--- a/source/choice/reading.ts
+++ b/source/choice/reading.ts
@@ -6,6 +6,7 @@
  */
 import {type Random} from '../randomness/index.js';
 import {type Candidate} from './candidate.js';
+import {isBelowKnee, kneeFactor, kneeShare} from './room.js';
 
 /** What a server says of its load at one moment. */
 export type Reading = {
@@ -19,15 +20,6 @@
 /** Slowness up to which a server counts as quiet: beyond it, asking another one costs less than it saves. */
 const quietSlowness = 1.5;
 
-/** Share of its slots beyond which a server slows down by its own load. */
-const kneeShare = 0.8;
-
-/** Factor by which work takes longer beyond the knee. */
-const kneeFactor = 1.7;
-
-/** Share of a server's slots for which urgent requests may wait there; a wait of a fraction of their work. */
-const urgentWaitingShare = 0.34;
-
 /** Load that a candidate in another zone counts for, since its bytes are dear. */
 const remoteLoad = 1;
 
@@ -51,25 +43,12 @@
 	return reading.slowness * (isBeyondKnee ? kneeFactor : 1) * (1 + turns);
 }
 
-/**
- * Checks whether a server has room for one more request. Load pattern: several times the
- * usual load for some seconds, while a zone is away; what is sent beyond the slots is late
- * for everybody, and a full server resets connections. The most urgent requests may wait
- * there for a fraction of the slots, others go only where a slot is free.
- * @param reading - What the server says.
- * @param isUrgent - Whether the request is of the most urgent rank of its service.
- */
-export function hasRoom(reading: Reading, isUrgent = false): boolean {
-	const allowed = isUrgent ? Math.floor(reading.slots * urgentWaitingShare) : 0;
-	return reading.running + reading.waiting < reading.slots + allowed;
-}
-
 /**
  * Checks whether looking further is not worth the time.
  * @param reading - What the server says.
  */
 export function isQuiet(reading: Reading): boolean {
-	return hasRoom(reading) && reading.slowness <= quietSlowness && reading.running + 1 <= reading.slots * kneeShare;
+	return reading.slowness <= quietSlowness && isBelowKnee(reading);
 }
 
 /** Which candidates may be asked. */
--- a/source/entry/answer.ts
+++ b/source/entry/answer.ts
@@ -10,20 +10,15 @@
 import {type Dialect} from './dialect.js';
 
 const retryAfterSeconds = '1';
+const largestShare = 65_535;
+const millisecondsPerSecond = 1000;
 
 /**
- * Time after which callers of a dialect that knows fractions may return, in seconds: about
- * as long as servers take to change between slow and quiet, spread so that they do not
- * return together.
+ * Gets a number from 0 to 1 that spreads returning callers; ids are random.
+ * @param requestId - Id of the caller's request.
  */
-const shortestReturnSeconds = 0.08;
-const returnSpreadSeconds = 0.14;
-const largestShare = 65_535;
-
-/** Gets the time after which the caller of a request may return; ids are random, so that callers spread. */
-function getReturnSeconds(requestId: string): string {
-	const share = createHash('sha256').update(requestId).digest().readUInt16BE(0) / largestShare;
-	return (shortestReturnSeconds + (share * returnSpreadSeconds)).toFixed(3);
+export function getSpread(requestId: string): number {
+	return createHash('sha256').update(requestId).digest().readUInt16BE(0) / largestShare;
 }
 
 /** How the entry treats the caller's connection. */
@@ -32,15 +27,28 @@
 	isClosing(): boolean;
 };
 
+/** An answer of the entry's own. */
+export type OwnAnswer = {
+	/** Dialect of the caller. */
+	readonly dialect: Dialect;
+	/** Response to end. */
+	readonly response: ServerResponse;
+	readonly verdict: Verdict;
+	readonly requestId: string;
+	/** Whether the connection ends with the answer. */
+	readonly isClosing: boolean;
+	/** Time after which a refused caller may return, in milliseconds, for dialects that know fractions of seconds. */
+	readonly returnMilliseconds: number;
+};
+
 /**
  * Answers with a verdict of the entry's own.
- * @param dialect - Dialect of the caller.
- * @param response - Response to end.
- * @param verdict - Verdict to express.
- * @param requestId - Id of the request.
- * @param isClosing - Whether the connection ends with the answer.
+ * @param answer - Verdict, and the caller that takes it.
  */
-export function answerVerdict(dialect: Dialect, response: ServerResponse, verdict: Verdict, requestId: string, isClosing: boolean): void {
+export function answerVerdict(answer: OwnAnswer): void {
+	const {
+		dialect, response, verdict, requestId, isClosing,
+	} = answer;
 	const reason = verdict.kind === 'ran' ? '' : verdict.reason;
 	const status = getStatus(verdict);
 	const body = Buffer.from(`${JSON.stringify({verdict: getHeaderValue(verdict), reason, requestId})}\n`);
@@ -56,7 +64,7 @@
 
 	headers.push(dialect.requestIdHeader, requestId);
 	if (status === 503) {
-		headers.push('retry-after', dialect.hasVerdictHeaders ? retryAfterSeconds : getReturnSeconds(requestId));
+		headers.push('retry-after', dialect.hasVerdictHeaders ? retryAfterSeconds : (answer.returnMilliseconds / millisecondsPerSecond).toFixed(3));
 	}
 
 	if (isClosing) {
--- a/source/entry/call.ts
+++ b/source/entry/call.ts
@@ -9,13 +9,13 @@
 import {type QuestionBudget} from '../measuring/index.js';
 import {type Random} from '../randomness/index.js';
 import {notRun, type Verdict} from '../verdict/index.js';
-import {answerVerdict, writeHead} from './answer.js';
+import {answerVerdict, getSpread, writeHead} from './answer.js';
 import {hasBody} from './body.js';
 import {getRequestDigest, type Claim, type Claims} from './claims.js';
 import {type Fleet, type ServiceState} from './fleet.js';
 import {type Asker} from './asker.js';
 import {type Dialect, type ServerHints} from './dialect.js';
-import {getDeadline} from './headers.js';
+import {getRequestTime} from './headers.js';
 import {type RoutePolicy} from './router.js';
 import {type Story, type StoryHead} from './story.js';
 import {type EntryMetrics} from './metrics.js';
@@ -25,6 +25,9 @@
 
 const maximumKeyLength = 256;
 
+/** Share of the target latency after which a request that is not yet placed can hardly be answered in time. */
+const lateTargetShare = 0.5;
+
 /** What calls share in an entry. */
 export type CallContext = {
 	readonly zone: string;
@@ -69,10 +72,10 @@
 	const target = incoming.url ?? '/';
 	const isIdempotent = route.isIdempotent ?? service.idempotentMethods.includes(method);
 	const key = isIdempotent || route.isIdempotent !== undefined ? undefined : getKey(incoming, service.keyHeader);
-	const deadline = getDeadline(incoming.headers[context.dialect.deadlineHeader], route.timeoutMilliseconds);
+	const time = getRequestTime(incoming.headers[context.dialect.deadlineHeader], route, startedAt);
 
 	const story = context.tell({
-		id: requestId, route: route.name, service: service.name, targetMilliseconds: route.targetMilliseconds, at: startedAt,
+		id: requestId, route: route.name, service: service.name, targetMilliseconds: route.targetMilliseconds, elapsedMilliseconds: time?.elapsed ?? 0, at: startedAt,
 	});
 
 	function ended(verdict: Verdict): void {
@@ -83,7 +86,9 @@
 
 	function refuse(verdict: Verdict): void {
 		if (!response.headersSent && !response.destroyed) {
-			answerVerdict(context.dialect, response, verdict, requestId, context.isClosing() || (hasBody(incoming) && !incoming.complete));
+			answerVerdict({
+				dialect: context.dialect, response, verdict, requestId, isClosing: context.isClosing() || (hasBody(incoming) && !incoming.complete), returnMilliseconds: state.pressure.getReturnMilliseconds(performance.now(), getSpread(requestId)),
+			});
 		}
 
 		if (verdict.kind !== 'ran') {
@@ -93,7 +98,7 @@
 		ended(verdict);
 	}
 
-	if (deadline === undefined || (key !== undefined && (key.length === 0 || key.length > maximumKeyLength))) {
+	if (time === undefined || (key !== undefined && (key.length === 0 || key.length > maximumKeyLength))) {
 		refuse(notRun('bad-request'));
 		return;
 	}
@@ -103,7 +108,8 @@
 		return;
 	}
 
-	const deadlineAt = startedAt + deadline;
+	const deadlineAt = startedAt + time.deadline;
+	const isLate = time.elapsed > (route.targetMilliseconds ?? Number.POSITIVE_INFINITY) * lateTargetShare;
 	const prepared = await prepareBody(context, incoming, key !== undefined, response);
 	if (prepared.kind === 'refused') {
 		refuse(prepared.verdict);
@@ -142,7 +148,7 @@
 	}
 
 	runCall({
-		context, state, service, route, request, incoming, response, requestId, startedAt, deadlineAt, claim, refuse, ended, note: story.note, fingerprint,
+		context, state, service, route, request, incoming, response, requestId, startedAt, deadlineAt, isLate, claim, refuse, ended, note: story.note, fingerprint,
 	});
 }
 
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -49,6 +49,9 @@
 /** Changed servers that one line of the log names at most. */
 const toldServers = 40;
 
+/** Time after which a caller may return to an entry that knows no document yet, in milliseconds; entries learn one within some hundred. */
+const unroutedReturnMilliseconds = 150;
+
 const ordinaryProbePath = '/health';
 
 /** A running entry. */
@@ -271,7 +274,6 @@
 
 	const asker = createAsker({
 		dialect,
-		getServer: fleet.get,
 		getPath: service => fleet.getState(service)?.getService().probePath ?? ordinaryProbePath,
 		hinted,
 		missed(candidate) {
@@ -337,7 +339,9 @@
 		if (route === undefined || state === undefined) {
 			const verdict = document === undefined ? notRun('lease-expired') : notRun('unknown-service');
 			metrics.refused(document === undefined ? 'lease-expired' : 'unknown-service');
-			answerVerdict(dialect, response, verdict, createRequestId(), isDraining);
+			answerVerdict({
+				dialect, response, verdict, requestId: createRequestId(), isClosing: isDraining, returnMilliseconds: unroutedReturnMilliseconds,
+			});
 			return;
 		}
 
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -8,7 +8,9 @@
 } from '../choice/index.js';
 import {type EnvironmentDocument, type Service} from '../configuration/index.js';
 import {type Observation, type Permit, type ServerView} from '../lease/index.js';
-import {createWaitQueue, type WaitQueue} from '../limits/index.js';
+import {
+	createPressure, createWaitQueue, type Pressure, type WaitQueue,
+} from '../limits/index.js';
 import {type Random} from '../randomness/index.js';
 import {
 	createAttemptBudget, createHedgeDelay, ordinaryHedgeDelayMilliseconds, type AttemptBudget, type HedgeDelay,
@@ -26,6 +28,7 @@
 export type ServiceState = {
 	getService(): Service;
 	readonly queue: WaitQueue;
+	readonly pressure: Pressure;
 	readonly retries: AttemptBudget;
 	readonly hedges: AttemptBudget;
 	readonly hedgeDelay: HedgeDelay;
@@ -82,6 +85,7 @@
 	return {
 		getService: () => service,
 		queue: createWaitQueue(() => service.queueLength),
+		pressure: createPressure(),
 		retries: shared ?? createAttemptBudget(() => service.retryRatio, initialRetries),
 		// Where retries and hedges share a budget, a request earns for it once, as a retry.
 		hedges: shared === undefined ? createAttemptBudget(() => service.hedgeRatio, 0) : {...shared, earn: doNothing},
--- a/source/entry/headers.ts
+++ b/source/entry/headers.ts
@@ -2,6 +2,7 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {type Dialect} from './dialect.js';
+import {type RoutePolicy} from './router.js';
 
 const hopByHop = new Set([
 	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect',
@@ -102,16 +103,29 @@
 	return filterHeaders(answer.rawHeaders, answer.headers.connection, dialect.hiddenAnswerHeaders);
 }
 
+/** Time of a caller's request. */
+export type RequestTime = {
+	/** Time that is left, in milliseconds: what the caller tells, or what the route allows where that is less. */
+	readonly deadline: number;
+	/** Time that the caller seems to have spent before, in milliseconds. */
+	readonly elapsed: number;
+};
+
 /**
- * Gets the time left for a request in milliseconds, or undefined for a malformed header.
+ * Reads the time that a caller gives its request. Undefined when the header can't be read.
  * @param header - Value of the deadline header, if any.
- * @param fallback - Deadline of the service in milliseconds, which is also the largest.
+ * @param route - Route of the request, whose timeout is the largest deadline.
+ * @param now - Time in milliseconds.
  */
-export function getDeadline(header: string | string[] | undefined, fallback: number): number | undefined {
+export function getRequestTime(header: string | string[] | undefined, route: RoutePolicy, now: number): RequestTime | undefined {
 	if (header === undefined) {
-		return fallback;
+		return {deadline: route.timeoutMilliseconds, elapsed: 0};
+	}
+
+	if (typeof header !== 'string' || !/^\d{1,9}$/v.test(header)) {
+		return undefined;
 	}
 
-	const milliseconds = Number(header);
-	return typeof header === 'string' && /^\d{1,9}$/v.test(header) ? Math.min(milliseconds, fallback) : undefined;
+	const told = Number(header);
+	return {deadline: Math.min(told, route.timeoutMilliseconds), elapsed: route.elapsed.take(told, now)};
 }
--- a/source/entry/placement.test.ts
+++ b/source/entry/placement.test.ts
@@ -3,6 +3,7 @@
 import {announcementSchema} from '../announcement/index.js';
 import {createCandidate, type Candidate, type Reading} from '../choice/index.js';
 import {documentSchema} from '../configuration/index.js';
+import {createPressure} from '../limits/index.js';
 import {createRandom} from '../randomness/index.js';
 import {type CallContext} from './call.js';
 import {type ServiceState} from './fleet.js';
@@ -14,10 +15,11 @@
 };
 const slow: Reading = {...free, slowness: 5};
 const full: Reading = {...free, running: 6, waiting: 3};
+const beyondKnee: Reading = {...free, running: 5};
 
 describe('createPlacement', () => {
 	/** Creates a placement on six servers, all of which answer at once; the near ones are 1 to 3. */
-	function create(readings: readonly Reading[]): {readonly placement: Placement; readonly rounds: number[]} {
+	function create(readings: readonly Reading[], placementsBefore: number): {readonly placement: Placement; readonly rounds: number[]} {
 		const rounds: number[] = [];
 		const candidates: Candidate[] = readings.map((_, index) => createCandidate(index + 1, announcementSchema.parse({
 			service: 'stock', name: `s${index + 1}`, host: '127.0.0.1', port: 1, zone: index < 3 ? 'north' : 'south', slots: 6, connections: 100, boot: 'b', state: 'warm',
@@ -38,9 +40,14 @@
 				},
 			},
 		} as unknown as CallContext;
-		const state = {getCandidates: () => candidates, getService: () => services[0]!} as unknown as ServiceState;
+		const pressure = createPressure();
+		for (let placed = 0; placed < placementsBefore; placed++) {
+			pressure.placed(false, 0);
+		}
+
+		const state = {getCandidates: () => candidates, getService: () => services[0]!, pressure} as unknown as ServiceState;
 		const placement = createPlacement({
-			context, state, route: createRouter(services, routes).get('any', '/1')!, excluded: new Set(), avoidedZones: new Set(), note() {
+			context, state, route: createRouter(services, routes).get('any', '/1')!, excluded: new Set(), avoidedZones: new Set(), isLate: false, note() {
 				// Nobody reads it.
 			},
 		});
@@ -49,8 +56,8 @@
 
 	type Expected = {readonly id: number | undefined; readonly rounds: number};
 
-	async function doTest(readings: readonly Reading[], expected: Expected, isBeside = false): Promise<void> {
-		const {placement, rounds} = create(readings);
+	async function doTest(readings: readonly Reading[], expected: Expected, isBeside = false, placementsBefore = 0): Promise<void> {
+		const {placement, rounds} = create(readings, placementsBefore);
 		const candidate = await new Promise<Candidate | undefined>(resolve => {
 			if (isBeside) {
 				placement.placeBeside(resolve);
@@ -78,6 +85,12 @@
 		await doTest([full, full, full, full, full, full], {id: undefined, rounds: 3});
 		expect(Date.now() - startedAt < 200).toEqual(true);
 	});
+	test('takes a server beyond its knee in a burst', async () => {
+		await doTest([beyondKnee, full, full, full, full, full], {id: 1, rounds: 1});
+	});
+	test('fills no server beyond its knee when many requests before found none below it', async () => {
+		await doTest([beyondKnee, full, full, full, full, full], {id: undefined, rounds: 3}, false, 30);
+	});
 	test('starts no second attempt at a slow server', async () => {
 		await doTest([slow, full, full, full, full, full], {id: undefined, rounds: 1}, true);
 	});
--- a/source/entry/placement.ts
+++ b/source/entry/placement.ts
@@ -5,7 +5,7 @@
  */
 import {performance} from 'node:perf_hooks';
 import {
-	getAskedCandidates, getExpectedTime, hasRoom, isQuiet, type Candidate, type Reading,
+	getAskedCandidates, getExpectedTime, hasRoom, isBelowKnee, isQuiet, type Candidate, type Reading,
 } from '../choice/index.js';
 import {type AskedCandidate} from './asker.js';
 import {type CallContext} from './call.js';
@@ -36,6 +36,8 @@
 	readonly roundsLeft: number;
 	/** Answers that came in the rounds before. */
 	readonly answers: number;
+	/** Whether a server was below its knee, or quick enough beyond it. */
+	readonly isRelieved: boolean;
 	/** What the servers said that had no room. */
 	readonly fullReadings: readonly string[];
 	/** Best server with room so far. */
@@ -71,6 +73,8 @@
 	readonly excluded: ReadonlySet<number>;
 	/** Zones in which an attempt has failed. */
 	readonly avoidedZones: ReadonlySet<string>;
+	/** Whether the request can hardly be answered within its target any more. */
+	readonly isLate: boolean;
 	/** Notes a decision for the log. */
 	note(decision: Decision): void;
 };
@@ -120,10 +124,10 @@
 
 	function takeReadings(asking: Asking, asked: readonly Candidate[], readings: readonly AskedCandidate[], take: PlaceTaker): void {
 		const best = getBetter(asking.best, getRoomiest(readings));
+		const isGoodEnough = best !== undefined && getExpectedTime(best.reading) <= acceptableTime;
 		const next: Asking = {
-			...asking, best, answers: asking.answers + readings.length, roundsLeft: asking.roundsLeft - 1, fullReadings: [...asking.fullReadings, ...readings.map(({candidate, reading}) => `${candidate.getAnnouncement().name} ${describe(reading)}`)],
+			...asking, best, isRelieved: asking.isRelieved || (isGoodEnough && asking.roundsLeft === askingRounds) || readings.some(({reading}) => isBelowKnee(reading)), answers: asking.answers + readings.length, roundsLeft: asking.roundsLeft - 1, fullReadings: [...asking.fullReadings, ...readings.map(({candidate, reading}) => `${candidate.getAnnouncement().name} ${describe(reading)}`)],
 		};
-		const isGoodEnough = best !== undefined && getExpectedTime(best.reading) <= acceptableTime;
 		if (isGoodEnough || next.roundsLeft <= 0) {
 			finish(next, take);
 			return;
@@ -138,7 +142,12 @@
 
 	/** Takes the best server, waits once for room, or gives up. */
 	function finish(asking: Asking, take: PlaceTaker): void {
-		const {best, answers, isBeside} = asking;
+		const {best, answers, isBeside, isRelieved} = asking;
+		// A request counts once; one that waited for room has been counted before.
+		if (asking.mayWait && answers > 0) {
+			state.pressure.placed(isRelieved, performance.now());
+		}
+
 		if (isBeside && (best === undefined || getExpectedTime(best.reading) > acceptableTime)) {
 			take(undefined);
 			return;
@@ -166,7 +175,9 @@
 		const perRound = elapsed / askingRounds;
 		const pause = ((route.targetMilliseconds ?? 0) * waitedTargetShare) - elapsed - perRound;
 		if (!asking.mayWait || pause < shortestWaitMilliseconds) {
-			options.note({kind: 'noRoom', readings: asking.fullReadings, waited: !asking.mayWait});
+			options.note({
+				kind: 'noRoom', readings: asking.fullReadings, waited: !asking.mayWait, shortage: roundShare(state.pressure.getShortage()),
+			});
 			take(undefined);
 			return;
 		}
@@ -188,7 +199,10 @@
 	/** Gets the best of the servers that answered and have room; bytes between zones are dear, so a near one that is quick enough goes first. */
 	function getRoomiest(readings: readonly AskedCandidate[]): AskedCandidate | undefined {
 		const now = performance.now();
-		const roomy = readings.filter(({candidate, reading}) => candidate.isOpen(now) && hasRoom(reading, route.isUrgent));
+		const admission = {
+			isUrgent: route.isUrgent, isOutranked: route.isOutranked, isLate: options.isLate, shortage: state.pressure.getShortage(),
+		};
+		const roomy = readings.filter(({candidate, reading}) => candidate.isOpen(now) && hasRoom(reading, admission));
 		return roomy.find(({candidate, reading}) => isNear(candidate) && getExpectedTime(reading) <= acceptableTime) ?? roomy[0];
 	}
 
@@ -200,7 +214,7 @@
 		}
 
 		ask({
-			count: askedCandidates, alreadyAsked: new Set(excluded), roundsLeft: isBeside ? 1 : askingRounds, answers: 0, fullReadings: [], best: undefined, isBeside, mayWait: !isBeside, startedAt: performance.now(),
+			count: askedCandidates, alreadyAsked: new Set(excluded), roundsLeft: isBeside ? 1 : askingRounds, answers: 0, isRelieved: false, fullReadings: [], best: undefined, isBeside, mayWait: !isBeside, startedAt: performance.now(),
 		}, take);
 	}
 
@@ -219,6 +233,10 @@
 	};
 }
 
+function roundShare(share: number): number {
+	return Math.round(share * 100) / 100;
+}
+
 /** Describes a reading for the log: running, waiting, slots, slowness. */
 function describe({running, waiting, slots, slowness}: Reading): string {
 	return `${running},${waiting},${slots},${slowness}`;
--- a/source/entry/router.test.ts
+++ b/source/entry/router.test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'earl';
 import {documentSchema, type Route} from '../configuration/index.js';
 import {createRandom} from '../randomness/index.js';
-import {getDeadline} from './headers.js';
+import {getRequestTime} from './headers.js';
 import {createRouter} from './router.js';
 
 describe('createRouter', () => {
@@ -46,22 +46,31 @@
 	});
 });
 
-describe('getDeadline', () => {
-	function doTest(header: string | undefined, expected: number | undefined): void {
-		expect(getDeadline(header, 2000)).toEqual(expected);
+describe('getRequestTime', () => {
+	function doTest(headers: ReadonlyArray<string | undefined>, expected: ReturnType<typeof getRequestTime>): void {
+		const {services, routes} = documentSchema.parse({
+			zones: [{name: 'north'}], services: [{name: 'stock'}], routes: [{
+				name: 'look', parts: [{service: 'stock', weight: 1}], isIdempotent: true, timeoutMilliseconds: 2000, targetMilliseconds: 200, attempts: 2,
+			}],
+		});
+		const route = createRouter(services, routes).get('any', '/1')!;
+		expect(headers.map(header => getRequestTime(header, route, 0)).at(-1)).toEqual(expected);
 	}
 
-	test('takes the service\'s deadline without a header', () => {
-		doTest(undefined, 2000);
+	test('takes the route\'s timeout without a header', () => {
+		doTest([undefined], {deadline: 2000, elapsed: 0});
 	});
 	test('takes a shorter one', () => {
-		doTest('150', 150);
+		doTest(['150'], {deadline: 150, elapsed: 0});
 	});
 	test('bounds a longer one', () => {
-		doTest('99999', 2000);
+		doTest(['99999'], {deadline: 2000, elapsed: 0});
+	});
+	test('tells what a returning caller has spent, also beyond the route\'s timeout', () => {
+		doTest(['3000', '2600'], {deadline: 2000, elapsed: 400});
 	});
 	test('refuses what is not a number of milliseconds', () => {
-		doTest('1.5', undefined);
+		doTest(['1.5'], undefined);
 	});
 });
 
@@ -93,3 +102,20 @@
 		}
 	});
 });
+
+describe('createRouter: urgent routes', () => {
+	function doTest(priorities: readonly number[], expected: readonly boolean[]): void {
+		const routes = priorities.map((priority, index): Route => ({
+			name: `r${index}`, host: 'shop.example', path: `/${index}/`, parts: [{service: 'stock', weight: 1}], isIdempotent: true, timeoutMilliseconds: 800, targetMilliseconds: 200, priority, attempts: 2,
+		}));
+		const router = createRouter([], routes, createRandom(1));
+		expect(routes.map(({path}) => router.get('shop.example', path)?.isUrgent)).toEqual([...expected]);
+	}
+
+	test('takes the lowest rank of a service', () => {
+		doTest([2, 1, 2], [false, true, false]);
+	});
+	test('takes none where all have the same rank', () => {
+		doTest([2, 2], [false, false]);
+	});
+});
--- a/source/entry/router.ts
+++ b/source/entry/router.ts
@@ -5,6 +5,7 @@
  * that one has no room.
  */
 import {type Route, type Service} from '../configuration/index.js';
+import {createElapsedEstimate, type ElapsedEstimate} from '../limits/index.js';
 
 const anyHost = '*';
 
@@ -16,8 +17,12 @@
 	readonly timeoutMilliseconds: number;
 	/** Time within which an answer is worth its whole value, where the document says. */
 	readonly targetMilliseconds: number | undefined;
-	/** Whether no route to one of its services is of a more urgent rank. */
+	/** Whether it has the most urgent rank at one of its services, where not all routes have the same. */
 	readonly isUrgent: boolean;
+	/** Whether each of its services has a route of a more urgent rank. */
+	readonly isOutranked: boolean;
+	/** Estimates how long its callers have waited before. */
+	readonly elapsed: ElapsedEstimate;
 	/** Servers at most to which one request may be sent, where the document says. */
 	readonly attempts: number | undefined;
 	/** Gets the name of the service that takes the next request. */
@@ -52,29 +57,60 @@
 	};
 }
 
-/** Gets the most urgent rank of the routes to each service. */
-function getUrgentRanks(routes: readonly Route[]): ReadonlyMap<string, number> {
-	const ranks = new Map<string, number>();
+/** Most and least urgent rank of the routes to a service; the lowest number is the most urgent. */
+type RankSpan = {readonly most: number; readonly least: number};
+
+function getRankSpans(routes: readonly Route[]): ReadonlyMap<string, RankSpan> {
+	const spans = new Map<string, RankSpan>();
 	for (const {parts, priority} of routes) {
 		for (const {service} of parts) {
-			ranks.set(service, Math.min(priority, ranks.get(service) ?? priority));
+			const {most, least} = spans.get(service) ?? {most: priority, least: priority};
+			spans.set(service, {most: Math.min(most, priority), least: Math.max(least, priority)});
 		}
 	}
 
-	return ranks;
+	return spans;
+}
+
+/** Checks whether a route is more urgent than another one to one of its services, and none is more urgent. */
+function isMostUrgent(route: Route, spans: ReadonlyMap<string, RankSpan>): boolean {
+	return route.parts.some(({service}) => {
+		const {most, least} = spans.get(service)!;
+		return route.priority === most && most < least;
+	});
+}
+
+/** Checks whether another route to each of its services is more urgent. */
+function isOutranked(route: Route, spans: ReadonlyMap<string, RankSpan>): boolean {
+	return route.parts.every(({service}) => spans.get(service)!.most < route.priority);
 }
 
-function fromRoute(route: Route, ranks: ReadonlyMap<string, number>, random: () => number): RoutePolicy {
+function fromRoute(route: Route, spans: ReadonlyMap<string, RankSpan>, random: () => number): RoutePolicy {
 	const {name, isIdempotent, timeoutMilliseconds, targetMilliseconds, attempts} = route;
-	const isUrgent = route.parts.some(part => route.priority <= (ranks.get(part.service) ?? route.priority));
 	return {
-		name, isIdempotent, timeoutMilliseconds, targetMilliseconds, isUrgent, attempts, takeService: createTurns(route, random),
+		name,
+		isIdempotent,
+		timeoutMilliseconds,
+		targetMilliseconds,
+		isUrgent: isMostUrgent(route, spans),
+		isOutranked: isOutranked(route, spans),
+		elapsed: createElapsedEstimate(),
+		attempts,
+		takeService: createTurns(route, random),
 	};
 }
 
 function fromService(service: Service): RoutePolicy {
 	return {
-		name: service.name, isIdempotent: undefined, timeoutMilliseconds: service.deadlineMilliseconds, targetMilliseconds: undefined, isUrgent: true, attempts: undefined, takeService: () => service.name,
+		name: service.name,
+		isIdempotent: undefined,
+		timeoutMilliseconds: service.deadlineMilliseconds,
+		targetMilliseconds: undefined,
+		isUrgent: false,
+		isOutranked: false,
+		elapsed: createElapsedEstimate(),
+		attempts: undefined,
+		takeService: () => service.name,
 	};
 }
 
@@ -102,9 +138,9 @@
 			put(service.host, service.path, fromService(service));
 		}
 	} else {
-		const ranks = getUrgentRanks(routes);
+		const spans = getRankSpans(routes);
 		for (const route of routes) {
-			put(route.host, route.path, fromRoute(route, ranks, random));
+			put(route.host, route.path, fromRoute(route, spans, random));
 		}
 	}
 
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -49,6 +49,8 @@
 	readonly requestId: string;
 	readonly startedAt: number;
 	readonly deadlineAt: number;
+	/** Whether the request can hardly be answered within its target any more. */
+	readonly isLate: boolean;
 	readonly claim: Claim | undefined;
 	/** Answers with a verdict of the entry's own. */
 	refuse(verdict: Verdict): void;
@@ -69,7 +71,7 @@
 	const excluded = new Set<number>();
 	const avoidedZones = new Set<string>();
 	const placement = createPlacement({
-		context, state, route, excluded, avoidedZones, note: call.note,
+		context, state, route, excluded, avoidedZones, isLate: call.isLate, note: call.note,
 	});
 	let attempts = 0;
 	let unreached = 0;
--- a/source/entry/story.test.ts
+++ b/source/entry/story.test.ts
@@ -16,7 +16,7 @@
 		for (let index = 0; index < count; index++) {
 			now = index * 1000 / count;
 			const story = teller.start({
-				id: `r${index}`, route: 'orders', service: 'stock', version: 7, targetMilliseconds: 200, at: now,
+				id: `r${index}`, route: 'orders', service: 'stock', version: 7, targetMilliseconds: 200, elapsedMilliseconds: 0, at: now,
 			});
 			story.note({
 				kind: 'send', attempt: 'first', server: 's1', leftMilliseconds: 900,
@@ -45,7 +45,7 @@
 	});
 	test('tells the decisions with their times', () => {
 		expect(tell(1, notRun('overload'))[0]).toEqual({
-			id: 'r0', route: 'orders', service: 'stock', version: 7, targetMilliseconds: 200, outcome: 'not-run overload', milliseconds: 20, decisions: [{
+			id: 'r0', route: 'orders', service: 'stock', version: 7, targetMilliseconds: 200, elapsedMilliseconds: 0, outcome: 'not-run overload', milliseconds: 20, decisions: [{
 				at: 0, kind: 'send', attempt: 'first', server: 's1', leftMilliseconds: 900,
 			}],
 		});
--- a/source/entry/story.ts
+++ b/source/entry/story.ts
@@ -19,7 +19,7 @@
 export type Decision
 	= | {readonly kind: 'place'; readonly server: string; readonly reading: string; readonly answered: number}
 	/** No server that answered has room; each with what it said of its load. */
-		| {readonly kind: 'noRoom'; readonly readings: readonly string[]; readonly waited: boolean}
+		| {readonly kind: 'noRoom'; readonly readings: readonly string[]; readonly waited: boolean; readonly shortage: number}
 		| {readonly kind: 'send'; readonly attempt: 'first' | 'retry' | 'hedge'; readonly server: string; readonly leftMilliseconds: number}
 		| {readonly kind: 'failed'; readonly server: string; readonly reason: string}
 		| {readonly kind: 'answered'; readonly server: string; readonly status: number}
@@ -42,6 +42,8 @@
 	/** Version of the document that decides. */
 	readonly version: number;
 	readonly targetMilliseconds: number | undefined;
+	/** Time that the caller seems to have spent before, in milliseconds. */
+	readonly elapsedMilliseconds: number;
 	readonly at: number;
 };
 
