Take no answer without a length for whole when its connection was reset together with the last bytes

Cause: libuv reports a reset as an orderly end when it comes in the same turn as the last bytes; what looked whole had been cut short. Ruled out: the length that entries add (none is added), the test's own client (the entry's outcome says the same, attempt.test.ts). Change: at the end of such an answer the socket's peer is asked for; a reset connection has none (entry/ending).

--- a/source/entry/answer.ts
+++ b/source/entry/answer.ts
@@ -6,8 +6,9 @@
 import {
 	getHeaderValue, getStatus, reasonHeader, verdictHeader, type Verdict,
 } from '../verdict/index.js';
-import {endsWhole, type AnswerHead} from './attempt.js';
+import {type AnswerHead} from './attempt.js';
 import {type Dialect} from './dialect.js';
+import {type Ending} from './ending.js';
 
 const retryAfterSeconds = '1';
 const largestShare = 65_535;
@@ -103,7 +104,8 @@
 	readonly rest: IncomingMessage;
 	/** Time in milliseconds at which the answer must have ended. */
 	readonly deadlineAt: number;
-	readonly head: AnswerHead;
+	/** Tells whether the body was whole. */
+	readonly ending: Ending;
 	/** Called at the end with whether the body was whole. */
 	ended(isWhole: boolean): void;
 };
@@ -129,7 +131,7 @@
 	});
 	rest.once('close', () => {
 		clearTimeout(timer);
-		const isWhole = endsWhole(rest, answer.head);
+		const isWhole = answer.ending.isWhole();
 		if (!isWhole) {
 			response.destroy();
 		}
--- a/source/entry/attempt.test.ts
+++ b/source/entry/attempt.test.ts
@@ -48,10 +48,14 @@
 }
 
 describe('startAttempt: answers without a length', () => {
-	async function doTest(end: (socket: Socket) => void, expected: string): Promise<void> {
+	async function doTest(end: (socket: Socket) => void, expected: string, laterMilliseconds = 30): Promise<void> {
 		const outcome = await attempt(socket => {
 			socket.write('HTTP/1.1 200 OK\r\n\r\nhalf of the', () => {
-				setTimeout(end, 30, socket);
+				if (laterMilliseconds > 0) {
+					setTimeout(end, laterMilliseconds, socket);
+				} else {
+					end(socket);
+				}
 			});
 		});
 		expect(outcome.kind === 'failed' ? outcome.verdict.kind : `${outcome.kind}${outcome.kind === 'whole' && outcome.head.isUnmeasured ? ', without a length' : ''}`).toEqual(expected);
@@ -67,4 +71,14 @@
 			socket.resetAndDestroy();
 		}, 'mayHaveRun');
 	});
+	test('are whole when the server closes the connection together with the last bytes', async () => {
+		await doTest(socket => {
+			socket.end();
+		}, 'whole, without a length', 0);
+	});
+	test('are cut short when the connection is reset together with the last bytes', async () => {
+		await doTest(socket => {
+			socket.resetAndDestroy();
+		}, 'mayHaveRun', 0);
+	});
 });
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -8,6 +8,7 @@
 import {performance} from 'node:perf_hooks';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {type Dialect, type ServerHints} from './dialect.js';
+import {watchEnding, type Ending} from './ending.js';
 import {getAnswerHeaders} from './headers.js';
 import {type Pool} from './pool.js';
 
@@ -23,7 +24,7 @@
 export type Outcome
 	= | {readonly kind: 'whole'; readonly head: AnswerHead; readonly body: Buffer}
 	/** The head and the first bytes of an answer that is too large to hold. */
-		| {readonly kind: 'large'; readonly head: AnswerHead; readonly start: readonly Buffer[]; readonly rest: IncomingMessage}
+		| {readonly kind: 'large'; readonly head: AnswerHead; readonly start: readonly Buffer[]; readonly rest: IncomingMessage; readonly ending: Ending}
 		| {readonly kind: 'failed'; readonly verdict: Verdict; readonly hasCrashed: boolean};
 
 /** Options of an attempt. */
@@ -145,6 +146,7 @@
 	}
 
 	function hold(answer: IncomingMessage, head: AnswerHead): void {
+		const ending = watchEnding(answer, head.isUnmeasured);
 		const chunks: Buffer[] = [];
 		let size = 0;
 		function take(chunk: Buffer): void {
@@ -155,13 +157,13 @@
 				answer.off('end', finish);
 				answer.pause();
 				end({
-					kind: 'large', head, start: chunks, rest: answer,
+					kind: 'large', head, start: chunks, rest: answer, ending,
 				});
 			}
 		}
 
 		function finish(): void {
-			if (!endsWhole(answer, head)) {
+			if (!ending.isWhole()) {
 				fail('answer-truncated');
 				return;
 			}
@@ -213,17 +215,6 @@
 	return hasNoBody(answer, method) || answer.headers['content-length'] !== undefined || answer.headers['transfer-encoding'] !== undefined;
 }
 
-/**
- * Checks at the end of an answer whether it did not break off. Node takes a reset for the
- * end of a body without a length, too.
- * @param answer - Answer of a server that has ended.
- * @param head - Its head.
- */
-export function endsWhole(answer: IncomingMessage, head: AnswerHead): boolean {
-	const {socket} = answer;
-	return answer.complete && (!head.isUnmeasured || (socket.readableEnded && socket.errored === null));
-}
-
 /** Checks whether an answer never has a body, whatever its headers say. */
 function hasNoBody(answer: IncomingMessage, method: string): boolean {
 	return method === 'HEAD' || answer.statusCode === 204 || answer.statusCode === 304;
--- a/source/entry/run.ts
+++ b/source/entry/run.ts
@@ -239,11 +239,13 @@
 	}
 
 	function answerLarge(outcome: Extract<Outcome, {readonly kind: 'large'}>): void {
-		const {head, start: chunks, rest} = outcome;
+		const {
+			head, start: chunks, rest, ending,
+		} = outcome;
 		call.claim?.finish(undefined);
 		writeHead(context.dialect, response, head, call.requestId, context.isClosing());
 		streamAnswer({
-			response, head, chunks, rest, deadlineAt, ended(isWhole) {
+			response, chunks, rest, ending, deadlineAt, ended(isWhole) {
 				const verdict: Verdict = isWhole ? {kind: 'ran', status: head.status} : mayHaveRun('answer-truncated');
 				call.ended(verdict);
 			},
--- a/stand-in/platform/upstream.ts
+++ b/stand-in/platform/upstream.ts
@@ -14,14 +14,50 @@
 const callMilliseconds = 1000;
 const usualSlowness = 100;
 
+/** Time after an answer at which surplus bytes follow, in milliseconds: the connection is idle again by then. */
+const surplusMilliseconds = 5;
+
 /** A request that an upstream ran. */
-export type Run = {readonly id: string; readonly path: string; readonly body: string; readonly at: number};
+export type Run = {
+	readonly id: string;
+	readonly path: string;
+	readonly body: string;
+	readonly at: number;
+	/** Time at which its connection closed while the upstream worked on it, if it did. */
+	leftAt: number | undefined;
+};
+
+/** What an upstream does with a request that it takes, beside its work. */
+export type Fault
+	/** Runs it, then resets the connection in place of an answer. */
+	= | 'lose-answer'
+	/** Runs it, and breaks the answer off amid its body. */
+		| 'break-off'
+	/** The same, in an answer without a length. */
+		| 'break-off-unmeasured'
+	/** Runs it, answers, and sends a second answer to it later. */
+		| 'answer-twice'
+	/** Says that it has not run it, and does not. */
+		| 'shed'
+	/** Resets the connection without running it. */
+		| 'reset'
+	/** Fails although its health is good. */
+		| 'fail';
+
+/** How an upstream treats requests. */
+export type Behaviour = {
+	/** Gets the fault of the next request, if it meets one. */
+	readonly getFault?: () => Fault | undefined;
+	readonly workMilliseconds?: number;
+};
 
 /** A running upstream. */
 export type Upstream = {
 	readonly id: string;
 	readonly zone: string;
 	readonly runs: Run[];
+	/** Sets which fault the next requests meet, and how long work takes. */
+	behave(behaviour: Behaviour): void;
 	/** Gets when the next heartbeat says that it drains, and resolves when that is acknowledged. */
 	drain(): Promise<void>;
 	/** Ends without a word. */
@@ -90,6 +126,7 @@
 	let running = 0;
 	let isEnded = false;
 	let turn = 0;
+	let behaviour: Behaviour = {};
 
 	function answer(request: IncomingMessage, response: ServerResponse, status: number, headers: Readonly<Record<string, string>>, body = ''): void {
 		const requestId = request.headers['request-id'];
@@ -111,20 +148,76 @@
 			return;
 		}
 
-		if (running >= slots) {
+		const fault = behaviour.getFault?.();
+		if (running >= slots || fault === 'shed') {
 			answer(request, response, 503, {'Not-Executed': '1'});
 			return;
 		}
 
+		if (fault === 'reset') {
+			request.socket.resetAndDestroy();
+			return;
+		}
+
+		await run(request);
+		answerRun(request, response, fault);
+	}
+
+	/** Works on a request, and notes when its caller leaves meanwhile. */
+	async function run(request: IncomingMessage): Promise<void> {
 		running++;
 		const body = await readText(request);
-		const requestId = String(request.headers['request-id']);
-		runs.push({
-			id: requestId, path: request.url ?? '', body: body ?? '', at: Date.now(),
-		});
-		await delay(options.workMilliseconds);
+		const noted: Run = {
+			id: String(request.headers['request-id']), path: request.url ?? '', body: body ?? '', at: Date.now(), leftAt: undefined,
+		};
+		runs.push(noted);
+		const noteLeft = (): void => {
+			noted.leftAt = Date.now();
+		};
+
+		request.socket.once('close', noteLeft);
+		await delay(behaviour.workMilliseconds ?? options.workMilliseconds);
+		request.socket.off('close', noteLeft);
 		running--;
-		answer(request, response, 200, {'Upstream-Signature': `${id}.${requestId}`}, `body of ${requestId}`);
+	}
+
+	function answerRun(request: IncomingMessage, response: ServerResponse, fault: Exclude<Fault, 'shed' | 'reset'> | undefined): void {
+		const requestId = String(request.headers['request-id']);
+		const signature = {'Upstream-Signature': `${id}.${requestId}`};
+		const body = `body of ${requestId}`;
+		switch (fault) {
+			case undefined: {
+				answer(request, response, 200, signature, body);
+				return;
+			}
+
+			case 'fail': {
+				answer(request, response, 500, signature, 'failed');
+				return;
+			}
+
+			case 'lose-answer': {
+				request.socket.resetAndDestroy();
+				return;
+			}
+
+			case 'break-off':
+			case 'break-off-unmeasured': {
+				const length = fault === 'break-off' ? `Content-Length: ${body.length}` : 'Connection: close';
+				request.socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nUpstream-Signature: ${id}.${requestId}\r\n${length}\r\n\r\nbody`, () => {
+					request.socket.resetAndDestroy();
+				});
+				return;
+			}
+
+			case 'answer-twice': {
+				const whole = `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nUpstream-Signature: ${id}.${requestId}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+				request.socket.write(whole);
+				setTimeout(() => {
+					request.socket.write(whole);
+				}, surplusMilliseconds);
+			}
+		}
 	}
 
 	const server: Server = createServer((request, response) => {
@@ -158,6 +251,9 @@
 		id,
 		zone,
 		runs,
+		behave(next) {
+			behaviour = next;
+		},
 		async drain() {
 			state = 'draining';
 			while (!await beat()) {
