--- a/source/limits/pressure.ts
+++ b/source/limits/pressure.ts
@@ -21,14 +21,14 @@
 /** Part of the time that a shortage has lasted after which a refused caller may return. */
 const returnShare = 0.5;
 
-/** Shortest time after which a refused caller may return, in milliseconds: about as long as servers take to change between slow and quiet. */
-const shortestReturnMilliseconds = 80;
+/** Shortest time after which a refused caller may return, in milliseconds: without a shortage another draw of servers may serve it within its target. */
+const shortestReturnMilliseconds = 25;
 
 /** Longest time after which a refused caller may return, in milliseconds: most callers have no more than some seconds. */
 const longestReturnMilliseconds = 1500;
 
-/** Spread of returning callers, as a share of the shortest time beyond which they return. */
-const returnSpread = 1.75;
+/** Time over which returning callers are spread, in milliseconds. */
+const returnSpreadMilliseconds = 75;
 
 /** How short of servers a service is. */
 export type Pressure = {
@@ -61,7 +61,7 @@
 		getReturnMilliseconds(now, draw) {
 			const lasted = standingFrom === undefined ? 0 : now - standingFrom;
 			const shortest = Math.max(shortestReturnMilliseconds, lasted * returnShare);
-			return Math.min(longestReturnMilliseconds, shortest + (shortestReturnMilliseconds * returnSpread * draw));
+			return Math.min(longestReturnMilliseconds, shortest + (returnSpreadMilliseconds * draw));
 		},
 	};
 }
