Remember servers that left before they were known, and those whose address another one took

Cause: a boot that had left could come back by a late word: when its leave arrived before its first announcement, when a late copy of an older boot's leave lowered what was remembered, and when it had drained and was then removed or replaced at its address and the later server left. The acknowledged leave would not have bound.

Ruled out: the order of words within one boot (sequence) and of boots at one address (birth) hold in the exploration. Change: departures are kept by name where the service is not known, only ever rise, and include evicted boots and removed ones that were leaving. Tests first: exploration.test.ts, registry.test.ts (a leave before the first word).

--- /dev/null
+++ b/source/announcement/exploration.test.ts
@@ -0,0 +1,132 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {announcementSchema} from './announcement.js';
+import {createRegistry, type Registry, type RegistryCommand} from './registry.js';
+
+const ports = [8001, 8002, 8003];
+const names = ['one', 'two', 'three', 'four'];
+
+/** A boot of a server, as it is in truth. */
+type Boot = {readonly name: string; readonly port: number; readonly bornAt: number; sequence: number; isLeaving: boolean};
+
+/** What a boot has said, with what follows once it is known. */
+type Word = {readonly boot: Boot; readonly kind: 'announced' | 'leaving' | 'left'; readonly command: RegistryCommand};
+
+function say(boot: Boot, isLeaving: boolean, coldMilliseconds: number): RegistryCommand {
+	boot.sequence++;
+	return {
+		kind: 'announced', at: 0, announcement: announcementSchema.parse({
+			service: 'stock', name: boot.name, host: '127.0.0.1', port: boot.port, zone: 'north', slots: 4, connections: 100, boot: String(boot.bornAt), state: isLeaving ? 'leaving' : 'warm', bornAt: boot.bornAt, sequence: boot.sequence, coldMilliseconds,
+		}),
+	};
+}
+
+/** Servers that start, drain, leave and crash, and a network that delays, doubles and loses what they say. */
+function createWorld() {
+	const words: Word[] = [];
+	const boots = new Map<number, Boot>();
+	const drained = new Set<Boot>();
+	const left = new Set<Boot>();
+	let registry: Registry = createRegistry();
+	let time = 1;
+
+	/** Starts a server at an address, in place of whoever was there. */
+	function start(port: number, name: string): void {
+		if ([...boots.values()].every(boot => boot.name !== name)) {
+			boots.set(port, {
+				name, port, bornAt: time++, sequence: 0, isLeaving: false,
+			});
+		}
+	}
+
+	function speak(boot: Boot, kind: Word['kind'], coldMilliseconds: number): void {
+		boot.isLeaving ||= kind === 'leaving';
+		const command: RegistryCommand = kind === 'left'
+			? {
+				kind: 'left', name: boot.name, bornAt: boot.bornAt, at: 0,
+			}
+			: say(boot, boot.isLeaving, coldMilliseconds);
+		words.push({boot, kind: kind === 'announced' && boot.isLeaving ? 'leaving' : kind, command});
+	}
+
+	/** Lets a word arrive, for the first time or again. */
+	function deliver({boot, kind, command}: Word): void {
+		registry.apply(command);
+		if (kind === 'leaving' && [...registry.getAll()].some(server => server.announcement.boot === String(boot.bornAt))) {
+			drained.add(boot);
+		}
+
+		if (kind === 'left') {
+			left.add(boot);
+		}
+	}
+
+	/** Writes a snapshot and goes on from it. */
+	function restart(): void {
+		const image = registry.getImage();
+		registry = createRegistry();
+		registry.restore(image);
+		expect(registry.getImage()).toEqual(image);
+	}
+
+	function check(): void {
+		const servers = [...registry.getAll()];
+		const addresses = servers.map(server => server.announcement.port);
+		expect(new Set(addresses).size).toEqual(addresses.length);
+		for (const server of servers) {
+			const {boot, bornAt = 0, name} = server.announcement;
+			const wasDrained = [...drained].some(other => String(other.bornAt) === boot);
+			expect(wasDrained && server.state !== 'leaving').toEqual(false);
+			expect([...left].some(other => other.name === name && other.bornAt >= bornAt)).toEqual(false);
+			expect(registry.getById(server.id).isJust).toEqual(true);
+		}
+	}
+
+	return {
+		step(kind: number, number: number) {
+			const boot = boots.get(ports[number % ports.length]!);
+			if (kind < 15) {
+				start(ports[number % ports.length]!, names[Math.floor(number / 7) % names.length]!);
+			} else if (kind < 50 && boot !== undefined) {
+				speak(boot, 'announced', number % 4 === 0 ? 900 : 0);
+			} else if (kind < 57 && boot !== undefined) {
+				speak(boot, 'leaving', 0);
+			} else if (kind < 62 && boot !== undefined) {
+				speak(boot, 'left', 0);
+				boots.delete(boot.port);
+			} else if (kind < 65 && boot !== undefined) {
+				boots.delete(boot.port);
+			} else if (kind < 69) {
+				restart();
+			} else if (words.length > 0) {
+				deliver(words[number % words.length]!);
+			}
+
+			check();
+		},
+		getDrained: () => drained.size,
+		getLeft: () => left.size,
+	};
+}
+
+describe('createRegistry', () => {
+	function doTest(runs: number, seed: number): void {
+		let drained = 0;
+		let left = 0;
+		fc.assert(fc.property(fc.array(fc.tuple(fc.nat(99), fc.nat(1000)), {minLength: 50, maxLength: 400, size: 'max'}), steps => {
+			const world = createWorld();
+			for (const [kind, number] of steps) {
+				world.step(kind, number);
+			}
+
+			drained += world.getDrained();
+			left += world.getLeft();
+		}), {seed, numRuns: runs, endOnFailure: true});
+		expect(drained > 10 && left > 10).toEqual(true);
+	}
+
+	test('lets no server come back that drained or left, and has one server at an address, whatever arrives late or twice', () => {
+		doTest(200, 71);
+	});
+});
--- a/source/announcement/registry.test.ts
+++ b/source/announcement/registry.test.ts
@@ -37,6 +37,11 @@
 			kind: 'left', name: 'one', bornAt: 5, at: 0,
 		}, announced(say('one', 5, 2))], {});
 	});
+	test('forgets one that left before its first word arrived', () => {
+		doTest([{
+			kind: 'left', name: 'one', bornAt: 5, at: 0,
+		}, announced(say('one', 5, 1))], {});
+	});
 	test('takes a new boot under the old name, whose counts start anew', () => {
 		doTest([announced(say('one', 5, 90)), {
 			kind: 'left', name: 'one', bornAt: 5, at: 0,
--- a/source/announcement/registry.ts
+++ b/source/announcement/registry.ts
@@ -38,8 +38,8 @@
 export type RegistryImage = {
 	readonly nextId: number;
 	readonly servers: readonly RegisteredServer[];
-	/** Time of the newest boot that has left, by server. */
-	readonly departed?: ReadonlyArray<readonly [ServerKey, number]>;
+	/** Time of the newest boot that has left, by server, or by name where its service was not known. */
+	readonly departed?: ReadonlyArray<readonly [string, number]>;
 };
 
 /** Departed boots that are remembered, newest kept. */
@@ -89,7 +89,7 @@
 	let byId = new Map<number, RegisteredServer>();
 	const byAddress = new Map<string, ServerKey>();
 	const byName = new Map<string, ServerKey>();
-	let departed = new Map<ServerKey, number>();
+	let departed = new Map<string, number>();
 	let nextId = 1;
 
 	function getAt(announcement: Announcement): RegisteredServer | undefined {
@@ -128,12 +128,18 @@
 		const key = getServerKey(announcement);
 		const known = servers.get(key)?.announcement;
 		const isOlder = known?.bornAt !== undefined && (bornAt < known.bornAt || (bornAt === known.bornAt && (announcement.sequence ?? 0) < (known.sequence ?? 0)));
-		return isOlder || bornAt <= (departed.get(key) ?? Number.NEGATIVE_INFINITY) || isReplaced(announcement);
+		return isOlder || bornAt <= getDepartedAt(announcement) || isReplaced(announcement);
 	}
 
-	function depart(key: ServerKey, bornAt: number): void {
+	/** Gets when the newest boot was born that has left under a name, whether its service was known then or not. */
+	function getDepartedAt(announcement: Announcement): number {
+		return Math.max(departed.get(getServerKey(announcement)) ?? Number.NEGATIVE_INFINITY, departed.get(announcement.name) ?? Number.NEGATIVE_INFINITY);
+	}
+
+	function depart(key: string, bornAt: number): void {
+		const newest = Math.max(bornAt, departed.get(key) ?? bornAt);
 		departed.delete(key);
-		departed.set(key, bornAt);
+		departed.set(key, newest);
 		if (departed.size > rememberedDepartures) {
 			const [oldest] = departed.keys();
 			departed.delete(oldest!);
@@ -143,12 +149,26 @@
 	/** Removes the server that had an address before, because a later one is there now. */
 	function evict(announcement: Announcement): readonly RegisteredServer[] {
 		const other = announcement.bornAt === undefined ? undefined : getAt(announcement);
-		return other === undefined || other.key === getServerKey(announcement) ? [] : remove(other.id);
+		if (other === undefined || other.key === getServerKey(announcement)) {
+			return [];
+		}
+
+		depart(other.key, other.announcement.bornAt ?? 0);
+		return remove(other.id);
 	}
 
 	function leave(name: string, bornAt: number | undefined): readonly RegisteredServer[] {
 		const server = servers.get(byName.get(name) ?? '');
-		if (server === undefined || (bornAt !== undefined && bornAt < (server.announcement.bornAt ?? 0))) {
+		if (server === undefined) {
+			// Its first words may still be on their way.
+			if (bornAt !== undefined) {
+				depart(name, bornAt);
+			}
+
+			return [];
+		}
+
+		if (bornAt !== undefined && bornAt < (server.announcement.bornAt ?? 0)) {
 			return [];
 		}
 
@@ -250,6 +270,11 @@
 				}
 
 				case 'removed': {
+					const server = byId.get(command.id);
+					if (server?.state === 'leaving' && server.announcement.bornAt !== undefined) {
+						depart(server.key, server.announcement.bornAt);
+					}
+
 					return remove(command.id);
 				}
 			}
--- a/source/control/leader.ts
+++ b/source/control/leader.ts
@@ -92,7 +92,7 @@
 	}
 
 	async function leave(name: string, bornAt: number | undefined): Promise<ControlAnswer> {
-		return machine.registry.getKeyByName(name).isNothing
+		return machine.registry.getKeyByName(name).isNothing && bornAt === undefined
 			? read(() => ({kind: 'left'}))
 			: propose({
 				area: 'registry', command: {
