Let only the newest identity of a host join

Cause: a host that loses its disk twice asks to join under two identities; the leader kept both, and while the newer one caught up, each step put the older one, which nobody has any more, in its place as a learner. Members that were dropped stayed in the list, too, and came back as learners without ever asking again. Ruled out: a vote for an identity that is gone (what it holds counts from nothing, so it is never promoted). Change: only the newest identity of a host that asked may become a learner; who is dropped has to ask again.

--- a/source/consensus/membership.test.ts
+++ b/source/consensus/membership.test.ts
@@ -40,6 +40,9 @@
 		doTest(view({voters: five, learners: ['c:2']}, {joining: ['c:2']}), {voters: [...five, 'c:2'], learners: []});
 		doTest(view({voters: [...five, 'c:2'], learners: []}, {joining: ['c:2']}), {voters: ['a:1', 'b:1', 'd:1', 'e:1', 'c:2'], learners: []});
 	});
+	test('keeps the newest identity of a host that lost its disk twice', () => {
+		doTest(view({voters: five, learners: ['c:3']}, {joining: ['c:2', 'c:3'], getMatchIndex: () => 0}), undefined);
+	});
 	test('grows to the bound', () => {
 		doTest(view({voters: ['a:1', 'b:1', 'c:1'], learners: ['d:1']}, {joining: ['d:1']}), {voters: ['a:1', 'b:1', 'c:1', 'd:1'], learners: []});
 	});
--- a/source/consensus/membership.ts
+++ b/source/consensus/membership.ts
@@ -84,9 +84,14 @@
 	return ready === undefined ? undefined : {voters: [...voters, ready], learners: learners.filter(learner => learner !== ready)};
 }
 
+/** Checks whether a replica is the newest identity of its host that asked to join; older ones have lost their disks. */
+function isNewestOfHost(view: MembershipView, joiner: string): boolean {
+	return view.joining.findLast(other => view.getHost(other) === view.getHost(joiner)) === joiner;
+}
+
 function addLearner(view: MembershipView): Membership | undefined {
 	const {voters, learners} = view.membership;
-	const joiner = view.joining.findLast(id => !voters.includes(id) && !learners.includes(id));
+	const joiner = view.joining.findLast(id => !voters.includes(id) && !learners.includes(id) && isNewestOfHost(view, id));
 	if (joiner === undefined) {
 		return undefined;
 	}
--- a/source/control/members.ts
+++ b/source/control/members.ts
@@ -4,7 +4,7 @@
  * changes, and while it leads, changes the membership one step at a time.
  */
 import {performance} from 'node:perf_hooks';
-import {getNextMembership} from '../consensus/index.js';
+import {getNextMembership, type Membership} from '../consensus/index.js';
 import {type ControlClient} from '../control-client/index.js';
 import {getHostName} from '../storage/index.js';
 import {type Log} from '../telemetry/index.js';
@@ -64,6 +64,16 @@
 		client.setHosts(neighbourhood.getOthers(replica.getMembership(), [...joining, ...learnedReplicas]));
 	}
 
+	/** Forgets the wish of members that a change drops; one that is still there asks again. */
+	function forgetDropped(before: Membership, after: Membership): void {
+		const kept = new Set([...after.voters, ...after.learners]);
+		for (const member of [...before.voters, ...before.learners]) {
+			if (!kept.has(member) && joining.includes(member)) {
+				joining.splice(joining.indexOf(member), 1);
+			}
+		}
+	}
+
 	function getDirectory(): Directory {
 		const {voters, learners} = replica.getMembership();
 		const leader = replica.getLeader();
@@ -132,6 +142,7 @@
 			});
 			if (next !== undefined) {
 				log.info({membership: next}, 'membership changes');
+				forgetDropped(replica.getMembership(), next);
 				driver.proposeMembership(next);
 			}
 		},
