--- /dev/null
+++ b/source/cold-start/rate-exploration.test.ts
@@ -0,0 +1,88 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import fc from 'fast-check';
+import {announcementSchema} from '../announcement/index.js';
+import {createCandidate, type Candidate} from '../choice/index.js';
+import {createRateAllocator} from './rate.js';
+
+const termMilliseconds = 3000;
+const renewMilliseconds = 500;
+const stepMilliseconds = 5;
+const dayMilliseconds = 8000;
+const requestsPerSecond = 18;
+
+/** Requests that a server may get in any second, as its operators allow: half more than its rate, and five. */
+const boundPerSecond = (requestsPerSecond * 1.5) + 5;
+
+/** An entry that renews its lease, now and then too late or never again. */
+type Holder = {readonly name: string; readonly candidates: readonly Candidate[]; renewAt: number; expiresAt: number};
+
+/** A span in which an entry hears nothing from the leader, while it goes on with what it has. */
+type Silence = readonly [entry: number, from: number, milliseconds: number];
+
+function createCandidates(count: number): readonly Candidate[] {
+	return Array.from({length: count}, (_, index) => createCandidate(index + 1, announcementSchema.parse({
+		service: 'stock', name: `s${index + 1}`, host: '127.0.0.1', port: 1, zone: 'north', slots: 6, connections: 100, boot: 'b', state: 'warm',
+	}), 'cold'));
+}
+
+/** Plays a zone that returns cold, and gets the times at which each server got a request. */
+function play(entryCount: number, serverCount: number, silences: readonly Silence[]): ReadonlyArray<readonly number[]> {
+	const allocator = createRateAllocator();
+	for (let id = 1; id <= serverCount; id++) {
+		allocator.add({
+			id, requestsPerSecond, openAt: 0, coldUntil: dayMilliseconds,
+		});
+	}
+
+	const sent: number[][] = Array.from({length: serverCount}, () => []);
+	const holders: readonly Holder[] = Array.from({length: entryCount}, (_, index) => ({
+		name: `e${index}`, candidates: createCandidates(serverCount), renewAt: index * 17, expiresAt: 0,
+	}));
+	for (let now = 0; now < dayMilliseconds; now += stepMilliseconds) {
+		for (const [index, holder] of holders.entries()) {
+			const isSilent = silences.some(([entry, from, milliseconds]) => entry % entryCount === index && now >= from && now < from + milliseconds);
+			if (now >= holder.renewAt && !isSilent) {
+				renew(holder, now);
+			}
+
+			for (const [server, candidate] of holder.candidates.entries()) {
+				if (now < holder.expiresAt && candidate.isOpen(now)) {
+					candidate.start(now);
+					sent[server]!.push(now);
+				}
+			}
+		}
+	}
+
+	function renew(holder: Holder, now: number): void {
+		holder.renewAt = now + renewMilliseconds;
+		holder.expiresAt = now + termMilliseconds;
+		const permits = allocator.grant({
+			entry: holder.name, expiresAt: holder.expiresAt, entries: entryCount, now,
+		});
+		for (const candidate of holder.candidates) {
+			candidate.setRate(permits.find(permit => permit.server === candidate.id)?.requestsPerSecond, now);
+		}
+	}
+
+	return sent;
+}
+
+function getBusiestSecond(times: readonly number[]): number {
+	return Math.max(0, ...times.map((from, index) => times.slice(index).filter(at => at < from + 1000).length));
+}
+
+describe('createRateAllocator', () => {
+	function doTest(runs: number, seed: number): void {
+		fc.assert(fc.property(fc.integer({min: 1, max: 25}), fc.integer({min: 1, max: 12}), fc.array(fc.tuple(fc.nat(24), fc.nat(dayMilliseconds), fc.nat(5000)), {maxLength: 12}), (entryCount, serverCount, silences) => {
+			for (const times of play(entryCount, serverCount, silences)) {
+				expect(getBusiestSecond(times) <= boundPerSecond).toEqual(true);
+			}
+		}), {seed, numRuns: runs, endOnFailure: true});
+	}
+
+	test('keeps every cold server within its bound while entries fall silent and return', () => {
+		doTest(25, 91);
+	});
+});
