--- a/stand-in/server.ts
+++ b/stand-in/server.ts
@@ -3,54 +3,20 @@
  * announces itself and records each run.
  */
 import {Buffer} from 'node:buffer';
-import {createHash, randomUUID} from 'node:crypto';
-import {
-	createServer, request as startRequest, type IncomingMessage, type ServerResponse,
-} from 'node:http';
+import {randomUUID} from 'node:crypto';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {createRandom} from '../source/randomness/index.js';
+import {startAnnouncer} from './announcer.js';
+import {
+	answerAgain, answerShed, answerTruncated, answerWhole, type SelfReport,
+} from './answers.js';
 import {drawServiceTime, ordinaryBehaviour, type Behaviour} from './behaviour.js';
-
-const announceMilliseconds = 1000;
-const trailingMilliseconds = 3;
-
-/** Header that asks a server to crash. */
-export const crashHeader = 'x-crash';
-
-/** Header that a caller sends and that the answer repeats. */
-export const tokenHeader = 'x-caller-token';
-
-/** Header with the caller's id of one sending. */
-export const sendHeader = 'x-send-id';
-
-/** Header with the SHA-256 digest of the answer's body. */
-export const digestHeader = 'x-body-digest';
-
-/** What became of a request at a server. */
-export type RunOutcome = 'ran' | 'shed' | 'cancelled' | 'failed' | 'crashed' | 'cut' | 'probe';
-
-/** One request at a server. */
-export type Run = {
-	readonly server: string;
-	readonly zone: string;
-	readonly requestId: string;
-	readonly key: string | undefined;
-	readonly token: string | undefined;
-	/** Wall-clock milliseconds. */
-	readonly startedAt: number;
-	readonly endedAt: number;
-	/** Id that the caller gives each sending of a request. */
-	readonly sendId: string | undefined;
-	/** Whether the server began to run the request. */
-	readonly hasStarted: boolean;
-	/** Requests at the server when this one arrived, itself included. */
-	readonly inFlight: number;
-	/** Requests that the server could carry when this one arrived. */
-	readonly capacity: number;
-	readonly isCold: boolean;
-	readonly outcome: RunOutcome;
-};
+import {
+	crashHeader, getHeader, sendHeader, tokenHeader, type Run, type RunOutcome,
+} from './run.js';
+import {createSlots, type Job} from './slots.js';
 
 /** Options of a stand-in server. */
 export type StandInOptions = {
@@ -91,8 +57,6 @@
 	isUp(): boolean;
 };
 
-type Job = {readonly start: () => void; isGone: boolean};
-
 /**
  * Starts a stand-in server.
  * @param options - Place, behaviour and where to announce.
@@ -103,30 +67,26 @@
 	const sockets = new Set<Socket>();
 	const started = new WeakSet<IncomingMessage>();
 	let boot: string = randomUUID();
-	let waiting: Job[] = [];
-	let busy = 0;
 	let present = 0;
 	let largest = 0;
 	let overloads = 0;
 	let arrived = 0;
-	let servedCold = 0;
 	let isUp = false;
 	let {port} = options;
-	let announceTurn = 0;
 	let server = createHttpServer();
-
-	function getCapacity(): number {
-		return behaviour.isCold ? Math.min(behaviour.slots, behaviour.coldSlots + Math.floor(servedCold / behaviour.requestsPerColdSlot)) : behaviour.slots;
-	}
+	const slots = createSlots(() => behaviour);
+	const announcer = startAnnouncer({
+		announceTo: options.announceTo,
+		getAnnouncement: () => isUp
+			? {
+				service: options.service, name: options.name, host: options.host, port, zone: options.zone, slots: behaviour.slots, connections: options.connections, boot, state: getState(), load: getLoad(),
+			}
+			: undefined,
+	});
 
 	/** Counts a request towards the end of the cold start. */
 	function warmUp(): void {
-		if (!behaviour.isCold) {
-			return;
-		}
-
-		servedCold++;
-		if (getCapacity() >= behaviour.slots) {
+		if (slots.countServed()) {
 			behaviour = {...behaviour, isCold: false};
 		}
 	}
@@ -145,19 +105,6 @@
 		return created;
 	}
 
-	function startNext(): void {
-		while (busy < getCapacity()) {
-			const job = waiting.shift();
-			if (job === undefined) {
-				return;
-			}
-
-			if (!job.isGone) {
-				job.start();
-			}
-		}
-	}
-
 	function handle(request: IncomingMessage, response: ServerResponse): void {
 		if (request.url === '/health') {
 			finishProbe(response);
@@ -168,7 +115,7 @@
 		arrived++;
 		present++;
 		largest = Math.max(largest, present);
-		const capacity = getCapacity();
+		const capacity = slots.getCapacity();
 		const inFlight = present;
 		const {isCold} = behaviour;
 		overloads += behaviour.isCold && inFlight > capacity ? 1 : 0;
@@ -198,14 +145,14 @@
 		}
 
 		if (shouldShed(inFlight, capacity)) {
-			shed(request, response);
+			answerShed({request, response}, getState(), behaviour.declaresSheds);
 			end('shed');
 			return;
 		}
 
 		if (random() < behaviour.failFastShare) {
 			request.resume();
-			answer(response, request, 500, Buffer.from('failed\n'));
+			answerWhole({request, response}, 500, Buffer.from('failed\n'), getReport());
 			end('failed');
 			return;
 		}
@@ -218,10 +165,7 @@
 	}
 
 	function readAndRun(request: IncomingMessage, response: ServerResponse, end: (outcome: RunOutcome) => void): void {
-		const hash = createHash('sha256');
-		request.on('data', (chunk: Buffer) => {
-			hash.update(chunk);
-		});
+		request.resume();
 		request.once('end', () => {
 			if (request.complete) {
 				enqueue(request, response, end);
@@ -242,8 +186,7 @@
 		response.once('close', () => {
 			job.isGone = true;
 		});
-		waiting.push(job);
-		startNext();
+		slots.add(job);
 	}
 
 	function run(request: IncomingMessage, response: ServerResponse, end: (outcome: RunOutcome) => void): void {
@@ -254,14 +197,13 @@
 			return;
 		}
 
-		busy++;
+		slots.take();
 		let isDone = false;
 		function done(): void {
 			if (!isDone) {
 				isDone = true;
 				clearTimeout(timer);
-				busy--;
-				startNext();
+				slots.release();
 			}
 		}
 
@@ -286,61 +228,34 @@
 
 		if (random() < behaviour.truncatedShare) {
 			end('cut');
-			truncate(response, body);
+			answerTruncated({request, response}, body);
 			return;
 		}
 
 		end('ran');
-		answer(response, request, 200, body);
+		answerWhole({request, response}, 200, body, getReport());
 		if (random() < behaviour.trailingShare) {
-			const {socket} = response;
-			setTimeout(() => {
-				socket?.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother');
-			}, trailingMilliseconds);
+			answerAgain({request, response});
 		}
 	}
 
-	function truncate(response: ServerResponse, body: Buffer): void {
-		response.writeHead(200, {'content-length': body.length, 'guavadeck-request-id': String(response.req.headers['guavadeck-request-id'] ?? '')});
-		response.write(body.subarray(0, Math.floor(body.length / 2)), () => {
-			response.socket?.destroy();
-		});
-	}
-
-	function answer(response: ServerResponse, request: IncomingMessage, status: number, body: Buffer): void {
-		response.writeHead(status, {
-			'content-type': 'text/plain',
-			'content-length': body.length,
-			'guavadeck-state': getState(),
-			'guavadeck-load': String(behaviour.reportedLoad ?? present),
-			'guavadeck-request-id': getHeader(request, 'guavadeck-request-id') ?? '',
-			[digestHeader]: createHash('sha256').update(body).digest('hex'),
-			[tokenHeader]: getHeader(request, tokenHeader) ?? '',
-			...(behaviour.isLeaving ? {connection: 'close'} : {}),
-		});
-		response.end(body);
-	}
-
-	function shed(request: IncomingMessage, response: ServerResponse): void {
-		request.resume();
-		response.writeHead(503, {
-			'content-length': 0,
-			'guavadeck-state': getState(),
-			'guavadeck-request-id': getHeader(request, 'guavadeck-request-id') ?? '',
-			...(behaviour.declaresSheds ? {'guavadeck-verdict': 'not-run'} : {}),
-		});
-		response.end();
-	}
-
 	function finishProbe(response: ServerResponse): void {
 		const now = Date.now();
 		options.record({
-			server: options.name, zone: options.zone, requestId: '', key: undefined, token: undefined, sendId: undefined, hasStarted: false, startedAt: now, endedAt: now, inFlight: present, capacity: getCapacity(), isCold: behaviour.isCold, outcome: 'probe',
+			server: options.name, zone: options.zone, requestId: '', key: undefined, token: undefined, sendId: undefined, hasStarted: false, startedAt: now, endedAt: now, inFlight: present, capacity: slots.getCapacity(), isCold: behaviour.isCold, outcome: 'probe',
 		});
 		response.writeHead(behaviour.isHealthy ? 200 : 500, {'content-length': 0});
 		response.end();
 	}
 
+	function getLoad(): number {
+		return behaviour.reportedLoad ?? present;
+	}
+
+	function getReport(): SelfReport {
+		return {state: getState(), load: getLoad()};
+	}
+
 	function getState(): 'cold' | 'warm' | 'leaving' {
 		if (behaviour.isLeaving) {
 			return 'leaving';
@@ -349,18 +264,6 @@
 		return behaviour.isCold ? 'cold' : 'warm';
 	}
 
-	async function announce(): Promise<boolean> {
-		const target = options.announceTo[announceTurn++ % Math.max(1, options.announceTo.length)];
-		if (target === undefined || !isUp) {
-			return false;
-		}
-
-		const body = JSON.stringify({
-			service: options.service, name: options.name, host: options.host, port, zone: options.zone, slots: behaviour.slots, connections: options.connections, boot, state: getState(), load: behaviour.reportedLoad ?? present,
-		});
-		return post(new URL('/v1/announce', target), body);
-	}
-
 	async function listen(): Promise<void> {
 		await new Promise<void>((resolve, reject) => {
 			server.once('error', reject);
@@ -368,7 +271,7 @@
 		});
 		port = (server.address() as AddressInfo).port;
 		isUp = true;
-		void announce();
+		void announcer.announce();
 	}
 
 	function crash(): void {
@@ -378,26 +281,25 @@
 			socket.resetAndDestroy();
 		}
 
-		waiting = [];
+		slots.clear();
 	}
 
 	await listen();
-	const timer = setInterval(() => {
-		void announce();
-	}, announceMilliseconds);
-
 	return {
 		name: options.name,
 		port,
 		getBehaviour: () => behaviour,
 		change(next) {
 			behaviour = {...behaviour, ...next};
-			servedCold = next.isCold === true ? 0 : servedCold;
-			startNext();
+			if (next.isCold === true) {
+				slots.cool();
+			}
+
+			slots.startNext();
 		},
 		async leave() {
 			behaviour = {...behaviour, isLeaving: true};
-			while (!await announce()) {
+			while (!await announcer.announce()) {
 				await delay(50);
 			}
 
@@ -409,12 +311,12 @@
 		async restart() {
 			boot = randomUUID();
 			behaviour = {...behaviour, isCold: true, isLeaving: false};
-			servedCold = 0;
+			slots.cool();
 			server = createHttpServer();
 			await listen();
 		},
 		async stop() {
-			clearInterval(timer);
+			announcer.stop();
 			isUp = false;
 			const closed = new Promise(resolve => {
 				server.close(resolve);
@@ -435,27 +337,3 @@
 		isUp: () => isUp,
 	};
 }
-
-function getHeader(request: IncomingMessage, name: string): string | undefined {
-	const value = request.headers[name];
-	return Array.isArray(value) ? value.join(',') : value;
-}
-
-async function post(url: URL, body: string): Promise<boolean> {
-	return new Promise(resolve => {
-		const request = startRequest(url, {
-			method: 'POST', agent: false, timeout: 2000, headers: {'content-type': 'application/json', 'content-length': Buffer.byteLength(body)},
-		});
-		request.once('response', response => {
-			response.resume();
-			resolve(response.statusCode === 200);
-		});
-		request.once('timeout', () => {
-			request.destroy();
-		});
-		request.once('error', () => {
-			resolve(false);
-		});
-		request.end(body);
-	});
-}
