--- a/source/entry/call.ts
+++ b/source/entry/call.ts
@@ -75,7 +75,12 @@
 	const time = getRequestTime(incoming.headers[context.dialect.deadlineHeader], route, startedAt);
 
 	const story = context.tell({
-		id: requestId, route: route.name, service: service.name, targetMilliseconds: route.targetMilliseconds, elapsedMilliseconds: time?.elapsed ?? 0, at: startedAt,
+		id: requestId,
+		route: route.name,
+		service: service.name,
+		targetMilliseconds: route.targetMilliseconds,
+		elapsedMilliseconds: time?.elapsed ?? 0,
+		at: startedAt,
 	});
 
 	function ended(verdict: Verdict): void {
@@ -87,7 +92,12 @@
 	function refuse(verdict: Verdict): void {
 		if (!response.headersSent && !response.destroyed) {
 			answerVerdict({
-				dialect: context.dialect, response, verdict, requestId, isClosing: context.isClosing() || (hasBody(incoming) && !incoming.complete), returnMilliseconds: state.pressure.getReturnMilliseconds(performance.now(), getSpread(requestId)),
+				dialect: context.dialect,
+				response,
+				verdict,
+				requestId,
+				isClosing: context.isClosing() || (hasBody(incoming) && !incoming.complete),
+				returnMilliseconds: state.pressure.getReturnMilliseconds(performance.now(), getSpread(requestId)),
 			});
 		}
 
--- a/source/entry/placement.ts
+++ b/source/entry/placement.ts
@@ -113,7 +113,10 @@
 		}
 
 		forgetQuestion = context.asker.ask({
-			candidates: asked, waitMilliseconds: state.getService().askMilliseconds ?? ordinaryAskMilliseconds, isEnough: (candidate, reading) => isNear(candidate) && isQuiet(reading), answered(readings) {
+			candidates: asked,
+			waitMilliseconds: state.getService().askMilliseconds ?? ordinaryAskMilliseconds,
+			isEnough: (candidate, reading) => isNear(candidate) && isQuiet(reading),
+			answered(readings) {
 				forgetQuestion = undefined;
 				if (!isForgotten) {
 					takeReadings(asking, asked, readings, take);
@@ -126,7 +129,12 @@
 		const best = getBetter(asking.best, getRoomiest(readings));
 		const isGoodEnough = best !== undefined && getExpectedTime(best.reading) <= acceptableTime;
 		const next: Asking = {
-			...asking, best, isRelieved: asking.isRelieved || (isGoodEnough && asking.roundsLeft === askingRounds) || readings.some(({reading}) => isBelowKnee(reading)), answers: asking.answers + readings.length, roundsLeft: asking.roundsLeft - 1, fullReadings: [...asking.fullReadings, ...readings.map(({candidate, reading}) => `${candidate.getAnnouncement().name} ${describe(reading)}`)],
+			...asking,
+			best,
+			isRelieved: asking.isRelieved || (isGoodEnough && asking.roundsLeft === askingRounds) || readings.some(({reading}) => isBelowKnee(reading)),
+			answers: asking.answers + readings.length,
+			roundsLeft: asking.roundsLeft - 1,
+			fullReadings: [...asking.fullReadings, ...readings.map(({candidate, reading}) => `${candidate.getAnnouncement().name} ${describe(reading)}`)],
 		};
 		if (isGoodEnough || next.roundsLeft <= 0) {
 			finish(next, take);
@@ -214,7 +222,16 @@
 		}
 
 		ask({
-			count: askedCandidates, alreadyAsked: new Set(excluded), roundsLeft: isBeside ? 1 : askingRounds, answers: 0, isRelieved: false, fullReadings: [], best: undefined, isBeside, mayWait: !isBeside, startedAt: performance.now(),
+			count: askedCandidates,
+			alreadyAsked: new Set(excluded),
+			roundsLeft: isBeside ? 1 : askingRounds,
+			answers: 0,
+			isRelieved: false,
+			fullReadings: [],
+			best: undefined,
+			isBeside,
+			mayWait: !isBeside,
+			startedAt: performance.now(),
 		}, take);
 	}
 
