--- a/stand-in/platform/configuration.ts
+++ b/stand-in/platform/configuration.ts
@@ -7,8 +7,9 @@
  * Writes a configuration.
  * @param version - Its version.
  * @param routes - Its routes.
+ * @param timeoutMilliseconds - Timeout of each route.
  */
-export function configure(version: number, routes: readonly ConfiguredRoute[]): string {
+export function configure(version: number, routes: readonly ConfiguredRoute[], timeoutMilliseconds = 1200): string {
 	return JSON.stringify({
 		version: version.toString(16).padStart(8, '0'),
 		limits: {
@@ -16,7 +17,7 @@
 		},
 		listeners: [{
 			host: 'shop.example', rules: routes.map(({path, type}) => ({
-				name: `r${path}`, route_type: type, target_latency_ms: 250, priority: 1, match: {path_prefix: path}, action: {service: 'stock', timeout_ms: 1200, max_attempts: 2},
+				name: `r${path}`, route_type: type, target_latency_ms: 250, priority: 1, match: {path_prefix: path}, action: {service: 'stock', timeout_ms: timeoutMilliseconds, max_attempts: 2},
 			})),
 		}],
 		clusters: [{
--- a/stand-in/platform/system.ts
+++ b/stand-in/platform/system.ts
@@ -17,7 +17,8 @@
 import {callControl, readText} from './upstream.js';
 
 const bundle = 'target/guavadeck-test.cjs';
-const clientMilliseconds = 5000;
+const clientMilliseconds = 12_000;
+const ordinaryDeadlineMilliseconds = 2000;
 const pollMilliseconds = 50;
 
 /** Time within which some control host answers an operator, with all of them killed just before. */
@@ -50,7 +51,7 @@
 	getControl(): readonly string[];
 	/** Sends an operator's call to one control host after the other until one answers with a status below 500. */
 	call(method: string, path: string, body?: string): Promise<{readonly status: number; readonly text: string}>;
-	send(entry: Machine, request: {readonly id: string; readonly method?: string; readonly path: string; readonly body?: string}): Promise<ClientAnswer>;
+	send(entry: Machine, request: {readonly id: string; readonly method?: string; readonly path: string; readonly body?: string; readonly deadlineMilliseconds?: number}): Promise<ClientAnswer>;
 	isReady(entry: Machine): Promise<boolean>;
 	/** Reads the log of a machine's processes. */
 	readLog(machine: Machine): string;
@@ -184,7 +185,7 @@
 		async send(entry, request) {
 			return ask(entry.host, ports.front, {
 				method: request.method, path: request.path, body: request.body, headers: {
-					Host: 'shop.example', 'Request-Id': request.id, 'Deadline-Ms': '2000', ...(request.body === undefined ? {} : {'Content-Length': String(request.body.length)}),
+					Host: 'shop.example', 'Request-Id': request.id, 'Deadline-Ms': String(request.deadlineMilliseconds ?? ordinaryDeadlineMilliseconds), ...(request.body === undefined ? {} : {'Content-Length': String(request.body.length)}),
 				},
 			});
 		},
