Start no waiting request twice

Cause: while waiting requests expire, the end of one frees a server and starts the next; the queue then put back what it had seen before, so that a request that was started stayed in line: it was started again, or refused as not run though it ran. Change: the queue is in order before anybody is told, and does not run within itself. Test first: queue.test.ts, starts nobody twice. On the platform requests wait in the entry only when no server is open at all.

--- a/source/limits/queue.test.ts
+++ b/source/limits/queue.test.ts
@@ -89,3 +89,40 @@
 		doTest([add('a', 0, 9000), add('b', 0, 9000), ...departures, add('late', 700, 900), add('c', 700, 9000)], ['shed late']);
 	});
 });
+
+describe('createWaitQueue: a waiter that ends while others are started or expired', () => {
+	/** Lets a request expire whose end frees a server, and gets what was started how often. */
+	function doTest(deadlines: readonly number[], expected: readonly string[]): void {
+		const events: string[] = [];
+		const queue = createWaitQueue(() => 10);
+		let now = 0;
+		for (const [index, deadlineAt] of deadlines.entries()) {
+			queue.add({
+				deadlineAt,
+				start() {
+					events.push(`start ${index}`);
+					queue.drain(now);
+					return true;
+				},
+				expire() {
+					events.push(`expire ${index}`);
+					queue.drain(now);
+				},
+				isGone: () => false,
+			}, now);
+		}
+
+		now = 50;
+		queue.expire(now);
+		queue.drain(now);
+		queue.expire(200);
+		expect({events, left: queue.getLength()}).toEqual({events: [...expected], left: 0});
+	}
+
+	test('starts nobody twice, and expires nobody who was started', () => {
+		doTest([10, 100], ['expire 0', 'start 1']);
+		doTest([10, 100, 100], ['expire 0', 'start 1', 'start 2']);
+		doTest([100, 10, 100], ['expire 1', 'start 0', 'start 2']);
+		doTest([100, 100, 100], ['start 0', 'start 1', 'start 2']);
+	});
+});
--- a/source/limits/queue.ts
+++ b/source/limits/queue.ts
@@ -40,6 +40,7 @@
 	let rate = 0;
 	let departures = 0;
 	let countedFrom: number | undefined;
+	let isDraining = false;
 
 	function getLength(): number {
 		return waiters.length - head;
@@ -70,6 +71,16 @@
 		}
 	}
 
+	function startWaiting(now: number): void {
+		dropEnded(now);
+		while (head < waiters.length && waiters[head]!.start()) {
+			head++;
+			dropEnded(now);
+		}
+
+		trim();
+	}
+
 	return {
 		add(waiter, now) {
 			if (getLength() >= getBound() || now + getExpectedWait() > waiter.deadlineAt) {
@@ -80,13 +91,17 @@
 			return true;
 		},
 		drain(now) {
-			dropEnded(now);
-			while (head < waiters.length && waiters[head]!.start()) {
-				head++;
-				dropEnded(now);
+			// A waiter that starts or ends may ask for more; the loop that runs goes on with them.
+			if (isDraining) {
+				return;
 			}
 
-			trim();
+			isDraining = true;
+			try {
+				startWaiting(now);
+			} finally {
+				isDraining = false;
+			}
 		},
 		departed(now) {
 			// Only while requests wait does the rate show what the servers can do.
@@ -109,21 +124,15 @@
 			}
 		},
 		expire(now) {
-			const kept: Waiter[] = [];
-			for (const waiter of waiters.slice(head)) {
-				if (waiter.isGone()) {
-					continue;
-				}
-
+			const queued = waiters.slice(head).filter(waiter => !waiter.isGone());
+			// The queue is in order before anybody is told: an end may start others.
+			waiters = queued.filter(waiter => waiter.deadlineAt > now);
+			head = 0;
+			for (const waiter of queued) {
 				if (waiter.deadlineAt <= now) {
 					waiter.expire();
-				} else {
-					kept.push(waiter);
 				}
 			}
-
-			waiters = kept;
-			head = 0;
 		},
 		getLength,
 	};
