Look in other zones when the near servers have no room

The second round of questions preferred near servers again, so entries refused while servers of other zones were free; filling to the knee only made that show. Change: where those who answered had no room, zones do not count in whom to ask next. Tests first: placement.test.ts (six near servers full, refused before), reading.test.ts.

--- a/source/choice/reading.test.ts
+++ b/source/choice/reading.test.ts
@@ -13,11 +13,11 @@
 }
 
 describe('getAskedCandidates', () => {
-	function doTest(prepare: (candidates: readonly Candidate[]) => void, expected: readonly string[]): void {
+	function doTest(prepare: (candidates: readonly Candidate[]) => void, expected: readonly string[], prefersNear = true): void {
 		const candidates = [create(1, 'north'), create(2, 'north'), create(3, 'south'), create(4, 'south')];
 		prepare(candidates);
 		const asked = getAskedCandidates({
-			candidates, excluded: new Set(), zone: 'north', avoidedZones: new Set(), count: 2, now: 0,
+			candidates, excluded: new Set(), zone: 'north', avoidedZones: new Set(), count: 2, prefersNear, now: 0,
 		}, createRandom(3));
 		expect(asked.map(candidate => candidate.getAnnouncement().zone)).toEqual([...expected]);
 	}
@@ -25,6 +25,12 @@
 	test('asks in the own zone first', () => {
 		doTest(() => undefined, ['north', 'north']);
 	});
+	test('asks wherever this entry has sent the least where the own zone had no room', () => {
+		doTest(([first, second]) => {
+			first!.start();
+			second!.start();
+		}, ['south', 'south'], false);
+	});
 	test('asks elsewhere where the own zone is loaded', () => {
 		doTest(([first, second]) => {
 			for (let count = 0; count < 6; count++) {
--- a/source/choice/reading.ts
+++ b/source/choice/reading.ts
@@ -58,6 +58,8 @@
 	readonly zone: string;
 	readonly avoidedZones: ReadonlySet<string>;
 	readonly count: number;
+	/** Whether servers in the own zone go first; not where these had no room. */
+	readonly prefersNear: boolean;
 	readonly now: number;
 };
 
@@ -73,12 +75,12 @@
 		.map(candidate => ({candidate, score: getAskingScore(candidate, choice) + (random() * spread)}));
 	const best = scored.toSorted((left, right) => left.score - right.score).slice(0, choice.count).map(({candidate}) => candidate);
 	const near = best.filter(candidate => candidate.getAnnouncement().zone === choice.zone);
-	return near.length >= enoughNear ? near : best;
+	return choice.prefersNear && near.length >= enoughNear ? near : best;
 }
 
 function getAskingScore(candidate: Candidate, choice: AskedChoice): number {
 	const {zone} = candidate.getAnnouncement();
-	const distance = zone === choice.zone ? 0 : remoteLoad;
+	const distance = choice.prefersNear && zone !== choice.zone ? remoteLoad : 0;
 	const avoidance = choice.avoidedZones.has(zone) ? remoteLoad : 0;
 	const presence = candidate.isAbsent() ? absentLoad : 0;
 	return candidate.getLoad(choice.now, false) + distance + avoidance + presence;
--- a/source/entry/placement.test.ts
+++ b/source/entry/placement.test.ts
@@ -21,11 +21,11 @@
 const beyondKnee: Reading = {...free, running: 5};
 
 describe('createPlacement', () => {
-	/** Creates a placement on six servers, all of which answer at once; the near ones are 1 to 3. */
+	/** Creates a placement on servers all of which answer at once; the first half of them are near. */
 	function create(readings: readonly Reading[], placementsBefore: number): {readonly placement: Placement; readonly rounds: number[]} {
 		const rounds: number[] = [];
 		const candidates: Candidate[] = readings.map((_, index) => createCandidate(index + 1, announcementSchema.parse({
-			service: 'stock', name: `s${index + 1}`, host: '127.0.0.1', port: 1, zone: index < 3 ? 'north' : 'south', slots: 6, connections: 100, boot: 'b', state: 'warm',
+			service: 'stock', name: `s${index + 1}`, host: '127.0.0.1', port: 1, zone: index < readings.length / 2 ? 'north' : 'south', slots: 6, connections: 100, boot: 'b', state: 'warm',
 		}), 'warm'));
 		const {services, routes} = documentSchema.parse({
 			zones: [{name: 'north'}], services: [{name: 'stock', askedCandidates: 3}], routes: [{
@@ -94,6 +94,11 @@
 	test('fills no server beyond its knee when many requests before found none below it', async () => {
 		await doTest([beyondKnee, full, full, full, full, full], {id: undefined, rounds: 3}, false, 30);
 	});
+	test('looks in other zones when the near servers it asked have no room', async () => {
+		const near = Array.from({length: 6}, () => full);
+		const far = Array.from({length: 6}, () => free);
+		await doTest([...near, ...far], {id: 9, rounds: 2});
+	});
 	test('starts no second attempt at a slow server', async () => {
 		await doTest([slow, full, full, full, full, full], {id: undefined, rounds: 1}, true);
 	});
--- a/source/entry/placement.ts
+++ b/source/entry/placement.ts
@@ -100,7 +100,13 @@
 	function getCandidatesToAsk(asking: Asking): readonly Candidate[] {
 		const now = performance.now();
 		return getAskedCandidates({
-			candidates: state.getCandidates(), excluded: asking.alreadyAsked, zone, avoidedZones, count: context.questions.take(asking.count, now), now,
+			candidates: state.getCandidates(),
+			excluded: asking.alreadyAsked,
+			zone,
+			avoidedZones,
+			count: context.questions.take(asking.count, now),
+			prefersNear: asking.answers === 0 || asking.best !== undefined,
+			now,
 		}, context.random);
 	}
 
