Serve uploads, and requests that callers send behind one another

Requests behind one another all ran at once: an unsafe one ran behind a response that closed the connection; responses without a length closed it; a malformed request was refused before the responses that were due; a caller who left ended only the first of its requests, and a planned stop then waited for ever for the others. Ruled out: Node's own order of responses, which holds. Bodies up to maximumHeldBodyBytes are held in memory within a budget of the process, so that they can go to a second server; others are streamed once, and end at the limit of the document.

--- a/source/entry/attempt.test.ts
+++ b/source/entry/attempt.test.ts
@@ -35,6 +35,7 @@
 			stream: undefined,
 			deadlineAt: performance.now() + deadlineMilliseconds,
 			maximumBufferedBytes: 1000,
+			maximumBodyBytes: 1000,
 			mayDispatch: () => true,
 			onReport() {
 				// Server reports are ignored here.
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -7,7 +7,9 @@
 import {request as startRequest, type ClientRequest, type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
+import {MalformedBodyError} from './caller-connections.js';
 import {type Dialect, type ServerReport} from './dialect.js';
+import {discardBody} from './discard.js';
 import {trackCompletion, type ResponseCompletion} from './response-completion.js';
 import {getResponseHeaders} from './headers.js';
 import {type Pool} from './pool.js';
@@ -41,6 +43,8 @@
 	readonly stream: IncomingMessage | undefined;
 	readonly deadlineAt: number;
 	readonly maximumBufferedBytes: number;
+	/** Maximum size of a streamed body, in bytes. */
+	readonly maximumBodyBytes: number;
 	/** Checks, in the event loop turn of the write, whether the request may still be dispatched. */
 	mayDispatch(): boolean;
 	onReport(hints: ServerReport): void;
@@ -48,7 +52,10 @@
 };
 
 /** Reason for a failed attempt. */
-type FailureReason = 'deadline' | 'connection-lost' | 'answer-truncated' | 'answer-mismatched';
+type FailureReason = 'deadline' | 'connection-lost' | 'answer-truncated' | 'answer-mismatched' | 'bad-request' | 'body-too-large';
+
+/** Reasons that do not indicate that the server has crashed. */
+const harmlessReasons: ReadonlySet<FailureReason> = new Set(['deadline', 'answer-mismatched', 'bad-request', 'body-too-large']);
 
 /** A running attempt. */
 export type Attempt = {
@@ -89,7 +96,7 @@
 		}
 
 		const verdict = getFailureVerdict(reason);
-		const hasCrashed = isDispatched && reason !== 'deadline' && reason !== 'answer-mismatched';
+		const hasCrashed = isDispatched && !harmlessReasons.has(reason);
 		end({kind: 'failed', verdict, hasCrashed});
 		request.destroy();
 	}
@@ -115,6 +122,9 @@
 		}
 
 		isDispatched = true;
+		if (options.stream !== undefined) {
+			sendStream(options.stream);
+		}
 	});
 	request.once('error', () => {
 		fail('connection-lost');
@@ -137,8 +147,9 @@
 		options.onReport(dialect.getReport(response.headers));
 		const head: ResponseHead = {status: response.statusCode ?? 502, headers: getResponseHeaders(dialect, response), isCloseDelimited: !isSelfDelimited(response, options.method)};
 		if (dialect.isNotRun(head.status, response.headers)) {
-			response.resume();
+			discardBody(response);
 			end({kind: 'failed', verdict: notRun('server-shed'), hasCrashed: false});
+			destroyUnfinishedRequest();
 			return;
 		}
 
@@ -192,10 +203,23 @@
 		}
 	}
 
+	/** Sends a body from the caller. It stays unread until the server is connected, so that another server can receive it if this one is unreachable. */
+	function sendStream(stream: IncomingMessage): void {
+		let sentBytes = 0;
+		stream.on('data', (chunk: Buffer) => {
+			sentBytes += chunk.length;
+			if (sentBytes > options.maximumBodyBytes) {
+				fail('body-too-large');
+			}
+		});
+		stream.once('error', error => {
+			fail(error instanceof MalformedBodyError ? 'bad-request' : 'connection-lost');
+		});
+		stream.pipe(request);
+	}
+
 	if (options.stream === undefined) {
 		request.end(options.body);
-	} else {
-		options.stream.pipe(request);
 	}
 
 	return {
--- a/source/entry/body.ts
+++ b/source/entry/body.ts
@@ -1,58 +1,67 @@
 /** Reads the bodies of requests. */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
+import {MalformedBodyError} from './caller-connections.js';
 
-/** Result of reading a body; `cut` means that the connection closed before the end of the body. */
+/**
+ * Result of reading a body. `tooLarge` means that it exceeds the limit; what was read so far is put back. `cut` means that the
+ * connection closed before the end of the body, `late` that the body did not end in time.
+ */
 export type BodyReadResult
 	= | {readonly kind: 'whole'; readonly bytes: Buffer}
 		| {readonly kind: 'tooLarge'}
+		| {readonly kind: 'malformed'}
+		| {readonly kind: 'late'}
 		| {readonly kind: 'cut'};
 
-/**
- * Checks whether a request has a body.
- * @param request - Request of a caller.
- */
-export function hasBody(request: IncomingMessage): boolean {
-	const length = request.headers['content-length'];
-	return request.headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
-}
-
-/**
- * Gets the value of the Content-Length header in bytes, or infinity when it is missing.
- * @param request - Request of a caller.
- */
-export function getContentLength(request: IncomingMessage): number {
-	const length = request.headers['content-length'];
-	return length === undefined ? Number.POSITIVE_INFINITY : Number(length);
-}
-
 /**
  * Reads a complete body of limited size.
  * @param request - Request of a caller.
  * @param maximumBytes - Maximum size of the body in bytes.
+ * @param maximumMilliseconds - Maximum time until the end of the body.
  */
-export async function readBody(request: IncomingMessage, maximumBytes: number): Promise<BodyReadResult> {
+export async function readBody(request: IncomingMessage, maximumBytes: number, maximumMilliseconds: number): Promise<BodyReadResult> {
 	return new Promise(resolve => {
 		const chunks: Buffer[] = [];
 		let size = 0;
-		request.on('data', (chunk: Buffer) => {
+
+		function end(result: BodyReadResult): void {
+			clearTimeout(timer);
+			request.off('data', onData);
+			request.off('end', onEnd);
+			request.off('close', onClose);
+			request.off('error', onError);
+			resolve(result);
+		}
+
+		function onData(chunk: Buffer): void {
+			chunks.push(chunk);
 			size += chunk.length;
 			if (size > maximumBytes) {
-				chunks.length = 0;
-				resolve({kind: 'tooLarge'});
-				return;
+				request.pause();
+				request.unshift(Buffer.concat(chunks));
+				end({kind: 'tooLarge'});
 			}
+		}
 
-			chunks.push(chunk);
-		});
-		request.once('end', () => {
-			resolve(request.complete ? {kind: 'whole', bytes: Buffer.concat(chunks)} : {kind: 'cut'});
-		});
-		request.once('close', () => {
-			resolve({kind: 'cut'});
-		});
-		request.once('error', () => {
-			resolve({kind: 'cut'});
-		});
+		function onEnd(): void {
+			end(request.complete ? {kind: 'whole', bytes: Buffer.concat(chunks)} : {kind: 'cut'});
+		}
+
+		function onClose(): void {
+			end({kind: 'cut'});
+		}
+
+		function onError(error: Error): void {
+			end({kind: error instanceof MalformedBodyError ? 'malformed' : 'cut'});
+		}
+
+		const timer = setTimeout(() => {
+			end({kind: 'late'});
+		}, Math.max(0, maximumMilliseconds));
+		request.on('data', onData);
+		request.once('end', onEnd);
+		request.once('close', onClose);
+		request.once('error', onError);
 	});
 }
--- /dev/null
+++ b/source/entry/caller-server.ts
@@ -0,0 +1,83 @@
+/** HTTP server for callers: limits what a connection may send, and responds to what is not a request. */
+import {createServer, type Server} from 'node:http';
+import {type Duplex} from 'node:stream';
+import {type Socket} from 'node:net';
+import {type ClientLimits} from '../configuration/index.js';
+import {createCallerConnections, type CallerConnections, type CallerConnectionsOptions} from './caller-connections.js';
+import {discardBody} from './discard.js';
+
+const keepAliveMilliseconds = 65_000;
+const headersTimeoutMilliseconds = 10_000;
+const requestTimeoutMilliseconds = 60_000;
+
+/** Margin that is added to the document's limit for receiving headers, since the entry's own delays count towards it, in milliseconds. */
+const headersMarginMilliseconds = 1000;
+
+/** Server for callers. */
+export type CallerServer = {
+	readonly server: Server;
+	readonly connections: CallerConnections;
+	/** Applies the document's limits for callers' connections. */
+	applyLimits(limits: ClientLimits | undefined): void;
+};
+
+/** Options of `createCallerServer`. */
+export type CallerServerOptions = Omit<CallerConnectionsOptions, 'server'> & {
+	readonly maximumHeaderBytes: number;
+};
+
+/**
+ * Creates a server that does not listen yet.
+ * @param options - Limits and decisions of the entry.
+ */
+export function createCallerServer(options: CallerServerOptions): CallerServer {
+	const server = createServer({
+		maxHeaderSize: options.maximumHeaderBytes,
+		keepAliveTimeout: keepAliveMilliseconds,
+		headersTimeout: headersTimeoutMilliseconds,
+		requestTimeout: requestTimeoutMilliseconds,
+		noDelay: true,
+	});
+	const connections = createCallerConnections({
+		...options,
+		server,
+		handle(exchange) {
+			const {request, response} = exchange;
+			response.once('finish', () => {
+				discardBody(request);
+			});
+			options.handle(exchange);
+		},
+	});
+	server.on('request', connections.accept);
+	server.on('checkContinue', connections.accept);
+	server.on('upgrade', (_request, socket) => {
+		connections.reject(socket as Socket, getRawRefusal('400 Bad Request'));
+	});
+	server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
+		if (error.code === 'ECONNRESET' || !socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
+		connections.reject(socket as Socket, getRawRefusal(status));
+	});
+	// Node's own method also closes connections whose response is not sent completely.
+	server.closeIdleConnections = connections.closeIdle;
+
+	return {
+		server,
+		connections,
+		applyLimits(limits) {
+			if (limits !== undefined) {
+				server.keepAliveTimeout = limits.idleMilliseconds;
+				server.headersTimeout = limits.headerMilliseconds + headersMarginMilliseconds;
+			}
+		},
+	};
+}
+
+function getRawRefusal(status: string): string {
+	return `HTTP/1.1 ${status}\r\nguavadeck-verdict: not-run\r\nguavadeck-reason: bad-request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`;
+}
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -1,15 +1,16 @@
 /** An entry: forwards HTTP requests from callers to servers while it holds a lease from the control hosts. */
 import {randomBytes} from 'node:crypto';
-import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {interval, Subscription} from 'rxjs';
 import {createPeerCounts, createCountsReporter, type Candidate} from '../choice/index.js';
-import {type ClientLimits, type EnvironmentDocument} from '../configuration/index.js';
+import {type EnvironmentDocument} from '../configuration/index.js';
 import {createControlClient, createHostDirectory, type ControlClient} from '../control-client/index.js';
 import {createSuspensionDetector, type Grant} from '../lease/index.js';
 import {createLoadQueryBudget} from '../measuring/index.js';
 import {createRandom} from '../randomness/index.js';
+import {isSafeMethod} from '../retry/index.js';
 import {type ServiceLevelCounter} from '../service-level/counter.js';
 import {periodMilliseconds} from '../service-level/report.js';
 import {getSeeds, type EntrySettings, type Security} from '../settings/index.js';
@@ -18,9 +19,12 @@
 import {listen} from '../wire/index.js';
 import {sendVerdict} from './response.js';
 import {createAdminHandler} from './admin.js';
+import {createByteBudget} from './byte-budget.js';
+import {type Exchange} from './caller-connections.js';
+import {createCallerServer} from './caller-server.js';
 import {createLoadQuerier} from './load-querier.js';
 import {createAnnouncementHandler} from './announcement-handler.js';
-import {handleRequest, type RequestContext} from './request-handler.js';
+import {getRequestId, handleRequest, type RequestContext} from './request-handler.js';
 import {createClaims} from './claims.js';
 import {createCrashCheck} from './crash-check.js';
 import {defaultDialect, type Dialect, type ServerReport} from './dialect.js';
@@ -35,14 +39,8 @@
 
 const housekeepingIntervalMilliseconds = 50;
 const drainPollIntervalMilliseconds = 20;
-const callerKeepAliveMilliseconds = 65_000;
-const headersTimeoutMilliseconds = 10_000;
-const requestTimeoutMilliseconds = 60_000;
 const maximumStoredResponseBytes = 16_384;
 
-/** Margin that is added to the document's limit for receiving headers, since the entry's own delays count towards it, in milliseconds. */
-const headersMarginMilliseconds = 1000;
-
 /** Number of entries that is assumed until the first grant arrives. */
 const assumedEntryCount = 100;
 
@@ -104,7 +102,6 @@
 	let isDraining = false;
 	let inFlight = 0;
 	let entryCount = assumedEntryCount;
-	let openResponses = 0;
 	let nextId = 1;
 	let wasReady = false;
 
@@ -173,7 +170,7 @@
 		if (next !== undefined) {
 			document = next;
 			router = createRouter(document.services, document.routes, random);
-			applyClientLimits(document.clientLimits);
+			applyLimits(document.clientLimits);
 			fleet.setDocument(document);
 			log.info({version: grant.version}, 'document in force');
 		}
@@ -208,14 +205,6 @@
 		}, 'servers changed');
 	}
 
-	/** Applies the document's limits for callers' connections. */
-	function applyClientLimits(limits: ClientLimits | undefined): void {
-		if (limits !== undefined) {
-			callers.keepAliveTimeout = limits.idleMilliseconds;
-			callers.headersTimeout = limits.headerMilliseconds + headersMarginMilliseconds;
-		}
-	}
-
 	/** Revokes the permits for cold servers when the lease has ended or the host was suspended. */
 	function revokePermitsIfNeeded(): void {
 		if (suspension.hasBeenSuspended(Date.now(), performance.now()) || !leaseKeeper.holder.isValid(performance.now())) {
@@ -308,6 +297,8 @@
 		get maximumBodyBytes() {
 			return document?.clientLimits?.bodyBytes ?? settings.maximumBodyBytes;
 		},
+		maximumHeldBodyBytes: settings.maximumHeldBodyBytes,
+		heldBodies: createByteBudget(settings.maximumHeldBytes),
 		maximumBufferedBytes: settings.maximumHeldAnswerBytes,
 		maximumStoredBytes: maximumStoredResponseBytes,
 		mayDispatch,
@@ -322,59 +313,40 @@
 			crashCheck.check(fingerprint, candidate);
 			return crashTracker.isQuarantined(() => fingerprint);
 		},
-		isClosing: () => isDraining,
 		createRequestId,
 		startTrace: head => requestLog.start({...head, version: leaseKeeper.holder.getVersion()}),
 		onRequestEnd: recordEnd,
 	};
 
-	function handleIncoming(request: IncomingMessage, response: ServerResponse): void {
-		openResponses++;
+	function handleExchange(exchange: Exchange): void {
+		const {request, response} = exchange;
 		response.on('error', () => {
 			response.destroy();
 		});
-		response.once('close', () => {
-			openResponses--;
-		});
 		const route = router.get(request.headers.host, request.url ?? '/');
 		const state = route === undefined ? undefined : fleet.getState(route.selectService());
 		if (route === undefined || state === undefined) {
 			const verdict = document === undefined ? notRun('lease-expired') : notRun('unknown-service');
 			metrics.countRefusal(document === undefined ? 'lease-expired' : 'unknown-service');
 			sendVerdict({
-				dialect, response, verdict, requestId: createRequestId(), isClosing: isDraining, retryAfterMilliseconds: unroutedRetryMilliseconds,
+				dialect, response, verdict, requestId: getRequestId(context, request), isClosing: exchange.decideClose(false), retryAfterMilliseconds: unroutedRetryMilliseconds,
 			});
 			return;
 		}
 
 		inFlight++;
-		handleRequest(context, route, state, request, response).catch((error: unknown) => {
+		handleRequest(context, route, state, exchange).catch((error: unknown) => {
 			log.error({error}, 'internal error while handling a request');
 			response.destroy();
 		});
 	}
 
-	const callers = createServer({
-		maxHeaderSize: settings.maximumHeaderBytes,
-		keepAliveTimeout: callerKeepAliveMilliseconds,
-		headersTimeout: headersTimeoutMilliseconds,
-		requestTimeout: requestTimeoutMilliseconds,
-		noDelay: true,
-	}, handleIncoming);
-	callers.on('checkContinue', handleIncoming);
-	callers.on('upgrade', (_request, socket) => {
-		socket.end('HTTP/1.1 400 Bad Request\r\nguavadeck-verdict: not-run\r\nguavadeck-reason: bad-request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n');
+	const {server: callers, connections, applyLimits} = createCallerServer({
+		maximumHeaderBytes: settings.maximumHeaderBytes,
+		isDraining: () => isDraining,
+		isIdempotent: ({headers, url, method}) => router.get(headers.host, url ?? '/')?.isIdempotent ?? isSafeMethod(method ?? 'GET'),
+		handle: handleExchange,
 	});
-	callers.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-		if (error.code === 'ECONNRESET' || !socket.writable) {
-			socket.destroy();
-			return;
-		}
-
-		const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
-		socket.end(`HTTP/1.1 ${status}\r\nguavadeck-verdict: not-run\r\nguavadeck-reason: bad-request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
-	});
-
 	const admin = createAdminHandler({
 		announce: announcementHandler.handle,
 		metrics: metrics.registry,
@@ -419,7 +391,7 @@
 	}
 
 	async function waitForOpenRequests(): Promise<void> {
-		while (inFlight > 0 || openResponses > 0 || claims.getUnsettledCount() > 0) {
+		while (inFlight > 0 || connections.getOpenCount() > 0 || claims.getUnsettledCount() > 0) {
 			await delay(drainPollIntervalMilliseconds);
 		}
 	}
@@ -440,7 +412,6 @@
 			const closed = new Promise(resolve => {
 				callers.close(resolve);
 			});
-			callers.closeIdleConnections();
 			await waitForOpenRequests();
 			// The remaining connections have no request in progress.
 			callers.closeAllConnections();
--- a/source/entry/load-querier.ts
+++ b/source/entry/load-querier.ts
@@ -6,10 +6,14 @@
 import {Agent, request as startRequest} from 'node:http';
 import {getExpectedSlowdown, type Candidate, type LoadReading} from '../choice/index.js';
 import {type Dialect, type ServerReport} from './dialect.js';
+import {discardBody} from './discard.js';
 
 /** Time after which a query counts as lost and its connection is closed. */
 const queryTimeoutMilliseconds = 400;
 
+/** Limits of the body of a reply, which is not used. */
+const responseLimits = {maximumBytes: 16_384, maximumMilliseconds: queryTimeoutMilliseconds};
+
 /** Maximum number of query connections to one server. */
 const connectionsPerServer = 2;
 
@@ -82,7 +86,7 @@
 			request.destroy();
 		}, queryTimeoutMilliseconds);
 		request.once('response', response => {
-			response.resume();
+			discardBody(response, responseLimits);
 			const report = options.dialect.getReport(response.headers);
 			if (report.server !== undefined && report.server !== name) {
 				// Another server has taken over the address, so its report does not apply to the candidate.
--- a/source/entry/prepared-body.ts
+++ b/source/entry/prepared-body.ts
@@ -1,11 +1,36 @@
-/** Prepares request bodies: small and claimed ones are buffered in memory, larger ones are streamed. */
+/**
+ * Prepares request bodies. A body is held in memory if its size and the budget of the process allow it, so that the request can
+ * be sent to another server and a slow caller takes no slot of a server. Other bodies are streamed, and sent only once.
+ */
+import {performance} from 'node:perf_hooks';
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {notRun, type Verdict} from '../verdict/index.js';
-import {getContentLength, hasBody, readBody} from './body.js';
+import {readBody} from './body.js';
+import {type ByteBudget} from './byte-budget.js';
+import {getContentLength, hasBody} from './content-length.js';
 
 /** Size limits of bodies. */
-export type BodyLimits = {readonly maximumBodyBytes: number; readonly maximumBufferedBytes: number};
+export type BodyLimits = {
+	/** Maximum size of a body. */
+	readonly maximumBodyBytes: number;
+	/** Maximum size of a body that is held in memory. */
+	readonly maximumHeldBodyBytes: number;
+	/** Budget of the bodies that are held in memory. */
+	readonly heldBodies: ByteBudget;
+};
+
+/** Request whose body is prepared. */
+export type BodyRequest = {
+	readonly limits: BodyLimits;
+	readonly incoming: IncomingMessage;
+	/** Response to the caller, used to answer an Expect header and to release held bytes. */
+	readonly response: ServerResponse;
+	/** Whether the complete body is needed for the digest of its claim. */
+	readonly isClaimed: boolean;
+	/** Time in milliseconds by which the request must have ended. */
+	readonly deadlineAt: number;
+};
 
 /** Body that is ready to be sent, or the verdict with which the request is refused. */
 export type PreparedBody
@@ -13,19 +38,17 @@
 		| {readonly kind: 'refused'; readonly verdict: Verdict};
 
 /**
- * Buffers small and claimed bodies in memory; larger ones are left to be streamed.
- * @param limits - Size limits of the entry.
- * @param incoming - Request of the caller.
- * @param isClaimed - Whether the complete body is needed for the digest of its claim.
- * @param response - Response to the caller, used to answer an Expect header.
+ * Reads a body into memory, or leaves it to be streamed.
+ * @param request - Request of the caller, with the limits of the entry.
  */
-export async function prepareBody(limits: BodyLimits, incoming: IncomingMessage, isClaimed: boolean, response: ServerResponse): Promise<PreparedBody> {
+export async function prepareBody(request: BodyRequest): Promise<PreparedBody> {
+	const {limits, incoming, response, isClaimed} = request;
 	if (!hasBody(incoming)) {
 		return {kind: 'ready', body: undefined, stream: undefined};
 	}
 
 	const contentLength = getContentLength(incoming);
-	if (Number.isFinite(contentLength) && contentLength > limits.maximumBodyBytes) {
+	if (contentLength !== undefined && contentLength > limits.maximumBodyBytes) {
 		return {kind: 'refused', verdict: notRun('body-too-large')};
 	}
 
@@ -33,18 +56,37 @@
 		response.writeContinue();
 	}
 
-	if (!isClaimed && contentLength > limits.maximumBufferedBytes) {
-		return {kind: 'ready', body: undefined, stream: incoming};
+	const maximumHeldBytes = isClaimed ? limits.maximumBodyBytes : Math.min(limits.maximumHeldBodyBytes, limits.maximumBodyBytes);
+	const reservedBytes = contentLength ?? maximumHeldBytes;
+	if (reservedBytes > maximumHeldBytes || !limits.heldBodies.tryReserve(reservedBytes)) {
+		return isClaimed ? {kind: 'refused', verdict: notRun('overload')} : {kind: 'ready', body: undefined, stream: incoming};
 	}
 
-	const body = await readBody(incoming, limits.maximumBodyBytes);
-	switch (body.kind) {
+	response.once('close', () => {
+		limits.heldBodies.release(reservedBytes);
+	});
+	return readHeldBody(request, maximumHeldBytes);
+}
+
+async function readHeldBody({limits, incoming, isClaimed, deadlineAt}: BodyRequest, maximumBytes: number): Promise<PreparedBody> {
+	const result = await readBody(incoming, maximumBytes, deadlineAt - performance.now());
+	switch (result.kind) {
 		case 'whole': {
-			return {kind: 'ready', body: body.bytes, stream: undefined};
+			return {kind: 'ready', body: result.bytes, stream: undefined};
 		}
 
 		case 'tooLarge': {
-			return {kind: 'refused', verdict: notRun('body-too-large')};
+			return isClaimed || maximumBytes === limits.maximumBodyBytes
+				? {kind: 'refused', verdict: notRun('body-too-large')}
+				: {kind: 'ready', body: undefined, stream: incoming};
+		}
+
+		case 'malformed': {
+			return {kind: 'refused', verdict: notRun('bad-request')};
+		}
+
+		case 'late': {
+			return {kind: 'refused', verdict: notRun('deadline')};
 		}
 
 		case 'cut': {
--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -1,15 +1,18 @@
 /** Attempts an admitted request on servers, with retries and hedges, until it is answered or refused. */
 import {type Buffer} from 'node:buffer';
-import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {type AttemptResult, type Candidate} from '../choice/index.js';
 import {type Service} from '../configuration/index.js';
 import {maximumAttempts, mayHedge, mayRetry} from '../retry/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {streamResponse, writeResponseHead} from './response.js';
-import {startAttempt, type Attempt, type AttemptOutcome} from './attempt.js';
+import {
+	startAttempt, type Attempt, type AttemptOutcome, type ResponseHead,
+} from './attempt.js';
 import {type RequestContext} from './request-handler.js';
 import {type Claim} from './claims.js';
+import {type Exchange} from './caller-connections.js';
 import {type ServiceState} from './fleet.js';
 import {getForwardedHeaders} from './headers.js';
 import {createServerSelector} from './server-selector.js';
@@ -44,10 +47,8 @@
 	readonly service: Service;
 	readonly route: RoutePolicy;
 	readonly request: RequestContent;
-	readonly incoming: IncomingMessage;
-	readonly response: ServerResponse;
+	readonly exchange: Exchange;
 	readonly requestId: string;
-	readonly startedAt: number;
 	readonly deadlineAt: number;
 	/** Whether the request is unlikely to meet its target latency. */
 	readonly isLate: boolean;
@@ -66,7 +67,8 @@
  * @param admitted - Admitted request.
  */
 export function dispatchRequest(admitted: AdmittedRequest): void {
-	const {context, state, service, route, request, response, deadlineAt} = admitted;
+	const {context, state, service, route, request, exchange, deadlineAt} = admitted;
+	const {response} = exchange;
 	const running = new Set<RunningAttempt>();
 	const excluded = new Set<number>();
 	const avoidedZones = new Set<string>();
@@ -149,7 +151,7 @@
 			target: request.target,
 			headers: getForwardedHeaders({
 				dialect: context.dialect,
-				incoming: admitted.incoming,
+				incoming: exchange.request,
 				requestId: admitted.requestId,
 				server: candidate.getAnnouncement().name,
 				remainingMilliseconds: deadlineAt - now,
@@ -160,6 +162,7 @@
 			stream: request.stream,
 			deadlineAt,
 			maximumBufferedBytes: context.maximumBufferedBytes,
+			maximumBodyBytes: context.maximumBodyBytes,
 			mayDispatch,
 			onReport(hints) {
 				context.onReport(candidate, hints);
@@ -237,7 +240,8 @@
 		const {head, body} = outcome;
 		admitted.claim?.finish(body.length <= context.maximumStoredBytes ? {status: head.status, headers: head.headers, body} : undefined);
 		if (!response.destroyed) {
-			writeResponseHead(context.dialect, response, head, admitted.requestId, context.isClosing());
+			const measuredHead = getMeasuredHead(head, body);
+			writeResponseHead(context.dialect, response, measuredHead, admitted.requestId, exchange.decideClose(measuredHead.isCloseDelimited));
 			response.end(body);
 		}
 
@@ -249,7 +253,7 @@
 			head, firstChunks: chunks, rest, completion,
 		} = outcome;
 		admitted.claim?.finish(undefined);
-		writeResponseHead(context.dialect, response, head, admitted.requestId, context.isClosing());
+		writeResponseHead(context.dialect, response, head, admitted.requestId, exchange.decideClose(head.isCloseDelimited));
 		streamResponse({
 			response, chunks, rest, completion, deadlineAt, onEnd(isComplete) {
 				const verdict: Verdict = isComplete ? {kind: 'ran', status: head.status} : mayHaveRun('answer-truncated');
@@ -285,7 +289,7 @@
 		const isAllowed = mayRetry({
 			verdict,
 			isIdempotent: request.isIdempotent,
-			isRepeatable: request.stream === undefined,
+			isRepeatable: request.stream === undefined || !hasDispatched,
 			attempts,
 			maximumAttempts: attemptLimit,
 			remainingMilliseconds: deadlineAt - performance.now(),
@@ -432,6 +436,13 @@
 	}
 }
 
+/** Adds a length to the head of a complete body that has none, so that the connection to the caller stays open. */
+function getMeasuredHead(head: ResponseHead, body: Buffer): ResponseHead {
+	return head.isCloseDelimited
+		? {...head, headers: [...head.headers, 'content-length', String(body.length)], isCloseDelimited: false}
+		: head;
+}
+
 /** Gets the result that is counted for the server. */
 function getAttemptResult(outcome: AttemptOutcome): AttemptResult {
 	if (outcome.kind !== 'failed') {
--- a/source/entry/request-handler.ts
+++ b/source/entry/request-handler.ts
@@ -1,6 +1,6 @@
 /** Admits requests of callers: validates them, claims idempotency keys and replays stored responses. */
 import {Buffer} from 'node:buffer';
-import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {type Candidate} from '../choice/index.js';
 import {type Service} from '../configuration/index.js';
@@ -8,7 +8,8 @@
 import {type Random} from '../randomness/index.js';
 import {notRun, type Verdict} from '../verdict/index.js';
 import {sendVerdict, getRetrySpread, writeResponseHead} from './response.js';
-import {hasBody} from './body.js';
+import {type ByteBudget} from './byte-budget.js';
+import {type Exchange} from './caller-connections.js';
 import {getRequestDigest, type Claim, type Claims} from './claims.js';
 import {type Fleet, type ServiceState} from './fleet.js';
 import {type LoadQuerier} from './load-querier.js';
@@ -38,6 +39,8 @@
 	readonly crashTracker: CrashTracker;
 	readonly metrics: EntryMetrics;
 	readonly maximumBodyBytes: number;
+	readonly maximumHeldBodyBytes: number;
+	readonly heldBodies: ByteBudget;
 	readonly maximumBufferedBytes: number;
 	readonly maximumStoredBytes: number;
 	/** Checks whether the entry may accept and dispatch new requests. */
@@ -46,7 +49,6 @@
 	onReport(candidate: Candidate, report: ServerReport): void;
 	/** Reports a crash and resolves to whether the request is quarantined from now on. */
 	reportCrash(fingerprint: string, server: number): Promise<boolean>;
-	isClosing(): boolean;
 	createRequestId(): string;
 	/** Starts the trace of a request for the log. */
 	startTrace(head: Omit<RequestTraceHead, 'version'>): RequestTrace;
@@ -59,10 +61,10 @@
  * @param context - Dependencies that all requests share.
  * @param route - Route of the request.
  * @param state - Service of the request.
- * @param incoming - Request of the caller.
- * @param response - Response to the caller.
+ * @param exchange - Request of the caller with its response.
  */
-export async function handleRequest(context: RequestContext, route: RoutePolicy, state: ServiceState, incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+export async function handleRequest(context: RequestContext, route: RoutePolicy, state: ServiceState, exchange: Exchange): Promise<void> {
+	const {request: incoming, response, arrivedAt} = exchange;
 	const service = state.getService();
 	const startedAt = performance.now();
 	const requestId = getRequestId(context, incoming);
@@ -70,7 +72,7 @@
 	const target = incoming.url ?? '/';
 	const isIdempotent = route.isIdempotent ?? service.idempotentMethods.includes(method);
 	const key = isIdempotent || route.isIdempotent !== undefined ? undefined : getIdempotencyKey(incoming, service.keyHeader);
-	const requestTime = getRequestTime(incoming.headers[context.dialect.deadlineHeader], route, startedAt);
+	const requestTime = getRequestTime(incoming.headers[context.dialect.deadlineHeader], route, arrivedAt);
 
 	const trace = context.startTrace({
 		id: requestId,
@@ -94,7 +96,7 @@
 				response,
 				verdict,
 				requestId,
-				isClosing: context.isClosing() || (hasBody(incoming) && !incoming.complete),
+				isClosing: exchange.decideClose(false),
 				retryAfterMilliseconds: state.shortageEstimate.getRetryAfterMilliseconds(performance.now(), getRetrySpread(requestId)),
 			});
 		}
@@ -116,9 +118,11 @@
 		return;
 	}
 
-	const deadlineAt = startedAt + requestTime.remainingMilliseconds;
-	const isLate = requestTime.elapsedMilliseconds > (route.targetMilliseconds ?? Number.POSITIVE_INFINITY) * lateTargetShare;
-	const prepared = await prepareBody(context, incoming, key !== undefined, response);
+	const deadlineAt = arrivedAt + requestTime.remainingMilliseconds;
+	const isLate = requestTime.elapsedMilliseconds + (startedAt - arrivedAt) > (route.targetMilliseconds ?? Number.POSITIVE_INFINITY) * lateTargetShare;
+	const prepared = await prepareBody({
+		limits: context, incoming, response, isClaimed: key !== undefined, deadlineAt,
+	});
 	if (prepared.kind === 'refused') {
 		refuse(prepared.verdict);
 		return;
@@ -146,7 +150,7 @@
 
 		if (outcome.kind === 'replay') {
 			const {status, headers, body: storedBody} = outcome.response;
-			writeResponseHead(context.dialect, response, {status, headers: [...headers, 'guavadeck-replayed', 'true'], isCloseDelimited: false}, requestId, context.isClosing());
+			writeResponseHead(context.dialect, response, {status, headers: [...headers, 'guavadeck-replayed', 'true'], isCloseDelimited: false}, requestId, exchange.decideClose(false));
 			response.end(storedBody);
 			recordEnd({kind: 'ran', status});
 			return;
@@ -156,11 +160,16 @@
 	}
 
 	dispatchRequest({
-		context, state, service, route, request, incoming, response, requestId, startedAt, deadlineAt, isLate, claim, refuse, onEnd: recordEnd, recordDecision: trace.record, computeFingerprint,
+		context, state, service, route, request, exchange, requestId, deadlineAt, isLate, claim, refuse, onEnd: recordEnd, recordDecision: trace.record, computeFingerprint,
 	});
 }
 
-function getRequestId(context: RequestContext, incoming: IncomingMessage): string {
+/**
+ * Gets the id that the caller gave to a request if the dialect keeps it, or a new one.
+ * @param context - Dependencies that all requests share.
+ * @param incoming - Request of the caller.
+ */
+export function getRequestId(context: Pick<RequestContext, 'dialect' | 'createRequestId'>, incoming: IncomingMessage): string {
 	const receivedId = context.dialect.keepsRequestId ? incoming.headers[context.dialect.requestIdHeader] : undefined;
 	return typeof receivedId === 'string' ? receivedId : context.createRequestId();
 }
--- a/source/entry/response.ts
+++ b/source/entry/response.ts
@@ -22,12 +22,6 @@
 	return createHash('sha256').update(requestId).digest().readUInt16BE(0) / maximumSpreadValue;
 }
 
-/** How the entry treats the caller's connection. */
-export type ConnectionPolicy = {
-	/** Checks whether the connection closes after the response because the entry is stopping. */
-	isClosing(): boolean;
-};
-
 /** Response that the entry makes itself from a verdict. */
 export type VerdictResponse = {
 	readonly dialect: Dialect;
@@ -80,11 +74,11 @@
  * @param response - Response to the caller.
  * @param head - Status and headers of the server's response.
  * @param requestId - Id of the request.
- * @param isClosing - Whether the connection closes after the response.
+ * @param isClosing - Whether the connection closes after the response; required for a body without a length.
  */
 export function writeResponseHead(dialect: Dialect, response: ServerResponse, head: ResponseHead, requestId: string, isClosing: boolean): void {
 	const headers = [...head.headers, dialect.requestIdHeader, requestId];
-	if (isClosing || head.isCloseDelimited) {
+	if (isClosing) {
 		headers.push('connection', 'close');
 	}
 
--- a/source/program/local-system.ts
+++ b/source/program/local-system.ts
@@ -1,27 +1,15 @@
 /** Implements `guavadeck try`: a control host, an entry and stand-in servers in one process on loopback. */
-import {randomUUID} from 'node:crypto';
-import {mkdtempSync, rmSync} from 'node:fs';
-import {createServer} from 'node:net';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import process from 'node:process';
 import {documentSchema} from '../configuration/index.js';
-import {startControl} from '../control/index.js';
-import {startEntry} from '../entry/index.js';
-import {
-	controlSettingsSchema, entrySettingsSchema, resolveSecurity, type Address,
-} from '../settings/index.js';
-import {createLog} from '../telemetry/index.js';
 import {startStandIn, type StandIn} from '../../stand-in/index.js';
-import {callApi, getBodyOrThrow} from './client.js';
-import {exitCode, failCommand} from './exit.js';
+import {exitCode} from './exit.js';
+import {startLocalProcesses} from './local-processes.js';
 import {printLine} from './print.js';
 
 const loopback = '127.0.0.1';
 const serversPerService = 4;
 const pollIntervalMilliseconds = 20;
-const seed = 1;
 
 const document = documentSchema.parse({
 	zones: [{name: 'north'}, {name: 'south'}],
@@ -48,38 +36,9 @@
  * @param port - Port for callers, 0 for any.
  */
 export async function startLocalSystem(port: number): Promise<LocalSystem> {
-	const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-try-'));
-	const linkAddress = await getFreeAddress();
-	const commonSettings = {zone: 'north', control: [{name: 'control', ...linkAddress}], logLevel: 'warn' as const};
-	const security = resolveSecurity({
-		file: 'try', name: 'try', security: {}, listenAddresses: [],
-	}).unwrapOrElse(messages => failCommand(...messages));
-	const log = createLog('try', 'warn');
-	const startResult = await startControl({
-		settings: controlSettingsSchema.parse({
-			...commonSettings, name: 'control', dataFolder: folder, links: linkAddress, api: {host: loopback, port: 0}, election: {timeoutMilliseconds: 100, heartbeatMilliseconds: 20},
-		}),
-		security,
-		log,
-		seed,
-		isFounding: true,
-		onFailure(error) {
-			throw error;
-		},
-	});
-	const control = startResult.unwrapOrElse(message => failCommand(message));
-	const entry = await startEntry({
-		settings: entrySettingsSchema.parse({
-			...commonSettings, name: 'entry', callers: {host: loopback, port}, admin: {host: loopback, port: 0}, graceMilliseconds: 0,
-		}),
-		security,
-		log,
-		seed,
-	});
-	const operatorOptions = {control: `http://${loopback}:${control.apiPort}`};
+	const {control, entry, applyDocument, stopControl} = await startLocalProcesses({port});
 	const servers = await startServers(`http://${loopback}:${entry.adminPort}`);
-	const applyResponse = await applyOnceLeaderElected(operatorOptions);
-	getBodyOrThrow(applyResponse);
+	await applyDocument(document);
 	await waitUntilServing(`http://${loopback}:${entry.callersPort}`);
 	return {
 		callersPort: entry.callersPort,
@@ -89,8 +48,7 @@
 		async stop() {
 			await entry.stop();
 			await Promise.all(servers.map(async server => server.stop()));
-			await control.stop();
-			rmSync(folder, {recursive: true, force: true});
+			await stopControl();
 		},
 	};
 }
@@ -113,19 +71,6 @@
 	return Promise.all(pendingServers);
 }
 
-async function applyOnceLeaderElected(operatorOptions: {readonly control: string}): ReturnType<typeof callApi> {
-	const change = randomUUID();
-	for (;;) {
-		try {
-			return await callApi(operatorOptions, 'POST', '/v1/environments/production/apply', {
-				base: 0, change, author: 'try', document,
-			});
-		} catch {
-			await delay(pollIntervalMilliseconds);
-		}
-	}
-}
-
 async function waitUntilServing(baseUrl: string): Promise<void> {
 	const paths = document.services.map(service => service.path);
 	for (const path of paths) {
@@ -141,18 +86,6 @@
 	}
 }
 
-async function getFreeAddress(): Promise<Address> {
-	return new Promise(resolve => {
-		const server = createServer();
-		server.listen(0, loopback, () => {
-			const address = server.address();
-			server.close(() => {
-				resolve({host: loopback, port: typeof address === 'object' && address !== null ? address.port : 0});
-			});
-		});
-	});
-}
-
 /**
  * Runs `guavadeck try` until a signal stops it.
  * @param port - Port for callers, 0 for any.
--- a/source/retry/retry-policy.ts
+++ b/source/retry/retry-policy.ts
@@ -33,6 +33,14 @@
 /** Safe methods (RFC 9110, section 9.2.1). */
 const safeMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS']);
 
+/**
+ * Checks whether a method is safe.
+ * @param method - Method of a request, in upper case.
+ */
+export function isSafeMethod(method: string): boolean {
+	return safeMethods.has(method);
+}
+
 /** A request that may be hedged. */
 export type HedgeableRequest = {
 	readonly method: string;
@@ -52,5 +60,5 @@
 	return request.hedgeRatio > 0
 		&& request.isIdempotent
 		&& request.isRepeatable
-		&& safeMethods.has(request.method);
+		&& isSafeMethod(request.method);
 }
--- a/source/settings/settings.ts
+++ b/source/settings/settings.ts
@@ -88,6 +88,10 @@
 	graceMilliseconds: z.number().int().min(0).max(600_000).default(1000),
 	maximumHeaderBytes: z.number().int().min(1024).max(1_048_576).default(16_384),
 	maximumBodyBytes: z.number().int().min(1024).max(1_073_741_824).default(1_048_576),
+	/** Maximum size in bytes of a request body that is held in memory; larger ones are streamed, and not sent to a second server. */
+	maximumHeldBodyBytes: z.number().int().min(0).max(16_777_216).default(524_288),
+	/** Maximum number of bytes of all request bodies that are held in memory together; further ones are streamed. */
+	maximumHeldBytes: z.number().int().min(0).max(1_073_741_824).default(33_554_432),
 	/** Maximum size in bytes of a response that is buffered; larger responses are streamed. */
 	maximumHeldAnswerBytes: z.number().int().min(0).max(16_777_216).default(262_144),
 	lease: lease.prefault({}),
--- a/source/verdict/verdict.ts
+++ b/source/verdict/verdict.ts
@@ -27,6 +27,8 @@
 	= | 'already-ran'
 		| 'answer-mismatched'
 		| 'answer-truncated'
+		| 'bad-request'
+		| 'body-too-large'
 		| 'connection-lost'
 		| 'deadline'
 		| 'in-progress'
@@ -145,6 +147,14 @@
 			return 504;
 		}
 
+		case 'bad-request': {
+			return 400;
+		}
+
+		case 'body-too-large': {
+			return 413;
+		}
+
 		case 'answer-mismatched':
 		case 'answer-truncated':
 		case 'caller-left':
