Let a control host with a full disk give up leadership and wait

Ruled out: treating all errors alike; only ENOSPC and EDQUOT can go away by themselves. Change: a refused batch is kept and retried every 200 ms; messages that depend on it count as lost. The replica neither leads nor stands meanwhile, and hands over to the voter with the longest log.

--- a/source/consensus/core.ts
+++ b/source/consensus/core.ts
@@ -26,6 +26,8 @@
 	role: Role;
 	leader: string | undefined;
 	commitIndex: number;
+	/** Whether durable state can be written. A replica that cannot write neither leads nor stands for election. */
+	isWritable: boolean;
 	/** Index up to which the log of this replica is synced. */
 	durableIndex: number;
 	snapshot: Snapshot | undefined;
@@ -80,6 +82,7 @@
 		role: 'follower',
 		leader: undefined,
 		commitIndex: snapshot?.index ?? 0,
+		isWritable: true,
 		durableIndex: log.getLastIndex(),
 		snapshot,
 		membership: log.getMembership(snapshot?.membership ?? founders),
--- a/source/consensus/election.ts
+++ b/source/consensus/election.ts
@@ -151,12 +151,20 @@
 
 	return {
 		tick() {
-			if (core.now >= timeoutAt) {
+			if (core.now < timeoutAt) {
+				return;
+			}
+
+			if (core.isWritable) {
 				startPreVote();
+			} else {
+				resetTimeout();
 			}
 		},
 		startTransferElection() {
-			startElection(true);
+			if (core.isWritable) {
+				startElection(true);
+			}
 		},
 		receiveVoteRequest(from, message) {
 			const isLeaderAlive = core.role === 'leader' || core.now - leaderContactAt < electionMilliseconds;
--- a/source/consensus/leader-role.ts
+++ b/source/consensus/leader-role.ts
@@ -23,6 +23,8 @@
 	/** Requests confirmation that this replica is still the leader at some time after the call. */
 	confirm(token: number, isUrgent: boolean): void;
 	transfer(to: string): void;
+	/** Steps down, and requests the active voter with the longest log to start its election. */
+	abdicate(): void;
 	/** Commits the entries of the current term that are stored on a majority, for example after a local sync. */
 	advanceCommit(): void;
 	/** Gets the time of the next heartbeat in milliseconds. */
@@ -71,8 +73,12 @@
 		replication.broadcast();
 	}
 
+	function getMatchIndex(voter: string): number {
+		return replication.getProgress(voter)?.matchIndex ?? 0;
+	}
+
 	function advanceCommit(): void {
-		const matchIndexes = core.membership.voters.map(voter => voter === core.id ? core.durableIndex : replication.getProgress(voter)?.matchIndex ?? 0);
+		const matchIndexes = core.membership.voters.map(voter => voter === core.id ? core.durableIndex : getMatchIndex(voter));
 		const majorityIndex = getQuorumValue(matchIndexes);
 		if (majorityIndex > core.commitIndex && log.getTerm(majorityIndex) === core.term) {
 			core.advanceCommit(majorityIndex);
@@ -220,6 +226,16 @@
 			replication.send(to);
 			sendTimeoutNowIfCaughtUp(to, state);
 		},
+		abdicate() {
+			const successors = core.membership.voters
+				.filter(voter => voter !== core.id && replication.isActive(voter))
+				.toSorted((one, other) => getMatchIndex(other) - getMatchIndex(one));
+			if (successors.length > 0) {
+				core.send(successors[0]!, {kind: 'timeoutNow', term: core.term}, false);
+			}
+
+			options.becomeFollower(core.term);
+		},
 		advanceCommit,
 		getHeartbeatAt: () => heartbeatAt,
 		getProgress: replication.getProgress,
--- a/source/consensus/message.ts
+++ b/source/consensus/message.ts
@@ -102,5 +102,7 @@
 	 */
 		| {readonly kind: 'confirm'; readonly token: number; readonly isUrgent: boolean}
 		| {readonly kind: 'transfer'; readonly to: string}
+	/** Reports whether durable state can be written. */
+		| {readonly kind: 'writability'; readonly isWritable: boolean}
 	/** Replaces the log up to an applied index with a snapshot of the state machine. */
 		| {readonly kind: 'compact'; readonly index: number; readonly data: unknown};
--- a/source/consensus/replica.ts
+++ b/source/consensus/replica.ts
@@ -79,6 +79,15 @@
 		core.changeRole('follower', leader);
 	}
 
+	/** Gives up leadership, in favour of the voter with the longest log, or the attempt to win an election. */
+	function stepDown(): void {
+		if (core.role === 'leader') {
+			leaderRole.abdicate();
+		} else if (core.role !== 'follower') {
+			becomeFollower(core.term);
+		}
+	}
+
 	/** Replaces the log up to an index with a snapshot of the state machine. */
 	function compact(index: number, data: unknown): void {
 		const term = log.getTerm(index);
@@ -172,6 +181,15 @@
 				return;
 			}
 
+			case 'writability': {
+				core.isWritable = event.isWritable;
+				if (!event.isWritable) {
+					stepDown();
+				}
+
+				return;
+			}
+
 			case 'compact': {
 				compact(event.index, event.data);
 			}
--- a/source/control/driver.ts
+++ b/source/control/driver.ts
@@ -8,13 +8,21 @@
 	createReplica, type Action, type Membership, type Payload, type Replica, type ReplicaEvent, type ReplicaMessage, type Role,
 } from '../consensus/index.js';
 import {type Random} from '../randomness/index.js';
-import {type PersistAction, type Store} from '../storage/index.js';
+import {isDiskFull, type PersistAction, type Store} from '../storage/index.js';
 import {
 	type Command, type CommandResult, type StateMachine, type StateMachineSnapshot,
 } from './state-machine.js';
 
 const proposalTimeoutMilliseconds = 5000;
 
+/** Time between two attempts to write to a full disk. */
+const fullDiskRetryMilliseconds = 200;
+
+/** Growth of the log above which a compaction is worth its cost on a full disk, in bytes. */
+const minimumFreeableBytes = 65_536;
+
+const forcedCompactionIntervalMilliseconds = 1000;
+
 /** Outcome of a proposed command. */
 export type ProposalOutcome
 	= | {readonly kind: 'applied'; readonly result: CommandResult}
@@ -56,6 +64,8 @@
 	readonly snapshotBytes: number;
 	readonly random: Random;
 	send(to: string, message: ReplicaMessage): void;
+	/** Called when the disk becomes full, and when it accepts writes again. */
+	onWritabilityChange?(isWritable: boolean): void;
 	/** Called when storage fails; the process must stop. */
 	onFailure(error: Error): void;
 };
@@ -97,6 +107,9 @@
 	let isWriting = false;
 	let isCompacting = false;
 	let isStopped = false;
+	let isBlocked = false;
+	let retryTimer: NodeJS.Timeout | undefined;
+	let lastForcedCompactionAt = Number.NEGATIVE_INFINITY;
 	let notifyIdle: (() => void) | undefined;
 	let timer: NodeJS.Timeout | undefined;
 	let nextTickAt = Number.POSITIVE_INFINITY;
@@ -193,12 +206,21 @@
 		}
 	}
 
-	/** Writes a snapshot next to the log, then discards the entries that it covers. */
+	function isCompactionDue(index: number): boolean {
+		return index - snapshotIndex >= options.snapshotEvery || (index > snapshotIndex && store.getLogGrowthBytes() >= options.snapshotBytes);
+	}
+
 	async function compactIfDue(): Promise<void> {
+		if (isCompactionDue(replica.getCommitIndex())) {
+			await compact();
+		}
+	}
+
+	/** Writes a snapshot next to the log, then discards the entries that it covers. */
+	async function compact(): Promise<void> {
 		const index = replica.getCommitIndex();
 		const term = replica.getLog().getTerm(index);
-		const isDue = index - snapshotIndex >= options.snapshotEvery || (index > snapshotIndex && store.getLogGrowthBytes() >= options.snapshotBytes);
-		if (isCompacting || !isDue || term === undefined) {
+		if (isCompacting || index <= snapshotIndex || term === undefined) {
 			return;
 		}
 
@@ -211,27 +233,67 @@
 			snapshotIndex = Math.max(snapshotIndex, index);
 			handleEvent({kind: 'compact', index, data});
 		} catch (error) {
-			isStopped = true;
-			options.onFailure(error as Error);
+			failUnlessFull(error);
 		}
 
 		isCompacting = false;
 		notifyIdle?.();
 	}
 
+	/** Ends the driver after an error of the storage, except while the disk is full. */
+	function failUnlessFull(error: unknown): void {
+		if (!isDiskFull(error)) {
+			isStopped = true;
+			options.onFailure(error as Error);
+		}
+	}
+
+	/** Keeps what a full disk refused and retries later; meanwhile another replica leads. Messages that depend on it count as lost. */
+	function block(refusedBatch: readonly QueuedAction[]): void {
+		queuedActions = [...refusedBatch, ...queuedActions].filter(action => action.kind !== 'send');
+		if (isStopped) {
+			return;
+		}
+
+		retryTimer = setTimeout(retry, fullDiskRetryMilliseconds);
+		if (!isBlocked) {
+			isBlocked = true;
+			options.onWritabilityChange?.(false);
+			handleEvent({kind: 'writability', isWritable: false});
+		}
+
+		const now = performance.now();
+		if (store.getLogGrowthBytes() >= minimumFreeableBytes && now - lastForcedCompactionAt > forcedCompactionIntervalMilliseconds) {
+			lastForcedCompactionAt = now;
+			void compact();
+		}
+	}
+
+	function retry(): void {
+		retryTimer = undefined;
+		void flush();
+	}
+
+	function unblock(): void {
+		if (isBlocked) {
+			isBlocked = false;
+			options.onWritabilityChange?.(true);
+			handleEvent({kind: 'writability', isWritable: true});
+		}
+	}
+
 	async function flush(): Promise<void> {
-		if (isWriting) {
+		if (isWriting || retryTimer !== undefined) {
 			return;
 		}
 
 		isWriting = true;
 		try {
-			while (queuedActions.length > 0) {
+			while (queuedActions.length > 0 && retryTimer === undefined) {
 				await writeBatch();
 			}
 		} catch (error) {
-			isStopped = true;
-			options.onFailure(error as Error);
+			failUnlessFull(error);
 		}
 
 		isWriting = false;
@@ -246,7 +308,18 @@
 		const lastTerm = replica.getLog().getLastTerm();
 		if (persists.length > 0) {
 			syncCount++;
-			await store.persist(persists);
+			try {
+				await store.persist(persists);
+			} catch (error) {
+				if (isDiskFull(error)) {
+					block(batch);
+					return;
+				}
+
+				throw error;
+			}
+
+			unblock();
 		}
 
 		for (const action of batch) {
@@ -305,6 +378,7 @@
 		getSyncCount: () => syncCount,
 		async stop() {
 			clearTimeout(timer);
+			clearTimeout(retryTimer);
 			isStopped = true;
 			queuedActions = [];
 			while (isWriting || isCompacting) {
--- a/source/storage/store.ts
+++ b/source/storage/store.ts
@@ -5,15 +5,15 @@
  * all disk access is asynchronous, because a slow disk that blocked the event loop would delay heartbeats and leases.
  */
 import {readdirSync, readFileSync} from 'node:fs';
-import {
-	mkdir, open, rename, unlink, type FileHandle,
-} from 'node:fs/promises';
+import {type FileHandle} from 'node:fs/promises';
 import path from 'node:path';
 import {setImmediate} from 'node:timers/promises';
 import {
 	type Action, type HardState, type LogEntry, type Snapshot,
 } from '../consensus/index.js';
+import {isDiskFull, realFiles, type Files} from './files.js';
 import {CorruptionError, encodeRecord, readRecords} from './record.js';
+import {createSpaceReserve, reserveName} from './space-reserve.js';
 
 /** An action that changes durable state. */
 export type PersistAction = Extract<Action, {readonly kind: 'persistState' | 'persistEntries' | 'persistSnapshot'}>;
@@ -54,6 +54,8 @@
 	join: parts => [...parts][0],
 };
 
+const temporarySuffix = '.new';
+const minimumReserveBytes = 131_072;
 const logPattern = /^log-(?<generation>\d{9})\.bin$/v;
 const snapshotPattern = /^snapshot-(?<index>\d{15})\.bin$/v;
 
@@ -61,10 +63,13 @@
  * Opens the storage of a replica, and truncates an incomplete record at the end of its log.
  * @param folder - Folder of the replica's files; created if it is missing.
  * @param codec - Codec that splits snapshots; the default keeps them in one part.
+ * @param files - File operations.
  */
-export async function openStore(folder: string, codec: SnapshotCodec = singlePartCodec): Promise<Store> {
-	await mkdir(folder, {recursive: true});
-	await syncFolder(path.dirname(folder));
+export async function openStore(folder: string, codec: SnapshotCodec = singlePartCodec, files: Files = realFiles): Promise<Store> {
+	await files.mkdir(folder, {recursive: true});
+	await syncFolder(files, path.dirname(folder));
+	await removeTemporaryFiles(files, folder);
+	const reserve = createSpaceReserve(folder, files);
 	const snapshot = readNewestSnapshot(folder, codec);
 	const generations = listFileNumbers(folder, logPattern);
 	let generation = generations.at(-1) ?? 0;
@@ -73,6 +78,7 @@
 	let validBytes = 0;
 	let initialLogBytes = 0;
 	let preparedSnapshotIndex = 0;
+	let snapshotBytes = 0;
 
 	function applyOperation(operation: Operation): void {
 		if (operation.kind === 'state') {
@@ -104,9 +110,19 @@
 
 	const storedState: StoredState = {state, snapshot, entries: getEntriesAfterSnapshot(entries, snapshot)};
 	entries = [...storedState.entries];
-	let logFile: FileHandle = generation === 0 ? await createNextLog() : await open(getLogPath(generation), 'r+');
-	await logFile.truncate(validBytes);
-	await logFile.sync();
+	let logFile: FileHandle = generation === 0 ? await createNextLog() : await files.open(getLogPath(generation), 'r+');
+	await truncateLog();
+	await reserve.fill(minimumReserveBytes);
+
+	/** Removes an incomplete record at the end of the log. */
+	async function truncateLog(): Promise<void> {
+		const {size} = await logFile.stat();
+		if (size > validBytes) {
+			await logFile.truncate(validBytes);
+		}
+
+		await logFile.sync();
+	}
 
 	/** Creates the next log file, which starts with the hard state and the entries after the snapshot. */
 	async function createNextLog(): Promise<FileHandle> {
@@ -115,13 +131,16 @@
 			initialOperations.push({kind: 'entries', entries, truncateFrom: entries[0]!.index});
 		}
 
-		generation++;
-		const file = getLogPath(generation);
+		const file = getLogPath(generation + 1);
 		const record = encodeRecord(initialOperations);
-		await writeFileAtomically(folder, file, record);
+		await writeFileAtomically(files, folder, file, async temporaryFile => {
+			await writeAll(temporaryFile, record);
+		});
+		const nextFile = await files.open(file, 'r+');
+		generation++;
 		validBytes = record.length;
 		initialLogBytes = record.length;
-		return open(file, 'r+');
+		return nextFile;
 	}
 
 	async function rotateLog(): Promise<void> {
@@ -130,7 +149,7 @@
 		await previousFile.close();
 		for (const number of listFileNumbers(folder, logPattern)) {
 			if (number < generation) {
-				await unlink(getLogPath(number));
+				await files.unlink(getLogPath(number));
 			}
 		}
 	}
@@ -139,25 +158,44 @@
 		return path.join(folder, `snapshot-${String(index).padStart(15, '0')}.bin`);
 	}
 
-	async function prepareSnapshot(newSnapshot: Snapshot): Promise<void> {
-		const file = getSnapshotPath(newSnapshot.index);
-		const temporaryFile = await open(`${file}.new`, 'w');
+	async function writeSnapshot(newSnapshot: Snapshot): Promise<void> {
 		const {data, ...trailer} = newSnapshot;
-		let parts = 0;
-		for (const part of codec.split(data)) {
-			const record = encodeRecord(part);
-			await writeAll(temporaryFile, record);
-			parts++;
-			await setImmediate();
-		}
+		let bytes = 0;
+		await writeFileAtomically(files, folder, getSnapshotPath(newSnapshot.index), async temporaryFile => {
+			let parts = 0;
+			for (const part of codec.split(data)) {
+				const record = encodeRecord(part);
+				await writeAll(temporaryFile, record);
+				bytes += record.length;
+				parts++;
+				await setImmediate();
+			}
 
-		// The trailer is written last, so that an incomplete file is recognized by its absence.
-		const record = encodeRecord({...trailer, parts});
-		await writeAll(temporaryFile, record);
-		await commitTemporaryFile(folder, file, temporaryFile);
+			// The trailer is written last, so that an incomplete file is recognized by its absence.
+			await writeAll(temporaryFile, encodeRecord({...trailer, parts}));
+		});
+		snapshotBytes = bytes;
 		preparedSnapshotIndex = newSnapshot.index;
 	}
 
+	/** Writes a snapshot, on a full disk with the reserved space. */
+	async function prepareSnapshot(newSnapshot: Snapshot): Promise<void> {
+		try {
+			await writeSnapshot(newSnapshot);
+		} catch (error) {
+			if (!isDiskFull(error) || !await reserve.release()) {
+				throw error;
+			}
+
+			await writeSnapshot(newSnapshot);
+		}
+	}
+
+	/** Gets the space that the next snapshot and the log after it may need. */
+	function getReserveBytes(): number {
+		return Math.max(minimumReserveBytes, 2 * (snapshotBytes + initialLogBytes));
+	}
+
 	async function persistSnapshot(newSnapshot: Snapshot): Promise<void> {
 		if (preparedSnapshotIndex !== newSnapshot.index) {
 			await prepareSnapshot(newSnapshot);
@@ -167,9 +205,11 @@
 		await rotateLog();
 		for (const index of listFileNumbers(folder, snapshotPattern)) {
 			if (index < newSnapshot.index) {
-				await unlink(getSnapshotPath(index));
+				await files.unlink(getSnapshotPath(index));
 			}
 		}
+
+		await reserve.fill(getReserveBytes());
 	}
 
 	async function writeOperations(operations: readonly Operation[]): Promise<void> {
@@ -204,7 +244,10 @@
 			}
 		},
 		getLogGrowthBytes: () => validBytes - initialLogBytes,
-		close: async () => logFile.close(),
+		async close() {
+			await logFile.close();
+			await reserve.release();
+		},
 	};
 }
 
@@ -253,23 +296,36 @@
 	}
 }
 
-async function writeFileAtomically(folder: string, file: string, record: Uint8Array): Promise<void> {
-	const temporaryFile = await open(`${file}.new`, 'w');
-	await writeAll(temporaryFile, record);
-	await commitTemporaryFile(folder, file, temporaryFile);
-}
+/** Writes a file under a temporary name, and gives it its final name when it is synced. Removes the temporary file after an error. */
+async function writeFileAtomically(files: Files, folder: string, file: string, write: (temporaryFile: FileHandle) => Promise<void>): Promise<void> {
+	const temporaryName = `${file}${temporarySuffix}`;
+	const temporaryFile = await files.open(temporaryName, 'w');
+	try {
+		await write(temporaryFile);
+		await temporaryFile.sync();
+	} catch (error) {
+		await temporaryFile.close();
+		await files.unlink(temporaryName);
+		throw error;
+	}
 
-/** Syncs and closes a temporary file, and renames it to its final name. */
-async function commitTemporaryFile(folder: string, file: string, temporaryFile: FileHandle): Promise<void> {
-	await temporaryFile.sync();
 	await temporaryFile.close();
-	await rename(`${file}.new`, file);
-	await syncFolder(folder);
+	await files.rename(temporaryName, file);
+	await syncFolder(files, folder);
+}
+
+/** Removes the files that an earlier process did not complete, and its reserve. */
+async function removeTemporaryFiles(files: Files, folder: string): Promise<void> {
+	for (const name of readdirSync(folder)) {
+		if (name.endsWith(temporarySuffix) || name === reserveName) {
+			await files.unlink(path.join(folder, name));
+		}
+	}
 }
 
 /** Syncs a folder, which makes created and renamed files in it durable. */
-async function syncFolder(folder: string): Promise<void> {
-	const directory = await open(folder, 'r');
+async function syncFolder(files: Files, folder: string): Promise<void> {
+	const directory = await files.open(folder, 'r');
 	await directory.sync();
 	await directory.close();
 }
