Let entries keep their servers when the leader changes, and send one renewal at a time

Cause: revisions of the list of servers counted within one leadership, so a new leader sent the whole list to every entry; an entry renewed twice a second whether or not a grant was on its way, and asked for the list again while a slow link still carried it. Ruled out: sending lists later or compressed more, which leaves the loop; a longer interval of renewals, which costs lease time. Change: servers carry the index of the log at which they changed, and an entry tells the index that it knows; a new leader sends what changed since and the ids of all servers. A renewal waits for the answer to the one before, or its timeout. A link that opens gets the renewal that is on its way instead of a new one; a nudge moves the entry to the leader that sent it. A grant no longer walks and sorts all leases.

--- a/bench/slopes/control.ts
+++ b/bench/slopes/control.ts
@@ -13,7 +13,7 @@
 export function measureGrants(serverCount: number, entryCount: number): BenchRow {
 	const stateMachine = createPopulatedStateMachine(serverCount, 2);
 	const leadership = createLeadership({
-		epoch: 2, startedAt: -10_000, termMilliseconds: leaseTermMilliseconds, machine: stateMachine, getWallClock: () => 0,
+		epoch: 2, startedAt: -10_000, termMilliseconds: leaseTermMilliseconds, machine: stateMachine, getWallClock: () => 0, getAppliedIndex: () => 0,
 	});
 	for (let id = 1; id <= serverCount; id++) {
 		leadership.recordLiveness(id, 0);
@@ -57,7 +57,7 @@
 export function measureAnnouncements(serverCount: number): BenchRow {
 	const stateMachine = createPopulatedStateMachine(serverCount, 2);
 	const leadership = createLeadership({
-		epoch: 2, startedAt: 0, termMilliseconds: leaseTermMilliseconds, machine: stateMachine, getWallClock: () => 0,
+		epoch: 2, startedAt: 0, termMilliseconds: leaseTermMilliseconds, machine: stateMachine, getWallClock: () => 0, getAppliedIndex: () => 0,
 	});
 	const announcement = createAnnouncement(1, 2);
 	const text = JSON.stringify(announcement);
--- a/source/announcement/registry.ts
+++ b/source/announcement/registry.ts
@@ -20,6 +20,8 @@
 	readonly state: ServerState;
 	/** Wall-clock time of the last transition in milliseconds. */
 	readonly since: number;
+	/** Index of the replicated log at which the server last changed; missing if it is not known. */
+	readonly changedAt?: number;
 };
 
 /** A command of the registry. */
@@ -47,8 +49,12 @@
 
 /** Registry of servers. */
 export type Registry = {
-	/** Applies a committed command and returns the servers that it changed or removed. */
-	apply(command: RegistryCommand): readonly RegisteredServer[];
+	/**
+	 * Applies a committed command and returns the servers that it changed or removed.
+	 * @param command - Committed command.
+	 * @param index - Index of the command in the replicated log.
+	 */
+	apply(command: RegistryCommand, index?: number): readonly RegisteredServer[];
 	/** Checks whether an announcement is older than the registered one, or comes from a boot that has left or was replaced. */
 	isStale(announcement: Announcement): boolean;
 	/** Gets the key of the server with a name, regardless of its service. */
@@ -91,6 +97,7 @@
 	const byName = new Map<string, ServerKey>();
 	let departedBoots = new Map<string, number>();
 	let nextId = 1;
+	let currentIndex: number | undefined;
 
 	function getByAddress(announcement: Announcement): RegisteredServer | undefined {
 		return servers.get(byAddress.get(getAddress(announcement)) ?? '');
@@ -182,7 +189,9 @@
 		return warm.flatMap(server => setServer({...server, state: 'cold', since: at}));
 	}
 
-	function setServer(server: RegisteredServer): readonly RegisteredServer[] {
+	function setServer(changed: RegisteredServer): readonly RegisteredServer[] {
+		const {changedAt: _, ...rest} = changed;
+		const server: RegisteredServer = currentIndex === undefined ? rest : {...rest, changedAt: currentIndex};
 		const previous = servers.get(server.key);
 		if (previous !== undefined && previous.id !== server.id) {
 			byId.delete(previous.id);
@@ -244,7 +253,8 @@
 	}
 
 	return {
-		apply(command) {
+		apply(command, index) {
+			currentIndex = index;
 			switch (command.kind) {
 				case 'announced': {
 					return announce(command.announcement, command.at);
--- a/source/control-client/client.ts
+++ b/source/control-client/client.ts
@@ -37,8 +37,8 @@
 export type ControlClient = {
 	/** Sends a request to the leader. Resolves to `unknown` if no leader responds within the timeout. */
 	submit(request: ControlRequest, timeoutMilliseconds: number): Promise<ControlResponse>;
-	/** Sends a message to the last known leader, or to all control hosts if none is known or connected. */
-	sendToLeader(message: ControlInbound): void;
+	/** Sends a message to the last known leader, or to all control hosts if none is known or connected, and returns to whom. */
+	sendToLeader(message: ControlInbound): 'leader' | 'all';
 	/** Sends a message to one control host. */
 	sendTo(host: string, message: ControlInbound): void;
 	broadcast(message: ControlInbound): void;
@@ -167,11 +167,14 @@
 		sendToLeader(message) {
 			if (leader !== undefined && dialers.get(leader)?.isConnected()) {
 				dialers.get(leader)?.send(message);
-			} else {
-				for (const dialer of dialers.values()) {
-					dialer.send(message);
-				}
+				return 'leader';
+			}
+
+			for (const dialer of dialers.values()) {
+				dialer.send(message);
 			}
+
+			return 'all';
 		},
 		sendTo(host, message) {
 			dialers.get(host)?.send(message);
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -319,7 +319,7 @@
 	function startLeadership(term: number): void {
 		lastUrgentRevision = -1;
 		leadership = createLeadership({
-			epoch: term, startedAt: performance.now(), termMilliseconds: settings.lease.termMilliseconds, machine, getWallClock: Date.now,
+			epoch: term, startedAt: performance.now(), termMilliseconds: settings.lease.termMilliseconds, machine, getWallClock: Date.now, getAppliedIndex: driver.replica.getCommitIndex,
 		});
 		scheduleNudge();
 	}
--- a/source/control/driver.ts
+++ b/source/control/driver.ts
@@ -189,7 +189,7 @@
 	}
 
 	function apply(index: number, term: number, payload: Payload): void {
-		const result = payload.kind === 'command' ? machine.apply(payload.command as Command) : undefined;
+		const result = payload.kind === 'command' ? machine.apply(payload.command as Command, index) : undefined;
 		const proposal = pendingProposals.get(index);
 		if (proposal !== undefined) {
 			pendingProposals.delete(index);
--- a/source/control/leadership.test.ts
+++ b/source/control/leadership.test.ts
@@ -30,7 +30,7 @@
 	announce(machine, undefined, getAnnouncement('old'), 0);
 	return {
 		machine, leadership: createLeadership({
-			epoch: 3, startedAt: 0, termMilliseconds, machine, getWallClock: () => 0,
+			epoch: 3, startedAt: 0, termMilliseconds, machine, getWallClock: () => 0, getAppliedIndex: () => 0,
 		}),
 	};
 }
@@ -95,6 +95,49 @@
 	});
 });
 
+describe('createLeadership: an entry that knows the servers from an earlier leader', () => {
+	/** Announces `old` at index 1 and `other` at index 2, and lets a new leader grant a renewal that knows the servers up to an index. */
+	function doTest(knownIndex: number | undefined, change: (machine: StateMachine) => void, expected: {readonly isWhole: boolean; readonly servers: readonly number[]; readonly listed: readonly number[] | undefined}): void {
+		const machine = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 10});
+		for (const [index, name] of ['old', 'other'].entries()) {
+			machine.apply({area: 'registry', command: {kind: 'announced', announcement: {...getAnnouncement(name), port: index + 1, bornAt: 1}, at: 0}}, index + 1);
+		}
+
+		change(machine);
+		const leadership = createLeadership({
+			epoch: 4, startedAt: 0, termMilliseconds, machine, getWallClock: () => 0, getAppliedIndex: () => 3,
+		});
+		const grant = leadership.grant({
+			...getRenewal(1, undefined, []), epoch: 3, revision: 7, logIndex: knownIndex,
+		}, 10, 10);
+		expect({
+			isWhole: grant.isWhole, servers: grant.servers.map(({id}) => id), listed: grant.listed, logIndex: grant.logIndex,
+		}).toEqual({
+			...expected, servers: [...expected.servers], listed: expected.listed === undefined ? undefined : [...expected.listed], logIndex: 3,
+		});
+	}
+
+	test('gets no server again if nothing changed', () => {
+		doTest(2, () => undefined, {isWhole: false, servers: [], listed: [1, 2]});
+	});
+	test('gets the servers that changed after its index', () => {
+		doTest(1, () => undefined, {isWhole: false, servers: [2], listed: [1, 2]});
+	});
+	test('learns from the list that a server was removed', () => {
+		doTest(2, machine => {
+			machine.apply({area: 'registry', command: {kind: 'removed', id: 1, at: 0}}, 3);
+		}, {isWhole: false, servers: [], listed: [2]});
+	});
+	test('gets a server whose change has no known index', () => {
+		doTest(2, machine => {
+			machine.apply({area: 'registry', command: {kind: 'warmed', id: 1, at: 0}});
+		}, {isWhole: false, servers: [1], listed: [1, 2]});
+	});
+	test('gets all servers if it does not tell its index', () => {
+		doTest(undefined, () => undefined, {isWhole: true, servers: [1, 2], listed: undefined});
+	});
+});
+
 describe('createLeadership: time without an announcement', () => {
 	function doTest(now: number, isAbsent: boolean): void {
 		const {leadership} = start();
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -3,6 +3,7 @@
  * from renewals and announcements. An earlier leader may have granted permits and duties for the servers that were registered
  * then, so a new leader grants none for these servers until the earlier leases have expired.
  */
+import {Maybe} from 'true-myth';
 import {
 	createLivenessTracker, type Announcement, type RegisteredServer, type RegistryCommand,
 } from '../announcement/index.js';
@@ -11,7 +12,7 @@
 } from '../cold-start/index.js';
 import {type EnvironmentDocument, type Service} from '../configuration/index.js';
 import {
-	createLeaseTable, type Grant, type LeaseTable, type Renewal, type ServerView,
+	createLeaseTable, type Grant, type LeaseRecord, type LeaseTable, type PeerAddress, type Renewal,
 } from '../lease/index.js';
 import {createProbeDuties, getProbeIntervalMilliseconds, type ProbeDuties} from '../measuring/index.js';
 import {createQuarantine, type Quarantine} from '../quarantine/index.js';
@@ -64,6 +65,30 @@
 	getUrgentRevision(): number;
 };
 
+/** Entries with a live lease and the addresses of those that have peers. */
+type LiveLeases = {
+	/** Names of the entries, sorted, by environment. */
+	readonly entriesByEnvironment: ReadonlyMap<string, readonly string[]>;
+	readonly peers: readonly PeerAddress[];
+	/** Value that changes with the peers. */
+	readonly peersKey: string;
+};
+
+function createLiveLeases(live: readonly LeaseRecord[]): LiveLeases {
+	const entriesByEnvironment = new Map<string, string[]>();
+	for (const {entry, environment} of live.toSorted((one, other) => one.entry < other.entry ? -1 : 1)) {
+		entriesByEnvironment.set(environment, [...entriesByEnvironment.get(environment) ?? [], entry]);
+	}
+
+	const peers = live.map(({peer}) => peer).filter(peer => peer !== undefined);
+	const peersKey = peers.map(peer => `${peer.name} ${peer.host} ${peer.port}`).toSorted().join(',');
+	return {entriesByEnvironment, peers, peersKey};
+}
+
+function isSamePeer(one: PeerAddress | undefined, other: PeerAddress | undefined): boolean {
+	return one?.name === other?.name && one?.host === other?.host && one?.port === other?.port;
+}
+
 /** Options of `createLeadership`. */
 export type LeadershipOptions = {
 	readonly epoch: number;
@@ -72,6 +97,8 @@
 	readonly machine: StateMachine;
 	/** Gets the wall-clock time in milliseconds. */
 	getWallClock(): number;
+	/** Gets the index of the replicated log up to which the state machine has applied commands. */
+	getAppliedIndex(): number;
 };
 
 /**
@@ -95,6 +122,9 @@
 	const knownColdServers = new Set<number>();
 	let isInheritedProbingEnabled = false;
 	let urgentRevision = 0;
+	let earliestExpiryAt = Number.NEGATIVE_INFINITY;
+	let liveLeases: LiveLeases | undefined;
+	let probers: readonly string[] | undefined;
 	let peersKey = '';
 	let peersRevision = 0;
 
@@ -159,12 +189,20 @@
 		});
 	}
 
+	/** Expires the leases that have ended. Does nothing before the first of them can have ended, since every grant calls it. */
 	function expireLeases(now: number): void {
+		if (now < earliestExpiryAt) {
+			return;
+		}
+
+		earliestExpiryAt = Number.POSITIVE_INFINITY;
 		for (const holder of leases.getAll()) {
 			if (holder.expiresAt > now) {
 				expiredEntries.delete(holder.entry);
+				earliestExpiryAt = Math.min(earliestExpiryAt, holder.expiresAt);
 			} else if (!expiredEntries.has(holder.entry)) {
 				expiredEntries.add(holder.entry);
+				liveLeases = undefined;
 				allocator.expireLease(holder.entry, now);
 				rateAllocator.expireLease(holder.entry);
 				duties.expireLease(holder.entry);
@@ -172,6 +210,27 @@
 		}
 	}
 
+	function recordLease(renewal: Renewal, receivedAt: number): void {
+		const previous = leases.get(renewal.entry);
+		leases.record(renewal, receivedAt);
+		const isKnown = previous !== undefined
+			&& previous.expiresAt > receivedAt
+			&& previous.environment === renewal.environment
+			&& isSamePeer(previous.peer, renewal.peer);
+		if (!isKnown || renewal.isFinal) {
+			liveLeases = undefined;
+			expiredEntries.delete(renewal.entry);
+		}
+
+		earliestExpiryAt = Math.min(earliestExpiryAt, renewal.isFinal ? receivedAt : receivedAt + termMilliseconds);
+	}
+
+	/** Gets the live leases, sorted by entry. The list is the same until an entry joins, changes or ends. */
+	function getLiveLeases(now: number): LiveLeases {
+		liveLeases ??= createLiveLeases(leases.getLive(now));
+		return liveLeases;
+	}
+
 	function recordRenewal(renewal: Renewal, now: number): void {
 		allocator.report(renewal.entry, renewal.acknowledged, renewal.observations, now);
 		duties.acknowledge(renewal.entry, renewal.acknowledged);
@@ -204,7 +263,7 @@
 	}
 
 	function getLiveEntries(environment: string, now: number): readonly string[] {
-		return leases.getLive(now).filter(holder => holder.environment === environment).map(holder => holder.entry).toSorted();
+		return getLiveLeases(now).entriesByEnvironment.get(environment) ?? [];
 	}
 
 	/** Enables probe duties for the servers registered under an earlier leader, once that leader's leases have expired. */
@@ -232,17 +291,43 @@
 	/** Sets the entries that probe: the live ones of production, or the given ones while production has none. */
 	function setProbers(liveEntries: readonly string[], now: number): void {
 		const production = getLiveEntries('production', now);
-		duties.setProbers(production.length > 0 ? production : liveEntries);
+		const next = production.length > 0 ? production : liveEntries;
+		if (next !== probers) {
+			probers = next;
+			duties.setProbers(next);
+		}
+	}
+
+	/**
+	 * Gets the servers that an entry needs. An entry that knows the servers from an earlier leader needs only those that changed
+	 * since, so a change of the leader does not cost a whole list for each entry.
+	 */
+	function getServerList(renewal: Renewal): Pick<Grant, 'isWhole' | 'listed' | 'logIndex' | 'servers'> {
+		const logIndex = options.getAppliedIndex();
+		if (renewal.epoch === options.epoch) {
+			return {isWhole: false, logIndex, servers: views.getChangedSince(renewal.revision)};
+		}
+
+		const all = views.getAll();
+		const knownIndex = renewal.logIndex ?? 0;
+		if (knownIndex === 0) {
+			return {isWhole: true, logIndex, servers: all};
+		}
+
+		const changed = all.filter(({id, isAbsent}) => isAbsent || getChangeIndex(id) > knownIndex);
+		return {
+			isWhole: false, logIndex, servers: changed, listed: all.map(({id}) => id),
+		};
 	}
 
-	function getServerViews(renewal: Renewal): readonly ServerView[] {
-		return renewal.epoch === options.epoch ? views.getChangedSince(renewal.revision) : views.getAll();
+	/** Gets the index of the replicated log at which a server last changed, or infinity if it is not known. */
+	function getChangeIndex(id: number): number {
+		return machine.registry.getById(id).andThen(({changedAt}) => Maybe.of(changedAt)).unwrapOr(Number.POSITIVE_INFINITY);
 	}
 
 	/** Gets the addresses of the other entries, or none if the renewal reports their current revision. */
 	function getPeers(renewal: Renewal, now: number): Pick<Grant, 'peers' | 'peersRevision'> {
-		const addresses = leases.getLive(now).map(holder => holder.peer).filter(peer => peer !== undefined);
-		const key = addresses.map(peer => `${peer.name} ${peer.host} ${peer.port}`).toSorted().join(',');
+		const {peers: addresses, peersKey: key} = getLiveLeases(now);
 		if (key !== peersKey || peersRevision === 0) {
 			peersKey = key;
 			peersRevision++;
@@ -293,7 +378,7 @@
 		epoch: options.epoch,
 		grant(renewal, receivedAt, now) {
 			expireLeases(now);
-			leases.record(renewal, receivedAt);
+			recordLease(renewal, receivedAt);
 			expireLeases(now);
 			recordRenewal(renewal, now);
 			collectCooledServers(renewal);
@@ -308,8 +393,7 @@
 				termMilliseconds,
 				epoch: options.epoch,
 				revision: views.getRevision(),
-				isWhole: renewal.epoch !== options.epoch,
-				servers: getServerViews(renewal),
+				...getServerList(renewal),
 				version,
 				document: version === renewal.version ? undefined : machine.register.getUpdate(renewal.environment, renewal.version),
 				permits: [
--- a/source/control/state-machine.ts
+++ b/source/control/state-machine.ts
@@ -40,7 +40,12 @@
 	readonly ledger: Ledger;
 	/** Gets the zones that operators took out of service, sorted by name. */
 	getZonesOut(): readonly string[];
-	apply(command: Command): CommandResult;
+	/**
+	 * Applies a committed command.
+	 * @param command - Committed command.
+	 * @param index - Index of the command in the replicated log.
+	 */
+	apply(command: Command, index?: number): CommandResult;
 	takeSnapshot(): StateMachineSnapshot;
 	restore(snapshot: StateMachineSnapshot): void;
 };
@@ -59,14 +64,14 @@
 	 * Takes a zone out of service or puts it back. The servers of a zone that is put back are marked cold, since they may have
 	 * cooled down while the zone was out of service.
 	 */
-	function setZoneOut(zone: string, isOut: boolean, at: number): readonly RegisteredServer[] {
+	function setZoneOut({zone, isOut, at}: Extract<Command, {readonly area: 'zones'}>, index: number | undefined): readonly RegisteredServer[] {
 		const wasOut = zonesOut.includes(zone);
 		if (wasOut === isOut) {
 			return [];
 		}
 
 		zonesOut = isOut ? [...zonesOut, zone].toSorted() : zonesOut.filter(other => other !== zone);
-		return isOut ? [] : registry.apply({kind: 'zoneCooled', zone, at});
+		return isOut ? [] : registry.apply({kind: 'zoneCooled', zone, at}, index);
 	}
 
 	return {
@@ -74,18 +79,18 @@
 		registry,
 		ledger,
 		getZonesOut: () => zonesOut,
-		apply(command) {
+		apply(command, index) {
 			switch (command.area) {
 				case 'configuration': {
 					return {area: 'configuration', answer: register.apply(command.command)};
 				}
 
 				case 'registry': {
-					return {area: 'registry', changed: registry.apply(command.command)};
+					return {area: 'registry', changed: registry.apply(command.command, index)};
 				}
 
 				case 'zones': {
-					return {area: 'zones', changed: setZoneOut(command.zone, command.isOut, command.at)};
+					return {area: 'zones', changed: setZoneOut(command, index)};
 				}
 
 				case 'ledger': {
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -143,7 +143,7 @@
 		},
 		onConnect(host) {
 			log.info({host}, 'connected to a control host');
-			leaseKeeper.renew();
+			leaseKeeper.handleConnect(host);
 		},
 	});
 	const claims = createClaims(client, settings.environment);
@@ -175,11 +175,7 @@
 			log.info({version: grant.version}, 'document in force');
 		}
 
-		if (grant.isWhole || grant.servers.length > 0) {
-			fleet.update(grant.servers, grant.isWhole);
-			logServerChanges(grant);
-		}
-
+		updateServers(grant);
 		entryCount = Math.max(1, grant.entries);
 		if (fleet.setZonesOutOfService(grant.zonesOut)) {
 			log.info({zonesOut: grant.zonesOut, epoch: grant.epoch}, 'zones out of service');
@@ -196,6 +192,24 @@
 		drainQueues();
 	}
 
+	/** Applies the servers of a grant. An entry that lacks a listed server asks for the whole list again. */
+	function updateServers(grant: Grant): void {
+		const {listed, servers, isWhole} = grant;
+		if (isWhole || servers.length > 0) {
+			fleet.update(servers, isWhole);
+			logServerChanges(grant);
+		}
+
+		if (listed === undefined) {
+			return;
+		}
+
+		if (!fleet.retain(listed, servers)) {
+			log.warn({epoch: grant.epoch, listed: listed.length, known: fleet.getSize()}, 'the list of servers is incomplete; asking for all of them');
+			leaseKeeper.holder.forgetServers();
+		}
+	}
+
 	/** Logs the servers that a grant changes, with its epoch and revision. A full list is logged only as its length. */
 	function logServerChanges(grant: Grant): void {
 		const {epoch, revision, isWhole, servers} = grant;
--- /dev/null
+++ b/source/entry/fleet.test.ts
@@ -0,0 +1,35 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {announcementSchema} from '../announcement/index.js';
+import {type ServerView} from '../lease/index.js';
+import {createRandom} from '../randomness/index.js';
+import {createFleet, type Fleet} from './fleet.js';
+
+function getView(id: number, isAbsent = false): ServerView {
+	return {
+		id, state: 'warm', isAbsent, isRemoved: false, announcement: announcementSchema.parse({
+			service: 'stock', name: `server-${id}`, host: '127.0.0.1', port: id, zone: 'north', slots: 4, connections: 100, boot: 'one', state: 'warm',
+		}),
+	};
+}
+
+describe('createFleet: servers that a new leader lists', () => {
+	function doTest(listed: readonly number[], views: readonly ServerView[], expected: {readonly isComplete: boolean; readonly servers: ReadonlyArray<readonly [id: number, isAbsent: boolean]>}): void {
+		const fleet: Fleet = createFleet(createRandom(1), undefined);
+		fleet.update([getView(1), getView(2, true)], true);
+		fleet.update(views, false);
+		const isComplete = fleet.retain(listed, views);
+		expect({isComplete, servers: [...fleet.getServers()].map(({candidate}) => [candidate.id, candidate.isAbsent()] as const)}).toEqual({isComplete: expected.isComplete, servers: [...expected.servers]});
+		fleet.close();
+	}
+
+	test('are kept, and present unless their view says otherwise', () => {
+		doTest([1, 2], [getView(1, true)], {isComplete: true, servers: [[1, true], [2, false]]});
+	});
+	test('replace the others', () => {
+		doTest([2, 3], [getView(3)], {isComplete: true, servers: [[2, false], [3, false]]});
+	});
+	test('are incomplete if one is not known', () => {
+		doTest([1, 2, 3], [], {isComplete: false, servers: [[1, false], [2, false]]});
+	});
+});
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -42,6 +42,8 @@
 	setDocument(document: EnvironmentDocument): void;
 	/** Adds, updates and removes servers. If `isComplete` is set, servers that are not listed are removed too. */
 	update(views: readonly ServerView[], isComplete: boolean): void;
+	/** Removes the servers that are not listed, and marks those as present that the given views do not call absent. Returns whether all listed servers are known. */
+	retain(ids: readonly number[], views: readonly ServerView[]): boolean;
 	setPermits(permits: readonly Permit[], now: number): void;
 	/** Revokes the permits for cold servers, because the lease has ended. */
 	revokePermits(): void;
@@ -170,8 +172,8 @@
 	}
 
 	/** Removes the servers that are not listed, and returns their services. */
-	function removeUnlisted(views: readonly ServerView[]): readonly string[] {
-		const present = new Set(views.map(view => view.id));
+	function removeUnlisted(ids: readonly number[]): readonly string[] {
+		const present = new Set(ids);
 		const removed = [...servers.values()].filter(({candidate}) => !present.has(candidate.id));
 		for (const {candidate} of removed) {
 			remove(candidate.id);
@@ -235,7 +237,7 @@
 		update(views, isComplete) {
 			const changedServices = new Set(views.map(view => view.announcement.service));
 			if (isComplete) {
-				for (const service of removeUnlisted(views)) {
+				for (const service of removeUnlisted(views.map(view => view.id))) {
 					changedServices.add(service);
 				}
 			}
@@ -252,6 +254,18 @@
 				updateCandidates(service);
 			}
 		},
+		retain(ids, views) {
+			for (const service of removeUnlisted(ids)) {
+				updateCandidates(service);
+			}
+
+			const absent = new Set(views.filter(view => view.isAbsent).map(view => view.id));
+			for (const {candidate} of servers.values()) {
+				candidate.update(candidate.getAnnouncement(), candidate.getState(), absent.has(candidate.id));
+			}
+
+			return servers.size === ids.length;
+		},
 		setPermits(permits, now) {
 			const byServer = new Map(permits.map(permit => [permit.server, permit]));
 			for (const {candidate} of servers.values()) {
--- a/source/entry/lease-keeper.test.ts
+++ b/source/entry/lease-keeper.test.ts
@@ -23,6 +23,7 @@
 		const client: Pick<ControlClient, 'sendToLeader' | 'setLeader'> = {
 			sendToLeader(message) {
 				renewals.push(message as Renewal);
+				return 'leader';
 			},
 			setLeader() {
 				// The test has one leader.
--- a/source/entry/lease-keeper.ts
+++ b/source/entry/lease-keeper.ts
@@ -5,15 +5,12 @@
 	applyDocumentUpdate, type DocumentUpdate, type Environment, type EnvironmentDocument,
 } from '../configuration/index.js';
 import {
-	createLeaseHolder, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Renewal,
+	createLeaseHolder, createRenewalPacing, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Renewal,
 } from '../lease/index.js';
 import {type ControlClient} from '../control-client/index.js';
 import {type ControlOutbound} from '../control/message.js';
 
-/** Minimum time between a renewal and one that is sent ahead of the regular interval. */
-const minimumSpacingMilliseconds = 20;
-
-/** Time beyond the renewal interval without a grant after which the leader counts as unknown. */
+/** Time beyond the renewal interval without an answer after which a renewal counts as lost and the leader as unknown. */
 const leaderTimeoutMilliseconds = 300;
 
 /** Renews a lease at regular intervals. */
@@ -24,6 +21,8 @@
 	receive(host: string, message: ControlOutbound): void;
 	/** Sends a renewal immediately. */
 	renew(): void;
+	/** Sends the renewal that is on its way to a host that has just been connected, if no leader is known. */
+	handleConnect(host: string): void;
 	/** Ends the lease, and sends a final renewal to the leader. */
 	release(): void;
 	stop(): void;
@@ -53,20 +52,22 @@
 export function keepLease(options: LeaseKeeperOptions): LeaseKeeper {
 	const holder = createLeaseHolder();
 	const grants = new Subject<Grant>();
-	let lastSentAt = Number.NEGATIVE_INFINITY;
-	let lastGrantAt = performance.now();
-	let pendingRenewal: NodeJS.Timeout | undefined;
+	const pacing = createRenewalPacing({renewMilliseconds: options.renewMilliseconds, answerTimeoutMilliseconds: options.renewMilliseconds + leaderTimeoutMilliseconds});
+	let isStopped = false;
+	let timer: NodeJS.Timeout | undefined;
 	let document: EnvironmentDocument | undefined;
 	let needsFullDocument = false;
+	let wasSentToAll = false;
+	let lastRenewal: Renewal | undefined;
 
 	function send(isFinal: boolean): void {
 		const now = performance.now();
 		const client = options.getClient();
-		if (now - lastGrantAt > options.renewMilliseconds + leaderTimeoutMilliseconds) {
+		if (pacing.isUnanswered(now)) {
 			client.setLeader(undefined);
 		}
 
-		lastSentAt = now;
+		pacing.recordSent(now);
 		const renewal: Renewal = {
 			kind: 'renewal',
 			entry: options.entry,
@@ -76,6 +77,7 @@
 			version: needsFullDocument ? 0 : holder.getVersion(),
 			epoch: holder.getEpoch(),
 			revision: holder.getRevision(),
+			logIndex: holder.getLogIndex(),
 			peersRevision: holder.getPeersRevision(),
 			observations: options.takeObservations(),
 			failedProbes: options.takeFailedProbes(),
@@ -84,19 +86,22 @@
 			peer: options.peer,
 			isFinal,
 		};
-		client.sendToLeader(renewal);
+		lastRenewal = renewal;
+		wasSentToAll = client.sendToLeader(renewal) === 'all';
+		schedule();
 	}
 
-	function scheduleRenewal(): void {
-		if (pendingRenewal !== undefined) {
-			return;
+	/** Schedules the next renewal for the time at which it is due. */
+	function schedule(): void {
+		clearTimeout(timer);
+		if (!isStopped) {
+			timer = setTimeout(send, Math.max(0, pacing.getDueAt() - performance.now()), false);
 		}
+	}
 
-		const wait = Math.max(0, lastSentAt + minimumSpacingMilliseconds - performance.now());
-		pendingRenewal = setTimeout(() => {
-			pendingRenewal = undefined;
-			send(false);
-		}, wait);
+	function scheduleRenewal(): void {
+		pacing.request();
+		schedule();
 	}
 
 	/** Applies an update to the document; returns false if the update is based on a different document. */
@@ -107,8 +112,12 @@
 	}
 
 	function handleGrant(host: string, grant: Grant): void {
-		lastGrantAt = performance.now();
+		if (grant.sequence === lastRenewal?.sequence) {
+			pacing.recordAnswer();
+		}
+
 		options.getClient().setLeader(host);
+		schedule();
 		const isFirst = holder.getAcknowledged() === 0;
 		const now = performance.now();
 		if (!holder.isAcceptable(grant, now)) {
@@ -132,9 +141,32 @@
 		}
 	}
 
-	const renewalTimer = setInterval(() => {
-		send(false);
-	}, options.renewMilliseconds);
+	/** Follows the hint of a host that does not lead. The leader has the renewal already if it was sent to all hosts. */
+	function handleRefusal(host: string, leader: string | undefined): void {
+		if (leader === undefined || leader === host) {
+			pacing.recordAnswer();
+			schedule();
+			return;
+		}
+
+		options.getClient().setLeader(leader);
+		if (!wasSentToAll) {
+			pacing.expedite();
+			schedule();
+		}
+	}
+
+	/** Renews early. A nudge comes from the leader, so a renewal that is on its way to another host is lost. */
+	function handleNudge(host: string): void {
+		if (options.getClient().getLeader() !== host) {
+			options.getClient().setLeader(host);
+			pacing.expedite();
+		}
+
+		scheduleRenewal();
+	}
+
+	timer = setTimeout(send, options.renewMilliseconds, false);
 
 	return {
 		holder,
@@ -147,16 +179,12 @@
 				}
 
 				case 'refusal': {
-					if (message.leader !== undefined && message.leader !== host) {
-						options.getClient().setLeader(message.leader);
-						scheduleRenewal();
-					}
-
+					handleRefusal(host, message.leader);
 					return;
 				}
 
 				case 'nudge': {
-					scheduleRenewal();
+					handleNudge(host);
 					break;
 				}
 
@@ -175,13 +203,21 @@
 		renew() {
 			send(false);
 		},
+		handleConnect(host) {
+			const client = options.getClient();
+			if (lastRenewal === undefined || !pacing.isOnItsWay()) {
+				send(false);
+			} else if (client.getLeader() === undefined) {
+				client.sendTo(host, lastRenewal);
+			}
+		},
 		release() {
 			send(true);
 			holder.release();
 		},
 		stop() {
-			clearInterval(renewalTimer);
-			clearTimeout(pendingRenewal);
+			isStopped = true;
+			clearTimeout(timer);
 			grants.complete();
 		},
 	};
--- a/source/lease/holder.ts
+++ b/source/lease/holder.ts
@@ -24,8 +24,12 @@
 	getAcknowledged(): number;
 	getEpoch(): number;
 	getRevision(): number;
+	/** Gets the index of the replicated log up to which the servers are known, or 0 if the leader did not tell. */
+	getLogIndex(): number;
 	getVersion(): number;
 	getPeersRevision(): number;
+	/** Forgets the revision of the servers, so that the next renewal asks for all of them. */
+	forgetServers(): void;
 	/** Ends the lease at once; later grants are ignored. */
 	release(): void;
 };
@@ -38,6 +42,7 @@
 	let acknowledged = 0;
 	let epoch = 0;
 	let revision = 0;
+	let logIndex = 0;
 	let version = 0;
 	let peersRevision = 0;
 	let isReleased = false;
@@ -68,6 +73,7 @@
 			acknowledged = grant.sequence;
 			epoch = grant.epoch;
 			revision = grant.revision;
+			logIndex = grant.logIndex ?? 0;
 			version = grant.version;
 			peersRevision = grant.peersRevision;
 			return true;
@@ -77,8 +83,13 @@
 		getAcknowledged: () => acknowledged,
 		getEpoch: () => epoch,
 		getRevision: () => revision,
+		getLogIndex: () => logIndex,
 		getVersion: () => version,
 		getPeersRevision: () => peersRevision,
+		forgetServers() {
+			revision = 0;
+			logIndex = 0;
+		},
 		release() {
 			isReleased = true;
 			expiresAt = Number.NEGATIVE_INFINITY;
--- a/source/lease/index.ts
+++ b/source/lease/index.ts
@@ -1,4 +1,5 @@
 export * from './table.js';
 export * from './holder.js';
 export type * from './message.js';
+export * from './renewal-pacing.js';
 export * from './suspension.js';
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -33,6 +33,8 @@
 	readonly version: number;
 	readonly epoch: number;
 	readonly revision: number;
+	/** Index of the replicated log up to which the entry knows the servers; 0 or missing before the first list. */
+	readonly logIndex?: number;
 	/** Revision of the list of peers at the entry, or 0 before the first. */
 	readonly peersRevision: number;
 	readonly observations: readonly Observation[];
@@ -63,12 +65,19 @@
 	readonly kind: 'grant';
 	readonly sequence: number;
 	readonly termMilliseconds: number;
-	/** Consensus term of the leader. Revisions of the servers are comparable only within an epoch. */
+	/** Consensus term of the leader. Revisions of the servers are comparable only within an epoch, log indexes also across epochs. */
 	readonly epoch: number;
 	readonly revision: number;
 	/** Whether `servers` is the full list rather than the changes since the revision of the renewal. */
 	readonly isWhole: boolean;
 	readonly servers: readonly ServerView[];
+	/** Index of the replicated log that the servers reflect, comparable across leaders; missing from older control hosts. */
+	readonly logIndex?: number;
+	/**
+	 * Ids of all servers, if the renewal names another epoch: servers that are not listed were removed, and those without a view
+	 * in `servers` are unchanged and present.
+	 */
+	readonly listed?: readonly number[];
 	readonly version: number;
 	/** Update from the version of the renewal to `version`, or undefined if they are equal. */
 	readonly document: DocumentUpdate | undefined;
--- a/source/lease/table.ts
+++ b/source/lease/table.ts
@@ -22,6 +22,8 @@
 	/** Gets the leases that have not expired. */
 	getLive(now: number): readonly LeaseRecord[];
 	isLive(entry: string, now: number): boolean;
+	/** Gets the recorded lease of an entry, which may have expired. */
+	get(entry: string): LeaseRecord | undefined;
 	/** Gets all recorded leases, including expired ones that are not removed yet. */
 	getAll(): readonly LeaseRecord[];
 	/**
@@ -60,6 +62,7 @@
 		},
 		getLive,
 		isLive: (entry, now) => isLive(records.get(entry), now),
+		get: entry => records.get(entry),
 		getAll: () => [...records.values()],
 		isInForce(environment, version, now) {
 			const hasFullTermElapsed = now - startedAt > termMilliseconds;
