Take no refusal without the id of its request; bound responses without end

Cause: a refusal without an id, written once more by a server whose connections had not repeated an id yet, was taken for the response to the next request on that connection: the caller was told that an order had not run while it ran (REFUSED), and with a second attempt it could run twice. Change: a refusal counts only if it repeats the id of its request.

--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -57,6 +57,9 @@
 /** Reasons that do not indicate that the server has crashed. */
 const harmlessReasons: ReadonlySet<FailureReason> = new Set(['deadline', 'answer-mismatched', 'bad-request', 'body-too-large']);
 
+/** Maximum number of informational responses to one request; a server that sends more never comes to its response. */
+const maximumInformationalResponses = 16;
+
 /** A running attempt. */
 export type Attempt = {
 	/** Cancels the attempt and destroys its connection. */
@@ -73,6 +76,7 @@
 	let isDispatched = false;
 	let isEnded = false;
 	let isDispatchRefused = false;
+	let informationalResponses = 0;
 	const request: ClientRequest = startRequest({
 		agent: options.pool.agent, method: options.method, path: options.target, headers: options.headers as string[], setHost: false,
 	});
@@ -126,6 +130,12 @@
 			sendStream(options.stream);
 		}
 	});
+	request.on('information', () => {
+		informationalResponses++;
+		if (informationalResponses > maximumInformationalResponses) {
+			fail('answer-mismatched');
+		}
+	});
 	request.once('error', () => {
 		fail('connection-lost');
 	});
@@ -147,6 +157,12 @@
 		options.onReport(dialect.getReport(response.headers));
 		const head: ResponseHead = {status: response.statusCode ?? 502, headers: getResponseHeaders(dialect, response), isCloseDelimited: !isSelfDelimited(response, options.method)};
 		if (dialect.isNotRun(head.status, response.headers)) {
+			if (echoedId !== options.requestId) {
+				// A refusal without the id of the request may be an earlier one that the server wrote once more, so it proves nothing.
+				fail('answer-mismatched');
+				return;
+			}
+
 			discardBody(response);
 			end({kind: 'failed', verdict: notRun('server-shed'), hasCrashed: false});
 			destroyUnfinishedRequest();
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -314,6 +314,7 @@
 		maximumHeldBodyBytes: settings.maximumHeldBodyBytes,
 		heldBodies: createByteBudget(settings.maximumHeldBytes),
 		maximumBufferedBytes: settings.maximumHeldAnswerBytes,
+		maximumResponseBytes: settings.maximumAnswerBytes,
 		maximumStoredBytes: maximumStoredResponseBytes,
 		mayDispatch,
 		onReport: applyServerReport,
--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -255,7 +255,7 @@
 		admitted.claim?.finish(undefined);
 		writeResponseHead(context.dialect, response, head, admitted.requestId, exchange.decideClose(head.isCloseDelimited));
 		streamResponse({
-			response, chunks, rest, completion, deadlineAt, onEnd(isComplete) {
+			response, chunks, rest, completion, deadlineAt, maximumBytes: context.maximumResponseBytes, onEnd(isComplete) {
 				const verdict: Verdict = isComplete ? {kind: 'ran', status: head.status} : mayHaveRun('answer-truncated');
 				admitted.onEnd(verdict);
 			},
--- a/source/entry/request-handler.ts
+++ b/source/entry/request-handler.ts
@@ -42,6 +42,7 @@
 	readonly maximumHeldBodyBytes: number;
 	readonly heldBodies: ByteBudget;
 	readonly maximumBufferedBytes: number;
+	readonly maximumResponseBytes: number;
 	readonly maximumStoredBytes: number;
 	/** Checks whether the entry may accept and dispatch new requests. */
 	mayDispatch(now: number): boolean;
--- a/source/entry/response.ts
+++ b/source/entry/response.ts
@@ -96,6 +96,8 @@
 	readonly rest: IncomingMessage;
 	/** Time in milliseconds by which the response must have ended. */
 	readonly deadlineAt: number;
+	/** Maximum size of the body in bytes; a larger one is broken off. */
+	readonly maximumBytes: number;
 	readonly completion: ResponseCompletion;
 	/** Called at the end with whether the body was complete. */
 	onEnd(isWhole: boolean): void;
@@ -107,10 +109,21 @@
  */
 export function streamResponse(streamed: StreamedResponse): void {
 	const {response, rest} = streamed;
+	let receivedBytes = 0;
+	function countBytes(chunk: Buffer): void {
+		receivedBytes += chunk.length;
+		if (receivedBytes > streamed.maximumBytes) {
+			rest.destroy();
+		}
+	}
+
 	for (const chunk of streamed.chunks) {
+		countBytes(chunk);
 		response.write(chunk);
 	}
 
+	rest.on('data', countBytes);
+
 	const timer = setTimeout(() => {
 		rest.destroy();
 	}, Math.max(0, streamed.deadlineAt - performance.now()));
--- a/stand-in/entry-bed.ts
+++ b/stand-in/entry-bed.ts
@@ -57,6 +57,8 @@
 	readonly servers?: number;
 	readonly timeoutMilliseconds?: number;
 	readonly attempts?: number;
+	/** Whether the servers repeat the ids of requests before the test begins; true by default. */
+	readonly repeatsIds?: boolean;
 	/** Maximum size of a caller's body in bytes. */
 	readonly bodyBytes?: number;
 	readonly entrySettings?: Readonly<Record<string, unknown>>;
@@ -139,7 +141,8 @@
 			sockets.add(socket);
 			readHeads(socket, request => {
 				if (request.target === '/health' || isWarmingUp) {
-					socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${request.headers['request-id'] ?? ''}\r\ncontent-length: 0\r\n\r\n`);
+					const idHeader = options.repeatsIds === false ? '' : `request-id: ${request.headers['request-id'] ?? ''}\r\n`;
+					socket.write(`HTTP/1.1 200 OK\r\n${idHeader}content-length: 0\r\n\r\n`);
 					return;
 				}
 
