--- a/stand-in/platform/configuration.ts
+++ b/stand-in/platform/configuration.ts
@@ -1,7 +1,7 @@
 /** Renders configurations in the format in which the platform's operators send them, for tests. */
 
 /** Route of a configuration, by path prefix; every route sends its requests to the service `stock`. */
-export type ConfigurationRoute = {readonly path: string; readonly type: 'safe' | 'unsafe'};
+export type ConfigurationRoute = {readonly path: string; readonly type: 'safe' | 'unsafe' | 'upload'};
 
 /**
  * Renders a configuration as JSON.
