Let entries prefer eight servers of their zone for load queries

Ruled out: the pool, which keeps connections as long as servers do. Change: rendezvous hashing gives each entry eight preferred servers of a service in its own zone; the others get a penalty of 0.4 of load per slot in the first round of queries, none in the second. Zones of eight servers or fewer are as before.

--- a/source/choice/index.ts
+++ b/source/choice/index.ts
@@ -3,3 +3,4 @@
 export * from './peer-counts.js';
 export * from './load-query.js';
 export * from './admission.js';
+export * from './subset.js';
--- a/source/choice/load-query.ts
+++ b/source/choice/load-query.ts
@@ -26,6 +26,9 @@
 /** Candidates of the own zone that suffice for a round of queries; other zones are queried if these have no room or are slow. */
 const sufficientOwnZoneCandidates = 2;
 
+/** Load that is added to a candidate outside the subset, which exceeds the jitter and about two requests in flight. */
+const outsideSubsetLoad = 0.4;
+
 /** Load that is added to a candidate while the control hosts report it absent. */
 const absentLoad = 1;
 
@@ -60,6 +63,8 @@
 	readonly count: number;
 	/** Whether servers in the own zone come first; false once these had no room. */
 	readonly prefersOwnZone: boolean;
+	/** Ids of the servers in the own zone that the entry prefers; undefined if it prefers none. */
+	readonly subset?: ReadonlySet<number>;
 	readonly now: number;
 };
 
@@ -81,7 +86,8 @@
 function getQueryScore(candidate: Candidate, choice: QuerySelectionOptions): number {
 	const {zone} = candidate.getAnnouncement();
 	const distance = choice.prefersOwnZone && zone !== choice.zone ? otherZoneLoad : 0;
+	const unfamiliarity = choice.prefersOwnZone && choice.subset?.has(candidate.id) === false ? outsideSubsetLoad : 0;
 	const avoidance = choice.avoidedZones.has(zone) ? otherZoneLoad : 0;
 	const absence = candidate.isAbsent() ? absentLoad : 0;
-	return candidate.getLoad(choice.now, false) + distance + avoidance + absence;
+	return candidate.getLoad(choice.now, false) + distance + unfamiliarity + avoidance + absence;
 }
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -4,7 +4,9 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {interval, Subscription} from 'rxjs';
-import {createPeerCounts, createCountsReporter, type Candidate} from '../choice/index.js';
+import {
+	createPeerCounts, createCountsReporter, createSubsetChooser, type Candidate,
+} from '../choice/index.js';
 import {type EnvironmentDocument} from '../configuration/index.js';
 import {createControlClient, createHostDirectory, type ControlClient} from '../control-client/index.js';
 import {createSuspensionDetector, type Grant} from '../lease/index.js';
@@ -86,11 +88,8 @@
 	const random = createRandom(options.seed);
 	const metrics = createEntryMetrics();
 	const {attemptBudget} = settings;
-	const fleet = createFleet(random, attemptBudget === undefined
-		? undefined
-		: {
-			ratio: attemptBudget.ratio, getSlack: () => attemptBudget.slack / entryCount,
-		});
+	const sharedBudget = attemptBudget === undefined ? undefined : {ratio: attemptBudget.ratio, getSlack: () => attemptBudget.slack / entryCount};
+	const fleet = createFleet(random, sharedBudget, createSubsetChooser({entry: settings.name, zone: settings.zone}));
 	const suspension = createSuspensionDetector();
 	const requestLog = createRequestLog(log, () => performance.now());
 	const peerCounts = createPeerCounts();
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -4,7 +4,7 @@
  */
 import {getServerKey, type ServerKey} from '../announcement/index.js';
 import {
-	createCandidate, createChooser, type Candidate, type Chooser,
+	createCandidate, createChooser, type Candidate, type Chooser, type SubsetChooser,
 } from '../choice/index.js';
 import {type EnvironmentDocument, type Service} from '../configuration/index.js';
 import {type Observation, type Permit, type ServerView} from '../lease/index.js';
@@ -34,6 +34,8 @@
 	readonly hedgeDelay: HedgeDelay;
 	getChooser(): Chooser;
 	getCandidates(): readonly Candidate[];
+	/** Gets the ids of the servers in the own zone that the entry prefers to query; undefined if it prefers none. */
+	getSubset(): ReadonlySet<number> | undefined;
 };
 
 /** The servers that an entry may send requests to. */
@@ -67,7 +69,7 @@
 
 type MutableState = ServiceState & {
 	setService(service: Service): void;
-	setCandidates(candidates: readonly Candidate[]): void;
+	setCandidates(candidates: readonly Candidate[], subset: ReadonlySet<number> | undefined): void;
 };
 
 /** Budget of extra attempts that this entry may make for each service: a ratio of its requests, and its part of a slack that all entries share. */
@@ -83,6 +85,7 @@
 function createServiceState(initial: Service, random: Random, budgetOptions: SharedBudgetOptions | undefined): MutableState {
 	let service = initial;
 	let candidates: readonly Candidate[] = [];
+	let subset: ReadonlySet<number> | undefined;
 	let chooser = createChooser(service.policy, random);
 	const sharedBudget = budgetOptions === undefined ? undefined : createSharedBudget(budgetOptions);
 	return {
@@ -95,6 +98,7 @@
 		hedgeDelay: createHedgeDelay(hedgeQuantile, initialHedgeDelayMilliseconds, () => service.hedgeDelayMilliseconds ?? defaultHedgeDelayMilliseconds),
 		getChooser: () => chooser,
 		getCandidates: () => candidates,
+		getSubset: () => subset,
 		setService(next) {
 			if (next.policy !== service.policy) {
 				chooser = createChooser(next.policy, random);
@@ -102,8 +106,9 @@
 
 			service = next;
 		},
-		setCandidates(next) {
+		setCandidates(next, nextSubset) {
 			candidates = next;
+			subset = nextSubset;
 		},
 	};
 }
@@ -112,8 +117,9 @@
  * Creates a fleet without servers.
  * @param random - Source of random numbers.
  * @param budgetOptions - Budget that retries and hedges share; by default each has a budget of its own.
+ * @param subsetChooser - Chooser of the servers that the entry prefers to query; by default it prefers none.
  */
-export function createFleet(random: Random, budgetOptions?: SharedBudgetOptions): Fleet {
+export function createFleet(random: Random, budgetOptions?: SharedBudgetOptions, subsetChooser?: SubsetChooser): Fleet {
 	const servers = new Map<number, FleetServer>();
 	const byKey = new Map<ServerKey, Candidate>();
 	const byService = new Map<string, Set<Candidate>>();
@@ -138,7 +144,7 @@
 		}
 
 		const candidates = [...byService.get(service) ?? []].filter(candidate => isEligible(candidate));
-		state.setCandidates(candidates);
+		state.setCandidates(candidates, subsetChooser?.choose(candidates));
 		for (const candidate of candidates) {
 			candidate.setSlotsEnforced(state.getService().policy === 'central-queue');
 			candidate.setQueriedBeforeRequests((state.getService().askedCandidates ?? 0) > 0);
--- a/source/entry/server-selector.test.ts
+++ b/source/entry/server-selector.test.ts
@@ -48,7 +48,9 @@
 			shortageEstimate.recordPlacement(false, 0);
 		}
 
-		const state = {getCandidates: () => candidates, getService: () => services[0]!, shortageEstimate} as unknown as ServiceState;
+		const state = {
+			getCandidates: () => candidates, getSubset: () => undefined, getService: () => services[0]!, shortageEstimate,
+		} as unknown as ServiceState;
 		const selector = createServerSelector({
 			context, state, route: createRouter(services, routes).get('any', '/1')!, excluded: new Set(), avoidedZones: new Set(), isLate: false, recordDecision() {
 				// Decisions are ignored here.
--- a/source/entry/server-selector.ts
+++ b/source/entry/server-selector.ts
@@ -106,6 +106,7 @@
 			avoidedZones,
 			count: context.queryBudget.take(selection.count, now),
 			prefersOwnZone: selection.replyCount === 0 || selection.best !== undefined,
+			subset: state.getSubset(),
 			now,
 		}, context.random);
 	}
