Keep the time of the regular renewal after one that was requested

Cause: a renewal that a nudge requested postponed the next regular one. Change: a requested renewal is an extra one, as before the pacing. The lists of live leases, the error of malformed bodies and the wait for a full disk got files of their own.

--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -14,7 +14,7 @@
 import {type BurnRateTracker} from '../service-level/index.js';
 import {getSeeds, type ControlSettings, type Security} from '../settings/index.js';
 import {
-	getHostName, isDiskFull, openStore,
+	getHostName, openStore, retryWhileDiskFull,
 } from '../storage/index.js';
 import {type Log} from '../telemetry/index.js';
 import {listen, listenForLinks, type Link} from '../wire/index.js';
@@ -39,9 +39,6 @@
 const forwardAttemptTimeoutMilliseconds = 200;
 const millisecondsPerHour = 3_600_000;
 
-/** Time between two attempts to open the data folder on a full disk. */
-const startRetryMilliseconds = 200;
-
 /** A running control host. */
 export type Control = {
 	readonly apiPort: number;
@@ -73,7 +70,7 @@
 export async function startControl(options: ControlOptions): Promise<Result<Control, string>> {
 	const {settings, security, log} = options;
 	const discovery = createHostDiscovery(settings, options.isFounding);
-	const opened = await retryWhileFull(async () => discovery.openFolder());
+	const opened = await retryWhileDiskFull(async () => discovery.openFolder());
 	if (opened.isErr) {
 		return Result.err(opened.error);
 	}
@@ -96,7 +93,7 @@
 	const driver = startDriver({
 		id: self,
 		founders: discovery.getFounders(folder),
-		store: await retryWhileFull(async () => openStore(path.join(settings.dataFolder, 'log'), stateMachineCodec)),
+		store: await retryWhileDiskFull(async () => openStore(path.join(settings.dataFolder, 'log'), stateMachineCodec)),
 		machine,
 		electionMilliseconds: settings.election.timeoutMilliseconds,
 		heartbeatMilliseconds: settings.election.heartbeatMilliseconds,
@@ -429,21 +426,6 @@
 	});
 }
 
-/** Repeats an operation until the disk is not full, so that a host that starts on a full disk does not restart over and over. */
-async function retryWhileFull<Value>(operation: () => Promise<Value>): Promise<Value> {
-	for (;;) {
-		try {
-			return await operation();
-		} catch (error) {
-			if (!isDiskFull(error)) {
-				throw error;
-			}
-
-			await delay(startRetryMilliseconds);
-		}
-	}
-}
-
 async function loadBurnRateTracker(): Promise<BurnRateTracker> {
 	const {createBurnRateTracker} = await import('../service-level/burn-rate-tracker.js');
 	return createBurnRateTracker();
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -12,10 +12,11 @@
 } from '../cold-start/index.js';
 import {type EnvironmentDocument, type Service} from '../configuration/index.js';
 import {
-	createLeaseTable, type Grant, type LeaseRecord, type LeaseTable, type PeerAddress, type Renewal,
+	createLeaseTable, type Grant, type LeaseTable, type Renewal,
 } from '../lease/index.js';
 import {createProbeDuties, getProbeIntervalMilliseconds, type ProbeDuties} from '../measuring/index.js';
 import {createQuarantine, type Quarantine} from '../quarantine/index.js';
+import {createLiveLeases, isSamePeer, type LiveLeases} from './live-leases.js';
 import {type EntryStatus, type ServerStatus} from './message.js';
 import {type StateMachine} from './state-machine.js';
 import {createServerViews} from './server-views.js';
@@ -65,30 +66,6 @@
 	getUrgentRevision(): number;
 };
 
-/** Entries with a live lease and the addresses of those that have peers. */
-type LiveLeases = {
-	/** Names of the entries, sorted, by environment. */
-	readonly entriesByEnvironment: ReadonlyMap<string, readonly string[]>;
-	readonly peers: readonly PeerAddress[];
-	/** Value that changes with the peers. */
-	readonly peersKey: string;
-};
-
-function createLiveLeases(live: readonly LeaseRecord[]): LiveLeases {
-	const entriesByEnvironment = new Map<string, string[]>();
-	for (const {entry, environment} of live.toSorted((one, other) => one.entry < other.entry ? -1 : 1)) {
-		entriesByEnvironment.set(environment, [...entriesByEnvironment.get(environment) ?? [], entry]);
-	}
-
-	const peers = live.map(({peer}) => peer).filter(peer => peer !== undefined);
-	const peersKey = peers.map(peer => `${peer.name} ${peer.host} ${peer.port}`).toSorted().join(',');
-	return {entriesByEnvironment, peers, peersKey};
-}
-
-function isSamePeer(one: PeerAddress | undefined, other: PeerAddress | undefined): boolean {
-	return one?.name === other?.name && one?.host === other?.host && one?.port === other?.port;
-}
-
 /** Options of `createLeadership`. */
 export type LeadershipOptions = {
 	readonly epoch: number;
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -7,7 +7,7 @@
 import {request as startRequest, type ClientRequest, type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
-import {MalformedBodyError} from './caller-connections.js';
+import {MalformedBodyError} from './malformed-body-error.js';
 import {type Dialect, type ServerReport} from './dialect.js';
 import {discardBody} from './discard.js';
 import {trackCompletion, type ResponseCompletion} from './response-completion.js';
--- a/source/entry/body.ts
+++ b/source/entry/body.ts
@@ -1,7 +1,7 @@
 /** Reads the bodies of requests. */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
-import {MalformedBodyError} from './caller-connections.js';
+import {MalformedBodyError} from './malformed-body-error.js';
 
 /**
  * Result of reading a body. `tooLarge` means that it exceeds the limit; what was read so far is put back. `cut` means that the
--- a/source/entry/caller-connections.ts
+++ b/source/entry/caller-connections.ts
@@ -10,6 +10,7 @@
 import {performance} from 'node:perf_hooks';
 import {discardLimits} from './discard.js';
 import {getContentLength} from './content-length.js';
+import {MalformedBodyError} from './malformed-body-error.js';
 
 /** Maximum number of requests of one connection that run at the same time. */
 const maximumRunning = 8;
@@ -17,11 +18,6 @@
 /** Number of waiting requests of one connection at which it is no longer read. */
 const maximumWaiting = 16;
 
-/** Error of a request whose body violates the protocol. */
-export class MalformedBodyError extends Error {
-	override name = 'MalformedBodyError';
-}
-
 /** Request of a caller with its response. */
 export type Exchange = {
 	readonly request: IncomingMessage;
@@ -181,6 +177,10 @@
 		if (connection.rejection !== undefined) {
 			connection.isClosing = true;
 			socket.end(connection.rejection);
+			// The caller may read the response, but must not go on sending for ever.
+			setTimeout(() => {
+				socket.destroy();
+			}, discardLimits.maximumMilliseconds);
 		}
 	}
 
--- a/source/lease/renewal-pacing.test.ts
+++ b/source/lease/renewal-pacing.test.ts
@@ -27,6 +27,14 @@
 			pacing.recordAnswer();
 		}, 1020);
 	});
+	test('keeps the time of the regular renewal after a requested one', () => {
+		doTest(pacing => {
+			pacing.recordAnswer();
+			pacing.request();
+			pacing.recordSent(1200);
+			pacing.recordAnswer();
+		}, 1500);
+	});
 	test('sends at once after a lost renewal', () => {
 		doTest(pacing => {
 			pacing.expedite();
--- a/source/lease/renewal-pacing.ts
+++ b/source/lease/renewal-pacing.ts
@@ -37,6 +37,7 @@
  */
 export function createRenewalPacing(options: RenewalPacingOptions): RenewalPacing {
 	let sentAt = Number.NEGATIVE_INFINITY;
+	let regularAt = Number.NEGATIVE_INFINITY;
 	let isPending = false;
 	let isRequested = true;
 
@@ -46,11 +47,13 @@
 				return sentAt + options.answerTimeoutMilliseconds;
 			}
 
-			return sentAt + (isRequested ? minimumSpacingMilliseconds : options.renewMilliseconds);
+			return isRequested ? sentAt + minimumSpacingMilliseconds : Math.max(regularAt, sentAt + minimumSpacingMilliseconds);
 		},
 		isUnanswered: now => isPending && now >= sentAt + options.answerTimeoutMilliseconds,
 		isOnItsWay: () => isPending,
 		recordSent(now) {
+			// A requested renewal does not postpone the regular one: servers in their cold start are granted more with each.
+			regularAt = now < regularAt ? regularAt : now + options.renewMilliseconds;
 			sentAt = now;
 			isPending = true;
 			isRequested = false;
--- a/stand-in/entry-bed.ts
+++ b/stand-in/entry-bed.ts
@@ -34,8 +34,8 @@
 	readonly callersPort: number;
 	/** Heads of all requests that servers received except health checks, in order. */
 	readonly received: readonly ReceivedRequest[];
-	/** Sends raw bytes on a new connection. */
-	connect(text: string): RawConnection;
+	/** Sends raw bytes on a new connection, which stays open on the caller's side if it is half-open. */
+	connect(text: string, isHalfOpen?: boolean): RawConnection;
 	stop(): Promise<void>;
 };
 
@@ -67,8 +67,8 @@
 };
 
 /** Connects to a port and sends text. */
-export function connectRaw(port: number, text: string): RawConnection {
-	const socket = connect(port, loopback);
+export function connectRaw(port: number, text: string, isHalfOpen = false): RawConnection {
+	const socket = connect({port, host: loopback, allowHalfOpen: isHalfOpen});
 	let received = '';
 	let isClosed = false;
 	socket.on('data', chunk => {
@@ -212,7 +212,7 @@
 		entry,
 		callersPort: entry.callersPort,
 		received,
-		connect: text => connectRaw(entry.callersPort, text),
+		connect: (text, isHalfOpen) => connectRaw(entry.callersPort, text, isHalfOpen),
 		async stop() {
 			for (const announcer of announcers) {
 				announcer.stop();
