--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -240,8 +240,8 @@
 		const {head, body} = outcome;
 		admitted.claim?.finish(body.length <= context.maximumStoredBytes ? {status: head.status, headers: head.headers, body} : undefined);
 		if (!response.destroyed) {
-			const measuredHead = getMeasuredHead(head, body);
-			writeResponseHead(context.dialect, response, measuredHead, admitted.requestId, exchange.decideClose(measuredHead.isCloseDelimited));
+			const headWithLength = addLength(head, body);
+			writeResponseHead(context.dialect, response, headWithLength, admitted.requestId, exchange.decideClose(headWithLength.isCloseDelimited));
 			response.end(body);
 		}
 
@@ -437,7 +437,7 @@
 }
 
 /** Adds a length to the head of a complete body that has none, so that the connection to the caller stays open. */
-function getMeasuredHead(head: ResponseHead, body: Buffer): ResponseHead {
+function addLength(head: ResponseHead, body: Buffer): ResponseHead {
 	return head.isCloseDelimited
 		? {...head, headers: [...head.headers, 'content-length', String(body.length)], isCloseDelimited: false}
 		: head;
