--- a/review/1/case.js
+++ b/review/1/case.js
@@ -101,7 +101,7 @@
 	bed.start(third, false);
 	await delay(configMilliseconds + 1000);
 	let isBroken = false;
-	for (let attempt = 0; attempt < 20; attempt++) {
+	for (let attempt = 0; attempt < 10; attempt++) {
 		const index = bed.controls.indexOf(attempt % 2 === 0 ? second : third);
 		const response = await bed.callControl(index, 'GET', '/-/config');
 		const read = response.status === 200 ? Number.parseInt(JSON.parse(response.body.toString()).version, 16) : undefined;
