--- a/review/2/case.js
+++ b/review/2/case.js
@@ -6,20 +6,21 @@
 
 /** The largest share of lost answers that the rule allows. */
 const allowedLosses = 3;
-const trafficMilliseconds = 25_000;
+const trafficMilliseconds = 10_000;
+const troubleMilliseconds = 5000;
 const clientCount = 24;
 
 const folder = path.dirname(new URL(import.meta.url).pathname);
 await runCase(folder, 2, {controls: 3, entries: 2}, async bed => {
-	let isSpoiling = false;
+	let spoilsUntil = 0;
 	let answered = 0;
 	let spoiledCount = 0;
 	const soundUpstreams = new Set(['i-3', 'i-4']);
 
-	/** Sends every fiftieth answer with a space in place of a hyphen in the name of a header. */
+	/** While the disruption lasts, sends every fiftieth answer with a space in place of a hyphen in the name of a header. */
 	function spoil({request, upstream}) {
 		answered++;
-		if (!isSpoiling || answered % 50 !== 0) {
+		if (Date.now() > spoilsUntil || answered % 50 !== 0) {
 			return false;
 		}
 
@@ -38,7 +39,7 @@
 	}
 
 	await bed.startAll(renderConfiguration(1, [{path: '/look/', type: 'safe', service: 'stock'}, {path: '/order/', type: 'unsafe', service: 'stock'}], ['stock']), '/look/1');
-	isSpoiling = hasTrouble;
+	spoilsUntil = hasTrouble ? Date.now() + troubleMilliseconds : 0;
 	const lost = [];
 	const until = Date.now() + trafficMilliseconds;
 	let served = 0;
