--- a/review/1/case.js
+++ b/review/1/case.js
@@ -4,8 +4,12 @@
  */
 import {readdirSync} from 'node:fs';
 import path from 'node:path';
+import process from 'node:process';
 import {setImmediate, setTimeout as delay} from 'node:timers/promises';
-import {hasTrouble, renderConfiguration, runCase} from '../kit.js';
+import {renderConfiguration, runCase} from '../kit.js';
+
+/** Whether the run has the disruption; TROUBLE=0 leaves it out. */
+const hasTrouble = process.env.TROUBLE !== '0';
 
 const routeCount = 700;
 const configMilliseconds = 2000;
@@ -14,7 +18,7 @@
 const largestAttemptCount = 4;
 
 const folder = path.dirname(new URL(import.meta.url).pathname);
-await runCase(folder, 1, {controls: 3, entries: 1}, async bed => {
+await runCase(folder, 1, {hasTrouble, controls: 3, entries: 1}, async bed => {
 	for (const [index, zone] of ['north', 'south'].entries()) {
 		await bed.startUpstream({
 			id: `i-${index + 1}`, service: 'stock', zone, work: 30,
--- a/review/kit.js
+++ b/review/kit.js
@@ -22,9 +22,6 @@
 const maximumRunMilliseconds = 115_000;
 const programOptions = ['--max-old-space-size=200', '--max-semi-space-size=1', 'target/guavadeck.cjs'];
 
-/** Whether the run has the disruption. */
-export const hasTrouble = process.env.TROUBLE !== '0';
-
 async function findFreePorts(count) {
 	const servers = Array.from({length: count}, () => createTcpServer());
 	const ports = [];
@@ -428,9 +425,10 @@
  * Runs a case and ends the process: with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
  * @param folder - Folder of the case.
  * @param subnet - Third byte of the addresses.
+ * @param options - Whether the run has the disruption, and the numbers of control hosts and entries.
  * @param run - Runs the case and resolves to whether the rule was broken.
  */
-export async function runCase(folder, subnet, options, run) {
+export async function runCase(folder, subnet, {hasTrouble, ...options}, run) {
 	const bed = await createBed({folder, subnet, ...options});
 	let code = 2;
 	for (const signal of ['SIGINT', 'SIGTERM']) {
