--- a/review/4/case.js
+++ b/review/4/case.js
@@ -2,15 +2,19 @@
 /* eslint camelcase: "off" -- the heartbeat keeps the names of the platform */
 import {Agent} from 'node:http';
 import path from 'node:path';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import {hasTrouble, renderConfiguration, runCase} from '../kit.js';
+import {renderConfiguration, runCase} from '../kit.js';
+
+/** Whether the run has the disruption; TROUBLE=0 leaves it out. */
+const hasTrouble = process.env.TROUBLE !== '0';
 
 const allowedLosses = 3;
 const trafficMilliseconds = 20_000;
 const clientCount = 24;
 
 const folder = path.dirname(new URL(import.meta.url).pathname);
-await runCase(folder, 4, {controls: 3, entries: 2}, async bed => {
+await runCase(folder, 4, {hasTrouble, controls: 3, entries: 2}, async bed => {
 	for (const [index, zone] of ['north', 'south', 'north', 'south'].entries()) {
 		await bed.startUpstream({
 			id: `i-${index + 1}`, service: 'stock', zone, slots: 4, work: 150,
