--- a/review/5/case.js
+++ b/review/5/case.js
@@ -1,7 +1,11 @@
 /** Freezes a control host while an operator takes an evacuation back, and checks whether a later evacuation holds after the host is awake again. */
 import path from 'node:path';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import {hasTrouble, renderConfiguration, runCase} from '../kit.js';
+import {renderConfiguration, runCase} from '../kit.js';
+
+/** Whether the run has the disruption; TROUBLE=0 leaves it out. */
+const hasTrouble = process.env.TROUBLE !== '0';
 
 const freezeMilliseconds = 5000;
 const evacuateMilliseconds = 5000;
@@ -10,7 +14,7 @@
 const observedMilliseconds = 10_000;
 
 const folder = path.dirname(new URL(import.meta.url).pathname);
-await runCase(folder, 5, {controls: 3, entries: 2}, async bed => {
+await runCase(folder, 5, {hasTrouble, controls: 3, entries: 2}, async bed => {
 	for (const [index, zone] of ['north', 'south', 'north', 'south'].entries()) {
 		await bed.startUpstream({
 			id: `i-${index + 1}`, service: 'stock', zone, work: 30,
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,2 +1,3 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")/../.." && exec node review/5/case.js
+# Runs the case with the disruption, or without it if TROUBLE is 0.
+cd "$(dirname "$0")/../.." && TROUBLE="${TROUBLE:-1}" exec node review/5/case.js
