--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -14,7 +14,7 @@
 import {type BurnRateTracker} from '../service-level/index.js';
 import {getSeeds, type ControlSettings, type Security} from '../settings/index.js';
 import {
-	getHostName, openStore, retryWhileDiskFull,
+	getHostName, openStore, retryWhileDiskFull, type Store,
 } from '../storage/index.js';
 import {type Log} from '../telemetry/index.js';
 import {listen, listenForLinks, type Link} from '../wire/index.js';
@@ -90,10 +90,12 @@
 	let lastUrgentRevision = 0;
 	let lastVersions = '';
 
+	const store = await retryWhileDiskFull(async () => openStore(path.join(settings.dataFolder, 'log'), stateMachineCodec));
+	logStoredState(log, self, store);
 	const driver = startDriver({
 		id: self,
 		founders: discovery.getFounders(folder),
-		store: await retryWhileDiskFull(async () => openStore(path.join(settings.dataFolder, 'log'), stateMachineCodec)),
+		store,
 		machine,
 		electionMilliseconds: settings.election.timeoutMilliseconds,
 		heartbeatMilliseconds: settings.election.heartbeatMilliseconds,
@@ -426,6 +428,19 @@
 	});
 }
 
+/** Logs what the data folder held at the start, and what was repaired in it. */
+function logStoredState(log: Log, replica: string, {storedState, recovery}: Store): void {
+	const {state, snapshot, entries} = storedState;
+	const fields = {
+		replica, term: state.term, snapshotIndex: snapshot?.index, lastIndex: entries.at(-1)?.index ?? snapshot?.index, ...recovery,
+	};
+	if (recovery.discardedEntries > 0) {
+		log.warn(fields, 'log opened; its entries do not lead up to the snapshot, so a new log was started');
+	} else {
+		log.info(fields, 'log opened');
+	}
+}
+
 async function loadBurnRateTracker(): Promise<BurnRateTracker> {
 	const {createBurnRateTracker} = await import('../service-level/burn-rate-tracker.js');
 	return createBurnRateTracker();
--- a/source/storage/store.test.ts
+++ b/source/storage/store.test.ts
@@ -19,11 +19,11 @@
 }
 
 const state: PersistAction = {kind: 'persistState', state: {term: 3, votedFor: 'b'}};
-const snapshot: PersistAction = {
+const snapshot = {
 	kind: 'persistSnapshot', snapshot: {
 		index: 2, term: 1, membership: {voters: ['a'], learners: []}, data: {sum: 3},
 	},
-};
+} as const satisfies PersistAction;
 
 async function withTemporaryFolder(run: (folder: string) => Promise<void>): Promise<void> {
 	const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-store-'));
@@ -101,6 +101,25 @@
 		expect(stored.snapshot).toEqual(undefined);
 	}));
 
+	// Guards against the loss of synced entries: a kill between the file of a snapshot and the new log left an old log, and entries appended to it were dropped later.
+	describe('between the file of a snapshot and the new log', () => {
+		async function doTest(logBeforeCrash: readonly LogEntry[]): Promise<void> {
+			await withTemporaryFolder(async folder => {
+				const crashed = await openStore(folder);
+				await crashed.persist([state, append(...logBeforeCrash)]);
+				await crashed.prepareSnapshot({...snapshot.snapshot, index: 7});
+				await crashed.close();
+				await persist(folder, [[append(entry(8, 3))], [append(entry(9, 3))]]);
+				const stored = await reopen(folder);
+				expect([stored.state.term, stored.snapshot?.index, stored.entries.map(({index}) => index)]).toEqual([3, 7, [8, 9]]);
+			});
+		}
+
+		test('keeps later entries if the log ends before the snapshot', async () => doTest([entry(1, 1), entry(2, 1)]));
+		test('keeps later entries if the log contradicts the snapshot', async () => doTest([1, 2, 3, 4, 5, 6, 7].map(index => entry(index, index < 6 ? 1 : 2))));
+		test('keeps later entries if the log reaches the snapshot', async () => doTest([1, 2, 3, 4, 5, 6, 7].map(index => entry(index, 1))));
+	});
+
 	test('rejects a damaged record before the last one', async () => withTemporaryFolder(async folder => {
 		await persist(folder, [[append(entry(1, 1))], [append(entry(2, 1))]]);
 		const file = getLogFile(folder);
--- a/source/storage/store.ts
+++ b/source/storage/store.ts
@@ -35,9 +35,18 @@
 	join(parts: Iterable<unknown>): unknown;
 };
 
+/** What the storage did to a data folder when it opened it after a crash. */
+export type Recovery = {
+	/** Bytes of an incomplete record that were removed from the end of the log. */
+	readonly truncatedBytes: number;
+	/** Entries of a log that ends before the snapshot, or contradicts it. They were replaced by the snapshot, and a new log was started. */
+	readonly discardedEntries: number;
+};
+
 /** Durable storage of one replica. */
 export type Store = {
 	readonly storedState: StoredState;
+	readonly recovery: Recovery;
 	/** Writes and syncs a snapshot part by part while the log accepts further batches; `persist` then makes it the current one. */
 	prepareSnapshot(snapshot: Snapshot): Promise<void>;
 	/** Writes a batch and resolves when it is durable. */
@@ -60,7 +69,7 @@
 const snapshotPattern = /^snapshot-(?<index>\d{15})\.bin$/v;
 
 /**
- * Opens the storage of a replica, and truncates an incomplete record at the end of its log.
+ * Opens the storage of a replica, truncates an incomplete record at the end of its log, and starts a new log if the old one does not lead up to the snapshot.
  * @param folder - Folder of the replica's files; created if it is missing.
  * @param codec - Codec that splits snapshots; the default keeps them in one part.
  * @param files - File operations.
@@ -109,19 +118,26 @@
 	}
 
 	const storedState: StoredState = {state, snapshot, entries: getEntriesAfterSnapshot(entries, snapshot)};
+	const discardedEntries = isContinuous(entries, snapshot) ? 0 : entries.length;
 	entries = [...storedState.entries];
 	let logFile: FileHandle = generation === 0 ? await createNextLog() : await files.open(getLogPath(generation), 'r+');
-	await truncateLog();
+	const truncatedBytes = await truncateLog();
+	if (discardedEntries > 0) {
+		// Entries appended to the old log would not follow the snapshot either, and the next start would discard them as well.
+		await rotateLog();
+	}
+
 	await reserve.fill(minimumReserveBytes);
 
-	/** Removes an incomplete record at the end of the log. */
-	async function truncateLog(): Promise<void> {
+	/** Removes an incomplete record at the end of the log, and gets its size in bytes. */
+	async function truncateLog(): Promise<number> {
 		const {size} = await logFile.stat();
 		if (size > validBytes) {
 			await logFile.truncate(validBytes);
 		}
 
 		await logFile.sync();
+		return Math.max(0, size - validBytes);
 	}
 
 	/** Creates the next log file, which starts with the hard state and the entries after the snapshot. */
@@ -221,6 +237,7 @@
 
 	return {
 		storedState,
+		recovery: {truncatedBytes, discardedEntries},
 		prepareSnapshot,
 		async persist(batch) {
 			let operations: Operation[] = [];
@@ -251,14 +268,22 @@
 	};
 }
 
+/** Checks whether entries lead up to a snapshot or follow it without a gap. */
+function isContinuous(entries: readonly LogEntry[], snapshot: Snapshot | undefined): boolean {
+	if (snapshot === undefined || entries.length === 0 || entries[0]!.index === snapshot.index + 1) {
+		return true;
+	}
+
+	const entryAtSnapshot = entries.find(entry => entry.index === snapshot.index);
+	return entryAtSnapshot?.term === snapshot.term;
+}
+
 function getEntriesAfterSnapshot(entries: readonly LogEntry[], snapshot: Snapshot | undefined): readonly LogEntry[] {
 	if (snapshot === undefined) {
 		return entries;
 	}
 
-	const entryAtSnapshot = entries.find(entry => entry.index === snapshot.index);
-	const isContinuous = entries.length === 0 || entries[0]!.index === snapshot.index + 1 || entryAtSnapshot?.term === snapshot.term;
-	return isContinuous ? entries.filter(entry => entry.index > snapshot.index) : [];
+	return isContinuous(entries, snapshot) ? entries.filter(entry => entry.index > snapshot.index) : [];
 }
 
 function readNewestSnapshot(folder: string, codec: SnapshotCodec): Snapshot | undefined {
