--- a/source/announcement/announcement.ts
+++ b/source/announcement/announcement.ts
@@ -22,7 +22,7 @@
 	sequence: z.number().int().min(0).optional(),
 	/** Remaining time for which the server is cold in milliseconds, if the server reports it. */
 	coldMilliseconds: z.number().min(0).optional(),
-	probePath: z.string().startsWith('/').max(256).default('/health'),
+	probePath: z.string().regex(/^\/[\u0021-\u007E]{0,255}$/v, 'use a path of printable ASCII characters').default('/health'),
 }).readonly();
 
 /** An announcement of a server. */
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -4,7 +4,7 @@
  * in memory, larger ones are passed on as a stream.
  */
 import {Buffer} from 'node:buffer';
-import {request as startRequest, type ClientRequest, type IncomingMessage} from 'node:http';
+import {type ClientRequest, type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {MalformedBodyError} from './malformed-body-error.js';
@@ -13,6 +13,7 @@
 import {trackCompletion, type ResponseCompletion} from './response-completion.js';
 import {getResponseHeaders} from './headers.js';
 import {type Pool} from './pool.js';
+import {startServerRequest} from './server-request.js';
 
 /** Status and headers (alternating names and values) of a response. */
 export type ResponseHead = {
@@ -73,13 +74,30 @@
  * @param options - Request, server and event callbacks.
  */
 export function startAttempt(options: AttemptOptions): Attempt {
+	const started = startServerRequest({
+		agent: options.pool.agent, method: options.method, path: options.target, headers: options.headers, setHost: false,
+	});
+	return started.isOk ? runAttempt(options, started.value) : failUnsendableAttempt(options);
+}
+
+/** Fails an attempt whose request cannot be sent, after the caller of `startAttempt` has received the attempt. */
+function failUnsendableAttempt(options: AttemptOptions): Attempt {
+	const failure = setImmediate(() => {
+		options.onEnd({kind: 'failed', verdict: notRun('unsendable'), hasCrashed: false});
+	});
+	return {
+		cancel() {
+			clearImmediate(failure);
+		},
+		wasDispatched: () => false,
+	};
+}
+
+function runAttempt(options: AttemptOptions, request: ClientRequest): Attempt {
 	let isDispatched = false;
 	let isEnded = false;
 	let isDispatchRefused = false;
 	let informationalResponses = 0;
-	const request: ClientRequest = startRequest({
-		agent: options.pool.agent, method: options.method, path: options.target, headers: options.headers as string[], setHost: false,
-	});
 	const timer = setTimeout(() => {
 		fail('deadline');
 	}, Math.max(0, options.deadlineAt - performance.now()));
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -485,7 +485,8 @@
 		case 'no-server':
 		case 'overload':
 		case 'server-shed':
-		case 'unreachable': {
+		case 'unreachable':
+		case 'unsendable': {
 			return false;
 		}
 	}
--- a/source/entry/load-querier.ts
+++ b/source/entry/load-querier.ts
@@ -3,10 +3,11 @@
  * connections. A server that does not reply in time is not selected for the request,
  * and its connection is closed after a longer timeout.
  */
-import {Agent, request as startRequest} from 'node:http';
+import {Agent} from 'node:http';
 import {getExpectedSlowdown, type Candidate, type LoadReading} from '../choice/index.js';
 import {type Dialect, type ServerReport} from './dialect.js';
 import {discardBody} from './discard.js';
+import {startServerRequest} from './server-request.js';
 
 /** Time after which a query counts as lost and its connection is closed. */
 const queryTimeoutMilliseconds = 400;
@@ -79,12 +80,18 @@
 		}
 
 		const headers = options.dialect.serverHeader === undefined ? {} : {[options.dialect.serverHeader]: name};
-		const request = startRequest({
+		const started = startServerRequest({
 			host, port, path: options.getPath(service), method: 'GET', agent, headers,
 		});
 		const timer = setTimeout(() => {
-			request.destroy();
+			started.map(request => request.destroy());
 		}, queryTimeoutMilliseconds);
+		if (started.isErr) {
+			setImmediate(end, undefined);
+			return;
+		}
+
+		const request = started.value;
 		request.once('response', response => {
 			discardBody(response, responseLimits);
 			const report = options.dialect.getReport(response.headers);
--- a/source/entry/prober.ts
+++ b/source/entry/prober.ts
@@ -1,8 +1,8 @@
 /** Probes the servers that are assigned to this entry while its lease is valid. */
-import {request as startRequest} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {createProbeSchedule, type ProbeSchedule} from '../measuring/index.js';
 import {type Fleet} from './fleet.js';
+import {startServerRequest} from './server-request.js';
 
 const probeTimeoutMilliseconds = 1000;
 
@@ -54,9 +54,15 @@
 			}
 		}
 
-		const request = startRequest({
+		const started = startServerRequest({
 			host, port, path: probePath, method: 'GET', agent: false, timeout: probeTimeoutMilliseconds,
 		});
+		if (started.isErr) {
+			settle(false);
+			return;
+		}
+
+		const request = started.value;
 		request.once('response', answer => {
 			answer.resume();
 			settle((answer.statusCode ?? 500) < 500);
--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -264,7 +264,7 @@
 
 	function handleFailure(candidate: Candidate, outcome: Extract<AttemptOutcome, {readonly kind: 'failed'}>): void {
 		const now = performance.now();
-		if (outcome.verdict.kind === 'notRun' && outcome.verdict.reason === 'unreachable' && unreachedServers < maximumUnreachedServers) {
+		if (hasReachedNoServer(outcome.verdict) && unreachedServers < maximumUnreachedServers) {
 			unreachedServers++;
 			attempts--;
 		}
@@ -302,8 +302,7 @@
 		}
 
 		// An attempt on an unreachable server puts no load on any server.
-		const isBudgetExempt = verdict.kind === 'notRun' && verdict.reason === 'unreachable';
-		if (!isBudgetExempt && !state.retries.tryWithdraw()) {
+		if (!hasReachedNoServer(verdict) && !state.retries.tryWithdraw()) {
 			admitted.recordDecision({kind: 'noRetry', reason: 'budget'});
 			finishWithoutRetry(verdict);
 			return;
@@ -443,6 +442,11 @@
 		: head;
 }
 
+/** Checks whether an attempt failed before it put any load on a server. */
+function hasReachedNoServer(verdict: Verdict): boolean {
+	return verdict.kind === 'notRun' && (verdict.reason === 'unreachable' || verdict.reason === 'unsendable');
+}
+
 /** Gets the result that is counted for the server. */
 function getAttemptResult(outcome: AttemptOutcome): AttemptResult {
 	if (outcome.kind !== 'failed') {
--- /dev/null
+++ b/source/entry/server-request.ts
@@ -0,0 +1,18 @@
+/**
+ * Starts requests to servers. Node throws for a header, path or port that cannot be sent. The error is returned instead, because a
+ * request can start in a timer or in a handler of another request's event, where a thrown error would end the process.
+ */
+import {request as startRequest, type ClientRequest, type RequestOptions} from 'node:http';
+import {Result} from 'true-myth';
+
+/**
+ * Starts a request, or gets the reason why it cannot be sent. Nothing has been sent in that case.
+ * @param options - Address, method, path and headers.
+ */
+export function startServerRequest(options: RequestOptions): Result<ClientRequest, Error> {
+	try {
+		return Result.ok(startRequest(options));
+	} catch (error) {
+		return Result.err(error instanceof Error ? error : new Error(String(error)));
+	}
+}
--- a/source/verdict/verdict.ts
+++ b/source/verdict/verdict.ts
@@ -19,6 +19,7 @@
 		| 'overload'
 		| 'unknown-service'
 		| 'unreachable'
+		| 'unsendable'
 		| 'caller-left'
 		| 'server-shed';
 
@@ -130,7 +131,8 @@
 		case 'no-server':
 		case 'overload':
 		case 'server-shed':
-		case 'unreachable': {
+		case 'unreachable':
+		case 'unsendable': {
 			return 503;
 		}
 	}
