Fail an attempt whose response head is not HTTP

Cause: Node's parser accepts names and status codes that its writeHead refuses, and writeHead runs in an event handler.

Ruled out: bodies, and heads that the parser itself refuses.

Change: such a head fails its attempt as answer-malformed (may have run); neither its load nor a refusal in it is used. A final status is 200 to 599.

--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -13,16 +13,9 @@
 import {trackCompletion, type ResponseCompletion} from './response-completion.js';
 import {getResponseHeaders} from './headers.js';
 import {type Pool} from './pool.js';
+import {isWellFormedHead, type ResponseHead} from './response-head.js';
 import {startServerRequest} from './server-request.js';
 
-/** Status and headers (alternating names and values) of a response. */
-export type ResponseHead = {
-	readonly status: number;
-	readonly headers: readonly string[];
-	/** Whether only the end of the connection marks the end of the body, so that a truncated body can look complete. */
-	readonly isCloseDelimited: boolean;
-};
-
 /** Outcome of an attempt. */
 export type AttemptOutcome
 	= | {readonly kind: 'whole'; readonly head: ResponseHead; readonly body: Buffer}
@@ -53,10 +46,10 @@
 };
 
 /** Reason for a failed attempt. */
-type FailureReason = 'deadline' | 'connection-lost' | 'answer-truncated' | 'answer-mismatched' | 'bad-request' | 'body-too-large';
+type FailureReason = 'deadline' | 'connection-lost' | 'answer-truncated' | 'answer-mismatched' | 'answer-malformed' | 'bad-request' | 'body-too-large';
 
 /** Reasons that do not indicate that the server has crashed. */
-const harmlessReasons: ReadonlySet<FailureReason> = new Set(['deadline', 'answer-mismatched', 'bad-request', 'body-too-large']);
+const harmlessReasons: ReadonlySet<FailureReason> = new Set(['deadline', 'answer-mismatched', 'answer-malformed', 'bad-request', 'body-too-large']);
 
 /** Maximum number of informational responses to one request; a server that sends more never comes to its response. */
 const maximumInformationalResponses = 16;
@@ -165,6 +158,12 @@
 	});
 
 	function receiveResponse(response: IncomingMessage): void {
+		if (!isWellFormedHead(response)) {
+			// Nothing that such a head states is used: neither the load of the server nor that it did not run the request.
+			fail('answer-malformed');
+			return;
+		}
+
 		const {dialect} = options;
 		const echoedId = response.headers[dialect.requestIdHeader];
 		if (!options.pool.isOwnResponse(options.requestId, Array.isArray(echoedId) ? echoedId.join(',') : echoedId)) {
@@ -173,7 +172,7 @@
 		}
 
 		options.onReport(dialect.getReport(response.headers));
-		const head: ResponseHead = {status: response.statusCode ?? 502, headers: getResponseHeaders(dialect, response), isCloseDelimited: !isSelfDelimited(response, options.method)};
+		const head: ResponseHead = {status: response.statusCode!, headers: getResponseHeaders(dialect, response), isCloseDelimited: !isSelfDelimited(response, options.method)};
 		if (dialect.isNotRun(head.status, response.headers)) {
 			if (echoedId !== options.requestId) {
 				// A refusal without the id of the request may be an earlier one that the server wrote once more, so it proves nothing.
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -473,6 +473,7 @@
 			return true;
 		}
 
+		case 'answer-malformed':
 		case 'answer-mismatched':
 		case 'answer-truncated':
 		case 'connection-lost':
--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -8,7 +8,7 @@
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {streamResponse, writeResponseHead} from './response.js';
 import {
-	startAttempt, type Attempt, type AttemptOutcome, type ResponseHead,
+	startAttempt, type Attempt, type AttemptOutcome,
 } from './attempt.js';
 import {type RequestContext} from './request-handler.js';
 import {type Claim} from './claims.js';
@@ -16,6 +16,7 @@
 import {type ServiceState} from './fleet.js';
 import {getForwardedHeaders} from './headers.js';
 import {createServerSelector} from './server-selector.js';
+import {type ResponseHead} from './response-head.js';
 import {type RoutePolicy} from './router.js';
 import {type Decision} from './request-log.js';
 
--- /dev/null
+++ b/source/entry/response-head.ts
@@ -0,0 +1,39 @@
+/** Heads of servers' responses, and the check that they can be passed on. */
+import {validateHeaderName, validateHeaderValue, type IncomingMessage} from 'node:http';
+
+/** Status and headers (alternating names and values) of a response. */
+export type ResponseHead = {
+	readonly status: number;
+	readonly headers: readonly string[];
+	/** Whether only the end of the connection marks the end of the body, so that a truncated body can look complete. */
+	readonly isCloseDelimited: boolean;
+};
+
+/** Range of the status codes of final responses. */
+const minimumFinalStatus = 200;
+const maximumFinalStatus = 599;
+
+/**
+ * Checks whether a received head is one of a final response and follows the syntax of HTTP. Node's parser is more tolerant:
+ * it accepts header names with spaces and any status code, which cannot be sent to a caller.
+ * @param response - Server response whose head has arrived.
+ */
+export function isWellFormedHead(response: IncomingMessage): boolean {
+	const {statusCode = 0, rawHeaders} = response;
+	if (statusCode < minimumFinalStatus || statusCode > maximumFinalStatus) {
+		return false;
+	}
+
+	try {
+		for (let index = 0; index < rawHeaders.length; index += 2) {
+			const name = rawHeaders[index]!;
+			validateHeaderName(name);
+			validateHeaderValue(name, rawHeaders[index + 1]!);
+		}
+	} catch {
+		// Node's checks throw for a name or value that it would refuse to send.
+		return false;
+	}
+
+	return true;
+}
--- a/source/entry/response.ts
+++ b/source/entry/response.ts
@@ -6,9 +6,9 @@
 import {
 	getVerdictHeaderValue, getVerdictStatus, reasonHeader, verdictHeader, type Verdict,
 } from '../verdict/index.js';
-import {type ResponseHead} from './attempt.js';
 import {type Dialect} from './dialect.js';
 import {type ResponseCompletion} from './response-completion.js';
+import {type ResponseHead} from './response-head.js';
 
 const retryAfterSeconds = '1';
 const maximumSpreadValue = 65_535;
--- a/source/verdict/verdict.ts
+++ b/source/verdict/verdict.ts
@@ -26,6 +26,7 @@
 /** Reason why a request may have run although no complete response was received. */
 export type MayHaveRunReason
 	= | 'already-ran'
+		| 'answer-malformed'
 		| 'answer-mismatched'
 		| 'answer-truncated'
 		| 'bad-request'
@@ -157,6 +158,7 @@
 			return 413;
 		}
 
+		case 'answer-malformed':
 		case 'answer-mismatched':
 		case 'answer-truncated':
 		case 'caller-left':
