Bind an order for a zone to its sender and to the state it was given for

Cause: such an order has no version, and the host proposed what it read, however long it had waited unread.

Ruled out: a leader of an earlier term (the frozen host followed); a doubled message (one order suffices in the new test).

Change: the host reads the revision of the zones from a confirmed leader, checks that the sender's connection is still open, and the leader refuses the change if the zones have another revision. Outcomes are logged.

--- a/source/control/api.ts
+++ b/source/control/api.ts
@@ -5,6 +5,7 @@
 import {announcementSchema} from '../announcement/index.js';
 import {documentSchema, type ConfigurationCommand, type Environment} from '../configuration/index.js';
 import {checkValue} from '../settings/index.js';
+import {type Log} from '../telemetry/index.js';
 import {
 	sendJson, isAuthorized, maximumApiBodyBytes, readJson,
 } from './http.js';
@@ -31,8 +32,11 @@
 
 /** Options of `createApi`. */
 export type ApiOptions = {
+	readonly log: Log;
 	readonly operatorKey: string | undefined;
 	submit(request: ControlRequest): Promise<ControlResponse>;
+	/** Checks whether calls that are read now may have waited unread until their senders gave up. */
+	hasStalledRecently(): boolean;
 	getBurnSummary(environment: Environment): BurnSummary | undefined;
 	getMetrics(): Promise<string>;
 	isReady(): boolean;
@@ -222,13 +226,15 @@
 		}
 
 		case 'notLeader':
-		case 'unknown': {
+		case 'unknown':
+		case 'zonesChanged': {
 			return 503;
 		}
 
 		case 'announced':
 		case 'crashes':
 		case 'left':
+		case 'zones':
 		case 'zoneMoved':
 		case 'history':
 		case 'inForce':
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -27,6 +27,7 @@
 import {createMembershipManager} from './membership-manager.js';
 import {createControlMetrics} from './metrics.js';
 import {createShutdown} from './shutdown.js';
+import {createStallDetector, type ClockReading} from './stall-detector.js';
 import {createSnapshotReceiver, createSnapshotSender} from './snapshot-transfer.js';
 import {
 	type ControlResponse, type ControlInbound, type ControlOutbound, type ControlRequest,
@@ -85,6 +86,7 @@
 	const links = new Set<Link<ControlInbound>>();
 	// Loaded only if service levels are tracked, since the histograms take memory.
 	const burnRateTracker: BurnRateTracker | undefined = settings.serviceLevels ? await loadBurnRateTracker() : undefined;
+	const stallDetector = createStallDetector(housekeepingIntervalMilliseconds);
 	let leadership: Leadership | undefined;
 	let nudgeTimer: NodeJS.Timeout | undefined;
 	let lastUrgentRevision = 0;
@@ -286,6 +288,7 @@
 	}
 
 	function runHousekeeping(): void {
+		stallDetector.observe(readClocks());
 		membershipManager.announceChanges();
 		if (leadership === undefined) {
 			return;
@@ -370,12 +373,14 @@
 	}
 
 	const api = (options.createApi ?? createApi)({
+		log,
 		operatorKey: security.operatorKey,
 		submit: forward,
 		getBurnSummary(environment: Environment) {
 			const current = machine.register.getCurrent(environment);
 			return current.isJust ? burnRateTracker?.getSummary(environment, current.value.document, Date.now()) : undefined;
 		},
+		hasStalledRecently: () => stallDetector.hasStalledRecently(readClocks()),
 		getMetrics: metrics.getText,
 		isReady: () => driver.replica.getLeader() !== undefined,
 		getLeaderHost() {
@@ -441,6 +446,10 @@
 	}
 }
 
+function readClocks(): ClockReading {
+	return {wall: Date.now(), monotonic: performance.now()};
+}
+
 async function loadBurnRateTracker(): Promise<BurnRateTracker> {
 	const {createBurnRateTracker} = await import('../service-level/burn-rate-tracker.js');
 	return createBurnRateTracker();
--- a/source/control/index.ts
+++ b/source/control/index.ts
@@ -1,9 +1,12 @@
+export * from './awaited-call.js';
 export * from './control.js';
 export * from './driver.js';
 export * from './http.js';
 export * from './leader-request-handler.js';
 export * from './leadership.js';
 export * from './planned-stop.js';
+export * from './stall-detector.js';
 export * from './state-machine.js';
+export * from './zone-change.js';
 export type * from './message.js';
 export type {Api, ApiOptions} from './api.js';
--- a/source/control/leader-request-handler.ts
+++ b/source/control/leader-request-handler.ts
@@ -32,6 +32,7 @@
  */
 export function createLeaderRequestHandler(options: LeaderRequestHandlerOptions): LeaderRequestHandler {
 	const {driver, machine, getLeadership} = options;
+	let zoneChangeTerm: number | undefined;
 
 	function getNotLeaderResponse(): ControlResponse {
 		const leader = driver.replica.getLeader();
@@ -101,10 +102,24 @@
 			}, () => ({kind: 'left'}));
 	}
 
-	async function setZoneOut(zone: string, isOut: boolean): Promise<ControlResponse> {
-		return propose({
+	/** Changes a zone if the zones still have the given revision, and no other change is in progress. */
+	async function moveZone({zone, isOut, revision}: Extract<ControlRequest, {readonly kind: 'moveZone'}>): Promise<ControlResponse> {
+		if (getLeadership() === undefined) {
+			// The commands of earlier terms are not applied yet, so the revision is not known.
+			return getNotLeaderResponse();
+		}
+
+		const term = driver.replica.getTerm();
+		if (revision !== undefined && (zoneChangeTerm === term || revision !== machine.getZonesRevision())) {
+			return {kind: 'zonesChanged'};
+		}
+
+		zoneChangeTerm = term;
+		const response = await propose({
 			area: 'zones', zone, isOut, at: Date.now(),
 		}, () => ({kind: 'zoneMoved'}));
+		zoneChangeTerm = undefined;
+		return response;
 	}
 
 	async function readConfirmed(toResponse: (leadership: Leadership) => ControlResponse): Promise<ControlResponse> {
@@ -179,8 +194,12 @@
 					return leave(request.name, request.bornAt);
 				}
 
+				case 'readZones': {
+					return readConfirmed(() => ({kind: 'zones', revision: machine.getZonesRevision()}));
+				}
+
 				case 'moveZone': {
-					return setZoneOut(request.zone, request.isOut);
+					return moveZone(request);
 				}
 
 				case 'ledger': {
--- a/source/control/message.ts
+++ b/source/control/message.ts
@@ -18,7 +18,10 @@
 		| {readonly kind: 'ledger'; readonly command: LedgerCommand}
 	/** Permanently removes a server, which is identified by its name and boot time. */
 		| {readonly kind: 'leave'; readonly name: string; readonly bornAt: number | undefined}
-		| {readonly kind: 'moveZone'; readonly zone: string; readonly isOut: boolean}
+	/** Reads the revision of the zones that are out of service. */
+		| {readonly kind: 'readZones'}
+	/** Takes a zone out of service or puts it back, if the zones still have the given revision. Hosts of earlier releases send none. */
+		| {readonly kind: 'moveZone'; readonly zone: string; readonly isOut: boolean; readonly revision?: number}
 		| {readonly kind: 'drain'; readonly key: ServerKey}
 		| {readonly kind: 'crash'; readonly fingerprint: string; readonly server: number}
 		| {readonly kind: 'clearCrashes'; readonly fingerprint: string}
@@ -34,7 +37,10 @@
 		| {readonly kind: 'ledger'; readonly answer: LedgerResult}
 		| {readonly kind: 'drained'; readonly isKnown: boolean}
 		| {readonly kind: 'left'}
+		| {readonly kind: 'zones'; readonly revision: number}
 		| {readonly kind: 'zoneMoved'}
+	/** The zones have another revision, or are being changed. */
+		| {readonly kind: 'zonesChanged'}
 		| {readonly kind: 'crashes'; readonly count: number}
 		| {readonly kind: 'version'; readonly version: Version | undefined}
 		| {readonly kind: 'history'; readonly versions: readonly Version[]}
--- a/source/control/state-machine.ts
+++ b/source/control/state-machine.ts
@@ -31,6 +31,8 @@
 	readonly ledger: LedgerSnapshot;
 	/** Zones that operators took out of service. */
 	readonly zonesOut?: readonly string[];
+	/** Index of the last command for a zone in the replicated log. */
+	readonly zonesRevision?: number;
 };
 
 /** The replicated state machine. */
@@ -40,6 +42,8 @@
 	readonly ledger: Ledger;
 	/** Gets the zones that operators took out of service, sorted by name. */
 	getZonesOut(): readonly string[];
+	/** Gets the index of the last command for a zone in the replicated log, or 0 if there was none. */
+	getZonesRevision(): number;
 	/**
 	 * Applies a committed command.
 	 * @param command - Committed command.
@@ -59,12 +63,14 @@
 	const registry = createRegistry();
 	const ledger = createLedger(limits);
 	let zonesOut: readonly string[] = [];
+	let zonesRevision = 0;
 
 	/**
 	 * Takes a zone out of service or puts it back. The servers of a zone that is put back are marked cold, since they may have
 	 * cooled down while the zone was out of service.
 	 */
 	function setZoneOut({zone, isOut, at}: Extract<Command, {readonly area: 'zones'}>, index: number | undefined): readonly RegisteredServer[] {
+		zonesRevision = index ?? zonesRevision + 1;
 		const wasOut = zonesOut.includes(zone);
 		if (wasOut === isOut) {
 			return [];
@@ -79,6 +85,7 @@
 		registry,
 		ledger,
 		getZonesOut: () => zonesOut,
+		getZonesRevision: () => zonesRevision,
 		apply(command, index) {
 			switch (command.area) {
 				case 'configuration': {
@@ -103,12 +110,14 @@
 			registry: registry.takeSnapshot(),
 			ledger: ledger.takeSnapshot(),
 			...(zonesOut.length > 0 ? {zonesOut} : {}),
+			...(zonesRevision > 0 ? {zonesRevision} : {}),
 		}),
 		restore(snapshot) {
 			register.restore(snapshot.register);
 			registry.restore(snapshot.registry);
 			ledger.restore(snapshot.ledger);
 			zonesOut = snapshot.zonesOut ?? [];
+			zonesRevision = snapshot.zonesRevision ?? 0;
 		},
 	};
 }
--- /dev/null
+++ b/source/control/zone-change.test.ts
@@ -0,0 +1,163 @@
+import {rmSync, mkdtempSync} from 'node:fs';
+import {once} from 'node:events';
+import {createServer, request as startRequest} from 'node:http';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {describe, test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {expect} from 'earl';
+import {createRandom} from '../randomness/index.js';
+import {openStore} from '../storage/index.js';
+import {isCallAwaited} from './awaited-call.js';
+import {startDriver, type Driver} from './driver.js';
+import {createLeaderRequestHandler, type LeaderRequestHandler} from './leader-request-handler.js';
+import {createLeadership, type Leadership} from './leadership.js';
+import {createStateMachine, stateMachineCodec, type StateMachine} from './state-machine.js';
+import {changeZone, type ZoneChangeOutcome} from './zone-change.js';
+import {type ControlRequest, type ControlResponse} from './message.js';
+
+type SingleHost = {readonly handler: LeaderRequestHandler; readonly machine: StateMachine; readonly driver: Driver};
+
+/** Runs a test with the request handler of the only host of a system, which leads. */
+async function withSingleHost(run: (host: SingleHost) => Promise<void>): Promise<void> {
+	const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-zones-'));
+	const machine = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 1000});
+	let leadership: Leadership | undefined;
+	const driver = startDriver({
+		id: 'a',
+		founders: {voters: ['a'], learners: []},
+		store: await openStore(folder, stateMachineCodec),
+		machine,
+		electionMilliseconds: 30,
+		heartbeatMilliseconds: 10,
+		snapshotEvery: 1000,
+		snapshotBytes: 1_000_000,
+		random: createRandom(5),
+		send() {
+			// There is no other host.
+		},
+		onFailure(error) {
+			throw error;
+		},
+	});
+	const started = new Promise<void>(resolve => {
+		driver.leadershipStarts.subscribe(epoch => {
+			leadership = createLeadership({
+				epoch, startedAt: 0, termMilliseconds: 3000, machine, getWallClock: Date.now, getAppliedIndex: driver.replica.getCommitIndex,
+			});
+			resolve();
+		});
+	});
+	await started;
+	const handler = createLeaderRequestHandler({
+		driver, machine, getLeadership: () => leadership, broadcastQuarantine() {
+			// There are no entries.
+		},
+	});
+	await run({handler, machine, driver});
+	await driver.stop();
+	rmSync(folder, {recursive: true});
+}
+
+// Guards against an evacuation that was undone by an older order, whose sender had given up on the host that carried it out late.
+describe('changeZone', () => {
+	type Moment = 'never' | 'before the revision is read' | 'after the revision is read';
+
+	/** Orders a zone back into service; at the given moment the sender gives up, and the zone is taken out through another host. */
+	async function doTest(givesUp: Moment, expected: {readonly kind: ZoneChangeOutcome['kind']; readonly zonesOut: readonly string[]}): Promise<void> {
+		await withSingleHost(async ({handler, machine}) => {
+			await changeZone({
+				zone: 'south', isOut: true, isAwaited: async () => true, submit: handler.handle,
+			});
+			let isAwaited = true;
+
+			async function giveUp(): Promise<void> {
+				isAwaited = false;
+				await changeZone({
+					zone: 'south', isOut: true, isAwaited: async () => true, submit: handler.handle,
+				});
+			}
+
+			async function submit(request: ControlRequest): Promise<ControlResponse> {
+				if (isAwaited && request.kind === 'readZones' && givesUp === 'before the revision is read') {
+					await giveUp();
+				}
+
+				if (isAwaited && request.kind === 'moveZone' && givesUp === 'after the revision is read') {
+					await giveUp();
+				}
+
+				return handler.handle(request);
+			}
+
+			const {kind} = await changeZone({
+				zone: 'south', isOut: false, isAwaited: async () => isAwaited, submit,
+			});
+			expect({kind, zonesOut: machine.getZonesOut()}).toEqual({...expected});
+		});
+	}
+
+	test('carries out an order whose sender waits', async () => doTest('never', {kind: 'zoneMoved', zonesOut: []}));
+	test('drops an order whose sender gave up before it was read', async () => doTest('before the revision is read', {kind: 'abandoned', zonesOut: ['south']}));
+	test('drops an order whose sender gave up while it was on its way to the leader', async () => doTest('after the revision is read', {kind: 'abandoned', zonesOut: ['south']}));
+	test('carries out concurrent orders one after the other', async () => {
+		await withSingleHost(async ({handler, machine}) => {
+			const zones = ['a', 'b', 'c', 'd'];
+			const outcomes = await Promise.all(zones.map(async zone => changeZone({
+				zone, isOut: true, isAwaited: async () => true, submit: handler.handle,
+			})));
+			expect([outcomes.map(({kind}) => kind), machine.getZonesOut()]).toEqual([zones.map(() => 'zoneMoved'), zones]);
+		});
+	});
+	test('keeps the revision in snapshots', async () => {
+		await withSingleHost(async ({handler, machine}) => {
+			await handler.handle({kind: 'moveZone', zone: 'south', isOut: true});
+			const restored = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 1000});
+			restored.restore(machine.takeSnapshot());
+			expect(machine.getZonesRevision() > 0).toEqual(true);
+			expect(restored.getZonesRevision()).toEqual(machine.getZonesRevision());
+		});
+	});
+});
+
+describe('isCallAwaited', () => {
+	/** Sends a call that a host reads only after a while, and gives up before or not. */
+	async function doTest(givesUp: boolean): Promise<void> {
+		const result = new Promise<boolean>(resolve => {
+			const server = createServer((request, response) => {
+				void isCallAwaited(request).then(isAwaited => {
+					resolve(isAwaited);
+					response.end();
+					server.close();
+				});
+			});
+			server.listen(0, '127.0.0.1');
+			void once(server, 'listening').then(async () => {
+				const {port} = server.address() as {readonly port: number};
+				const request = startRequest({
+					host: '127.0.0.1', port, method: 'DELETE', path: '/', agent: false,
+				});
+				request.on('error', () => {
+					// The sender has given up.
+				});
+				request.end();
+				await once(request, 'finish');
+				if (givesUp) {
+					request.destroy();
+				}
+
+				// The event loop does not read while it is blocked, as in a process that is stopped.
+				const until = Date.now() + 300;
+				while (Date.now() < until) {
+					// Blocks the event loop.
+				}
+
+				await delay(0);
+			});
+		});
+		expect(await result).toEqual(!givesUp);
+	}
+
+	test('sees that the sender of a call waits', async () => doTest(false));
+	test('sees that the sender of a call closed its connection before the call was read', async () => doTest(true));
+});
