End connections that callers keep busy during a planned stop

Reported by operators of similar systems; possible here: a caller that pipelines without a pause kept its connection open until the kill, which then cut off requests that had been forwarded.

Cause: the answer that ends a connection is the one to its last running request, and there never was one. The time in which a stopping entry accepts connections did not know when the process is killed.

Change: while an entry stops, a request behind running ones waits and is dropped unread. stopSeconds, from the platform's bounds, limits the time in which connections are accepted to half of it.

--- a/source/entry/caller-connections.ts
+++ b/source/entry/caller-connections.ts
@@ -142,7 +142,9 @@
 			return true;
 		}
 
-		return connection.running.length < maximumRunning
+		// While the entry stops, a request behind running ones waits, and is dropped unread when their last response ends the connection.
+		return !options.isDraining()
+			&& connection.running.length < maximumRunning
 			&& options.isIdempotent(request)
 			&& connection.running.every(other => options.isIdempotent(other.request));
 	}
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -42,6 +42,10 @@
 const housekeepingIntervalMilliseconds = 50;
 const drainPollIntervalMilliseconds = 20;
 const maximumStoredResponseBytes = 16_384;
+const millisecondsPerSecond = 1000;
+
+/** Share of the time until the process is killed in which a stopping entry accepts connections. */
+const acceptShare = 0.5;
 
 /** Number of entries that is assumed until the first grant arrives. */
 const assumedEntryCount = 100;
@@ -257,7 +261,7 @@
 
 	function recordEnd(service: {readonly name: string; readonly objective: {readonly latencyMilliseconds: number}}, verdict: Verdict, milliseconds: number): void {
 		inFlight--;
-		metrics.countRequest(service.name, verdict.kind, milliseconds / 1000);
+		metrics.countRequest(service.name, verdict.kind, milliseconds / millisecondsPerSecond);
 		if (!isCausedByCaller(verdict)) {
 			serviceLevelCounter?.record(service.name, milliseconds, isFailure(verdict), milliseconds > service.objective.latencyMilliseconds);
 		}
@@ -379,7 +383,7 @@
 	function registerGauges(): void {
 		metrics.addGauge('guavadeck_in_flight', 'Requests in flight', () => inFlight);
 		metrics.addGauge('guavadeck_document_version', 'Version of the document in force', () => leaseKeeper.holder.getVersion());
-		metrics.addGauge('guavadeck_lease_seconds', 'Time until the lease ends', () => Math.max(0, leaseKeeper.holder.getExpiresAt() - performance.now()) / 1000);
+		metrics.addGauge('guavadeck_lease_seconds', 'Time until the lease ends', () => Math.max(0, leaseKeeper.holder.getExpiresAt() - performance.now()) / millisecondsPerSecond);
 		metrics.addGauge('guavadeck_peers', 'Peers that counts are exchanged with', () => peerExchange?.peers.getCount() ?? 0);
 		metrics.addGauge('guavadeck_exchange_frames_total', 'Count messages sent to peers', () => peerExchange?.peers.getSentFrames() ?? 0);
 		metrics.addGauge('guavadeck_probe_duties', 'Servers that this entry probes', () => prober.schedule.getDuties().length);
@@ -422,7 +426,7 @@
 		async stop() {
 			isDraining = true;
 			logReadiness();
-			await delay(settings.graceMilliseconds);
+			await delay(getAcceptMilliseconds(settings));
 			const closed = new Promise(resolve => {
 				callers.close(resolve);
 			});
@@ -446,6 +450,11 @@
 	};
 }
 
+/** Gets the time for which a stopping entry goes on accepting connections. */
+function getAcceptMilliseconds({graceMilliseconds, stopSeconds}: EntrySettings): number {
+	return stopSeconds === undefined ? graceMilliseconds : Math.min(graceMilliseconds, stopSeconds * millisecondsPerSecond * acceptShare);
+}
+
 /** Loads the service level counter only if service levels are counted, since its histograms take memory. */
 async function loadServiceLevelCounter(settings: EntrySettings): Promise<ServiceLevelCounter> {
 	const {createServiceLevelCounter} = await import('../service-level/counter.js');
--- a/source/program/stop.test.ts
+++ b/source/program/stop.test.ts
@@ -4,6 +4,7 @@
 import {setImmediate} from 'node:timers/promises';
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
+import {startLocalProcesses} from './local-processes.js';
 import {startLocalSystem} from './local-system.js';
 
 const requestCount = 40;
@@ -49,6 +50,15 @@
 		agent.destroy();
 	}
 
+	// Guards against requests that are accepted until the process is killed, and are then cut off.
+	test('accepts connections for half of the time until the process is killed', {timeout: 20_000}, async () => {
+		const {entry, stopControl} = await startLocalProcesses({port: 0, entrySettings: {graceMilliseconds: 10_000, stopSeconds: 1}});
+		const startedAt = Date.now();
+		await entry.stop();
+		const stopMilliseconds = Date.now() - startedAt;
+		await stopControl();
+		expect([stopMilliseconds >= 499, stopMilliseconds < 1000]).toEqual([true, true]);
+	});
 	test('finishes every request in flight', {timeout: 20_000}, async () => doTest(false));
 	test('does not wait for a connection without a request', {timeout: 20_000}, async () => doTest(true));
 });
--- a/source/settings/settings.ts
+++ b/source/settings/settings.ts
@@ -86,6 +86,8 @@
 	exchangeMilliseconds: z.number().int().min(5).max(10_000).default(150),
 	/** Time for which a stopping entry reports that it is not ready before it stops accepting connections. */
 	graceMilliseconds: z.number().int().min(0).max(600_000).default(1000),
+	/** Time from the stop signal until the process is killed, if it is limited. The entry accepts connections for half of it at most, so that it can finish what it accepted. */
+	stopSeconds: z.number().positive().max(3600).optional(),
 	maximumHeaderBytes: z.number().int().min(1024).max(1_048_576).default(16_384),
 	maximumBodyBytes: z.number().int().min(1024).max(1_073_741_824).default(1_048_576),
 	/** Maximum size in bytes of a request body that is held in memory; larger ones are streamed, and not sent to a second server. */
--- a/stand-in/platform/system.ts
+++ b/stand-in/platform/system.ts
@@ -117,7 +117,9 @@
 			data_dir: getDataFolder(machine),
 			listen: {control: `${machine.host}:${ports.control}`, front: `${machine.host}:${ports.front}`, ready: `${machine.host}:${ports.ready}`},
 			fault_tolerance: {machines: Math.floor((options.controls - 1) / 2)},
-			bounds: {retry_budget_ratio: 0.2, retry_budget_slack: 64, probes_per_s: 60},
+			bounds: {
+				retry_budget_ratio: 0.2, retry_budget_slack: 64, probes_per_s: 60, grace_s: 6,
+			},
 		}));
 		return file;
 	}
