Refuse requests that cannot be forwarded before they are placed

Callers saw: four odd requests put a service out for 22 s on a fresh system.

Cause: an attempt was counted at its server before Node threw for its headers or path, and nothing took the count back.

Ruled out: lost connections and held claims (catalogue requests have none).

Change: heads are checked first (400, 431), absolute targets are served, CONNECT gets 405, Connection cannot name framing headers away, and no header is dropped beyond the first 1,000. The default limit of headers leaves room for those that the entry adds.

--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -13,6 +13,9 @@
 /** Margin that is added to the document's limit for receiving headers, since the entry's own delays count towards it, in milliseconds. */
 const headersMarginMilliseconds = 1000;
 
+/** Margin that is added to the limit of the size of headers in the parser, which counts other bytes than the entry's own check. */
+const parserMarginBytes = 1024;
+
 /** Server for callers. */
 export type CallerServer = {
 	readonly server: Server;
@@ -32,7 +35,7 @@
  */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
 	const server = createServer({
-		maxHeaderSize: options.maximumHeaderBytes,
+		maxHeaderSize: options.maximumHeaderBytes + parserMarginBytes,
 		keepAliveTimeout: keepAliveMilliseconds,
 		headersTimeout: headersTimeoutMilliseconds,
 		requestTimeout: requestTimeoutMilliseconds,
@@ -49,11 +52,16 @@
 			options.handle(exchange);
 		},
 	});
+	// Node would drop the headers beyond the first 1,000; their size is limited instead.
+	server.maxHeadersCount = 0;
 	server.on('request', connections.accept);
 	server.on('checkContinue', connections.accept);
 	server.on('upgrade', (_request, socket) => {
 		connections.reject(socket as Socket, getRawRefusal('400 Bad Request'));
 	});
+	server.on('connect', (_request, socket) => {
+		connections.reject(socket as Socket, getRawRefusal('405 Method Not Allowed'));
+	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
 		if (error.code === 'ECONNRESET' || !socket.writable) {
 			socket.destroy();
@@ -73,6 +81,8 @@
 			if (limits !== undefined) {
 				server.keepAliveTimeout = limits.idleMilliseconds;
 				server.headersTimeout = limits.headerMilliseconds + headersMarginMilliseconds;
+				// Node applies the size to new connections. Larger heads are refused before they are read to their end.
+				Object.assign(server, {maxHeaderSize: limits.headerBytes + parserMarginBytes});
 			}
 		},
 	};
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -17,8 +17,9 @@
 import {periodMilliseconds} from '../service-level/report.js';
 import {getSeeds, type EntrySettings, type Security} from '../settings/index.js';
 import {type Log} from '../telemetry/index.js';
-import {notRun, type Verdict} from '../verdict/index.js';
+import {notRun, type NotRunReason, type Verdict} from '../verdict/index.js';
 import {listen} from '../wire/index.js';
+import {findRequestFault, normalizeTarget} from './request-check.js';
 import {sendVerdict} from './response.js';
 import {createAdminHandler} from './admin.js';
 import {createByteBudget} from './byte-budget.js';
@@ -336,19 +337,30 @@
 		onRequestEnd: recordEnd,
 	};
 
+	/** Refuses a request before a service is found for it. */
+	function refuseUnrouted(exchange: Exchange, reason: NotRunReason): void {
+		metrics.countRefusal(reason);
+		sendVerdict({
+			dialect, response: exchange.response, verdict: notRun(reason), requestId: getRequestId(context, exchange.request), isClosing: exchange.decideClose(false), retryAfterMilliseconds: unroutedRetryMilliseconds,
+		});
+	}
+
 	function handleExchange(exchange: Exchange): void {
 		const {request, response} = exchange;
 		response.on('error', () => {
 			response.destroy();
 		});
+		normalizeTarget(request);
+		const fault = findRequestFault(request, document?.clientLimits?.headerBytes ?? settings.maximumHeaderBytes);
+		if (fault !== undefined) {
+			refuseUnrouted(exchange, fault === 'malformed' ? 'bad-request' : 'headers-too-large');
+			return;
+		}
+
 		const route = router.get(request.headers.host, request.url ?? '/');
 		const state = route === undefined ? undefined : fleet.getState(route.selectService());
 		if (route === undefined || state === undefined) {
-			const verdict = document === undefined ? notRun('lease-expired') : notRun('unknown-service');
-			metrics.countRefusal(document === undefined ? 'lease-expired' : 'unknown-service');
-			sendVerdict({
-				dialect, response, verdict, requestId: getRequestId(context, request), isClosing: exchange.decideClose(false), retryAfterMilliseconds: unroutedRetryMilliseconds,
-			});
+			refuseUnrouted(exchange, document === undefined ? 'lease-expired' : 'unknown-service');
 			return;
 		}
 
@@ -476,6 +488,7 @@
 		case 'bad-request':
 		case 'body-too-large':
 		case 'caller-left':
+		case 'headers-too-large':
 		case 'in-progress':
 		case 'key-mismatch':
 		case 'unknown-service': {
--- a/source/entry/headers.ts
+++ b/source/entry/headers.ts
@@ -8,6 +8,9 @@
 	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect',
 ]);
 
+/** Headers that frame or route a message, which the Connection header cannot declare to be hop-by-hop. */
+const framingHeaders = new Set(['content-length', 'content-type', 'content-encoding', 'host']);
+
 /**
  * Removes hop-by-hop and excluded headers.
  * @param rawHeaders - Alternating names and values.
@@ -20,7 +23,8 @@
 	const forwardedHeaders: string[] = [];
 	for (let index = 0; index < rawHeaders.length; index += 2) {
 		const name = rawHeaders[index]!.toLowerCase();
-		if (!hopByHopHeaders.has(name) && !excluded.has(name) && !connectionHeaders?.has(name)) {
+		const isNamedAway = connectionHeaders?.has(name) === true && !framingHeaders.has(name);
+		if (!hopByHopHeaders.has(name) && !excluded.has(name) && !isNamedAway) {
 			forwardedHeaders.push(rawHeaders[index]!, rawHeaders[index + 1]!);
 		}
 	}
@@ -48,8 +52,8 @@
  */
 export function getForwardedHeaders(request: ForwardedRequest): string[] {
 	const {incoming, dialect} = request;
-	const headers = filterHeaders(incoming.rawHeaders, incoming.headers.connection, getEntryRequestHeaders(dialect));
-	headers.push('host', incoming.headers.host ?? '', dialect.deadlineHeader, String(Math.max(1, Math.round(request.remainingMilliseconds))), dialect.requestIdHeader, request.requestId);
+	// The headers of the entry come first, since some servers ignore headers beyond a certain number.
+	const headers = ['host', incoming.headers.host ?? '', dialect.deadlineHeader, String(Math.max(1, Math.round(request.remainingMilliseconds))), dialect.requestIdHeader, request.requestId];
 	if (dialect.serverHeader !== undefined) {
 		headers.push(dialect.serverHeader, request.server);
 	}
@@ -59,8 +63,7 @@
 		headers.push('x-forwarded-for', address);
 	}
 
-	headers.push(...getLengthHeaders(request));
-	return headers;
+	return [...headers, ...getLengthHeaders(request), ...filterHeaders(incoming.rawHeaders, incoming.headers.connection, getEntryRequestHeaders(dialect))];
 }
 
 const entryRequestHeaders = new WeakMap<Dialect, ReadonlySet<string>>();
--- a/source/entry/response-head.ts
+++ b/source/entry/response-head.ts
@@ -1,5 +1,6 @@
 /** Heads of servers' responses, and the check that they can be passed on. */
-import {validateHeaderName, validateHeaderValue, type IncomingMessage} from 'node:http';
+import {type IncomingMessage} from 'node:http';
+import {areHeadersValid} from './header-syntax.js';
 
 /** Status and headers (alternating names and values) of a response. */
 export type ResponseHead = {
@@ -20,20 +21,5 @@
  */
 export function isWellFormedHead(response: IncomingMessage): boolean {
 	const {statusCode = 0, rawHeaders} = response;
-	if (statusCode < minimumFinalStatus || statusCode > maximumFinalStatus) {
-		return false;
-	}
-
-	try {
-		for (let index = 0; index < rawHeaders.length; index += 2) {
-			const name = rawHeaders[index]!;
-			validateHeaderName(name);
-			validateHeaderValue(name, rawHeaders[index + 1]!);
-		}
-	} catch {
-		// Node's checks throw for a name or value that it would refuse to send.
-		return false;
-	}
-
-	return true;
+	return statusCode >= minimumFinalStatus && statusCode <= maximumFinalStatus && areHeadersValid(rawHeaders);
 }
--- a/source/entry/server-request.ts
+++ b/source/entry/server-request.ts
@@ -11,7 +11,10 @@
  */
 export function startServerRequest(options: RequestOptions): Result<ClientRequest, Error> {
 	try {
-		return Result.ok(startRequest(options));
+		const request = startRequest(options);
+		// Node would drop the headers of a response beyond the first 1,000; their size is limited instead.
+		request.maxHeadersCount = 0;
+		return Result.ok(request);
 	} catch (error) {
 		return Result.err(error instanceof Error ? error : new Error(String(error)));
 	}
--- a/source/settings/settings.ts
+++ b/source/settings/settings.ts
@@ -88,7 +88,8 @@
 	graceMilliseconds: z.number().int().min(0).max(600_000).default(1000),
 	/** Time from the stop signal until the process is killed, if it is limited. The entry accepts connections for half of it at most, so that it can finish what it accepted. */
 	stopSeconds: z.number().positive().max(3600).optional(),
-	maximumHeaderBytes: z.number().int().min(1024).max(1_048_576).default(16_384),
+	/** Maximum size of a request's line and headers in bytes, unless the document states one; the default leaves room in the usual 16 KiB for the headers that the entry adds. */
+	maximumHeaderBytes: z.number().int().min(1024).max(1_048_576).default(15_360),
 	maximumBodyBytes: z.number().int().min(1024).max(1_073_741_824).default(1_048_576),
 	/** Maximum size in bytes of a request body that is held in memory; larger ones are streamed, and not sent to a second server. */
 	maximumHeldBodyBytes: z.number().int().min(0).max(16_777_216).default(524_288),
--- a/source/verdict/verdict.ts
+++ b/source/verdict/verdict.ts
@@ -11,6 +11,7 @@
 		| 'crashes-servers'
 		| 'deadline'
 		| 'draining'
+		| 'headers-too-large'
 		| 'key-mismatch'
 		| 'ledger-full'
 		| 'ledger-unavailable'
@@ -118,6 +119,10 @@
 			return 413;
 		}
 
+		case 'headers-too-large': {
+			return 431;
+		}
+
 		case 'key-mismatch': {
 			return 422;
 		}
