Pass large answers without a length on in chunks

Cause: it was passed on without a length, and the pipe ended it in order before its completeness was checked.

Ruled out: answers that are held until they are complete.

Change: chunks, with the last one only for a complete answer; callers of HTTP/1.0 get a reset instead. The deadline and the limit of the size end such answers in the same way.

--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -6,7 +6,7 @@
 import {type Service} from '../configuration/index.js';
 import {maximumAttempts, mayHedge, mayRetry} from '../retry/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
-import {streamResponse, writeResponseHead} from './response.js';
+import {endsWithConnection, streamResponse, writeResponseHead} from './response.js';
 import {
 	startAttempt, type Attempt, type AttemptOutcome,
 } from './attempt.js';
@@ -254,9 +254,10 @@
 			head, firstChunks: chunks, rest, completion,
 		} = outcome;
 		admitted.claim?.finish(undefined);
-		writeResponseHead(context.dialect, response, head, admitted.requestId, exchange.decideClose(head.isCloseDelimited));
+		const isFramed = !endsWithConnection(response, head);
+		writeResponseHead(context.dialect, response, head, admitted.requestId, exchange.decideClose(!isFramed));
 		streamResponse({
-			response, chunks, rest, completion, deadlineAt, maximumBytes: context.maximumResponseBytes, onEnd(isComplete) {
+			response, chunks, rest, completion, isFramed, deadlineAt, maximumBytes: context.maximumResponseBytes, onEnd(isComplete) {
 				const verdict: Verdict = isComplete ? {kind: 'ran', status: head.status} : mayHaveRun('answer-truncated');
 				admitted.onEnd(verdict);
 			},
--- a/source/entry/response.ts
+++ b/source/entry/response.ts
@@ -6,6 +6,7 @@
 import {
 	getVerdictHeaderValue, getVerdictStatus, reasonHeader, verdictHeader, type Verdict,
 } from '../verdict/index.js';
+import {resetConnection} from './connection-reset.js';
 import {type Dialect} from './dialect.js';
 import {type ResponseCompletion} from './response-completion.js';
 import {type ResponseHead} from './response-head.js';
@@ -74,7 +75,7 @@
  * @param response - Response to the caller.
  * @param head - Status and headers of the server's response.
  * @param requestId - Id of the request.
- * @param isClosing - Whether the connection closes after the response; required for a body without a length.
+ * @param isClosing - Whether the connection closes after the response; required for a body without a length if the caller does not know chunks.
  */
 export function writeResponseHead(dialect: Dialect, response: ServerResponse, head: ResponseHead, requestId: string, isClosing: boolean): void {
 	const headers = [...head.headers, dialect.requestIdHeader, requestId];
@@ -82,8 +83,6 @@
 		headers.push('connection', 'close');
 	}
 
-	// Adding a length or chunked framing to a close-delimited body would make a truncated one look complete.
-	response.useChunkedEncodingByDefault = !head.isCloseDelimited;
 	response.writeHead(head.status, headers as never);
 }
 
@@ -99,12 +98,15 @@
 	/** Maximum size of the body in bytes; a larger one is broken off. */
 	readonly maximumBytes: number;
 	readonly completion: ResponseCompletion;
+	/** Whether the caller sees the end of the body by its length or its last chunk, not by the end of the connection. */
+	readonly isFramed: boolean;
 	/** Called at the end with whether the body was complete. */
 	onEnd(isWhole: boolean): void;
 };
 
 /**
- * Streams the body of a response whose head is written; a truncated body resets the connection to the caller.
+ * Streams the body of a response whose head is written. The response ends only when the body is complete: a truncated one lacks its
+ * last chunk or a part of its length, and resets the connection of a caller that knows neither.
  * @param streamed - Body of the server's response and response to the caller.
  */
 export function streamResponse(streamed: StreamedResponse): void {
@@ -136,11 +138,31 @@
 	rest.once('close', () => {
 		clearTimeout(timer);
 		const isComplete = streamed.completion.isComplete();
-		if (!isComplete) {
-			response.destroy();
+		if (isComplete) {
+			response.end();
+		} else {
+			breakOff(response, streamed.isFramed);
 		}
 
 		streamed.onEnd(isComplete);
 	});
-	rest.pipe(response);
+	rest.pipe(response, {end: false});
+}
+
+/** Ends the connection of a response that is not complete. Its orderly end would be the end of a body that has no other. */
+function breakOff(response: ServerResponse, isFramed: boolean): void {
+	if (isFramed || response.socket === null) {
+		response.destroy();
+	} else {
+		resetConnection(response.socket);
+	}
+}
+
+/**
+ * Checks whether only the end of the connection can mark the end of a response's body, because its size is unknown and the caller does not know chunks.
+ * @param response - Response to the caller.
+ * @param head - Head of the server's response.
+ */
+export function endsWithConnection(response: ServerResponse, head: ResponseHead): boolean {
+	return head.isCloseDelimited && !response.useChunkedEncodingByDefault;
 }
