Encode a change that a delta cannot express as the complete document

Cause: a delta cannot remove the limits or routes, and identifies services by name; its digest then does not match when it is restored.

Ruled out: entries, which ask for the whole document.

--- a/source/configuration/register.test.ts
+++ b/source/configuration/register.test.ts
@@ -51,6 +51,43 @@
 	});
 });
 
+// Guards against a snapshot that no control host can read again, which stops all of them at their next start.
+describe('createRegister: declared documents of any form', () => {
+	const route = {
+		name: 'look', path: '/', isIdempotent: true, parts: [{service: 'stock', weight: 1}], timeoutMilliseconds: 1000, targetMilliseconds: 200, attempts: 2,
+	};
+	const limits = {
+		headerBytes: 16_384, bodyBytes: 16_384, headerMilliseconds: 1000, idleMilliseconds: 1000,
+	};
+	const full = documentSchema.parse({...document, routes: [route], clientLimits: limits});
+	const {routes: _routes, ...withoutRoutes} = full;
+	const {clientLimits: _limits, ...withoutLimits} = full;
+	const doubled: EnvironmentDocument = {...full, services: [full.services[0]!, {...full.services[0]!, connections: 7}]};
+
+	function doTest(documents: readonly EnvironmentDocument[]): void {
+		const register = createRegister();
+		for (const [index, declared] of documents.entries()) {
+			register.apply({
+				kind: 'declare', environment: 'production', version: index + 1, document: declared, source: '', author: 'ann', at: 1,
+			});
+		}
+
+		const restored = createRegister();
+		restored.restore(structuredClone(register.takeSnapshot()));
+		expect(restored.getHistory('production').map(version => version.document)).toEqual([...documents]);
+	}
+
+	test('are restored when the limits are left out', () => {
+		doTest([full, withoutLimits, full]);
+	});
+	test('are restored when the routes are left out', () => {
+		doTest([full, withoutRoutes, full]);
+	});
+	test('are restored when a service is listed twice', () => {
+		doTest([full, doubled, full]);
+	});
+});
+
 describe('createRegister: commands encoded as deltas', () => {
 	const changedDocument = {...document, measuring: {...document.measuring, probesPerSecond: 9}};
 
--- a/source/configuration/update.ts
+++ b/source/configuration/update.ts
@@ -81,7 +81,7 @@
 	const names = new Set(next.services.map(service => service.name));
 	const services = next.services.filter(service => !areServicesEqual(baseServices.get(service.name), service));
 	const removed = base.services.map(service => service.name).filter(name => !names.has(name));
-	if (services.length + removed.length > next.services.length * maximumChangedShare) {
+	if (services.length + removed.length > next.services.length * maximumChangedShare || !isDeltaPossible(base, next)) {
 		return {kind: 'whole', document: next};
 	}
 
@@ -131,6 +131,16 @@
 	return getDocumentDigest(document) === delta.digest ? Result.ok(document) : Result.err('the digest of the result does not match: the delta was computed from a different base document');
 }
 
+/** Checks whether a delta can express the change: it identifies services by their names, and cannot remove an optional field. */
+function isDeltaPossible(base: EnvironmentDocument, next: EnvironmentDocument): boolean {
+	const hasLostField = (base.routes !== undefined && next.routes === undefined) || (base.clientLimits !== undefined && next.clientLimits === undefined);
+	return !hasLostField && hasDistinctServices(base) && hasDistinctServices(next);
+}
+
+function hasDistinctServices({services}: EnvironmentDocument): boolean {
+	return new Set(services.map(service => service.name)).size === services.length;
+}
+
 function areServicesEqual(left: Service | undefined, right: Service): boolean {
 	return left !== undefined && (left === right || getCanonicalText(left) === getCanonicalText(right));
 }
