Refuse the requests that wait for a service which the document drops

Cause: the state of the service was removed with its queue, whose deadlines nothing checked any more.

Ruled out: running requests, whose attempts have deadlines.

Change: the queue refuses what waits and takes nothing more.

Result: the new case of fleet.test.ts failed before and passes.

--- a/source/entry/fleet.test.ts
+++ b/source/entry/fleet.test.ts
@@ -1,6 +1,7 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
 import {announcementSchema} from '../announcement/index.js';
+import {documentSchema} from '../configuration/index.js';
 import {type ServerView} from '../lease/index.js';
 import {createRandom} from '../randomness/index.js';
 import {createFleet, type Fleet} from './fleet.js';
@@ -13,6 +14,33 @@
 	};
 }
 
+// Guards against requests that are never answered because the document no longer lists the service that they wait for.
+describe('createFleet: requests that wait for a service', () => {
+	function doTest(nextService: string, expected: {readonly refused: number; readonly isQueued: boolean}): void {
+		const fleet = createFleet(createRandom(1), undefined);
+		fleet.setDocument(documentSchema.parse({zones: [{name: 'north'}], services: [{name: 'stock'}]}));
+		const {queue} = fleet.getState('stock')!;
+		let refused = 0;
+		const waiter = {
+			deadlineAt: 1000, start: () => false, expire() {
+				refused++;
+			}, isSettled: () => false,
+		};
+		queue.add(waiter, 0);
+		fleet.setDocument(documentSchema.parse({zones: [{name: 'north'}], services: [{name: nextService}]}));
+		// A request whose body arrives only now finds the service as it was.
+		expect({refused, isQueued: queue.add(waiter, 0)}).toEqual(expected);
+		fleet.close();
+	}
+
+	test('wait on while the document lists it', () => {
+		doTest('stock', {refused: 0, isQueued: true});
+	});
+	test('are refused at once when the document drops it', () => {
+		doTest('other', {refused: 1, isQueued: false});
+	});
+});
+
 describe('createFleet: servers that a new leader lists', () => {
 	function doTest(listed: readonly number[], views: readonly ServerView[], expected: {readonly isComplete: boolean; readonly servers: ReadonlyArray<readonly [id: number, isAbsent: boolean]>}): void {
 		const fleet: Fleet = createFleet(createRandom(1), undefined);
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -230,9 +230,10 @@
 				}
 			}
 
-			for (const name of states.keys()) {
+			for (const [name, state] of states) {
 				if (!names.has(name)) {
 					states.delete(name);
+					state.queue.close();
 				}
 			}
 
--- a/source/limits/wait-queue.ts
+++ b/source/limits/wait-queue.ts
@@ -12,7 +12,7 @@
 	readonly deadlineAt: number;
 	/** Tries to start the request; returns false if no server is available for it. */
 	start(): boolean;
-	/** Refuses the request because its deadline has passed. */
+	/** Refuses the request because its deadline has passed, or because no server will be available for it. */
 	expire(): void;
 	/** Checks whether the request has already ended, for example because its caller disconnected. */
 	isSettled(): boolean;
@@ -28,6 +28,8 @@
 	recordDeparture(now: number): void;
 	/** Refuses the requests whose deadlines have passed. */
 	expire(now: number): void;
+	/** Refuses all waiting requests, and sheds further ones. */
+	close(): void;
 	getLength(): number;
 };
 
@@ -42,6 +44,7 @@
 	let departures = 0;
 	let windowStartedAt: number | undefined;
 	let isDraining = false;
+	let isClosed = false;
 
 	function getLength(): number {
 		return waiters.length - head;
@@ -84,7 +87,7 @@
 
 	return {
 		add(waiter, now) {
-			if (getLength() >= getMaximumLength() || now + getExpectedWaitMilliseconds() > waiter.deadlineAt) {
+			if (isClosed || getLength() >= getMaximumLength() || now + getExpectedWaitMilliseconds() > waiter.deadlineAt) {
 				return false;
 			}
 
@@ -135,6 +138,15 @@
 				}
 			}
 		},
+		close() {
+			isClosed = true;
+			const queued = waiters.slice(head).filter(waiter => !waiter.isSettled());
+			waiters = [];
+			head = 0;
+			for (const waiter of queued) {
+				waiter.expire();
+			}
+		},
 		getLength,
 	};
 }
