Keep to what servers say in their responses: leaving, and pauses

New rules: a server that says in a response that it leaves gets no more requests, and one that refuses with Retry-After gets none for that time. Before, the entry knew neither header.

Change: both are decoded in the dialect and applied to the candidate at once; leaving lasts for the boot, also if the server is listed again. A request that only paused servers could serve is refused at once, with a Retry-After when the first pause ends. Logged and counted.

--- a/source/choice/candidate.ts
+++ b/source/choice/candidate.ts
@@ -63,6 +63,14 @@
 	finish(result: AttemptResult, now: number): void;
 	/** Marks a server that counts as warm as cold in this entry; until the given time, if any, it gets no requests. */
 	markCold(until?: number): void;
+	/** Checks whether the server leaves, according to the control hosts or to itself. */
+	isLeaving(): boolean;
+	/** Marks the server as leaving for the rest of its boot, because it says so itself. Returns whether this is new. */
+	markLeaving(): boolean;
+	/** Sends the server nothing until a time, because it asked for a pause. Returns whether this extends its pause. */
+	pause(until: number): boolean;
+	/** Gets the end of the pause that the server asked for, or 0. */
+	getPausedUntil(): number;
 	/** Records that the server did not reply to a load query in time. */
 	recordMissedReply(now: number): void;
 	isEjected(now: number): boolean;
@@ -99,6 +107,8 @@
 	let rampUpLimit = Number.POSITIVE_INFINITY;
 	let hasBecomeCold = false;
 	let unavailableUntil = 0;
+	let pausedUntil = 0;
+	let isLeaving = false;
 	let isQueriedBeforeRequests = false;
 	let successes = 0;
 	let sheds = 0;
@@ -141,6 +151,7 @@
 		id,
 		getAnnouncement: () => announcement,
 		getState: () => state,
+		isLeaving: () => isLeaving || state === 'leaving',
 		isAbsent: () => isAbsent,
 		update(nextAnnouncement, nextState, nextIsAbsent) {
 			if (state === 'cold' && nextState === 'warm') {
@@ -180,7 +191,7 @@
 		},
 		getReportedLoad: () => reportedLoad,
 		getInFlight: () => inFlight,
-		isAvailable: now => state !== 'leaving' && (!isAbsent || isQueriedBeforeRequests) && ejectedUntil <= now && unavailableUntil <= now && inFlight < getLimit(now),
+		isAvailable: now => !isLeaving && state !== 'leaving' && (!isAbsent || isQueriedBeforeRequests) && Math.max(ejectedUntil, unavailableUntil, pausedUntil) <= now && inFlight < getLimit(now),
 		getLoad(now, includesPeers) {
 			if (failures > 0) {
 				decayFailures(now);
@@ -226,6 +237,17 @@
 				unavailableUntil = until ?? 0;
 			}
 		},
+		markLeaving() {
+			const isNew = !isLeaving;
+			isLeaving = true;
+			return isNew;
+		},
+		pause(until) {
+			const isLonger = until > pausedUntil;
+			pausedUntil = Math.max(pausedUntil, until);
+			return isLonger;
+		},
+		getPausedUntil: () => pausedUntil,
 		recordMissedReply(now) {
 			decayFailures(now);
 			failures = Math.min(failures + 1, maximumMissedReplyLoad);
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -171,7 +171,7 @@
 			return;
 		}
 
-		options.onReport(dialect.getReport(response.headers));
+		options.onReport(dialect.getReport(response.headers, response.statusCode!));
 		const head: ResponseHead = {status: response.statusCode!, headers: getResponseHeaders(dialect, response), isCloseDelimited: !isSelfDelimited(response, options.method)};
 		if (dialect.isNotRun(head.status, response.headers)) {
 			if (echoedId !== options.requestId) {
--- a/source/entry/dialect.ts
+++ b/source/entry/dialect.ts
@@ -21,6 +21,10 @@
 	readonly load: ServerLoad | undefined;
 	/** Name of the responding server, if it is reported. */
 	readonly server: string | undefined;
+	/** Whether the server leaves and wants no further requests. */
+	readonly isLeaving: boolean;
+	/** Time for which the server wants no requests from this entry, with a refusal; undefined if it states none. */
+	readonly pauseMilliseconds: number | undefined;
 };
 
 /** Header names and their interpretation in the protocol between callers, entries and servers. */
@@ -36,7 +40,8 @@
 	readonly hasVerdictHeaders: boolean;
 	/** Response headers of servers that are not forwarded to callers. */
 	readonly hiddenResponseHeaders: ReadonlySet<string>;
-	getReport(headers: IncomingHttpHeaders): ServerReport;
+	/** Gets what a response states about its server. */
+	getReport(headers: IncomingHttpHeaders, status: number): ServerReport;
 	/** Checks whether a server declares that it did not run the request. */
 	isNotRun(status: number, headers: IncomingHttpHeaders): boolean;
 };
@@ -54,6 +59,22 @@
 export const loadHeader = 'guavadeck-load';
 
 const shedStatus = 503;
+const millisecondsPerSecond = 1000;
+
+/** Longest pause that is kept: an hour. A server that asks for more is likely to be faulty. */
+const maximumPauseMilliseconds = 3_600_000;
+
+/**
+ * Gets the time for which a server that refuses a request wants no others: the Retry-After header of a 503 in seconds, fractions
+ * included. Dates, negative numbers and anything else state nothing.
+ * @param headers - Headers of the response.
+ * @param status - Status of the response.
+ */
+export function getPauseMilliseconds(headers: IncomingHttpHeaders, status: number): number | undefined {
+	const value = headers['retry-after'] ?? '';
+	return status === shedStatus && /^\d{1,12}(?:\.\d{1,12})?$/v.test(value) ? Math.min(Number(value) * millisecondsPerSecond, maximumPauseMilliseconds) : undefined;
+}
+
 const notRunValue = getVerdictHeaderValue(notRun('server-shed'));
 
 /** Dialect that is used unless another one is given. */
@@ -64,7 +85,7 @@
 	serverHeader: undefined,
 	hasVerdictHeaders: true,
 	hiddenResponseHeaders: new Set([stateHeader, loadHeader, requestIdHeader]),
-	getReport(headers) {
+	getReport(headers, status) {
 		const load = headers[loadHeader];
 		return {
 			// Servers of this dialect do not report how long they stay cold; any positive time marks them as cold.
@@ -75,6 +96,8 @@
 				}
 				: undefined,
 			server: undefined,
+			isLeaving: headers[stateHeader] === 'leaving',
+			pauseMilliseconds: getPauseMilliseconds(headers, status),
 		};
 	},
 	isNotRun: (status, headers) => status === shedStatus && headers[verdictHeader] === notRunValue,
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -5,7 +5,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {interval, Subscription} from 'rxjs';
 import {
-	createPeerCounts, createCountsReporter, createSubsetChooser, type Candidate,
+	createPeerCounts, createCountsReporter, createSubsetChooser,
 } from '../choice/index.js';
 import {type EnvironmentDocument} from '../configuration/index.js';
 import {createControlClient, createHostDirectory, type ControlClient} from '../control-client/index.js';
@@ -30,7 +30,7 @@
 import {getRequestId, handleRequest, type RequestContext} from './request-handler.js';
 import {createClaims} from './claims.js';
 import {createCrashCheck} from './crash-check.js';
-import {defaultDialect, type Dialect, type ServerReport} from './dialect.js';
+import {defaultDialect, type Dialect} from './dialect.js';
 import {createFleet} from './fleet.js';
 import {keepLease} from './lease-keeper.js';
 import {createEntryMetrics} from './metrics.js';
@@ -39,6 +39,7 @@
 import {createRouter, type Router} from './router.js';
 import {createRequestLog} from './request-log.js';
 import {createCrashTracker} from './crash-tracker.js';
+import {createReportHandler} from './server-reports.js';
 
 const housekeepingIntervalMilliseconds = 50;
 const drainPollIntervalMilliseconds = 20;
@@ -268,18 +269,7 @@
 		}
 	}
 
-	/** Applies the state that a server reports in a response or a reply to a load query. */
-	function applyServerReport(candidate: Candidate, report: ServerReport): void {
-		const {coldMilliseconds = 0, load} = report;
-		if (coldMilliseconds > 0) {
-			const hasRateLimitedWarmUp = fleet.getState(candidate.getAnnouncement().service)?.getService().warmUp !== undefined;
-			candidate.markCold(hasRateLimitedWarmUp ? performance.now() + coldMilliseconds : undefined);
-		}
-
-		if (load !== undefined) {
-			candidate.setReportedLoad(load.running + load.waiting);
-		}
-	}
+	const applyServerReport = createReportHandler({fleet, metrics, log});
 
 	const loadQuerier = createLoadQuerier({
 		dialect,
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -16,6 +16,7 @@
 	createAttemptBudget, createHedgeDelay, defaultHedgeDelayMilliseconds, type AttemptBudget, type HedgeDelay,
 } from '../retry/index.js';
 import {createPool, type Pool} from './pool.js';
+import {createRecentSet} from './recent-set.js';
 
 const initialRetryBalance = 10;
 const initialHedgeDelayMilliseconds = 50;
@@ -62,6 +63,10 @@
 	getSize(): number;
 	/** Returns the observations since the last call, of servers that are cold, were found to be cold or shed requests. */
 	takeObservations(): readonly Observation[];
+	/** Removes a server that says that it leaves from the candidates, for the rest of its boot. Returns whether this is new. */
+	markLeaving(candidate: Candidate): boolean;
+	/** Gets the time at which the first candidate of a service ends its pause, if all of them have asked for one. */
+	getPauseEnd(service: string, now: number): number | undefined;
 	/** Ejects a server that fails too often, unless the document's share of ejected servers is reached; returns whether it did. */
 	ejectIfFailing(service: string, candidate: Candidate, now: number): boolean;
 	close(): void;
@@ -78,6 +83,9 @@
 /** Share of the permitted extra attempts that an entry uses; the margin is needed because each entry counts its windows independently. */
 const usedBudgetShare = 0.85;
 
+/** Number of boots that are remembered as leaving; a list of servers may name them again. */
+const maximumLeavingBoots = 10_000;
+
 function createSharedBudget(budgetOptions: SharedBudgetOptions): AttemptBudget {
 	return createAttemptBudget(() => budgetOptions.ratio * usedBudgetShare, 1, () => Math.max(1, budgetOptions.getSlack() * usedBudgetShare));
 }
@@ -124,6 +132,7 @@
 	const byKey = new Map<ServerKey, Candidate>();
 	const byService = new Map<string, Set<Candidate>>();
 	const states = new Map<string, MutableState>();
+	const leavingBoots = createRecentSet(maximumLeavingBoots);
 	let document: EnvironmentDocument | undefined;
 	let zonesInService: ReadonlySet<string> = new Set();
 	let zonesOutOfService: ReadonlySet<string> = new Set();
@@ -133,7 +142,7 @@
 		const {zone} = candidate.getAnnouncement();
 		// A document without zones leaves it to the operators to take zones out of service.
 		const isInService = zonesInService.size === 0 ? document !== undefined : zonesInService.has(zone);
-		return isInService && !zonesOutOfService.has(zone) && candidate.getState() !== 'leaving';
+		return isInService && !zonesOutOfService.has(zone) && !candidate.isLeaving();
 	}
 
 	/** Recomputes the candidates of one service. */
@@ -207,6 +216,10 @@
 		const candidate = createCandidate(id, announcement, state);
 		candidate.update(announcement, state, isAbsent);
 		candidate.setConnectionShare(getConnectionShare(announcement.connections));
+		if (leavingBoots.has(`${announcement.name} ${announcement.boot}`)) {
+			candidate.markLeaving();
+		}
+
 		byKey.set(getServerKey(announcement), candidate);
 		addToService(candidate);
 		servers.set(id, {candidate, pool: createPool(announcement.host, announcement.port, announcement.connections)});
@@ -325,6 +338,17 @@
 
 			return observations;
 		},
+		markLeaving(candidate) {
+			const {name, boot, service} = candidate.getAnnouncement();
+			leavingBoots.add(`${name} ${boot}`);
+			const isNew = candidate.markLeaving();
+			updateCandidates(service);
+			return isNew;
+		},
+		getPauseEnd(service, now) {
+			const pauses = states.get(service)?.getCandidates().map(candidate => candidate.getPausedUntil()) ?? [];
+			return pauses.length > 0 && pauses.every(until => until > now) ? Math.min(...pauses) : undefined;
+		},
 		ejectIfFailing(service, candidate, now) {
 			if (document === undefined) {
 				return false;
--- a/source/entry/load-querier.test.ts
+++ b/source/entry/load-querier.test.ts
@@ -12,7 +12,7 @@
 	getReport: headers => ({
 		coldMilliseconds: undefined, load: {
 			running: 0, waiting: 0, slots: 4, slowness: 1,
-		}, server: headers['x-server'] as string | undefined,
+		}, server: headers['x-server'] as string | undefined, isLeaving: false, pauseMilliseconds: undefined,
 	}),
 };
 
--- a/source/entry/load-querier.ts
+++ b/source/entry/load-querier.ts
@@ -94,7 +94,7 @@
 		const request = started.value;
 		request.once('response', response => {
 			discardBody(response, responseLimits);
-			const report = options.dialect.getReport(response.headers);
+			const report = options.dialect.getReport(response.headers, response.statusCode ?? 0);
 			if (report.server !== undefined && report.server !== name) {
 				// Another server has taken over the address, so its report does not apply to the candidate.
 				end(undefined);
--- a/source/entry/metrics.ts
+++ b/source/entry/metrics.ts
@@ -16,6 +16,8 @@
 	countRefusal(reason: string): void;
 	countProbe(isHealthy: boolean): void;
 	countEjection(service: string): void;
+	/** Counts a server that says that it leaves, or that it wants a pause. */
+	countWithdrawal(service: string, kind: 'leaving' | 'pause'): void;
 	/** Adds a gauge whose value is read on each scrape. */
 	addGauge(name: string, help: string, read: () => number): void;
 };
@@ -42,6 +44,9 @@
 	const ejections = new Counter({
 		name: 'guavadeck_ejections_total', help: 'Servers ejected for failures', labelNames: ['service'], registers: [registry],
 	});
+	const withdrawals = new Counter({
+		name: 'guavadeck_withdrawals_total', help: 'Servers that said in a response that they leave or want a pause', labelNames: ['service', 'kind'], registers: [registry],
+	});
 	const latencyByService = new Map<string, Histogram.Internal<'service'>>();
 
 	return {
@@ -64,6 +69,9 @@
 		countEjection(service) {
 			ejections.inc({service});
 		},
+		countWithdrawal(service, kind) {
+			withdrawals.inc({service, kind});
+		},
 		addGauge(name, help, read) {
 			// eslint-disable-next-line no-new
 			new Gauge({
--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -403,15 +403,17 @@
 
 	function enqueue(): void {
 		const {targetMilliseconds} = route;
-		const waitDeadlineAt = targetMilliseconds === undefined ? deadlineAt : Math.min(deadlineAt, performance.now() + (targetMilliseconds * maximumWaitTargetShare));
-		const isQueued = state.getCandidates().length > 0 && state.queue.add({
+		const now = performance.now();
+		const waitDeadlineAt = targetMilliseconds === undefined ? deadlineAt : Math.min(deadlineAt, now + (targetMilliseconds * maximumWaitTargetShare));
+		const pauseEndsAt = context.fleet.getPauseEnd(service.name, now) ?? now;
+		const isQueued = pauseEndsAt < waitDeadlineAt && state.getCandidates().length > 0 && state.queue.add({
 			deadlineAt: waitDeadlineAt,
 			start: startFirstAttempt,
 			expire() {
 				refuse(notRun(waitDeadlineAt < deadlineAt ? 'overload' : 'deadline'));
 			},
 			isSettled: () => isSettled,
-		}, performance.now());
+		}, now);
 		if (!isQueued) {
 			refuse(notRun(state.getCandidates().length > 0 ? 'overload' : 'no-server'));
 		}
--- a/source/entry/request-handler.ts
+++ b/source/entry/request-handler.ts
@@ -24,6 +24,9 @@
 
 const maximumKeyLength = 256;
 
+/** Share of a pause over which the callers that it refuses come back. */
+const maximumPauseSpread = 0.1;
+
 /** Share of the target latency after which a request that has not been dispatched is unlikely to meet the target. */
 const lateTargetShare = 0.5;
 
@@ -90,6 +93,14 @@
 		context.onRequestEnd(service, verdict, milliseconds);
 	}
 
+	/** Gets the time after which the caller may try again: when a paused server takes requests, and not before a shortage is likely to be over. */
+	function getRetryAfterMilliseconds(): number {
+		const now = performance.now();
+		const spread = getRetrySpread(requestId);
+		const pauseMilliseconds = (context.fleet.getPauseEnd(service.name, now) ?? now) - now;
+		return Math.max(pauseMilliseconds * (1 + (spread * maximumPauseSpread)), state.shortageEstimate.getRetryAfterMilliseconds(now, spread));
+	}
+
 	function refuse(verdict: Verdict): void {
 		if (!response.headersSent && !response.destroyed) {
 			sendVerdict({
@@ -98,7 +109,7 @@
 				verdict,
 				requestId,
 				isClosing: exchange.decideClose(false),
-				retryAfterMilliseconds: state.shortageEstimate.getRetryAfterMilliseconds(performance.now(), getRetrySpread(requestId)),
+				retryAfterMilliseconds: getRetryAfterMilliseconds(),
 			});
 		}
 
