Pass on no promise that a server has not made

Seen in the review: orders that had run got their server's own 503 without Not-Executed, which callers take for a promise that they have not run.

Cause: statuses are passed on unchanged; only Not-Executed and 421 were treated as declarations.

--- a/source/entry/dialect.ts
+++ b/source/entry/dialect.ts
@@ -42,6 +42,8 @@
 	readonly hiddenResponseHeaders: ReadonlySet<string>;
 	/** Gets what a response states about its server. */
 	getReport(headers: IncomingHttpHeaders, status: number): ServerReport;
+	/** Checks whether callers take a status to mean that the request has not run and never will. */
+	promisesNotRun(status: number): boolean;
 	/** Checks whether a server declares that it did not run the request. */
 	isNotRun(status: number, headers: IncomingHttpHeaders): boolean;
 };
@@ -100,5 +102,7 @@
 			pauseMilliseconds: getPauseMilliseconds(headers, status),
 		};
 	},
+	// Callers of this dialect go by the verdict header.
+	promisesNotRun: () => false,
 	isNotRun: (status, headers) => status === shedStatus && headers[verdictHeader] === notRunValue,
 };
--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -202,6 +202,13 @@
 			ejectFailing(runningAttempt.candidate, now);
 		}
 
+		if (!request.isIdempotent && context.dialect.promisesNotRun(outcome.head.status)) {
+			// The server has not declared that it did not run the request, so this status would be a false promise.
+			discardOutcome(outcome);
+			retryOrRefuse(mayHaveRun('answer-mismatched'), false);
+			return;
+		}
+
 		if (shouldWithhold(outcome)) {
 			withheldResponse = outcome;
 			retryOrRefuse(mayHaveRun('connection-lost'), false);
@@ -439,6 +446,13 @@
 	}
 }
 
+/** Gives up a response that is not passed on. */
+function discardOutcome(outcome: Exclude<AttemptOutcome, {readonly kind: 'failed'}>): void {
+	if (outcome.kind === 'large') {
+		outcome.rest.destroy();
+	}
+}
+
 /** Adds a length to the head of a complete body that has none, so that the connection to the caller stays open. */
 function addLength(head: ResponseHead, body: Buffer): ResponseHead {
 	return head.isCloseDelimited
