Let an unexpected error end just its own request or call

Change: one boundary for each edge. Steps of a request are protected: the request ends with 502, its attempts are cancelled and its slot is given back. Calls of the APIs end with 500.

--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -23,6 +23,7 @@
 import {createLeaderRequestHandler} from './leader-request-handler.js';
 import {createLeadership, type Leadership} from './leadership.js';
 import {createStateMachine, stateMachineCodec} from './state-machine.js';
+import {handleSafely} from './http.js';
 import {createHostDiscovery} from './host-discovery.js';
 import {createMembershipManager} from './membership-manager.js';
 import {createControlMetrics} from './metrics.js';
@@ -394,7 +395,7 @@
 		response.once('close', () => {
 			openRequests--;
 		});
-		void api(request, response);
+		void handleSafely({log, request, response}, api);
 	});
 	const apiPort = await listen(server, {setting: 'api', ...settings.api});
 
--- a/source/control/http.ts
+++ b/source/control/http.ts
@@ -3,6 +3,7 @@
 import {timingSafeEqual, createHash} from 'node:crypto';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {Result} from 'true-myth';
+import {type Log} from '../telemetry/index.js';
 
 /** Maximum size of the body of an operator's request, in bytes. */
 export const maximumApiBodyBytes = 16 * 1024 * 1024;
@@ -60,3 +61,24 @@
 function digest(text: string): Buffer {
 	return createHash('sha256').update(text).digest();
 }
+
+/** A call of the API with the log of its process. */
+export type LoggedCall = {readonly log: Log; readonly request: IncomingMessage; readonly response: ServerResponse};
+
+/**
+ * Handles a call; an unexpected error ends just this call, with a log line and status 500.
+ * @param call - Call to handle.
+ * @param handle - Handler of calls.
+ */
+export async function handleSafely({log, request, response}: LoggedCall, handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>): Promise<void> {
+	try {
+		await handle(request, response);
+	} catch (error) {
+		log.error({error, method: request.method, path: request.url}, 'internal error while handling a call; only this call ends');
+		if (response.headersSent) {
+			response.destroy();
+		} else {
+			sendJson(response, 500, {kind: 'faults', faults: ['internal error; see the log of this process']});
+		}
+	}
+}
--- a/source/entry/attempt.test.ts
+++ b/source/entry/attempt.test.ts
@@ -40,6 +40,9 @@
 			onReport() {
 				// Server reports are ignored here.
 			},
+			onError(error) {
+				throw error;
+			},
 			onEnd: resolve,
 		});
 	});
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -42,6 +42,8 @@
 	/** Checks, in the event loop turn of the write, whether the request may still be dispatched. */
 	mayDispatch(): boolean;
 	onReport(hints: ServerReport): void;
+	/** Called with an unexpected error while a response is handled; the attempt has been cancelled. */
+	onError(error: unknown): void;
 	onEnd(outcome: AttemptOutcome): void;
 };
 
@@ -151,7 +153,12 @@
 		fail('connection-lost');
 	});
 	request.once('response', response => {
-		receiveResponse(response);
+		try {
+			receiveResponse(response);
+		} catch (error) {
+			cancel();
+			options.onError(error);
+		}
 	});
 	request.once('close', () => {
 		fail('connection-lost');
@@ -255,16 +262,15 @@
 		request.end(options.body);
 	}
 
-	return {
-		cancel() {
-			if (!isEnded) {
-				isEnded = true;
-				clearTimeout(timer);
-				request.destroy();
-			}
-		},
-		wasDispatched: () => isDispatched,
-	};
+	function cancel(): void {
+		if (!isEnded) {
+			isEnded = true;
+			clearTimeout(timer);
+			request.destroy();
+		}
+	}
+
+	return {cancel, wasDispatched: () => isDispatched};
 }
 
 /** Checks whether the headers, rather than the end of the connection, mark the end of the body. */
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -8,6 +8,7 @@
 	createPeerCounts, createCountsReporter, createSubsetChooser,
 } from '../choice/index.js';
 import {type EnvironmentDocument} from '../configuration/index.js';
+import {handleSafely} from '../control/http.js';
 import {createControlClient, createHostDirectory, type ControlClient} from '../control-client/index.js';
 import {createSuspensionDetector, type Grant} from '../lease/index.js';
 import {createLoadQueryBudget} from '../measuring/index.js';
@@ -325,6 +326,10 @@
 		createRequestId,
 		startTrace: head => requestLog.start({...head, version: leaseKeeper.holder.getVersion()}),
 		onRequestEnd: recordEnd,
+		onInternalError(error, requestId) {
+			metrics.countInternalError();
+			log.error({error, requestId}, 'internal error while handling a request; only this request ends');
+		},
 	};
 
 	/** Refuses a request before a service is found for it. */
@@ -355,10 +360,7 @@
 		}
 
 		inFlight++;
-		handleRequest(context, route, state, exchange).catch((error: unknown) => {
-			log.error({error}, 'internal error while handling a request');
-			response.destroy();
-		});
+		void handleRequest(context, route, state, exchange);
 	}
 
 	const {server: callers, connections, applyLimits} = createCallerServer({
@@ -376,7 +378,7 @@
 		getExpiresAt: () => leaseKeeper.holder.getExpiresAt(),
 	});
 	const adminServer = createServer((request, response) => {
-		void admin(request, response);
+		void handleSafely({log, request, response}, admin);
 	});
 	const callersPort = await listen(callers, {setting: 'callers', ...settings.callers});
 	const adminPort = await listen(adminServer, {setting: 'admin', ...settings.admin});
@@ -492,6 +494,7 @@
 		case 'crashes-servers':
 		case 'deadline':
 		case 'draining':
+		case 'internal-error':
 		case 'lease-expired':
 		case 'ledger-full':
 		case 'ledger-unavailable':
--- a/source/entry/metrics.ts
+++ b/source/entry/metrics.ts
@@ -18,6 +18,8 @@
 	countEjection(service: string): void;
 	/** Counts a server that says that it leaves, or that it wants a pause. */
 	countWithdrawal(service: string, kind: 'leaving' | 'pause'): void;
+	/** Counts a request that an unexpected error ended. */
+	countInternalError(): void;
 	/** Adds a gauge whose value is read on each scrape. */
 	addGauge(name: string, help: string, read: () => number): void;
 };
@@ -47,6 +49,9 @@
 	const withdrawals = new Counter({
 		name: 'guavadeck_withdrawals_total', help: 'Servers that said in a response that they leave or want a pause', labelNames: ['service', 'kind'], registers: [registry],
 	});
+	const internalErrors = new Counter({
+		name: 'guavadeck_internal_errors_total', help: 'Requests that an unexpected error ended', registers: [registry],
+	});
 	const latencyByService = new Map<string, Histogram.Internal<'service'>>();
 
 	return {
@@ -72,6 +77,9 @@
 		countWithdrawal(service, kind) {
 			withdrawals.inc({service, kind});
 		},
+		countInternalError() {
+			internalErrors.inc();
+		},
 		addGauge(name, help, read) {
 			// eslint-disable-next-line no-new
 			new Gauge({
--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -56,6 +56,8 @@
 	readonly claim: Claim | undefined;
 	/** Responds with a verdict of the entry. */
 	refuse(verdict: Verdict): void;
+	/** Ends the request after an unexpected error. */
+	fail(error: unknown): void;
 	/** Called when the request has ended. */
 	onEnd(verdict: Verdict): void;
 	/** Records a decision for the log. */
@@ -85,6 +87,22 @@
 	let mayEarlierAttemptHaveRun = false;
 	const attemptLimit = route.attempts ?? maximumAttempts;
 
+	/** Runs a step in an event handler; an unexpected error ends just this request and gives back what it holds. */
+	function protect(step: () => void): void {
+		try {
+			step();
+		} catch (error) {
+			fail(error);
+		}
+	}
+
+	/** Ends the request after an unexpected error. */
+	function fail(error: unknown): void {
+		settle();
+		cancelRunning();
+		admitted.fail(error);
+	}
+
 	function settle(): boolean {
 		if (isSettled) {
 			return false;
@@ -137,6 +155,15 @@
 			return;
 		}
 
+		const headers = getForwardedHeaders({
+			dialect: context.dialect,
+			incoming: exchange.request,
+			requestId: admitted.requestId,
+			server: candidate.getAnnouncement().name,
+			remainingMilliseconds: deadlineAt - now,
+			body: request.body,
+			isStreamed: request.stream !== undefined,
+		});
 		attempts++;
 		excluded.add(candidate.id);
 		context.metrics.countAttempt(service.name, kind);
@@ -150,15 +177,7 @@
 			requestId: admitted.requestId,
 			method: request.method,
 			target: request.target,
-			headers: getForwardedHeaders({
-				dialect: context.dialect,
-				incoming: exchange.request,
-				requestId: admitted.requestId,
-				server: candidate.getAnnouncement().name,
-				remainingMilliseconds: deadlineAt - now,
-				body: request.body,
-				isStreamed: request.stream !== undefined,
-			}),
+			headers,
 			body: request.body,
 			stream: request.stream,
 			deadlineAt,
@@ -168,8 +187,11 @@
 			onReport(hints) {
 				context.onReport(candidate, hints);
 			},
+			onError: fail,
 			onEnd(outcome) {
-				handleOutcome(runningAttempt, outcome);
+				protect(() => {
+					handleOutcome(runningAttempt, outcome);
+				});
 			},
 		});
 		const runningAttempt: RunningAttempt = {attempt, candidate, startedAt: now};
@@ -318,11 +340,13 @@
 		}
 
 		selector.select(candidate => {
-			if (candidate === undefined) {
-				finishWithoutRetry(verdict);
-			} else {
-				startOnServer(candidate, 'retry');
-			}
+			protect(() => {
+				if (candidate === undefined) {
+					finishWithoutRetry(verdict);
+				} else {
+					startOnServer(candidate, 'retry');
+				}
+			});
 		});
 	}
 
@@ -369,7 +393,7 @@
 		const delayMilliseconds = route.targetMilliseconds === undefined ? state.hedgeDelay.getMilliseconds() : route.targetMilliseconds * hedgeDelayTargetShare;
 		// Defers the hedge by one event loop turn, so that responses that have already arrived are read first.
 		hedgeTimer = setTimeout(() => {
-			setImmediate(sendHedge);
+			setImmediate(protect, sendHedge);
 		}, delayMilliseconds);
 	}
 
@@ -380,9 +404,11 @@
 		}
 
 		selector.selectForHedge(candidate => {
-			if (candidate !== undefined && !isHedgeObsolete() && mayDispatch() && state.hedges.tryWithdraw()) {
-				startOnServer(candidate, 'hedge');
-			}
+			protect(() => {
+				if (candidate !== undefined && !isHedgeObsolete() && mayDispatch() && state.hedges.tryWithdraw()) {
+					startOnServer(candidate, 'hedge');
+				}
+			});
 		});
 	}
 
@@ -397,13 +423,15 @@
 		}
 
 		selector.select(candidate => {
-			if (candidate === undefined) {
-				refuse(notRun('overload'));
-				return;
-			}
-
-			startOnServer(candidate, 'first');
-			scheduleHedge();
+			protect(() => {
+				if (candidate === undefined) {
+					refuse(notRun('overload'));
+					return;
+				}
+
+				startOnServer(candidate, 'first');
+				scheduleHedge();
+			});
 		});
 		return true;
 	}
--- a/source/entry/request-handler.ts
+++ b/source/entry/request-handler.ts
@@ -6,7 +6,7 @@
 import {type Service} from '../configuration/index.js';
 import {type LoadQueryBudget} from '../measuring/index.js';
 import {type Random} from '../randomness/index.js';
-import {notRun, type Verdict} from '../verdict/index.js';
+import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {sendVerdict, getRetrySpread, writeResponseHead} from './response.js';
 import {type ByteBudget} from './byte-budget.js';
 import {type Exchange} from './caller-connections.js';
@@ -56,6 +56,8 @@
 	createRequestId(): string;
 	/** Starts the trace of a request for the log. */
 	startTrace(head: Omit<RequestTraceHead, 'version'>): RequestTrace;
+	/** Called when an unexpected error ends a request. */
+	onInternalError(error: unknown, requestId: string): void;
 	/** Called when a request has ended. */
 	onRequestEnd(service: Service, verdict: Verdict, milliseconds: number): void;
 };
@@ -78,6 +80,7 @@
 	const key = isIdempotent || route.isIdempotent !== undefined ? undefined : getIdempotencyKey(incoming, service.keyHeader);
 	const requestTime = getRequestTime(incoming.headers[context.dialect.deadlineHeader], route, arrivedAt);
 
+	let hasEnded = false;
 	const trace = context.startTrace({
 		id: requestId,
 		route: route.name,
@@ -88,6 +91,11 @@
 	});
 
 	function recordEnd(verdict: Verdict): void {
+		if (hasEnded) {
+			return;
+		}
+
+		hasEnded = true;
 		const milliseconds = performance.now() - startedAt;
 		trace.end(verdict, milliseconds);
 		context.onRequestEnd(service, verdict, milliseconds);
@@ -120,60 +128,79 @@
 		recordEnd(verdict);
 	}
 
-	if (requestTime === undefined || (key !== undefined && (key.length === 0 || key.length > maximumKeyLength))) {
-		refuse(notRun('bad-request'));
-		return;
-	}
+	/** Ends just this request after an unexpected error. It may have run. */
+	function fail(error: unknown): void {
+		context.onInternalError(error, requestId);
+		if (response.headersSent) {
+			response.destroy();
+		}
 
-	if (!context.mayDispatch(startedAt)) {
-		refuse(notRun('lease-expired'));
-		return;
+		refuse(mayHaveRun('internal-error'));
 	}
 
-	const deadlineAt = arrivedAt + requestTime.remainingMilliseconds;
-	const isLate = requestTime.elapsedMilliseconds + (startedAt - arrivedAt) > (route.targetMilliseconds ?? Number.POSITIVE_INFINITY) * lateTargetShare;
-	const prepared = await prepareBody({
-		limits: context, incoming, response, isClaimed: key !== undefined, deadlineAt,
-	});
-	if (prepared.kind === 'refused') {
-		refuse(prepared.verdict);
-		return;
+	try {
+		await admit();
+	} catch (error) {
+		fail(error);
 	}
 
-	const request: RequestContent = {
-		method, target, key, isIdempotent, body: prepared.body, stream: prepared.stream,
-	};
-	const computeFingerprint = (): string => getFingerprint(request);
-	if (context.crashTracker.isQuarantined(computeFingerprint)) {
-		refuse(notRun('crashes-servers'));
-		return;
-	}
+	/** Validates the request, claims its key and dispatches it. */
+	async function admit(): Promise<void> {
+		if (requestTime === undefined || (key !== undefined && (key.length === 0 || key.length > maximumKeyLength))) {
+			refuse(notRun('bad-request'));
+			return;
+		}
 
-	let claim: Claim | undefined;
-	if (key !== undefined) {
-		const body = prepared.body ?? Buffer.alloc(0);
-		const outcome = await context.claims.claim({
-			service: service.name, key, digest: getRequestDigest(method, target, body), remainingMilliseconds: deadlineAt - performance.now(),
+		if (!context.mayDispatch(startedAt)) {
+			refuse(notRun('lease-expired'));
+			return;
+		}
+
+		const deadlineAt = arrivedAt + requestTime.remainingMilliseconds;
+		const isLate = requestTime.elapsedMilliseconds + (startedAt - arrivedAt) > (route.targetMilliseconds ?? Number.POSITIVE_INFINITY) * lateTargetShare;
+		const prepared = await prepareBody({
+			limits: context, incoming, response, isClaimed: key !== undefined, deadlineAt,
 		});
-		if (outcome.kind === 'refused') {
-			refuse(outcome.verdict);
+		if (prepared.kind === 'refused') {
+			refuse(prepared.verdict);
 			return;
 		}
 
-		if (outcome.kind === 'replay') {
-			const {status, headers, body: storedBody} = outcome.response;
-			writeResponseHead(context.dialect, response, {status, headers: [...headers, 'guavadeck-replayed', 'true'], isCloseDelimited: false}, requestId, exchange.decideClose(false));
-			response.end(storedBody);
-			recordEnd({kind: 'ran', status});
+		const request: RequestContent = {
+			method, target, key, isIdempotent, body: prepared.body, stream: prepared.stream,
+		};
+		const computeFingerprint = (): string => getFingerprint(request);
+		if (context.crashTracker.isQuarantined(computeFingerprint)) {
+			refuse(notRun('crashes-servers'));
 			return;
 		}
 
-		claim = outcome.claim;
-	}
+		let claim: Claim | undefined;
+		if (key !== undefined) {
+			const body = prepared.body ?? Buffer.alloc(0);
+			const outcome = await context.claims.claim({
+				service: service.name, key, digest: getRequestDigest(method, target, body), remainingMilliseconds: deadlineAt - performance.now(),
+			});
+			if (outcome.kind === 'refused') {
+				refuse(outcome.verdict);
+				return;
+			}
+
+			if (outcome.kind === 'replay') {
+				const {status, headers, body: storedBody} = outcome.response;
+				writeResponseHead(context.dialect, response, {status, headers: [...headers, 'guavadeck-replayed', 'true'], isCloseDelimited: false}, requestId, exchange.decideClose(false));
+				response.end(storedBody);
+				recordEnd({kind: 'ran', status});
+				return;
+			}
+
+			claim = outcome.claim;
+		}
 
-	dispatchRequest({
-		context, state, service, route, request, exchange, requestId, deadlineAt, isLate, claim, refuse, onEnd: recordEnd, recordDecision: trace.record, computeFingerprint,
-	});
+		dispatchRequest({
+			context, state, service, route, request, exchange, requestId, deadlineAt, isLate, claim, refuse, fail, onEnd: recordEnd, recordDecision: trace.record, computeFingerprint,
+		});
+	}
 }
 
 /**
--- a/source/entry/server-request.test.ts
+++ b/source/entry/server-request.test.ts
@@ -40,6 +40,9 @@
 			onReport() {
 				// No server reports anything here.
 			},
+			onError(error) {
+				throw error;
+			},
 			onEnd(outcome) {
 				outcomes.push(outcome);
 			},
--- a/source/program/odd-requests.test.ts
+++ b/source/program/odd-requests.test.ts
@@ -58,6 +58,16 @@
 		test(`answers a request with ${name}`, async () => doTest(text, status));
 	}
 
+	test('ends just a call with an odd path, also at a control host', async () => {
+		for (const port of [system.apiPort, system.adminPort]) {
+			const connection = connectRaw(port, 'GET // HTTP/1.1\r\nhost: shop\r\n\r\n');
+			const received = await connection.waitFor(part => part.includes('\r\n\r\n'));
+			connection.socket.destroy();
+			expect(['404', '500'].includes(getStatus(received))).toEqual(true);
+		}
+
+		expect(getStatus(await send('GET /catalogue/jerseys HTTP/1.1\r\nhost: shop\r\n\r\n'))).toEqual('200');
+	});
 	test('serves on after all of them in turn', async () => {
 		for (let round = 0; round < 3; round++) {
 			for (const [, text, status] of cases) {
--- a/source/verdict/verdict.ts
+++ b/source/verdict/verdict.ts
@@ -35,6 +35,7 @@
 		| 'connection-lost'
 		| 'deadline'
 		| 'in-progress'
+		| 'internal-error'
 		| 'caller-left';
 
 /** Outcome of an attempt to run a request. */
@@ -167,7 +168,8 @@
 		case 'answer-mismatched':
 		case 'answer-truncated':
 		case 'caller-left':
-		case 'connection-lost': {
+		case 'connection-lost':
+		case 'internal-error': {
 			return 502;
 		}
 	}
