Write a record again at its place when its sync failed

Callers would have seen: acknowledged changes gone after a full disk and a restart (found by reading; no run harmed callers).

Cause: a record counted as written before its sync; the next try went behind it, and if the failed sync had lost its data, the next start took the gap for the end of the log.

Ruled out: other errors of a sync, which end the process.

Result: the new case of full-disk.test.ts failed before ([1] instead of [1, 2, 3]) and passes.

--- a/source/storage/full-disk.test.ts
+++ b/source/storage/full-disk.test.ts
@@ -1,4 +1,6 @@
-import {mkdtempSync, readdirSync, rmSync} from 'node:fs';
+import {
+	mkdtempSync, readdirSync, rmSync, statSync, truncateSync,
+} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {describe, test} from 'node:test';
@@ -79,6 +81,26 @@
 
 		expect(refuseAfter > 10).toEqual(true);
 	});
+	// Guards against synced entries that the next start drops, because a record before them was lost by a failed sync.
+	test('keeps what is stored after a sync that failed and lost its data', async () => {
+		await withTemporaryFolder(async folder => {
+			const disk = createLimitedFiles();
+			const store = await openStore(folder, undefined, disk.files);
+			await store.persist([append(1)]);
+			const log = path.join(folder, readdirSync(folder).find(name => name.startsWith('log-'))!);
+			const syncedBytes = statSync(log).size;
+			// The write succeeds, the sync after it does not.
+			disk.refuseAfter(1);
+			await expect(store.persist([append(2)])).toBeRejected();
+			truncateSync(log, syncedBytes);
+			disk.refuseAfter(Number.POSITIVE_INFINITY);
+			await store.persist([append(2)]);
+			await store.persist([append(3)]);
+			await store.close();
+			const {storedState} = await openStore(folder);
+			expect(storedState.entries.map(entry => entry.index)).toEqual([1, 2, 3]);
+		});
+	});
 	test('keeps what an earlier process stored when it cannot be opened yet', async () => {
 		await withTemporaryFolder(async folder => {
 			const store = await openStore(folder);
--- a/source/storage/store.ts
+++ b/source/storage/store.ts
@@ -231,8 +231,9 @@
 	async function writeOperations(operations: readonly Operation[]): Promise<void> {
 		const record = encodeRecord(operations);
 		await writeAll(logFile, record, validBytes);
-		validBytes += record.length;
 		await logFile.datasync();
+		// A record whose sync failed may be lost even if a later sync succeeds, so it is written again at its place.
+		validBytes += record.length;
 	}
 
 	return {
