Log unexpected errors with their message and stack

Seen: a line of an internal error held only {"code": …}: the log serializes errors under the key err.

No behaviour but the lines.

--- a/source/control/http.ts
+++ b/source/control/http.ts
@@ -74,7 +74,7 @@
 	try {
 		await handle(request, response);
 	} catch (error) {
-		log.error({error, method: request.method, path: request.url}, 'internal error while handling a call; only this call ends');
+		log.error({err: error, method: request.method, path: request.url}, 'internal error while handling a call; only this call ends');
 		if (response.headersSent) {
 			response.destroy();
 		} else {
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -328,7 +328,7 @@
 		onRequestEnd: recordEnd,
 		onInternalError(error, requestId) {
 			metrics.countInternalError();
-			log.error({error, requestId}, 'internal error while handling a request; only this request ends');
+			log.error({err: error, requestId}, 'internal error while handling a request; only this request ends');
 		},
 	};
 
--- a/source/program/watch.ts
+++ b/source/program/watch.ts
@@ -45,7 +45,7 @@
 
 			modifiedAt = mtimeMs;
 		} catch (error) {
-			log.warn({error}, 'cannot read the modification time of the settings file');
+			log.warn({err: error}, 'cannot read the modification time of the settings file');
 		}
 	}
 
