Limit the rate of log lines in one place

The limit of the request log becomes a module of telemetry, so that lines about orders, discarded answers and stalls are bounded in the same way. No change of behaviour; request-log.test.ts passes as it was.

--- a/source/entry/request-log.ts
+++ b/source/entry/request-log.ts
@@ -4,7 +4,7 @@
  * several attempts or missed their target are logged up to a rate limit; those beyond it
  * are counted.
  */
-import {type Log} from '../telemetry/index.js';
+import {createLineLimit, type Log} from '../telemetry/index.js';
 import {getVerdictHeaderValue, type Verdict} from '../verdict/index.js';
 
 /** One of this many ordinary requests is logged. */
@@ -13,8 +13,6 @@
 /** Rate limit of lines for requests that are not ordinary. */
 const maximumLinesPerSecond = 50;
 
-const millisecondsPerSecond = 1000;
-
 /** Decision made for a request. */
 export type Decision
 	= | {readonly kind: 'place'; readonly server: string; readonly reading: string; readonly answered: number}
@@ -57,26 +55,11 @@
  */
 export function createRequestLog(log: Log, getTime: () => number): RequestLog {
 	let ordinaryCount = 0;
-	let tokens = maximumLinesPerSecond;
-	let refilledAt = getTime();
-	let leftOut = 0;
-
-	function takeToken(): boolean {
-		const now = getTime();
-		tokens = Math.min(maximumLinesPerSecond, tokens + ((now - refilledAt) * maximumLinesPerSecond / millisecondsPerSecond));
-		refilledAt = now;
-		if (tokens < 1) {
-			leftOut++;
-			return false;
-		}
-
-		tokens--;
-		return true;
-	}
+	const limit = createLineLimit(maximumLinesPerSecond, getTime);
 
 	function shouldLog(isOrdinary: boolean): boolean {
 		if (!isOrdinary) {
-			return takeToken();
+			return limit.take();
 		}
 
 		ordinaryCount++;
@@ -100,9 +83,8 @@
 
 					const {at: _, ...rest} = head;
 					log.info({
-						...rest, outcome: getOutcome(verdict), milliseconds: Math.round(milliseconds), decisions, ...(leftOut > 0 ? {leftOut} : {}),
+						...rest, outcome: getOutcome(verdict), milliseconds: Math.round(milliseconds), decisions, ...limit.takeLeftOut(),
 					}, 'request');
-					leftOut = 0;
 				},
 			};
 		},
