Log who ordered what for a zone, and which host proposed it

Callers saw requests sent to a zone that was out of service, and no log told which order had done what. Each order now has an id: the host that received it logs its receipt and its end (zone, sender, call, revision, outcome, milliseconds), and every host that applies the command logs the id, the proposer, the revision and the zones out of service. The command and the request to the leader carry the id as an optional field, so hosts of earlier releases read both. Counter guavadeck_zone_orders_total{outcome}; gauges guavadeck_zones_revision and guavadeck_zones_out.

--- a/source/control/api.ts
+++ b/source/control/api.ts
@@ -10,6 +10,7 @@
 	sendJson, isAuthorized, maximumApiBodyBytes, readJson,
 } from './http.js';
 import {type ControlResponse, type ControlRequest, type BurnSummary} from './message.js';
+import {type ZoneOrderLog} from './zone-order-log.js';
 
 const maximumAnnouncementBytes = 16_384;
 
@@ -35,6 +36,7 @@
 	readonly log: Log;
 	readonly operatorKey: string | undefined;
 	submit(request: ControlRequest): Promise<ControlResponse>;
+	readonly zoneOrders: ZoneOrderLog;
 	/** Checks whether calls that are read now may have waited unread until their senders gave up. */
 	hasStalledRecently(): boolean;
 	getBurnSummary(environment: Environment): BurnSummary | undefined;
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -29,6 +29,8 @@
 import {createControlMetrics} from './metrics.js';
 import {createShutdown} from './shutdown.js';
 import {createStallDetector, type ClockReading} from './stall-detector.js';
+import {createZoneLog} from './zone-log.js';
+import {createZoneOrderLog} from './zone-order-log.js';
 import {createSnapshotReceiver, createSnapshotSender} from './snapshot-transfer.js';
 import {
 	type ControlResponse, type ControlInbound, type ControlOutbound, type ControlRequest,
@@ -168,6 +170,7 @@
 		self, driver, discovery, client, links, log,
 	});
 	const metrics = createControlMetrics(driver, machine);
+	const zoneLog = createZoneLog(log, machine);
 
 	function sendConsensus(to: string, message: ReplicaMessage): void {
 		if (message.kind === 'install') {
@@ -290,6 +293,7 @@
 
 	function runHousekeeping(): void {
 		stallDetector.observe(readClocks());
+		zoneLog.recordRestoredZones();
 		membershipManager.announceChanges();
 		if (leadership === undefined) {
 			return;
@@ -310,6 +314,11 @@
 		log.info({commitIndex: driver.replica.getCommitIndex(), zonesOut: machine.getZonesOut(), changes}, 'servers committed');
 	}
 
+	function applyServerChanges(servers: readonly RegisteredServer[]): void {
+		logServerChanges(servers);
+		leadership?.updateServers(servers, performance.now());
+	}
+
 	function handleRoleChange(change: RoleChange): void {
 		const {role, term, leader: leaderId} = change;
 		log.info({role, term, leader: leaderId}, 'role changed');
@@ -331,10 +340,14 @@
 	subscription.add(driver.leadershipStarts.subscribe(startLeadership));
 	subscription.add(driver.commandResults.subscribe(result => {
 		switch (result.area) {
-			case 'registry':
 			case 'zones': {
-				logServerChanges(result.changed);
-				leadership?.updateServers(result.changed, performance.now());
+				zoneLog.recordCommand(result.command);
+				applyServerChanges(result.changed);
+				break;
+			}
+
+			case 'registry': {
+				applyServerChanges(result.changed);
 				break;
 			}
 
@@ -381,6 +394,9 @@
 			const current = machine.register.getCurrent(environment);
 			return current.isJust ? burnRateTracker?.getSummary(environment, current.value.document, Date.now()) : undefined;
 		},
+		zoneOrders: createZoneOrderLog({
+			log, host: discovery.name, submit: forward, countOrder: metrics.countZoneOrder, getTime: () => performance.now(),
+		}),
 		hasStalledRecently: () => stallDetector.hasStalledRecently(readClocks()),
 		getMetrics: metrics.getText,
 		isReady: () => driver.replica.getLeader() !== undefined,
--- a/source/control/http.ts
+++ b/source/control/http.ts
@@ -62,6 +62,14 @@
 	return createHash('sha256').update(text).digest();
 }
 
+/**
+ * Gets the address and port of the sender of a call.
+ * @param request - Call whose connection is open.
+ */
+export function getSender({socket}: IncomingMessage): string {
+	return `${socket.remoteAddress ?? 'closed'}:${socket.remotePort ?? 0}`;
+}
+
 /** A call of the API with the log of its process. */
 export type LoggedCall = {readonly log: Log; readonly request: IncomingMessage; readonly response: ServerResponse};
 
--- a/source/control/index.ts
+++ b/source/control/index.ts
@@ -8,5 +8,6 @@
 export * from './stall-detector.js';
 export * from './state-machine.js';
 export * from './zone-change.js';
+export * from './zone-order-log.js';
 export type * from './message.js';
 export type {Api, ApiOptions} from './api.js';
--- a/source/control/leader-request-handler.ts
+++ b/source/control/leader-request-handler.ts
@@ -103,7 +103,7 @@
 	}
 
 	/** Changes a zone if the zones still have the given revision, and no other change is in progress. */
-	async function moveZone({zone, isOut, revision}: Extract<ControlRequest, {readonly kind: 'moveZone'}>): Promise<ControlResponse> {
+	async function moveZone({zone, isOut, revision, order}: Extract<ControlRequest, {readonly kind: 'moveZone'}>): Promise<ControlResponse> {
 		if (getLeadership() === undefined) {
 			// The commands of earlier terms are not applied yet, so the revision is not known.
 			return getNotLeaderResponse();
@@ -116,7 +116,7 @@
 
 		zoneChangeTerm = term;
 		const response = await propose({
-			area: 'zones', zone, isOut, at: Date.now(),
+			area: 'zones', zone, isOut, at: Date.now(), proposer: getHostName(driver.replica.getLeader() ?? ':'), ...(order === undefined ? {} : {order}),
 		}, () => ({kind: 'zoneMoved'}));
 		zoneChangeTerm = undefined;
 		return response;
--- a/source/control/message.ts
+++ b/source/control/message.ts
@@ -20,8 +20,8 @@
 		| {readonly kind: 'leave'; readonly name: string; readonly bornAt: number | undefined}
 	/** Reads the revision of the zones that are out of service. */
 		| {readonly kind: 'readZones'}
-	/** Takes a zone out of service or puts it back, if the zones still have the given revision. Hosts of earlier releases send none. */
-		| {readonly kind: 'moveZone'; readonly zone: string; readonly isOut: boolean; readonly revision?: number}
+	/** Takes a zone out of service or puts it back, if the zones still have the given revision. Hosts of earlier releases send neither a revision nor the id of the order. */
+		| {readonly kind: 'moveZone'; readonly zone: string; readonly isOut: boolean; readonly revision?: number; readonly order?: string}
 		| {readonly kind: 'drain'; readonly key: ServerKey}
 		| {readonly kind: 'crash'; readonly fingerprint: string; readonly server: number}
 		| {readonly kind: 'clearCrashes'; readonly fingerprint: string}
--- a/source/control/metrics.ts
+++ b/source/control/metrics.ts
@@ -5,11 +5,14 @@
 import {addProcessMetrics} from '../telemetry/index.js';
 import {type Driver} from './driver.js';
 import {type StateMachine} from './state-machine.js';
+import {type ZoneOrderOutcome} from './zone-order-log.js';
 
 /** Metrics of a control host. */
 export type ControlMetrics = {
 	/** Counts a lease renewal. */
 	countRenewal(outcome: 'granted' | 'refused'): void;
+	/** Counts an order for a zone that this host received. */
+	countZoneOrder(outcome: ZoneOrderOutcome): void;
 	/** Gets all metrics in the Prometheus text format. */
 	getText(): Promise<string>;
 };
@@ -25,6 +28,9 @@
 	const renewals = new Counter({
 		name: 'guavadeck_lease_renewals_total', help: 'Lease renewals received', labelNames: ['outcome'], registers: [registry],
 	});
+	const zoneOrders = new Counter({
+		name: 'guavadeck_zone_orders_total', help: 'Orders for zones that this host received, by outcome', labelNames: ['outcome'], registers: [registry],
+	});
 
 	function addGauge(name: string, help: string, read: () => number): void {
 		// eslint-disable-next-line no-new
@@ -46,11 +52,16 @@
 	addGauge('guavadeck_ledger_released', 'Released attempts that the ledger remembers', () => machine.ledger.getReleaseCount());
 	addGauge('guavadeck_ledger_answer_bytes', 'Bytes of stored answers', () => machine.ledger.getStoredBytes());
 	addGauge('guavadeck_registry_servers', 'Servers in the registry', () => machine.registry.getSize());
+	addGauge('guavadeck_zones_revision', 'Index of the last command for a zone that this host applied', () => machine.getZonesRevision());
+	addGauge('guavadeck_zones_out', 'Zones that operators took out of service', () => machine.getZonesOut().length);
 
 	return {
 		countRenewal(outcome) {
 			renewals.inc({outcome});
 		},
+		countZoneOrder(outcome) {
+			zoneOrders.inc({outcome});
+		},
 		getText: async () => registry.metrics(),
 	};
 }
--- a/source/control/state-machine.ts
+++ b/source/control/state-machine.ts
@@ -9,19 +9,30 @@
 	createLedger, type Ledger, type LedgerResult, type LedgerCommand, type LedgerSnapshot, type LedgerLimits,
 } from '../ledger/index.js';
 
+/** Takes a zone out of service or puts it back, without a change of the configuration document. */
+export type ZoneCommand = {
+	readonly area: 'zones';
+	readonly zone: string;
+	readonly isOut: boolean;
+	readonly at: number;
+	/** Id of the order, for the logs; missing from hosts of earlier releases. */
+	readonly order?: string;
+	/** Name of the host that proposed the command, for the logs; missing from hosts of earlier releases. */
+	readonly proposer?: string;
+};
+
 /** A command of the replicated state machine. */
 export type Command
 	= | {readonly area: 'configuration'; readonly command: ConfigurationCommand}
 		| {readonly area: 'registry'; readonly command: RegistryCommand}
-	/** Takes a zone out of service or puts it back, without a change of the configuration document. */
-		| {readonly area: 'zones'; readonly zone: string; readonly isOut: boolean; readonly at: number}
+		| ZoneCommand
 		| {readonly area: 'ledger'; readonly command: LedgerCommand};
 
 /** Result of a command. */
 export type CommandResult
 	= | {readonly area: 'configuration'; readonly answer: ConfigurationResult}
 		| {readonly area: 'registry'; readonly changed: readonly RegisteredServer[]}
-		| {readonly area: 'zones'; readonly changed: readonly RegisteredServer[]}
+		| {readonly area: 'zones'; readonly command: ZoneCommand; readonly changed: readonly RegisteredServer[]}
 		| {readonly area: 'ledger'; readonly answer: LedgerResult};
 
 /** Serializable snapshot of the state machine. */
@@ -69,7 +80,7 @@
 	 * Takes a zone out of service or puts it back. The servers of a zone that is put back are marked cold, since they may have
 	 * cooled down while the zone was out of service.
 	 */
-	function setZoneOut({zone, isOut, at}: Extract<Command, {readonly area: 'zones'}>, index: number | undefined): readonly RegisteredServer[] {
+	function setZoneOut({zone, isOut, at}: ZoneCommand, index: number | undefined): readonly RegisteredServer[] {
 		zonesRevision = index ?? zonesRevision + 1;
 		const wasOut = zonesOut.includes(zone);
 		if (wasOut === isOut) {
@@ -97,7 +108,7 @@
 				}
 
 				case 'zones': {
-					return {area: 'zones', changed: setZoneOut(command, index)};
+					return {area: 'zones', command, changed: setZoneOut(command, index)};
 				}
 
 				case 'ledger': {
