Send the revision of the zones in grants, and log what an entry acts on

Which set of zones an entry went by, since when and from which host, was in no log. Grants carry the revision as an optional field (missing from hosts of earlier releases, read as 0). The entry logs each change with revision, epoch, granting host and age of the grant, warns of a revision that goes back, and logs when its lease ends and is granted again, also while it serves without control.

--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -383,6 +383,7 @@
 				probeMilliseconds: document === undefined ? Number.POSITIVE_INFINITY : getProbeIntervalMilliseconds(document.measuring, duties.getSize()),
 				quarantined: quarantine.getQuarantined(now),
 				zonesOut: machine.getZonesOut(),
+				zonesRevision: machine.getZonesRevision(),
 				entries: liveEntries.length,
 				...getPeers(renewal, now),
 			};
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -41,6 +41,7 @@
 import {createRequestLog} from './request-log.js';
 import {createCrashTracker} from './crash-tracker.js';
 import {createReportHandler} from './server-reports.js';
+import {createZoneView} from './zone-view.js';
 
 const housekeepingIntervalMilliseconds = 50;
 const drainPollIntervalMilliseconds = 20;
@@ -98,6 +99,7 @@
 	const sharedBudget = attemptBudget === undefined ? undefined : {ratio: attemptBudget.ratio, getSlack: () => attemptBudget.slack / entryCount};
 	const fleet = createFleet(random, sharedBudget, createSubsetChooser({entry: settings.name, zone: settings.zone}));
 	const suspension = createSuspensionDetector();
+	const zoneView = createZoneView({log, isServingWithoutControl, getTime: () => performance.now()});
 	const requestLog = createRequestLog(log, () => performance.now());
 	const peerCounts = createPeerCounts();
 	const serviceLevelCounter = settings.serviceLevels ? await loadServiceLevelCounter(settings) : undefined;
@@ -172,7 +174,7 @@
 			});
 	}
 
-	function applyGrant(grant: Grant, next: EnvironmentDocument | undefined): void {
+	function applyGrant(grant: Grant, next: EnvironmentDocument | undefined, host: string): void {
 		if (next !== undefined) {
 			document = next;
 			router = createRouter(document.services, document.routes, random);
@@ -183,10 +185,8 @@
 
 		updateServers(grant);
 		entryCount = Math.max(1, grant.entries);
-		if (fleet.setZonesOutOfService(grant.zonesOut)) {
-			log.info({zonesOut: grant.zonesOut, epoch: grant.epoch}, 'zones out of service');
-		}
-
+		fleet.setZonesOutOfService(grant.zonesOut);
+		zoneView.recordGrant(grant, host, leaseKeeper.holder.getRenewedAt());
 		fleet.setPermits(grant.permits, performance.now());
 		if (grant.peers !== undefined) {
 			fleet.setConnectionShare(grant.peers.length + 1);
@@ -388,6 +388,9 @@
 		metrics.addGauge('guavadeck_in_flight', 'Requests in flight', () => inFlight);
 		metrics.addGauge('guavadeck_document_version', 'Version of the document in force', () => leaseKeeper.holder.getVersion());
 		metrics.addGauge('guavadeck_lease_seconds', 'Time until the lease ends', () => Math.max(0, leaseKeeper.holder.getExpiresAt() - performance.now()) / millisecondsPerSecond);
+		metrics.addGauge('guavadeck_zones_revision', 'Revision of the zones that the entry acts on', zoneView.getRevision);
+		metrics.addGauge('guavadeck_zones_out', 'Zones out of service that the entry acts on', zoneView.getZonesOutCount);
+		metrics.addGauge('guavadeck_grant_age_seconds', 'Time since the renewal of the last grant was sent', zoneView.getGrantAgeSeconds);
 		metrics.addGauge('guavadeck_peers', 'Peers that counts are exchanged with', () => peerExchange?.peers.getCount() ?? 0);
 		metrics.addGauge('guavadeck_exchange_frames_total', 'Count messages sent to peers', () => peerExchange?.peers.getSentFrames() ?? 0);
 		metrics.addGauge('guavadeck_probe_duties', 'Servers that this entry probes', () => prober.schedule.getDuties().length);
@@ -403,6 +406,7 @@
 		revokePermitsIfNeeded();
 		drainQueues();
 		logReadiness();
+		zoneView.recordLease(leaseKeeper.holder.isValid(performance.now()));
 		prober.tick();
 	}
 
--- a/source/entry/lease-keeper.ts
+++ b/source/entry/lease-keeper.ts
@@ -39,8 +39,8 @@
 	takeObservations(): readonly Observation[];
 	takeFailedProbes(): readonly number[];
 	takeUnchangedServers(): readonly number[];
-	/** Applies a grant, with its document if the grant carries a new version. Runs before the grant is acknowledged. */
-	applyGrant(grant: Grant, document: EnvironmentDocument | undefined): void;
+	/** Applies a grant of a control host, with its document if the grant carries a new version. Runs before the grant is acknowledged. */
+	applyGrant(grant: Grant, document: EnvironmentDocument | undefined, host: string): void;
 	/** Replaces the fingerprints of quarantined requests. */
 	setQuarantined(fingerprints: readonly string[]): void;
 };
@@ -134,7 +134,7 @@
 
 		needsFullDocument = false;
 		holder.accept(grant, now);
-		options.applyGrant(grant, isNewVersion ? document : undefined);
+		options.applyGrant(grant, isNewVersion ? document : undefined, host);
 		grants.next(grant);
 		if (isFirst || isNewVersion) {
 			scheduleRenewal();
--- a/source/lease/holder.ts
+++ b/source/lease/holder.ts
@@ -21,6 +21,8 @@
 	/** Checks whether new requests may be dispatched. */
 	isValid(now: number): boolean;
 	getExpiresAt(): number;
+	/** Gets the time at which the renewal of the last accepted grant was sent, or minus infinity before the first grant. */
+	getRenewedAt(): number;
 	getAcknowledged(): number;
 	getEpoch(): number;
 	getRevision(): number;
@@ -39,6 +41,7 @@
 	const sentAtBySequence = new Map<number, number>();
 	let sequence = 0;
 	let expiresAt = Number.NEGATIVE_INFINITY;
+	let renewedAt = Number.NEGATIVE_INFINITY;
 	let acknowledged = 0;
 	let epoch = 0;
 	let revision = 0;
@@ -47,8 +50,12 @@
 	let peersRevision = 0;
 	let isReleased = false;
 
+	function getSentAt(grant: Grant): number {
+		return sentAtBySequence.get(grant.sequence) ?? Number.NEGATIVE_INFINITY;
+	}
+
 	function getGrantExpiry(grant: Grant): number {
-		return (sentAtBySequence.get(grant.sequence) ?? Number.NEGATIVE_INFINITY) + (grant.termMilliseconds * (1 - clockDriftShare));
+		return getSentAt(grant) + (grant.termMilliseconds * (1 - clockDriftShare));
 	}
 
 	function isAcceptable(grant: Grant, now: number): boolean {
@@ -70,6 +77,7 @@
 			}
 
 			expiresAt = Math.max(expiresAt, getGrantExpiry(grant));
+			renewedAt = getSentAt(grant);
 			acknowledged = grant.sequence;
 			epoch = grant.epoch;
 			revision = grant.revision;
@@ -80,6 +88,7 @@
 		},
 		isValid: now => now < expiresAt,
 		getExpiresAt: () => expiresAt,
+		getRenewedAt: () => renewedAt,
 		getAcknowledged: () => acknowledged,
 		getEpoch: () => epoch,
 		getRevision: () => revision,
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -87,6 +87,8 @@
 	readonly quarantined: readonly string[];
 	/** Zones that operators took out of service. They override the document. */
 	readonly zonesOut: readonly string[];
+	/** Index of the last command for a zone in the replicated log, comparable across leaders; missing from control hosts of earlier releases. */
+	readonly zonesRevision?: number;
 	/** Number of entries of the environment with a lease, including this one. */
 	readonly entries: number;
 	/** Revision of the list of peers, comparable only within an epoch. */
