Count and log the answers of servers that are discarded

Callers got answers that were not theirs, and no line or counter told which answers were discarded, or what their connections had carried before. An attempt now reports each answer that does not count: malformed, of another request, truncated, or bytes that are no HTTP at all (before, those looked like a lost connection; the verdict stays as it was). Line 'answer discarded' with reason, both ids, server, and the number of answers and age of its connection, 20 a second at most; counter guavadeck_discarded_answers_total{reason}.

--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -8,7 +8,9 @@
 import {performance} from 'node:perf_hooks';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {MalformedBodyError} from './malformed-body-error.js';
+import {type ConnectionHistory} from './connection-history.js';
 import {type Dialect, type ServerReport} from './dialect.js';
+import {type DiscardedAnswer, type DiscardReason} from './discarded-answers.js';
 import {discardBody} from './discard.js';
 import {trackCompletion, type ResponseCompletion} from './response-completion.js';
 import {getResponseHeaders} from './headers.js';
@@ -42,6 +44,8 @@
 	/** Checks, in the event loop turn of the write, whether the request may still be dispatched. */
 	mayDispatch(): boolean;
 	onReport(hints: ServerReport): void;
+	/** Called with an answer that does not count. */
+	onDiscard?(answer: DiscardedAnswer): void;
 	/** Called with an unexpected error while a response is handled; the attempt has been cancelled. */
 	onError(error: unknown): void;
 	onEnd(outcome: AttemptOutcome): void;
@@ -50,6 +54,9 @@
 /** Reason for a failed attempt. */
 type FailureReason = 'deadline' | 'connection-lost' | 'answer-truncated' | 'answer-mismatched' | 'answer-malformed' | 'bad-request' | 'body-too-large';
 
+/** Reasons for which an answer that was read does not count. */
+const discardReasons: ReadonlySet<string> = new Set<DiscardReason>(['answer-malformed', 'answer-mismatched', 'answer-truncated']);
+
 /** Reasons that do not indicate that the server has crashed. */
 const harmlessReasons: ReadonlySet<FailureReason> = new Set(['deadline', 'answer-mismatched', 'answer-malformed', 'bad-request', 'body-too-large']);
 
@@ -93,6 +100,8 @@
 	let isEnded = false;
 	let isDispatchRefused = false;
 	let informationalResponses = 0;
+	let history: ConnectionHistory | undefined;
+	let answer: IncomingMessage | undefined;
 	const timer = setTimeout(() => {
 		fail('deadline');
 	}, Math.max(0, options.deadlineAt - performance.now()));
@@ -114,10 +123,20 @@
 
 		const verdict = getFailureVerdict(reason);
 		const hasCrashed = isDispatched && !harmlessReasons.has(reason);
+		if (isDispatched && isDiscardReason(reason)) {
+			reportDiscard(reason);
+		}
+
 		end({kind: 'failed', verdict, hasCrashed});
 		request.destroy();
 	}
 
+	function reportDiscard(reason: DiscardReason): void {
+		options.onDiscard?.({
+			reason, history, requestId: options.requestId, echoedId: answer === undefined ? undefined : getEchoedId(options.dialect, answer), status: answer?.statusCode,
+		});
+	}
+
 	function getFailureVerdict(reason: FailureReason): Verdict {
 		if (isDispatchRefused) {
 			return notRun(performance.now() < options.deadlineAt ? 'lease-expired' : 'deadline');
@@ -130,7 +149,7 @@
 		return mayHaveRun(reason);
 	}
 
-	request.once('socket', () => {
+	request.once('socket', socket => {
 		// No byte has been written to the socket yet, and none may be after the lease has expired.
 		if (isEnded || !options.mayDispatch()) {
 			isDispatchRefused = true;
@@ -139,6 +158,7 @@
 		}
 
 		isDispatched = true;
+		history = options.pool.histories.get(socket);
 		if (options.stream !== undefined) {
 			sendStream(options.stream);
 		}
@@ -149,7 +169,11 @@
 			fail('answer-mismatched');
 		}
 	});
-	request.once('error', () => {
+	request.once('error', error => {
+		if (isDispatched && !isEnded && isParserError(error)) {
+			reportDiscard('answer-unparsable');
+		}
+
 		fail('connection-lost');
 	});
 	request.once('response', response => {
@@ -165,6 +189,7 @@
 	});
 
 	function receiveResponse(response: IncomingMessage): void {
+		answer = response;
 		if (!isWellFormedHead(response)) {
 			// Nothing that such a head states is used: neither the load of the server nor that it did not run the request.
 			fail('answer-malformed');
@@ -172,8 +197,8 @@
 		}
 
 		const {dialect} = options;
-		const echoedId = response.headers[dialect.requestIdHeader];
-		if (!options.pool.isOwnResponse(options.requestId, Array.isArray(echoedId) ? echoedId.join(',') : echoedId)) {
+		const echoedId = getEchoedId(dialect, response);
+		if (!options.pool.isOwnResponse(options.requestId, echoedId)) {
 			fail('answer-mismatched');
 			return;
 		}
@@ -187,6 +212,7 @@
 				return;
 			}
 
+			history?.recordAnswer();
 			discardBody(response);
 			end({kind: 'failed', verdict: notRun('server-shed'), hasCrashed: false});
 			destroyUnfinishedRequest();
@@ -207,6 +233,7 @@
 				response.off('data', onData);
 				response.off('end', onEnd);
 				response.pause();
+				history?.recordAnswer();
 				end({
 					kind: 'large', head, firstChunks: chunks, rest: response, completion,
 				});
@@ -219,6 +246,7 @@
 				return;
 			}
 
+			history?.recordAnswer();
 			const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
 			const isChunked = response.headers['transfer-encoding'] !== undefined;
 			const headers = isChunked ? [...head.headers, 'content-length', String(body.length)] : head.headers;
@@ -273,6 +301,21 @@
 	return {cancel, wasDispatched: () => isDispatched};
 }
 
+/** Checks whether an error of a connection is that its data cannot be parsed. */
+function isParserError({code}: NodeJS.ErrnoException): boolean {
+	return code?.startsWith('HPE_') ?? false;
+}
+
+function isDiscardReason(reason: FailureReason): reason is FailureReason & DiscardReason {
+	return discardReasons.has(reason);
+}
+
+/** Gets the id of a request that a response echoes. */
+function getEchoedId(dialect: Dialect, response: IncomingMessage): string | undefined {
+	const echoedId = response.headers[dialect.requestIdHeader];
+	return Array.isArray(echoedId) ? echoedId.join(',') : echoedId;
+}
+
 /** Checks whether the headers, rather than the end of the connection, mark the end of the body. */
 function isSelfDelimited(response: IncomingMessage, method: string): boolean {
 	return hasNoBody(response, method) || response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -32,6 +32,7 @@
 import {createClaims} from './claims.js';
 import {createCrashCheck} from './crash-check.js';
 import {defaultDialect, type Dialect} from './dialect.js';
+import {createDiscardedAnswers} from './discarded-answers.js';
 import {createFleet} from './fleet.js';
 import {keepLease} from './lease-keeper.js';
 import {createEntryMetrics} from './metrics.js';
@@ -100,6 +101,7 @@
 	const fleet = createFleet(random, sharedBudget, createSubsetChooser({entry: settings.name, zone: settings.zone}));
 	const suspension = createSuspensionDetector();
 	const zoneView = createZoneView({log, isServingWithoutControl, getTime: () => performance.now()});
+	const discardedAnswers = createDiscardedAnswers({log, countDiscardedAnswer: metrics.countDiscardedAnswer, getTime: () => performance.now()});
 	const requestLog = createRequestLog(log, () => performance.now());
 	const peerCounts = createPeerCounts();
 	const serviceLevelCounter = settings.serviceLevels ? await loadServiceLevelCounter(settings) : undefined;
@@ -303,6 +305,7 @@
 		claims,
 		crashTracker,
 		metrics,
+		discardedAnswers,
 		get maximumBodyBytes() {
 			return document?.clientLimits?.bodyBytes ?? settings.maximumBodyBytes;
 		},
--- a/source/entry/metrics.ts
+++ b/source/entry/metrics.ts
@@ -4,6 +4,7 @@
 } from 'prom-client';
 import {addProcessMetrics} from '../telemetry/index.js';
 import {type Verdict} from '../verdict/index.js';
+import {type DiscardReason} from './discarded-answers.js';
 
 const latencyBucketsSeconds = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
 
@@ -18,6 +19,7 @@
 	countEjection(service: string): void;
 	/** Counts a server that says that it leaves, or that it wants a pause. */
 	countWithdrawal(service: string, kind: 'leaving' | 'pause'): void;
+	countDiscardedAnswer(reason: DiscardReason): void;
 	/** Counts a request that an unexpected error ended. */
 	countInternalError(): void;
 	/** Adds a gauge whose value is read on each scrape. */
@@ -49,6 +51,9 @@
 	const withdrawals = new Counter({
 		name: 'guavadeck_withdrawals_total', help: 'Servers that said in a response that they leave or want a pause', labelNames: ['service', 'kind'], registers: [registry],
 	});
+	const discardedAnswers = new Counter({
+		name: 'guavadeck_discarded_answers_total', help: 'Answers of servers that were discarded, by reason', labelNames: ['reason'], registers: [registry],
+	});
 	const internalErrors = new Counter({
 		name: 'guavadeck_internal_errors_total', help: 'Requests that an unexpected error ended', registers: [registry],
 	});
@@ -77,6 +82,9 @@
 		countWithdrawal(service, kind) {
 			withdrawals.inc({service, kind});
 		},
+		countDiscardedAnswer(reason) {
+			discardedAnswers.inc({reason});
+		},
 		countInternalError() {
 			internalErrors.inc();
 		},
--- a/source/entry/pool.ts
+++ b/source/entry/pool.ts
@@ -5,7 +5,9 @@
  */
 import {Agent, type AgentOptions, type ClientRequest} from 'node:http';
 import {connect, type Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {type Duplex} from 'node:stream';
+import {createConnectionHistories, type ConnectionHistories} from './connection-history.js';
 
 const connectTimeoutMilliseconds = 1000;
 
@@ -92,6 +94,7 @@
 /** A pool of connections to one server. */
 export type Pool = {
 	readonly agent: Agent;
+	readonly histories: ConnectionHistories;
 	/** Checks the request id that a response echoes. Once a server has echoed one id, each of its responses must echo its request's id. */
 	isOwnResponse(requestId: string, echoedId: string | undefined): boolean;
 	close(): void;
@@ -107,9 +110,11 @@
 	const agent = createAgent(host, port, {
 		keepAlive: true, maxSockets: connections, maxFreeSockets: connections, scheduling: 'lifo',
 	});
+	const histories = createConnectionHistories(() => performance.now());
 	let hasEchoedId = false;
 	return {
 		agent,
+		histories,
 		isOwnResponse(requestId, echoedId) {
 			hasEchoedId ||= echoedId !== undefined;
 			return !hasEchoedId || echoedId === requestId;
--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -187,6 +187,9 @@
 			onReport(hints) {
 				context.onReport(candidate, hints);
 			},
+			onDiscard(answer) {
+				context.discardedAnswers.record(candidate, answer);
+			},
 			onError: fail,
 			onEnd(outcome) {
 				protect(() => {
--- a/source/entry/request-handler.ts
+++ b/source/entry/request-handler.ts
@@ -17,6 +17,7 @@
 import {getRequestTime} from './headers.js';
 import {type RoutePolicy} from './router.js';
 import {type RequestTrace, type RequestTraceHead} from './request-log.js';
+import {type DiscardedAnswers} from './discarded-answers.js';
 import {type EntryMetrics} from './metrics.js';
 import {prepareBody} from './prepared-body.js';
 import {dispatchRequest, type RequestContent} from './request-dispatch.js';
@@ -41,6 +42,7 @@
 	readonly claims: Claims;
 	readonly crashTracker: CrashTracker;
 	readonly metrics: EntryMetrics;
+	readonly discardedAnswers: DiscardedAnswers;
 	readonly maximumBodyBytes: number;
 	readonly maximumHeldBodyBytes: number;
 	readonly heldBodies: ByteBudget;
