Log and count the times in which a process did not run

A control host that stood still and one whose links were cut looked alike in the logs: the others lose it, and it loses them. Gauges guavadeck_stalls_total and guavadeck_stalled_seconds_total.

--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -28,7 +28,7 @@
 import {createMembershipManager} from './membership-manager.js';
 import {createControlMetrics} from './metrics.js';
 import {createShutdown} from './shutdown.js';
-import {createStallDetector, type ClockReading} from './stall-detector.js';
+import {createStallWatch} from './stall-watch.js';
 import {createZoneLog} from './zone-log.js';
 import {createZoneOrderLog} from './zone-order-log.js';
 import {createSnapshotReceiver, createSnapshotSender} from './snapshot-transfer.js';
@@ -89,7 +89,7 @@
 	const links = new Set<Link<ControlInbound>>();
 	// Loaded only if service levels are tracked, since the histograms take memory.
 	const burnRateTracker: BurnRateTracker | undefined = settings.serviceLevels ? await loadBurnRateTracker() : undefined;
-	const stallDetector = createStallDetector(housekeepingIntervalMilliseconds);
+	const stallWatch = createStallWatch({log, intervalMilliseconds: housekeepingIntervalMilliseconds});
 	let leadership: Leadership | undefined;
 	let nudgeTimer: NodeJS.Timeout | undefined;
 	let lastUrgentRevision = 0;
@@ -169,7 +169,7 @@
 	const membershipManager = createMembershipManager({
 		self, driver, discovery, client, links, log,
 	});
-	const metrics = createControlMetrics(driver, machine);
+	const metrics = createControlMetrics(driver, machine, stallWatch);
 	const zoneLog = createZoneLog(log, machine);
 
 	function sendConsensus(to: string, message: ReplicaMessage): void {
@@ -292,7 +292,7 @@
 	}
 
 	function runHousekeeping(): void {
-		stallDetector.observe(readClocks());
+		stallWatch.observe();
 		zoneLog.recordRestoredZones();
 		membershipManager.announceChanges();
 		if (leadership === undefined) {
@@ -397,7 +397,7 @@
 		zoneOrders: createZoneOrderLog({
 			log, host: discovery.name, submit: forward, countOrder: metrics.countZoneOrder, getTime: () => performance.now(),
 		}),
-		hasStalledRecently: () => stallDetector.hasStalledRecently(readClocks()),
+		hasStalledRecently: stallWatch.hasStalledRecently,
 		getMetrics: metrics.getText,
 		isReady: () => driver.replica.getLeader() !== undefined,
 		getLeaderHost() {
@@ -463,10 +463,6 @@
 	}
 }
 
-function readClocks(): ClockReading {
-	return {wall: Date.now(), monotonic: performance.now()};
-}
-
 async function loadBurnRateTracker(): Promise<BurnRateTracker> {
 	const {createBurnRateTracker} = await import('../service-level/burn-rate-tracker.js');
 	return createBurnRateTracker();
--- a/source/control/index.ts
+++ b/source/control/index.ts
@@ -6,6 +6,7 @@
 export * from './leadership.js';
 export * from './planned-stop.js';
 export * from './stall-detector.js';
+export * from './stall-watch.js';
 export * from './state-machine.js';
 export * from './zone-change.js';
 export * from './zone-order-log.js';
--- a/source/control/metrics.ts
+++ b/source/control/metrics.ts
@@ -4,9 +4,12 @@
 } from 'prom-client';
 import {addProcessMetrics} from '../telemetry/index.js';
 import {type Driver} from './driver.js';
+import {type StallWatch} from './stall-watch.js';
 import {type StateMachine} from './state-machine.js';
 import {type ZoneOrderOutcome} from './zone-order-log.js';
 
+const millisecondsPerSecond = 1000;
+
 /** Metrics of a control host. */
 export type ControlMetrics = {
 	/** Counts a lease renewal. */
@@ -21,8 +24,9 @@
  * Creates the metrics of a control host.
  * @param driver - Driver of the replica.
  * @param machine - Replicated state machine.
+ * @param stallWatch - Watch for times in which the process did not run.
  */
-export function createControlMetrics(driver: Driver, machine: StateMachine): ControlMetrics {
+export function createControlMetrics(driver: Driver, machine: StateMachine, stallWatch: StallWatch): ControlMetrics {
 	const registry = new Registry();
 	addProcessMetrics(registry);
 	const renewals = new Counter({
@@ -55,6 +59,9 @@
 	addGauge('guavadeck_zones_revision', 'Index of the last command for a zone that this host applied', () => machine.getZonesRevision());
 	addGauge('guavadeck_zones_out', 'Zones that operators took out of service', () => machine.getZonesOut().length);
 
+	addGauge('guavadeck_stalls_total', 'Times in which this process did not run', stallWatch.getStallCount);
+	addGauge('guavadeck_stalled_seconds_total', 'Duration of the times in which this process did not run', () => stallWatch.getStalledMilliseconds() / millisecondsPerSecond);
+
 	return {
 		countRenewal(outcome) {
 			renewals.inc({outcome});
--- a/source/control/stall-detector.ts
+++ b/source/control/stall-detector.ts
@@ -23,8 +23,9 @@
 /**
  * Creates a detector without an observation.
  * @param intervalMilliseconds - Regular interval of the observations.
+ * @param onStall - Called with the duration of each stall.
  */
-export function createStallDetector(intervalMilliseconds: number): StallDetector {
+export function createStallDetector(intervalMilliseconds: number, onStall?: (milliseconds: number) => void): StallDetector {
 	let last: ClockReading | undefined;
 	let stallEndedAt = Number.NEGATIVE_INFINITY;
 
@@ -33,6 +34,7 @@
 		last = reading;
 		if (gap > intervalMilliseconds + toleratedGapMilliseconds) {
 			stallEndedAt = reading.monotonic;
+			onStall?.(gap);
 		}
 	}
 
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -9,6 +9,7 @@
 } from '../choice/index.js';
 import {type EnvironmentDocument} from '../configuration/index.js';
 import {handleSafely} from '../control/http.js';
+import {createStallWatch} from '../control/stall-watch.js';
 import {createControlClient, createHostDirectory, type ControlClient} from '../control-client/index.js';
 import {createSuspensionDetector, type Grant} from '../lease/index.js';
 import {createLoadQueryBudget} from '../measuring/index.js';
@@ -100,6 +101,7 @@
 	const sharedBudget = attemptBudget === undefined ? undefined : {ratio: attemptBudget.ratio, getSlack: () => attemptBudget.slack / entryCount};
 	const fleet = createFleet(random, sharedBudget, createSubsetChooser({entry: settings.name, zone: settings.zone}));
 	const suspension = createSuspensionDetector();
+	const stallWatch = createStallWatch({log, intervalMilliseconds: housekeepingIntervalMilliseconds});
 	const zoneView = createZoneView({log, isServingWithoutControl, getTime: () => performance.now()});
 	const discardedAnswers = createDiscardedAnswers({log, countDiscardedAnswer: metrics.countDiscardedAnswer, getTime: () => performance.now()});
 	const requestLog = createRequestLog(log, () => performance.now());
@@ -394,6 +396,8 @@
 		metrics.addGauge('guavadeck_zones_revision', 'Revision of the zones that the entry acts on', zoneView.getRevision);
 		metrics.addGauge('guavadeck_zones_out', 'Zones out of service that the entry acts on', zoneView.getZonesOutCount);
 		metrics.addGauge('guavadeck_grant_age_seconds', 'Time since the renewal of the last grant was sent', zoneView.getGrantAgeSeconds);
+		metrics.addGauge('guavadeck_stalls_total', 'Times in which this process did not run', stallWatch.getStallCount);
+		metrics.addGauge('guavadeck_stalled_seconds_total', 'Duration of the times in which this process did not run', () => stallWatch.getStalledMilliseconds() / millisecondsPerSecond);
 		metrics.addGauge('guavadeck_peers', 'Peers that counts are exchanged with', () => peerExchange?.peers.getCount() ?? 0);
 		metrics.addGauge('guavadeck_exchange_frames_total', 'Count messages sent to peers', () => peerExchange?.peers.getSentFrames() ?? 0);
 		metrics.addGauge('guavadeck_probe_duties', 'Servers that this entry probes', () => prober.schedule.getDuties().length);
@@ -406,6 +410,7 @@
 	}
 
 	function runHousekeeping(): void {
+		stallWatch.observe();
 		revokePermitsIfNeeded();
 		drainQueues();
 		logReadiness();
