--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -28,7 +28,9 @@
 import {createMembershipManager} from './membership-manager.js';
 import {createControlMetrics} from './metrics.js';
 import {createShutdown} from './shutdown.js';
-import {createStallDetector, type ClockReading} from './stall-detector.js';
+import {createStallWatch} from './stall-watch.js';
+import {createZoneLog} from './zone-log.js';
+import {createZoneOrderLog} from './zone-order-log.js';
 import {createSnapshotReceiver, createSnapshotSender} from './snapshot-transfer.js';
 import {
 	type ControlResponse, type ControlInbound, type ControlOutbound, type ControlRequest,
@@ -87,7 +89,7 @@
 	const links = new Set<Link<ControlInbound>>();
 	// Loaded only if service levels are tracked, since the histograms take memory.
 	const burnRateTracker: BurnRateTracker | undefined = settings.serviceLevels ? await loadBurnRateTracker() : undefined;
-	const stallDetector = createStallDetector(housekeepingIntervalMilliseconds);
+	const stallWatch = createStallWatch({log, intervalMilliseconds: housekeepingIntervalMilliseconds});
 	let leadership: Leadership | undefined;
 	let nudgeTimer: NodeJS.Timeout | undefined;
 	let lastUrgentRevision = 0;
@@ -167,7 +169,8 @@
 	const membershipManager = createMembershipManager({
 		self, driver, discovery, client, links, log,
 	});
-	const metrics = createControlMetrics(driver, machine);
+	const metrics = createControlMetrics(driver, machine, stallWatch);
+	const zoneLog = createZoneLog(log, machine);
 
 	function sendConsensus(to: string, message: ReplicaMessage): void {
 		if (message.kind === 'install') {
@@ -289,7 +292,8 @@
 	}
 
 	function runHousekeeping(): void {
-		stallDetector.observe(readClocks());
+		stallWatch.observe();
+		zoneLog.recordRestoredZones();
 		membershipManager.announceChanges();
 		if (leadership === undefined) {
 			return;
@@ -310,6 +314,11 @@
 		log.info({commitIndex: driver.replica.getCommitIndex(), zonesOut: machine.getZonesOut(), changes}, 'servers committed');
 	}
 
+	function applyServerChanges(servers: readonly RegisteredServer[]): void {
+		logServerChanges(servers);
+		leadership?.updateServers(servers, performance.now());
+	}
+
 	function handleRoleChange(change: RoleChange): void {
 		const {role, term, leader: leaderId} = change;
 		log.info({role, term, leader: leaderId}, 'role changed');
@@ -331,10 +340,14 @@
 	subscription.add(driver.leadershipStarts.subscribe(startLeadership));
 	subscription.add(driver.commandResults.subscribe(result => {
 		switch (result.area) {
-			case 'registry':
 			case 'zones': {
-				logServerChanges(result.changed);
-				leadership?.updateServers(result.changed, performance.now());
+				zoneLog.recordCommand(result.command);
+				applyServerChanges(result.changed);
+				break;
+			}
+
+			case 'registry': {
+				applyServerChanges(result.changed);
 				break;
 			}
 
@@ -381,7 +394,10 @@
 			const current = machine.register.getCurrent(environment);
 			return current.isJust ? burnRateTracker?.getSummary(environment, current.value.document, Date.now()) : undefined;
 		},
-		hasStalledRecently: () => stallDetector.hasStalledRecently(readClocks()),
+		zoneOrders: createZoneOrderLog({
+			log, host: discovery.name, submit: forward, countOrder: metrics.countZoneOrder, getTime: () => performance.now(),
+		}),
+		hasStalledRecently: stallWatch.hasStalledRecently,
 		getMetrics: metrics.getText,
 		isReady: () => driver.replica.getLeader() !== undefined,
 		getLeaderHost() {
@@ -447,10 +463,6 @@
 	}
 }
 
-function readClocks(): ClockReading {
-	return {wall: Date.now(), monotonic: performance.now()};
-}
-
 async function loadBurnRateTracker(): Promise<BurnRateTracker> {
 	const {createBurnRateTracker} = await import('../service-level/burn-rate-tracker.js');
 	return createBurnRateTracker();
--- a/source/control/metrics.ts
+++ b/source/control/metrics.ts
@@ -4,12 +4,18 @@
 } from 'prom-client';
 import {addProcessMetrics} from '../telemetry/index.js';
 import {type Driver} from './driver.js';
+import {type StallWatch} from './stall-watch.js';
 import {type StateMachine} from './state-machine.js';
+import {type ZoneOrderOutcome} from './zone-order-log.js';
+
+const millisecondsPerSecond = 1000;
 
 /** Metrics of a control host. */
 export type ControlMetrics = {
 	/** Counts a lease renewal. */
 	countRenewal(outcome: 'granted' | 'refused'): void;
+	/** Counts an order for a zone that this host received. */
+	countZoneOrder(outcome: ZoneOrderOutcome): void;
 	/** Gets all metrics in the Prometheus text format. */
 	getText(): Promise<string>;
 };
@@ -18,13 +24,17 @@
  * Creates the metrics of a control host.
  * @param driver - Driver of the replica.
  * @param machine - Replicated state machine.
+ * @param stallWatch - Watch for times in which the process did not run.
  */
-export function createControlMetrics(driver: Driver, machine: StateMachine): ControlMetrics {
+export function createControlMetrics(driver: Driver, machine: StateMachine, stallWatch: StallWatch): ControlMetrics {
 	const registry = new Registry();
 	addProcessMetrics(registry);
 	const renewals = new Counter({
 		name: 'guavadeck_lease_renewals_total', help: 'Lease renewals received', labelNames: ['outcome'], registers: [registry],
 	});
+	const zoneOrders = new Counter({
+		name: 'guavadeck_zone_orders_total', help: 'Orders for zones that this host received, by outcome', labelNames: ['outcome'], registers: [registry],
+	});
 
 	function addGauge(name: string, help: string, read: () => number): void {
 		// eslint-disable-next-line no-new
@@ -46,11 +56,19 @@
 	addGauge('guavadeck_ledger_released', 'Released attempts that the ledger remembers', () => machine.ledger.getReleaseCount());
 	addGauge('guavadeck_ledger_answer_bytes', 'Bytes of stored answers', () => machine.ledger.getStoredBytes());
 	addGauge('guavadeck_registry_servers', 'Servers in the registry', () => machine.registry.getSize());
+	addGauge('guavadeck_zones_revision', 'Index of the last command for a zone that this host applied', () => machine.getZonesRevision());
+	addGauge('guavadeck_zones_out', 'Zones that operators took out of service', () => machine.getZonesOut().length);
+
+	addGauge('guavadeck_stalls_total', 'Times in which this process did not run', stallWatch.getStallCount);
+	addGauge('guavadeck_stalled_seconds_total', 'Duration of the times in which this process did not run', () => stallWatch.getStalledMilliseconds() / millisecondsPerSecond);
 
 	return {
 		countRenewal(outcome) {
 			renewals.inc({outcome});
 		},
+		countZoneOrder(outcome) {
+			zoneOrders.inc({outcome});
+		},
 		getText: async () => registry.metrics(),
 	};
 }
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -9,6 +9,7 @@
 } from '../choice/index.js';
 import {type EnvironmentDocument} from '../configuration/index.js';
 import {handleSafely} from '../control/http.js';
+import {createStallWatch} from '../control/stall-watch.js';
 import {createControlClient, createHostDirectory, type ControlClient} from '../control-client/index.js';
 import {createSuspensionDetector, type Grant} from '../lease/index.js';
 import {createLoadQueryBudget} from '../measuring/index.js';
@@ -32,6 +33,7 @@
 import {createClaims} from './claims.js';
 import {createCrashCheck} from './crash-check.js';
 import {defaultDialect, type Dialect} from './dialect.js';
+import {createDiscardedAnswers} from './discarded-answers.js';
 import {createFleet} from './fleet.js';
 import {keepLease} from './lease-keeper.js';
 import {createEntryMetrics} from './metrics.js';
@@ -41,6 +43,7 @@
 import {createRequestLog} from './request-log.js';
 import {createCrashTracker} from './crash-tracker.js';
 import {createReportHandler} from './server-reports.js';
+import {createZoneView} from './zone-view.js';
 
 const housekeepingIntervalMilliseconds = 50;
 const drainPollIntervalMilliseconds = 20;
@@ -98,6 +101,9 @@
 	const sharedBudget = attemptBudget === undefined ? undefined : {ratio: attemptBudget.ratio, getSlack: () => attemptBudget.slack / entryCount};
 	const fleet = createFleet(random, sharedBudget, createSubsetChooser({entry: settings.name, zone: settings.zone}));
 	const suspension = createSuspensionDetector();
+	const stallWatch = createStallWatch({log, intervalMilliseconds: housekeepingIntervalMilliseconds});
+	const zoneView = createZoneView({log, isServingWithoutControl, getTime: () => performance.now()});
+	const discardedAnswers = createDiscardedAnswers({log, countDiscardedAnswer: metrics.countDiscardedAnswer, getTime: () => performance.now()});
 	const requestLog = createRequestLog(log, () => performance.now());
 	const peerCounts = createPeerCounts();
 	const serviceLevelCounter = settings.serviceLevels ? await loadServiceLevelCounter(settings) : undefined;
@@ -172,7 +178,7 @@
 			});
 	}
 
-	function applyGrant(grant: Grant, next: EnvironmentDocument | undefined): void {
+	function applyGrant(grant: Grant, next: EnvironmentDocument | undefined, host: string): void {
 		if (next !== undefined) {
 			document = next;
 			router = createRouter(document.services, document.routes, random);
@@ -183,10 +189,8 @@
 
 		updateServers(grant);
 		entryCount = Math.max(1, grant.entries);
-		if (fleet.setZonesOutOfService(grant.zonesOut)) {
-			log.info({zonesOut: grant.zonesOut, epoch: grant.epoch}, 'zones out of service');
-		}
-
+		fleet.setZonesOutOfService(grant.zonesOut);
+		zoneView.recordGrant(grant, host, leaseKeeper.holder.getRenewedAt());
 		fleet.setPermits(grant.permits, performance.now());
 		if (grant.peers !== undefined) {
 			fleet.setConnectionShare(grant.peers.length + 1);
@@ -303,6 +307,7 @@
 		claims,
 		crashTracker,
 		metrics,
+		discardedAnswers,
 		get maximumBodyBytes() {
 			return document?.clientLimits?.bodyBytes ?? settings.maximumBodyBytes;
 		},
@@ -388,6 +393,11 @@
 		metrics.addGauge('guavadeck_in_flight', 'Requests in flight', () => inFlight);
 		metrics.addGauge('guavadeck_document_version', 'Version of the document in force', () => leaseKeeper.holder.getVersion());
 		metrics.addGauge('guavadeck_lease_seconds', 'Time until the lease ends', () => Math.max(0, leaseKeeper.holder.getExpiresAt() - performance.now()) / millisecondsPerSecond);
+		metrics.addGauge('guavadeck_zones_revision', 'Revision of the zones that the entry acts on', zoneView.getRevision);
+		metrics.addGauge('guavadeck_zones_out', 'Zones out of service that the entry acts on', zoneView.getZonesOutCount);
+		metrics.addGauge('guavadeck_grant_age_seconds', 'Time since the renewal of the last grant was sent', zoneView.getGrantAgeSeconds);
+		metrics.addGauge('guavadeck_stalls_total', 'Times in which this process did not run', stallWatch.getStallCount);
+		metrics.addGauge('guavadeck_stalled_seconds_total', 'Duration of the times in which this process did not run', () => stallWatch.getStalledMilliseconds() / millisecondsPerSecond);
 		metrics.addGauge('guavadeck_peers', 'Peers that counts are exchanged with', () => peerExchange?.peers.getCount() ?? 0);
 		metrics.addGauge('guavadeck_exchange_frames_total', 'Count messages sent to peers', () => peerExchange?.peers.getSentFrames() ?? 0);
 		metrics.addGauge('guavadeck_probe_duties', 'Servers that this entry probes', () => prober.schedule.getDuties().length);
@@ -400,9 +410,11 @@
 	}
 
 	function runHousekeeping(): void {
+		stallWatch.observe();
 		revokePermitsIfNeeded();
 		drainQueues();
 		logReadiness();
+		zoneView.recordLease(leaseKeeper.holder.isValid(performance.now()));
 		prober.tick();
 	}
 
