Have the sender of a withdrawal confirm it where a later order may exist

Callers saw: requests reach a zone that is out of service (EVAC). An order that arrives late, whose sender has given up on it, undoes a later one that was acknowledged.

Cause: the checks so far are about time. "The connection is open" and "this process did not stall" both hold where a slow link or a proxy delivers the order late and the close of its sender never. The host reads the revision by itself, so it binds the order to the state at its arrival, not to the state that its sender knew.

Ruled out: a stalled process (none stalls in the new test); a leader of an earlier term (the late order was carried out whichever host received it).

Orders that change nothing move the revision as well. Orders that stop the traffic to a zone, and the first one that puts it back, are carried out at once, as before. Indexes are kept for each zone, so orders for other zones do not invalidate a confirmation.

The unit tests of changeZone pass unchanged, with six more.

--- a/source/control/api.ts
+++ b/source/control/api.ts
@@ -227,7 +227,8 @@
 
 		case 'notLeader':
 		case 'unknown':
-		case 'zonesChanged': {
+		case 'zonesChanged':
+		case 'zoneUnconfirmed': {
 			return 503;
 		}
 
--- a/source/control/leader-request-handler.ts
+++ b/source/control/leader-request-handler.ts
@@ -32,7 +32,7 @@
  */
 export function createLeaderRequestHandler(options: LeaderRequestHandlerOptions): LeaderRequestHandler {
 	const {driver, machine, getLeadership} = options;
-	let zoneChangeTerm: number | undefined;
+	const zoneChanges = new Map<string, {readonly term: number}>();
 
 	function getNotLeaderResponse(): ControlResponse {
 		const leader = driver.replica.getLeader();
@@ -102,23 +102,34 @@
 			}, () => ({kind: 'left'}));
 	}
 
-	/** Changes a zone if the zones still have the given revision, and no other change is in progress. */
-	async function moveZone({zone, isOut, revision}: Extract<ControlRequest, {readonly kind: 'moveZone'}>): Promise<ControlResponse> {
+	/**
+	 * Changes a zone if it was not ordered since the given revision, and no other change of it is in progress. An acknowledged order
+	 * moves the revision even if it changes nothing, so older orders that are under way are refused from then on.
+	 */
+	async function moveZone({zone, isOut, revision, isConfirmed}: Extract<ControlRequest, {readonly kind: 'moveZone'}>): Promise<ControlResponse> {
 		if (getLeadership() === undefined) {
 			// The commands of earlier terms are not applied yet, so the revision is not known.
 			return getNotLeaderResponse();
 		}
 
 		const term = driver.replica.getTerm();
-		if (revision !== undefined && (zoneChangeTerm === term || revision !== machine.getZonesRevision())) {
+		if (zoneChanges.get(zone)?.term === term || (revision !== undefined && machine.zoneOrders.isOrderedSince(zone, revision))) {
 			return {kind: 'zonesChanged'};
 		}
 
-		zoneChangeTerm = term;
+		if (isConfirmed !== true && machine.zoneOrders.mayBeOvertaken({zone, isOut})) {
+			return {kind: 'zoneUnconfirmed'};
+		}
+
+		const change = {term};
+		zoneChanges.set(zone, change);
 		const response = await propose({
 			area: 'zones', zone, isOut, at: Date.now(),
 		}, () => ({kind: 'zoneMoved'}));
-		zoneChangeTerm = undefined;
+		if (zoneChanges.get(zone) === change) {
+			zoneChanges.delete(zone);
+		}
+
 		return response;
 	}
 
--- a/source/control/message.ts
+++ b/source/control/message.ts
@@ -20,8 +20,11 @@
 		| {readonly kind: 'leave'; readonly name: string; readonly bornAt: number | undefined}
 	/** Reads the revision of the zones that are out of service. */
 		| {readonly kind: 'readZones'}
-	/** Takes a zone out of service or puts it back, if the zones still have the given revision. Hosts of earlier releases send none. */
-		| {readonly kind: 'moveZone'; readonly zone: string; readonly isOut: boolean; readonly revision?: number}
+	/**
+	 * Takes a zone out of service or puts it back, if it was not ordered since the given revision of the zones. Hosts of earlier releases
+	 * send none. The order is confirmed if its sender has sent it again together with this revision.
+	 */
+		| {readonly kind: 'moveZone'; readonly zone: string; readonly isOut: boolean; readonly revision?: number; readonly isConfirmed?: boolean}
 		| {readonly kind: 'drain'; readonly key: ServerKey}
 		| {readonly kind: 'crash'; readonly fingerprint: string; readonly server: number}
 		| {readonly kind: 'clearCrashes'; readonly fingerprint: string}
@@ -39,8 +42,10 @@
 		| {readonly kind: 'left'}
 		| {readonly kind: 'zones'; readonly revision: number}
 		| {readonly kind: 'zoneMoved'}
-	/** The zones have another revision, or are being changed. */
+	/** The zone was ordered since the given revision, or is being changed. */
 		| {readonly kind: 'zonesChanged'}
+	/** A later order may have overtaken this one, so its sender must confirm it. */
+		| {readonly kind: 'zoneUnconfirmed'}
 		| {readonly kind: 'crashes'; readonly count: number}
 		| {readonly kind: 'version'; readonly version: Version | undefined}
 		| {readonly kind: 'history'; readonly versions: readonly Version[]}
--- a/source/control/state-machine.ts
+++ b/source/control/state-machine.ts
@@ -8,6 +8,7 @@
 import {
 	createLedger, type Ledger, type LedgerResult, type LedgerCommand, type LedgerSnapshot, type LedgerLimits,
 } from '../ledger/index.js';
+import {createZoneOrders, type ZoneOrders, type ZoneOrdersSnapshot} from './zone-orders.js';
 
 /** A command of the replicated state machine. */
 export type Command
@@ -25,14 +26,10 @@
 		| {readonly area: 'ledger'; readonly answer: LedgerResult};
 
 /** Serializable snapshot of the state machine. */
-export type StateMachineSnapshot = {
+export type StateMachineSnapshot = ZoneOrdersSnapshot & {
 	readonly register: RegisterSnapshot;
 	readonly registry: RegistrySnapshot;
 	readonly ledger: LedgerSnapshot;
-	/** Zones that operators took out of service. */
-	readonly zonesOut?: readonly string[];
-	/** Index of the last command for a zone in the replicated log. */
-	readonly zonesRevision?: number;
 };
 
 /** The replicated state machine. */
@@ -40,6 +37,7 @@
 	readonly register: Register;
 	readonly registry: Registry;
 	readonly ledger: Ledger;
+	readonly zoneOrders: Omit<ZoneOrders, 'apply' | 'restore'>;
 	/** Gets the zones that operators took out of service, sorted by name. */
 	getZonesOut(): readonly string[];
 	/** Gets the index of the last command for a zone in the replicated log, or 0 if there was none. */
@@ -62,30 +60,24 @@
 	const register = createRegister();
 	const registry = createRegistry();
 	const ledger = createLedger(limits);
-	let zonesOut: readonly string[] = [];
-	let zonesRevision = 0;
+	const zoneOrders = createZoneOrders();
 
 	/**
 	 * Takes a zone out of service or puts it back. The servers of a zone that is put back are marked cold, since they may have
 	 * cooled down while the zone was out of service.
 	 */
 	function setZoneOut({zone, isOut, at}: Extract<Command, {readonly area: 'zones'}>, index: number | undefined): readonly RegisteredServer[] {
-		zonesRevision = index ?? zonesRevision + 1;
-		const wasOut = zonesOut.includes(zone);
-		if (wasOut === isOut) {
-			return [];
-		}
-
-		zonesOut = isOut ? [...zonesOut, zone].toSorted() : zonesOut.filter(other => other !== zone);
-		return isOut ? [] : registry.apply({kind: 'zoneCooled', zone, at}, index);
+		const isChanged = zoneOrders.apply({zone, isOut}, index);
+		return isChanged && !isOut ? registry.apply({kind: 'zoneCooled', zone, at}, index) : [];
 	}
 
 	return {
 		register,
 		registry,
 		ledger,
-		getZonesOut: () => zonesOut,
-		getZonesRevision: () => zonesRevision,
+		zoneOrders,
+		getZonesOut: zoneOrders.getZonesOut,
+		getZonesRevision: zoneOrders.getRevision,
 		apply(command, index) {
 			switch (command.area) {
 				case 'configuration': {
@@ -109,15 +101,13 @@
 			register: register.takeSnapshot(),
 			registry: registry.takeSnapshot(),
 			ledger: ledger.takeSnapshot(),
-			...(zonesOut.length > 0 ? {zonesOut} : {}),
-			...(zonesRevision > 0 ? {zonesRevision} : {}),
+			...zoneOrders.takeSnapshot(),
 		}),
 		restore(snapshot) {
 			register.restore(snapshot.register);
 			registry.restore(snapshot.registry);
 			ledger.restore(snapshot.ledger);
-			zonesOut = snapshot.zonesOut ?? [];
-			zonesRevision = snapshot.zonesRevision ?? 0;
+			zoneOrders.restore(snapshot);
 		},
 	};
 }
--- a/source/control/zone-change.test.ts
+++ b/source/control/zone-change.test.ts
@@ -100,6 +100,66 @@
 	test('carries out an order whose sender waits', async () => doTest('never', {kind: 'zoneMoved', zonesOut: []}));
 	test('drops an order whose sender gave up before it was read', async () => doTest('before the revision is read', {kind: 'abandoned', zonesOut: ['south']}));
 	test('drops an order whose sender gave up while it was on its way to the leader', async () => doTest('after the revision is read', {kind: 'abandoned', zonesOut: ['south']}));
+	/** Has a zone taken out, put back and taken out, each acknowledged, and returns what then becomes of an order to put it back. */
+	async function withOvertakenOrder(run: (host: SingleHost, putBack: (confirmedRevision?: number) => Promise<ZoneChangeOutcome>) => Promise<void>): Promise<void> {
+		await withSingleHost(async host => {
+			const change = async (isOut: boolean, confirmedRevision?: number): Promise<ZoneChangeOutcome> => changeZone({
+				zone: 'south', isOut, confirmedRevision, isAwaited: async () => true, submit: host.handler.handle,
+			});
+			expect([await change(true), await change(false), await change(true)]).toEqual([{kind: 'zoneMoved'}, {kind: 'zoneMoved'}, {kind: 'zoneMoved'}]);
+			await run(host, async confirmedRevision => change(false, confirmedRevision));
+		});
+	}
+
+	test('asks the sender of an order that a later one may have overtaken to confirm it', async () => {
+		await withOvertakenOrder(async ({machine}, putBack) => {
+			const revision = machine.getZonesRevision();
+			expect(await putBack()).toEqual({kind: 'confirmationNeeded', revision});
+			expect(machine.getZonesOut()).toEqual(['south']);
+			expect(await putBack(revision)).toEqual({kind: 'zoneMoved'});
+			expect(machine.getZonesOut()).toEqual([]);
+		});
+	});
+	test('refuses a confirmation that an order overtook which changed nothing', async () => {
+		await withOvertakenOrder(async ({handler, machine}, putBack) => {
+			const revision = machine.getZonesRevision();
+			const {kind} = await changeZone({
+				zone: 'south', isOut: true, isAwaited: async () => true, submit: handler.handle,
+			});
+			expect(kind).toEqual('zoneMoved');
+			expect(await putBack(revision)).toEqual({kind: 'confirmationNeeded', revision: machine.getZonesRevision()});
+			expect(machine.getZonesOut()).toEqual(['south']);
+		});
+	});
+	test('keeps a confirmation while other zones are ordered', async () => {
+		await withOvertakenOrder(async ({handler, machine}, putBack) => {
+			const revision = machine.getZonesRevision();
+			await handler.handle({kind: 'moveZone', zone: 'west', isOut: true});
+			expect(await putBack(revision)).toEqual({kind: 'zoneMoved'});
+			expect(machine.getZonesOut()).toEqual(['west']);
+		});
+	});
+	test('acknowledges an order that is sent again after it was carried out', async () => {
+		await withOvertakenOrder(async ({machine}, putBack) => {
+			const revision = machine.getZonesRevision();
+			expect(await putBack(revision)).toEqual({kind: 'zoneMoved'});
+			expect([await putBack(revision), await putBack()]).toEqual([{kind: 'zoneMoved'}, {kind: 'zoneMoved'}]);
+		});
+	});
+	test('does not put a zone back for a host of an earlier release, which has no confirmation', async () => {
+		await withOvertakenOrder(async ({handler, machine}) => {
+			expect(await handler.handle({kind: 'moveZone', zone: 'south', isOut: false})).toEqual({kind: 'zoneUnconfirmed'});
+			expect(machine.getZonesOut()).toEqual(['south']);
+		});
+	});
+	test('carries out one of two orders for the same state of a zone', async () => {
+		await withOvertakenOrder(async ({handler, machine}) => {
+			const order = {
+				kind: 'moveZone', zone: 'south', isOut: false, revision: machine.getZonesRevision(), isConfirmed: true,
+			} as const;
+			expect(await Promise.all([handler.handle(order), handler.handle(order)])).toEqual([{kind: 'zoneMoved'}, {kind: 'zonesChanged'}]);
+		});
+	});
 	test('carries out concurrent orders one after the other', async () => {
 		await withSingleHost(async ({handler, machine}) => {
 			const zones = ['a', 'b', 'c', 'd'];
--- /dev/null
+++ b/source/control/zone-orders.test.ts
@@ -0,0 +1,54 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {createZoneOrders, type ZoneOrders, type ZoneOrdersSnapshot} from './zone-orders.js';
+
+// Guards against an order that is carried out although a later one for its zone was acknowledged.
+describe('createZoneOrders', () => {
+	function createFrom(directions: ReadonlyArray<'out' | 'in'>): ZoneOrders {
+		const orders = createZoneOrders();
+		for (const [index, direction] of directions.entries()) {
+			orders.apply({zone: 'south', isOut: direction === 'out'}, 10 + index);
+		}
+
+		return orders;
+	}
+
+	function restore(snapshot: ZoneOrdersSnapshot): ZoneOrders {
+		const orders = createZoneOrders();
+		orders.restore(snapshot);
+		return orders;
+	}
+
+	test('counts an order that changes nothing', () => {
+		const orders = createFrom(['out', 'out']);
+		expect([orders.isOrderedSince('south', 10), orders.isOrderedSince('south', 11), orders.isOrderedSince('west', 0)]).toEqual([true, false, false]);
+	});
+
+	describe('mayBeOvertaken', () => {
+		function doTest(directions: ReadonlyArray<'out' | 'in'>, isOut: boolean, expected: boolean): void {
+			const orders = createFrom(directions);
+			expect([orders, restore(orders.takeSnapshot())].map(each => each.mayBeOvertaken({zone: 'south', isOut}))).toEqual([expected, expected]);
+		}
+
+		test('is false for the first order that puts a zone back', () => {
+			doTest(['out'], false, false);
+		});
+		test('is true where the zone was put back before', () => {
+			doTest(['out', 'in', 'out'], false, true);
+		});
+		test('is true where the zone was ordered out twice', () => {
+			doTest(['out', 'out'], false, true);
+		});
+		test('is false for orders that take a zone out or change nothing', () => {
+			doTest(['out', 'in', 'out'], true, false);
+			doTest(['out', 'in'], false, false);
+			doTest(['out', 'in'], true, false);
+		});
+		test('is true after a snapshot that does not name the orders of each zone', () => {
+			const orders = restore({zonesOut: ['south'], zonesRevision: 7});
+			expect([orders.mayBeOvertaken({zone: 'south', isOut: false}), orders.isOrderedSince('south', 6), orders.isOrderedSince('south', 7)]).toEqual([true, true, false]);
+			orders.apply({zone: 'west', isOut: true}, 8);
+			expect([orders, restore(orders.takeSnapshot())].map(each => each.mayBeOvertaken({zone: 'west', isOut: false}))).toEqual([true, true]);
+		});
+	});
+});
--- a/stand-in/platform/system.ts
+++ b/stand-in/platform/system.ts
@@ -62,6 +62,10 @@
 	isReady(entry: Machine): Promise<boolean>;
 	/** Reads the log of all processes that ran on a machine. */
 	readLog(machine: Machine): string;
+	/** Gets the zones that are out of service according to the newest line of a control host's log that names them. */
+	getZonesOut(machine: Machine): unknown;
+	/** Gets the control host that leads according to the logs, or throws an error if none does. */
+	getLeaderOrThrow(): Machine;
 	/** Kills all processes and deletes their files. */
 	stop(): Promise<void>;
 };
@@ -162,6 +166,15 @@
 		await exited;
 	}
 
+	function readLog(machine: Machine): string {
+		return readFileSync(path.join(folder, `${machine.name}.log`), 'utf8');
+	}
+
+	function isLeading(machine: Machine): boolean {
+		const line = readLog(machine).split('\n').findLast(text => text.includes('role changed'));
+		return line?.includes('"role":"leader"') === true;
+	}
+
 	return {
 		controls,
 		entries,
@@ -203,7 +216,19 @@
 			const {status} = await sendHttpRequest(entry.host, ports.ready, {path: '/ready'});
 			return status === 200;
 		},
-		readLog: machine => readFileSync(path.join(folder, `${machine.name}.log`), 'utf8'),
+		readLog,
+		getZonesOut(machine) {
+			const line = readLog(machine).split('\n').findLast(text => text.includes('"zonesOut"'));
+			return (JSON.parse(line ?? '{}') as {readonly zonesOut?: unknown}).zonesOut;
+		},
+		getLeaderOrThrow() {
+			const leader = controls.find(machine => isLeading(machine));
+			if (leader === undefined) {
+				throw new Error('no control host leads');
+			}
+
+			return leader;
+		},
 		async stop() {
 			await Promise.all([...controls, ...entries].map(async machine => terminate(machine, 'SIGKILL')));
 			rmSync(folder, {recursive: true, force: true});
