Report data that a server sends on an idle connection as a discarded answer

A second copy of an answer that comes late usually meets an idle connection; it was dropped with the connection and left no trace. It is counted and logged as 'answer-unsolicited' with the number of answers that the connection had given. The connection ends as before. source/entry 72 tests pass.

--- a/source/entry/discarded-answers.test.ts
+++ b/source/entry/discarded-answers.test.ts
@@ -52,6 +52,37 @@
 });
 
 describe('startAttempt: a discarded answer', () => {
+	/** Starts a server that answers one request after the other with the given texts, and closes the connection after a part of a body. */
+	async function listenForTexts(texts: readonly string[]): Promise<{readonly port: number; close(): void; getSockets(): readonly Socket[]}> {
+		const remaining = [...texts];
+		const sockets: Socket[] = [];
+		const server = createServer(socket => {
+			sockets.push(socket);
+			socket.on('error', () => {
+				socket.destroy();
+			});
+			socket.on('data', () => {
+				const text = remaining.shift()!;
+				socket.write(text);
+				if (text.includes('content-length: 9')) {
+					socket.destroySoon();
+				}
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		return {
+			port: (server.address() as AddressInfo).port,
+			close() {
+				server.close();
+				for (const socket of sockets) {
+					socket.destroy();
+				}
+			},
+			getSockets: () => sockets,
+		};
+	}
+
 	/** Attempts a request on a server, and gets the answers that were discarded meanwhile. */
 	async function attempt(pool: Pool, requestId: string): Promise<readonly DiscardedAnswer[]> {
 		const answers: DiscardedAnswer[] = [];
@@ -84,37 +115,32 @@
 		return answers;
 	}
 
+	test('on an idle connection is reported with the number of answers before it', async () => {
+		const {port, close, getSockets} = await listenForTexts([getAnswer('r1')]);
+		let answerCount: number | undefined;
+		const pool = createPool('127.0.0.1', port, 4, history => {
+			answerCount = history.getAnswerCount();
+		});
+		await attempt(pool, 'r1');
+		const [socket] = getSockets();
+		socket!.write(getAnswer('r1'));
+		await once(socket!, 'close');
+		expect(answerCount).toEqual(1);
+		pool.close();
+		close();
+	});
+
 	/** Sends one request for each of the given answers, and checks what was discarded. */
 	async function doTest(texts: readonly string[], expected: ReadonlyArray<Omit<DiscardedAnswer, 'history'> & {readonly answerCount: number}>): Promise<void> {
-		const remaining = [...texts];
-		const sockets = new Set<Socket>();
-		const server = createServer(socket => {
-			sockets.add(socket);
-			socket.on('error', () => {
-				socket.destroy();
-			});
-			socket.on('data', () => {
-				const text = remaining.shift()!;
-				socket.write(text);
-				if (text.includes('content-length: 9')) {
-					socket.destroySoon();
-				}
-			});
-		});
-		server.listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		const pool = createPool('127.0.0.1', (server.address() as AddressInfo).port, 4);
+		const {port, close} = await listenForTexts(texts);
+		const pool = createPool('127.0.0.1', port, 4);
 		const discarded: DiscardedAnswer[] = [];
 		for (const [index] of texts.entries()) {
 			discarded.push(...await attempt(pool, `r${index + 1}`));
 		}
 
 		pool.close();
-		server.close();
-		for (const socket of sockets) {
-			socket.destroy();
-		}
-
+		close();
 		expect(discarded.map(({history, ...answer}) => ({...answer, answerCount: history!.getAnswerCount()}))).toEqual([...expected]);
 		expect(discarded.every(({history}) => history!.getAge() > 0)).toEqual(true);
 	}
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -99,11 +99,13 @@
 	const metrics = createEntryMetrics();
 	const {attemptBudget} = settings;
 	const sharedBudget = attemptBudget === undefined ? undefined : {ratio: attemptBudget.ratio, getSlack: () => attemptBudget.slack / entryCount};
-	const fleet = createFleet(random, sharedBudget, createSubsetChooser({entry: settings.name, zone: settings.zone}));
 	const suspension = createSuspensionDetector();
 	const stallWatch = createStallWatch({log, intervalMilliseconds: housekeepingIntervalMilliseconds});
 	const zoneView = createZoneView({log, isServingWithoutControl, getTime: () => performance.now()});
 	const discardedAnswers = createDiscardedAnswers({log, countDiscardedAnswer: metrics.countDiscardedAnswer, getTime: () => performance.now()});
+	const fleet = createFleet(random, sharedBudget, createSubsetChooser({entry: settings.name, zone: settings.zone}), (candidate, history) => {
+		discardedAnswers.record(candidate, {reason: 'answer-unsolicited', history});
+	});
 	const requestLog = createRequestLog(log, () => performance.now());
 	const peerCounts = createPeerCounts();
 	const serviceLevelCounter = settings.serviceLevels ? await loadServiceLevelCounter(settings) : undefined;
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -15,6 +15,7 @@
 import {
 	createAttemptBudget, createHedgeDelay, defaultHedgeDelayMilliseconds, type AttemptBudget, type HedgeDelay,
 } from '../retry/index.js';
+import {type ConnectionHistory} from './connection-history.js';
 import {createPool, type Pool} from './pool.js';
 import {createRecentSet} from './recent-set.js';
 
@@ -126,8 +127,9 @@
  * @param random - Source of random numbers.
  * @param budgetOptions - Budget that retries and hedges share; by default each has a budget of its own.
  * @param subsetChooser - Chooser of the servers that the entry prefers to query; by default it prefers none.
+ * @param onUnsolicitedData - Called when a server sends data on an idle connection, with its history.
  */
-export function createFleet(random: Random, budgetOptions?: SharedBudgetOptions, subsetChooser?: SubsetChooser): Fleet {
+export function createFleet(random: Random, budgetOptions?: SharedBudgetOptions, subsetChooser?: SubsetChooser, onUnsolicitedData?: (candidate: Candidate, history: ConnectionHistory) => void): Fleet {
 	const servers = new Map<number, FleetServer>();
 	const byKey = new Map<ServerKey, Candidate>();
 	const byService = new Map<string, Set<Candidate>>();
@@ -222,7 +224,10 @@
 
 		byKey.set(getServerKey(announcement), candidate);
 		addToService(candidate);
-		servers.set(id, {candidate, pool: createPool(announcement.host, announcement.port, announcement.connections)});
+		const pool = createPool(announcement.host, announcement.port, announcement.connections, history => {
+			onUnsolicitedData?.(candidate, history);
+		});
+		servers.set(id, {candidate, pool});
 	}
 
 	function getConnectionShare(connections: number): number {
--- a/source/entry/pool.ts
+++ b/source/entry/pool.ts
@@ -7,7 +7,7 @@
 import {connect, type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {type Duplex} from 'node:stream';
-import {createConnectionHistories, type ConnectionHistories} from './connection-history.js';
+import {createConnectionHistories, type ConnectionHistories, type ConnectionHistory} from './connection-history.js';
 
 const connectTimeoutMilliseconds = 1000;
 
@@ -21,11 +21,6 @@
 	reuseSocket(socket: Socket, request: ClientRequest): void;
 };
 
-/** Destroys an idle socket on which the server sends unsolicited data. */
-function destroyOnIdleData(this: Socket): void {
-	this.destroy();
-}
-
 /** Time before the server's idle timeout at which the pool closes an idle connection, in milliseconds. */
 const idleMarginMilliseconds = 2000;
 
@@ -62,7 +57,13 @@
 	socket.once('error', settle);
 }
 
-function createAgent(host: string, port: number, options: AgentOptions): Agent {
+function createAgent(host: string, port: number, options: AgentOptions, onIdleData: (socket: Socket) => void): Agent {
+	/** Destroys an idle socket on which the server sends unsolicited data. */
+	function destroyOnIdleData(this: Socket): void {
+		onIdleData(this);
+		this.destroy();
+	}
+
 	const agent = new Agent(options);
 	const original = agent as unknown as AgentMethods;
 	const keepSocketAlive = original.keepSocketAlive.bind(agent);
@@ -105,12 +106,15 @@
  * @param host - IP address of the server.
  * @param port - Port of the server.
  * @param connections - Maximum number of connections.
+ * @param onUnsolicitedData - Called with the history of an idle connection on which the server sent data.
  */
-export function createPool(host: string, port: number, connections: number): Pool {
+export function createPool(host: string, port: number, connections: number, onUnsolicitedData?: (history: ConnectionHistory) => void): Pool {
+	const histories = createConnectionHistories(() => performance.now());
 	const agent = createAgent(host, port, {
 		keepAlive: true, maxSockets: connections, maxFreeSockets: connections, scheduling: 'lifo',
+	}, socket => {
+		onUnsolicitedData?.(histories.get(socket));
 	});
-	const histories = createConnectionHistories(() => performance.now());
 	let hasEchoedId = false;
 	return {
 		agent,
