Show the discarded answers of a request once in its explanation

The line 'answer discarded' names the request, and explain printed it twice, as a line of the request and as context.

--- a/source/program/explain.test.ts
+++ b/source/program/explain.test.ts
@@ -7,6 +7,9 @@
 	'{"name":"e2","msg":"zones out of service","time":"2026-01-01T00:00:01.500Z"}',
 	'{"name":"e1","id":"r7","msg":"request","time":"2026-01-01T00:00:02.000Z"}',
 	'{"name":"e1","id":"r8","msg":"request","time":"2026-01-01T00:00:02.000Z"}',
+	'{"name":"e3","id":"r5","msg":"answer discarded","time":"2026-01-01T00:00:01.900Z"}',
+	'{"name":"e3","id":"r5","msg":"request","time":"2026-01-01T00:00:02.000Z"}',
+	'{"name":"e3","id":"r6","msg":"answer discarded","time":"2026-01-01T00:00:01.950Z"}',
 	'{"name":"e1","msg":"ready","time":"2026-01-01T00:00:03.000Z"}',
 	'not a log line',
 	'{"name":"e1","msg":"cut o',
@@ -20,6 +23,9 @@
 	test('shows a request with the earlier lines of its entry', () => {
 		doTest('r7', ['e1 zones out of service', 'e1 request']);
 	});
+	test('shows the discarded answers of a request once, and those of others as context', () => {
+		doTest('r5', ['e3 answer discarded', 'e3 answer discarded', 'e3 request']);
+	});
 	test('shows nothing for a request without a log line', () => {
 		doTest('r9', []);
 	});
--- a/source/program/explain.ts
+++ b/source/program/explain.ts
@@ -43,7 +43,7 @@
 	const requestTimes = requestLines.map(line => Date.parse(line.time));
 	const from = Math.min(...requestTimes) - contextMilliseconds;
 	const until = Math.max(...requestTimes);
-	const contextLines = lines.filter(line => line.msg !== 'request' && processNames.has(line.name) && Date.parse(line.time) >= from && Date.parse(line.time) <= until);
+	const contextLines = lines.filter(line => line.msg !== 'request' && line.id !== id && processNames.has(line.name) && Date.parse(line.time) >= from && Date.parse(line.time) <= until);
 	return [...requestLines, ...contextLines].toSorted((left, right) => Date.parse(left.time) - Date.parse(right.time));
 }
 
