--- /dev/null
+++ b/source/control/cold-servers.ts
@@ -0,0 +1,122 @@
+/**
+ * Permits for the cold servers of a leader. Some are limited by slots that grow with successes, others by a rate while they warm up. An
+ * earlier leader may have granted permits for the servers that were registered then, so these are granted only after its leases have ended.
+ */
+import {type RegisteredServer} from '../announcement/index.js';
+import {createAllocator, createRateAllocator} from '../cold-start/index.js';
+import {type Service} from '../configuration/index.js';
+import {type Grant, type Renewal} from '../lease/index.js';
+import {type ServerStatus} from './message.js';
+import {type StateMachine} from './state-machine.js';
+
+/** Time added to the cold phase that a server announces, to cover the delay of the announcement, in milliseconds. */
+const coldMarginMilliseconds = 300;
+
+const defaultDeadlineMilliseconds = 60_000;
+
+/** Cold servers of one leader during one term. */
+export type ColdServers = {
+	/** Adds a server if it is cold. */
+	add(server: RegisteredServer, now: number): void;
+	/** Records that a server changed; it is no longer among the cold ones unless it is cold still. */
+	recordChange(server: RegisteredServer): void;
+	/** Records what an entry observed, and the permits that it acknowledges. */
+	recordRenewal(renewal: Renewal, now: number): void;
+	/** Records which warm servers an entry found to behave like cold ones. */
+	collectCooled(renewal: Renewal): void;
+	expireLease(entry: string, now: number): void;
+	/** Grants permits to an entry, given the live entries of its environment and the end of its lease. */
+	grant(renewal: Renewal, liveEntries: readonly string[], expiresAt: number, now: number): Grant['permits'];
+	/** Gets the warm servers that behave like cold ones. */
+	getCooled(): readonly number[];
+	/** Gets the servers that have become warm. */
+	getWarmed(now: number): readonly number[];
+	getUsage(id: number, now: number): ServerStatus['permits'];
+};
+
+/** Options of `createColdServers`. */
+export type ColdServersOptions = {
+	readonly startedAt: number;
+	readonly termMilliseconds: number;
+	readonly machine: StateMachine;
+	/** Servers that were registered under an earlier leader. */
+	readonly inheritedServers: ReadonlySet<number>;
+	/** Gets the services of a name in all environments. */
+	getServices(name: string): readonly Service[];
+};
+
+/**
+ * Creates the permits of a new leader.
+ * @param options - Start, term, state machine and services.
+ */
+export function createColdServers(options: ColdServersOptions): ColdServers {
+	const {startedAt, termMilliseconds, machine, inheritedServers, getServices} = options;
+	const allocator = createAllocator({startedAt, termMilliseconds});
+	const rateAllocator = createRateAllocator();
+	const knownColdServers = new Set<number>();
+	const cooledServers = new Set<number>();
+
+	/** Limits the request rate of a cold server. If it was not known to be cold, the limit lasts at least for the full warm-up time of the service. */
+	function addRateLimited(server: RegisteredServer, warmUp: NonNullable<Service['warmUp']>, announcedMilliseconds: number, now: number): void {
+		const coldMilliseconds = Math.max(announcedMilliseconds, knownColdServers.has(server.id) ? 0 : warmUp.milliseconds);
+		knownColdServers.add(server.id);
+		rateAllocator.add({
+			id: server.id,
+			requestsPerSecond: warmUp.requestsPerSecond,
+			grantableAt: inheritedServers.has(server.id) ? startedAt + termMilliseconds : now,
+			coldUntil: now + coldMilliseconds + coldMarginMilliseconds,
+		});
+	}
+
+	return {
+		add(server, now) {
+			if (server.state !== 'cold') {
+				return;
+			}
+
+			const services = getServices(server.announcement.service);
+			const warmUp = services[0]?.warmUp;
+			if (warmUp !== undefined) {
+				addRateLimited(server, warmUp, server.announcement.coldMilliseconds ?? 0, now);
+				return;
+			}
+
+			const deadline = Math.max(...services.map(service => service.deadlineMilliseconds), services.length === 0 ? defaultDeadlineMilliseconds : 0);
+			const {easing} = services[0] ?? {easing: {initialSlots: 1, growthPerSuccess: 0.1, ceilingMilliseconds: 30_000}};
+			allocator.add({
+				id: server.id, slots: server.announcement.slots, easing, deadlineMilliseconds: deadline, hasEarlierHolders: inheritedServers.has(server.id),
+			}, now);
+		},
+		recordChange({id, state}) {
+			cooledServers.delete(id);
+			if (machine.registry.getById(id).isNothing || state !== 'cold') {
+				allocator.remove(id);
+				rateAllocator.remove(id);
+				knownColdServers.delete(id);
+			}
+		},
+		recordRenewal(renewal, now) {
+			allocator.report(renewal.entry, renewal.acknowledged, renewal.observations, now);
+		},
+		collectCooled(renewal) {
+			for (const observation of renewal.observations) {
+				if (observation.isCold && machine.registry.getById(observation.server).map(server => server.state === 'warm').unwrapOr(false)) {
+					cooledServers.add(observation.server);
+				}
+			}
+		},
+		expireLease(entry, now) {
+			allocator.expireLease(entry, now);
+			rateAllocator.expireLease(entry);
+		},
+		grant: (renewal, liveEntries, expiresAt, now) => [
+			...allocator.grant(renewal.entry, renewal.sequence, liveEntries, now),
+			...rateAllocator.grant({
+				entry: renewal.entry, expiresAt, entryCount: liveEntries.length, now,
+			}).map(permit => ({...permit, slots: 0})),
+		],
+		getCooled: () => [...cooledServers],
+		getWarmed: now => [...allocator.getWarmed(now), ...rateAllocator.getWarmed(now)],
+		getUsage: allocator.getUsage,
+	};
+}
--- /dev/null
+++ b/source/control/granted-leases.ts
@@ -0,0 +1,106 @@
+/** The leases that a leader has granted, and the lists of entries and of peers that follow from them. */
+import {createLeaseTable, type Grant, type Renewal} from '../lease/index.js';
+import {createLiveLeases, isSamePeer, type LiveLeases} from './live-leases.js';
+import {type EntryStatus} from './message.js';
+
+/** Leases of one leader during one term. */
+export type GrantedLeases = {
+	/** Records a renewal. The leadership must have been confirmed after its receipt. */
+	record(renewal: Renewal, receivedAt: number): void;
+	/** Expires the leases that have ended. */
+	expire(now: number): void;
+	/** Forgets the leases that ended before a time. */
+	removeExpired(before: number): void;
+	/** Gets the entries of an environment with a live lease, sorted. The list is the same until an entry joins, changes or ends. */
+	getLiveEntries(environment: string, now: number): readonly string[];
+	/** Gets the addresses of the other entries, or none if the renewal reports their current revision. */
+	getPeers(renewal: Renewal, now: number): Pick<Grant, 'peers' | 'peersRevision'>;
+	/** Checks whether all entries of an environment with a live lease report a version or a newer one. */
+	isInForce(environment: string, version: number, now: number): boolean;
+	getEntries(now: number): readonly EntryStatus[];
+};
+
+/** Options of `createGrantedLeases`. */
+export type GrantedLeasesOptions = {
+	/** Consensus term of the leader. */
+	readonly epoch: number;
+	readonly startedAt: number;
+	readonly termMilliseconds: number;
+	/** Called when the lease of an entry has ended. */
+	onExpiry(entry: string, now: number): void;
+};
+
+/**
+ * Creates the leases of a new leader.
+ * @param options - Epoch, start and term.
+ */
+export function createGrantedLeases(options: GrantedLeasesOptions): GrantedLeases {
+	const {epoch, termMilliseconds, onExpiry} = options;
+	const leases = createLeaseTable(options.startedAt, termMilliseconds);
+	const expiredEntries = new Set<string>();
+	let earliestExpiryAt = Number.NEGATIVE_INFINITY;
+	let liveLeases: LiveLeases | undefined;
+	let peersKey = '';
+	let peersRevision = 0;
+
+	/** Gets the lists that follow from the live leases. */
+	function getLiveLeases(now: number): LiveLeases {
+		liveLeases ??= createLiveLeases(leases.getLive(now));
+		return liveLeases;
+	}
+
+	return {
+		record(renewal, receivedAt) {
+			const previous = leases.get(renewal.entry);
+			leases.record(renewal, receivedAt);
+			const isKnown = previous !== undefined
+				&& previous.expiresAt > receivedAt
+				&& previous.environment === renewal.environment
+				&& isSamePeer(previous.peer, renewal.peer);
+			if (!isKnown || renewal.isFinal) {
+				liveLeases = undefined;
+				expiredEntries.delete(renewal.entry);
+			}
+
+			earliestExpiryAt = Math.min(earliestExpiryAt, renewal.isFinal ? receivedAt : receivedAt + termMilliseconds);
+		},
+		expire(now) {
+			// Every grant calls this, so it does nothing before the first lease can have ended.
+			if (now < earliestExpiryAt) {
+				return;
+			}
+
+			earliestExpiryAt = Number.POSITIVE_INFINITY;
+			for (const holder of leases.getAll()) {
+				if (holder.expiresAt > now) {
+					expiredEntries.delete(holder.entry);
+					earliestExpiryAt = Math.min(earliestExpiryAt, holder.expiresAt);
+				} else if (!expiredEntries.has(holder.entry)) {
+					expiredEntries.add(holder.entry);
+					liveLeases = undefined;
+					onExpiry(holder.entry, now);
+				}
+			}
+		},
+		removeExpired(before) {
+			for (const entry of leases.removeExpired(before)) {
+				expiredEntries.delete(entry);
+			}
+		},
+		getLiveEntries: (environment, now) => getLiveLeases(now).entriesByEnvironment.get(environment) ?? [],
+		getPeers(renewal, now) {
+			const {peers: addresses, peersKey: key} = getLiveLeases(now);
+			if (key !== peersKey || peersRevision === 0) {
+				peersKey = key;
+				peersRevision++;
+			}
+
+			const isKnown = renewal.epoch === epoch && renewal.peersRevision === peersRevision;
+			return {peersRevision, peers: isKnown ? undefined : addresses.filter(peer => peer.name !== renewal.entry)};
+		},
+		isInForce: leases.isInForce,
+		getEntries: now => leases.getAll().map(holder => ({
+			entry: holder.entry, environment: holder.environment, version: holder.version, leaseMilliseconds: Math.round(holder.expiresAt - now),
+		})),
+	};
+}
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -3,39 +3,18 @@
  * from renewals and announcements. An earlier leader may have granted permits and duties for the servers that were registered
  * then, so a new leader grants none for these servers until the earlier leases have expired.
  */
-import {Maybe} from 'true-myth';
-import {
-	createLivenessTracker, type Announcement, type RegisteredServer, type RegistryCommand,
-} from '../announcement/index.js';
-import {
-	createAllocator, createRateAllocator, type Allocator, type RateAllocator,
-} from '../cold-start/index.js';
+import {type Announcement, type RegisteredServer, type RegistryCommand} from '../announcement/index.js';
 import {type EnvironmentDocument, type Service} from '../configuration/index.js';
-import {
-	createLeaseTable, type Grant, type LeaseTable, type Renewal,
-} from '../lease/index.js';
-import {createProbeDuties, getProbeIntervalMilliseconds, type ProbeDuties} from '../measuring/index.js';
-import {createQuarantine, type Quarantine} from '../quarantine/index.js';
-import {createLiveLeases, isSamePeer, type LiveLeases} from './live-leases.js';
+import {type Grant, type Renewal} from '../lease/index.js';
+import {createQuarantine} from '../quarantine/index.js';
+import {createColdServers} from './cold-servers.js';
+import {createDueCommands, removalTimeoutMilliseconds} from './due-commands.js';
+import {createGrantedLeases} from './granted-leases.js';
 import {type EntryStatus, type ServerStatus} from './message.js';
+import {createProbing} from './probing.js';
+import {createServerList} from './server-list.js';
+import {createServerPresence} from './server-presence.js';
 import {type StateMachine} from './state-machine.js';
-import {createServerViews} from './server-views.js';
-
-/** Time without an announcement after which a server counts as absent, in milliseconds. */
-const absenceTimeoutMilliseconds = 3500;
-
-/** Time without an announcement after which a server is removed from the registry, in milliseconds. */
-const removalTimeoutMilliseconds = 600_000;
-
-/** Time without an announcement after which a leaving server is removed from the registry, in milliseconds. */
-const leavingRemovalTimeoutMilliseconds = 60_000;
-
-/** Time added to the cold phase that a server announces, to cover the delay of the announcement, in milliseconds. */
-const coldMarginMilliseconds = 300;
-
-const defaultDeadlineMilliseconds = 60_000;
-const failedProbesUntilAbsent = 3;
-const millisecondsPerSecond = 1000;
 
 /** Soft state of one leader during one term. */
 export type Leadership = {
@@ -83,32 +62,36 @@
  * @param options - Consensus term as epoch, start time, lease term and state machine.
  */
 export function createLeadership(options: LeadershipOptions): Leadership {
-	const {machine, startedAt, termMilliseconds} = options;
-	const leases: LeaseTable = createLeaseTable(startedAt, termMilliseconds);
-	const allocator: Allocator = createAllocator({startedAt, termMilliseconds});
-	const rateAllocator: RateAllocator = createRateAllocator();
-	const duties: ProbeDuties = createProbeDuties();
-	const livenessTracker = createLivenessTracker(startedAt, absenceTimeoutMilliseconds, [...machine.registry.getAll()].map(server => server.id));
-	const quarantine: Quarantine = createQuarantine();
-	const views = createServerViews();
-	const inheritedServers = new Set<number>();
-	const failedProbes = new Map<number, number>();
-	const proposedAt = new Map<number, number>();
-	const cooledServers = new Set<number>();
-	const expiredEntries = new Set<string>();
-	const knownColdServers = new Set<number>();
-	let isInheritedProbingEnabled = false;
+	const {machine, startedAt, termMilliseconds, epoch} = options;
+	const inheritedServers = new Set([...machine.registry.getAll()].map(server => server.id));
+	const quarantine = createQuarantine();
+	const presence = createServerPresence(startedAt, [...inheritedServers]);
+	const serverList = createServerList({
+		epoch, machine, presence, getAppliedIndex: options.getAppliedIndex,
+	});
+	const coldServers = createColdServers({
+		startedAt, termMilliseconds, machine, inheritedServers, getServices,
+	});
+	const probing = createProbing({
+		startedAt, termMilliseconds, machine, inheritedServers,
+	});
+	const dueCommands = createDueCommands({
+		termMilliseconds, machine, presence, coldServers, getWallClock: options.getWallClock,
+	});
+	const leases = createGrantedLeases({
+		epoch,
+		startedAt,
+		termMilliseconds,
+		onExpiry(entry, now) {
+			coldServers.expireLease(entry, now);
+			probing.expireLease(entry);
+		},
+	});
 	let urgentRevision = 0;
-	let earliestExpiryAt = Number.NEGATIVE_INFINITY;
-	let liveLeases: LiveLeases | undefined;
-	let probers: readonly string[] | undefined;
-	let peersKey = '';
-	let peersRevision = 0;
 
 	for (const server of machine.registry.getAll()) {
-		inheritedServers.add(server.id);
-		updateView(server, startedAt);
-		addColdServer(server, startedAt);
+		serverList.update(server, startedAt);
+		coldServers.add(server, startedAt);
 	}
 
 	function getDocument(environment: string): EnvironmentDocument | undefined {
@@ -121,99 +104,12 @@
 		return documents.flatMap(document => document?.services.filter(service => service.name === name) ?? []);
 	}
 
-	function addColdServer(server: RegisteredServer, now: number): void {
-		if (server.state !== 'cold') {
-			return;
-		}
-
-		const services = getServices(server.announcement.service);
-		const warmUp = services[0]?.warmUp;
-		if (warmUp !== undefined) {
-			addRateLimitedServer(server, warmUp, server.announcement.coldMilliseconds ?? 0, now);
-			return;
-		}
-
-		const deadline = Math.max(...services.map(service => service.deadlineMilliseconds), services.length === 0 ? defaultDeadlineMilliseconds : 0);
-		const {easing} = services[0] ?? {easing: {initialSlots: 1, growthPerSuccess: 0.1, ceilingMilliseconds: 30_000}};
-		allocator.add({
-			id: server.id, slots: server.announcement.slots, easing, deadlineMilliseconds: deadline, hasEarlierHolders: inheritedServers.has(server.id),
-		}, now);
-	}
-
-	/** Limits the request rate of a cold server. If it was not known to be cold, the limit lasts at least for the full warm-up time of the service. */
-	function addRateLimitedServer(server: RegisteredServer, warmUp: NonNullable<Service['warmUp']>, announcedMilliseconds: number, now: number): void {
-		const coldMilliseconds = Math.max(announcedMilliseconds, knownColdServers.has(server.id) ? 0 : warmUp.milliseconds);
-		knownColdServers.add(server.id);
-		rateAllocator.add({
-			id: server.id,
-			requestsPerSecond: warmUp.requestsPerSecond,
-			grantableAt: inheritedServers.has(server.id) ? startedAt + termMilliseconds : now,
-			coldUntil: now + coldMilliseconds + coldMarginMilliseconds,
-		});
-	}
-
-	function isAbsent(id: number, now: number): boolean {
-		return livenessTracker.isExpired(id, now) || (failedProbes.get(id) ?? 0) >= failedProbesUntilAbsent;
-	}
-
-	function updateView(server: RegisteredServer, now: number): void {
-		views.set({
-			id: server.id,
-			announcement: server.announcement,
-			state: server.state,
-			isAbsent: isAbsent(server.id, now),
-			isRemoved: machine.registry.getById(server.id).isNothing,
-		});
-	}
-
-	/** Expires the leases that have ended. Does nothing before the first of them can have ended, since every grant calls it. */
-	function expireLeases(now: number): void {
-		if (now < earliestExpiryAt) {
-			return;
-		}
-
-		earliestExpiryAt = Number.POSITIVE_INFINITY;
-		for (const holder of leases.getAll()) {
-			if (holder.expiresAt > now) {
-				expiredEntries.delete(holder.entry);
-				earliestExpiryAt = Math.min(earliestExpiryAt, holder.expiresAt);
-			} else if (!expiredEntries.has(holder.entry)) {
-				expiredEntries.add(holder.entry);
-				liveLeases = undefined;
-				allocator.expireLease(holder.entry, now);
-				rateAllocator.expireLease(holder.entry);
-				duties.expireLease(holder.entry);
-			}
-		}
-	}
-
-	function recordLease(renewal: Renewal, receivedAt: number): void {
-		const previous = leases.get(renewal.entry);
-		leases.record(renewal, receivedAt);
-		const isKnown = previous !== undefined
-			&& previous.expiresAt > receivedAt
-			&& previous.environment === renewal.environment
-			&& isSamePeer(previous.peer, renewal.peer);
-		if (!isKnown || renewal.isFinal) {
-			liveLeases = undefined;
-			expiredEntries.delete(renewal.entry);
-		}
-
-		earliestExpiryAt = Math.min(earliestExpiryAt, renewal.isFinal ? receivedAt : receivedAt + termMilliseconds);
-	}
-
-	/** Gets the live leases, sorted by entry. The list is the same until an entry joins, changes or ends. */
-	function getLiveLeases(now: number): LiveLeases {
-		liveLeases ??= createLiveLeases(leases.getLive(now));
-		return liveLeases;
-	}
-
 	function recordRenewal(renewal: Renewal, now: number): void {
-		allocator.report(renewal.entry, renewal.acknowledged, renewal.observations, now);
-		duties.acknowledge(renewal.entry, renewal.acknowledged);
+		coldServers.recordRenewal(renewal, now);
+		probing.acknowledge(renewal);
 		for (const id of renewal.failedProbes) {
-			failedProbes.set(id, (failedProbes.get(id) ?? 0) + 1);
-			updateAbsence(id, now);
+			presence.recordFailedProbe(id);
+			serverList.updateAbsence(id, now);
 		}
 
 		for (const id of renewal.heard) {
@@ -224,197 +120,59 @@
 	/** Records that a server announced itself. Ignores servers that were removed from the registry. */
 	function recordLiveness(id: number, now: number): void {
 		if (machine.registry.getById(id).isJust) {
-			livenessTracker.recordAnnouncement(id, now);
-			failedProbes.delete(id);
-			updateAbsence(id, now);
+			presence.recordLiveness(id, now);
+			serverList.updateAbsence(id, now);
 		}
 	}
 
-	/** Updates the view of a server if it has become absent or is no longer absent. */
-	function updateAbsence(id: number, now: number): void {
-		const server = machine.registry.getById(id);
-		const view = views.get(id);
-		if (server.isJust && view !== undefined && view.isAbsent !== isAbsent(id, now)) {
-			updateView(server.value, now);
-		}
-	}
-
-	function getLiveEntries(environment: string, now: number): readonly string[] {
-		return getLiveLeases(now).entriesByEnvironment.get(environment) ?? [];
-	}
-
-	/** Enables probe duties for the servers registered under an earlier leader, once that leader's leases have expired. */
-	function enableInheritedDuties(now: number): void {
-		if (isInheritedProbingEnabled || now - startedAt < termMilliseconds) {
-			return;
-		}
-
-		isInheritedProbingEnabled = true;
-		for (const server of machine.registry.getAll()) {
-			updateProbing(server);
-		}
-	}
-
-	function updateProbing(server: RegisteredServer): void {
-		const isCurrent = machine.registry.getById(server.id).isJust;
-		const isProbingAllowed = isInheritedProbingEnabled || !inheritedServers.has(server.id);
-		if (isCurrent && isProbingAllowed && server.state !== 'leaving') {
-			duties.add(server.id);
-		} else {
-			duties.remove(server.id);
-		}
-	}
-
-	/** Sets the entries that probe: the live ones of production, or the given ones while production has none. */
-	function setProbers(liveEntries: readonly string[], now: number): void {
-		const production = getLiveEntries('production', now);
-		const next = production.length > 0 ? production : liveEntries;
-		if (next !== probers) {
-			probers = next;
-			duties.setProbers(next);
-		}
-	}
-
-	/**
-	 * Gets the servers that an entry needs. An entry that knows the servers from an earlier leader needs only those that changed
-	 * since, so a change of the leader does not cost a whole list for each entry.
-	 */
-	function getServerList(renewal: Renewal): Pick<Grant, 'isWhole' | 'listed' | 'logIndex' | 'servers'> {
-		const logIndex = options.getAppliedIndex();
-		if (renewal.epoch === options.epoch) {
-			return {isWhole: false, logIndex, servers: views.getChangedSince(renewal.revision)};
-		}
-
-		const all = views.getAll();
-		const knownIndex = renewal.logIndex ?? 0;
-		if (knownIndex === 0) {
-			return {isWhole: true, logIndex, servers: all};
-		}
-
-		const changed = all.filter(({id, isAbsent}) => isAbsent || getChangeIndex(id) > knownIndex);
-		return {
-			isWhole: false, logIndex, servers: changed, listed: all.map(({id}) => id),
-		};
-	}
-
-	/** Gets the index of the replicated log at which a server last changed, or infinity if it is not known. */
-	function getChangeIndex(id: number): number {
-		return machine.registry.getById(id).andThen(({changedAt}) => Maybe.of(changedAt)).unwrapOr(Number.POSITIVE_INFINITY);
-	}
-
-	/** Gets the addresses of the other entries, or none if the renewal reports their current revision. */
-	function getPeers(renewal: Renewal, now: number): Pick<Grant, 'peers' | 'peersRevision'> {
-		const {peers: addresses, peersKey: key} = getLiveLeases(now);
-		if (key !== peersKey || peersRevision === 0) {
-			peersKey = key;
-			peersRevision++;
-		}
-
-		const isKnown = renewal.epoch === options.epoch && renewal.peersRevision === peersRevision;
-		return {peersRevision, peers: isKnown ? undefined : addresses.filter(peer => peer.name !== renewal.entry)};
-	}
-
-	function collectCooledServers(renewal: Renewal): void {
-		for (const observation of renewal.observations) {
-			if (observation.isCold && machine.registry.getById(observation.server).map(server => server.state === 'warm').unwrapOr(false)) {
-				cooledServers.add(observation.server);
-			}
-		}
-	}
-
-	function getDueCommands(now: number): readonly RegistryCommand[] {
-		const at = options.getWallClock();
-		const commands: RegistryCommand[] = [...cooledServers].map(id => ({kind: 'cooled', id, at}));
-		for (const id of [...allocator.getWarmed(now), ...rateAllocator.getWarmed(now)]) {
-			commands.push({kind: 'warmed', id, at});
-		}
-
-		for (const id of livenessTracker.getExpired(now)) {
-			const isLeaving = machine.registry.getById(id).map(server => server.state === 'leaving').unwrapOr(false);
-			if (livenessTracker.getSilenceMilliseconds(id, now) > (isLeaving ? leavingRemovalTimeoutMilliseconds : removalTimeoutMilliseconds)) {
-				commands.push({kind: 'removed', id, at});
-			}
-		}
-
-		return commands;
-	}
-
-	/** Excludes commands proposed within the last lease term, which may not be committed yet, and records the others as proposed. */
-	function selectUnproposed(commands: readonly RegistryCommand[], now: number): readonly RegistryCommand[] {
-		const due = commands.filter(command => 'id' in command && now - (proposedAt.get(command.id) ?? Number.NEGATIVE_INFINITY) > termMilliseconds);
-		for (const command of due) {
-			if ('id' in command) {
-				proposedAt.set(command.id, now);
-			}
-		}
-
-		return due;
-	}
-
 	return {
-		epoch: options.epoch,
+		epoch,
 		grant(renewal, receivedAt, now) {
-			expireLeases(now);
-			recordLease(renewal, receivedAt);
-			expireLeases(now);
+			leases.expire(now);
+			leases.record(renewal, receivedAt);
+			leases.expire(now);
 			recordRenewal(renewal, now);
-			collectCooledServers(renewal);
-			enableInheritedDuties(now);
-			const liveEntries = getLiveEntries(renewal.environment, now);
-			setProbers(liveEntries, now);
-			const document = getDocument(renewal.environment);
+			coldServers.collectCooled(renewal);
+			probing.enableInherited(now);
+			const liveEntries = leases.getLiveEntries(renewal.environment, now);
+			probing.setProbers(leases.getLiveEntries('production', now), liveEntries);
 			const version = machine.register.getCurrentNumber(renewal.environment);
 			return {
 				kind: 'grant',
 				sequence: renewal.sequence,
 				termMilliseconds,
-				epoch: options.epoch,
-				revision: views.getRevision(),
-				...getServerList(renewal),
+				epoch,
+				...serverList.getFor(renewal),
 				version,
 				document: version === renewal.version ? undefined : machine.register.getUpdate(renewal.environment, renewal.version),
-				permits: [
-					...allocator.grant(renewal.entry, renewal.sequence, liveEntries, now),
-					...rateAllocator.grant({
-						entry: renewal.entry, expiresAt: receivedAt + termMilliseconds, entryCount: liveEntries.length, now,
-					}).map(permit => ({...permit, slots: 0})),
-				],
-				duties: document === undefined ? [] : duties.grant(renewal.entry, renewal.sequence),
-				probeMilliseconds: document === undefined ? Number.POSITIVE_INFINITY : getProbeIntervalMilliseconds(document.measuring, duties.getSize()),
+				permits: coldServers.grant(renewal, liveEntries, receivedAt + termMilliseconds, now),
+				...probing.grant(renewal, getDocument(renewal.environment)),
 				quarantined: quarantine.getQuarantined(now),
 				zonesOut: machine.getZonesOut(),
 				zonesRevision: machine.getZonesRevision(),
 				entries: liveEntries.length,
-				...getPeers(renewal, now),
+				...leases.getPeers(renewal, now),
 			};
 		},
 		updateDocuments(now) {
 			for (const server of machine.registry.getAll()) {
 				// The cold phase announced at registration has passed by now.
-				addColdServer({...server, announcement: {...server.announcement, coldMilliseconds: 0}}, now);
+				coldServers.add({...server, announcement: {...server.announcement, coldMilliseconds: 0}}, now);
 			}
 		},
 		updateServers(servers, now) {
 			for (const server of servers) {
-				cooledServers.delete(server.id);
-				proposedAt.delete(server.id);
-				const isCurrent = machine.registry.getById(server.id).isJust;
-				if (!isCurrent || server.state !== 'cold') {
-					allocator.remove(server.id);
-					rateAllocator.remove(server.id);
-					knownColdServers.delete(server.id);
-				}
-
-				if (isCurrent) {
-					livenessTracker.recordAnnouncement(server.id, now);
-					addColdServer(server, now);
+				dueCommands.recordChange(server.id);
+				coldServers.recordChange(server);
+				if (machine.registry.getById(server.id).isJust) {
+					presence.recordChange(server.id, now);
+					coldServers.add(server, now);
 				} else {
-					livenessTracker.remove(server.id);
-					failedProbes.delete(server.id);
+					presence.remove(server.id);
 				}
 
-				updateProbing(server);
-				updateView(server, now);
+				probing.update(server);
+				serverList.update(server, now);
 			}
 
 			urgentRevision++;
@@ -424,7 +182,7 @@
 			recordLiveness(id, now);
 			const server = machine.registry.getById(id);
 			if (server.isJust && server.value.state === 'cold') {
-				addColdServer({...server.value, announcement}, now);
+				coldServers.add({...server.value, announcement}, now);
 			}
 		},
 		reportCrash(fingerprint, server, now) {
@@ -434,37 +192,28 @@
 		},
 		clearCrashes: quarantine.clear,
 		tick(now) {
-			expireLeases(now);
-			for (const id of livenessTracker.getExpired(now)) {
-				updateAbsence(id, now);
-			}
-
-			for (const entry of leases.removeExpired(now - removalTimeoutMilliseconds)) {
-				expiredEntries.delete(entry);
+			leases.expire(now);
+			for (const id of presence.getExpired(now)) {
+				serverList.updateAbsence(id, now);
 			}
 
-			return selectUnproposed(getDueCommands(now), now);
+			leases.removeExpired(now - removalTimeoutMilliseconds);
+			return dueCommands.take(now);
 		},
 		isInForce: leases.isInForce,
-		getEntries: now => leases.getAll().map(holder => ({
-			entry: holder.entry, environment: holder.environment, version: holder.version, leaseMilliseconds: Math.round(holder.expiresAt - now),
-		})),
+		getEntries: leases.getEntries,
 		getServers: now => [...machine.registry.getAll()].map(server => ({
 			key: server.key,
 			id: server.id,
 			zone: server.announcement.zone,
 			state: server.state,
-			isAbsent: isAbsent(server.id, now),
+			isAbsent: presence.isAbsent(server.id, now),
 			slots: server.announcement.slots,
-			permits: allocator.getUsage(server.id, now),
-			prober: duties.getProber(server.id),
+			permits: coldServers.getUsage(server.id, now),
+			prober: probing.getProber(server.id),
 		})),
 		getQuarantined: now => quarantine.getQuarantined(now),
-		getPlannedProbes() {
-			const document = getDocument('production');
-			const interval = document === undefined ? Number.POSITIVE_INFINITY : getProbeIntervalMilliseconds(document.measuring, duties.getSize());
-			return duties.getHeldCount() * millisecondsPerSecond / interval;
-		},
+		getPlannedProbes: () => probing.getPlannedProbes(getDocument('production')),
 		getUrgentRevision: () => urgentRevision,
 	};
 }
--- /dev/null
+++ b/source/control/server-presence.ts
@@ -0,0 +1,48 @@
+/** Which servers are absent: those that have stopped announcing themselves, and those that fail their probes. */
+import {createLivenessTracker} from '../announcement/index.js';
+
+/** Time without an announcement after which a server counts as absent, in milliseconds. */
+const absenceTimeoutMilliseconds = 3500;
+
+const failedProbesUntilAbsent = 3;
+
+/** Presence of servers. */
+export type ServerPresence = {
+	isAbsent(id: number, now: number): boolean;
+	/** Records that a server announced itself. */
+	recordLiveness(id: number, now: number): void;
+	/** Records a change of a server by a command; its failed probes still count. */
+	recordChange(id: number, now: number): void;
+	recordFailedProbe(id: number): void;
+	remove(id: number): void;
+	/** Gets the servers that have not announced themselves for too long. */
+	getExpired(now: number): readonly number[];
+	getSilenceMilliseconds(id: number, now: number): number;
+};
+
+/**
+ * Creates the presence of servers.
+ * @param startedAt - Time from which the silence of the known servers counts.
+ * @param known - Ids of the known servers.
+ */
+export function createServerPresence(startedAt: number, known: readonly number[]): ServerPresence {
+	const livenessTracker = createLivenessTracker(startedAt, absenceTimeoutMilliseconds, known);
+	const failedProbes = new Map<number, number>();
+	return {
+		isAbsent: (id, now) => livenessTracker.isExpired(id, now) || (failedProbes.get(id) ?? 0) >= failedProbesUntilAbsent,
+		recordLiveness(id, now) {
+			livenessTracker.recordAnnouncement(id, now);
+			failedProbes.delete(id);
+		},
+		recordChange: livenessTracker.recordAnnouncement,
+		recordFailedProbe(id) {
+			failedProbes.set(id, (failedProbes.get(id) ?? 0) + 1);
+		},
+		remove(id) {
+			livenessTracker.remove(id);
+			failedProbes.delete(id);
+		},
+		getExpired: livenessTracker.getExpired,
+		getSilenceMilliseconds: livenessTracker.getSilenceMilliseconds,
+	};
+}
