Take no answer without the id of its request where servers promise it

Callers could get the answer to another request, as long as the entry had not yet seen an id from the server: after a start and after each new boot of a server, whose pool is new.

Cause: each pool learned whether its server repeats the request id, and until the first id it took any answer, also one without an id or with a damaged name of it. If that answer was written twice, the copy became the answer to the next request.

Ruled out: a copy that has the id of its own request (refused before), an empty or doubled id (refused before), a reload (it keeps the pools).

Change: the dialect states whether servers repeat the id always or optionally. The default dialect keeps its rule (docs/SERVERS.md).

--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -14,6 +14,7 @@
 import {getResponseHeaders} from './headers.js';
 import {type Pool} from './pool.js';
 import {isWellFormedHead, type ResponseHead} from './response-head.js';
+import {isOwnResponse, isProvenResponse, type ResponseOrigin} from './response-origin.js';
 import {startServerRequest} from './server-request.js';
 
 /** Outcome of an attempt. */
@@ -171,9 +172,11 @@
 			return;
 		}
 
-		const {dialect} = options;
-		const echoedId = response.headers[dialect.requestIdHeader];
-		if (!options.pool.isOwnResponse(options.requestId, Array.isArray(echoedId) ? echoedId.join(',') : echoedId)) {
+		const {dialect, pool, requestId} = options;
+		const origin: ResponseOrigin = {
+			dialect, pool, requestId, response,
+		};
+		if (!isOwnResponse(origin)) {
 			fail('answer-mismatched');
 			return;
 		}
@@ -181,7 +184,7 @@
 		options.onReport(dialect.getReport(response.headers, response.statusCode!));
 		const head: ResponseHead = {status: response.statusCode!, headers: getResponseHeaders(dialect, response), isCloseDelimited: !isSelfDelimited(response, options.method)};
 		if (dialect.isNotRun(head.status, response.headers)) {
-			if (echoedId !== options.requestId) {
+			if (!isProvenResponse(origin)) {
 				// A refusal without the id of the request may be an earlier one that the server wrote once more, so it proves nothing.
 				fail('answer-mismatched');
 				return;
--- a/source/entry/dialect.ts
+++ b/source/entry/dialect.ts
@@ -34,6 +34,8 @@
 	readonly requestIdHeader: string;
 	/** Whether a request id that the caller sends is kept. */
 	readonly keepsRequestId: boolean;
+	/** Whether servers repeat the id of the request in each of their responses, or may leave it out in all of them. */
+	readonly repeatsRequestId: 'always' | 'optionally';
 	/** Header with the name of the server that should run the request, if the dialect has one. */
 	readonly serverHeader: string | undefined;
 	/** Whether responses of the entry itself carry the verdict in headers. */
@@ -84,6 +86,7 @@
 	deadlineHeader,
 	requestIdHeader,
 	keepsRequestId: false,
+	repeatsRequestId: 'optionally',
 	serverHeader: undefined,
 	hasVerdictHeaders: true,
 	hiddenResponseHeaders: new Set([stateHeader, loadHeader, requestIdHeader]),
--- a/source/entry/pool.ts
+++ b/source/entry/pool.ts
@@ -92,8 +92,8 @@
 /** A pool of connections to one server. */
 export type Pool = {
 	readonly agent: Agent;
-	/** Checks the request id that a response echoes. Once a server has echoed one id, each of its responses must echo its request's id. */
-	isOwnResponse(requestId: string, echoedId: string | undefined): boolean;
+	/** Checks the request id that a response of a server repeats that may leave it out. Once it has repeated one id, each of its responses must repeat its request's id. */
+	mayBeOwnResponse(requestId: string, repeatedId: string | undefined): boolean;
 	close(): void;
 };
 
@@ -107,12 +107,12 @@
 	const agent = createAgent(host, port, {
 		keepAlive: true, maxSockets: connections, maxFreeSockets: connections, scheduling: 'lifo',
 	});
-	let hasEchoedId = false;
+	let hasRepeatedId = false;
 	return {
 		agent,
-		isOwnResponse(requestId, echoedId) {
-			hasEchoedId ||= echoedId !== undefined;
-			return !hasEchoedId || echoedId === requestId;
+		mayBeOwnResponse(requestId, repeatedId) {
+			hasRepeatedId ||= repeatedId !== undefined;
+			return !hasRepeatedId || repeatedId === requestId;
 		},
 		close() {
 			agent.destroy();
--- /dev/null
+++ b/source/entry/response-origin.ts
@@ -0,0 +1,32 @@
+/** Checks that a response belongs to the request to which it was read as the response. */
+import {type IncomingMessage} from 'node:http';
+import {type Dialect} from './dialect.js';
+import {type Pool} from './pool.js';
+
+/** Request and the pool on whose connection its response was read. */
+export type ResponseOrigin = {readonly dialect: Dialect; readonly pool: Pool; readonly requestId: string; readonly response: IncomingMessage};
+
+/**
+ * Checks whether a response belongs to its request, by the id that it repeats. Where servers may leave out the id, the pool
+ * has learned whether this one repeats it.
+ * @param origin - Request and response whose head has arrived.
+ */
+export function isOwnResponse(origin: ResponseOrigin): boolean {
+	const {dialect, pool, requestId} = origin;
+	const repeatedId = getRepeatedId(origin);
+	return dialect.repeatsRequestId === 'always' ? repeatedId === requestId : pool.mayBeOwnResponse(requestId, repeatedId);
+}
+
+/**
+ * Checks whether a response proves by the id that it belongs to its request.
+ * @param origin - Request and response whose head has arrived.
+ */
+export function isProvenResponse(origin: ResponseOrigin): boolean {
+	return getRepeatedId(origin) === origin.requestId;
+}
+
+/** Gets the id that a response repeats; several ones together are the id of no request. */
+function getRepeatedId({dialect, response}: ResponseOrigin): string | undefined {
+	const repeatedId = response.headers[dialect.requestIdHeader];
+	return Array.isArray(repeatedId) ? repeatedId.join(',') : repeatedId;
+}
