Refuse a head that contains the status line of a second response

Callers could get a success where the server had answered with a failure, with the id, signature and body of the failure; and a request that ran could be refused as not run (503 or 421), so that it could run again on another server.

Cause: a copy of an earlier response that breaks off in its reason phrase or in a header, in front of the next response, swallows that response's status line. Node's parser takes both for one head: the status is the earlier one's, and the id, signature and body are the request's own. The check of the id does not see it.

Ruled out: a start that breaks off between lines or in a header's name, in the status code or before the reason phrase (Node's parser refuses it, 7 cases); one that had already stated its id (two ids).

Change: a head whose reason phrase or headers contain the start of a status line is malformed. Nothing that it states is used.

--- a/source/entry/response-head.ts
+++ b/source/entry/response-head.ts
@@ -14,12 +14,20 @@
 const minimumFinalStatus = 200;
 const maximumFinalStatus = 599;
 
+/** Start of every status line. Within a head it shows that another response broke off in front of this one, in its reason phrase or in a header. */
+const statusLineStart = 'HTTP/1.';
+
 /**
  * Checks whether a received head is one of a final response and follows the syntax of HTTP. Node's parser is more tolerant:
- * it accepts header names with spaces and any status code, which cannot be sent to a caller.
+ * it accepts header names with spaces and any status code, which cannot be sent to a caller, and the heads of two responses in one.
  * @param response - Server response whose head has arrived.
  */
 export function isWellFormedHead(response: IncomingMessage): boolean {
 	const {statusCode = 0, rawHeaders} = response;
-	return statusCode >= minimumFinalStatus && statusCode <= maximumFinalStatus && areHeadersValid(rawHeaders);
+	return statusCode >= minimumFinalStatus && statusCode <= maximumFinalStatus && areHeadersValid(rawHeaders) && !containsStatusLine(response);
+}
+
+/** Checks whether a head contains a second status line. Its status then belongs to one response, and its id may belong to another. */
+function containsStatusLine({statusMessage, rawHeaders}: IncomingMessage): boolean {
+	return statusMessage?.includes(statusLineStart) === true || rawHeaders.some(text => text.includes(statusLineStart));
 }
