--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -16,6 +16,9 @@
 import {getResponseHeaders} from './headers.js';
 import {type Pool} from './pool.js';
 import {isWellFormedHead, type ResponseHead} from './response-head.js';
+import {
+	getRepeatedId, isOwnResponse, isProvenResponse, type ResponseOrigin,
+} from './response-origin.js';
 import {startServerRequest} from './server-request.js';
 
 /** Outcome of an attempt. */
@@ -133,7 +136,7 @@
 
 	function reportDiscard(reason: DiscardReason): void {
 		options.onDiscard?.({
-			reason, history, requestId: options.requestId, echoedId: answer === undefined ? undefined : getEchoedId(options.dialect, answer), status: answer?.statusCode,
+			reason, history, requestId: options.requestId, echoedId: answer === undefined ? undefined : getRepeatedId(options.dialect, answer), status: answer?.statusCode,
 		});
 	}
 
@@ -196,9 +199,11 @@
 			return;
 		}
 
-		const {dialect} = options;
-		const echoedId = getEchoedId(dialect, response);
-		if (!options.pool.isOwnResponse(options.requestId, echoedId)) {
+		const {dialect, pool, requestId} = options;
+		const origin: ResponseOrigin = {
+			dialect, pool, requestId, response,
+		};
+		if (!isOwnResponse(origin)) {
 			fail('answer-mismatched');
 			return;
 		}
@@ -206,7 +211,7 @@
 		options.onReport(dialect.getReport(response.headers, response.statusCode!));
 		const head: ResponseHead = {status: response.statusCode!, headers: getResponseHeaders(dialect, response), isCloseDelimited: !isSelfDelimited(response, options.method)};
 		if (dialect.isNotRun(head.status, response.headers)) {
-			if (echoedId !== options.requestId) {
+			if (!isProvenResponse(origin)) {
 				// A refusal without the id of the request may be an earlier one that the server wrote once more, so it proves nothing.
 				fail('answer-mismatched');
 				return;
@@ -310,12 +315,6 @@
 	return discardReasons.has(reason);
 }
 
-/** Gets the id of a request that a response echoes. */
-function getEchoedId(dialect: Dialect, response: IncomingMessage): string | undefined {
-	const echoedId = response.headers[dialect.requestIdHeader];
-	return Array.isArray(echoedId) ? echoedId.join(',') : echoedId;
-}
-
 /** Checks whether the headers, rather than the end of the connection, mark the end of the body. */
 function isSelfDelimited(response: IncomingMessage, method: string): boolean {
 	return hasNoBody(response, method) || response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
--- a/source/entry/pool.ts
+++ b/source/entry/pool.ts
@@ -96,8 +96,8 @@
 export type Pool = {
 	readonly agent: Agent;
 	readonly histories: ConnectionHistories;
-	/** Checks the request id that a response echoes. Once a server has echoed one id, each of its responses must echo its request's id. */
-	isOwnResponse(requestId: string, echoedId: string | undefined): boolean;
+	/** Checks the request id that a response of a server repeats that may leave it out. Once it has repeated one id, each of its responses must repeat its request's id. */
+	mayBeOwnResponse(requestId: string, repeatedId: string | undefined): boolean;
 	close(): void;
 };
 
@@ -115,13 +115,13 @@
 	}, socket => {
 		onUnsolicitedData?.(histories.get(socket));
 	});
-	let hasEchoedId = false;
+	let hasRepeatedId = false;
 	return {
 		agent,
 		histories,
-		isOwnResponse(requestId, echoedId) {
-			hasEchoedId ||= echoedId !== undefined;
-			return !hasEchoedId || echoedId === requestId;
+		mayBeOwnResponse(requestId, repeatedId) {
+			hasRepeatedId ||= repeatedId !== undefined;
+			return !hasRepeatedId || repeatedId === requestId;
 		},
 		close() {
 			agent.destroy();
