Copy the tiny chunks of a body together

Callers saw: with the programs of deploy/system.toml (heap of 200 MB), 40 requests whose upstreams answered without end in chunks of one byte ended the entry's process, and the requests of all other callers with it (first trial of platform/endless-responses.test.ts, "tiny-chunks", callers that read; the process was gone in both cases after it).

Cause: the limit of a buffered response, 262,144 bytes, counts the bytes of the body. Node gives each chunk a buffer of its own, so that one response of single bytes took some hundred times its size. The same holds for bodies of callers and of control calls.

Ruled out by the same trial (40 callers each, peak of the resident memory 68 to 147 MB, the process lived): no response, endless headers, informational responses of 14 KB, bodies without a length, chunks of 1 KiB, chunk sizes, chunk extensions, trailers, refusals, bytes after a complete response.

Change: bytes/byte-collector.ts copies small chunks into blocks of 8 KiB; used for responses, callers' bodies and control calls. The byte budget moves beside it, unchanged.

--- /dev/null
+++ b/source/bytes/index.ts
@@ -0,0 +1,2 @@
+export * from './byte-budget.js';
+export * from './byte-collector.js';
--- a/source/control/http.ts
+++ b/source/control/http.ts
@@ -3,6 +3,7 @@
 import {timingSafeEqual, createHash} from 'node:crypto';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {Result} from 'true-myth';
+import {createByteCollector} from '../bytes/index.js';
 import {type Log} from '../telemetry/index.js';
 
 /** Maximum size of the body of an operator's request, in bytes. */
@@ -26,19 +27,16 @@
  * @param maximumBytes - Maximum size of the body, in bytes.
  */
 export async function readJson(request: IncomingMessage, maximumBytes: number): Promise<Result<unknown, string>> {
-	const chunks: Buffer[] = [];
-	let size = 0;
+	const collector = createByteCollector();
 	try {
 		for await (const chunk of request as AsyncIterable<Buffer>) {
-			size += chunk.length;
-			if (size > maximumBytes) {
+			collector.add(chunk);
+			if (collector.getSize() > maximumBytes) {
 				return Result.err(`the body exceeds ${maximumBytes} bytes`);
 			}
-
-			chunks.push(chunk);
 		}
 
-		return Result.ok(JSON.parse(Buffer.concat(chunks).toString('utf8')));
+		return Result.ok(JSON.parse(collector.toBuffer().toString('utf8')));
 	} catch {
 		return Result.err('the body is not valid JSON');
 	}
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -3,9 +3,10 @@
  * a response counts only when it is complete. Responses up to a size limit are buffered
  * in memory, larger ones are passed on as a stream.
  */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type ClientRequest, type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
+import {createByteCollector} from '../bytes/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {MalformedBodyError} from './malformed-body-error.js';
 import {type Dialect, type ServerReport} from './dialect.js';
@@ -198,17 +199,15 @@
 
 	function bufferBody(response: IncomingMessage, head: ResponseHead): void {
 		const completion = trackCompletion(response, head.isCloseDelimited);
-		const chunks: Buffer[] = [];
-		let size = 0;
+		const collector = createByteCollector();
 		function onData(chunk: Buffer): void {
-			chunks.push(chunk);
-			size += chunk.length;
-			if (size > options.maximumBufferedBytes) {
+			collector.add(chunk);
+			if (collector.getSize() > options.maximumBufferedBytes) {
 				response.off('data', onData);
 				response.off('end', onEnd);
 				response.pause();
 				end({
-					kind: 'large', head, firstChunks: chunks, rest: response, completion,
+					kind: 'large', head, firstChunks: collector.getParts(), rest: response, completion,
 				});
 			}
 		}
@@ -219,7 +218,7 @@
 				return;
 			}
 
-			const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+			const body = collector.toBuffer();
 			const isChunked = response.headers['transfer-encoding'] !== undefined;
 			const headers = isChunked ? [...head.headers, 'content-length', String(body.length)] : head.headers;
 			end({kind: 'whole', head: {...head, headers}, body});
--- a/source/entry/body.ts
+++ b/source/entry/body.ts
@@ -1,6 +1,7 @@
 /** Reads the bodies of requests. */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
+import {createByteCollector} from '../bytes/index.js';
 import {MalformedBodyError} from './malformed-body-error.js';
 
 /**
@@ -22,8 +23,7 @@
  */
 export async function readBody(request: IncomingMessage, maximumBytes: number, maximumMilliseconds: number): Promise<BodyReadResult> {
 	return new Promise(resolve => {
-		const chunks: Buffer[] = [];
-		let size = 0;
+		const collector = createByteCollector();
 
 		function end(result: BodyReadResult): void {
 			clearTimeout(timer);
@@ -35,17 +35,16 @@
 		}
 
 		function onData(chunk: Buffer): void {
-			chunks.push(chunk);
-			size += chunk.length;
-			if (size > maximumBytes) {
+			collector.add(chunk);
+			if (collector.getSize() > maximumBytes) {
 				request.pause();
-				request.unshift(Buffer.concat(chunks));
+				request.unshift(collector.toBuffer());
 				end({kind: 'tooLarge'});
 			}
 		}
 
 		function onEnd(): void {
-			end(request.complete ? {kind: 'whole', bytes: Buffer.concat(chunks)} : {kind: 'cut'});
+			end(request.complete ? {kind: 'whole', bytes: collector.toBuffer()} : {kind: 'cut'});
 		}
 
 		function onClose(): void {
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -23,7 +23,7 @@
 import {findRequestFault, normalizeTarget} from './request-check.js';
 import {sendVerdict} from './response.js';
 import {createAdminHandler} from './admin.js';
-import {createByteBudget} from './byte-budget.js';
+import {createByteBudget} from '../bytes/index.js';
 import {type Exchange} from './caller-connections.js';
 import {createCallerServer} from './caller-server.js';
 import {createLoadQuerier} from './load-querier.js';
--- a/source/entry/prepared-body.ts
+++ b/source/entry/prepared-body.ts
@@ -7,7 +7,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {notRun, type Verdict} from '../verdict/index.js';
 import {readBody} from './body.js';
-import {type ByteBudget} from './byte-budget.js';
+import {type ByteBudget} from '../bytes/index.js';
 import {getContentLength, hasBody} from './content-length.js';
 
 /** Size limits of bodies. */
--- a/source/entry/request-handler.ts
+++ b/source/entry/request-handler.ts
@@ -8,7 +8,7 @@
 import {type Random} from '../randomness/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {sendVerdict, getRetrySpread, writeResponseHead} from './response.js';
-import {type ByteBudget} from './byte-budget.js';
+import {type ByteBudget} from '../bytes/index.js';
 import {type Exchange} from './caller-connections.js';
 import {getRequestDigest, type Claim, type Claims} from './claims.js';
 import {type Fleet, type ServiceState} from './fleet.js';
--- a/stand-in/entry-bed.ts
+++ b/stand-in/entry-bed.ts
@@ -96,8 +96,12 @@
 	};
 }
 
-/** Reads request heads from a connection. Bodies are not interpreted; a head ends the body before it. */
-function readHeads(socket: Socket, onHead: (request: ReceivedRequest) => void): void {
+/**
+ * Reads request heads from a connection. Bodies are not interpreted; a head ends the body before it.
+ * @param socket - Connection of a server.
+ * @param onHead - Called with each head.
+ */
+export function readHeads(socket: Socket, onHead: (request: ReceivedRequest) => void): void {
 	let text = '';
 	socket.on('data', chunk => {
 		text += chunk.toString('latin1');
--- a/stand-in/platform/system.ts
+++ b/stand-in/platform/system.ts
@@ -13,6 +13,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
+import {parse as parseToml} from 'smol-toml';
 import {bundleProgram} from '../../scripts/bundle.js';
 import {callControl, readText} from './upstream.js';
 
@@ -87,6 +88,12 @@
 	});
 }
 
+/** Gets the options that Node receives in the command of a role, such as the limit of its heap. */
+function getNodeOptions(kind: Machine['kind']): readonly string[] {
+	const {roles} = parseToml(readFileSync('deploy/system.toml', 'utf8')) as {readonly roles: Readonly<Record<Machine['kind'], {readonly run: string}>>};
+	return roles[kind].run.split(' ').filter(word => word.startsWith('--max-'));
+}
+
 /**
  * Creates a platform whose processes are not started yet.
  * @param options - Numbers of machines, and ports.
@@ -172,7 +179,7 @@
 				mkdirSync(getDataFolder(machine), {recursive: true});
 			}
 
-			machine.child = spawn(process.execPath, [bundleFile, machine.kind, '--settings', writeSettings(machine, isFirstStart)], {stdio: ['ignore', logFileDescriptor, logFileDescriptor]});
+			machine.child = spawn(process.execPath, [...getNodeOptions(machine.kind), bundleFile, machine.kind, '--settings', writeSettings(machine, isFirstStart)], {stdio: ['ignore', logFileDescriptor, logFileDescriptor]});
 		},
 		terminate,
 		deleteData(machine) {
