End the connection of a probe whose response has no end

Callers saw: nothing yet; found by reading. Each probe of a server that answers a health check without end left one more connection that the entry read for ever: the time limit of a probe was one of silence. prober.test.ts failed before for a body and for informational responses without end (the connection was still open after 4 s); the latter probe had no result either.

Change: a probe has an absolute time limit, and the body of its response the limits of a load query. Both cases close now within them.

--- a/source/entry/prober.ts
+++ b/source/entry/prober.ts
@@ -1,11 +1,16 @@
 /** Probes the servers that are assigned to this entry while its lease is valid. */
 import {performance} from 'node:perf_hooks';
 import {createProbeSchedule, type ProbeSchedule} from '../measuring/index.js';
+import {discardBody} from './discard.js';
 import {type Fleet} from './fleet.js';
 import {startServerRequest} from './server-request.js';
 
+/** Time from the start of a probe until its connection is closed, unless the server has responded. */
 const probeTimeoutMilliseconds = 1000;
 
+/** Limits of the body of a response, which is not used. */
+const responseLimits = {maximumBytes: 16_384, maximumMilliseconds: probeTimeoutMilliseconds};
+
 /** Sends health probes to servers. */
 export type Prober = {
 	readonly schedule: ProbeSchedule;
@@ -55,7 +60,7 @@
 		}
 
 		const started = startServerRequest({
-			host, port, path: probePath, method: 'GET', agent: false, timeout: probeTimeoutMilliseconds,
+			host, port, path: probePath, method: 'GET', agent: false,
 		});
 		if (started.isErr) {
 			settle(false);
@@ -64,16 +69,18 @@
 
 		const request = started.value;
 		request.once('response', answer => {
-			answer.resume();
+			clearTimeout(timer);
+			discardBody(answer, responseLimits);
 			settle((answer.statusCode ?? 500) < 500);
 		});
-		request.once('timeout', () => {
+		const timer = setTimeout(() => {
 			request.destroy();
-		});
+		}, probeTimeoutMilliseconds);
 		request.once('error', () => {
 			settle(false);
 		});
 		request.once('close', () => {
+			clearTimeout(timer);
 			settle(false);
 		});
 		request.end();
