Read at most 64 KiB a turn of a streamed response

Change: the connection is paused as soon as 64 KiB were read in a turn, with the flag by which Node's own response respects the pause.

--- a/source/entry/body-relay.ts
+++ b/source/entry/body-relay.ts
@@ -5,8 +5,12 @@
  */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
 import {createByteCollector} from '../bytes/index.js';
 
+/** Bytes that are read in one turn of the event loop before the connection of the source is paused; Node would read two megabytes. */
+const maximumTurnBytes = 65_536;
+
 /** Relay of a body. */
 export type BodyRelay = {
 	/** Adds a chunk that was received before the relay started. */
@@ -15,6 +19,19 @@
 	flush(): void;
 };
 
+/**
+ * Pauses or resumes a connection from which a response is read. The flag keeps Node's response, which itself is never paused, from
+ * resuming the connection.
+ */
+function setPaused(socket: Socket, isPaused: boolean): void {
+	Object.assign(socket, {_paused: isPaused});
+	if (isPaused) {
+		socket.pause();
+	} else {
+		socket.resume();
+	}
+}
+
 /**
  * Relays the body of a response until it ends.
  * @param source - Response of a server.
@@ -24,6 +41,7 @@
 	let collector = createByteCollector();
 	let isFlushScheduled = false;
 	let isBlocked = false;
+	const {socket} = source;
 
 	function flush(): void {
 		const parts = collector.getParts();
@@ -33,7 +51,7 @@
 		}
 	}
 
-	/** Writes what was received in one turn of the event loop, and stops reading if the caller does not keep up. */
+	/** Writes what was received in one turn of the event loop, and reads on if the caller keeps up. */
 	function flushTurn(): void {
 		isFlushScheduled = false;
 		if (isBlocked || target.destroyed) {
@@ -41,9 +59,8 @@
 		}
 
 		flush();
-		if (isBlocked && !source.complete) {
-			// A pause of the source itself would keep the rest of what was read in the source, chunk by chunk.
-			source.socket.pause();
+		if (!isBlocked && !source.complete) {
+			setPaused(socket, false);
 		}
 	}
 
@@ -56,14 +73,19 @@
 
 	source.on('data', (chunk: Buffer) => {
 		collector.add(chunk);
+		if (isBlocked || collector.getSize() > maximumTurnBytes) {
+			// A pause of the source itself would keep the rest of what was read in the source, chunk by chunk.
+			setPaused(socket, true);
+		}
+
 		scheduleFlush();
 	});
+	source.once('end', () => {
+		// The connection may be used again.
+		setPaused(socket, false);
+	});
 	target.on('drain', () => {
 		isBlocked = false;
-		if (!source.complete && !source.destroyed) {
-			source.socket.resume();
-		}
-
 		scheduleFlush();
 	});
 	source.resume();
