Bound the bytes of all buffered responses together

What callers would see: each response may be buffered up to 262,144 bytes, and nothing bounded their sum, nor a whole response that its caller does not take.

Change: a budget of 64 MiB (`maximumHeldAnswersBytes`) for all of them, until the caller has taken a response or is gone. Beyond it a response is streamed from its first bytes on, which is back-pressure instead of memory: a large response was never buffered whole, so callers see no difference, except that an error status is then passed on instead of being tried again. Failing the attempt would have refused requests that ran; waiting for the budget would have stopped healthy servers for faulty ones.

--- a/source/bytes/index.ts
+++ b/source/bytes/index.ts
@@ -1,2 +1,3 @@
 export * from './byte-budget.js';
 export * from './byte-collector.js';
+export * from './byte-reservation.js';
--- a/source/entry/attempt.test.ts
+++ b/source/entry/attempt.test.ts
@@ -3,6 +3,7 @@
 import {performance} from 'node:perf_hooks';
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
+import {createByteBudget, type ByteBudget} from '../bytes/index.js';
 import {startAttempt, type AttemptOutcome} from './attempt.js';
 import {defaultDialect} from './dialect.js';
 import {createPool} from './pool.js';
@@ -10,7 +11,7 @@
 const deadlineMilliseconds = 2000;
 
 /** Sends one request to a server that responds with the given function, and gets the outcome. */
-async function attempt(answer: (socket: Socket) => void): Promise<AttemptOutcome> {
+async function attempt(answer: (socket: Socket) => void, bufferedResponses: ByteBudget = createByteBudget(1_000_000)): Promise<AttemptOutcome> {
 	const server = createServer(socket => {
 		socket.on('error', () => {
 			socket.destroy();
@@ -35,6 +36,7 @@
 			stream: undefined,
 			deadlineAt: performance.now() + deadlineMilliseconds,
 			maximumBufferedBytes: 1000,
+			bufferedResponses,
 			maximumBodyBytes: 1000,
 			mayDispatch: () => true,
 			onReport() {
@@ -86,3 +88,40 @@
 		}, 'mayHaveRun', 0);
 	});
 });
+
+describe('startAttempt: the budget of all buffered responses', () => {
+	const head = 'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n';
+
+	test('covers a whole response until its receiver releases it', async () => {
+		const budget = createByteBudget(1_000_000);
+		const outcome = await attempt(socket => {
+			socket.write(`${head}0123456789`);
+		}, budget);
+		expect(budget.getReservedBytes() >= 10).toEqual(true);
+		expect(outcome.kind).toEqual('whole');
+		if (outcome.kind === 'whole') {
+			outcome.reservation.release();
+		}
+
+		expect(budget.getReservedBytes()).toEqual(0);
+	});
+
+	test('does not cover another response, which is streamed', async () => {
+		const budget = createByteBudget(5);
+		const outcome = await attempt(socket => {
+			socket.write(`${head}0123456789`);
+		}, budget);
+		expect(outcome.kind).toEqual('large');
+		if (outcome.kind === 'large') {
+			outcome.rest.destroy();
+		}
+	});
+
+	test('gets back what a truncated response reserved', async () => {
+		const budget = createByteBudget(1_000_000);
+		const outcome = await attempt(socket => {
+			socket.end(`${head}01234`);
+		}, budget);
+		expect([outcome.kind, budget.getReservedBytes()]).toEqual(['failed', 0]);
+	});
+});
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -6,7 +6,9 @@
 import {type Buffer} from 'node:buffer';
 import {type ClientRequest, type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {createByteCollector} from '../bytes/index.js';
+import {
+	createByteCollector, createByteReservation, type ByteBudget, type ByteReservation,
+} from '../bytes/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {MalformedBodyError} from './malformed-body-error.js';
 import {type Dialect, type ServerReport} from './dialect.js';
@@ -19,9 +21,9 @@
 
 /** Outcome of an attempt. */
 export type AttemptOutcome
-	= | {readonly kind: 'whole'; readonly head: ResponseHead; readonly body: Buffer}
-	/** Head and first chunks of a response that is too large to buffer. */
-		| {readonly kind: 'large'; readonly head: ResponseHead; readonly firstChunks: readonly Buffer[]; readonly rest: IncomingMessage; readonly completion: ResponseCompletion}
+	= | {readonly kind: 'whole'; readonly head: ResponseHead; readonly body: Buffer; readonly reservation: ByteReservation}
+	/** Head and first chunks of a response that is too large to buffer, alone or together with others. */
+		| {readonly kind: 'large'; readonly head: ResponseHead; readonly firstChunks: readonly Buffer[]; readonly rest: IncomingMessage; readonly completion: ResponseCompletion; readonly reservation: ByteReservation}
 		| {readonly kind: 'failed'; readonly verdict: Verdict; readonly hasCrashed: boolean};
 
 /** Options of an attempt. */
@@ -38,6 +40,8 @@
 	readonly stream: IncomingMessage | undefined;
 	readonly deadlineAt: number;
 	readonly maximumBufferedBytes: number;
+	/** Budget of all buffered responses. The receiver of the outcome releases the reservation that it contains. */
+	readonly bufferedResponses: ByteBudget;
 	/** Maximum size of a streamed body, in bytes. */
 	readonly maximumBodyBytes: number;
 	/** Checks, in the event loop turn of the write, whether the request may still be dispatched. */
@@ -94,6 +98,7 @@
 	let isEnded = false;
 	let isDispatchRefused = false;
 	let informationalResponses = 0;
+	const reservation = createByteReservation(options.bufferedResponses);
 	const timer = setTimeout(() => {
 		fail('deadline');
 	}, Math.max(0, options.deadlineAt - performance.now()));
@@ -115,6 +120,7 @@
 
 		const verdict = getFailureVerdict(reason);
 		const hasCrashed = isDispatched && !harmlessReasons.has(reason);
+		reservation.release();
 		end({kind: 'failed', verdict, hasCrashed});
 		request.destroy();
 	}
@@ -202,12 +208,12 @@
 		const collector = createByteCollector();
 		function onData(chunk: Buffer): void {
 			collector.add(chunk);
-			if (collector.getSize() > options.maximumBufferedBytes) {
+			if (collector.getSize() > options.maximumBufferedBytes || !reservation.tryGrowTo(collector.getHeldBytes())) {
 				response.off('data', onData);
 				response.off('end', onEnd);
 				response.pause();
 				end({
-					kind: 'large', head, firstChunks: collector.getParts(), rest: response, completion,
+					kind: 'large', head, firstChunks: collector.getParts(), rest: response, completion, reservation,
 				});
 			}
 		}
@@ -221,7 +227,9 @@
 			const body = collector.toBuffer();
 			const isChunked = response.headers['transfer-encoding'] !== undefined;
 			const headers = isChunked ? [...head.headers, 'content-length', String(body.length)] : head.headers;
-			end({kind: 'whole', head: {...head, headers}, body});
+			end({
+				kind: 'whole', head: {...head, headers}, body, reservation,
+			});
 			destroyUnfinishedRequest();
 		}
 
@@ -265,6 +273,7 @@
 		if (!isEnded) {
 			isEnded = true;
 			clearTimeout(timer);
+			reservation.release();
 			request.destroy();
 		}
 	}
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -20,10 +20,10 @@
 import {type Log} from '../telemetry/index.js';
 import {notRun, type NotRunReason, type Verdict} from '../verdict/index.js';
 import {listen} from '../wire/index.js';
+import {createByteBudget} from '../bytes/index.js';
 import {findRequestFault, normalizeTarget} from './request-check.js';
 import {sendVerdict} from './response.js';
 import {createAdminHandler} from './admin.js';
-import {createByteBudget} from '../bytes/index.js';
 import {type Exchange} from './caller-connections.js';
 import {createCallerServer} from './caller-server.js';
 import {createLoadQuerier} from './load-querier.js';
@@ -309,6 +309,7 @@
 		maximumHeldBodyBytes: settings.maximumHeldBodyBytes,
 		heldBodies: createByteBudget(settings.maximumHeldBytes),
 		maximumBufferedBytes: settings.maximumHeldAnswerBytes,
+		bufferedResponses: createByteBudget(settings.maximumHeldAnswersBytes),
 		maximumResponseBytes: settings.maximumAnswerBytes,
 		maximumStoredBytes: maximumStoredResponseBytes,
 		mayDispatch,
--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -182,6 +182,7 @@
 			stream: request.stream,
 			deadlineAt,
 			maximumBufferedBytes: context.maximumBufferedBytes,
+			bufferedResponses: context.bufferedResponses,
 			maximumBodyBytes: context.maximumBodyBytes,
 			mayDispatch,
 			onReport(hints) {
@@ -218,7 +219,17 @@
 		state.queue.drain(now);
 	}
 
+	/** Releases the reservation of a buffered response when the caller has taken the response, or is gone. */
+	function releaseAtEnd({reservation}: Exclude<AttemptOutcome, {readonly kind: 'failed'}>): void {
+		if (response.destroyed) {
+			reservation.release();
+		} else {
+			response.once('close', reservation.release);
+		}
+	}
+
 	function handleResponse(runningAttempt: RunningAttempt, outcome: Exclude<AttemptOutcome, {readonly kind: 'failed'}>, now: number): void {
+		releaseAtEnd(outcome);
 		state.hedgeDelay.record(now - runningAttempt.startedAt);
 		if (outcome.head.status >= 500) {
 			ejectFailing(runningAttempt.candidate, now);
--- a/source/entry/request-handler.ts
+++ b/source/entry/request-handler.ts
@@ -7,8 +7,8 @@
 import {type LoadQueryBudget} from '../measuring/index.js';
 import {type Random} from '../randomness/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
-import {sendVerdict, getRetrySpread, writeResponseHead} from './response.js';
 import {type ByteBudget} from '../bytes/index.js';
+import {sendVerdict, getRetrySpread, writeResponseHead} from './response.js';
 import {type Exchange} from './caller-connections.js';
 import {getRequestDigest, type Claim, type Claims} from './claims.js';
 import {type Fleet, type ServiceState} from './fleet.js';
@@ -45,6 +45,7 @@
 	readonly maximumHeldBodyBytes: number;
 	readonly heldBodies: ByteBudget;
 	readonly maximumBufferedBytes: number;
+	readonly bufferedResponses: ByteBudget;
 	readonly maximumResponseBytes: number;
 	readonly maximumStoredBytes: number;
 	/** Checks whether the entry may accept and dispatch new requests. */
--- a/source/entry/server-request.test.ts
+++ b/source/entry/server-request.test.ts
@@ -4,6 +4,7 @@
 import {expect} from 'earl';
 import {announcementSchema} from '../announcement/index.js';
 import {createCandidate, type Candidate} from '../choice/index.js';
+import {createByteBudget} from '../bytes/index.js';
 import {startAttempt, type AttemptOutcome} from './attempt.js';
 import {defaultDialect, type Dialect} from './dialect.js';
 import {createLoadQuerier} from './load-querier.js';
@@ -35,6 +36,7 @@
 			stream: undefined,
 			deadlineAt: performance.now() + 1000,
 			maximumBufferedBytes: 1000,
+			bufferedResponses: createByteBudget(1000),
 			maximumBodyBytes: 1000,
 			mayDispatch: () => true,
 			onReport() {
--- a/source/settings/settings.ts
+++ b/source/settings/settings.ts
@@ -97,6 +97,8 @@
 	maximumHeldBytes: z.number().int().min(0).max(1_073_741_824).default(33_554_432),
 	/** Maximum size in bytes of a response that is buffered; larger responses are streamed. */
 	maximumHeldAnswerBytes: z.number().int().min(0).max(16_777_216).default(262_144),
+	/** Maximum number of bytes of all responses that are buffered together; further ones are streamed. */
+	maximumHeldAnswersBytes: z.number().int().min(0).max(1_073_741_824).default(67_108_864),
 	/** Maximum size in bytes of any response; a larger one is broken off, so that a faulty server cannot occupy a connection with a body without end. */
 	maximumAnswerBytes: z.number().int().min(1024).max(1_099_511_627_776).default(1_073_741_824),
 	lease: lease.prefault({}),
