Bound the bodies of calls to a control host

What callers would see: nothing bounded the sum of the bodies that a control host reads. 20 senders of half a configuration (16 MB announced, 8 MB sent) made it hold 160 MB; a heartbeat might have 16 MiB too, and a call that reads no body was read without end. A control host that ends takes part of the quorum with it.

A call beyond it is cut; its sender tries again. Discarding moves to source/bytes, since control uses it too.

Not covered: 16 MiB of JSON made of tiny values takes several times its size when it is parsed; only an operator can send it.

--- a/source/control/api.ts
+++ b/source/control/api.ts
@@ -6,6 +6,7 @@
 import {documentSchema, type ConfigurationCommand, type Environment} from '../configuration/index.js';
 import {checkValue} from '../settings/index.js';
 import {type Log} from '../telemetry/index.js';
+import {createCallBodyReader} from './call-body.js';
 import {
 	sendJson, isAuthorized, maximumApiBodyBytes, readJson,
 } from './http.js';
@@ -13,6 +14,12 @@
 
 const maximumAnnouncementBytes = 16_384;
 
+/** Budget of the bodies of operators' calls. */
+const operatorBodyBytes = 2 * maximumApiBodyBytes;
+
+/** Budget of the bodies of announcements, apart from the other one, so that servers are not lost while operators send much. */
+const announcementBodyBytes = 256 * maximumAnnouncementBytes;
+
 const applySchema = z.strictObject({
 	base: z.number().int().min(0),
 	change: z.string().min(1).max(128),
@@ -52,13 +59,16 @@
  * @param options - Operator key and functions of the control host.
  */
 export function createApi(options: ApiOptions): Api {
+	const operatorBodies = createCallBodyReader(operatorBodyBytes);
+	const announcementBodies = createCallBodyReader(announcementBodyBytes);
+
 	async function forward(response: ServerResponse, request: ControlRequest): Promise<void> {
 		const answer = await options.submit(request);
 		sendJson(response, getStatusCode(answer), answer);
 	}
 
 	async function parseBody<Schema extends z.ZodType>(request: IncomingMessage, response: ServerResponse, schema: Schema, maximumBytes: number): Promise<z.infer<Schema> | undefined> {
-		const body = await readJson(request, maximumBytes);
+		const body = await readJson(maximumBytes > maximumAnnouncementBytes ? operatorBodies : announcementBodies, request, maximumBytes);
 		const checked = body.mapErr(fault => [fault] as readonly string[]).andThen(value => checkValue('body', value, schema));
 		if (checked.isOk) {
 			return checked.value;
--- a/source/control/http.ts
+++ b/source/control/http.ts
@@ -3,8 +3,8 @@
 import {timingSafeEqual, createHash} from 'node:crypto';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {Result} from 'true-myth';
-import {createByteCollector} from '../bytes/index.js';
 import {type Log} from '../telemetry/index.js';
+import {type CallBodyFault, type CallBodyReader} from './call-body.js';
 
 /** Maximum size of the body of an operator's request, in bytes. */
 export const maximumApiBodyBytes = 16 * 1024 * 1024;
@@ -23,20 +23,36 @@
 
 /**
  * Reads a JSON body of limited size.
+ * @param bodies - Reader of the process.
  * @param request - Request to read.
  * @param maximumBytes - Maximum size of the body, in bytes.
  */
-export async function readJson(request: IncomingMessage, maximumBytes: number): Promise<Result<unknown, string>> {
-	const collector = createByteCollector();
-	try {
-		for await (const chunk of request as AsyncIterable<Buffer>) {
-			collector.add(chunk);
-			if (collector.getSize() > maximumBytes) {
-				return Result.err(`the body exceeds ${maximumBytes} bytes`);
-			}
+export async function readJson(bodies: CallBodyReader, request: IncomingMessage, maximumBytes: number): Promise<Result<unknown, string>> {
+	const body = await bodies.read(request, maximumBytes);
+	return body
+		.mapErr(fault => explainFault(fault, maximumBytes))
+		.andThen(bytes => parseJson(bytes));
+}
+
+function explainFault(fault: CallBodyFault, maximumBytes: number): string {
+	switch (fault) {
+		case 'tooLarge': {
+			return `the body exceeds ${maximumBytes} bytes`;
+		}
+
+		case 'overload': {
+			return 'the bodies of other calls take all memory for them; try again';
 		}
 
-		return Result.ok(JSON.parse(collector.toBuffer().toString('utf8')));
+		case 'cut': {
+			return 'the body is not complete';
+		}
+	}
+}
+
+function parseJson(bytes: Buffer): Result<unknown, string> {
+	try {
+		return Result.ok(JSON.parse(bytes.toString('utf8')));
 	} catch {
 		return Result.err('the body is not valid JSON');
 	}
--- a/source/control/index.ts
+++ b/source/control/index.ts
@@ -1,4 +1,5 @@
 export * from './awaited-call.js';
+export * from './call-body.js';
 export * from './control.js';
 export * from './driver.js';
 export * from './http.js';
--- a/source/entry/admin.ts
+++ b/source/entry/admin.ts
@@ -3,12 +3,16 @@
 import {performance} from 'node:perf_hooks';
 import {type Registry} from 'prom-client';
 import {announcementSchema, type Announcement} from '../announcement/index.js';
+import {createCallBodyReader} from '../control/call-body.js';
 import {sendJson, readJson} from '../control/http.js';
 import {type ControlResponse} from '../control/message.js';
 import {checkValue} from '../settings/index.js';
 
 const maximumAnnouncementBytes = 16_384;
 
+/** Budget of the bodies of announcements. */
+const announcementBodyBytes = 256 * maximumAnnouncementBytes;
+
 /** Options of `createAdminHandler`. */
 export type AdminOptions = {
 	announce(announcement: Announcement): Promise<ControlResponse>;
@@ -26,8 +30,10 @@
  * @param options - Functions of the entry.
  */
 export function createAdminHandler(options: AdminOptions): (request: IncomingMessage, response: ServerResponse) => Promise<void> {
+	const bodies = createCallBodyReader(announcementBodyBytes);
+
 	async function announce(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const body = await readJson(request, maximumAnnouncementBytes);
+		const body = await readJson(bodies, request, maximumAnnouncementBytes);
 		const checked = body.mapErr(fault => [fault] as readonly string[]).andThen(value => checkValue('body', value, announcementSchema));
 		if (checked.isErr) {
 			sendJson(response, 400, {kind: 'faults', faults: checked.error});
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -7,12 +7,11 @@
 import {type ClientRequest, type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {
-	createByteCollector, createByteReservation, type ByteBudget, type ByteReservation,
+	createByteCollector, createByteReservation, type ByteBudget, type ByteReservation, discardBody,
 } from '../bytes/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {MalformedBodyError} from './malformed-body-error.js';
 import {type Dialect, type ServerReport} from './dialect.js';
-import {discardBody} from './discard.js';
 import {trackCompletion, type ResponseCompletion} from './response-completion.js';
 import {getResponseHeaders} from './headers.js';
 import {type Pool} from './pool.js';
--- a/source/entry/caller-connections.ts
+++ b/source/entry/caller-connections.ts
@@ -8,7 +8,7 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
-import {discardLimits} from './discard.js';
+import {discardLimits} from '../bytes/index.js';
 import {getContentLength} from './content-length.js';
 import {MalformedBodyError} from './malformed-body-error.js';
 
--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -3,8 +3,8 @@
 import {type Duplex} from 'node:stream';
 import {type Socket} from 'node:net';
 import {type ClientLimits} from '../configuration/index.js';
+import {discardBody} from '../bytes/index.js';
 import {createCallerConnections, type CallerConnections, type CallerConnectionsOptions} from './caller-connections.js';
-import {discardBody} from './discard.js';
 
 const keepAliveMilliseconds = 65_000;
 const headersTimeoutMilliseconds = 10_000;
--- a/source/entry/load-querier.ts
+++ b/source/entry/load-querier.ts
@@ -5,8 +5,8 @@
  */
 import {Agent} from 'node:http';
 import {getExpectedSlowdown, type Candidate, type LoadReading} from '../choice/index.js';
+import {discardBody} from '../bytes/index.js';
 import {type Dialect, type ServerReport} from './dialect.js';
-import {discardBody} from './discard.js';
 import {startServerRequest} from './server-request.js';
 
 /** Time after which a query counts as lost and its connection is closed. */
--- a/source/entry/prepared-body.ts
+++ b/source/entry/prepared-body.ts
@@ -6,8 +6,8 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {notRun, type Verdict} from '../verdict/index.js';
-import {readBody} from './body.js';
 import {type ByteBudget} from '../bytes/index.js';
+import {readBody} from './body.js';
 import {getContentLength, hasBody} from './content-length.js';
 
 /** Size limits of bodies. */
--- a/source/entry/prober.ts
+++ b/source/entry/prober.ts
@@ -1,7 +1,7 @@
 /** Probes the servers that are assigned to this entry while its lease is valid. */
 import {performance} from 'node:perf_hooks';
 import {createProbeSchedule, type ProbeSchedule} from '../measuring/index.js';
-import {discardBody} from './discard.js';
+import {discardBody} from '../bytes/index.js';
 import {type Fleet} from './fleet.js';
 import {startServerRequest} from './server-request.js';
 
