Put a first configuration of version 0 in force

Callers would see 503 or 404 for ever: a first configuration of version 0 was acknowledged and put aside, because 0 also stood for "no version yet", in the register, in renewals, and for the nudge that tells entries of a change.

Change: `noVersion` (-1) stands for a missing document where versions are compared; an entry that lacks a document, or its base, renews with it. Ruled out: entries and control hosts of mixed versions, which see a number that they do not store and send the whole document.

Tests: declaration.test.ts and lease-keeper.test.ts failed before (superseded; 0 services).

--- a/source/configuration/declaration.test.ts
+++ b/source/configuration/declaration.test.ts
@@ -31,6 +31,10 @@
 	test('puts the highest version in force', () => {
 		doTest([declare(7), declare(12), declare(9)], ['accepted', 'accepted', 'superseded'], 'text of 12');
 	});
+	test('accepts version 0 as the first, and only then', () => {
+		doTest([declare(0), declare(0, 'other'), declare(1), declare(0)], ['accepted', 'superseded', 'accepted', 'superseded'], 'text of 1');
+		doTest([declare(0), declare(0, 'other')], ['accepted', 'superseded'], 'text of 0');
+	});
 	test('ignores different content under the current version', () => {
 		doTest([declare(7), declare(7, 'other')], ['accepted', 'superseded'], 'text of 7');
 	});
--- a/source/configuration/register.ts
+++ b/source/configuration/register.ts
@@ -10,6 +10,9 @@
 /** Name of an environment. */
 export type Environment = 'trial' | 'production';
 
+/** Number that is lower than that of any version; it stands for a missing document. */
+export const noVersion = -1;
+
 /** Maximum number of change ids whose results are stored for deduplication; the oldest are evicted first. */
 const maximumStoredResults = 20_000;
 
@@ -140,7 +143,7 @@
 
 	function declare(command: Extract<ConfigurationCommand, {readonly kind: 'declare'}>): ConfigurationResult {
 		const {environment, version, document, source, author, at} = command;
-		const current = getCurrentNumber(environment);
+		const current = versions[environment].at(-1)?.version ?? noVersion;
 		if (version <= current) {
 			return {
 				kind: 'superseded', environment, version, current,
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -263,7 +263,7 @@
 	});
 
 	function sendNudgesIfNeeded(): void {
-		const versions = `${machine.register.getCurrentNumber('trial')} ${machine.register.getCurrentNumber('production')}`;
+		const versions = (['trial', 'production'] as const).map(environment => machine.register.getCurrent(environment).map(current => String(current.version)).unwrapOr('')).join(' ');
 		const urgentRevision = leadership?.getUrgentRevision() ?? 0;
 		if (leadership === undefined || (urgentRevision === lastUrgentRevision && versions === lastVersions)) {
 			return;
--- a/source/entry/lease-keeper.ts
+++ b/source/entry/lease-keeper.ts
@@ -2,7 +2,7 @@
 import {performance} from 'node:perf_hooks';
 import {Subject, type Observable} from 'rxjs';
 import {
-	applyDocumentUpdate, type DocumentUpdate, type Environment, type EnvironmentDocument,
+	applyDocumentUpdate, noVersion, type DocumentUpdate, type Environment, type EnvironmentDocument,
 } from '../configuration/index.js';
 import {
 	createLeaseHolder, createRenewalPacing, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Renewal,
@@ -74,7 +74,7 @@
 			environment: options.environment,
 			sequence: holder.startRenewal(now),
 			acknowledged: holder.getAcknowledged(),
-			version: needsFullDocument ? 0 : holder.getVersion(),
+			version: needsFullDocument || document === undefined ? noVersion : holder.getVersion(),
 			epoch: holder.getEpoch(),
 			revision: holder.getRevision(),
 			logIndex: holder.getLogIndex(),
@@ -124,7 +124,7 @@
 			return;
 		}
 
-		const isNewVersion = grant.document !== undefined && grant.version !== holder.getVersion();
+		const isNewVersion = grant.document !== undefined && (document === undefined || grant.version !== holder.getVersion());
 		if (isNewVersion && !updateDocument(grant.document)) {
 			// A grant must not be applied without its document; the next renewal requests the full document.
 			needsFullDocument = true;
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -29,7 +29,7 @@
 	readonly sequence: number;
 	/** Sequence number of the newest grant that the entry applied. */
 	readonly acknowledged: number;
-	/** Version of the document in force at the entry, or 0 before the first. */
+	/** Version of the document in force at the entry, or -1 if it lacks a document. */
 	readonly version: number;
 	readonly epoch: number;
 	readonly revision: number;
