Read at most 64 KiB a turn of a response that is being buffered

The process was busy: Node reads up to 2 MB of one connection in a turn, and a buffered response had no limit of the turn.

--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -16,6 +16,7 @@
 import {getResponseHeaders} from './headers.js';
 import {type Pool} from './pool.js';
 import {isWellFormedHead, type ResponseHead} from './response-head.js';
+import {limitTurns} from './turn-limit.js';
 import {startServerRequest} from './server-request.js';
 
 /** Outcome of an attempt. */
@@ -205,11 +206,13 @@
 	function bufferBody(response: IncomingMessage, head: ResponseHead): void {
 		const completion = trackCompletion(response, head.isCloseDelimited);
 		const collector = createByteCollector();
+		const endTurnLimit = limitTurns(response);
 		function onData(chunk: Buffer): void {
 			collector.add(chunk);
 			if (collector.getSize() > options.maximumBufferedBytes || !reservation.tryGrowTo(collector.getHeldBytes())) {
 				response.off('data', onData);
 				response.off('end', onEnd);
+				endTurnLimit();
 				response.pause();
 				end({
 					kind: 'large', head, firstChunks: collector.getParts(), rest: response, completion, reservation,
--- a/source/entry/body-relay.ts
+++ b/source/entry/body-relay.ts
@@ -5,11 +5,8 @@
  */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {type Socket} from 'node:net';
 import {createByteCollector} from '../bytes/index.js';
-
-/** Bytes that are read in one turn of the event loop before the connection of the source is paused; Node would read two megabytes. */
-const maximumTurnBytes = 65_536;
+import {maximumTurnBytes, setPaused} from './turn-limit.js';
 
 /** Relay of a body. */
 export type BodyRelay = {
@@ -19,19 +16,6 @@
 	flush(): void;
 };
 
-/**
- * Pauses or resumes a connection from which a response is read. The flag keeps Node's response, which itself is never paused, from
- * resuming the connection.
- */
-function setPaused(socket: Socket, isPaused: boolean): void {
-	Object.assign(socket, {_paused: isPaused});
-	if (isPaused) {
-		socket.pause();
-	} else {
-		socket.resume();
-	}
-}
-
 /**
  * Relays the body of a response until it ends.
  * @param source - Response of a server.
@@ -74,7 +58,6 @@
 	source.on('data', (chunk: Buffer) => {
 		collector.add(chunk);
 		if (isBlocked || collector.getSize() > maximumTurnBytes) {
-			// A pause of the source itself would keep the rest of what was read in the source, chunk by chunk.
 			setPaused(socket, true);
 		}
 
