State reported crashes to a new leader

What callers would see: a request that crashes its servers is quarantined after two. The counts are soft state of the leader, and renewals always carried `crashes: []`, so that each change of the leader let such a request crash two more servers. Besides, an entry kept the crashes that it had reported itself for ever, one set for each request.

Change: an entry keeps its reports in a quarantine of its own (ten minutes, 10,000 requests at most), and its first renewal after the first grant of a new leader states them (1,000 at most). The leader counts each server once, as it does for reports. Renewals of older entries state nothing, which was the only value so far.

Ruled out: stating them in every renewal (they would be repeated twice a second), and replicating them (a write for each crash, although the entries know them).

Tests that failed before: leadership.test.ts (nothing quarantined), lease-keeper.test.ts (no report in any renewal), quarantine.test.ts (no such function). Not shown with real processes.

--- a/source/control/leadership.test.ts
+++ b/source/control/leadership.test.ts
@@ -235,3 +235,24 @@
 		doTest(['e2', 'e2 gone'], [['e2'], []]);
 	});
 });
+
+// Guards against a request that crashes more servers after each change of the leader.
+describe('createLeadership: crashes that entries reported to an earlier leader', () => {
+	function doTest(reports: ReadonlyArray<readonly [fingerprint: string, server: number]>, expected: readonly string[]): void {
+		const {leadership} = start();
+		const renewal = {...getRenewal(1, undefined, []), crashes: reports.map(([fingerprint, server]) => ({fingerprint, server}))};
+		expect(leadership.grant(renewal, 10, 10).quarantined).toEqual([...expected]);
+	}
+
+	test('count as new ones', () => {
+		doTest([['f', 1], ['f', 2], ['g', 1]], ['f']);
+	});
+	test('count each server once', () => {
+		doTest([['f', 1], ['f', 1]], []);
+	});
+	test('are ignored without a server, as in the renewals of older entries', () => {
+		const {leadership} = start();
+		const crashes = [{fingerprint: 'f', crashes: 2}] as never;
+		expect(leadership.grant({...getRenewal(1, undefined, []), crashes}, 10, 10).quarantined).toEqual([]);
+	});
+});
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -219,6 +219,13 @@
 		for (const id of renewal.heard) {
 			recordLiveness(id, now);
 		}
+
+		for (const {fingerprint, server} of renewal.crashes) {
+			// Older entries state a number of crashes instead, which is always empty.
+			if (typeof server === 'number') {
+				quarantine.reportCrash(fingerprint, server, now);
+			}
+		}
 	}
 
 	/** Records that a server announced itself. Ignores servers that were removed from the registry. */
@@ -431,7 +438,9 @@
 			urgentRevision++;
 			return count;
 		},
-		clearCrashes: quarantine.clear,
+		clearCrashes(fingerprint) {
+			quarantine.clear(fingerprint);
+		},
 		tick(now) {
 			expireLeases(now);
 			for (const id of livenessTracker.getExpired(now)) {
--- a/source/entry/crash-tracker.ts
+++ b/source/entry/crash-tracker.ts
@@ -3,8 +3,10 @@
  * receives its verdict; a later success of the same request clears its crashes.
  */
 import {createHash} from 'node:crypto';
+import {performance} from 'node:perf_hooks';
 import {type ControlClient} from '../control-client/index.js';
-import {quarantineCrashThreshold} from '../quarantine/index.js';
+import {type CrashReport} from '../lease/index.js';
+import {createQuarantine, quarantineCrashThreshold, type Quarantine} from '../quarantine/index.js';
 
 const reportTimeoutMilliseconds = 400;
 
@@ -16,6 +18,8 @@
 	isQuarantined(getFingerprint: () => string): boolean;
 	/** Reports a crash and resolves to whether the request must be refused from now on. */
 	reportCrash(fingerprint: string, server: number): Promise<boolean>;
+	/** Gets the crashes that were reported lately, for a leader that does not know them. */
+	getReports(): readonly CrashReport[];
 	/** Clears the crashes of a request that has succeeded. */
 	recordSuccess(getFingerprint: () => string): void;
 };
@@ -35,40 +39,34 @@
  */
 export function createCrashTracker(client: ControlClient): CrashTracker {
 	let quarantined: ReadonlySet<string> = new Set();
-	const serversByFingerprint = new Map<string, Set<number>>();
-
-	function recordCrash(fingerprint: string, server: number): number {
-		const servers = serversByFingerprint.get(fingerprint) ?? new Set<number>();
-		servers.add(server);
-		serversByFingerprint.set(fingerprint, servers);
-		return servers.size;
-	}
+	const ownCrashes: Quarantine = createQuarantine();
 
 	return {
 		setQuarantined(fingerprints) {
 			quarantined = new Set(fingerprints);
 		},
 		isQuarantined(getOwnFingerprint) {
-			if (quarantined.size === 0 && serversByFingerprint.size === 0) {
+			if (quarantined.size === 0 && ownCrashes.isEmpty()) {
 				return false;
 			}
 
 			const fingerprint = getOwnFingerprint();
-			return quarantined.has(fingerprint) || (serversByFingerprint.get(fingerprint)?.size ?? 0) >= quarantineCrashThreshold;
+			return quarantined.has(fingerprint) || ownCrashes.isQuarantined(fingerprint, performance.now());
 		},
 		async reportCrash(fingerprint, server) {
-			const localCount = recordCrash(fingerprint, server);
+			const localCount = ownCrashes.reportCrash(fingerprint, server, performance.now());
 			const answer = await client.submit({kind: 'crash', fingerprint, server}, reportTimeoutMilliseconds);
 			const count = answer.kind === 'crashes' ? answer.count : localCount;
 			return Math.max(localCount, count) >= quarantineCrashThreshold;
 		},
+		getReports: () => ownCrashes.getReports(performance.now()),
 		recordSuccess(getOwnFingerprint) {
-			if (serversByFingerprint.size === 0) {
+			if (ownCrashes.isEmpty()) {
 				return;
 			}
 
 			const fingerprint = getOwnFingerprint();
-			if (serversByFingerprint.delete(fingerprint)) {
+			if (ownCrashes.clear(fingerprint)) {
 				void client.submit({kind: 'clearCrashes', fingerprint}, reportTimeoutMilliseconds);
 			}
 		},
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -127,6 +127,7 @@
 		takeObservations: fleet.takeObservations,
 		takeFailedProbes: prober.takeFailedServers,
 		takeUnchangedServers: announcementHandler.takeUnchangedServers,
+		getCrashReports: () => crashTracker.getReports(),
 		applyGrant,
 		setQuarantined(fingerprints) {
 			crashTracker.setQuarantined(fingerprints);
--- a/source/entry/lease-keeper.test.ts
+++ b/source/entry/lease-keeper.test.ts
@@ -31,7 +31,7 @@
 			},
 		};
 		const keeper: LeaseKeeper = keepLease({
-			entry: 'one', environment: 'production', renewMilliseconds: 60_000, peer: undefined, getClient: () => client as ControlClient, takeObservations: () => [], takeFailedProbes: () => [], takeUnchangedServers: () => [],
+			entry: 'one', environment: 'production', renewMilliseconds: 60_000, peer: undefined, getClient: () => client as ControlClient, takeObservations: () => [], takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => [],
 			applyGrant(_grant, document) {
 				serviceCounts.push(document?.services.length ?? 0);
 			},
@@ -72,3 +72,47 @@
 		doTest({kind: 'whole', document: first}, {services: 0, isExtended: true, reportedVersion: 0}, [0, 0]);
 	});
 });
+
+describe('keepLease: crash reports', () => {
+	const reports = [{fingerprint: 'f', server: 1}];
+
+	/** Grants each renewal in the given epoch, and gets the number of reports in each. */
+	function doTest(epochs: readonly number[], expected: readonly number[]): void {
+		const renewals: Renewal[] = [];
+		const client: Pick<ControlClient, 'sendToLeader' | 'setLeader'> = {
+			sendToLeader(message) {
+				renewals.push(message as Renewal);
+				return 'leader';
+			},
+			setLeader() {
+				// The test does not follow the leader.
+			},
+		};
+		const keeper = keepLease({
+			entry: 'one', environment: 'production', renewMilliseconds: 60_000, peer: undefined, getClient: () => client as ControlClient,
+			takeObservations: () => [], takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => reports,
+			applyGrant() {
+				// The test looks at renewals only.
+			},
+			setQuarantined() {
+				// No request is quarantined in these tests.
+			},
+		});
+		for (const epoch of epochs) {
+			keeper.renew();
+			keeper.receive('control', {
+				kind: 'grant', sequence: renewals.length, termMilliseconds: 60_000, epoch, revision: 0, isWhole: true, servers: [], version: 0, document: undefined, permits: [], duties: [], probeMilliseconds: 1000, quarantined: [], zonesOut: [], entries: 1, peersRevision: 0, peers: [],
+			});
+		}
+
+		keeper.stop();
+		expect(renewals.map(renewal => renewal.crashes.length)).toEqual([...expected]);
+	}
+
+	test('are sent once to each leader that has granted a lease', () => {
+		doTest([1, 1, 1, 2, 2, 2], [0, 1, 0, 0, 1, 0]);
+	});
+	test('are sent again if another leader answers', () => {
+		doTest([1, 2, 2, 2], [0, 1, 1, 0]);
+	});
+});
--- a/source/entry/lease-keeper.ts
+++ b/source/entry/lease-keeper.ts
@@ -5,7 +5,7 @@
 	applyDocumentUpdate, noVersion, type DocumentUpdate, type Environment, type EnvironmentDocument,
 } from '../configuration/index.js';
 import {
-	createLeaseHolder, createRenewalPacing, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Renewal,
+	createLeaseHolder, createRenewalPacing, type CrashReport, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Renewal,
 } from '../lease/index.js';
 import {type ControlClient} from '../control-client/index.js';
 import {type ControlOutbound} from '../control/message.js';
@@ -39,6 +39,8 @@
 	takeObservations(): readonly Observation[];
 	takeFailedProbes(): readonly number[];
 	takeUnchangedServers(): readonly number[];
+	/** Gets the crashes that were reported lately. */
+	getCrashReports(): readonly CrashReport[];
 	/** Applies a grant, with its document if the grant carries a new version. Runs before the grant is acknowledged. */
 	applyGrant(grant: Grant, document: EnvironmentDocument | undefined): void;
 	/** Replaces the fingerprints of quarantined requests. */
@@ -59,6 +61,8 @@
 	let needsFullDocument = false;
 	let wasSentToAll = false;
 	let lastRenewal: Renewal | undefined;
+	/** Epoch of the leader that knows the crashes of this entry. */
+	let crashesEpoch = 0;
 
 	function send(isFinal: boolean): void {
 		const now = performance.now();
@@ -82,7 +86,7 @@
 			observations: options.takeObservations(),
 			failedProbes: options.takeFailedProbes(),
 			heard: options.takeUnchangedServers(),
-			crashes: [],
+			crashes: holder.getEpoch() === crashesEpoch ? [] : options.getCrashReports(),
 			peer: options.peer,
 			isFinal,
 		};
@@ -134,9 +138,14 @@
 
 		needsFullDocument = false;
 		holder.accept(grant, now);
+		if (grant.sequence === lastRenewal?.sequence && lastRenewal.epoch === grant.epoch) {
+			crashesEpoch = grant.epoch;
+		}
+
 		options.applyGrant(grant, isNewVersion ? document : undefined);
 		grants.next(grant);
-		if (isFirst || isNewVersion) {
+		const isOwedCrashes = crashesEpoch !== grant.epoch && options.getCrashReports().length > 0;
+		if (isFirst || isNewVersion || isOwedCrashes) {
 			scheduleRenewal();
 		}
 	}
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -15,8 +15,8 @@
 	readonly isCold: boolean;
 };
 
-/** Number of crashes caused by requests with one fingerprint. */
-export type CrashCount = {readonly fingerprint: string; readonly crashes: number};
+/** Crash of a server while it ran a request with a fingerprint. */
+export type CrashReport = {readonly fingerprint: string; readonly server: number};
 
 /** Name and address of an entry, for connections from its peers. */
 export type PeerAddress = {readonly name: string; readonly host: string; readonly port: number};
@@ -41,7 +41,8 @@
 	readonly failedProbes: readonly number[];
 	/** Servers that repeated an unchanged announcement to the entry since its last renewal. */
 	readonly heard: readonly number[];
-	readonly crashes: readonly CrashCount[];
+	/** Crashes that the entry has reported lately, in its first renewal at a new leader, which does not know them. */
+	readonly crashes: readonly CrashReport[];
 	readonly peer: PeerAddress | undefined;
 	/** Whether the entry is stopping and returns its lease, permits and duties. */
 	readonly isFinal: boolean;
--- a/source/quarantine/quarantine.test.ts
+++ b/source/quarantine/quarantine.test.ts
@@ -1,6 +1,6 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {createQuarantine, quarantineMilliseconds} from './index.js';
+import {createQuarantine, maximumReports, quarantineMilliseconds} from './index.js';
 
 describe('createQuarantine', () => {
 	function doTest(reports: ReadonlyArray<readonly [server: number, at: number] | 'clear'>, at: number, expected: boolean): void {
@@ -32,6 +32,23 @@
 	test('does not end a quarantine after a success', () => {
 		doTest([[1, 0], [2, 1], 'clear'], 1, true);
 	});
+	test('states the newest crashes, so that another leader can count them', () => {
+		const quarantine = createQuarantine();
+		quarantine.reportCrash('old', 1, 0);
+		quarantine.reportCrash('f', 1, 10);
+		quarantine.reportCrash('f', 2, 20);
+		expect(quarantine.getReports(30)).toEqual([{fingerprint: 'f', server: 1}, {fingerprint: 'f', server: 2}, {fingerprint: 'old', server: 1}]);
+		expect(quarantine.getReports(quarantineMilliseconds)).toEqual([{fingerprint: 'f', server: 1}, {fingerprint: 'f', server: 2}]);
+	});
+	test('states a limited number of crashes', () => {
+		const quarantine = createQuarantine();
+		for (let index = 0; index < 5000; index++) {
+			quarantine.reportCrash(`f${index}`, 1, index);
+		}
+
+		const reports = quarantine.getReports(5000);
+		expect([reports.length, reports[0]?.fingerprint]).toEqual([maximumReports, 'f4999']);
+	});
 	test('ends the quarantine when its time has elapsed', () => {
 		doTest([[1, 0], [2, 1]], 1 + quarantineMilliseconds, false);
 	});
--- a/source/quarantine/quarantine.ts
+++ b/source/quarantine/quarantine.ts
@@ -8,6 +8,9 @@
 
 const maximumFingerprints = 10_000;
 
+/** Maximum number of crashes that are stated at once. */
+export const maximumReports = 1000;
+
 type CrashRecord = {readonly servers: Set<number>; reportedAt: number};
 
 /** Crashed servers by fingerprint. */
@@ -15,9 +18,13 @@
 	/** Records a crash and returns the number of servers that have crashed so far. */
 	reportCrash(fingerprint: string, server: number, now: number): number;
 	isQuarantined(fingerprint: string, now: number): boolean;
-	/** Removes the crashes of a fingerprint that has since succeeded, unless it is quarantined. */
-	clear(fingerprint: string): void;
+	/** Removes the crashes of a fingerprint that has since succeeded, unless it is quarantined; returns whether there were any. */
+	clear(fingerprint: string): boolean;
 	getQuarantined(now: number): readonly string[];
+	/** Gets the crashes that count, those of the last fingerprints first. */
+	getReports(now: number): ReadonlyArray<{readonly fingerprint: string; readonly server: number}>;
+	/** Checks whether no crash was recorded. */
+	isEmpty(): boolean;
 };
 
 /** Creates an empty quarantine. */
@@ -52,10 +59,15 @@
 		},
 		isQuarantined,
 		clear(fingerprint) {
-			if ((recordsByFingerprint.get(fingerprint)?.servers.size ?? 0) < quarantineCrashThreshold) {
-				recordsByFingerprint.delete(fingerprint);
-			}
+			const isBelowThreshold = (recordsByFingerprint.get(fingerprint)?.servers.size ?? 0) < quarantineCrashThreshold;
+			return isBelowThreshold && recordsByFingerprint.delete(fingerprint);
 		},
+		getReports: now => [...recordsByFingerprint]
+			.filter(([, {reportedAt}]) => now - reportedAt < quarantineMilliseconds)
+			.toReversed()
+			.flatMap(([fingerprint, {servers}]) => [...servers].map(server => ({fingerprint, server})))
+			.slice(0, maximumReports),
+		isEmpty: () => recordsByFingerprint.size === 0,
 		getQuarantined: now => [...recordsByFingerprint.keys()].filter(fingerprint => isQuarantined(fingerprint, now)),
 	};
 }
