--- a/source/control/http.ts
+++ b/source/control/http.ts
@@ -4,6 +4,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {Result} from 'true-myth';
 import {type Log} from '../telemetry/index.js';
+import {type CallBodyFault, type CallBodyReader} from './call-body.js';
 
 /** Maximum size of the body of an operator's request, in bytes. */
 export const maximumApiBodyBytes = 16 * 1024 * 1024;
@@ -22,23 +23,36 @@
 
 /**
  * Reads a JSON body of limited size.
+ * @param bodies - Reader of the process.
  * @param request - Request to read.
  * @param maximumBytes - Maximum size of the body, in bytes.
  */
-export async function readJson(request: IncomingMessage, maximumBytes: number): Promise<Result<unknown, string>> {
-	const chunks: Buffer[] = [];
-	let size = 0;
-	try {
-		for await (const chunk of request as AsyncIterable<Buffer>) {
-			size += chunk.length;
-			if (size > maximumBytes) {
-				return Result.err(`the body exceeds ${maximumBytes} bytes`);
-			}
+export async function readJson(bodies: CallBodyReader, request: IncomingMessage, maximumBytes: number): Promise<Result<unknown, string>> {
+	const body = await bodies.read(request, maximumBytes);
+	return body
+		.mapErr(fault => explainFault(fault, maximumBytes))
+		.andThen(bytes => parseJson(bytes));
+}
 
-			chunks.push(chunk);
+function explainFault(fault: CallBodyFault, maximumBytes: number): string {
+	switch (fault) {
+		case 'tooLarge': {
+			return `the body exceeds ${maximumBytes} bytes`;
 		}
 
-		return Result.ok(JSON.parse(Buffer.concat(chunks).toString('utf8')));
+		case 'overload': {
+			return 'the bodies of other calls take all memory for them; try again';
+		}
+
+		case 'cut': {
+			return 'the body is not complete';
+		}
+	}
+}
+
+function parseJson(bytes: Buffer): Result<unknown, string> {
+	try {
+		return Result.ok(JSON.parse(bytes.toString('utf8')));
 	} catch {
 		return Result.err('the body is not valid JSON');
 	}
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -115,6 +115,13 @@
 		for (const id of renewal.heard) {
 			recordLiveness(id, now);
 		}
+
+		for (const {fingerprint, server} of renewal.crashes) {
+			// Older entries state a number of crashes instead, which is always empty.
+			if (typeof server === 'number') {
+				quarantine.reportCrash(fingerprint, server, now);
+			}
+		}
 	}
 
 	/** Records that a server announced itself. Ignores servers that were removed from the registry. */
@@ -190,7 +197,9 @@
 			urgentRevision++;
 			return count;
 		},
-		clearCrashes: quarantine.clear,
+		clearCrashes(fingerprint) {
+			quarantine.clear(fingerprint);
+		},
 		tick(now) {
 			leases.expire(now);
 			for (const id of presence.getExpired(now)) {
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -3,15 +3,17 @@
  * a response counts only when it is complete. Responses up to a size limit are buffered
  * in memory, larger ones are passed on as a stream.
  */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type ClientRequest, type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
+import {
+	createByteCollector, createByteReservation, type ByteBudget, type ByteReservation, discardBody,
+} from '../bytes/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {MalformedBodyError} from './malformed-body-error.js';
 import {type ConnectionHistory} from './connection-history.js';
 import {type Dialect, type ServerReport} from './dialect.js';
 import {type DiscardedAnswer, type DiscardReason} from './discarded-answers.js';
-import {discardBody} from './discard.js';
 import {trackCompletion, type ResponseCompletion} from './response-completion.js';
 import {getResponseHeaders} from './headers.js';
 import {type Pool} from './pool.js';
@@ -19,13 +21,14 @@
 import {
 	getRepeatedId, isOwnResponse, isProvenResponse, type ResponseOrigin,
 } from './response-origin.js';
+import {limitTurns} from './turn-limit.js';
 import {startServerRequest} from './server-request.js';
 
 /** Outcome of an attempt. */
 export type AttemptOutcome
-	= | {readonly kind: 'whole'; readonly head: ResponseHead; readonly body: Buffer}
-	/** Head and first chunks of a response that is too large to buffer. */
-		| {readonly kind: 'large'; readonly head: ResponseHead; readonly firstChunks: readonly Buffer[]; readonly rest: IncomingMessage; readonly completion: ResponseCompletion}
+	= | {readonly kind: 'whole'; readonly head: ResponseHead; readonly body: Buffer; readonly reservation: ByteReservation}
+	/** Head and first chunks of a response that is too large to buffer, alone or together with others. */
+		| {readonly kind: 'large'; readonly head: ResponseHead; readonly firstChunks: readonly Buffer[]; readonly rest: IncomingMessage; readonly completion: ResponseCompletion; readonly reservation: ByteReservation}
 		| {readonly kind: 'failed'; readonly verdict: Verdict; readonly hasCrashed: boolean};
 
 /** Options of an attempt. */
@@ -42,6 +45,8 @@
 	readonly stream: IncomingMessage | undefined;
 	readonly deadlineAt: number;
 	readonly maximumBufferedBytes: number;
+	/** Budget of all buffered responses. The receiver of the outcome releases the reservation that it contains. */
+	readonly bufferedResponses: ByteBudget;
 	/** Maximum size of a streamed body, in bytes. */
 	readonly maximumBodyBytes: number;
 	/** Checks, in the event loop turn of the write, whether the request may still be dispatched. */
@@ -105,6 +110,7 @@
 	let informationalResponses = 0;
 	let history: ConnectionHistory | undefined;
 	let answer: IncomingMessage | undefined;
+	const reservation = createByteReservation(options.bufferedResponses);
 	const timer = setTimeout(() => {
 		fail('deadline');
 	}, Math.max(0, options.deadlineAt - performance.now()));
@@ -130,6 +136,7 @@
 			reportDiscard(reason);
 		}
 
+		reservation.release();
 		end({kind: 'failed', verdict, hasCrashed});
 		request.destroy();
 	}
@@ -229,18 +236,18 @@
 
 	function bufferBody(response: IncomingMessage, head: ResponseHead): void {
 		const completion = trackCompletion(response, head.isCloseDelimited);
-		const chunks: Buffer[] = [];
-		let size = 0;
+		const collector = createByteCollector();
+		const endTurnLimit = limitTurns(response);
 		function onData(chunk: Buffer): void {
-			chunks.push(chunk);
-			size += chunk.length;
-			if (size > options.maximumBufferedBytes) {
+			collector.add(chunk);
+			if (collector.getSize() > options.maximumBufferedBytes || !reservation.tryGrowTo(collector.getHeldBytes())) {
 				response.off('data', onData);
 				response.off('end', onEnd);
+				endTurnLimit();
 				response.pause();
 				history?.recordAnswer();
 				end({
-					kind: 'large', head, firstChunks: chunks, rest: response, completion,
+					kind: 'large', head, firstChunks: collector.getParts(), rest: response, completion, reservation,
 				});
 			}
 		}
@@ -252,10 +259,12 @@
 			}
 
 			history?.recordAnswer();
-			const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+			const body = collector.toBuffer();
 			const isChunked = response.headers['transfer-encoding'] !== undefined;
 			const headers = isChunked ? [...head.headers, 'content-length', String(body.length)] : head.headers;
-			end({kind: 'whole', head: {...head, headers}, body});
+			end({
+				kind: 'whole', head: {...head, headers}, body, reservation,
+			});
 			destroyUnfinishedRequest();
 		}
 
@@ -299,6 +308,7 @@
 		if (!isEnded) {
 			isEnded = true;
 			clearTimeout(timer);
+			reservation.release();
 			request.destroy();
 		}
 	}
--- /dev/null
+++ b/source/entry/body-relay.ts
@@ -0,0 +1,83 @@
+/**
+ * Passes the body of a server's response on to a caller as fast as the caller takes it. Chunks are copied together before they
+ * are written, so that what waits for a slow caller takes little more memory than its size. Node's own pipe would keep thousands
+ * of tiny chunks, each in a buffer of its own.
+ */
+import {type Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {createByteCollector} from '../bytes/index.js';
+import {maximumTurnBytes, setPaused} from './turn-limit.js';
+
+/** Relay of a body. */
+export type BodyRelay = {
+	/** Adds a chunk that was received before the relay started. */
+	add(chunk: Buffer): void;
+	/** Writes all received bytes. */
+	flush(): void;
+};
+
+/**
+ * Relays the body of a response until it ends.
+ * @param source - Response of a server.
+ * @param target - Response to a caller.
+ */
+export function relayBody(source: IncomingMessage, target: ServerResponse): BodyRelay {
+	let collector = createByteCollector();
+	let isFlushScheduled = false;
+	let isBlocked = false;
+	const {socket} = source;
+
+	function flush(): void {
+		const parts = collector.getParts();
+		collector = createByteCollector();
+		for (const part of parts) {
+			isBlocked = !target.write(part) || isBlocked;
+		}
+	}
+
+	/** Writes what was received in one turn of the event loop, and reads on if the caller keeps up. */
+	function flushTurn(): void {
+		isFlushScheduled = false;
+		if (isBlocked || target.destroyed) {
+			return;
+		}
+
+		flush();
+		if (!isBlocked && !source.complete) {
+			setPaused(socket, false);
+		}
+	}
+
+	function scheduleFlush(): void {
+		if (!isFlushScheduled) {
+			isFlushScheduled = true;
+			setImmediate(flushTurn);
+		}
+	}
+
+	source.on('data', (chunk: Buffer) => {
+		collector.add(chunk);
+		if (isBlocked || collector.getSize() > maximumTurnBytes) {
+			setPaused(socket, true);
+		}
+
+		scheduleFlush();
+	});
+	source.once('end', () => {
+		// The connection may be used again.
+		setPaused(socket, false);
+	});
+	target.on('drain', () => {
+		isBlocked = false;
+		scheduleFlush();
+	});
+	source.resume();
+
+	return {
+		add(chunk) {
+			collector.add(chunk);
+			scheduleFlush();
+		},
+		flush,
+	};
+}
--- a/source/entry/discarded-answers.test.ts
+++ b/source/entry/discarded-answers.test.ts
@@ -3,6 +3,7 @@
 import {performance} from 'node:perf_hooks';
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
+import {createByteBudget} from '../bytes/index.js';
 import {startAttempt} from './attempt.js';
 import {defaultDialect} from './dialect.js';
 import {createDiscardedAnswers, type DiscardedAnswer, type DiscardReason} from './discarded-answers.js';
@@ -98,6 +99,7 @@
 				stream: undefined,
 				deadlineAt: performance.now() + deadlineMilliseconds,
 				maximumBufferedBytes: 1000,
+				bufferedResponses: createByteBudget(1_000_000),
 				maximumBodyBytes: 1000,
 				mayDispatch: () => true,
 				onReport() {
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -21,10 +21,10 @@
 import {type Log} from '../telemetry/index.js';
 import {notRun, type NotRunReason, type Verdict} from '../verdict/index.js';
 import {listen} from '../wire/index.js';
+import {createByteBudget} from '../bytes/index.js';
 import {findRequestFault, normalizeTarget} from './request-check.js';
 import {sendVerdict} from './response.js';
 import {createAdminHandler} from './admin.js';
-import {createByteBudget} from './byte-budget.js';
 import {type Exchange} from './caller-connections.js';
 import {createCallerServer} from './caller-server.js';
 import {createLoadQuerier} from './load-querier.js';
@@ -135,6 +135,7 @@
 		takeObservations: fleet.takeObservations,
 		takeFailedProbes: prober.takeFailedServers,
 		takeUnchangedServers: announcementHandler.takeUnchangedServers,
+		getCrashReports: () => crashTracker.getReports(),
 		applyGrant,
 		setQuarantined(fingerprints) {
 			crashTracker.setQuarantined(fingerprints);
@@ -316,6 +317,7 @@
 		maximumHeldBodyBytes: settings.maximumHeldBodyBytes,
 		heldBodies: createByteBudget(settings.maximumHeldBytes),
 		maximumBufferedBytes: settings.maximumHeldAnswerBytes,
+		bufferedResponses: createByteBudget(settings.maximumHeldAnswersBytes),
 		maximumResponseBytes: settings.maximumAnswerBytes,
 		maximumStoredBytes: maximumStoredResponseBytes,
 		mayDispatch,
--- a/source/entry/lease-keeper.test.ts
+++ b/source/entry/lease-keeper.test.ts
@@ -15,9 +15,10 @@
 
 describe('keepLease: documents', () => {
 	type Expected = {readonly services: number; readonly isExtended: boolean; readonly reportedVersion: number};
+	type Versions = readonly [first: number, second: number];
 
 	/** Grants the first version as a full document, then the second version by the given update. */
-	function doTest(update: DocumentUpdate, expected: Expected): void {
+	function doTest(update: DocumentUpdate, expected: Expected, [firstVersion, secondVersion]: Versions = [1, 2]): void {
 		const renewals: Renewal[] = [];
 		const serviceCounts: number[] = [];
 		const client: Pick<ControlClient, 'sendToLeader' | 'setLeader'> = {
@@ -30,7 +31,7 @@
 			},
 		};
 		const keeper: LeaseKeeper = keepLease({
-			entry: 'one', environment: 'production', renewMilliseconds: 60_000, peer: undefined, getClient: () => client as ControlClient, takeObservations: () => [], takeFailedProbes: () => [], takeUnchangedServers: () => [],
+			entry: 'one', environment: 'production', renewMilliseconds: 60_000, peer: undefined, getClient: () => client as ControlClient, takeObservations: () => [], takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => [],
 			applyGrant(_grant, document) {
 				serviceCounts.push(document?.services.length ?? 0);
 			},
@@ -47,9 +48,9 @@
 			keeper.receive('control', message);
 		}
 
-		grant(1, {kind: 'whole', document: first});
+		grant(firstVersion, {kind: 'whole', document: first});
 		const expiresAt = keeper.holder.getExpiresAt();
-		grant(2, update);
+		grant(secondVersion, update);
 		const isExtended = keeper.holder.getExpiresAt() > expiresAt;
 		keeper.renew();
 		expect({services: serviceCounts.at(-1), isExtended, reportedVersion: renewals.at(-1)!.version}).toEqual(expected);
@@ -64,6 +65,54 @@
 	});
 	test('are rejected with their grant when the update belongs to a different document, and are then requested in full', () => {
 		const update = getDocumentUpdate(unrelated, {...unrelated, zones: [{name: 'south', inService: true}]});
-		doTest(update, {services: 4, isExtended: false, reportedVersion: 0});
+		doTest(update, {services: 4, isExtended: false, reportedVersion: -1});
+	});
+	test('are applied from version 0 on', () => {
+		doTest(getDocumentUpdate(first, second), {services: 5, isExtended: true, reportedVersion: 1}, [0, 1]);
+		doTest({kind: 'whole', document: first}, {services: 0, isExtended: true, reportedVersion: 0}, [0, 0]);
+	});
+});
+
+describe('keepLease: crash reports', () => {
+	const reports = [{fingerprint: 'f', server: 1}];
+
+	/** Grants each renewal in the given epoch, and gets the number of reports in each. */
+	function doTest(epochs: readonly number[], expected: readonly number[]): void {
+		const renewals: Renewal[] = [];
+		const client: Pick<ControlClient, 'sendToLeader' | 'setLeader'> = {
+			sendToLeader(message) {
+				renewals.push(message as Renewal);
+				return 'leader';
+			},
+			setLeader() {
+				// The test does not follow the leader.
+			},
+		};
+		const keeper = keepLease({
+			entry: 'one', environment: 'production', renewMilliseconds: 60_000, peer: undefined, getClient: () => client as ControlClient,
+			takeObservations: () => [], takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => reports,
+			applyGrant() {
+				// The test looks at renewals only.
+			},
+			setQuarantined() {
+				// No request is quarantined in these tests.
+			},
+		});
+		for (const epoch of epochs) {
+			keeper.renew();
+			keeper.receive('control', {
+				kind: 'grant', sequence: renewals.length, termMilliseconds: 60_000, epoch, revision: 0, isWhole: true, servers: [], version: 0, document: undefined, permits: [], duties: [], probeMilliseconds: 1000, quarantined: [], zonesOut: [], entries: 1, peersRevision: 0, peers: [],
+			});
+		}
+
+		keeper.stop();
+		expect(renewals.map(renewal => renewal.crashes.length)).toEqual([...expected]);
+	}
+
+	test('are sent once to each leader that has granted a lease', () => {
+		doTest([1, 1, 1, 2, 2, 2], [0, 1, 0, 0, 1, 0]);
+	});
+	test('are sent again if another leader answers', () => {
+		doTest([1, 2, 2, 2], [0, 1, 1, 0]);
 	});
 });
--- a/source/entry/lease-keeper.ts
+++ b/source/entry/lease-keeper.ts
@@ -2,10 +2,10 @@
 import {performance} from 'node:perf_hooks';
 import {Subject, type Observable} from 'rxjs';
 import {
-	applyDocumentUpdate, type DocumentUpdate, type Environment, type EnvironmentDocument,
+	applyDocumentUpdate, noVersion, type DocumentUpdate, type Environment, type EnvironmentDocument,
 } from '../configuration/index.js';
 import {
-	createLeaseHolder, createRenewalPacing, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Renewal,
+	createLeaseHolder, createRenewalPacing, type CrashReport, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Renewal,
 } from '../lease/index.js';
 import {type ControlClient} from '../control-client/index.js';
 import {type ControlOutbound} from '../control/message.js';
@@ -39,6 +39,8 @@
 	takeObservations(): readonly Observation[];
 	takeFailedProbes(): readonly number[];
 	takeUnchangedServers(): readonly number[];
+	/** Gets the crashes that were reported lately. */
+	getCrashReports(): readonly CrashReport[];
 	/** Applies a grant of a control host, with its document if the grant carries a new version. Runs before the grant is acknowledged. */
 	applyGrant(grant: Grant, document: EnvironmentDocument | undefined, host: string): void;
 	/** Replaces the fingerprints of quarantined requests. */
@@ -59,6 +61,8 @@
 	let needsFullDocument = false;
 	let wasSentToAll = false;
 	let lastRenewal: Renewal | undefined;
+	/** Epoch of the leader that knows the crashes of this entry. */
+	let crashesEpoch = 0;
 
 	function send(isFinal: boolean): void {
 		const now = performance.now();
@@ -74,7 +78,7 @@
 			environment: options.environment,
 			sequence: holder.startRenewal(now),
 			acknowledged: holder.getAcknowledged(),
-			version: needsFullDocument ? 0 : holder.getVersion(),
+			version: needsFullDocument || document === undefined ? noVersion : holder.getVersion(),
 			epoch: holder.getEpoch(),
 			revision: holder.getRevision(),
 			logIndex: holder.getLogIndex(),
@@ -82,7 +86,7 @@
 			observations: options.takeObservations(),
 			failedProbes: options.takeFailedProbes(),
 			heard: options.takeUnchangedServers(),
-			crashes: [],
+			crashes: holder.getEpoch() === crashesEpoch ? [] : options.getCrashReports(),
 			peer: options.peer,
 			isFinal,
 		};
@@ -124,7 +128,7 @@
 			return;
 		}
 
-		const isNewVersion = grant.document !== undefined && grant.version !== holder.getVersion();
+		const isNewVersion = grant.document !== undefined && (document === undefined || grant.version !== holder.getVersion());
 		if (isNewVersion && !updateDocument(grant.document)) {
 			// A grant must not be applied without its document; the next renewal requests the full document.
 			needsFullDocument = true;
@@ -134,9 +138,14 @@
 
 		needsFullDocument = false;
 		holder.accept(grant, now);
+		if (grant.sequence === lastRenewal?.sequence && lastRenewal.epoch === grant.epoch) {
+			crashesEpoch = grant.epoch;
+		}
+
 		options.applyGrant(grant, isNewVersion ? document : undefined, host);
 		grants.next(grant);
-		if (isFirst || isNewVersion) {
+		const isOwedCrashes = crashesEpoch !== grant.epoch && options.getCrashReports().length > 0;
+		if (isFirst || isNewVersion || isOwedCrashes) {
 			scheduleRenewal();
 		}
 	}
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -15,8 +15,8 @@
 	readonly isCold: boolean;
 };
 
-/** Number of crashes caused by requests with one fingerprint. */
-export type CrashCount = {readonly fingerprint: string; readonly crashes: number};
+/** Crash of a server while it ran a request with a fingerprint. */
+export type CrashReport = {readonly fingerprint: string; readonly server: number};
 
 /** Name and address of an entry, for connections from its peers. */
 export type PeerAddress = {readonly name: string; readonly host: string; readonly port: number};
@@ -29,7 +29,7 @@
 	readonly sequence: number;
 	/** Sequence number of the newest grant that the entry applied. */
 	readonly acknowledged: number;
-	/** Version of the document in force at the entry, or 0 before the first. */
+	/** Version of the document in force at the entry, or -1 if it lacks a document. */
 	readonly version: number;
 	readonly epoch: number;
 	readonly revision: number;
@@ -41,7 +41,8 @@
 	readonly failedProbes: readonly number[];
 	/** Servers that repeated an unchanged announcement to the entry since its last renewal. */
 	readonly heard: readonly number[];
-	readonly crashes: readonly CrashCount[];
+	/** Crashes that the entry has reported lately, in its first renewal at a new leader, which does not know them. */
+	readonly crashes: readonly CrashReport[];
 	readonly peer: PeerAddress | undefined;
 	/** Whether the entry is stopping and returns its lease, permits and duties. */
 	readonly isFinal: boolean;
--- a/stand-in/attempt-bed.ts
+++ b/stand-in/attempt-bed.ts
@@ -6,6 +6,7 @@
 import {createServer, type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setImmediate as nextTurn} from 'node:timers/promises';
+import {createByteBudget} from '../source/bytes/index.js';
 import {startAttempt, type AttemptOutcome} from '../source/entry/attempt.js';
 import {type Dialect} from '../source/entry/index.js';
 import {createPool} from '../source/entry/pool.js';
@@ -70,6 +71,7 @@
 					stream: undefined,
 					deadlineAt: performance.now() + (options.deadlineMilliseconds ?? 2000),
 					maximumBufferedBytes: maximumBytes,
+					bufferedResponses: createByteBudget(1_000_000),
 					maximumBodyBytes: maximumBytes,
 					mayDispatch: () => true,
 					onReport() {
