--- a/source/control/api.ts
+++ b/source/control/api.ts
@@ -36,7 +36,7 @@
 	readonly log: Log;
 	readonly operatorKey: string | undefined;
 	submit(request: ControlRequest): Promise<ControlResponse>;
-	readonly zoneOrders: ZoneOrderLog;
+	readonly zoneOrderLog: ZoneOrderLog;
 	/** Checks whether calls that are read now may have waited unread until their senders gave up. */
 	hasStalledRecently(): boolean;
 	getBurnSummary(environment: Environment): BurnSummary | undefined;
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -394,7 +394,7 @@
 			const current = machine.register.getCurrent(environment);
 			return current.isJust ? burnRateTracker?.getSummary(environment, current.value.document, Date.now()) : undefined;
 		},
-		zoneOrders: createZoneOrderLog({
+		zoneOrderLog: createZoneOrderLog({
 			log, host: discovery.name, submit: forward, countOrder: metrics.countZoneOrder, getTime: () => performance.now(),
 		}),
 		hasStalledRecently: stallWatch.hasStalledRecently,
