--- a/source/control/stall-watch.test.ts
+++ b/source/control/stall-watch.test.ts
@@ -1,21 +1,16 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
+import {createRecordedLog} from '../../stand-in/recorded-log.js';
 import {createStallWatch, type StallReading} from './stall-watch.js';
 
 const intervalMilliseconds = 100;
 
 describe('createStallWatch', () => {
-	type Line = Readonly<Record<string, unknown>>;
-
 	/** Observes a regular second, then a reading that has advanced by the given times, and another regular second; gets the lines and totals. */
 	function observe(jump: StallReading): unknown {
-		const lines: Line[] = [];
-		const write = (fields: Line, message: string): void => {
-			lines.push({...fields, message});
-		};
-
+		const log = createRecordedLog();
 		let reading: StallReading = {wall: 1_000_000, monotonic: 500, processor: 50};
-		const watch = createStallWatch({log: {info: write, warn: write, error: write}, intervalMilliseconds, readClocks: () => reading});
+		const watch = createStallWatch({log, intervalMilliseconds, readClocks: () => reading});
 		const advance = (by: StallReading): void => {
 			reading = {wall: reading.wall + by.wall, monotonic: reading.monotonic + by.monotonic, processor: reading.processor + by.processor};
 			watch.observe();
@@ -26,7 +21,7 @@
 			advance(by);
 		}
 
-		return {lines, count: watch.getStallCount(), milliseconds: watch.getStalledMilliseconds()};
+		return {lines: log.lines, count: watch.getStallCount(), milliseconds: watch.getStalledMilliseconds()};
 	}
 
 	test('logs nothing in regular operation', context => {
--- a/source/control/zone-log.test.ts
+++ b/source/control/zone-log.test.ts
@@ -1,5 +1,6 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
+import {createRecordedLog} from '../../stand-in/recorded-log.js';
 import {createStateMachine, type ZoneCommand} from './state-machine.js';
 import {createZoneLog} from './zone-log.js';
 
@@ -10,16 +11,11 @@
 		area: 'zones', zone: 'south', isOut: true, at: 0, order: 'one/f00d', proposer: 'two',
 	};
 
-	type Line = Readonly<Record<string, unknown>>;
-
 	function createHost() {
 		const machine = createStateMachine(limits);
-		const lines: Line[] = [];
-		const write = (fields: Line, message: string): void => {
-			lines.push({...fields, message});
-		};
-
-		const zoneLog = createZoneLog({info: write, warn: write, error: write}, machine);
+		const log = createRecordedLog();
+		const {lines} = log;
+		const zoneLog = createZoneLog(log, machine);
 		return {
 			machine, lines, zoneLog,
 			apply(index: number, changes: Partial<ZoneCommand>): void {
--- a/source/control/zone-order-log.test.ts
+++ b/source/control/zone-order-log.test.ts
@@ -1,5 +1,6 @@
 import {describe, test, type TestContext} from 'node:test';
 import {expect} from 'earl';
+import {createRecordedLog} from '../../stand-in/recorded-log.js';
 import {type ControlResponse} from './message.js';
 import {changeZone} from './zone-change.js';
 import {createZoneOrderLog, type ZoneOrder, type ZoneOrderOutcome} from './zone-order-log.js';
@@ -8,21 +9,15 @@
 	zone: 'south', isOut: true, call: 'POST /zones/south', sender: '10.0.0.1:5000',
 };
 
-type Line = Readonly<Record<string, unknown>>;
-
 /** Creates a log of orders whose requests get the given responses one after the other, 5 ms each. */
 function createOrders(responses: readonly ControlResponse[]) {
-	const lines: Line[] = [];
+	const log = createRecordedLog();
 	const outcomes: ZoneOrderOutcome[] = [];
 	const submitted: unknown[] = [];
 	let now = 0;
 
-	function write(fields: Line, message: string): void {
-		lines.push({...fields, message});
-	}
-
 	const orders = createZoneOrderLog({
-		log: {info: write, warn: write, error: write},
+		log,
 		host: 'one',
 		async submit(request) {
 			now += 5;
@@ -41,7 +36,7 @@
 		createId: () => 'f00d',
 	});
 	return {
-		orders, lines, outcomes, submitted,
+		orders, lines: log.lines, outcomes, submitted,
 	};
 }
 
--- a/source/entry/discarded-answers.test.ts
+++ b/source/entry/discarded-answers.test.ts
@@ -3,6 +3,7 @@
 import {performance} from 'node:perf_hooks';
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
+import {createRecordedLog, type RecordedLine} from '../../stand-in/recorded-log.js';
 import {startAttempt} from './attempt.js';
 import {defaultDialect} from './dialect.js';
 import {createDiscardedAnswers, type DiscardedAnswer, type DiscardReason} from './discarded-answers.js';
@@ -10,19 +11,13 @@
 
 const deadlineMilliseconds = 2000;
 
-type Line = Readonly<Record<string, unknown>>;
-
 describe('createDiscardedAnswers', () => {
 	/** Records answers at the given time of a connection that has given two answers, and gets the lines and the counted reasons. */
-	function record(answers: ReadonlyArray<Omit<DiscardedAnswer, 'history'>>): {readonly lines: readonly Line[]; readonly reasons: readonly DiscardReason[]} {
-		const lines: Line[] = [];
+	function record(answers: ReadonlyArray<Omit<DiscardedAnswer, 'history'>>): {readonly lines: readonly RecordedLine[]; readonly reasons: readonly DiscardReason[]} {
+		const log = createRecordedLog();
 		const reasons: DiscardReason[] = [];
-		const write = (fields: Line, message: string): void => {
-			lines.push({...fields, message});
-		};
-
 		const discardedAnswers = createDiscardedAnswers({
-			log: {info: write, warn: write, error: write},
+			log,
 			countDiscardedAnswer(reason) {
 				reasons.push(reason);
 			},
@@ -37,7 +32,7 @@
 			discardedAnswers.record(server as never, {...answer, history: {recordAnswer: () => undefined, getAnswerCount: () => 2, getAge: () => 1234.5}});
 		}
 
-		return {lines, reasons};
+		return {lines: log.lines, reasons};
 	}
 
 	test('logs an answer with its reason, server and connection', context => {
--- a/source/entry/request-log.test.ts
+++ b/source/entry/request-log.test.ts
@@ -1,18 +1,15 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
+import {createRecordedLog} from '../../stand-in/recorded-log.js';
 import {notRun, type Verdict} from '../verdict/index.js';
 import {createRequestLog} from './request-log.js';
 
 describe('createRequestLog', () => {
 	/** Ends the given number of requests within one second, and gets the logged lines. */
 	function getLoggedLines(count: number, verdict: Verdict): ReadonlyArray<Readonly<Record<string, unknown>>> {
-		const lines: Array<Readonly<Record<string, unknown>>> = [];
-		const write = (fields: Readonly<Record<string, unknown>>): void => {
-			lines.push(fields);
-		};
-
+		const log = createRecordedLog();
 		let now = 0;
-		const requestLog = createRequestLog({info: write, warn: write, error: write}, () => now);
+		const requestLog = createRequestLog(log, () => now);
 		for (let index = 0; index < count; index++) {
 			now = index * 1000 / count;
 			const trace = requestLog.start({
@@ -24,7 +21,7 @@
 			trace.end(verdict, 20);
 		}
 
-		return lines;
+		return log.lines;
 	}
 
 	function doTest(count: number, verdict: Verdict, least: number, most: number): void {
@@ -45,7 +42,7 @@
 	});
 	test('logs the decisions with their times', () => {
 		expect(getLoggedLines(1, notRun('overload'))[0]).toEqual({
-			id: 'r0', route: 'orders', service: 'stock', version: 7, targetMilliseconds: 200, elapsedMilliseconds: 0, outcome: 'not-run overload', milliseconds: 20, decisions: [{
+			message: 'request', id: 'r0', route: 'orders', service: 'stock', version: 7, targetMilliseconds: 200, elapsedMilliseconds: 0, outcome: 'not-run overload', milliseconds: 20, decisions: [{
 				at: 0, kind: 'send', attempt: 'first', server: 's1', leftMilliseconds: 900,
 			}],
 		});
--- a/source/entry/zone-view.test.ts
+++ b/source/entry/zone-view.test.ts
@@ -1,5 +1,6 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
+import {createRecordedLog, type RecordedLine} from '../../stand-in/recorded-log.js';
 import {type Grant} from '../lease/index.js';
 import {createZoneView, type ZoneView} from './zone-view.js';
 
@@ -27,28 +28,19 @@
 }
 
 describe('createZoneView', () => {
-	type Line = Readonly<Record<string, unknown>>;
 	type Step = (view: ZoneView) => void;
 
 	/** Runs the steps 100 ms apart, and gets the lines of the log. */
-	function getLines(steps: readonly Step[]): readonly Line[] {
-		const lines: Line[] = [];
+	function getLines(steps: readonly Step[]): readonly RecordedLine[] {
+		const log = createRecordedLog();
 		let now = 0;
-		const info = (fields: Line, message: string): void => {
-			lines.push({...fields, message});
-		};
-
-		const warn = (fields: Line, message: string): void => {
-			lines.push({...fields, message, isWarning: true});
-		};
-
-		const view = createZoneView({log: {info, warn, error: warn}, isServingWithoutControl: true, getTime: () => now});
+		const view = createZoneView({log, isServingWithoutControl: true, getTime: () => now});
 		for (const step of steps) {
 			now += 100;
 			step(view);
 		}
 
-		return lines;
+		return log.lines;
 	}
 
 	/** Grants zones; the renewal was sent 10 ms before the given time. */
@@ -75,10 +67,7 @@
 	});
 	test('gets the revision and the age of the last grant', () => {
 		let now = 0;
-		const log = {
-			info: () => undefined, warn: () => undefined, error: () => undefined,
-		};
-		const view = createZoneView({log, isServingWithoutControl: true, getTime: () => now});
+		const view = createZoneView({log: createRecordedLog(), isServingWithoutControl: true, getTime: () => now});
 		expect([view.getRevision(), view.getZonesOutCount(), view.getGrantAgeSeconds()]).toEqual([0, 0, Number.POSITIVE_INFINITY]);
 		view.recordGrant(getGrant(['south'], 9), 'a', 0);
 		now = 1500;
