--- a/source/control/metrics.ts
+++ b/source/control/metrics.ts
@@ -1,8 +1,6 @@
 /** Prometheus metrics of a control host. */
-import {
-	Counter, Gauge, Registry,
-} from 'prom-client';
-import {addProcessMetrics} from '../telemetry/index.js';
+import {Counter, Registry} from 'prom-client';
+import {addGauge, addProcessMetrics} from '../telemetry/index.js';
 import {type Driver} from './driver.js';
 import {type StallWatch} from './stall-watch.js';
 import {type StateMachine} from './state-machine.js';
@@ -36,31 +34,19 @@
 		name: 'guavadeck_zone_orders_total', help: 'Orders for zones that this host received, by outcome', labelNames: ['outcome'], registers: [registry],
 	});
 
-	function addGauge(name: string, help: string, read: () => number): void {
-		// eslint-disable-next-line no-new
-		new Gauge({
-			name,
-			help,
-			registers: [registry],
-			collect() {
-				this.set(read());
-			},
-		});
-	}
+	addGauge(registry, 'guavadeck_consensus_term', 'Consensus term', () => driver.replica.getTerm());
+	addGauge(registry, 'guavadeck_consensus_commit_index', 'Highest committed index', () => driver.replica.getCommitIndex());
+	addGauge(registry, 'guavadeck_consensus_leads', 'Whether this host leads', () => driver.replica.getRole() === 'leader' ? 1 : 0);
+	addGauge(registry, 'guavadeck_storage_syncs_total', 'Batches synced to disk', () => driver.getSyncCount());
+	addGauge(registry, 'guavadeck_ledger_claims', 'Claims in the ledger', () => machine.ledger.getClaimCount());
+	addGauge(registry, 'guavadeck_ledger_released', 'Released attempts that the ledger remembers', () => machine.ledger.getReleaseCount());
+	addGauge(registry, 'guavadeck_ledger_answer_bytes', 'Bytes of stored answers', () => machine.ledger.getStoredBytes());
+	addGauge(registry, 'guavadeck_registry_servers', 'Servers in the registry', () => machine.registry.getSize());
+	addGauge(registry, 'guavadeck_zones_revision', 'Index of the last command for a zone that this host applied', () => machine.getZonesRevision());
+	addGauge(registry, 'guavadeck_zones_out', 'Zones that operators took out of service', () => machine.getZonesOut().length);
 
-	addGauge('guavadeck_consensus_term', 'Consensus term', () => driver.replica.getTerm());
-	addGauge('guavadeck_consensus_commit_index', 'Highest committed index', () => driver.replica.getCommitIndex());
-	addGauge('guavadeck_consensus_leads', 'Whether this host leads', () => driver.replica.getRole() === 'leader' ? 1 : 0);
-	addGauge('guavadeck_storage_syncs_total', 'Batches synced to disk', () => driver.getSyncCount());
-	addGauge('guavadeck_ledger_claims', 'Claims in the ledger', () => machine.ledger.getClaimCount());
-	addGauge('guavadeck_ledger_released', 'Released attempts that the ledger remembers', () => machine.ledger.getReleaseCount());
-	addGauge('guavadeck_ledger_answer_bytes', 'Bytes of stored answers', () => machine.ledger.getStoredBytes());
-	addGauge('guavadeck_registry_servers', 'Servers in the registry', () => machine.registry.getSize());
-	addGauge('guavadeck_zones_revision', 'Index of the last command for a zone that this host applied', () => machine.getZonesRevision());
-	addGauge('guavadeck_zones_out', 'Zones that operators took out of service', () => machine.getZonesOut().length);
-
-	addGauge('guavadeck_stalls_total', 'Times in which this process did not run', stallWatch.getStallCount);
-	addGauge('guavadeck_stalled_seconds_total', 'Duration of the times in which this process did not run', () => stallWatch.getStalledMilliseconds() / millisecondsPerSecond);
+	addGauge(registry, 'guavadeck_stalls_total', 'Times in which this process did not run', stallWatch.getStallCount);
+	addGauge(registry, 'guavadeck_stalled_seconds_total', 'Duration of the times in which this process did not run', () => stallWatch.getStalledMilliseconds() / millisecondsPerSecond);
 
 	return {
 		countRenewal(outcome) {
--- a/source/entry/metrics.ts
+++ b/source/entry/metrics.ts
@@ -1,8 +1,6 @@
 /** Counters, gauges and histograms of an entry. */
-import {
-	Counter, Gauge, Histogram, Registry,
-} from 'prom-client';
-import {addProcessMetrics} from '../telemetry/index.js';
+import {Counter, Histogram, Registry} from 'prom-client';
+import {addGauge, addProcessMetrics} from '../telemetry/index.js';
 import {type Verdict} from '../verdict/index.js';
 import {type DiscardReason} from './discarded-answers.js';
 
@@ -89,15 +87,7 @@
 			internalErrors.inc();
 		},
 		addGauge(name, help, read) {
-			// eslint-disable-next-line no-new
-			new Gauge({
-				name,
-				help,
-				registers: [registry],
-				collect() {
-					this.set(read());
-				},
-			});
+			addGauge(registry, name, help, read);
 		},
 	};
 }
--- a/source/telemetry/index.ts
+++ b/source/telemetry/index.ts
@@ -1,3 +1,4 @@
+export * from './gauge.js';
 export * from './log.js';
 export * from './line-limit.js';
 export * from './line-writer.js';
--- a/source/telemetry/process-metrics.ts
+++ b/source/telemetry/process-metrics.ts
@@ -1,6 +1,7 @@
-/** Memory and processor time of the process. The values are read only when the metrics are scraped, so nothing runs in between. */
+/** Memory and processor time of the process. */
 import process from 'node:process';
-import {Gauge, type Registry} from 'prom-client';
+import {type Registry} from 'prom-client';
+import {addGauge} from './gauge.js';
 
 const microsecondsPerSecond = 1_000_000;
 
@@ -16,15 +17,3 @@
 		return (user + system) / microsecondsPerSecond;
 	});
 }
-
-function addGauge(registry: Registry, name: string, help: string, read: () => number): void {
-	// eslint-disable-next-line no-new
-	new Gauge({
-		name,
-		help,
-		registers: [registry],
-		collect() {
-			this.set(read());
-		},
-	});
-}
