Add a fault soak that plays evacuations, stuttering servers and faults by seed

A run starts the programs of the deploy file as processes, upstreams that answer twice, late, in pieces or not to the end, callers and an operator by the protocol, and freezes, kills, holds, cuts and resets by a seeded schedule. The checks see only what callers and upstreams saw.

--- a/scripts/test.js
+++ b/scripts/test.js
@@ -11,7 +11,7 @@
 /** Time after which a test or test file that has not ended is reported as failed. */
 const testTimeoutMilliseconds = 600_000;
 
-const folders = ['source', 'platform', 'stand-in', 'bench', 'scenario'].filter(folder => existsSync(folder));
+const folders = ['source', 'platform', 'stand-in', 'bench', 'scenario', 'soak'].filter(folder => existsSync(folder));
 
 function findTestFiles(folder) {
 	return readdirSync(folder, {withFileTypes: true, recursive: true})
--- /dev/null
+++ b/soak/history.ts
@@ -0,0 +1,83 @@
+/**
+ * Records what the operators, callers and upstreams of a run saw on their sockets, and which faults were injected. All times are
+ * milliseconds since the start of the run. The checks use nothing else.
+ */
+import {createHash} from 'node:crypto';
+import {performance} from 'node:perf_hooks';
+
+/** Order of an operator to take a zone out of service or to put it back. */
+export type Order = {
+	readonly zone: string;
+	readonly isOut: boolean;
+	readonly sentAt: number;
+	acknowledgedAt: number | undefined;
+	/** Attempts in order, in words. */
+	readonly attempts: string[];
+};
+
+/** Fault that was injected: `core` on a control host, `entry` on an entry, `path` between the entries and an upstream, `operator` between the operators and a control host. */
+export type Disturbance = {
+	readonly scope: 'core' | 'entry' | 'path' | 'operator';
+	/** Name of the machine or upstream. */
+	readonly name: string;
+	readonly kind: string;
+	readonly from: number;
+	/** Undefined while the fault is not over. */
+	to: number | undefined;
+};
+
+/** Request that reached an upstream. */
+export type Arrival = {readonly id: string; readonly upstream: string; readonly zone: string; readonly at: number; isRun: boolean};
+
+/** Response that an upstream made. */
+export type Answer = {readonly id: string; readonly upstream: string; readonly signature: string; readonly status: number; readonly digest: string; readonly manner: string};
+
+/** Complete response that a caller received. */
+export type CallerResponse = {readonly status: number; readonly signature: string | undefined; readonly digest: string; readonly size: number};
+
+/** Request of a caller to an entry, with the response if a complete one arrived. */
+export type Exchange = {
+	readonly id: string;
+	readonly entry: string;
+	readonly method: string;
+	readonly isUnsafe: boolean;
+	readonly sentAt: number;
+	readonly endedAt: number;
+	/** Response, or a description of why there was none. */
+	readonly outcome: CallerResponse | string;
+};
+
+/** History of a run. */
+export type History = {
+	readonly orders: Order[];
+	readonly disturbances: Disturbance[];
+	readonly arrivals: Arrival[];
+	readonly answers: Answer[];
+	readonly exchanges: Exchange[];
+	/** Time at which the last faults were over and the zones were ordered for the last time; undefined before. */
+	steadyFrom: number | undefined;
+	/** Gets the milliseconds since the start of the run. */
+	now(): number;
+};
+
+/** Creates an empty history, whose time starts now. */
+export function createHistory(): History {
+	const startedAt = performance.now();
+	return {
+		orders: [],
+		disturbances: [],
+		arrivals: [],
+		answers: [],
+		exchanges: [],
+		steadyFrom: undefined,
+		now: () => performance.now() - startedAt,
+	};
+}
+
+/**
+ * Computes a digest of a body, so that the history need not hold the body itself.
+ * @param body - Body in latin1.
+ */
+export function digestBody(body: string): string {
+	return createHash('sha1').update(body, 'latin1').digest('hex');
+}
--- /dev/null
+++ b/soak/link.ts
@@ -0,0 +1,160 @@
+/**
+ * TCP link on loopback whose faults delay, hold, discard or reset what passes. What is held is delivered later in the order in
+ * which it arrived, the closes of the connections included.
+ */
+import {type Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {connect, createServer, type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+
+/** Direction of a fault: `to` the target, `from` it, or both. */
+export type Direction = 'to' | 'from' | 'both';
+
+/** Fault of a link. */
+export type LinkFault
+	/** Delivers everything later by the given time. */
+	= | {readonly kind: 'delay'; readonly milliseconds: number}
+	/** Delivers nothing until the fault is over. Then each connection's bytes are delivered, and its close that much later, or never if it is infinite. */
+		| {readonly kind: 'hold'; readonly direction: Direction; readonly closeMilliseconds: number}
+	/** Discards bytes and closes. */
+		| {readonly kind: 'cut'; readonly direction: Direction}
+	/** Resets all open connections, and new ones until the fault is over. */
+		| {readonly kind: 'reset'};
+
+/** A link that is open. */
+export type Link = {
+	/** Starts a fault, which replaces the current one. */
+	start(fault: LinkFault): void;
+	/** Ends the current fault. Connections that lost bytes are reset. */
+	end(): void;
+	close(): void;
+};
+
+/** Options of `openLink`. */
+export type LinkOptions = {readonly host: string; readonly port: number; readonly targetHost: string; readonly targetPort: number};
+
+type Connection = {readonly client: Socket; readonly target: Socket; hasLostBytes: boolean};
+
+function isConcerned(fault: LinkFault | undefined, direction: 'to' | 'from'): boolean {
+	return fault !== undefined && 'direction' in fault && (fault.direction === 'both' || fault.direction === direction);
+}
+
+/**
+ * Opens a link.
+ * @param options - Addresses of the link and of its target.
+ */
+export async function openLink(options: LinkOptions): Promise<Link> {
+	const connections = new Set<Connection>();
+	let fault: LinkFault | undefined;
+	let release: (() => void) | undefined;
+	let released: Promise<void> = Promise.resolve();
+
+	/** Passes on the events of one direction of a connection in order. */
+	function forward(from: Socket, to: Socket, direction: 'to' | 'from', connection: Connection): void {
+		let tail: Promise<void> = Promise.resolve();
+
+		function pass(deliver: () => void, isClose: boolean): void {
+			const seen = fault;
+			if (seen?.kind === 'cut' && isConcerned(seen, direction)) {
+				connection.hasLostBytes = true;
+				return;
+			}
+
+			const until = seen?.kind === 'hold' && isConcerned(seen, direction) ? released : undefined;
+			const milliseconds = seen?.kind === 'delay' ? seen.milliseconds : (until !== undefined && isClose && seen?.kind === 'hold' ? seen.closeMilliseconds : 0);
+			if (milliseconds === Infinity) {
+				return;
+			}
+
+			tail = tail.then(async () => {
+				await until;
+				if (milliseconds > 0) {
+					await delay(milliseconds);
+				}
+
+				if (!to.destroyed) {
+					deliver();
+				}
+			});
+		}
+
+		from.on('data', (chunk: Buffer) => {
+			pass(() => {
+				to.write(chunk);
+			}, false);
+		});
+		from.once('end', () => {
+			pass(() => {
+				to.end();
+			}, true);
+		});
+		from.on('error', () => {
+			pass(() => {
+				to.resetAndDestroy();
+			}, true);
+		});
+		from.once('close', () => {
+			if (from.destroyed && !from.readableEnded) {
+				pass(() => {
+					to.destroy();
+				}, true);
+			}
+		});
+	}
+
+	const server = createServer({allowHalfOpen: true, noDelay: true}, client => {
+		if (fault?.kind === 'reset') {
+			client.resetAndDestroy();
+			return;
+		}
+
+		const target = connect({
+			host: options.targetHost, port: options.targetPort, allowHalfOpen: true, noDelay: true,
+		});
+		const connection: Connection = {client, target, hasLostBytes: false};
+		connections.add(connection);
+		forward(client, target, 'to', connection);
+		forward(target, client, 'from', connection);
+		target.once('close', () => {
+			connections.delete(connection);
+		});
+	});
+	server.listen(options.port, options.host);
+	await once(server, 'listening');
+
+	function resetConnections(isConcernedBy: (connection: Connection) => boolean): void {
+		for (const connection of connections) {
+			if (isConcernedBy(connection)) {
+				connection.client.resetAndDestroy();
+				connection.target.resetAndDestroy();
+			}
+		}
+	}
+
+	function end(): void {
+		fault = undefined;
+		release?.();
+		release = undefined;
+		resetConnections(({hasLostBytes}) => hasLostBytes);
+	}
+
+	return {
+		start(next) {
+			end();
+			fault = next;
+			if (next.kind === 'hold') {
+				released = new Promise(resolve => {
+					release = resolve;
+				});
+			} else if (next.kind === 'reset') {
+				resetConnections(() => true);
+			}
+		},
+		end,
+		close() {
+			end();
+			server.close();
+			resetConnections(() => true);
+		},
+	};
+}
--- /dev/null
+++ b/soak/upstream.ts
@@ -0,0 +1,235 @@
+/**
+ * Upstream of a run: an HTTP server that writes its responses to the socket itself, so that it can send a response twice, in pieces,
+ * or not to its end. It records the requests that reach it and the responses that it makes, and sends heartbeats.
+ */
+import {once} from 'node:events';
+import {createServer, type IncomingMessage} from 'node:http';
+import {type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type Random} from '../source/randomness/index.js';
+import {callControl, readText} from '../stand-in/platform/upstream.js';
+import {digestBody, type Arrival, type History} from './history.js';
+import {chooseManner, type Manner, type Temper} from './manner.js';
+import {renderResponse, type Framing} from './response.js';
+
+const heartbeatIntervalMilliseconds = 300;
+const slotCount = 16;
+const bodySizes = [0, 24, 300, 5000, 70_000];
+const longestServiceMilliseconds = 12;
+const slowServiceMilliseconds = 300;
+const longestCopyDelayMilliseconds = 30;
+const longestPieceGapMilliseconds = 8;
+const maximumPieces = 3;
+
+/** An upstream that is running. */
+export type Upstream = {
+	readonly id: string;
+	/** Makes every response a plain one from now on, or ends that. */
+	setPlain(isPlain: boolean): void;
+	stop(): void;
+};
+
+/** Options of `startUpstream`. */
+export type UpstreamOptions = {
+	readonly id: string;
+	readonly zone: string;
+	readonly host: string;
+	readonly port: number;
+	/** Address that the heartbeats report, as `host:port`. */
+	readonly advertisedAddress: string;
+	readonly controlAddresses: readonly string[];
+	readonly temper: Temper;
+	readonly history: History;
+	readonly random: Random;
+};
+
+/** Splits a text at random places. */
+function split(text: string, random: Random): readonly string[] {
+	const cuts = Array.from({length: Math.floor(random() * maximumPieces)}, () => Math.floor(random() * text.length)).toSorted((left, right) => left - right);
+	return [...cuts, text.length].map((cut, index) => text.slice(index === 0 ? 0 : cuts[index - 1], cut)).filter(piece => piece !== '');
+}
+
+/**
+ * Starts an upstream.
+ * @param options - Identity, addresses and temper.
+ */
+export async function startUpstream(options: UpstreamOptions): Promise<Upstream> {
+	const {id, zone, history, random} = options;
+	const bornAt = Date.now();
+	/** End of the writing in progress on each connection. */
+	const writings = new WeakMap<Socket, Promise<void>>();
+	let answerCount = 0;
+	let running = 0;
+	let isStopped = false;
+	let isPlain = false;
+
+	/** Writes pieces one after another. Later writings wait until the last piece is written. */
+	async function write(socket: Socket, pieces: readonly string[]): Promise<void> {
+		const last = writings.get(socket) ?? Promise.resolve();
+		const writing = last.then(async () => {
+			for (const [index, piece] of pieces.entries()) {
+				if (index > 0) {
+					await delay(random() * longestPieceGapMilliseconds);
+				}
+
+				if (socket.writable) {
+					socket.write(piece, 'latin1');
+				}
+			}
+		});
+		writings.set(socket, writing);
+		await writing;
+	}
+
+	/** Writes a response, and what the upstream's manner adds to it. */
+	async function respond(request: IncomingMessage, status: number, manner: Manner, headers: Readonly<Record<string, string>> = {}): Promise<void> {
+		const {socket, method} = request;
+		const requestId = String(request.headers['request-id'] ?? '');
+		const signature = `${id}.${requestId}.${++answerCount}`;
+		const body = status === 204 ? '' : `${signature}|`.padEnd(bodySizes[Math.floor(random() * bodySizes.length)]!, signature);
+		const framing: Framing = manner === 'until-close' || manner === 'break-off-until-close' ? 'close' : (manner === 'chunked' || manner === 'break-off-chunked' ? 'chunks' : 'length');
+		const isSigned = headers['Not-Executed'] === undefined;
+		if (isSigned) {
+			history.answers.push({
+				id: requestId, upstream: id, signature, status, digest: digestBody(method === 'HEAD' ? '' : body), manner,
+			});
+		}
+
+		const {head, content} = renderResponse({
+			status, framing, body, hasContent: method !== 'HEAD' && status !== 204, headers: {
+				...headers, 'Request-Id': requestId, ...(isSigned ? {'Upstream-Signature': signature} : {}), ...(manner === 'last' ? {Connection: 'close'} : {}), 'Upstream-Load': `${running},0,${slotCount},100`,
+			},
+		});
+		const text = head + content;
+		switch (manner) {
+			case 'plain':
+			case 'chunked':
+			case 'slow':
+			case 'shed':
+			case 'fail': {
+				await write(socket, [text]);
+				return;
+			}
+
+			case 'until-close':
+			case 'last': {
+				await write(socket, [text]);
+				socket.end();
+				return;
+			}
+
+			case 'stutter':
+			case 'shed-stutter':
+			case 'fail-stutter': {
+				await write(socket, [text]);
+				await delay(random() * longestCopyDelayMilliseconds);
+				await write(socket, split(text, random));
+				return;
+			}
+
+			case 'cut-in': {
+				await write(socket, [text]);
+				await delay(random() * longestCopyDelayMilliseconds);
+				for (const piece of split(text, random)) {
+					if (socket.writable) {
+						socket.write(piece, 'latin1');
+					}
+
+					await delay(random() * longestPieceGapMilliseconds);
+				}
+
+				return;
+			}
+
+			case 'break-off':
+			case 'break-off-chunked':
+			case 'break-off-until-close': {
+				await write(socket, [text.slice(0, head.length + Math.floor(random() * content.length))]);
+				socket.resetAndDestroy();
+				return;
+			}
+
+			case 'reset':
+			case 'lose': {
+				socket.resetAndDestroy();
+			}
+		}
+	}
+
+	async function handle(request: IncomingMessage): Promise<void> {
+		const requestId = request.headers['request-id'];
+		if (typeof requestId !== 'string') {
+			request.resume();
+			request.socket.write(`HTTP/1.1 200 OK\r\nInstance-Id: ${id}\r\nUpstream-Load: ${running},0,${slotCount},100\r\nContent-Length: 0\r\n\r\n`);
+			return;
+		}
+
+		const targetInstance = request.headers['target-instance'];
+		if (targetInstance !== undefined && targetInstance !== id) {
+			request.resume();
+			await respond(request, 421, 'plain', {'Not-Executed': '1'});
+			return;
+		}
+
+		const arrival: Arrival = {
+			id: requestId, upstream: id, zone, at: history.now(), isRun: false,
+		};
+		history.arrivals.push(arrival);
+		const manner = isPlain ? 'plain' : chooseManner(options.temper, random);
+		if (manner === 'reset') {
+			request.socket.resetAndDestroy();
+			return;
+		}
+
+		if (running >= slotCount || manner === 'shed' || manner === 'shed-stutter') {
+			request.resume();
+			await respond(request, 503, manner === 'shed-stutter' ? manner : 'shed', {'Not-Executed': '1'});
+			return;
+		}
+
+		arrival.isRun = true;
+		running++;
+		await readText(request);
+		await delay(random() * (manner === 'slow' ? slowServiceMilliseconds : longestServiceMilliseconds));
+		running--;
+		const isFailure = manner === 'fail' || manner === 'fail-stutter';
+		await respond(request, isFailure ? 500 : (request.url?.startsWith('/look/empty') ? 204 : 200), manner);
+	}
+
+	const server = createServer(request => {
+		void handle(request);
+	});
+	server.on('connection', socket => {
+		socket.on('error', () => {
+			socket.destroy();
+		});
+	});
+	server.keepAliveTimeout = 0;
+	server.listen(options.port, options.host);
+	await once(server, 'listening');
+
+	async function sendHeartbeats(): Promise<void> {
+		let controlIndex = Math.floor(random() * options.controlAddresses.length);
+		for (let sequence = 1; !isStopped; sequence++) {
+			const address = options.controlAddresses[controlIndex % options.controlAddresses.length]!;
+			const {status} = await callControl(address, 'PUT', `/-/instances/${id}`, JSON.stringify({
+				service: 'stock', address: options.advertisedAddress, zone, version: 'v1', slots: slotCount, state: 'ready', warmup_left_ms: 0, sequence, born: bornAt,
+			}));
+			controlIndex += status === 200 ? 0 : 1;
+			await delay(heartbeatIntervalMilliseconds);
+		}
+	}
+
+	void sendHeartbeats();
+	return {
+		id,
+		setPlain(next) {
+			isPlain = next;
+		},
+		stop() {
+			isStopped = true;
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+}
--- /dev/null
+++ b/soak/world.ts
@@ -0,0 +1,151 @@
+/** World of a run: the processes of the deploy file, upstreams in three zones, links, callers of each entry, and an operator. */
+import {setTimeout as delay} from 'node:timers/promises';
+import {type Random} from '../source/randomness/index.js';
+import {renderConfiguration} from '../stand-in/platform/configuration.js';
+import {createPlatformSystem, type PlatformSystem, type Program} from '../stand-in/platform/system.js';
+import {startCallers} from './callers.js';
+import {type FaultTargets} from './faults.js';
+import {type History} from './history.js';
+import {openLink, type Link} from './link.js';
+import {tempers, type Temper} from './manner.js';
+import {createOperator, type ControlAddress, type Operator} from './operator.js';
+import {startUpstream, type Upstream} from './upstream.js';
+
+const zones = ['a', 'b', 'c'];
+const entriesPerZone = 2;
+const callersPerEntry = 3;
+const subnet = 21;
+const upstreamSubnet = 23;
+const linkSubnet = 24;
+const upstreamLinkSubnet = 25;
+const ports = {
+	control: 27_246, links: 27_260, front: 27_244, ready: 27_240,
+};
+const upstreamPort = 27_280;
+const readyLimitMilliseconds = 20_000;
+const pollMilliseconds = 100;
+
+/** Tempers of the upstreams of a zone. */
+const temperPairs: ReadonlyArray<readonly [Temper, Temper]> = [
+	[tempers.steady, tempers.stuttering],
+	[tempers.stuttering, tempers.faulty],
+	[tempers.steady, tempers.interrupting],
+];
+
+/** A world that is running. */
+export type World = {
+	readonly system: PlatformSystem;
+	readonly upstreams: readonly Upstream[];
+	readonly operator: Operator;
+	readonly controlAddresses: readonly ControlAddress[];
+	readonly faultTargets: FaultTargets;
+	/** Sets the control host to which the next orders are sent first; undefined for any. */
+	setFirstControl(address: ControlAddress | undefined): void;
+	/** Stops the callers and waits for their pending requests. */
+	stopCallers(): Promise<void>;
+	stop(): Promise<void>;
+};
+
+/** Options of `startWorld`. */
+export type WorldOptions = {readonly controls: number; readonly program: Program | undefined; readonly history: History; readonly random: Random};
+
+async function waitUntilReady(system: PlatformSystem): Promise<void> {
+	for (const until = Date.now() + readyLimitMilliseconds; Date.now() < until;) {
+		const ready = await Promise.all(system.entries.map(async entry => system.isReady(entry)));
+		if (ready.every(Boolean)) {
+			return;
+		}
+
+		await delay(pollMilliseconds);
+	}
+
+	throw new Error('the entries are not ready in time');
+}
+
+/**
+ * Starts a world, and returns when its entries are ready and its callers have started.
+ * @param options - Number of control hosts, program, history and random numbers.
+ */
+export async function startWorld(options: WorldOptions): Promise<World> {
+	const {history, random} = options;
+	const system = await createPlatformSystem({
+		controls: options.controls, entries: zones.length * entriesPerZone, ports, zones, subnet, program: options.program,
+	});
+	let firstControl: ControlAddress | undefined;
+	const controlLinks: Link[] = [];
+	const controlAddresses: ControlAddress[] = [];
+	for (const [index, {name, host}] of system.controls.entries()) {
+		const address = {name, host: `127.0.${linkSubnet}.${index + 1}`, port: ports.control};
+		controlAddresses.push(address);
+		controlLinks.push(await openLink({
+			host: address.host, port: address.port, targetHost: host, targetPort: ports.control,
+		}));
+	}
+
+	const upstreams: Upstream[] = [];
+	const upstreamLinks = new Map<string, Link>();
+	for (const [zoneIndex, zone] of zones.entries()) {
+		const pair = temperPairs[(zoneIndex + Math.floor(random() * temperPairs.length)) % temperPairs.length]!;
+		for (const temper of pair) {
+			const number = upstreams.length + 1;
+			const [host, linkHost] = [`127.0.${upstreamSubnet}.${number}`, `127.0.${upstreamLinkSubnet}.${number}`];
+			const id = `i-${zone}${number}`;
+			upstreamLinks.set(id, await openLink({
+				host: linkHost, port: upstreamPort, targetHost: host, targetPort: upstreamPort,
+			}));
+			upstreams.push(await startUpstream({
+				id, zone, host, port: upstreamPort, advertisedAddress: `${linkHost}:${upstreamPort}`, controlAddresses: system.getControlAddresses(), temper, history, random,
+			}));
+		}
+	}
+
+	async function stopProcesses(): Promise<void> {
+		await system.stop();
+		for (const link of [...controlLinks, ...upstreamLinks.values()]) {
+			link.close();
+		}
+
+		for (const upstream of upstreams) {
+			upstream.stop();
+		}
+	}
+
+	try {
+		for (const machine of [...system.controls, ...system.entries]) {
+			system.start(machine, true);
+		}
+
+		const operator = createOperator({
+			history, random, controls: controlAddresses, getFirstControl: () => firstControl,
+		});
+		await operator.configure(renderConfiguration(3, [{path: '/look/', type: 'safe'}, {path: '/order/', type: 'unsafe'}]));
+		await waitUntilReady(system);
+		const callers = system.entries.map(({name, host}) => startCallers({
+			entry: name, host, port: ports.front, count: callersPerEntry, history, random,
+		}));
+		const stopCallers = async (): Promise<void> => {
+			await Promise.all(callers.map(async group => group.stop()));
+		};
+
+		return {
+			system,
+			upstreams,
+			operator,
+			controlAddresses,
+			faultTargets: {
+				system, history, controlLinks, upstreamLinks,
+			},
+			setFirstControl(address) {
+				firstControl = address;
+			},
+			stopCallers,
+			async stop() {
+				await stopCallers();
+				await stopProcesses();
+			},
+		};
+	} catch (error) {
+		await stopProcesses();
+		throw error;
+	}
+}
--- a/stand-in/platform/system.ts
+++ b/stand-in/platform/system.ts
@@ -6,7 +6,7 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {
-	mkdirSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync,
+	copyFileSync, mkdirSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
 import {request as startRequest} from 'node:http';
 import {tmpdir} from 'node:os';
@@ -16,7 +16,10 @@
 import {bundleProgram} from '../../scripts/bundle.js';
 import {callControl, readText} from './upstream.js';
 
-const bundleFile = 'target/guavadeck-test.cjs';
+const testBundleFile = 'target/guavadeck-test.cjs';
+const testDeployFolder = 'deploy';
+const testSubnet = 11;
+const testZone = 'north';
 const clientTimeoutMilliseconds = 12_000;
 const defaultDeadlineMilliseconds = 2000;
 const retryIntervalMilliseconds = 50;
@@ -35,6 +38,7 @@
 	readonly name: string;
 	readonly kind: 'control' | 'entry';
 	readonly host: string;
+	readonly zone: string;
 	child: ChildProcess | undefined;
 };
 
@@ -62,12 +66,27 @@
 	isReady(entry: Machine): Promise<boolean>;
 	/** Reads the log of all processes that ran on a machine. */
 	readLog(machine: Machine): string;
+	/** Copies the logs of all machines to a folder. */
+	saveLogs(targetFolder: string): void;
 	/** Kills all processes and deletes their files. */
 	stop(): Promise<void>;
 };
 
+/** Bundle of a program, and the folder with the templates of its settings. */
+export type Program = {readonly bundleFile: string; readonly deployFolder: string};
+
 /** Options of `createPlatformSystem`: numbers of machines, and ports. */
-export type PlatformOptions = {readonly controls: number; readonly entries: number; readonly ports: Ports};
+export type PlatformOptions = {
+	readonly controls: number;
+	readonly entries: number;
+	readonly ports: Ports;
+	/** Zones to which the machines of each kind are assigned in turn; one zone if undefined. */
+	readonly zones?: readonly string[];
+	/** Third number of the control hosts' addresses; that of the entries is the next one. */
+	readonly subnet?: number;
+	/** Program that the machines run; if undefined, it is bundled from this repository. */
+	readonly program?: Program;
+};
 
 function getField(fields: Readonly<Record<string, unknown>>, name: string): unknown {
 	let value: unknown = fields;
@@ -87,19 +106,30 @@
 	});
 }
 
+async function bundleTestProgram(): Promise<Program> {
+	await bundleProgram('platform/main.ts', testBundleFile);
+	return {bundleFile: testBundleFile, deployFolder: testDeployFolder};
+}
+
 /**
  * Creates a platform whose processes are not started yet.
  * @param options - Numbers of machines, and ports.
  */
 export async function createPlatformSystem(options: PlatformOptions): Promise<PlatformSystem> {
 	const {ports} = options;
-	await bundleProgram('platform/main.ts', bundleFile);
+	const {bundleFile, deployFolder} = options.program ?? await bundleTestProgram();
+	const zones = options.zones ?? [testZone];
+	const subnet = options.subnet ?? testSubnet;
 	const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-platform-'));
-	const createMachines = (kind: Machine['kind'], count: number, subnet: number): readonly Machine[] => Array.from({length: count}, (_, index) => ({
-		name: `${kind}-${index + 1}`, kind, host: `127.0.${subnet}.${index + 1}`, child: undefined,
+	const createMachines = (kind: Machine['kind'], count: number, machineSubnet: number): readonly Machine[] => Array.from({length: count}, (_, index) => ({
+		name: `${kind}-${index + 1}`, kind, host: `127.0.${machineSubnet}.${index + 1}`, zone: zones[index % zones.length]!, child: undefined,
 	}));
-	const controls = createMachines('control', options.controls, 11);
-	const entries = createMachines('entry', options.entries, 12);
+	const controls = createMachines('control', options.controls, subnet);
+	const entries = createMachines('entry', options.entries, subnet + 1);
+
+	function getLogFile(machine: Machine): string {
+		return path.join(folder, `${machine.name}.log`);
+	}
 
 	function getDataFolder(machine: Machine): string {
 		return path.join(folder, `${machine.name}-data`);
@@ -107,9 +137,9 @@
 
 	function writeSettings(machine: Machine, isFirstStart: boolean): string {
 		const file = path.join(folder, `${machine.name}.toml`);
-		writeFileSync(file, renderTemplate(readFileSync(`deploy/${machine.kind}.toml`, 'utf8'), {
+		writeFileSync(file, renderTemplate(readFileSync(path.join(deployFolder, `${machine.kind}.toml`), 'utf8'), {
 			node_name: machine.name,
-			zone: 'north',
+			zone: machine.zone,
 			ip: machine.host,
 			seeds: controls.slice(0, 3).map(control => `${control.host}:${ports.control}`),
 			internal_ports: [ports.links],
@@ -167,7 +197,7 @@
 		entries,
 		ports,
 		start(machine, isFirstStart) {
-			const logFileDescriptor = openSync(path.join(folder, `${machine.name}.log`), 'a');
+			const logFileDescriptor = openSync(getLogFile(machine), 'a');
 			if (machine.kind === 'control') {
 				mkdirSync(getDataFolder(machine), {recursive: true});
 			}
@@ -203,7 +233,13 @@
 			const {status} = await sendHttpRequest(entry.host, ports.ready, {path: '/ready'});
 			return status === 200;
 		},
-		readLog: machine => readFileSync(path.join(folder, `${machine.name}.log`), 'utf8'),
+		readLog: machine => readFileSync(getLogFile(machine), 'utf8'),
+		saveLogs(targetFolder) {
+			mkdirSync(targetFolder, {recursive: true});
+			for (const machine of [...controls, ...entries]) {
+				copyFileSync(getLogFile(machine), path.join(targetFolder, `${machine.name}.log`));
+			}
+		},
 		async stop() {
 			await Promise.all([...controls, ...entries].map(async machine => terminate(machine, 'SIGKILL')));
 			rmSync(folder, {recursive: true, force: true});
