Test the checks of the fault soak, and play runs side by side on lanes

The checks are tested on small histories. Orders follow the fault more closely, servers also answer with responses that belong to no request, and break off after the bytes before have left.

--- /dev/null
+++ b/soak/checks.test.ts
@@ -0,0 +1,108 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {findViolations, type Violation} from './checks.js';
+import {
+	createHistory, type Answer, type Arrival, type Disturbance, type Exchange, type History, type Order,
+} from './history.js';
+
+const evacuation: Order = {
+	zone: 'c', isOut: true, sentAt: 1000, acknowledgedAt: 1100, attempts: [],
+};
+
+function createArrival(at: number, isRun = true): Arrival {
+	return {
+		id: 'r-1', upstream: 'i-c1', zone: 'c', at, isRun,
+	};
+}
+
+function createExchange(outcome: Exchange['outcome'], isUnsafe = false): Exchange {
+	return {
+		id: 'r-1', entry: 'entry-1', method: isUnsafe ? 'POST' : 'GET', isUnsafe, sentAt: 0, endedAt: 20, outcome,
+	};
+}
+
+const answer: Answer = {
+	id: 'r-1', upstream: 'i-c1', signature: 's-1', status: 200, digest: 'd-1', manner: 'plain',
+};
+const response = {
+	status: 200, signature: 's-1', digest: 'd-1', size: 3,
+};
+
+describe('findViolations', () => {
+	function doTest(parts: Partial<Pick<History, 'orders' | 'disturbances' | 'arrivals' | 'answers' | 'exchanges' | 'steadyFrom'>>, expectedRules: ReadonlyArray<Violation['rule']>): void {
+		const violations = findViolations({...createHistory(), ...parts});
+		expect(violations.map(({rule}) => rule)).toEqual([...expectedRules]);
+	}
+
+	function testArrival(at: number, expectedRules: ReadonlyArray<Violation['rule']>, disturbances: Disturbance[] = [], orders: Order[] = []): void {
+		doTest({
+			orders: [evacuation, ...orders], disturbances, arrivals: [createArrival(at)], exchanges: [createExchange('left')],
+		}, expectedRules);
+	}
+
+	test('finds a request that reaches a zone later than the bound', () => {
+		testArrival(6099, []);
+		testArrival(6101, ['EVAC']);
+	});
+
+	test('accepts a request after the next order to put the zone back was sent', () => {
+		testArrival(6101, [], [], [{
+			zone: 'c', isOut: false, sentAt: 6000, acknowledgedAt: undefined, attempts: [],
+		}]);
+	});
+
+	test('finds a request after an order to put the zone back that came before the evacuation', () => {
+		doTest({
+			orders: [{
+				zone: 'c', isOut: false, sentAt: 500, acknowledgedAt: undefined, attempts: [],
+			}, evacuation], arrivals: [createArrival(6101)], exchanges: [createExchange('left')],
+		}, ['EVAC']);
+	});
+
+	test('accepts a late request of an entry or over a link that was disturbed shortly before', () => {
+		for (const [scope, name] of [['entry', 'entry-1'], ['path', 'i-c1']] as const) {
+			const disturbance: Disturbance = {
+				scope, name, kind: '', from: 2000, to: 4000,
+			};
+			testArrival(6999, [], [disturbance]);
+			testArrival(7001, ['EVAC'], [disturbance]);
+			testArrival(6999, ['EVAC'], [{...disturbance, name: 'other'}]);
+		}
+	});
+
+	test('extends the bound while a control host is disturbed', () => {
+		const disturbance: Disturbance = {
+			scope: 'core', name: 'control-1', kind: '', from: 5000, to: undefined,
+		};
+		testArrival(11_099, [], [disturbance]);
+		testArrival(11_101, ['EVAC'], [disturbance]);
+	});
+
+	test('accepts the response that an upstream made for the request', () => {
+		doTest({answers: [answer], exchanges: [createExchange(response)]}, []);
+	});
+
+	test('finds responses without a signature, of another request, with another status or body', () => {
+		for (const [outcome, made] of [
+			[{...response, signature: undefined}, answer],
+			[response, {...answer, id: 'r-2'}],
+			[response, {...answer, status: 500}],
+			[{...response, status: 502}, answer],
+			[{...response, digest: 'd-2'}, answer],
+			[{...response, signature: 's-2'}, answer],
+		] as const) {
+			doTest({answers: [made], exchanges: [createExchange(outcome)]}, ['MIXED']);
+		}
+	});
+
+	test('finds an unsafe request that ran twice, or that was refused and ran', () => {
+		doTest({arrivals: [createArrival(5), createArrival(9)], exchanges: [createExchange('left', true)]}, ['TWICE']);
+		doTest({arrivals: [createArrival(5), createArrival(9, false)], exchanges: [createExchange('left', true)]}, []);
+		doTest({arrivals: [createArrival(5), createArrival(9)], exchanges: [createExchange('left', false)]}, []);
+		doTest({arrivals: [createArrival(5)], exchanges: [createExchange({...response, status: 503, signature: undefined}, true)]}, ['REFUSED']);
+	});
+
+	test('finds an order without an acknowledgement and an entry that does not serve after the last fault', () => {
+		doTest({orders: [{...evacuation, acknowledgedAt: undefined}], exchanges: [createExchange('timeout')], steadyFrom: 0}, ['ACKS', 'RECOVER']);
+	});
+});
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -5,7 +5,7 @@
 import {type Disturbance, type History} from './history.js';
 import {type Link, type LinkFault} from './link.js';
 
-const longestStartMilliseconds = 1500;
+const longestStartMilliseconds = 500;
 const shortestFaultMilliseconds = 1000;
 const faultRangeMilliseconds = 3000;
 const longestCloseMilliseconds = 60;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,6 +1,6 @@
 /**
- * Implements `npm run soak -- --seed N --seconds S [--runs K] [--bundle FILE --deploy FOLDER]`, which plays K runs from seed N on. The
- * exit code is 1 if a check fails.
+ * Implements `npm run soak -- --seed N --seconds S [--runs K] [--bundle FILE --deploy FOLDER] [--lane L]`, which plays K runs from
+ * seed N on. Commands that run at the same time need different lanes. The exit code is 1 if a check fails.
  */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
@@ -14,6 +14,8 @@
 		runs: {type: 'string', default: '1'},
 		bundle: {type: 'string'},
 		deploy: {type: 'string', default: 'deploy'},
+		lane: {type: 'string', default: '0'},
+		logs: {type: 'string', default: 'target/soak'},
 	},
 });
 const firstSeed = Number(values.seed);
@@ -22,9 +24,9 @@
 const program = values.bundle === undefined ? undefined : {bundleFile: values.bundle, deployFolder: values.deploy};
 let broken = 0;
 for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
-	const logFolder = `target/soak/${seed}`;
+	const logFolder = `${values.logs}/${seed}`;
 	const result = await runSoak({
-		seed, seconds, program, logFolder,
+		seed, seconds, program, logFolder, lane: Number(values.lane),
 	});
 	broken += result.violations.length > 0 ? 1 : 0;
 	process.stdout.write(`${renderResult(result, `npm run soak -- --seconds ${seconds}`, logFolder)}\n`);
--- a/soak/manner.ts
+++ b/soak/manner.ts
@@ -20,6 +20,9 @@
 		| 'shed-stutter'
 		/** Sends the response again in pieces, between which the next response may be written. */
 		| 'cut-in'
+		/** Sends a response that has neither an id nor a signature, before or after its own. */
+		| 'foreign-first'
+		| 'foreign-last'
 		/** Resets the connection in the middle of the body. */
 		| 'break-off'
 		| 'break-off-chunked'
@@ -41,7 +44,9 @@
 	faulty: {
 		chunked: 0.05, 'until-close': 0.05, slow: 0.02, last: 0.03, fail: 0.02, shed: 0.04, 'break-off': 0.02, 'break-off-chunked': 0.02, 'break-off-until-close': 0.02, reset: 0.02, lose: 0.02,
 	},
-	interrupting: {stutter: 0.05, 'cut-in': 0.15, 'shed-stutter': 0.02},
+	interrupting: {
+		stutter: 0.05, 'cut-in': 0.15, 'shed-stutter': 0.02, 'foreign-first': 0.02, 'foreign-last': 0.05,
+	},
 } as const satisfies Readonly<Record<string, Temper>>;
 
 /**
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -17,10 +17,10 @@
 /** Time after the last fault of a scene for which the zone stays out: long enough for all machines to be in touch again. */
 const calmMilliseconds = contactMilliseconds + 2000;
 const returnMilliseconds = 1200;
-const longestGapMilliseconds = 700;
+const longestGapMilliseconds = 800;
 const maximumFlips = 3;
 const maximumReorders = 4;
-const targetedProbability = 0.6;
+const targetedProbability = 0.8;
 const secondFaultProbability = 0.3;
 
 /** Options of `runSoak`. */
@@ -29,6 +29,8 @@
 	readonly seconds: number;
 	/** Program that the machines run; this repository's if undefined. */
 	readonly program?: Program;
+	/** Number of the run among those that are played at the same time; 0 if undefined. */
+	readonly lane?: number;
 	/** Folder to which the logs of the processes are copied if a check fails. */
 	readonly logFolder: string;
 };
@@ -64,7 +66,6 @@
 	const injected = Promise.all(faults.map(async fault => injectFault(fault, world.faultTargets)));
 	world.setFirstControl(isTargeted ? world.controlAddresses[faults[0]!.index % world.controlAddresses.length] : undefined);
 	for (const [beforeReturn, beforeEvacuation] of gaps) {
-		await delay(faults[0]!.startMilliseconds * random());
 		await delay(beforeReturn);
 		await world.operator.order(zone, false);
 		world.setFirstControl(undefined);
@@ -107,7 +108,7 @@
 	const controls = scheduleRandom() < 0.5 ? 3 : 5;
 	const history = createHistory();
 	const world = await startWorld({
-		controls, program: options.program, history, random,
+		controls, program: options.program, lane: options.lane ?? 0, history, random,
 	});
 	const blindness = monitorEventLoopDelay();
 	blindness.enable();
--- a/soak/upstream.ts
+++ b/soak/upstream.ts
@@ -14,7 +14,7 @@
 
 const heartbeatIntervalMilliseconds = 300;
 const slotCount = 16;
-const bodySizes = [0, 24, 300, 5000, 70_000];
+const bodySizes = [0, 24, 24, 300, 300, 5000, 5000, 70_000, 600_000];
 const longestServiceMilliseconds = 12;
 const slowServiceMilliseconds = 300;
 const longestCopyDelayMilliseconds = 30;
@@ -118,6 +118,13 @@
 				return;
 			}
 
+			case 'foreign-first':
+			case 'foreign-last': {
+				const foreign = 'HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign';
+				await write(socket, manner === 'foreign-first' ? [foreign, text] : [text, foreign]);
+				return;
+			}
+
 			case 'stutter':
 			case 'shed-stutter':
 			case 'fail-stutter': {
@@ -145,6 +152,7 @@
 			case 'break-off-chunked':
 			case 'break-off-until-close': {
 				await write(socket, [text.slice(0, head.length + Math.floor(random() * content.length))]);
+				await delay(random() * longestServiceMilliseconds);
 				socket.resetAndDestroy();
 				return;
 			}
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -14,10 +14,14 @@
 const zones = ['a', 'b', 'c'];
 const entriesPerZone = 2;
 const callersPerEntry = 3;
-const subnet = 21;
-const upstreamSubnet = 23;
-const linkSubnet = 24;
-const upstreamLinkSubnet = 25;
+
+/** Third numbers of the loopback addresses of the machines, the upstreams, and the links to both. */
+const subnets = {
+	machines: 21, upstreams: 23, controlLinks: 24, upstreamLinks: 25,
+};
+
+/** Distance between the subnets of runs that are played at the same time. */
+const laneSubnets = 10;
 const ports = {
 	control: 27_246, links: 27_260, front: 27_244, ready: 27_240,
 };
@@ -47,7 +51,14 @@
 };
 
 /** Options of `startWorld`. */
-export type WorldOptions = {readonly controls: number; readonly program: Program | undefined; readonly history: History; readonly random: Random};
+export type WorldOptions = {
+	readonly controls: number;
+	readonly program: Program | undefined;
+	/** Number of the run among those that are played at the same time. */
+	readonly lane: number;
+	readonly history: History;
+	readonly random: Random;
+};
 
 async function waitUntilReady(system: PlatformSystem): Promise<void> {
 	for (const until = Date.now() + readyLimitMilliseconds; Date.now() < until;) {
@@ -68,14 +79,15 @@
  */
 export async function startWorld(options: WorldOptions): Promise<World> {
 	const {history, random} = options;
+	const getHost = (subnet: number, number: number): string => `127.0.${subnet + (laneSubnets * options.lane)}.${number}`;
 	const system = await createPlatformSystem({
-		controls: options.controls, entries: zones.length * entriesPerZone, ports, zones, subnet, program: options.program,
+		controls: options.controls, entries: zones.length * entriesPerZone, ports, zones, subnet: subnets.machines + (laneSubnets * options.lane), program: options.program,
 	});
 	let firstControl: ControlAddress | undefined;
 	const controlLinks: Link[] = [];
 	const controlAddresses: ControlAddress[] = [];
 	for (const [index, {name, host}] of system.controls.entries()) {
-		const address = {name, host: `127.0.${linkSubnet}.${index + 1}`, port: ports.control};
+		const address = {name, host: getHost(subnets.controlLinks, index + 1), port: ports.control};
 		controlAddresses.push(address);
 		controlLinks.push(await openLink({
 			host: address.host, port: address.port, targetHost: host, targetPort: ports.control,
@@ -84,11 +96,12 @@
 
 	const upstreams: Upstream[] = [];
 	const upstreamLinks = new Map<string, Link>();
+	const firstPair = Math.floor(random() * temperPairs.length);
 	for (const [zoneIndex, zone] of zones.entries()) {
-		const pair = temperPairs[(zoneIndex + Math.floor(random() * temperPairs.length)) % temperPairs.length]!;
+		const pair = temperPairs[(zoneIndex + firstPair) % temperPairs.length]!;
 		for (const temper of pair) {
 			const number = upstreams.length + 1;
-			const [host, linkHost] = [`127.0.${upstreamSubnet}.${number}`, `127.0.${upstreamLinkSubnet}.${number}`];
+			const [host, linkHost] = [getHost(subnets.upstreams, number), getHost(subnets.upstreamLinks, number)];
 			const id = `i-${zone}${number}`;
 			upstreamLinks.set(id, await openLink({
 				host: linkHost, port: upstreamPort, targetHost: host, targetPort: upstreamPort,
