Reset connections at once in the fault soak

Node's own reset ends a connection in order first, so that an entry could see a broken-off response without a length end in order and rightly take it as complete. The operator's decisions have random numbers of their own, so that a seed plays the same orders.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -69,6 +69,14 @@
 	};
 }
 
+function describeFault({kind, closeMilliseconds}: PlannedFault): string {
+	if (!kind.startsWith('hold')) {
+		return kind;
+	}
+
+	return `${kind}, closes ${closeMilliseconds === Infinity ? 'never' : `${Math.round(closeMilliseconds)} ms later`}`;
+}
+
 /** Injects a planned fault, and returns when it is over. */
 export async function injectFault(fault: PlannedFault, targets: FaultTargets): Promise<void> {
 	const {system, history} = targets;
@@ -79,7 +87,7 @@
 
 	async function disturb(scope: Disturbance['scope'], name: string, start: () => void | Promise<void>, end: () => void | Promise<void>): Promise<void> {
 		const disturbance: Disturbance = {
-			scope, name, kind: fault.kind, from: history.now(), to: undefined,
+			scope, name, kind: describeFault(fault), from: history.now(), to: undefined,
 		};
 		history.disturbances.push(disturbance);
 		await start();
--- a/soak/link.ts
+++ b/soak/link.ts
@@ -6,6 +6,7 @@
 import {once} from 'node:events';
 import {connect, createServer, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
+import {resetConnection} from '../source/entry/connection-reset.js';
 
 /** Direction of a fault: `to` the target, `from` it, or both. */
 export type Direction = 'to' | 'from' | 'both';
@@ -90,7 +91,7 @@
 		});
 		from.on('error', () => {
 			pass(() => {
-				to.resetAndDestroy();
+				resetConnection(to);
 			}, true);
 		});
 		from.once('close', () => {
@@ -104,7 +105,7 @@
 
 	const server = createServer({allowHalfOpen: true, noDelay: true}, client => {
 		if (fault?.kind === 'reset') {
-			client.resetAndDestroy();
+			resetConnection(client);
 			return;
 		}
 
@@ -115,9 +116,13 @@
 		connections.add(connection);
 		forward(client, target, 'to', connection);
 		forward(target, client, 'from', connection);
-		target.once('close', () => {
-			connections.delete(connection);
-		});
+		for (const socket of [client, target]) {
+			socket.once('close', () => {
+				if (client.destroyed && target.destroyed) {
+					connections.delete(connection);
+				}
+			});
+		}
 	});
 	server.listen(options.port, options.host);
 	await once(server, 'listening');
@@ -125,8 +130,8 @@
 	function resetConnections(isConcernedBy: (connection: Connection) => boolean): void {
 		for (const connection of connections) {
 			if (isConcernedBy(connection)) {
-				connection.client.resetAndDestroy();
-				connection.target.resetAndDestroy();
+				resetConnection(connection.client);
+				resetConnection(connection.target);
 			}
 		}
 	}
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -104,11 +104,13 @@
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
 	const {seed} = options;
 	const random = createRandom(seed);
+	// Decisions of their own, so that the requests of the callers do not change the schedule.
 	const scheduleRandom = createRandom(seed + 1_000_000);
+	const operatorRandom = createRandom(seed + 2_000_000);
 	const controls = scheduleRandom() < 0.5 ? 3 : 5;
 	const history = createHistory();
 	const world = await startWorld({
-		controls, program: options.program, lane: options.lane ?? 0, history, random,
+		controls, program: options.program, lane: options.lane ?? 0, history, random, operatorRandom,
 	});
 	const blindness = monitorEventLoopDelay();
 	blindness.enable();
--- a/soak/upstream.ts
+++ b/soak/upstream.ts
@@ -6,6 +6,7 @@
 import {createServer, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
+import {resetConnection} from '../source/entry/connection-reset.js';
 import {type Random} from '../source/randomness/index.js';
 import {callControl, readText} from '../stand-in/platform/upstream.js';
 import {digestBody, type Arrival, type History} from './history.js';
@@ -153,13 +154,13 @@
 			case 'break-off-until-close': {
 				await write(socket, [text.slice(0, head.length + Math.floor(random() * content.length))]);
 				await delay(random() * longestServiceMilliseconds);
-				socket.resetAndDestroy();
+				resetConnection(socket);
 				return;
 			}
 
 			case 'reset':
 			case 'lose': {
-				socket.resetAndDestroy();
+				resetConnection(socket);
 			}
 		}
 	}
@@ -185,7 +186,7 @@
 		history.arrivals.push(arrival);
 		const manner = isPlain ? 'plain' : chooseManner(options.temper, random);
 		if (manner === 'reset') {
-			request.socket.resetAndDestroy();
+			resetConnection(request.socket);
 			return;
 		}
 
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -58,6 +58,7 @@
 	readonly lane: number;
 	readonly history: History;
 	readonly random: Random;
+	readonly operatorRandom: Random;
 };
 
 async function waitUntilReady(system: PlatformSystem): Promise<void> {
@@ -129,7 +130,7 @@
 		}
 
 		const operator = createOperator({
-			history, random, controls: controlAddresses, getFirstControl: () => firstControl,
+			history, random: options.operatorRandom, controls: controlAddresses, getFirstControl: () => firstControl,
 		});
 		await operator.configure(renderConfiguration(3, [{path: '/look/', type: 'safe'}, {path: '/order/', type: 'unsafe'}]));
 		await waitUntilReady(system);
