Restart upstreams in the fault soak, and pass resets on as resets

Node emits the end of a socket for a reset that arrives with the last bytes; the link of the soak passed that on as an orderly close, and an entry rightly took a body without a length as complete. The link now tells the two apart by the peer address.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -4,6 +4,7 @@
 import {type Machine, type PlatformSystem} from '../stand-in/platform/system.js';
 import {type Disturbance, type History} from './history.js';
 import {type Link, type LinkFault} from './link.js';
+import {type Upstream} from './upstream.js';
 
 const longestStartMilliseconds = 500;
 const shortestFaultMilliseconds = 1000;
@@ -14,7 +15,7 @@
 
 /** Kinds of faults, with their weights. */
 const kindWeights = {
-	'freeze control': 0.34,
+	'freeze control': 0.3,
 	'hold orders': 0.2,
 	'hold orders and responses': 0.06,
 	'cut responses to orders': 0.06,
@@ -25,6 +26,7 @@
 	'delay upstream': 0.04,
 	'hold upstream': 0.04,
 	'reset upstream': 0.04,
+	'restart upstream': 0.04,
 } as const;
 
 type Kind = keyof typeof kindWeights;
@@ -38,7 +40,8 @@
 	readonly history: History;
 	/** Links between the operators and each control host. */
 	readonly controlLinks: readonly Link[];
-	/** Links between the entries and each upstream, by the upstream's id. */
+	readonly upstreams: readonly Upstream[];
+	/** Links between the entries and each upstream, by the upstream's name. */
 	readonly upstreamLinks: ReadonlyMap<string, Link>;
 };
 
@@ -82,8 +85,7 @@
 	const {system, history} = targets;
 	const control = system.controls[fault.index % system.controls.length]!;
 	const entry = system.entries[fault.index % system.entries.length]!;
-	const upstreamIds = [...targets.upstreamLinks.keys()];
-	const upstreamId = upstreamIds[fault.index % upstreamIds.length]!;
+	const upstream = targets.upstreams[fault.index % targets.upstreams.length]!;
 
 	async function disturb(scope: Disturbance['scope'], name: string, start: () => void | Promise<void>, end: () => void | Promise<void>): Promise<void> {
 		const disturbance: Disturbance = {
@@ -123,7 +125,7 @@
 	}
 
 	async function disturbUpstream(linkFault: LinkFault): Promise<void> {
-		await disturbLink('path', upstreamId, targets.upstreamLinks.get(upstreamId)!, linkFault);
+		await disturbLink('path', upstream.name, targets.upstreamLinks.get(upstream.name)!, linkFault);
 	}
 
 	await delay(fault.startMilliseconds);
@@ -172,5 +174,11 @@
 		case 'reset upstream': {
 			return disturbUpstream({kind: 'reset'});
 		}
+
+		case 'restart upstream': {
+			return disturb('path', upstream.name, () => {
+				upstream.crash();
+			}, async () => upstream.restart());
+		}
 	}
 }
--- a/soak/link.ts
+++ b/soak/link.ts
@@ -85,8 +85,14 @@
 			}, false);
 		});
 		from.once('end', () => {
+			// Node emits `end` for a reset that arrives together with the last bytes; the socket then has no peer.
+			const isReset = from.remotePort === undefined;
 			pass(() => {
-				to.end();
+				if (isReset) {
+					resetConnection(to);
+				} else {
+					to.end();
+				}
 			}, true);
 		});
 		from.on('error', () => {
--- a/soak/upstream.ts
+++ b/soak/upstream.ts
@@ -24,7 +24,11 @@
 
 /** An upstream that is running. */
 export type Upstream = {
-	readonly id: string;
+	readonly name: string;
+	/** Ends the upstream at once, with all of its connections. */
+	crash(): void;
+	/** Starts the upstream again as a new instance. */
+	restart(): Promise<void>;
 	/** Makes every response a plain one from now on, or ends that. */
 	setPlain(isPlain: boolean): void;
 	stop(): void;
@@ -32,7 +36,7 @@
 
 /** Options of `startUpstream`. */
 export type UpstreamOptions = {
-	readonly id: string;
+	readonly name: string;
 	readonly zone: string;
 	readonly host: string;
 	readonly port: number;
@@ -55,8 +59,12 @@
  * @param options - Identity, addresses and temper.
  */
 export async function startUpstream(options: UpstreamOptions): Promise<Upstream> {
-	const {id, zone, history, random} = options;
-	const bornAt = Date.now();
+	const {name, zone, history, random} = options;
+	let id = name;
+	let instanceCount = 1;
+	let bornAt = Date.now();
+	let sequence = 0;
+	let isUp = true;
 	/** End of the writing in progress on each connection. */
 	const writings = new WeakMap<Socket, Promise<void>>();
 	let answerCount = 0;
@@ -86,13 +94,13 @@
 	async function respond(request: IncomingMessage, status: number, manner: Manner, headers: Readonly<Record<string, string>> = {}): Promise<void> {
 		const {socket, method} = request;
 		const requestId = String(request.headers['request-id'] ?? '');
-		const signature = `${id}.${requestId}.${++answerCount}`;
+		const signature = `${name}.${requestId}.${++answerCount}`;
 		const body = status === 204 ? '' : `${signature}|`.padEnd(bodySizes[Math.floor(random() * bodySizes.length)]!, signature);
 		const framing: Framing = manner === 'until-close' || manner === 'break-off-until-close' ? 'close' : (manner === 'chunked' || manner === 'break-off-chunked' ? 'chunks' : 'length');
 		const isSigned = headers['Not-Executed'] === undefined;
 		if (isSigned) {
 			history.answers.push({
-				id: requestId, upstream: id, signature, status, digest: digestBody(method === 'HEAD' ? '' : body), manner,
+				id: requestId, upstream: name, signature, status, digest: digestBody(method === 'HEAD' ? '' : body), manner,
 			});
 		}
 
@@ -181,7 +189,7 @@
 		}
 
 		const arrival: Arrival = {
-			id: requestId, upstream: id, zone, at: history.now(), isRun: false,
+			id: requestId, upstream: name, zone, at: history.now(), isRun: false,
 		};
 		history.arrivals.push(arrival);
 		const manner = isPlain ? 'plain' : chooseManner(options.temper, random);
@@ -208,37 +216,68 @@
 	const server = createServer(request => {
 		void handle(request);
 	});
+	const sockets = new Set<Socket>();
 	server.on('connection', socket => {
+		sockets.add(socket);
+		socket.once('close', () => {
+			sockets.delete(socket);
+		});
 		socket.on('error', () => {
 			socket.destroy();
 		});
 	});
 	server.keepAliveTimeout = 0;
-	server.listen(options.port, options.host);
-	await once(server, 'listening');
+
+	async function listen(): Promise<void> {
+		server.listen(options.port, options.host);
+		await once(server, 'listening');
+	}
+
+	await listen();
 
 	async function sendHeartbeats(): Promise<void> {
 		let controlIndex = Math.floor(random() * options.controlAddresses.length);
-		for (let sequence = 1; !isStopped; sequence++) {
+		while (!isStopped) {
+			await delay(heartbeatIntervalMilliseconds);
+			if (!isUp) {
+				continue;
+			}
+
+			sequence++;
 			const address = options.controlAddresses[controlIndex % options.controlAddresses.length]!;
 			const {status} = await callControl(address, 'PUT', `/-/instances/${id}`, JSON.stringify({
 				service: 'stock', address: options.advertisedAddress, zone, version: 'v1', slots: slotCount, state: 'ready', warmup_left_ms: 0, sequence, born: bornAt,
 			}));
 			controlIndex += status === 200 ? 0 : 1;
-			await delay(heartbeatIntervalMilliseconds);
 		}
 	}
 
 	void sendHeartbeats();
+	function close(): void {
+		isUp = false;
+		server.close();
+		for (const socket of sockets) {
+			resetConnection(socket);
+		}
+	}
+
 	return {
-		id,
+		name,
+		crash: close,
+		async restart() {
+			instanceCount++;
+			id = `${name}-${instanceCount}`;
+			bornAt = Date.now();
+			sequence = 0;
+			await listen();
+			isUp = true;
+		},
 		setPlain(next) {
 			isPlain = next;
 		},
 		stop() {
 			isStopped = true;
-			server.close();
-			server.closeAllConnections();
+			close();
 		},
 	};
 }
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -103,12 +103,12 @@
 		for (const temper of pair) {
 			const number = upstreams.length + 1;
 			const [host, linkHost] = [getHost(subnets.upstreams, number), getHost(subnets.upstreamLinks, number)];
-			const id = `i-${zone}${number}`;
-			upstreamLinks.set(id, await openLink({
+			const name = `i-${zone}${number}`;
+			upstreamLinks.set(name, await openLink({
 				host: linkHost, port: upstreamPort, targetHost: host, targetPort: upstreamPort,
 			}));
 			upstreams.push(await startUpstream({
-				id, zone, host, port: upstreamPort, advertisedAddress: `${linkHost}:${upstreamPort}`, controlAddresses: system.getControlAddresses(), temper, history, random,
+				name, zone, host, port: upstreamPort, advertisedAddress: `${linkHost}:${upstreamPort}`, controlAddresses: system.getControlAddresses(), temper, history, random,
 			}));
 		}
 	}
@@ -147,7 +147,7 @@
 			operator,
 			controlAddresses,
 			faultTargets: {
-				system, history, controlLinks, upstreamLinks,
+				system, history, controlLinks, upstreamLinks, upstreams,
 			},
 			setFirstControl(address) {
 				firstControl = address;
