Let two operators order in the fault soak, and plan its scenes apart

A second operator takes another zone out and back at the same time. Writing of responses and plans of scenes are modules of their own.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -36,7 +36,15 @@
 };
 
 /** Request of a caller. */
-type CallerRequest = {readonly id: string; readonly method: 'GET' | 'HEAD' | 'POST'; readonly path: string; readonly deadlineMilliseconds: number; readonly isChunked: boolean; readonly stayMilliseconds: number; readonly agent: Agent | false};
+type CallerRequest = {
+	readonly id: string;
+	readonly method: 'GET' | 'HEAD' | 'POST';
+	readonly path: string;
+	readonly deadlineMilliseconds: number;
+	readonly isChunked: boolean;
+	readonly stayMilliseconds: number;
+	readonly agent: Agent | false;
+};
 
 /**
  * Starts callers.
@@ -65,9 +73,10 @@
 	async function send({id, method, path, deadlineMilliseconds, isChunked, stayMilliseconds, agent}: CallerRequest): Promise<Exchange['outcome']> {
 		return new Promise(resolve => {
 			const body = method === 'POST' ? `order ${id}` : undefined;
+			const framing = isChunked ? {'Transfer-Encoding': 'chunked'} : {'Content-Length': body?.length ?? 0};
 			const request: ClientRequest = startRequest({
 				host, port, method, path, agent, headers: {
-					Host: 'shop.example', 'Request-Id': id, 'Deadline-Ms': String(deadlineMilliseconds), ...(body === undefined ? {} : (isChunked ? {'Transfer-Encoding': 'chunked'} : {'Content-Length': body.length})),
+					Host: 'shop.example', 'Request-Id': id, 'Deadline-Ms': String(deadlineMilliseconds), ...(body === undefined ? {} : framing),
 				},
 			}, response => {
 				void readText(response).then(text => {
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -32,7 +32,14 @@
 type Kind = keyof typeof kindWeights;
 
 /** Fault that is planned: what happens to which machine or upstream, from when on, and for how long. */
-export type PlannedFault = {readonly kind: Kind; readonly index: number; readonly startMilliseconds: number; readonly milliseconds: number; readonly closeMilliseconds: number; readonly delayMilliseconds: number};
+export type PlannedFault = {
+	readonly kind: Kind;
+	readonly index: number;
+	readonly startMilliseconds: number;
+	readonly milliseconds: number;
+	readonly closeMilliseconds: number;
+	readonly delayMilliseconds: number;
+};
 
 /** Processes and links to which faults are injected. */
 export type FaultTargets = {
--- a/soak/manner.ts
+++ b/soak/manner.ts
@@ -45,7 +45,7 @@
 		chunked: 0.05, 'until-close': 0.05, slow: 0.02, last: 0.03, fail: 0.02, shed: 0.04, 'break-off': 0.02, 'break-off-chunked': 0.02, 'break-off-until-close': 0.02, reset: 0.02, lose: 0.02,
 	},
 	interrupting: {
-		stutter: 0.05, 'cut-in': 0.15, 'shed-stutter': 0.02, 'foreign-first': 0.02, 'foreign-last': 0.05,
+		stutter: 0.05, 'cut-in': 0.15, 'shed-stutter': 0.02, 'foreign-first': 0.08, 'foreign-last': 0.05,
 	},
 } as const satisfies Readonly<Record<string, Temper>>;
 
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -23,8 +23,8 @@
 
 /** An operator. */
 export type Operator = {
-	/** Orders that a zone is taken out of service or put back, and returns when the order is acknowledged or given up. */
-	order(zone: string, isOut: boolean): Promise<Order>;
+	/** Orders that a zone is taken out of service or put back, at the given control host first if any, and returns when the order is acknowledged or given up. */
+	order(zone: string, isOut: boolean, firstControl?: ControlAddress): Promise<Order>;
 	/** Puts a configuration until it is acknowledged. */
 	configure(configuration: string): Promise<void>;
 };
@@ -34,8 +34,6 @@
 	readonly history: History;
 	readonly random: Random;
 	readonly controls: readonly ControlAddress[];
-	/** Gets the control host to which the next order is sent first, or undefined for any. */
-	getFirstControl(): ControlAddress | undefined;
 };
 
 type Call = {readonly address: {readonly host: string; readonly port: number}; readonly method: string; readonly path: string; readonly body?: string; readonly isResponseLost: boolean};
@@ -85,13 +83,12 @@
 export function createOperator(options: OperatorOptions): Operator {
 	const {history, random, controls} = options;
 
-	async function order(zone: string, isOut: boolean): Promise<Order> {
+	async function order(zone: string, isOut: boolean, firstControl?: ControlAddress): Promise<Order> {
 		const record: Order = {
 			zone, isOut, sentAt: history.now(), acknowledgedAt: undefined, attempts: [],
 		};
 		history.orders.push(record);
-		const first = options.getFirstControl();
-		const offset = first === undefined ? Math.floor(random() * controls.length) : controls.indexOf(first);
+		const offset = firstControl === undefined ? Math.floor(random() * controls.length) : controls.indexOf(firstControl);
 		let backoff = firstBackoffMilliseconds;
 		for (let attempt = 0; history.now() < record.sentAt + orderMilliseconds; attempt++) {
 			const control = controls[(offset + attempt) % controls.length]!;
--- /dev/null
+++ b/soak/scene.ts
@@ -0,0 +1,125 @@
+/** Scenes of a run: an operator takes a zone out of service and puts it back several times while faults are injected. */
+import {setTimeout as delay} from 'node:timers/promises';
+import {type Random} from '../source/randomness/index.js';
+import {contactMilliseconds} from './checks.js';
+import {injectFault, planFault, type PlannedFault} from './faults.js';
+import {type History} from './history.js';
+import {type ControlAddress, type Operator} from './operator.js';
+import {type World} from './world.js';
+
+/** Time after the acknowledgement for which a zone stays out, so that requests that reach it late are seen. */
+const outMilliseconds = 7500;
+
+/** Time after the last fault for which the zone stays out: long enough for all machines to be in touch again. */
+const calmMilliseconds = contactMilliseconds + 2000;
+const returnMilliseconds = 1200;
+const longestGapMilliseconds = 800;
+const maximumFlips = 3;
+const maximumReorders = 4;
+
+/** Probability that the first order during the fault goes first to the control host that it concerns. */
+const targetedProbability = 0.8;
+const secondFaultProbability = 0.3;
+const secondOperatorProbability = 0.4;
+
+/** Pauses before an order that puts a zone back and before the next one that takes it out, in milliseconds. */
+type Flip = {readonly beforeReturn: number; readonly beforeEvacuation: number};
+
+/** Plan of a scene. */
+export type Scene = {
+	readonly zone: string;
+	readonly faults: readonly PlannedFault[];
+	readonly isTargeted: boolean;
+	readonly flips: readonly Flip[];
+	/** Flips of another zone by a second operator at the same time. */
+	readonly secondFlips: readonly Flip[];
+};
+
+function planFlips(random: Random): readonly Flip[] {
+	const count = 1 + Math.floor(random() * maximumFlips);
+	return Array.from({length: count}, () => ({beforeReturn: random() * longestGapMilliseconds, beforeEvacuation: random() * longestGapMilliseconds}));
+}
+
+/**
+ * Plans a scene. At most one control host is disturbed at a time.
+ * @param random - Source of random numbers.
+ * @param secondRandom - Source of random numbers for what the second operator does.
+ */
+export function planScene(random: Random, secondRandom: Random): Scene {
+	const zone = random() < 0.8 ? 'c' : 'b';
+	const first = planFault(random);
+	const second = random() < secondFaultProbability ? planFault(random) : undefined;
+	const isSecondApart = second?.kind.endsWith('control') !== first.kind.endsWith('control');
+	return {
+		zone,
+		faults: second !== undefined && isSecondApart ? [first, second] : [first],
+		isTargeted: random() < targetedProbability,
+		flips: planFlips(random),
+		secondFlips: secondRandom() < secondOperatorProbability ? planFlips(secondRandom) : [],
+	};
+}
+
+/** Orders a zone out until an order is acknowledged. */
+async function evacuate(operator: Operator, zone: string): Promise<void> {
+	for (let attempt = 0; attempt < maximumReorders; attempt++) {
+		const order = await operator.order(zone, true);
+		if (order.acknowledgedAt !== undefined) {
+			return;
+		}
+	}
+}
+
+async function playFlips(operator: Operator, zone: string, flips: readonly Flip[], firstControl?: ControlAddress): Promise<void> {
+	for (const [index, {beforeReturn, beforeEvacuation}] of flips.entries()) {
+		await delay(beforeReturn);
+		await operator.order(zone, false, index === 0 ? firstControl : undefined);
+		await delay(beforeEvacuation);
+		await evacuate(operator, zone);
+	}
+}
+
+/**
+ * Plays a scene, which ends with all zones in service.
+ * @param scene - Plan.
+ * @param world - World in which it is played.
+ * @param history - History of the run.
+ */
+export async function playScene(scene: Scene, world: World, history: History): Promise<void> {
+	const {zone, faults, flips, secondFlips} = scene;
+	const [operator, secondOperator] = world.operators;
+	const secondZone = zone === 'c' ? 'b' : 'c';
+	await evacuate(operator, zone);
+	const injected = Promise.all(faults.map(async fault => injectFault(fault, world.faultTargets)));
+	const firstControl = scene.isTargeted ? world.controlAddresses[faults[0]!.index % world.controlAddresses.length] : undefined;
+	await Promise.all([
+		playFlips(operator, zone, flips, firstControl),
+		playFlips(secondOperator, secondZone, secondFlips),
+	]);
+	const outFrom = history.now();
+	await injected;
+	await delay(Math.max(calmMilliseconds, outFrom + outMilliseconds - history.now()));
+	await Promise.all([operator.order(zone, false), ...(secondFlips.length > 0 ? [secondOperator.order(secondZone, false)] : [])]);
+	await delay(returnMilliseconds);
+}
+
+/**
+ * Lets everything become calm, and takes a zone out of service and puts it back once more.
+ * @param world - World in which the run was played.
+ * @param history - History of the run.
+ */
+export async function playSteadyEnd(world: World, history: History): Promise<void> {
+	const [operator] = world.operators;
+	for (const upstream of world.upstreams) {
+		upstream.setPlain(true);
+	}
+
+	await delay(contactMilliseconds);
+	history.steadyFrom = history.now();
+	for (const zone of ['b', 'c']) {
+		await operator.order(zone, false);
+	}
+
+	await operator.order('c', true);
+	await delay(outMilliseconds);
+	await operator.order('c', false);
+}
--- a/soak/soak.test.ts
+++ b/soak/soak.test.ts
@@ -3,8 +3,8 @@
 import {renderResult} from './report.js';
 import {runSoak} from './run.js';
 
-const seconds = 40;
-const seed = 3;
+const seconds = 45;
+const seed = 2;
 const logFolder = `target/soak/${seed}`;
 
 describe('fault soak', () => {
--- a/soak/upstream.ts
+++ b/soak/upstream.ts
@@ -12,15 +12,18 @@
 import {digestBody, type Arrival, type History} from './history.js';
 import {chooseManner, type Manner, type Temper} from './manner.js';
 import {renderResponse, type Framing} from './response.js';
+import {createWriter} from './writer.js';
 
 const heartbeatIntervalMilliseconds = 300;
 const slotCount = 16;
 const bodySizes = [0, 24, 24, 300, 300, 5000, 5000, 70_000, 600_000];
 const longestServiceMilliseconds = 12;
 const slowServiceMilliseconds = 300;
-const longestCopyDelayMilliseconds = 30;
-const longestPieceGapMilliseconds = 8;
-const maximumPieces = 3;
+
+/** Framings of the manners whose bodies are not framed by their length. */
+const framings: Readonly<Partial<Record<Manner, Framing>>> = {
+	chunked: 'chunks', 'break-off-chunked': 'chunks', 'until-close': 'close', 'break-off-until-close': 'close',
+};
 
 /** An upstream that is running. */
 export type Upstream = {
@@ -48,12 +51,6 @@
 	readonly random: Random;
 };
 
-/** Splits a text at random places. */
-function split(text: string, random: Random): readonly string[] {
-	const cuts = Array.from({length: Math.floor(random() * maximumPieces)}, () => Math.floor(random() * text.length)).toSorted((left, right) => left - right);
-	return [...cuts, text.length].map((cut, index) => text.slice(index === 0 ? 0 : cuts[index - 1], cut)).filter(piece => piece !== '');
-}
-
 /**
  * Starts an upstream.
  * @param options - Identity, addresses and temper.
@@ -65,38 +62,18 @@
 	let bornAt = Date.now();
 	let sequence = 0;
 	let isUp = true;
-	/** End of the writing in progress on each connection. */
-	const writings = new WeakMap<Socket, Promise<void>>();
+	const writer = createWriter(random);
 	let answerCount = 0;
 	let running = 0;
 	let isStopped = false;
 	let isPlain = false;
 
-	/** Writes pieces one after another. Later writings wait until the last piece is written. */
-	async function write(socket: Socket, pieces: readonly string[]): Promise<void> {
-		const last = writings.get(socket) ?? Promise.resolve();
-		const writing = last.then(async () => {
-			for (const [index, piece] of pieces.entries()) {
-				if (index > 0) {
-					await delay(random() * longestPieceGapMilliseconds);
-				}
-
-				if (socket.writable) {
-					socket.write(piece, 'latin1');
-				}
-			}
-		});
-		writings.set(socket, writing);
-		await writing;
-	}
-
 	/** Writes a response, and what the upstream's manner adds to it. */
 	async function respond(request: IncomingMessage, status: number, manner: Manner, headers: Readonly<Record<string, string>> = {}): Promise<void> {
 		const {socket, method} = request;
 		const requestId = String(request.headers['request-id'] ?? '');
 		const signature = `${name}.${requestId}.${++answerCount}`;
 		const body = status === 204 ? '' : `${signature}|`.padEnd(bodySizes[Math.floor(random() * bodySizes.length)]!, signature);
-		const framing: Framing = manner === 'until-close' || manner === 'break-off-until-close' ? 'close' : (manner === 'chunked' || manner === 'break-off-chunked' ? 'chunks' : 'length');
 		const isSigned = headers['Not-Executed'] === undefined;
 		if (isSigned) {
 			history.answers.push({
@@ -104,73 +81,20 @@
 			});
 		}
 
-		const {head, content} = renderResponse({
-			status, framing, body, hasContent: method !== 'HEAD' && status !== 204, headers: {
-				...headers, 'Request-Id': requestId, ...(isSigned ? {'Upstream-Signature': signature} : {}), ...(manner === 'last' ? {Connection: 'close'} : {}), 'Upstream-Load': `${running},0,${slotCount},100`,
+		const response = renderResponse({
+			status,
+			framing: framings[manner] ?? 'length',
+			body,
+			hasContent: method !== 'HEAD' && status !== 204,
+			headers: {
+				...headers,
+				'Request-Id': requestId,
+				...(isSigned ? {'Upstream-Signature': signature} : {}),
+				...(manner === 'last' ? {Connection: 'close'} : {}),
+				'Upstream-Load': `${running},0,${slotCount},100`,
 			},
 		});
-		const text = head + content;
-		switch (manner) {
-			case 'plain':
-			case 'chunked':
-			case 'slow':
-			case 'shed':
-			case 'fail': {
-				await write(socket, [text]);
-				return;
-			}
-
-			case 'until-close':
-			case 'last': {
-				await write(socket, [text]);
-				socket.end();
-				return;
-			}
-
-			case 'foreign-first':
-			case 'foreign-last': {
-				const foreign = 'HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign';
-				await write(socket, manner === 'foreign-first' ? [foreign, text] : [text, foreign]);
-				return;
-			}
-
-			case 'stutter':
-			case 'shed-stutter':
-			case 'fail-stutter': {
-				await write(socket, [text]);
-				await delay(random() * longestCopyDelayMilliseconds);
-				await write(socket, split(text, random));
-				return;
-			}
-
-			case 'cut-in': {
-				await write(socket, [text]);
-				await delay(random() * longestCopyDelayMilliseconds);
-				for (const piece of split(text, random)) {
-					if (socket.writable) {
-						socket.write(piece, 'latin1');
-					}
-
-					await delay(random() * longestPieceGapMilliseconds);
-				}
-
-				return;
-			}
-
-			case 'break-off':
-			case 'break-off-chunked':
-			case 'break-off-until-close': {
-				await write(socket, [text.slice(0, head.length + Math.floor(random() * content.length))]);
-				await delay(random() * longestServiceMilliseconds);
-				resetConnection(socket);
-				return;
-			}
-
-			case 'reset':
-			case 'lose': {
-				resetConnection(socket);
-			}
-		}
+		await writer.write(socket, manner, response);
 	}
 
 	async function handle(request: IncomingMessage): Promise<void> {
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -1,6 +1,5 @@
-/** World of a run: the processes of the deploy file, upstreams in three zones, links, callers of each entry, and an operator. */
+/** World of a run: the processes of the deploy file, upstreams in three zones, links, callers of each entry, and two operators. */
 import {setTimeout as delay} from 'node:timers/promises';
-import {type Random} from '../source/randomness/index.js';
 import {renderConfiguration} from '../stand-in/platform/configuration.js';
 import {createPlatformSystem, type PlatformSystem, type Program} from '../stand-in/platform/system.js';
 import {startCallers} from './callers.js';
@@ -9,6 +8,7 @@
 import {openLink, type Link} from './link.js';
 import {tempers, type Temper} from './manner.js';
 import {createOperator, type ControlAddress, type Operator} from './operator.js';
+import {createStream} from './random-stream.js';
 import {startUpstream, type Upstream} from './upstream.js';
 
 const zones = ['a', 'b', 'c'];
@@ -40,11 +40,9 @@
 export type World = {
 	readonly system: PlatformSystem;
 	readonly upstreams: readonly Upstream[];
-	readonly operator: Operator;
+	readonly operators: readonly [Operator, Operator];
 	readonly controlAddresses: readonly ControlAddress[];
 	readonly faultTargets: FaultTargets;
-	/** Sets the control host to which the next orders are sent first; undefined for any. */
-	setFirstControl(address: ControlAddress | undefined): void;
 	/** Stops the callers and waits for their pending requests. */
 	stopCallers(): Promise<void>;
 	stop(): Promise<void>;
@@ -57,8 +55,8 @@
 	/** Number of the run among those that are played at the same time. */
 	readonly lane: number;
 	readonly history: History;
-	readonly random: Random;
-	readonly operatorRandom: Random;
+	/** Seed of the decisions of callers, upstreams and operators. */
+	readonly seed: number;
 };
 
 async function waitUntilReady(system: PlatformSystem): Promise<void> {
@@ -79,12 +77,12 @@
  * @param options - Number of control hosts, program, history and random numbers.
  */
 export async function startWorld(options: WorldOptions): Promise<World> {
-	const {history, random} = options;
+	const {history, seed} = options;
+	const random = createStream(seed, 'traffic');
 	const getHost = (subnet: number, number: number): string => `127.0.${subnet + (laneSubnets * options.lane)}.${number}`;
 	const system = await createPlatformSystem({
 		controls: options.controls, entries: zones.length * entriesPerZone, ports, zones, subnet: subnets.machines + (laneSubnets * options.lane), program: options.program,
 	});
-	let firstControl: ControlAddress | undefined;
 	const controlLinks: Link[] = [];
 	const controlAddresses: ControlAddress[] = [];
 	for (const [index, {name, host}] of system.controls.entries()) {
@@ -108,7 +106,8 @@
 				host: linkHost, port: upstreamPort, targetHost: host, targetPort: upstreamPort,
 			}));
 			upstreams.push(await startUpstream({
-				name, zone, host, port: upstreamPort, advertisedAddress: `${linkHost}:${upstreamPort}`, controlAddresses: system.getControlAddresses(), temper, history, random,
+				name, zone, host, port: upstreamPort, advertisedAddress: `${linkHost}:${upstreamPort}`,
+				controlAddresses: system.getControlAddresses(), temper, history, random,
 			}));
 		}
 	}
@@ -129,10 +128,9 @@
 			system.start(machine, true);
 		}
 
-		const operator = createOperator({
-			history, random: options.operatorRandom, controls: controlAddresses, getFirstControl: () => firstControl,
-		});
-		await operator.configure(renderConfiguration(3, [{path: '/look/', type: 'safe'}, {path: '/order/', type: 'unsafe'}]));
+		const createSeededOperator = (name: string): Operator => createOperator({history, random: createStream(seed, name), controls: controlAddresses});
+		const operators = [createSeededOperator('operator'), createSeededOperator('second operator')] as const;
+		await operators[0].configure(renderConfiguration(3, [{path: '/look/', type: 'safe'}, {path: '/order/', type: 'unsafe'}]));
 		await waitUntilReady(system);
 		const callers = system.entries.map(({name, host}) => startCallers({
 			entry: name, host, port: ports.front, count: callersPerEntry, history, random,
@@ -144,14 +142,11 @@
 		return {
 			system,
 			upstreams,
-			operator,
+			operators,
 			controlAddresses,
 			faultTargets: {
 				system, history, controlLinks, upstreamLinks, upstreams,
 			},
-			setFirstControl(address) {
-				firstControl = address;
-			},
 			stopCallers,
 			async stop() {
 				await stopCallers();
