--- a/soak/link.ts
+++ b/soak/link.ts
@@ -6,7 +6,7 @@
 import {once} from 'node:events';
 import {connect, createServer, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import {resetConnection} from '../source/entry/connection-reset.js';
+import {abortConnection} from './abort-connection.js';
 
 /** Direction of a fault: `to` the target, `from` it, or both. */
 export type Direction = 'to' | 'from' | 'both';
@@ -89,7 +89,7 @@
 			const isReset = from.remotePort === undefined;
 			pass(() => {
 				if (isReset) {
-					resetConnection(to);
+					abortConnection(to);
 				} else {
 					to.end();
 				}
@@ -97,7 +97,7 @@
 		});
 		from.on('error', () => {
 			pass(() => {
-				resetConnection(to);
+				abortConnection(to);
 			}, true);
 		});
 		from.once('close', () => {
@@ -111,7 +111,7 @@
 
 	const server = createServer({allowHalfOpen: true, noDelay: true}, client => {
 		if (fault?.kind === 'reset') {
-			resetConnection(client);
+			abortConnection(client);
 			return;
 		}
 
@@ -136,8 +136,8 @@
 	function resetConnections(isConcernedBy: (connection: Connection) => boolean): void {
 		for (const connection of connections) {
 			if (isConcernedBy(connection)) {
-				resetConnection(connection.client);
-				resetConnection(connection.target);
+				abortConnection(connection.client);
+				abortConnection(connection.target);
 			}
 		}
 	}
--- a/soak/upstream.ts
+++ b/soak/upstream.ts
@@ -6,9 +6,9 @@
 import {createServer, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import {resetConnection} from '../source/entry/connection-reset.js';
 import {type Random} from '../source/randomness/index.js';
 import {callControl, readText} from '../stand-in/platform/upstream.js';
+import {abortConnection} from './abort-connection.js';
 import {digestBody, type Arrival, type History} from './history.js';
 import {chooseManner, type Manner, type Temper} from './manner.js';
 import {renderResponse, type Framing} from './response.js';
@@ -118,7 +118,7 @@
 		history.arrivals.push(arrival);
 		const manner = isPlain ? 'plain' : chooseManner(options.temper, random);
 		if (manner === 'reset') {
-			resetConnection(request.socket);
+			abortConnection(request.socket);
 			return;
 		}
 
@@ -181,7 +181,7 @@
 		isUp = false;
 		server.close();
 		for (const socket of sockets) {
-			resetConnection(socket);
+			abortConnection(socket);
 		}
 	}
 
--- a/soak/writer.ts
+++ b/soak/writer.ts
@@ -1,8 +1,8 @@
 /** Writes the responses of an upstream to its connections: once, twice, in pieces or not to the end. */
 import {type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import {resetConnection} from '../source/entry/connection-reset.js';
 import {type Random} from '../source/randomness/index.js';
+import {abortConnection} from './abort-connection.js';
 import {type Manner} from './manner.js';
 
 const longestCopyDelayMilliseconds = 30;
@@ -100,13 +100,13 @@
 				case 'break-off-until-close': {
 					await writeInOrder(socket, [text.slice(0, head.length + Math.floor(random() * content.length))]);
 					await delay(random() * longestBreakMilliseconds);
-					resetConnection(socket);
+					abortConnection(socket);
 					return;
 				}
 
 				case 'reset':
 				case 'lose': {
-					resetConnection(socket);
+					abortConnection(socket);
 				}
 			}
 		},
--- a/stand-in/platform/system.ts
+++ b/stand-in/platform/system.ts
@@ -6,7 +6,7 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {
-	copyFileSync, mkdirSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync,
+	closeSync, copyFileSync, mkdirSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
 import {request as startRequest} from 'node:http';
 import {tmpdir} from 'node:os';
@@ -203,6 +203,7 @@
 			}
 
 			machine.child = spawn(process.execPath, [bundleFile, machine.kind, '--settings', writeSettings(machine, isFirstStart)], {stdio: ['ignore', logFileDescriptor, logFileDescriptor]});
+			closeSync(logFileDescriptor);
 		},
 		terminate,
 		deleteData(machine) {
