Follow redirections over the links in the fault soak

An operator that is sent to another control host with its order reaches it over the same faulty links, and each response of the chain may be lost.

--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -18,8 +18,8 @@
 /** Probability that a response to the operator is lost. */
 const lossProbability = 0.1;
 
-/** Address of a control host as the operator sees it. */
-export type ControlAddress = {readonly name: string; readonly host: string; readonly port: number};
+/** Control host: the address of the link over which the operator reaches it, and its own address, to which redirections point. */
+export type ControlAddress = {readonly name: string; readonly host: string; readonly port: number; readonly ownHost: string};
 
 /** An operator. */
 export type Operator = {
@@ -36,14 +36,14 @@
 	readonly controls: readonly ControlAddress[];
 };
 
-type Call = {readonly address: {readonly host: string; readonly port: number}; readonly method: string; readonly path: string; readonly body?: string; readonly isResponseLost: boolean};
+type Call = {readonly address: ControlAddress; readonly method: string; readonly path: string; readonly body?: string; readonly isResponseLost: boolean};
 type CallResult = {readonly status: number; readonly location: string | undefined};
 
 /** Sends one call. The status is 0 if no response arrives in time; the connection is closed then. */
 async function sendCall({address, method, path, body, isResponseLost}: Call): Promise<CallResult> {
 	return new Promise(resolve => {
 		const request = startRequest({
-			...address, method, path, agent: false, headers: body === undefined ? {} : {'content-type': 'application/json', 'content-length': body.length},
+			host: address.host, port: address.port, method, path, agent: false, headers: body === undefined ? {} : {'content-type': 'application/json', 'content-length': body.length},
 		}, response => {
 			response.resume();
 			if (isResponseLost) {
@@ -65,17 +65,6 @@
 	});
 }
 
-/** Sends one call and follows its redirections. */
-async function sendRedirectedCall(call: Call): Promise<CallResult> {
-	let result = await sendCall(call);
-	for (let redirections = 0; result.status === 307 && result.location !== undefined && redirections < maximumRedirections; redirections++) {
-		const {hostname, port, pathname, search} = new URL(result.location);
-		result = await sendCall({...call, address: {host: hostname, port: Number(port)}, path: `${pathname}${search}`});
-	}
-
-	return result;
-}
-
 /**
  * Creates an operator.
  * @param options - History, and addresses of the control hosts.
@@ -83,6 +72,24 @@
 export function createOperator(options: OperatorOptions): Operator {
 	const {history, random, controls} = options;
 
+	/** Sends one call and follows its redirections, over the links. Each of the responses may be lost. */
+	async function sendRedirectedCall(control: ControlAddress, call: Pick<Call, 'method' | 'path' | 'body'>): Promise<CallResult & {readonly trace: string}> {
+		let isResponseLost = random() < lossProbability;
+		let trace = `${control.name}@${Math.round(history.now())}`;
+		let result = await sendCall({...call, address: control, isResponseLost});
+		for (let redirections = 0; result.status === 307 && result.location !== undefined && redirections < maximumRedirections; redirections++) {
+			const {hostname, pathname, search} = new URL(result.location);
+			const address = controls.find(({ownHost}) => ownHost === hostname)!;
+			isResponseLost = random() < lossProbability;
+			trace += `>${address.name}`;
+			result = await sendCall({
+				...call, address, path: `${pathname}${search}`, isResponseLost,
+			});
+		}
+
+		return {...result, trace: `${trace}${isResponseLost ? ' lost' : ''}=${result.status}`};
+	}
+
 	async function order(zone: string, isOut: boolean, firstControl?: ControlAddress): Promise<Order> {
 		const record: Order = {
 			zone, isOut, sentAt: history.now(), acknowledgedAt: undefined, attempts: [],
@@ -92,12 +99,8 @@
 		let backoff = firstBackoffMilliseconds;
 		for (let attempt = 0; history.now() < record.sentAt + orderMilliseconds; attempt++) {
 			const control = controls[(offset + attempt) % controls.length]!;
-			const isResponseLost = random() < lossProbability;
-			const sentAt = history.now();
-			const {status} = await sendRedirectedCall({
-				address: {host: control.host, port: control.port}, method: isOut ? 'POST' : 'DELETE', path: `/-/evacuations/${zone}`, isResponseLost,
-			});
-			record.attempts.push(`${control.name}@${Math.round(sentAt)}${isResponseLost ? ' lost' : ''}=${status}`);
+			const {status, trace} = await sendRedirectedCall(control, {method: isOut ? 'POST' : 'DELETE', path: `/-/evacuations/${zone}`});
+			record.attempts.push(trace);
 			if (status >= 200 && status < 300) {
 				record.acknowledgedAt = history.now();
 				return record;
@@ -114,10 +117,7 @@
 		order,
 		async configure(configuration) {
 			for (let attempt = 0; ; attempt++) {
-				const {host, port} = controls[attempt % controls.length]!;
-				const {status} = await sendRedirectedCall({
-					address: {host, port}, method: 'PUT', path: '/-/config', body: configuration, isResponseLost: false,
-				});
+				const {status} = await sendRedirectedCall(controls[attempt % controls.length]!, {method: 'PUT', path: '/-/config', body: configuration});
 				if (status >= 200 && status < 300) {
 					return;
 				}
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -86,7 +86,9 @@
 	const controlLinks: Link[] = [];
 	const controlAddresses: ControlAddress[] = [];
 	for (const [index, {name, host}] of system.controls.entries()) {
-		const address = {name, host: getHost(subnets.controlLinks, index + 1), port: ports.control};
+		const address: ControlAddress = {
+			name, host: getHost(subnets.controlLinks, index + 1), port: ports.control, ownHost: host,
+		};
 		controlAddresses.push(address);
 		controlLinks.push(await openLink({
 			host: address.host, port: address.port, targetHost: host, targetPort: ports.control,
