--- /dev/null
+++ b/soak/operator.ts
@@ -0,0 +1,129 @@
+/**
+ * Operator that follows the platform's protocol: it calls one control host after another, moves on after a second without a
+ * response or after a failure, follows redirections, and resends an order for a limited time. Some of the responses that it
+ * receives are treated as lost.
+ */
+import {request as startRequest} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type Random} from '../source/randomness/index.js';
+import {type History, type Order} from './history.js';
+
+const callTimeoutMilliseconds = 1000;
+const firstBackoffMilliseconds = 50;
+const maximumRedirections = 2;
+
+/** Time within which an order may be resent (`ack_ms`). */
+const orderMilliseconds = 4000;
+
+/** Probability that a response to the operator is lost. */
+const lossProbability = 0.1;
+
+/** Control host: the address of the link over which the operator reaches it, and its own address, to which redirections point. */
+export type ControlAddress = {readonly name: string; readonly host: string; readonly port: number; readonly ownHost: string};
+
+/** An operator. */
+export type Operator = {
+	/** Orders that a zone is taken out of service or put back, at the given control host first if any, and returns when the order is acknowledged or given up. */
+	order(zone: string, isOut: boolean, firstControl?: ControlAddress): Promise<Order>;
+	/** Puts a configuration until it is acknowledged. */
+	configure(configuration: string): Promise<void>;
+};
+
+/** Options of `createOperator`. */
+export type OperatorOptions = {
+	readonly history: History;
+	readonly random: Random;
+	readonly controls: readonly ControlAddress[];
+};
+
+type Call = {readonly address: ControlAddress; readonly method: string; readonly path: string; readonly body?: string; readonly isResponseLost: boolean};
+type CallResult = {readonly status: number; readonly location: string | undefined};
+
+/** Sends one call. The status is 0 if no response arrives in time; the connection is closed then. */
+async function sendCall({address, method, path, body, isResponseLost}: Call): Promise<CallResult> {
+	return new Promise(resolve => {
+		const request = startRequest({
+			host: address.host, port: address.port, method, path, agent: false, headers: body === undefined ? {} : {'content-type': 'application/json', 'content-length': body.length},
+		}, response => {
+			response.resume();
+			if (isResponseLost) {
+				return;
+			}
+
+			clearTimeout(timer);
+			resolve({status: response.statusCode ?? 0, location: response.headers.location});
+		});
+		const timer = setTimeout(() => {
+			request.destroy();
+			resolve({status: 0, location: undefined});
+		}, callTimeoutMilliseconds);
+		request.once('error', () => {
+			clearTimeout(timer);
+			resolve({status: 0, location: undefined});
+		});
+		request.end(body);
+	});
+}
+
+/**
+ * Creates an operator.
+ * @param options - History, and addresses of the control hosts.
+ */
+export function createOperator(options: OperatorOptions): Operator {
+	const {history, random, controls} = options;
+
+	/** Sends one call and follows its redirections, over the links. Each of the responses may be lost. */
+	async function sendRedirectedCall(control: ControlAddress, call: Pick<Call, 'method' | 'path' | 'body'>): Promise<CallResult & {readonly trace: string}> {
+		let isResponseLost = random() < lossProbability;
+		let trace = `${control.name}@${Math.round(history.now())}`;
+		let result = await sendCall({...call, address: control, isResponseLost});
+		for (let redirections = 0; result.status === 307 && result.location !== undefined && redirections < maximumRedirections; redirections++) {
+			const {hostname, pathname, search} = new URL(result.location);
+			const address = controls.find(({ownHost}) => ownHost === hostname)!;
+			isResponseLost = random() < lossProbability;
+			trace += `>${address.name}`;
+			result = await sendCall({
+				...call, address, path: `${pathname}${search}`, isResponseLost,
+			});
+		}
+
+		return {...result, trace: `${trace}${isResponseLost ? ' lost' : ''}=${result.status}`};
+	}
+
+	async function order(zone: string, isOut: boolean, firstControl?: ControlAddress): Promise<Order> {
+		const record: Order = {
+			zone, isOut, sentAt: history.now(), acknowledgedAt: undefined, attempts: [],
+		};
+		history.orders.push(record);
+		const offset = firstControl === undefined ? Math.floor(random() * controls.length) : controls.indexOf(firstControl);
+		let backoff = firstBackoffMilliseconds;
+		for (let attempt = 0; history.now() < record.sentAt + orderMilliseconds; attempt++) {
+			const control = controls[(offset + attempt) % controls.length]!;
+			const {status, trace} = await sendRedirectedCall(control, {method: isOut ? 'POST' : 'DELETE', path: `/-/evacuations/${zone}`});
+			record.attempts.push(trace);
+			if (status >= 200 && status < 300) {
+				record.acknowledgedAt = history.now();
+				return record;
+			}
+
+			await delay(backoff);
+			backoff *= 2;
+		}
+
+		return record;
+	}
+
+	return {
+		order,
+		async configure(configuration) {
+			for (let attempt = 0; ; attempt++) {
+				const {status} = await sendRedirectedCall(controls[attempt % controls.length]!, {method: 'PUT', path: '/-/config', body: configuration});
+				if (status >= 200 && status < 300) {
+					return;
+				}
+
+				await delay(firstBackoffMilliseconds);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/soak/run.ts
@@ -0,0 +1,68 @@
+/** Plays one run by its seed: scenes with faults, and a steady end without. The schedule depends only on the seed; the times of the processes do not. */
+import {monitorEventLoopDelay} from 'node:perf_hooks';
+import {type Program} from '../stand-in/platform/system.js';
+import {findViolations, type Violation} from './checks.js';
+import {createHistory, type History} from './history.js';
+import {createStream} from './random-stream.js';
+import {planScene, playScene, playSteadyEnd} from './scene.js';
+import {startWorld} from './world.js';
+
+/** Options of `runSoak`. */
+export type SoakOptions = {
+	readonly seed: number;
+	readonly seconds: number;
+	/** Program that the machines run; this repository's if undefined. */
+	readonly program?: Program;
+	/** Number of the run among those that are played at the same time; 0 if undefined. */
+	readonly lane?: number;
+	/** Folder to which the logs of the processes are copied if a check fails. */
+	readonly logFolder: string;
+};
+
+/** Result of a run. */
+export type SoakResult = {
+	readonly seed: number;
+	readonly controls: number;
+	readonly history: History;
+	readonly violations: readonly Violation[];
+	/** Longest time for which this process was not able to observe, in milliseconds. */
+	readonly longestBlindMilliseconds: number;
+};
+
+/**
+ * Plays a run and checks its history.
+ * @param options - Seed, length and program.
+ */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+	const {seed} = options;
+	// Random numbers of their own, so that the requests of the callers do not change the schedule.
+	const scheduleRandom = createStream(seed, 'schedule');
+	const secondScheduleRandom = createStream(seed, 'second schedule');
+	const controls = seed % 2 === 0 ? 3 : 5;
+	const history = createHistory();
+	const world = await startWorld({
+		controls, program: options.program, lane: options.lane ?? 0, history, seed,
+	});
+	const blindness = monitorEventLoopDelay();
+	blindness.enable();
+	try {
+		const endsAt = history.now() + (options.seconds * 1000);
+		while (history.now() < endsAt) {
+			await playScene(planScene(scheduleRandom, secondScheduleRandom), world, history);
+		}
+
+		await playSteadyEnd(world, history);
+		await world.stopCallers();
+		const violations = findViolations(history);
+		if (violations.length > 0) {
+			world.system.saveLogs(options.logFolder);
+		}
+
+		return {
+			seed, controls, history, violations, longestBlindMilliseconds: Math.round(blindness.max / 1e6),
+		};
+	} finally {
+		blindness.disable();
+		await world.stop();
+	}
+}
