Pass on no success without the server's one signature

Callers could get a success without the signature, or with two, when a server's head was damaged or had lost it.

Cause: the entry never looked at the signature; an answer with the id of its request was passed on.

Ruled out: two ids, two lengths, a length together with chunks (all refused before).

Change: the dialect may name a header that proves that a success is the server's. A success must carry it exactly once, another response at most once; otherwise the attempt fails as `answer-unproven` (the request may have run: 502, or another attempt if it may run again), and nothing that the head states is used. The default dialect has no such header.

--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -14,7 +14,9 @@
 import {getResponseHeaders} from './headers.js';
 import {type Pool} from './pool.js';
 import {isWellFormedHead, type ResponseHead} from './response-head.js';
-import {isOwnResponse, isProvenResponse, type ResponseOrigin} from './response-origin.js';
+import {
+	hasRequiredProof, isOwnResponse, isProvenResponse, type ResponseOrigin,
+} from './response-origin.js';
 import {startServerRequest} from './server-request.js';
 
 /** Outcome of an attempt. */
@@ -49,10 +51,10 @@
 };
 
 /** Reason for a failed attempt. */
-type FailureReason = 'deadline' | 'connection-lost' | 'answer-truncated' | 'answer-mismatched' | 'answer-malformed' | 'bad-request' | 'body-too-large';
+type FailureReason = 'deadline' | 'connection-lost' | 'answer-truncated' | 'answer-mismatched' | 'answer-malformed' | 'answer-unproven' | 'bad-request' | 'body-too-large';
 
 /** Reasons that do not indicate that the server has crashed. */
-const harmlessReasons: ReadonlySet<FailureReason> = new Set(['deadline', 'answer-mismatched', 'answer-malformed', 'bad-request', 'body-too-large']);
+const harmlessReasons: ReadonlySet<FailureReason> = new Set(['deadline', 'answer-mismatched', 'answer-malformed', 'answer-unproven', 'bad-request', 'body-too-large']);
 
 /** Maximum number of informational responses to one request; a server that sends more never comes to its response. */
 const maximumInformationalResponses = 16;
@@ -181,6 +183,11 @@
 			return;
 		}
 
+		if (!hasRequiredProof(dialect, response)) {
+			fail('answer-unproven');
+			return;
+		}
+
 		options.onReport(dialect.getReport(response.headers, response.statusCode!));
 		const head: ResponseHead = {status: response.statusCode!, headers: getResponseHeaders(dialect, response), isCloseDelimited: !isSelfDelimited(response, options.method)};
 		if (dialect.isNotRun(head.status, response.headers)) {
--- a/source/entry/dialect.ts
+++ b/source/entry/dialect.ts
@@ -38,6 +38,8 @@
 	readonly repeatsRequestId: 'always' | 'optionally';
 	/** Header with the name of the server that should run the request, if the dialect has one. */
 	readonly serverHeader: string | undefined;
+	/** Header that each successful response of a server carries once, as the proof that it is the server's, if the dialect has one. */
+	readonly proofHeader: string | undefined;
 	/** Whether responses of the entry itself carry the verdict in headers. */
 	readonly hasVerdictHeaders: boolean;
 	/** Response headers of servers that are not forwarded to callers. */
@@ -88,6 +90,7 @@
 	keepsRequestId: false,
 	repeatsRequestId: 'optionally',
 	serverHeader: undefined,
+	proofHeader: undefined,
 	hasVerdictHeaders: true,
 	hiddenResponseHeaders: new Set([stateHeader, loadHeader, requestIdHeader]),
 	getReport(headers, status) {
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -490,6 +490,7 @@
 		case 'answer-malformed':
 		case 'answer-mismatched':
 		case 'answer-truncated':
+		case 'answer-unproven':
 		case 'connection-lost':
 		case 'crashes-servers':
 		case 'deadline':
--- a/source/entry/response-origin.ts
+++ b/source/entry/response-origin.ts
@@ -1,4 +1,4 @@
-/** Checks that a response belongs to the request to which it was read as the response. */
+/** Checks that a response belongs to the request to which it was read as the response, and that it is the server's. */
 import {type IncomingMessage} from 'node:http';
 import {type Dialect} from './dialect.js';
 import {type Pool} from './pool.js';
@@ -25,6 +25,24 @@
 	return getRepeatedId(origin) === origin.requestId;
 }
 
+/**
+ * Checks whether a response carries the proof that its status requires: a success exactly one, another response one at most.
+ * @param dialect - Header dialect of the server.
+ * @param response - Response whose head has arrived.
+ */
+export function hasRequiredProof({proofHeader}: Dialect, response: IncomingMessage): boolean {
+	if (proofHeader === undefined) {
+		return true;
+	}
+
+	const proofs = response.headersDistinct[proofHeader] ?? [];
+	return proofs.length === 0 ? !isSuccess(response) : proofs.length === 1 && proofs[0] !== '';
+}
+
+function isSuccess({statusCode = 0}: IncomingMessage): boolean {
+	return statusCode >= 200 && statusCode < 300;
+}
+
 /** Gets the id that a response repeats; several ones together are the id of no request. */
 function getRepeatedId({dialect, response}: ResponseOrigin): string | undefined {
 	const repeatedId = response.headers[dialect.requestIdHeader];
--- a/source/verdict/verdict.ts
+++ b/source/verdict/verdict.ts
@@ -30,6 +30,7 @@
 		| 'answer-malformed'
 		| 'answer-mismatched'
 		| 'answer-truncated'
+		| 'answer-unproven'
 		| 'bad-request'
 		| 'body-too-large'
 		| 'connection-lost'
@@ -167,6 +168,7 @@
 		case 'answer-malformed':
 		case 'answer-mismatched':
 		case 'answer-truncated':
+		case 'answer-unproven':
 		case 'caller-left':
 		case 'connection-lost':
 		case 'internal-error': {
--- a/stand-in/entry-bed.ts
+++ b/stand-in/entry-bed.ts
@@ -142,7 +142,7 @@
 			readHeads(socket, request => {
 				if (request.target === '/health' || isWarmingUp) {
 					const idHeader = options.repeatsIds === false ? '' : `request-id: ${request.headers['request-id'] ?? ''}\r\n`;
-					socket.write(`HTTP/1.1 200 OK\r\n${idHeader}content-length: 0\r\n\r\n`);
+					socket.write(`HTTP/1.1 200 OK\r\n${idHeader}upstream-signature: one\r\ncontent-length: 0\r\n\r\n`);
 					return;
 				}
 
