Close a load query's connection on which a server sends data unasked

Callers saw nothing of it, but their requests were steered by loads of an earlier time.

Cause: the connections of load queries were kept without the check that pools have. A reply that a server wrote once more, while the connection was idle, was read as the reply to the next query on it, and so on.

Ruled out: a copy that arrives together with the first reply (Node closes the connection), a reply of another server at the address (its name is checked).

Change: the check of idle connections is a module of its own, which pools and the load querier use. Load queries still carry no id, since the protocol's example of a reply shows none.

Remains: a copy that arrives between a query and its reply is still read as that reply. It does not shift the later ones: the reply proper then finds the connection idle.

--- a/source/entry/load-querier.test.ts
+++ b/source/entry/load-querier.test.ts
@@ -1,6 +1,8 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
+import {createServer as createRawServer, type Socket} from 'node:net';
 import {describe, test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
 import {announcementSchema} from '../announcement/index.js';
 import {createCandidate} from '../choice/index.js';
@@ -57,3 +59,76 @@
 		await doTest('two', {readings: 0, missed: 1});
 	});
 });
+
+// Guards against a load of an earlier time that steers requests, from a reply that a server writes twice.
+describe('createLoadQuerier: a reply that a server writes once more', () => {
+	/** Queries a server several times that reports how many queries it has got, and gets the reported numbers. */
+	async function getReadings(repeat: (socket: Socket, reply: string) => void): Promise<readonly number[]> {
+		let count = 0;
+		const sockets = new Set<Socket>();
+		const server = createRawServer(socket => {
+			sockets.add(socket);
+			socket.on('data', () => {
+				count++;
+				const reply = `HTTP/1.1 200 OK\r\nx-count: ${count}\r\ncontent-length: 0\r\n\r\n`;
+				socket.write(reply);
+				repeat(socket, reply);
+			});
+			socket.on('error', () => {
+				socket.destroy();
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const {port} = server.address() as {readonly port: number};
+		const querier = createLoadQuerier({
+			dialect: {
+				...defaultDialect, getReport: (headers, status) => ({
+					...dialect.getReport(headers, status), load: {
+						running: Number(headers['x-count']), waiting: 0, slots: 4, slowness: 1,
+					},
+				}),
+			}, getPath: () => '/', onReport() {
+				// Server reports are ignored here.
+			}, onMiss() {
+				// Misses are seen by the readings.
+			}, onResult() {
+				// Results are not counted here.
+			},
+		});
+		const candidate = createCandidate(1, announcementSchema.parse({
+			service: 'stock', name: 'one', host: '127.0.0.1', port, zone: 'north', slots: 4, connections: 100, boot: 'b', state: 'warm',
+		}), 'warm');
+		const numbers: number[] = [];
+		for (let index = 0; index < 4; index++) {
+			const readings = await new Promise<readonly CandidateReading[]>(resolve => {
+				querier.query({
+					candidates: [candidate], waitMilliseconds: 1000, isSufficient: () => true, onReadings: resolve,
+				});
+			});
+			numbers.push(...readings.map(({reading}) => reading.running));
+			await delay(20);
+		}
+
+		querier.close();
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		return numbers;
+	}
+
+	test('at once does not count as the reply to the next query', async () => {
+		expect(await getReadings((socket, reply) => {
+			socket.write(reply);
+		})).toEqual([1, 2, 3, 4]);
+	});
+	test('later, while the connection is idle, does not count as the reply to the next query', async () => {
+		expect(await getReadings((socket, reply) => {
+			setTimeout(() => {
+				socket.write(reply);
+			}, 5);
+		})).toEqual([1, 2, 3, 4]);
+	});
+});
--- a/source/entry/load-querier.ts
+++ b/source/entry/load-querier.ts
@@ -7,6 +7,7 @@
 import {getExpectedSlowdown, type Candidate, type LoadReading} from '../choice/index.js';
 import {type Dialect, type ServerReport} from './dialect.js';
 import {discardBody} from './discard.js';
+import {guardIdleSockets} from './idle-sockets.js';
 import {startServerRequest} from './server-request.js';
 
 /** Time after which a query counts as lost and its connection is closed. */
@@ -66,6 +67,7 @@
 	const agent = new Agent({
 		keepAlive: true, maxSockets: connectionsPerServer, maxFreeSockets: connectionsPerServer, scheduling: 'lifo',
 	});
+	guardIdleSockets(agent);
 
 	function queryOne(candidate: Candidate, onReading: (reading: LoadReading | undefined) => void): void {
 		const {host, port, service, name} = candidate.getAnnouncement();
--- a/source/entry/pool.ts
+++ b/source/entry/pool.ts
@@ -1,11 +1,11 @@
 /**
  * Keep-alive connections to one server. A request is assigned its socket only once the socket is
  * connected, so that the lease is checked in the same event-loop turn that writes the first byte.
- * An idle socket that receives data is destroyed.
  */
-import {Agent, type AgentOptions, type ClientRequest} from 'node:http';
+import {Agent, type AgentOptions} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
+import {guardIdleSockets} from './idle-sockets.js';
 
 const connectTimeoutMilliseconds = 1000;
 
@@ -15,15 +15,8 @@
 type AgentMethods = {
 	getName(): string;
 	createConnection(options: unknown, callback: SocketCallback): undefined;
-	keepSocketAlive(socket: Socket): boolean;
-	reuseSocket(socket: Socket, request: ClientRequest): void;
 };
 
-/** Destroys an idle socket on which the server sends unsolicited data. */
-function destroyOnIdleData(this: Socket): void {
-	this.destroy();
-}
-
 /** Time before the server's idle timeout at which the pool closes an idle connection, in milliseconds. */
 const idleMarginMilliseconds = 2000;
 
@@ -62,30 +55,15 @@
 
 function createAgent(host: string, port: number, options: AgentOptions): Agent {
 	const agent = new Agent(options);
-	const original = agent as unknown as AgentMethods;
-	const keepSocketAlive = original.keepSocketAlive.bind(agent);
-	const reuseSocket = original.reuseSocket.bind(agent);
 	const methods: AgentMethods = {
 		getName: () => '',
 		createConnection(_options, callback) {
 			connectSocket(host, port, callback);
 			return undefined;
 		},
-		keepSocketAlive(socket) {
-			const isKept = keepSocketAlive(socket);
-			if (isKept) {
-				socket.on('data', destroyOnIdleData);
-				shortenIdleTimeout(socket);
-			}
-
-			return isKept;
-		},
-		reuseSocket(socket, request) {
-			socket.off('data', destroyOnIdleData);
-			reuseSocket(socket, request);
-		},
 	};
 	Object.assign(agent, methods);
+	guardIdleSockets(agent, shortenIdleTimeout);
 	return agent;
 }
 
