--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -19,7 +19,7 @@
 import {type Pool} from './pool.js';
 import {isWellFormedHead, type ResponseHead} from './response-head.js';
 import {
-	getRepeatedId, isOwnResponse, isProvenResponse, type ResponseOrigin,
+	getRepeatedId, hasRequiredProof, isOwnResponse, isProvenResponse, type ResponseOrigin,
 } from './response-origin.js';
 import {limitTurns} from './turn-limit.js';
 import {startServerRequest} from './server-request.js';
@@ -60,13 +60,13 @@
 };
 
 /** Reason for a failed attempt. */
-type FailureReason = 'deadline' | 'connection-lost' | 'answer-truncated' | 'answer-mismatched' | 'answer-malformed' | 'bad-request' | 'body-too-large';
+type FailureReason = 'deadline' | 'connection-lost' | 'answer-truncated' | 'answer-mismatched' | 'answer-malformed' | 'answer-unproven' | 'bad-request' | 'body-too-large';
 
 /** Reasons for which an answer that was read does not count. */
-const discardReasons: ReadonlySet<string> = new Set<DiscardReason>(['answer-malformed', 'answer-mismatched', 'answer-truncated']);
+const discardReasons: ReadonlySet<string> = new Set<DiscardReason>(['answer-malformed', 'answer-mismatched', 'answer-truncated', 'answer-unproven']);
 
 /** Reasons that do not indicate that the server has crashed. */
-const harmlessReasons: ReadonlySet<FailureReason> = new Set(['deadline', 'answer-mismatched', 'answer-malformed', 'bad-request', 'body-too-large']);
+const harmlessReasons: ReadonlySet<FailureReason> = new Set(['deadline', 'answer-mismatched', 'answer-malformed', 'answer-unproven', 'bad-request', 'body-too-large']);
 
 /** Maximum number of informational responses to one request; a server that sends more never comes to its response. */
 const maximumInformationalResponses = 16;
@@ -215,6 +215,11 @@
 			return;
 		}
 
+		if (!hasRequiredProof(dialect, response)) {
+			fail('answer-unproven');
+			return;
+		}
+
 		options.onReport(dialect.getReport(response.headers, response.statusCode!));
 		const head: ResponseHead = {status: response.statusCode!, headers: getResponseHeaders(dialect, response), isCloseDelimited: !isSelfDelimited(response, options.method)};
 		if (dialect.isNotRun(head.status, response.headers)) {
--- a/source/entry/discarded-answers.ts
+++ b/source/entry/discarded-answers.ts
@@ -11,7 +11,7 @@
 
 /** Reason to discard an answer. */
 export type DiscardReason
-	= | 'answer-malformed' | 'answer-mismatched' | 'answer-truncated'
+	= | 'answer-malformed' | 'answer-mismatched' | 'answer-truncated' | 'answer-unproven'
 	/** The server sent data that cannot be parsed. */
 		| 'answer-unparsable'
 	/** The server sent data on a connection without a request. */
--- a/source/entry/pool.ts
+++ b/source/entry/pool.ts
@@ -1,13 +1,13 @@
 /**
  * Keep-alive connections to one server. A request is assigned its socket only once the socket is
  * connected, so that the lease is checked in the same event-loop turn that writes the first byte.
- * An idle socket that receives data is destroyed.
  */
-import {Agent, type AgentOptions, type ClientRequest} from 'node:http';
+import {Agent, type AgentOptions} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {type Duplex} from 'node:stream';
 import {createConnectionHistories, type ConnectionHistories, type ConnectionHistory} from './connection-history.js';
+import {guardIdleSockets} from './idle-sockets.js';
 
 const connectTimeoutMilliseconds = 1000;
 
@@ -17,8 +17,6 @@
 type AgentMethods = {
 	getName(): string;
 	createConnection(options: unknown, callback: SocketCallback): undefined;
-	keepSocketAlive(socket: Socket): boolean;
-	reuseSocket(socket: Socket, request: ClientRequest): void;
 };
 
 /** Time before the server's idle timeout at which the pool closes an idle connection, in milliseconds. */
@@ -58,37 +56,16 @@
 }
 
 function createAgent(host: string, port: number, options: AgentOptions, onIdleData: (socket: Socket) => void): Agent {
-	/** Destroys an idle socket on which the server sends unsolicited data. */
-	function destroyOnIdleData(this: Socket): void {
-		onIdleData(this);
-		this.destroy();
-	}
-
 	const agent = new Agent(options);
-	const original = agent as unknown as AgentMethods;
-	const keepSocketAlive = original.keepSocketAlive.bind(agent);
-	const reuseSocket = original.reuseSocket.bind(agent);
 	const methods: AgentMethods = {
 		getName: () => '',
 		createConnection(_options, callback) {
 			connectSocket(host, port, callback);
 			return undefined;
 		},
-		keepSocketAlive(socket) {
-			const isKept = keepSocketAlive(socket);
-			if (isKept) {
-				socket.on('data', destroyOnIdleData);
-				shortenIdleTimeout(socket);
-			}
-
-			return isKept;
-		},
-		reuseSocket(socket, request) {
-			socket.off('data', destroyOnIdleData);
-			reuseSocket(socket, request);
-		},
 	};
 	Object.assign(agent, methods);
+	guardIdleSockets(agent, {onIdle: shortenIdleTimeout, onData: onIdleData});
 	return agent;
 }
 
