--- a/source/storage/index.ts
+++ b/source/storage/index.ts
@@ -1,4 +1,5 @@
 export * from './data-folder.js';
 export * from './record.js';
+export type {SnapshotCodec} from './snapshot-files.js';
 export * from './store.js';
 export * from './files.js';
--- a/source/storage/store.ts
+++ b/source/storage/store.ts
@@ -4,16 +4,19 @@
  * the hard state and the entries after the snapshot, and the old files are removed. While the replica runs,
  * all disk access is asynchronous, because a slow disk that blocked the event loop would delay heartbeats and leases.
  */
-import {readdirSync, readFileSync} from 'node:fs';
+import {readFileSync} from 'node:fs';
 import {type FileHandle} from 'node:fs/promises';
 import path from 'node:path';
-import {setImmediate} from 'node:timers/promises';
 import {
 	type Action, type HardState, type LogEntry, type Snapshot,
 } from '../consensus/index.js';
+import {
+	listFileNumbers, removeTemporaryFiles, syncFolder, writeAll, writeFileAtomically,
+} from './durable-files.js';
 import {isDiskFull, realFiles, type Files} from './files.js';
-import {CorruptionError, encodeRecord, readRecords} from './record.js';
-import {createSpaceReserve, reserveName} from './space-reserve.js';
+import {encodeRecord, readRecords} from './record.js';
+import {createSnapshotFiles, singlePartCodec, type SnapshotCodec} from './snapshot-files.js';
+import {createSpaceReserve} from './space-reserve.js';
 
 /** An action that changes durable state. */
 export type PersistAction = Extract<Action, {readonly kind: 'persistState' | 'persistEntries' | 'persistSnapshot'}>;
@@ -29,12 +32,6 @@
 	readonly entries: readonly LogEntry[];
 };
 
-/** Splits the contents of a snapshot into parts, each of which is encoded in its own turn of the event loop, and joins them again. */
-export type SnapshotCodec = {
-	split(data: unknown): Iterable<unknown>;
-	join(parts: Iterable<unknown>): unknown;
-};
-
 /** What the storage did to a data folder when it opened it after a crash. */
 export type Recovery = {
 	/** Bytes of an incomplete record that were removed from the end of the log. */
@@ -56,17 +53,8 @@
 	close(): Promise<void>;
 };
 
-type SnapshotTrailer = Omit<Snapshot, 'data'> & {readonly parts: number};
-
-const singlePartCodec: SnapshotCodec = {
-	split: data => [data],
-	join: parts => [...parts][0],
-};
-
-const temporarySuffix = '.new';
 const minimumReserveBytes = 131_072;
 const logPattern = /^log-(?<generation>\d{9})\.bin$/v;
-const snapshotPattern = /^snapshot-(?<index>\d{15})\.bin$/v;
 
 /**
  * Opens the storage of a replica, truncates an incomplete record at the end of its log, and starts a new log if the old one does not lead up to the snapshot.
@@ -79,7 +67,8 @@
 	await syncFolder(files, path.dirname(folder));
 	await removeTemporaryFiles(files, folder);
 	const reserve = createSpaceReserve(folder, files);
-	const snapshot = readNewestSnapshot(folder, codec);
+	const snapshots = createSnapshotFiles({folder, codec, files});
+	const snapshot = snapshots.readNewest();
 	const generations = listFileNumbers(folder, logPattern);
 	let generation = generations.at(-1) ?? 0;
 	let state: HardState = {term: 0, votedFor: undefined};
@@ -170,27 +159,8 @@
 		}
 	}
 
-	function getSnapshotPath(index: number): string {
-		return path.join(folder, `snapshot-${String(index).padStart(15, '0')}.bin`);
-	}
-
 	async function writeSnapshot(newSnapshot: Snapshot): Promise<void> {
-		const {data, ...trailer} = newSnapshot;
-		let bytes = 0;
-		await writeFileAtomically(files, folder, getSnapshotPath(newSnapshot.index), async temporaryFile => {
-			let parts = 0;
-			for (const part of codec.split(data)) {
-				const record = encodeRecord(part);
-				await writeAll(temporaryFile, record);
-				bytes += record.length;
-				parts++;
-				await setImmediate();
-			}
-
-			// The trailer is written last, so that an incomplete file is recognized by its absence.
-			await writeAll(temporaryFile, encodeRecord({...trailer, parts}));
-		});
-		snapshotBytes = bytes;
+		snapshotBytes = await snapshots.write(newSnapshot);
 		preparedSnapshotIndex = newSnapshot.index;
 	}
 
@@ -219,12 +189,7 @@
 
 		entries = [...getEntriesAfterSnapshot(entries, newSnapshot)];
 		await rotateLog();
-		for (const index of listFileNumbers(folder, snapshotPattern)) {
-			if (index < newSnapshot.index) {
-				await files.unlink(getSnapshotPath(index));
-			}
-		}
-
+		await snapshots.removeOlder(newSnapshot.index);
 		await reserve.fill(getReserveBytes());
 	}
 
@@ -286,72 +251,3 @@
 
 	return isContinuous(entries, snapshot) ? entries.filter(entry => entry.index > snapshot.index) : [];
 }
-
-function readNewestSnapshot(folder: string, codec: SnapshotCodec): Snapshot | undefined {
-	const newest = listFileNumbers(folder, snapshotPattern).at(-1);
-	if (newest === undefined) {
-		return undefined;
-	}
-
-	const file = path.join(folder, `snapshot-${String(newest).padStart(15, '0')}.bin`);
-	const {values} = readRecords(file, readFileSync(file));
-	const trailer = values.at(-1) as SnapshotTrailer | undefined;
-	if (trailer?.parts !== values.length - 1) {
-		throw new CorruptionError(`${file}: the snapshot is damaged; replace this host's data folder`);
-	}
-
-	const {parts: _, ...rest} = trailer;
-	return {...rest, data: codec.join(values.slice(0, -1))};
-}
-
-function listFileNumbers(folder: string, pattern: RegExp): readonly number[] {
-	return readdirSync(folder)
-		.map(name => pattern.exec(name)?.slice(1)[0])
-		.filter(match => match !== undefined)
-		.map(Number)
-		.toSorted((left, right) => left - right);
-}
-
-/** Writes all bytes of a record at a position, by default the current position of the file. */
-async function writeAll(file: FileHandle, record: Uint8Array, position?: number): Promise<void> {
-	let writtenBytes = 0;
-	while (writtenBytes < record.length) {
-		const writePosition = position === undefined ? undefined : position + writtenBytes;
-		const {bytesWritten} = await file.write(record, writtenBytes, record.length - writtenBytes, writePosition);
-		writtenBytes += bytesWritten;
-	}
-}
-
-/** Writes a file under a temporary name, and gives it its final name when it is synced. Removes the temporary file after an error. */
-async function writeFileAtomically(files: Files, folder: string, file: string, write: (temporaryFile: FileHandle) => Promise<void>): Promise<void> {
-	const temporaryName = `${file}${temporarySuffix}`;
-	const temporaryFile = await files.open(temporaryName, 'w');
-	try {
-		await write(temporaryFile);
-		await temporaryFile.sync();
-	} catch (error) {
-		await temporaryFile.close();
-		await files.unlink(temporaryName);
-		throw error;
-	}
-
-	await temporaryFile.close();
-	await files.rename(temporaryName, file);
-	await syncFolder(files, folder);
-}
-
-/** Removes the files that an earlier process did not complete, and its reserve. */
-async function removeTemporaryFiles(files: Files, folder: string): Promise<void> {
-	for (const name of readdirSync(folder)) {
-		if (name.endsWith(temporarySuffix) || name === reserveName) {
-			await files.unlink(path.join(folder, name));
-		}
-	}
-}
-
-/** Syncs a folder, which makes created and renamed files in it durable. */
-async function syncFolder(files: Files, folder: string): Promise<void> {
-	const directory = await files.open(folder, 'r');
-	await directory.sync();
-	await directory.close();
-}
