--- a/source/announcement/index.ts
+++ b/source/announcement/index.ts
@@ -1,3 +1,4 @@
 export * from './announcement.js';
 export * from './liveness-tracker.js';
 export * from './registry.js';
+export * from './server-key.js';
--- a/source/announcement/registry.ts
+++ b/source/announcement/registry.ts
@@ -4,9 +4,9 @@
  */
 import {Maybe} from 'true-myth';
 import {type Announcement} from './announcement.js';
-
-/** Key of a server, unique across services: `service/name`. */
-export type ServerKey = string;
+import {createDepartures, type DeparturesSnapshot} from './departures.js';
+import {createServerIndex} from './server-index.js';
+import {getServerKey, type ServerKey} from './server-key.js';
 
 /** State of a server as committed by the control hosts. */
 export type ServerState = 'cold' | 'warm' | 'leaving';
@@ -40,13 +40,9 @@
 export type RegistrySnapshot = {
 	readonly nextId: number;
 	readonly servers: readonly RegisteredServer[];
-	/** Start time of the latest departed boot, by server key, or by server name if its service was unknown. */
-	readonly departed?: ReadonlyArray<readonly [string, number]>;
+	readonly departed?: DeparturesSnapshot;
 };
 
-/** Maximum number of stored departures; the oldest are evicted first. */
-const maximumDepartures = 2000;
-
 /** Registry of servers. */
 export type Registry = {
 	/**
@@ -69,14 +65,6 @@
 	restore(snapshot: RegistrySnapshot): void;
 };
 
-/**
- * Gets the key of a server.
- * @param announcement - Announcement of the server.
- */
-export function getServerKey(announcement: Announcement): ServerKey {
-	return `${announcement.service}/${announcement.name}`;
-}
-
 /**
  * Checks whether an announcement changes the replicated state of a server.
  * @param registered - Registered server.
@@ -91,38 +79,14 @@
 
 /** Creates an empty registry. */
 export function createRegistry(): Registry {
-	let servers = new Map<ServerKey, RegisteredServer>();
-	let byId = new Map<number, RegisteredServer>();
-	const byAddress = new Map<string, ServerKey>();
-	const byName = new Map<string, ServerKey>();
-	let departedBoots = new Map<string, number>();
+	const servers = createServerIndex();
+	const departures = createDepartures();
 	let nextId = 1;
 	let currentIndex: number | undefined;
 
-	function getByAddress(announcement: Announcement): RegisteredServer | undefined {
-		return servers.get(byAddress.get(getAddress(announcement)) ?? '');
-	}
-
-	/** Indexes a server by address and name, replacing an earlier server with the same address or name. */
-	function addToIndexes(server: RegisteredServer): void {
-		byAddress.set(getAddress(server.announcement), server.key);
-		byName.set(server.announcement.name, server.key);
-	}
-
-	function removeFromIndexes({key, announcement}: RegisteredServer): void {
-		const address = getAddress(announcement);
-		if (byAddress.get(address) === key) {
-			byAddress.delete(address);
-		}
-
-		if (byName.get(announcement.name) === key) {
-			byName.delete(announcement.name);
-		}
-	}
-
 	/** Checks whether the address belongs to another server that started later. */
 	function isReplaced(announcement: Announcement): boolean {
-		const current = getByAddress(announcement);
+		const current = servers.getByAddress(announcement);
 		return current !== undefined && current.key !== getServerKey(announcement) && (current.announcement.bornAt ?? 0) > (announcement.bornAt ?? 0);
 	}
 
@@ -135,42 +99,27 @@
 		const key = getServerKey(announcement);
 		const registered = servers.get(key)?.announcement;
 		const isOlder = registered?.bornAt !== undefined && (bornAt < registered.bornAt || (bornAt === registered.bornAt && (announcement.sequence ?? 0) < (registered.sequence ?? 0)));
-		return isOlder || bornAt <= getLatestDepartedBoot(announcement) || isReplaced(announcement);
-	}
-
-	/** Gets the start time of the latest departed boot of a server, whether or not its service was known at the departure. */
-	function getLatestDepartedBoot(announcement: Announcement): number {
-		return Math.max(departedBoots.get(getServerKey(announcement)) ?? Number.NEGATIVE_INFINITY, departedBoots.get(announcement.name) ?? Number.NEGATIVE_INFINITY);
-	}
-
-	function recordDeparture(key: string, bornAt: number): void {
-		const latestBornAt = Math.max(bornAt, departedBoots.get(key) ?? bornAt);
-		departedBoots.delete(key);
-		departedBoots.set(key, latestBornAt);
-		if (departedBoots.size > maximumDepartures) {
-			const [oldest] = departedBoots.keys();
-			departedBoots.delete(oldest!);
-		}
+		return isOlder || bornAt <= departures.getLatestBoot(announcement) || isReplaced(announcement);
 	}
 
 	/** Removes the server whose address is now used by a later boot of another server. */
 	function removeReplaced(announcement: Announcement): readonly RegisteredServer[] {
-		const current = announcement.bornAt === undefined ? undefined : getByAddress(announcement);
+		const current = announcement.bornAt === undefined ? undefined : servers.getByAddress(announcement);
 		if (current === undefined || current.key === getServerKey(announcement)) {
 			return [];
 		}
 
-		recordDeparture(current.key, current.announcement.bornAt ?? 0);
+		departures.record(current.key, current.announcement.bornAt ?? 0);
 		return remove(current.id);
 	}
 
 	/** Removes a server that has left, and records its departure so that late announcements of the boot are ignored. */
 	function removeDeparted(name: string, bornAt: number | undefined): readonly RegisteredServer[] {
-		const server = servers.get(byName.get(name) ?? '');
+		const server = servers.get(servers.getKeyByName(name) ?? '');
 		if (server === undefined) {
 			// The first announcement of the server may still be in transit.
 			if (bornAt !== undefined) {
-				recordDeparture(name, bornAt);
+				departures.record(name, bornAt);
 			}
 
 			return [];
@@ -180,30 +129,19 @@
 			return [];
 		}
 
-		recordDeparture(server.key, bornAt ?? server.announcement.bornAt ?? 0);
+		departures.record(server.key, bornAt ?? server.announcement.bornAt ?? 0);
 		return remove(server.id);
 	}
 
 	function markZoneCold(zone: string, at: number): readonly RegisteredServer[] {
-		const warm = [...servers.values()].filter(server => server.announcement.zone === zone && server.state === 'warm');
+		const warm = [...servers.getAll()].filter(server => server.announcement.zone === zone && server.state === 'warm');
 		return warm.flatMap(server => setServer({...server, state: 'cold', since: at}));
 	}
 
 	function setServer(changed: RegisteredServer): readonly RegisteredServer[] {
 		const {changedAt: _, ...rest} = changed;
 		const server: RegisteredServer = currentIndex === undefined ? rest : {...rest, changedAt: currentIndex};
-		const previous = servers.get(server.key);
-		if (previous !== undefined && previous.id !== server.id) {
-			byId.delete(previous.id);
-		}
-
-		if (previous !== undefined) {
-			removeFromIndexes(previous);
-		}
-
-		addToIndexes(server);
-		servers.set(server.key, server);
-		byId.set(server.id, server);
+		const previous = servers.set(server);
 		return previous === undefined || previous.id === server.id ? [server] : [previous, server];
 	}
 
@@ -231,7 +169,7 @@
 	}
 
 	function transition(id: number, from: ServerState, to: ServerState, at: number): readonly RegisteredServer[] {
-		const server = byId.get(id);
+		const server = servers.getById(id);
 		return server?.state === from ? setServer({...server, state: to, since: at}) : [];
 	}
 
@@ -241,14 +179,12 @@
 	}
 
 	function remove(id: number): readonly RegisteredServer[] {
-		const server = byId.get(id);
+		const server = servers.getById(id);
 		if (server === undefined) {
 			return [];
 		}
 
-		byId.delete(id);
-		servers.delete(server.key);
-		removeFromIndexes(server);
+		servers.remove(server);
 		return [server];
 	}
 
@@ -281,9 +217,9 @@
 				}
 
 				case 'removed': {
-					const server = byId.get(command.id);
+					const server = servers.getById(command.id);
 					if (server?.state === 'leaving' && server.announcement.bornAt !== undefined) {
-						recordDeparture(server.key, server.announcement.bornAt);
+						departures.record(server.key, server.announcement.bornAt);
 					}
 
 					return remove(command.id);
@@ -291,7 +227,7 @@
 			}
 		},
 		isStale,
-		getKeyByName: name => Maybe.of(byName.get(name)),
+		getKeyByName: name => Maybe.of(servers.getKeyByName(name)),
 		isTransition(announcement) {
 			if (isStale(announcement)) {
 				return false;
@@ -301,29 +237,21 @@
 			return registered === undefined || isTransition(registered, announcement);
 		},
 		get: key => Maybe.of(servers.get(key)),
-		getById: id => Maybe.of(byId.get(id)),
-		getAll: () => servers.values(),
-		getSize: () => servers.size,
-		takeSnapshot: () => ({nextId, servers: [...servers.values()], ...(departedBoots.size > 0 ? {departed: [...departedBoots]} : {})}),
+		getById: id => Maybe.of(servers.getById(id)),
+		getAll: servers.getAll,
+		getSize: servers.getSize,
+		takeSnapshot() {
+			const departed = departures.takeSnapshot();
+			return {nextId, servers: [...servers.getAll()], ...(departed.length > 0 ? {departed} : {})};
+		},
 		restore(snapshot) {
 			nextId = snapshot.nextId;
-			servers = new Map(snapshot.servers.map(server => [server.key, server]));
-			departedBoots = new Map(snapshot.departed);
-			byAddress.clear();
-			byName.clear();
-			for (const server of servers.values()) {
-				addToIndexes(server);
-			}
-
-			byId = new Map(snapshot.servers.map(server => [server.id, server]));
+			servers.restore(snapshot.servers);
+			departures.restore(snapshot.departed ?? []);
 		},
 	};
 }
 
-function getAddress({host, port}: Announcement): string {
-	return `${host} ${port}`;
-}
-
 function hasSameRegistration(left: Announcement, right: Announcement): boolean {
 	return left.host === right.host
 		&& left.port === right.port
