Remove the circles between imports

`choice/load-reading.ts` and `entry/request-context.ts` hold the types that two files imported from each other. No change of behaviour: only types move.

--- a/source/choice/admission.ts
+++ b/source/choice/admission.ts
@@ -5,7 +5,7 @@
  * the knee by one. Late requests are admitted only to servers well below it, because a response that meets its target is
  * worth more to its caller than a late one.
  */
-import {type LoadReading} from './load-query.js';
+import {type LoadReading} from './load-reading.js';
 
 /** Share of the slots of a server beyond which its own load slows it down. */
 export const kneeShare = 0.8;
--- a/source/choice/load-query.ts
+++ b/source/choice/load-query.ts
@@ -7,15 +7,7 @@
 import {type Random} from '../randomness/index.js';
 import {type Candidate} from './candidate.js';
 import {isBelowKnee, kneeSlowdown, kneeShare} from './admission.js';
-
-/** Load of a server at one moment, as reported by the server. */
-export type LoadReading = {
-	readonly running: number;
-	readonly waiting: number;
-	readonly slots: number;
-	/** Current duration of work, as a multiple of the usual duration. */
-	readonly slowness: number;
-};
+import {type LoadReading} from './load-reading.js';
 
 /** Maximum slowness of an uncongested server; beyond it, querying another server costs less time than it saves. */
 const maximumUncongestedSlowness = 1.5;
--- /dev/null
+++ b/source/entry/request-context.ts
@@ -0,0 +1,47 @@
+/** What all requests of an entry share. */
+import {type ByteBudget} from '../bytes/index.js';
+import {type Candidate} from '../choice/index.js';
+import {type Service} from '../configuration/index.js';
+import {type LoadQueryBudget} from '../measuring/index.js';
+import {type Random} from '../randomness/index.js';
+import {type Verdict} from '../verdict/index.js';
+import {type Claims} from './claims.js';
+import {type CrashTracker} from './crash-tracker.js';
+import {type Dialect, type ServerReport} from './dialect.js';
+import {type Fleet} from './fleet.js';
+import {type LoadQuerier} from './load-querier.js';
+import {type EntryMetrics} from './metrics.js';
+import {type RequestTrace, type RequestTraceHead} from './request-log.js';
+
+/** Dependencies that all requests of an entry share. */
+export type RequestContext = {
+	readonly zone: string;
+	readonly dialect: Dialect;
+	readonly loadQuerier: LoadQuerier;
+	readonly queryBudget: LoadQueryBudget;
+	readonly random: Random;
+	readonly fleet: Fleet;
+	readonly claims: Claims;
+	readonly crashTracker: CrashTracker;
+	readonly metrics: EntryMetrics;
+	readonly maximumBodyBytes: number;
+	readonly maximumHeldBodyBytes: number;
+	readonly heldBodies: ByteBudget;
+	readonly maximumBufferedBytes: number;
+	readonly bufferedResponses: ByteBudget;
+	readonly maximumResponseBytes: number;
+	readonly maximumStoredBytes: number;
+	/** Checks whether the entry may accept and dispatch new requests. */
+	mayDispatch(now: number): boolean;
+	/** Called with the report that a server attaches to a response. */
+	onReport(candidate: Candidate, report: ServerReport): void;
+	/** Reports a crash and resolves to whether the request is quarantined from now on. */
+	reportCrash(fingerprint: string, server: number): Promise<boolean>;
+	createRequestId(): string;
+	/** Starts the trace of a request for the log. */
+	startTrace(head: Omit<RequestTraceHead, 'version'>): RequestTrace;
+	/** Called when an unexpected error ends a request. */
+	onInternalError(error: unknown, requestId: string): void;
+	/** Called when a request has ended. */
+	onRequestEnd(service: Service, verdict: Verdict, milliseconds: number): void;
+};
--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -10,7 +10,7 @@
 import {
 	startAttempt, type Attempt, type AttemptOutcome,
 } from './attempt.js';
-import {type RequestContext} from './request-handler.js';
+import {type RequestContext} from './request-context.js';
 import {type Claim} from './claims.js';
 import {type Exchange} from './caller-connections.js';
 import {type ServiceState} from './fleet.js';
--- a/source/entry/request-handler.ts
+++ b/source/entry/request-handler.ts
@@ -2,25 +2,17 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {type Candidate} from '../choice/index.js';
-import {type Service} from '../configuration/index.js';
-import {type LoadQueryBudget} from '../measuring/index.js';
-import {type Random} from '../randomness/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
-import {type ByteBudget} from '../bytes/index.js';
 import {sendVerdict, getRetrySpread, writeResponseHead} from './response.js';
 import {type Exchange} from './caller-connections.js';
-import {getRequestDigest, type Claim, type Claims} from './claims.js';
-import {type Fleet, type ServiceState} from './fleet.js';
-import {type LoadQuerier} from './load-querier.js';
-import {type Dialect, type ServerReport} from './dialect.js';
+import {getRequestDigest, type Claim} from './claims.js';
+import {type ServiceState} from './fleet.js';
 import {getRequestTime} from './headers.js';
 import {type RoutePolicy} from './router.js';
-import {type RequestTrace, type RequestTraceHead} from './request-log.js';
-import {type EntryMetrics} from './metrics.js';
 import {prepareBody} from './prepared-body.js';
+import {type RequestContext} from './request-context.js';
 import {dispatchRequest, type RequestContent} from './request-dispatch.js';
-import {getFingerprint, type CrashTracker} from './crash-tracker.js';
+import {getFingerprint} from './crash-tracker.js';
 
 const maximumKeyLength = 256;
 
@@ -30,39 +22,6 @@
 /** Share of the target latency after which a request that has not been dispatched is unlikely to meet the target. */
 const lateTargetShare = 0.5;
 
-/** Dependencies that all requests of an entry share. */
-export type RequestContext = {
-	readonly zone: string;
-	readonly dialect: Dialect;
-	readonly loadQuerier: LoadQuerier;
-	readonly queryBudget: LoadQueryBudget;
-	readonly random: Random;
-	readonly fleet: Fleet;
-	readonly claims: Claims;
-	readonly crashTracker: CrashTracker;
-	readonly metrics: EntryMetrics;
-	readonly maximumBodyBytes: number;
-	readonly maximumHeldBodyBytes: number;
-	readonly heldBodies: ByteBudget;
-	readonly maximumBufferedBytes: number;
-	readonly bufferedResponses: ByteBudget;
-	readonly maximumResponseBytes: number;
-	readonly maximumStoredBytes: number;
-	/** Checks whether the entry may accept and dispatch new requests. */
-	mayDispatch(now: number): boolean;
-	/** Called with the report that a server attaches to a response. */
-	onReport(candidate: Candidate, report: ServerReport): void;
-	/** Reports a crash and resolves to whether the request is quarantined from now on. */
-	reportCrash(fingerprint: string, server: number): Promise<boolean>;
-	createRequestId(): string;
-	/** Starts the trace of a request for the log. */
-	startTrace(head: Omit<RequestTraceHead, 'version'>): RequestTrace;
-	/** Called when an unexpected error ends a request. */
-	onInternalError(error: unknown, requestId: string): void;
-	/** Called when a request has ended. */
-	onRequestEnd(service: Service, verdict: Verdict, milliseconds: number): void;
-};
-
 /**
  * Admits a request and dispatches it, or responds to it without contacting a server.
  * @param context - Dependencies that all requests share.
--- a/source/entry/server-selector.test.ts
+++ b/source/entry/server-selector.test.ts
@@ -5,7 +5,7 @@
 import {documentSchema} from '../configuration/index.js';
 import {createShortageEstimate} from '../limits/index.js';
 import {createRandom} from '../randomness/index.js';
-import {type RequestContext} from './request-handler.js';
+import {type RequestContext} from './request-context.js';
 import {type ServiceState} from './fleet.js';
 import {createServerSelector, type ServerSelector} from './server-selector.js';
 import {createRouter} from './router.js';
--- a/source/entry/server-selector.ts
+++ b/source/entry/server-selector.ts
@@ -8,7 +8,7 @@
 	selectQueryCandidates, getExpectedSlowdown, hasRoom, isBelowKnee, isUncongested, type Candidate, type LoadReading,
 } from '../choice/index.js';
 import {type CandidateReading} from './load-querier.js';
-import {type RequestContext} from './request-handler.js';
+import {type RequestContext} from './request-context.js';
 import {type ServiceState} from './fleet.js';
 import {type RoutePolicy} from './router.js';
 import {type Decision} from './request-log.js';
