Join the chunks of a body before a message keeps them

A caller's body that nobody reads yet (it waits for a server, or its server does not read) stays in Node's request chunk by chunk: 21,836 buffers of one byte in chunk-joining.test.ts, which failed before, about 4 MB.

Change: chunk-joining.ts joins the small chunks of a turn where the parser passes them to the message, for callers' requests and servers' responses. A single chunk is passed on as it is.

Ruled out: Node's own limit of what a message buffers, which counts bytes of the body; `nextTick` instead of `setImmediate`, since Node runs ticks after each chunk.

Not covered: chunks of one byte that each arrive in a turn of their own.

--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -12,6 +12,7 @@
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {MalformedBodyError} from './malformed-body-error.js';
 import {type Dialect, type ServerReport} from './dialect.js';
+import {joinChunks} from './chunk-joining.js';
 import {trackCompletion, type ResponseCompletion} from './response-completion.js';
 import {getResponseHeaders} from './headers.js';
 import {type Pool} from './pool.js';
@@ -207,6 +208,7 @@
 		const completion = trackCompletion(response, head.isCloseDelimited);
 		const collector = createByteCollector();
 		const endTurnLimit = limitTurns(response);
+		joinChunks(response);
 		function onData(chunk: Buffer): void {
 			collector.add(chunk);
 			if (collector.getSize() > options.maximumBufferedBytes || !reservation.tryGrowTo(collector.getHeldBytes())) {
--- a/source/entry/caller-server.ts
+++ b/source/entry/caller-server.ts
@@ -1,9 +1,12 @@
 /** HTTP server for callers: limits what a connection may send, and responds to what is not a request. */
-import {createServer, type Server} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {type Duplex} from 'node:stream';
 import {type Socket} from 'node:net';
 import {type ClientLimits} from '../configuration/index.js';
 import {discardBody} from '../bytes/index.js';
+import {joinChunks} from './chunk-joining.js';
 import {createCallerConnections, type CallerConnections, type CallerConnectionsOptions} from './caller-connections.js';
 
 const keepAliveMilliseconds = 65_000;
@@ -54,8 +57,13 @@
 	});
 	// Node would drop the headers beyond the first 1,000; their size is limited instead.
 	server.maxHeadersCount = 0;
-	server.on('request', connections.accept);
-	server.on('checkContinue', connections.accept);
+	function accept(request: IncomingMessage, response: ServerResponse): void {
+		joinChunks(request);
+		connections.accept(request, response);
+	}
+
+	server.on('request', accept);
+	server.on('checkContinue', accept);
 	server.on('upgrade', (_request, socket) => {
 		connections.reject(socket as Socket, getRawRefusal('400 Bad Request'));
 	});
