--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -14,6 +14,7 @@
 import {type ConnectionHistory} from './connection-history.js';
 import {type Dialect, type ServerReport} from './dialect.js';
 import {type DiscardedAnswer, type DiscardReason} from './discarded-answers.js';
+import {joinChunks} from './chunk-joining.js';
 import {trackCompletion, type ResponseCompletion} from './response-completion.js';
 import {getResponseHeaders} from './headers.js';
 import {type Pool} from './pool.js';
@@ -243,6 +244,7 @@
 		const completion = trackCompletion(response, head.isCloseDelimited);
 		const collector = createByteCollector();
 		const endTurnLimit = limitTurns(response);
+		joinChunks(response);
 		function onData(chunk: Buffer): void {
 			collector.add(chunk);
 			if (collector.getSize() > options.maximumBufferedBytes || !reservation.tryGrowTo(collector.getHeldBytes())) {
