Begin tests of orders when every control host responds

A configuration is acknowledged by the first quorum, so the host that a test orders next may not listen yet.

--- a/stand-in/platform/system.ts
+++ b/stand-in/platform/system.ts
@@ -14,6 +14,7 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {bundleProgram} from '../../scripts/bundle.js';
+import {waitUntil} from '../wait.js';
 import {callControl, readText} from './upstream.js';
 
 const bundleFile = 'target/guavadeck-test.cjs';
@@ -56,6 +57,8 @@
 	getControlAddresses(): readonly string[];
 	/** Sends an operator's call to the control hosts in turn until one responds with a status below 500. */
 	callOperatorApi(method: string, path: string, body?: string): Promise<{readonly status: number; readonly text: string}>;
+	/** Waits until every control host responds with the configuration. */
+	waitForControls(): Promise<void>;
 	/** Sends a client's request to an entry. */
 	send(entry: Machine, request: {readonly id: string; readonly method?: string; readonly path: string; readonly body?: string; readonly deadlineMilliseconds?: number}): Promise<ClientResponse>;
 	/** Checks whether an entry reports itself ready. */
@@ -205,6 +208,16 @@
 
 			throw new Error(`no control host responded to ${method} ${requestPath} in time with a status below 500`);
 		},
+		async waitForControls() {
+			for (const control of controls) {
+				const isServing = async (): Promise<boolean> => {
+					const {status} = await callControl(`${control.host}:${ports.control}`, 'GET', '/-/config');
+					return status === 200;
+				};
+
+				await waitUntil(`${control.name} responds with the configuration`, callTimeoutMilliseconds, isServing);
+			}
+		},
 		async send(entry, request) {
 			return sendHttpRequest(entry.host, ports.front, {
 				method: request.method, path: request.path, body: request.body, headers: {
