Take no body for whole that contains another response

Callers could get a success whose body was the server's bytes and then a whole second response: the own one once more, or an earlier one.

Cause: an answer without a length ends with its connection, so a copy that the server writes before it closes becomes part of the body.

Ruled out, by tests that passed before: bodies that break off with a length, in chunks or between chunks, closed or open; copies written into a body with a length (the surplus bytes are an error of the parser) or in chunks; HEAD, 204, 304; informational answers; 101.

Change: a body that the end of the connection ended is refused if it contains a status line and a request id behind it.

Remains: bodies above 262,144 bytes are passed on while they arrive and are not searched.

--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -15,7 +15,7 @@
 import {type Pool} from './pool.js';
 import {isWellFormedHead, type ResponseHead} from './response-head.js';
 import {
-	hasRequiredProof, isOwnResponse, isProvenResponse, type ResponseOrigin,
+	containsResponse, hasRequiredProof, isOwnResponse, isProvenResponse, type ResponseOrigin,
 } from './response-origin.js';
 import {startServerRequest} from './server-request.js';
 
@@ -230,6 +230,11 @@
 			}
 
 			const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+			if (head.isCloseDelimited && containsResponse(options.dialect, body)) {
+				fail('answer-mismatched');
+				return;
+			}
+
 			const isChunked = response.headers['transfer-encoding'] !== undefined;
 			const headers = isChunked ? [...head.headers, 'content-length', String(body.length)] : head.headers;
 			end({kind: 'whole', head: {...head, headers}, body});
