Hold back the last bytes of a large body until it is complete

Callers could get a success above 262,144 bytes whose last bytes belonged to another answer.

Cause: large bodies are passed on while they arrive. One with a length that broke off was filled up by the next answer on the connection, and the surplus behind it was noticed only after the last byte had been passed on. One without a length was not searched for a second answer.

Change: the last chunk is held back until the body has ended without surplus. A caller that leaves while the rest of a large body is still to be written now ends the response in every case.

--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -15,7 +15,7 @@
 import {type Pool} from './pool.js';
 import {isWellFormedHead, type ResponseHead} from './response-head.js';
 import {
-	containsResponse, hasRequiredProof, isOwnResponse, isProvenResponse, type ResponseOrigin,
+	hasRequiredProof, isOwnResponse, isProvenResponse, type ResponseOrigin,
 } from './response-origin.js';
 import {startServerRequest} from './server-request.js';
 
@@ -207,7 +207,9 @@
 	}
 
 	function bufferBody(response: IncomingMessage, head: ResponseHead): void {
-		const completion = trackCompletion(response, head.isCloseDelimited);
+		const completion = trackCompletion({
+			dialect: options.dialect, request, response, isCloseDelimited: head.isCloseDelimited,
+		});
 		const chunks: Buffer[] = [];
 		let size = 0;
 		function onData(chunk: Buffer): void {
@@ -225,16 +227,11 @@
 
 		function onEnd(): void {
 			if (!completion.isComplete()) {
-				fail('answer-truncated');
+				fail(completion.containsResponse() ? 'answer-mismatched' : 'answer-truncated');
 				return;
 			}
 
 			const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-			if (head.isCloseDelimited && containsResponse(options.dialect, body)) {
-				fail('answer-mismatched');
-				return;
-			}
-
 			const isChunked = response.headers['transfer-encoding'] !== undefined;
 			const headers = isChunked ? [...head.headers, 'content-length', String(body.length)] : head.headers;
 			end({kind: 'whole', head: {...head, headers}, body});
--- a/source/entry/response-head.ts
+++ b/source/entry/response-head.ts
@@ -15,7 +15,7 @@
 const maximumFinalStatus = 599;
 
 /** Start of every status line. Within a head it shows that another response broke off in front of this one, in its reason phrase or in a header. */
-export const statusLineStart = 'HTTP/1.';
+const statusLineStart = 'HTTP/1.';
 
 /**
  * Checks whether a received head is one of a final response and follows the syntax of HTTP. Node's parser is more tolerant:
--- a/source/entry/response.ts
+++ b/source/entry/response.ts
@@ -3,6 +3,7 @@
 import {createHash} from 'node:crypto';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
+import {Transform} from 'node:stream';
 import {
 	getVerdictHeaderValue, getVerdictStatus, reasonHeader, verdictHeader, type Verdict,
 } from '../verdict/index.js';
@@ -129,15 +130,16 @@
 	const timer = setTimeout(() => {
 		rest.destroy();
 	}, Math.max(0, streamed.deadlineAt - performance.now()));
-	response.once('close', () => {
-		clearTimeout(timer);
-		if (!rest.complete) {
-			rest.destroy();
+	// The last bytes are held back until the body is complete, so that one with a length never looks complete before.
+	const body = rest.pipe(holdLastChunk(streamed.completion));
+	let isEnded = false;
+	function end(isComplete: boolean): void {
+		if (isEnded) {
+			return;
 		}
-	});
-	rest.once('close', () => {
+
+		isEnded = true;
 		clearTimeout(timer);
-		const isComplete = streamed.completion.isComplete();
 		if (isComplete) {
 			response.end();
 		} else {
@@ -145,8 +147,43 @@
 		}
 
 		streamed.onEnd(isComplete);
+	}
+
+	body.once('end', () => {
+		end(streamed.completion.isComplete());
+	});
+	function abort(): void {
+		rest.destroy();
+		body.destroy();
+		end(false);
+	}
+
+	response.once('close', () => {
+		if (!isEnded) {
+			abort();
+		}
+	});
+	rest.once('close', () => {
+		if (!rest.readableEnded) {
+			abort();
+		}
+	});
+	body.pipe(response, {end: false});
+}
+
+/** Passes a body on, but its last chunk only if it is complete at its end. */
+function holdLastChunk(completion: ResponseCompletion): Transform {
+	let lastChunk: Buffer | undefined;
+	return new Transform({
+		transform(chunk: Buffer, _encoding, callback) {
+			const previous = lastChunk;
+			lastChunk = chunk;
+			callback(null, previous);
+		},
+		flush(callback) {
+			callback(null, completion.isComplete() ? lastChunk : undefined);
+		},
 	});
-	rest.pipe(response, {end: false});
 }
 
 /** Ends the connection of a response that is not complete. Its orderly end would be the end of a body that has no other. */
