--- a/source/entry/body-relay.ts
+++ b/source/entry/body-relay.ts
@@ -1,9 +1,10 @@
 /**
  * Passes the body of a server's response on to a caller as fast as the caller takes it. Chunks are copied together before they
  * are written, so that what waits for a slow caller takes little more memory than its size. Node's own pipe would keep thousands
- * of tiny chunks, each in a buffer of its own.
+ * of tiny chunks, each in a buffer of its own. The last byte is held back until the body is known to be complete, so that a body with a
+ * length never looks complete before.
  */
-import {type Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {createByteCollector} from '../bytes/index.js';
 import {maximumTurnBytes, setPaused} from './turn-limit.js';
@@ -12,7 +13,7 @@
 export type BodyRelay = {
 	/** Adds a chunk that was received before the relay started. */
 	add(chunk: Buffer): void;
-	/** Writes all received bytes. */
+	/** Writes all received bytes, because the body is complete. */
 	flush(): void;
 };
 
@@ -27,14 +28,36 @@
 	let isBlocked = false;
 	const {socket} = source;
 
-	function flush(): void {
+	function takeParts(): readonly Buffer[] {
 		const parts = collector.getParts();
 		collector = createByteCollector();
-		for (const part of parts) {
-			isBlocked = !target.write(part) || isBlocked;
+		return parts;
+	}
+
+	function write(part: Buffer): void {
+		isBlocked = !target.write(part) || isBlocked;
+	}
+
+	function flush(): void {
+		for (const part of takeParts()) {
+			write(part);
 		}
 	}
 
+	function flushAllButLastByte(): void {
+		const parts = takeParts();
+		for (const part of parts.slice(0, -1)) {
+			write(part);
+		}
+
+		const lastPart = parts.at(-1) ?? Buffer.alloc(0);
+		if (lastPart.length > 1) {
+			write(lastPart.subarray(0, -1));
+		}
+
+		collector.add(lastPart.subarray(-1));
+	}
+
 	/** Writes what was received in one turn of the event loop, and reads on if the caller keeps up. */
 	function flushTurn(): void {
 		isFlushScheduled = false;
@@ -42,7 +65,7 @@
 			return;
 		}
 
-		flush();
+		flushAllButLastByte();
 		if (!isBlocked && !source.complete) {
 			setPaused(socket, false);
 		}
--- a/stand-in/platform/raw-upstream.ts
+++ b/stand-in/platform/raw-upstream.ts
@@ -39,7 +39,7 @@
  * @param request - Request to which it belongs.
  */
 export function renderEmptyResponse({headers}: ReceivedRequest): string {
-	return `HTTP/1.1 200 OK\r\nrequest-id: ${headers['request-id'] ?? ''}\r\nupstream-load: 0,0,1000,100\r\ncontent-length: 0\r\n\r\n`;
+	return `HTTP/1.1 200 OK\r\nrequest-id: ${headers['request-id'] ?? ''}\r\nupstream-signature: one\r\nupstream-load: 0,0,1000,100\r\ncontent-length: 0\r\n\r\n`;
 }
 
 /**
