Lose no responses to the operator after the last fault of the soak

Orders after the last fault must be acknowledged, so nothing is lost there any more; the check is unchanged.

--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -72,15 +72,20 @@
 export function createOperator(options: OperatorOptions): Operator {
 	const {history, random, controls} = options;
 
+	/** Decides whether the next response is lost; none is after the last fault, when every order must be acknowledged. */
+	function isNextLost(): boolean {
+		return history.steadyFrom === undefined && random() < lossProbability;
+	}
+
 	/** Sends one call and follows its redirections, over the links. Each of the responses may be lost. */
 	async function sendRedirectedCall(control: ControlAddress, call: Pick<Call, 'method' | 'path' | 'body'>): Promise<CallResult & {readonly trace: string}> {
-		let isResponseLost = random() < lossProbability;
+		let isResponseLost = isNextLost();
 		let trace = `${control.name}@${Math.round(history.now())}`;
 		let result = await sendCall({...call, address: control, isResponseLost});
 		for (let redirections = 0; result.status === 307 && result.location !== undefined && redirections < maximumRedirections; redirections++) {
 			const {hostname, pathname, search} = new URL(result.location);
 			const address = controls.find(({ownHost}) => ownHost === hostname)!;
-			isResponseLost = random() < lossProbability;
+			isResponseLost = isNextLost();
 			trace += `>${address.name}`;
 			result = await sendCall({
 				...call, address, path: `${pathname}${search}`, isResponseLost,
