--- a/source/entry/attempt.test.ts
+++ b/source/entry/attempt.test.ts
@@ -3,9 +3,9 @@
 import {performance} from 'node:perf_hooks';
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
+import {createAttemptOptions} from '../../stand-in/attempt-options.js';
 import {createByteBudget, type ByteBudget} from '../bytes/index.js';
 import {startAttempt, type AttemptOutcome} from './attempt.js';
-import {defaultDialect} from './dialect.js';
 import {createPool} from './pool.js';
 
 const deadlineMilliseconds = 2000;
@@ -25,28 +25,9 @@
 	const {port} = server.address() as {readonly port: number};
 	const pool = createPool('127.0.0.1', port, 4);
 	const outcome = await new Promise<AttemptOutcome>(resolve => {
-		startAttempt({
-			pool,
-			dialect: defaultDialect,
-			requestId: 'one',
-			method: 'GET',
-			target: '/',
-			headers: ['host', 'any'],
-			body: undefined,
-			stream: undefined,
-			deadlineAt: performance.now() + deadlineMilliseconds,
-			maximumBufferedBytes: 1000,
-			bufferedResponses,
-			maximumBodyBytes: 1000,
-			mayDispatch: () => true,
-			onReport() {
-				// Server reports are ignored here.
-			},
-			onError(error) {
-				throw error;
-			},
-			onEnd: resolve,
-		});
+		startAttempt(createAttemptOptions({
+			pool, bufferedResponses, deadlineAt: performance.now() + deadlineMilliseconds, onEnd: resolve,
+		}));
 	});
 	pool.close();
 	server.close();
--- a/source/entry/discarded-answers.test.ts
+++ b/source/entry/discarded-answers.test.ts
@@ -3,8 +3,8 @@
 import {performance} from 'node:perf_hooks';
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
+import {createAttemptOptions} from '../../stand-in/attempt-options.js';
 import {createRecordedLog, type RecordedLine} from '../../stand-in/recorded-log.js';
-import {createByteBudget} from '../bytes/index.js';
 import {startAttempt} from './attempt.js';
 import {defaultDialect} from './dialect.js';
 import {createDiscardedAnswers, type DiscardedAnswer, type DiscardReason} from './discarded-answers.js';
@@ -83,31 +83,15 @@
 	async function attempt(pool: Pool, requestId: string): Promise<readonly DiscardedAnswer[]> {
 		const answers: DiscardedAnswer[] = [];
 		await new Promise(resolve => {
-			startAttempt({
+			startAttempt(createAttemptOptions({
 				pool,
-				dialect: defaultDialect,
 				requestId,
-				method: 'GET',
-				target: '/',
-				headers: ['host', 'any'],
-				body: undefined,
-				stream: undefined,
 				deadlineAt: performance.now() + deadlineMilliseconds,
-				maximumBufferedBytes: 1000,
-				bufferedResponses: createByteBudget(1_000_000),
-				maximumBodyBytes: 1000,
-				mayDispatch: () => true,
-				onReport() {
-					// Server reports are ignored here.
-				},
 				onDiscard(answer) {
 					answers.push(answer);
 				},
-				onError(error) {
-					throw error;
-				},
 				onEnd: resolve,
-			});
+			}));
 		});
 		return answers;
 	}
--- a/stand-in/attempt-bed.ts
+++ b/stand-in/attempt-bed.ts
@@ -6,13 +6,13 @@
 import {createServer, type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {createByteBudget} from '../source/bytes/index.js';
 import {startAttempt, type AttemptOutcome} from '../source/entry/attempt.js';
 import {type Dialect} from '../source/entry/index.js';
 import {createPool} from '../source/entry/pool.js';
+import {createAttemptOptions} from './attempt-options.js';
 
 const loopback = '127.0.0.1';
-const maximumBytes = 1000;
+const defaultDeadlineMilliseconds = 2000;
 const maximumConnections = 4;
 
 /** Test bed with a fresh pool. */
@@ -60,26 +60,16 @@
 	return {
 		async attempt(requestId, method = 'GET') {
 			const outcome = await new Promise<AttemptOutcome>((resolve, reject) => {
-				startAttempt({
+				startAttempt(createAttemptOptions({
 					pool,
 					dialect,
 					requestId,
 					method,
-					target: '/',
 					headers: ['host', 'any', dialect.requestIdHeader, requestId],
-					body: undefined,
-					stream: undefined,
-					deadlineAt: performance.now() + (options.deadlineMilliseconds ?? 2000),
-					maximumBufferedBytes: maximumBytes,
-					bufferedResponses: createByteBudget(1_000_000),
-					maximumBodyBytes: maximumBytes,
-					mayDispatch: () => true,
-					onReport() {
-						// Server reports are ignored here.
-					},
+					deadlineAt: performance.now() + (options.deadlineMilliseconds ?? defaultDeadlineMilliseconds),
 					onError: reject,
 					onEnd: resolve,
-				});
+				}));
 			});
 			// The connection is free for the next attempt one turn after the end of the response.
 			await nextTurn();
