--- a/source/control/leader-request-handler.ts
+++ b/source/control/leader-request-handler.ts
@@ -102,6 +102,11 @@
 			}, () => ({kind: 'left'}));
 	}
 
+	/** Checks whether a zone was ordered since a revision, or the revision is none of this log. */
+	function isOutdated(zone: string, revision: number): boolean {
+		return revision > machine.getZonesRevision() || machine.zoneOrders.isOrderedSince(zone, revision);
+	}
+
 	/**
 	 * Changes a zone if it was not ordered since the given revision, and no other change of it is in progress. An acknowledged order
 	 * moves the revision even if it changes nothing, so older orders that are under way are refused from then on.
@@ -113,7 +118,7 @@
 		}
 
 		const term = driver.replica.getTerm();
-		if (zoneChanges.get(zone)?.term === term || (revision !== undefined && machine.zoneOrders.isOrderedSince(zone, revision))) {
+		if (zoneChanges.get(zone)?.term === term || (revision !== undefined && isOutdated(zone, revision))) {
 			return {kind: 'zonesChanged'};
 		}
 
--- a/source/control/zone-change.test.ts
+++ b/source/control/zone-change.test.ts
@@ -131,6 +131,13 @@
 			expect(machine.getZonesOut()).toEqual(['south']);
 		});
 	});
+	test('refuses a confirmation of a revision that does not exist', async () => {
+		await withOvertakenOrder(async ({machine}, putBack) => {
+			const revision = machine.getZonesRevision();
+			expect(await putBack(revision + 1000)).toEqual({kind: 'confirmationNeeded', revision});
+			expect(machine.getZonesOut()).toEqual(['south']);
+		});
+	});
 	test('keeps a confirmation while other zones are ordered', async () => {
 		await withOvertakenOrder(async ({handler, machine}, putBack) => {
 			const revision = machine.getZonesRevision();
--- a/source/control/zone-orders.test.ts
+++ b/source/control/zone-orders.test.ts
@@ -44,6 +44,12 @@
 			doTest(['out', 'in'], false, false);
 			doTest(['out', 'in'], true, false);
 		});
+		test('is true after a snapshot that names no index at all', () => {
+			const orders = restore({zonesOut: ['south']});
+			expect([orders, restore(orders.takeSnapshot())].map(each => each.mayBeOvertaken({zone: 'south', isOut: false}))).toEqual([true, true]);
+			orders.apply({zone: 'south', isOut: true}, 50);
+			expect([orders, restore(orders.takeSnapshot())].map(each => each.mayBeOvertaken({zone: 'south', isOut: false}))).toEqual([true, true]);
+		});
 		test('is true after a snapshot that does not name the orders of each zone', () => {
 			const orders = restore({zonesOut: ['south'], zonesRevision: 7});
 			expect([orders.mayBeOvertaken({zone: 'south', isOut: false}), orders.isOrderedSince('south', 6), orders.isOrderedSince('south', 7)]).toEqual([true, true, false]);
--- a/source/control/zone-orders.ts
+++ b/source/control/zone-orders.ts
@@ -82,7 +82,12 @@
 			zonesOut = snapshot.zonesOut ?? [];
 			revision = snapshot.zonesRevision ?? 0;
 			orderedZones = new Map(snapshot.orderedZones?.map(ordered => [ordered.zone, ordered]));
-			unknownUntil = snapshot.orderedZones === undefined ? revision : snapshot.zonesUnknownUntil ?? 0;
+			unknownUntil = snapshot.orderedZones === undefined ? getUnknownUntil(snapshot) : snapshot.zonesUnknownUntil ?? 0;
 		},
 	};
 }
+
+/** Gets the index up to which a snapshot without the indexes of each zone may lack orders. The oldest releases did not write a revision either. */
+function getUnknownUntil({zonesOut = [], zonesRevision = 0}: ZoneOrdersSnapshot): number {
+	return Math.max(zonesRevision, zonesOut.length > 0 ? 1 : 0);
+}
--- a/source/entry/load-querier.test.ts
+++ b/source/entry/load-querier.test.ts
@@ -63,14 +63,14 @@
 // Guards against a load of an earlier time that steers requests, from a reply that a server writes twice.
 describe('createLoadQuerier: a reply that a server writes once more', () => {
 	/** Queries a server several times that reports how many queries it has got, and gets the reported numbers. */
-	async function getReadings(repeat: (socket: Socket, reply: string) => void): Promise<readonly number[]> {
+	async function getReadings(repeat: (socket: Socket, reply: string) => void, reason = 'OK'): Promise<readonly number[]> {
 		let count = 0;
 		const sockets = new Set<Socket>();
 		const server = createRawServer(socket => {
 			sockets.add(socket);
 			socket.on('data', () => {
 				count++;
-				const reply = `HTTP/1.1 200 OK\r\nx-count: ${count}\r\ncontent-length: 0\r\n\r\n`;
+				const reply = `HTTP/1.1 200 ${reason}\r\nx-count: ${count}\r\ncontent-length: 0\r\n\r\n`;
 				socket.write(reply);
 				repeat(socket, reply);
 			});
@@ -131,4 +131,7 @@
 			}, 5);
 		})).toEqual([1, 2, 3, 4]);
 	});
+	test('into the head of the next one does not count', async () => {
+		expect(await getReadings(() => undefined, 'OHTTP/1.1 200 OK')).toEqual([]);
+	});
 });
--- a/source/entry/load-querier.ts
+++ b/source/entry/load-querier.ts
@@ -8,6 +8,7 @@
 import {discardBody} from '../bytes/index.js';
 import {type Dialect, type ServerReport} from './dialect.js';
 import {guardIdleSockets} from './idle-sockets.js';
+import {isWellFormedHead} from './response-head.js';
 import {startServerRequest} from './server-request.js';
 
 /** Time after which a query counts as lost and its connection is closed. */
@@ -96,6 +97,11 @@
 		const request = started.value;
 		request.once('response', response => {
 			discardBody(response, responseLimits);
+			if (!isWellFormedHead(response)) {
+				end(undefined);
+				return;
+			}
+
 			const report = options.dialect.getReport(response.headers, response.statusCode ?? 0);
 			if (report.server !== undefined && report.server !== name) {
 				// Another server has taken over the address, so its report does not apply to the candidate.
--- a/source/entry/response-completion.ts
+++ b/source/entry/response-completion.ts
@@ -49,12 +49,16 @@
 		});
 	}
 
+	function containsResponse(): boolean {
+		return finder.hasFound() || finder.endsInHead();
+	}
+
 	function isCompleteWithConnection(): boolean {
-		return socket.readableEnded && socket.errored === null && hasPeerAtEnd && !finder.hasFound();
+		return socket.readableEnded && socket.errored === null && hasPeerAtEnd && !containsResponse();
 	}
 
 	return {
 		isComplete: () => response.complete && !hasSurplus && (!isCloseDelimited || isCompleteWithConnection()),
-		containsResponse: () => finder.hasFound(),
+		containsResponse,
 	};
 }
--- a/source/entry/response-head.ts
+++ b/source/entry/response-head.ts
@@ -14,8 +14,11 @@
 const minimumFinalStatus = 200;
 const maximumFinalStatus = 599;
 
-/** Status line. Within a head it shows that another response broke off in front of this one, in its reason phrase or in a header. */
-const statusLine = /HTTP\/1\.\d \d{3}/v;
+/**
+ * Start of a status line up to what follows its status. Within a head it shows that another response broke off in front of this one, in its
+ * reason phrase or in a header. The value of a header such as `Via` may name the protocol and an address.
+ */
+export const statusLine = /HTTP\/1\.\d [1-5]\d\d(?: |\r|$)/v;
 
 /**
  * Checks whether a received head is one of a final response and follows the syntax of HTTP. Node's parser is more tolerant:
--- a/source/entry/response-origin.ts
+++ b/source/entry/response-origin.ts
@@ -37,8 +37,8 @@
 		return true;
 	}
 
-	const proofs = response.headersDistinct[proofHeader] ?? [];
-	return proofs.length === 0 ? !isSuccess(response) : proofs.length === 1 && proofs[0] !== '';
+	const [proof = '', ...others] = response.headersDistinct[proofHeader] ?? [];
+	return others.length === 0 && (proof !== '' || !isSuccess(response));
 }
 
 function isSuccess({statusCode = 0}: IncomingMessage): boolean {
