--- a/source/control/zone-order-log.test.ts
+++ b/source/control/zone-order-log.test.ts
@@ -3,9 +3,9 @@
 import {createRecordedLog} from '../../stand-in/recorded-log.js';
 import {type ControlResponse} from './message.js';
 import {changeZone} from './zone-change.js';
-import {createZoneOrderLog, type ZoneOrder, type ZoneOrderOutcome} from './zone-order-log.js';
+import {createZoneOrderLog, type ReceivedZoneOrder, type ZoneOrderOutcome} from './zone-order-log.js';
 
-const order: ZoneOrder = {
+const order: ReceivedZoneOrder = {
 	zone: 'south', isOut: true, call: 'POST /zones/south', sender: '10.0.0.1:5000',
 };
 
--- a/source/control/zone-order-log.ts
+++ b/source/control/zone-order-log.ts
@@ -15,8 +15,8 @@
 
 const idBytes = 4;
 
-/** Order for a zone as it was received. */
-export type ZoneOrder = {
+/** Order for a zone as a host received it. */
+export type ReceivedZoneOrder = {
 	readonly zone: string;
 	readonly isOut: boolean;
 	/** Call by which the order came. */
@@ -38,9 +38,9 @@
 	 * @param order - Order as it was received.
 	 * @param carryOut - Carries the order out with the given access to the leader.
 	 */
-	record(order: ZoneOrder, carryOut: (submit: Submit) => Promise<ZoneChangeOutcome>): Promise<ZoneChangeOutcome>;
+	record(order: ReceivedZoneOrder, carryOut: (submit: Submit) => Promise<ZoneChangeOutcome>): Promise<ZoneChangeOutcome>;
 	/** Logs an order that is refused because it may have waited while this process did not run. */
-	recordStalled(order: ZoneOrder): void;
+	recordStalled(order: ReceivedZoneOrder): void;
 };
 
 /** Options of `createZoneOrderLog`. */
@@ -114,7 +114,7 @@
 	};
 }
 
-function getFields({zone, isOut, call, sender}: ZoneOrder): ZoneOrder {
+function getFields({zone, isOut, call, sender}: ReceivedZoneOrder): ReceivedZoneOrder {
 	return {
 		zone: zone.slice(0, maximumTextLength), isOut, call: call.slice(0, maximumTextLength), sender,
 	};
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -51,8 +51,8 @@
 	setPermits(permits: readonly Permit[], now: number): void;
 	/** Revokes the permits for cold servers, because the lease has ended. */
 	revokePermits(): void;
-	/** Replaces the zones that are out of service regardless of the document; returns whether the set changed. */
-	setZonesOutOfService(zones: readonly string[]): boolean;
+	/** Replaces the zones that are out of service regardless of the document. */
+	setZonesOutOfService(zones: readonly string[]): void;
 	/** Sets the number of entries that share each server's connections. */
 	setConnectionShare(entryCount: number): void;
 	getState(service: string): ServiceState | undefined;
@@ -306,15 +306,13 @@
 		},
 		setZonesOutOfService(zones) {
 			if (zones.length === zonesOutOfService.size && zones.every(zone => zonesOutOfService.has(zone))) {
-				return false;
+				return;
 			}
 
 			zonesOutOfService = new Set(zones);
 			for (const name of states.keys()) {
 				updateCandidates(name);
 			}
-
-			return true;
 		},
 		setConnectionShare(next) {
 			if (next === entryCount) {
