--- a/source/announcement/server-index.ts
+++ b/source/announcement/server-index.ts
@@ -1,6 +1,6 @@
 /** The registered servers by key, id, address and name. */
 import {type Announcement} from './announcement.js';
-import {type RegisteredServer} from './registry.js';
+import {type RegisteredServer} from './registered-server.js';
 import {type ServerKey} from './server-key.js';
 
 /** Registered servers. */
