Count probes by the earliest time at which they may have arrived

Cause: the check of the scenarios takes the time at which a stand-in server handles a probe for the time of its arrival. Ruled out: an allowance of a fixed length, which would also hide probes that come too often on a quiet machine. Change: servers record since when a request may have waited for their process.

--- a/stand-in/request-record.ts
+++ b/stand-in/request-record.ts
@@ -32,6 +32,8 @@
 	readonly token: string | undefined;
 	/** Time of arrival in wall-clock milliseconds. */
 	readonly startedAt: number;
+	/** Earliest time at which it may have arrived, before `startedAt` if the server's process was late. */
+	readonly earliestAt: number;
 	/** Time of the outcome in wall-clock milliseconds. */
 	readonly endedAt: number;
 	/** Id that the caller assigned to this attempt to send the request. */
--- a/stand-in/server.ts
+++ b/stand-in/server.ts
@@ -17,6 +17,7 @@
 import {
 	sendCompleteResponse, sendShedResponse, sendTruncatedResponse, sendUnsolicitedResponse, type StatusReport,
 } from './responses.js';
+import {startPollClock} from './poll-clock.js';
 import {createSlots, type Job} from './slots.js';
 
 /** Options of a stand-in server. */
@@ -83,6 +84,7 @@
 	let {port} = options;
 	let server = createHttpServer();
 	const slots = createSlots(() => behaviour);
+	const pollClock = startPollClock();
 	const announcer = startAnnouncer({
 		announceTo: options.announceTo,
 		getAnnouncement: () => isUp
@@ -120,6 +122,7 @@
 		}
 
 		const startedAt = Date.now();
+		const earliestAt = pollClock.getEarliestArrival(startedAt);
 		requestCount++;
 		inFlightCount++;
 		maximumInFlight = Math.max(maximumInFlight, inFlightCount);
@@ -144,6 +147,7 @@
 				sendId: getHeader(request, sendIdHeader),
 				hasStarted: startedRequests.has(request),
 				startedAt,
+				earliestAt,
 				endedAt: Date.now(),
 				inFlight,
 				capacity,
@@ -254,7 +258,7 @@
 	function respondToProbe(response: ServerResponse): void {
 		const now = Date.now();
 		options.record({
-			server: options.name, zone: options.zone, requestId: '', key: undefined, token: undefined, sendId: undefined, hasStarted: false, startedAt: now, endedAt: now, inFlight: inFlightCount, capacity: slots.getCapacity(), isCold: behaviour.isCold, outcome: 'probe',
+			server: options.name, zone: options.zone, requestId: '', key: undefined, token: undefined, sendId: undefined, hasStarted: false, startedAt: now, earliestAt: pollClock.getEarliestArrival(now), endedAt: now, inFlight: inFlightCount, capacity: slots.getCapacity(), isCold: behaviour.isCold, outcome: 'probe',
 		});
 		response.writeHead(behaviour.isHealthy ? 200 : 500, {'content-length': 0});
 		response.end();
@@ -331,6 +335,7 @@
 		},
 		async stop() {
 			announcer.stop();
+			pollClock.stop();
 			isUp = false;
 			const closed = new Promise(resolve => {
 				server.close(resolve);
