Let entries keep their permits for cold servers when the leader changes

Cause: a leader keeps permits in memory only.

Ruled out: a list of holders in the log (a sync before a first permit, and leaders of earlier releases write none), holders told with the votes (lost when all control hosts restart), and lists that entries hand on (a list of an earlier epoch looks complete).

Change: renewals report the permits held. A new leader answers that the entry keeps them; the entry applies this to what it holds when the grant arrives, never raises a permit, and keeps nothing if its lease has ended. The leader divides only what the next renewals confirm, until it may grant everything as before. Slots and rates use one copy of this. Permits are released as of the receipt of a renewal, not of the decision, which may come after the leader was replaced. A missing report keeps nothing, as before, so releases may be mixed.

--- a/source/choice/candidate.ts
+++ b/source/choice/candidate.ts
@@ -39,6 +39,8 @@
 	/** Replaces the state that the control hosts report for the server. */
 	update(announcement: Announcement, state: ServerState, isAbsent: boolean): void;
 	setPermit(slots: number): void;
+	/** Gets the slots and the rate that the entry may use while the server is cold. */
+	getPermit(): {readonly slots: number; readonly requestsPerSecond: number | undefined};
 	/** Sets the requests a second that the entry may send while the server is cold; undefined if slots limit it instead. */
 	setRate(requestsPerSecond: number | undefined, now: number): void;
 	/** Revokes the permits for a cold server when the lease that granted them has ended. */
@@ -165,6 +167,7 @@
 		setPermit(slots) {
 			permit = slots;
 		},
+		getPermit: () => ({slots: permit, requestsPerSecond: rate?.requestsPerSecond}),
 		setRate(requestsPerSecond, now) {
 			if (requestsPerSecond !== rate?.requestsPerSecond) {
 				rate = requestsPerSecond === undefined ? undefined : {requestsPerSecond, nextAt: now};
--- a/source/cold-start/allocator.ts
+++ b/source/cold-start/allocator.ts
@@ -1,10 +1,13 @@
 /**
  * Allocates the slots of cold servers to entries. The slots that all entries together may still use never
  * exceed the server's capacity: unacknowledged grants and requests in flight count as held, and the slots
- * of an unreachable holder are released only after its lease and the longest deadline.
+ * of an unreachable holder are released only after its lease and the longest deadline. While permits of an earlier leader may be in use,
+ * only the slots that entries are known to hold are allocated (`inheritance.ts`).
  */
 import {type Observation, type Permit} from '../lease/index.js';
+import {getEvenShare} from './even-share.js';
 import {createCapacity, type Capacity, type SlowStartOptions} from './capacity.js';
+import {createInheritance, type Inheritance} from './inheritance.js';
 
 /** A cold server whose slots are allocated. */
 export type ColdServer = {
@@ -29,6 +32,8 @@
 	server: ColdServer;
 	readonly capacity: Capacity;
 	readonly holdings: Map<string, Holding>;
+	readonly inheritance: Inheritance;
+	/** Time at which no permit of an earlier leader is in use any more. */
 	readonly grantableAt: number;
 };
 
@@ -40,6 +45,8 @@
 	has(id: number): boolean;
 	/** Applies a holder's acknowledgement and observations. */
 	report(entry: string, acknowledged: number, observations: readonly Observation[], now: number): void;
+	/** Applies what an entry reports to hold. The entry may hold it from an earlier leader. */
+	inherit(held: HeldPermits, now: number): void;
 	/** Releases the slots of a holder whose lease has expired once its requests in flight have ended. */
 	expireLease(entry: string, now: number): void;
 	/** Gets the permits of a holder for one grant, and counts them as held. */
@@ -50,6 +57,16 @@
 	getUsage(id: number, now: number): {readonly capacity: number; readonly held: number} | undefined;
 };
 
+/** Permits that an entry reports to hold. */
+export type HeldPermits = {
+	readonly entry: string;
+	/** Sequence number of the newest grant that the entry applied. */
+	readonly acknowledged: number;
+	readonly permits: readonly Permit[];
+	/** Whether the entry has a lease of this leader. */
+	readonly hasLease: boolean;
+};
+
 /** Options of an allocator. */
 export type AllocatorOptions = {
 	readonly startedAt: number;
@@ -67,20 +84,42 @@
 		return Math.max(holding.inFlight, ...holding.grants.values());
 	}
 
-	function getTotalHeldSlots(state: ColdState, now: number): number {
-		let total = 0;
+	function removeReleased(state: ColdState, now: number): void {
 		for (const [entry, holding] of state.holdings) {
 			if (holding.releasedAt !== undefined && holding.releasedAt <= now) {
 				state.holdings.delete(entry);
-				continue;
 			}
+		}
+	}
+
+	/** Gets what an entry keeps from an earlier leader, or undefined if this leader decides on its slots. */
+	function getKeptSlots(state: ColdState, entry: string, now: number): number | undefined {
+		return now < state.grantableAt ? state.inheritance.getKept(entry) : undefined;
+	}
 
-			total += getHeldSlots(holding);
+	/** Gets the slots that this leader may allocate. */
+	function getAllocatableSlots({capacity, inheritance, grantableAt}: ColdState, now: number): number {
+		const slots = capacity.getSlots(now);
+		return now < grantableAt ? Math.min(slots, inheritance.getTotal()) : slots;
+	}
+
+	/** Gets how many of the slots that this leader may allocate are held by other entries than the given one. */
+	function getSlotsHeldByOthers(state: ColdState, entry: string, now: number): number {
+		let total = 0;
+		for (const [other, holding] of state.holdings) {
+			if (other !== entry && getKeptSlots(state, other, now) === undefined) {
+				total += getHeldSlots(holding);
+			}
 		}
 
 		return total;
 	}
 
+	function getHeldTotal(state: ColdState, now: number): number {
+		const holdings = [...state.holdings.values()].filter(({releasedAt}) => releasedAt === undefined || releasedAt > now);
+		return holdings.reduce((total, holding) => total + getHeldSlots(holding), 0);
+	}
+
 	function getHolding(state: ColdState, entry: string): Holding {
 		const existing = state.holdings.get(entry);
 		if (existing !== undefined) {
@@ -97,11 +136,17 @@
 	}
 
 	function getGrantSlots(state: ColdState, entry: string, liveEntries: readonly string[], now: number): number {
-		const capacity = state.capacity.getSlots(now);
-		const holding = getHolding(state, entry);
-		const evenShare = getEvenShare(state.server.id, entry, liveEntries, capacity);
-		const slotsHeldByOthers = getTotalHeldSlots(state, now) - getHeldSlots(holding);
-		return Math.max(0, Math.min(evenShare, capacity - slotsHeldByOthers));
+		const slots = getAllocatableSlots(state, now);
+		const evenShare = getEvenShare(state.server.id, entry, liveEntries, slots);
+		return Math.max(0, Math.min(evenShare, slots - getSlotsHeldByOthers(state, entry, now)));
+	}
+
+	/** Gets the permit of an entry for one server, which it keeps from an earlier leader or which this leader grants. */
+	function getPermit(state: ColdState, entry: string, liveEntries: readonly string[], now: number): Permit {
+		const kept = getKeptSlots(state, entry, now);
+		return kept === undefined
+			? {server: state.server.id, slots: getGrantSlots(state, entry, liveEntries, now)}
+			: {server: state.server.id, slots: kept, isKept: true};
 	}
 
 	function applyObservation(state: ColdState, entry: string, observation: Observation, now: number): void {
@@ -130,7 +175,11 @@
 
 			const waitMilliseconds = server.hasEarlierHolders ? options.termMilliseconds + server.deadlineMilliseconds : 0;
 			states.set(server.id, {
-				server, capacity: createCapacity(server.slots, server.easing, now), holdings: new Map(), grantableAt: Math.max(now, options.startedAt + waitMilliseconds),
+				server,
+				capacity: createCapacity(server.slots, server.easing, now),
+				holdings: new Map(),
+				inheritance: createInheritance(),
+				grantableAt: Math.max(now, options.startedAt + waitMilliseconds),
 			});
 		},
 		remove(id) {
@@ -153,6 +202,19 @@
 				}
 			}
 		},
+		inherit({entry, acknowledged, permits, hasLease}, now) {
+			const slotsByServer = new Map(permits.map(({server, slots}) => [server, slots]));
+			for (const state of states.values()) {
+				const confirmed = now < state.grantableAt
+					? state.inheritance.report({entry, amount: slotsByServer.get(state.server.id) ?? 0, hasLease})
+					: 0;
+				if (confirmed > 0) {
+					const {grants} = getHolding(state, entry);
+					grants.set(acknowledged, Math.max(confirmed, grants.get(acknowledged) ?? 0));
+					state.capacity.inherit(state.inheritance.getTotal());
+				}
+			}
+		},
 		expireLease(entry, now) {
 			for (const state of states.values()) {
 				const holding = state.holdings.get(entry);
@@ -164,18 +226,16 @@
 		grant(entry, sequence, liveEntries, now) {
 			const permits: Permit[] = [];
 			for (const state of states.values()) {
-				if (now < state.grantableAt) {
-					continue;
-				}
-
-				const slots = getGrantSlots(state, entry, liveEntries, now);
+				removeReleased(state, now);
+				const permit = getPermit(state, entry, liveEntries, now);
+				const {slots} = permit;
 				const holding = getHolding(state, entry);
 				if (slots > 0 || getNewestGrantSlots(holding) > 0) {
 					holding.grants.set(sequence, slots);
 				}
 
 				if (slots > 0) {
-					permits.push({server: state.server.id, slots});
+					permits.push(permit);
 				}
 			}
 
@@ -184,21 +244,7 @@
 		getWarmed: now => [...states.values()].filter(state => state.capacity.isWarm(now)).map(state => state.server.id),
 		getUsage(id, now) {
 			const state = states.get(id);
-			return state === undefined ? undefined : {capacity: state.capacity.getSlots(now), held: getTotalHeldSlots(state, now)};
+			return state === undefined ? undefined : {capacity: state.capacity.getSlots(now), held: getHeldTotal(state, now)};
 		},
 	};
 }
-
-/**
- * Gets an entry's even share of a server's slots. The first entry to get a slot differs by server,
- * so that cold servers with one slot each are spread over the entries.
- */
-function getEvenShare(server: number, entry: string, liveEntries: readonly string[], slots: number): number {
-	const position = liveEntries.indexOf(entry);
-	if (position === -1) {
-		return 0;
-	}
-
-	const offset = (position + liveEntries.length - (server % liveEntries.length)) % liveEntries.length;
-	return Math.floor(slots / liveEntries.length) + (offset < slots % liveEntries.length ? 1 : 0);
-}
--- a/source/cold-start/capacity.ts
+++ b/source/cold-start/capacity.ts
@@ -17,6 +17,8 @@
 	report(successes: number, sheds: number, now: number): void;
 	/** Updates the slots that the server announces. */
 	setSlots(slots: number): void;
+	/** Raises the slots to those that an earlier leader has granted, unless the server has shed requests since. */
+	inherit(slots: number): void;
 	/** Gets the slots that the server can handle, rounded down. */
 	getSlots(now: number): number;
 	isWarm(now: number): boolean;
@@ -33,6 +35,7 @@
 	let currentSlots = Math.min(slots, easing.initialSlots);
 	let successes = 0;
 	let lastShedAt = startedAt;
+	let hasShed = false;
 
 	function isWarm(now: number): boolean {
 		const hasAllSlots = currentSlots >= slots;
@@ -47,12 +50,18 @@
 			if (sheds > 0) {
 				currentSlots = Math.max(Math.min(slots, easing.initialSlots), currentSlots / 2);
 				lastShedAt = now;
+				hasShed = true;
 			}
 		},
 		setSlots(newSlots) {
 			slots = newSlots;
 			currentSlots = Math.min(slots, currentSlots);
 		},
+		inherit(inheritedSlots) {
+			if (!hasShed) {
+				currentSlots = Math.min(slots, Math.max(currentSlots, inheritedSlots));
+			}
+		},
 		getSlots: now => Math.floor(isWarm(now) ? slots : currentSlots),
 		isWarm,
 	};
--- a/source/control/cold-servers.ts
+++ b/source/control/cold-servers.ts
@@ -1,6 +1,7 @@
 /**
  * Permits for the cold servers of a leader. Some are limited by slots that grow with successes, others by a rate while they warm up. An
- * earlier leader may have granted permits for the servers that were registered then, so these are granted only after its leases have ended.
+ * earlier leader may have granted permits for the servers that were registered then. Until its leases have ended, entries keep the permits
+ * that they hold and hand them over to each other, and nothing else is granted.
  */
 import {type RegisteredServer} from '../announcement/index.js';
 import {createAllocator, createRateAllocator} from '../cold-start/index.js';
@@ -20,13 +21,13 @@
 	add(server: RegisteredServer, now: number): void;
 	/** Records that a server changed; it is no longer among the cold ones unless it is cold still. */
 	recordChange(server: RegisteredServer): void;
-	/** Records what an entry observed, and the permits that it acknowledges. */
-	recordRenewal(renewal: Renewal, now: number): void;
+	/** Records what an entry observed, and the permits that it acknowledges and holds. */
+	recordRenewal(renewal: Renewal, receivedAt: number): void;
 	/** Records which warm servers an entry found to behave like cold ones. */
 	collectCooled(renewal: Renewal): void;
 	expireLease(entry: string, now: number): void;
-	/** Grants permits to an entry, given the live entries of its environment and the end of its lease. */
-	grant(renewal: Renewal, liveEntries: readonly string[], expiresAt: number, now: number): Grant['permits'];
+	/** Grants permits to an entry, given the live entries of its environment. The leadership is known to have lasted until the receipt of the renewal. */
+	grant(renewal: Renewal, liveEntries: readonly string[], receivedAt: number): Grant['permits'];
 	/** Gets the warm servers that behave like cold ones. */
 	getCooled(): readonly number[];
 	/** Gets the servers that have become warm. */
@@ -36,6 +37,8 @@
 
 /** Options of `createColdServers`. */
 export type ColdServersOptions = {
+	/** Consensus term of the leader. */
+	readonly epoch: number;
 	readonly startedAt: number;
 	readonly termMilliseconds: number;
 	readonly machine: StateMachine;
@@ -50,7 +53,7 @@
  * @param options - Start, term, state machine and services.
  */
 export function createColdServers(options: ColdServersOptions): ColdServers {
-	const {startedAt, termMilliseconds, machine, inheritedServers, getServices} = options;
+	const {epoch, startedAt, termMilliseconds, machine, inheritedServers, getServices} = options;
 	const allocator = createAllocator({startedAt, termMilliseconds});
 	const rateAllocator = createRateAllocator();
 	const knownColdServers = new Set<number>();
@@ -95,8 +98,17 @@
 				knownColdServers.delete(id);
 			}
 		},
-		recordRenewal(renewal, now) {
-			allocator.report(renewal.entry, renewal.acknowledged, renewal.observations, now);
+		recordRenewal(renewal, receivedAt) {
+			const {entry, acknowledged, observations} = renewal;
+			const hasLease = renewal.epoch === epoch;
+			// The earlier leader may have counted these successes as well, and this leader continues with the slots that it granted.
+			const counted = hasLease ? observations : observations.map(observation => ({...observation, successes: 0}));
+			allocator.report(entry, acknowledged, counted, receivedAt);
+			const held = {
+				entry, acknowledged, permits: renewal.held ?? [], hasLease,
+			};
+			allocator.inherit(held, receivedAt);
+			rateAllocator.inherit(held, receivedAt + termMilliseconds, receivedAt);
 		},
 		collectCooled(renewal) {
 			for (const observation of renewal.observations) {
@@ -107,12 +119,12 @@
 		},
 		expireLease(entry, now) {
 			allocator.expireLease(entry, now);
-			rateAllocator.expireLease(entry);
+			rateAllocator.expireLease(entry, now);
 		},
-		grant: (renewal, liveEntries, expiresAt, now) => [
-			...allocator.grant(renewal.entry, renewal.sequence, liveEntries, now),
+		grant: (renewal, liveEntries, receivedAt) => [
+			...allocator.grant(renewal.entry, renewal.sequence, liveEntries, receivedAt),
 			...rateAllocator.grant({
-				entry: renewal.entry, expiresAt, entryCount: liveEntries.length, now,
+				entry: renewal.entry, expiresAt: receivedAt + termMilliseconds, entryCount: liveEntries.length, now: receivedAt,
 			}).map(permit => ({...permit, slots: 0})),
 		],
 		getCooled: () => [...cooledServers],
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -1,7 +1,8 @@
 /**
  * Soft state of a leader: leases, permits for cold servers, probe duties, liveness of servers and quarantine. A new leader rebuilds it
  * from renewals and announcements. An earlier leader may have granted permits and duties for the servers that were registered
- * then, so a new leader grants none for these servers until the earlier leases have expired.
+ * then, so until the earlier leases have expired a new leader grants no duties for these servers, and only those permits that entries
+ * report to hold.
  */
 import {type Announcement, type RegisteredServer, type RegistryCommand} from '../announcement/index.js';
 import {type EnvironmentDocument, type Service} from '../configuration/index.js';
@@ -70,7 +71,7 @@
 		epoch, machine, presence, getAppliedIndex: options.getAppliedIndex,
 	});
 	const coldServers = createColdServers({
-		startedAt, termMilliseconds, machine, inheritedServers, getServices,
+		epoch, startedAt, termMilliseconds, machine, inheritedServers, getServices,
 	});
 	const probing = createProbing({
 		startedAt, termMilliseconds, machine, inheritedServers,
@@ -104,8 +105,8 @@
 		return documents.flatMap(document => document?.services.filter(service => service.name === name) ?? []);
 	}
 
-	function recordRenewal(renewal: Renewal, now: number): void {
-		coldServers.recordRenewal(renewal, now);
+	function recordRenewal(renewal: Renewal, receivedAt: number, now: number): void {
+		coldServers.recordRenewal(renewal, receivedAt);
 		probing.acknowledge(renewal);
 		for (const id of renewal.failedProbes) {
 			presence.recordFailedProbe(id);
@@ -138,7 +139,7 @@
 			leases.expire(now);
 			leases.record(renewal, receivedAt);
 			leases.expire(now);
-			recordRenewal(renewal, now);
+			recordRenewal(renewal, receivedAt, now);
 			coldServers.collectCooled(renewal);
 			probing.enableInherited(now);
 			const liveEntries = leases.getLiveEntries(renewal.environment, now);
@@ -152,7 +153,7 @@
 				...serverList.getFor(renewal),
 				version,
 				document: version === renewal.version ? undefined : machine.register.getUpdate(renewal.environment, renewal.version),
-				permits: coldServers.grant(renewal, liveEntries, receivedAt + termMilliseconds, now),
+				permits: coldServers.grant(renewal, liveEntries, receivedAt),
 				...probing.grant(renewal, getDocument(renewal.environment)),
 				quarantined: quarantine.getQuarantined(now),
 				zonesOut: machine.getZonesOut(),
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -134,6 +134,10 @@
 		peer: peerExchange === undefined || settings.peers === undefined ? undefined : {name: settings.name, host: settings.peers.host, port: peerExchange.port},
 		getClient: () => client,
 		takeObservations: fleet.takeObservations,
+		getPermits() {
+			revokePermitsIfNeeded();
+			return fleet.getPermits();
+		},
 		takeFailedProbes: prober.takeFailedServers,
 		takeUnchangedServers: announcementHandler.takeUnchangedServers,
 		getCrashReports: () => crashTracker.getReports(),
--- a/source/entry/fleet.test.ts
+++ b/source/entry/fleet.test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'earl';
 import {announcementSchema} from '../announcement/index.js';
 import {documentSchema} from '../configuration/index.js';
-import {type ServerView} from '../lease/index.js';
+import {type Permit, type ServerView} from '../lease/index.js';
 import {createRandom} from '../randomness/index.js';
 import {createFleet, type Fleet} from './fleet.js';
 
@@ -61,3 +61,35 @@
 		doTest([1, 2, 3], [], {isComplete: false, servers: [[1, false], [2, false]]});
 	});
 });
+
+describe('createFleet: permits', () => {
+	function doTest(granted: ReadonlyArray<readonly Permit[]>, expected: readonly Permit[]): void {
+		const fleet = createFleet(createRandom(1), undefined);
+		fleet.update([getView(1), getView(2), getView(3)], true);
+		for (const permits of granted) {
+			fleet.setPermits(permits, 0);
+		}
+
+		expect(fleet.getPermits()).toEqual([...expected]);
+		fleet.close();
+	}
+
+	const first: readonly Permit[] = [{server: 1, slots: 2}, {server: 2, slots: 0, requestsPerSecond: 4}];
+
+	test('are those of the last grant', () => {
+		doTest([first, [{server: 3, slots: 1}]], [{server: 3, slots: 1}]);
+	});
+	test('are kept if a new leader says so, but not raised', () => {
+		doTest([first, [{server: 1, slots: 3, isKept: true}, {
+			server: 2, slots: 0, requestsPerSecond: 4, isKept: true,
+		}, {server: 3, slots: 1, isKept: true}]], first);
+	});
+	test('are gone once they are revoked', () => {
+		const fleet = createFleet(createRandom(1), undefined);
+		fleet.update([getView(1)], true);
+		fleet.setPermits(first, 0);
+		fleet.revokePermits();
+		expect(fleet.getPermits()).toEqual([]);
+		fleet.close();
+	});
+});
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -7,7 +7,9 @@
 	createCandidate, createChooser, type Candidate, type Chooser, type SubsetChooser,
 } from '../choice/index.js';
 import {type EnvironmentDocument, type Service} from '../configuration/index.js';
-import {type Observation, type Permit, type ServerView} from '../lease/index.js';
+import {
+	getNextPermit, type Observation, type Permit, type ServerView,
+} from '../lease/index.js';
 import {
 	createShortageEstimate, createWaitQueue, type ShortageEstimate, type WaitQueue,
 } from '../limits/index.js';
@@ -49,6 +51,8 @@
 	/** Removes the servers that are not listed, and marks those as present that the given views do not call absent. Returns whether all listed servers are known. */
 	retain(ids: readonly number[], views: readonly ServerView[]): boolean;
 	setPermits(permits: readonly Permit[], now: number): void;
+	/** Gets the permits for cold servers that the entry holds. */
+	getPermits(): readonly Permit[];
 	/** Revokes the permits for cold servers, because the lease has ended. */
 	revokePermits(): void;
 	/** Replaces the zones that are out of service regardless of the document. */
@@ -294,11 +298,12 @@
 		setPermits(permits, now) {
 			const byServer = new Map(permits.map(permit => [permit.server, permit]));
 			for (const {candidate} of servers.values()) {
-				const permit = byServer.get(candidate.id);
+				const permit = getNextPermit(getPermit(candidate), byServer.get(candidate.id));
 				candidate.setPermit(permit?.slots ?? 0);
 				candidate.setRate(permit?.requestsPerSecond, now);
 			}
 		},
+		getPermits: () => [...servers.values()].map(({candidate}) => getPermit(candidate)).filter(permit => permit !== undefined),
 		revokePermits() {
 			for (const {candidate} of servers.values()) {
 				candidate.revokePermits();
@@ -369,6 +374,16 @@
 	};
 }
 
+/** Gets the permit that the entry holds for a server. */
+function getPermit(candidate: Candidate): Permit | undefined {
+	const {slots, requestsPerSecond} = candidate.getPermit();
+	if (requestsPerSecond !== undefined) {
+		return {server: candidate.id, slots, requestsPerSecond};
+	}
+
+	return slots > 0 ? {server: candidate.id, slots} : undefined;
+}
+
 function doNothing(): void {
 	// The shared budget already has the deposit.
 }
--- a/source/entry/lease-keeper.test.ts
+++ b/source/entry/lease-keeper.test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'earl';
 import {documentSchema, getDocumentUpdate, type DocumentUpdate} from '../configuration/index.js';
 import {type ControlClient} from '../control-client/index.js';
-import {type Grant, type Renewal} from '../lease/index.js';
+import {type Grant, type Permit, type Renewal} from '../lease/index.js';
 import {keepLease, type LeaseKeeper} from './lease-keeper.js';
 
 function getDocument(services: readonly string[]): ReturnType<typeof documentSchema.parse> {
@@ -31,7 +31,7 @@
 			},
 		};
 		const keeper: LeaseKeeper = keepLease({
-			entry: 'one', environment: 'production', renewMilliseconds: 60_000, peer: undefined, getClient: () => client as ControlClient, takeObservations: () => [], takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => [],
+			entry: 'one', environment: 'production', renewMilliseconds: 60_000, peer: undefined, getClient: () => client as ControlClient, takeObservations: () => [], getPermits: () => [], takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => [],
 			applyGrant(_grant, document) {
 				serviceCounts.push(document?.services.length ?? 0);
 			},
@@ -90,7 +90,7 @@
 		};
 		const keeper = keepLease({
 			entry: 'one', environment: 'production', renewMilliseconds: 60_000, peer: undefined, getClient: () => client as ControlClient,
-			takeObservations: () => [], takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => reports,
+			takeObservations: () => [], getPermits: () => [], takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => reports,
 			applyGrant() {
 				// The test looks at renewals only.
 			},
@@ -116,3 +116,46 @@
 		doTest([1, 2, 2, 2], [0, 1, 1, 0]);
 	});
 });
+
+describe('keepLease: permits of an earlier leader', () => {
+	const held: readonly Permit[] = [{server: 1, slots: 2}];
+	const kept: readonly Permit[] = [{server: 1, slots: 2, isKept: true}];
+
+	/** Grants each renewal with permits that the entry keeps, and gets the permits that are applied and those that the renewals report. */
+	function doTest(terms: readonly number[], expected: {readonly applied: ReadonlyArray<readonly Permit[]>; readonly reported: ReadonlyArray<readonly Permit[] | undefined>}): void {
+		const renewals: Renewal[] = [];
+		const applied: Array<readonly Permit[]> = [];
+		const client: Pick<ControlClient, 'sendToLeader' | 'setLeader'> = {
+			sendToLeader(message) {
+				renewals.push(message as Renewal);
+				return 'leader';
+			},
+			setLeader() {
+				// The test does not follow the leader.
+			},
+		};
+		const keeper = keepLease({
+			entry: 'one', environment: 'production', renewMilliseconds: 60_000, peer: undefined, getClient: () => client as ControlClient,
+			takeObservations: () => [], getPermits: () => held, takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => [],
+			applyGrant(grant) {
+				applied.push(grant.permits);
+			},
+			setQuarantined() {
+				// No request is quarantined in these tests.
+			},
+		});
+		for (const [index, termMilliseconds] of terms.entries()) {
+			keeper.renew();
+			keeper.receive('control', {
+				kind: 'grant', sequence: renewals.length, termMilliseconds, epoch: index + 1, revision: 0, isWhole: true, servers: [], version: 0, document: undefined, permits: kept, duties: [], probeMilliseconds: 1000, quarantined: [], zonesOut: [], entries: 1, peersRevision: 0, peers: [],
+			});
+		}
+
+		keeper.stop();
+		expect({applied, reported: renewals.map(renewal => renewal.held)}).toEqual({applied: [...expected.applied], reported: [...expected.reported]});
+	}
+
+	test('are kept only if the lease has not ended in between', () => {
+		doTest([60_000, 60_000], {applied: [[], kept], reported: [[], held]});
+	});
+});
--- a/source/entry/lease-keeper.ts
+++ b/source/entry/lease-keeper.ts
@@ -5,7 +5,7 @@
 	applyDocumentUpdate, noVersion, type DocumentUpdate, type Environment, type EnvironmentDocument,
 } from '../configuration/index.js';
 import {
-	createLeaseHolder, createRenewalPacing, type CrashReport, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Renewal,
+	createLeaseHolder, createRenewalPacing, withoutKeptPermits, type CrashReport, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Permit, type Renewal,
 } from '../lease/index.js';
 import {type ControlClient} from '../control-client/index.js';
 import {type ControlOutbound} from '../control/message.js';
@@ -37,6 +37,8 @@
 	readonly peer: PeerAddress | undefined;
 	getClient(): ControlClient;
 	takeObservations(): readonly Observation[];
+	/** Gets the permits for cold servers that the entry holds. */
+	getPermits(): readonly Permit[];
 	takeFailedProbes(): readonly number[];
 	takeUnchangedServers(): readonly number[];
 	/** Gets the crashes that were reported lately. */
@@ -84,6 +86,7 @@
 			logIndex: holder.getLogIndex(),
 			peersRevision: holder.getPeersRevision(),
 			observations: options.takeObservations(),
+			held: holder.isValid(now) ? options.getPermits() : [],
 			failedProbes: options.takeFailedProbes(),
 			heard: options.takeUnchangedServers(),
 			crashes: holder.getEpoch() === crashesEpoch ? [] : options.getCrashReports(),
@@ -137,12 +140,13 @@
 		}
 
 		needsFullDocument = false;
+		const hasHeldLease = holder.isValid(now);
 		holder.accept(grant, now);
 		if (grant.sequence === lastRenewal?.sequence && lastRenewal.epoch === grant.epoch) {
 			crashesEpoch = grant.epoch;
 		}
 
-		options.applyGrant(grant, isNewVersion ? document : undefined, host);
+		options.applyGrant(hasHeldLease ? grant : withoutKeptPermits(grant), isNewVersion ? document : undefined, host);
 		grants.next(grant);
 		const isOwedCrashes = crashesEpoch !== grant.epoch && options.getCrashReports().length > 0;
 		if (isFirst || isNewVersion || isOwedCrashes) {
--- a/source/lease/index.ts
+++ b/source/lease/index.ts
@@ -1,5 +1,6 @@
 export * from './table.js';
 export * from './holder.js';
+export * from './kept-permits.js';
 export type * from './message.js';
 export * from './renewal-pacing.js';
 export * from './suspension.js';
--- /dev/null
+++ b/source/lease/kept-permits.test.ts
@@ -0,0 +1,26 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {getNextPermit, type Permit} from './index.js';
+
+describe('getNextPermit', () => {
+	function doTest(current: Permit | undefined, granted: Permit | undefined, expected: Permit | undefined): void {
+		expect(getNextPermit(current, granted)).toEqual(expected);
+	}
+
+	test('replaces a permit by the one that is granted', () => {
+		doTest({server: 1, slots: 2}, {server: 1, slots: 3}, {server: 1, slots: 3});
+		doTest({server: 1, slots: 2}, undefined, undefined);
+	});
+	test('keeps a permit without raising it', () => {
+		doTest({server: 1, slots: 2}, {server: 1, slots: 3, isKept: true}, {server: 1, slots: 2});
+		doTest({server: 1, slots: 2}, {server: 1, slots: 1, isKept: true}, {server: 1, slots: 1});
+	});
+	test('keeps a rate as it is', () => {
+		doTest({server: 1, slots: 0, requestsPerSecond: 4}, {
+			server: 1, slots: 0, requestsPerSecond: 5, isKept: true,
+		}, {server: 1, slots: 0, requestsPerSecond: 4});
+	});
+	test('keeps nothing where nothing is held', () => {
+		doTest(undefined, {server: 1, slots: 1, isKept: true}, undefined);
+	});
+});
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -38,6 +38,8 @@
 	/** Revision of the list of peers at the entry, or 0 before the first. */
 	readonly peersRevision: number;
 	readonly observations: readonly Observation[];
+	/** Permits that the entry holds under a valid lease; missing from entries of earlier releases, which keep none when the leader changes. */
+	readonly held?: readonly Permit[];
 	readonly failedProbes: readonly number[];
 	/** Servers that repeated an unchanged announcement to the entry since its last renewal. */
 	readonly heard: readonly number[];
@@ -59,7 +61,13 @@
 };
 
 /** Number of slots of one cold server that an entry may use, or its requests per second if the rate is limited. */
-export type Permit = {readonly server: number; readonly slots: number; readonly requestsPerSecond?: number};
+export type Permit = {
+	readonly server: number;
+	readonly slots: number;
+	readonly requestsPerSecond?: number;
+	/** Whether the entry keeps what it holds from an earlier leader, at most these slots. Granted only to entries that report what they hold. */
+	readonly isKept?: true;
+};
 
 /** Granted lease. The leadership was confirmed after the receipt of the renewal. */
 export type Grant = {
