Play a leader that is lost while every server is cold

The scenarios that lose the leader a second after the load begins fail only if no server is warm by then. control-restart-cold kills all control hosts 300 ms after it, within the lease term.

--- a/scenario/scenario.test.ts
+++ b/scenario/scenario.test.ts
@@ -14,6 +14,7 @@
 	for (const name of [
 		'basic',
 		'cold',
+		'control-restart-cold',
 		'control-restart-warm',
 		'crashing',
 		'cut',
--- a/source/cold-start/rate-allocator.test.ts
+++ b/source/cold-start/rate-allocator.test.ts
@@ -114,6 +114,19 @@
 		expect(grant(allocator, 'e', 5999, 2999)).toEqual([]);
 		expect(grant(allocator, 'e', 6000, 3000).length).toEqual(1);
 	});
+	test('releases no permit by a lease that ended after the receipt of a renewal', () => {
+		const allocator = createRateAllocator();
+		allocator.add({
+			id: 1, requestsPerSecond: 8, grantableAt: 0, coldUntil: 9000,
+		});
+		for (const entry of ['a', 'b', 'c', 'd']) {
+			grant(allocator, entry, 3000, 0);
+		}
+
+		allocator.expireLease('a', 3000);
+		expect(grant(allocator, 'e', 5900, 2900)).toEqual([]);
+		expect(grant(allocator, 'e', 6000, 3000).length).toEqual(1);
+	});
 	test('keeps a server cold for the longest of its cold times', () => {
 		const allocator = createRateAllocator();
 		allocator.add({
--- a/source/control/inherited-permits.test.ts
+++ b/source/control/inherited-permits.test.ts
@@ -84,3 +84,45 @@
 		doTest({entries: [true, false, true], readAfter: withheldMilliseconds + (2 * renewMilliseconds)}, [even, even, even]);
 	});
 });
+
+describe('createLeadership: a decision that comes after the leader was replaced', () => {
+	/** Lets an entry keep its permit at the next leader while the earlier one, which lost it, decides on a renewal of another entry. */
+	function play(): readonly number[] {
+		const simulation = createPermitSimulation({
+			slotServers: 1, rateServers: 0, initialSlots: 2, entries: [true, true], deadlineMilliseconds: 40,
+		});
+		const [first, second] = simulation.entries as readonly [SimulatedEntry, SimulatedEntry];
+		const server = simulation.slotServers[0]!;
+		const usableSlots: number[] = [];
+		simulation.startLeader(0);
+		simulation.runUntil(2890, now => {
+			if (now <= 2000 && now % 100 === 0) {
+				for (const entry of [first, second]) {
+					simulation.renew(entry, [{
+						host: 0, renewal: 0, decision: 0, grant: 0,
+					}]);
+				}
+			}
+		});
+		simulation.renew(second, [{
+			host: 0, renewal: 0, decision: 700, grant: 0,
+		}]);
+		simulation.runUntil(2920, () => undefined);
+		simulation.startLeader(1);
+		simulation.runUntil(3800, now => {
+			if (now % 20 === 0) {
+				simulation.renew(first, [{
+					host: 1, renewal: 0, decision: 0, grant: 0,
+				}]);
+			}
+
+			usableSlots.push(first.getUsableSlots(server, now) + second.getUsableSlots(server, now));
+		});
+		return usableSlots;
+	}
+
+	test('grants nothing that another entry keeps', () => {
+		const usableSlots = play();
+		expect([Math.max(...usableSlots), usableSlots.at(-1)]).toEqual([2, 2]);
+	});
+});
