--- /dev/null
+++ b/source/entry/counts-exchange.ts
@@ -0,0 +1,36 @@
+/** Exchanges with the other entries how many requests each sends to the servers of its fleet, if the settings name an address for it. */
+import {createCountsReporter, createPeerCounts} from '../choice/index.js';
+import {type EntrySettings, type Security} from '../settings/index.js';
+import {type Fleet} from './fleet.js';
+import {startPeerExchange, type PeerExchange} from './peer-exchange.js';
+
+/** Options of `startCountsExchange`. */
+export type CountsExchangeOptions = {
+	readonly settings: EntrySettings;
+	readonly security: Security;
+	readonly fleet: Fleet;
+};
+
+/**
+ * Starts to exchange the counts of a fleet. Returns undefined if the settings have no address for peers.
+ * @param options - Address, keys and servers.
+ */
+export async function startCountsExchange({settings, security, fleet}: CountsExchangeOptions): Promise<PeerExchange | undefined> {
+	if (settings.peers === undefined) {
+		return undefined;
+	}
+
+	const counts = createPeerCounts();
+	return startPeerExchange({
+		identity: security.link,
+		address: settings.peers,
+		counts,
+		reporter: createCountsReporter(settings.name),
+		getOwnCounts: () => [...fleet.getServers()].map(({candidate}) => ({server: candidate.id, inFlight: candidate.getInFlight()})),
+		onCountsChange(servers) {
+			for (const id of servers) {
+				fleet.get(id)?.candidate.setPeerInFlight(counts.get(id));
+			}
+		},
+	});
+}
--- /dev/null
+++ b/source/entry/entry-gauges.ts
@@ -0,0 +1,44 @@
+/** The gauges of an entry: its requests, lease, zones, stalls, peers and probing duties. */
+import {performance} from 'node:perf_hooks';
+import {type StallWatch} from '../control/stall-watch.js';
+import {type LeaseHolder} from '../lease/index.js';
+import {type EntryState} from './entry-state.js';
+import {type EntryMetrics} from './metrics.js';
+import {type Peers} from './peer-exchange.js';
+import {type Prober} from './prober.js';
+import {type ZoneView} from './zone-view.js';
+
+const millisecondsPerSecond = 1000;
+
+/** Parts of an entry that the gauges measure. */
+export type GaugeSources = {
+	readonly state: EntryState;
+	readonly lease: LeaseHolder;
+	readonly zoneView: ZoneView;
+	readonly stallWatch: StallWatch;
+	readonly prober: Prober;
+	/** Links to the other entries; undefined if the entry exchanges no counts. */
+	readonly peers: Peers | undefined;
+};
+
+/**
+ * Adds the gauges to the metrics of an entry.
+ * @param metrics - Metrics of the entry.
+ * @param sources - Measured parts of the entry.
+ */
+export function registerGauges(metrics: EntryMetrics, sources: GaugeSources): void {
+	const {
+		state, lease, zoneView, stallWatch, prober, peers,
+	} = sources;
+	metrics.addGauge('guavadeck_in_flight', 'Requests in flight', () => state.inFlight);
+	metrics.addGauge('guavadeck_document_version', 'Version of the document in force', () => lease.getVersion());
+	metrics.addGauge('guavadeck_lease_seconds', 'Time until the lease ends', () => Math.max(0, lease.getExpiresAt() - performance.now()) / millisecondsPerSecond);
+	metrics.addGauge('guavadeck_zones_revision', 'Revision of the zones that the entry acts on', zoneView.getRevision);
+	metrics.addGauge('guavadeck_zones_out', 'Zones out of service that the entry acts on', zoneView.getZonesOutCount);
+	metrics.addGauge('guavadeck_grant_age_seconds', 'Time since the renewal of the last grant was sent', zoneView.getGrantAgeSeconds);
+	metrics.addGauge('guavadeck_stalls_total', 'Times in which this process did not run', stallWatch.getStallCount);
+	metrics.addGauge('guavadeck_stalled_seconds_total', 'Duration of the times in which this process did not run', () => stallWatch.getStalledMilliseconds() / millisecondsPerSecond);
+	metrics.addGauge('guavadeck_peers', 'Peers that counts are exchanged with', () => peers?.getCount() ?? 0);
+	metrics.addGauge('guavadeck_exchange_frames_total', 'Count messages sent to peers', () => peers?.getSentFrames() ?? 0);
+	metrics.addGauge('guavadeck_probe_duties', 'Servers that this entry probes', () => prober.schedule.getDuties().length);
+}
--- /dev/null
+++ b/source/entry/request-entrance.ts
@@ -0,0 +1,63 @@
+/** Receives callers' requests: checks their heads, finds their routes, and refuses those without a service. */
+import {notRun, type NotRunReason} from '../verdict/index.js';
+import {type Exchange} from './caller-connections.js';
+import {type EntryState} from './entry-state.js';
+import {findRequestFault, normalizeTarget} from './request-check.js';
+import {type RequestContext} from './request-context.js';
+import {getRequestId, handleRequest} from './request-handler.js';
+import {sendVerdict} from './response.js';
+
+/** Retry delay for callers of an entry without a matching route, in milliseconds. A starting entry receives its document within a few hundred. */
+const unroutedRetryMilliseconds = 150;
+
+/** Options of `createRequestEntrance`. */
+export type RequestEntranceOptions = {
+	readonly context: RequestContext;
+	readonly state: EntryState;
+	/** Maximum size of the headers of a request, unless the document sets one. */
+	readonly maximumHeaderBytes: number;
+};
+
+/**
+ * Creates a function that receives requests.
+ * @param options - Dependencies of requests, and state of the entry.
+ */
+export function createRequestEntrance(options: RequestEntranceOptions): (exchange: Exchange) => void {
+	const {context, state, maximumHeaderBytes} = options;
+
+	/** Refuses a request before a service is found for it. */
+	function refuseUnrouted(exchange: Exchange, reason: NotRunReason): void {
+		context.metrics.countRefusal(reason);
+		sendVerdict({
+			dialect: context.dialect,
+			response: exchange.response,
+			verdict: notRun(reason),
+			requestId: getRequestId(context, exchange.request),
+			isClosing: exchange.decideClose(false),
+			retryAfterMilliseconds: unroutedRetryMilliseconds,
+		});
+	}
+
+	return exchange => {
+		const {request, response} = exchange;
+		response.on('error', () => {
+			response.destroy();
+		});
+		normalizeTarget(request);
+		const fault = findRequestFault(request, state.document?.clientLimits?.headerBytes ?? maximumHeaderBytes);
+		if (fault !== undefined) {
+			refuseUnrouted(exchange, fault === 'malformed' ? 'bad-request' : 'headers-too-large');
+			return;
+		}
+
+		const route = state.router.get(request.headers.host, request.url ?? '/');
+		const serviceState = route === undefined ? undefined : context.fleet.getState(route.selectService());
+		if (route === undefined || serviceState === undefined) {
+			refuseUnrouted(exchange, state.document === undefined ? 'lease-expired' : 'unknown-service');
+			return;
+		}
+
+		state.inFlight++;
+		void handleRequest(context, route, serviceState, exchange);
+	};
+}
