Split the dispatch of a request by job

The dispatch was one function of 400 lines with some thirty inner functions, all created anew for each request. The state of a request is now an object, its progress; the first attempt, hedges, further attempts, the start of an attempt on a server, what an outcome says about the server, and passing a response on are modules with functions of that object. The dispatch itself decides what follows from an outcome. No change of behaviour.

--- /dev/null
+++ b/source/entry/admitted-request.ts
@@ -0,0 +1,45 @@
+/** A request that has been admitted: its content, service and route, and how it ends. */
+import {type Buffer} from 'node:buffer';
+import {type IncomingMessage} from 'node:http';
+import {type Service} from '../configuration/index.js';
+import {type Verdict} from '../verdict/index.js';
+import {type Exchange} from './caller-connections.js';
+import {type Claim} from './claims.js';
+import {type ServiceState} from './fleet.js';
+import {type RequestContext} from './request-context.js';
+import {type Decision} from './request-log.js';
+import {type RoutePolicy} from './router.js';
+
+/** Content of a caller's request. */
+export type RequestContent = {
+	readonly method: string;
+	readonly target: string;
+	readonly key: string | undefined;
+	readonly isIdempotent: boolean;
+	readonly body: Buffer | undefined;
+	readonly stream: IncomingMessage | undefined;
+};
+
+/** Request that has been admitted, with its service and route. */
+export type AdmittedRequest = {
+	readonly context: RequestContext;
+	readonly state: ServiceState;
+	readonly service: Service;
+	readonly route: RoutePolicy;
+	readonly request: RequestContent;
+	readonly exchange: Exchange;
+	readonly requestId: string;
+	readonly deadlineAt: number;
+	/** Whether the request is unlikely to meet its target latency. */
+	readonly isLate: boolean;
+	readonly claim: Claim | undefined;
+	/** Responds with a verdict of the entry. */
+	refuse(verdict: Verdict): void;
+	/** Ends the request after an unexpected error. */
+	fail(error: unknown): void;
+	/** Called when the request has ended. */
+	onEnd(verdict: Verdict): void;
+	/** Records a decision for the log. */
+	recordDecision(decision: Decision): void;
+	computeFingerprint(): string;
+};
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -32,6 +32,9 @@
 		| {readonly kind: 'large'; readonly head: ResponseHead; readonly firstChunks: readonly Buffer[]; readonly rest: IncomingMessage; readonly completion: ResponseCompletion; readonly reservation: ByteReservation}
 		| {readonly kind: 'failed'; readonly verdict: Verdict; readonly hasCrashed: boolean};
 
+/** Outcome of an attempt that received a response. */
+export type AttemptResponse = Exclude<AttemptOutcome, {readonly kind: 'failed'}>;
+
 /** Options of an attempt. */
 export type AttemptOptions = {
 	readonly pool: Pool;
--- /dev/null
+++ b/source/entry/first-attempt.ts
@@ -0,0 +1,62 @@
+/** Starts the first attempt of a request, at once or after a wait in the queue of its service. */
+import {performance} from 'node:perf_hooks';
+import {notRun} from '../verdict/index.js';
+import {scheduleHedge} from './hedging.js';
+import {protect, refuse, type RequestProgress} from './request-progress.js';
+import {type AttemptStart} from './server-attempt.js';
+
+/** Share of the target latency for which a request may wait for a server; after a longer wait it is unlikely to meet the target. */
+const maximumWaitTargetShare = 0.125;
+
+/**
+ * Starts the first attempt, or puts the request into the queue while no server is available or other requests wait.
+ * @param progress - Progress of the request.
+ * @param start - Starts the attempt.
+ */
+export function startOrEnqueue(progress: RequestProgress, start: AttemptStart): void {
+	if (progress.admitted.state.queue.getLength() > 0 || !startFirstAttempt(progress, start)) {
+		enqueue(progress, start);
+	}
+}
+
+/** Starts the selection of a server for the first attempt; returns false when no server is available. */
+function startFirstAttempt(progress: RequestProgress, start: AttemptStart): boolean {
+	const {selector} = progress;
+	if (selector.chooseImmediately(performance.now()) === undefined) {
+		return false;
+	}
+
+	selector.select(candidate => {
+		protect(progress, () => {
+			if (candidate === undefined) {
+				refuse(progress, notRun('overload'));
+				return;
+			}
+
+			start(progress, candidate, 'first');
+			scheduleHedge(progress, start);
+		});
+	});
+	return true;
+}
+
+function enqueue(progress: RequestProgress, start: AttemptStart): void {
+	const {
+		context, state, service, route, deadlineAt,
+	} = progress.admitted;
+	const {targetMilliseconds} = route;
+	const now = performance.now();
+	const waitDeadlineAt = targetMilliseconds === undefined ? deadlineAt : Math.min(deadlineAt, now + (targetMilliseconds * maximumWaitTargetShare));
+	const pauseEndsAt = context.fleet.getPauseEnd(service.name, now) ?? now;
+	const isQueued = pauseEndsAt < waitDeadlineAt && state.getCandidates().length > 0 && state.queue.add({
+		deadlineAt: waitDeadlineAt,
+		start: () => startFirstAttempt(progress, start),
+		expire() {
+			refuse(progress, notRun(waitDeadlineAt < deadlineAt ? 'overload' : 'deadline'));
+		},
+		isSettled: () => progress.isSettled,
+	}, now);
+	if (!isQueued) {
+		refuse(progress, notRun(state.getCandidates().length > 0 ? 'overload' : 'no-server'));
+	}
+}
--- a/source/entry/request-handler.ts
+++ b/source/entry/request-handler.ts
@@ -11,7 +11,8 @@
 import {type RoutePolicy} from './router.js';
 import {prepareBody} from './prepared-body.js';
 import {type RequestContext} from './request-context.js';
-import {dispatchRequest, type RequestContent} from './request-dispatch.js';
+import {type RequestContent} from './admitted-request.js';
+import {dispatchRequest} from './request-dispatch.js';
 import {getFingerprint} from './crash-tracker.js';
 
 const maximumKeyLength = 256;
--- /dev/null
+++ b/source/entry/server-attempt.ts
@@ -0,0 +1,101 @@
+/** Starts an attempt of a request on a selected server, and counts it for the request, the server and the log. */
+import {performance} from 'node:perf_hooks';
+import {type Candidate} from '../choice/index.js';
+import {notRun} from '../verdict/index.js';
+import {startAttempt, type AttemptOutcome} from './attempt.js';
+import {getForwardedHeaders} from './headers.js';
+import {
+	fail, protect, refuse, type RequestProgress, type RunningAttempt,
+} from './request-progress.js';
+
+/** Why an attempt is made. */
+export type AttemptKind = 'first' | 'retry' | 'hedge';
+
+/** Starts an attempt on a server. */
+export type AttemptStart = (progress: RequestProgress, candidate: Candidate, kind: AttemptKind) => void;
+
+/** Options of `startServerAttempt`. */
+export type ServerAttemptOptions = {
+	readonly progress: RequestProgress;
+	readonly candidate: Candidate;
+	readonly kind: AttemptKind;
+	/** Called with the outcome of the attempt; the attempt still counts as running. */
+	onOutcome(progress: RequestProgress, runningAttempt: RunningAttempt, outcome: AttemptOutcome): void;
+};
+
+/**
+ * Starts an attempt, or refuses the request if the server has been removed meanwhile.
+ * @param options - Request, server and receiver of the outcome.
+ */
+export function startServerAttempt(options: ServerAttemptOptions): void {
+	const {
+		progress, candidate, kind, onOutcome,
+	} = options;
+	const {admitted} = progress;
+	const {
+		context, request, requestId, deadlineAt,
+	} = admitted;
+	const now = performance.now();
+	const server = context.fleet.get(candidate.id);
+	if (server === undefined) {
+		refuse(progress, notRun('no-server'));
+		return;
+	}
+
+	const headers = getForwardedHeaders({
+		dialect: context.dialect,
+		incoming: admitted.exchange.request,
+		requestId,
+		server: candidate.getAnnouncement().name,
+		remainingMilliseconds: deadlineAt - now,
+		body: request.body,
+		isStreamed: request.stream !== undefined,
+	});
+	progress.attempts++;
+	progress.excluded.add(candidate.id);
+	context.metrics.countAttempt(admitted.service.name, kind);
+	candidate.start(now);
+	admitted.recordDecision({
+		kind: 'send', attempt: kind, server: candidate.getAnnouncement().name, leftMilliseconds: Math.round(deadlineAt - now),
+	});
+	const attempt = startAttempt({
+		pool: server.pool,
+		dialect: context.dialect,
+		requestId,
+		method: request.method,
+		target: request.target,
+		headers,
+		body: request.body,
+		stream: request.stream,
+		deadlineAt,
+		maximumBufferedBytes: context.maximumBufferedBytes,
+		bufferedResponses: context.bufferedResponses,
+		maximumBodyBytes: context.maximumBodyBytes,
+		mayDispatch: () => mayDispatch(progress),
+		onReport(hints) {
+			context.onReport(candidate, hints);
+		},
+		onDiscard(answer) {
+			context.discardedAnswers.record(candidate, answer);
+		},
+		onError(error) {
+			fail(progress, error);
+		},
+		onEnd(outcome) {
+			protect(progress, () => {
+				onOutcome(progress, runningAttempt, outcome);
+			});
+		},
+	});
+	const runningAttempt: RunningAttempt = {attempt, candidate, startedAt: now};
+	progress.running.add(runningAttempt);
+}
+
+/**
+ * Checks whether an attempt of a request may be dispatched now.
+ * @param progress - Progress of the request.
+ */
+export function mayDispatch({admitted, isSettled}: RequestProgress): boolean {
+	const now = performance.now();
+	return !isSettled && admitted.context.mayDispatch(now) && now < admitted.deadlineAt;
+}
