Split the driver of a replica by job

Writing batches with the retries on a full disk, compaction, the proposals whose outcome is not known, and the timer of ticks are modules of their own; the driver passes events and carries out actions. What they share is the driver state. No change of behaviour.

--- a/source/control/driver.ts
+++ b/source/control/driver.ts
@@ -1,34 +1,19 @@
-/**
- * Drives a replica: passes events to it, applies committed commands to the state machine,
- * and persists in batches, so that one disk sync covers all commands queued meanwhile.
- */
+/** Drives a replica: passes events to it, carries out its actions, and applies committed commands to the state machine. */
 import {performance} from 'node:perf_hooks';
 import {Subject, type Observable} from 'rxjs';
 import {
 	createReplica, type Action, type Membership, type Payload, type Replica, type ReplicaEvent, type ReplicaMessage, type Role,
 } from '../consensus/index.js';
 import {type Random} from '../randomness/index.js';
-import {isDiskFull, type PersistAction, type Store} from '../storage/index.js';
+import {isDiskFull, type Store} from '../storage/index.js';
+import {createBatchWriter} from './batch-writer.js';
+import {createCompaction} from './compaction.js';
+import {createDriverState, waitUntilIdle} from './driver-state.js';
+import {createProposals, type ProposalOutcome} from './proposals.js';
 import {
 	type Command, type CommandResult, type StateMachine, type StateMachineSnapshot,
 } from './state-machine.js';
-
-const proposalTimeoutMilliseconds = 5000;
-
-/** Time between two attempts to write to a full disk. */
-const fullDiskRetryMilliseconds = 200;
-
-/** Growth of the log above which a compaction is worth its cost on a full disk, in bytes. */
-const minimumFreeableBytes = 65_536;
-
-const forcedCompactionIntervalMilliseconds = 1000;
-
-/** Outcome of a proposed command. */
-export type ProposalOutcome
-	= | {readonly kind: 'applied'; readonly result: CommandResult}
-		| {readonly kind: 'notLeader'}
-	/** It is not known whether the command has been or will be applied. */
-		| {readonly kind: 'unknown'};
+import {createTickTimer} from './tick-timer.js';
 
 /** Role, term and known leader of a replica after a change of its role. */
 export type RoleChange = {readonly role: Role; readonly term: number; readonly leader: string | undefined};
@@ -70,15 +55,13 @@
 	onFailure(error: Error): void;
 };
 
-type PendingProposal = {readonly term: number; readonly settle: (outcome: ProposalOutcome) => void; readonly timer: NodeJS.Timeout};
-type QueuedAction = PersistAction | Extract<Action, {readonly kind: 'send'}>;
-
 /**
  * Starts a driver from the stored state of a replica.
  * @param options - Replica, storage, state machine and transport.
  */
 export function startDriver(options: DriverOptions): Driver {
 	const {store, machine} = options;
+	const state = createDriverState();
 	const {storedState} = store;
 	if (storedState.snapshot !== undefined) {
 		machine.restore(storedState.snapshot.data as StateMachineSnapshot);
@@ -98,24 +81,43 @@
 	const roleChanges = new Subject<RoleChange>();
 	const commandResults = new Subject<CommandResult>();
 	const leadershipStarts = new Subject<number>();
-	const pendingProposals = new Map<number, PendingProposal>();
+	const proposals = createProposals();
 	const confirmations = new Map<number, (isConfirmed: boolean) => void>();
-	let queuedActions: QueuedAction[] = [];
-	let snapshotIndex = storedState.snapshot?.index ?? 0;
+	const tickTimer = createTickTimer(replica, () => {
+		handleEvent({kind: 'tick'});
+	});
+	const compaction = createCompaction({
+		state,
+		replica,
+		machine,
+		store,
+		snapshotEvery: options.snapshotEvery,
+		snapshotBytes: options.snapshotBytes,
+		onSnapshot(index, data) {
+			handleEvent({kind: 'compact', index, data});
+		},
+		onError: failUnlessFull,
+	});
+	const writer = createBatchWriter({
+		state,
+		replica,
+		store,
+		send: options.send,
+		onPersist(lastIndex, lastTerm) {
+			handleEvent({kind: 'persisted', lastIndex, lastTerm});
+			void compaction.compactIfDue();
+		},
+		onWritabilityChange(isWritable) {
+			options.onWritabilityChange?.(isWritable);
+			handleEvent({kind: 'writability', isWritable});
+		},
+		onRefusal: compaction.freeSpace,
+		onError: failUnlessFull,
+	});
 	let nextToken = 1;
-	let syncCount = 0;
-	let isWriting = false;
-	let isCompacting = false;
-	let isStopped = false;
-	let isBlocked = false;
-	let retryTimer: NodeJS.Timeout | undefined;
-	let lastForcedCompactionAt = Number.NEGATIVE_INFINITY;
-	let notifyIdle: (() => void) | undefined;
-	let timer: NodeJS.Timeout | undefined;
-	let nextTickAt = Number.POSITIVE_INFINITY;
 
 	function handleEvent(event: ReplicaEvent): void {
-		if (isStopped) {
+		if (state.isStopped) {
 			return;
 		}
 
@@ -123,26 +125,8 @@
 			runAction(action);
 		}
 
-		if (replica.getNextTickAt() < nextTickAt) {
-			scheduleTick();
-		}
-
-		void flush();
-	}
-
-	/** Schedules the next tick; if its due time is postponed later, the timer runs one tick without effect. */
-	function scheduleTick(): void {
-		clearTimeout(timer);
-		nextTickAt = replica.getNextTickAt();
-		timer = setTimeout(() => {
-			// After a long turn of the event loop, messages of peers may be pending. They are read before the tick checks for silent peers.
-			setImmediate(tick);
-		}, Math.max(0, nextTickAt - performance.now()));
-	}
-
-	function tick(): void {
-		nextTickAt = Number.POSITIVE_INFINITY;
-		handleEvent({kind: 'tick'});
+		tickTimer.update();
+		void writer.flush();
 	}
 
 	function runAction(action: Action): void {
@@ -150,13 +134,13 @@
 			case 'persistState':
 			case 'persistEntries':
 			case 'persistSnapshot': {
-				queuedActions.push(action);
+				writer.add(action);
 				return;
 			}
 
 			case 'send': {
 				if (action.isAfterSync) {
-					queuedActions.push(action);
+					writer.add(action);
 				} else {
 					options.send(action.to, action.message);
 				}
@@ -166,7 +150,7 @@
 
 			case 'restore': {
 				machine.restore(action.snapshot.data as StateMachineSnapshot);
-				snapshotIndex = action.snapshot.index;
+				compaction.recordRestore(action.snapshot.index);
 				return;
 			}
 
@@ -190,13 +174,7 @@
 
 	function apply(index: number, term: number, payload: Payload): void {
 		const result = payload.kind === 'command' ? machine.apply(payload.command as Command, index) : undefined;
-		const proposal = pendingProposals.get(index);
-		if (proposal !== undefined) {
-			pendingProposals.delete(index);
-			clearTimeout(proposal.timer);
-			proposal.settle(proposal.term === term && result !== undefined ? {kind: 'applied', result} : {kind: 'unknown'});
-		}
-
+		proposals.settle({index, term}, result);
 		if (result !== undefined) {
 			commandResults.next(result);
 		}
@@ -206,135 +184,15 @@
 		}
 	}
 
-	function isCompactionDue(index: number): boolean {
-		return index - snapshotIndex >= options.snapshotEvery || (index > snapshotIndex && store.getLogGrowthBytes() >= options.snapshotBytes);
-	}
-
-	async function compactIfDue(): Promise<void> {
-		if (isCompactionDue(replica.getCommitIndex())) {
-			await compact();
-		}
-	}
-
-	/** Writes a snapshot next to the log, then discards the entries that it covers. */
-	async function compact(): Promise<void> {
-		const index = replica.getCommitIndex();
-		const term = replica.getLog().getTerm(index);
-		if (isCompacting || index <= snapshotIndex || term === undefined) {
-			return;
-		}
-
-		isCompacting = true;
-		const data = machine.takeSnapshot();
-		try {
-			await store.prepareSnapshot({
-				index, term, membership: replica.getMembershipAt(index), data,
-			});
-			snapshotIndex = Math.max(snapshotIndex, index);
-			handleEvent({kind: 'compact', index, data});
-		} catch (error) {
-			failUnlessFull(error);
-		}
-
-		isCompacting = false;
-		notifyIdle?.();
-	}
-
 	/** Ends the driver after an error of the storage, except while the disk is full. */
 	function failUnlessFull(error: unknown): void {
 		if (!isDiskFull(error)) {
-			isStopped = true;
+			state.isStopped = true;
 			options.onFailure(error as Error);
 		}
 	}
 
-	/** Keeps what a full disk refused and retries later; meanwhile another replica leads. Messages that depend on it count as lost. */
-	function block(refusedBatch: readonly QueuedAction[]): void {
-		queuedActions = [...refusedBatch, ...queuedActions].filter(action => action.kind !== 'send');
-		if (isStopped) {
-			return;
-		}
-
-		retryTimer = setTimeout(retry, fullDiskRetryMilliseconds);
-		if (!isBlocked) {
-			isBlocked = true;
-			options.onWritabilityChange?.(false);
-			handleEvent({kind: 'writability', isWritable: false});
-		}
-
-		const now = performance.now();
-		if (store.getLogGrowthBytes() >= minimumFreeableBytes && now - lastForcedCompactionAt > forcedCompactionIntervalMilliseconds) {
-			lastForcedCompactionAt = now;
-			void compact();
-		}
-	}
-
-	function retry(): void {
-		retryTimer = undefined;
-		void flush();
-	}
-
-	function unblock(): void {
-		if (isBlocked) {
-			isBlocked = false;
-			options.onWritabilityChange?.(true);
-			handleEvent({kind: 'writability', isWritable: true});
-		}
-	}
-
-	async function flush(): Promise<void> {
-		if (isWriting || retryTimer !== undefined) {
-			return;
-		}
-
-		isWriting = true;
-		try {
-			while (queuedActions.length > 0 && retryTimer === undefined) {
-				await writeBatch();
-			}
-		} catch (error) {
-			failUnlessFull(error);
-		}
-
-		isWriting = false;
-		notifyIdle?.();
-	}
-
-	async function writeBatch(): Promise<void> {
-		const batch = queuedActions;
-		queuedActions = [];
-		const persists = batch.filter(action => action.kind !== 'send');
-		const lastIndex = replica.getLog().getLastIndex();
-		const lastTerm = replica.getLog().getLastTerm();
-		if (persists.length > 0) {
-			syncCount++;
-			try {
-				await store.persist(persists);
-			} catch (error) {
-				if (isDiskFull(error)) {
-					block(batch);
-					return;
-				}
-
-				throw error;
-			}
-
-			unblock();
-		}
-
-		for (const action of batch) {
-			if (action.kind === 'send') {
-				options.send(action.to, action.message);
-			}
-		}
-
-		if (persists.length > 0) {
-			handleEvent({kind: 'persisted', lastIndex, lastTerm});
-			void compactIfDue();
-		}
-	}
-
-	scheduleTick();
+	tickTimer.update();
 	return {
 		replica,
 		roleChanges,
@@ -345,22 +203,14 @@
 		},
 		async propose(command) {
 			const previousLastIndex = replica.getLog().getLastIndex();
-			const term = replica.getTerm();
-			const outcome = new Promise<ProposalOutcome>(resolve => {
-				const index = previousLastIndex + 1;
-				const timer = setTimeout(() => {
-					pendingProposals.delete(index);
-					resolve({kind: 'unknown'});
-				}, proposalTimeoutMilliseconds);
-				pendingProposals.set(index, {term, settle: resolve, timer});
+			const place = {index: previousLastIndex + 1, term: replica.getTerm()};
+			return new Promise<ProposalOutcome>(resolve => {
+				proposals.add(place, resolve);
 				handleEvent({kind: 'propose', payload: {kind: 'command', command}});
 				if (replica.getLog().getLastIndex() === previousLastIndex) {
-					pendingProposals.delete(index);
-					clearTimeout(timer);
-					resolve({kind: 'notLeader'});
+					proposals.reject(place.index);
 				}
 			});
-			return outcome;
 		},
 		proposeMembership(membership) {
 			handleEvent({kind: 'propose', payload: {kind: 'membership', membership}});
@@ -375,23 +225,13 @@
 		transfer(to) {
 			handleEvent({kind: 'transfer', to});
 		},
-		getSyncCount: () => syncCount,
+		getSyncCount: writer.getSyncCount,
 		async stop() {
-			clearTimeout(timer);
-			clearTimeout(retryTimer);
-			isStopped = true;
-			queuedActions = [];
-			while (isWriting || isCompacting) {
-				await new Promise<void>(resolve => {
-					notifyIdle = resolve;
-				});
-			}
-
-			for (const proposal of pendingProposals.values()) {
-				clearTimeout(proposal.timer);
-				proposal.settle({kind: 'unknown'});
-			}
-
+			tickTimer.stop();
+			state.isStopped = true;
+			writer.stop();
+			await waitUntilIdle(state);
+			proposals.close();
 			await store.close();
 		},
 	};
--- a/source/control/index.ts
+++ b/source/control/index.ts
@@ -13,3 +13,4 @@
 export * from './zone-order-log.js';
 export type * from './message.js';
 export type {Api, ApiOptions} from './api.js';
+export type {ProposalOutcome} from './proposals.js';
--- a/source/control/leader-request-handler.ts
+++ b/source/control/leader-request-handler.ts
@@ -5,7 +5,8 @@
 import {type LedgerCommand} from '../ledger/index.js';
 import {quarantineCrashThreshold} from '../quarantine/index.js';
 import {getHostName} from '../storage/index.js';
-import {type Driver, type ProposalOutcome} from './driver.js';
+import {type Driver} from './driver.js';
+import {type ProposalOutcome} from './proposals.js';
 import {type Leadership} from './leadership.js';
 import {type Command, type CommandResult, type StateMachine} from './state-machine.js';
 import {
