Split the fleet of an entry by job

The table of servers by id, key and service, and the state that an entry keeps for a service, are modules of their own; the fleet decides which servers are candidates of a service. No change of behaviour.

--- a/source/entry/admitted-request.ts
+++ b/source/entry/admitted-request.ts
@@ -5,7 +5,7 @@
 import {type Verdict} from '../verdict/index.js';
 import {type Exchange} from './caller-connections.js';
 import {type Claim} from './claims.js';
-import {type ServiceState} from './fleet.js';
+import {type ServiceState} from './service-state.js';
 import {type RequestContext} from './request-context.js';
 import {type Decision} from './request-log.js';
 import {type RoutePolicy} from './router.js';
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -2,43 +2,16 @@
  * The servers that an entry may use, by service. Combines the state that the control hosts report
  * with what the entry and its peers observe.
  */
-import {getServerKey, type ServerKey} from '../announcement/index.js';
-import {
-	createCandidate, createChooser, type Candidate, type Chooser, type SubsetChooser,
-} from '../choice/index.js';
-import {type EnvironmentDocument, type Service} from '../configuration/index.js';
+import {type ServerKey} from '../announcement/index.js';
+import {type Candidate, type SubsetChooser} from '../choice/index.js';
+import {type EnvironmentDocument} from '../configuration/index.js';
 import {type Observation, type Permit, type ServerView} from '../lease/index.js';
-import {
-	createShortageEstimate, createWaitQueue, type ShortageEstimate, type WaitQueue,
-} from '../limits/index.js';
 import {type Random} from '../randomness/index.js';
-import {
-	createAttemptBudget, createHedgeDelay, defaultHedgeDelayMilliseconds, type AttemptBudget, type HedgeDelay,
-} from '../retry/index.js';
 import {type ConnectionHistory} from './connection-history.js';
-import {createPool, type Pool} from './pool.js';
-import {createRecentSet} from './recent-set.js';
-
-const initialRetryBalance = 10;
-const initialHedgeDelayMilliseconds = 50;
-const hedgeQuantile = 0.95;
-
-/** A server with its connection pool. */
-export type FleetServer = {readonly candidate: Candidate; readonly pool: Pool};
-
-/** State that an entry keeps for one service. */
-export type ServiceState = {
-	getService(): Service;
-	readonly queue: WaitQueue;
-	readonly shortageEstimate: ShortageEstimate;
-	readonly retries: AttemptBudget;
-	readonly hedges: AttemptBudget;
-	readonly hedgeDelay: HedgeDelay;
-	getChooser(): Chooser;
-	getCandidates(): readonly Candidate[];
-	/** Gets the ids of the servers in the own zone that the entry prefers to query; undefined if it prefers none. */
-	getSubset(): ReadonlySet<number> | undefined;
-};
+import {createServerTable, type FleetServer} from './server-table.js';
+import {
+	createServiceState, type MutableServiceState, type ServiceState, type SharedBudgetOptions,
+} from './service-state.js';
 
 /** The servers that an entry may send requests to. */
 export type Fleet = {
@@ -73,55 +46,6 @@
 	close(): void;
 };
 
-type MutableState = ServiceState & {
-	setService(service: Service): void;
-	setCandidates(candidates: readonly Candidate[], subset: ReadonlySet<number> | undefined): void;
-};
-
-/** Budget of extra attempts that this entry may make for each service: a ratio of its requests, and its part of a slack that all entries share. */
-export type SharedBudgetOptions = {readonly ratio: number; getSlack(): number};
-
-/** Share of the permitted extra attempts that an entry uses; the margin is needed because each entry counts its windows independently. */
-const usedBudgetShare = 0.85;
-
-/** Number of boots that are remembered as leaving; a list of servers may name them again. */
-const maximumLeavingBoots = 10_000;
-
-function createSharedBudget(budgetOptions: SharedBudgetOptions): AttemptBudget {
-	return createAttemptBudget(() => budgetOptions.ratio * usedBudgetShare, 1, () => Math.max(1, budgetOptions.getSlack() * usedBudgetShare));
-}
-
-function createServiceState(initial: Service, random: Random, budgetOptions: SharedBudgetOptions | undefined): MutableState {
-	let service = initial;
-	let candidates: readonly Candidate[] = [];
-	let subset: ReadonlySet<number> | undefined;
-	let chooser = createChooser(service.policy, random);
-	const sharedBudget = budgetOptions === undefined ? undefined : createSharedBudget(budgetOptions);
-	return {
-		getService: () => service,
-		queue: createWaitQueue(() => service.queueLength),
-		shortageEstimate: createShortageEstimate(),
-		retries: sharedBudget ?? createAttemptBudget(() => service.retryRatio, initialRetryBalance),
-		// If retries and hedges share a budget, each request deposits to it only once, through `retries`.
-		hedges: sharedBudget === undefined ? createAttemptBudget(() => service.hedgeRatio, 0) : {...sharedBudget, deposit: doNothing},
-		hedgeDelay: createHedgeDelay(hedgeQuantile, initialHedgeDelayMilliseconds, () => service.hedgeDelayMilliseconds ?? defaultHedgeDelayMilliseconds),
-		getChooser: () => chooser,
-		getCandidates: () => candidates,
-		getSubset: () => subset,
-		setService(next) {
-			if (next.policy !== service.policy) {
-				chooser = createChooser(next.policy, random);
-			}
-
-			service = next;
-		},
-		setCandidates(next, nextSubset) {
-			candidates = next;
-			subset = nextSubset;
-		},
-	};
-}
-
 /**
  * Creates a fleet without servers.
  * @param random - Source of random numbers.
@@ -130,15 +54,11 @@
  * @param onUnsolicitedData - Called when a server sends data on an idle connection, with its history.
  */
 export function createFleet(random: Random, budgetOptions?: SharedBudgetOptions, subsetChooser?: SubsetChooser, onUnsolicitedData?: (candidate: Candidate, history: ConnectionHistory) => void): Fleet {
-	const servers = new Map<number, FleetServer>();
-	const byKey = new Map<ServerKey, Candidate>();
-	const byService = new Map<string, Set<Candidate>>();
-	const states = new Map<string, MutableState>();
-	const leavingBoots = createRecentSet(maximumLeavingBoots);
+	const servers = createServerTable(onUnsolicitedData);
+	const states = new Map<string, MutableServiceState>();
 	let document: EnvironmentDocument | undefined;
 	let zonesInService: ReadonlySet<string> = new Set();
 	let zonesOutOfService: ReadonlySet<string> = new Set();
-	let entryCount = 1;
 
 	function isEligible(candidate: Candidate): boolean {
 		const {zone} = candidate.getAnnouncement();
@@ -154,7 +74,7 @@
 			return;
 		}
 
-		const candidates = [...byService.get(service) ?? []].filter(candidate => isEligible(candidate));
+		const candidates = [...servers.getOfService(service)].filter(candidate => isEligible(candidate));
 		state.setCandidates(candidates, subsetChooser?.choose(candidates));
 		for (const candidate of candidates) {
 			candidate.setSlotsEnforced(state.getService().policy === 'central-queue');
@@ -162,78 +82,6 @@
 		}
 	}
 
-	function addToService(candidate: Candidate): void {
-		const {service} = candidate.getAnnouncement();
-		const candidates = byService.get(service) ?? new Set();
-		candidates.add(candidate);
-		byService.set(service, candidates);
-	}
-
-	function removeFromService(candidate: Candidate): void {
-		const {service} = candidate.getAnnouncement();
-		const candidates = byService.get(service);
-		candidates?.delete(candidate);
-		if (candidates?.size === 0) {
-			byService.delete(service);
-		}
-	}
-
-	function remove(id: number): void {
-		const server = servers.get(id);
-		if (server !== undefined) {
-			servers.delete(id);
-			removeKey(server.candidate);
-			removeFromService(server.candidate);
-			closeWhenIdle(server);
-		}
-	}
-
-	/** Removes the servers that are not listed, and returns their services. */
-	function removeUnlisted(ids: readonly number[]): readonly string[] {
-		const present = new Set(ids);
-		const removed = [...servers.values()].filter(({candidate}) => !present.has(candidate.id));
-		for (const {candidate} of removed) {
-			remove(candidate.id);
-		}
-
-		return removed.map(({candidate}) => candidate.getAnnouncement().service);
-	}
-
-	/** Removes the key of a server's boot, unless a newer boot of the server uses the key. */
-	function removeKey(candidate: Candidate): void {
-		const key = getServerKey(candidate.getAnnouncement());
-		if (byKey.get(key) === candidate) {
-			byKey.delete(key);
-		}
-	}
-
-	function addOrUpdate(view: ServerView): void {
-		const {id, announcement, state, isAbsent} = view;
-		const existing = servers.get(id);
-		if (existing !== undefined) {
-			existing.candidate.update(announcement, state, isAbsent);
-			return;
-		}
-
-		const candidate = createCandidate(id, announcement, state);
-		candidate.update(announcement, state, isAbsent);
-		candidate.setConnectionShare(getConnectionShare(announcement.connections));
-		if (leavingBoots.has(`${announcement.name} ${announcement.boot}`)) {
-			candidate.markLeaving();
-		}
-
-		byKey.set(getServerKey(announcement), candidate);
-		addToService(candidate);
-		const pool = createPool(announcement.host, announcement.port, announcement.connections, history => {
-			onUnsolicitedData?.(candidate, history);
-		});
-		servers.set(id, {candidate, pool});
-	}
-
-	function getConnectionShare(connections: number): number {
-		return Math.max(1, Math.floor(connections / entryCount));
-	}
-
 	return {
 		setDocument(next) {
 			document = next;
@@ -262,16 +110,16 @@
 		update(views, isComplete) {
 			const changedServices = new Set(views.map(view => view.announcement.service));
 			if (isComplete) {
-				for (const service of removeUnlisted(views.map(view => view.id))) {
+				for (const service of servers.removeUnlisted(views.map(view => view.id))) {
 					changedServices.add(service);
 				}
 			}
 
 			for (const view of views) {
 				if (view.isRemoved) {
-					remove(view.id);
+					servers.remove(view.id);
 				} else {
-					addOrUpdate(view);
+					servers.addOrUpdate(view);
 				}
 			}
 
@@ -280,27 +128,27 @@
 			}
 		},
 		retain(ids, views) {
-			for (const service of removeUnlisted(ids)) {
+			for (const service of servers.removeUnlisted(ids)) {
 				updateCandidates(service);
 			}
 
 			const absent = new Set(views.filter(view => view.isAbsent).map(view => view.id));
-			for (const {candidate} of servers.values()) {
+			for (const {candidate} of servers.getAll()) {
 				candidate.update(candidate.getAnnouncement(), candidate.getState(), absent.has(candidate.id));
 			}
 
-			return servers.size === ids.length;
+			return servers.getSize() === ids.length;
 		},
 		setPermits(permits, now) {
 			const byServer = new Map(permits.map(permit => [permit.server, permit]));
-			for (const {candidate} of servers.values()) {
+			for (const {candidate} of servers.getAll()) {
 				const permit = byServer.get(candidate.id);
 				candidate.setPermit(permit?.slots ?? 0);
 				candidate.setRate(permit?.requestsPerSecond, now);
 			}
 		},
 		revokePermits() {
-			for (const {candidate} of servers.values()) {
+			for (const {candidate} of servers.getAll()) {
 				candidate.revokePermits();
 			}
 		},
@@ -314,25 +162,16 @@
 				updateCandidates(name);
 			}
 		},
-		setConnectionShare(next) {
-			if (next === entryCount) {
-				return;
-			}
-
-			entryCount = next;
-			for (const {candidate} of servers.values()) {
-				candidate.setConnectionShare(getConnectionShare(candidate.getAnnouncement().connections));
-			}
-		},
+		setConnectionShare: servers.setConnectionShare,
 		getState: service => states.get(service),
 		getStates: () => states.values(),
-		get: id => servers.get(id),
-		getByKey: key => byKey.get(key),
-		getServers: () => servers.values(),
-		getSize: () => servers.size,
+		get: servers.get,
+		getByKey: servers.getByKey,
+		getServers: servers.getAll,
+		getSize: servers.getSize,
 		takeObservations() {
 			const observations: Observation[] = [];
-			for (const {candidate} of servers.values()) {
+			for (const {candidate} of servers.getAll()) {
 				const counts = candidate.takeCounts();
 				if (candidate.isCold() || counts.isCold || counts.sheds > 0) {
 					observations.push({server: candidate.id, inFlight: candidate.getInFlight(), ...counts});
@@ -342,10 +181,8 @@
 			return observations;
 		},
 		markLeaving(candidate) {
-			const {name, boot, service} = candidate.getAnnouncement();
-			leavingBoots.add(`${name} ${boot}`);
-			const isNew = candidate.markLeaving();
-			updateCandidates(service);
+			const isNew = servers.markLeaving(candidate);
+			updateCandidates(candidate.getAnnouncement().service);
 			return isNew;
 		},
 		getPauseEnd(service, now) {
@@ -361,27 +198,6 @@
 			const ejected = candidates.filter(other => other.isEjected(now)).length;
 			return ejected + 1 <= candidates.length * document.outliers.largestShare && candidate.ejectWhenFailing(document.outliers, now);
 		},
-		close() {
-			for (const {pool} of servers.values()) {
-				pool.close();
-			}
-		},
+		close: servers.close,
 	};
 }
-
-function doNothing(): void {
-	// The shared budget already has the deposit.
-}
-
-/** Interval at which a removed server is checked for requests in flight. */
-const idleCheckMilliseconds = 100;
-
-/** Closes the connections of a removed server once no request is in flight on them. */
-function closeWhenIdle(server: FleetServer): void {
-	if (server.candidate.getInFlight() === 0) {
-		server.pool.close();
-		return;
-	}
-
-	setTimeout(closeWhenIdle, idleCheckMilliseconds, server).unref();
-}
--- a/source/entry/request-handler.ts
+++ b/source/entry/request-handler.ts
@@ -6,7 +6,7 @@
 import {sendVerdict, getRetrySpread, writeResponseHead} from './response.js';
 import {type Exchange} from './caller-connections.js';
 import {getRequestDigest, type Claim} from './claims.js';
-import {type ServiceState} from './fleet.js';
+import {type ServiceState} from './service-state.js';
 import {getRequestTime} from './headers.js';
 import {type RoutePolicy} from './router.js';
 import {prepareBody} from './prepared-body.js';
--- a/source/entry/server-selector.test.ts
+++ b/source/entry/server-selector.test.ts
@@ -6,7 +6,7 @@
 import {createShortageEstimate} from '../limits/index.js';
 import {createRandom} from '../randomness/index.js';
 import {type RequestContext} from './request-context.js';
-import {type ServiceState} from './fleet.js';
+import {type ServiceState} from './service-state.js';
 import {createServerSelector, type ServerSelector} from './server-selector.js';
 import {createRouter} from './router.js';
 
--- a/source/entry/server-selector.ts
+++ b/source/entry/server-selector.ts
@@ -9,7 +9,7 @@
 } from '../choice/index.js';
 import {type CandidateReading} from './load-querier.js';
 import {type RequestContext} from './request-context.js';
-import {type ServiceState} from './fleet.js';
+import {type ServiceState} from './service-state.js';
 import {type RoutePolicy} from './router.js';
 import {type Decision} from './request-log.js';
 
