Split an attempt on a server by job

The outcomes and the reasons for failures, what marks the end of a body, and holding a body until it is complete or too large are modules of their own. No change of behaviour.

--- a/source/entry/attempt.test.ts
+++ b/source/entry/attempt.test.ts
@@ -5,7 +5,8 @@
 import {expect} from 'earl';
 import {createAttemptOptions} from '../../stand-in/attempt-options.js';
 import {createByteBudget, type ByteBudget} from '../bytes/index.js';
-import {startAttempt, type AttemptOutcome} from './attempt.js';
+import {startAttempt} from './attempt.js';
+import {type AttemptOutcome} from './attempt-outcome.js';
 import {createPool} from './pool.js';
 
 const deadlineMilliseconds = 2000;
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -1,40 +1,30 @@
 /**
- * Attempts a request on one server. The outcome states whether the request may have run;
- * a response counts only when it is complete. Responses up to a size limit are buffered
- * in memory, larger ones are passed on as a stream.
+ * Attempts a request on one server. The outcome states whether the request may have run; a response counts only when it is complete.
+ * Responses up to a size limit are buffered in memory, larger ones are passed on as a stream.
  */
 import {type Buffer} from 'node:buffer';
 import {type ClientRequest, type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {
-	createByteCollector, createByteReservation, type ByteBudget, type ByteReservation, discardBody,
-} from '../bytes/index.js';
+import {createByteReservation, type ByteBudget, discardBody} from '../bytes/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
-import {MalformedBodyError} from './malformed-body-error.js';
+import {
+	indicatesCrash, isDiscardReason, isParserError, type FailureReason,
+} from './attempt-failure.js';
+import {type AttemptOutcome, type AttemptResponse} from './attempt-outcome.js';
+import {holdBody} from './body-holding.js';
 import {type ConnectionHistory} from './connection-history.js';
 import {type Dialect, type ServerReport} from './dialect.js';
 import {type DiscardedAnswer, type DiscardReason} from './discarded-answers.js';
-import {joinChunks} from './chunk-joining.js';
-import {trackCompletion, type ResponseCompletion} from './response-completion.js';
 import {getResponseHeaders} from './headers.js';
+import {MalformedBodyError} from './malformed-body-error.js';
 import {type Pool} from './pool.js';
+import {isSelfDelimited} from './response-framing.js';
 import {isWellFormedHead, type ResponseHead} from './response-head.js';
 import {
 	getRepeatedId, hasRequiredProof, isOwnResponse, isProvenResponse, type ResponseOrigin,
 } from './response-origin.js';
-import {limitTurns} from './turn-limit.js';
 import {startServerRequest} from './server-request.js';
 
-/** Outcome of an attempt. */
-export type AttemptOutcome
-	= | {readonly kind: 'whole'; readonly head: ResponseHead; readonly body: Buffer; readonly reservation: ByteReservation}
-	/** Head and first chunks of a response that is too large to buffer, alone or together with others. */
-		| {readonly kind: 'large'; readonly head: ResponseHead; readonly firstChunks: readonly Buffer[]; readonly rest: IncomingMessage; readonly completion: ResponseCompletion; readonly reservation: ByteReservation}
-		| {readonly kind: 'failed'; readonly verdict: Verdict; readonly hasCrashed: boolean};
-
-/** Outcome of an attempt that received a response. */
-export type AttemptResponse = Exclude<AttemptOutcome, {readonly kind: 'failed'}>;
-
 /** Options of an attempt. */
 export type AttemptOptions = {
 	readonly pool: Pool;
@@ -63,15 +53,6 @@
 	onEnd(outcome: AttemptOutcome): void;
 };
 
-/** Reason for a failed attempt. */
-type FailureReason = 'deadline' | 'connection-lost' | 'answer-truncated' | 'answer-mismatched' | 'answer-malformed' | 'answer-unproven' | 'bad-request' | 'body-too-large';
-
-/** Reasons for which an answer that was read does not count. */
-const discardReasons: ReadonlySet<string> = new Set<DiscardReason>(['answer-malformed', 'answer-mismatched', 'answer-truncated', 'answer-unproven']);
-
-/** Reasons that do not indicate that the server has crashed. */
-const harmlessReasons: ReadonlySet<FailureReason> = new Set(['deadline', 'answer-mismatched', 'answer-malformed', 'answer-unproven', 'bad-request', 'body-too-large']);
-
 /** Maximum number of informational responses to one request; a server that sends more never comes to its response. */
 const maximumInformationalResponses = 16;
 
@@ -135,7 +116,7 @@
 		}
 
 		const verdict = getFailureVerdict(reason);
-		const hasCrashed = isDispatched && !harmlessReasons.has(reason);
+		const hasCrashed = isDispatched && indicatesCrash(reason);
 		if (isDispatched && isDiscardReason(reason)) {
 			reportDiscard(reason);
 		}
@@ -240,54 +221,24 @@
 			return;
 		}
 
-		bufferBody(response, head);
-	}
-
-	function bufferBody(response: IncomingMessage, head: ResponseHead): void {
-		const completion = trackCompletion({
-			dialect: options.dialect, request, response, isCloseDelimited: head.isCloseDelimited,
+		holdBody({
+			dialect,
+			request,
+			response,
+			head,
+			maximumBufferedBytes: options.maximumBufferedBytes,
+			reservation,
+			onResponse: endWithResponse,
+			onFailure: fail,
 		});
-		const collector = createByteCollector();
-		const endTurnLimit = limitTurns(response);
-		joinChunks(response);
-		function onData(chunk: Buffer): void {
-			collector.add(chunk);
-			if (collector.getSize() > options.maximumBufferedBytes || !reservation.tryGrowTo(collector.getHeldBytes())) {
-				response.off('data', onData);
-				response.off('end', onEnd);
-				endTurnLimit();
-				response.pause();
-				history?.recordAnswer();
-				end({
-					kind: 'large', head, firstChunks: collector.getParts(), rest: response, completion, reservation,
-				});
-			}
-		}
-
-		function onEnd(): void {
-			if (!completion.isComplete()) {
-				fail(completion.containsResponse() ? 'answer-mismatched' : 'answer-truncated');
-				return;
-			}
+	}
 
-			history?.recordAnswer();
-			const body = collector.toBuffer();
-			const isChunked = response.headers['transfer-encoding'] !== undefined;
-			const headers = isChunked ? [...head.headers, 'content-length', String(body.length)] : head.headers;
-			end({
-				kind: 'whole', head: {...head, headers}, body, reservation,
-			});
+	function endWithResponse(received: AttemptResponse): void {
+		history?.recordAnswer();
+		end(received);
+		if (received.kind === 'whole') {
 			destroyUnfinishedRequest();
 		}
-
-		response.on('data', onData);
-		response.once('end', onEnd);
-		response.once('error', () => {
-			fail('answer-truncated');
-		});
-		response.once('aborted', () => {
-			fail('answer-truncated');
-		});
 	}
 
 	/** Destroys the connection of a request that was answered before it was fully sent, since the connection cannot be reused. */
@@ -327,22 +278,3 @@
 
 	return {cancel, wasDispatched: () => isDispatched};
 }
-
-/** Checks whether an error of a connection is that its data cannot be parsed. */
-function isParserError({code}: NodeJS.ErrnoException): boolean {
-	return code?.startsWith('HPE_') ?? false;
-}
-
-function isDiscardReason(reason: FailureReason): reason is FailureReason & DiscardReason {
-	return discardReasons.has(reason);
-}
-
-/** Checks whether the headers, rather than the end of the connection, mark the end of the body. */
-function isSelfDelimited(response: IncomingMessage, method: string): boolean {
-	return hasNoBody(response, method) || response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
-}
-
-/** Checks whether the method or status excludes a body, regardless of the headers. */
-function hasNoBody(response: IncomingMessage, method: string): boolean {
-	return method === 'HEAD' || response.statusCode === 204 || response.statusCode === 304;
-}
--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -3,7 +3,7 @@
 import {type Candidate} from '../choice/index.js';
 import {mayHaveRun, notRun} from '../verdict/index.js';
 import {type AdmittedRequest} from './admitted-request.js';
-import {type AttemptOutcome, type AttemptResponse} from './attempt.js';
+import {type AttemptOutcome, type AttemptResponse, type FailedAttempt} from './attempt-outcome.js';
 import {getAttemptResult, hasReachedNoServer} from './attempt-result.js';
 import {startOrEnqueue} from './first-attempt.js';
 import {retryOrRefuse} from './further-attempt.js';
@@ -124,7 +124,7 @@
 	}
 }
 
-function handleFailure(progress: RequestProgress, candidate: Candidate, {verdict, hasCrashed}: Extract<AttemptOutcome, {readonly kind: 'failed'}>): void {
+function handleFailure(progress: RequestProgress, candidate: Candidate, {verdict, hasCrashed}: FailedAttempt): void {
 	const {admitted} = progress;
 	if (hasReachedNoServer(verdict) && progress.unreachedServers < maximumUnreachedServers) {
 		progress.unreachedServers++;
--- a/source/entry/request-progress.ts
+++ b/source/entry/request-progress.ts
@@ -4,7 +4,8 @@
 import {maximumAttempts} from '../retry/index.js';
 import {type Verdict} from '../verdict/index.js';
 import {type AdmittedRequest} from './admitted-request.js';
-import {type Attempt, type AttemptResponse} from './attempt.js';
+import {type Attempt} from './attempt.js';
+import {type AttemptResponse} from './attempt-outcome.js';
 import {createServerSelector, type ServerSelector} from './server-selector.js';
 
 /** An attempt on a server that has not ended. */
--- a/source/entry/response-relay.ts
+++ b/source/entry/response-relay.ts
@@ -2,7 +2,7 @@
 import {type Buffer} from 'node:buffer';
 import {mayHaveRun, type Verdict} from '../verdict/index.js';
 import {type AdmittedRequest} from './admitted-request.js';
-import {type AttemptResponse} from './attempt.js';
+import {type AttemptResponse, type LargeResponse, type WholeResponse} from './attempt-outcome.js';
 import {endsWithConnection, streamResponse, writeResponseHead} from './response.js';
 import {type ResponseHead} from './response-head.js';
 
@@ -19,7 +19,7 @@
 	}
 }
 
-function sendBufferedResponse(admitted: AdmittedRequest, outcome: Extract<AttemptResponse, {readonly kind: 'whole'}>): void {
+function sendBufferedResponse(admitted: AdmittedRequest, outcome: WholeResponse): void {
 	const {context, exchange, requestId} = admitted;
 	const {response} = exchange;
 	const {head, body} = outcome;
@@ -33,7 +33,7 @@
 	admitted.onEnd({kind: 'ran', status: head.status});
 }
 
-function sendStreamedResponse(admitted: AdmittedRequest, outcome: Extract<AttemptResponse, {readonly kind: 'large'}>): void {
+function sendStreamedResponse(admitted: AdmittedRequest, outcome: LargeResponse): void {
 	const {
 		context, exchange, requestId, deadlineAt,
 	} = admitted;
--- a/source/entry/server-attempt.ts
+++ b/source/entry/server-attempt.ts
@@ -2,7 +2,8 @@
 import {performance} from 'node:perf_hooks';
 import {type Candidate} from '../choice/index.js';
 import {notRun} from '../verdict/index.js';
-import {startAttempt, type AttemptOutcome} from './attempt.js';
+import {startAttempt} from './attempt.js';
+import {type AttemptOutcome} from './attempt-outcome.js';
 import {getForwardedHeaders} from './headers.js';
 import {
 	fail, protect, refuse, type RequestProgress, type RunningAttempt,
