Split the runner of scenarios by job

What a scenario records, with its checks and its result, and the waits for expected states are modules of their own. No change of behaviour; the scenarios basic and crashing hold.

--- a/scenario/runner.ts
+++ b/scenario/runner.ts
@@ -4,52 +4,34 @@
 import {
 	documentSchema, withZone, type EnvironmentDocument,
 } from '../source/configuration/index.js';
-import {crashHeader, type RequestRecord} from '../stand-in/index.js';
+import {crashHeader} from '../stand-in/index.js';
 import {createCluster, type Cluster} from '../stand-in/cluster.js';
 import {waitUntil} from '../stand-in/wait.js';
 import {sendOnce, startStream, type Stream} from './caller.js';
-import {
-	checkers, type CallerAttempt, type ChangeAttempt, type Departure, type History, type VersionSample, type Violation,
-} from './history.js';
+import {waitForMembers, waitForWarmServers} from './expectations.js';
 import {createOperators} from './operators.js';
 import {parseBehaviour, parseServiceOptions, type ServiceDefinition} from './options.js';
 import {createProcessController, startTimeoutMilliseconds} from './process-controller.js';
 import {createReadinessMonitor} from './readiness-monitor.js';
+import {
+	checkCrashes, createRecording, getResult, recordZoneChange, runChecks, type ScenarioResult,
+} from './recording.js';
 import {createServerController} from './server-controller.js';
 import {type Statement} from './statement.js';
 
-/** Time without a message from a replica after which it counts as unresponsive, in milliseconds. */
-const maximumSilenceMilliseconds = 300;
-
 /** Deadline of the requests to every service, in milliseconds. */
 const requestDeadlineMilliseconds = 5000;
 
-/** Result of a scenario. */
-export type ScenarioResult = {
-	readonly seed: number;
-	readonly violations: readonly Violation[];
-	/** Number of attempts by callers. */
-	readonly attempts: number;
-	/** Number of attempts that received a complete response with status 200. */
-	readonly answered: number;
-	/** Number of requests that servers recorded, including probes. */
-	readonly requests: number;
-	/** Numbers of the other attempts, by outcome and reason. */
-	readonly failureCounts: Readonly<Record<string, number>>;
-};
-
 /**
  * Runs a scenario.
  * @param statements - Parsed statements.
  * @param seedOverride - Seed that replaces the seed in the scenario.
  */
 export async function runScenario(statements: readonly Statement[], seedOverride?: number): Promise<ScenarioResult> {
-	const callerAttempts: CallerAttempt[] = [];
-	const requestRecords: RequestRecord[] = [];
-	const changeAttempts: ChangeAttempt[] = [];
-	const versionSamples: VersionSample[] = [];
-	const departures: Departure[] = [];
-	const violations: Violation[] = [];
+	const recording = createRecording();
+	const {
+		callerAttempts, requestRecords, changeAttempts, versionSamples, departures, violations,
+	} = recording;
 	const services: ServiceDefinition[] = [];
 	const streams: Stream[] = [];
 	let seed = seedOverride ?? 1;
@@ -131,19 +113,7 @@
 	/** Takes a zone out of service or puts it back, and records its departure or return. */
 	async function changeZone(action: 'out' | 'in', zone: string): Promise<void> {
 		await operators.applyChange(document => withZone(document, zone, action === 'in'), `zone-${zone}-${action}-${Date.now()}`);
-		const now = Date.now();
-		if (action === 'out') {
-			departures.push({
-				zone, server: undefined, acceptedAt: now, returnedAt: Number.POSITIVE_INFINITY,
-			});
-			return;
-		}
-
-		for (const [index, departure] of departures.entries()) {
-			if (departure.zone === zone) {
-				departures[index] = {...departure, returnedAt: Math.min(departure.returnedAt, now)};
-			}
-		}
+		recordZoneChange(departures, action, zone);
 	}
 
 	/** Repeatedly sends a request that crashes the server on which it runs, through each ready entry in turn. */
@@ -159,31 +129,7 @@
 			}
 		}
 
-		const crashCount = requestRecords.filter(record => record.outcome === 'crashed').length;
-		if (crashCount > 2) {
-			violations.push(`the crashing request crashed ${crashCount} servers; at most 2 may crash`);
-		}
-	}
-
-	function runChecks(names: readonly string[]): void {
-		const history: History = {
-			callerAttempts,
-			requestRecords,
-			changeAttempts,
-			versionSamples,
-			departures,
-			departureLimitMilliseconds: 5000,
-			probesPerSecond: 1,
-			inForceLimitMilliseconds: 5000,
-		};
-		for (const name of names) {
-			const checker = checkers[name];
-			if (checker === undefined) {
-				throw new Error(`unknown check "${name}"`);
-			}
-
-			violations.push(...checker(history).slice(0, 5).map(violation => `${name}: ${violation}`));
-		}
+		checkCrashes(recording);
 	}
 
 	async function runStatement(statement: Statement): Promise<void> {
@@ -291,25 +237,17 @@
 			}
 
 			case 'expectWarm': {
-				await waitUntil('every server is warm', statement.milliseconds, async () => {
-					const status = await getClusterOrThrow().getStatus();
-					return status?.servers.every(server => server.state === 'warm') ?? false;
-				});
+				await waitForWarmServers(getClusterOrThrow(), statement.milliseconds);
 				return;
 			}
 
 			case 'expectMembers': {
-				await waitUntil(`there are exactly ${statement.number} replicas, all of them voters that respond`, statement.milliseconds, async () => {
-					const status = await getClusterOrThrow().getStatus();
-					const replicas = status?.replicas ?? [];
-					const responsive = replicas.filter(replica => replica.role !== 'learner' && replica.silentMilliseconds < maximumSilenceMilliseconds);
-					return replicas.length === statement.number && responsive.length === statement.number;
-				});
+				await waitForMembers({cluster: getClusterOrThrow(), number: statement.number, milliseconds: statement.milliseconds});
 				return;
 			}
 
 			case 'check': {
-				runChecks(statement.checks);
+				runChecks(recording, statement.checks);
 			}
 		}
 	}
@@ -326,27 +264,7 @@
 	await Promise.all(streams.map(async stream => stream.stop()));
 	await serverController.stop();
 	await cluster?.stop();
-	return {
-		seed,
-		violations,
-		attempts: callerAttempts.length,
-		answered: callerAttempts.filter(attempt => attempt.outcome === 'answered').length,
-		requests: requestRecords.length,
-		failureCounts: countFailures(callerAttempts),
-	};
-}
-
-/** Counts the attempts that were not answered, by outcome and reason. */
-function countFailures(attempts: readonly CallerAttempt[]): Readonly<Record<string, number>> {
-	const counts: Record<string, number> = {};
-	for (const {outcome, reason} of attempts) {
-		if (outcome !== 'answered') {
-			const label = `${outcome} ${reason}`;
-			counts[label] = (counts[label] ?? 0) + 1;
-		}
-	}
-
-	return counts;
+	return getResult(recording, seed);
 }
 
 /** Runs a statement, and adds its line number to the message of an error that it throws. */
