Compare the readings of servers apart from their queries

The selector of servers runs the rounds of queries; which of the queried servers is the best is decided in a module of its own. No change of behaviour.

--- a/source/entry/server-selector.ts
+++ b/source/entry/server-selector.ts
@@ -5,9 +5,12 @@
  */
 import {performance} from 'node:perf_hooks';
 import {
-	selectQueryCandidates, getExpectedSlowdown, hasRoom, isBelowKnee, isUncongested, type Candidate, type LoadReading,
+	isBelowKnee, isUncongested, selectQueryCandidates, type Candidate,
 } from '../choice/index.js';
 import {type CandidateReading} from './load-querier.js';
+import {
+	findBestWithRoom, formatReading, getBetter, isFastEnough, type ReadingCriteria,
+} from './reading-choice.js';
 import {type RequestContext} from './request-context.js';
 import {type ServiceState} from './service-state.js';
 import {type RoutePolicy} from './router.js';
@@ -19,9 +22,6 @@
 /** Query rounds before a request is refused: the first queries the nearest candidates, the second others. */
 const maximumQueryRounds = 2;
 
-/** Expected slowdown beyond which other servers are queried although a server has room, since the response would be late. */
-const acceptableSlowdown = 2.2;
-
 /** Share of the target latency for which a request without a server may wait before a last query. */
 const maximumWaitTargetShare = 0.125;
 
@@ -133,8 +133,8 @@
 	}
 
 	function evaluateReadings(selection: SelectionState, candidates: readonly Candidate[], readings: readonly CandidateReading[], callback: SelectionCallback): void {
-		const best = getBetter(selection.best, getBestWithRoom(readings));
-		const isAcceptable = best !== undefined && getExpectedSlowdown(best.reading) <= acceptableSlowdown;
+		const best = getBetter(selection.best, findBestWithRoom(readings, getCriteria()));
+		const isAcceptable = best !== undefined && isFastEnough(best.reading);
 		const next: SelectionState = {
 			...selection,
 			best,
@@ -163,7 +163,7 @@
 			state.shortageEstimate.recordPlacement(hasFoundCapacity, performance.now());
 		}
 
-		if (isHedge && (best === undefined || getExpectedSlowdown(best.reading) > acceptableSlowdown)) {
+		if (isHedge && (best === undefined || !isFastEnough(best.reading))) {
 			callback(undefined);
 			return;
 		}
@@ -211,14 +211,14 @@
 		return candidate.getAnnouncement().zone === zone;
 	}
 
-	/** Gets the best server with room among the replies; one in the own zone with an acceptable slowdown is preferred, since traffic between zones is expensive. */
-	function getBestWithRoom(readings: readonly CandidateReading[]): CandidateReading | undefined {
-		const now = performance.now();
-		const admission = {
-			isUrgent: route.isUrgent, isOutranked: route.isOutranked, isLate: options.isLate, shortage: state.shortageEstimate.getShortage(),
+	function getCriteria(): ReadingCriteria {
+		return {
+			admission: {
+				isUrgent: route.isUrgent, isOutranked: route.isOutranked, isLate: options.isLate, shortage: state.shortageEstimate.getShortage(),
+			},
+			zone,
+			now: performance.now(),
 		};
-		const admissible = readings.filter(({candidate, reading}) => candidate.isAvailable(now) && hasRoom(reading, admission));
-		return admissible.find(({candidate, reading}) => isInOwnZone(candidate) && getExpectedSlowdown(reading) <= acceptableSlowdown) ?? admissible[0];
 	}
 
 	function startSelection(isHedge: boolean, callback: SelectionCallback): void {
@@ -260,16 +260,3 @@
 function roundToHundredths(share: number): number {
 	return Math.round(share * 100) / 100;
 }
-
-/** Formats a reading for the log as running, waiting, slots and slowness. */
-function formatReading({running, waiting, slots, slowness}: LoadReading): string {
-	return `${running},${waiting},${slots},${slowness}`;
-}
-
-function getBetter(one: CandidateReading | undefined, other: CandidateReading | undefined): CandidateReading | undefined {
-	if (one === undefined || other === undefined) {
-		return one ?? other;
-	}
-
-	return getExpectedSlowdown(other.reading) < getExpectedSlowdown(one.reading) ? other : one;
-}
