--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -12,17 +12,16 @@
 } from './attempt-failure.js';
 import {type AttemptOutcome, type AttemptResponse} from './attempt-outcome.js';
 import {holdBody} from './body-holding.js';
+import {sendBody} from './body-upload.js';
 import {type ConnectionHistory} from './connection-history.js';
 import {type Dialect, type ServerReport} from './dialect.js';
 import {type DiscardedAnswer, type DiscardReason} from './discarded-answers.js';
 import {getResponseHeaders} from './headers.js';
-import {MalformedBodyError} from './malformed-body-error.js';
 import {type Pool} from './pool.js';
+import {findResponseFault} from './response-check.js';
 import {isSelfDelimited} from './response-framing.js';
-import {isWellFormedHead, type ResponseHead} from './response-head.js';
-import {
-	getRepeatedId, hasRequiredProof, isOwnResponse, isProvenResponse, type ResponseOrigin,
-} from './response-origin.js';
+import {type ResponseHead} from './response-head.js';
+import {getRepeatedId, isProvenResponse, type ResponseOrigin} from './response-origin.js';
 import {startServerRequest} from './server-request.js';
 
 /** Options of an attempt. */
@@ -155,7 +154,9 @@
 		isDispatched = true;
 		history = options.pool.histories.get(socket);
 		if (options.stream !== undefined) {
-			sendStream(options.stream);
+			sendBody({
+				stream: options.stream, request, maximumBytes: options.maximumBodyBytes, onFailure: fail,
+			});
 		}
 	});
 	request.on('information', () => {
@@ -185,23 +186,13 @@
 
 	function receiveResponse(response: IncomingMessage): void {
 		answer = response;
-		if (!isWellFormedHead(response)) {
-			// Nothing that such a head states is used: neither the load of the server nor that it did not run the request.
-			fail('answer-malformed');
-			return;
-		}
-
 		const {dialect, pool, requestId} = options;
 		const origin: ResponseOrigin = {
 			dialect, pool, requestId, response,
 		};
-		if (!isOwnResponse(origin)) {
-			fail('answer-mismatched');
-			return;
-		}
-
-		if (!hasRequiredProof(dialect, response)) {
-			fail('answer-unproven');
+		const fault = findResponseFault(origin);
+		if (fault !== undefined) {
+			fail(fault);
 			return;
 		}
 
@@ -248,21 +239,6 @@
 		}
 	}
 
-	/** Sends a body from the caller. It stays unread until the server is connected, so that another server can receive it if this one is unreachable. */
-	function sendStream(stream: IncomingMessage): void {
-		let sentBytes = 0;
-		stream.on('data', (chunk: Buffer) => {
-			sentBytes += chunk.length;
-			if (sentBytes > options.maximumBodyBytes) {
-				fail('body-too-large');
-			}
-		});
-		stream.once('error', error => {
-			fail(error instanceof MalformedBodyError ? 'bad-request' : 'connection-lost');
-		});
-		stream.pipe(request);
-	}
-
 	if (options.stream === undefined) {
 		request.end(options.body);
 	}
