--- a/bench/slopes/documents.ts
+++ b/bench/slopes/documents.ts
@@ -3,8 +3,8 @@
 	applyDocumentUpdate, documentSchema, getDocumentUpdate, type DocumentUpdate,
 } from '../../source/configuration/index.js';
 import {createStateMachine} from '../../source/control/index.js';
-import {createFleet} from '../../source/entry/fleet.js';
-import {createRouter} from '../../source/entry/router.js';
+import {createFleet} from '../../source/entry/fleet/fleet.js';
+import {createRouter} from '../../source/entry/routing/router.js';
 import {createRandom} from '../../source/randomness/index.js';
 import {decode, encode} from '../../source/wire/index.js';
 import {type BenchRow} from '../report.js';
--- a/bench/slopes/entry.ts
+++ b/bench/slopes/entry.ts
@@ -2,7 +2,7 @@
 import {
 	createCandidate, createChooser, createCountsReporter, createPeerCounts, type Policy,
 } from '../../source/choice/index.js';
-import {createFleet} from '../../source/entry/fleet.js';
+import {createFleet} from '../../source/entry/fleet/fleet.js';
 import {createRandom} from '../../source/randomness/index.js';
 import {encodeFrame} from '../../source/wire/index.js';
 import {type BenchRow} from '../report.js';
--- a/soak/abort-connection.ts
+++ b/soak/abort-connection.ts
@@ -1,5 +1,5 @@
 import {type Socket} from 'node:net';
-import {resetConnection} from '../source/entry/connection-reset.js';
+import {resetConnection} from '../source/entry/http/connection-reset.js';
 
 /**
  * Resets a connection, or closes it if its orderly end has begun, since Node does not close a socket that it cannot reset.
--- a/source/entry/body-relay.ts
+++ b/source/entry/callers/body-relay.ts
@@ -6,8 +6,8 @@
  */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {createByteCollector} from '../bytes/index.js';
-import {maximumTurnBytes, setPaused} from './turn-limit.js';
+import {createByteCollector} from '../../bytes/index.js';
+import {maximumTurnBytes, setPaused} from '../http/index.js';
 
 /** Relay of a body. */
 export type BodyRelay = {
--- a/source/entry/body.ts
+++ b/source/entry/callers/body.ts
@@ -1,8 +1,8 @@
 /** Reads the bodies of requests. */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
-import {createByteCollector} from '../bytes/index.js';
-import {MalformedBodyError} from './malformed-body-error.js';
+import {createByteCollector} from '../../bytes/index.js';
+import {MalformedBodyError} from '../http/index.js';
 
 /**
  * Result of reading a body. `tooLarge` means that it exceeds the limit; what was read so far is put back. `cut` means that the
--- a/source/entry/caller-connections.ts
+++ b/source/entry/callers/caller-connections.ts
@@ -8,9 +8,8 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
-import {discardLimits} from '../bytes/index.js';
-import {getContentLength} from './content-length.js';
-import {MalformedBodyError} from './malformed-body-error.js';
+import {discardLimits} from '../../bytes/index.js';
+import {getContentLength, MalformedBodyError} from '../http/index.js';
 
 /** Maximum number of requests of one connection that run at the same time. */
 const maximumRunning = 8;
--- a/source/entry/caller-server.ts
+++ b/source/entry/callers/caller-server.ts
@@ -4,9 +4,9 @@
 } from 'node:http';
 import {type Duplex} from 'node:stream';
 import {type Socket} from 'node:net';
-import {type ClientLimits} from '../configuration/index.js';
-import {discardBody} from '../bytes/index.js';
-import {joinChunks} from './chunk-joining.js';
+import {type ClientLimits} from '../../configuration/index.js';
+import {discardBody} from '../../bytes/index.js';
+import {joinChunks} from '../http/index.js';
 import {createCallerConnections, type CallerConnections, type CallerConnectionsOptions} from './caller-connections.js';
 
 const keepAliveMilliseconds = 65_000;
--- /dev/null
+++ b/source/entry/callers/index.ts
@@ -0,0 +1,4 @@
+export * from './body.js';
+export * from './caller-connections.js';
+export * from './caller-server.js';
+export * from './response.js';
--- a/source/entry/response.ts
+++ b/source/entry/callers/response.ts
@@ -5,12 +5,10 @@
 import {performance} from 'node:perf_hooks';
 import {
 	getVerdictHeaderValue, getVerdictStatus, reasonHeader, verdictHeader, type Verdict,
-} from '../verdict/index.js';
+} from '../../verdict/index.js';
+import {resetConnection, type ResponseCompletion, type ResponseHead} from '../http/index.js';
+import {type Dialect} from '../dialect.js';
 import {relayBody} from './body-relay.js';
-import {resetConnection} from './connection-reset.js';
-import {type Dialect} from './dialect.js';
-import {type ResponseCompletion} from './response-completion.js';
-import {type ResponseHead} from './response-head.js';
 
 const retryAfterSeconds = '1';
 const maximumSpreadValue = 65_535;
--- a/source/entry/crash-check.test.ts
+++ b/source/entry/crashes/crash-check.test.ts
@@ -1,7 +1,7 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {announcementSchema} from '../announcement/index.js';
-import {createCandidate} from '../choice/index.js';
+import {announcementSchema} from '../../announcement/index.js';
+import {createCandidate} from '../../choice/index.js';
 import {createCrashCheck} from './crash-check.js';
 
 const candidate = createCandidate(7, announcementSchema.parse({
--- a/source/entry/crash-check.ts
+++ b/source/entry/crashes/crash-check.ts
@@ -4,8 +4,8 @@
  * the path everywhere. A crashed server is unreachable for seconds, so one that answers a load query shortly
  * after the reset has not crashed.
  */
-import {type Candidate, type LoadReading} from '../choice/index.js';
-import {type LoadQuery} from './load-querier.js';
+import {type Candidate, type LoadReading} from '../../choice/index.js';
+import {type LoadQuery} from '../servers/index.js';
 
 /** Time between a lost connection and the query that checks whether the server still runs, in milliseconds. */
 const checkDelayMilliseconds = 100;
--- a/source/entry/crash-reporter.ts
+++ b/source/entry/crashes/crash-reporter.ts
@@ -1,8 +1,8 @@
 /** Reports crashes of servers during requests, at once or after a check when no control host may answer. */
-import {type Log} from '../telemetry/index.js';
+import {type Log} from '../../telemetry/index.js';
+import {type Fleet} from '../fleet/index.js';
 import {type CrashTracker} from './crash-tracker.js';
 import {createCrashCheck, type CrashCheckOptions} from './crash-check.js';
-import {type Fleet} from './fleet.js';
 
 /** Options of `createCrashReporter`. */
 export type CrashReporterOptions = {
--- a/source/entry/crash-tracker.ts
+++ b/source/entry/crashes/crash-tracker.ts
@@ -4,9 +4,9 @@
  */
 import {createHash} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
-import {type ControlClient} from '../control-client/index.js';
-import {type CrashReport} from '../lease/index.js';
-import {createQuarantine, quarantineCrashThreshold, type Quarantine} from '../quarantine/index.js';
+import {type ControlClient} from '../../control-client/index.js';
+import {type CrashReport} from '../../lease/index.js';
+import {createQuarantine, quarantineCrashThreshold, type Quarantine} from '../../quarantine/index.js';
 
 const reportTimeoutMilliseconds = 400;
 
--- /dev/null
+++ b/source/entry/crashes/index.ts
@@ -0,0 +1,2 @@
+export * from './crash-reporter.js';
+export * from './crash-tracker.js';
--- /dev/null
+++ b/source/entry/entrance/index.ts
@@ -0,0 +1,1 @@
+export * from './request-entrance.js';
--- a/source/entry/prepared-body.ts
+++ b/source/entry/entrance/prepared-body.ts
@@ -5,10 +5,10 @@
 import {performance} from 'node:perf_hooks';
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {notRun, type Verdict} from '../verdict/index.js';
-import {type ByteBudget} from '../bytes/index.js';
-import {readBody} from './body.js';
-import {getContentLength, hasBody} from './content-length.js';
+import {notRun, type Verdict} from '../../verdict/index.js';
+import {type ByteBudget} from '../../bytes/index.js';
+import {readBody} from '../callers/index.js';
+import {getContentLength, hasBody} from '../http/index.js';
 
 /** Size limits of bodies. */
 export type BodyLimits = {
--- a/source/entry/request-check.ts
+++ b/source/entry/entrance/request-check.ts
@@ -4,7 +4,7 @@
  * charged with it.
  */
 import {type IncomingMessage} from 'node:http';
-import {areHeadersValid} from './header-syntax.js';
+import {areHeadersValid} from '../http/index.js';
 
 /** Why a request is refused before it is placed. */
 export type RequestFault = 'malformed' | 'headers-too-large';
--- a/source/entry/request-entrance.ts
+++ b/source/entry/entrance/request-entrance.ts
@@ -1,11 +1,10 @@
 /** Receives callers' requests: checks their heads, finds their routes, and refuses those without a service. */
-import {notRun, type NotRunReason} from '../verdict/index.js';
-import {type Exchange} from './caller-connections.js';
-import {type EntryState} from './entry-state.js';
+import {notRun, type NotRunReason} from '../../verdict/index.js';
+import {type Exchange, sendVerdict} from '../callers/index.js';
+import {type EntryState} from '../entry-state.js';
+import {type RequestContext} from '../requests/index.js';
 import {findRequestFault, normalizeTarget} from './request-check.js';
-import {type RequestContext} from './request-context.js';
 import {getRequestId, handleRequest} from './request-handler.js';
-import {sendVerdict} from './response.js';
 
 /** Retry delay for callers of an entry without a matching route, in milliseconds. A starting entry receives its document within a few hundred. */
 const unroutedRetryMilliseconds = 150;
--- a/source/entry/request-handler.ts
+++ b/source/entry/entrance/request-handler.ts
@@ -2,18 +2,19 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
-import {sendVerdict, getRetrySpread, writeResponseHead} from './response.js';
-import {type Exchange} from './caller-connections.js';
-import {getRequestDigest, type Claim} from './claims.js';
-import {type ServiceState} from './service-state.js';
-import {getRequestTime} from './headers.js';
-import {type RoutePolicy} from './router.js';
+import {mayHaveRun, notRun, type Verdict} from '../../verdict/index.js';
+import {
+	sendVerdict, getRetrySpread, writeResponseHead, type Exchange,
+} from '../callers/index.js';
+import {
+	getRequestDigest, type Claim, type RequestContext, type RequestContent,
+} from '../requests/index.js';
+import {type ServiceState} from '../fleet/index.js';
+import {getRequestTime} from '../servers/index.js';
+import {type RoutePolicy} from '../routing/index.js';
+import {dispatchRequest} from '../placement/index.js';
+import {getFingerprint} from '../crashes/index.js';
 import {prepareBody} from './prepared-body.js';
-import {type RequestContext} from './request-context.js';
-import {type RequestContent} from './admitted-request.js';
-import {dispatchRequest} from './request-dispatch.js';
-import {getFingerprint} from './crash-tracker.js';
 
 const maximumKeyLength = 256;
 
--- a/source/entry/entry-gauges.ts
+++ b/source/entry/entry-gauges.ts
@@ -2,11 +2,11 @@
 import {performance} from 'node:perf_hooks';
 import {type StallWatch} from '../control/stall-watch.js';
 import {type LeaseHolder} from '../lease/index.js';
+import {type EntryMetrics} from './reporting/index.js';
+import {type Peers} from './peers/index.js';
+import {type Prober} from './fleet/index.js';
+import {type ZoneView} from './lease/index.js';
 import {type EntryState} from './entry-state.js';
-import {type EntryMetrics} from './metrics.js';
-import {type Peers} from './peer-exchange.js';
-import {type Prober} from './prober.js';
-import {type ZoneView} from './zone-view.js';
 
 const millisecondsPerSecond = 1000;
 
--- a/source/entry/entry-state.ts
+++ b/source/entry/entry-state.ts
@@ -1,6 +1,6 @@
 /** The state that the parts of an entry share: what is in force in its environment, and what the entry does at present. */
 import {type EnvironmentDocument} from '../configuration/index.js';
-import {createRouter, type Router} from './router.js';
+import {createRouter, type Router} from './routing/index.js';
 
 /** Number of entries that is assumed until the first grant arrives. */
 const assumedEntryCount = 100;
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -16,34 +16,24 @@
 import {type Verdict} from '../verdict/index.js';
 import {listen} from '../wire/index.js';
 import {createByteBudget} from '../bytes/index.js';
+import {
+	createAnnouncementHandler, createFleet, createProber, drainQueues, createReportHandler,
+} from './fleet/index.js';
+import {createCallerServer} from './callers/index.js';
+import {createClaims, type RequestContext, createRequestIds} from './requests/index.js';
+import {
+	openControlLinks, applyGrant, type GrantTargets, keepLease, createReadiness, createZoneView,
+} from './lease/index.js';
+import {startCountsExchange} from './peers/index.js';
+import {createCrashReporter, createCrashTracker} from './crashes/index.js';
+import {createDiscardedAnswers, createLoadQuerier} from './servers/index.js';
+import {createEntryMetrics, createRequestLog, createServiceLevelRecorder} from './reporting/index.js';
+import {createRequestEntrance} from './entrance/index.js';
 import {createAdminHandler} from './admin.js';
-import {createAnnouncementHandler} from './announcement-handler.js';
-import {createCallerServer} from './caller-server.js';
-import {createClaims} from './claims.js';
-import {openControlLinks} from './control-links.js';
-import {startCountsExchange} from './counts-exchange.js';
-import {createCrashReporter} from './crash-reporter.js';
-import {createCrashTracker} from './crash-tracker.js';
 import {defaultDialect, type Dialect} from './dialect.js';
-import {createDiscardedAnswers} from './discarded-answers.js';
 import {registerGauges} from './entry-gauges.js';
 import {createEntryState} from './entry-state.js';
-import {createFleet} from './fleet.js';
 import {drainCallers} from './graceful-stop.js';
-import {applyGrant, type GrantTargets} from './grant-application.js';
-import {keepLease} from './lease-keeper.js';
-import {createLoadQuerier} from './load-querier.js';
-import {createEntryMetrics} from './metrics.js';
-import {createProber} from './prober.js';
-import {drainQueues} from './queue-draining.js';
-import {createReadiness} from './readiness.js';
-import {type RequestContext} from './request-context.js';
-import {createRequestEntrance} from './request-entrance.js';
-import {createRequestIds} from './request-ids.js';
-import {createRequestLog} from './request-log.js';
-import {createReportHandler} from './server-reports.js';
-import {createServiceLevelRecorder} from './service-level-recorder.js';
-import {createZoneView} from './zone-view.js';
 
 const housekeepingIntervalMilliseconds = 50;
 
--- a/source/entry/announcement-handler.test.ts
+++ b/source/entry/fleet/announcement-handler.test.ts
@@ -1,10 +1,10 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {announcementSchema, type Announcement} from '../announcement/index.js';
-import {documentSchema} from '../configuration/index.js';
-import {type ControlClient} from '../control-client/index.js';
-import {type ControlRequest} from '../control/message.js';
-import {createRandom} from '../randomness/index.js';
+import {announcementSchema, type Announcement} from '../../announcement/index.js';
+import {documentSchema} from '../../configuration/index.js';
+import {type ControlClient} from '../../control-client/index.js';
+import {type ControlRequest} from '../../control/message.js';
+import {createRandom} from '../../randomness/index.js';
 import {createAnnouncementHandler} from './announcement-handler.js';
 import {createFleet} from './fleet.js';
 
--- a/source/entry/announcement-handler.ts
+++ b/source/entry/fleet/announcement-handler.ts
@@ -3,9 +3,9 @@
  * recorded and reported with the next lease renewal. One with which a server joins, leaves, returns
  * or moves is forwarded to the leader immediately and is answered when it is committed.
  */
-import {getServerKey, isTransition, type Announcement} from '../announcement/index.js';
-import {type ControlClient} from '../control-client/index.js';
-import {type ControlResponse} from '../control/message.js';
+import {getServerKey, isTransition, type Announcement} from '../../announcement/index.js';
+import {type ControlClient} from '../../control-client/index.js';
+import {type ControlResponse} from '../../control/message.js';
 import {type Fleet} from './fleet.js';
 
 const forwardTimeoutMilliseconds = 3000;
--- a/source/entry/fleet.test.ts
+++ b/source/entry/fleet/fleet.test.ts
@@ -1,9 +1,9 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {announcementSchema} from '../announcement/index.js';
-import {documentSchema} from '../configuration/index.js';
-import {type ServerView} from '../lease/index.js';
-import {createRandom} from '../randomness/index.js';
+import {announcementSchema} from '../../announcement/index.js';
+import {documentSchema} from '../../configuration/index.js';
+import {type ServerView} from '../../lease/index.js';
+import {createRandom} from '../../randomness/index.js';
 import {createFleet, type Fleet} from './fleet.js';
 
 function getView(id: number, isAbsent = false): ServerView {
--- a/source/entry/fleet.ts
+++ b/source/entry/fleet/fleet.ts
@@ -2,12 +2,12 @@
  * The servers that an entry may use, by service. Combines the state that the control hosts report
  * with what the entry and its peers observe.
  */
-import {type ServerKey} from '../announcement/index.js';
-import {type Candidate, type SubsetChooser} from '../choice/index.js';
-import {type EnvironmentDocument} from '../configuration/index.js';
-import {type Observation, type Permit, type ServerView} from '../lease/index.js';
-import {type Random} from '../randomness/index.js';
-import {type ConnectionHistory} from './connection-history.js';
+import {type ServerKey} from '../../announcement/index.js';
+import {type Candidate, type SubsetChooser} from '../../choice/index.js';
+import {type EnvironmentDocument} from '../../configuration/index.js';
+import {type Observation, type Permit, type ServerView} from '../../lease/index.js';
+import {type Random} from '../../randomness/index.js';
+import {type ConnectionHistory} from '../servers/index.js';
 import {createServerTable, type FleetServer} from './server-table.js';
 import {
 	createServiceState, type MutableServiceState, type ServiceState, type SharedBudgetOptions,
--- a/source/entry/prober.ts
+++ b/source/entry/fleet/prober.ts
@@ -1,9 +1,9 @@
 /** Probes the servers that are assigned to this entry while its lease is valid. */
 import {performance} from 'node:perf_hooks';
-import {createProbeSchedule, type ProbeSchedule} from '../measuring/index.js';
-import {discardBody} from '../bytes/index.js';
+import {createProbeSchedule, type ProbeSchedule} from '../../measuring/index.js';
+import {discardBody} from '../../bytes/index.js';
+import {startServerRequest} from '../servers/index.js';
 import {type Fleet} from './fleet.js';
-import {startServerRequest} from './server-request.js';
 
 /** Time from the start of a probe until its connection is closed, unless the server has responded. */
 const probeTimeoutMilliseconds = 1000;
--- a/source/entry/server-reports.ts
+++ b/source/entry/fleet/server-reports.ts
@@ -3,11 +3,11 @@
  * that they want no requests for a while. Nobody but the server knows this earlier, so it counts whatever the control hosts report.
  */
 import {performance} from 'node:perf_hooks';
-import {type Candidate} from '../choice/index.js';
-import {type Log} from '../telemetry/index.js';
-import {type ServerReport} from './dialect.js';
+import {type Candidate} from '../../choice/index.js';
+import {type Log} from '../../telemetry/index.js';
+import {type ServerReport} from '../dialect.js';
+import {type EntryMetrics} from '../reporting/index.js';
 import {type Fleet} from './fleet.js';
-import {type EntryMetrics} from './metrics.js';
 
 /** Options of `createReportHandler`. */
 export type ReportHandlerOptions = {
--- a/source/entry/server-table.ts
+++ b/source/entry/fleet/server-table.ts
@@ -1,9 +1,8 @@
 /** The servers that an entry knows, by id, key and service, with their connections. */
-import {getServerKey, type ServerKey} from '../announcement/index.js';
-import {createCandidate, type Candidate} from '../choice/index.js';
-import {type ServerView} from '../lease/index.js';
-import {type ConnectionHistory} from './connection-history.js';
-import {createPool, type Pool} from './pool.js';
+import {getServerKey, type ServerKey} from '../../announcement/index.js';
+import {createCandidate, type Candidate} from '../../choice/index.js';
+import {type ServerView} from '../../lease/index.js';
+import {type ConnectionHistory, createPool, type Pool} from '../servers/index.js';
 import {createRecentSet} from './recent-set.js';
 
 /** Number of boots that are remembered as leaving; a list of servers may name them again. */
--- a/source/entry/service-state.ts
+++ b/source/entry/fleet/service-state.ts
@@ -1,13 +1,13 @@
 /** What an entry keeps for one service: its settings, candidates, wait queue, and budgets of retries and hedges. */
-import {createChooser, type Candidate, type Chooser} from '../choice/index.js';
-import {type Service} from '../configuration/index.js';
+import {createChooser, type Candidate, type Chooser} from '../../choice/index.js';
+import {type Service} from '../../configuration/index.js';
 import {
 	createShortageEstimate, createWaitQueue, type ShortageEstimate, type WaitQueue,
-} from '../limits/index.js';
-import {type Random} from '../randomness/index.js';
+} from '../../limits/index.js';
+import {type Random} from '../../randomness/index.js';
 import {
 	createAttemptBudget, createHedgeDelay, defaultHedgeDelayMilliseconds, type AttemptBudget, type HedgeDelay,
-} from '../retry/index.js';
+} from '../../retry/index.js';
 
 const initialRetryBalance = 10;
 const initialHedgeDelayMilliseconds = 50;
--- a/source/entry/graceful-stop.ts
+++ b/source/entry/graceful-stop.ts
@@ -1,10 +1,10 @@
 /** Ends an entry for its callers: accepts connections for a while, and completes the requests in flight. */
 import {setTimeout as delay} from 'node:timers/promises';
 import {type EntrySettings} from '../settings/index.js';
-import {type CallerServer} from './caller-server.js';
-import {type Claims} from './claims.js';
+import {type CallerServer} from './callers/index.js';
+import {type Claims} from './requests/index.js';
+import {type Readiness} from './lease/index.js';
 import {type EntryState} from './entry-state.js';
-import {type Readiness} from './readiness.js';
 
 const millisecondsPerSecond = 1000;
 const drainPollIntervalMilliseconds = 20;
--- a/source/entry/chunk-joining.test.ts
+++ b/source/entry/http/chunk-joining.test.ts
@@ -5,7 +5,7 @@
 import {describe, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
-import {createRandom} from '../randomness/index.js';
+import {createRandom} from '../../randomness/index.js';
 import {joinChunks} from './chunk-joining.js';
 
 const seed = 303;
--- a/source/entry/chunk-joining.ts
+++ b/source/entry/http/chunk-joining.ts
@@ -4,7 +4,7 @@
  */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
-import {createByteCollector} from '../bytes/index.js';
+import {createByteCollector} from '../../bytes/index.js';
 
 /** Minimum size in bytes of a chunk that is passed on at once. */
 const minimumPassedBytes = 4096;
--- a/source/entry/response-completion.ts
+++ b/source/entry/http/response-completion.ts
@@ -5,7 +5,7 @@
  */
 import {type Buffer} from 'node:buffer';
 import {type ClientRequest, type IncomingMessage} from 'node:http';
-import {type Dialect} from './dialect.js';
+import {type Dialect} from '../dialect.js';
 import {createResponseFinder} from './response-finder.js';
 
 /** Completeness of a response. */
--- a/source/entry/control-links.ts
+++ b/source/entry/lease/control-links.ts
@@ -1,8 +1,8 @@
 /** Opens the links of an entry to the control hosts that its settings and the control hosts name. */
 import {performance} from 'node:perf_hooks';
-import {createControlClient, createHostDirectory, type ControlClient} from '../control-client/index.js';
-import {getSeeds, type EntrySettings, type Security} from '../settings/index.js';
-import {type Log} from '../telemetry/index.js';
+import {createControlClient, createHostDirectory, type ControlClient} from '../../control-client/index.js';
+import {getSeeds, type EntrySettings, type Security} from '../../settings/index.js';
+import {type Log} from '../../telemetry/index.js';
 import {type LeaseKeeper} from './lease-keeper.js';
 
 /** Links to the control hosts. */
--- a/source/entry/grant-application.ts
+++ b/source/entry/lease/grant-application.ts
@@ -1,17 +1,15 @@
 /** Applies the grants of the control hosts to the parts of an entry: document, servers, permits, zones, peers and probing duties. */
 import {performance} from 'node:perf_hooks';
-import {type EnvironmentDocument} from '../configuration/index.js';
-import {type Grant, type LeaseHolder} from '../lease/index.js';
-import {type Random} from '../randomness/index.js';
-import {type Log} from '../telemetry/index.js';
-import {type CallerServer} from './caller-server.js';
-import {type CrashTracker} from './crash-tracker.js';
-import {type EntryState} from './entry-state.js';
-import {type Fleet} from './fleet.js';
-import {type Peers} from './peer-exchange.js';
-import {type Prober} from './prober.js';
-import {drainQueues} from './queue-draining.js';
-import {createRouter} from './router.js';
+import {type EnvironmentDocument} from '../../configuration/index.js';
+import {type Grant, type LeaseHolder} from '../../lease/index.js';
+import {type Random} from '../../randomness/index.js';
+import {type Log} from '../../telemetry/index.js';
+import {type CallerServer} from '../callers/index.js';
+import {type CrashTracker} from '../crashes/index.js';
+import {type EntryState} from '../entry-state.js';
+import {type Fleet, type Prober, drainQueues} from '../fleet/index.js';
+import {type Peers} from '../peers/index.js';
+import {createRouter} from '../routing/index.js';
 import {type ZoneView} from './zone-view.js';
 
 /** Maximum number of changed servers that are named in one log line. */
--- /dev/null
+++ b/source/entry/lease/index.ts
@@ -0,0 +1,5 @@
+export * from './control-links.js';
+export * from './grant-application.js';
+export * from './lease-keeper.js';
+export * from './readiness.js';
+export * from './zone-view.js';
--- a/source/entry/lease-keeper.test.ts
+++ b/source/entry/lease/lease-keeper.test.ts
@@ -1,8 +1,8 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {documentSchema, getDocumentUpdate, type DocumentUpdate} from '../configuration/index.js';
-import {type ControlClient} from '../control-client/index.js';
-import {type Grant, type Renewal} from '../lease/index.js';
+import {documentSchema, getDocumentUpdate, type DocumentUpdate} from '../../configuration/index.js';
+import {type ControlClient} from '../../control-client/index.js';
+import {type Grant, type Renewal} from '../../lease/index.js';
 import {keepLease, type LeaseKeeper} from './lease-keeper.js';
 
 function getDocument(services: readonly string[]): ReturnType<typeof documentSchema.parse> {
--- a/source/entry/lease-keeper.ts
+++ b/source/entry/lease/lease-keeper.ts
@@ -3,12 +3,12 @@
 import {Subject, type Observable} from 'rxjs';
 import {
 	applyDocumentUpdate, noVersion, type DocumentUpdate, type Environment, type EnvironmentDocument,
-} from '../configuration/index.js';
+} from '../../configuration/index.js';
 import {
 	createLeaseHolder, createRenewalPacing, type CrashReport, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Renewal,
-} from '../lease/index.js';
-import {type ControlClient} from '../control-client/index.js';
-import {type ControlOutbound} from '../control/message.js';
+} from '../../lease/index.js';
+import {type ControlClient} from '../../control-client/index.js';
+import {type ControlOutbound} from '../../control/message.js';
 
 /** Time beyond the renewal interval without an answer after which a renewal counts as lost and the leader as unknown. */
 const leaderTimeoutMilliseconds = 300;
--- a/source/entry/readiness.ts
+++ b/source/entry/lease/readiness.ts
@@ -1,9 +1,9 @@
 /** Tells whether an entry may send requests and whether it is ready for callers, by its lease and its document. */
 import {performance} from 'node:perf_hooks';
-import {createSuspensionDetector, type LeaseHolder} from '../lease/index.js';
-import {type Log} from '../telemetry/index.js';
-import {type EntryState} from './entry-state.js';
-import {type Fleet} from './fleet.js';
+import {createSuspensionDetector, type LeaseHolder} from '../../lease/index.js';
+import {type Log} from '../../telemetry/index.js';
+import {type EntryState} from '../entry-state.js';
+import {type Fleet} from '../fleet/index.js';
 
 /** Readiness of an entry. */
 export type Readiness = {
--- a/source/entry/zone-view.test.ts
+++ b/source/entry/lease/zone-view.test.ts
@@ -1,7 +1,7 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {createRecordedLog, type RecordedLine} from '../../stand-in/recorded-log.js';
-import {type Grant} from '../lease/index.js';
+import {createRecordedLog, type RecordedLine} from '../../../stand-in/recorded-log.js';
+import {type Grant} from '../../lease/index.js';
 import {createZoneView, type ZoneView} from './zone-view.js';
 
 function getGrant(zonesOut: readonly string[], zonesRevision?: number): Grant {
--- a/source/entry/zone-view.ts
+++ b/source/entry/lease/zone-view.ts
@@ -2,8 +2,8 @@
  * The zones out of service as an entry acts on them: their revision, which host granted them and since when. Logs each change of
  * the revision or the zones, and a lease that ends while the entry goes on with what it knows.
  */
-import {type Grant} from '../lease/index.js';
-import {type Log} from '../telemetry/index.js';
+import {type Grant} from '../../lease/index.js';
+import {type Log} from '../../telemetry/index.js';
 
 const millisecondsPerSecond = 1000;
 
--- a/source/entry/counts-exchange.ts
+++ b/source/entry/peers/counts-exchange.ts
@@ -1,7 +1,7 @@
 /** Exchanges with the other entries how many requests each sends to the servers of its fleet, if the settings name an address for it. */
-import {createCountsReporter, createPeerCounts} from '../choice/index.js';
-import {type EntrySettings, type Security} from '../settings/index.js';
-import {type Fleet} from './fleet.js';
+import {createCountsReporter, createPeerCounts} from '../../choice/index.js';
+import {type EntrySettings, type Security} from '../../settings/index.js';
+import {type Fleet} from '../fleet/index.js';
 import {startPeerExchange, type PeerExchange} from './peer-exchange.js';
 
 /** Options of `startCountsExchange`. */
--- /dev/null
+++ b/source/entry/peers/index.ts
@@ -0,0 +1,2 @@
+export * from './counts-exchange.js';
+export * from './peer-exchange.js';
--- a/source/entry/peer-exchange.ts
+++ b/source/entry/peers/peer-exchange.ts
@@ -1,10 +1,10 @@
 /** Exchanges the numbers of requests in flight on each server with the other entries. */
-import {type PeerCounts, type CountsMessage, type CountsReporter} from '../choice/index.js';
-import {type PeerAddress} from '../lease/index.js';
+import {type PeerCounts, type CountsMessage, type CountsReporter} from '../../choice/index.js';
+import {type PeerAddress} from '../../lease/index.js';
 import {
 	createDialer, listenForLinks, type Dialer, type LinkIdentity, type LinkListener,
-} from '../wire/index.js';
-import {type Address} from '../settings/index.js';
+} from '../../wire/index.js';
+import {type Address} from '../../settings/index.js';
 
 /** Links to the other entries (peers). */
 export type Peers = {
--- a/source/entry/attempt-result.ts
+++ b/source/entry/placement/attempt-result.ts
@@ -1,7 +1,7 @@
 /** What the outcome of an attempt says about the server: whether it counts as a failure, and whether it was reached at all. */
-import {type AttemptResult} from '../choice/index.js';
-import {type Verdict} from '../verdict/index.js';
-import {type AttemptOutcome} from './attempt-outcome.js';
+import {type AttemptResult} from '../../choice/index.js';
+import {type Verdict} from '../../verdict/index.js';
+import {type AttemptOutcome} from '../servers/index.js';
 
 /**
  * Gets the result that is counted for the server.
--- a/source/entry/first-attempt.ts
+++ b/source/entry/placement/first-attempt.ts
@@ -1,6 +1,6 @@
 /** Starts the first attempt of a request, at once or after a wait in the queue of its service. */
 import {performance} from 'node:perf_hooks';
-import {notRun} from '../verdict/index.js';
+import {notRun} from '../../verdict/index.js';
 import {scheduleHedge} from './hedging.js';
 import {protect, refuse, type RequestProgress} from './request-progress.js';
 import {type AttemptStart} from './server-attempt.js';
--- a/source/entry/further-attempt.ts
+++ b/source/entry/placement/further-attempt.ts
@@ -1,7 +1,7 @@
 /** Repeats a request on another server after a failed attempt, or ends it with what is known. */
 import {performance} from 'node:perf_hooks';
-import {mayRetry} from '../retry/index.js';
-import {mayHaveRun, type Verdict} from '../verdict/index.js';
+import {mayRetry} from '../../retry/index.js';
+import {mayHaveRun, type Verdict} from '../../verdict/index.js';
 import {hasReachedNoServer} from './attempt-result.js';
 import {
 	protect, refuse, settle, type RequestProgress,
--- a/source/entry/hedge.test.ts
+++ b/source/entry/placement/hedge.test.ts
@@ -6,7 +6,7 @@
 import {setImmediate} from 'node:timers/promises';
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {startLocalSystem} from '../program/local-system.js';
+import {startLocalSystem} from '../../program/local-system.js';
 
 /** Requests that add 0.05 each to the hedge budget. */
 const budgetRequests = 100;
--- a/source/entry/hedging.ts
+++ b/source/entry/placement/hedging.ts
@@ -1,5 +1,5 @@
 /** Sends a second attempt of a slow request to another server, within the budget of hedges. */
-import {mayHedge} from '../retry/index.js';
+import {mayHedge} from '../../retry/index.js';
 import {protect, type RequestProgress} from './request-progress.js';
 import {mayDispatch, type AttemptStart} from './server-attempt.js';
 
--- a/source/entry/reading-choice.ts
+++ b/source/entry/placement/reading-choice.ts
@@ -1,8 +1,8 @@
 /** Compares the load readings of queried servers: which of them has room, and which is expected to respond soonest. */
 import {
 	getExpectedSlowdown, hasRoom, type Admission, type LoadReading,
-} from '../choice/index.js';
-import {type CandidateReading} from './load-querier.js';
+} from '../../choice/index.js';
+import {type CandidateReading} from '../servers/index.js';
 
 /** Expected slowdown beyond which other servers are queried although a server has room, since the response would be late. */
 const acceptableSlowdown = 2.2;
--- a/source/entry/request-dispatch.ts
+++ b/source/entry/placement/request-dispatch.ts
@@ -1,9 +1,9 @@
 /** Attempts an admitted request on servers, with retries and hedges, until it is answered or refused. */
 import {performance} from 'node:perf_hooks';
-import {type Candidate} from '../choice/index.js';
-import {mayHaveRun, notRun} from '../verdict/index.js';
-import {type AdmittedRequest} from './admitted-request.js';
-import {type AttemptOutcome, type AttemptResponse, type FailedAttempt} from './attempt-outcome.js';
+import {type Candidate} from '../../choice/index.js';
+import {mayHaveRun, notRun} from '../../verdict/index.js';
+import {type AdmittedRequest} from '../requests/index.js';
+import {type AttemptOutcome, type AttemptResponse, type FailedAttempt} from '../servers/index.js';
 import {getAttemptResult, hasReachedNoServer} from './attempt-result.js';
 import {startOrEnqueue} from './first-attempt.js';
 import {retryOrRefuse} from './further-attempt.js';
--- a/source/entry/request-progress.ts
+++ b/source/entry/placement/request-progress.ts
@@ -1,11 +1,10 @@
 /** The progress of an admitted request: what has been attempted, what is running, and whether the request is settled. */
 import {performance} from 'node:perf_hooks';
-import {type Candidate} from '../choice/index.js';
-import {maximumAttempts} from '../retry/index.js';
-import {type Verdict} from '../verdict/index.js';
-import {type AdmittedRequest} from './admitted-request.js';
-import {type Attempt} from './attempt.js';
-import {type AttemptResponse} from './attempt-outcome.js';
+import {type Candidate} from '../../choice/index.js';
+import {maximumAttempts} from '../../retry/index.js';
+import {type Verdict} from '../../verdict/index.js';
+import {type AdmittedRequest} from '../requests/index.js';
+import {type Attempt, type AttemptResponse} from '../servers/index.js';
 import {createServerSelector, type ServerSelector} from './server-selector.js';
 
 /** An attempt on a server that has not ended. */
--- a/source/entry/response-relay.ts
+++ b/source/entry/placement/response-relay.ts
@@ -1,10 +1,10 @@
 /** Passes the response of a server on to the caller: whole if it was held, else as a stream. */
 import {type Buffer} from 'node:buffer';
-import {mayHaveRun, type Verdict} from '../verdict/index.js';
-import {type AdmittedRequest} from './admitted-request.js';
-import {type AttemptResponse, type LargeResponse, type WholeResponse} from './attempt-outcome.js';
-import {endsWithConnection, streamResponse, writeResponseHead} from './response.js';
-import {type ResponseHead} from './response-head.js';
+import {mayHaveRun, type Verdict} from '../../verdict/index.js';
+import {type AdmittedRequest} from '../requests/index.js';
+import {type AttemptResponse, type LargeResponse, type WholeResponse} from '../servers/index.js';
+import {endsWithConnection, streamResponse, writeResponseHead} from '../callers/index.js';
+import {type ResponseHead} from '../http/index.js';
 
 /**
  * Passes a response on to the caller and ends the request.
--- a/source/entry/server-attempt.ts
+++ b/source/entry/placement/server-attempt.ts
@@ -1,10 +1,8 @@
 /** Starts an attempt of a request on a selected server, and counts it for the request, the server and the log. */
 import {performance} from 'node:perf_hooks';
-import {type Candidate} from '../choice/index.js';
-import {notRun} from '../verdict/index.js';
-import {startAttempt} from './attempt.js';
-import {type AttemptOutcome} from './attempt-outcome.js';
-import {getForwardedHeaders} from './headers.js';
+import {type Candidate} from '../../choice/index.js';
+import {notRun} from '../../verdict/index.js';
+import {startAttempt, type AttemptOutcome, getForwardedHeaders} from '../servers/index.js';
 import {
 	fail, protect, refuse, type RequestProgress, type RunningAttempt,
 } from './request-progress.js';
--- a/source/entry/server-selector.test.ts
+++ b/source/entry/placement/server-selector.test.ts
@@ -1,14 +1,14 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {announcementSchema} from '../announcement/index.js';
-import {createCandidate, type Candidate, type LoadReading} from '../choice/index.js';
-import {documentSchema} from '../configuration/index.js';
-import {createShortageEstimate} from '../limits/index.js';
-import {createRandom} from '../randomness/index.js';
-import {type RequestContext} from './request-context.js';
-import {type ServiceState} from './service-state.js';
+import {announcementSchema} from '../../announcement/index.js';
+import {createCandidate, type Candidate, type LoadReading} from '../../choice/index.js';
+import {documentSchema} from '../../configuration/index.js';
+import {createShortageEstimate} from '../../limits/index.js';
+import {createRandom} from '../../randomness/index.js';
+import {type RequestContext} from '../requests/index.js';
+import {type ServiceState} from '../fleet/index.js';
+import {createRouter} from '../routing/index.js';
 import {createServerSelector, type ServerSelector} from './server-selector.js';
-import {createRouter} from './router.js';
 
 /** Target latency of the route. A request may wait for an eighth of it, which must be much longer than a turn of a busy event loop. */
 const targetMilliseconds = 3200;
--- a/source/entry/server-selector.ts
+++ b/source/entry/placement/server-selector.ts
@@ -6,15 +6,15 @@
 import {performance} from 'node:perf_hooks';
 import {
 	isBelowKnee, isUncongested, selectQueryCandidates, type Candidate,
-} from '../choice/index.js';
-import {type CandidateReading} from './load-querier.js';
+} from '../../choice/index.js';
+import {type CandidateReading} from '../servers/index.js';
+import {type RequestContext} from '../requests/index.js';
+import {type ServiceState} from '../fleet/index.js';
+import {type RoutePolicy} from '../routing/index.js';
+import {type Decision} from '../reporting/index.js';
 import {
 	findBestWithRoom, formatReading, getBetter, isFastEnough, type ReadingCriteria,
 } from './reading-choice.js';
-import {type RequestContext} from './request-context.js';
-import {type ServiceState} from './service-state.js';
-import {type RoutePolicy} from './router.js';
-import {type Decision} from './request-log.js';
 
 /** Time to wait for replies to a load query, unless the document sets one. */
 const defaultQueryMilliseconds = 10;
--- /dev/null
+++ b/source/entry/reporting/index.ts
@@ -0,0 +1,3 @@
+export * from './metrics.js';
+export * from './request-log.js';
+export * from './service-level-recorder.js';
--- a/source/entry/metrics.ts
+++ b/source/entry/reporting/metrics.ts
@@ -1,8 +1,8 @@
 /** Counters, gauges and histograms of an entry. */
 import {Counter, Histogram, Registry} from 'prom-client';
-import {addGauge, addProcessMetrics} from '../telemetry/index.js';
-import {type Verdict} from '../verdict/index.js';
-import {type DiscardReason} from './discarded-answers.js';
+import {addGauge, addProcessMetrics} from '../../telemetry/index.js';
+import {type Verdict} from '../../verdict/index.js';
+import {type DiscardReason} from '../servers/index.js';
 
 const latencyBucketsSeconds = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
 
--- a/source/entry/request-log.test.ts
+++ b/source/entry/reporting/request-log.test.ts
@@ -1,7 +1,7 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {createRecordedLog} from '../../stand-in/recorded-log.js';
-import {notRun, type Verdict} from '../verdict/index.js';
+import {createRecordedLog} from '../../../stand-in/recorded-log.js';
+import {notRun, type Verdict} from '../../verdict/index.js';
 import {createRequestLog} from './request-log.js';
 
 describe('createRequestLog', () => {
--- a/source/entry/request-log.ts
+++ b/source/entry/reporting/request-log.ts
@@ -4,8 +4,8 @@
  * several attempts or missed their target are logged up to a rate limit; those beyond it
  * are counted.
  */
-import {createLineLimit, type Log} from '../telemetry/index.js';
-import {getVerdictHeaderValue, type Verdict} from '../verdict/index.js';
+import {createLineLimit, type Log} from '../../telemetry/index.js';
+import {getVerdictHeaderValue, type Verdict} from '../../verdict/index.js';
 
 /** One of this many ordinary requests is logged. */
 const ordinarySampleInterval = 64;
--- a/source/entry/service-level-recorder.ts
+++ b/source/entry/reporting/service-level-recorder.ts
@@ -1,10 +1,10 @@
 /** Counts the requests of an entry against the service levels, and reports the counts to the control hosts. */
-import {type Service} from '../configuration/index.js';
-import {type ControlClient} from '../control-client/index.js';
-import {type ServiceLevelCounter} from '../service-level/counter.js';
-import {periodMilliseconds} from '../service-level/report.js';
-import {type EntrySettings} from '../settings/index.js';
-import {type Verdict} from '../verdict/index.js';
+import {type Service} from '../../configuration/index.js';
+import {type ControlClient} from '../../control-client/index.js';
+import {type ServiceLevelCounter} from '../../service-level/counter.js';
+import {periodMilliseconds} from '../../service-level/report.js';
+import {type EntrySettings} from '../../settings/index.js';
+import {type Verdict} from '../../verdict/index.js';
 
 /** Records the service levels of an entry. */
 export type ServiceLevelRecorder = {
@@ -36,7 +36,7 @@
 
 /** Loads the service level counter only if service levels are counted, since its histograms take memory. */
 async function loadServiceLevelCounter(settings: EntrySettings): Promise<ServiceLevelCounter> {
-	const {createServiceLevelCounter} = await import('../service-level/counter.js');
+	const {createServiceLevelCounter} = await import('../../service-level/counter.js');
 	return createServiceLevelCounter(settings.name, settings.environment);
 }
 
--- a/source/entry/admitted-request.ts
+++ b/source/entry/requests/admitted-request.ts
@@ -1,14 +1,14 @@
 /** A request that has been admitted: its content, service and route, and how it ends. */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
-import {type Service} from '../configuration/index.js';
-import {type Verdict} from '../verdict/index.js';
-import {type Exchange} from './caller-connections.js';
+import {type Service} from '../../configuration/index.js';
+import {type Verdict} from '../../verdict/index.js';
+import {type Exchange} from '../callers/index.js';
+import {type ServiceState} from '../fleet/index.js';
+import {type Decision} from '../reporting/index.js';
+import {type RoutePolicy} from '../routing/index.js';
 import {type Claim} from './claims.js';
-import {type ServiceState} from './service-state.js';
 import {type RequestContext} from './request-context.js';
-import {type Decision} from './request-log.js';
-import {type RoutePolicy} from './router.js';
 
 /** Content of a caller's request. */
 export type RequestContent = {
--- a/source/entry/claims.ts
+++ b/source/entry/requests/claims.ts
@@ -1,9 +1,9 @@
 /** Claims the idempotency keys of non-idempotent requests in the ledger, and records the outcome of each claim. */
 import {createHash, randomUUID} from 'node:crypto';
-import {type ControlClient} from '../control-client/index.js';
-import {type ControlResponse} from '../control/message.js';
-import {type StoredResponse} from '../ledger/index.js';
-import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
+import {type ControlClient} from '../../control-client/index.js';
+import {type ControlResponse} from '../../control/message.js';
+import {type StoredResponse} from '../../ledger/index.js';
+import {mayHaveRun, notRun, type Verdict} from '../../verdict/index.js';
 
 const settleAttemptTimeoutMilliseconds = 5000;
 const settleTimeoutMilliseconds = 120_000;
--- /dev/null
+++ b/source/entry/requests/index.ts
@@ -0,0 +1,4 @@
+export type * from './admitted-request.js';
+export * from './claims.js';
+export type * from './request-context.js';
+export * from './request-ids.js';
--- a/source/entry/request-context.ts
+++ b/source/entry/requests/request-context.ts
@@ -1,18 +1,16 @@
 /** What all requests of an entry share. */
-import {type ByteBudget} from '../bytes/index.js';
-import {type Candidate} from '../choice/index.js';
-import {type Service} from '../configuration/index.js';
-import {type LoadQueryBudget} from '../measuring/index.js';
-import {type Random} from '../randomness/index.js';
-import {type Verdict} from '../verdict/index.js';
+import {type ByteBudget} from '../../bytes/index.js';
+import {type Candidate} from '../../choice/index.js';
+import {type Service} from '../../configuration/index.js';
+import {type LoadQueryBudget} from '../../measuring/index.js';
+import {type Random} from '../../randomness/index.js';
+import {type Verdict} from '../../verdict/index.js';
+import {type CrashTracker} from '../crashes/index.js';
+import {type Dialect, type ServerReport} from '../dialect.js';
+import {type DiscardedAnswers, type LoadQuerier} from '../servers/index.js';
+import {type Fleet} from '../fleet/index.js';
+import {type EntryMetrics, type RequestTrace, type RequestTraceHead} from '../reporting/index.js';
 import {type Claims} from './claims.js';
-import {type CrashTracker} from './crash-tracker.js';
-import {type Dialect, type ServerReport} from './dialect.js';
-import {type DiscardedAnswers} from './discarded-answers.js';
-import {type Fleet} from './fleet.js';
-import {type LoadQuerier} from './load-querier.js';
-import {type EntryMetrics} from './metrics.js';
-import {type RequestTrace, type RequestTraceHead} from './request-log.js';
 
 /** Dependencies that all requests of an entry share. */
 export type RequestContext = {
--- /dev/null
+++ b/source/entry/routing/index.ts
@@ -0,0 +1,1 @@
+export * from './router.js';
--- a/source/entry/router.test.ts
+++ b/source/entry/routing/router.test.ts
@@ -1,8 +1,8 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {documentSchema, type Route} from '../configuration/index.js';
-import {createRandom} from '../randomness/index.js';
-import {getRequestTime} from './headers.js';
+import {documentSchema, type Route} from '../../configuration/index.js';
+import {createRandom} from '../../randomness/index.js';
+import {getRequestTime} from '../servers/index.js';
 import {createRouter} from './router.js';
 
 describe('createRouter', () => {
--- a/source/entry/router.ts
+++ b/source/entry/routing/router.ts
@@ -3,8 +3,8 @@
  * Weighted routes use smooth weighted round-robin, so that the shares hold over short
  * periods too. A request stays with its service even when that service has no capacity.
  */
-import {type Route, type Service} from '../configuration/index.js';
-import {createElapsedEstimate, type ElapsedEstimate} from '../limits/index.js';
+import {type Route, type Service} from '../../configuration/index.js';
+import {createElapsedEstimate, type ElapsedEstimate} from '../../limits/index.js';
 
 const anyHost = '*';
 
--- a/source/entry/attempt-outcome.ts
+++ b/source/entry/servers/attempt-outcome.ts
@@ -1,10 +1,9 @@
 /** Outcomes of attempts: a response, held or streamed, or a failure with its verdict. */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
-import {type ByteReservation} from '../bytes/index.js';
-import {type Verdict} from '../verdict/index.js';
-import {type ResponseCompletion} from './response-completion.js';
-import {type ResponseHead} from './response-head.js';
+import {type ByteReservation} from '../../bytes/index.js';
+import {type Verdict} from '../../verdict/index.js';
+import {type ResponseCompletion, type ResponseHead} from '../http/index.js';
 
 /** Response that was held until it was complete. */
 export type WholeResponse = {readonly kind: 'whole'; readonly head: ResponseHead; readonly body: Buffer; readonly reservation: ByteReservation};
--- a/source/entry/attempt.ts
+++ b/source/entry/servers/attempt.ts
@@ -5,8 +5,10 @@
 import {type Buffer} from 'node:buffer';
 import {type ClientRequest, type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {createByteReservation, type ByteBudget, discardBody} from '../bytes/index.js';
-import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
+import {createByteReservation, type ByteBudget, discardBody} from '../../bytes/index.js';
+import {mayHaveRun, notRun, type Verdict} from '../../verdict/index.js';
+import {type Dialect, type ServerReport} from '../dialect.js';
+import {isSelfDelimited, type ResponseHead} from '../http/index.js';
 import {
 	indicatesCrash, isDiscardReason, isParserError, type FailureReason,
 } from './attempt-failure.js';
@@ -14,13 +16,10 @@
 import {holdBody} from './body-holding.js';
 import {sendBody} from './body-upload.js';
 import {type ConnectionHistory} from './connection-history.js';
-import {type Dialect, type ServerReport} from './dialect.js';
 import {type DiscardedAnswer, type DiscardReason} from './discarded-answers.js';
 import {getResponseHeaders} from './headers.js';
 import {type Pool} from './pool.js';
 import {findResponseFault} from './response-check.js';
-import {isSelfDelimited} from './response-framing.js';
-import {type ResponseHead} from './response-head.js';
 import {getRepeatedId, isProvenResponse, type ResponseOrigin} from './response-origin.js';
 import {startServerRequest} from './server-request.js';
 
--- a/source/entry/body-holding.ts
+++ b/source/entry/servers/body-holding.ts
@@ -1,14 +1,13 @@
 /** Reads the body of a response, and holds it until it is complete or too large to be held. */
 import {type Buffer} from 'node:buffer';
 import {type ClientRequest, type IncomingMessage} from 'node:http';
-import {createByteCollector, type ByteReservation} from '../bytes/index.js';
+import {createByteCollector, type ByteReservation} from '../../bytes/index.js';
+import {
+	joinChunks, trackCompletion, type ResponseHead, limitTurns,
+} from '../http/index.js';
+import {type Dialect} from '../dialect.js';
 import {type FailureReason} from './attempt-failure.js';
 import {type AttemptResponse} from './attempt-outcome.js';
-import {joinChunks} from './chunk-joining.js';
-import {type Dialect} from './dialect.js';
-import {trackCompletion} from './response-completion.js';
-import {type ResponseHead} from './response-head.js';
-import {limitTurns} from './turn-limit.js';
 
 /** Options of `holdBody`. */
 export type BodyHoldingOptions = {
--- a/source/entry/body-upload.ts
+++ b/source/entry/servers/body-upload.ts
@@ -1,8 +1,8 @@
 /** Sends the body of a caller's request to a server as it arrives. */
 import {type Buffer} from 'node:buffer';
 import {type ClientRequest, type IncomingMessage} from 'node:http';
+import {MalformedBodyError} from '../http/index.js';
 import {type FailureReason} from './attempt-failure.js';
-import {MalformedBodyError} from './malformed-body-error.js';
 
 /** Options of `sendBody`. */
 export type BodyUploadOptions = {
--- a/source/entry/discarded-answers.test.ts
+++ b/source/entry/servers/discarded-answers.test.ts
@@ -3,10 +3,10 @@
 import {performance} from 'node:perf_hooks';
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {createAttemptOptions} from '../../stand-in/attempt-options.js';
-import {createRecordedLog, type RecordedLine} from '../../stand-in/recorded-log.js';
+import {createAttemptOptions} from '../../../stand-in/attempt-options.js';
+import {createRecordedLog, type RecordedLine} from '../../../stand-in/recorded-log.js';
+import {defaultDialect} from '../dialect.js';
 import {startAttempt} from './attempt.js';
-import {defaultDialect} from './dialect.js';
 import {createDiscardedAnswers, type DiscardedAnswer, type DiscardReason} from './discarded-answers.js';
 import {createPool, type Pool} from './pool.js';
 
--- a/source/entry/discarded-answers.ts
+++ b/source/entry/servers/discarded-answers.ts
@@ -1,6 +1,6 @@
 /** Counts and logs the answers of servers that an entry discards, with the reason and what their connections carried before. */
-import {type Candidate} from '../choice/index.js';
-import {createLineLimit, type Log} from '../telemetry/index.js';
+import {type Candidate} from '../../choice/index.js';
+import {createLineLimit, type Log} from '../../telemetry/index.js';
 import {type ConnectionHistory} from './connection-history.js';
 
 /** Rate limit of the lines; the counter has all answers. */
--- a/source/entry/headers.ts
+++ b/source/entry/servers/headers.ts
@@ -1,8 +1,8 @@
 /** Filters and adds headers of requests and responses that an entry forwards. */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
-import {type Dialect} from './dialect.js';
-import {type RoutePolicy} from './router.js';
+import {type Dialect} from '../dialect.js';
+import {type RoutePolicy} from '../routing/index.js';
 
 const hopByHopHeaders = new Set([
 	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect',
--- a/source/entry/load-querier.test.ts
+++ b/source/entry/servers/load-querier.test.ts
@@ -4,10 +4,10 @@
 import {describe, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
-import {announcementSchema} from '../announcement/index.js';
-import {createCandidate} from '../choice/index.js';
+import {announcementSchema} from '../../announcement/index.js';
+import {createCandidate} from '../../choice/index.js';
+import {defaultDialect, type Dialect} from '../dialect.js';
 import {createLoadQuerier, type CandidateReading} from './load-querier.js';
-import {defaultDialect, type Dialect} from './dialect.js';
 
 const dialect: Dialect = {
 	...defaultDialect,
--- a/source/entry/load-querier.ts
+++ b/source/entry/servers/load-querier.ts
@@ -4,11 +4,11 @@
  * and its connection is closed after a longer timeout.
  */
 import {Agent} from 'node:http';
-import {getExpectedSlowdown, type Candidate, type LoadReading} from '../choice/index.js';
-import {discardBody} from '../bytes/index.js';
-import {type Dialect, type ServerReport} from './dialect.js';
+import {getExpectedSlowdown, type Candidate, type LoadReading} from '../../choice/index.js';
+import {discardBody} from '../../bytes/index.js';
+import {type Dialect, type ServerReport} from '../dialect.js';
+import {isWellFormedHead} from '../http/index.js';
 import {guardIdleSockets} from './idle-sockets.js';
-import {isWellFormedHead} from './response-head.js';
 import {startServerRequest} from './server-request.js';
 
 /** Time after which a query counts as lost and its connection is closed. */
--- a/source/entry/response-check.ts
+++ b/source/entry/servers/response-check.ts
@@ -1,5 +1,5 @@
 /** Checks whether a response counts: whether it is well-formed, belongs to its request and carries the proof of its server. */
-import {isWellFormedHead} from './response-head.js';
+import {isWellFormedHead} from '../http/index.js';
 import {hasRequiredProof, isOwnResponse, type ResponseOrigin} from './response-origin.js';
 
 /** Reason for which a response does not count. */
--- a/source/entry/response-origin.ts
+++ b/source/entry/servers/response-origin.ts
@@ -1,6 +1,6 @@
 /** Checks that a response belongs to the request to which it was read as the response, and that it is the server's. */
 import {type IncomingMessage} from 'node:http';
-import {type Dialect} from './dialect.js';
+import {type Dialect} from '../dialect.js';
 import {type Pool} from './pool.js';
 
 /** Request and the pool on whose connection its response was read. */
--- a/source/entry/server-request.test.ts
+++ b/source/entry/servers/server-request.test.ts
@@ -2,12 +2,12 @@
 import {describe, test} from 'node:test';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {expect} from 'earl';
-import {announcementSchema} from '../announcement/index.js';
-import {createCandidate, type Candidate} from '../choice/index.js';
-import {createByteBudget} from '../bytes/index.js';
+import {announcementSchema} from '../../announcement/index.js';
+import {createCandidate, type Candidate} from '../../choice/index.js';
+import {createByteBudget} from '../../bytes/index.js';
+import {defaultDialect, type Dialect} from '../dialect.js';
 import {startAttempt} from './attempt.js';
 import {type AttemptOutcome} from './attempt-outcome.js';
-import {defaultDialect, type Dialect} from './dialect.js';
 import {createLoadQuerier} from './load-querier.js';
 import {createPool} from './pool.js';
 
--- a/stand-in/attempt-bed.ts
+++ b/stand-in/attempt-bed.ts
@@ -6,10 +6,10 @@
 import {createServer, type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {startAttempt} from '../source/entry/attempt.js';
-import {type AttemptOutcome} from '../source/entry/attempt-outcome.js';
+import {startAttempt} from '../source/entry/servers/attempt.js';
+import {type AttemptOutcome} from '../source/entry/servers/attempt-outcome.js';
 import {type Dialect} from '../source/entry/index.js';
-import {createPool} from '../source/entry/pool.js';
+import {createPool} from '../source/entry/servers/pool.js';
 import {createAttemptOptions} from './attempt-options.js';
 
 const loopback = '127.0.0.1';
