Replay servers that leave or pause under load in virtual time

Change: a model of an entry runs the real handling of requests (admission, selection, queue, retries, hedges, reports of servers) in virtual time. Only connections are modelled; for that, an attempt is started through the context of requests.

--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -25,6 +25,7 @@
 import {findRequestFault, normalizeTarget} from './request-check.js';
 import {sendVerdict} from './response.js';
 import {createAdminHandler} from './admin.js';
+import {startAttempt} from './attempt.js';
 import {type Exchange} from './caller-connections.js';
 import {createCallerServer} from './caller-server.js';
 import {createLoadQuerier} from './load-querier.js';
@@ -321,6 +322,7 @@
 		bufferedResponses: createByteBudget(settings.maximumHeldAnswersBytes),
 		maximumResponseBytes: settings.maximumAnswerBytes,
 		maximumStoredBytes: maximumStoredResponseBytes,
+		startAttempt,
 		mayDispatch,
 		onReport: applyServerReport,
 		async reportCrash(fingerprint, server) {
--- a/source/entry/request-context.ts
+++ b/source/entry/request-context.ts
@@ -5,6 +5,7 @@
 import {type LoadQueryBudget} from '../measuring/index.js';
 import {type Random} from '../randomness/index.js';
 import {type Verdict} from '../verdict/index.js';
+import {type startAttempt} from './attempt.js';
 import {type Claims} from './claims.js';
 import {type CrashTracker} from './crash-tracker.js';
 import {type Dialect, type ServerReport} from './dialect.js';
@@ -33,6 +34,8 @@
 	readonly bufferedResponses: ByteBudget;
 	readonly maximumResponseBytes: number;
 	readonly maximumStoredBytes: number;
+	/** Starts an attempt on a server. */
+	readonly startAttempt: typeof startAttempt;
 	/** Checks whether the entry may accept and dispatch new requests. */
 	mayDispatch(now: number): boolean;
 	/** Called with the report that a server attaches to a response. */
--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -7,9 +7,7 @@
 import {maximumAttempts, mayHedge, mayRetry} from '../retry/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {endsWithConnection, streamResponse, writeResponseHead} from './response.js';
-import {
-	startAttempt, type Attempt, type AttemptOutcome,
-} from './attempt.js';
+import {type Attempt, type AttemptOutcome} from './attempt.js';
 import {type RequestContext} from './request-context.js';
 import {type Claim} from './claims.js';
 import {type Exchange} from './caller-connections.js';
@@ -171,7 +169,7 @@
 		admitted.recordDecision({
 			kind: 'send', attempt: kind, server: candidate.getAnnouncement().name, leftMilliseconds: Math.round(deadlineAt - now),
 		});
-		const attempt = startAttempt({
+		const attempt = context.startAttempt({
 			pool: server.pool,
 			dialect: context.dialect,
 			requestId: admitted.requestId,
--- /dev/null
+++ b/stand-in/model/attempt.ts
@@ -0,0 +1,118 @@
+/** Models an attempt on a server in virtual time. A message between an entry and a server takes a millisecond. */
+import {Buffer} from 'node:buffer';
+import {performance} from 'node:perf_hooks';
+import {type Attempt, type AttemptOptions} from '../../source/entry/attempt.js';
+import {type ServerReport} from '../../source/entry/index.js';
+import {mayHaveRun, notRun, type Verdict} from '../../source/verdict/index.js';
+import {type ModelRequest} from './server.js';
+import {type UpstreamModel} from './upstream.js';
+
+/** Time that a message between an entry and a server takes. */
+export const transferMilliseconds = 1;
+
+const okStatus = 200;
+
+/** Report of a server that states nothing. */
+export const emptyReport: ServerReport = {
+	coldMilliseconds: undefined, load: undefined, server: undefined, isLeaving: false, pauseMilliseconds: undefined,
+};
+
+/**
+ * Gets what a server states in a response.
+ * @param upstream - Server that responds.
+ * @param pauseMilliseconds - Pause that it asks for, if any.
+ */
+export function getReport(upstream: UpstreamModel, pauseMilliseconds?: number): ServerReport {
+	return {
+		...emptyReport, load: {...upstream.getReading()}, isLeaving: upstream.isLeaving(performance.now()), pauseMilliseconds,
+	};
+}
+
+/** Options of `startModelAttempt`. */
+export type ModelAttemptOptions = {
+	readonly attempt: AttemptOptions;
+	readonly upstream: UpstreamModel;
+	/** Number of the entry. */
+	readonly entry: number;
+	/** Time at which the caller sent the request. */
+	readonly sentAt: number;
+	/** Service time on a server without load. */
+	readonly serviceMilliseconds: number;
+};
+
+/**
+ * Starts an attempt on a modelled server.
+ * @param options - Attempt as the entry starts it, and server.
+ */
+export function startModelAttempt(options: ModelAttemptOptions): Attempt {
+	const {attempt, upstream} = options;
+	const request: ModelRequest = {remainingMilliseconds: options.serviceMilliseconds, onComplete: answer};
+	let isEnded = false;
+
+	/** Ends the attempt; the server sees that its connection is closed. */
+	function cancel(): void {
+		isEnded = true;
+		clearTimeout(timer);
+		request.remainingMilliseconds = 0;
+	}
+
+	function fail(verdict: Verdict): void {
+		if (!isEnded) {
+			cancel();
+			attempt.onEnd({kind: 'failed', verdict, hasCrashed: false});
+		}
+	}
+
+	function answer(): void {
+		setTimeout(() => {
+			if (isEnded) {
+				return;
+			}
+
+			cancel();
+			attempt.onReport(getReport(upstream));
+			attempt.onEnd({
+				kind: 'whole', head: {status: okStatus, headers: [], isCloseDelimited: false}, body: Buffer.alloc(0), reservation: {
+					tryGrowTo: () => true, release() {
+					// Nothing is reserved.
+					},
+				},
+			});
+		}, transferMilliseconds);
+	}
+
+	function refuse(pauseMilliseconds: number | undefined): void {
+		setTimeout(() => {
+			if (!isEnded) {
+				attempt.onReport(getReport(upstream, pauseMilliseconds));
+				fail(notRun('server-shed'));
+			}
+		}, transferMilliseconds);
+	}
+
+	function arrive(): void {
+		const reception = upstream.receive({entry: options.entry, sentAt: options.sentAt, at: performance.now()}, request);
+		switch (reception.kind) {
+			case 'accepted': {
+				return;
+			}
+
+			case 'gone': {
+				setTimeout(fail, transferMilliseconds, notRun('unreachable'));
+				return;
+			}
+
+			case 'refused': {
+				refuse(reception.pauseMilliseconds);
+			}
+		}
+	}
+
+	const timer = setTimeout(fail, Math.max(0, attempt.deadlineAt - performance.now()), mayHaveRun('deadline'));
+	setTimeout(() => {
+		if (!isEnded) {
+			arrive();
+		}
+	}, transferMilliseconds);
+	return {cancel, wasDispatched: () => true};
+}
