Send nothing to a server that withdrew while a request waited for a connection

Cause: a request whose server was selected waits up to a second for a new connection. When the connection was ready, only the lease and the deadline were checked, so the request still went to a server that had meanwhile said that it leaves or wants a pause.

Ruled out: waiting for a free connection of the pool. A server gets no more requests in flight than its share of the connections, so only a connect waits.

Change: the same check asks whether the server has withdrawn. Such an attempt is `not-run` with the reason `server-withdrawn`; it counts neither as an attempt of the request nor against the server or the budget of retries, and the request goes to another server.

The new cases of withdrawal.test.ts and attempt.test.ts failed before.

--- a/source/choice/candidate.ts
+++ b/source/choice/candidate.ts
@@ -69,6 +69,8 @@
 	markLeaving(): boolean;
 	/** Sends the server nothing until a time, because it asked for a pause. Returns whether this extends its pause. */
 	pause(until: number): boolean;
+	/** Checks whether the server leaves or has asked for a pause that has not ended. */
+	hasWithdrawn(now: number): boolean;
 	/** Gets the end of the pause that the server asked for, or 0. */
 	getPausedUntil(): number;
 	/** Records that the server did not reply to a load query in time. */
@@ -152,6 +154,7 @@
 		getAnnouncement: () => announcement,
 		getState: () => state,
 		isLeaving: () => isLeaving || state === 'leaving',
+		hasWithdrawn: now => isLeaving || state === 'leaving' || pausedUntil > now,
 		isAbsent: () => isAbsent,
 		update(nextAnnouncement, nextState, nextIsAbsent) {
 			if (state === 'cold' && nextState === 'warm') {
--- a/source/entry/attempt.test.ts
+++ b/source/entry/attempt.test.ts
@@ -2,6 +2,7 @@
 import {createServer, type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {describe, test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
 import {createAttemptOptions} from '../../stand-in/attempt-options.js';
 import {createByteBudget, type ByteBudget} from '../bytes/index.js';
@@ -9,6 +10,7 @@
 import {createPool} from './pool.js';
 
 const deadlineMilliseconds = 2000;
+const quietMilliseconds = 50;
 
 /** Sends one request to a server that responds with the given function, and gets the outcome. */
 async function attempt(answer: (socket: Socket) => void, bufferedResponses: ByteBudget = createByteBudget(1_000_000)): Promise<AttemptOutcome> {
@@ -70,6 +72,29 @@
 	});
 });
 
+describe('startAttempt: a server that withdraws while the attempt waits for a connection', () => {
+	test('gets no request', async () => {
+		const received: string[] = [];
+		const server = createServer(socket => {
+			socket.on('data', chunk => {
+				received.push(chunk.toString('latin1'));
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const {port} = server.address() as {readonly port: number};
+		const pool = createPool('127.0.0.1', port, 4);
+		const outcome = await new Promise<AttemptOutcome>(resolve => {
+			startAttempt(createAttemptOptions({pool, hasServerWithdrawn: () => true, onEnd: resolve}));
+		});
+		await delay(quietMilliseconds);
+		pool.close();
+		server.close();
+		expect(outcome).toEqual({kind: 'failed', verdict: {kind: 'notRun', reason: 'server-withdrawn'}, hasCrashed: false});
+		expect(received).toEqual([]);
+	});
+});
+
 describe('startAttempt: the budget of all buffered responses', () => {
 	const head = 'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n';
 
--- a/source/entry/attempt.ts
+++ b/source/entry/attempt.ts
@@ -52,6 +52,8 @@
 	readonly maximumBodyBytes: number;
 	/** Checks, in the event loop turn of the write, whether the request may still be dispatched. */
 	mayDispatch(): boolean;
+	/** Checks, in the same turn, whether the server has withdrawn since it was selected, so that it wants no request. */
+	hasServerWithdrawn(): boolean;
 	onReport(hints: ServerReport): void;
 	/** Called with an answer that does not count. */
 	onDiscard?(answer: DiscardedAnswer): void;
@@ -161,13 +163,19 @@
 	}
 
 	request.once('socket', socket => {
-		// No byte has been written to the socket yet, and none may be after the lease has expired.
+		// No byte has been written to the socket yet, and none may be after the lease has expired or the server has withdrawn.
 		if (isEnded || !options.mayDispatch()) {
 			isDispatchRefused = true;
 			fail('connection-lost');
 			return;
 		}
 
+		if (options.hasServerWithdrawn()) {
+			end({kind: 'failed', verdict: notRun('server-withdrawn'), hasCrashed: false});
+			request.destroy();
+			return;
+		}
+
 		isDispatched = true;
 		history = options.pool.histories.get(socket);
 		if (options.stream !== undefined) {
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -521,6 +521,7 @@
 		case 'no-server':
 		case 'overload':
 		case 'server-shed':
+		case 'server-withdrawn':
 		case 'unreachable':
 		case 'unsendable': {
 			return false;
--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -5,7 +5,9 @@
 import {type AttemptResult, type Candidate} from '../choice/index.js';
 import {type Service} from '../configuration/index.js';
 import {maximumAttempts, mayHedge, mayRetry} from '../retry/index.js';
-import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
+import {
+	mayHaveRun, notRun, type NotRunReason, type Verdict,
+} from '../verdict/index.js';
 import {endsWithConnection, streamResponse, writeResponseHead} from './response.js';
 import {type Attempt, type AttemptOutcome} from './attempt.js';
 import {type RequestContext} from './request-context.js';
@@ -39,6 +41,9 @@
 /** Maximum number of unreachable servers that do not count as attempts of a request. */
 const maximumUnreachedServers = 4;
 
+/** Reasons for which an attempt failed before it put any load on a server. */
+const unreachedReasons: ReadonlySet<NotRunReason> = new Set(['server-withdrawn', 'unreachable', 'unsendable']);
+
 /** Request that has been admitted, with its service and route. */
 export type AdmittedRequest = {
 	readonly context: RequestContext;
@@ -183,6 +188,7 @@
 			bufferedResponses: context.bufferedResponses,
 			maximumBodyBytes: context.maximumBodyBytes,
 			mayDispatch,
+			hasServerWithdrawn: () => candidate.hasWithdrawn(performance.now()),
 			onReport(hints) {
 				context.onReport(candidate, hints);
 			},
@@ -502,7 +508,7 @@
 
 /** Checks whether an attempt failed before it put any load on a server. */
 function hasReachedNoServer(verdict: Verdict): boolean {
-	return verdict.kind === 'notRun' && (verdict.reason === 'unreachable' || verdict.reason === 'unsendable');
+	return verdict.kind === 'notRun' && unreachedReasons.has(verdict.reason);
 }
 
 /** Gets the result that is counted for the server. */
@@ -516,7 +522,7 @@
 		return 'failure';
 	}
 
-	const isEntryRefusal = verdict.reason === 'lease-expired' || verdict.reason === 'deadline';
+	const isEntryRefusal = verdict.reason === 'lease-expired' || verdict.reason === 'deadline' || verdict.reason === 'server-withdrawn';
 	const result = verdict.reason === 'server-shed' ? 'shed' : 'failure';
 	return isEntryRefusal ? 'cancelled' : result;
 }
--- a/source/entry/server-request.test.ts
+++ b/source/entry/server-request.test.ts
@@ -39,6 +39,7 @@
 			bufferedResponses: createByteBudget(1000),
 			maximumBodyBytes: 1000,
 			mayDispatch: () => true,
+			hasServerWithdrawn: () => false,
 			onReport() {
 				// No server reports anything here.
 			},
--- a/source/verdict/verdict.ts
+++ b/source/verdict/verdict.ts
@@ -22,7 +22,8 @@
 		| 'unreachable'
 		| 'unsendable'
 		| 'caller-left'
-		| 'server-shed';
+		| 'server-shed'
+		| 'server-withdrawn';
 
 /** Reason why a request may have run although no complete response was received. */
 export type MayHaveRunReason
@@ -139,6 +140,7 @@
 		case 'no-server':
 		case 'overload':
 		case 'server-shed':
+		case 'server-withdrawn':
 		case 'unreachable':
 		case 'unsendable': {
 			return 503;
--- a/stand-in/attempt-options.ts
+++ b/stand-in/attempt-options.ts
@@ -26,6 +26,7 @@
 		bufferedResponses: createByteBudget(budgetBytes),
 		maximumBodyBytes: maximumBytes,
 		mayDispatch: () => true,
+		hasServerWithdrawn: () => false,
 		onReport() {
 			// Reports of servers are ignored.
 		},
--- a/stand-in/model/attempt.ts
+++ b/stand-in/model/attempt.ts
@@ -38,6 +38,8 @@
 	readonly sentAt: number;
 	/** Service time on a server without load. */
 	readonly serviceMilliseconds: number;
+	/** Time until a connection is ready; 0 if one is open. */
+	readonly connectMilliseconds: number;
 };
 
 /**
@@ -48,6 +50,7 @@
 	const {attempt, upstream} = options;
 	const request: ModelRequest = {remainingMilliseconds: options.serviceMilliseconds, onComplete: answer};
 	let isEnded = false;
+	let isDispatched = false;
 
 	/** Ends the attempt; the server sees that its connection is closed. */
 	function cancel(): void {
@@ -108,11 +111,38 @@
 		}
 	}
 
-	const timer = setTimeout(fail, Math.max(0, attempt.deadlineAt - performance.now()), mayHaveRun('deadline'));
-	setTimeout(() => {
-		if (!isEnded) {
-			arrive();
+	function send(): void {
+		isDispatched = true;
+		setTimeout(() => {
+			if (!isEnded) {
+				arrive();
+			}
+		}, transferMilliseconds);
+	}
+
+	/** Sends the request on a connection that is ready now, unless it must not be sent any more. */
+	function dispatch(): void {
+		if (isEnded) {
+			return;
 		}
-	}, transferMilliseconds);
-	return {cancel, wasDispatched: () => true};
+
+		if (!attempt.mayDispatch()) {
+			fail(notRun('lease-expired'));
+		} else if (attempt.hasServerWithdrawn()) {
+			fail(notRun('server-withdrawn'));
+		} else {
+			send();
+		}
+	}
+
+	const timer = setTimeout(() => {
+		fail(isDispatched ? mayHaveRun('deadline') : notRun('deadline'));
+	}, Math.max(0, attempt.deadlineAt - performance.now()));
+	if (options.connectMilliseconds > 0) {
+		setTimeout(dispatch, options.connectMilliseconds);
+	} else {
+		send();
+	}
+
+	return {cancel, wasDispatched: () => isDispatched};
 }
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -46,6 +46,8 @@
 	readonly document: EnvironmentDocument;
 	readonly upstreams: readonly UpstreamModel[];
 	readonly random: Random;
+	/** Time until a connection to a server is ready; 0 if connections are open. */
+	readonly connectMilliseconds: number;
 	/** Whether the entry knows what servers state about leaving and pauses. */
 	readonly knowsStatements: boolean;
 	/** Called when the entry passes on a response of a server, or receives its refusal. */
@@ -134,7 +136,7 @@
 		maximumResponseBytes: maximumBytes,
 		maximumStoredBytes: maximumBytes,
 		startAttempt: attempt => startModelAttempt({
-			attempt, upstream: byPool.get(attempt.pool)!, entry: options.number, ...callerTimes.get(attempt.requestId)!,
+			attempt, upstream: byPool.get(attempt.pool)!, entry: options.number, connectMilliseconds: options.connectMilliseconds, ...callerTimes.get(attempt.requestId)!,
 		}),
 		mayDispatch: () => true,
 		onReport,
--- a/stand-in/model/withdrawal.test.ts
+++ b/stand-in/model/withdrawal.test.ts
@@ -73,6 +73,11 @@
 		const result = await simulate(commonPause, 1);
 		expect([result.knownRefusals > 1000, result.knownRefusalMilliseconds < refusalLimitMilliseconds, result.earlyReturns]).toEqual([true, true, 0]);
 	});
+	test('servers pause while requests wait for connections: none gets requests beyond the rule', async () => {
+		await simulate({
+			...commonPause, load: 0.2, arrivalMilliseconds: 6000, connectMilliseconds: 800,
+		}, 1);
+	});
 	test('entries that ignore the statements break the rules', async () => {
 		const result = await simulateWithdrawals({...leaving, seed: 1, knowledge: 'never'});
 		expect([result.beyondRule > 1000, result.sentAfterStatement > 1000]).toEqual([true, true]);
--- a/stand-in/model/withdrawal.ts
+++ b/stand-in/model/withdrawal.ts
@@ -47,6 +47,8 @@
 	/** Period in which the use of the remaining servers is measured. */
 	readonly measured: {readonly from: number; readonly until: number};
 	readonly knowledge: Knowledge;
+	/** Time until a connection to a server is ready; by default connections are open. */
+	readonly connectMilliseconds?: number;
 };
 
 /** Result of a simulation. */
@@ -127,6 +129,7 @@
 		document,
 		upstreams,
 		random,
+		connectMilliseconds: options.connectMilliseconds ?? 0,
 		knowsStatements: knowledge === 'statements',
 		onStatement(entry, upstream, report) {
 			statements.record(entry, upstream, report, time.getNow());
