Look for the end of pauses only as far as the first server without one

Cause: each refusal and each request that has to wait copied the pauses of all servers of its service, also when none pauses.

Change: the search stops at the first server that takes requests.

--- a/source/entry/fleet.ts
+++ b/source/entry/fleet.ts
@@ -349,8 +349,17 @@
 			return isNew;
 		},
 		getPauseEnd(service, now) {
-			const pauses = states.get(service)?.getCandidates().map(candidate => candidate.getPausedUntil()) ?? [];
-			return pauses.length > 0 && pauses.every(until => until > now) ? Math.min(...pauses) : undefined;
+			let first: number | undefined;
+			for (const candidate of states.get(service)?.getCandidates() ?? []) {
+				const until = candidate.getPausedUntil();
+				if (until <= now) {
+					return undefined;
+				}
+
+				first = Math.min(first ?? until, until);
+			}
+
+			return first;
 		},
 		ejectIfFailing(service, candidate, now) {
 			if (document === undefined) {
