--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -26,7 +26,7 @@
 } from './lease/index.js';
 import {startCountsExchange} from './peers/index.js';
 import {createCrashReporter, createCrashTracker} from './crashes/index.js';
-import {createDiscardedAnswers, createLoadQuerier} from './servers/index.js';
+import {createDiscardedAnswers, createLoadQuerier, startAttempt} from './servers/index.js';
 import {createEntryMetrics, createRequestLog, createServiceLevelRecorder} from './reporting/index.js';
 import {createRequestEntrance} from './entrance/index.js';
 import {createAdminHandler} from './admin.js';
@@ -168,6 +168,7 @@
 		bufferedResponses: createByteBudget(settings.maximumHeldAnswersBytes),
 		maximumResponseBytes: settings.maximumAnswerBytes,
 		maximumStoredBytes: maximumStoredResponseBytes,
+		startAttempt,
 		mayDispatch: readiness.mayDispatch,
 		onReport: applyServerReport,
 		reportCrash: createCrashReporter({
--- a/source/entry/placement/server-attempt.ts
+++ b/source/entry/placement/server-attempt.ts
@@ -2,7 +2,7 @@
 import {performance} from 'node:perf_hooks';
 import {type Candidate} from '../../choice/index.js';
 import {notRun} from '../../verdict/index.js';
-import {startAttempt, type AttemptOutcome, getForwardedHeaders} from '../servers/index.js';
+import {type AttemptOutcome, getForwardedHeaders} from '../servers/index.js';
 import {
 	fail, protect, refuse, type RequestProgress, type RunningAttempt,
 } from './request-progress.js';
@@ -57,7 +57,7 @@
 	admitted.recordDecision({
 		kind: 'send', attempt: kind, server: candidate.getAnnouncement().name, leftMilliseconds: Math.round(deadlineAt - now),
 	});
-	const attempt = startAttempt({
+	const attempt = context.startAttempt({
 		pool: server.pool,
 		dialect: context.dialect,
 		requestId,
@@ -71,6 +71,7 @@
 		bufferedResponses: context.bufferedResponses,
 		maximumBodyBytes: context.maximumBodyBytes,
 		mayDispatch: () => mayDispatch(progress),
+		hasServerWithdrawn: () => candidate.hasWithdrawn(performance.now()),
 		onReport(hints) {
 			context.onReport(candidate, hints);
 		},
--- a/source/entry/requests/request-context.ts
+++ b/source/entry/requests/request-context.ts
@@ -7,7 +7,7 @@
 import {type Verdict} from '../../verdict/index.js';
 import {type CrashTracker} from '../crashes/index.js';
 import {type Dialect, type ServerReport} from '../dialect.js';
-import {type DiscardedAnswers, type LoadQuerier} from '../servers/index.js';
+import {type DiscardedAnswers, type LoadQuerier, type startAttempt} from '../servers/index.js';
 import {type Fleet} from '../fleet/index.js';
 import {type EntryMetrics, type RequestTrace, type RequestTraceHead} from '../reporting/index.js';
 import {type Claims} from './claims.js';
@@ -31,6 +31,8 @@
 	readonly bufferedResponses: ByteBudget;
 	readonly maximumResponseBytes: number;
 	readonly maximumStoredBytes: number;
+	/** Starts an attempt on a server. */
+	readonly startAttempt: typeof startAttempt;
 	/** Checks whether the entry may accept and dispatch new requests. */
 	mayDispatch(now: number): boolean;
 	/** Called with the report that a server attaches to a response. */
