Let a control client run on other links than sockets

A model of the control hosts in one process needs the client's decisions (which host it takes for the leader, what it sends again) without sockets. No change of behaviour: the default is the dialer as before.

--- a/source/control-client/client.ts
+++ b/source/control-client/client.ts
@@ -8,7 +8,9 @@
 import {
 	type ControlResponse, type ControlInbound, type ControlOutbound, type ControlRequest,
 } from '../control/message.js';
-import {createDialer, type Dialer, type LinkIdentity} from '../wire/index.js';
+import {
+	createDialer as createSocketDialer, type Dialer, type DialerOptions, type LinkIdentity,
+} from '../wire/index.js';
 
 const attemptTimeoutMilliseconds = 1000;
 const retryDelayMilliseconds = 25;
@@ -60,6 +62,8 @@
 	onConnect(host: string): void;
 	/** Called when an open link is closed. */
 	onDisconnect?(host: string): void;
+	/** Creates the link to a control host; over a socket by default. */
+	createDialer?(options: DialerOptions<ControlOutbound>): Dialer;
 };
 
 type PendingRequest = {readonly settle: (response: ControlResponse) => void};
@@ -69,6 +73,7 @@
  * @param options - Addresses, identity and event callbacks.
  */
 export function createControlClient(options: ControlClientOptions): ControlClient {
+	const {createDialer = createSocketDialer} = options;
 	const dialers = new Map<string, Dialer>();
 	const pendingRequests = new Map<number, PendingRequest>();
 	let leader: string | undefined;
@@ -77,7 +82,7 @@
 	let isClosed = false;
 
 	function dial(host: ControlAddress): Dialer {
-		return createDialer<ControlOutbound>({
+		return createDialer({
 			identity: options.identity,
 			host: host.host,
 			port: host.port,
