--- a/stand-in/control-model/entry.ts
+++ b/stand-in/control-model/entry.ts
@@ -1,6 +1,6 @@
 /** An entry in a virtual process: the product's client and lease keeper. What each grant says of zones and the configuration is a read. */
 import {createControlClient, parseHostName} from '../../source/control-client/index.js';
-import {keepLease, type LeaseKeeper} from '../../source/entry/lease-keeper.js';
+import {keepLease, type LeaseKeeper} from '../../source/entry/lease/lease-keeper.js';
 import {type ControlInbound, type ControlOutbound} from '../../source/control/index.js';
 import {type Grant} from '../../source/lease/index.js';
 import {type Links} from './links.js';
@@ -63,6 +63,7 @@
 		peer: undefined,
 		getClient: () => client,
 		takeObservations: () => [],
+		getPermits: () => [],
 		takeFailedProbes: () => [],
 		takeUnchangedServers: () => [],
 		getCrashReports: () => [],
