Play faults of the links between machines in the soak

Signals stood for what links between entries and control hosts, and among control hosts, can do. Half-open connections were never played: the rival that is left for requests at a zone that is out (EVAC), an entry that goes by an old list of zones.

Each process now reaches each control host over a loopback link of its own. The addresses that processes know and announce are those at which they listen, so settings cannot lead them over links; a hook that Node loads before the program does. The program is the same, byte for byte. Connections are delayed, reset, cut one way, silenced, held (all, or those open at the start) and half open: one end is reset, the other is not told, and has to notice within the time in which a machine is in touch again.

The delay of a link counts from the arrival of each part; it used to add up over the parts.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -4,6 +4,7 @@
 import {type Machine, type PlatformSystem} from '../stand-in/platform/system.js';
 import {type Disturbance, type History} from './history.js';
 import {type Link, type LinkFault} from './link.js';
+import {type MachineLinks} from './machine-links.js';
 import {type Upstream} from './upstream.js';
 
 const longestStartMilliseconds = 500;
@@ -50,6 +51,7 @@
 	readonly upstreams: readonly Upstream[];
 	/** Links between the entries and each upstream, by the upstream's name. */
 	readonly upstreamLinks: ReadonlyMap<string, Link>;
+	readonly machineLinks: MachineLinks;
 };
 
 function chooseKind(random: Random): Kind {
--- a/soak/link.ts
+++ b/soak/link.ts
@@ -5,6 +5,7 @@
 import {type Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {connect, createServer, type Socket} from 'node:net';
+import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import {abortConnection} from './abort-connection.js';
 
@@ -17,8 +18,15 @@
 	= | {readonly kind: 'delay'; readonly milliseconds: number}
 	/** Delivers nothing until the fault is over. Then each connection's bytes are delivered, and its close that much later, or never if it is infinite. */
 		| {readonly kind: 'hold'; readonly direction: Direction; readonly closeMilliseconds: number}
+	/** As `hold`, for the connections that are open when the fault starts. Later ones pass. */
+		| {readonly kind: 'hold-open'; readonly direction: Direction; readonly closeMilliseconds: number}
 	/** Discards bytes and closes. */
 		| {readonly kind: 'cut'; readonly direction: Direction}
+	/**
+	 * Happens at once and lasts for the open connections: the receiving end of the direction is reset, and the other end, whose bytes
+	 * are discarded, is not told. Later connections pass.
+	 */
+		| {readonly kind: 'half-open'; readonly direction: 'to' | 'from'}
 	/** Resets all open connections, and new ones until the fault is over. */
 		| {readonly kind: 'reset'};
 
@@ -34,7 +42,14 @@
 /** Options of `openLink`. */
 export type LinkOptions = {readonly host: string; readonly port: number; readonly targetHost: string; readonly targetPort: number};
 
-type Connection = {readonly client: Socket; readonly target: Socket; hasLostBytes: boolean};
+type Connection = {
+	readonly client: Socket;
+	readonly target: Socket;
+	hasLostBytes: boolean;
+	isHalfOpen: boolean;
+	/** Whether the connection was opened after the current fault started. */
+	isLater: boolean;
+};
 
 function isConcerned(fault: LinkFault | undefined, direction: 'to' | 'from'): boolean {
 	return fault !== undefined && 'direction' in fault && (fault.direction === 'both' || fault.direction === direction);
@@ -55,25 +70,32 @@
 		let tail: Promise<void> = Promise.resolve();
 
 		function pass(deliver: () => void, isClose: boolean): void {
-			const seen = fault;
+			if (connection.isHalfOpen) {
+				return;
+			}
+
+			const seen = fault?.kind === 'hold-open' && connection.isLater ? undefined : fault;
 			if (seen?.kind === 'cut' && isConcerned(seen, direction)) {
 				connection.hasLostBytes = true;
 				return;
 			}
 
-			const until = seen?.kind === 'hold' && isConcerned(seen, direction) ? released : undefined;
-			const milliseconds = seen?.kind === 'delay' ? seen.milliseconds : (until !== undefined && isClose && seen?.kind === 'hold' ? seen.closeMilliseconds : 0);
-			if (milliseconds === Infinity) {
+			const isHeld = (seen?.kind === 'hold' || seen?.kind === 'hold-open') && isConcerned(seen, direction);
+			const until = isHeld ? released : undefined;
+			const closeMilliseconds = isHeld && isClose ? seen.closeMilliseconds : 0;
+			if (closeMilliseconds === Infinity) {
 				return;
 			}
 
+			const dueAt = performance.now() + (seen?.kind === 'delay' ? seen.milliseconds : 0);
 			tail = tail.then(async () => {
 				await until;
-				if (milliseconds > 0) {
-					await delay(milliseconds);
+				const restMilliseconds = isHeld ? closeMilliseconds : dueAt - performance.now();
+				if (restMilliseconds > 0) {
+					await delay(restMilliseconds);
 				}
 
-				if (!to.destroyed) {
+				if (!to.destroyed && !connection.isHalfOpen) {
 					deliver();
 				}
 			});
@@ -118,7 +140,9 @@
 		const target = connect({
 			host: options.targetHost, port: options.targetPort, allowHalfOpen: true, noDelay: true,
 		});
-		const connection: Connection = {client, target, hasLostBytes: false};
+		const connection: Connection = {
+			client, target, hasLostBytes: false, isHalfOpen: false, isLater: true,
+		};
 		connections.add(connection);
 		forward(client, target, 'to', connection);
 		forward(target, client, 'from', connection);
@@ -142,6 +166,14 @@
 		}
 	}
 
+	/** Resets one end of each open connection. The other end stays open until its own process closes it. */
+	function halfOpenConnections(direction: 'to' | 'from'): void {
+		for (const connection of connections) {
+			connection.isHalfOpen = true;
+			abortConnection(direction === 'to' ? connection.target : connection.client);
+		}
+	}
+
 	function end(): void {
 		fault = undefined;
 		release?.();
@@ -152,8 +184,17 @@
 	return {
 		start(next) {
 			end();
+			if (next.kind === 'half-open') {
+				halfOpenConnections(next.direction);
+				return;
+			}
+
 			fault = next;
-			if (next.kind === 'hold') {
+			for (const connection of connections) {
+				connection.isLater = false;
+			}
+
+			if (next.kind === 'hold' || next.kind === 'hold-open') {
 				released = new Promise(resolve => {
 					release = resolve;
 				});
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,6 +1,6 @@
 /**
- * Implements `npm run soak -- --seed N --seconds S [--runs K] [--bundle FILE --deploy FOLDER] [--lane L]`, which plays K runs from
- * seed N on. Commands that run at the same time need different lanes. The exit code is 1 if a check fails.
+ * Implements `npm run soak -- --seed N --seconds S [--runs K] [--bundle FILE --deploy FOLDER] [--lane L] [--plain]`, which plays K runs from
+ * seed N on, with `--plain` the schedules of before the faults of machines' links. Commands that run at the same time need different lanes. The exit code is 1 if a check fails.
  */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
@@ -15,6 +15,7 @@
 		bundle: {type: 'string'},
 		deploy: {type: 'string', default: 'deploy'},
 		lane: {type: 'string', default: '0'},
+		plain: {type: 'boolean', default: false},
 		logs: {type: 'string', default: 'target/soak'},
 	},
 });
@@ -26,10 +27,10 @@
 for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
 	const logFolder = `${values.logs}/${seed}`;
 	const result = await runSoak({
-		seed, seconds, program, logFolder, lane: Number(values.lane),
+		seed, seconds, program, logFolder, lane: Number(values.lane), isPlain: values.plain,
 	});
 	broken += result.violations.length > 0 ? 1 : 0;
-	process.stdout.write(`${renderResult(result, `npm run soak -- --seconds ${seconds}`, logFolder)}\n`);
+	process.stdout.write(`${renderResult(result, `npm run soak -- --seconds ${seconds}${values.plain ? ' --plain' : ''}`, logFolder)}\n`);
 }
 
 process.stdout.write(`${runs} runs, ${broken} broken\n`);
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -4,7 +4,9 @@
 import {findViolations, type Violation} from './checks.js';
 import {createHistory, type History} from './history.js';
 import {createStream} from './random-stream.js';
-import {planScene, playScene, playSteadyEnd} from './scene.js';
+import {
+	planScene, playScene, playSteadyEnd, type PlanRandoms,
+} from './scene.js';
 import {startWorld} from './world.js';
 
 /** Options of `runSoak`. */
@@ -15,6 +17,8 @@
 	readonly program?: Program;
 	/** Number of the run among those that are played at the same time; 0 if undefined. */
 	readonly lane?: number;
+	/** Whether only the kinds of events are played that are older than the faults of machines' links: the schedules of earlier versions. */
+	readonly isPlain?: boolean;
 	/** Folder to which the logs of the processes are copied if a check fails. */
 	readonly logFolder: string;
 };
@@ -36,8 +40,11 @@
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
 	const {seed} = options;
 	// Random numbers of their own, so that the requests of the callers do not change the schedule.
-	const scheduleRandom = createStream(seed, 'schedule');
-	const secondScheduleRandom = createStream(seed, 'second schedule');
+	const randoms: PlanRandoms = {
+		schedule: createStream(seed, 'schedule'),
+		second: createStream(seed, 'second schedule'),
+		network: options.isPlain === true ? undefined : createStream(seed, 'network schedule'),
+	};
 	const controls = seed % 2 === 0 ? 3 : 5;
 	const history = createHistory();
 	const world = await startWorld({
@@ -48,7 +55,7 @@
 	try {
 		const endsAt = history.now() + (options.seconds * 1000);
 		while (history.now() < endsAt) {
-			await playScene(planScene(scheduleRandom, secondScheduleRandom), world, history);
+			await playScene(planScene(randoms), world, history);
 		}
 
 		await playSteadyEnd(world, history);
--- a/soak/scene.ts
+++ b/soak/scene.ts
@@ -4,6 +4,7 @@
 import {contactMilliseconds} from './checks.js';
 import {injectFault, planFault, type PlannedFault} from './faults.js';
 import {type History} from './history.js';
+import {injectNetworkFault, planNetworkFaults, type PlannedNetworkFault} from './network-faults.js';
 import {type ControlAddress, type Operator} from './operator.js';
 import {type World} from './world.js';
 
@@ -29,6 +30,7 @@
 export type Scene = {
 	readonly zone: string;
 	readonly faults: readonly PlannedFault[];
+	readonly networkFaults: readonly PlannedNetworkFault[];
 	readonly isTargeted: boolean;
 	readonly flips: readonly Flip[];
 	/** Flips of another zone by a second operator at the same time. */
@@ -40,19 +42,33 @@
 	return Array.from({length: count}, () => ({beforeReturn: random() * longestGapMilliseconds, beforeEvacuation: random() * longestGapMilliseconds}));
 }
 
+/** Sources of the random numbers of a plan. One of their own for each kind of events, so that a seed keeps its schedule when kinds are added. */
+export type PlanRandoms = {
+	readonly schedule: Random;
+	/** For what the second operator does. */
+	readonly second: Random;
+	/** For the links of machines; undefined without their faults. */
+	readonly network: Random | undefined;
+};
+
+function isAtControl({kind}: PlannedFault): boolean {
+	return kind === 'freeze control' || kind === 'kill control';
+}
+
 /**
  * Plans a scene. At most one control host is disturbed at a time.
- * @param random - Source of random numbers.
- * @param secondRandom - Source of random numbers for what the second operator does.
+ * @param randoms - Sources of random numbers.
  */
-export function planScene(random: Random, secondRandom: Random): Scene {
+export function planScene({schedule: random, second: secondRandom, network}: PlanRandoms): Scene {
 	const zone = random() < 0.8 ? 'c' : 'b';
 	const first = planFault(random);
 	const second = random() < secondFaultProbability ? planFault(random) : undefined;
 	const isSecondApart = second?.kind.endsWith('control') !== first.kind.endsWith('control');
+	const faults = second !== undefined && isSecondApart ? [first, second] : [first];
 	return {
 		zone,
-		faults: second !== undefined && isSecondApart ? [first, second] : [first],
+		faults,
+		networkFaults: network === undefined ? [] : planNetworkFaults(network, faults.some(fault => isAtControl(fault))),
 		isTargeted: random() < targetedProbability,
 		flips: planFlips(random),
 		secondFlips: secondRandom() < secondOperatorProbability ? planFlips(secondRandom) : [],
@@ -85,11 +101,16 @@
  * @param history - History of the run.
  */
 export async function playScene(scene: Scene, world: World, history: History): Promise<void> {
-	const {zone, faults, flips, secondFlips} = scene;
+	const {
+		zone, faults, networkFaults, flips, secondFlips,
+	} = scene;
 	const [operator, secondOperator] = world.operators;
 	const secondZone = zone === 'c' ? 'b' : 'c';
 	await evacuate(operator, zone);
-	const injected = Promise.all(faults.map(async fault => injectFault(fault, world.faultTargets)));
+	const injected = Promise.all([
+		...faults.map(async fault => injectFault(fault, world.faultTargets)),
+		...networkFaults.map(async fault => injectNetworkFault(fault, world.faultTargets)),
+	]);
 	const firstControl = scene.isTargeted ? world.controlAddresses[faults[0]!.index % world.controlAddresses.length] : undefined;
 	await Promise.all([
 		playFlips(operator, zone, flips, firstControl),
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -6,6 +6,7 @@
 import {type FaultTargets} from './faults.js';
 import {type History} from './history.js';
 import {openLink, type Link} from './link.js';
+import {openMachineLinks} from './machine-links.js';
 import {tempers, type Temper} from './manner.js';
 import {createOperator, type ControlAddress, type Operator} from './operator.js';
 import {createStream} from './random-stream.js';
@@ -15,9 +16,9 @@
 const entriesPerZone = 2;
 const callersPerEntry = 3;
 
-/** Third numbers of the loopback addresses of the machines, the upstreams, and the links to both. */
+/** Third numbers of the loopback addresses of the machines, the upstreams, and the links to both and between machines. */
 const subnets = {
-	machines: 21, upstreams: 23, controlLinks: 24, upstreamLinks: 25,
+	machines: 21, upstreams: 23, controlLinks: 24, upstreamLinks: 25, machineLinks: 26,
 };
 
 /** Distance between the subnets of runs that are played at the same time. */
@@ -80,9 +81,18 @@
 	const {history, seed} = options;
 	const random = createStream(seed, 'traffic');
 	const getHost = (subnet: number, number: number): string => `127.0.${subnet + (laneSubnets * options.lane)}.${number}`;
+	const environments = new Map<string, NodeJS.ProcessEnv>();
 	const system = await createPlatformSystem({
-		controls: options.controls, entries: zones.length * entriesPerZone, ports, zones, subnet: subnets.machines + (laneSubnets * options.lane), program: options.program,
+		controls: options.controls, entries: zones.length * entriesPerZone, ports, zones, subnet: subnets.machines + (laneSubnets * options.lane), program: options.program, environments,
 	});
+	const machines = [...system.controls, ...system.entries];
+	const machineLinks = await openMachineLinks({
+		machines, controls: system.controls, port: ports.links, getHost: number => getHost(subnets.machineLinks, number),
+	});
+	for (const machine of machines) {
+		environments.set(machine.name, machineLinks.getEnvironment(machine));
+	}
+
 	const controlLinks: Link[] = [];
 	const controlAddresses: ControlAddress[] = [];
 	for (const [index, {name, host}] of system.controls.entries()) {
@@ -116,7 +126,7 @@
 
 	async function stopProcesses(): Promise<void> {
 		await system.stop();
-		for (const link of [...controlLinks, ...upstreamLinks.values()]) {
+		for (const link of [...controlLinks, ...upstreamLinks.values(), machineLinks]) {
 			link.close();
 		}
 
@@ -126,7 +136,7 @@
 	}
 
 	try {
-		for (const machine of [...system.controls, ...system.entries]) {
+		for (const machine of machines) {
 			system.start(machine, true);
 		}
 
@@ -147,7 +157,7 @@
 			operators,
 			controlAddresses,
 			faultTargets: {
-				system, history, controlLinks, upstreamLinks, upstreams,
+				system, history, controlLinks, upstreamLinks, upstreams, machineLinks,
 			},
 			stopCallers,
 			async stop() {
--- a/stand-in/platform/system.ts
+++ b/stand-in/platform/system.ts
@@ -94,6 +94,8 @@
 	readonly subnet?: number;
 	/** Program that the machines run; if undefined, it is bundled from this repository. */
 	readonly program?: Program;
+	/** Environment variables of the processes by the names of their machines, beside those of this process. */
+	readonly environments?: ReadonlyMap<string, NodeJS.ProcessEnv>;
 };
 
 function getField(fields: Readonly<Record<string, unknown>>, name: string): unknown {
@@ -225,7 +227,9 @@
 				mkdirSync(getDataFolder(machine), {recursive: true});
 			}
 
-			machine.child = spawn(process.execPath, [...getNodeOptions(machine.kind, deployFolder), bundleFile, machine.kind, '--settings', writeSettings(machine, isFirstStart)], {stdio: ['ignore', logFileDescriptor, logFileDescriptor]});
+			machine.child = spawn(process.execPath, [...getNodeOptions(machine.kind, deployFolder), bundleFile, machine.kind, '--settings', writeSettings(machine, isFirstStart)], {
+				stdio: ['ignore', logFileDescriptor, logFileDescriptor], env: {...process.env, ...options.environments?.get(machine.name)},
+			});
 			closeSync(logFileDescriptor);
 		},
 		terminate,
