Let two operators order the same zone at the same time in the soak

Each order had one operator, so a zone's orders never met. In a third of the scenes another operator now gives the opposite of each order at the same time, and the first one takes the zone out in the end.

The check accepts either order of an evacuation and a return that were under way at the same time, so such an evacuation does not bind. It accepts nothing else: a return that ended before the evacuation was sent excuses no request.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -1,6 +1,8 @@
 /** Checks of the platform's rules over the history of a run. */
 import {groupBy} from './group-by.js';
-import {type Arrival, type Exchange, type History} from './history.js';
+import {
+	type Arrival, type Exchange, type History, type Order,
+} from './history.js';
 
 /** Time after its acknowledgement from which an evacuation binds (`evacuate_ms`). */
 const evacuationBoundMilliseconds = 5000;
@@ -28,8 +30,15 @@
 /** Time for which a zone must not be reached: from an acknowledgement until the next order that puts the zone back is sent. */
 type Evacuation = {readonly zone: string; readonly acknowledgedAt: number; readonly until: number};
 
+/** Checks whether two orders were under way at the same time, so that either may be the first. */
+function isConcurrent(left: Order, right: Order): boolean {
+	return left.sentAt < (right.endedAt ?? Infinity) && right.sentAt < (left.endedAt ?? Infinity);
+}
+
+/** Gets the evacuations that bind: those during which no operator ordered the zone back. */
 function getEvacuations({orders}: History): readonly Evacuation[] {
-	return orders.filter(order => order.isOut && order.acknowledgedAt !== undefined).map(order => {
+	const isContested = (order: Order): boolean => orders.some(other => other.zone === order.zone && !other.isOut && isConcurrent(order, other));
+	return orders.filter(order => order.isOut && order.acknowledgedAt !== undefined && !isContested(order)).map(order => {
 		const nextReturn = orders.find(other => other.zone === order.zone && !other.isOut && other.sentAt >= order.sentAt);
 		return {zone: order.zone, acknowledgedAt: order.acknowledgedAt!, until: nextReturn?.sentAt ?? Infinity};
 	});
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -11,6 +11,8 @@
 	readonly isOut: boolean;
 	readonly sentAt: number;
 	acknowledgedAt: number | undefined;
+	/** Time at which the order was acknowledged or given up; undefined before. */
+	endedAt: number | undefined;
 	/** Attempts in order, in words. */
 	readonly attempts: string[];
 };
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -97,7 +97,7 @@
 
 	async function order(zone: string, isOut: boolean, firstControl?: ControlAddress): Promise<Order> {
 		const record: Order = {
-			zone, isOut, sentAt: history.now(), acknowledgedAt: undefined, attempts: [],
+			zone, isOut, sentAt: history.now(), acknowledgedAt: undefined, endedAt: undefined, attempts: [],
 		};
 		history.orders.push(record);
 		const offset = firstControl === undefined ? Math.floor(random() * controls.length) : controls.indexOf(firstControl);
@@ -108,6 +108,7 @@
 			record.attempts.push(trace);
 			if (status >= 200 && status < 300) {
 				record.acknowledgedAt = history.now();
+				record.endedAt = record.acknowledgedAt;
 				return record;
 			}
 
@@ -115,6 +116,7 @@
 			backoff *= 2;
 		}
 
+		record.endedAt = history.now();
 		return record;
 	}
 
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -44,6 +44,7 @@
 		schedule: createStream(seed, 'schedule'),
 		second: createStream(seed, 'second schedule'),
 		network: options.isPlain === true ? undefined : createStream(seed, 'network schedule'),
+		third: options.isPlain === true ? undefined : createStream(seed, 'third schedule'),
 	};
 	const controls = seed % 2 === 0 ? 3 : 5;
 	const history = createHistory();
--- a/soak/scene.ts
+++ b/soak/scene.ts
@@ -22,6 +22,7 @@
 const targetedProbability = 0.8;
 const secondFaultProbability = 0.3;
 const secondOperatorProbability = 0.4;
+const contestProbability = 0.35;
 
 /** Pauses before an order that puts a zone back and before the next one that takes it out, in milliseconds. */
 type Flip = {readonly beforeReturn: number; readonly beforeEvacuation: number};
@@ -35,6 +36,8 @@
 	readonly flips: readonly Flip[];
 	/** Flips of another zone by a second operator at the same time. */
 	readonly secondFlips: readonly Flip[];
+	/** Whether a third operator gives the opposite of each order of the first operator at the same time. */
+	readonly isContested: boolean;
 };
 
 function planFlips(random: Random): readonly Flip[] {
@@ -49,6 +52,8 @@
 	readonly second: Random;
 	/** For the links of machines; undefined without their faults. */
 	readonly network: Random | undefined;
+	/** For what the third operator does; undefined without it. */
+	readonly third: Random | undefined;
 };
 
 function isAtControl({kind}: PlannedFault): boolean {
@@ -59,7 +64,7 @@
  * Plans a scene. At most one control host is disturbed at a time.
  * @param randoms - Sources of random numbers.
  */
-export function planScene({schedule: random, second: secondRandom, network}: PlanRandoms): Scene {
+export function planScene({schedule: random, second: secondRandom, network, third}: PlanRandoms): Scene {
 	const zone = random() < 0.8 ? 'c' : 'b';
 	const first = planFault(random);
 	const second = random() < secondFaultProbability ? planFault(random) : undefined;
@@ -72,6 +77,7 @@
 		isTargeted: random() < targetedProbability,
 		flips: planFlips(random),
 		secondFlips: secondRandom() < secondOperatorProbability ? planFlips(secondRandom) : [],
+		isContested: third !== undefined && third() < contestProbability,
 	};
 }
 
@@ -94,6 +100,18 @@
 	}
 }
 
+/** Plays flips, while a rival gives the opposite of each order at the same time. The zone is out in the end. */
+async function playContestedFlips(operator: Operator, rival: Operator, zone: string, flips: readonly Flip[]): Promise<void> {
+	for (const {beforeReturn, beforeEvacuation} of flips) {
+		await delay(beforeReturn);
+		await Promise.all([operator.order(zone, false), rival.order(zone, true)]);
+		await delay(beforeEvacuation);
+		await Promise.all([operator.order(zone, true), rival.order(zone, false)]);
+	}
+
+	await evacuate(operator, zone);
+}
+
 /**
  * Plays a scene, which ends with all zones in service.
  * @param scene - Plan.
@@ -102,9 +120,9 @@
  */
 export async function playScene(scene: Scene, world: World, history: History): Promise<void> {
 	const {
-		zone, faults, networkFaults, flips, secondFlips,
+		zone, faults, networkFaults, flips, secondFlips, isContested,
 	} = scene;
-	const [operator, secondOperator] = world.operators;
+	const [operator, secondOperator, thirdOperator] = world.operators;
 	const secondZone = zone === 'c' ? 'b' : 'c';
 	await evacuate(operator, zone);
 	const injected = Promise.all([
@@ -113,7 +131,7 @@
 	]);
 	const firstControl = scene.isTargeted ? world.controlAddresses[faults[0]!.index % world.controlAddresses.length] : undefined;
 	await Promise.all([
-		playFlips(operator, zone, flips, firstControl),
+		isContested ? playContestedFlips(operator, thirdOperator, zone, flips) : playFlips(operator, zone, flips, firstControl),
 		playFlips(secondOperator, secondZone, secondFlips),
 	]);
 	const outFrom = history.now();
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -1,4 +1,4 @@
-/** World of a run: the processes of the deploy file, upstreams in three zones, links, callers of each entry, and two operators. */
+/** World of a run: the processes of the deploy file, upstreams in three zones, links, callers of each entry, and three operators. */
 import {setTimeout as delay} from 'node:timers/promises';
 import {renderConfiguration} from '../stand-in/platform/configuration.js';
 import {createPlatformSystem, type PlatformSystem, type Program} from '../stand-in/platform/system.js';
@@ -41,7 +41,7 @@
 export type World = {
 	readonly system: PlatformSystem;
 	readonly upstreams: readonly Upstream[];
-	readonly operators: readonly [Operator, Operator];
+	readonly operators: readonly [Operator, Operator, Operator];
 	readonly controlAddresses: readonly ControlAddress[];
 	readonly faultTargets: FaultTargets;
 	/** Stops the callers and waits for their pending requests. */
@@ -141,7 +141,7 @@
 		}
 
 		const createSeededOperator = (name: string): Operator => createOperator({history, random: createStream(seed, name), controls: controlAddresses});
-		const operators = [createSeededOperator('operator'), createSeededOperator('second operator')] as const;
+		const operators = [createSeededOperator('operator'), createSeededOperator('second operator'), createSeededOperator('third operator')] as const;
 		await operators[0].configure(renderConfiguration(3, [{path: '/look/', type: 'safe'}, {path: '/order/', type: 'unsafe'}]));
 		await waitUntilReady(system);
 		const callers = system.entries.map(({name, host}) => startCallers({
