Put new versions of the configuration in the soak

The soak put one version at its start and never another. Now operators put up to three in each scene beside the other events, and one in the steady end, which must be acknowledged. Each version allows one more path than the one before, so a 404 shows a caller that its entry has an older one; an operator reads the configuration at random control hosts throughout.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -3,17 +3,13 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Random} from '../source/randomness/index.js';
 import {readText} from '../stand-in/platform/upstream.js';
+import {createRequestSource, type CallerRequest} from './caller-request.js';
 import {digestBody, type Exchange, type History} from './history.js';
 
 const longestPauseMilliseconds = 60;
 const failurePauseMilliseconds = 60;
 const burstProbability = 0.01;
 const burstRequests = 12;
-const leavingProbability = 0.04;
-const longestStayMilliseconds = 25;
-const newConnectionProbability = 0.2;
-const shortestDeadlineMilliseconds = 400;
-const deadlineRangeMilliseconds = 1200;
 
 /** Time after the deadline for which a caller still waits. */
 const patienceMilliseconds = 500;
@@ -35,17 +31,6 @@
 	readonly random: Random;
 };
 
-/** Request of a caller. */
-type CallerRequest = {
-	readonly id: string;
-	readonly method: 'GET' | 'HEAD' | 'POST';
-	readonly path: string;
-	readonly deadlineMilliseconds: number;
-	readonly isChunked: boolean;
-	readonly stayMilliseconds: number;
-	readonly agent: Agent | false;
-};
-
 /**
  * Starts callers.
  * @param options - Entry and number of callers.
@@ -54,28 +39,15 @@
 	const {entry, host, port, history, random} = options;
 	const keptConnections = new Agent({keepAlive: true});
 	let isStopped = false;
-	let nextNumber = 1;
-
-	function createRequest(): CallerRequest {
-		const kind = random();
-		const id = `${entry}.${nextNumber++}`;
-		return {
-			id,
-			...(kind < 0.25 ? {method: 'POST', path: `/order/${id}`} : {method: kind < 0.3 ? 'HEAD' : 'GET', path: kind > 0.95 ? `/look/empty/${id}` : `/look/${id}`}),
-			deadlineMilliseconds: Math.round(shortestDeadlineMilliseconds + (random() * deadlineRangeMilliseconds)),
-			isChunked: random() < 0.5,
-			stayMilliseconds: random() < leavingProbability ? random() * longestStayMilliseconds : Infinity,
-			agent: random() < newConnectionProbability ? false : keptConnections,
-		};
-	}
+	const createRequest = createRequestSource({prefix: entry, history, random});
 
 	/** Sends a request, and returns the complete response or why there is none. */
-	async function send({id, method, path, deadlineMilliseconds, isChunked, stayMilliseconds, agent}: CallerRequest): Promise<Exchange['outcome']> {
+	async function send({id, method, path, deadlineMilliseconds, isChunked, stayMilliseconds, isOnNewConnection}: CallerRequest): Promise<Exchange['outcome']> {
 		return new Promise(resolve => {
 			const body = method === 'POST' ? `order ${id}` : undefined;
 			const framing = isChunked ? {'Transfer-Encoding': 'chunked'} : {'Content-Length': body?.length ?? 0};
 			const request: ClientRequest = startRequest({
-				host, port, method, path, agent, headers: {
+				host, port, method, path, agent: isOnNewConnection ? false : keptConnections, headers: {
 					Host: 'shop.example', 'Request-Id': id, 'Deadline-Ms': String(deadlineMilliseconds), ...(body === undefined ? {} : framing),
 				},
 			}, response => {
@@ -108,7 +80,7 @@
 		const sentAt = history.now();
 		const outcome = await send(request);
 		history.exchanges.push({
-			id: request.id, entry, method: request.method, isUnsafe: request.method === 'POST', sentAt, endedAt: history.now(), outcome,
+			id: request.id, entry, method: request.method, isUnsafe: request.method === 'POST', marker: request.marker, sentAt, endedAt: history.now(), outcome,
 		});
 		return typeof outcome !== 'string';
 	}
--- a/soak/checks.test.ts
+++ b/soak/checks.test.ts
@@ -1,8 +1,9 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {findViolations, type Violation} from './checks.js';
+import {findViolations} from './checks.js';
+import {type Violation} from './disturbances.js';
 import {
-	createHistory, type Answer, type Arrival, type Disturbance, type Exchange, type History, type Order,
+	createHistory, type Answer, type Arrival, type Disturbance, type Exchange, type History, type Order, type Version,
 } from './history.js';
 
 const evacuation: Order = {
@@ -29,7 +30,7 @@
 };
 
 describe('findViolations', () => {
-	function doTest(parts: Partial<Pick<History, 'orders' | 'disturbances' | 'arrivals' | 'answers' | 'exchanges' | 'steadyFrom'>>, expectedRules: ReadonlyArray<Violation['rule']>): void {
+	function doTest(parts: Partial<Omit<History, 'now'>>, expectedRules: ReadonlyArray<Violation['rule']>): void {
 		const violations = findViolations({...createHistory(), ...parts});
 		expect(violations.map(({rule}) => rule)).toEqual([...expectedRules]);
 	}
@@ -123,6 +124,56 @@
 		doTest({arrivals: [createArrival(5)], exchanges: [createExchange({...response, status: 503, signature: undefined}, true)]}, ['REFUSED']);
 	});
 
+	describe('with versions', () => {
+		const version: Version = {
+			number: 5, sentAt: 1000, acknowledgedAt: 1100, refusal: undefined,
+		};
+
+		function createSighting(sentAt: number, status: number, marker = 5): Exchange {
+			const id = `${sentAt}`;
+			return {
+				...createExchange({...response, status, signature: status === 200 ? id : undefined}), id, marker, sentAt, endedAt: sentAt + 10,
+			};
+		}
+
+		function createKill(scope: Disturbance['scope']): Disturbance {
+			return {
+				scope, name: 'entry-1', kind: 'kill entry', from: 1500, to: 1600,
+			};
+		}
+
+		function doTestSightings(exchanges: Exchange[], expectedRules: ReadonlyArray<Violation['rule']>, disturbances: Disturbance[] = []): void {
+			const answers = exchanges.map(({id}) => ({...answer, id, signature: id}));
+			doTest({
+				versions: [version], exchanges, answers, disturbances,
+			}, expectedRules);
+		}
+
+		test('finds an acknowledged version that is missing at an entry in touch later than the bound', () => {
+			doTestSightings([createSighting(3099, 404)], []);
+			doTestSightings([createSighting(3101, 404)], ['CONFIG']);
+			doTestSightings([createSighting(3101, 404, 6)], []);
+			doTestSightings([createSighting(3101, 404)], [], [createKill('entry')]);
+			doTestSightings([createSighting(3101, 404)], [], [createKill('core')]);
+			doTestSightings([createSighting(8101, 404)], ['CONFIG'], [createKill('core')]);
+		});
+
+		test('finds an entry that goes back to an older version', () => {
+			doTestSightings([createSighting(1200, 200), createSighting(1470, 404)], ['CONFIG']);
+			doTestSightings([createSighting(1200, 200, 4), createSighting(1470, 404)], []);
+			doTestSightings([createSighting(1200, 200), createSighting(1450, 404)], []);
+			doTestSightings([createSighting(1200, 200), createSighting(1700, 404)], [], [createKill('entry')]);
+		});
+
+		test('finds a control host that gives an older version, and a refused version', () => {
+			const reading = {control: 'control-1', endedAt: 4000};
+			doTest({versions: [version], readings: [{...reading, sentAt: 3099, number: 4}]}, []);
+			doTest({versions: [version], readings: [{...reading, sentAt: 3101, number: 4}]}, ['CONFIG']);
+			doTest({versions: [{...version, refusal: 409}]}, ['CONFIG']);
+			doTest({versions: [{...version, acknowledgedAt: undefined}], exchanges: [], steadyFrom: 0}, ['ACKS']);
+		});
+	});
+
 	test('finds an order without an acknowledgement and an entry that does not serve after the last fault', () => {
 		doTest({orders: [{...evacuation, acknowledgedAt: undefined}], exchanges: [createExchange('timeout')], steadyFrom: 0}, ['ACKS', 'RECOVER']);
 	});
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -1,32 +1,19 @@
 /** Checks of the platform's rules over the history of a run. */
+import {isDisturbed, stretchMilliseconds, type Violation} from './disturbances.js';
 import {groupBy} from './group-by.js';
 import {
 	type Arrival, type Exchange, type History, type Order,
 } from './history.js';
+import {checkVersions} from './version-checks.js';
 
 /** Time after its acknowledgement from which an evacuation binds (`evacuate_ms`). */
 const evacuationBoundMilliseconds = 5000;
 
-/** Longest extension of that bound while the control hosts are disturbed (`max_stretch_ms`). */
-const stretchMilliseconds = 5000;
-
-/** Time without a disturbance after which a machine is in touch (`contact_ms`). */
-export const contactMilliseconds = 3000;
-
 /** Share of the requests in the steady end that must be served; some upstreams are faulty until the end. */
 const servedShare = 0.6;
 
-/** Violation of a rule, with the request that shows it. */
-export type Violation = {readonly rule: 'EVAC' | 'MIXED' | 'TWICE' | 'REFUSED' | 'ACKS' | 'RECOVER'; readonly at: number; readonly text: string};
-
 const refusalStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** Checks whether a disturbance of the given scope, and of the given machine if any, touched the last `contactMilliseconds`. */
-function isDisturbed({disturbances}: History, at: number, scope: 'core' | 'entry' | 'path', name?: string): boolean {
-	return disturbances.some(disturbance => disturbance.scope === scope && (name === undefined || disturbance.name === name)
-		&& disturbance.from <= at && (disturbance.to ?? Infinity) >= at - contactMilliseconds);
-}
-
 /** Time for which a zone must not be reached: from an acknowledgement until the next order that puts the zone back is sent. */
 type Evacuation = {readonly zone: string; readonly acknowledgedAt: number; readonly until: number};
 
@@ -127,13 +114,15 @@
 }
 
 /** Checks that after the last fault orders are acknowledged and most requests are served. */
-function checkSteadyEnd({orders, exchanges, steadyFrom}: History): readonly Violation[] {
+function checkSteadyEnd({orders, versions, exchanges, steadyFrom}: History): readonly Violation[] {
 	if (steadyFrom === undefined) {
 		return [];
 	}
 
 	const unacknowledged = orders.filter(order => order.sentAt >= steadyFrom && order.acknowledgedAt === undefined);
 	const violations: Violation[] = unacknowledged.map(order => ({rule: 'ACKS', at: order.sentAt, text: `${order.isOut ? 'POST' : 'DELETE'} of zone ${order.zone} was not acknowledged`}));
+	const unacknowledgedVersions = versions.filter(version => version.sentAt >= steadyFrom && version.acknowledgedAt === undefined);
+	violations.push(...unacknowledgedVersions.map(version => ({rule: 'ACKS' as const, at: version.sentAt, text: `version ${version.number} was not acknowledged`})));
 	const entries = groupBy(exchanges.filter(({sentAt, outcome}) => sentAt >= steadyFrom && outcome !== 'left'), exchange => exchange.entry);
 	for (const [entry, group] of entries) {
 		const served = group.filter(({outcome}) => typeof outcome !== 'string' && outcome.status >= 200 && outcome.status < 300).length;
@@ -151,5 +140,5 @@
  */
 export function findViolations(history: History): readonly Violation[] {
 	const exchangesById = new Map(history.exchanges.map(exchange => [exchange.id, exchange]));
-	return [...checkEvacuations(history, exchangesById), ...checkResponses(history), ...checkRuns(history), ...checkSteadyEnd(history)];
+	return [...checkEvacuations(history, exchangesById), ...checkResponses(history), ...checkRuns(history), ...checkVersions(history), ...checkSteadyEnd(history)];
 }
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -17,6 +17,18 @@
 	readonly attempts: string[];
 };
 
+/** Version of the configuration that an operator put. Each version allows the paths of `getMarkerPath` for itself and all earlier ones. */
+export type Version = {
+	readonly number: number;
+	readonly sentAt: number;
+	acknowledgedAt: number | undefined;
+	/** Status with which the version was refused, if it was. */
+	refusal: number | undefined;
+};
+
+/** Configuration that an operator read at a control host. */
+export type Reading = {readonly control: string; readonly sentAt: number; readonly endedAt: number; readonly number: number};
+
 /** Fault that was injected: `core` on a control host, `entry` on an entry, `path` between the entries and an upstream, `operator` between the operators and a control host. */
 export type Disturbance = {
 	readonly scope: 'core' | 'entry' | 'path' | 'operator';
@@ -43,6 +55,8 @@
 	readonly entry: string;
 	readonly method: string;
 	readonly isUnsafe: boolean;
+	/** Version from which on the path is allowed; undefined for the paths of all versions. */
+	readonly marker?: number;
 	readonly sentAt: number;
 	readonly endedAt: number;
 	/** Response, or a description of why there was none. */
@@ -52,6 +66,8 @@
 /** History of a run. */
 export type History = {
 	readonly orders: Order[];
+	readonly versions: Version[];
+	readonly readings: Reading[];
 	readonly disturbances: Disturbance[];
 	readonly arrivals: Arrival[];
 	readonly answers: Answer[];
@@ -67,6 +83,8 @@
 	const startedAt = performance.now();
 	return {
 		orders: [],
+		versions: [],
+		readings: [],
 		disturbances: [],
 		arrivals: [],
 		answers: [],
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -6,7 +6,8 @@
 import {request as startRequest} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Random} from '../source/randomness/index.js';
-import {type History, type Order} from './history.js';
+import {readText} from '../stand-in/platform/upstream.js';
+import {type History, type Order, type Version} from './history.js';
 
 const callTimeoutMilliseconds = 1000;
 const firstBackoffMilliseconds = 50;
@@ -25,8 +26,10 @@
 export type Operator = {
 	/** Orders that a zone is taken out of service or put back, at the given control host first if any, and returns when the order is acknowledged or given up. */
 	order(zone: string, isOut: boolean, firstControl?: ControlAddress): Promise<Order>;
-	/** Puts a configuration until it is acknowledged. */
-	configure(configuration: string): Promise<void>;
+	/** Puts a version of the configuration, and returns when it is acknowledged, refused or given up. */
+	configure(number: number, configuration: string): Promise<void>;
+	/** Reads the configuration at one control host. */
+	read(): Promise<void>;
 };
 
 /** Options of `createOperator`. */
@@ -37,7 +40,7 @@
 };
 
 type Call = {readonly address: ControlAddress; readonly method: string; readonly path: string; readonly body?: string; readonly isResponseLost: boolean};
-type CallResult = {readonly status: number; readonly location: string | undefined};
+type CallResult = {readonly status: number; readonly location?: string; readonly text?: string};
 
 /** Sends one call. The status is 0 if no response arrives in time; the connection is closed then. */
 async function sendCall({address, method, path, body, isResponseLost}: Call): Promise<CallResult> {
@@ -45,21 +48,22 @@
 		const request = startRequest({
 			host: address.host, port: address.port, method, path, agent: false, headers: body === undefined ? {} : {'content-type': 'application/json', 'content-length': body.length},
 		}, response => {
-			response.resume();
-			if (isResponseLost) {
-				return;
-			}
+			void readText(response).then(text => {
+				if (isResponseLost) {
+					return;
+				}
 
-			clearTimeout(timer);
-			resolve({status: response.statusCode ?? 0, location: response.headers.location});
+				clearTimeout(timer);
+				resolve({status: text === undefined ? 0 : response.statusCode ?? 0, location: response.headers.location, text});
+			});
 		});
 		const timer = setTimeout(() => {
 			request.destroy();
-			resolve({status: 0, location: undefined});
+			resolve({status: 0});
 		}, callTimeoutMilliseconds);
 		request.once('error', () => {
 			clearTimeout(timer);
-			resolve({status: 0, location: undefined});
+			resolve({status: 0});
 		});
 		request.end(body);
 	});
@@ -122,15 +126,37 @@
 
 	return {
 		order,
-		async configure(configuration) {
-			for (let attempt = 0; ; attempt++) {
-				const {status} = await sendRedirectedCall(controls[attempt % controls.length]!, {method: 'PUT', path: '/-/config', body: configuration});
+		async configure(number, configuration) {
+			const version: Version = {
+				number, sentAt: history.now(), acknowledgedAt: undefined, refusal: undefined,
+			};
+			history.versions.push(version);
+			const offset = Math.floor(random() * controls.length);
+			for (let attempt = 0; history.now() < version.sentAt + orderMilliseconds; attempt++) {
+				const {status} = await sendRedirectedCall(controls[(offset + attempt) % controls.length]!, {method: 'PUT', path: '/-/config', body: configuration});
 				if (status >= 200 && status < 300) {
+					version.acknowledgedAt = history.now();
+					return;
+				}
+
+				if (status >= 400 && status < 500) {
+					version.refusal = status;
 					return;
 				}
 
 				await delay(firstBackoffMilliseconds);
 			}
 		},
+		async read() {
+			const sentAt = history.now();
+			const control = controls[Math.floor(random() * controls.length)]!;
+			const {status, text} = await sendRedirectedCall(control, {method: 'GET', path: '/-/config'});
+			if (status === 200) {
+				const {version} = JSON.parse(text ?? '') as {readonly version: string};
+				history.readings.push({
+					control: control.name, sentAt, endedAt: history.now(), number: Number.parseInt(version, 16),
+				});
+			}
+		},
 	};
 }
--- a/soak/report.ts
+++ b/soak/report.ts
@@ -1,6 +1,6 @@
 /** Prints the result of a run: one line, and for a broken one the command, a timeline and the requests that show each violation. */
 import {groupBy} from './group-by.js';
-import {type Violation} from './checks.js';
+import {type Violation} from './disturbances.js';
 import {type Order} from './history.js';
 import {type SoakResult} from './run.js';
 
@@ -20,6 +20,7 @@
 function renderTimeline({history}: SoakResult): readonly string[] {
 	const lines: Array<readonly [number, string]> = [
 		...history.orders.map(order => [order.sentAt, renderOrder(order)] as const),
+		...history.versions.map(({number, sentAt, acknowledgedAt}) => [sentAt, `PUT version ${number}, acknowledged at ${Math.round(acknowledgedAt ?? Infinity)}`] as const),
 		...history.disturbances.map(({from, to, kind, name}) => [from, `${kind} (${name}) until ${Math.round(to ?? Infinity)}`] as const),
 	];
 	return lines.toSorted(([left], [right]) => left - right).map(([at, text]) => `  ${Math.round(at)} ${text}`);
@@ -46,6 +47,7 @@
 		`seed ${seed}: ${verdict}`,
 		`${result.controls} control hosts`,
 		`${history.orders.length} orders`,
+		`${history.versions.length} versions`,
 		`${history.disturbances.length} faults`,
 		`${history.exchanges.length} requests (${outcomes})`,
 		`${history.arrivals.length} at upstreams`,
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -1,12 +1,15 @@
 /** Plays one run by its seed: scenes with faults, and a steady end without. The schedule depends only on the seed; the times of the processes do not. */
 import {monitorEventLoopDelay} from 'node:perf_hooks';
+import {type Random} from '../source/randomness/index.js';
 import {type Program} from '../stand-in/platform/system.js';
-import {findViolations, type Violation} from './checks.js';
+import {findViolations} from './checks.js';
+import {type Violation} from './disturbances.js';
 import {createHistory, type History} from './history.js';
 import {createStream} from './random-stream.js';
 import {
 	planScene, playScene, playSteadyEnd, type PlanRandoms,
 } from './scene.js';
+import {readVersions} from './versions.js';
 import {startWorld} from './world.js';
 
 /** Options of `runSoak`. */
@@ -38,13 +41,15 @@
  * @param options - Seed, length and program.
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-	const {seed} = options;
+	const {seed, isPlain = false} = options;
 	// Random numbers of their own, so that the requests of the callers do not change the schedule.
+	const createNewerStream = (name: string): Random | undefined => isPlain ? undefined : createStream(seed, name);
 	const randoms: PlanRandoms = {
 		schedule: createStream(seed, 'schedule'),
 		second: createStream(seed, 'second schedule'),
-		network: options.isPlain === true ? undefined : createStream(seed, 'network schedule'),
-		third: options.isPlain === true ? undefined : createStream(seed, 'third schedule'),
+		network: createNewerStream('network schedule'),
+		third: createNewerStream('third schedule'),
+		versions: createNewerStream('versions'),
 	};
 	const controls = seed % 2 === 0 ? 3 : 5;
 	const history = createHistory();
@@ -54,12 +59,16 @@
 	const blindness = monitorEventLoopDelay();
 	blindness.enable();
 	try {
+		let isOver = false;
+		const reading = readVersions(world.operators[2], () => isOver);
 		const endsAt = history.now() + (options.seconds * 1000);
 		while (history.now() < endsAt) {
 			await playScene(planScene(randoms), world, history);
 		}
 
 		await playSteadyEnd(world, history);
+		isOver = true;
+		await reading;
 		await world.stopCallers();
 		const violations = findViolations(history);
 		if (violations.length > 0) {
--- a/soak/scene.ts
+++ b/soak/scene.ts
@@ -1,7 +1,7 @@
 /** Scenes of a run: an operator takes a zone out of service and puts it back several times while faults are injected. */
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Random} from '../source/randomness/index.js';
-import {contactMilliseconds} from './checks.js';
+import {contactMilliseconds} from './disturbances.js';
 import {injectFault, planFault, type PlannedFault} from './faults.js';
 import {type History} from './history.js';
 import {injectNetworkFault, planNetworkFaults, type PlannedNetworkFault} from './network-faults.js';
@@ -23,6 +23,8 @@
 const secondFaultProbability = 0.3;
 const secondOperatorProbability = 0.4;
 const contestProbability = 0.35;
+const maximumVersions = 3;
+const versionRangeMilliseconds = 5000;
 
 /** Pauses before an order that puts a zone back and before the next one that takes it out, in milliseconds. */
 type Flip = {readonly beforeReturn: number; readonly beforeEvacuation: number};
@@ -38,6 +40,8 @@
 	readonly secondFlips: readonly Flip[];
 	/** Whether a third operator gives the opposite of each order of the first operator at the same time. */
 	readonly isContested: boolean;
+	/** Times at which operators put a new version of the configuration. */
+	readonly versionMilliseconds: readonly number[];
 };
 
 function planFlips(random: Random): readonly Flip[] {
@@ -54,6 +58,8 @@
 	readonly network: Random | undefined;
 	/** For what the third operator does; undefined without it. */
 	readonly third: Random | undefined;
+	/** For new versions of the configuration; undefined without them. */
+	readonly versions: Random | undefined;
 };
 
 function isAtControl({kind}: PlannedFault): boolean {
@@ -64,7 +70,7 @@
  * Plans a scene. At most one control host is disturbed at a time.
  * @param randoms - Sources of random numbers.
  */
-export function planScene({schedule: random, second: secondRandom, network, third}: PlanRandoms): Scene {
+export function planScene({schedule: random, second: secondRandom, network, third, versions}: PlanRandoms): Scene {
 	const zone = random() < 0.8 ? 'c' : 'b';
 	const first = planFault(random);
 	const second = random() < secondFaultProbability ? planFault(random) : undefined;
@@ -78,6 +84,7 @@
 		flips: planFlips(random),
 		secondFlips: secondRandom() < secondOperatorProbability ? planFlips(secondRandom) : [],
 		isContested: third !== undefined && third() < contestProbability,
+		versionMilliseconds: versions === undefined ? [] : Array.from({length: Math.floor(versions() * (maximumVersions + 1))}, () => versions() * versionRangeMilliseconds),
 	};
 }
 
@@ -120,7 +127,7 @@
  */
 export async function playScene(scene: Scene, world: World, history: History): Promise<void> {
 	const {
-		zone, faults, networkFaults, flips, secondFlips, isContested,
+		zone, faults, networkFaults, flips, secondFlips, isContested, versionMilliseconds,
 	} = scene;
 	const [operator, secondOperator, thirdOperator] = world.operators;
 	const secondZone = zone === 'c' ? 'b' : 'c';
@@ -130,12 +137,16 @@
 		...networkFaults.map(async fault => injectNetworkFault(fault, world.faultTargets)),
 	]);
 	const firstControl = scene.isTargeted ? world.controlAddresses[faults[0]!.index % world.controlAddresses.length] : undefined;
+	const versionsPut = Promise.all(versionMilliseconds.map(async (milliseconds, index) => {
+		await delay(milliseconds);
+		await world.putNextVersion(world.operators[index % world.operators.length]!);
+	}));
 	await Promise.all([
 		isContested ? playContestedFlips(operator, thirdOperator, zone, flips) : playFlips(operator, zone, flips, firstControl),
 		playFlips(secondOperator, secondZone, secondFlips),
 	]);
 	const outFrom = history.now();
-	await injected;
+	await Promise.all([injected, versionsPut]);
 	await delay(Math.max(calmMilliseconds, outFrom + outMilliseconds - history.now()));
 	await Promise.all([operator.order(zone, false), ...(secondFlips.length > 0 ? [secondOperator.order(secondZone, false)] : [])]);
 	await delay(returnMilliseconds);
@@ -159,6 +170,7 @@
 	}
 
 	await operator.order('c', true);
+	await world.putNextVersion(operator);
 	await delay(outMilliseconds);
 	await operator.order('c', false);
 }
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -1,6 +1,5 @@
 /** World of a run: the processes of the deploy file, upstreams in three zones, links, callers of each entry, and three operators. */
 import {setTimeout as delay} from 'node:timers/promises';
-import {renderConfiguration} from '../stand-in/platform/configuration.js';
 import {createPlatformSystem, type PlatformSystem, type Program} from '../stand-in/platform/system.js';
 import {startCallers} from './callers.js';
 import {type FaultTargets} from './faults.js';
@@ -11,6 +10,7 @@
 import {createOperator, type ControlAddress, type Operator} from './operator.js';
 import {createStream} from './random-stream.js';
 import {startUpstream, type Upstream} from './upstream.js';
+import {putNextVersion} from './versions.js';
 
 const zones = ['a', 'b', 'c'];
 const entriesPerZone = 2;
@@ -44,6 +44,8 @@
 	readonly operators: readonly [Operator, Operator, Operator];
 	readonly controlAddresses: readonly ControlAddress[];
 	readonly faultTargets: FaultTargets;
+	/** Puts the next version of the configuration. */
+	putNextVersion(operator: Operator): Promise<void>;
 	/** Stops the callers and waits for their pending requests. */
 	stopCallers(): Promise<void>;
 	stop(): Promise<void>;
@@ -142,7 +144,12 @@
 
 		const createSeededOperator = (name: string): Operator => createOperator({history, random: createStream(seed, name), controls: controlAddresses});
 		const operators = [createSeededOperator('operator'), createSeededOperator('second operator'), createSeededOperator('third operator')] as const;
-		await operators[0].configure(renderConfiguration(3, [{path: '/look/', type: 'safe'}, {path: '/order/', type: 'unsafe'}]));
+		const versionRandom = createStream(seed, 'version numbers');
+		const putNext = async (operator: Operator): Promise<void> => putNextVersion(operator, history, versionRandom);
+		while (history.versions.every(({acknowledgedAt}) => acknowledgedAt === undefined)) {
+			await putNext(operators[0]);
+		}
+
 		await waitUntilReady(system);
 		const callers = system.entries.map(({name, host}) => startCallers({
 			entry: name, host, port: ports.front, count: callersPerEntry, history, random,
@@ -159,6 +166,7 @@
 			faultTargets: {
 				system, history, controlLinks, upstreamLinks, upstreams, machineLinks,
 			},
+			putNextVersion: putNext,
 			stopCallers,
 			async stop() {
 				await stopCallers();
