Pipeline requests in the soak

One caller of each entry now sends up to six requests on a connection before it has the responses, of all kinds, on new and kept connections, and leaves some of them. It reads the responses itself, in order; what arrives without a request counts as mixed up, and so do bytes that are no response. With `--plain` it does not start.

--- a/soak/checks.test.ts
+++ b/soak/checks.test.ts
@@ -110,6 +110,7 @@
 			[response, {...answer, id: 'r-2'}],
 			[response, {...answer, status: 500}],
 			[{...response, status: 502}, answer],
+			[{...response, status: Number.NaN, signature: undefined}, answer],
 			[{...response, digest: 'd-2'}, answer],
 			[{...response, signature: 's-2'}, answer],
 		] as const) {
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -63,6 +63,10 @@
 	}
 
 	const {status, signature, digest, size} = outcome;
+	if (!Number.isInteger(status)) {
+		return 'bytes that are no response';
+	}
+
 	const isSuccess = status >= 200 && status < 300;
 	if (signature === undefined) {
 		return isSuccess ? `status ${status} without a signature` : undefined;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -54,7 +54,7 @@
 	const controls = seed % 2 === 0 ? 3 : 5;
 	const history = createHistory();
 	const world = await startWorld({
-		controls, program: options.program, lane: options.lane ?? 0, history, seed,
+		controls, program: options.program, lane: options.lane ?? 0, history, seed, isPlain,
 	});
 	const blindness = monitorEventLoopDelay();
 	blindness.enable();
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -8,6 +8,7 @@
 import {openMachineLinks} from './machine-links.js';
 import {tempers, type Temper} from './manner.js';
 import {createOperator, type ControlAddress, type Operator} from './operator.js';
+import {startPipeliningCaller} from './pipelining-caller.js';
 import {createStream} from './random-stream.js';
 import {startUpstream, type Upstream} from './upstream.js';
 import {putNextVersion} from './versions.js';
@@ -58,6 +59,8 @@
 	/** Number of the run among those that are played at the same time. */
 	readonly lane: number;
 	readonly history: History;
+	/** Whether no caller pipelines its requests. */
+	readonly isPlain: boolean;
 	/** Seed of the decisions of callers, upstreams and operators. */
 	readonly seed: number;
 };
@@ -151,9 +154,16 @@
 		}
 
 		await waitUntilReady(system);
-		const callers = system.entries.map(({name, host}) => startCallers({
-			entry: name, host, port: ports.front, count: callersPerEntry, history, random,
-		}));
+		const pipeliningRandom = createStream(seed, 'pipelining');
+		const callers = system.entries.flatMap(({name, host}) => {
+			const place = {
+				entry: name, host, port: ports.front, history,
+			};
+			return [
+				startCallers({...place, count: callersPerEntry, random}),
+				...(options.isPlain ? [] : [startPipeliningCaller({...place, random: pipeliningRandom})]),
+			];
+		});
 		const stopCallers = async (): Promise<void> => {
 			await Promise.all(callers.map(async group => group.stop()));
 		};
