--- a/soak/run.ts
+++ b/soak/run.ts
@@ -1,10 +1,15 @@
 /** Plays one run by its seed: scenes with faults, and a steady end without. The schedule depends only on the seed; the times of the processes do not. */
 import {monitorEventLoopDelay} from 'node:perf_hooks';
+import {type Random} from '../source/randomness/index.js';
 import {type Program} from '../stand-in/platform/system.js';
-import {findViolations, type Violation} from './checks.js';
+import {findViolations} from './checks.js';
+import {type Violation} from './disturbances.js';
 import {createHistory, type History} from './history.js';
 import {createStream} from './random-stream.js';
-import {planScene, playScene, playSteadyEnd} from './scene.js';
+import {
+	planScene, playScene, playSteadyEnd, type PlanRandoms,
+} from './scene.js';
+import {readVersions} from './versions.js';
 import {startWorld} from './world.js';
 
 /** Options of `runSoak`. */
@@ -15,6 +20,8 @@
 	readonly program?: Program;
 	/** Number of the run among those that are played at the same time; 0 if undefined. */
 	readonly lane?: number;
+	/** Whether only the kinds of events are played that are older than the faults of machines' links: the schedules of earlier versions. */
+	readonly isPlain?: boolean;
 	/** Folder to which the logs of the processes are copied if a check fails. */
 	readonly logFolder: string;
 };
@@ -34,24 +41,34 @@
  * @param options - Seed, length and program.
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-	const {seed} = options;
+	const {seed, isPlain = false} = options;
 	// Random numbers of their own, so that the requests of the callers do not change the schedule.
-	const scheduleRandom = createStream(seed, 'schedule');
-	const secondScheduleRandom = createStream(seed, 'second schedule');
+	const createNewerStream = (name: string): Random | undefined => isPlain ? undefined : createStream(seed, name);
+	const randoms: PlanRandoms = {
+		schedule: createStream(seed, 'schedule'),
+		second: createStream(seed, 'second schedule'),
+		network: createNewerStream('network schedule'),
+		third: createNewerStream('third schedule'),
+		versions: createNewerStream('versions'),
+	};
 	const controls = seed % 2 === 0 ? 3 : 5;
 	const history = createHistory();
 	const world = await startWorld({
-		controls, program: options.program, lane: options.lane ?? 0, history, seed,
+		controls, program: options.program, lane: options.lane ?? 0, history, seed, isPlain,
 	});
 	const blindness = monitorEventLoopDelay();
 	blindness.enable();
 	try {
+		let isOver = false;
+		const reading = readVersions(world.operators[2], () => isOver);
 		const endsAt = history.now() + (options.seconds * 1000);
 		while (history.now() < endsAt) {
-			await playScene(planScene(scheduleRandom, secondScheduleRandom), world, history);
+			await playScene(planScene(randoms), world, history);
 		}
 
 		await playSteadyEnd(world, history);
+		isOver = true;
+		await reading;
 		await world.stopCallers();
 		const violations = findViolations(history);
 		if (violations.length > 0) {
--- a/soak/scene.ts
+++ b/soak/scene.ts
@@ -1,9 +1,10 @@
 /** Scenes of a run: an operator takes a zone out of service and puts it back several times while faults are injected. */
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Random} from '../source/randomness/index.js';
-import {contactMilliseconds} from './checks.js';
+import {contactMilliseconds} from './disturbances.js';
 import {injectFault, planFault, type PlannedFault} from './faults.js';
 import {type History} from './history.js';
+import {injectNetworkFault, planNetworkFaults, type PlannedNetworkFault} from './network-faults.js';
 import {type ControlAddress, type Operator} from './operator.js';
 import {type World} from './world.js';
 
@@ -21,6 +22,9 @@
 const targetedProbability = 0.8;
 const secondFaultProbability = 0.3;
 const secondOperatorProbability = 0.4;
+const contestProbability = 0.35;
+const maximumVersions = 3;
+const versionRangeMilliseconds = 5000;
 
 /** Pauses before an order that puts a zone back and before the next one that takes it out, in milliseconds. */
 type Flip = {readonly beforeReturn: number; readonly beforeEvacuation: number};
@@ -29,10 +33,15 @@
 export type Scene = {
 	readonly zone: string;
 	readonly faults: readonly PlannedFault[];
+	readonly networkFaults: readonly PlannedNetworkFault[];
 	readonly isTargeted: boolean;
 	readonly flips: readonly Flip[];
 	/** Flips of another zone by a second operator at the same time. */
 	readonly secondFlips: readonly Flip[];
+	/** Whether a third operator gives the opposite of each order of the first operator at the same time. */
+	readonly isContested: boolean;
+	/** Times at which operators put a new version of the configuration. */
+	readonly versionMilliseconds: readonly number[];
 };
 
 function planFlips(random: Random): readonly Flip[] {
@@ -40,22 +49,42 @@
 	return Array.from({length: count}, () => ({beforeReturn: random() * longestGapMilliseconds, beforeEvacuation: random() * longestGapMilliseconds}));
 }
 
+/** Sources of the random numbers of a plan. One of their own for each kind of events, so that a seed keeps its schedule when kinds are added. */
+export type PlanRandoms = {
+	readonly schedule: Random;
+	/** For what the second operator does. */
+	readonly second: Random;
+	/** For the links of machines; undefined without their faults. */
+	readonly network: Random | undefined;
+	/** For what the third operator does; undefined without it. */
+	readonly third: Random | undefined;
+	/** For new versions of the configuration; undefined without them. */
+	readonly versions: Random | undefined;
+};
+
+function isAtControl({kind}: PlannedFault): boolean {
+	return kind === 'freeze control' || kind === 'kill control';
+}
+
 /**
  * Plans a scene. At most one control host is disturbed at a time.
- * @param random - Source of random numbers.
- * @param secondRandom - Source of random numbers for what the second operator does.
+ * @param randoms - Sources of random numbers.
  */
-export function planScene(random: Random, secondRandom: Random): Scene {
+export function planScene({schedule: random, second: secondRandom, network, third, versions}: PlanRandoms): Scene {
 	const zone = random() < 0.8 ? 'c' : 'b';
 	const first = planFault(random);
 	const second = random() < secondFaultProbability ? planFault(random) : undefined;
 	const isSecondApart = second?.kind.endsWith('control') !== first.kind.endsWith('control');
+	const faults = second !== undefined && isSecondApart ? [first, second] : [first];
 	return {
 		zone,
-		faults: second !== undefined && isSecondApart ? [first, second] : [first],
+		faults,
+		networkFaults: network === undefined ? [] : planNetworkFaults(network, faults.some(fault => isAtControl(fault))),
 		isTargeted: random() < targetedProbability,
 		flips: planFlips(random),
 		secondFlips: secondRandom() < secondOperatorProbability ? planFlips(secondRandom) : [],
+		isContested: third !== undefined && third() < contestProbability,
+		versionMilliseconds: versions === undefined ? [] : Array.from({length: Math.floor(versions() * (maximumVersions + 1))}, () => versions() * versionRangeMilliseconds),
 	};
 }
 
@@ -78,6 +107,18 @@
 	}
 }
 
+/** Plays flips, while a rival gives the opposite of each order at the same time. The zone is out in the end. */
+async function playContestedFlips(operator: Operator, rival: Operator, zone: string, flips: readonly Flip[]): Promise<void> {
+	for (const {beforeReturn, beforeEvacuation} of flips) {
+		await delay(beforeReturn);
+		await Promise.all([operator.order(zone, false), rival.order(zone, true)]);
+		await delay(beforeEvacuation);
+		await Promise.all([operator.order(zone, true), rival.order(zone, false)]);
+	}
+
+	await evacuate(operator, zone);
+}
+
 /**
  * Plays a scene, which ends with all zones in service.
  * @param scene - Plan.
@@ -85,18 +126,27 @@
  * @param history - History of the run.
  */
 export async function playScene(scene: Scene, world: World, history: History): Promise<void> {
-	const {zone, faults, flips, secondFlips} = scene;
-	const [operator, secondOperator] = world.operators;
+	const {
+		zone, faults, networkFaults, flips, secondFlips, isContested, versionMilliseconds,
+	} = scene;
+	const [operator, secondOperator, thirdOperator] = world.operators;
 	const secondZone = zone === 'c' ? 'b' : 'c';
 	await evacuate(operator, zone);
-	const injected = Promise.all(faults.map(async fault => injectFault(fault, world.faultTargets)));
+	const injected = Promise.all([
+		...faults.map(async fault => injectFault(fault, world.faultTargets)),
+		...networkFaults.map(async fault => injectNetworkFault(fault, world.faultTargets)),
+	]);
 	const firstControl = scene.isTargeted ? world.controlAddresses[faults[0]!.index % world.controlAddresses.length] : undefined;
+	const versionsPut = Promise.all(versionMilliseconds.map(async (milliseconds, index) => {
+		await delay(milliseconds);
+		await world.putNextVersion(world.operators[index % world.operators.length]!);
+	}));
 	await Promise.all([
-		playFlips(operator, zone, flips, firstControl),
+		isContested ? playContestedFlips(operator, thirdOperator, zone, flips) : playFlips(operator, zone, flips, firstControl),
 		playFlips(secondOperator, secondZone, secondFlips),
 	]);
 	const outFrom = history.now();
-	await injected;
+	await Promise.all([injected, versionsPut]);
 	await delay(Math.max(calmMilliseconds, outFrom + outMilliseconds - history.now()));
 	await Promise.all([operator.order(zone, false), ...(secondFlips.length > 0 ? [secondOperator.order(secondZone, false)] : [])]);
 	await delay(returnMilliseconds);
@@ -120,6 +170,7 @@
 	}
 
 	await operator.order('c', true);
+	await world.putNextVersion(operator);
 	await delay(outMilliseconds);
 	await operator.order('c', false);
 }
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -1,23 +1,25 @@
-/** World of a run: the processes of the deploy file, upstreams in three zones, links, callers of each entry, and two operators. */
+/** World of a run: the processes of the deploy file, upstreams in three zones, links, callers of each entry, and three operators. */
 import {setTimeout as delay} from 'node:timers/promises';
-import {renderConfiguration} from '../stand-in/platform/configuration.js';
 import {createPlatformSystem, type PlatformSystem, type Program} from '../stand-in/platform/system.js';
 import {startCallers} from './callers.js';
 import {type FaultTargets} from './faults.js';
 import {type History} from './history.js';
 import {openLink, type Link} from './link.js';
+import {openMachineLinks} from './machine-links.js';
 import {tempers, type Temper} from './manner.js';
 import {createOperator, type ControlAddress, type Operator} from './operator.js';
+import {startPipeliningCaller} from './pipelining-caller.js';
 import {createStream} from './random-stream.js';
 import {startUpstream, type Upstream} from './upstream.js';
+import {putNextVersion} from './versions.js';
 
 const zones = ['a', 'b', 'c'];
 const entriesPerZone = 2;
 const callersPerEntry = 3;
 
-/** Third numbers of the loopback addresses of the machines, the upstreams, and the links to both. */
+/** Third numbers of the loopback addresses of the machines, the upstreams, and the links to both and between machines. */
 const subnets = {
-	machines: 21, upstreams: 23, controlLinks: 24, upstreamLinks: 25,
+	machines: 21, upstreams: 23, controlLinks: 24, upstreamLinks: 25, machineLinks: 26,
 };
 
 /** Distance between the subnets of runs that are played at the same time. */
@@ -40,9 +42,11 @@
 export type World = {
 	readonly system: PlatformSystem;
 	readonly upstreams: readonly Upstream[];
-	readonly operators: readonly [Operator, Operator];
+	readonly operators: readonly [Operator, Operator, Operator];
 	readonly controlAddresses: readonly ControlAddress[];
 	readonly faultTargets: FaultTargets;
+	/** Puts the next version of the configuration. */
+	putNextVersion(operator: Operator): Promise<void>;
 	/** Stops the callers and waits for their pending requests. */
 	stopCallers(): Promise<void>;
 	stop(): Promise<void>;
@@ -55,6 +59,8 @@
 	/** Number of the run among those that are played at the same time. */
 	readonly lane: number;
 	readonly history: History;
+	/** Whether no caller pipelines its requests. */
+	readonly isPlain: boolean;
 	/** Seed of the decisions of callers, upstreams and operators. */
 	readonly seed: number;
 };
@@ -80,9 +86,18 @@
 	const {history, seed} = options;
 	const random = createStream(seed, 'traffic');
 	const getHost = (subnet: number, number: number): string => `127.0.${subnet + (laneSubnets * options.lane)}.${number}`;
+	const environments = new Map<string, NodeJS.ProcessEnv>();
 	const system = await createPlatformSystem({
-		controls: options.controls, entries: zones.length * entriesPerZone, ports, zones, subnet: subnets.machines + (laneSubnets * options.lane), program: options.program,
+		controls: options.controls, entries: zones.length * entriesPerZone, ports, zones, subnet: subnets.machines + (laneSubnets * options.lane), program: options.program, environments,
 	});
+	const machines = [...system.controls, ...system.entries];
+	const machineLinks = await openMachineLinks({
+		machines, controls: system.controls, port: ports.links, getHost: number => getHost(subnets.machineLinks, number),
+	});
+	for (const machine of machines) {
+		environments.set(machine.name, machineLinks.getEnvironment(machine));
+	}
+
 	const controlLinks: Link[] = [];
 	const controlAddresses: ControlAddress[] = [];
 	for (const [index, {name, host}] of system.controls.entries()) {
@@ -116,7 +131,7 @@
 
 	async function stopProcesses(): Promise<void> {
 		await system.stop();
-		for (const link of [...controlLinks, ...upstreamLinks.values()]) {
+		for (const link of [...controlLinks, ...upstreamLinks.values(), machineLinks]) {
 			link.close();
 		}
 
@@ -126,17 +141,29 @@
 	}
 
 	try {
-		for (const machine of [...system.controls, ...system.entries]) {
+		for (const machine of machines) {
 			system.start(machine, true);
 		}
 
 		const createSeededOperator = (name: string): Operator => createOperator({history, random: createStream(seed, name), controls: controlAddresses});
-		const operators = [createSeededOperator('operator'), createSeededOperator('second operator')] as const;
-		await operators[0].configure(renderConfiguration(3, [{path: '/look/', type: 'safe'}, {path: '/order/', type: 'unsafe'}]));
+		const operators = [createSeededOperator('operator'), createSeededOperator('second operator'), createSeededOperator('third operator')] as const;
+		const versionRandom = createStream(seed, 'version numbers');
+		const putNext = async (operator: Operator): Promise<void> => putNextVersion(operator, history, versionRandom);
+		while (history.versions.every(({acknowledgedAt}) => acknowledgedAt === undefined)) {
+			await putNext(operators[0]);
+		}
+
 		await waitUntilReady(system);
-		const callers = system.entries.map(({name, host}) => startCallers({
-			entry: name, host, port: ports.front, count: callersPerEntry, history, random,
-		}));
+		const pipeliningRandom = createStream(seed, 'pipelining');
+		const callers = system.entries.flatMap(({name, host}) => {
+			const place = {
+				entry: name, host, port: ports.front, history,
+			};
+			return [
+				startCallers({...place, count: callersPerEntry, random}),
+				...(options.isPlain ? [] : [startPipeliningCaller({...place, random: pipeliningRandom})]),
+			];
+		});
 		const stopCallers = async (): Promise<void> => {
 			await Promise.all(callers.map(async group => group.stop()));
 		};
@@ -147,8 +174,9 @@
 			operators,
 			controlAddresses,
 			faultTargets: {
-				system, history, controlLinks, upstreamLinks, upstreams,
+				system, history, controlLinks, upstreamLinks, upstreams, machineLinks,
 			},
+			putNextVersion: putNext,
 			stopCallers,
 			async stop() {
 				await stopCallers();
