Explore partitions, lost closes of frozen hosts, and readers in order

The explorer excepted orders that a host reads after it stood still; it cut only single links; and it let the reads of one entry take effect in any order.

Now a partition cuts off a host together with an entry, closes to a frozen host may be lost, an order read after a stall is not excepted, and each reader's reads follow one another. Messages to an entry that has ended are dropped.

--- a/stand-in/control-model/faults.ts
+++ b/stand-in/control-model/faults.ts
@@ -65,6 +65,24 @@
 	};
 }
 
+/** Cuts a control host and an entry off from the other control hosts. */
+function createPartition(targets: FaultTargets, host: string, entry: string): Moment {
+	const others = targets.hostNames.filter(name => name !== host);
+	const cuts = others.flatMap(other => [createCut(targets, host, other), createCut(targets, entry, other)]);
+	return {
+		begin() {
+			for (const cut of cuts) {
+				cut.begin();
+			}
+		},
+		end() {
+			for (const cut of cuts) {
+				cut.end();
+			}
+		},
+	};
+}
+
 function createHold({network}: FaultTargets, from: readonly string[], to: readonly string[]): Moment {
 	const links = from.flatMap(sender => to.map(receiver => [sender, receiver] as const));
 	return {
@@ -86,7 +104,18 @@
 	const {network, hostNames, entryNames, operatorNames} = targets;
 	switch (fault.kind) {
 		case 'freezeHost': {
-			return createFreeze(targets, hostNames[fault.host]!);
+			const name = hostNames[fault.host]!;
+			const freeze = createFreeze(targets, name);
+			return {
+				begin() {
+					freeze.begin();
+					network.setLosesCloses(name, fault.closes === 'lost');
+				},
+				end() {
+					freeze.end();
+					network.setLosesCloses(name, false);
+				},
+			};
 		}
 
 		case 'freezeEntry': {
@@ -102,7 +131,11 @@
 		}
 
 		case 'cutHosts': {
-			return createCut(targets, hostNames[fault.host]!, hostNames[fault.other]!);
+			return createCut(targets, hostNames[fault.host]!, hostNames[(fault.host + fault.other) % hostNames.length]!);
+		}
+
+		case 'partition': {
+			return createPartition(targets, hostNames[fault.host]!, entryNames[fault.entry]!);
 		}
 
 		case 'cutEntry': {
@@ -110,7 +143,7 @@
 		}
 
 		case 'holdHosts': {
-			return createHold(targets, [hostNames[fault.host]!], [hostNames[fault.other]!]);
+			return createHold(targets, [hostNames[fault.host]!], [hostNames[(fault.host + fault.other) % hostNames.length]!]);
 		}
 
 		case 'holdEntry': {
--- a/stand-in/control-model/links.ts
+++ b/stand-in/control-model/links.ts
@@ -92,7 +92,9 @@
 					const outbound = message as ControlOutbound;
 					network.send({
 						from: host, to: process.name, kind: getKind(outbound), deliver() {
-							options.onMessage(outbound);
+							if (!process.isEnded) {
+								options.onMessage(outbound);
+							}
 						},
 					});
 				},
--- a/stand-in/control-model/network.ts
+++ b/stand-in/control-model/network.ts
@@ -24,6 +24,8 @@
 	/** Holds the messages from one process to another until `release`. */
 	hold(from: string, to: string): void;
 	release(from: string, to: string, closes: HeldCloses): void;
+	/** Sets whether closes of callers' connections to a host are lost. */
+	setLosesCloses(host: string, losesCloses: boolean): void;
 	/** Sets whether messages are lost, doubled and delayed at random. */
 	setStorm(isStormy: boolean): void;
 };
@@ -60,6 +62,7 @@
 	const cuts = new Set<string>();
 	const held = new Map<string, Envelope[]>();
 	const lastDeliveryAt = new Map<string, number>();
+	const losesClosesTo = new Set<string>();
 	let isStormy = false;
 
 	function getPair(one: string, other: string): string {
@@ -129,7 +132,8 @@
 		send(envelope) {
 			const {from, to, kind} = envelope;
 			const queue = held.get(`${from} ${to}`);
-			if (cuts.size > 0 && cuts.has(getPair(from, to))) {
+			const isLost = (cuts.size > 0 && cuts.has(getPair(from, to))) || (kind === closeKind && losesClosesTo.has(to));
+			if (isLost) {
 				coverage.record(kind, 'lost');
 			} else if (queue !== undefined) {
 				coverage.record(kind, 'held');
@@ -156,6 +160,13 @@
 				releaseOne(envelope, closes);
 			}
 		},
+		setLosesCloses(host, losesCloses) {
+			if (losesCloses) {
+				losesClosesTo.add(host);
+			} else {
+				losesClosesTo.delete(host);
+			}
+		},
 		setStorm(nextIsStormy) {
 			isStormy = nextIsStormy;
 		},
--- a/stand-in/control-model/operator.ts
+++ b/stand-in/control-model/operator.ts
@@ -17,6 +17,8 @@
 	readonly history: HistoryRecorder;
 	/** Gets a running control host. */
 	getHost(name: string): ModelHost | undefined;
+	/** Checks whether a control host stood still until shortly before, so that what it reads may be old. */
+	isCatchingUp(name: string): boolean;
 	/** Calls a function once the process of a control host ends. */
 	onceEnded(name: string, run: () => void): void;
 	renderConfiguration(version: number): string;
@@ -72,8 +74,9 @@
 						return;
 					}
 
+					const isOld = options.isCatchingUp(call.host);
 					trace?.(`${call.host} reads ${call.method} ${call.path} of ${name}`);
-					handleCall(host.api, call, isCopy ? {isClosed: false} : connection, result => {
+					handleCall(host.api, isOld ? {...call, onBelievedAwaited: ignore} : call, isCopy ? {isClosed: false} : connection, result => {
 						trace?.(`${call.host} answers ${call.method} ${call.path} of ${name}: ${result.status}`);
 						network.send({
 							from: call.host, to: name, kind: 'response', deliver() {
--- a/stand-in/control-model/plan.ts
+++ b/stand-in/control-model/plan.ts
@@ -11,10 +11,14 @@
 
 /** Fault that begins at a time and ends after a duration, in milliseconds. */
 export type Fault = {readonly at: number; readonly duration: number} & (
-	| {readonly kind: 'freezeHost' | 'restartHost'; readonly host: number; readonly writtenActions: number}
+	/** Stops a control host; the closes of callers' connections that arrive meanwhile may be lost. */
+	| {readonly kind: 'freezeHost'; readonly host: number; readonly closes: 'delivered' | 'lost'}
+	| {readonly kind: 'restartHost'; readonly host: number; readonly writtenActions: number}
 	| {readonly kind: 'freezeEntry' | 'restartEntry'; readonly entry: number}
-	/** Loses or holds what two control hosts send each other. */
+	/** Cuts the link of two control hosts, or holds what one sends to the other, which is that many places behind it. */
 	| {readonly kind: 'cutHosts' | 'holdHosts'; readonly host: number; readonly other: number}
+	/** Cuts a control host and an entry off from the other control hosts. */
+	| {readonly kind: 'partition'; readonly host: number; readonly entry: number}
 	| {readonly kind: 'cutEntry' | 'holdEntry'; readonly host: number; readonly entry: number}
 	/** Holds the calls to a control host. */
 	| {readonly kind: 'holdCalls'; readonly host: number; readonly closes: HeldCloses}
@@ -46,13 +50,13 @@
 });
 
 const operatorStep: fc.Arbitrary<OperatorStep> = fc.oneof(
-	{weight: 6, arbitrary: zoneOrder},
+	{weight: 5, arbitrary: zoneOrder},
 	{
-		weight: 1, arbitrary: fc.record({
+		weight: 2, arbitrary: fc.record({
 			...place, kind: fc.constant('declare' as const), version: fc.integer({min: 1, max: 9}), attempts: fc.constantFrom(1, 3),
 		}),
 	},
-	{weight: 1, arbitrary: fc.record({...place, kind: fc.constant('read' as const)})},
+	{weight: 2, arbitrary: fc.record({...place, kind: fc.constant('read' as const)})},
 );
 
 const time = {at: fc.nat(2500), duration: fc.integer({min: 50, max: 3000})};
@@ -62,7 +66,7 @@
 const faults: readonly WeightedFault[] = [
 	{
 		kinds: ['freezeHost'], weight: 2, arbitrary: fc.record({
-			...time, kind: fc.constant('freezeHost' as const), host, writtenActions: fc.constant(0),
+			...time, kind: fc.constant('freezeHost' as const), host, closes: fc.constantFrom('delivered' as const, 'delivered' as const, 'lost' as const),
 		}),
 	},
 	{
@@ -73,7 +77,12 @@
 	{kinds: ['freezeEntry', 'restartEntry'], weight: 1, arbitrary: fc.record({...time, kind: fc.constantFrom('freezeEntry' as const, 'restartEntry' as const), entry})},
 	{
 		kinds: ['cutHosts', 'holdHosts'], weight: 2, arbitrary: fc.record({
-			...time, kind: fc.constantFrom('cutHosts' as const, 'holdHosts' as const), host, other: host,
+			...time, kind: fc.constantFrom('cutHosts' as const, 'holdHosts' as const), host, other: fc.integer({min: 1, max: hostCount - 1}),
+		}),
+	},
+	{
+		kinds: ['partition'], weight: 2, arbitrary: fc.record({
+			...time, kind: fc.constant('partition' as const), host, entry,
 		}),
 	},
 	{
--- a/stand-in/control-model/play.ts
+++ b/stand-in/control-model/play.ts
@@ -159,7 +159,16 @@
 		for (const [index, steps] of operators.entries()) {
 			const process = processes.get(`o${index}`)!;
 			const operator: OperatorOptions = {
-				name: process.name, steps, hostNames, network, history, trace, renderConfiguration: options.renderConfiguration, getHost: name => hosts.get(name), onceEnded(name, run) {
+				name: process.name,
+				steps,
+				hostNames,
+				network,
+				history,
+				trace,
+				renderConfiguration: options.renderConfiguration,
+				getHost: name => hosts.get(name),
+				isCatchingUp: name => world.getTime() < (processes.get(name)?.catchUpUntil ?? 0),
+				onceEnded(name, run) {
 					endListeners.set(name, [...endListeners.get(name) ?? [], () => {
 						world.schedule(1, {process, run});
 					}]);
--- a/stand-in/control-model/version-history.ts
+++ b/stand-in/control-model/version-history.ts
@@ -10,7 +10,7 @@
 	for (const read of reads) {
 		const isDeclared = read.version === 0 || declarations.some(({version, startedAt}) => version === read.version && startedAt < read.endedAt);
 		const leastByDeclarations = declarations.filter(({isAcknowledged, endedAt}) => isAcknowledged && endedAt < read.startedAt).map(({version}) => version);
-		const leastByReads = reads.filter(({endedAt}) => endedAt < read.startedAt).map(({version}) => version);
+		const leastByReads = reads.filter(({reader, endedAt}) => endedAt < read.startedAt || (reader === read.reader && endedAt < read.endedAt)).map(({version}) => version);
 		const least = Math.max(0, ...leastByDeclarations, ...leastByReads);
 		if (!isDeclared || read.version < least) {
 			const reason = isDeclared ? `after version ${least} was` : 'which nobody had declared';
--- a/stand-in/control-model/zone-history.ts
+++ b/stand-in/control-model/zone-history.ts
@@ -42,6 +42,7 @@
  */
 export function findZoneFault({orders, reads, lateOrders}: ZoneHistory): string | undefined {
 	const overtaken = orders.map(order => order.isAcknowledged ? getNumbers(orders, other => other.endedAt < order.startedAt) : []);
+	const previousReads = reads.map(({reader, endedAt}) => reads.findLastIndex(other => other.reader === reader && other.endedAt < endedAt));
 	const live = new Set<number>();
 	const liveLate = new Set<number>();
 	const liveReads = new Map<number, ZoneRead>();
@@ -50,9 +51,18 @@
 	}];
 	let fault: string | undefined;
 
+	/** Lets the reads in progress find the value of a state, each after the one before it by the same reader. */
 	function satisfy(state: State): State {
-		const matching = [...liveReads].filter(([, read]) => read.isOut === state.isOut).map(([number]) => number);
-		return {...state, satisfied: add(state.satisfied, matching)};
+		const found: number[] = [];
+		for (const index of [...liveReads.keys()].toSorted((one, other) => reads[one]!.endedAt - reads[other]!.endedAt)) {
+			const previous = previousReads[index]!;
+			const isNext = !liveReads.has(previous) || state.satisfied.includes(previous) || found.includes(previous);
+			if (isNext && reads[index]!.isOut === state.isOut) {
+				found.push(index);
+			}
+		}
+
+		return {...state, satisfied: add(state.satisfied, found)};
 	}
 
 	function getSuccessors(state: State): readonly State[] {
