--- a/scenario/grammar.js
+++ b/scenario/grammar.js
@@ -202,26 +202,32 @@
   const peg$c30 = "leave";
   const peg$c31 = "crash";
   const peg$c32 = "drain";
-  const peg$c33 = "change";
-  const peg$c34 = "race";
-  const peg$c35 = "operators";
-  const peg$c36 = "changes";
-  const peg$c37 = "resend";
-  const peg$c38 = "crashing";
-  const peg$c39 = "times";
-  const peg$c40 = "expect";
-  const peg$c41 = "ready";
-  const peg$c42 = "within";
-  const peg$c43 = "warm";
-  const peg$c44 = "members";
-  const peg$c45 = "check";
-  const peg$c46 = "=";
-  const peg$c47 = "leader";
-  const peg$c48 = "all";
-  const peg$c49 = "entry";
-  const peg$c50 = ".";
-  const peg$c51 = "ms";
-  const peg$c52 = "s";
+  const peg$c33 = "withdraw";
+  const peg$c34 = "servers";
+  const peg$c35 = "within";
+  const peg$c36 = "stay";
+  const peg$c37 = "pause";
+  const peg$c38 = "for";
+  const peg$c39 = "during";
+  const peg$c40 = "change";
+  const peg$c41 = "race";
+  const peg$c42 = "operators";
+  const peg$c43 = "changes";
+  const peg$c44 = "resend";
+  const peg$c45 = "crashing";
+  const peg$c46 = "times";
+  const peg$c47 = "expect";
+  const peg$c48 = "ready";
+  const peg$c49 = "warm";
+  const peg$c50 = "members";
+  const peg$c51 = "check";
+  const peg$c52 = "=";
+  const peg$c53 = "leader";
+  const peg$c54 = "all";
+  const peg$c55 = "entry";
+  const peg$c56 = ".";
+  const peg$c57 = "ms";
+  const peg$c58 = "s";
 
   const peg$r0 = /^[^\n]/;
   const peg$r1 = /^[a-zA-Z]/;
@@ -264,31 +270,37 @@
   const peg$e31 = peg$literalExpectation("leave", false);
   const peg$e32 = peg$literalExpectation("crash", false);
   const peg$e33 = peg$literalExpectation("drain", false);
-  const peg$e34 = peg$literalExpectation("change", false);
-  const peg$e35 = peg$literalExpectation("race", false);
-  const peg$e36 = peg$literalExpectation("operators", false);
-  const peg$e37 = peg$literalExpectation("changes", false);
-  const peg$e38 = peg$literalExpectation("resend", false);
-  const peg$e39 = peg$literalExpectation("crashing", false);
-  const peg$e40 = peg$literalExpectation("times", false);
-  const peg$e41 = peg$literalExpectation("expect", false);
-  const peg$e42 = peg$literalExpectation("ready", false);
-  const peg$e43 = peg$literalExpectation("within", false);
-  const peg$e44 = peg$literalExpectation("warm", false);
-  const peg$e45 = peg$literalExpectation("members", false);
-  const peg$e46 = peg$literalExpectation("check", false);
-  const peg$e47 = peg$classExpectation([["a", "z"], ["A", "Z"]], false, false, false);
-  const peg$e48 = peg$literalExpectation("=", false);
-  const peg$e49 = peg$classExpectation([["a", "z"], ["A", "Z"], ["0", "9"], ".", "-"], false, false, false);
-  const peg$e50 = peg$literalExpectation("leader", false);
-  const peg$e51 = peg$literalExpectation("all", false);
-  const peg$e52 = peg$literalExpectation("entry", false);
-  const peg$e53 = peg$classExpectation([["a", "z"], ["A", "Z"], ["0", "9"], "-"], false, false, false);
-  const peg$e54 = peg$classExpectation([["0", "9"]], false, false, false);
-  const peg$e55 = peg$literalExpectation(".", false);
-  const peg$e56 = peg$literalExpectation("ms", false);
-  const peg$e57 = peg$literalExpectation("s", false);
-  const peg$e58 = peg$classExpectation([" ", "\t"], false, false, false);
+  const peg$e34 = peg$literalExpectation("withdraw", false);
+  const peg$e35 = peg$literalExpectation("servers", false);
+  const peg$e36 = peg$literalExpectation("within", false);
+  const peg$e37 = peg$literalExpectation("stay", false);
+  const peg$e38 = peg$literalExpectation("pause", false);
+  const peg$e39 = peg$literalExpectation("for", false);
+  const peg$e40 = peg$literalExpectation("during", false);
+  const peg$e41 = peg$literalExpectation("change", false);
+  const peg$e42 = peg$literalExpectation("race", false);
+  const peg$e43 = peg$literalExpectation("operators", false);
+  const peg$e44 = peg$literalExpectation("changes", false);
+  const peg$e45 = peg$literalExpectation("resend", false);
+  const peg$e46 = peg$literalExpectation("crashing", false);
+  const peg$e47 = peg$literalExpectation("times", false);
+  const peg$e48 = peg$literalExpectation("expect", false);
+  const peg$e49 = peg$literalExpectation("ready", false);
+  const peg$e50 = peg$literalExpectation("warm", false);
+  const peg$e51 = peg$literalExpectation("members", false);
+  const peg$e52 = peg$literalExpectation("check", false);
+  const peg$e53 = peg$classExpectation([["a", "z"], ["A", "Z"]], false, false, false);
+  const peg$e54 = peg$literalExpectation("=", false);
+  const peg$e55 = peg$classExpectation([["a", "z"], ["A", "Z"], ["0", "9"], ".", "-"], false, false, false);
+  const peg$e56 = peg$literalExpectation("leader", false);
+  const peg$e57 = peg$literalExpectation("all", false);
+  const peg$e58 = peg$literalExpectation("entry", false);
+  const peg$e59 = peg$classExpectation([["a", "z"], ["A", "Z"], ["0", "9"], "-"], false, false, false);
+  const peg$e60 = peg$classExpectation([["0", "9"]], false, false, false);
+  const peg$e61 = peg$literalExpectation(".", false);
+  const peg$e62 = peg$literalExpectation("ms", false);
+  const peg$e63 = peg$literalExpectation("s", false);
+  const peg$e64 = peg$classExpectation([" ", "\t"], false, false, false);
 
   function peg$f0(lines) {    return flatten(lines);  }
   function peg$f1(statement) {    return statement ? {...statement, line: location().start.line} : undefined;  }
@@ -307,21 +319,23 @@
   function peg$f14() {    return {kind: "heal"};  }
   function peg$f15(action, zone) {    return {kind: "zone", action, zone};  }
   function peg$f16(verb, server) {    return {kind: "server", verb, server};  }
-  function peg$f17(server, options) {    return {kind: "change", server, options};  }
-  function peg$f18(operators, changes) {    return {kind: "race", operators, changes};  }
-  function peg$f19(service, times) {    return {kind: "resendCrashing", service, times};  }
-  function peg$f20(milliseconds) {    return {kind: "expectReady", milliseconds};  }
-  function peg$f21(milliseconds) {    return {kind: "expectWarm", milliseconds};  }
-  function peg$f22(number, milliseconds) {    return {kind: "expectMembers", number, milliseconds};  }
-  function peg$f23(checks) {    return {kind: "check", checks};  }
-  function peg$f24(name, value) {    return {name, value};  }
-  function peg$f25() {    return {kind: "leader"};  }
-  function peg$f26() {    return {kind: "allControl"};  }
-  function peg$f27() {    return {kind: "allEntries"};  }
-  function peg$f28(number) {    return {kind: "control", number};  }
-  function peg$f29(number) {    return {kind: "entry", number};  }
-  function peg$f30(digits) {    return Number(digits);  }
-  function peg$f31(number, unit) {    return Number(number) * (unit === "s" ? 1000 : 1);  }
+  function peg$f17(service, number, spreadMilliseconds, stayMilliseconds) {    return {kind: "withdraw", service, number, spreadMilliseconds, stayMilliseconds};  }
+  function peg$f18(service, number, milliseconds, totalMilliseconds) {    return {kind: "pause", service, number, milliseconds, totalMilliseconds};  }
+  function peg$f19(server, options) {    return {kind: "change", server, options};  }
+  function peg$f20(operators, changes) {    return {kind: "race", operators, changes};  }
+  function peg$f21(service, times) {    return {kind: "resendCrashing", service, times};  }
+  function peg$f22(milliseconds) {    return {kind: "expectReady", milliseconds};  }
+  function peg$f23(milliseconds) {    return {kind: "expectWarm", milliseconds};  }
+  function peg$f24(number, milliseconds) {    return {kind: "expectMembers", number, milliseconds};  }
+  function peg$f25(checks) {    return {kind: "check", checks};  }
+  function peg$f26(name, value) {    return {name, value};  }
+  function peg$f27() {    return {kind: "leader"};  }
+  function peg$f28() {    return {kind: "allControl"};  }
+  function peg$f29() {    return {kind: "allEntries"};  }
+  function peg$f30(number) {    return {kind: "control", number};  }
+  function peg$f31(number) {    return {kind: "entry", number};  }
+  function peg$f32(digits) {    return Number(digits);  }
+  function peg$f33(number, unit) {    return Number(number) * (unit === "s" ? 1000 : 1);  }
   let peg$currPos = options.peg$currPos | 0;
   let peg$savedPos = peg$currPos;
   const peg$posDetailsCache = [{ line: 1, column: 1 }];
@@ -583,7 +597,7 @@
   }
 
   function peg$parsestatement() {
-    let s0, s1, s2, s3, s4, s5, s6, s7, s8, s9, s10;
+    let s0, s1, s2, s3, s4, s5, s6, s7, s8, s9, s10, s11, s12, s13, s14, s15;
 
     s0 = peg$currPos;
     if (input.substr(peg$currPos, 4) === peg$c2) {
@@ -1230,9 +1244,9 @@
                                 }
                                 if (s0 === peg$FAILED) {
                                   s0 = peg$currPos;
-                                  if (input.substr(peg$currPos, 6) === peg$c33) {
+                                  if (input.substr(peg$currPos, 8) === peg$c33) {
                                     s1 = peg$c33;
-                                    peg$currPos += 6;
+                                    peg$currPos += 8;
                                   } else {
                                     s1 = peg$FAILED;
                                     if (peg$silentFails === 0) { peg$fail(peg$e34); }
@@ -1244,30 +1258,88 @@
                                       if (s3 !== peg$FAILED) {
                                         s4 = peg$parse__();
                                         if (s4 !== peg$FAILED) {
-                                          s5 = peg$currPos;
-                                          s6 = [];
-                                          s7 = peg$parseoption();
-                                          while (s7 !== peg$FAILED) {
-                                            s6.push(s7);
-                                            s7 = peg$currPos;
-                                            s8 = '';
-                                            s8 = peg$parseoption();
-                                            if (s8 === peg$FAILED) {
-                                              peg$currPos = s7;
-                                              s7 = peg$FAILED;
-                                            } else {
-                                              s7 = s8;
-                                            }
-                                          }
-                                          if (s6.length < 1) {
-                                            peg$currPos = s5;
-                                            s5 = peg$FAILED;
+                                          if (input.substr(peg$currPos, 7) === peg$c34) {
+                                            s5 = peg$c34;
+                                            peg$currPos += 7;
                                           } else {
-                                            s5 = s6;
+                                            s5 = peg$FAILED;
+                                            if (peg$silentFails === 0) { peg$fail(peg$e35); }
                                           }
                                           if (s5 !== peg$FAILED) {
-                                            peg$savedPos = s0;
-                                            s0 = peg$f17(s3, s5);
+                                            s6 = peg$parse__();
+                                            if (s6 !== peg$FAILED) {
+                                              s7 = peg$parseinteger();
+                                              if (s7 !== peg$FAILED) {
+                                                s8 = peg$parse__();
+                                                if (s8 !== peg$FAILED) {
+                                                  if (input.substr(peg$currPos, 6) === peg$c35) {
+                                                    s9 = peg$c35;
+                                                    peg$currPos += 6;
+                                                  } else {
+                                                    s9 = peg$FAILED;
+                                                    if (peg$silentFails === 0) { peg$fail(peg$e36); }
+                                                  }
+                                                  if (s9 !== peg$FAILED) {
+                                                    s10 = peg$parse__();
+                                                    if (s10 !== peg$FAILED) {
+                                                      s11 = peg$parseduration();
+                                                      if (s11 !== peg$FAILED) {
+                                                        s12 = peg$parse__();
+                                                        if (s12 !== peg$FAILED) {
+                                                          if (input.substr(peg$currPos, 4) === peg$c36) {
+                                                            s13 = peg$c36;
+                                                            peg$currPos += 4;
+                                                          } else {
+                                                            s13 = peg$FAILED;
+                                                            if (peg$silentFails === 0) { peg$fail(peg$e37); }
+                                                          }
+                                                          if (s13 !== peg$FAILED) {
+                                                            s14 = peg$parse__();
+                                                            if (s14 !== peg$FAILED) {
+                                                              s15 = peg$parseduration();
+                                                              if (s15 !== peg$FAILED) {
+                                                                peg$savedPos = s0;
+                                                                s0 = peg$f17(s3, s7, s11, s15);
+                                                              } else {
+                                                                peg$currPos = s0;
+                                                                s0 = peg$FAILED;
+                                                              }
+                                                            } else {
+                                                              peg$currPos = s0;
+                                                              s0 = peg$FAILED;
+                                                            }
+                                                          } else {
+                                                            peg$currPos = s0;
+                                                            s0 = peg$FAILED;
+                                                          }
+                                                        } else {
+                                                          peg$currPos = s0;
+                                                          s0 = peg$FAILED;
+                                                        }
+                                                      } else {
+                                                        peg$currPos = s0;
+                                                        s0 = peg$FAILED;
+                                                      }
+                                                    } else {
+                                                      peg$currPos = s0;
+                                                      s0 = peg$FAILED;
+                                                    }
+                                                  } else {
+                                                    peg$currPos = s0;
+                                                    s0 = peg$FAILED;
+                                                  }
+                                                } else {
+                                                  peg$currPos = s0;
+                                                  s0 = peg$FAILED;
+                                                }
+                                              } else {
+                                                peg$currPos = s0;
+                                                s0 = peg$FAILED;
+                                              }
+                                            } else {
+                                              peg$currPos = s0;
+                                              s0 = peg$FAILED;
+                                            }
                                           } else {
                                             peg$currPos = s0;
                                             s0 = peg$FAILED;
@@ -1290,44 +1362,86 @@
                                   }
                                   if (s0 === peg$FAILED) {
                                     s0 = peg$currPos;
-                                    if (input.substr(peg$currPos, 4) === peg$c34) {
-                                      s1 = peg$c34;
-                                      peg$currPos += 4;
+                                    if (input.substr(peg$currPos, 5) === peg$c37) {
+                                      s1 = peg$c37;
+                                      peg$currPos += 5;
                                     } else {
                                       s1 = peg$FAILED;
-                                      if (peg$silentFails === 0) { peg$fail(peg$e35); }
+                                      if (peg$silentFails === 0) { peg$fail(peg$e38); }
                                     }
                                     if (s1 !== peg$FAILED) {
                                       s2 = peg$parse__();
                                       if (s2 !== peg$FAILED) {
-                                        if (input.substr(peg$currPos, 9) === peg$c35) {
-                                          s3 = peg$c35;
-                                          peg$currPos += 9;
-                                        } else {
-                                          s3 = peg$FAILED;
-                                          if (peg$silentFails === 0) { peg$fail(peg$e36); }
-                                        }
+                                        s3 = peg$parsename();
                                         if (s3 !== peg$FAILED) {
                                           s4 = peg$parse__();
                                           if (s4 !== peg$FAILED) {
-                                            s5 = peg$parseinteger();
+                                            if (input.substr(peg$currPos, 7) === peg$c34) {
+                                              s5 = peg$c34;
+                                              peg$currPos += 7;
+                                            } else {
+                                              s5 = peg$FAILED;
+                                              if (peg$silentFails === 0) { peg$fail(peg$e35); }
+                                            }
                                             if (s5 !== peg$FAILED) {
                                               s6 = peg$parse__();
                                               if (s6 !== peg$FAILED) {
-                                                if (input.substr(peg$currPos, 7) === peg$c36) {
-                                                  s7 = peg$c36;
-                                                  peg$currPos += 7;
-                                                } else {
-                                                  s7 = peg$FAILED;
-                                                  if (peg$silentFails === 0) { peg$fail(peg$e37); }
-                                                }
+                                                s7 = peg$parseinteger();
                                                 if (s7 !== peg$FAILED) {
                                                   s8 = peg$parse__();
                                                   if (s8 !== peg$FAILED) {
-                                                    s9 = peg$parseinteger();
+                                                    if (input.substr(peg$currPos, 3) === peg$c38) {
+                                                      s9 = peg$c38;
+                                                      peg$currPos += 3;
+                                                    } else {
+                                                      s9 = peg$FAILED;
+                                                      if (peg$silentFails === 0) { peg$fail(peg$e39); }
+                                                    }
                                                     if (s9 !== peg$FAILED) {
-                                                      peg$savedPos = s0;
-                                                      s0 = peg$f18(s5, s9);
+                                                      s10 = peg$parse__();
+                                                      if (s10 !== peg$FAILED) {
+                                                        s11 = peg$parseduration();
+                                                        if (s11 !== peg$FAILED) {
+                                                          s12 = peg$parse__();
+                                                          if (s12 !== peg$FAILED) {
+                                                            if (input.substr(peg$currPos, 6) === peg$c39) {
+                                                              s13 = peg$c39;
+                                                              peg$currPos += 6;
+                                                            } else {
+                                                              s13 = peg$FAILED;
+                                                              if (peg$silentFails === 0) { peg$fail(peg$e40); }
+                                                            }
+                                                            if (s13 !== peg$FAILED) {
+                                                              s14 = peg$parse__();
+                                                              if (s14 !== peg$FAILED) {
+                                                                s15 = peg$parseduration();
+                                                                if (s15 !== peg$FAILED) {
+                                                                  peg$savedPos = s0;
+                                                                  s0 = peg$f18(s3, s7, s11, s15);
+                                                                } else {
+                                                                  peg$currPos = s0;
+                                                                  s0 = peg$FAILED;
+                                                                }
+                                                              } else {
+                                                                peg$currPos = s0;
+                                                                s0 = peg$FAILED;
+                                                              }
+                                                            } else {
+                                                              peg$currPos = s0;
+                                                              s0 = peg$FAILED;
+                                                            }
+                                                          } else {
+                                                            peg$currPos = s0;
+                                                            s0 = peg$FAILED;
+                                                          }
+                                                        } else {
+                                                          peg$currPos = s0;
+                                                          s0 = peg$FAILED;
+                                                        }
+                                                      } else {
+                                                        peg$currPos = s0;
+                                                        s0 = peg$FAILED;
+                                                      }
                                                     } else {
                                                       peg$currPos = s0;
                                                       s0 = peg$FAILED;
@@ -1366,60 +1480,44 @@
                                     }
                                     if (s0 === peg$FAILED) {
                                       s0 = peg$currPos;
-                                      if (input.substr(peg$currPos, 6) === peg$c37) {
-                                        s1 = peg$c37;
+                                      if (input.substr(peg$currPos, 6) === peg$c40) {
+                                        s1 = peg$c40;
                                         peg$currPos += 6;
                                       } else {
                                         s1 = peg$FAILED;
-                                        if (peg$silentFails === 0) { peg$fail(peg$e38); }
+                                        if (peg$silentFails === 0) { peg$fail(peg$e41); }
                                       }
                                       if (s1 !== peg$FAILED) {
                                         s2 = peg$parse__();
                                         if (s2 !== peg$FAILED) {
-                                          if (input.substr(peg$currPos, 8) === peg$c38) {
-                                            s3 = peg$c38;
-                                            peg$currPos += 8;
-                                          } else {
-                                            s3 = peg$FAILED;
-                                            if (peg$silentFails === 0) { peg$fail(peg$e39); }
-                                          }
+                                          s3 = peg$parsename();
                                           if (s3 !== peg$FAILED) {
                                             s4 = peg$parse__();
                                             if (s4 !== peg$FAILED) {
-                                              s5 = peg$parsename();
-                                              if (s5 !== peg$FAILED) {
-                                                s6 = peg$parse__();
-                                                if (s6 !== peg$FAILED) {
-                                                  if (input.substr(peg$currPos, 5) === peg$c39) {
-                                                    s7 = peg$c39;
-                                                    peg$currPos += 5;
-                                                  } else {
-                                                    s7 = peg$FAILED;
-                                                    if (peg$silentFails === 0) { peg$fail(peg$e40); }
-                                                  }
-                                                  if (s7 !== peg$FAILED) {
-                                                    s8 = peg$parse__();
-                                                    if (s8 !== peg$FAILED) {
-                                                      s9 = peg$parseinteger();
-                                                      if (s9 !== peg$FAILED) {
-                                                        peg$savedPos = s0;
-                                                        s0 = peg$f19(s5, s9);
-                                                      } else {
-                                                        peg$currPos = s0;
-                                                        s0 = peg$FAILED;
-                                                      }
-                                                    } else {
-                                                      peg$currPos = s0;
-                                                      s0 = peg$FAILED;
-                                                    }
-                                                  } else {
-                                                    peg$currPos = s0;
-                                                    s0 = peg$FAILED;
-                                                  }
+                                              s5 = peg$currPos;
+                                              s6 = [];
+                                              s7 = peg$parseoption();
+                                              while (s7 !== peg$FAILED) {
+                                                s6.push(s7);
+                                                s7 = peg$currPos;
+                                                s8 = '';
+                                                s8 = peg$parseoption();
+                                                if (s8 === peg$FAILED) {
+                                                  peg$currPos = s7;
+                                                  s7 = peg$FAILED;
                                                 } else {
-                                                  peg$currPos = s0;
-                                                  s0 = peg$FAILED;
+                                                  s7 = s8;
                                                 }
+                                              }
+                                              if (s6.length < 1) {
+                                                peg$currPos = s5;
+                                                s5 = peg$FAILED;
+                                              } else {
+                                                s5 = s6;
+                                              }
+                                              if (s5 !== peg$FAILED) {
+                                                peg$savedPos = s0;
+                                                s0 = peg$f19(s3, s5);
                                               } else {
                                                 peg$currPos = s0;
                                                 s0 = peg$FAILED;
@@ -1442,40 +1540,52 @@
                                       }
                                       if (s0 === peg$FAILED) {
                                         s0 = peg$currPos;
-                                        if (input.substr(peg$currPos, 6) === peg$c40) {
-                                          s1 = peg$c40;
-                                          peg$currPos += 6;
+                                        if (input.substr(peg$currPos, 4) === peg$c41) {
+                                          s1 = peg$c41;
+                                          peg$currPos += 4;
                                         } else {
                                           s1 = peg$FAILED;
-                                          if (peg$silentFails === 0) { peg$fail(peg$e41); }
+                                          if (peg$silentFails === 0) { peg$fail(peg$e42); }
                                         }
                                         if (s1 !== peg$FAILED) {
                                           s2 = peg$parse__();
                                           if (s2 !== peg$FAILED) {
-                                            if (input.substr(peg$currPos, 5) === peg$c41) {
-                                              s3 = peg$c41;
-                                              peg$currPos += 5;
+                                            if (input.substr(peg$currPos, 9) === peg$c42) {
+                                              s3 = peg$c42;
+                                              peg$currPos += 9;
                                             } else {
                                               s3 = peg$FAILED;
-                                              if (peg$silentFails === 0) { peg$fail(peg$e42); }
+                                              if (peg$silentFails === 0) { peg$fail(peg$e43); }
                                             }
                                             if (s3 !== peg$FAILED) {
                                               s4 = peg$parse__();
                                               if (s4 !== peg$FAILED) {
-                                                if (input.substr(peg$currPos, 6) === peg$c42) {
-                                                  s5 = peg$c42;
-                                                  peg$currPos += 6;
-                                                } else {
-                                                  s5 = peg$FAILED;
-                                                  if (peg$silentFails === 0) { peg$fail(peg$e43); }
-                                                }
+                                                s5 = peg$parseinteger();
                                                 if (s5 !== peg$FAILED) {
                                                   s6 = peg$parse__();
                                                   if (s6 !== peg$FAILED) {
-                                                    s7 = peg$parseduration();
+                                                    if (input.substr(peg$currPos, 7) === peg$c43) {
+                                                      s7 = peg$c43;
+                                                      peg$currPos += 7;
+                                                    } else {
+                                                      s7 = peg$FAILED;
+                                                      if (peg$silentFails === 0) { peg$fail(peg$e44); }
+                                                    }
                                                     if (s7 !== peg$FAILED) {
-                                                      peg$savedPos = s0;
-                                                      s0 = peg$f20(s7);
+                                                      s8 = peg$parse__();
+                                                      if (s8 !== peg$FAILED) {
+                                                        s9 = peg$parseinteger();
+                                                        if (s9 !== peg$FAILED) {
+                                                          peg$savedPos = s0;
+                                                          s0 = peg$f20(s5, s9);
+                                                        } else {
+                                                          peg$currPos = s0;
+                                                          s0 = peg$FAILED;
+                                                        }
+                                                      } else {
+                                                        peg$currPos = s0;
+                                                        s0 = peg$FAILED;
+                                                      }
                                                     } else {
                                                       peg$currPos = s0;
                                                       s0 = peg$FAILED;
@@ -1506,40 +1616,52 @@
                                         }
                                         if (s0 === peg$FAILED) {
                                           s0 = peg$currPos;
-                                          if (input.substr(peg$currPos, 6) === peg$c40) {
-                                            s1 = peg$c40;
+                                          if (input.substr(peg$currPos, 6) === peg$c44) {
+                                            s1 = peg$c44;
                                             peg$currPos += 6;
                                           } else {
                                             s1 = peg$FAILED;
-                                            if (peg$silentFails === 0) { peg$fail(peg$e41); }
+                                            if (peg$silentFails === 0) { peg$fail(peg$e45); }
                                           }
                                           if (s1 !== peg$FAILED) {
                                             s2 = peg$parse__();
                                             if (s2 !== peg$FAILED) {
-                                              if (input.substr(peg$currPos, 4) === peg$c43) {
-                                                s3 = peg$c43;
-                                                peg$currPos += 4;
+                                              if (input.substr(peg$currPos, 8) === peg$c45) {
+                                                s3 = peg$c45;
+                                                peg$currPos += 8;
                                               } else {
                                                 s3 = peg$FAILED;
-                                                if (peg$silentFails === 0) { peg$fail(peg$e44); }
+                                                if (peg$silentFails === 0) { peg$fail(peg$e46); }
                                               }
                                               if (s3 !== peg$FAILED) {
                                                 s4 = peg$parse__();
                                                 if (s4 !== peg$FAILED) {
-                                                  if (input.substr(peg$currPos, 6) === peg$c42) {
-                                                    s5 = peg$c42;
-                                                    peg$currPos += 6;
-                                                  } else {
-                                                    s5 = peg$FAILED;
-                                                    if (peg$silentFails === 0) { peg$fail(peg$e43); }
-                                                  }
+                                                  s5 = peg$parsename();
                                                   if (s5 !== peg$FAILED) {
                                                     s6 = peg$parse__();
                                                     if (s6 !== peg$FAILED) {
-                                                      s7 = peg$parseduration();
+                                                      if (input.substr(peg$currPos, 5) === peg$c46) {
+                                                        s7 = peg$c46;
+                                                        peg$currPos += 5;
+                                                      } else {
+                                                        s7 = peg$FAILED;
+                                                        if (peg$silentFails === 0) { peg$fail(peg$e47); }
+                                                      }
                                                       if (s7 !== peg$FAILED) {
-                                                        peg$savedPos = s0;
-                                                        s0 = peg$f21(s7);
+                                                        s8 = peg$parse__();
+                                                        if (s8 !== peg$FAILED) {
+                                                          s9 = peg$parseinteger();
+                                                          if (s9 !== peg$FAILED) {
+                                                            peg$savedPos = s0;
+                                                            s0 = peg$f21(s5, s9);
+                                                          } else {
+                                                            peg$currPos = s0;
+                                                            s0 = peg$FAILED;
+                                                          }
+                                                        } else {
+                                                          peg$currPos = s0;
+                                                          s0 = peg$FAILED;
+                                                        }
                                                       } else {
                                                         peg$currPos = s0;
                                                         s0 = peg$FAILED;
@@ -1570,52 +1692,40 @@
                                           }
                                           if (s0 === peg$FAILED) {
                                             s0 = peg$currPos;
-                                            if (input.substr(peg$currPos, 6) === peg$c40) {
-                                              s1 = peg$c40;
+                                            if (input.substr(peg$currPos, 6) === peg$c47) {
+                                              s1 = peg$c47;
                                               peg$currPos += 6;
                                             } else {
                                               s1 = peg$FAILED;
-                                              if (peg$silentFails === 0) { peg$fail(peg$e41); }
+                                              if (peg$silentFails === 0) { peg$fail(peg$e48); }
                                             }
                                             if (s1 !== peg$FAILED) {
                                               s2 = peg$parse__();
                                               if (s2 !== peg$FAILED) {
-                                                if (input.substr(peg$currPos, 7) === peg$c44) {
-                                                  s3 = peg$c44;
-                                                  peg$currPos += 7;
+                                                if (input.substr(peg$currPos, 5) === peg$c48) {
+                                                  s3 = peg$c48;
+                                                  peg$currPos += 5;
                                                 } else {
                                                   s3 = peg$FAILED;
-                                                  if (peg$silentFails === 0) { peg$fail(peg$e45); }
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e49); }
                                                 }
                                                 if (s3 !== peg$FAILED) {
                                                   s4 = peg$parse__();
                                                   if (s4 !== peg$FAILED) {
-                                                    s5 = peg$parseinteger();
+                                                    if (input.substr(peg$currPos, 6) === peg$c35) {
+                                                      s5 = peg$c35;
+                                                      peg$currPos += 6;
+                                                    } else {
+                                                      s5 = peg$FAILED;
+                                                      if (peg$silentFails === 0) { peg$fail(peg$e36); }
+                                                    }
                                                     if (s5 !== peg$FAILED) {
                                                       s6 = peg$parse__();
                                                       if (s6 !== peg$FAILED) {
-                                                        if (input.substr(peg$currPos, 6) === peg$c42) {
-                                                          s7 = peg$c42;
-                                                          peg$currPos += 6;
-                                                        } else {
-                                                          s7 = peg$FAILED;
-                                                          if (peg$silentFails === 0) { peg$fail(peg$e43); }
-                                                        }
+                                                        s7 = peg$parseduration();
                                                         if (s7 !== peg$FAILED) {
-                                                          s8 = peg$parse__();
-                                                          if (s8 !== peg$FAILED) {
-                                                            s9 = peg$parseduration();
-                                                            if (s9 !== peg$FAILED) {
-                                                              peg$savedPos = s0;
-                                                              s0 = peg$f22(s5, s9);
-                                                            } else {
-                                                              peg$currPos = s0;
-                                                              s0 = peg$FAILED;
-                                                            }
-                                                          } else {
-                                                            peg$currPos = s0;
-                                                            s0 = peg$FAILED;
-                                                          }
+                                                          peg$savedPos = s0;
+                                                          s0 = peg$f22(s7);
                                                         } else {
                                                           peg$currPos = s0;
                                                           s0 = peg$FAILED;
@@ -1646,20 +1756,56 @@
                                             }
                                             if (s0 === peg$FAILED) {
                                               s0 = peg$currPos;
-                                              if (input.substr(peg$currPos, 5) === peg$c45) {
-                                                s1 = peg$c45;
-                                                peg$currPos += 5;
+                                              if (input.substr(peg$currPos, 6) === peg$c47) {
+                                                s1 = peg$c47;
+                                                peg$currPos += 6;
                                               } else {
                                                 s1 = peg$FAILED;
-                                                if (peg$silentFails === 0) { peg$fail(peg$e46); }
+                                                if (peg$silentFails === 0) { peg$fail(peg$e48); }
                                               }
                                               if (s1 !== peg$FAILED) {
                                                 s2 = peg$parse__();
                                                 if (s2 !== peg$FAILED) {
-                                                  s3 = peg$parsenames();
+                                                  if (input.substr(peg$currPos, 4) === peg$c49) {
+                                                    s3 = peg$c49;
+                                                    peg$currPos += 4;
+                                                  } else {
+                                                    s3 = peg$FAILED;
+                                                    if (peg$silentFails === 0) { peg$fail(peg$e50); }
+                                                  }
                                                   if (s3 !== peg$FAILED) {
-                                                    peg$savedPos = s0;
-                                                    s0 = peg$f23(s3);
+                                                    s4 = peg$parse__();
+                                                    if (s4 !== peg$FAILED) {
+                                                      if (input.substr(peg$currPos, 6) === peg$c35) {
+                                                        s5 = peg$c35;
+                                                        peg$currPos += 6;
+                                                      } else {
+                                                        s5 = peg$FAILED;
+                                                        if (peg$silentFails === 0) { peg$fail(peg$e36); }
+                                                      }
+                                                      if (s5 !== peg$FAILED) {
+                                                        s6 = peg$parse__();
+                                                        if (s6 !== peg$FAILED) {
+                                                          s7 = peg$parseduration();
+                                                          if (s7 !== peg$FAILED) {
+                                                            peg$savedPos = s0;
+                                                            s0 = peg$f23(s7);
+                                                          } else {
+                                                            peg$currPos = s0;
+                                                            s0 = peg$FAILED;
+                                                          }
+                                                        } else {
+                                                          peg$currPos = s0;
+                                                          s0 = peg$FAILED;
+                                                        }
+                                                      } else {
+                                                        peg$currPos = s0;
+                                                        s0 = peg$FAILED;
+                                                      }
+                                                    } else {
+                                                      peg$currPos = s0;
+                                                      s0 = peg$FAILED;
+                                                    }
                                                   } else {
                                                     peg$currPos = s0;
                                                     s0 = peg$FAILED;
@@ -1672,6 +1818,112 @@
                                                 peg$currPos = s0;
                                                 s0 = peg$FAILED;
                                               }
+                                              if (s0 === peg$FAILED) {
+                                                s0 = peg$currPos;
+                                                if (input.substr(peg$currPos, 6) === peg$c47) {
+                                                  s1 = peg$c47;
+                                                  peg$currPos += 6;
+                                                } else {
+                                                  s1 = peg$FAILED;
+                                                  if (peg$silentFails === 0) { peg$fail(peg$e48); }
+                                                }
+                                                if (s1 !== peg$FAILED) {
+                                                  s2 = peg$parse__();
+                                                  if (s2 !== peg$FAILED) {
+                                                    if (input.substr(peg$currPos, 7) === peg$c50) {
+                                                      s3 = peg$c50;
+                                                      peg$currPos += 7;
+                                                    } else {
+                                                      s3 = peg$FAILED;
+                                                      if (peg$silentFails === 0) { peg$fail(peg$e51); }
+                                                    }
+                                                    if (s3 !== peg$FAILED) {
+                                                      s4 = peg$parse__();
+                                                      if (s4 !== peg$FAILED) {
+                                                        s5 = peg$parseinteger();
+                                                        if (s5 !== peg$FAILED) {
+                                                          s6 = peg$parse__();
+                                                          if (s6 !== peg$FAILED) {
+                                                            if (input.substr(peg$currPos, 6) === peg$c35) {
+                                                              s7 = peg$c35;
+                                                              peg$currPos += 6;
+                                                            } else {
+                                                              s7 = peg$FAILED;
+                                                              if (peg$silentFails === 0) { peg$fail(peg$e36); }
+                                                            }
+                                                            if (s7 !== peg$FAILED) {
+                                                              s8 = peg$parse__();
+                                                              if (s8 !== peg$FAILED) {
+                                                                s9 = peg$parseduration();
+                                                                if (s9 !== peg$FAILED) {
+                                                                  peg$savedPos = s0;
+                                                                  s0 = peg$f24(s5, s9);
+                                                                } else {
+                                                                  peg$currPos = s0;
+                                                                  s0 = peg$FAILED;
+                                                                }
+                                                              } else {
+                                                                peg$currPos = s0;
+                                                                s0 = peg$FAILED;
+                                                              }
+                                                            } else {
+                                                              peg$currPos = s0;
+                                                              s0 = peg$FAILED;
+                                                            }
+                                                          } else {
+                                                            peg$currPos = s0;
+                                                            s0 = peg$FAILED;
+                                                          }
+                                                        } else {
+                                                          peg$currPos = s0;
+                                                          s0 = peg$FAILED;
+                                                        }
+                                                      } else {
+                                                        peg$currPos = s0;
+                                                        s0 = peg$FAILED;
+                                                      }
+                                                    } else {
+                                                      peg$currPos = s0;
+                                                      s0 = peg$FAILED;
+                                                    }
+                                                  } else {
+                                                    peg$currPos = s0;
+                                                    s0 = peg$FAILED;
+                                                  }
+                                                } else {
+                                                  peg$currPos = s0;
+                                                  s0 = peg$FAILED;
+                                                }
+                                                if (s0 === peg$FAILED) {
+                                                  s0 = peg$currPos;
+                                                  if (input.substr(peg$currPos, 5) === peg$c51) {
+                                                    s1 = peg$c51;
+                                                    peg$currPos += 5;
+                                                  } else {
+                                                    s1 = peg$FAILED;
+                                                    if (peg$silentFails === 0) { peg$fail(peg$e52); }
+                                                  }
+                                                  if (s1 !== peg$FAILED) {
+                                                    s2 = peg$parse__();
+                                                    if (s2 !== peg$FAILED) {
+                                                      s3 = peg$parsenames();
+                                                      if (s3 !== peg$FAILED) {
+                                                        peg$savedPos = s0;
+                                                        s0 = peg$f25(s3);
+                                                      } else {
+                                                        peg$currPos = s0;
+                                                        s0 = peg$FAILED;
+                                                      }
+                                                    } else {
+                                                      peg$currPos = s0;
+                                                      s0 = peg$FAILED;
+                                                    }
+                                                  } else {
+                                                    peg$currPos = s0;
+                                                    s0 = peg$FAILED;
+                                                  }
+                                                }
+                                              }
                                             }
                                           }
                                         }
@@ -1709,7 +1961,7 @@
       peg$currPos++;
     } else {
       s4 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e47); }
+      if (peg$silentFails === 0) { peg$fail(peg$e53); }
     }
     if (s4 !== peg$FAILED) {
       while (s4 !== peg$FAILED) {
@@ -1719,7 +1971,7 @@
           peg$currPos++;
         } else {
           s4 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e47); }
+          if (peg$silentFails === 0) { peg$fail(peg$e53); }
         }
       }
     } else {
@@ -1732,11 +1984,11 @@
     }
     if (s2 !== peg$FAILED) {
       if (input.charCodeAt(peg$currPos) === 61) {
-        s3 = peg$c46;
+        s3 = peg$c52;
         peg$currPos++;
       } else {
         s3 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e48); }
+        if (peg$silentFails === 0) { peg$fail(peg$e54); }
       }
       if (s3 !== peg$FAILED) {
         s4 = peg$currPos;
@@ -1746,7 +1998,7 @@
           peg$currPos++;
         } else {
           s6 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e49); }
+          if (peg$silentFails === 0) { peg$fail(peg$e55); }
         }
         if (s6 !== peg$FAILED) {
           while (s6 !== peg$FAILED) {
@@ -1756,7 +2008,7 @@
               peg$currPos++;
             } else {
               s6 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e49); }
+              if (peg$silentFails === 0) { peg$fail(peg$e55); }
             }
           }
         } else {
@@ -1770,7 +2022,7 @@
         if (s4 !== peg$FAILED) {
           s5 = peg$parse_();
           peg$savedPos = s0;
-          s0 = peg$f24(s2, s4);
+          s0 = peg$f26(s2, s4);
         } else {
           peg$currPos = s0;
           s0 = peg$FAILED;
@@ -1791,26 +2043,26 @@
     let s0, s1, s2, s3;
 
     s0 = peg$currPos;
-    if (input.substr(peg$currPos, 6) === peg$c47) {
-      s1 = peg$c47;
+    if (input.substr(peg$currPos, 6) === peg$c53) {
+      s1 = peg$c53;
       peg$currPos += 6;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e50); }
+      if (peg$silentFails === 0) { peg$fail(peg$e56); }
     }
     if (s1 !== peg$FAILED) {
       peg$savedPos = s0;
-      s1 = peg$f25();
+      s1 = peg$f27();
     }
     s0 = s1;
     if (s0 === peg$FAILED) {
       s0 = peg$currPos;
-      if (input.substr(peg$currPos, 3) === peg$c48) {
-        s1 = peg$c48;
+      if (input.substr(peg$currPos, 3) === peg$c54) {
+        s1 = peg$c54;
         peg$currPos += 3;
       } else {
         s1 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e51); }
+        if (peg$silentFails === 0) { peg$fail(peg$e57); }
       }
       if (s1 !== peg$FAILED) {
         s2 = peg$parse__();
@@ -1824,7 +2076,7 @@
           }
           if (s3 !== peg$FAILED) {
             peg$savedPos = s0;
-            s0 = peg$f26();
+            s0 = peg$f28();
           } else {
             peg$currPos = s0;
             s0 = peg$FAILED;
@@ -1839,12 +2091,12 @@
       }
       if (s0 === peg$FAILED) {
         s0 = peg$currPos;
-        if (input.substr(peg$currPos, 3) === peg$c48) {
-          s1 = peg$c48;
+        if (input.substr(peg$currPos, 3) === peg$c54) {
+          s1 = peg$c54;
           peg$currPos += 3;
         } else {
           s1 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e51); }
+          if (peg$silentFails === 0) { peg$fail(peg$e57); }
         }
         if (s1 !== peg$FAILED) {
           s2 = peg$parse__();
@@ -1858,7 +2110,7 @@
             }
             if (s3 !== peg$FAILED) {
               peg$savedPos = s0;
-              s0 = peg$f27();
+              s0 = peg$f29();
             } else {
               peg$currPos = s0;
               s0 = peg$FAILED;
@@ -1886,7 +2138,7 @@
               s3 = peg$parseinteger();
               if (s3 !== peg$FAILED) {
                 peg$savedPos = s0;
-                s0 = peg$f28(s3);
+                s0 = peg$f30(s3);
               } else {
                 peg$currPos = s0;
                 s0 = peg$FAILED;
@@ -1901,12 +2153,12 @@
           }
           if (s0 === peg$FAILED) {
             s0 = peg$currPos;
-            if (input.substr(peg$currPos, 5) === peg$c49) {
-              s1 = peg$c49;
+            if (input.substr(peg$currPos, 5) === peg$c55) {
+              s1 = peg$c55;
               peg$currPos += 5;
             } else {
               s1 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e52); }
+              if (peg$silentFails === 0) { peg$fail(peg$e58); }
             }
             if (s1 !== peg$FAILED) {
               s2 = peg$parse__();
@@ -1914,7 +2166,7 @@
                 s3 = peg$parseinteger();
                 if (s3 !== peg$FAILED) {
                   peg$savedPos = s0;
-                  s0 = peg$f29(s3);
+                  s0 = peg$f31(s3);
                 } else {
                   peg$currPos = s0;
                   s0 = peg$FAILED;
@@ -1977,7 +2229,7 @@
       peg$currPos++;
     } else {
       s2 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e53); }
+      if (peg$silentFails === 0) { peg$fail(peg$e59); }
     }
     if (s2 !== peg$FAILED) {
       while (s2 !== peg$FAILED) {
@@ -1987,7 +2239,7 @@
           peg$currPos++;
         } else {
           s2 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e53); }
+          if (peg$silentFails === 0) { peg$fail(peg$e59); }
         }
       }
     } else {
@@ -2013,7 +2265,7 @@
       peg$currPos++;
     } else {
       s3 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e54); }
+      if (peg$silentFails === 0) { peg$fail(peg$e60); }
     }
     if (s3 !== peg$FAILED) {
       while (s3 !== peg$FAILED) {
@@ -2023,7 +2275,7 @@
           peg$currPos++;
         } else {
           s3 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e54); }
+          if (peg$silentFails === 0) { peg$fail(peg$e60); }
         }
       }
     } else {
@@ -2036,7 +2288,7 @@
     }
     if (s1 !== peg$FAILED) {
       peg$savedPos = s0;
-      s1 = peg$f30(s1);
+      s1 = peg$f32(s1);
     }
     s0 = s1;
 
@@ -2055,7 +2307,7 @@
       peg$currPos++;
     } else {
       s4 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e54); }
+      if (peg$silentFails === 0) { peg$fail(peg$e60); }
     }
     if (s4 !== peg$FAILED) {
       while (s4 !== peg$FAILED) {
@@ -2065,7 +2317,7 @@
           peg$currPos++;
         } else {
           s4 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e54); }
+          if (peg$silentFails === 0) { peg$fail(peg$e60); }
         }
       }
     } else {
@@ -2074,11 +2326,11 @@
     if (s3 !== peg$FAILED) {
       s4 = peg$currPos;
       if (input.charCodeAt(peg$currPos) === 46) {
-        s5 = peg$c50;
+        s5 = peg$c56;
         peg$currPos++;
       } else {
         s5 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e55); }
+        if (peg$silentFails === 0) { peg$fail(peg$e61); }
       }
       if (s5 !== peg$FAILED) {
         s6 = [];
@@ -2087,7 +2339,7 @@
           peg$currPos++;
         } else {
           s7 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e54); }
+          if (peg$silentFails === 0) { peg$fail(peg$e60); }
         }
         if (s7 !== peg$FAILED) {
           while (s7 !== peg$FAILED) {
@@ -2097,7 +2349,7 @@
               peg$currPos++;
             } else {
               s7 = peg$FAILED;
-              if (peg$silentFails === 0) { peg$fail(peg$e54); }
+              if (peg$silentFails === 0) { peg$fail(peg$e60); }
             }
           }
         } else {
@@ -2129,25 +2381,25 @@
       s1 = s2;
     }
     if (s1 !== peg$FAILED) {
-      if (input.substr(peg$currPos, 2) === peg$c51) {
-        s2 = peg$c51;
+      if (input.substr(peg$currPos, 2) === peg$c57) {
+        s2 = peg$c57;
         peg$currPos += 2;
       } else {
         s2 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e56); }
+        if (peg$silentFails === 0) { peg$fail(peg$e62); }
       }
       if (s2 === peg$FAILED) {
         if (input.charCodeAt(peg$currPos) === 115) {
-          s2 = peg$c52;
+          s2 = peg$c58;
           peg$currPos++;
         } else {
           s2 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e57); }
+          if (peg$silentFails === 0) { peg$fail(peg$e63); }
         }
       }
       if (s2 !== peg$FAILED) {
         peg$savedPos = s0;
-        s0 = peg$f31(s1, s2);
+        s0 = peg$f33(s1, s2);
       } else {
         peg$currPos = s0;
         s0 = peg$FAILED;
@@ -2169,7 +2421,7 @@
       peg$currPos++;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e58); }
+      if (peg$silentFails === 0) { peg$fail(peg$e64); }
     }
     while (s1 !== peg$FAILED) {
       s0.push(s1);
@@ -2178,7 +2430,7 @@
         peg$currPos++;
       } else {
         s1 = peg$FAILED;
-        if (peg$silentFails === 0) { peg$fail(peg$e58); }
+        if (peg$silentFails === 0) { peg$fail(peg$e64); }
       }
     }
 
@@ -2194,7 +2446,7 @@
       peg$currPos++;
     } else {
       s1 = peg$FAILED;
-      if (peg$silentFails === 0) { peg$fail(peg$e58); }
+      if (peg$silentFails === 0) { peg$fail(peg$e64); }
     }
     if (s1 !== peg$FAILED) {
       while (s1 !== peg$FAILED) {
@@ -2204,7 +2456,7 @@
           peg$currPos++;
         } else {
           s1 = peg$FAILED;
-          if (peg$silentFails === 0) { peg$fail(peg$e58); }
+          if (peg$silentFails === 0) { peg$fail(peg$e64); }
         }
       }
     } else {
--- a/scenario/grammar.peggy
+++ b/scenario/grammar.peggy
@@ -27,6 +27,8 @@
 	/ "heal" { return {kind: "heal"}; }
 	/ "zone" __ action:("out" / "in") __ zone:name { return {kind: "zone", action, zone}; }
 	/ "server" __ verb:("leave" / "crash" / "restart" / "drain") __ server:name { return {kind: "server", verb, server}; }
+	/ "withdraw" __ service:name __ "servers" __ number:integer __ "within" __ spreadMilliseconds:duration __ "stay" __ stayMilliseconds:duration { return {kind: "withdraw", service, number, spreadMilliseconds, stayMilliseconds}; }
+	/ "pause" __ service:name __ "servers" __ number:integer __ "for" __ milliseconds:duration __ "during" __ totalMilliseconds:duration { return {kind: "pause", service, number, milliseconds, totalMilliseconds}; }
 	/ "change" __ server:name __ options:option|1.., ""| { return {kind: "change", server, options}; }
 	/ "race" __ "operators" __ operators:integer __ "changes" __ changes:integer { return {kind: "race", operators, changes}; }
 	/ "resend" __ "crashing" __ service:name __ "times" __ times:integer { return {kind: "resendCrashing", service, times}; }
--- a/scenario/history.test.ts
+++ b/scenario/history.test.ts
@@ -47,6 +47,16 @@
 	test('no-errors finds an attempt that failed', () => {
 		doTest('no-errors', {callerAttempts: [{...attempt, outcome: 'unknown'}]});
 	});
+	test('leaving finds a request that was sent after the entry had passed on that the server leaves', () => {
+		doTest('leaving', {
+			callerAttempts: [attempt, {...attempt, sendId: 'k/2', sentAt: 1021}],
+			requestRecords: [{...record, withdrawal: {kind: 'leaving'}}, {...record, sendId: 'k/2', startedAt: 1022}],
+		});
+	});
+	test('retry-after finds three requests in a pause that the server asked for', () => {
+		const inPause = [2000, 2100, 2200].map(startedAt => ({...record, startedAt, endedAt: startedAt}));
+		doTest('retry-after', {requestRecords: [{...record, outcome: 'shed', withdrawal: {kind: 'pause', milliseconds: 3000}}, ...inPause]});
+	});
 	test('served finds that no more than half of the attempts were answered', () => {
 		doTest('served', {callerAttempts: [attempt, {...attempt, outcome: 'notRun'}]});
 	});
--- a/scenario/history.ts
+++ b/scenario/history.ts
@@ -1,5 +1,6 @@
 /** The history that a scenario records, and the checks that find violations in it. */
 import {type RequestRecord} from '../stand-in/index.js';
+import {checkLeaving, checkPauses} from './stated-withdrawals.js';
 
 /** One attempt by a caller to send a request. A retry of the request is a further attempt. */
 export type CallerAttempt = {
@@ -78,6 +79,8 @@
 	probes: checkProbeRate,
 	configuration: checkConfiguration,
 	served: checkAnsweredShare,
+	leaving: checkLeaving,
+	'retry-after': checkPauses,
 };
 
 /** Finds idempotency keys whose request servers began to run more than once. */
--- a/scenario/runner.ts
+++ b/scenario/runner.ts
@@ -17,6 +17,7 @@
 import {createReadinessMonitor} from './readiness-monitor.js';
 import {createServerController} from './server-controller.js';
 import {type Statement} from './statement.js';
+import {createWithdrawals} from './withdrawals.js';
 
 /** Time without a message from a replica after which it counts as unresponsive, in milliseconds. */
 const maximumSilenceMilliseconds = 300;
@@ -80,6 +81,7 @@
 		},
 	});
 
+	const withdrawals = createWithdrawals(serverController.getServers);
 	const processController = createProcessController({
 		getCluster: getClusterOrThrow,
 		isReady: readinessMonitor.isReady,
@@ -270,6 +272,16 @@
 				return;
 			}
 
+			case 'withdraw': {
+				await withdrawals.withdraw(statement);
+				return;
+			}
+
+			case 'pause': {
+				await withdrawals.pause(statement);
+				return;
+			}
+
 			case 'change': {
 				serverController.getOrThrow(statement.server).updateBehaviour(parseBehaviour(statement.options));
 				return;
--- a/scenario/scenario.test.ts
+++ b/scenario/scenario.test.ts
@@ -25,6 +25,7 @@
 		'rolling',
 		'servers',
 		'spared-warm',
+		'withdrawals',
 	]) {
 		test(`runs ${name} without violations`, async () => doTest(name));
 	}
--- a/scenario/server-controller.ts
+++ b/scenario/server-controller.ts
@@ -14,6 +14,8 @@
 	start(services: readonly ServiceDefinition[], zones: readonly string[], seed: number): Promise<void>;
 	run(statement: Extract<Statement, {readonly kind: 'server'}>): Promise<void>;
 	getOrThrow(name: string): StandIn;
+	/** Gets the servers of a service, in the order of their numbers. */
+	getServers(service: string): readonly StandIn[];
 	getCount(): number;
 	stop(): Promise<void>;
 };
@@ -43,6 +45,10 @@
 		return server;
 	}
 
+	function getService(server: StandIn): string {
+		return server.name.replace(/-\d+$/v, '');
+	}
+
 	function recordDeparture(server: string, acceptedAt: number): void {
 		options.recordDeparture({
 			zone: undefined, server, acceptedAt, returnedAt: Number.POSITIVE_INFINITY,
@@ -51,8 +57,7 @@
 
 	/** Drains a server through the operators' API. */
 	async function drain(server: StandIn): Promise<void> {
-		const service = server.name.replace(/-\d+$/v, '');
-		await getCluster().callApi('POST', '/v1/servers/drain', {key: `${service}/${server.name}`});
+		await getCluster().callApi('POST', '/v1/servers/drain', {key: `${getService(server)}/${server.name}`});
 		recordDeparture(server.name, Date.now());
 	}
 
@@ -103,6 +108,7 @@
 			}
 		},
 		getOrThrow,
+		getServers: service => [...servers.values()].filter(server => getService(server) === service),
 		getCount: () => servers.size,
 		async stop() {
 			await Promise.all([...servers.values()].map(async server => server.stop()));
--- a/scenario/statement.ts
+++ b/scenario/statement.ts
@@ -30,6 +30,10 @@
 	| {readonly kind: 'zone'; readonly action: 'out' | 'in'; readonly zone: string}
 	| {readonly kind: 'server'; readonly verb: 'leave' | 'crash' | 'restart' | 'drain'; readonly server: string}
 	| {readonly kind: 'change'; readonly server: string; readonly options: readonly Option[]}
+	/** The first `number` servers of a service state one after the other, within `spreadMilliseconds`, that they leave, and go `stayMilliseconds` later. */
+	| {readonly kind: 'withdraw'; readonly service: string; readonly number: number; readonly spreadMilliseconds: number; readonly stayMilliseconds: number}
+	/** For `totalMilliseconds`, `number` servers of a service at a time, in turn, refuse requests and ask for a pause of `milliseconds`. */
+	| {readonly kind: 'pause'; readonly service: string; readonly number: number; readonly milliseconds: number; readonly totalMilliseconds: number}
 	| {readonly kind: 'race'; readonly operators: number; readonly changes: number}
 	| {readonly kind: 'resendCrashing'; readonly service: string; readonly times: number}
 	| {readonly kind: 'check'; readonly checks: readonly string[]}
--- a/stand-in/behaviour.ts
+++ b/stand-in/behaviour.ts
@@ -25,6 +25,10 @@
 	readonly isCold: boolean;
 	/** Whether the server reports that it is leaving. */
 	readonly isLeaving: boolean;
+	/** Whether the server states that it leaves in its responses only, not in its announcements. */
+	readonly statesLeaving: boolean;
+	/** Pause that the server asks for while it refuses all requests; 0 if it serves them. */
+	readonly pauseMilliseconds: number;
 	/** Load that the server reports, or undefined to report its actual load. */
 	readonly reportedLoad: number | undefined;
 	/** Whether the server responds to health probes with status 200. */
@@ -54,6 +58,8 @@
 	requestsPerColdSlot: 10,
 	isCold: false,
 	isLeaving: false,
+	statesLeaving: false,
+	pauseMilliseconds: 0,
 	reportedLoad: undefined,
 	isHealthy: true,
 	crashesOnMarker: true,
--- a/stand-in/request-record.ts
+++ b/stand-in/request-record.ts
@@ -20,6 +20,9 @@
  */
 export type RequestOutcome = 'ran' | 'shed' | 'cancelled' | 'failed' | 'crashed' | 'cut' | 'probe';
 
+/** Withdrawal that a server states in a response: that it leaves, or that it wants no requests for a while. */
+export type StatedWithdrawal = {readonly kind: 'leaving'} | {readonly kind: 'pause'; readonly milliseconds: number};
+
 /** Record of one request or probe at a server. */
 export type RequestRecord = {
 	readonly server: string;
@@ -45,6 +48,8 @@
 	/** Whether the server was cold when this request arrived. */
 	readonly isCold: boolean;
 	readonly outcome: RequestOutcome;
+	/** Withdrawal that the response states, if any. */
+	readonly withdrawal?: StatedWithdrawal;
 };
 
 /**
--- a/stand-in/responses.ts
+++ b/stand-in/responses.ts
@@ -5,6 +5,7 @@
 import {digestHeader, getHeader, tokenHeader} from './request-record.js';
 
 const unsolicitedResponseDelayMilliseconds = 3;
+const millisecondsPerSecond = 1000;
 const requestIdHeader = 'guavadeck-request-id';
 
 /** State and load that a server reports in the headers of a response. */
@@ -49,14 +50,16 @@
  * @param exchange - Request and response.
  * @param state - State of the server.
  * @param isDeclaredNotRun - Whether the response declares in a header that the request has not run.
+ * @param pauseMilliseconds - Time for which the server wants no further requests, 0 for none.
  */
-export function sendShedResponse({request, response}: Exchange, state: StatusReport['state'], isDeclaredNotRun: boolean): void {
+export function sendShedResponse({request, response}: Exchange, state: StatusReport['state'], isDeclaredNotRun: boolean, pauseMilliseconds: number): void {
 	request.resume();
 	response.writeHead(503, {
 		'content-length': 0,
 		'guavadeck-state': state,
 		[requestIdHeader]: getHeader(request, requestIdHeader) ?? '',
 		...(isDeclaredNotRun ? {'guavadeck-verdict': 'not-run'} : {}),
+		...(pauseMilliseconds > 0 ? {'retry-after': String(pauseMilliseconds / millisecondsPerSecond)} : {}),
 	});
 	response.end();
 }
--- a/stand-in/server.ts
+++ b/stand-in/server.ts
@@ -12,7 +12,7 @@
 import {startAnnouncer} from './announcer.js';
 import {sampleServiceTime, defaultBehaviour, type Behaviour} from './behaviour.js';
 import {
-	crashHeader, getHeader, sendIdHeader, tokenHeader, type RequestRecord, type RequestOutcome,
+	crashHeader, getHeader, sendIdHeader, tokenHeader, type RequestRecord, type RequestOutcome, type StatedWithdrawal,
 } from './request-record.js';
 import {
 	sendCompleteResponse, sendShedResponse, sendTruncatedResponse, sendUnsolicitedResponse, type StatusReport,
@@ -149,11 +149,12 @@
 				capacity,
 				isCold,
 				outcome,
+				withdrawal: getStatedWithdrawal(outcome),
 			});
 		}
 
 		if (shouldShed(inFlight, capacity)) {
-			sendShedResponse({request, response}, getState(), behaviour.declaresSheds);
+			sendShedResponse({request, response}, getStatusReport().state, behaviour.declaresSheds, behaviour.pauseMilliseconds);
 			recordOutcome('shed');
 			return;
 		}
@@ -168,8 +169,12 @@
 		receiveRequest(request, response, recordOutcome);
 	}
 
-	/** Checks whether a request exceeds the capacity and the queue; a cold server does not queue. */
+	/** Checks whether the server pauses, or a request exceeds the capacity and the queue; a cold server does not queue. */
 	function shouldShed(inFlight: number, capacity: number): boolean {
+		if (behaviour.pauseMilliseconds > 0) {
+			return true;
+		}
+
 		return behaviour.isCold ? inFlight > capacity : inFlight > capacity + behaviour.queueLength;
 	}
 
@@ -266,7 +271,16 @@
 	}
 
 	function getStatusReport(): StatusReport {
-		return {state: getState(), load: getLoad()};
+		return {state: behaviour.statesLeaving ? 'leaving' : getState(), load: getLoad()};
+	}
+
+	/** Gets the withdrawal that the response to a request with an outcome states now; only a refusal asks for a pause. */
+	function getStatedWithdrawal(outcome: RequestOutcome): StatedWithdrawal | undefined {
+		if (outcome === 'shed' && behaviour.pauseMilliseconds > 0) {
+			return {kind: 'pause', milliseconds: behaviour.pauseMilliseconds};
+		}
+
+		return getStatusReport().state === 'leaving' ? {kind: 'leaving'} : undefined;
 	}
 
 	function getState(): 'cold' | 'warm' | 'leaving' {
@@ -324,7 +338,9 @@
 		crash,
 		async restart() {
 			bootId = randomUUID();
-			behaviour = {...behaviour, isCold: true, isLeaving: false};
+			behaviour = {
+				...behaviour, isCold: true, isLeaving: false, statesLeaving: false,
+			};
 			slots.restartColdStart();
 			server = createHttpServer();
 			await listen();
