Refuse a waiting request when its wait ends, not at the next housekeeping

Cause: a request may wait for a server for an eighth of its target latency. When that had passed it was refused only when another request ended, or by the housekeeping every 50 ms. While all servers pause no request ends, so those that waited for the end of the first pause were refused up to 49 ms late.

Ruled out: refusing them at once. The first pause ends within their wait, and some are served then.

Change: a timer of the waiting request, and of no other, ends its wait.

The new expectation of withdrawal.test.ts failed before.

--- a/source/entry/request-dispatch.ts
+++ b/source/entry/request-dispatch.ts
@@ -38,6 +38,9 @@
 /** Share of the target latency for which a request may wait for a server; after a longer wait it is unlikely to meet the target. */
 const maximumWaitTargetShare = 0.125;
 
+/** Margin by which a timer may fire before its time. */
+const timerMarginMilliseconds = 1;
+
 /** Maximum number of unreachable servers that do not count as attempts of a request. */
 const maximumUnreachedServers = 4;
 
@@ -85,6 +88,7 @@
 	let unreachedServers = 0;
 	let withheldResponse: Exclude<AttemptOutcome, {readonly kind: 'failed'}> | undefined;
 	let hedgeTimer: NodeJS.Timeout | undefined;
+	let waitTimer: NodeJS.Timeout | undefined;
 	let isSettled = false;
 	let hasDispatched = false;
 	let mayEarlierAttemptHaveRun = false;
@@ -113,6 +117,7 @@
 
 		isSettled = true;
 		clearTimeout(hedgeTimer);
+		clearTimeout(waitTimer);
 		selector.cancel();
 		return true;
 	}
@@ -440,6 +445,8 @@
 			return false;
 		}
 
+		clearTimeout(waitTimer);
+
 		selector.select(candidate => {
 			protect(() => {
 				if (candidate === undefined) {
@@ -469,7 +476,14 @@
 		}, now);
 		if (!isQueued) {
 			refuse(notRun(state.getCandidates().length > 0 ? 'overload' : 'no-server'));
+			return;
 		}
+
+		waitTimer = setTimeout(() => {
+			protect(() => {
+				state.queue.expire(performance.now());
+			});
+		}, Math.ceil(waitDeadlineAt - now) + timerMarginMilliseconds);
 	}
 
 	response.once('close', () => {
--- a/stand-in/model/withdrawal.test.ts
+++ b/stand-in/model/withdrawal.test.ts
@@ -15,6 +15,9 @@
 /** Time in which a request must be refused that no server takes, as the entry knows. */
 const refusalLimitMilliseconds = 20;
 
+/** Time in which any other request is refused: an eighth of its target latency, in which a pause may end, and the time of its attempts. */
+const waitLimitMilliseconds = 32;
+
 function createWithdrawals(getWithdrawals: (index: number) => readonly Withdrawal[]): ReadonlyArray<readonly Withdrawal[]> {
 	return Array.from({length: upstreamCount}, (_, index) => getWithdrawals(index));
 }
@@ -71,6 +74,7 @@
 	});
 	test('all servers pause: requests are refused at once, until the first pause ends', async () => {
 		const result = await simulate(commonPause, 1);
+		expect(result.refusalMilliseconds <= waitLimitMilliseconds).toEqual(true);
 		expect([result.knownRefusals > 1000, result.knownRefusalMilliseconds < refusalLimitMilliseconds, result.earlyReturns]).toEqual([true, true, 0]);
 	});
 	test('servers pause while requests wait for connections: none gets requests beyond the rule', async () => {
