--- a/scenario/runner.ts
+++ b/scenario/runner.ts
@@ -18,6 +18,7 @@
 } from './recording.js';
 import {createServerController} from './server-controller.js';
 import {type Statement} from './statement.js';
+import {createWithdrawals} from './withdrawals.js';
 
 /** Deadline of the requests to every service, in milliseconds. */
 const requestDeadlineMilliseconds = 5000;
@@ -62,6 +63,7 @@
 		},
 	});
 
+	const withdrawals = createWithdrawals(serverController.getServers);
 	const processController = createProcessController({
 		getCluster: getClusterOrThrow,
 		isReady: readinessMonitor.isReady,
@@ -216,6 +218,16 @@
 				return;
 			}
 
+			case 'withdraw': {
+				await withdrawals.withdraw(statement);
+				return;
+			}
+
+			case 'pause': {
+				await withdrawals.pause(statement);
+				return;
+			}
+
 			case 'change': {
 				serverController.getOrThrow(statement.server).updateBehaviour(parseBehaviour(statement.options));
 				return;
--- a/source/entry/placement/first-attempt.ts
+++ b/source/entry/placement/first-attempt.ts
@@ -8,6 +8,9 @@
 /** Share of the target latency for which a request may wait for a server; after a longer wait it is unlikely to meet the target. */
 const maximumWaitTargetShare = 0.125;
 
+/** Margin by which a timer may fire before its time. */
+const timerMarginMilliseconds = 1;
+
 /**
  * Starts the first attempt, or puts the request into the queue while no server is available or other requests wait.
  * @param progress - Progress of the request.
@@ -26,6 +29,7 @@
 		return false;
 	}
 
+	clearTimeout(progress.waitTimer);
 	selector.select(candidate => {
 		protect(progress, () => {
 			if (candidate === undefined) {
@@ -58,5 +62,12 @@
 	}, now);
 	if (!isQueued) {
 		refuse(progress, notRun(state.getCandidates().length > 0 ? 'overload' : 'no-server'));
+		return;
 	}
+
+	progress.waitTimer = setTimeout(() => {
+		protect(progress, () => {
+			state.queue.expire(performance.now());
+		});
+	}, Math.ceil(waitDeadlineAt - now) + timerMarginMilliseconds);
 }
--- a/source/entry/placement/request-progress.ts
+++ b/source/entry/placement/request-progress.ts
@@ -27,6 +27,8 @@
 	/** Error response that is sent if no further attempt succeeds. */
 	withheldResponse: AttemptResponse | undefined;
 	hedgeTimer: NodeJS.Timeout | undefined;
+	/** Ends the wait for a server. */
+	waitTimer: NodeJS.Timeout | undefined;
 	/** Whether it is decided how the request ends. */
 	isSettled: boolean;
 	hasDispatched: boolean;
@@ -56,6 +58,7 @@
 		unreachedServers: 0,
 		withheldResponse: undefined,
 		hedgeTimer: undefined,
+		waitTimer: undefined,
 		isSettled: false,
 		hasDispatched: false,
 		mayEarlierAttemptHaveRun: false,
@@ -97,6 +100,7 @@
 
 	progress.isSettled = true;
 	clearTimeout(progress.hedgeTimer);
+	clearTimeout(progress.waitTimer);
 	progress.selector.cancel();
 	return true;
 }
