List an entry again whose renewal is decided on late

Cause: a renewal was received while the lease lasted, and decided on after it had ended. The lists of live entries and peers were derived without the entry then, and were not derived again, because the entry counted as known at the time of receipt. It got no share of permits, no duties and no place among the peers until another entry joined or ended. If the renewed lease had ended as well, its second end was not noticed.

Change: a lease that has been expired is listed again when it is recorded.

Result: both tests failed before and hold now.

--- a/source/control/granted-leases.ts
+++ b/source/control/granted-leases.ts
@@ -57,7 +57,8 @@
 				&& previous.expiresAt > receivedAt
 				&& previous.environment === renewal.environment
 				&& isSamePeer(previous.peer, renewal.peer);
-			if (!isKnown || renewal.isFinal) {
+			// A lease that expired before a late decision on its renewal may be live again, or expires again.
+			if (!isKnown || renewal.isFinal || expiredEntries.has(renewal.entry)) {
 				liveLeases = undefined;
 				expiredEntries.delete(renewal.entry);
 			}
