Release the permits of an entry that stops

Cause: the lease of an entry that stops ended before its last renewal was recorded, and recording it withdrew the release of its slots. They stayed held for as long as the leader led: a cold server with one slot got no request any more, and never became warm. A rate was even granted to the entry that stopped, for a term. The same happened to the slots of a lease that ended before its renewal was decided on.

Change: leases are expired after the renewal is recorded, and a last renewal is granted no permits.

--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -138,8 +138,9 @@
 		grant(renewal, receivedAt, now) {
 			leases.expire(now);
 			leases.record(renewal, receivedAt);
-			leases.expire(now);
 			recordRenewal(renewal, receivedAt, now);
+			// The lease has ended if the entry returns it or the decision is late. What the entry reported with it is released then.
+			leases.expire(now);
 			coldServers.collectCooled(renewal);
 			probing.enableInherited(now);
 			const liveEntries = leases.getLiveEntries(renewal.environment, now);
@@ -153,7 +154,7 @@
 				...serverList.getFor(renewal),
 				version,
 				document: version === renewal.version ? undefined : machine.register.getUpdate(renewal.environment, renewal.version),
-				permits: coldServers.grant(renewal, liveEntries, receivedAt),
+				permits: renewal.isFinal ? [] : coldServers.grant(renewal, liveEntries, receivedAt),
 				...probing.grant(renewal, getDocument(renewal.environment)),
 				quarantined: quarantine.getQuarantined(now),
 				zonesOut: machine.getZonesOut(),
