Count the larger of two grants for one renewal

Cause: a renewal that arrives twice is granted twice under one sequence number, and the second grant replaced the first in what counts as held. The entry applies only the first. If that has more slots, the difference was granted to others. By reading, the present links cannot lead to this: an entry sends a renewal again only on a new link, and hears only that one.

Change: the larger of both counts as held.

Result: the test failed before (2 slots were granted beside 4 of 4).

--- a/source/cold-start/allocator.ts
+++ b/source/cold-start/allocator.ts
@@ -231,7 +231,7 @@
 				const {slots} = permit;
 				const holding = getHolding(state, entry);
 				if (slots > 0 || getNewestGrantSlots(holding) > 0) {
-					holding.grants.set(sequence, slots);
+					holding.grants.set(sequence, Math.max(slots, holding.grants.get(sequence) ?? 0));
 				}
 
 				if (slots > 0) {
