Count what a renewal reports once if it arrives twice

Cause: when the link to the leader breaks before the answer, the entry sends the same renewal again on the next link. If the leader had received the first one, it counted the successes, sheds and failed probes twice. A cold server then got more slots than its successes had earned.

Change: the record of a lease keeps the number of its renewal, and a renewal with the same number adds no counts.

--- a/source/control/granted-leases.ts
+++ b/source/control/granted-leases.ts
@@ -5,6 +5,8 @@
 
 /** Leases of one leader during one term. */
 export type GrantedLeases = {
+	/** Checks whether a renewal is the one that its entry's lease was renewed with last. */
+	isRepeated(renewal: Renewal): boolean;
 	/** Records a renewal. The leadership must have been confirmed after its receipt. */
 	record(renewal: Renewal, receivedAt: number): void;
 	/** Expires the leases that have ended. */
@@ -50,6 +52,7 @@
 	}
 
 	return {
+		isRepeated: ({entry, sequence}) => leases.get(entry)?.sequence === sequence,
 		record(renewal, receivedAt) {
 			const previous = leases.get(renewal.entry);
 			leases.record(renewal, receivedAt);
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -137,8 +137,9 @@
 		epoch,
 		grant(renewal, receivedAt, now) {
 			leases.expire(now);
+			const counted = leases.isRepeated(renewal) ? withoutCounts(renewal) : renewal;
 			leases.record(renewal, receivedAt);
-			recordRenewal(renewal, receivedAt, now);
+			recordRenewal(counted, receivedAt, now);
 			// The lease has ended if the entry returns it or the decision is late. What the entry reported with it is released then.
 			leases.expire(now);
 			coldServers.collectCooled(renewal);
@@ -228,3 +229,9 @@
 		getUrgentRevision: () => urgentRevision,
 	};
 }
+
+/** Removes from a renewal that arrives again what was counted when it arrived first. */
+function withoutCounts(renewal: Renewal): Renewal {
+	const observations = renewal.observations.map(observation => ({...observation, successes: 0, sheds: 0}));
+	return {...renewal, observations, failedProbes: []};
+}
--- a/source/lease/table.ts
+++ b/source/lease/table.ts
@@ -9,6 +9,8 @@
 export type LeaseRecord = {
 	readonly entry: string;
 	readonly expiresAt: number;
+	/** Sequence number of the renewal that was recorded last. */
+	readonly sequence: number;
 	readonly version: number;
 	readonly acknowledged: number;
 	readonly peer: PeerAddress | undefined;
@@ -53,11 +55,13 @@
 
 	return {
 		record(renewal, receivedAt) {
-			const {entry, version, acknowledged, peer, environment} = renewal;
+			const {
+				entry, sequence, version, acknowledged, peer, environment,
+			} = renewal;
 			const previous = records.get(entry);
 			const newExpiry = renewal.isFinal ? receivedAt : receivedAt + termMilliseconds;
 			records.set(entry, {
-				entry, version, acknowledged, peer, environment, expiresAt: renewal.isFinal ? newExpiry : Math.max(newExpiry, previous?.expiresAt ?? 0),
+				entry, sequence, version, acknowledged, peer, environment, expiresAt: renewal.isFinal ? newExpiry : Math.max(newExpiry, previous?.expiresAt ?? 0),
 			});
 		},
 		getLive,
