--- a/source/cold-start/allocator.ts
+++ b/source/cold-start/allocator.ts
@@ -7,6 +7,9 @@
 import {type Observation, type Permit} from '../lease/index.js';
 import {getEvenShare} from './even-share.js';
 import {createCapacity, type Capacity, type SlowStartOptions} from './capacity.js';
+import {
+	acknowledge, createHolding, getHeldSlots, getNewestGrantSlots, recordGrant, type Holding,
+} from './holding.js';
 import {createInheritance, type Inheritance} from './inheritance.js';
 
 /** A cold server whose slots are allocated. */
@@ -20,14 +23,6 @@
 	readonly hasEarlierHolders: boolean;
 };
 
-type Holding = {
-	/** Slots by grant sequence, from the newest acknowledged grant on. */
-	readonly grants: Map<number, number>;
-	inFlight: number;
-	/** Time at which the last requests of a holder with an expired lease have ended, or undefined while its lease lasts. */
-	releasedAt: number | undefined;
-};
-
 type ColdState = {
 	server: ColdServer;
 	readonly capacity: Capacity;
@@ -80,10 +75,6 @@
 export function createAllocator(options: AllocatorOptions): Allocator {
 	const states = new Map<number, ColdState>();
 
-	function getHeldSlots(holding: Holding): number {
-		return Math.max(holding.inFlight, ...holding.grants.values());
-	}
-
 	function removeReleased(state: ColdState, now: number): void {
 		for (const [entry, holding] of state.holdings) {
 			if (holding.releasedAt !== undefined && holding.releasedAt <= now) {
@@ -126,15 +117,11 @@
 			return existing;
 		}
 
-		const created: Holding = {grants: new Map(), inFlight: 0, releasedAt: undefined};
+		const created = createHolding();
 		state.holdings.set(entry, created);
 		return created;
 	}
 
-	function getNewestGrantSlots(holding: Holding): number {
-		return [...holding.grants.values()].at(-1) ?? 0;
-	}
-
 	function getGrantSlots(state: ColdState, entry: string, liveEntries: readonly string[], now: number): number {
 		const slots = getAllocatableSlots(state, now);
 		const evenShare = getEvenShare(state.server.id, entry, liveEntries, slots);
@@ -155,14 +142,6 @@
 		state.capacity.report(observation.successes, observation.sheds, now);
 	}
 
-	function acknowledge(holding: Holding, acknowledged: number): void {
-		for (const sequence of holding.grants.keys()) {
-			if (sequence < acknowledged) {
-				holding.grants.delete(sequence);
-			}
-		}
-	}
-
 	return {
 		add(server, now) {
 			const existing = states.get(server.id);
@@ -209,8 +188,7 @@
 					? state.inheritance.report({entry, amount: slotsByServer.get(state.server.id) ?? 0, hasLease})
 					: 0;
 				if (confirmed > 0) {
-					const {grants} = getHolding(state, entry);
-					grants.set(acknowledged, Math.max(confirmed, grants.get(acknowledged) ?? 0));
+					recordGrant(getHolding(state, entry), acknowledged, confirmed);
 					state.capacity.inherit(state.inheritance.getTotal());
 				}
 			}
@@ -231,7 +209,7 @@
 				const {slots} = permit;
 				const holding = getHolding(state, entry);
 				if (slots > 0 || getNewestGrantSlots(holding) > 0) {
-					holding.grants.set(sequence, Math.max(slots, holding.grants.get(sequence) ?? 0));
+					recordGrant(holding, sequence, slots);
 				}
 
 				if (slots > 0) {
