Share slots only among entries that have confirmed theirs

Cause: a new leader divided the slots that the first entries had confirmed among all live entries, also among those that still kept their own.

Change: entries that still keep their permits have no share of what others have confirmed.

--- a/source/cold-start/allocator.ts
+++ b/source/cold-start/allocator.ts
@@ -122,9 +122,14 @@
 		return created;
 	}
 
+	/** Gets the entries that share what this leader may allocate. Those that still keep their permits have a part of their own. */
+	function getSharers(state: ColdState, liveEntries: readonly string[], now: number): readonly string[] {
+		return now < state.grantableAt ? liveEntries.filter(entry => getKeptSlots(state, entry, now) === undefined) : liveEntries;
+	}
+
 	function getGrantSlots(state: ColdState, entry: string, liveEntries: readonly string[], now: number): number {
 		const slots = getAllocatableSlots(state, now);
-		const evenShare = getEvenShare(state.server.id, entry, liveEntries, slots);
+		const evenShare = getEvenShare(state.server.id, entry, getSharers(state, liveEntries, now), slots);
 		return Math.max(0, Math.min(evenShare, slots - getSlotsHeldByOthers(state, entry, now)));
 	}
 
