Leave entries their slots beside one that has handed over none

Cause: a new leader divides the slots that entries have confirmed, but counted against them also what others had without handing it over: grants with which an entry only keeps its permit, if it restarts before it confirms it, and requests in flight under permits of an earlier leader, as entries of earlier releases report them. The other entries lost the slots that they had kept, until the lease term and the longest deadline.

Change: until then only the slots that this leader allocates count, and requests in flight up to the largest grant of them. Afterwards everything counts, as before.

--- a/source/cold-start/allocator.ts
+++ b/source/cold-start/allocator.ts
@@ -8,7 +8,7 @@
 import {getEvenShare} from './even-share.js';
 import {createCapacity, type Capacity, type SlowStartOptions} from './capacity.js';
 import {
-	acknowledge, createHolding, getHeldSlots, getNewestGrantSlots, recordGrant, type Holding,
+	acknowledge, createHolding, getAllocatedSlots, getHeldSlots, getNewestGrantSlots, recordGrant, recordKeptGrant, type Holding,
 } from './holding.js';
 import {createInheritance, type Inheritance} from './inheritance.js';
 
@@ -98,8 +98,8 @@
 	function getSlotsHeldByOthers(state: ColdState, entry: string, now: number): number {
 		let total = 0;
 		for (const [other, holding] of state.holdings) {
-			if (other !== entry && getKeptSlots(state, other, now) === undefined) {
-				total += getHeldSlots(holding);
+			if (other !== entry) {
+				total += now < state.grantableAt ? getAllocatedSlots(holding) : getHeldSlots(holding);
 			}
 		}
 
@@ -213,7 +213,9 @@
 				const permit = getPermit(state, entry, liveEntries, now);
 				const {slots} = permit;
 				const holding = getHolding(state, entry);
-				if (slots > 0 || getNewestGrantSlots(holding) > 0) {
+				if (permit.isKept === true) {
+					recordKeptGrant(holding, sequence, slots);
+				} else if (slots > 0 || getNewestGrantSlots(holding) > 0) {
 					recordGrant(holding, sequence, slots);
 				}
 
--- a/source/cold-start/holding.ts
+++ b/source/cold-start/holding.ts
@@ -4,6 +4,10 @@
 export type Holding = {
 	/** Slots by grant sequence, from the newest acknowledged grant on. */
 	readonly grants: Map<number, number>;
+	/** Slots that the entry keeps from an earlier leader, by grant sequence. They are not among those that this leader allocates. */
+	readonly keptGrants: Map<number, number>;
+	/** Largest grant so far. */
+	mostGranted: number;
 	inFlight: number;
 	/** Time at which the last requests of a holder with an expired lease have ended, or undefined while its lease lasts. */
 	releasedAt: number | undefined;
@@ -11,7 +15,9 @@
 
 /** Creates a holding without grants. */
 export function createHolding(): Holding {
-	return {grants: new Map(), inFlight: 0, releasedAt: undefined};
+	return {
+		grants: new Map(), keptGrants: new Map(), mostGranted: 0, inFlight: 0, releasedAt: undefined,
+	};
 }
 
 /**
@@ -19,7 +25,16 @@
  * @param holding - Holding of the entry.
  */
 export function getHeldSlots(holding: Holding): number {
-	return Math.max(holding.inFlight, ...holding.grants.values());
+	return Math.max(holding.inFlight, ...holding.grants.values(), ...holding.keptGrants.values());
+}
+
+/**
+ * Gets the slots that the entry may use of those that this leader allocates. Requests in flight beyond its grants were sent with a permit of
+ * an earlier leader.
+ * @param holding - Holding of the entry.
+ */
+export function getAllocatedSlots(holding: Holding): number {
+	return Math.max(Math.min(holding.inFlight, holding.mostGranted), ...holding.grants.values());
 }
 
 /**
@@ -38,6 +53,17 @@
  */
 export function recordGrant(holding: Holding, sequence: number, slots: number): void {
 	holding.grants.set(sequence, Math.max(slots, holding.grants.get(sequence) ?? 0));
+	holding.mostGranted = Math.max(holding.mostGranted, slots);
+}
+
+/**
+ * Records a grant with which the entry keeps its permit.
+ * @param holding - Holding of the entry.
+ * @param sequence - Sequence number of the grant.
+ * @param slots - Slots that the entry keeps at most.
+ */
+export function recordKeptGrant(holding: Holding, sequence: number, slots: number): void {
+	holding.keptGrants.set(sequence, Math.max(slots, holding.keptGrants.get(sequence) ?? 0));
 }
 
 /**
@@ -46,9 +72,11 @@
  * @param acknowledged - Sequence number of the newest grant that the entry applied.
  */
 export function acknowledge(holding: Holding, acknowledged: number): void {
-	for (const sequence of holding.grants.keys()) {
-		if (sequence < acknowledged) {
-			holding.grants.delete(sequence);
+	for (const grants of [holding.grants, holding.keptGrants]) {
+		for (const sequence of grants.keys()) {
+			if (sequence < acknowledged) {
+				grants.delete(sequence);
+			}
 		}
 	}
 }
