Test requests in flight with a permit that was handed over

The exploration does not find a new leader that ignores requests in flight among the slots that it allocates: its requests are shorter than a round trip. The test fails if they are ignored, and holds with the code as it is.

--- a/source/cold-start/inherited-holdings.test.ts
+++ b/source/cold-start/inherited-holdings.test.ts
@@ -70,3 +70,33 @@
 		}, never, 1);
 	});
 });
+
+describe('createAllocator: requests in flight with a permit that an entry has handed over', () => {
+	function doTest(inFlight: number, expected: number): void {
+		const allocator = createAllocator({startedAt: 0, termMilliseconds: 1000});
+		allocator.add({
+			id: 7, slots: 60, easing: {initialSlots: 1, growthPerSuccess: 0.2, ceilingMilliseconds: 30_000}, deadlineMilliseconds: 500, hasEarlierHolders: true,
+		}, 0);
+		let permits: readonly Permit[] = [{server: 7, slots: 2}];
+		for (let sequence = 1; sequence <= 3; sequence++) {
+			allocator.report('a', sequence - 1, [{
+				server: 7, inFlight: sequence < 3 ? 2 : inFlight, successes: 0, sheds: 0, isCold: false,
+			}], sequence);
+			allocator.inherit({
+				entry: 'a', acknowledged: sequence - 1, permits, hasLease: sequence > 1,
+			}, sequence);
+			permits = allocator.grant('a', sequence, ['a', 'b'], sequence);
+		}
+
+		expect(permits.map(({slots}) => slots)).toEqual([1]);
+		allocator.inherit({
+			entry: 'b', acknowledged: 0, permits: [], hasLease: false,
+		}, 4);
+		expect(allocator.grant('b', 1, ['a', 'b'], 4)[0]?.slots ?? 0).toEqual(expected);
+	}
+
+	test('keep their slots from others until they have ended', () => {
+		doTest(2, 0);
+		doTest(1, 1);
+	});
+});
