Use no permits that were asked for before the host was suspended

Cause: an entry revokes its permits when it notices that its host was suspended. A grant that was decided on before the suspension, and was read afterwards, restored them: while the monotonic clock stood still its term seemed to last, but the leader may have granted the permits to others. If the grant was read first, waiting requests were sent under it before the suspension was noticed.

Change: an entry checks for a suspension before it applies the permits of a grant, and applies none for which it sent the renewal before.

--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -190,7 +190,7 @@
 		handle: createRequestEntrance({context, state, maximumHeaderBytes: settings.maximumHeaderBytes}),
 	});
 	const grantTargets: GrantTargets = {
-		state, fleet, zoneView, prober, crashTracker, peers: peerExchange?.peers, callerServer, lease, random, log,
+		state, fleet, zoneView, prober, crashTracker, peers: peerExchange?.peers, callerServer, lease, readiness, random, log,
 	};
 	const admin = createAdminHandler({
 		announce: announcementHandler.handle,
--- a/source/entry/lease/grant-application.ts
+++ b/source/entry/lease/grant-application.ts
@@ -10,6 +10,7 @@
 import {type Fleet, type Prober, drainQueues} from '../fleet/index.js';
 import {type Peers} from '../peers/index.js';
 import {createRouter} from '../routing/index.js';
+import {type Readiness} from './readiness.js';
 import {type ZoneView} from './zone-view.js';
 
 /** Maximum number of changed servers that are named in one log line. */
@@ -26,6 +27,7 @@
 	readonly peers: Peers | undefined;
 	readonly callerServer: Pick<CallerServer, 'applyLimits'>;
 	readonly lease: LeaseHolder;
+	readonly readiness: Pick<Readiness, 'mayUsePermits'>;
 	readonly random: Random;
 	readonly log: Log;
 };
@@ -46,7 +48,7 @@
  */
 export function applyGrant(targets: GrantTargets, received: ReceivedGrant): void {
 	const {
-		state, fleet, zoneView, prober, crashTracker, peers, lease,
+		state, fleet, zoneView, prober, crashTracker, peers, lease, readiness,
 	} = targets;
 	const {grant, document, host} = received;
 	if (document !== undefined) {
@@ -57,7 +59,7 @@
 	state.entryCount = Math.max(1, grant.entries);
 	fleet.setZonesOutOfService(grant.zonesOut);
 	zoneView.recordGrant(grant, host, lease.getRenewedAt());
-	fleet.setPermits(grant.permits, performance.now());
+	fleet.setPermits(readiness.mayUsePermits(lease.getRenewedAt()) ? grant.permits : [], performance.now());
 	if (grant.peers !== undefined) {
 		fleet.setConnectionShare(grant.peers.length + 1);
 		peers?.setAddresses(grant.peers);
--- /dev/null
+++ b/source/entry/lease/readiness.test.ts
@@ -0,0 +1,105 @@
+import {performance} from 'node:perf_hooks';
+import {describe, mock, test} from 'node:test';
+import {expect} from 'earl';
+import {announcementSchema} from '../../announcement/index.js';
+import {createLeaseHolder, type Grant} from '../../lease/index.js';
+import {createRandom} from '../../randomness/index.js';
+import {type Log} from '../../telemetry/index.js';
+import {createEntryState} from '../entry-state.js';
+import {createFleet, type Fleet} from '../fleet/index.js';
+import {applyGrant, type GrantTargets} from './grant-application.js';
+import {createReadiness} from './readiness.js';
+
+const suspendedMilliseconds = 60_000;
+
+const log: Pick<Log, 'info' | 'warn'> = {
+	info() {
+		// No test reads the log.
+	},
+	warn() {
+		// No test reads the log.
+	},
+};
+
+/** Parts of an entry that have no permits. */
+const otherTargets = {
+	zoneView: {recordGrant: () => undefined},
+	prober: {schedule: {assign: () => undefined}},
+	crashTracker: {setQuarantined: () => undefined},
+};
+
+function createColdFleet(): Fleet {
+	const fleet = createFleet(createRandom(1), undefined);
+	fleet.update([{
+		id: 1, state: 'cold', isAbsent: false, isRemoved: false, announcement: announcementSchema.parse({
+			service: 'stock', name: 's', host: '127.0.0.1', port: 1, zone: 'north', slots: 4, connections: 100, boot: 'one', state: 'cold',
+		}),
+	}], true);
+	return fleet;
+}
+
+function getGrant(sequence: number): Grant {
+	return {
+		kind: 'grant',
+		sequence,
+		termMilliseconds: 3000,
+		epoch: 1,
+		revision: 0,
+		isWhole: false,
+		servers: [],
+		version: 0,
+		document: undefined,
+		permits: [{server: 1, slots: 2}],
+		duties: [],
+		probeMilliseconds: 1000,
+		quarantined: [],
+		zonesOut: [],
+		entries: 1,
+		peersRevision: 0,
+		peers: undefined,
+	};
+}
+
+// While a host is suspended, its monotonic clock may stand still, and its permits may be granted to others.
+describe('createReadiness: permits of a grant that arrives after the host was suspended', () => {
+	type Scene = {
+		/** Whether the renewal was sent before the suspension. */
+		readonly isEarlier: boolean;
+		/** Whether the suspension is noticed before the grant arrives. */
+		readonly isNoticed: boolean;
+	};
+
+	function doTest({isEarlier, isNoticed}: Scene, expected: number): void {
+		mock.timers.enable({apis: ['Date'], now: 0});
+		const state = createEntryState();
+		const fleet = createColdFleet();
+		const lease = createLeaseHolder();
+		const readiness = createReadiness({
+			state, fleet, lease, log: log as Log, isServingWithoutControl: false,
+		});
+		const targets: Pick<GrantTargets, 'state' | 'fleet' | 'lease' | 'readiness'> = {
+			state, fleet, lease, readiness,
+		};
+		readiness.revokePermitsIfNeeded();
+		const earlierSequence = lease.startRenewal(performance.now());
+		mock.timers.setTime(suspendedMilliseconds);
+		if (isNoticed) {
+			readiness.revokePermitsIfNeeded();
+		}
+
+		const grant = getGrant(isEarlier ? earlierSequence : lease.startRenewal(performance.now()));
+		lease.accept(grant, performance.now());
+		applyGrant({...otherTargets, ...targets} as unknown as GrantTargets, {grant, document: undefined, host: 'control'});
+		mock.timers.reset();
+		expect(fleet.getPermits().length).toEqual(expected);
+		fleet.close();
+	}
+
+	test('are not used if the entry asked for them before', () => {
+		doTest({isEarlier: true, isNoticed: true}, 0);
+		doTest({isEarlier: true, isNoticed: false}, 0);
+	});
+	test('are used if the entry asked for them afterwards', () => {
+		doTest({isEarlier: false, isNoticed: true}, 1);
+	});
+});
--- a/source/entry/lease/readiness.ts
+++ b/source/entry/lease/readiness.ts
@@ -9,6 +9,8 @@
 export type Readiness = {
 	/** Revokes the permits for cold servers when the lease has ended or the host was suspended. */
 	revokePermitsIfNeeded(): void;
+	/** Checks whether permits for which a renewal was sent at a time may be used: not if the host was suspended since, because they may have ended meanwhile. */
+	mayUsePermits(renewedAt: number): boolean;
 	/** Checks whether the entry may accept and dispatch requests. */
 	mayDispatch(now: number): boolean;
 	isReady(): boolean;
@@ -33,10 +35,15 @@
 export function createReadiness(options: ReadinessOptions): Readiness {
 	const {state, fleet, lease, log, isServingWithoutControl} = options;
 	const suspension = createSuspensionDetector();
+	let suspendedAt = Number.NEGATIVE_INFINITY;
 	let wasReady = false;
 
 	function revokePermitsIfNeeded(): void {
-		if (suspension.hasBeenSuspended(Date.now(), performance.now()) || !lease.isValid(performance.now())) {
+		const now = performance.now();
+		if (suspension.hasBeenSuspended(Date.now(), now)) {
+			suspendedAt = now;
+			fleet.revokePermits();
+		} else if (!lease.isValid(now)) {
 			fleet.revokePermits();
 		}
 	}
@@ -47,6 +54,10 @@
 
 	return {
 		revokePermitsIfNeeded,
+		mayUsePermits(renewedAt) {
+			revokePermitsIfNeeded();
+			return renewedAt > suspendedAt;
+		},
 		mayDispatch(now) {
 			revokePermitsIfNeeded();
 			return isServingWithoutControl ? state.document !== undefined : lease.isValid(now);
