--- a/source/cold-start/allocator.ts
+++ b/source/cold-start/allocator.ts
@@ -7,6 +7,9 @@
 import {type Observation, type Permit} from '../lease/index.js';
 import {getEvenShare} from './even-share.js';
 import {createCapacity, type Capacity, type SlowStartOptions} from './capacity.js';
+import {
+	acknowledge, createHolding, getAllocatedSlots, getHeldSlots, getNewestGrantSlots, recordGrant, recordKeptGrant, type Holding,
+} from './holding.js';
 import {createInheritance, type Inheritance} from './inheritance.js';
 
 /** A cold server whose slots are allocated. */
@@ -20,14 +23,6 @@
 	readonly hasEarlierHolders: boolean;
 };
 
-type Holding = {
-	/** Slots by grant sequence, from the newest acknowledged grant on. */
-	readonly grants: Map<number, number>;
-	inFlight: number;
-	/** Time at which the last requests of a holder with an expired lease have ended, or undefined while its lease lasts. */
-	releasedAt: number | undefined;
-};
-
 type ColdState = {
 	server: ColdServer;
 	readonly capacity: Capacity;
@@ -80,10 +75,6 @@
 export function createAllocator(options: AllocatorOptions): Allocator {
 	const states = new Map<number, ColdState>();
 
-	function getHeldSlots(holding: Holding): number {
-		return Math.max(holding.inFlight, ...holding.grants.values());
-	}
-
 	function removeReleased(state: ColdState, now: number): void {
 		for (const [entry, holding] of state.holdings) {
 			if (holding.releasedAt !== undefined && holding.releasedAt <= now) {
@@ -107,8 +98,8 @@
 	function getSlotsHeldByOthers(state: ColdState, entry: string, now: number): number {
 		let total = 0;
 		for (const [other, holding] of state.holdings) {
-			if (other !== entry && getKeptSlots(state, other, now) === undefined) {
-				total += getHeldSlots(holding);
+			if (other !== entry) {
+				total += now < state.grantableAt ? getAllocatedSlots(holding) : getHeldSlots(holding);
 			}
 		}
 
@@ -126,18 +117,19 @@
 			return existing;
 		}
 
-		const created: Holding = {grants: new Map(), inFlight: 0, releasedAt: undefined};
+		const created = createHolding();
 		state.holdings.set(entry, created);
 		return created;
 	}
 
-	function getNewestGrantSlots(holding: Holding): number {
-		return [...holding.grants.values()].at(-1) ?? 0;
+	/** Gets the entries that share what this leader may allocate. Those that still keep their permits have a part of their own. */
+	function getSharers(state: ColdState, liveEntries: readonly string[], now: number): readonly string[] {
+		return now < state.grantableAt ? liveEntries.filter(entry => getKeptSlots(state, entry, now) === undefined) : liveEntries;
 	}
 
 	function getGrantSlots(state: ColdState, entry: string, liveEntries: readonly string[], now: number): number {
 		const slots = getAllocatableSlots(state, now);
-		const evenShare = getEvenShare(state.server.id, entry, liveEntries, slots);
+		const evenShare = getEvenShare(state.server.id, entry, getSharers(state, liveEntries, now), slots);
 		return Math.max(0, Math.min(evenShare, slots - getSlotsHeldByOthers(state, entry, now)));
 	}
 
@@ -155,14 +147,6 @@
 		state.capacity.report(observation.successes, observation.sheds, now);
 	}
 
-	function acknowledge(holding: Holding, acknowledged: number): void {
-		for (const sequence of holding.grants.keys()) {
-			if (sequence < acknowledged) {
-				holding.grants.delete(sequence);
-			}
-		}
-	}
-
 	return {
 		add(server, now) {
 			const existing = states.get(server.id);
@@ -209,8 +193,7 @@
 					? state.inheritance.report({entry, amount: slotsByServer.get(state.server.id) ?? 0, hasLease})
 					: 0;
 				if (confirmed > 0) {
-					const {grants} = getHolding(state, entry);
-					grants.set(acknowledged, Math.max(confirmed, grants.get(acknowledged) ?? 0));
+					recordGrant(getHolding(state, entry), acknowledged, confirmed);
 					state.capacity.inherit(state.inheritance.getTotal());
 				}
 			}
@@ -230,8 +213,10 @@
 				const permit = getPermit(state, entry, liveEntries, now);
 				const {slots} = permit;
 				const holding = getHolding(state, entry);
-				if (slots > 0 || getNewestGrantSlots(holding) > 0) {
-					holding.grants.set(sequence, slots);
+				if (permit.isKept === true) {
+					recordKeptGrant(holding, sequence, slots);
+				} else if (slots > 0 || getNewestGrantSlots(holding) > 0) {
+					recordGrant(holding, sequence, slots);
 				}
 
 				if (slots > 0) {
--- a/source/control/granted-leases.ts
+++ b/source/control/granted-leases.ts
@@ -5,6 +5,8 @@
 
 /** Leases of one leader during one term. */
 export type GrantedLeases = {
+	/** Checks whether a renewal is the one that its entry's lease was renewed with last. */
+	isRepeated(renewal: Renewal): boolean;
 	/** Records a renewal. The leadership must have been confirmed after its receipt. */
 	record(renewal: Renewal, receivedAt: number): void;
 	/** Expires the leases that have ended. */
@@ -50,6 +52,7 @@
 	}
 
 	return {
+		isRepeated: ({entry, sequence}) => leases.get(entry)?.sequence === sequence,
 		record(renewal, receivedAt) {
 			const previous = leases.get(renewal.entry);
 			leases.record(renewal, receivedAt);
@@ -57,7 +60,8 @@
 				&& previous.expiresAt > receivedAt
 				&& previous.environment === renewal.environment
 				&& isSamePeer(previous.peer, renewal.peer);
-			if (!isKnown || renewal.isFinal) {
+			// A lease that expired before a late decision on its renewal may be live again, or expires again.
+			if (!isKnown || renewal.isFinal || expiredEntries.has(renewal.entry)) {
 				liveLeases = undefined;
 				expiredEntries.delete(renewal.entry);
 			}
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -137,9 +137,11 @@
 		epoch,
 		grant(renewal, receivedAt, now) {
 			leases.expire(now);
+			const counted = leases.isRepeated(renewal) ? withoutCounts(renewal) : renewal;
 			leases.record(renewal, receivedAt);
+			recordRenewal(counted, receivedAt, now);
+			// The lease has ended if the entry returns it or the decision is late. What the entry reported with it is released then.
 			leases.expire(now);
-			recordRenewal(renewal, receivedAt, now);
 			coldServers.collectCooled(renewal);
 			probing.enableInherited(now);
 			const liveEntries = leases.getLiveEntries(renewal.environment, now);
@@ -153,7 +155,7 @@
 				...serverList.getFor(renewal),
 				version,
 				document: version === renewal.version ? undefined : machine.register.getUpdate(renewal.environment, renewal.version),
-				permits: coldServers.grant(renewal, liveEntries, receivedAt),
+				permits: renewal.isFinal ? [] : coldServers.grant(renewal, liveEntries, receivedAt),
 				...probing.grant(renewal, getDocument(renewal.environment)),
 				quarantined: quarantine.getQuarantined(now),
 				zonesOut: machine.getZonesOut(),
@@ -227,3 +229,9 @@
 		getUrgentRevision: () => urgentRevision,
 	};
 }
+
+/** Removes from a renewal that arrives again what was counted when it arrived first. */
+function withoutCounts(renewal: Renewal): Renewal {
+	const observations = renewal.observations.map(observation => ({...observation, successes: 0, sheds: 0}));
+	return {...renewal, observations, failedProbes: []};
+}
