--- a/source/consensus/progress.ts
+++ b/source/consensus/progress.ts
@@ -2,8 +2,10 @@
 export type Progress = {
 	nextIndex: number;
 	matchIndex: number;
-	/** Time of the last response in milliseconds. */
+	/** Time of the last response in milliseconds; before the first one, the time at which the leader began to send. */
 	lastResponseAt: number;
+	/** Whether the replica has responded to this leader. */
+	hasResponded: boolean;
 	/** Highest confirmation round that the replica has acknowledged. */
 	round: number;
 	/** Time at which the last append was sent, in milliseconds. */
@@ -21,6 +23,6 @@
  */
 export function createProgress(nextIndex: number, now: number): Progress {
 	return {
-		nextIndex, matchIndex: 0, lastResponseAt: now, round: 0, appendSentAt: Number.NEGATIVE_INFINITY, snapshotSentAt: Number.NEGATIVE_INFINITY, snapshotsSent: 0,
+		nextIndex, matchIndex: 0, lastResponseAt: now, hasResponded: false, round: 0, appendSentAt: Number.NEGATIVE_INFINITY, snapshotSentAt: Number.NEGATIVE_INFINITY, snapshotsSent: 0,
 	};
 }
--- a/source/consensus/replica.test.ts
+++ b/source/consensus/replica.test.ts
@@ -183,10 +183,8 @@
 });
 
 describe('createReplica: a replica that needs a snapshot', () => {
-	const startedAt = 1000;
-
 	/** Runs a leader with a compacted log. `b` always responds, and `c` only at times for which `answers` returns true. */
-	function doTest(milliseconds: number, answers: (time: number) => boolean, expected: {readonly installs: readonly number[]; readonly hasHeartbeats: boolean}): void {
+	function doTest(milliseconds: number, answers: (time: number) => boolean, expected: {readonly installs: readonly number[]; readonly hasHeartbeats: boolean}, startedAt = 1000): void {
 		const replica = createTestReplica(0, []);
 		lead(replica);
 		replica.handle({kind: 'compact', index: 1, data: 'contents'}, 220);
@@ -208,6 +206,10 @@
 	test('receives the snapshot as soon as it responds again, and heartbeats until then', () => {
 		doTest(2000, time => time >= 2000, {installs: [1000], hasHeartbeats: true});
 	});
+	// Guards against a host that returned shortly after an election and received no entries for ten election timeouts.
+	test('receives the snapshot as soon as it responds to a new leader for the first time', () => {
+		doTest(400, time => time >= 340, {installs: [100], hasHeartbeats: true}, 240);
+	});
 	test('receives the snapshot again, each time after twice the previous delay, while it responds but has not installed it', () => {
 		doTest(4000, () => true, {installs: [0, 1000, 3000], hasHeartbeats: true});
 	});
--- a/source/consensus/replication.ts
+++ b/source/consensus/replication.ts
@@ -88,9 +88,9 @@
 		}, false);
 	}
 
-	/** Sends a snapshot to an active member, unless one is in flight. */
+	/** Sends a snapshot to an active member that has responded, unless one is in flight. */
 	function sendSnapshot(member: string, state: Progress): void {
-		if (isInactive(state)) {
+		if (!state.hasResponded || isInactive(state)) {
 			// A snapshot in flight may be lost.
 			state.snapshotSentAt = Number.NEGATIVE_INFINITY;
 			return;
@@ -152,6 +152,7 @@
 			const state = progress.get(member);
 			if (state !== undefined) {
 				state.lastResponseAt = core.now;
+				state.hasResponded = true;
 				state.round = Math.max(state.round, round);
 			}
 
