Let the upstreams of a soak leave and pause by what they respond

Cause: the soak knew no upstream that states that it leaves or asks for a pause.

Change: two faults. An upstream states in all responses that it leaves, while its heartbeats say that it is ready, and is restarted as a new instance later; or it refuses all requests with a pause of 1.5 s. Two checks of the platform's rules: DRAIN and BUDGET, with their excuses. Arrivals of earlier cases of checks.test.ts name their instance; what they expect is the same.

--- a/soak/checks.test.ts
+++ b/soak/checks.test.ts
@@ -11,7 +11,7 @@
 
 function createArrival(at: number, isRun = true): Arrival {
 	return {
-		id: 'r-1', upstream: 'i-c1', zone: 'c', at, isRun,
+		id: 'r-1', upstream: 'i-c1', instance: 'i-c1', zone: 'c', at, isRun,
 	};
 }
 
@@ -29,7 +29,7 @@
 };
 
 describe('findViolations', () => {
-	function doTest(parts: Partial<Pick<History, 'orders' | 'disturbances' | 'arrivals' | 'answers' | 'exchanges' | 'steadyFrom'>>, expectedRules: ReadonlyArray<Violation['rule']>): void {
+	function doTest(parts: Partial<Pick<History, 'orders' | 'disturbances' | 'arrivals' | 'answers' | 'exchanges' | 'pauses' | 'steadyFrom'>>, expectedRules: ReadonlyArray<Violation['rule']>): void {
 		const violations = findViolations({...createHistory(), ...parts});
 		expect(violations.map(({rule}) => rule)).toEqual([...expectedRules]);
 	}
@@ -102,6 +102,30 @@
 		doTest({arrivals: [createArrival(5)], exchanges: [createExchange({...response, status: 503, signature: undefined}, true)]}, ['REFUSED']);
 	});
 
+	test('finds a request that was sent later than the drain time after its entry had passed on that the upstream leaves', () => {
+		const later: Exchange = {...createExchange('left'), id: 'r-2', sentAt: 2021};
+		const parts = {answers: [{...answer, leavingInstance: 'i-c1'}], arrivals: [{...createArrival(2500), id: 'r-2'}]};
+		doTest({...parts, exchanges: [createExchange(response), later]}, ['DRAIN']);
+		doTest({...parts, exchanges: [createExchange(response), {...later, sentAt: 2019}]}, []);
+		doTest({...parts, exchanges: [createExchange(response), {...later, entry: 'entry-2'}]}, []);
+		doTest({
+			...parts, exchanges: [createExchange(response), later], disturbances: [{
+				scope: 'entry', name: 'entry-1', kind: '', from: 1000, to: 1500,
+			}],
+		}, []);
+	});
+
+	test('finds more than two requests of an entry in a pause that an upstream asked it for', () => {
+		const pauses = [{
+			id: 'r-1', upstream: 'i-c1', instance: 'i-c1', at: 100, milliseconds: 1500,
+		}];
+		const exchanges = [createExchange('left')];
+		const arrivals = [601, 700, 1599].map(at => createArrival(at));
+		doTest({pauses, exchanges, arrivals}, ['BUDGET']);
+		doTest({pauses, exchanges, arrivals: [createArrival(599), createArrival(1601), ...arrivals.slice(1)]}, []);
+		doTest({pauses: [{...pauses[0]!, instance: 'i-c1-2'}], exchanges, arrivals}, []);
+	});
+
 	test('finds an order without an acknowledgement and an entry that does not serve after the last fault', () => {
 		doTest({orders: [{...evacuation, acknowledgedAt: undefined}], exchanges: [createExchange('timeout')], steadyFrom: 0}, ['ACKS', 'RECOVER']);
 	});
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -1,6 +1,7 @@
 /** Checks of the platform's rules over the history of a run. */
 import {groupBy} from './group-by.js';
 import {type Arrival, type Exchange, type History} from './history.js';
+import {checkLeaving, checkPauses} from './withdrawal-checks.js';
 
 /** Time after its acknowledgement from which an evacuation binds (`evacuate_ms`). */
 const evacuationBoundMilliseconds = 5000;
@@ -15,7 +16,7 @@
 const servedShare = 0.6;
 
 /** Violation of a rule, with the request that shows it. */
-export type Violation = {readonly rule: 'EVAC' | 'MIXED' | 'TWICE' | 'REFUSED' | 'ACKS' | 'RECOVER'; readonly at: number; readonly text: string};
+export type Violation = {readonly rule: 'EVAC' | 'MIXED' | 'TWICE' | 'REFUSED' | 'ACKS' | 'RECOVER' | 'DRAIN' | 'BUDGET'; readonly at: number; readonly text: string};
 
 const refusalStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -142,5 +143,5 @@
  */
 export function findViolations(history: History): readonly Violation[] {
 	const exchangesById = new Map(history.exchanges.map(exchange => [exchange.id, exchange]));
-	return [...checkEvacuations(history, exchangesById), ...checkResponses(history), ...checkRuns(history), ...checkSteadyEnd(history)];
+	return [...checkEvacuations(history, exchangesById), ...checkResponses(history), ...checkRuns(history), ...checkSteadyEnd(history), ...checkLeaving(history, exchangesById), ...checkPauses(history, exchangesById)];
 }
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -15,7 +15,7 @@
 
 /** Kinds of faults, with their weights. */
 const kindWeights = {
-	'freeze control': 0.3,
+	'freeze control': 0.24,
 	'hold orders': 0.2,
 	'hold orders and responses': 0.06,
 	'cut responses to orders': 0.06,
@@ -27,6 +27,8 @@
 	'hold upstream': 0.04,
 	'reset upstream': 0.04,
 	'restart upstream': 0.04,
+	'leave upstream': 0.03,
+	'pause upstream': 0.03,
 } as const;
 
 type Kind = keyof typeof kindWeights;
@@ -135,6 +137,12 @@
 		await disturbLink('path', upstream.name, targets.upstreamLinks.get(upstream.name)!, linkFault);
 	}
 
+	async function restartUpstream(): Promise<void> {
+		await disturb('path', upstream.name, () => {
+			upstream.crash();
+		}, async () => upstream.restart());
+	}
+
 	await delay(fault.startMilliseconds);
 	const {closeMilliseconds} = fault;
 	switch (fault.kind) {
@@ -182,10 +190,27 @@
 			return disturbUpstream({kind: 'reset'});
 		}
 
+		case 'leave upstream': {
+			await disturb('statement', upstream.name, () => {
+				upstream.setWithdrawal('leaving');
+			}, doNothing);
+			return restartUpstream();
+		}
+
+		case 'pause upstream': {
+			return disturb('statement', upstream.name, () => {
+				upstream.setWithdrawal('pausing');
+			}, () => {
+				upstream.setWithdrawal(undefined);
+			});
+		}
+
 		case 'restart upstream': {
-			return disturb('path', upstream.name, () => {
-				upstream.crash();
-			}, async () => upstream.restart());
+			return restartUpstream();
 		}
 	}
 }
+
+function doNothing(): void {
+	// The upstream leaves when the fault is over.
+}
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -15,9 +15,9 @@
 	readonly attempts: string[];
 };
 
-/** Fault that was injected: `core` on a control host, `entry` on an entry, `path` between the entries and an upstream, `operator` between the operators and a control host. */
+/** Fault that was injected: `core` on a control host, `entry` on an entry, `path` between the entries and an upstream, `operator` between the operators and a control host, `statement` what an upstream states about itself. */
 export type Disturbance = {
-	readonly scope: 'core' | 'entry' | 'path' | 'operator';
+	readonly scope: 'core' | 'entry' | 'path' | 'operator' | 'statement';
 	/** Name of the machine or upstream. */
 	readonly name: string;
 	readonly kind: string;
@@ -27,10 +27,22 @@
 };
 
 /** Request that reached an upstream. */
-export type Arrival = {readonly id: string; readonly upstream: string; readonly zone: string; readonly at: number; isRun: boolean};
+export type Arrival = {readonly id: string; readonly upstream: string; readonly instance: string; readonly zone: string; readonly at: number; isRun: boolean};
 
 /** Response that an upstream made. */
-export type Answer = {readonly id: string; readonly upstream: string; readonly signature: string; readonly status: number; readonly digest: string; readonly manner: string};
+export type Answer = {
+	/** Instance that states in this response that it leaves, if it does. */
+	readonly leavingInstance?: string;
+	readonly id: string;
+	readonly upstream: string;
+	readonly signature: string;
+	readonly status: number;
+	readonly digest: string;
+	readonly manner: string;
+};
+
+/** Refusal of a request with which an instance of an upstream asked for a pause. */
+export type PauseRefusal = {readonly id: string; readonly upstream: string; readonly instance: string; readonly at: number; readonly milliseconds: number};
 
 /** Complete response that a caller received. */
 export type CallerResponse = {readonly status: number; readonly signature: string | undefined; readonly digest: string; readonly size: number};
@@ -53,6 +65,7 @@
 	readonly disturbances: Disturbance[];
 	readonly arrivals: Arrival[];
 	readonly answers: Answer[];
+	readonly pauses: PauseRefusal[];
 	readonly exchanges: Exchange[];
 	/** Time at which the last faults were over and the zones were ordered for the last time; undefined before. */
 	steadyFrom: number | undefined;
@@ -68,6 +81,7 @@
 		disturbances: [],
 		arrivals: [],
 		answers: [],
+		pauses: [],
 		exchanges: [],
 		steadyFrom: undefined,
 		now: () => performance.now() - startedAt,
--- a/soak/upstream.ts
+++ b/soak/upstream.ts
@@ -20,11 +20,18 @@
 const longestServiceMilliseconds = 12;
 const slowServiceMilliseconds = 300;
 
+/** Pause that an upstream asks for with each refusal while it pauses. */
+const pauseMilliseconds = 1500;
+const millisecondsPerSecond = 1000;
+
 /** Framings of the manners whose bodies are not framed by their length. */
 const framings: Readonly<Partial<Record<Manner, Framing>>> = {
 	chunked: 'chunks', 'break-off-chunked': 'chunks', 'until-close': 'close', 'break-off-until-close': 'close',
 };
 
+/** Withdrawal that an upstream states in its responses. */
+export type Withdrawal = 'leaving' | 'pausing';
+
 /** An upstream that is running. */
 export type Upstream = {
 	readonly name: string;
@@ -32,6 +39,8 @@
 	crash(): void;
 	/** Starts the upstream again as a new instance. */
 	restart(): Promise<void>;
+	/** Makes the upstream state in its responses that it leaves, or refuse all requests and ask for pauses; undefined ends that. */
+	setWithdrawal(withdrawal: Withdrawal | undefined): void;
 	/** Makes every response a plain one from now on, or ends that. */
 	setPlain(isPlain: boolean): void;
 	stop(): void;
@@ -67,6 +76,11 @@
 	let running = 0;
 	let isStopped = false;
 	let isPlain = false;
+	let withdrawal: Withdrawal | undefined;
+
+	function getLeavingHeaders(): Readonly<Record<string, string>> {
+		return withdrawal === 'leaving' ? {'Server-Leaving': '1'} : {};
+	}
 
 	/** Writes a response, and what the upstream's manner adds to it. */
 	async function respond(request: IncomingMessage, status: number, manner: Manner, headers: Readonly<Record<string, string>> = {}): Promise<void> {
@@ -77,7 +91,7 @@
 		const isSigned = headers['Not-Executed'] === undefined;
 		if (isSigned) {
 			history.answers.push({
-				id: requestId, upstream: name, signature, status, digest: digestBody(method === 'HEAD' ? '' : body), manner,
+				id: requestId, upstream: name, signature, status, digest: digestBody(method === 'HEAD' ? '' : body), manner, ...(withdrawal === 'leaving' ? {leavingInstance: id} : {}),
 			});
 		}
 
@@ -88,6 +102,7 @@
 			hasContent: method !== 'HEAD' && status !== 204,
 			headers: {
 				...headers,
+				...getLeavingHeaders(),
 				'Request-Id': requestId,
 				...(isSigned ? {'Upstream-Signature': signature} : {}),
 				...(manner === 'last' ? {Connection: 'close'} : {}),
@@ -113,9 +128,18 @@
 		}
 
 		const arrival: Arrival = {
-			id: requestId, upstream: name, zone, at: history.now(), isRun: false,
+			id: requestId, upstream: name, instance: id, zone, at: history.now(), isRun: false,
 		};
 		history.arrivals.push(arrival);
+		if (withdrawal === 'pausing') {
+			request.resume();
+			await respond(request, 503, 'shed', {'Not-Executed': '1', 'Retry-After': String(pauseMilliseconds / millisecondsPerSecond)});
+			history.pauses.push({
+				id: requestId, upstream: name, instance: id, at: history.now(), milliseconds: pauseMilliseconds,
+			});
+			return;
+		}
+
 		const manner = isPlain ? 'plain' : chooseManner(options.temper, random);
 		if (manner === 'reset') {
 			abortConnection(request.socket);
@@ -193,9 +217,13 @@
 			id = `${name}-${instanceCount}`;
 			bornAt = Date.now();
 			sequence = 0;
+			withdrawal = undefined;
 			await listen();
 			isUp = true;
 		},
+		setWithdrawal(next) {
+			withdrawal = next;
+		},
 		setPlain(next) {
 			isPlain = next;
 		},
