--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -5,6 +5,7 @@
 	type Arrival, type Exchange, type History, type Order,
 } from './history.js';
 import {checkVersions} from './version-checks.js';
+import {checkLeaving, checkPauses} from './withdrawal-checks.js';
 
 /** Time after its acknowledgement from which an evacuation binds (`evacuate_ms`). */
 const evacuationBoundMilliseconds = 5000;
@@ -144,5 +145,13 @@
  */
 export function findViolations(history: History): readonly Violation[] {
 	const exchangesById = new Map(history.exchanges.map(exchange => [exchange.id, exchange]));
-	return [...checkEvacuations(history, exchangesById), ...checkResponses(history), ...checkRuns(history), ...checkVersions(history), ...checkSteadyEnd(history)];
+	return [
+		...checkEvacuations(history, exchangesById),
+		...checkResponses(history),
+		...checkRuns(history),
+		...checkVersions(history),
+		...checkLeaving(history, exchangesById),
+		...checkPauses(history, exchangesById),
+		...checkSteadyEnd(history),
+	];
 }
