Count kept grants that arrive after their permit was handed over

Cause: since a new leader counts only the slots that it allocates, it forgot a permit that an entry had handed over once the entry acknowledged a later grant with which it had kept the permit, and which had been under way. The entry still held the permit, and part of it was granted to another.

Change: when an entry hands its permit over, the grants under way with which it keeps it count as that permit.

Result: the test failed before and holds now.

--- a/source/cold-start/allocator.ts
+++ b/source/cold-start/allocator.ts
@@ -8,7 +8,7 @@
 import {getEvenShare} from './even-share.js';
 import {createCapacity, type Capacity, type SlowStartOptions} from './capacity.js';
 import {
-	acknowledge, createHolding, getAllocatedSlots, getHeldSlots, getNewestGrantSlots, recordGrant, recordKeptGrant, type Holding,
+	acknowledge, createHolding, getAllocatedSlots, getHeldSlots, getNewestGrantSlots, recordConfirmation, recordGrant, recordKeptGrant, type Holding,
 } from './holding.js';
 import {createInheritance, type Inheritance} from './inheritance.js';
 
@@ -193,7 +193,7 @@
 					? state.inheritance.report({entry, amount: slotsByServer.get(state.server.id) ?? 0, hasLease})
 					: 0;
 				if (confirmed > 0) {
-					recordGrant(getHolding(state, entry), acknowledged, confirmed);
+					recordConfirmation(getHolding(state, entry), acknowledged, confirmed);
 					state.capacity.inherit(state.inheritance.getTotal());
 				}
 			}
--- a/source/cold-start/holding.ts
+++ b/source/cold-start/holding.ts
@@ -66,6 +66,19 @@
 	holding.keptGrants.set(sequence, Math.max(slots, holding.keptGrants.get(sequence) ?? 0));
 }
 
+/**
+ * Records that the entry hands over the permit that it kept. Grants with which it keeps the permit may arrive later; they do not raise it.
+ * @param holding - Holding of the entry.
+ * @param acknowledged - Sequence number of the newest grant that the entry applied.
+ * @param slots - Slots of the permit.
+ */
+export function recordConfirmation(holding: Holding, acknowledged: number, slots: number): void {
+	recordGrant(holding, acknowledged, slots);
+	for (const [sequence, kept] of holding.keptGrants) {
+		recordGrant(holding, sequence, Math.min(kept, slots));
+	}
+}
+
 /**
  * Forgets the grants that the entry has replaced by a newer one.
  * @param holding - Holding of the entry.
--- a/source/cold-start/inherited-holdings.test.ts
+++ b/source/cold-start/inherited-holdings.test.ts
@@ -100,3 +100,31 @@
 		doTest(1, 1);
 	});
 });
+
+describe('createAllocator: a grant with which an entry keeps its permit, and which arrives after the entry has confirmed it', () => {
+	test('still counts as the permit that the entry handed over', () => {
+		const allocator = createAllocator({startedAt: 0, termMilliseconds: 1000});
+		allocator.add({
+			id: 7, slots: 60, easing: {initialSlots: 1, growthPerSuccess: 0.2, ceilingMilliseconds: 30_000}, deadlineMilliseconds: 500, hasEarlierHolders: true,
+		}, 0);
+		const permits: readonly Permit[] = [{server: 7, slots: 2}];
+
+		/** Renews as `a`, which still holds two slots. The grant for this renewal is late. */
+		function renew(sequence: number, acknowledged: number, hasLease: boolean): void {
+			allocator.report('a', acknowledged, [], sequence);
+			allocator.inherit({
+				entry: 'a', acknowledged, permits, hasLease,
+			}, sequence);
+			allocator.grant('a', sequence, ['a', 'b'], sequence);
+		}
+
+		renew(11, 10, false);
+		renew(12, 10, false);
+		renew(13, 11, true);
+		renew(14, 12, true);
+		allocator.inherit({
+			entry: 'b', acknowledged: 0, permits: [], hasLease: false,
+		}, 15);
+		expect(allocator.grant('b', 1, ['a', 'b'], 15)).toEqual([]);
+	});
+});
