--- a/soak/report.ts
+++ b/soak/report.ts
@@ -48,7 +48,7 @@
 		`${result.controls} control hosts`,
 		`${history.orders.length} orders`,
 		`${history.versions.length} versions`,
-		`${history.disturbances.length} faults`,
+		`${history.disturbances.length} faults (${count(history.disturbances.map(({scope, kind}) => `${scope} ${kind.split(' ')[0]!}`))})`,
 		`${history.exchanges.length} requests (${outcomes})`,
 		`${history.arrivals.length} at upstreams`,
 		`blind for ${result.longestBlindMilliseconds} ms at most`,
