--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,6 +1,6 @@
 /**
  * Implements `npm run soak -- --seed N --seconds S [--runs K] [--bundle FILE --deploy FOLDER] [--lane L] [--plain]`, which plays K runs from
- * seed N on, with `--plain` the schedules of before the faults of machines' links. Commands that run at the same time need different lanes. The exit code is 1 if a check fails.
+ * seed N on, with `--plain` without the newer kinds of events. Commands that run at the same time need different lanes. The exit code is 1 if a check fails.
  */
 import process from 'node:process';
 import {parseArgs} from 'node:util';
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -20,7 +20,7 @@
 	readonly program?: Program;
 	/** Number of the run among those that are played at the same time; 0 if undefined. */
 	readonly lane?: number;
-	/** Whether only the kinds of events are played that are older than the faults of machines' links: the schedules of earlier versions. */
+	/** Whether the newer kinds of events are left out: faults of the links of machines, contested orders, versions and pipelined requests. */
 	readonly isPlain?: boolean;
 	/** Folder to which the logs of the processes are copied if a check fails. */
 	readonly logFolder: string;
