Let a leaving upstream of a soak stay longer than its drain time

Cause: an upstream left for 1 to 4 s, of which only what exceeds the drain time of 2 s can show a request beyond the rule.

Change: it stays for the drain time in addition.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -13,6 +13,9 @@
 const neverProbability = 0.2;
 const longestDelayMilliseconds = 80;
 
+/** Time for which an upstream that leaves stays in addition, since requests may reach it until then (`drain_ms`). */
+const drainMilliseconds = 2000;
+
 /** Kinds of faults, with their weights. */
 const kindWeights = {
 	'freeze control': 0.24,
@@ -193,7 +196,7 @@
 		case 'leave upstream': {
 			await disturb('statement', upstream.name, () => {
 				upstream.setWithdrawal('leaving');
-			}, doNothing);
+			}, async () => delay(drainMilliseconds));
 			return restartUpstream();
 		}
 
@@ -210,7 +213,3 @@
 		}
 	}
 }
-
-function doNothing(): void {
-	// The upstream leaves when the fault is over.
-}
