--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -14,9 +14,12 @@
 const neverProbability = 0.2;
 const longestDelayMilliseconds = 80;
 
+/** Time for which an upstream that leaves stays in addition, since requests may reach it until then (`drain_ms`). */
+const drainMilliseconds = 2000;
+
 /** Kinds of faults, with their weights. */
 const kindWeights = {
-	'freeze control': 0.24,
+	'freeze control': 0.3,
 	'hold orders': 0.2,
 	'hold orders and responses': 0.06,
 	'cut responses to orders': 0.06,
@@ -28,11 +31,14 @@
 	'hold upstream': 0.04,
 	'reset upstream': 0.04,
 	'restart upstream': 0.04,
-	'leave upstream': 0.03,
-	'pause upstream': 0.03,
 } as const;
 
-type Kind = keyof typeof kindWeights;
+/** Kinds in which an upstream states something about itself. They come beside the others, so that a seed keeps its schedule. */
+const statementKinds = ['leave upstream', 'pause upstream'] as const;
+
+const statementProbability = 0.2;
+
+type Kind = keyof typeof kindWeights | typeof statementKinds[number];
 
 /** Fault that is planned: what happens to which machine or upstream, from when on, and for how long. */
 export type PlannedFault = {
@@ -58,7 +64,7 @@
 
 function chooseKind(random: Random): Kind {
 	let rest = random();
-	for (const [kind, weight] of Object.entries(kindWeights) as Array<[Kind, number]>) {
+	for (const [kind, weight] of Object.entries(kindWeights) as Array<[keyof typeof kindWeights, number]>) {
 		rest -= weight;
 		if (rest < 0) {
 			return kind;
@@ -71,10 +77,11 @@
 /**
  * Plans a fault.
  * @param random - Source of random numbers.
+ * @param choose - Chooses its kind.
  */
-export function planFault(random: Random): PlannedFault {
+export function planFault(random: Random, choose: (random: Random) => Kind = chooseKind): PlannedFault {
 	return {
-		kind: chooseKind(random),
+		kind: choose(random),
 		index: Math.floor(random() * 1000),
 		startMilliseconds: random() * longestStartMilliseconds,
 		milliseconds: shortestFaultMilliseconds + (random() * faultRangeMilliseconds),
@@ -83,6 +90,14 @@
 	};
 }
 
+/**
+ * Plans what an upstream states about itself, if it does.
+ * @param random - Source of random numbers.
+ */
+export function planStatements(random: Random): readonly PlannedFault[] {
+	return random() < statementProbability ? [planFault(random, source => statementKinds[Math.floor(source() * statementKinds.length)]!)] : [];
+}
+
 function describeFault({kind, closeMilliseconds}: PlannedFault): string {
 	if (!kind.startsWith('hold')) {
 		return kind;
@@ -195,7 +210,7 @@
 		case 'leave upstream': {
 			await disturb('statement', upstream.name, () => {
 				upstream.setWithdrawal('leaving');
-			}, doNothing);
+			}, async () => delay(drainMilliseconds));
 			return restartUpstream();
 		}
 
@@ -212,7 +227,3 @@
 		}
 	}
 }
-
-function doNothing(): void {
-	// The upstream leaves when the fault is over.
-}
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -50,6 +50,7 @@
 		network: createNewerStream('network schedule'),
 		third: createNewerStream('third schedule'),
 		versions: createNewerStream('versions'),
+		statements: createNewerStream('statements'),
 	};
 	const controls = seed % 2 === 0 ? 3 : 5;
 	const history = createHistory();
--- a/soak/scene.ts
+++ b/soak/scene.ts
@@ -2,7 +2,9 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Random} from '../source/randomness/index.js';
 import {contactMilliseconds} from './disturbances.js';
-import {injectFault, planFault, type PlannedFault} from './faults.js';
+import {
+	injectFault, planFault, planStatements, type PlannedFault,
+} from './faults.js';
 import {type History} from './history.js';
 import {injectNetworkFault, planNetworkFaults, type PlannedNetworkFault} from './network-faults.js';
 import {type ControlAddress, type Operator} from './operator.js';
@@ -60,6 +62,8 @@
 	readonly third: Random | undefined;
 	/** For new versions of the configuration; undefined without them. */
 	readonly versions: Random | undefined;
+	/** For what upstreams state about themselves; undefined without it. */
+	readonly statements: Random | undefined;
 };
 
 function isAtControl({kind}: PlannedFault): boolean {
@@ -70,7 +74,10 @@
  * Plans a scene. At most one control host is disturbed at a time.
  * @param randoms - Sources of random numbers.
  */
-export function planScene({schedule: random, second: secondRandom, network, third, versions}: PlanRandoms): Scene {
+export function planScene(randoms: PlanRandoms): Scene {
+	const {
+		schedule: random, second: secondRandom, network, third, versions, statements,
+	} = randoms;
 	const zone = random() < 0.8 ? 'c' : 'b';
 	const first = planFault(random);
 	const second = random() < secondFaultProbability ? planFault(random) : undefined;
@@ -78,7 +85,7 @@
 	const faults = second !== undefined && isSecondApart ? [first, second] : [first];
 	return {
 		zone,
-		faults,
+		faults: [...faults, ...statements === undefined ? [] : planStatements(statements)],
 		networkFaults: network === undefined ? [] : planNetworkFaults(network, faults.some(fault => isAtControl(fault))),
 		isTargeted: random() < targetedProbability,
 		flips: planFlips(random),
