Keep the orders of the operators of a soak apart from their other calls

Cause: orders and calls for the configuration drew from one stream. Change: a stream of its own for everything but orders.

--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -35,7 +35,10 @@
 /** Options of `createOperator`. */
 export type OperatorOptions = {
 	readonly history: History;
+	/** Source of random numbers for orders. */
 	readonly random: Random;
+	/** Source of random numbers for what else is called, so that these calls, whose number depends on the time, do not change the orders. */
+	readonly otherRandom: Random;
 	readonly controls: readonly ControlAddress[];
 };
 
@@ -74,22 +77,24 @@
  * @param options - History, and addresses of the control hosts.
  */
 export function createOperator(options: OperatorOptions): Operator {
-	const {history, random, controls} = options;
+	const {
+		history, random, otherRandom, controls,
+	} = options;
 
 	/** Decides whether the next response is lost; none is after the last fault, when every order must be acknowledged. */
-	function isNextLost(): boolean {
-		return history.steadyFrom === undefined && random() < lossProbability;
+	function isNextLost(source: Random): boolean {
+		return history.steadyFrom === undefined && source() < lossProbability;
 	}
 
 	/** Sends one call and follows its redirections, over the links. Each of the responses may be lost. */
-	async function sendRedirectedCall(control: ControlAddress, call: Pick<Call, 'method' | 'path' | 'body'>): Promise<CallResult & {readonly trace: string}> {
-		let isResponseLost = isNextLost();
+	async function sendRedirectedCall(control: ControlAddress, call: Pick<Call, 'method' | 'path' | 'body'>, source: Random): Promise<CallResult & {readonly trace: string}> {
+		let isResponseLost = isNextLost(source);
 		let trace = `${control.name}@${Math.round(history.now())}`;
 		let result = await sendCall({...call, address: control, isResponseLost});
 		for (let redirections = 0; result.status === 307 && result.location !== undefined && redirections < maximumRedirections; redirections++) {
 			const {hostname, pathname, search} = new URL(result.location);
 			const address = controls.find(({ownHost}) => ownHost === hostname)!;
-			isResponseLost = isNextLost();
+			isResponseLost = isNextLost(source);
 			trace += `>${address.name}`;
 			result = await sendCall({
 				...call, address, path: `${pathname}${search}`, isResponseLost,
@@ -108,7 +113,7 @@
 		let backoff = firstBackoffMilliseconds;
 		for (let attempt = 0; history.now() < record.sentAt + orderMilliseconds; attempt++) {
 			const control = controls[(offset + attempt) % controls.length]!;
-			const {status, trace} = await sendRedirectedCall(control, {method: isOut ? 'POST' : 'DELETE', path: `/-/evacuations/${zone}`});
+			const {status, trace} = await sendRedirectedCall(control, {method: isOut ? 'POST' : 'DELETE', path: `/-/evacuations/${zone}`}, random);
 			record.attempts.push(trace);
 			if (status >= 200 && status < 300) {
 				record.acknowledgedAt = history.now();
@@ -131,9 +136,9 @@
 				number, sentAt: history.now(), acknowledgedAt: undefined, refusal: undefined,
 			};
 			history.versions.push(version);
-			const offset = Math.floor(random() * controls.length);
+			const offset = Math.floor(otherRandom() * controls.length);
 			for (let attempt = 0; history.now() < version.sentAt + orderMilliseconds; attempt++) {
-				const {status} = await sendRedirectedCall(controls[(offset + attempt) % controls.length]!, {method: 'PUT', path: '/-/config', body: configuration});
+				const {status} = await sendRedirectedCall(controls[(offset + attempt) % controls.length]!, {method: 'PUT', path: '/-/config', body: configuration}, otherRandom);
 				if (status >= 200 && status < 300) {
 					version.acknowledgedAt = history.now();
 					return;
@@ -149,8 +154,8 @@
 		},
 		async read() {
 			const sentAt = history.now();
-			const control = controls[Math.floor(random() * controls.length)]!;
-			const {status, text} = await sendRedirectedCall(control, {method: 'GET', path: '/-/config'});
+			const control = controls[Math.floor(otherRandom() * controls.length)]!;
+			const {status, text} = await sendRedirectedCall(control, {method: 'GET', path: '/-/config'}, otherRandom);
 			if (status === 200) {
 				const {version} = JSON.parse(text ?? '') as {readonly version: string};
 				history.readings.push({
