Bind the drain of a server to the boot that the operator saw

Seen in reading: an operator's call to drain a server names the server, not its boot. A call that a host reads late, after a freeze, drained the server that had started in its place, for good.

Ruled out: refusing calls of senders that have gave up; a close can be late.

Change: the call names the boot, which `guavadeck server drain` reads from the status; the leader and the registry leave another boot alone. Commands without a boot, of earlier releases, apply as before. While such a release still runs, its replica would drain the other boot in the moment between the leader's check and the commit.

The scenario's drain checks its response now; it was ignored.

--- a/scenario/server-controller.ts
+++ b/scenario/server-controller.ts
@@ -57,7 +57,14 @@
 
 	/** Drains a server through the operators' API. */
 	async function drain(server: StandIn): Promise<void> {
-		await getCluster().callApi('POST', '/v1/servers/drain', {key: `${getService(server)}/${server.name}`});
+		const key = `${getService(server)}/${server.name}`;
+		const status = await getCluster().getStatus();
+		const boot = status?.servers.find(candidate => candidate.key === key)?.boot;
+		const response = await getCluster().callApi('POST', '/v1/servers/drain', {key, boot});
+		if (response?.status !== 200) {
+			throw new Error(`${key} could not be drained: ${JSON.stringify(response)}`);
+		}
+
 		recordDeparture(server.name, Date.now());
 	}
 
--- a/source/announcement/registry.test.ts
+++ b/source/announcement/registry.test.ts
@@ -52,6 +52,18 @@
 			kind: 'left', name: 'one', bornAt: 5, at: 0,
 		}], {'stock/one': 'warm 7'});
 	});
+	test('ignores a late drain of an earlier boot', () => {
+		doTest([announce(createAnnouncement('one', 7, 1)), {
+			kind: 'drained', key: 'stock/one', boot: '5', at: 0,
+		}], {'stock/one': 'warm 7'});
+	});
+	test('drains the boot that the operator saw, and any boot by a command of an earlier release', () => {
+		for (const boot of ['7', undefined]) {
+			doTest([announce(createAnnouncement('one', 7, 1)), {
+				kind: 'drained', key: 'stock/one', boot, at: 0,
+			}], {'stock/one': 'leaving 7'});
+		}
+	});
 	test('assigns an address to the boot that started later', () => {
 		doTest([announce(createAnnouncement('one', 5, 1)), announce(createAnnouncement('two', 7, 1, {service: 'orders'}))], {'orders/two': 'warm 7'});
 		doTest([announce(createAnnouncement('two', 7, 1)), announce(createAnnouncement('one', 5, 3))], {'stock/two': 'warm 7'});
--- a/source/announcement/registry.ts
+++ b/source/announcement/registry.ts
@@ -18,7 +18,8 @@
 		| {readonly kind: 'zoneCooled'; readonly zone: string; readonly at: number}
 		| {readonly kind: 'warmed'; readonly id: number; readonly at: number}
 		| {readonly kind: 'cooled'; readonly id: number; readonly at: number}
-		| {readonly kind: 'drained'; readonly key: ServerKey; readonly at: number}
+	/** Drains a server if it still has the given boot; the log of earlier releases contains commands without a boot. */
+		| {readonly kind: 'drained'; readonly key: ServerKey; readonly boot?: string; readonly at: number}
 		| {readonly kind: 'removed'; readonly id: number; readonly at: number};
 
 /** Serializable snapshot of a registry. */
@@ -158,9 +159,10 @@
 		return server?.state === from ? setServer({...server, state: to, since: at}) : [];
 	}
 
-	function drain(key: ServerKey, at: number): readonly RegisteredServer[] {
+	function drain(key: ServerKey, boot: string | undefined, at: number): readonly RegisteredServer[] {
 		const server = servers.get(key);
-		return server === undefined || server.state === 'leaving' ? [] : setServer({...server, state: 'leaving', since: at});
+		const isOther = boot !== undefined && server?.announcement.boot !== boot;
+		return server === undefined || isOther || server.state === 'leaving' ? [] : setServer({...server, state: 'leaving', since: at});
 	}
 
 	function remove(id: number): readonly RegisteredServer[] {
@@ -198,7 +200,7 @@
 				}
 
 				case 'drained': {
-					return drain(command.key, command.at);
+					return drain(command.key, command.boot, command.at);
 				}
 
 				case 'removed': {
--- a/source/control/api.ts
+++ b/source/control/api.ts
@@ -36,7 +36,7 @@
 	despiteBurn: z.boolean().default(false),
 });
 
-const drainSchema = z.strictObject({key: z.string().min(3).max(128)});
+const drainSchema = z.strictObject({key: z.string().min(3).max(128), boot: z.string().min(1).max(64)});
 
 /** Options of `createApi`. */
 export type ApiOptions = {
@@ -179,7 +179,7 @@
 		if (request.method === 'POST' && url.pathname === '/v1/servers/drain') {
 			const body = await parseBody(request, response, drainSchema, maximumAnnouncementBytes);
 			if (body !== undefined) {
-				await forward(response, {kind: 'drain', key: body.key});
+				await forward(response, {kind: 'drain', ...body});
 			}
 
 			return;
--- a/source/control/leader-request-handler.ts
+++ b/source/control/leader-request-handler.ts
@@ -86,11 +86,17 @@
 		return propose({area: 'ledger', command: {...command, at: Date.now()}}, result => result.area === 'ledger' ? {kind: 'ledger', answer: result.answer} : {kind: 'unknown'});
 	}
 
-	async function drain(key: string): Promise<ControlResponse> {
-		const isKnown = machine.registry.get(key).isJust;
-		return isKnown
-			? propose({area: 'registry', command: {kind: 'drained', key, at: Date.now()}}, () => ({kind: 'drained', isKnown}))
-			: {kind: 'drained', isKnown};
+	async function drain(key: string, boot: string | undefined): Promise<ControlResponse> {
+		const registered = machine.registry.get(key).map(server => server.announcement.boot).unwrapOr(undefined);
+		if (registered === undefined || registered !== (boot ?? registered)) {
+			return {kind: 'drained', isKnown: false};
+		}
+
+		return propose({
+			area: 'registry', command: {
+				kind: 'drained', key, boot: registered, at: Date.now(),
+			},
+		}, () => ({kind: 'drained', isKnown: true}));
 	}
 
 	async function leave(name: string, bornAt: number | undefined): Promise<ControlResponse> {
@@ -224,7 +230,7 @@
 				}
 
 				case 'drain': {
-					return drain(request.key);
+					return drain(request.key, request.boot);
 				}
 
 				case 'crash': {
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -217,6 +217,7 @@
 		getServers: now => [...machine.registry.getAll()].map(server => ({
 			key: server.key,
 			id: server.id,
+			boot: server.announcement.boot,
 			zone: server.announcement.zone,
 			state: server.state,
 			isAbsent: presence.isAbsent(server.id, now),
--- a/source/control/message.ts
+++ b/source/control/message.ts
@@ -25,7 +25,8 @@
 	 * its sender has sent it again together with this revision. Hosts of earlier releases send neither a revision nor the id of the order.
 	 */
 		| {readonly kind: 'moveZone'; readonly zone: string; readonly isOut: boolean; readonly revision?: number; readonly isConfirmed?: boolean; readonly order?: string}
-		| {readonly kind: 'drain'; readonly key: ServerKey}
+	/** Drains a server if it still has the given boot; hosts of earlier releases send none. */
+		| {readonly kind: 'drain'; readonly key: ServerKey; readonly boot?: string}
 		| {readonly kind: 'crash'; readonly fingerprint: string; readonly server: number}
 		| {readonly kind: 'clearCrashes'; readonly fingerprint: string}
 		| {readonly kind: 'readVersion'; readonly environment: Environment}
@@ -77,6 +78,8 @@
 export type ServerStatus = {
 	readonly key: ServerKey;
 	readonly id: number;
+	/** Id that the server generated when it started. */
+	readonly boot: string;
 	readonly zone: string;
 	readonly state: string;
 	readonly isAbsent: boolean;
--- a/source/program/operator-commands.ts
+++ b/source/program/operator-commands.ts
@@ -172,11 +172,17 @@
 		rejectInput([`server: "${action}" is unknown; use drain`]);
 	}
 
-	const response = await callApi(options, 'POST', '/v1/servers/drain', {key});
-	if (response.status === 404) {
+	const {servers} = await readStatus(options);
+	const server = servers.find(candidate => candidate.key === key);
+	if (server === undefined) {
 		failCommand(`${key}: no such server; see guavadeck status`);
 	}
 
+	const response = await callApi(options, 'POST', '/v1/servers/drain', {key, boot: server.boot});
+	if (response.status === 404) {
+		failCommand(`${key}: the server has restarted or is gone; see guavadeck status`);
+	}
+
 	getBodyOrThrow(response);
 	printLine(`${key} is draining and receives no new requests`);
 }
@@ -216,7 +222,7 @@
  * @param options - Addresses and key.
  */
 export async function showStatus(options: OperatorOptions): Promise<void> {
-	const {status} = getBodyOrThrow<{readonly status: ClusterStatus}>(await callApi(options, 'GET', '/v1/status'));
+	const status = await readStatus(options);
 	if (options.json) {
 		printJson(status);
 		return;
@@ -266,6 +272,10 @@
 	failCommand(`version ${version} is accepted, but not yet in force everywhere after ${waitTimeoutMilliseconds / 1000} s; see guavadeck status`);
 }
 
+async function readStatus(options: OperatorOptions): Promise<ClusterStatus> {
+	return getBodyOrThrow<{readonly status: ClusterStatus}>(await callApi(options, 'GET', '/v1/status')).status;
+}
+
 async function readVersion(environment: Environment, options: OperatorOptions): Promise<Version | undefined> {
 	const response = await callApi(options, 'GET', `/v1/environments/${environment}`);
 	return response.status === 404 ? undefined : getBodyOrThrow<{readonly version: Version}>(response).version;
