Bind a leave call without a start time to the boot that the host knew

Callers: a live server got no requests any more. A control host that stood still carried out a leave call when it woke, after the server had started again: the call names no incarnation, so the successor was removed, and its heartbeats were ignored as those of a server that has left.

Change: the host notes the boot that it knows, then checks that the sender waits, and the leader refuses the call if another boot is registered; a host that lags repeats it while the sender waits.

--- a/source/announcement/registry.ts
+++ b/source/announcement/registry.ts
@@ -39,8 +39,8 @@
 	apply(command: RegistryCommand, index?: number): readonly RegisteredServer[];
 	/** Checks whether an announcement is older than the registered one, or comes from a boot that has left or was replaced. */
 	isStale(announcement: Announcement): boolean;
-	/** Gets the key of the server with a name, regardless of its service. */
-	getKeyByName(name: string): Maybe<ServerKey>;
+	/** Gets the server with a name, regardless of its service. */
+	getByName(name: string): Maybe<RegisteredServer>;
 	/** Checks whether an announcement must be replicated because it changes the registry. */
 	isTransition(announcement: Announcement): boolean;
 	get(key: ServerKey): Maybe<RegisteredServer>;
@@ -70,6 +70,11 @@
 	let nextId = 1;
 	let currentIndex: number | undefined;
 
+	function getByName(name: string): RegisteredServer | undefined {
+		const key = servers.getKeyByName(name);
+		return key === undefined ? undefined : servers.get(key);
+	}
+
 	/** Checks whether the address belongs to another server that started later. */
 	function isReplaced(announcement: Announcement): boolean {
 		const current = servers.getByAddress(announcement);
@@ -101,7 +106,7 @@
 
 	/** Removes a server that has left, and records its departure so that late announcements of the boot are ignored. */
 	function removeDeparted(name: string, bornAt: number | undefined): readonly RegisteredServer[] {
-		const server = servers.get(servers.getKeyByName(name) ?? '');
+		const server = getByName(name);
 		if (server === undefined) {
 			// The first announcement of the server may still be in transit.
 			if (bornAt !== undefined) {
@@ -214,7 +219,7 @@
 			}
 		},
 		isStale,
-		getKeyByName: name => Maybe.of(servers.getKeyByName(name)),
+		getByName: name => Maybe.of(getByName(name)),
 		isTransition(announcement) {
 			if (isStale(announcement)) {
 				return false;
--- a/source/control/api.ts
+++ b/source/control/api.ts
@@ -49,6 +49,8 @@
 	getBurnSummary(environment: Environment): BurnSummary | undefined;
 	getMetrics(): Promise<string>;
 	isReady(): boolean;
+	/** Gets the boot of the server with a name that this host knows, or undefined if it knows no such server. */
+	getBoot(name: string): string | undefined;
 	/** Gets the name of the leading control host, or undefined if no leader is known. */
 	getLeaderHost(): string | undefined;
 };
@@ -239,6 +241,7 @@
 
 		case 'notLeader':
 		case 'unknown':
+		case 'serverChanged':
 		case 'zonesChanged':
 		case 'zoneUnconfirmed': {
 			return 503;
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -258,6 +258,7 @@
 		hasStalledRecently: stallWatch.hasStalledRecently,
 		getMetrics: metrics.getText,
 		isReady: () => driver.replica.getLeader() !== undefined,
+		getBoot: name => machine.registry.getByName(name).map(server => server.announcement.boot).unwrapOr(undefined),
 		getLeaderHost() {
 			const leaderId = driver.replica.getLeader();
 			return leaderId === undefined ? undefined : getHostName(leaderId);
--- a/source/control/index.ts
+++ b/source/control/index.ts
@@ -9,6 +9,7 @@
 export * from './stall-detector.js';
 export * from './stall-watch.js';
 export * from './state-machine.js';
+export * from './server-departure.js';
 export * from './zone-change.js';
 export * from './zone-order-log.js';
 export type * from './message.js';
--- a/source/control/leader-request-handler.ts
+++ b/source/control/leader-request-handler.ts
@@ -99,14 +99,21 @@
 		}, () => ({kind: 'drained', isKnown: true}));
 	}
 
-	async function leave(name: string, bornAt: number | undefined): Promise<ControlResponse> {
-		return machine.registry.getKeyByName(name).isNothing && bornAt === undefined
-			? readConfirmed(() => ({kind: 'left'}))
-			: propose({
-				area: 'registry', command: {
-					kind: 'left', name, bornAt, at: Date.now(),
-				},
-			}, () => ({kind: 'left'}));
+	async function leave({name, bornAt, known}: ControlRequest & {readonly kind: 'leave'}): Promise<ControlResponse> {
+		const registered = machine.registry.getByName(name).map(server => server.announcement).unwrapOr(undefined);
+		if (bornAt === undefined && known !== undefined && known.boot !== registered?.boot) {
+			return {kind: 'serverChanged'};
+		}
+
+		if (bornAt === undefined && registered === undefined) {
+			return readConfirmed(() => ({kind: 'left'}));
+		}
+
+		return propose({
+			area: 'registry', command: {
+				kind: 'left', name, bornAt: bornAt ?? registered?.bornAt, at: Date.now(),
+			},
+		}, () => ({kind: 'left'}));
 	}
 
 	/** Checks whether a zone was ordered since a revision, or the revision is none of this log. */
@@ -214,7 +221,7 @@
 				}
 
 				case 'leave': {
-					return leave(request.name, request.bornAt);
+					return leave(request);
 				}
 
 				case 'readZones': {
--- a/source/control/message.ts
+++ b/source/control/message.ts
@@ -16,8 +16,11 @@
 	= | {readonly kind: 'announce'; readonly announcement: Announcement}
 		| {readonly kind: 'configure'; readonly command: ConfigurationCommand}
 		| {readonly kind: 'ledger'; readonly command: LedgerCommand}
-	/** Permanently removes a server, which is identified by its name and boot time. */
-		| {readonly kind: 'leave'; readonly name: string; readonly bornAt: number | undefined}
+	/**
+	 * Permanently removes a server, which is identified by its name and boot time. A call without a boot time is bound to the boot that
+	 * the host knew, which hosts of earlier releases do not send.
+	 */
+		| {readonly kind: 'leave'; readonly name: string; readonly bornAt: number | undefined; readonly known?: {readonly boot: string | undefined}}
 	/** Reads the revision of the zones that are out of service. */
 		| {readonly kind: 'readZones'}
 	/**
@@ -41,6 +44,8 @@
 		| {readonly kind: 'ledger'; readonly answer: LedgerResult}
 		| {readonly kind: 'drained'; readonly isKnown: boolean}
 		| {readonly kind: 'left'}
+	/** Another boot of the server is registered than the one that the call is bound to. */
+		| {readonly kind: 'serverChanged'}
 		| {readonly kind: 'zones'; readonly revision: number}
 		| {readonly kind: 'zoneMoved'}
 	/** The zone was ordered since the given revision, or is being changed. */
--- a/stand-in/control-model/host.ts
+++ b/stand-in/control-model/host.ts
@@ -157,6 +157,7 @@
 		hasStalledRecently: stallWatch.hasStalledRecently,
 		getMetrics: async () => '',
 		isReady: () => driver.replica.getLeader() !== undefined,
+		getBoot: name => machine.registry.getByName(name).map(server => server.announcement.boot).unwrapOr(undefined),
 		getLeaderHost() {
 			const leader = driver.replica.getLeader();
 			return leader === undefined ? undefined : getHostName(leader);
--- a/stand-in/platform/control-api-bed.ts
+++ b/stand-in/platform/control-api-bed.ts
@@ -33,6 +33,7 @@
 		getBurnSummary: () => undefined,
 		getMetrics: async () => '',
 		isReady: () => true,
+		getBoot: () => undefined,
 		getLeaderHost: () => undefined,
 	});
 	const server = createServer((request, response) => {
