Remove the headers that a short Connection header names

Callers and servers: `Connection: x-foo` did not take x-foo out of what an entry passes on; values of less than 11 characters were not parsed.

--- a/source/entry/servers/headers.ts
+++ b/source/entry/servers/headers.ts
@@ -18,8 +18,7 @@
  * @param excluded - Further names to remove, in lower case.
  */
 function filterHeaders(rawHeaders: readonly string[], connection: string | undefined, excluded: ReadonlySet<string>): string[] {
-	// Values shorter than 11 characters, such as `close` and `keep-alive`, are taken to name no further header.
-	const connectionHeaders = connection === undefined || connection.length < 11 ? undefined : new Set(connection.toLowerCase().split(',').map(name => name.trim()));
+	const connectionHeaders = connection === undefined ? undefined : new Set(connection.toLowerCase().split(',').map(name => name.trim()));
 	const forwardedHeaders: string[] = [];
 	for (let index = 0; index < rawHeaders.length; index += 2) {
 		const name = rawHeaders[index]!.toLowerCase();
@@ -103,7 +102,7 @@
  * @param dialect - Header dialect of the server.
  * @param response - Response of the server.
  */
-export function getResponseHeaders(dialect: Dialect, response: IncomingMessage): string[] {
+export function getResponseHeaders(dialect: Dialect, response: Pick<IncomingMessage, 'rawHeaders' | 'headers'>): string[] {
 	return filterHeaders(response.rawHeaders, response.headers.connection, dialect.hiddenResponseHeaders);
 }
 
