Answer requests to confirm the leadership when a control host stops

Callers of a control host that stops got no answer: a request to confirm its leadership that was pending, or was made later, never settled.

Measured: driver.test.ts, two cases, failed before (no outcome in 500 ms).

--- a/source/control/driver.test.ts
+++ b/source/control/driver.test.ts
@@ -2,12 +2,16 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {describe, test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
 import {createRandom} from '../randomness/index.js';
 import {openStore} from '../storage/index.js';
 import {startDriver, type Driver} from './driver.js';
 import {createStateMachine, stateMachineCodec} from './state-machine.js';
 
+/** Time after which a request counts as not answered. */
+const patienceMilliseconds = 500;
+
 const limits = {retentionMilliseconds: 1_000_000, maximumClaims: 10_000, maximumStoredBytes: 100_000_000};
 
 async function lead(driver: Driver): Promise<void> {
@@ -19,6 +23,53 @@
 	});
 }
 
+// Guards against calls that are never answered because the host that received them stops.
+describe('startDriver: requests to confirm the leadership', () => {
+	/** Stops a leader whose other voter elects it, and does not respond to it afterwards. */
+	async function doTest(request: (driver: Driver) => Promise<() => Promise<boolean>>): Promise<void> {
+		const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-driver-'));
+		const driver: Driver = startDriver({
+			id: 'a', founders: {voters: ['a', 'b'], learners: []}, store: await openStore(folder, stateMachineCodec), machine: createStateMachine(limits), electionMilliseconds: 20, heartbeatMilliseconds: 10,
+			snapshotEvery: 10, snapshotBytes: 10_000, random: createRandom(1),
+			send(_, message) {
+				if (message.kind === 'voteRequest') {
+					const {term, isPreVote} = message;
+					setImmediate(() => {
+						driver.receive('b', {
+							kind: 'vote', term, isPreVote, isGranted: true,
+						});
+					});
+				}
+			},
+			onFailure(error) {
+				throw error;
+			},
+		});
+		await new Promise<void>(resolve => {
+			const subscription = driver.roleChanges.subscribe(({role}) => {
+				if (role === 'leader') {
+					subscription.unsubscribe();
+					resolve();
+				}
+			});
+		});
+		const getConfirmation = await request(driver);
+		const outcome = await Promise.race([getConfirmation(), delay(patienceMilliseconds, 'none')]);
+		rmSync(folder, {recursive: true});
+		expect(outcome).toEqual(false);
+	}
+
+	test('are refused when the host stops', async () => doTest(async driver => {
+		const confirmation = driver.confirm(false);
+		await driver.stop();
+		return async () => confirmation;
+	}));
+	test('are refused after it has stopped', async () => doTest(async driver => {
+		await driver.stop();
+		return async () => driver.confirm(true);
+	}));
+});
+
 describe('startDriver: snapshots', () => {
 	/** Claims and finishes keys with responses of 10 kB each on a single voter, then restores its state from the stored log. */
 	async function doTest(options: {readonly snapshotEvery: number; readonly snapshotBytes: number}, expected: {readonly hasSnapshot: boolean}): Promise<void> {
--- a/source/control/driver.ts
+++ b/source/control/driver.ts
@@ -172,6 +172,14 @@
 		}
 	}
 
+	function rejectConfirmations(): void {
+		for (const settle of confirmations.values()) {
+			settle(false);
+		}
+
+		confirmations.clear();
+	}
+
 	function apply(index: number, term: number, payload: Payload): void {
 		const result = payload.kind === 'command' ? machine.apply(payload.command as Command, index) : undefined;
 		proposals.settle({index, term}, result);
@@ -217,6 +225,10 @@
 		},
 		async confirm(isUrgent) {
 			const token = nextToken++;
+			if (state.isStopped) {
+				return false;
+			}
+
 			return new Promise<boolean>(resolve => {
 				confirmations.set(token, resolve);
 				handleEvent({kind: 'confirm', token, isUrgent});
@@ -231,6 +243,7 @@
 			state.isStopped = true;
 			writer.stop();
 			await waitUntilIdle(state);
+			rejectConfirmations();
 			proposals.close();
 			await store.close();
 		},
