Count every lost line of the log, and the bytes of the backlog

Operators: a failed write counted as one lost line, however many it held, and the limit of the backlog counted characters.

Measured: line-writer.test.ts, two cases, failed before.

--- a/source/telemetry/line-writer.test.ts
+++ b/source/telemetry/line-writer.test.ts
@@ -63,4 +63,29 @@
 		reader.take();
 		expect(reader.texts.join('').includes(`"lost":${lostCount}`)).toEqual(true);
 	});
+	test('counts every line of a write that fails', () => {
+		const failures: Array<() => void> = [];
+		const writer = createLineWriter((_, done) => {
+			failures.push(() => {
+				done(new Error('closed'), 0);
+			});
+		});
+		for (const line of ['one\n', 'two\n', 'three\n']) {
+			writer.write(line);
+		}
+
+		failures[0]!();
+		failures[1]!();
+		expect(writer.getLostCount()).toEqual(3);
+	});
+	test('counts the bytes of characters that have several against the limit', () => {
+		const reader = createReader();
+		const writer = createLineWriter(reader.write);
+		const line = `${'é'.repeat(499)}\n`;
+		for (let count = 0; count < 1000; count++) {
+			writer.write(line);
+		}
+
+		expect(writer.getLostCount() > 700).toEqual(true);
+	});
 });
--- a/source/telemetry/line-writer.ts
+++ b/source/telemetry/line-writer.ts
@@ -49,22 +49,23 @@
 		const notice = lostCount === reportedLostCount ? '' : `{"level":40,"lost":${lostCount - reportedLostCount},"msg":"log lines were dropped because the reader of the log stalled"}\n`;
 		reportedLostCount = lostCount;
 		const chunk = Buffer.from(notice + backlog.join(''));
+		const lineCount = backlog.length;
 		backlog = [];
 		backlogBytes = 0;
 		isWriting = true;
-		send(chunk);
+		send(chunk, lineCount);
 	}
 
-	function send(chunk: Buffer): void {
+	function send(chunk: Buffer, lineCount: number): void {
 		writeChunk(chunk, (error, written) => {
 			const rest = error === null ? chunk.subarray(written) : chunk.subarray(chunk.length);
 			if (rest.length > 0) {
-				send(rest);
+				send(rest, lineCount);
 				return;
 			}
 
-			// A write fails if the reader has closed its end; the chunk is dropped and counted as one lost line.
-			lostCount += error === null ? 0 : 1;
+			// A write fails if the reader has closed its end; all lines of the chunk count as lost, although some may have been written.
+			lostCount += error === null ? 0 : lineCount;
 			isWriting = false;
 			flush();
 		});
@@ -72,13 +73,14 @@
 
 	return {
 		write(line) {
-			if (backlogBytes + line.length > maximumBacklogBytes) {
+			const bytes = Buffer.byteLength(line);
+			if (backlogBytes + bytes > maximumBacklogBytes) {
 				lostCount++;
 				return;
 			}
 
 			backlog.push(line);
-			backlogBytes += line.length;
+			backlogBytes += bytes;
 			flush();
 		},
 		getLostCount: () => lostCount,
