Log why a request is not repeated as the rule that forbids it

Operators: the log said "may-have-run" for a request whose streamed body cannot be sent again although it had not run. The rule and the reason stood in two places.

Change: the rule returns the reason; `body-streamed` is new. The tests of the rule expect the reason instead of whether there is one.

--- a/source/entry/placement/further-attempt.ts
+++ b/source/entry/placement/further-attempt.ts
@@ -1,6 +1,6 @@
 /** Repeats a request on another server after a failed attempt, or ends it with what is known. */
 import {performance} from 'node:perf_hooks';
-import {mayRetry} from '../../retry/index.js';
+import {getRetryObstacle} from '../../retry/index.js';
 import {mayHaveRun, type Verdict} from '../../verdict/index.js';
 import {hasReachedNoServer} from './attempt-result.js';
 import {
@@ -33,7 +33,7 @@
 		return;
 	}
 
-	const isAllowed = mayRetry({
+	const obstacle = getRetryObstacle({
 		verdict,
 		isIdempotent: request.isIdempotent,
 		isRepeatable: request.stream === undefined || !progress.hasDispatched,
@@ -42,8 +42,8 @@
 		remainingMilliseconds: admitted.deadlineAt - performance.now(),
 		isQuarantined,
 	});
-	if (!isAllowed) {
-		admitted.recordDecision({kind: 'noRetry', reason: getNoRetryReason(progress, isQuarantined)});
+	if (obstacle !== undefined) {
+		admitted.recordDecision({kind: 'noRetry', reason: obstacle});
 		finishWithoutRetry(progress, verdict);
 		return;
 	}
@@ -66,18 +66,6 @@
 	});
 }
 
-function getNoRetryReason({admitted, attempts, attemptLimit}: RequestProgress, isQuarantined: boolean): 'attempts' | 'deadline' | 'may-have-run' | 'quarantined' {
-	if (isQuarantined) {
-		return 'quarantined';
-	}
-
-	if (performance.now() >= admitted.deadlineAt) {
-		return 'deadline';
-	}
-
-	return attempts >= attemptLimit ? 'attempts' : 'may-have-run';
-}
-
 /** Ends the request with the withheld error response, if there is one, or with a verdict. */
 function finishWithoutRetry(progress: RequestProgress, verdict: Verdict): void {
 	if (progress.withheldResponse === undefined) {
--- a/source/entry/reporting/request-log.ts
+++ b/source/entry/reporting/request-log.ts
@@ -4,6 +4,7 @@
  * several attempts or missed their target are logged up to a rate limit; those beyond it
  * are counted.
  */
+import {type RetryObstacle} from '../../retry/index.js';
 import {createLineLimit, type Log} from '../../telemetry/index.js';
 import {getVerdictHeaderValue, type Verdict} from '../../verdict/index.js';
 
@@ -22,7 +23,7 @@
 		| {readonly kind: 'failed'; readonly server: string; readonly reason: string}
 		| {readonly kind: 'answered'; readonly server: string; readonly status: number}
 		| {readonly kind: 'wait'; readonly before: number}
-		| {readonly kind: 'noRetry'; readonly reason: 'attempts' | 'budget' | 'deadline' | 'may-have-run' | 'quarantined'};
+		| {readonly kind: 'noRetry'; readonly reason: RetryObstacle | 'budget'};
 
 /** Trace of one request. */
 export type RequestTrace = {
--- a/source/retry/retry-policy.ts
+++ b/source/retry/retry-policy.ts
@@ -17,17 +17,32 @@
 	readonly isQuarantined: boolean;
 };
 
+/** Reason not to retry a request, regardless of the budget; `body-streamed` means that its body cannot be sent again. */
+export type RetryObstacle = 'attempts' | 'body-streamed' | 'deadline' | 'may-have-run' | 'quarantined';
+
 /**
- * Checks whether a request may be retried, regardless of the budget.
+ * Gets the reason not to retry a request after a failed attempt, or undefined if it may be retried.
  * @param attempt - The failed attempt.
  */
-export function mayRetry(attempt: FailedAttempt): boolean {
+export function getRetryObstacle(attempt: FailedAttempt): RetryObstacle | undefined {
+	if (attempt.isQuarantined) {
+		return 'quarantined';
+	}
+
+	if (attempt.remainingMilliseconds <= 0) {
+		return 'deadline';
+	}
+
+	if (attempt.attempts >= (attempt.maximumAttempts ?? maximumAttempts)) {
+		return 'attempts';
+	}
+
 	const isAllowed = attempt.verdict.kind === 'notRun' || (attempt.verdict.kind === 'mayHaveRun' && attempt.isIdempotent);
-	return isAllowed
-		&& attempt.isRepeatable
-		&& !attempt.isQuarantined
-		&& attempt.attempts < (attempt.maximumAttempts ?? maximumAttempts)
-		&& attempt.remainingMilliseconds > 0;
+	if (!isAllowed) {
+		return 'may-have-run';
+	}
+
+	return attempt.isRepeatable ? undefined : 'body-streamed';
 }
 
 /** Safe methods (RFC 9110, section 9.2.1). */
--- a/source/retry/retry.test.ts
+++ b/source/retry/retry.test.ts
@@ -3,36 +3,36 @@
 import {createRandom} from '../randomness/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../verdict/index.js';
 import {
-	createAttemptBudget, createHedgeDelay, mayHedge, mayRetry, type FailedAttempt, type HedgeableRequest,
+	createAttemptBudget, createHedgeDelay, getRetryObstacle, mayHedge, type FailedAttempt, type HedgeableRequest, type RetryObstacle,
 } from './index.js';
 
-describe('mayRetry', () => {
-	function doTest(verdict: Verdict, changes: Partial<FailedAttempt>, expected: boolean): void {
-		expect(mayRetry({
+describe('getRetryObstacle', () => {
+	function doTest(verdict: Verdict, changes: Partial<FailedAttempt>, expected: RetryObstacle | undefined): void {
+		expect(getRetryObstacle({
 			verdict, isIdempotent: false, isRepeatable: true, attempts: 1, remainingMilliseconds: 100, isQuarantined: false, ...changes,
 		})).toEqual(expected);
 	}
 
 	test('retries a request that was not run', () => {
-		doTest(notRun('unreachable'), {}, true);
+		doTest(notRun('unreachable'), {}, undefined);
 	});
 	test('never retries a non-idempotent request that may have run', () => {
-		doTest(mayHaveRun('connection-lost'), {}, false);
+		doTest(mayHaveRun('connection-lost'), {}, 'may-have-run');
 	});
 	test('retries an idempotent request that may have run', () => {
-		doTest(mayHaveRun('connection-lost'), {isIdempotent: true}, true);
+		doTest(mayHaveRun('connection-lost'), {isIdempotent: true}, undefined);
 	});
 	test('never retries a request whose body cannot be sent again', () => {
-		doTest(notRun('unreachable'), {isRepeatable: false}, false);
+		doTest(notRun('unreachable'), {isRepeatable: false}, 'body-streamed');
 	});
 	test('never retries after four attempts', () => {
-		doTest(notRun('unreachable'), {attempts: 4}, false);
+		doTest(notRun('unreachable'), {attempts: 4}, 'attempts');
 	});
 	test('never retries at the deadline', () => {
-		doTest(notRun('unreachable'), {remainingMilliseconds: 0}, false);
+		doTest(notRun('unreachable'), {remainingMilliseconds: 0}, 'deadline');
 	});
 	test('never retries a quarantined request', () => {
-		doTest(notRun('unreachable'), {isQuarantined: true}, false);
+		doTest(notRun('unreachable'), {isQuarantined: true}, 'quarantined');
 	});
 });
 
