Take a document whose zones are all out of service at its word

Seen in reading: an entry took such a document for one without zones, and all zones served. The schema of documents refuses it, so no operator could meet it; the entry no longer relies on that.

Measured: fleet.test.ts, "out of service do not serve", failed before.

--- a/source/entry/fleet/fleet.test.ts
+++ b/source/entry/fleet/fleet.test.ts
@@ -1,7 +1,7 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
 import {announcementSchema} from '../../announcement/index.js';
-import {documentSchema} from '../../configuration/index.js';
+import {documentSchema, type EnvironmentDocument} from '../../configuration/index.js';
 import {type Permit, type ServerView} from '../../lease/index.js';
 import {createRandom} from '../../randomness/index.js';
 import {createFleet, type Fleet} from './fleet.js';
@@ -41,6 +41,27 @@
 	});
 });
 
+// Guards against traffic to zones because a document that takes all of them out of service looks like one without zones.
+describe('createFleet: zones of the document', () => {
+	function doTest(zones: EnvironmentDocument['zones'], expected: number): void {
+		const fleet = createFleet(createRandom(1), undefined);
+		fleet.setDocument({...documentSchema.parse({zones: [{name: 'north'}], services: [{name: 'stock'}]}), zones});
+		fleet.update([getView(1)], true);
+		expect(fleet.getState('stock')!.getCandidates().length).toEqual(expected);
+		fleet.close();
+	}
+
+	test('in service serve', () => {
+		doTest([{name: 'north', inService: true}], 1);
+	});
+	test('out of service do not serve, even if no other is in service', () => {
+		doTest([{name: 'north', inService: false}], 0);
+	});
+	test('serve if the document lists none', () => {
+		doTest([], 1);
+	});
+});
+
 describe('createFleet: servers that a new leader lists', () => {
 	function doTest(listed: readonly number[], views: readonly ServerView[], expected: {readonly isComplete: boolean; readonly servers: ReadonlyArray<readonly [id: number, isAbsent: boolean]>}): void {
 		const fleet: Fleet = createFleet(createRandom(1), undefined);
--- a/source/entry/fleet/fleet.ts
+++ b/source/entry/fleet/fleet.ts
@@ -67,7 +67,7 @@
 	function isEligible(candidate: Candidate): boolean {
 		const {zone} = candidate.getAnnouncement();
 		// A document without zones leaves it to the operators to take zones out of service.
-		const isInService = zonesInService.size === 0 ? document !== undefined : zonesInService.has(zone);
+		const isInService = document?.zones.length === 0 || zonesInService.has(zone);
 		return isInService && !zonesOutOfService.has(zone) && !candidate.isLeaving();
 	}
 
