Log which settings a reload puts in force

Operators: a reload said "settings reloaded", but only the seeds take effect; the others wait for the next start, and nothing said so.

--- a/source/program/serve-control.ts
+++ b/source/program/serve-control.ts
@@ -43,7 +43,7 @@
 	const control = startResult.unwrapOrElse(message => failCommand(message));
 	printLine(`ready control ${settings.name} api ${control.apiPort} links ${control.linksPort}`);
 	watchSettings({
-		file, schema: controlSettingsSchema, log, onChange: control.reload,
+		file, schema: controlSettingsSchema, settings, log, onChange: control.reload,
 	});
 	await runUntilSignal(log, {stop: control.stop, getInFlight: () => 0});
 }
--- a/source/program/serve-entry.ts
+++ b/source/program/serve-entry.ts
@@ -30,7 +30,7 @@
 	}));
 	printLine(`ready entry ${settings.name} callers ${entry.callersPort} admin ${entry.adminPort}`);
 	watchSettings({
-		file, schema: entrySettingsSchema, log, onChange: entry.reload,
+		file, schema: entrySettingsSchema, settings, log, onChange: entry.reload,
 	});
 	await runUntilSignal(log, entry);
 }
--- a/source/program/watch.ts
+++ b/source/program/watch.ts
@@ -4,14 +4,20 @@
 import {type z} from 'zod';
 import {readTomlFile} from '../settings/index.js';
 import {type Log} from '../telemetry/index.js';
+import {compareSettings} from './settings-change.js';
 
 /** Interval at which the modification time of the file is checked. */
 const pollIntervalMilliseconds = 2000;
 
+/** Schema of the settings of a process. */
+type SettingsSchema = z.ZodType<Readonly<Record<string, unknown>>>;
+
 /** Options of `watchSettings`. */
-export type WatchOptions<Schema extends z.ZodType> = {
+export type WatchOptions<Schema extends SettingsSchema> = {
 	readonly file: string;
 	readonly schema: Schema;
+	/** Settings with which the process started. */
+	readonly settings: z.infer<Schema>;
 	readonly log: Log;
 	/** Called with the reloaded settings if they are valid. */
 	onChange(settings: z.infer<Schema>): void;
@@ -21,7 +27,7 @@
  * Starts watching a settings file.
  * @param options - File, schema and callback.
  */
-export function watchSettings<Schema extends z.ZodType>(options: WatchOptions<Schema>): void {
+export function watchSettings<Schema extends SettingsSchema>(options: WatchOptions<Schema>): void {
 	const {file, log} = options;
 	let modifiedAt: number | undefined;
 
@@ -32,7 +38,7 @@
 			return;
 		}
 
-		log.info({file}, 'settings reloaded');
+		log.info({file, ...compareSettings(options.settings, settings.value)}, 'settings read again');
 		options.onChange(settings.value);
 	}
 
