--- a/source/program/main.ts
+++ b/source/program/main.ts
@@ -8,7 +8,7 @@
 import {runLoadCommand} from './load.js';
 import {
 	applyDocument, changeZone, checkFiles, drainServer, promoteTrialVersion, showDocument, showHistory, showStatus, type ChangeOptions,
-} from './operator-commands.js';
+} from './operator/index.js';
 import {serveControl} from './serve-control.js';
 import {serveEntry} from './serve-entry.js';
 import {runLocalSystem} from './local-system.js';
--- a/source/program/operator-commands.ts
+++ b/source/program/operator/environment-changes.ts
@@ -1,16 +1,16 @@
-/** Implements the commands for operators, which call the operators' API. */
+/** Changes the document of an environment on behalf of an operator. */
 import {randomUUID} from 'node:crypto';
 import {userInfo} from 'node:os';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	documentSchema, withZone, type ConfigurationResult, type Environment, type EnvironmentDocument, type Version,
-} from '../configuration/index.js';
-import {type ClusterStatus} from '../control/index.js';
-import {controlSettingsSchema, entrySettingsSchema, readTomlFile} from '../settings/index.js';
-import {callApi, getBodyOrThrow, type OperatorOptions} from './client.js';
-import {describeDifferences} from './document-difference.js';
-import {failCommand, rejectInput} from './exit.js';
-import {printJson, printLine, printTable} from './print.js';
+	documentSchema, withZone, type ConfigurationResult, type Environment, type EnvironmentDocument,
+} from '../../configuration/index.js';
+import {readTomlFile} from '../../settings/index.js';
+import {callApi, getBodyOrThrow, type OperatorOptions} from '../client.js';
+import {describeDifferences} from '../document-difference.js';
+import {failCommand, rejectInput} from '../exit.js';
+import {printJson, printLine} from '../print.js';
+import {parseEnvironment, readVersion} from './system-state.js';
 
 const pollIntervalMilliseconds = 100;
 const waitTimeoutMilliseconds = 30_000;
@@ -25,48 +25,6 @@
 	readonly despiteBurn?: boolean;
 };
 
-type Schema = typeof documentSchema | typeof controlSettingsSchema | typeof entrySettingsSchema;
-
-function getSchema(kind: string): Schema {
-	switch (kind) {
-		case 'document': {
-			return documentSchema;
-		}
-
-		case 'control': {
-			return controlSettingsSchema;
-		}
-
-		case 'entry': {
-			return entrySettingsSchema;
-		}
-
-		default: {
-			return rejectInput([`--kind: "${kind}" is unknown; use document, control or entry`]);
-		}
-	}
-}
-
-/**
- * Validates files without applying them.
- * @param files - Paths of the files.
- * @param kind - Schema of the files: `document`, `control` or `entry`.
- */
-export function checkFiles(files: readonly string[], kind: string): void {
-	const schema = getSchema(kind);
-	const messages = files.flatMap(file => {
-		const outcome = readTomlFile(file, schema);
-		return outcome.isErr ? outcome.error : [];
-	});
-	if (messages.length > 0) {
-		rejectInput(messages);
-	}
-
-	for (const file of files) {
-		printLine(`${file}: ok`);
-	}
-}
-
 /**
  * Applies a document to an environment.
  * @param file - Path of the document.
@@ -161,85 +119,6 @@
 	return updatedDocument;
 }
 
-/**
- * Drains a server, so that it receives no new requests.
- * @param action - `drain`.
- * @param key - `service/name` of the server.
- * @param options - Addresses and key.
- */
-export async function drainServer(action: string, key: string, options: OperatorOptions): Promise<void> {
-	if (action !== 'drain') {
-		rejectInput([`server: "${action}" is unknown; use drain`]);
-	}
-
-	const {servers} = await readStatus(options);
-	const server = servers.find(candidate => candidate.key === key);
-	if (server === undefined) {
-		failCommand(`${key}: no such server; see guavadeck status`);
-	}
-
-	const response = await callApi(options, 'POST', '/v1/servers/drain', {key, boot: server.boot});
-	if (response.status === 404) {
-		failCommand(`${key}: the server has restarted or is gone; see guavadeck status`);
-	}
-
-	getBodyOrThrow(response);
-	printLine(`${key} is draining and receives no new requests`);
-}
-
-/**
- * Prints the latest version of an environment as JSON.
- * @param environment - Name of the environment.
- * @param options - Addresses and key.
- */
-export async function showDocument(environment: string, options: OperatorOptions): Promise<void> {
-	const version = await readVersion(parseEnvironment(environment), options);
-	if (version === undefined) {
-		failCommand(`${environment} has no version; apply a document first`);
-	}
-
-	printJson(version);
-}
-
-/**
- * Prints the history of versions of an environment.
- * @param environment - Name of the environment.
- * @param options - Addresses and key.
- */
-export async function showHistory(environment: string, options: OperatorOptions): Promise<void> {
-	const response = await callApi(options, 'GET', `/v1/environments/${parseEnvironment(environment)}/history`);
-	const {versions} = getBodyOrThrow<{readonly versions: readonly Version[]}>(response);
-	if (options.json) {
-		printJson(versions);
-		return;
-	}
-
-	printTable(['VERSION', 'AT', 'AUTHOR', 'CHANGE'], versions.map(version => [String(version.version), new Date(version.at).toISOString(), version.author, version.change]));
-}
-
-/**
- * Prints the state of replicas, entries and servers.
- * @param options - Addresses and key.
- */
-export async function showStatus(options: OperatorOptions): Promise<void> {
-	const status = await readStatus(options);
-	if (options.json) {
-		printJson(status);
-		return;
-	}
-
-	printLine(`leader ${status.leader}  term ${status.term}  commit ${status.commitIndex}  trial ${status.versions.trial}  production ${status.versions.production}  claims ${status.claims}`);
-	printLine(`probes per second: ${status.measuring.planned.toFixed(1)} planned, at most ${status.measuring.budget} allowed`);
-	printTable(['REPLICA', 'ROLE', 'MATCH', 'SILENT MS'], status.replicas.map(replica => [replica.replica, replica.role, String(replica.matchIndex), String(replica.silentMilliseconds)]));
-	printTable(['ENTRY', 'ENVIRONMENT', 'VERSION', 'LEASE MS'], status.entries.map(entry => [entry.entry, entry.environment, String(entry.version), String(entry.leaseMilliseconds)]));
-	printTable(['SERVER', 'ZONE', 'STATE', 'SLOTS', 'PERMITS', 'PROBER'], status.servers.map(server => [
-		server.key, server.zone, server.isAbsent ? `${server.state} (absent)` : server.state, String(server.slots), server.permits === undefined ? '-' : `${server.permits.held}/${server.permits.capacity}`, server.prober ?? '-',
-	]));
-	for (const fingerprint of status.quarantined) {
-		printLine(`quarantined ${fingerprint}`);
-	}
-}
-
 async function reportResult(environment: Environment, result: ConfigurationResult, options: ChangeOptions): Promise<void> {
 	if (result.kind !== 'accepted') {
 		failCommand(result.kind === 'conflict'
@@ -272,19 +151,6 @@
 	failCommand(`version ${version} is accepted, but not yet in force everywhere after ${waitTimeoutMilliseconds / 1000} s; see guavadeck status`);
 }
 
-async function readStatus(options: OperatorOptions): Promise<ClusterStatus> {
-	return getBodyOrThrow<{readonly status: ClusterStatus}>(await callApi(options, 'GET', '/v1/status')).status;
-}
-
-async function readVersion(environment: Environment, options: OperatorOptions): Promise<Version | undefined> {
-	const response = await callApi(options, 'GET', `/v1/environments/${environment}`);
-	return response.status === 404 ? undefined : getBodyOrThrow<{readonly version: Version}>(response).version;
-}
-
 function getBodyOrConflict(response: {readonly status: number; readonly body: unknown}): {readonly answer: ConfigurationResult} {
 	return response.status === 409 ? response.body as {readonly answer: ConfigurationResult} : getBodyOrThrow(response);
 }
-
-function parseEnvironment(name: string): Environment {
-	return name === 'trial' || name === 'production' ? name : rejectInput([`environment: "${name}" is unknown; use trial or production`]);
-}
--- /dev/null
+++ b/source/program/operator/index.ts
@@ -0,0 +1,4 @@
+export * from './check-files.js';
+export * from './drain-server.js';
+export * from './environment-changes.js';
+export * from './show.js';
