Play planned stops and reloads in the fault soak

A scene may stop an entry or a control host in order and start it again, or tell it to read its settings again, beside the other faults. The new check follows LOST: a request that its entry passed on gets the answer that its upstream made.

--- a/soak/checks.test.ts
+++ b/soak/checks.test.ts
@@ -149,6 +149,34 @@
 		doTest({pauses: [{...pauses[0]!, instance: 'i-c1-2'}], exchanges, arrivals}, []);
 	});
 
+	test('finds an answered request that planned work cut off', () => {
+		const exchange: Exchange = {...createExchange('ECONNRESET'), sentAt: 5000, endedAt: 5020};
+		const work: Disturbance = {
+			scope: 'entry', name: 'entry-1', kind: 'stop entry', isPlanned: true, from: 5010, to: 9000,
+		};
+		function doTestWork(changes: Partial<Disturbance>, expectedRules: ReadonlyArray<Violation['rule']>, others: Disturbance[] = [], made = answer, outcome = exchange.outcome): void {
+			doTest({disturbances: [{...work, ...changes}, ...others], exchanges: [{...exchange, outcome}], answers: [made]}, expectedRules);
+		}
+
+		doTestWork({}, ['LOST']);
+		doTestWork({scope: 'settings', from: 3001}, ['LOST']);
+		doTestWork({scope: 'settings', from: 2999}, []);
+		doTestWork({from: 5021}, []);
+		doTestWork({name: 'entry-2'}, []);
+		doTestWork({isPlanned: undefined}, []);
+		doTestWork({}, [], [], {...answer, manner: 'break-off'});
+		doTestWork({}, [], [], answer, 'left');
+		doTestWork({}, [], [{
+			scope: 'entry', name: 'entry-1', kind: 'freeze entry', from: 1900, to: 2000,
+		}]);
+		doTestWork({}, [], [{
+			scope: 'path', name: 'i-c1', kind: 'reset upstream', from: 1900, to: 2000,
+		}]);
+		doTestWork({}, ['LOST'], [{
+			scope: 'path', name: 'i-c2', kind: 'reset upstream', from: 1900, to: 2000,
+		}]);
+	});
+
 	describe('with versions', () => {
 		const version: Version = {
 			number: 5, sentAt: 1000, acknowledgedAt: 1100, refusal: undefined,
--- a/soak/disturbances.ts
+++ b/soak/disturbances.ts
@@ -8,7 +8,7 @@
 export const contactMilliseconds = 3000;
 
 /** Violation of a rule, with the request that shows it. */
-export type Violation = {readonly rule: 'EVAC' | 'MIXED' | 'TWICE' | 'REFUSED' | 'CONFIG' | 'ACKS' | 'RECOVER' | 'DRAIN' | 'BUDGET'; readonly at: number; readonly text: string};
+export type Violation = {readonly rule: 'EVAC' | 'MIXED' | 'TWICE' | 'REFUSED' | 'CONFIG' | 'ACKS' | 'RECOVER' | 'DRAIN' | 'BUDGET' | 'LOST'; readonly at: number; readonly text: string};
 
 /**
  * Checks whether a disturbance touched the last `contactMilliseconds`.
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -29,12 +29,14 @@
 /** Configuration that an operator read at a control host. */
 export type Reading = {readonly control: string; readonly sentAt: number; readonly endedAt: number; readonly number: number};
 
-/** Fault that was injected: `core` on a control host, `entry` on an entry, `path` between the entries and an upstream, `operator` between the operators and a control host, `statement` what an upstream states about itself. */
+/** Fault that was injected: `core` on a control host, `entry` on an entry, `path` between the entries and an upstream, `operator` between the operators and a control host, `statement` what an upstream states about itself, `settings` a signal to read the settings again. */
 export type Disturbance = {
-	readonly scope: 'core' | 'entry' | 'path' | 'operator' | 'statement';
+	readonly scope: 'core' | 'entry' | 'path' | 'operator' | 'statement' | 'settings';
 	/** Name of the machine or upstream. */
 	readonly name: string;
 	readonly kind: string;
+	/** Whether it is planned work, which must cut no one off. */
+	readonly isPlanned?: boolean;
 	readonly from: number;
 	/** Undefined while the fault is not over. */
 	to: number | undefined;
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -51,6 +51,7 @@
 		third: createNewerStream('third schedule'),
 		versions: createNewerStream('versions'),
 		statements: createNewerStream('statements'),
+		work: createNewerStream('planned work'),
 	};
 	const controls = seed % 2 === 0 ? 3 : 5;
 	const history = createHistory();
--- a/soak/scene.ts
+++ b/soak/scene.ts
@@ -8,6 +8,7 @@
 import {type History} from './history.js';
 import {injectNetworkFault, planNetworkFaults, type PlannedNetworkFault} from './network-faults.js';
 import {type ControlAddress, type Operator} from './operator.js';
+import {doWork, planWork, type PlannedWork} from './planned-work.js';
 import {type World} from './world.js';
 
 /** Time after the acknowledgement for which a zone stays out, so that requests that reach it late are seen. */
@@ -36,6 +37,7 @@
 	readonly zone: string;
 	readonly faults: readonly PlannedFault[];
 	readonly networkFaults: readonly PlannedNetworkFault[];
+	readonly work: readonly PlannedWork[];
 	readonly isTargeted: boolean;
 	readonly flips: readonly Flip[];
 	/** Flips of another zone by a second operator at the same time. */
@@ -64,29 +66,38 @@
 	readonly versions: Random | undefined;
 	/** For what upstreams state about themselves; undefined without it. */
 	readonly statements: Random | undefined;
+	/** For planned work; undefined without it. */
+	readonly work: Random | undefined;
 };
 
 function isAtControl({kind}: PlannedFault): boolean {
 	return kind === 'freeze control' || kind === 'kill control';
 }
 
+function isAtEntry({kind}: PlannedFault): boolean {
+	return kind === 'freeze entry' || kind === 'kill entry';
+}
+
 /**
  * Plans a scene. At most one control host is disturbed at a time.
  * @param randoms - Sources of random numbers.
  */
 export function planScene(randoms: PlanRandoms): Scene {
 	const {
-		schedule: random, second: secondRandom, network, third, versions, statements,
+		schedule: random, second: secondRandom, network, third, versions, statements, work,
 	} = randoms;
 	const zone = random() < 0.8 ? 'c' : 'b';
 	const first = planFault(random);
 	const second = random() < secondFaultProbability ? planFault(random) : undefined;
 	const isSecondApart = second?.kind.endsWith('control') !== first.kind.endsWith('control');
 	const faults = second !== undefined && isSecondApart ? [first, second] : [first];
+	const networkFaults = network === undefined ? [] : planNetworkFaults(network, faults.some(fault => isAtControl(fault)));
+	const busy = {hasEntry: faults.some(fault => isAtEntry(fault)), hasControl: faults.some(fault => isAtControl(fault)) || networkFaults.some(fault => fault.place === 'core')};
 	return {
 		zone,
 		faults: [...faults, ...statements === undefined ? [] : planStatements(statements)],
-		networkFaults: network === undefined ? [] : planNetworkFaults(network, faults.some(fault => isAtControl(fault))),
+		networkFaults,
+		work: work === undefined ? [] : planWork(work, busy),
 		isTargeted: random() < targetedProbability,
 		flips: planFlips(random),
 		secondFlips: secondRandom() < secondOperatorProbability ? planFlips(secondRandom) : [],
@@ -142,6 +153,7 @@
 	const injected = Promise.all([
 		...faults.map(async fault => injectFault(fault, world.faultTargets)),
 		...networkFaults.map(async fault => injectNetworkFault(fault, world.faultTargets)),
+		...scene.work.map(async work => doWork(work, world.faultTargets)),
 	]);
 	const firstControl = scene.isTargeted ? world.controlAddresses[faults[0]!.index % world.controlAddresses.length] : undefined;
 	const versionsPut = Promise.all(versionMilliseconds.map(async (milliseconds, index) => {
