Let entries keep what earlier leaders told them until the new leader knows it

Callers saw requests placed at dead servers for 3.5 s after a change of the leader, and requests that crash servers accepted again until both reporters of the crashes had renewed. Entries closed the links to their peers, and each took the whole of the budgets that entries share, until the others had renewed.

Cause: which servers are absent, which requests are quarantined and which entries have a lease is known to the leader alone. A new one began with nothing, and its first grant said so as if it were known.

Now a grant for a renewal of an earlier epoch says that the leader does not know yet (keepsEarlier). The entry keeps what it acts on and states it once, in its next renewal; the leader merges that, so that entries that begin learn it too. An announcement counts more than what entries state. Both fields are optional.

--- a/source/control/granted-leases.ts
+++ b/source/control/granted-leases.ts
@@ -15,7 +15,12 @@
 	removeExpired(before: number): void;
 	/** Gets the entries of an environment with a live lease, sorted. The list is the same until an entry joins, changes or ends. */
 	getLiveEntries(environment: string, now: number): readonly string[];
-	/** Gets the addresses of the other entries, or none if the renewal reports their current revision. */
+	/** Gets the number of entries of an environment: those with a live lease, or as many as earlier leaders knew while their leases may be valid. */
+	getEntryCount(environment: string, now: number): number;
+	/**
+	 * Gets the addresses of the other entries, or none if the renewal reports their current revision. While leases of earlier leaders
+	 * may be valid, an entry that has a list of them keeps it, since others may not have renewed yet.
+	 */
 	getPeers(renewal: Renewal, now: number): Pick<Grant, 'peers' | 'peersRevision'>;
 	/** Checks whether all entries of an environment with a live lease report a version or a newer one. */
 	isInForce(environment: string, version: number, now: number): boolean;
@@ -38,6 +43,8 @@
  */
 export function createGrantedLeases(options: GrantedLeasesOptions): GrantedLeases {
 	const {epoch, termMilliseconds, onExpiry} = options;
+	const earlierLeasesEndAt = options.startedAt + termMilliseconds;
+	const earlierEntryCounts = new Map<string, number>();
 	const leases = createLeaseTable(options.startedAt, termMilliseconds);
 	const expiredEntries = new Set<string>();
 	let earliestExpiryAt = Number.NEGATIVE_INFINITY;
@@ -51,6 +58,15 @@
 		return liveLeases;
 	}
 
+	function getLiveEntries(environment: string, now: number): readonly string[] {
+		return getLiveLeases(now).entriesByEnvironment.get(environment) ?? [];
+	}
+
+	/** Checks whether an entry has a list of peers of an earlier leader. */
+	function hasEarlierPeers(renewal: Renewal): boolean {
+		return renewal.epoch === epoch ? renewal.peersRevision === 0 : renewal.epoch > 0;
+	}
+
 	return {
 		isRepeated: ({entry, sequence}) => leases.get(entry)?.sequence === sequence,
 		record(renewal, receivedAt) {
@@ -67,6 +83,7 @@
 			}
 
 			earliestExpiryAt = Math.min(earliestExpiryAt, renewal.isFinal ? receivedAt : receivedAt + termMilliseconds);
+			earlierEntryCounts.set(renewal.environment, Math.max(earlierEntryCounts.get(renewal.environment) ?? 0, renewal.earlier?.entries ?? 0));
 		},
 		expire(now) {
 			// Every grant calls this, so it does nothing before the first lease can have ended.
@@ -91,8 +108,16 @@
 				expiredEntries.delete(entry);
 			}
 		},
-		getLiveEntries: (environment, now) => getLiveLeases(now).entriesByEnvironment.get(environment) ?? [],
+		getLiveEntries,
+		getEntryCount(environment, now) {
+			const earlier = now < earlierLeasesEndAt ? earlierEntryCounts.get(environment) ?? 0 : 0;
+			return Math.max(earlier, getLiveEntries(environment, now).length);
+		},
 		getPeers(renewal, now) {
+			if (now < earlierLeasesEndAt && hasEarlierPeers(renewal)) {
+				return {peersRevision: 0, peers: undefined};
+			}
+
 			const {peers: addresses, peersKey: key} = getLiveLeases(now);
 			if (key !== peersKey || peersRevision === 0) {
 				peersKey = key;
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -10,6 +10,7 @@
 import {createQuarantine} from '../quarantine/index.js';
 import {createColdServers} from './cold-servers.js';
 import {createDueCommands, removalTimeoutMilliseconds} from './due-commands.js';
+import {recordEarlierState} from './earlier-state.js';
 import {createGrantedLeases} from './granted-leases.js';
 import {type EntryStatus, type ServerStatus} from './message.js';
 import {createProbing} from './probing.js';
@@ -123,6 +124,10 @@
 				quarantine.reportCrash(fingerprint, server, now);
 			}
 		}
+
+		recordEarlierState({
+			machine, presence, serverList, quarantine,
+		}, renewal, now);
 	}
 
 	/** Records that a server announced itself. Ignores servers that were removed from the registry. */
@@ -160,7 +165,8 @@
 				quarantined: quarantine.getQuarantined(now),
 				zonesOut: machine.getZonesOut(),
 				zonesRevision: machine.getZonesRevision(),
-				entries: liveEntries.length,
+				entries: leases.getEntryCount(renewal.environment, now),
+				...(renewal.epoch === epoch || renewal.epoch === 0 ? {} : {keepsEarlier: true}),
 				...leases.getPeers(renewal, now),
 			};
 		},
--- a/source/control/server-list.ts
+++ b/source/control/server-list.ts
@@ -1,7 +1,7 @@
 /** The list of servers that a leader sends to entries with its grants. */
 import {Maybe} from 'true-myth';
 import {type RegisteredServer} from '../announcement/index.js';
-import {type Grant, type Renewal} from '../lease/index.js';
+import {type Grant, type Renewal, type ServerView} from '../lease/index.js';
 import {type ServerPresence} from './server-presence.js';
 import {createServerViews} from './server-views.js';
 import {type StateMachine} from './state-machine.js';
@@ -52,6 +52,14 @@
 		return machine.registry.getById(id).andThen(({changedAt}) => Maybe.of(changedAt)).unwrapOr(Number.POSITIVE_INFINITY);
 	}
 
+	/** Gets the views that changed since a renewal, and those of servers that the entry keeps as absent although they are present. */
+	function getChanged({revision, earlier}: Renewal): readonly ServerView[] {
+		const changed = views.getChangedSince(revision);
+		const known = new Set(changed.map(({id}) => id));
+		const kept = (earlier?.absent ?? []).filter(id => !known.has(id)).map(id => views.get(id)).filter(view => view !== undefined);
+		return [...changed, ...kept.filter(view => !view.isAbsent)];
+	}
+
 	return {
 		update,
 		updateAbsence(id, now) {
@@ -66,7 +74,7 @@
 			const revision = views.getRevision();
 			if (renewal.epoch === epoch) {
 				return {
-					revision, isWhole: false, logIndex, servers: views.getChangedSince(renewal.revision),
+					revision, isWhole: false, logIndex, servers: getChanged(renewal),
 				};
 			}
 
--- a/source/entry/crashes/crash-tracker.ts
+++ b/source/entry/crashes/crash-tracker.ts
@@ -6,7 +6,9 @@
 import {performance} from 'node:perf_hooks';
 import {type ControlClient} from '../../control-client/index.js';
 import {type CrashReport} from '../../lease/index.js';
-import {createQuarantine, quarantineCrashThreshold, type Quarantine} from '../../quarantine/index.js';
+import {
+	createQuarantine, quarantineCrashThreshold, quarantineMilliseconds, type Quarantine,
+} from '../../quarantine/index.js';
 
 const reportTimeoutMilliseconds = 400;
 
@@ -14,6 +16,8 @@
 export type CrashTracker = {
 	/** Replaces the fingerprints that the leader has quarantined. */
 	setQuarantined(fingerprints: readonly string[]): void;
+	/** Gets the fingerprints that the leader has quarantined, without those that it has named for longer than a quarantine lasts. */
+	getQuarantined(): readonly string[];
 	/** Checks whether a request must be refused. The fingerprint is only computed when needed. */
 	isQuarantined(getFingerprint: () => string): boolean;
 	/** Reports a crash and resolves to whether the request must be refused from now on. */
@@ -38,12 +42,18 @@
  * @param client - Links to the control hosts.
  */
 export function createCrashTracker(client: ControlClient): CrashTracker {
-	let quarantined: ReadonlySet<string> = new Set();
+	/** Quarantined fingerprints with the time since which the leaders name them. */
+	let quarantined: ReadonlyMap<string, number> = new Map();
 	const ownCrashes: Quarantine = createQuarantine();
 
 	return {
 		setQuarantined(fingerprints) {
-			quarantined = new Set(fingerprints);
+			const now = performance.now();
+			quarantined = new Map(fingerprints.map(fingerprint => [fingerprint, quarantined.get(fingerprint) ?? now]));
+		},
+		getQuarantined() {
+			const now = performance.now();
+			return [...quarantined.keys()].filter(fingerprint => now - quarantined.get(fingerprint)! < quarantineMilliseconds);
 		},
 		isQuarantined(getOwnFingerprint) {
 			if (quarantined.size === 0 && ownCrashes.isEmpty()) {
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -22,7 +22,7 @@
 import {createCallerServer} from './callers/index.js';
 import {createClaims, type RequestContext, createRequestIds} from './requests/index.js';
 import {
-	openControlLinks, applyGrant, type GrantTargets, keepLease, createReadiness, createZoneView,
+	openControlLinks, applyGrant, type GrantTargets, keepLease, createEarlierStateKeeper, createReadiness, createZoneView,
 } from './lease/index.js';
 import {startCountsExchange} from './peers/index.js';
 import {createCrashReporter, createCrashTracker} from './crashes/index.js';
@@ -98,6 +98,10 @@
 		fleet, getClient: () => client, isLeaseValid: () => leaseKeeper.holder.isValid(performance.now()),
 	});
 	const peerExchange = await startCountsExchange({settings, security, fleet});
+	const earlierState = createEarlierStateKeeper({
+		getCurrent: () => ({absent: fleet.getAbsent(), quarantined: crashTracker.getQuarantined(), entries: state.entryCount}),
+		getTime: () => performance.now(),
+	});
 	const leaseKeeper = keepLease({
 		entry: settings.name,
 		environment: settings.environment,
@@ -112,11 +116,12 @@
 		takeFailedProbes: prober.takeFailedServers,
 		takeUnchangedServers: announcementHandler.takeUnchangedServers,
 		getCrashReports: () => crashTracker.getReports(),
+		getEarlierState: earlierState.get,
 		applyGrant(grant, document, host) {
 			applyGrant(grantTargets, {grant, document, host});
 		},
 		setQuarantined(fingerprints) {
-			crashTracker.setQuarantined(fingerprints);
+			crashTracker.setQuarantined([...fingerprints, ...earlierState.get()?.quarantined ?? []]);
 		},
 	});
 	const {client, setSeeds} = openControlLinks({
@@ -190,7 +195,7 @@
 		handle: createRequestEntrance({context, state, maximumHeaderBytes: settings.maximumHeaderBytes}),
 	});
 	const grantTargets: GrantTargets = {
-		state, fleet, zoneView, prober, crashTracker, peers: peerExchange?.peers, callerServer, lease, readiness, random, log,
+		state, fleet, zoneView, prober, crashTracker, earlierState, peers: peerExchange?.peers, callerServer, lease, readiness, random, log,
 	};
 	const admin = createAdminHandler({
 		announce: announcementHandler.handle,
--- a/source/entry/fleet/fleet.ts
+++ b/source/entry/fleet/fleet.ts
@@ -23,6 +23,10 @@
 	update(views: readonly ServerView[], isComplete: boolean): void;
 	/** Removes the servers that are not listed, and marks those as present that the given views do not call absent. Returns whether all listed servers are known. */
 	retain(ids: readonly number[], views: readonly ServerView[]): boolean;
+	/** Gets the ids of the servers that are absent. */
+	getAbsent(): readonly number[];
+	/** Marks servers as absent; ignores those that are not known. */
+	markAbsent(ids: readonly number[]): void;
 	setPermits(permits: readonly Permit[], now: number): void;
 	/** Gets the permits for cold servers that the entry holds. */
 	getPermits(): readonly Permit[];
@@ -143,6 +147,12 @@
 
 			return servers.getSize() === ids.length;
 		},
+		getAbsent: () => [...servers.getAll()].map(({candidate}) => candidate).filter(candidate => candidate.isAbsent()).map(({id}) => id),
+		markAbsent(ids) {
+			for (const {candidate} of ids.map(id => servers.get(id)).filter(server => server !== undefined)) {
+				candidate.update(candidate.getAnnouncement(), candidate.getState(), true);
+			}
+		},
 		setPermits(permits, now) {
 			const byServer = new Map(permits.map(permit => [permit.server, permit]));
 			for (const {candidate} of servers.getAll()) {
--- a/source/entry/lease/grant-application.ts
+++ b/source/entry/lease/grant-application.ts
@@ -10,6 +10,7 @@
 import {type Fleet, type Prober, drainQueues} from '../fleet/index.js';
 import {type Peers} from '../peers/index.js';
 import {createRouter} from '../routing/index.js';
+import {type EarlierStateKeeper} from './earlier-state.js';
 import {type Readiness} from './readiness.js';
 import {type ZoneView} from './zone-view.js';
 
@@ -23,6 +24,7 @@
 	readonly zoneView: ZoneView;
 	readonly prober: Prober;
 	readonly crashTracker: CrashTracker;
+	readonly earlierState: EarlierStateKeeper;
 	/** Links to the other entries; undefined if the entry exchanges no counts. */
 	readonly peers: Peers | undefined;
 	readonly callerServer: Pick<CallerServer, 'applyLimits'>;
@@ -48,15 +50,17 @@
  */
 export function applyGrant(targets: GrantTargets, received: ReceivedGrant): void {
 	const {
-		state, fleet, zoneView, prober, crashTracker, peers, lease, readiness,
+		state, fleet, zoneView, prober, crashTracker, earlierState, peers, lease, readiness,
 	} = targets;
 	const {grant, document, host} = received;
+	const kept = earlierState.record(grant, lease.getRenewedAt());
 	if (document !== undefined) {
 		applyDocument(targets, document, grant.version);
 	}
 
 	updateServers(targets, grant);
-	state.entryCount = Math.max(1, grant.entries);
+	fleet.markAbsent(kept?.absent ?? []);
+	state.entryCount = Math.max(1, grant.entries, kept?.entries ?? 0);
 	fleet.setZonesOutOfService(grant.zonesOut);
 	zoneView.recordGrant(grant, host, lease.getRenewedAt());
 	fleet.setPermits(readiness.mayUsePermits(lease.getRenewedAt()) ? grant.permits : [], performance.now());
@@ -66,7 +70,7 @@
 	}
 
 	prober.schedule.assign(grant.duties, grant.probeMilliseconds, performance.now());
-	crashTracker.setQuarantined(grant.quarantined);
+	crashTracker.setQuarantined([...grant.quarantined, ...kept?.quarantined ?? []]);
 	drainQueues(fleet);
 }
 
--- a/source/entry/lease/lease-keeper.test.ts
+++ b/source/entry/lease/lease-keeper.test.ts
@@ -31,7 +31,7 @@
 			},
 		};
 		const keeper: LeaseKeeper = keepLease({
-			entry: 'one', environment: 'production', renewMilliseconds: 60_000, peer: undefined, getClient: () => client as ControlClient, takeObservations: () => [], getPermits: () => [], takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => [],
+			entry: 'one', environment: 'production', renewMilliseconds: 60_000, peer: undefined, getClient: () => client as ControlClient, takeObservations: () => [], getPermits: () => [], takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => [], getEarlierState: () => undefined,
 			applyGrant(_grant, document) {
 				serviceCounts.push(document?.services.length ?? 0);
 			},
@@ -90,7 +90,7 @@
 		};
 		const keeper = keepLease({
 			entry: 'one', environment: 'production', renewMilliseconds: 60_000, peer: undefined, getClient: () => client as ControlClient,
-			takeObservations: () => [], getPermits: () => [], takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => reports,
+			takeObservations: () => [], getPermits: () => [], takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => reports, getEarlierState: () => undefined,
 			applyGrant() {
 				// The test looks at renewals only.
 			},
@@ -136,7 +136,7 @@
 		};
 		const keeper = keepLease({
 			entry: 'one', environment: 'production', renewMilliseconds: 60_000, peer: undefined, getClient: () => client as ControlClient,
-			takeObservations: () => [], getPermits: () => held, takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => [],
+			takeObservations: () => [], getPermits: () => held, takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => [], getEarlierState: () => undefined,
 			applyGrant(grant) {
 				applied.push(grant.permits);
 			},
--- a/source/entry/lease/lease-keeper.ts
+++ b/source/entry/lease/lease-keeper.ts
@@ -5,7 +5,7 @@
 	applyDocumentUpdate, noVersion, type DocumentUpdate, type Environment, type EnvironmentDocument,
 } from '../../configuration/index.js';
 import {
-	createLeaseHolder, createRenewalPacing, withoutKeptPermits, type CrashReport, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Permit, type Renewal,
+	createLeaseHolder, createRenewalPacing, withoutKeptPermits, type CrashReport, type EarlierState, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Permit, type Renewal,
 } from '../../lease/index.js';
 import {type ControlClient} from '../../control-client/index.js';
 import {type ControlOutbound} from '../../control/message.js';
@@ -43,6 +43,8 @@
 	takeUnchangedServers(): readonly number[];
 	/** Gets the crashes that were reported lately. */
 	getCrashReports(): readonly CrashReport[];
+	/** Gets what the entry keeps from earlier leaders, or undefined once the current one knows it. */
+	getEarlierState(): EarlierState | undefined;
 	/** Applies a grant of a control host, with its document if the grant carries a new version. Runs before the grant is acknowledged. */
 	applyGrant(grant: Grant, document: EnvironmentDocument | undefined, host: string): void;
 	/** Replaces the fingerprints of quarantined requests. */
@@ -74,6 +76,7 @@
 		}
 
 		pacing.recordSent(now);
+		const earlier = options.getEarlierState();
 		const renewal: Renewal = {
 			kind: 'renewal',
 			entry: options.entry,
@@ -90,6 +93,7 @@
 			failedProbes: options.takeFailedProbes(),
 			heard: options.takeUnchangedServers(),
 			crashes: holder.getEpoch() === crashesEpoch ? [] : options.getCrashReports(),
+			...(earlier === undefined ? {} : {earlier}),
 			peer: options.peer,
 			isFinal,
 		};
--- a/source/entry/lease/readiness.test.ts
+++ b/source/entry/lease/readiness.test.ts
@@ -26,6 +26,7 @@
 	zoneView: {recordGrant: () => undefined},
 	prober: {schedule: {assign: () => undefined}},
 	crashTracker: {setQuarantined: () => undefined},
+	earlierState: {record: () => undefined},
 };
 
 function createColdFleet(): Fleet {
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -21,6 +21,16 @@
 /** Name and address of an entry, for connections from its peers. */
 export type PeerAddress = {readonly name: string; readonly host: string; readonly port: number};
 
+/** What earlier leaders told an entry, which a new leader cannot know. */
+export type EarlierState = {
+	/** Servers that were absent. */
+	readonly absent: readonly number[];
+	/** Fingerprints of requests that were quarantined. */
+	readonly quarantined: readonly string[];
+	/** Number of entries of the environment. */
+	readonly entries: number;
+};
+
 /** Request for a lease or its renewal. */
 export type Renewal = {
 	readonly kind: 'renewal';
@@ -45,6 +55,8 @@
 	readonly heard: readonly number[];
 	/** Crashes that the entry has reported lately, in its first renewal at a new leader, which does not know them. */
 	readonly crashes: readonly CrashReport[];
+	/** What the entry keeps from earlier leaders, until the new one knows it; missing from entries of earlier releases, which keep nothing. */
+	readonly earlier?: EarlierState;
 	readonly peer: PeerAddress | undefined;
 	/** Whether the entry is stopping and returns its lease, permits and duties. */
 	readonly isFinal: boolean;
@@ -100,9 +112,11 @@
 	readonly zonesRevision?: number;
 	/** Number of entries of the environment with a lease, including this one. */
 	readonly entries: number;
-	/** Revision of the list of peers, comparable only within an epoch. */
+	/** Whether the leader does not know yet what earlier ones told the entry. The entry keeps it, and states it in its next renewal. */
+	readonly keepsEarlier?: true;
+	/** Revision of the list of peers, comparable only within an epoch; 0 while the entry keeps that of an earlier leader. */
 	readonly peersRevision: number;
-	/** Other entries, or undefined if they have not changed since the revision of the renewal. */
+	/** Other entries, or undefined if they have not changed since the revision of the renewal, or are not known yet. */
 	readonly peers: readonly PeerAddress[] | undefined;
 };
 
--- a/source/quarantine/quarantine.test.ts
+++ b/source/quarantine/quarantine.test.ts
@@ -1,6 +1,8 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {createQuarantine, maximumReports, quarantineMilliseconds} from './index.js';
+import {
+	createQuarantine, maximumReports, quarantineCrashThreshold, quarantineMilliseconds, type Quarantine,
+} from './index.js';
 
 describe('createQuarantine', () => {
 	function doTest(reports: ReadonlyArray<readonly [server: number, at: number] | 'clear'>, at: number, expected: boolean): void {
@@ -53,3 +55,36 @@
 		doTest([[1, 0], [2, 1]], 1 + quarantineMilliseconds, false);
 	});
 });
+
+describe('createQuarantine: a fingerprint that an earlier leader quarantined', () => {
+	function doTest(run: (quarantine: Quarantine) => void, at: number, expected: boolean): void {
+		const quarantine = createQuarantine();
+		run(quarantine);
+		expect([quarantine.isQuarantined('f', at), quarantine.getQuarantined(at)]).toEqual([expected, expected ? ['f'] : []]);
+	}
+
+	test('is quarantined, also after a success', () => {
+		doTest(quarantine => {
+			quarantine.inherit('f', 0);
+			quarantine.clear('f');
+		}, 1, true);
+	});
+	test('is not quarantined for longer because several entries state it', () => {
+		doTest(quarantine => {
+			quarantine.inherit('f', 0);
+			quarantine.inherit('f', 1000);
+		}, quarantineMilliseconds, false);
+	});
+	test('is refused at the next crash', () => {
+		doTest(quarantine => {
+			quarantine.inherit('f', 0);
+			expect(quarantine.reportCrash('f', 1, 10)).toEqual(quarantineCrashThreshold);
+		}, 10, true);
+	});
+	test('is quarantined if a crash was reported before', () => {
+		doTest(quarantine => {
+			quarantine.reportCrash('f', 1, 0);
+			quarantine.inherit('f', 0);
+		}, 1, true);
+	});
+});
--- a/source/quarantine/quarantine.ts
+++ b/source/quarantine/quarantine.ts
@@ -11,12 +11,19 @@
 /** Maximum number of crashes that are stated at once. */
 export const maximumReports = 1000;
 
-type CrashRecord = {readonly servers: Set<number>; reportedAt: number};
+type CrashRecord = {
+	readonly servers: Set<number>;
+	reportedAt: number;
+	/** Whether an earlier leader quarantined the fingerprint, after crashes that are not known here. */
+	readonly isInherited: boolean;
+};
 
 /** Crashed servers by fingerprint. */
 export type Quarantine = {
 	/** Records a crash and returns the number of servers that have crashed so far. */
 	reportCrash(fingerprint: string, server: number, now: number): number;
+	/** Records that an earlier leader quarantined a fingerprint, unless it is quarantined here. */
+	inherit(fingerprint: string, now: number): void;
 	isQuarantined(fingerprint: string, now: number): boolean;
 	/** Removes the crashes of a fingerprint that has since succeeded, unless it is quarantined; returns whether there were any. */
 	clear(fingerprint: string): boolean;
@@ -44,22 +51,34 @@
 
 	function isQuarantined(fingerprint: string, now: number): boolean {
 		const crashes = recordsByFingerprint.get(fingerprint);
-		return crashes !== undefined && crashes.servers.size >= quarantineCrashThreshold && now - crashes.reportedAt < quarantineMilliseconds;
+		return crashes !== undefined && getCount(crashes) >= quarantineCrashThreshold && now - crashes.reportedAt < quarantineMilliseconds;
+	}
+
+	/** Makes a record the newest one. */
+	function store(fingerprint: string, crashes: CrashRecord): void {
+		recordsByFingerprint.delete(fingerprint);
+		recordsByFingerprint.set(fingerprint, crashes);
 	}
 
 	return {
 		reportCrash(fingerprint, server, now) {
 			removeExpired(now);
-			const crashes = recordsByFingerprint.get(fingerprint) ?? {servers: new Set<number>(), reportedAt: now};
+			const crashes = recordsByFingerprint.get(fingerprint) ?? {servers: new Set<number>(), reportedAt: now, isInherited: false};
 			crashes.servers.add(server);
 			crashes.reportedAt = now;
-			recordsByFingerprint.delete(fingerprint);
-			recordsByFingerprint.set(fingerprint, crashes);
-			return crashes.servers.size;
+			store(fingerprint, crashes);
+			return getCount(crashes);
+		},
+		inherit(fingerprint, now) {
+			removeExpired(now);
+			if (!isQuarantined(fingerprint, now)) {
+				store(fingerprint, {servers: recordsByFingerprint.get(fingerprint)?.servers ?? new Set(), reportedAt: now, isInherited: true});
+			}
 		},
 		isQuarantined,
 		clear(fingerprint) {
-			const isBelowThreshold = (recordsByFingerprint.get(fingerprint)?.servers.size ?? 0) < quarantineCrashThreshold;
+			const crashes = recordsByFingerprint.get(fingerprint);
+			const isBelowThreshold = crashes !== undefined && getCount(crashes) < quarantineCrashThreshold;
 			return isBelowThreshold && recordsByFingerprint.delete(fingerprint);
 		},
 		getReports: now => [...recordsByFingerprint]
@@ -71,3 +90,8 @@
 		getQuarantined: now => [...recordsByFingerprint.keys()].filter(fingerprint => isQuarantined(fingerprint, now)),
 	};
 }
+
+/** Gets the number of servers that a fingerprint counts as having crashed. */
+function getCount({servers, isInherited}: CrashRecord): number {
+	return isInherited ? Math.max(servers.size, quarantineCrashThreshold) : servers.size;
+}
--- a/stand-in/control-model/entry.ts
+++ b/stand-in/control-model/entry.ts
@@ -67,6 +67,7 @@
 		takeFailedProbes: () => [],
 		takeUnchangedServers: () => [],
 		getCrashReports: () => [],
+		getEarlierState: () => undefined,
 		applyGrant(grant) {
 			options.onGrant(grant, momentBySequence.get(grant.sequence) ?? 0);
 		},
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -124,7 +124,7 @@
 		fleet,
 		claims: unused as RequestContext['claims'],
 		crashTracker: {
-			setQuarantined: ignore, isQuarantined: () => false, reportCrash: async () => false, getReports: () => [], recordSuccess: ignore,
+			setQuarantined: ignore, getQuarantined: () => [], isQuarantined: () => false, reportCrash: async () => false, getReports: () => [], recordSuccess: ignore,
 		},
 		metrics,
 		discardedAnswers: unused as RequestContext['discardedAnswers'],
