Let a host that was removed while it was cut off join again

With seeds, a spare host takes the place of a voter that is silent for 1.5 s. If that voter was only cut off, operators saw it running and not ready for ever, also after a restart, and there was no spare for the next loss.

Cause: by its own log it is still a voter, so it sent no request to join and ignored the directories that it got from the others; the leader sends its log to members alone.

Now the host takes the directory of another host without it, with a newer index than its own, for its removal while it has no leader: it links to the hosts of that directory and requests to join. A leader ignores requests of members, so a directory that is wrong costs messages only.

--- a/source/control/membership-manager.ts
+++ b/source/control/membership-manager.ts
@@ -1,7 +1,8 @@
 /**
  * Manages the membership of the replicated log on one control host. The host requests to
- * join while it has no vote, keeps links to all members, announces membership changes to
- * linked processes and, while it leads, changes the membership one step at a time.
+ * join while it has no vote, or the others have removed it while it was cut off. It keeps
+ * links to all members, announces membership changes to linked processes and, while it
+ * leads, changes the membership one step at a time.
  */
 import {performance} from 'node:perf_hooks';
 import {getNextMembership, type Membership} from '../consensus/index.js';
@@ -15,11 +16,11 @@
 
 /** Membership management of one control host. */
 export type MembershipManager = {
-	/** Sends a join request to all linked hosts if this host has no vote. */
+	/** Sends a join request to all linked hosts if this host is not a voter. */
 	requestToJoin(): void;
 	/** Records that a replica requests to join. */
 	addJoiningReplica(replica: string): void;
-	/** Links to the hosts of a received directory if this host has no vote. */
+	/** Records a received directory, and links to its hosts if this host is not a voter. */
 	addDiscoveredHosts(directory: Directory): void;
 	/** Updates the links to all members and hosts that request to join. */
 	updateLinks(): void;
@@ -54,9 +55,16 @@
 	const joiningReplicas: string[] = [];
 	const discoveredHosts = new Set<string>();
 	let announcedHosts = '';
+	/** Index of the newest membership without this host that another host told. */
+	let removalIndex = 0;
 
-	function hasVote(): boolean {
-		return replica.getMembership().voters.includes(self);
+	/** Checks whether this host was removed and does not know it by its log. The leader sends nothing to a host that is not a member. */
+	function isRemoved(): boolean {
+		return replica.getLeader() === undefined && removalIndex > replica.getLog().getMembershipIndex();
+	}
+
+	function isVoter(): boolean {
+		return replica.getMembership().voters.includes(self) && !isRemoved();
 	}
 
 	function updateLinks(): void {
@@ -84,7 +92,7 @@
 
 	return {
 		requestToJoin() {
-			if (!hasVote()) {
+			if (!isVoter()) {
 				client.broadcast({kind: 'join', replica: self});
 			}
 		},
@@ -96,7 +104,11 @@
 			}
 		},
 		addDiscoveredHosts(directory) {
-			if (hasVote()) {
+			if (!directory.hosts.includes(getHostName(self))) {
+				removalIndex = Math.max(removalIndex, directory.index);
+			}
+
+			if (isVoter()) {
 				return;
 			}
 
