--- a/source/consensus/log.ts
+++ b/source/consensus/log.ts
@@ -16,7 +16,7 @@
 	compact(index: number, term: number): void;
 	/** Gets the membership of the newest membership entry, or the fallback if there is none. */
 	getMembership(fallback: Membership): Membership;
-	/** Gets the index of the newest membership entry, or 0 if there is none. */
+	/** Gets the index of the newest membership entry or, if there is none, of the snapshot, whose membership is the newest one known. */
 	getMembershipIndex(): number;
 };
 
@@ -73,6 +73,6 @@
 			const payload = getMembershipEntry()?.payload;
 			return payload?.kind === 'membership' ? payload.membership : fallback;
 		},
-		getMembershipIndex: () => getMembershipEntry()?.index ?? 0,
+		getMembershipIndex: () => getMembershipEntry()?.index ?? baseIndex,
 	};
 }
--- a/source/control/membership-manager.test.ts
+++ b/source/control/membership-manager.test.ts
@@ -145,7 +145,7 @@
 
 // A spare host has taken the place of a voter that was cut off.
 describe('createMembershipManager: a host that was removed from the voters while it was cut off', () => {
-	function doTest(): void {
+	function doTest(prepare: (cluster: Cluster) => void): void {
 		const cluster = createCluster();
 		cluster.run(undefined);
 		cluster.run(removed);
@@ -155,15 +155,24 @@
 			cluster.run(removed);
 		}
 
+		prepare(cluster);
 		const host = cluster.hosts.get(removed)!;
 		expect([cluster.getLeader().replica.getMembership(), host.replica.getMembership().voters.includes(getReplica(removed))]).toEqual([withoutRemoved, true]);
+		expect(cluster.getLeader().replica.getLog().getMembershipIndex() > 0).toEqual(true);
 		cluster.run(undefined);
 		const expected = {...withoutRemoved, learners: [getReplica(removed)]};
 		expect([cluster.getLeader().replica.getMembership(), host.replica.getMembership()]).toEqual([expected, expected]);
 	}
 
 	test('joins as a learner when it is linked again', () => {
-		doTest();
+		doTest(() => undefined);
+	});
+	test('joins as a learner where the others have compacted their logs since', () => {
+		doTest(cluster => {
+			for (const {replica, handle} of cluster.hosts.values()) {
+				handle({kind: 'compact', index: replica.getCommitIndex(), data: 0});
+			}
+		});
 	});
 	test('does not request to join while it has a vote', () => {
 		const cluster = createCluster();
