Count the time of a suspension for the lease

After its host was suspended for longer than the term, an entry could send requests until the rest of the lease had passed on its own clock, up to 3 s, to servers and zones that had been taken out meanwhile; a grant that had waited in a socket renewed that lease. Permits for cold servers had ended already.

Cause: the monotonic clock stands still during a suspension, and the lease counts no other. Only the permits were revoked when the clocks had come apart.

Now the time by which the wall clock ran ahead counts as elapsed for the lease and for the renewals on their way, so that their grants are judged by it too. A wall clock that is put forward shortens a lease likewise; one that is put back does not lengthen it. Entries that serve without control hosts dispatch as before.

--- a/source/entry/lease/readiness.test.ts
+++ b/source/entry/lease/readiness.test.ts
@@ -2,6 +2,7 @@
 import {describe, mock, test} from 'node:test';
 import {expect} from 'earl';
 import {announcementSchema} from '../../announcement/index.js';
+import {documentSchema} from '../../configuration/index.js';
 import {createLeaseHolder, type Grant} from '../../lease/index.js';
 import {createRandom} from '../../randomness/index.js';
 import {type Log} from '../../telemetry/index.js';
@@ -104,3 +105,53 @@
 		doTest({isEarlier: false, isNoticed: true}, 1);
 	});
 });
+
+describe('createReadiness: a lease at a host that was suspended', () => {
+	const termMilliseconds = 3000;
+
+	/** Grants a lease, moves the wall clock on by a jump while the monotonic clock stands still, and gets whether the entry may dispatch. */
+	function doTest(jumpMilliseconds: number, next: 'earlier' | 'earlier, before it is noticed' | 'later' | undefined, expected: boolean): void {
+		mock.timers.enable({apis: ['Date'], now: 1_000_000});
+		const state = {...createEntryState(), document: documentSchema.parse({zones: [{name: 'north'}], services: [{name: 'stock'}]})};
+		const lease = createLeaseHolder();
+		const fleet = createColdFleet();
+		const readiness = createReadiness({
+			state, fleet, lease, log: log as Log, isServingWithoutControl: false,
+		});
+		readiness.revokePermitsIfNeeded();
+		const first = lease.startRenewal(performance.now());
+		const waiting = lease.startRenewal(performance.now());
+		lease.accept({...getGrant(first), termMilliseconds}, performance.now());
+		expect(readiness.mayDispatch(performance.now())).toEqual(true);
+		mock.timers.setTime(1_000_000 + jumpMilliseconds);
+		if (next !== 'earlier, before it is noticed') {
+			readiness.revokePermitsIfNeeded();
+		}
+
+		if (next !== undefined) {
+			lease.accept({...getGrant(next === 'later' ? lease.startRenewal(performance.now()) : waiting), termMilliseconds}, performance.now());
+		}
+
+		const now = performance.now();
+		const observed = [readiness.mayDispatch(now), readiness.isReady(), lease.isValid(now)];
+		mock.timers.reset();
+		fleet.close();
+		expect(observed).toEqual([expected, expected, expected]);
+	}
+
+	test('ends if the suspension was longer than the rest of the term', () => {
+		doTest(suspendedMilliseconds, undefined, false);
+		doTest(termMilliseconds, undefined, false);
+	});
+	test('is not renewed by a grant that waited in a socket meanwhile', () => {
+		doTest(suspendedMilliseconds, 'earlier', false);
+		doTest(suspendedMilliseconds, 'earlier, before it is noticed', false);
+	});
+	test('is renewed afterwards', () => {
+		doTest(suspendedMilliseconds, 'later', true);
+	});
+	test('goes on after a short suspension, and after the wall clock was put back', () => {
+		doTest(1000, undefined, true);
+		doTest(-suspendedMilliseconds, undefined, true);
+	});
+});
--- a/source/entry/lease/readiness.ts
+++ b/source/entry/lease/readiness.ts
@@ -40,8 +40,10 @@
 
 	function revokePermitsIfNeeded(): void {
 		const now = performance.now();
-		if (suspension.hasBeenSuspended(Date.now(), now)) {
+		const jump = suspension.getJump(Date.now(), now);
+		if (jump !== 0) {
 			suspendedAt = now;
+			lease.addSuspension(Math.max(0, jump));
 			fleet.revokePermits();
 		} else if (!lease.isValid(now)) {
 			fleet.revokePermits();
--- a/source/lease/holder.ts
+++ b/source/lease/holder.ts
@@ -1,6 +1,6 @@
 /**
  * Entry side of the lease. The term is counted on the monotonic clock from the time at which the renewal was sent, and is
- * shortened by the allowed clock drift.
+ * shortened by the allowed clock drift, and by the time for which the host was suspended.
  */
 import {type Grant} from './message.js';
 
@@ -30,6 +30,8 @@
 	getLogIndex(): number;
 	getVersion(): number;
 	getPeersRevision(): number;
+	/** Counts a time that the monotonic clock did not, for the lease and for the renewals that are on their way. */
+	addSuspension(milliseconds: number): void;
 	/** Forgets the revision of the servers, so that the next renewal asks for all of them. */
 	forgetServers(): void;
 	/** Ends the lease at once; later grants are ignored. */
@@ -95,6 +97,13 @@
 		getLogIndex: () => logIndex,
 		getVersion: () => version,
 		getPeersRevision: () => peersRevision,
+		addSuspension(milliseconds) {
+			expiresAt -= milliseconds;
+			renewedAt -= milliseconds;
+			for (const [number, sentAt] of sentAtBySequence) {
+				sentAtBySequence.set(number, sentAt - milliseconds);
+			}
+		},
 		forgetServers() {
 			revision = 0;
 			logIndex = 0;
--- a/source/lease/suspension.ts
+++ b/source/lease/suspension.ts
@@ -2,7 +2,7 @@
  * Detects that the host was suspended. The monotonic clock may stop during a suspension while the wall clock continues, so a
  * lease counted on the monotonic clock would still appear valid after a suspension of ten seconds. If both clocks continue,
  * nothing is detected, and the lease expires on the monotonic clock. An adjustment of the wall clock is detected as well; the
- * entry then revokes its permits, which the next grant restores.
+ * entry then revokes its permits, which the next grant restores, and shortens its lease if the wall clock was put forward.
  */
 
 /** Change of the difference between the clocks, from one reading to the next, above which a suspension is assumed, in milliseconds. */
@@ -10,8 +10,11 @@
 
 /** Detector of suspensions of the host. */
 export type SuspensionDetector = {
-	/** Checks whether the host was suspended since the previous reading. Both times are in milliseconds. */
-	hasBeenSuspended(wallClock: number, monotonicClock: number): boolean;
+	/**
+	 * Gets by how much the wall clock advanced more than the monotonic clock since the previous reading, in milliseconds, or 0 if that
+	 * is tolerated. A negative jump is no suspension, but may hide one.
+	 */
+	getJump(wallClock: number, monotonicClock: number): number;
 };
 
 /** Creates a detector without a previous reading. */
@@ -19,12 +22,11 @@
 	let lastDifference: number | undefined;
 
 	return {
-		hasBeenSuspended(wallClock, monotonicClock) {
+		getJump(wallClock, monotonicClock) {
 			const difference = wallClock - monotonicClock;
-			const isFirst = lastDifference === undefined;
-			const jump = Math.abs(difference - (lastDifference ?? difference));
+			const jump = difference - (lastDifference ?? difference);
 			lastDifference = difference;
-			return !isFirst && jump > toleratedJumpMilliseconds;
+			return Math.abs(jump) > toleratedJumpMilliseconds ? jump : 0;
 		},
 	};
 }
