--- a/scenario/recording.ts
+++ b/scenario/recording.ts
@@ -4,8 +4,12 @@
 	checkers, type CallerAttempt, type ChangeAttempt, type Departure, type VersionSample, type Violation,
 } from './history.js';
 
+/** Time at which a statement began, with its line number. */
+export type StatementStart = {readonly line: number; readonly at: number};
+
 /** Record of a running scenario. */
 export type Recording = {
+	readonly statementStarts: StatementStart[];
 	readonly callerAttempts: CallerAttempt[];
 	readonly requestRecords: RequestRecord[];
 	readonly changeAttempts: ChangeAttempt[];
@@ -18,6 +22,8 @@
 export type ScenarioResult = {
 	readonly seed: number;
 	readonly violations: readonly Violation[];
+	/** Folder with the logs, data and history of a scenario that failed; undefined if it held. */
+	readonly keptFolder: string | undefined;
 	/** Number of attempts by callers. */
 	readonly attempts: number;
 	/** Number of attempts that received a complete response with status 200. */
@@ -31,7 +37,7 @@
 /** Creates an empty record. */
 export function createRecording(): Recording {
 	return {
-		callerAttempts: [], requestRecords: [], changeAttempts: [], versionSamples: [], departures: [], violations: [],
+		statementStarts: [], callerAttempts: [], requestRecords: [], changeAttempts: [], versionSamples: [], departures: [], violations: [],
 	};
 }
 
@@ -91,11 +97,13 @@
  * Gets the result of a scenario that has ended.
  * @param recording - Record of the scenario.
  * @param seed - Seed of the scenario.
+ * @param keptFolder - Folder with the logs of a scenario that failed.
  */
-export function getResult({callerAttempts, requestRecords, violations}: Recording, seed: number): ScenarioResult {
+export function getResult({callerAttempts, requestRecords, violations}: Recording, seed: number, keptFolder: string | undefined): ScenarioResult {
 	return {
 		seed,
 		violations,
+		keptFolder,
 		attempts: callerAttempts.length,
 		answered: callerAttempts.filter(attempt => attempt.outcome === 'answered').length,
 		requests: requestRecords.length,
--- a/scenario/runner.ts
+++ b/scenario/runner.ts
@@ -9,6 +9,7 @@
 import {waitUntil} from '../stand-in/wait.js';
 import {sendOnce, startStream, type Stream} from './caller.js';
 import {waitForMembers, waitForWarmServers} from './expectations.js';
+import {stopCluster} from './kept-logs.js';
 import {createOperators} from './operators.js';
 import {parseBehaviour, parseServiceOptions, type ServiceDefinition} from './options.js';
 import {createProcessController, startTimeoutMilliseconds} from './process-controller.js';
@@ -266,6 +267,7 @@
 
 	try {
 		for (const statement of statements) {
+			recording.statementStarts.push({line: statement.line, at: Date.now()});
 			await runWithLineNumber(statement, runStatement);
 		}
 	} catch (error) {
@@ -275,8 +277,8 @@
 	readinessMonitor.stop();
 	await Promise.all(streams.map(async stream => stream.stop()));
 	await serverController.stop();
-	await cluster?.stop();
-	return getResult(recording, seed);
+	const keptFolder = cluster === undefined ? undefined : await stopCluster(cluster, recording);
+	return getResult(recording, seed, keptFolder);
 }
 
 /** Runs a statement, and adds its line number to the message of an error that it throws. */
--- a/stand-in/cluster.ts
+++ b/stand-in/cluster.ts
@@ -1,7 +1,7 @@
 /** System under test: control hosts and entries as processes on loopback, connected through relays that can simulate network partitions. */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {
-	mkdirSync, mkdtempSync, rmSync, writeFileSync, createWriteStream,
+	mkdirSync, mkdtempSync, renameSync, rmSync, writeFileSync, createWriteStream,
 } from 'node:fs';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
@@ -78,8 +78,11 @@
 	callApi(method: 'GET' | 'POST', requestPath: string, body?: unknown): Promise<{readonly status: number; readonly body: unknown} | undefined>;
 	/** Gets the status that a control host reports, or undefined if none responds. */
 	getStatus(): Promise<ClusterStatus | undefined>;
-	/** Kills all processes and deletes their data. */
-	stop(): Promise<void>;
+	/**
+	 * Kills all processes, and deletes the folder of their settings, data and logs.
+	 * @param keptFolder - Path to which the folder is moved instead; its parent must be on the same file system.
+	 */
+	stop(keptFolder?: string): Promise<void>;
 	/** Folder of the settings, data and logs of all processes. */
 	readonly folder: string;
 };
@@ -288,7 +291,7 @@
 			const response = await callApi('GET', '/v1/status');
 			return response?.status === 200 ? (response.body as {readonly status: ClusterStatus}).status : undefined;
 		},
-		async stop() {
+		async stop(keptFolder) {
 			const members = [...controls, ...entries];
 			for (const member of members) {
 				member.child?.kill('SIGCONT');
@@ -300,7 +303,11 @@
 				relay.close();
 			}
 
-			rmSync(folder, {recursive: true, force: true});
+			if (keptFolder === undefined) {
+				rmSync(folder, {recursive: true, force: true});
+			} else {
+				renameSync(folder, keptFolder);
+			}
 		},
 	};
 }
