Write the logs of the processes of a scenario to their files

Seen: the log of every process of a kept scenario was empty. Cause: programs log to standard output; the stand-in cluster wrote only standard error to the file, and threw the rest away.

--- a/scenario/kept-logs.test.ts
+++ b/scenario/kept-logs.test.ts
@@ -1,4 +1,4 @@
-import {existsSync, readFileSync, rmSync} from 'node:fs';
+import {readFileSync, rmSync} from 'node:fs';
 import path from 'node:path';
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
@@ -15,7 +15,7 @@
 		}
 
 		const {statementStarts, violations} = JSON.parse(readFileSync(path.join(keptFolder, 'history.json'), 'utf8')) as Recording;
-		expect(existsSync(path.join(keptFolder, 'control-1.log'))).toEqual(true);
+		expect(readFileSync(path.join(keptFolder, 'control-1.log'), 'utf8').includes('control host started')).toEqual(true);
 		expect(statementStarts.map(({line}) => line)).toEqual([1, 2, 3, 4, 5]);
 		expect(violations.length).toEqual(1);
 		rmSync(keptFolder, {recursive: true});
--- a/stand-in/cluster.ts
+++ b/stand-in/cluster.ts
@@ -244,7 +244,9 @@
 			member.incarnation++;
 			const arguments_ = [bundlePath, member.kind, '--settings', getSettingsFile(member), ...isFounding ? ['--found'] : []];
 			const child = spawn(process.execPath, arguments_, {stdio: ['ignore', 'pipe', 'pipe']});
-			child.stderr.pipe(createWriteStream(path.join(folder, `${member.name}.log`), {flags: 'a'}));
+			const logFile = path.join(folder, `${member.name}.log`);
+			child.stdout.pipe(createWriteStream(logFile, {flags: 'a'}));
+			child.stderr.pipe(createWriteStream(logFile, {flags: 'a'}));
 			member.child = child;
 			runningProcesses.add(child);
 			child.once('exit', () => {
