Show a replica as responding only once it has responded to this leader

Cause: 216 and 229 ms after the election of the next leader its status listed the lost identity as a voter that responds, since the silence of a replica counts from the election until it responds for the first time. "expect members 3" held before the new identity had joined, and the second host was taken away: two of three voters were lost, and no quorum was left. An operator who waits for the status between two hosts, as OPERATIONS.md says, is misled alike. The status also listed the newest membership while its removal of a voter was not committed; a leader that is lost then leaves a quorum of the earlier membership (by reading, not seen in a run). Change: a replica that has not responded to this leader is reported as silent for a minute at least; members of the committed membership are listed until their removal is committed. Planned stops use the same silence to choose a successor. The repair of the membership still counts silence from the election.

--- a/source/consensus/replica.ts
+++ b/source/consensus/replica.ts
@@ -34,8 +34,10 @@
 	getLog(): Log;
 	/** Gets the index up to which the log of a replica is known to match. Valid on the leader only. */
 	getMatchIndex(id: string): number;
-	/** Gets the time of the last response of a replica. Valid on the leader only. */
+	/** Gets the time of the last response of a replica; before the first one, the time at which the leader began to send. Valid on the leader only. */
 	getLastResponseAt(id: string): number | undefined;
+	/** Checks whether a replica has responded to this leader. Valid on the leader only. */
+	hasResponded(id: string): boolean;
 	/** Checks whether the newest membership and an entry of the current term are committed. Valid on the leader only. */
 	isMembershipSettled(): boolean;
 	/** Gets the time in milliseconds at which the next tick is due. */
@@ -211,6 +213,7 @@
 		getLog: () => log,
 		getMatchIndex: member => member === core.id ? core.durableIndex : leaderRole.getProgress(member)?.matchIndex ?? 0,
 		getLastResponseAt: member => leaderRole.getProgress(member)?.lastResponseAt,
+		hasResponded: member => leaderRole.getProgress(member)?.hasResponded ?? false,
 		isMembershipSettled: leaderRole.isMembershipSettled,
 		getNextTickAt: () => core.role === 'leader' ? leaderRole.getHeartbeatAt() : election.getTimeoutAt(),
 	};
--- a/source/control/leader-request-handler.ts
+++ b/source/control/leader-request-handler.ts
@@ -8,9 +8,10 @@
 import {type Driver} from './driver.js';
 import {type ProposalOutcome} from './proposals.js';
 import {type Leadership} from './leadership.js';
+import {getReplicaStatuses} from './replica-statuses.js';
 import {type Command, type CommandResult, type StateMachine} from './state-machine.js';
 import {
-	type ClusterStatus, type ControlResponse, type ControlRequest, type ReplicaStatus,
+	type ClusterStatus, type ControlResponse, type ControlRequest,
 } from './message.js';
 
 /** Handles requests; responds with `notLeader` while its replica does not lead. */
@@ -156,22 +157,6 @@
 		return {kind: 'crashes', count};
 	}
 
-	function getReplicaStatus(replica: string, role: 'voter' | 'learner', now: number): ReplicaStatus {
-		const isLeader = replica === driver.replica.getLeader();
-		const lastResponseAt = isLeader ? now : driver.replica.getLastResponseAt(replica) ?? 0;
-		return {
-			replica, role: isLeader ? 'leader' : role, matchIndex: driver.replica.getMatchIndex(replica), silentMilliseconds: Math.round(now - lastResponseAt),
-		};
-	}
-
-	function getReplicaStatuses(now: number): readonly ReplicaStatus[] {
-		const {voters, learners} = driver.replica.getMembership();
-		return [
-			...voters.map(replica => getReplicaStatus(replica, 'voter', now)),
-			...learners.map(replica => getReplicaStatus(replica, 'learner', now)),
-		];
-	}
-
 	function getStatus(leadership: Leadership): ClusterStatus {
 		const now = performance.now();
 		const current = machine.register.getCurrent('production');
@@ -180,7 +165,7 @@
 			term: driver.replica.getTerm(),
 			commitIndex: driver.replica.getCommitIndex(),
 			versions: {trial: machine.register.getCurrentNumber('trial'), production: machine.register.getCurrentNumber('production')},
-			replicas: getReplicaStatuses(now),
+			replicas: getReplicaStatuses(driver.replica, now),
 			entries: leadership.getEntries(now),
 			servers: leadership.getServers(now),
 			claims: machine.ledger.getClaimCount(),
--- a/source/control/message.ts
+++ b/source/control/message.ts
@@ -60,7 +60,7 @@
 	readonly replica: string;
 	readonly role: 'leader' | 'voter' | 'learner';
 	readonly matchIndex: number;
-	/** Time since the last response of the replica to the leader, in milliseconds. */
+	/** Time since the last response of the replica to the leader, in milliseconds; at least a minute if it has not responded to this leader. */
 	readonly silentMilliseconds: number;
 };
 
--- a/source/control/shutdown.ts
+++ b/source/control/shutdown.ts
@@ -5,6 +5,7 @@
 import {type Log} from '../telemetry/index.js';
 import {getSuccessor, isSafeToStop} from './planned-stop.js';
 import {type Driver} from './driver.js';
+import {getSilenceMilliseconds} from './replica-statuses.js';
 import {type Availability, type AvailabilityMessage, type ClusterStatus} from './message.js';
 
 const transferCheckIntervalMilliseconds = 10;
@@ -77,7 +78,7 @@
 		const now = performance.now();
 		const others = replica.getMembership().voters.filter(voter => voter !== self);
 		return getSuccessor(others.map(voter => ({
-			replica: voter, matchIndex: replica.getMatchIndex(voter), silentMilliseconds: now - (replica.getLastResponseAt(voter) ?? 0),
+			replica: voter, matchIndex: replica.getMatchIndex(voter), silentMilliseconds: getSilenceMilliseconds(replica, voter, now),
 		})), electionMilliseconds);
 	}
 
