End just the link of a malformed message between our own processes

Seen by operators: a message with malformed fields from a peer with the right key ended a control host or an entry, with all requests that it had. Cause: rxjs reports the error of a subscriber as an uncaught exception, and the promises of renewals and requests had no handler of rejections.

Change: one boundary, source/wire/message-boundary.ts, for all links. The form of a message is checked before its handler; a malformed message or an error of its handler closes just that link, with a log line (one a second) and guavadeck_internal_errors_total. Commands are checked before they are proposed, since no host can refuse them once they are in the log. An error half way through an event of the replica still ends the process, now explicitly: the state may be half changed, and nothing of the event is stored. An unreadable burn report and a document without a usable router change nothing. Unknown kinds and fields pass.

Ruled out: strict schemas (a newer release adds fields); going on after an error inside the replica.

--- a/source/control-client/client.ts
+++ b/source/control-client/client.ts
@@ -8,6 +8,7 @@
 import {
 	type ControlResponse, type ControlInbound, type ControlOutbound, type ControlRequest,
 } from '../control/message.js';
+import {checkOutbound} from '../control/outbound-check.js';
 import {
 	createDialer as createSocketDialer, type Dialer, type DialerOptions, type LinkIdentity,
 } from '../wire/index.js';
@@ -59,6 +60,8 @@
 	readonly identity: LinkIdentity;
 	readonly hosts: readonly ControlAddress[];
 	onMessage(host: string, message: ControlOutbound): void;
+	/** Called after a link was ended because a message was malformed or its handler failed. */
+	readonly onFailure: DialerOptions<ControlOutbound>['onFailure'];
 	onConnect(host: string): void;
 	/** Called when an open link is closed. */
 	onDisconnect?(host: string): void;
@@ -86,6 +89,8 @@
 			identity: options.identity,
 			host: host.host,
 			port: host.port,
+			check: checkOutbound,
+			onFailure: options.onFailure,
 			onMessage(message) {
 				if (message.kind === 'reply') {
 					pendingRequests.get(message.id)?.settle(message.answer);
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -11,14 +11,17 @@
 import {getSeeds, type ControlSettings, type Security} from '../settings/index.js';
 import {getHostName, openStore, retryWhileDiskFull} from '../storage/index.js';
 import {type Log} from '../telemetry/index.js';
-import {listenForLinks, type Link} from '../wire/index.js';
+import {
+	createLinkFailureLog, listenForLinks, receiveMessages, type Link,
+} from '../wire/index.js';
 import {createApi, type Api, type ApiOptions} from './api.js';
 import {startApiServer} from './api-server.js';
 import {createCommitHandler} from './committed-changes.js';
 import {startDriver, type RoleChange} from './driver.js';
 import {createLeaderRequestHandler} from './leader-request-handler.js';
 import {createLeadership, type Leadership} from './leadership.js';
-import {createStateMachine, stateMachineCodec} from './state-machine.js';
+import {createStateMachine, stateMachineCodec, type StateMachineSnapshot} from './state-machine.js';
+import {checkInbound} from './inbound-check.js';
 import {createInboundHandler} from './inbound-handler.js';
 import {createNudges} from './nudges.js';
 import {createRequestForwarder, forwardAttemptTimeoutMilliseconds} from './request-forwarder.js';
@@ -75,11 +78,12 @@
 
 	const folder = opened.value;
 	const self = folder.replica;
-	const machine = createStateMachine({
+	const limits = {
 		retentionMilliseconds: settings.ledger.retentionHours * millisecondsPerHour,
 		maximumClaims: settings.ledger.maximumClaims,
 		maximumStoredBytes: settings.ledger.maximumStoredBytes,
-	});
+	};
+	const machine = createStateMachine(limits);
 	const links = new Set<Link<ControlInbound>>();
 	// Loaded only if service levels are tracked, since the histograms take memory.
 	const burnRateTracker: BurnRateTracker | undefined = settings.serviceLevels ? await loadBurnRateTracker() : undefined;
@@ -127,6 +131,9 @@
 				membershipManager.addDiscoveredHosts(message);
 			}
 		},
+		onFailure(failure) {
+			recordLinkFailure(failure);
+		},
 		onDisconnect(host) {
 			log.warn({host}, 'lost the connection to a control host');
 		},
@@ -162,6 +169,7 @@
 		self, driver, discovery, client, links, log,
 	});
 	const metrics = createControlMetrics(driver, machine, stallWatch);
+	const recordLinkFailure = createLinkFailureLog({log, count: metrics.countInternalError, getTime: () => performance.now()});
 	const zoneLog = createZoneLog(log, machine);
 
 	function sendConsensus(to: string, message: ReplicaMessage): void {
@@ -175,8 +183,13 @@
 		});
 	}
 
+	/** Tries the contents of a snapshot on another state machine, since this one must not be restored half. */
+	function checkSnapshot(data: unknown): void {
+		createStateMachine(limits).restore(data as StateMachineSnapshot);
+	}
+
 	const receive = createInboundHandler({
-		self, driver, requestHandler, snapshotReceiver, membershipManager, shutdown, burnRateTracker, metrics, getLeadership: () => leadership,
+		self, driver, requestHandler, snapshotReceiver, checkSnapshot, membershipManager, shutdown, burnRateTracker, metrics, getLeadership: () => leadership,
 	});
 	const listener = await listenForLinks<ControlInbound>({
 		identity: {...security.link, name: discovery.name},
@@ -186,13 +199,13 @@
 		onConnect(link) {
 			links.add(link);
 			membershipManager.sendDirectory(link);
-			link.messages.subscribe({
-				next(message) {
-					receive(link, message);
-				},
-				complete() {
+			receiveMessages<ControlInbound>(link, {
+				check: checkInbound,
+				handle: async message => receive(link, message),
+				onClose() {
 					links.delete(link);
 				},
+				onFailure: recordLinkFailure,
 			});
 		},
 	});
--- a/source/control/driver.test.ts
+++ b/source/control/driver.test.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
+import {type ReplicaMessage} from '../consensus/index.js';
 import {createRandom} from '../randomness/index.js';
 import {openStore} from '../storage/index.js';
 import {startDriver, type Driver} from './driver.js';
@@ -66,3 +67,35 @@
 	test('are taken after enough entries', async () => doTest({snapshotEvery: 20, snapshotBytes: 100_000_000}, {hasSnapshot: true}));
 	test('are not taken below both limits', async () => doTest({snapshotEvery: 10_000, snapshotBytes: 100_000_000}, {hasSnapshot: false}));
 });
+
+// Guards against a host that goes on with a state machine that applied a command half.
+describe('startDriver: an error half way through an event', () => {
+	test('ends the driver, and nothing of the event is stored', async () => {
+		const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-driver-'));
+		const store = await openStore(folder, stateMachineCodec);
+		const machine = createStateMachine(limits);
+		const failures: string[] = [];
+		const driver = startDriver({
+			id: 'b', founders: {voters: ['a', 'b'], learners: []}, store,
+			machine, electionMilliseconds: 10_000, heartbeatMilliseconds: 1000, random: createRandom(1), snapshotEvery: 1000, snapshotBytes: 1_000_000,
+			send() {
+				// Nothing is sent before the entry is stored.
+			},
+			onFailure(error) {
+				failures.push(error.message);
+			},
+		});
+		const append = {
+			kind: 'append', term: 1, previousIndex: 0, previousTerm: 0, commitIndex: 1, round: 1,
+			entries: [{index: 1, term: 1, payload: {kind: 'command', command: {area: 'ledger', command: undefined}}}],
+		} as unknown as ReplicaMessage;
+		driver.receive('a', append);
+		driver.receive('a', append);
+		expect(failures.length).toEqual(1);
+		await driver.stop();
+		const reopened = await openStore(folder, stateMachineCodec);
+		expect(reopened.storedState.entries).toEqual([]);
+		await reopened.close();
+		rmSync(folder, {recursive: true});
+	});
+});
--- a/source/control/driver.ts
+++ b/source/control/driver.ts
@@ -51,7 +51,7 @@
 	send(to: string, message: ReplicaMessage): void;
 	/** Called when the disk becomes full, and when it accepts writes again. */
 	onWritabilityChange?(isWritable: boolean): void;
-	/** Called when storage fails; the process must stop. */
+	/** Called when storage fails, or the replica half way through an event; the process must stop and start again from what is stored. */
 	onFailure(error: Error): void;
 };
 
@@ -121,8 +121,14 @@
 			return;
 		}
 
-		for (const action of replica.handle(event, performance.now())) {
-			runAction(action);
+		try {
+			for (const action of replica.handle(event, performance.now())) {
+				runAction(action);
+			}
+		} catch (error) {
+			// The replica and the state machine may have handled only a part of it. Nothing of it is stored, since nothing is flushed.
+			fail(error);
+			return;
 		}
 
 		tickTimer.update();
@@ -187,11 +193,15 @@
 	/** Ends the driver after an error of the storage, except while the disk is full. */
 	function failUnlessFull(error: unknown): void {
 		if (!isDiskFull(error)) {
-			state.isStopped = true;
-			options.onFailure(error as Error);
+			fail(error);
 		}
 	}
 
+	function fail(error: unknown): void {
+		state.isStopped = true;
+		options.onFailure(error as Error);
+	}
+
 	tickTimer.update();
 	return {
 		replica,
--- a/source/control/inbound-handler.ts
+++ b/source/control/inbound-handler.ts
@@ -13,8 +13,8 @@
 import {type Shutdown} from './shutdown.js';
 import {type SnapshotReceiver} from './snapshot-transfer.js';
 
-/** Handles a message that arrived on a link. */
-export type InboundHandler = (link: Link<ControlInbound>, message: ControlInbound) => void;
+/** Handles a message that arrived on a link. Throws, or rejects, an error for a message that it cannot handle. */
+export type InboundHandler = (link: Link<ControlInbound>, message: ControlInbound) => Promise<void>;
 
 /** Options of `createInboundHandler`. */
 export type InboundHandlerOptions = {
@@ -23,6 +23,8 @@
 	readonly driver: Driver;
 	readonly requestHandler: LeaderRequestHandler;
 	readonly snapshotReceiver: SnapshotReceiver;
+	/** Throws an error if the state machine cannot be restored from the contents of a snapshot. */
+	checkSnapshot(data: unknown): void;
 	readonly membershipManager: MembershipManager;
 	readonly shutdown: Shutdown;
 	readonly burnRateTracker: BurnRateTracker | undefined;
@@ -55,10 +57,14 @@
 		link.send(refusal);
 	}
 
-	return (link, message) => {
+	return async (link, message) => {
 		switch (message.kind) {
 			case 'consensus': {
 				if (message.to === self) {
+					if (message.message.kind === 'install') {
+						options.checkSnapshot(message.message.snapshot.data);
+					}
+
 					driver.receive(message.from, message.message);
 				}
 
@@ -68,6 +74,7 @@
 			case 'snapshotPart': {
 				const install = message.to === self ? options.snapshotReceiver.receive(message) : undefined;
 				if (install !== undefined) {
+					options.checkSnapshot(install.snapshot.data);
 					driver.receive(message.from, install);
 				}
 
@@ -85,14 +92,12 @@
 			}
 
 			case 'renewal': {
-				void renew(link, message);
-				return;
+				return renew(link, message);
 			}
 
 			case 'request': {
-				void options.requestHandler.handle(message.request).then(response => {
-					link.send({kind: 'reply', id: message.id, answer: response});
-				});
+				const answer = await options.requestHandler.handle(message.request);
+				link.send({kind: 'reply', id: message.id, answer});
 				return;
 			}
 
--- a/source/control/metrics.ts
+++ b/source/control/metrics.ts
@@ -10,6 +10,8 @@
 
 /** Metrics of a control host. */
 export type ControlMetrics = {
+	/** Counts a link that an unexpected error ended. */
+	countInternalError(): void;
 	/** Counts a lease renewal. */
 	countRenewal(outcome: 'granted' | 'refused'): void;
 	/** Counts an order for a zone that this host received. */
@@ -34,6 +36,10 @@
 		name: 'guavadeck_zone_orders_total', help: 'Orders for zones that this host received, by outcome', labelNames: ['outcome'], registers: [registry],
 	});
 
+	const internalErrors = new Counter({
+		name: 'guavadeck_internal_errors_total', help: 'Links that a malformed message or an unexpected error ended', registers: [registry],
+	});
+
 	addGauge(registry, 'guavadeck_consensus_term', 'Consensus term', () => driver.replica.getTerm());
 	addGauge(registry, 'guavadeck_consensus_commit_index', 'Highest committed index', () => driver.replica.getCommitIndex());
 	addGauge(registry, 'guavadeck_consensus_leads', 'Whether this host leads', () => driver.replica.getRole() === 'leader' ? 1 : 0);
@@ -49,6 +55,9 @@
 	addGauge(registry, 'guavadeck_stalled_seconds_total', 'Duration of the times in which this process did not run', () => stallWatch.getStalledMilliseconds() / millisecondsPerSecond);
 
 	return {
+		countInternalError() {
+			internalErrors.inc();
+		},
 		countRenewal(outcome) {
 			renewals.inc({outcome});
 		},
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -14,7 +14,7 @@
 import {type EntrySettings, type Security} from '../settings/index.js';
 import {type Log} from '../telemetry/index.js';
 import {type Verdict} from '../verdict/index.js';
-import {listen} from '../wire/index.js';
+import {createLinkFailureLog, listen} from '../wire/index.js';
 import {createByteBudget} from '../bytes/index.js';
 import {
 	createAnnouncementHandler, createFleet, createProber, drainQueues, createReportHandler,
@@ -81,6 +81,7 @@
 	const metrics = createEntryMetrics();
 	const {attemptBudget} = settings;
 	const sharedBudget = attemptBudget === undefined ? undefined : {ratio: attemptBudget.ratio, getSlack: () => attemptBudget.slack / state.entryCount};
+	const recordLinkFailure = createLinkFailureLog({log, count: metrics.countInternalError, getTime: () => performance.now()});
 	const stallWatch = createStallWatch({log, intervalMilliseconds: housekeepingIntervalMilliseconds});
 	const zoneView = createZoneView({log, isServingWithoutControl, getTime: () => performance.now()});
 	const discardedAnswers = createDiscardedAnswers({log, countDiscardedAnswer: metrics.countDiscardedAnswer, getTime: () => performance.now()});
@@ -97,7 +98,9 @@
 	const announcementHandler = createAnnouncementHandler({
 		fleet, getClient: () => client, isLeaseValid: () => leaseKeeper.holder.isValid(performance.now()),
 	});
-	const peerExchange = await startCountsExchange({settings, security, fleet});
+	const peerExchange = await startCountsExchange({
+		settings, security, fleet, onFailure: recordLinkFailure,
+	});
 	const leaseKeeper = keepLease({
 		entry: settings.name,
 		environment: settings.environment,
@@ -120,7 +123,7 @@
 		},
 	});
 	const {client, setSeeds} = openControlLinks({
-		settings, security, log, leaseKeeper,
+		settings, security, log, leaseKeeper, onFailure: recordLinkFailure,
 	});
 	const lease = leaseKeeper.holder;
 	const readiness = createReadiness({
--- a/source/entry/lease/control-links.ts
+++ b/source/entry/lease/control-links.ts
@@ -1,6 +1,8 @@
 /** Opens the links of an entry to the control hosts that its settings and the control hosts name. */
 import {performance} from 'node:perf_hooks';
-import {createControlClient, createHostDirectory, type ControlClient} from '../../control-client/index.js';
+import {
+	createControlClient, createHostDirectory, type ControlClient, type ControlClientOptions,
+} from '../../control-client/index.js';
 import {getSeeds, type EntrySettings, type Security} from '../../settings/index.js';
 import {type Log} from '../../telemetry/index.js';
 import {type LeaseKeeper} from './lease-keeper.js';
@@ -19,6 +21,8 @@
 	readonly log: Log;
 	/** Keeper of the lease, which receives the messages of the control hosts. */
 	readonly leaseKeeper: LeaseKeeper;
+	/** Called after a link was ended because of an error. */
+	readonly onFailure: ControlClientOptions['onFailure'];
 };
 
 /**
@@ -39,6 +43,7 @@
 
 			leaseKeeper.receive(host, message);
 		},
+		onFailure: options.onFailure,
 		onDisconnect(host) {
 			log.warn({host, leaseMilliseconds: Math.round(leaseKeeper.holder.getExpiresAt() - performance.now())}, 'lost the connection to a control host');
 		},
--- a/source/entry/lease/grant-application.ts
+++ b/source/entry/lease/grant-application.ts
@@ -74,8 +74,10 @@
 	const {
 		state, fleet, callerServer, random, log,
 	} = targets;
+	// Created before anything changes, so that a document that it cannot use changes nothing.
+	const router = createRouter(document.services, document.routes, random);
 	state.document = document;
-	state.router = createRouter(document.services, document.routes, random);
+	state.router = router;
 	callerServer.applyLimits(document.clientLimits);
 	fleet.setDocument(document);
 	log.info({version}, 'document in force');
--- a/source/entry/peers/counts-exchange.ts
+++ b/source/entry/peers/counts-exchange.ts
@@ -2,20 +2,24 @@
 import {createCountsReporter, createPeerCounts} from '../../choice/index.js';
 import {type EntrySettings, type Security} from '../../settings/index.js';
 import {type Fleet} from '../fleet/index.js';
-import {startPeerExchange, type PeerExchange} from './peer-exchange.js';
+import {startPeerExchange, type PeerExchange, type PeerExchangeOptions} from './peer-exchange.js';
 
 /** Options of `startCountsExchange`. */
 export type CountsExchangeOptions = {
 	readonly settings: EntrySettings;
 	readonly security: Security;
 	readonly fleet: Fleet;
+	/** Called after a link was ended because of an error. */
+	readonly onFailure: PeerExchangeOptions['onFailure'];
 };
 
 /**
  * Starts to exchange the counts of a fleet. Returns undefined if the settings have no address for peers.
  * @param options - Address, keys and servers.
  */
-export async function startCountsExchange({settings, security, fleet}: CountsExchangeOptions): Promise<PeerExchange | undefined> {
+export async function startCountsExchange({
+	settings, security, fleet, onFailure,
+}: CountsExchangeOptions): Promise<PeerExchange | undefined> {
 	if (settings.peers === undefined) {
 		return undefined;
 	}
@@ -25,6 +29,7 @@
 		identity: security.link,
 		address: settings.peers,
 		counts,
+		onFailure,
 		reporter: createCountsReporter(settings.name),
 		getOwnCounts: () => [...fleet.getServers()].map(({candidate}) => ({server: candidate.id, inFlight: candidate.getInFlight()})),
 		onCountsChange(servers) {
--- a/source/entry/peers/peer-exchange.ts
+++ b/source/entry/peers/peer-exchange.ts
@@ -2,9 +2,10 @@
 import {type PeerCounts, type CountsMessage, type CountsReporter} from '../../choice/index.js';
 import {type PeerAddress} from '../../lease/index.js';
 import {
-	createDialer, listenForLinks, type Dialer, type LinkIdentity, type LinkListener,
+	createDialer, listenForLinks, receiveMessages, type Dialer, type LinkIdentity, type LinkListener, type MessageReceiver,
 } from '../../wire/index.js';
 import {type Address} from '../../settings/index.js';
+import {checkCounts} from './counts-check.js';
 
 /** Links to the other entries (peers). */
 export type Peers = {
@@ -24,6 +25,8 @@
 	readonly counts: PeerCounts;
 	readonly reporter: CountsReporter;
 	getOwnCounts(): Iterable<{readonly server: number; readonly inFlight: number}>;
+	/** Called after a link was ended because of an error. */
+	readonly onFailure: MessageReceiver<CountsMessage>['onFailure'];
 	/** Called with the ids of the servers whose counts from peers changed. */
 	onCountsChange(servers: readonly number[]): void;
 };
@@ -44,11 +47,13 @@
 		host: options.address.host,
 		port: options.address.port,
 		onConnect(link) {
-			link.messages.subscribe({
-				next(message) {
+			receiveMessages<CountsMessage>(link, {
+				check: checkCounts,
+				handle(message) {
 					options.onCountsChange(options.counts.receive({...message, entry: link.peer}));
 				},
-				complete() {
+				onFailure: options.onFailure,
+				onClose() {
 					options.onCountsChange(options.counts.removePeer(link.peer));
 				},
 			});
@@ -60,6 +65,8 @@
 			identity: options.identity,
 			host: peer.host,
 			port: peer.port,
+			check: checkCounts,
+			onFailure: options.onFailure,
 			onMessage() {
 				// Peers send their counts on the links that they open themselves.
 			},
--- a/source/entry/reporting/metrics.ts
+++ b/source/entry/reporting/metrics.ts
@@ -53,7 +53,7 @@
 		name: 'guavadeck_discarded_answers_total', help: 'Answers of servers that were discarded, by reason', labelNames: ['reason'], registers: [registry],
 	});
 	const internalErrors = new Counter({
-		name: 'guavadeck_internal_errors_total', help: 'Requests that an unexpected error ended', registers: [registry],
+		name: 'guavadeck_internal_errors_total', help: 'Requests and links that an unexpected error ended', registers: [registry],
 	});
 	const latencyByService = new Map<string, Histogram.Internal<'service'>>();
 
--- a/source/program/local-processes.ts
+++ b/source/program/local-processes.ts
@@ -58,7 +58,10 @@
 		seed,
 		isFounding: true,
 		onFailure(error) {
-			throw error;
+			// Outside of the handler of a message, whose errors end just a link.
+			setImmediate(() => {
+				throw error;
+			});
 		},
 	});
 	const control = startResult.unwrapOrElse(message => failCommand(message));
--- a/source/program/serve-control.ts
+++ b/source/program/serve-control.ts
@@ -36,7 +36,7 @@
 	const log = createLog(settings.name, settings.logLevel);
 	const startResult = await reportListenError(file, startControl({
 		settings, security, log, seed: randomInt(2 ** 31), isFounding: options.isFounding, createApi: options.getApiFactory?.(settings), onFailure(error) {
-			log.error({err: error}, 'storage failed; exiting');
+			log.error({err: error}, 'storage or the replica failed; exiting');
 			process.exit(exitCode.failure);
 		},
 	}));
--- a/source/service-level/burn-rate-tracker.ts
+++ b/source/service-level/burn-rate-tracker.ts
@@ -79,6 +79,7 @@
 }
 
 type PeriodHistogram = {readonly periodNumber: number; readonly histogram: Histogram};
+type DecodedCount = {readonly count: ServiceCount; readonly histogram: Histogram};
 type ServiceState = {readonly shortPeriods: PeriodRing; readonly longPeriods: PeriodRing; histograms: PeriodHistogram[]};
 
 /** Tracks the burn rates of all services. */
@@ -108,7 +109,7 @@
 		return created;
 	}
 
-	function addCount(environment: string, startedAt: number, count: ServiceCount): void {
+	function addCount(environment: string, startedAt: number, {count, histogram}: DecodedCount): void {
 		const state = getState(environment, count.service);
 		state.shortPeriods.add(startedAt, count);
 		state.longPeriods.add(startedAt, count);
@@ -119,7 +120,7 @@
 			state.histograms = [...state.histograms, period].slice(-retainedHistogramCount);
 		}
 
-		period.histogram.add(decodeFromCompressedBase64(count.histogram, 32, false));
+		period.histogram.add(histogram);
 	}
 
 	function getWindow(service: Service, state: ServiceState, window: (typeof burnWindows)[number], now: number): BurnWindow {
@@ -160,7 +161,9 @@
 
 	return {
 		add(report) {
-			for (const count of report.services) {
+			// All of them are decoded first, so that a report with an unreadable histogram adds nothing.
+			const counts = report.services.map(count => ({count, histogram: decodeFromCompressedBase64(count.histogram, 32, false)}));
+			for (const count of counts) {
 				addCount(report.environment, report.startedAt, count);
 			}
 		},
--- a/source/wire/dialer.ts
+++ b/source/wire/dialer.ts
@@ -3,6 +3,7 @@
 import {connect as connectTls} from 'node:tls';
 import {startHandshake} from './handshake.js';
 import {type Link, type LinkIdentity} from './link.js';
+import {receiveMessages, type MessageReceiver} from './message-boundary.js';
 
 const reconnectDelayMilliseconds = 100;
 /** Time after which an attempt to connect is abandoned: many round trips, but less than an unreachable host needs to become reachable again. */
@@ -23,7 +24,11 @@
 	readonly identity: LinkIdentity;
 	readonly host: string;
 	readonly port: number;
+	/** Checks the form of a message, and returns it. Throws an error if it is malformed. */
+	readonly check: MessageReceiver<Message>['check'];
 	onMessage(message: Message): void;
+	/** Called after a link was ended because a message was malformed or its handler failed. The dialer connects again. */
+	readonly onFailure: MessageReceiver<Message>['onFailure'];
 	/** Called when a link is open, that is, after each successful handshake. */
 	onConnect(): void;
 	/** Called when an open link is closed. */
@@ -35,7 +40,7 @@
  * @param options - Address, identity and event callbacks.
  */
 export function createDialer<Message>(options: DialerOptions<Message>): Dialer {
-	let currentLink: Link<Message> | undefined;
+	let currentLink: Link<unknown> | undefined;
 	let socket: Socket | undefined;
 	let reconnectTimer: NodeJS.Timeout | undefined;
 	let isClosed = false;
@@ -54,15 +59,13 @@
 		newSocket.once('connect', () => {
 			clearTimeout(connectTimer);
 		});
-		startHandshake<Message>({
+		startHandshake<unknown>({
 			socket: newSocket,
 			identity: options.identity,
 			side: 'client',
 			onConnect(link) {
 				currentLink = link;
-				link.messages.subscribe(message => {
-					options.onMessage(message);
-				});
+				receiveMessages<Message>(link, {check: options.check, handle: options.onMessage, onFailure: options.onFailure});
 				options.onConnect();
 			},
 			onClose() {
--- a/source/wire/tls.test.ts
+++ b/source/wire/tls.test.ts
@@ -39,6 +39,10 @@
 				onConnect() {
 					dialer.send('there');
 				},
+				check: message => message as string,
+				onFailure({error}) {
+					throw error;
+				},
 				onMessage: finish,
 				onDisconnect() {
 					// Called only for a link that was open.
--- a/source/wire/wire.test.ts
+++ b/source/wire/wire.test.ts
@@ -71,6 +71,10 @@
 				onDisconnect() {
 					// Called only for a link that was open.
 				},
+				check: message => message,
+				onFailure({error}) {
+					throw error;
+				},
 				onMessage() {
 					dialer.close();
 					resolve();
--- a/stand-in/control-model/entry.ts
+++ b/stand-in/control-model/entry.ts
@@ -42,6 +42,9 @@
 		onMessage(host: string, message: ControlOutbound) {
 			keeper.receive(host, message);
 		},
+		onFailure({error}) {
+			throw error;
+		},
 		onConnect(host: string) {
 			keeper.handleConnect(host);
 		},
--- a/stand-in/control-model/host.ts
+++ b/stand-in/control-model/host.ts
@@ -66,6 +66,9 @@
 		onMessage() {
 			// The client handles replies itself.
 		},
+		onFailure({error}) {
+			throw error;
+		},
 		onConnect() {
 			// Members and their availability do not change.
 		},
@@ -103,6 +106,9 @@
 		self,
 		driver,
 		requestHandler,
+		checkSnapshot() {
+			// Snapshots come from the replicas of the model.
+		},
 		getLeadership,
 		metrics: {
 			countRenewal() {
@@ -142,7 +148,9 @@
 	}
 
 	setTimeout(runHousekeeping, housekeepingMilliseconds);
-	links.open(name, receive);
+	links.open(name, (link, message) => {
+		void receive(link, message);
+	});
 	let nextOrderId = 1;
 	const api = options.createApi({
 		log,
