Keep what a successor holds when a renewal of its killed predecessor is late

Operators saw more requests at a cold server than it can carry (6 of 4 slots): an entry was killed and started again under its name, and a renewal of the killed process arrived after the first one of its successor. It acknowledged a number that the successor had not reached, and the leader forgot the successor's grants, which have smaller numbers.

An acknowledgement now replaces only grants that were recorded before the acknowledged one, and none if that was not recorded. Every grant is recorded, also one without slots, so that each can be acknowledged. Ordering by the time of the start was ruled out, since a wall clock may go back, and so was ordering by number alone, since each process counts from 1.

--- a/source/cold-start/allocator.ts
+++ b/source/cold-start/allocator.ts
@@ -8,7 +8,7 @@
 import {getEvenShare} from './even-share.js';
 import {createCapacity, type Capacity, type SlowStartOptions} from './capacity.js';
 import {
-	acknowledge, createHolding, getAllocatedSlots, getHeldSlots, getNewestGrantSlots, recordConfirmation, recordGrant, recordKeptGrant, type Holding,
+	acknowledge, createHolding, getAllocatedSlots, getHeldSlots, recordConfirmation, recordGrant, recordKeptGrant, type Holding,
 } from './holding.js';
 import {createInheritance, type Inheritance} from './inheritance.js';
 
@@ -215,7 +215,7 @@
 				const holding = getHolding(state, entry);
 				if (permit.isKept === true) {
 					recordKeptGrant(holding, sequence, slots);
-				} else if (slots > 0 || getNewestGrantSlots(holding) > 0) {
+				} else {
 					recordGrant(holding, sequence, slots);
 				}
 
--- a/source/cold-start/holding.ts
+++ b/source/cold-start/holding.ts
@@ -1,11 +1,16 @@
 /** Slots of one cold server that one entry may use: those of its grants, of which the newest may not have arrived, and those of its requests in flight. */
 
+/** Slots of one grant. */
+type GrantedSlots = {
+	readonly slots: number;
+	/** Slots that the entry keeps from an earlier leader. They are not among those that this leader allocates. */
+	readonly keptSlots: number;
+};
+
 /** Slots that one entry may use. */
 export type Holding = {
-	/** Slots by grant sequence, from the newest acknowledged grant on. */
-	readonly grants: Map<number, number>;
-	/** Slots that the entry keeps from an earlier leader, by grant sequence. They are not among those that this leader allocates. */
-	readonly keptGrants: Map<number, number>;
+	/** Grants by sequence number, in the order in which they were recorded, from the newest acknowledged one on. */
+	readonly grants: Map<number, GrantedSlots>;
 	/** Largest grant so far. */
 	mostGranted: number;
 	inFlight: number;
@@ -16,7 +21,7 @@
 /** Creates a holding without grants. */
 export function createHolding(): Holding {
 	return {
-		grants: new Map(), keptGrants: new Map(), mostGranted: 0, inFlight: 0, releasedAt: undefined,
+		grants: new Map(), mostGranted: 0, inFlight: 0, releasedAt: undefined,
 	};
 }
 
@@ -25,7 +30,7 @@
  * @param holding - Holding of the entry.
  */
 export function getHeldSlots(holding: Holding): number {
-	return Math.max(holding.inFlight, ...holding.grants.values(), ...holding.keptGrants.values());
+	return Math.max(holding.inFlight, ...getGrantedSlots(holding), ...[...holding.grants.values()].map(({keptSlots}) => keptSlots));
 }
 
 /**
@@ -34,15 +39,19 @@
  * @param holding - Holding of the entry.
  */
 export function getAllocatedSlots(holding: Holding): number {
-	return Math.max(Math.min(holding.inFlight, holding.mostGranted), ...holding.grants.values());
+	return Math.max(Math.min(holding.inFlight, holding.mostGranted), ...getGrantedSlots(holding));
 }
 
-/**
- * Gets the slots of the newest grant.
- * @param holding - Holding of the entry.
- */
-export function getNewestGrantSlots(holding: Holding): number {
-	return [...holding.grants.values()].at(-1) ?? 0;
+function getGrantedSlots({grants}: Holding): readonly number[] {
+	return [...grants.values()].map(({slots}) => slots);
+}
+
+/** Records a grant as the newest one. */
+function record(holding: Holding, sequence: number, {slots, keptSlots}: GrantedSlots): void {
+	const earlier = holding.grants.get(sequence);
+	holding.grants.delete(sequence);
+	holding.grants.set(sequence, {slots: Math.max(slots, earlier?.slots ?? 0), keptSlots: Math.max(keptSlots, earlier?.keptSlots ?? 0)});
+	holding.mostGranted = Math.max(holding.mostGranted, slots);
 }
 
 /**
@@ -52,8 +61,7 @@
  * @param slots - Slots of the grant.
  */
 export function recordGrant(holding: Holding, sequence: number, slots: number): void {
-	holding.grants.set(sequence, Math.max(slots, holding.grants.get(sequence) ?? 0));
-	holding.mostGranted = Math.max(holding.mostGranted, slots);
+	record(holding, sequence, {slots, keptSlots: 0});
 }
 
 /**
@@ -63,7 +71,7 @@
  * @param slots - Slots that the entry keeps at most.
  */
 export function recordKeptGrant(holding: Holding, sequence: number, slots: number): void {
-	holding.keptGrants.set(sequence, Math.max(slots, holding.keptGrants.get(sequence) ?? 0));
+	record(holding, sequence, {slots: 0, keptSlots: slots});
 }
 
 /**
@@ -73,23 +81,36 @@
  * @param slots - Slots of the permit.
  */
 export function recordConfirmation(holding: Holding, acknowledged: number, slots: number): void {
-	recordGrant(holding, acknowledged, slots);
-	for (const [sequence, kept] of holding.keptGrants) {
-		recordGrant(holding, sequence, Math.min(kept, slots));
+	for (const [sequence, grant] of holding.grants) {
+		const confirmed = sequence === acknowledged ? slots : Math.min(grant.keptSlots, slots);
+		holding.grants.set(sequence, {slots: Math.max(grant.slots, confirmed), keptSlots: 0});
+	}
+
+	if (!holding.grants.has(acknowledged)) {
+		recordGrant(holding, acknowledged, slots);
 	}
+
+	holding.mostGranted = Math.max(holding.mostGranted, ...getGrantedSlots(holding));
 }
 
 /**
- * Forgets the grants that the entry has replaced by a newer one.
+ * Forgets the grants that the entry has replaced by a newer one: those with a smaller number that were recorded earlier. A late renewal of
+ * a killed process may acknowledge a larger number than its successor with the same name has reached.
  * @param holding - Holding of the entry.
  * @param acknowledged - Sequence number of the newest grant that the entry applied.
  */
-export function acknowledge(holding: Holding, acknowledged: number): void {
-	for (const grants of [holding.grants, holding.keptGrants]) {
-		for (const sequence of grants.keys()) {
-			if (sequence < acknowledged) {
-				grants.delete(sequence);
-			}
+export function acknowledge({grants}: Holding, acknowledged: number): void {
+	if (!grants.has(acknowledged)) {
+		return;
+	}
+
+	for (const sequence of grants.keys()) {
+		if (sequence === acknowledged) {
+			return;
+		}
+
+		if (sequence < acknowledged) {
+			grants.delete(sequence);
 		}
 	}
 }
