Let a new leader wait for deadlines that were longer before it led

Operators saw more requests at a cold server than it can carry (9 of 6 slots): a document with a shorter deadline came into force, the leader was lost, and the next one waited for the new deadline only before it granted what a silent entry had in flight.

The documents in the log tell which deadlines were in force and until when, so the new leader waits for the longest one with which a request may still be in flight. All stored documents without their times were ruled out: one long deadline would delay every later leader.

--- a/source/control/cold-servers.ts
+++ b/source/control/cold-servers.ts
@@ -7,6 +7,7 @@
 import {createAllocator, createRateAllocator} from '../cold-start/index.js';
 import {type Service} from '../configuration/index.js';
 import {type Grant, type Renewal} from '../lease/index.js';
+import {getLongestEarlierDeadline} from './earlier-deadlines.js';
 import {type ServerStatus} from './message.js';
 import {type StateMachine} from './state-machine.js';
 
@@ -46,6 +47,8 @@
 	readonly inheritedServers: ReadonlySet<number>;
 	/** Gets the services of a name in all environments. */
 	getServices(name: string): readonly Service[];
+	/** Gets the wall-clock time in milliseconds. */
+	getWallClock(): number;
 };
 
 /**
@@ -71,6 +74,16 @@
 		});
 	}
 
+	/** Gets the longest deadline of the requests that may be in flight at a server. The allocator remembers that of a server that it knows. */
+	function getLongestDeadline({id, announcement}: RegisteredServer, services: readonly Service[]): number {
+		const current = services.length === 0 ? defaultDeadlineMilliseconds : Math.max(...services.map(service => service.deadlineMilliseconds));
+		return allocator.has(id) || !inheritedServers.has(id)
+			? current
+			: Math.max(current, getLongestEarlierDeadline({
+				register: machine.register, service: announcement.service, termMilliseconds, wallClock: options.getWallClock(),
+			}));
+	}
+
 	return {
 		add(server, now) {
 			if (server.state !== 'cold') {
@@ -84,10 +97,10 @@
 				return;
 			}
 
-			const deadline = Math.max(...services.map(service => service.deadlineMilliseconds), services.length === 0 ? defaultDeadlineMilliseconds : 0);
+			const deadlineMilliseconds = getLongestDeadline(server, services);
 			const {easing} = services[0] ?? {easing: {initialSlots: 1, growthPerSuccess: 0.1, ceilingMilliseconds: 30_000}};
 			allocator.add({
-				id: server.id, slots: server.announcement.slots, easing, deadlineMilliseconds: deadline, hasEarlierHolders: inheritedServers.has(server.id),
+				id: server.id, slots: server.announcement.slots, easing, deadlineMilliseconds, hasEarlierHolders: inheritedServers.has(server.id),
 			}, now);
 		},
 		recordChange({id, state}) {
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -71,7 +71,7 @@
 		epoch, machine, presence, getAppliedIndex: options.getAppliedIndex,
 	});
 	const coldServers = createColdServers({
-		epoch, startedAt, termMilliseconds, machine, inheritedServers, getServices,
+		epoch, startedAt, termMilliseconds, machine, inheritedServers, getServices, getWallClock: options.getWallClock,
 	});
 	const probing = createProbing({
 		startedAt, termMilliseconds, machine, inheritedServers,
