Withhold from a new leader's entries what a silent one holds of a server with fewer slots

Operators saw more requests at a cold server than it can carry (6 of 4 slots) when it announced fewer slots, the leader was lost, and an entry was silent: a new leader knew neither how many slots the earlier one had granted nor, so, what the silent entry may use.

A permit now states the capacity by which it was granted and the slots that all entries might use then, and entries report both with what they hold (optional fields). The new leader takes the newest, and withholds what exceeds the server's slots. Grants without slots state it too once the capacity was reduced. Ruled out: the slots announced before, which are more than was granted and withhold everything; the largest reported capacity, which withholds too much once some entries were cut; entries that shrink their permits themselves, since a silent one does not learn of the announcement. The state of a cold server moved to a file of its own.

--- a/source/cold-start/allocator.ts
+++ b/source/cold-start/allocator.ts
@@ -4,33 +4,14 @@
  * of an unreachable holder are released only after its lease and the longest deadline. While permits of an earlier leader may be in use,
  * only the slots that entries are known to hold are allocated (`inheritance.ts`).
  */
-import {type Observation, type Permit} from '../lease/index.js';
+import {type GrantedCapacity, type Observation, type Permit} from '../lease/index.js';
 import {getEvenShare} from './even-share.js';
-import {createCapacity, type Capacity, type SlowStartOptions} from './capacity.js';
 import {
-	acknowledge, createHolding, getAllocatedSlots, getHeldSlots, recordConfirmation, recordGrant, recordKeptGrant, type Holding,
+	applyObservation, createColdState, getGrantedCapacity, getHeldTotal, getHolding, inheritPermit, removeReleased, updateServer, type ColdServer, type ColdState,
+} from './cold-state.js';
+import {
+	acknowledge, getAllocatedSlots, getHeldSlots, recordGrant, recordKeptGrant,
 } from './holding.js';
-import {createInheritance, type Inheritance} from './inheritance.js';
-
-/** A cold server whose slots are allocated. */
-export type ColdServer = {
-	readonly id: number;
-	readonly slots: number;
-	readonly easing: SlowStartOptions;
-	/** Maximum time in milliseconds for which a request may be in flight. */
-	readonly deadlineMilliseconds: number;
-	/** Whether an earlier leader may have granted slots of this server. */
-	readonly hasEarlierHolders: boolean;
-};
-
-type ColdState = {
-	server: ColdServer;
-	readonly capacity: Capacity;
-	readonly holdings: Map<string, Holding>;
-	readonly inheritance: Inheritance;
-	/** Time at which no permit of an earlier leader is in use any more. */
-	readonly grantableAt: number;
-};
 
 /** Allocates slots of cold servers. */
 export type Allocator = {
@@ -48,6 +29,8 @@
 	grant(entry: string, sequence: number, liveEntries: readonly string[], now: number): readonly Permit[];
 	/** Gets the servers that count as warm. */
 	getWarmed(now: number): readonly number[];
+	/** Gets the capacity by which slots of a server are granted, and how much of it is in use, or undefined if an earlier leader may know of more. */
+	getGrantedCapacity(id: number, now: number): Omit<GrantedCapacity, 'epoch'> | undefined;
 	/** Gets the capacity of a server and its held slots. */
 	getUsage(id: number, now: number): {readonly capacity: number; readonly held: number} | undefined;
 };
@@ -75,23 +58,15 @@
 export function createAllocator(options: AllocatorOptions): Allocator {
 	const states = new Map<number, ColdState>();
 
-	function removeReleased(state: ColdState, now: number): void {
-		for (const [entry, holding] of state.holdings) {
-			if (holding.releasedAt !== undefined && holding.releasedAt <= now) {
-				state.holdings.delete(entry);
-			}
-		}
-	}
-
 	/** Gets what an entry keeps from an earlier leader, or undefined if this leader decides on its slots. */
 	function getKeptSlots(state: ColdState, entry: string, now: number): number | undefined {
 		return now < state.grantableAt ? state.inheritance.getKept(entry) : undefined;
 	}
 
 	/** Gets the slots that this leader may allocate. */
-	function getAllocatableSlots({capacity, inheritance, grantableAt}: ColdState, now: number): number {
+	function getAllocatableSlots({server, capacity, inheritance, earlierCapacity, grantableAt}: ColdState, now: number): number {
 		const slots = capacity.getSlots(now);
-		return now < grantableAt ? Math.min(slots, inheritance.getTotal()) : slots;
+		return now < grantableAt ? Math.max(0, Math.min(slots, inheritance.getTotal() - earlierCapacity.getExcess(server.slots))) : slots;
 	}
 
 	/** Gets how many of the slots that this leader may allocate are held by other entries than the given one. */
@@ -106,22 +81,6 @@
 		return total;
 	}
 
-	function getHeldTotal(state: ColdState, now: number): number {
-		const holdings = [...state.holdings.values()].filter(({releasedAt}) => releasedAt === undefined || releasedAt > now);
-		return holdings.reduce((total, holding) => total + getHeldSlots(holding), 0);
-	}
-
-	function getHolding(state: ColdState, entry: string): Holding {
-		const existing = state.holdings.get(entry);
-		if (existing !== undefined) {
-			return existing;
-		}
-
-		const created = createHolding();
-		state.holdings.set(entry, created);
-		return created;
-	}
-
 	/** Gets the entries that share what this leader may allocate. Those that still keep their permits have a part of their own. */
 	function getSharers(state: ColdState, liveEntries: readonly string[], now: number): readonly string[] {
 		return now < state.grantableAt ? liveEntries.filter(entry => getKeptSlots(state, entry, now) === undefined) : liveEntries;
@@ -141,30 +100,16 @@
 			: {server: state.server.id, slots: kept, isKept: true};
 	}
 
-	function applyObservation(state: ColdState, entry: string, observation: Observation, now: number): void {
-		const holding = getHolding(state, entry);
-		holding.inFlight = observation.inFlight;
-		state.capacity.report(observation.successes, observation.sheds, now);
-	}
-
 	return {
 		add(server, now) {
 			const existing = states.get(server.id);
 			if (existing !== undefined) {
-				existing.capacity.setSlots(server.slots);
-				// Requests that were sent with a longer deadline may still be in flight.
-				existing.server = {...server, deadlineMilliseconds: Math.max(server.deadlineMilliseconds, existing.server.deadlineMilliseconds)};
+				updateServer(existing, server);
 				return;
 			}
 
 			const waitMilliseconds = server.hasEarlierHolders ? options.termMilliseconds + server.deadlineMilliseconds : 0;
-			states.set(server.id, {
-				server,
-				capacity: createCapacity(server.slots, server.easing, now),
-				holdings: new Map(),
-				inheritance: createInheritance(),
-				grantableAt: Math.max(now, options.startedAt + waitMilliseconds),
-			});
+			states.set(server.id, createColdState(server, Math.max(now, options.startedAt + waitMilliseconds), now));
 		},
 		remove(id) {
 			states.delete(id);
@@ -187,14 +132,12 @@
 			}
 		},
 		inherit({entry, acknowledged, permits, hasLease}, now) {
-			const slotsByServer = new Map(permits.map(({server, slots}) => [server, slots]));
+			const byServer = new Map(permits.map(permit => [permit.server, permit]));
 			for (const state of states.values()) {
-				const confirmed = now < state.grantableAt
-					? state.inheritance.report({entry, amount: slotsByServer.get(state.server.id) ?? 0, hasLease})
-					: 0;
-				if (confirmed > 0) {
-					recordConfirmation(getHolding(state, entry), acknowledged, confirmed);
-					state.capacity.inherit(state.inheritance.getTotal());
+				if (now < state.grantableAt) {
+					inheritPermit(state, {
+						entry, acknowledged, permit: byServer.get(state.server.id), hasLease,
+					});
 				}
 			}
 		},
@@ -210,6 +153,7 @@
 			const permits: Permit[] = [];
 			for (const state of states.values()) {
 				removeReleased(state, now);
+				state.grants++;
 				const permit = getPermit(state, entry, liveEntries, now);
 				const {slots} = permit;
 				const holding = getHolding(state, entry);
@@ -219,7 +163,8 @@
 					recordGrant(holding, sequence, slots);
 				}
 
-				if (slots > 0) {
+				// A grant without slots tells that the capacity was reduced, in case the leader is lost.
+				if (slots > 0 || state.isReduced) {
 					permits.push(permit);
 				}
 			}
@@ -227,6 +172,10 @@
 			return permits;
 		},
 		getWarmed: now => [...states.values()].filter(state => state.capacity.isWarm(now)).map(state => state.server.id),
+		getGrantedCapacity(id, now) {
+			const state = states.get(id);
+			return state === undefined ? undefined : getGrantedCapacity(state, now);
+		},
 		getUsage(id, now) {
 			const state = states.get(id);
 			return state === undefined ? undefined : {capacity: state.capacity.getSlots(now), held: getHeldTotal(state, now)};
--- a/source/cold-start/capacity.ts
+++ b/source/cold-start/capacity.ts
@@ -17,7 +17,7 @@
 	report(successes: number, sheds: number, now: number): void;
 	/** Updates the slots that the server announces. */
 	setSlots(slots: number): void;
-	/** Raises the slots to those that an earlier leader has granted, unless the server has shed requests since. */
+	/** Raises the slots to those that an earlier leader has granted and that the server can still handle. */
 	inherit(slots: number): void;
 	/** Gets the slots that the server can handle, rounded down. */
 	getSlots(now: number): number;
@@ -35,7 +35,6 @@
 	let currentSlots = Math.min(slots, easing.initialSlots);
 	let successes = 0;
 	let lastShedAt = startedAt;
-	let hasShed = false;
 
 	function isWarm(now: number): boolean {
 		const hasAllSlots = currentSlots >= slots;
@@ -50,7 +49,6 @@
 			if (sheds > 0) {
 				currentSlots = Math.max(Math.min(slots, easing.initialSlots), currentSlots / 2);
 				lastShedAt = now;
-				hasShed = true;
 			}
 		},
 		setSlots(newSlots) {
@@ -58,9 +56,7 @@
 			currentSlots = Math.min(slots, currentSlots);
 		},
 		inherit(inheritedSlots) {
-			if (!hasShed) {
-				currentSlots = Math.min(slots, Math.max(currentSlots, inheritedSlots));
-			}
+			currentSlots = Math.min(slots, Math.max(currentSlots, inheritedSlots));
 		},
 		getSlots: now => Math.floor(isWarm(now) ? slots : currentSlots),
 		isWarm,
--- /dev/null
+++ b/source/cold-start/cold-state.ts
@@ -0,0 +1,171 @@
+/** One cold server whose slots are allocated: its capacity, what entries hold of it, and what they hold from earlier leaders. */
+import {type GrantedCapacity, type Observation, type Permit} from '../lease/index.js';
+import {createCapacity, type Capacity, type SlowStartOptions} from './capacity.js';
+import {createEarlierCapacity, type EarlierCapacity} from './earlier-capacity.js';
+import {
+	createHolding, getAllocatedSlots, getHeldSlots, recordConfirmation, type Holding,
+} from './holding.js';
+import {createInheritance, type Inheritance} from './inheritance.js';
+
+/** A cold server whose slots are allocated. */
+export type ColdServer = {
+	readonly id: number;
+	readonly slots: number;
+	readonly easing: SlowStartOptions;
+	/** Maximum time in milliseconds for which a request may be in flight. */
+	readonly deadlineMilliseconds: number;
+	/** Whether an earlier leader may have granted slots of this server. */
+	readonly hasEarlierHolders: boolean;
+};
+
+/** State of a cold server. */
+export type ColdState = {
+	server: ColdServer;
+	readonly capacity: Capacity;
+	readonly holdings: Map<string, Holding>;
+	readonly inheritance: Inheritance;
+	readonly earlierCapacity: EarlierCapacity;
+	/** Number of grants so far. */
+	grants: number;
+	/** Whether the capacity was reduced. */
+	isReduced: boolean;
+	/** Time at which no permit of an earlier leader is in use any more. */
+	readonly grantableAt: number;
+};
+
+/** What an entry reports about its permit for one server. */
+export type HeldPermit = {
+	readonly entry: string;
+	readonly acknowledged: number;
+	readonly permit: Permit | undefined;
+	readonly hasLease: boolean;
+};
+
+/**
+ * Creates the state of a server of which this leader has granted nothing.
+ * @param server - Cold server.
+ * @param grantableAt - Time at which no permit of an earlier leader is in use any more.
+ * @param now - Time in milliseconds.
+ */
+export function createColdState(server: ColdServer, grantableAt: number, now: number): ColdState {
+	return {
+		server,
+		capacity: createCapacity(server.slots, server.easing, now),
+		holdings: new Map(),
+		inheritance: createInheritance(),
+		earlierCapacity: createEarlierCapacity(server.easing.initialSlots),
+		grants: 0,
+		isReduced: false,
+		grantableAt,
+	};
+}
+
+/**
+ * Updates the slots and the longest deadline of a server.
+ * @param state - State of the server.
+ * @param server - Server as it is now.
+ */
+export function updateServer(state: ColdState, server: ColdServer): void {
+	state.capacity.setSlots(server.slots);
+	state.isReduced ||= server.slots < state.server.slots;
+	// Requests that were sent with a longer deadline may still be in flight.
+	state.server = {...server, deadlineMilliseconds: Math.max(server.deadlineMilliseconds, state.server.deadlineMilliseconds)};
+}
+
+/**
+ * Gets what an entry holds of a server, and creates it if it is missing.
+ * @param state - State of the server.
+ * @param entry - Name of the entry.
+ */
+export function getHolding(state: ColdState, entry: string): Holding {
+	const existing = state.holdings.get(entry);
+	if (existing !== undefined) {
+		return existing;
+	}
+
+	const created = createHolding();
+	state.holdings.set(entry, created);
+	return created;
+}
+
+/**
+ * Removes what holders with an expired lease have released.
+ * @param state - State of the server.
+ * @param now - Time in milliseconds.
+ */
+export function removeReleased(state: ColdState, now: number): void {
+	for (const [entry, holding] of state.holdings) {
+		if (holding.releasedAt !== undefined && holding.releasedAt <= now) {
+			state.holdings.delete(entry);
+		}
+	}
+}
+
+/**
+ * Gets the slots that all entries together may use.
+ * @param state - State of the server.
+ * @param now - Time in milliseconds.
+ */
+export function getHeldTotal(state: ColdState, now: number): number {
+	const holdings = [...state.holdings.values()].filter(({releasedAt}) => releasedAt === undefined || releasedAt > now);
+	return holdings.reduce((total, holding) => total + getHeldSlots(holding), 0);
+}
+
+/**
+ * Applies what an entry observed of a server.
+ * @param state - State of the server.
+ * @param entry - Name of the entry.
+ * @param observation - Observation of the entry.
+ * @param now - Time in milliseconds.
+ */
+export function applyObservation(state: ColdState, entry: string, observation: Observation, now: number): void {
+	getHolding(state, entry).inFlight = observation.inFlight;
+	state.capacity.report(observation.successes, observation.sheds, now);
+	if (observation.sheds > 0) {
+		state.isReduced = true;
+		state.earlierCapacity.recordShed();
+	}
+}
+
+/**
+ * Applies what an entry reports to hold of a server, while permits of an earlier leader may be in use.
+ * @param state - State of the server.
+ * @param held - Permit of the entry.
+ */
+export function inheritPermit(state: ColdState, {entry, acknowledged, permit, hasLease}: HeldPermit): void {
+	const {
+		server, inheritance, earlierCapacity, capacity,
+	} = state;
+	if (permit?.capacity !== undefined && !inheritance.isSettled(entry)) {
+		earlierCapacity.learn(permit.capacity);
+	}
+
+	const confirmed = inheritance.report({entry, amount: permit?.slots ?? 0, hasLease});
+	if (confirmed > 0) {
+		recordConfirmation(getHolding(state, entry), acknowledged, confirmed);
+		capacity.inherit(earlierCapacity.getInheritable(inheritance.getTotal(), server.slots));
+	}
+}
+
+/**
+ * Gets the capacity by which slots of a server are granted, and how much of it is in use, or undefined if an earlier leader may know of more.
+ * @param state - State of the server.
+ * @param now - Time in milliseconds.
+ */
+export function getGrantedCapacity(state: ColdState, now: number): Omit<GrantedCapacity, 'epoch'> | undefined {
+	const {server, capacity, grants, grantableAt} = state;
+	if (now >= grantableAt) {
+		return {grant: grants, slots: capacity.getSlots(now), held: getHeldTotal(state, now)};
+	}
+
+	const slots = state.earlierCapacity.getSlots(server.slots);
+	const held = getHeldWithSilent(state);
+	return slots === undefined || held === undefined ? undefined : {grant: grants, slots, held};
+}
+
+/** Gets the slots that all entries may use while permits of an earlier leader are in use, or undefined if no permit tells how many those are. */
+function getHeldWithSilent({holdings, inheritance, earlierCapacity}: ColdState): number | undefined {
+	const held = earlierCapacity.getHeld();
+	const allocated = [...holdings.values()].reduce((total, holding) => total + getAllocatedSlots(holding), 0);
+	return held === undefined ? undefined : Math.max(0, held - inheritance.getTotal()) + allocated;
+}
--- a/source/cold-start/inheritance.ts
+++ b/source/cold-start/inheritance.ts
@@ -21,6 +21,8 @@
 export type Inheritance = {
 	/** Records what an entry reports. Returns the amount that this leader disposes of by this report. */
 	report(report: HeldReport): number;
+	/** Checks whether this leader decides on the permit of an entry. */
+	isSettled(entry: string): boolean;
 	/** Gets what an entry keeps until its next renewal confirms it, or undefined if this leader decides on its permit. */
 	getKept(entry: string): number | undefined;
 	/** Gets what this leader disposes of. */
@@ -55,6 +57,7 @@
 			unconfirmed.set(entry, amount);
 			return 0;
 		},
+		isSettled: entry => settled.has(entry),
 		getKept: entry => unconfirmed.get(entry),
 		getTotal: () => total,
 	};
--- a/source/control/cold-servers.ts
+++ b/source/control/cold-servers.ts
@@ -6,7 +6,9 @@
 import {type RegisteredServer} from '../announcement/index.js';
 import {createAllocator, createRateAllocator} from '../cold-start/index.js';
 import {type Service} from '../configuration/index.js';
-import {type Grant, type Renewal} from '../lease/index.js';
+import {
+	type Grant, type Permit, type Renewal,
+} from '../lease/index.js';
 import {getLongestEarlierDeadline} from './earlier-deadlines.js';
 import {type ServerStatus} from './message.js';
 import {type StateMachine} from './state-machine.js';
@@ -84,6 +86,12 @@
 			}));
 	}
 
+	/** States in a permit by which capacity it was granted. A permit that an entry keeps states that already. */
+	function withCapacity(permit: Permit, now: number): Permit {
+		const capacity = permit.isKept === true ? undefined : allocator.getGrantedCapacity(permit.server, now);
+		return capacity === undefined ? permit : {...permit, capacity: {epoch, ...capacity}};
+	}
+
 	return {
 		add(server, now) {
 			if (server.state !== 'cold') {
@@ -135,7 +143,7 @@
 			rateAllocator.expireLease(entry, now);
 		},
 		grant: (renewal, liveEntries, receivedAt) => [
-			...allocator.grant(renewal.entry, renewal.sequence, liveEntries, receivedAt),
+			...allocator.grant(renewal.entry, renewal.sequence, liveEntries, receivedAt).map(permit => withCapacity(permit, receivedAt)),
 			...rateAllocator.grant({
 				entry: renewal.entry, expiresAt: receivedAt + termMilliseconds, entryCount: liveEntries.length, now: receivedAt,
 			}).map(permit => ({...permit, slots: 0})),
--- a/source/entry/fleet/fleet.test.ts
+++ b/source/entry/fleet/fleet.test.ts
@@ -74,6 +74,15 @@
 		fleet.close();
 	}
 
+	test('state the capacity by which they were granted', () => {
+		const capacity = {
+			epoch: 1, grant: 1, slots: 6, held: 6,
+		};
+		doTest([[{server: 1, slots: 2, capacity}]], [{server: 1, slots: 2, capacity}]);
+		doTest([[{server: 1, slots: 2, capacity}], [{server: 1, slots: 1, isKept: true}]], [{server: 1, slots: 1, capacity}]);
+		doTest([[{server: 1, slots: 2, capacity}], [{server: 1, slots: 2}]], [{server: 1, slots: 2}]);
+	});
+
 	const first: readonly Permit[] = [{server: 1, slots: 2}, {server: 2, slots: 0, requestsPerSecond: 4}];
 
 	test('are those of the last grant', () => {
--- a/source/entry/fleet/fleet.ts
+++ b/source/entry/fleet/fleet.ts
@@ -60,6 +60,7 @@
 export function createFleet(random: Random, budgetOptions?: SharedBudgetOptions, subsetChooser?: SubsetChooser, onUnsolicitedData?: (candidate: Candidate, history: ConnectionHistory) => void): Fleet {
 	const servers = createServerTable(onUnsolicitedData);
 	const states = new Map<string, MutableServiceState>();
+	const permitCapacities = new Map<number, Permit['capacity']>();
 	let document: EnvironmentDocument | undefined;
 	let zonesInService: ReadonlySet<string> = new Set();
 	let zonesOutOfService: ReadonlySet<string> = new Set();
@@ -86,6 +87,10 @@
 		}
 	}
 
+	function getPermits(): readonly Permit[] {
+		return [...servers.getAll()].map(({candidate}) => getPermit(candidate, permitCapacities.get(candidate.id))).filter(permit => permit !== undefined);
+	}
+
 	return {
 		setDocument(next) {
 			document = next;
@@ -145,14 +150,20 @@
 		},
 		setPermits(permits, now) {
 			const byServer = new Map(permits.map(permit => [permit.server, permit]));
+			const earlier = new Map(getPermits().map(permit => [permit.server, permit]));
+			permitCapacities.clear();
 			for (const {candidate} of servers.getAll()) {
-				const permit = getNextPermit(getPermit(candidate), byServer.get(candidate.id));
+				const permit = getNextPermit(earlier.get(candidate.id), byServer.get(candidate.id));
 				candidate.setPermit(permit?.slots ?? 0);
 				candidate.setRate(permit?.requestsPerSecond, now);
+				if (permit?.capacity !== undefined) {
+					permitCapacities.set(candidate.id, permit.capacity);
+				}
 			}
 		},
-		getPermits: () => [...servers.getAll()].map(({candidate}) => getPermit(candidate)).filter(permit => permit !== undefined),
+		getPermits,
 		revokePermits() {
+			permitCapacities.clear();
 			for (const {candidate} of servers.getAll()) {
 				candidate.revokePermits();
 			}
@@ -216,12 +227,13 @@
 	};
 }
 
-/** Gets the permit that the entry holds for a server. */
-function getPermit(candidate: Candidate): Permit | undefined {
+/** Gets the permit that the entry holds for a server, with the capacity by which it was granted. */
+function getPermit(candidate: Candidate, capacity: Permit['capacity']): Permit | undefined {
 	const {slots, requestsPerSecond} = candidate.getPermit();
 	if (requestsPerSecond !== undefined) {
 		return {server: candidate.id, slots, requestsPerSecond};
 	}
 
-	return slots > 0 ? {server: candidate.id, slots} : undefined;
+	const permit: Permit = {server: candidate.id, slots, ...(capacity === undefined ? {} : {capacity})};
+	return slots > 0 || capacity !== undefined ? permit : undefined;
 }
--- a/source/lease/kept-permits.test.ts
+++ b/source/lease/kept-permits.test.ts
@@ -15,6 +15,14 @@
 		doTest({server: 1, slots: 2}, {server: 1, slots: 3, isKept: true}, {server: 1, slots: 2});
 		doTest({server: 1, slots: 2}, {server: 1, slots: 1, isKept: true}, {server: 1, slots: 1});
 	});
+	test('keeps the capacity by which a permit was granted', () => {
+		const capacity = {
+			epoch: 1, grant: 1, slots: 6, held: 6,
+		};
+		doTest({server: 1, slots: 2, capacity}, {server: 1, slots: 1, isKept: true}, {server: 1, slots: 1, capacity});
+		doTest({server: 1, slots: 2, capacity}, {server: 1, slots: 1, capacity: {...capacity, slots: 5}}, {server: 1, slots: 1, capacity: {...capacity, slots: 5}});
+		doTest({server: 1, slots: 2, capacity}, {server: 1, slots: 1}, {server: 1, slots: 1});
+	});
 	test('keeps a rate as it is', () => {
 		doTest({server: 1, slots: 0, requestsPerSecond: 4}, {
 			server: 1, slots: 0, requestsPerSecond: 5, isKept: true,
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -60,11 +60,25 @@
 	readonly isRemoved: boolean;
 };
 
+/** Capacity of a cold server by which a permit was granted, and how much of it was in use. */
+export type GrantedCapacity = {
+	/** Consensus term of the leader that granted the permit. */
+	readonly epoch: number;
+	/** Number of grants of the leader for the server by then. */
+	readonly grant: number;
+	/** Slots that the server could handle. */
+	readonly slots: number;
+	/** Slots that all entries together might use after the grant; more than the server could handle if that was reduced shortly before. */
+	readonly held: number;
+};
+
 /** Number of slots of one cold server that an entry may use, or its requests per second if the rate is limited. */
 export type Permit = {
 	readonly server: number;
 	readonly slots: number;
 	readonly requestsPerSecond?: number;
+	/** Capacity by which the slots were granted; missing from control hosts of earlier releases. */
+	readonly capacity?: GrantedCapacity;
 	/** Whether the entry keeps what it holds from an earlier leader, at most these slots. Granted only to entries that report what they hold. */
 	readonly isKept?: true;
 };
