Tell a new leader of sheds that no grant has answered

Operators saw more requests at a cold server than it can carry (23 of 11 slots) until it shed again: an entry reported a shed, the leader halved the capacity and was lost before its grant arrived, and nobody told the next one.

Entries go on to state the sheds of renewals that no grant has answered (an optional field), and a leader that hears an entry for the first time counts them. A grant with which an entry keeps its permit answers none, since the permit does not show them. After an answer the capacity that permits state shows the shed, so nothing is counted twice. Ruled out: a command in the log for each shed (a sync in the path of every overload), and sheds of a fixed time (counted twice, if the earlier leader's grants show them).

earlier-leader.test.ts: a shed used 23 of 11 slots before and uses 11 now.

--- a/source/control/cold-servers.ts
+++ b/source/control/cold-servers.ts
@@ -7,7 +7,7 @@
 import {createAllocator, createRateAllocator} from '../cold-start/index.js';
 import {type Service} from '../configuration/index.js';
 import {
-	type Grant, type Permit, type Renewal,
+	type Grant, type Observation, type Permit, type Renewal,
 } from '../lease/index.js';
 import {getLongestEarlierDeadline} from './earlier-deadlines.js';
 import {type ServerStatus} from './message.js';
@@ -62,6 +62,7 @@
 	const allocator = createAllocator({startedAt, termMilliseconds});
 	const rateAllocator = createRateAllocator();
 	const knownColdServers = new Set<number>();
+	const heardEntries = new Set<string>();
 	const cooledServers = new Set<number>();
 
 	/** Limits the request rate of a cold server. If it was not known to be cold, the limit lasts at least for the full warm-up time of the service. */
@@ -122,9 +123,9 @@
 		recordRenewal(renewal, receivedAt) {
 			const {entry, acknowledged, observations} = renewal;
 			const hasLease = renewal.epoch === epoch;
-			// The earlier leader may have counted these successes as well, and this leader continues with the slots that it granted.
-			const counted = hasLease ? observations : observations.map(observation => ({...observation, successes: 0}));
-			allocator.report(entry, acknowledged, counted, receivedAt);
+			const isFirst = !heardEntries.has(entry);
+			heardEntries.add(entry);
+			allocator.report(entry, acknowledged, hasLease ? observations : getInheritedObservations(observations, isFirst), receivedAt);
 			const held = {
 				entry, acknowledged, permits: renewal.held ?? [], hasLease,
 			};
@@ -153,3 +154,14 @@
 		getUsage: allocator.getUsage,
 	};
 }
+
+/**
+ * Gets what counts of the observations of an entry without a lease of this leader. The earlier leader may have counted the successes, and this
+ * leader continues with the slots that it granted. Sheds that no grant has answered count when this leader hears the entry first.
+ */
+function getInheritedObservations(observations: readonly Observation[], isFirst: boolean): readonly Observation[] {
+	return observations.flatMap(observation => {
+		const unanswered = {...observation, successes: 0, sheds: 1};
+		return [...Array.from({length: isFirst ? observation.unansweredShedReports ?? 0 : 0}, () => unanswered), {...observation, successes: 0}];
+	});
+}
--- a/source/control/earlier-leader.test.ts
+++ b/source/control/earlier-leader.test.ts
@@ -3,7 +3,7 @@
 import {announcementSchema} from '../announcement/index.js';
 import {documentSchema} from '../configuration/index.js';
 import {
-	type Grant, type Observation, type Permit, type Renewal,
+	createUnansweredSheds, type Grant, type Observation, type Permit, type Renewal, type UnansweredSheds,
 } from '../lease/index.js';
 import {createLeadership, type Leadership} from './leadership.js';
 import {createStateMachine, type StateMachine} from './state-machine.js';
@@ -14,7 +14,7 @@
 const server = 1;
 
 /** An entry, as far as its leader sees it. */
-type Entry = {readonly name: string; sequence: number; last: Grant | undefined; permits: readonly Permit[]; inFlight: number};
+type Entry = {readonly name: string; sequence: number; last: Grant | undefined; permits: readonly Permit[]; inFlight: number; readonly sheds: UnansweredSheds};
 
 function setDeadline(machine: StateMachine, base: number, deadlineMilliseconds: number): void {
 	const document = documentSchema.parse({
@@ -41,14 +41,19 @@
 	});
 }
 
-function renew(leadership: Leadership, entry: Entry, now: number, counts: Partial<Observation> = {}): void {
-	const renewal: Renewal = {
-		kind: 'renewal', entry: entry.name, environment: 'production', sequence: ++entry.sequence, acknowledged: entry.last?.sequence ?? 0, version: 1, epoch: entry.last?.epoch ?? 0, revision: 0, peersRevision: 0,
-		observations: [{
+function createRenewal(entry: Entry, counts: Partial<Observation>): Renewal {
+	const sequence = ++entry.sequence;
+	return {
+		kind: 'renewal', entry: entry.name, environment: 'production', sequence, acknowledged: entry.last?.sequence ?? 0, version: 1, epoch: entry.last?.epoch ?? 0, revision: 0, peersRevision: 0,
+		observations: entry.sheds.addTo(sequence, [{
 			server, inFlight: entry.inFlight, successes: 0, sheds: 0, isCold: false, ...counts,
-		}], held: entry.permits, failedProbes: [], heard: [], crashes: [], peer: undefined, isFinal: false,
+		}]), held: entry.permits, failedProbes: [], heard: [], crashes: [], peer: undefined, isFinal: false,
 	};
-	entry.last = leadership.grant(renewal, now, now);
+}
+
+function renew(leadership: Leadership, entry: Entry, now: number, counts: Partial<Observation> = {}): void {
+	entry.last = leadership.grant(createRenewal(entry, counts), now, now);
+	entry.sheds.recordAnswer(entry.last);
 	entry.permits = entry.last.permits.map(permit => permit.isKept === true ? entry.permits.find(held => held.server === permit.server) : permit).filter(permit => permit !== undefined);
 }
 
@@ -59,7 +64,7 @@
 	setDeadline(machine, 0, deadlineMilliseconds);
 	announce(machine, undefined, slots, 0);
 	const entries = ['a', 'b'].map((name): Entry => ({
-		name, sequence: 0, last: undefined, permits: [], inFlight: 0,
+		name, sequence: 0, last: undefined, permits: [], inFlight: 0, sheds: createUnansweredSheds(),
 	}));
 	const leadership = lead(machine, 1, 0);
 	for (let now = 0; now < changeAt; now += step) {
@@ -97,7 +102,7 @@
 
 		const shedAt = changeAt + 4000;
 		// The grant of this renewal is lost.
-		renew(leadership, {...first}, shedAt, {sheds: 1});
+		leadership.grant(createRenewal(first, {sheds: 1}), shedAt, shedAt);
 		const known = leadership.getServers(shedAt)[0]!.permits!.capacity;
 		const next = lead(machine, 2, shedAt);
 		for (let now = shedAt; now <= shedAt + 3000; now += step) {
--- a/source/control/permit-simulation.ts
+++ b/source/control/permit-simulation.ts
@@ -2,12 +2,12 @@
  * Plays entries that hold permits for cold servers while control hosts become leaders one after the other, in virtual time. A host that
  * was replaced still decides on the renewals that it received before. Only tests use this.
  */
-import {announcementSchema} from '../announcement/index.js';
+import {announcementSchema, type Announcement} from '../announcement/index.js';
 import {documentSchema} from '../configuration/index.js';
 import {type Renewal} from '../lease/index.js';
 import {createLeadership, type Leadership} from './leadership.js';
 import {createSimulatedEntry, type SimulatedEntry} from './simulated-entry.js';
-import {createStateMachine, type StateMachine} from './state-machine.js';
+import {createStateMachine, type Command, type StateMachine} from './state-machine.js';
 
 export const termMilliseconds = 1000;
 export const hostCount = 3;
@@ -47,6 +47,10 @@
 	getNow(): number;
 	/** Makes a control host the leader. */
 	startLeader(host: number): void;
+	/** Lets a server announce a number of slots. */
+	announce(server: number, slots: number): void;
+	/** Gets the capacity of a server that the current leader knows. */
+	getKnownCapacity(server: number): number;
 	/** Sends a renewal to control hosts. */
 	renew(entry: SimulatedEntry, deliveries: readonly Delivery[]): void;
 	/** Runs until a time, and calls a function at each step. */
@@ -56,6 +60,12 @@
 	getTrueCapacity(server: number): number;
 };
 
+function getAnnouncement(index: number, service: string, slots: number): Announcement {
+	return announcementSchema.parse({
+		service, name: `s${index}`, host: '10.0.0.1', port: index + 1, zone: 'north', slots, connections: 100, boot: 'b', state: 'cold',
+	});
+}
+
 function createMachine({slotServers, rateServers, deadlineMilliseconds, initialSlots}: PermitSimulationOptions): StateMachine {
 	const machine = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 10});
 	const document = documentSchema.parse({
@@ -73,9 +83,7 @@
 		},
 	}, 1);
 	for (let index = 0; index < slotServers + rateServers; index++) {
-		const announcement = announcementSchema.parse({
-			service: index < slotServers ? 'stock' : 'price', name: `s${index}`, host: '10.0.0.1', port: index + 1, zone: 'north', slots: slotsOfServer, connections: 100, boot: 'b', state: 'cold',
-		});
+		const announcement = getAnnouncement(index, index < slotServers ? 'stock' : 'price', slotsOfServer);
 		machine.apply({area: 'registry', command: {kind: 'announced', at: 0, announcement}}, index + 2);
 	}
 
@@ -99,6 +107,10 @@
 	let order = 0;
 	let now = 0;
 
+	function getLeadership(): Leadership {
+		return hosts.find(({leadsUntil}) => leadsUntil > now)!.leadership!;
+	}
+
 	function schedule(at: number, run: () => void): void {
 		events.push({at, order: order++, run});
 	}
@@ -165,6 +177,12 @@
 				epoch: ++epoch, startedAt: now, termMilliseconds, machine, getWallClock: () => 0, getAppliedIndex: () => ids.length + 1,
 			});
 		},
+		announce(server, slots) {
+			const command: Command = {area: 'registry', command: {kind: 'announced', at: 0, announcement: getAnnouncement(ids.indexOf(server), 'stock', slots)}};
+			const result = machine.apply(command, ids.length + 2);
+			getLeadership().updateServers(result.area === 'registry' ? result.changed : [], now);
+		},
+		getKnownCapacity: server => getLeadership().getServers(now).find(({id}) => id === server)?.permits?.capacity ?? 0,
 		renew(entry, deliveries) {
 			const renewal = entry.createRenewal(ids, now);
 			for (const delivery of deliveries) {
--- a/source/control/simulated-entry.ts
+++ b/source/control/simulated-entry.ts
@@ -1,6 +1,6 @@
 /** An entry that holds a lease and permits for cold servers in virtual time. Only tests use this. */
 import {
-	createLeaseHolder, getNextPermit, withoutKeptPermits, type Grant, type Permit, type Renewal,
+	createLeaseHolder, createUnansweredSheds, getNextPermit, withoutKeptPermits, type Grant, type Permit, type Renewal,
 } from '../lease/index.js';
 
 /** A simulated entry. */
@@ -13,6 +13,8 @@
 	startRequest(server: number, milliseconds: number, now: number): boolean;
 	/** Finishes the requests that have ended, and returns their servers. */
 	finishRequests(now: number): readonly number[];
+	/** Records that a server shed a request. */
+	recordShed(server: number): void;
 	/** Gets the slots of a server that the entry may use, or has requests on. */
 	getUsableSlots(server: number, now: number): number;
 	/** Checks whether the entry may send requests to a server at a rate. */
@@ -26,15 +28,18 @@
  */
 export function createSimulatedEntry(name: string, reportsHeld: boolean): SimulatedEntry {
 	const holder = createLeaseHolder();
+	const unansweredSheds = createUnansweredSheds();
 	const successes = new Map<number, number>();
+	const sheds = new Map<number, number>();
 	let permits: ReadonlyMap<number, Permit> = new Map();
 	let inFlight: ReadonlyArray<{readonly server: number; readonly endsAt: number}> = [];
 
 	function takeObservations(servers: readonly number[]): Renewal['observations'] {
 		const observations = servers.map(server => ({
-			server, inFlight: getInFlight(server), successes: successes.get(server) ?? 0, sheds: 0, isCold: false,
+			server, inFlight: getInFlight(server), successes: successes.get(server) ?? 0, sheds: sheds.get(server) ?? 0, isCold: false,
 		}));
 		successes.clear();
+		sheds.clear();
 		return observations;
 	}
 
@@ -49,18 +54,19 @@
 	return {
 		name,
 		createRenewal(servers, now) {
+			const sequence = holder.startRenewal(now);
 			const held = holder.isValid(now) ? [...permits.values()] : [];
 			return {
 				kind: 'renewal',
 				entry: name,
 				environment: 'production',
-				sequence: holder.startRenewal(now),
+				sequence,
 				acknowledged: holder.getAcknowledged(),
 				version: holder.getVersion(),
 				epoch: holder.getEpoch(),
 				revision: holder.getRevision(),
 				peersRevision: holder.getPeersRevision(),
-				observations: takeObservations(servers),
+				observations: unansweredSheds.addTo(sequence, takeObservations(servers)),
 				...(reportsHeld ? {held} : {}),
 				failedProbes: [],
 				heard: [],
@@ -75,6 +81,7 @@
 				return;
 			}
 
+			unansweredSheds.recordAnswer(grant);
 			const granted = (hasHeldLease ? grant : withoutKeptPermits(grant)).permits;
 			const next = granted.map(permit => getNextPermit(permits.get(permit.server), permit)).filter(permit => permit !== undefined);
 			permits = new Map(next.map(permit => [permit.server, permit]));
@@ -96,6 +103,9 @@
 			inFlight = inFlight.filter(request => request.endsAt > now);
 			return finished;
 		},
+		recordShed(server) {
+			sheds.set(server, (sheds.get(server) ?? 0) + 1);
+		},
 		getUsableSlots: (server, now) => Math.max(getPermit(server, now)?.slots ?? 0, getInFlight(server)),
 		hasRate: (server, now) => getPermit(server, now)?.requestsPerSecond !== undefined,
 	};
--- a/source/entry/lease/lease-keeper.test.ts
+++ b/source/entry/lease/lease-keeper.test.ts
@@ -159,3 +159,49 @@
 		doTest([60_000, 60_000], {applied: [[], kept], reported: [[], held]});
 	});
 });
+
+describe('keepLease: sheds', () => {
+	/** Reports a shed in the first of three renewals, of which the given ones are answered, and gets the unanswered reports that each states. */
+	function doTest(answered: readonly number[], expected: ReadonlyArray<number | undefined>): void {
+		const renewals: Renewal[] = [];
+		const client: Pick<ControlClient, 'sendToLeader' | 'setLeader'> = {
+			sendToLeader(message) {
+				renewals.push(message as Renewal);
+				return 'leader';
+			},
+			setLeader() {
+				// The test has one leader.
+			},
+		};
+		const keeper = keepLease({
+			entry: 'one', environment: 'production', renewMilliseconds: 60_000, peer: undefined, getClient: () => client as ControlClient,
+			takeObservations: () => [{
+				server: 1, inFlight: 0, successes: 0, sheds: renewals.length === 0 ? 1 : 0, isCold: false,
+			}],
+			getPermits: () => [], takeFailedProbes: () => [], takeUnchangedServers: () => [], getCrashReports: () => [],
+			applyGrant() {
+				// The test looks at renewals only.
+			},
+			setQuarantined() {
+				// No request is quarantined in these tests.
+			},
+		});
+		for (const number of [1, 2, 3]) {
+			keeper.renew();
+			if (answered.includes(number)) {
+				keeper.receive('control', {
+					kind: 'grant', sequence: number, termMilliseconds: 60_000, epoch: 1, revision: 0, isWhole: true, servers: [], version: 0, document: undefined, permits: [], duties: [], probeMilliseconds: 1000, quarantined: [], zonesOut: [], entries: 1, peersRevision: 0, peers: [],
+				});
+			}
+		}
+
+		keeper.stop();
+		expect(renewals.map(({observations}) => observations[0]?.unansweredShedReports)).toEqual([...expected]);
+	}
+
+	test('are stated until a grant has answered them', () => {
+		doTest([], [undefined, 1, 1]);
+		doTest([2], [undefined, 1, undefined]);
+		doTest([1], [undefined, undefined, undefined]);
+	});
+});
--- a/source/entry/lease/lease-keeper.ts
+++ b/source/entry/lease/lease-keeper.ts
@@ -5,7 +5,7 @@
 	applyDocumentUpdate, noVersion, type DocumentUpdate, type Environment, type EnvironmentDocument,
 } from '../../configuration/index.js';
 import {
-	createLeaseHolder, createRenewalPacing, withoutKeptPermits, type CrashReport, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Permit, type Renewal,
+	createLeaseHolder, createRenewalPacing, createUnansweredSheds, withoutKeptPermits, type CrashReport, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Permit, type Renewal,
 } from '../../lease/index.js';
 import {type ControlClient} from '../../control-client/index.js';
 import {type ControlOutbound} from '../../control/message.js';
@@ -56,6 +56,7 @@
 export function keepLease(options: LeaseKeeperOptions): LeaseKeeper {
 	const holder = createLeaseHolder();
 	const grants = new Subject<Grant>();
+	const unansweredSheds = createUnansweredSheds();
 	const pacing = createRenewalPacing({renewMilliseconds: options.renewMilliseconds, answerTimeoutMilliseconds: options.renewMilliseconds + leaderTimeoutMilliseconds});
 	let isStopped = false;
 	let timer: NodeJS.Timeout | undefined;
@@ -74,18 +75,19 @@
 		}
 
 		pacing.recordSent(now);
+		const sequence = holder.startRenewal(now);
 		const renewal: Renewal = {
 			kind: 'renewal',
 			entry: options.entry,
 			environment: options.environment,
-			sequence: holder.startRenewal(now),
+			sequence,
 			acknowledged: holder.getAcknowledged(),
 			version: needsFullDocument || document === undefined ? noVersion : holder.getVersion(),
 			epoch: holder.getEpoch(),
 			revision: holder.getRevision(),
 			logIndex: holder.getLogIndex(),
 			peersRevision: holder.getPeersRevision(),
-			observations: options.takeObservations(),
+			observations: unansweredSheds.addTo(sequence, options.takeObservations()),
 			held: holder.isValid(now) ? options.getPermits() : [],
 			failedProbes: options.takeFailedProbes(),
 			heard: options.takeUnchangedServers(),
@@ -142,6 +144,7 @@
 		needsFullDocument = false;
 		const hasHeldLease = holder.isValid(now);
 		holder.accept(grant, now);
+		unansweredSheds.recordAnswer(grant);
 		if (grant.sequence === lastRenewal?.sequence && lastRenewal.epoch === grant.epoch) {
 			crashesEpoch = grant.epoch;
 		}
--- a/source/lease/index.ts
+++ b/source/lease/index.ts
@@ -4,3 +4,4 @@
 export type * from './message.js';
 export * from './renewal-pacing.js';
 export * from './suspension.js';
+export * from './unanswered-sheds.js';
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -11,6 +11,8 @@
 	readonly inFlight: number;
 	readonly successes: number;
 	readonly sheds: number;
+	/** Number of earlier renewals that reported sheds and that no grant has answered, for a new leader; missing if there are none, and from entries of earlier releases. */
+	readonly unansweredShedReports?: number;
 	/** Whether the entry observed that a warm server behaves like a cold one. */
 	readonly isCold: boolean;
 };
