Separate a killed entry from its successor with the same name

By reading, and then by tests: renewals of a killed entry and of its successor count from 1 each. Where their numbers meet, a late acknowledgement still released what the successor held; a late renewal replaced the successor's requests in flight; a late last renewal ended the successor's lease; and a late acknowledgement returned a probe duty that the successor still had. The other way round, what was revoked from a process before it was killed stayed held until its successor had counted as far: slots lost, and servers without probes.

Renewals state a random id of the process (an optional field). Leaders take an acknowledgement only from the process that the grant went to. What another process of the name held counts as granted to the one that renews now. Ruled out: refusing the older process (two that overlap in a restart would lose their lease), and ordering by the time of the start (a wall clock may go back).

--- a/source/cold-start/allocator.ts
+++ b/source/cold-start/allocator.ts
@@ -10,7 +10,7 @@
 	applyObservation, createColdState, getGrantedCapacity, getHeldTotal, getHolding, inheritPermit, removeReleased, updateServer, type ColdServer, type ColdState,
 } from './cold-state.js';
 import {
-	acknowledge, getAllocatedSlots, getHeldSlots, recordGrant, recordKeptGrant,
+	acknowledge, getAllocatedSlots, getHeldSlots, recordGrant, recordKeptGrant, switchProcess,
 } from './holding.js';
 
 /** Allocates slots of cold servers. */
@@ -19,6 +19,8 @@
 	add(server: ColdServer, now: number): void;
 	remove(id: number): void;
 	has(id: number): boolean;
+	/** Records which process of an entry renews, or undefined for entries of earlier releases. Call it before the other functions for the renewal. */
+	setProcess(entry: string, process: string | undefined): void;
 	/** Applies a holder's acknowledgement and observations. */
 	report(entry: string, acknowledged: number, observations: readonly Observation[], now: number): void;
 	/** Applies what an entry reports to hold. The entry may hold it from an earlier leader. */
@@ -57,6 +59,7 @@
  */
 export function createAllocator(options: AllocatorOptions): Allocator {
 	const states = new Map<number, ColdState>();
+	const processes = new Map<string, string | undefined>();
 
 	/** Gets what an entry keeps from an earlier leader, or undefined if this leader decides on its slots. */
 	function getKeptSlots(state: ColdState, entry: string, now: number): number | undefined {
@@ -115,11 +118,15 @@
 			states.delete(id);
 		},
 		has: id => states.has(id),
+		setProcess(entry, process) {
+			processes.set(entry, process);
+		},
 		report(entry, acknowledged, observations, now) {
+			const process = processes.get(entry);
 			for (const state of states.values()) {
 				const holding = state.holdings.get(entry);
 				if (holding !== undefined) {
-					acknowledge(holding, acknowledged);
+					acknowledge(holding, process, acknowledged);
 					holding.releasedAt = undefined;
 				}
 			}
@@ -127,7 +134,7 @@
 			for (const observation of observations) {
 				const state = states.get(observation.server);
 				if (state !== undefined) {
-					applyObservation(state, entry, observation, now);
+					applyObservation(state, {entry, process}, observation, now);
 				}
 			}
 		},
@@ -157,6 +164,7 @@
 				const permit = getPermit(state, entry, liveEntries, now);
 				const {slots} = permit;
 				const holding = getHolding(state, entry);
+				switchProcess(holding, processes.get(entry), sequence);
 				if (permit.isKept === true) {
 					recordKeptGrant(holding, sequence, slots);
 				} else {
--- a/source/cold-start/cold-state.ts
+++ b/source/cold-start/cold-state.ts
@@ -3,7 +3,7 @@
 import {createCapacity, type Capacity, type SlowStartOptions} from './capacity.js';
 import {createEarlierCapacity, type EarlierCapacity} from './earlier-capacity.js';
 import {
-	createHolding, getAllocatedSlots, getHeldSlots, recordConfirmation, type Holding,
+	createHolding, getAllocatedSlots, getHeldSlots, recordConfirmation, recordInFlight, type Holding,
 } from './holding.js';
 import {createInheritance, type Inheritance} from './inheritance.js';
 
@@ -33,6 +33,9 @@
 	readonly grantableAt: number;
 };
 
+/** Process of an entry. */
+export type Observer = {readonly entry: string; readonly process: string | undefined};
+
 /** What an entry reports about its permit for one server. */
 export type HeldPermit = {
 	readonly entry: string;
@@ -114,12 +117,12 @@
 /**
  * Applies what an entry observed of a server.
  * @param state - State of the server.
- * @param entry - Name of the entry.
+ * @param observer - Name and process of the entry.
  * @param observation - Observation of the entry.
  * @param now - Time in milliseconds.
  */
-export function applyObservation(state: ColdState, entry: string, observation: Observation, now: number): void {
-	getHolding(state, entry).inFlight = observation.inFlight;
+export function applyObservation(state: ColdState, {entry, process}: Observer, observation: Observation, now: number): void {
+	recordInFlight(getHolding(state, entry), process, observation.inFlight);
 	state.capacity.report(observation.successes, observation.sheds, now);
 	if (observation.sheds > 0) {
 		state.isReduced = true;
--- a/source/cold-start/holding.ts
+++ b/source/cold-start/holding.ts
@@ -9,7 +9,9 @@
 
 /** Slots that one entry may use. */
 export type Holding = {
-	/** Grants by sequence number, in the order in which they were recorded, from the newest acknowledged one on. */
+	/** Process of the entry that renewed last, or undefined for entries of earlier releases. */
+	process: string | undefined;
+	/** Grants to that process by sequence number, in the order in which they were recorded, from the newest acknowledged one on. */
 	readonly grants: Map<number, GrantedSlots>;
 	/** Largest grant so far. */
 	mostGranted: number;
@@ -21,7 +23,7 @@
 /** Creates a holding without grants. */
 export function createHolding(): Holding {
 	return {
-		grants: new Map(), mostGranted: 0, inFlight: 0, releasedAt: undefined,
+		process: undefined, grants: new Map(), mostGranted: 0, inFlight: 0, releasedAt: undefined,
 	};
 }
 
@@ -42,6 +44,36 @@
 	return Math.max(Math.min(holding.inFlight, holding.mostGranted), ...getGrantedSlots(holding));
 }
 
+/**
+ * Begins to grant to a process. What another process of the entry holds counts as granted by this grant, since the two count their grants
+ * separately, and any of the two may have renewed late.
+ * @param holding - Holding of the entry.
+ * @param process - Process that renewed last.
+ * @param sequence - Sequence number of its grant.
+ */
+export function switchProcess(holding: Holding, process: string | undefined, sequence: number): void {
+	if (holding.process === process) {
+		return;
+	}
+
+	holding.process = process;
+	const grants = [...holding.grants.values()];
+	holding.grants.clear();
+	for (const grant of grants) {
+		record(holding, sequence, grant);
+	}
+}
+
+/**
+ * Records the requests in flight of a process. If another process of the entry renewed last, either may have them.
+ * @param holding - Holding of the entry.
+ * @param process - Process that has the requests.
+ * @param inFlight - Number of the requests.
+ */
+export function recordInFlight(holding: Holding, process: string | undefined, inFlight: number): void {
+	holding.inFlight = holding.process === process ? inFlight : Math.max(holding.inFlight, inFlight);
+}
+
 function getGrantedSlots({grants}: Holding): readonly number[] {
 	return [...grants.values()].map(({slots}) => slots);
 }
@@ -94,13 +126,14 @@
 }
 
 /**
- * Forgets the grants that the entry has replaced by a newer one: those with a smaller number that were recorded earlier. A late renewal of
- * a killed process may acknowledge a larger number than its successor with the same name has reached.
+ * Forgets the grants that a process has replaced by a newer one: those with a smaller number that were recorded earlier. A late renewal of
+ * a killed process, which an entry of an earlier release does not name, may acknowledge a larger number than its successor has reached.
  * @param holding - Holding of the entry.
+ * @param process - Process that acknowledges.
  * @param acknowledged - Sequence number of the newest grant that the entry applied.
  */
-export function acknowledge({grants}: Holding, acknowledged: number): void {
-	if (!grants.has(acknowledged)) {
+export function acknowledge({process: grantedProcess, grants}: Holding, process: string | undefined, acknowledged: number): void {
+	if (process !== grantedProcess || !grants.has(acknowledged)) {
 		return;
 	}
 
--- a/source/control/cold-servers.ts
+++ b/source/control/cold-servers.ts
@@ -62,7 +62,7 @@
 	const allocator = createAllocator({startedAt, termMilliseconds});
 	const rateAllocator = createRateAllocator();
 	const knownColdServers = new Set<number>();
-	const heardEntries = new Set<string>();
+	const heardProcesses = new Set<string>();
 	const cooledServers = new Set<number>();
 
 	/** Limits the request rate of a cold server. If it was not known to be cold, the limit lasts at least for the full warm-up time of the service. */
@@ -123,8 +123,9 @@
 		recordRenewal(renewal, receivedAt) {
 			const {entry, acknowledged, observations} = renewal;
 			const hasLease = renewal.epoch === epoch;
-			const isFirst = !heardEntries.has(entry);
-			heardEntries.add(entry);
+			allocator.setProcess(entry, renewal.process);
+			const isFirst = !heardProcesses.has(renewal.process ?? entry);
+			heardProcesses.add(renewal.process ?? entry);
 			allocator.report(entry, acknowledged, hasLease ? observations : getInheritedObservations(observations, isFirst), receivedAt);
 			const held = {
 				entry, acknowledged, permits: renewal.held ?? [], hasLease,
--- a/source/control/granted-leases.test.ts
+++ b/source/control/granted-leases.test.ts
@@ -54,3 +54,47 @@
 		doTest({receivedAt: 900, decidedAt: 2000}, {live: [], expiries: [1000, 2000]});
 	});
 });
+
+describe('createGrantedLeases: two processes of one entry', () => {
+	type Process = Pick<Renewal, 'process' | 'isFinal'>;
+
+	/** Renews with each process, and checks whether the entry is live. */
+	function doTest(processes: readonly Process[], expected: boolean): void {
+		const leases = createGrantedLeases({
+			epoch: 1,
+			startedAt: 0,
+			termMilliseconds,
+			onExpiry() {
+				// The test looks at the live entries.
+			},
+		});
+		for (const [index, process] of processes.entries()) {
+			leases.record({...renewal, sequence: index + 1, ...process}, index);
+			leases.expire(index);
+		}
+
+		expect(leases.getLiveEntries('production', processes.length)).toEqual(expected ? ['a'] : []);
+	}
+
+	test('keep the lease of the successor if the last renewal of the other one is late', () => {
+		doTest([{process: 'old', isFinal: false}, {process: 'new', isFinal: false}, {process: 'old', isFinal: true}], true);
+		doTest([{process: 'new', isFinal: false}, {process: 'old', isFinal: true}], true);
+	});
+	test('return the lease with the last renewal of the one that renewed last', () => {
+		doTest([{process: 'old', isFinal: false}, {process: 'old', isFinal: true}], false);
+		doTest([{process: undefined, isFinal: false}, {process: undefined, isFinal: true}], false);
+		doTest([{process: 'old', isFinal: false}, {process: 'new', isFinal: false}, {process: 'new', isFinal: true}], false);
+	});
+	test('have renewals that are not repeated if only their numbers are equal', () => {
+		const leases = createGrantedLeases({
+			epoch: 1,
+			startedAt: 0,
+			termMilliseconds,
+			onExpiry() {
+				// No lease ends in this test.
+			},
+		});
+		leases.record({...renewal, process: 'old'}, 0);
+		expect([leases.isRepeated({...renewal, process: 'old'}), leases.isRepeated({...renewal, process: 'new'})]).toEqual([true, false]);
+	});
+});
--- a/source/control/granted-leases.ts
+++ b/source/control/granted-leases.ts
@@ -52,7 +52,10 @@
 	}
 
 	return {
-		isRepeated: ({entry, sequence}) => leases.get(entry)?.sequence === sequence,
+		isRepeated({entry, process, sequence}) {
+			const last = leases.get(entry);
+			return last?.sequence === sequence && last.process === process;
+		},
 		record(renewal, receivedAt) {
 			const previous = leases.get(renewal.entry);
 			leases.record(renewal, receivedAt);
--- a/source/control/probing.ts
+++ b/source/control/probing.ts
@@ -80,11 +80,11 @@
 			}
 		},
 		acknowledge(renewal) {
-			duties.acknowledge(renewal.entry, renewal.acknowledged);
+			duties.acknowledge(renewal.entry, renewal.acknowledged, renewal.process);
 		},
 		expireLease: duties.expireLease,
 		grant: (renewal, document) => ({
-			duties: document === undefined ? [] : duties.grant(renewal.entry, renewal.sequence),
+			duties: document === undefined ? [] : duties.grant(renewal.entry, renewal.sequence, renewal.process),
 			probeMilliseconds: getInterval(document),
 		}),
 		getProber: duties.getProber,
--- a/source/entry/lease/lease-keeper.ts
+++ b/source/entry/lease/lease-keeper.ts
@@ -1,4 +1,5 @@
 /** Keeps the entry's lease: sends renewals to the leader of the control hosts and applies the grants that it returns. */
+import {randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {Subject, type Observable} from 'rxjs';
 import {
@@ -54,6 +55,7 @@
  * @param options - Entry, timing and callbacks.
  */
 export function keepLease(options: LeaseKeeperOptions): LeaseKeeper {
+	const process = randomUUID();
 	const holder = createLeaseHolder();
 	const grants = new Subject<Grant>();
 	const unansweredSheds = createUnansweredSheds();
@@ -79,6 +81,7 @@
 		const renewal: Renewal = {
 			kind: 'renewal',
 			entry: options.entry,
+			process,
 			environment: options.environment,
 			sequence,
 			acknowledged: holder.getAcknowledged(),
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -27,6 +27,8 @@
 export type Renewal = {
 	readonly kind: 'renewal';
 	readonly entry: string;
+	/** Random id of the entry's process, which counts its renewals from 1; missing from entries of earlier releases. */
+	readonly process?: string;
 	readonly environment: Environment;
 	readonly sequence: number;
 	/** Sequence number of the newest grant that the entry applied. */
--- a/source/lease/table.ts
+++ b/source/lease/table.ts
@@ -8,6 +8,8 @@
 /** Lease of one entry. */
 export type LeaseRecord = {
 	readonly entry: string;
+	/** Process that renewed last. */
+	readonly process: string | undefined;
 	readonly expiresAt: number;
 	/** Sequence number of the renewal that was recorded last. */
 	readonly sequence: number;
@@ -56,12 +58,18 @@
 	return {
 		record(renewal, receivedAt) {
 			const {
-				entry, sequence, version, acknowledged, peer, environment,
+				entry, process, sequence, version, acknowledged, peer, environment,
 			} = renewal;
 			const previous = records.get(entry);
+			const isOfPredecessor = isLive(previous, receivedAt) && previous?.process !== process;
+			if (renewal.isFinal && isOfPredecessor) {
+				// The lease is that of another process by now.
+				return;
+			}
+
 			const newExpiry = renewal.isFinal ? receivedAt : receivedAt + termMilliseconds;
 			records.set(entry, {
-				entry, sequence, version, acknowledged, peer, environment, expiresAt: renewal.isFinal ? newExpiry : Math.max(newExpiry, previous?.expiresAt ?? 0),
+				entry, process, sequence, version, acknowledged, peer, environment, expiresAt: renewal.isFinal ? newExpiry : Math.max(newExpiry, previous?.expiresAt ?? 0),
 			});
 		},
 		getLive,
--- a/source/measuring/measuring.test.ts
+++ b/source/measuring/measuring.test.ts
@@ -126,3 +126,33 @@
 		doTest(4, 42);
 	});
 });
+
+describe('createProbeDuties: two processes of one entry', () => {
+	type Step = {readonly process: string; readonly sequence: number; readonly acknowledged: number};
+
+	/** Renews as `a`, which has the only duty, and then with the given steps while the duty moves to `b`. Gets the prober. */
+	function doTest(steps: readonly Step[], expected: string): void {
+		const duties = createProbeDuties();
+		duties.add(1);
+		duties.setProbers(['a']);
+		duties.grant('a', 1, steps[0]!.process);
+		duties.setProbers(['b']);
+		for (const {process, sequence, acknowledged} of steps) {
+			duties.acknowledge('a', acknowledged, process);
+			duties.grant('a', sequence, process);
+			duties.grant('b', sequence, 'other');
+		}
+
+		duties.grant('b', 999, 'other');
+		expect(duties.getProber(1)).toEqual(expected);
+	}
+
+	test('keep a duty that a late renewal of the killed one appears to return', () => {
+		doTest([{process: 'new', sequence: 2, acknowledged: 1}, {process: 'old', sequence: 500, acknowledged: 499}], 'a');
+	});
+	test('return a duty that was revoked from the killed one', () => {
+		const killed: Step = {process: 'old', sequence: 500, acknowledged: 499};
+		doTest([killed, {process: 'new', sequence: 1, acknowledged: 0}], 'a');
+		doTest([killed, {process: 'new', sequence: 1, acknowledged: 0}, {process: 'new', sequence: 2, acknowledged: 1}], 'b');
+	});
+});
--- a/source/measuring/probe-duties.ts
+++ b/source/measuring/probe-duties.ts
@@ -8,10 +8,13 @@
 /** A duty that an entry holds. */
 type Duty = {
 	readonly entry: string;
-	/** Sequence of the first grant without the duty, or undefined until it is revoked. */
-	revokedSequence: number | undefined;
+	/** First grant without the duty, or undefined until it is revoked. */
+	revocation: Revocation | undefined;
 };
 
+/** Grant without a duty, to the process of the holder that renewed last. */
+type Revocation = {readonly process: string | undefined; readonly sequence: number};
+
 /** Assigns probe duties. */
 export type ProbeDuties = {
 	/** Adds a server to probe. */
@@ -20,12 +23,12 @@
 	remove(server: number): void;
 	/** Replaces the entries that may probe. */
 	setProbers(entries: readonly string[]): void;
-	/** Releases the revoked duties that a holder has acknowledged. */
-	acknowledge(entry: string, acknowledged: number): void;
+	/** Releases the revoked duties that a process of a holder has acknowledged. */
+	acknowledge(entry: string, acknowledged: number, process?: string): void;
 	/** Releases all duties of a holder whose lease has ended. */
 	expireLease(entry: string): void;
-	/** Gets the duties of a holder for one grant. */
-	grant(entry: string, sequence: number): readonly number[];
+	/** Gets the duties of a holder for one grant to one of its processes. */
+	grant(entry: string, sequence: number, process?: string): readonly number[];
 	getProber(server: number): string | undefined;
 	/** Gets the number of servers to probe. */
 	getSize(): number;
@@ -49,17 +52,19 @@
 	}
 
 	function assignDuty(entry: string, server: number): void {
-		duties.set(server, {entry, revokedSequence: undefined});
+		duties.set(server, {entry, revocation: undefined});
 		const held = serversByHolder.get(entry) ?? new Set();
 		held.add(server);
 		serversByHolder.set(entry, held);
 	}
 
-	/** Revokes the duties of a holder whose servers have another desired owner. */
-	function revokeUndesired(entry: string, sequence: number): void {
+	/** Revokes the duties of a holder whose servers have another desired owner, and again those that were revoked from another of its processes. */
+	function revokeUndesired(entry: string, {process, sequence}: Revocation): void {
 		for (const server of serversByHolder.get(entry) ?? []) {
-			if (desired.getOwner(server) !== entry) {
-				duties.get(server)!.revokedSequence ??= sequence;
+			const duty = duties.get(server)!;
+			const isDue = duty.revocation === undefined ? desired.getOwner(server) !== entry : duty.revocation.process !== process;
+			if (isDue) {
+				duty.revocation = {process, sequence};
 			}
 		}
 	}
@@ -72,17 +77,17 @@
 			return true;
 		}
 
-		return duty.entry === entry && duty.revokedSequence === undefined;
+		return duty.entry === entry && duty.revocation === undefined;
 	}
 
 	return {
 		add: desired.add,
 		remove: desired.remove,
 		setProbers: desired.setOwners,
-		acknowledge(entry, acknowledged) {
+		acknowledge(entry, acknowledged, process) {
 			for (const server of serversByHolder.get(entry) ?? []) {
-				const {revokedSequence} = duties.get(server)!;
-				if (revokedSequence !== undefined && revokedSequence <= acknowledged) {
+				const {revocation} = duties.get(server)!;
+				if (revocation?.process === process && revocation !== undefined && revocation.sequence <= acknowledged) {
 					release(entry, server);
 				}
 			}
@@ -92,8 +97,8 @@
 				release(entry, server);
 			}
 		},
-		grant(entry, sequence) {
-			revokeUndesired(entry, sequence);
+		grant(entry, sequence, process) {
+			revokeUndesired(entry, {process, sequence});
 			return [...desired.getOwned(entry)].filter(server => tryAssignDuty(entry, server)).toSorted((left, right) => left - right);
 		},
 		getProber: server => duties.get(server)?.entry,
