--- a/source/control/cold-servers.ts
+++ b/source/control/cold-servers.ts
@@ -6,7 +6,10 @@
 import {type RegisteredServer} from '../announcement/index.js';
 import {createAllocator, createRateAllocator} from '../cold-start/index.js';
 import {type Service} from '../configuration/index.js';
-import {type Grant, type Renewal} from '../lease/index.js';
+import {
+	type Grant, type Observation, type Permit, type Renewal,
+} from '../lease/index.js';
+import {getLongestEarlierDeadline} from './earlier-deadlines.js';
 import {type ServerStatus} from './message.js';
 import {type StateMachine} from './state-machine.js';
 
@@ -46,6 +49,8 @@
 	readonly inheritedServers: ReadonlySet<number>;
 	/** Gets the services of a name in all environments. */
 	getServices(name: string): readonly Service[];
+	/** Gets the wall-clock time in milliseconds. */
+	getWallClock(): number;
 };
 
 /**
@@ -57,6 +62,7 @@
 	const allocator = createAllocator({startedAt, termMilliseconds});
 	const rateAllocator = createRateAllocator();
 	const knownColdServers = new Set<number>();
+	const heardProcesses = new Set<string>();
 	const cooledServers = new Set<number>();
 
 	/** Limits the request rate of a cold server. If it was not known to be cold, the limit lasts at least for the full warm-up time of the service. */
@@ -71,6 +77,22 @@
 		});
 	}
 
+	/** Gets the longest deadline of the requests that may be in flight at a server. The allocator remembers that of a server that it knows. */
+	function getLongestDeadline({id, announcement}: RegisteredServer, services: readonly Service[]): number {
+		const current = services.length === 0 ? defaultDeadlineMilliseconds : Math.max(...services.map(service => service.deadlineMilliseconds));
+		return allocator.has(id) || !inheritedServers.has(id)
+			? current
+			: Math.max(current, getLongestEarlierDeadline({
+				register: machine.register, service: announcement.service, termMilliseconds, wallClock: options.getWallClock(),
+			}));
+	}
+
+	/** States in a permit by which capacity it was granted. A permit that an entry keeps states that already. */
+	function withCapacity(permit: Permit, now: number): Permit {
+		const capacity = permit.isKept === true ? undefined : allocator.getGrantedCapacity(permit.server, now);
+		return capacity === undefined ? permit : {...permit, capacity: {epoch, ...capacity}};
+	}
+
 	return {
 		add(server, now) {
 			if (server.state !== 'cold') {
@@ -84,10 +106,10 @@
 				return;
 			}
 
-			const deadline = Math.max(...services.map(service => service.deadlineMilliseconds), services.length === 0 ? defaultDeadlineMilliseconds : 0);
+			const deadlineMilliseconds = getLongestDeadline(server, services);
 			const {easing} = services[0] ?? {easing: {initialSlots: 1, growthPerSuccess: 0.1, ceilingMilliseconds: 30_000}};
 			allocator.add({
-				id: server.id, slots: server.announcement.slots, easing, deadlineMilliseconds: deadline, hasEarlierHolders: inheritedServers.has(server.id),
+				id: server.id, slots: server.announcement.slots, easing, deadlineMilliseconds, hasEarlierHolders: inheritedServers.has(server.id),
 			}, now);
 		},
 		recordChange({id, state}) {
@@ -101,9 +123,10 @@
 		recordRenewal(renewal, receivedAt) {
 			const {entry, acknowledged, observations} = renewal;
 			const hasLease = renewal.epoch === epoch;
-			// The earlier leader may have counted these successes as well, and this leader continues with the slots that it granted.
-			const counted = hasLease ? observations : observations.map(observation => ({...observation, successes: 0}));
-			allocator.report(entry, acknowledged, counted, receivedAt);
+			allocator.setProcess(entry, renewal.process);
+			const isFirst = !heardProcesses.has(renewal.process ?? entry);
+			heardProcesses.add(renewal.process ?? entry);
+			allocator.report(entry, acknowledged, hasLease ? observations : getInheritedObservations(observations, isFirst), receivedAt);
 			const held = {
 				entry, acknowledged, permits: renewal.held ?? [], hasLease,
 			};
@@ -122,7 +145,7 @@
 			rateAllocator.expireLease(entry, now);
 		},
 		grant: (renewal, liveEntries, receivedAt) => [
-			...allocator.grant(renewal.entry, renewal.sequence, liveEntries, receivedAt),
+			...allocator.grant(renewal.entry, renewal.sequence, liveEntries, receivedAt).map(permit => withCapacity(permit, receivedAt)),
 			...rateAllocator.grant({
 				entry: renewal.entry, expiresAt: receivedAt + termMilliseconds, entryCount: liveEntries.length, now: receivedAt,
 			}).map(permit => ({...permit, slots: 0})),
@@ -132,3 +155,14 @@
 		getUsage: allocator.getUsage,
 	};
 }
+
+/**
+ * Gets what counts of the observations of an entry without a lease of this leader. The earlier leader may have counted the successes, and this
+ * leader continues with the slots that it granted. Sheds that no grant has answered count when this leader hears the entry first.
+ */
+function getInheritedObservations(observations: readonly Observation[], isFirst: boolean): readonly Observation[] {
+	return observations.flatMap(observation => {
+		const unanswered = {...observation, successes: 0, sheds: 1};
+		return [...Array.from({length: isFirst ? observation.unansweredShedReports ?? 0 : 0}, () => unanswered), {...observation, successes: 0}];
+	});
+}
