Account for the slack of extra attempts that entries share

Each entry has an equal part of the slack, which it first has to earn by the ratio of its requests: 27 tokens take 160 requests, so at the start of a fault the slack that the settings allow is not there. A budget that starts full would be spent once more by every process that starts again.

A new leader lends nothing until what the earlier one lent cannot count any more; entries keep what they hold.

--- a/source/lease/kept-permits.test.ts
+++ b/source/lease/kept-permits.test.ts
@@ -1,6 +1,8 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {getNextPermit, type Permit} from './index.js';
+import {
+	getNextPermit, withoutKeptPermits, type Grant, type Permit, type SlackGrant,
+} from './index.js';
 
 describe('getNextPermit', () => {
 	function doTest(current: Permit | undefined, granted: Permit | undefined, expected: Permit | undefined): void {
@@ -24,3 +26,17 @@
 		doTest(undefined, {server: 1, slots: 1, isKept: true}, undefined);
 	});
 });
+
+describe('withoutKeptPermits', () => {
+	function doTest(permits: readonly Permit[], slack: SlackGrant | undefined, expected: {readonly permits: readonly Permit[]; readonly slack: SlackGrant | undefined}): void {
+		const {permits: left, slack: leftSlack} = withoutKeptPermits({permits, slack} as unknown as Grant);
+		expect({permits: left, slack: leftSlack}).toEqual(expected);
+	}
+
+	test('leaves what the leader grants', () => {
+		doTest([{server: 1, slots: 2}], {part: 3}, {permits: [{server: 1, slots: 2}], slack: {part: 3}});
+	});
+	test('removes what would be kept from a lease that has ended', () => {
+		doTest([{server: 1, slots: 2, isKept: true}], {part: 3, isKept: true}, {permits: [], slack: undefined});
+	});
+});
--- a/source/lease/kept-permits.ts
+++ b/source/lease/kept-permits.ts
@@ -18,9 +18,13 @@
 }
 
 /**
- * Removes the permits that an entry would keep from its earlier lease, because that has ended.
+ * Removes what an entry would keep from its earlier lease, because that has ended.
  * @param grant - Grant of a new leader.
  */
 export function withoutKeptPermits(grant: Grant): Grant {
-	return {...grant, permits: grant.permits.filter(permit => permit.isKept !== true)};
+	return {
+		...grant,
+		permits: grant.permits.filter(permit => permit.isKept !== true),
+		slack: grant.slack?.isKept === true ? undefined : grant.slack,
+	};
 }
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -1,6 +1,6 @@
 /**
  * Messages of the entry lease. Besides the right to dispatch, renewals and grants carry the newest document, the servers, the
- * permits for cold servers and the probe duties.
+ * permits for cold servers, the part of the slack of extra attempts and the probe duties.
  */
 import {type Announcement, type ServerState} from '../announcement/index.js';
 import {type DocumentUpdate, type Environment} from '../configuration/index.js';
@@ -21,6 +21,27 @@
 /** Name and address of an entry, for connections from its peers. */
 export type PeerAddress = {readonly name: string; readonly host: string; readonly port: number};
 
+/** What an entry reports about its part of the slack of extra attempts that all entries share. Each service has the whole slack, and an entry may use its part for each. */
+export type SlackReport = {
+	/** Random identifier of the process: one that starts again does not know what the earlier one used. */
+	readonly holder: string;
+	/** Slack of all entries together. */
+	readonly total: number;
+	/** Part that the entry holds under a valid lease. */
+	readonly part: number;
+	/** Most that was in use at any time of the window that counts, for the service that used the most. */
+	readonly used: number;
+	/** Part that the entry would have used in the window. */
+	readonly wanted: number;
+};
+
+/** Part of the slack that an entry has until its lease ends. */
+export type SlackGrant = {
+	readonly part: number;
+	/** Whether the entry keeps what it holds from an earlier leader, at most this part. */
+	readonly isKept?: true;
+};
+
 /** Request for a lease or its renewal. */
 export type Renewal = {
 	readonly kind: 'renewal';
@@ -41,6 +62,8 @@
 	/** Permits that the entry holds under a valid lease; missing from entries of earlier releases, which keep none when the leader changes. */
 	readonly held?: readonly Permit[];
 	readonly failedProbes: readonly number[];
+	/** Part of the slack of extra attempts; missing if entries share none, and from earlier releases, whose entries take equal parts. */
+	readonly slack?: SlackReport;
 	/** Servers that repeated an unchanged announcement to the entry since its last renewal. */
 	readonly heard: readonly number[];
 	/** Crashes that the entry has reported lately, in its first renewal at a new leader, which does not know them. */
@@ -91,6 +114,8 @@
 	/** Update from the version of the renewal to `version`, or undefined if they are equal. */
 	readonly document: DocumentUpdate | undefined;
 	readonly permits: readonly Permit[];
+	/** Part of the slack of extra attempts; missing if the entry did not report one, and from control hosts of earlier releases. */
+	readonly slack?: SlackGrant;
 	readonly duties: readonly number[];
 	readonly probeMilliseconds: number;
 	readonly quarantined: readonly string[];
