Lend the slack of extra attempts under the lease

Renewals now report the part that an entry holds, used and wanted, and grants set it (optional fields; processes of earlier releases ignore them). The part ends with the lease and with a suspension, as permits do. One equal part stays free for an entry that joins. The metric guavadeck_slack_part shows the part.

Price: after all control hosts were lost for longer than a lease, entries have one extra attempt beyond the ratio until 14 s after the first leader; before, they kept their equal parts. With 312 entries and a slack of 430, the one attempt that each entry has leaves 53 to lend.

--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -1,5 +1,5 @@
 /**
- * Soft state of a leader: leases, permits for cold servers, probe duties, liveness of servers and quarantine. A new leader rebuilds it
+ * Soft state of a leader: leases, permits for cold servers, the lent slack, probe duties, liveness of servers and quarantine. A new leader rebuilds it
  * from renewals and announcements. An earlier leader may have granted permits and duties for the servers that were registered
  * then, so until the earlier leases have expired a new leader grants no duties for these servers, and only those permits that entries
  * report to hold.
@@ -15,6 +15,7 @@
 import {createProbing} from './probing.js';
 import {createServerList} from './server-list.js';
 import {createServerPresence} from './server-presence.js';
+import {createSlackLending} from './slack-lending.js';
 import {type StateMachine} from './state-machine.js';
 
 /** Soft state of one leader during one term. */
@@ -76,6 +77,7 @@
 	const probing = createProbing({
 		startedAt, termMilliseconds, machine, inheritedServers,
 	});
+	const slackLending = createSlackLending({startedAt, termMilliseconds, machine});
 	const dueCommands = createDueCommands({
 		termMilliseconds, machine, presence, coldServers, getWallClock: options.getWallClock,
 	});
@@ -156,6 +158,7 @@
 				version,
 				document: version === renewal.version ? undefined : machine.register.getUpdate(renewal.environment, renewal.version),
 				permits: renewal.isFinal ? [] : coldServers.grant(renewal, liveEntries, receivedAt),
+				...slackLending.grant(renewal, liveEntries.length, receivedAt),
 				...probing.grant(renewal, getDocument(renewal.environment)),
 				quarantined: quarantine.getQuarantined(now),
 				zonesOut: machine.getZonesOut(),
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -22,7 +22,7 @@
 import {createCallerServer} from './callers/index.js';
 import {createClaims, type RequestContext, createRequestIds} from './requests/index.js';
 import {
-	openControlLinks, applyGrant, type GrantTargets, keepLease, createReadiness, createZoneView,
+	openControlLinks, applyGrant, createEntrySlackPart, type GrantTargets, keepLease, createReadiness, createZoneView,
 } from './lease/index.js';
 import {startCountsExchange} from './peers/index.js';
 import {createCrashReporter, createCrashTracker} from './crashes/index.js';
@@ -79,12 +79,13 @@
 	const state = createEntryState();
 	const random = createRandom(options.seed);
 	const metrics = createEntryMetrics();
-	const {attemptBudget} = settings;
-	const sharedBudget = attemptBudget === undefined ? undefined : {ratio: attemptBudget.ratio, getSlack: () => attemptBudget.slack / state.entryCount};
+	const slackPart = createEntrySlackPart(settings.attemptBudget, () => {
+		readiness.revokePermitsIfNeeded();
+	});
 	const stallWatch = createStallWatch({log, intervalMilliseconds: housekeepingIntervalMilliseconds});
 	const zoneView = createZoneView({log, isServingWithoutControl, getTime: () => performance.now()});
 	const discardedAnswers = createDiscardedAnswers({log, countDiscardedAnswer: metrics.countDiscardedAnswer, getTime: () => performance.now()});
-	const fleet = createFleet(random, sharedBudget, createSubsetChooser({entry: settings.name, zone: settings.zone}), (candidate, history) => {
+	const fleet = createFleet(random, slackPart?.getBudget, createSubsetChooser({entry: settings.name, zone: settings.zone}), (candidate, history) => {
 		discardedAnswers.record(candidate, {reason: 'answer-unsolicited', history});
 	});
 	const requestLog = createRequestLog(log, () => performance.now());
@@ -109,6 +110,7 @@
 			readiness.revokePermitsIfNeeded();
 			return fleet.getPermits();
 		},
+		getSlackReport: now => slackPart?.getReport(now),
 		takeFailedProbes: prober.takeFailedServers,
 		takeUnchangedServers: announcementHandler.takeUnchangedServers,
 		getCrashReports: () => crashTracker.getReports(),
@@ -124,7 +126,7 @@
 	});
 	const lease = leaseKeeper.holder;
 	const readiness = createReadiness({
-		state, fleet, lease, log, isServingWithoutControl,
+		state, fleet, slackPart, lease, log, isServingWithoutControl,
 	});
 	const claims = createClaims(client, settings.environment);
 	const crashTracker = createCrashTracker(client);
@@ -190,7 +192,7 @@
 		handle: createRequestEntrance({context, state, maximumHeaderBytes: settings.maximumHeaderBytes}),
 	});
 	const grantTargets: GrantTargets = {
-		state, fleet, zoneView, prober, crashTracker, peers: peerExchange?.peers, callerServer, lease, readiness, random, log,
+		state, fleet, slackPart, zoneView, prober, crashTracker, peers: peerExchange?.peers, callerServer, lease, readiness, random, log,
 	};
 	const admin = createAdminHandler({
 		announce: announcementHandler.handle,
@@ -206,7 +208,7 @@
 	const callersPort = await listen(callerServer.server, {setting: 'callers', ...settings.callers});
 	const adminPort = await listen(adminServer, {setting: 'admin', ...settings.admin});
 	registerGauges(metrics, {
-		state, lease, zoneView, stallWatch, prober, peers: peerExchange?.peers,
+		state, lease, slackPart, zoneView, stallWatch, prober, peers: peerExchange?.peers,
 	});
 
 	function reportServiceLevels(): void {
--- a/source/entry/fleet/fleet.ts
+++ b/source/entry/fleet/fleet.ts
@@ -12,7 +12,7 @@
 import {type ConnectionHistory} from '../servers/index.js';
 import {createServerTable, type FleetServer} from './server-table.js';
 import {
-	createServiceState, type MutableServiceState, type ServiceState, type SharedBudgetOptions,
+	createServiceState, type GetSharedBudget, type MutableServiceState, type ServiceState,
 } from './service-state.js';
 
 /** The servers that an entry may send requests to. */
@@ -53,11 +53,11 @@
 /**
  * Creates a fleet without servers.
  * @param random - Source of random numbers.
- * @param budgetOptions - Budget that retries and hedges share; by default each has a budget of its own.
+ * @param getSharedBudget - Gets the budget that retries and hedges of a service share; by default each has a budget of its own.
  * @param subsetChooser - Chooser of the servers that the entry prefers to query; by default it prefers none.
  * @param onUnsolicitedData - Called when a server sends data on an idle connection, with its history.
  */
-export function createFleet(random: Random, budgetOptions?: SharedBudgetOptions, subsetChooser?: SubsetChooser, onUnsolicitedData?: (candidate: Candidate, history: ConnectionHistory) => void): Fleet {
+export function createFleet(random: Random, getSharedBudget?: GetSharedBudget, subsetChooser?: SubsetChooser, onUnsolicitedData?: (candidate: Candidate, history: ConnectionHistory) => void): Fleet {
 	const servers = createServerTable(onUnsolicitedData);
 	const states = new Map<string, MutableServiceState>();
 	let document: EnvironmentDocument | undefined;
@@ -94,7 +94,7 @@
 			for (const service of next.services) {
 				const existing = states.get(service.name);
 				if (existing === undefined) {
-					states.set(service.name, createServiceState(service, random, budgetOptions));
+					states.set(service.name, createServiceState(service, random, getSharedBudget));
 				} else {
 					existing.setService(service);
 				}
--- a/source/entry/fleet/service-state.ts
+++ b/source/entry/fleet/service-state.ts
@@ -13,9 +13,6 @@
 const initialHedgeDelayMilliseconds = 50;
 const hedgeQuantile = 0.95;
 
-/** Share of the permitted extra attempts that an entry uses; the margin is needed because each entry counts its windows independently. */
-const usedBudgetShare = 0.85;
-
 /** State that an entry keeps for one service. */
 export type ServiceState = {
 	getService(): Service;
@@ -36,21 +33,21 @@
 	setCandidates(candidates: readonly Candidate[], subset: ReadonlySet<number> | undefined): void;
 };
 
-/** Budget of extra attempts that this entry may make for each service: a ratio of its requests, and its part of a slack that all entries share. */
-export type SharedBudgetOptions = {readonly ratio: number; getSlack(): number};
+/** Gets the budget of extra attempts that retries and hedges of a service share. */
+export type GetSharedBudget = (service: string) => AttemptBudget;
 
 /**
  * Creates the state of a service without candidates.
  * @param initial - Service of the document.
  * @param random - Source of random numbers.
- * @param budgetOptions - Budget that retries and hedges share; by default each has a budget of its own.
+ * @param getSharedBudget - Gets the budget that retries and hedges share; by default each has a budget of its own.
  */
-export function createServiceState(initial: Service, random: Random, budgetOptions: SharedBudgetOptions | undefined): MutableServiceState {
+export function createServiceState(initial: Service, random: Random, getSharedBudget: GetSharedBudget | undefined): MutableServiceState {
 	let service = initial;
 	let candidates: readonly Candidate[] = [];
 	let subset: ReadonlySet<number> | undefined;
 	let chooser = createChooser(service.policy, random);
-	const sharedBudget = budgetOptions === undefined ? undefined : createSharedBudget(budgetOptions);
+	const sharedBudget = getSharedBudget?.(initial.name);
 	return {
 		getService: () => service,
 		queue: createWaitQueue(() => service.queueLength),
@@ -76,10 +73,6 @@
 	};
 }
 
-function createSharedBudget(budgetOptions: SharedBudgetOptions): AttemptBudget {
-	return createAttemptBudget(() => budgetOptions.ratio * usedBudgetShare, 1, () => Math.max(1, budgetOptions.getSlack() * usedBudgetShare));
-}
-
 function doNothing(): void {
 	// The shared budget already has the deposit.
 }
--- a/source/entry/lease/grant-application.ts
+++ b/source/entry/lease/grant-application.ts
@@ -3,6 +3,7 @@
 import {type EnvironmentDocument} from '../../configuration/index.js';
 import {type Grant, type LeaseHolder} from '../../lease/index.js';
 import {type Random} from '../../randomness/index.js';
+import {type SlackPart} from '../../retry/index.js';
 import {type Log} from '../../telemetry/index.js';
 import {type CallerServer} from '../callers/index.js';
 import {type CrashTracker} from '../crashes/index.js';
@@ -20,6 +21,8 @@
 export type GrantTargets = {
 	readonly state: EntryState;
 	readonly fleet: Fleet;
+	/** Part of the slack that entries share; undefined if they share none. */
+	readonly slackPart: SlackPart | undefined;
 	readonly zoneView: ZoneView;
 	readonly prober: Prober;
 	readonly crashTracker: CrashTracker;
@@ -48,7 +51,7 @@
  */
 export function applyGrant(targets: GrantTargets, received: ReceivedGrant): void {
 	const {
-		state, fleet, zoneView, prober, crashTracker, peers, lease, readiness,
+		state, fleet, slackPart, zoneView, prober, crashTracker, peers, lease, readiness,
 	} = targets;
 	const {grant, document, host} = received;
 	if (document !== undefined) {
@@ -59,7 +62,9 @@
 	state.entryCount = Math.max(1, grant.entries);
 	fleet.setZonesOutOfService(grant.zonesOut);
 	zoneView.recordGrant(grant, host, lease.getRenewedAt());
-	fleet.setPermits(readiness.mayUsePermits(lease.getRenewedAt()) ? grant.permits : [], performance.now());
+	const mayUsePermits = readiness.mayUsePermits(lease.getRenewedAt());
+	fleet.setPermits(mayUsePermits ? grant.permits : [], performance.now());
+	slackPart?.apply(mayUsePermits ? grant.slack : undefined);
 	if (grant.peers !== undefined) {
 		fleet.setConnectionShare(grant.peers.length + 1);
 		peers?.setAddresses(grant.peers);
--- a/source/entry/lease/index.ts
+++ b/source/entry/lease/index.ts
@@ -1,4 +1,5 @@
 export * from './control-links.js';
+export * from './entry-slack-part.js';
 export * from './grant-application.js';
 export * from './lease-keeper.js';
 export * from './readiness.js';
--- a/source/entry/lease/lease-keeper.ts
+++ b/source/entry/lease/lease-keeper.ts
@@ -5,7 +5,7 @@
 	applyDocumentUpdate, noVersion, type DocumentUpdate, type Environment, type EnvironmentDocument,
 } from '../../configuration/index.js';
 import {
-	createLeaseHolder, createRenewalPacing, withoutKeptPermits, type CrashReport, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Permit, type Renewal,
+	createLeaseHolder, createRenewalPacing, withoutKeptPermits, type CrashReport, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Permit, type Renewal, type SlackReport,
 } from '../../lease/index.js';
 import {type ControlClient} from '../../control-client/index.js';
 import {type ControlOutbound} from '../../control/message.js';
@@ -39,6 +39,8 @@
 	takeObservations(): readonly Observation[];
 	/** Gets the permits for cold servers that the entry holds. */
 	getPermits(): readonly Permit[];
+	/** Gets the report on the part of the slack that entries share, if they share one. */
+	getSlackReport?(now: number): SlackReport | undefined;
 	takeFailedProbes(): readonly number[];
 	takeUnchangedServers(): readonly number[];
 	/** Gets the crashes that were reported lately. */
@@ -87,6 +89,7 @@
 			peersRevision: holder.getPeersRevision(),
 			observations: options.takeObservations(),
 			held: holder.isValid(now) ? options.getPermits() : [],
+			slack: options.getSlackReport?.(now),
 			failedProbes: options.takeFailedProbes(),
 			heard: options.takeUnchangedServers(),
 			crashes: holder.getEpoch() === crashesEpoch ? [] : options.getCrashReports(),
--- a/source/entry/lease/readiness.test.ts
+++ b/source/entry/lease/readiness.test.ts
@@ -4,6 +4,7 @@
 import {announcementSchema} from '../../announcement/index.js';
 import {createLeaseHolder, type Grant} from '../../lease/index.js';
 import {createRandom} from '../../randomness/index.js';
+import {createSlackPart} from '../../retry/index.js';
 import {type Log} from '../../telemetry/index.js';
 import {createEntryState} from '../entry-state.js';
 import {createFleet, type Fleet} from '../fleet/index.js';
@@ -11,6 +12,7 @@
 import {createReadiness} from './readiness.js';
 
 const suspendedMilliseconds = 60_000;
+const lentPart = 5;
 
 const log: Pick<Log, 'info' | 'warn'> = {
 	info() {
@@ -50,6 +52,7 @@
 		version: 0,
 		document: undefined,
 		permits: [{server: 1, slots: 2}],
+		slack: {part: lentPart},
 		duties: [],
 		probeMilliseconds: 1000,
 		quarantined: [],
@@ -61,7 +64,7 @@
 }
 
 // While a host is suspended, its monotonic clock may stand still, and its permits may be granted to others.
-describe('createReadiness: permits of a grant that arrives after the host was suspended', () => {
+describe('createReadiness: permits and the part of the slack of a grant that arrives after the host was suspended', () => {
 	type Scene = {
 		/** Whether the renewal was sent before the suspension. */
 		readonly isEarlier: boolean;
@@ -74,11 +77,14 @@
 		const state = createEntryState();
 		const fleet = createColdFleet();
 		const lease = createLeaseHolder();
+		const slackPart = createSlackPart({
+			holder: 'one', ratio: 0.2, slack: 10, getTime: () => performance.now(), revokeIfNeeded: () => undefined,
+		});
 		const readiness = createReadiness({
-			state, fleet, lease, log: log as Log, isServingWithoutControl: false,
+			state, fleet, slackPart, lease, log: log as Log, isServingWithoutControl: false,
 		});
-		const targets: Pick<GrantTargets, 'state' | 'fleet' | 'lease' | 'readiness'> = {
-			state, fleet, lease, readiness,
+		const targets: Pick<GrantTargets, 'state' | 'fleet' | 'slackPart' | 'lease' | 'readiness'> = {
+			state, fleet, slackPart, lease, readiness,
 		};
 		readiness.revokePermitsIfNeeded();
 		const earlierSequence = lease.startRenewal(performance.now());
@@ -91,7 +97,10 @@
 		lease.accept(grant, performance.now());
 		applyGrant({...otherTargets, ...targets} as unknown as GrantTargets, {grant, document: undefined, host: 'control'});
 		mock.timers.reset();
-		expect(fleet.getPermits().length).toEqual(expected);
+		expect([fleet.getPermits().length, slackPart.getPart()]).toEqual([expected, expected * lentPart]);
+		lease.release();
+		readiness.revokePermitsIfNeeded();
+		expect(slackPart.getPart()).toEqual(0);
 		fleet.close();
 	}
 
--- a/source/entry/lease/readiness.ts
+++ b/source/entry/lease/readiness.ts
@@ -1,13 +1,14 @@
 /** Tells whether an entry may send requests and whether it is ready for callers, by its lease and its document. */
 import {performance} from 'node:perf_hooks';
 import {createSuspensionDetector, type LeaseHolder} from '../../lease/index.js';
+import {type SlackPart} from '../../retry/index.js';
 import {type Log} from '../../telemetry/index.js';
 import {type EntryState} from '../entry-state.js';
 import {type Fleet} from '../fleet/index.js';
 
 /** Readiness of an entry. */
 export type Readiness = {
-	/** Revokes the permits for cold servers when the lease has ended or the host was suspended. */
+	/** Revokes the permits for cold servers and the part of the slack when the lease has ended or the host was suspended. */
 	revokePermitsIfNeeded(): void;
 	/** Checks whether permits for which a renewal was sent at a time may be used: not if the host was suspended since, because they may have ended meanwhile. */
 	mayUsePermits(renewedAt: number): boolean;
@@ -22,6 +23,8 @@
 export type ReadinessOptions = {
 	readonly state: EntryState;
 	readonly fleet: Fleet;
+	/** Part of the slack that entries share; undefined if they share none. */
+	readonly slackPart?: Pick<SlackPart, 'revoke'> | undefined;
 	readonly lease: LeaseHolder;
 	readonly log: Log;
 	/** Whether the entry goes on to send requests after its lease has ended. */
@@ -33,18 +36,25 @@
  * @param options - State, servers and lease of the entry.
  */
 export function createReadiness(options: ReadinessOptions): Readiness {
-	const {state, fleet, lease, log, isServingWithoutControl} = options;
+	const {
+		state, fleet, slackPart, lease, log, isServingWithoutControl,
+	} = options;
 	const suspension = createSuspensionDetector();
 	let suspendedAt = Number.NEGATIVE_INFINITY;
 	let wasReady = false;
 
+	function revoke(): void {
+		fleet.revokePermits();
+		slackPart?.revoke();
+	}
+
 	function revokePermitsIfNeeded(): void {
 		const now = performance.now();
 		if (suspension.hasBeenSuspended(Date.now(), now)) {
 			suspendedAt = now;
-			fleet.revokePermits();
+			revoke();
 		} else if (!lease.isValid(now)) {
-			fleet.revokePermits();
+			revoke();
 		}
 	}
 
--- a/source/retry/attempt-budget.ts
+++ b/source/retry/attempt-budget.ts
@@ -18,13 +18,12 @@
  * Creates a budget.
  * @param getRatio - Gets the share of requests that may have an extra attempt.
  * @param initial - Initial balance.
- * @param getMaximum - Gets the maximum balance.
  */
-export function createAttemptBudget(getRatio: () => number, initial: number, getMaximum: () => number = () => maximumBalance): AttemptBudget {
+export function createAttemptBudget(getRatio: () => number, initial: number): AttemptBudget {
 	let balance = initial;
 	return {
 		deposit() {
-			balance = Math.min(getMaximum(), balance + getRatio());
+			balance = Math.min(maximumBalance, balance + getRatio());
 		},
 		tryWithdraw() {
 			if (balance < 1) {
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -15,6 +15,7 @@
 import {createRouter} from '../../source/entry/routing/router.js';
 import {createReportHandler} from '../../source/entry/fleet/server-reports.js';
 import {type Random} from '../../source/randomness/index.js';
+import {createSlackPart} from '../../source/retry/index.js';
 import {
 	emptyReport, getReport, startModelAttempt, transferMilliseconds,
 } from './attempt.js';
@@ -66,7 +67,11 @@
  */
 export function createEntryModel(options: EntryModelOptions): EntryModel {
 	const {upstreams, document, random, zone} = options;
-	const fleet = createFleet(random, {ratio: retryRatio, getSlack: () => retrySlack / options.entryCount});
+	const slackPart = createSlackPart({
+		holder: String(options.number), ratio: retryRatio, slack: retrySlack, getTime: () => performance.now(), revokeIfNeeded: ignore,
+	});
+	slackPart.apply({part: slackPart.getReport(performance.now()).total / options.entryCount});
+	const fleet = createFleet(random, slackPart.getBudget);
 	const router = createRouter(document.services, document.routes, random);
 	const callerTimes = new Map<string, {readonly sentAt: number; readonly serviceMilliseconds: number}>();
 	fleet.setDocument(document);
