Count the slots in use of a cold server once for each grant

To state with each permit how many slots are in use, the leader went over all entries a second time, and created lists for each.

--- a/source/cold-start/allocator.ts
+++ b/source/cold-start/allocator.ts
@@ -10,7 +10,7 @@
 	applyObservation, createColdState, getGrantedCapacity, getHeldTotal, getHolding, inheritPermit, removeReleased, updateServer, type ColdServer, type ColdState,
 } from './cold-state.js';
 import {
-	acknowledge, getAllocatedSlots, getHeldSlots, recordGrant, recordKeptGrant, switchProcess,
+	acknowledge, getAllocatedSlots, getHeldSlots, recordGrant, recordKeptGrant, switchProcess, type Holding,
 } from './holding.js';
 
 /** Allocates slots of cold servers. */
@@ -53,6 +53,9 @@
 	readonly termMilliseconds: number;
 };
 
+/** A request of an entry for a grant. */
+type GrantRequest = {readonly entry: string; readonly sequence: number; readonly liveEntries: readonly string[]; readonly now: number};
+
 /**
  * Creates an allocator for one leadership.
  * @param options - Start of the leadership and the lease term.
@@ -72,12 +75,17 @@
 		return now < grantableAt ? Math.max(0, Math.min(slots, inheritance.getTotal() - earlierCapacity.getExcess(server.slots))) : slots;
 	}
 
+	/** Gets how many of the slots that this leader may allocate an entry holds. */
+	function getCountedSlots(state: ColdState, holding: Holding, now: number): number {
+		return now < state.grantableAt ? getAllocatedSlots(holding) : getHeldSlots(holding);
+	}
+
 	/** Gets how many of the slots that this leader may allocate are held by other entries than the given one. */
 	function getSlotsHeldByOthers(state: ColdState, entry: string, now: number): number {
 		let total = 0;
 		for (const [other, holding] of state.holdings) {
 			if (other !== entry) {
-				total += now < state.grantableAt ? getAllocatedSlots(holding) : getHeldSlots(holding);
+				total += getCountedSlots(state, holding, now);
 			}
 		}
 
@@ -89,18 +97,30 @@
 		return now < state.grantableAt ? liveEntries.filter(entry => getKeptSlots(state, entry, now) === undefined) : liveEntries;
 	}
 
-	function getGrantSlots(state: ColdState, entry: string, liveEntries: readonly string[], now: number): number {
+	/** Grants slots to an entry, and returns them. */
+	function grantSlots(state: ColdState, {entry, sequence, liveEntries, now}: GrantRequest): number {
 		const slots = getAllocatableSlots(state, now);
 		const evenShare = getEvenShare(state.server.id, entry, getSharers(state, liveEntries, now), slots);
-		return Math.max(0, Math.min(evenShare, slots - getSlotsHeldByOthers(state, entry, now)));
+		const heldByOthers = getSlotsHeldByOthers(state, entry, now);
+		const granted = Math.max(0, Math.min(evenShare, slots - heldByOthers));
+		const holding = getHolding(state, entry);
+		recordGrant(holding, sequence, granted);
+		state.heldAtGrant = heldByOthers + getCountedSlots(state, holding, now);
+		return granted;
 	}
 
 	/** Gets the permit of an entry for one server, which it keeps from an earlier leader or which this leader grants. */
-	function getPermit(state: ColdState, entry: string, liveEntries: readonly string[], now: number): Permit {
+	function grantPermit(state: ColdState, request: GrantRequest): Permit {
+		const {entry, sequence, now} = request;
+		const holding = getHolding(state, entry);
+		switchProcess(holding, processes.get(entry), sequence);
 		const kept = getKeptSlots(state, entry, now);
-		return kept === undefined
-			? {server: state.server.id, slots: getGrantSlots(state, entry, liveEntries, now)}
-			: {server: state.server.id, slots: kept, isKept: true};
+		if (kept === undefined) {
+			return {server: state.server.id, slots: grantSlots(state, request)};
+		}
+
+		recordKeptGrant(holding, sequence, kept);
+		return {server: state.server.id, slots: kept, isKept: true};
 	}
 
 	return {
@@ -161,18 +181,11 @@
 			for (const state of states.values()) {
 				removeReleased(state, now);
 				state.grants++;
-				const permit = getPermit(state, entry, liveEntries, now);
-				const {slots} = permit;
-				const holding = getHolding(state, entry);
-				switchProcess(holding, processes.get(entry), sequence);
-				if (permit.isKept === true) {
-					recordKeptGrant(holding, sequence, slots);
-				} else {
-					recordGrant(holding, sequence, slots);
-				}
-
+				const permit = grantPermit(state, {
+					entry, sequence, liveEntries, now,
+				});
 				// A grant without slots tells that the capacity was reduced, in case the leader is lost.
-				if (slots > 0 || state.isReduced) {
+				if (permit.slots > 0 || state.isReduced) {
 					permits.push(permit);
 				}
 			}
--- a/source/cold-start/cold-state.ts
+++ b/source/cold-start/cold-state.ts
@@ -3,7 +3,7 @@
 import {createCapacity, type Capacity, type SlowStartOptions} from './capacity.js';
 import {createEarlierCapacity, type EarlierCapacity} from './earlier-capacity.js';
 import {
-	createHolding, getAllocatedSlots, getHeldSlots, recordConfirmation, recordInFlight, type Holding,
+	createHolding, getHeldSlots, recordConfirmation, recordInFlight, type Holding,
 } from './holding.js';
 import {createInheritance, type Inheritance} from './inheritance.js';
 
@@ -27,6 +27,8 @@
 	readonly earlierCapacity: EarlierCapacity;
 	/** Number of grants so far. */
 	grants: number;
+	/** Slots that entries might use after the newest grant, without those that they keep from an earlier leader. */
+	heldAtGrant: number;
 	/** Whether the capacity was reduced. */
 	isReduced: boolean;
 	/** Time at which no permit of an earlier leader is in use any more. */
@@ -58,6 +60,7 @@
 		inheritance: createInheritance(),
 		earlierCapacity: createEarlierCapacity(server.easing.initialSlots),
 		grants: 0,
+		heldAtGrant: 0,
 		isReduced: false,
 		grantableAt,
 	};
@@ -110,8 +113,13 @@
  * @param now - Time in milliseconds.
  */
 export function getHeldTotal(state: ColdState, now: number): number {
-	const holdings = [...state.holdings.values()].filter(({releasedAt}) => releasedAt === undefined || releasedAt > now);
-	return holdings.reduce((total, holding) => total + getHeldSlots(holding), 0);
+	let total = 0;
+	for (const holding of state.holdings.values()) {
+		const isReleased = holding.releasedAt !== undefined && holding.releasedAt <= now;
+		total += isReleased ? 0 : getHeldSlots(holding);
+	}
+
+	return total;
 }
 
 /**
@@ -151,24 +159,22 @@
 }
 
 /**
- * Gets the capacity by which slots of a server are granted, and how much of it is in use, or undefined if an earlier leader may know of more.
+ * Gets the capacity by which the newest grant was made, and how much of it was in use then, or undefined if an earlier leader may know of more.
  * @param state - State of the server.
  * @param now - Time in milliseconds.
  */
 export function getGrantedCapacity(state: ColdState, now: number): Omit<GrantedCapacity, 'epoch'> | undefined {
-	const {server, capacity, grants, grantableAt} = state;
+	const {
+		server, capacity, inheritance, earlierCapacity, grants, heldAtGrant, grantableAt,
+	} = state;
 	if (now >= grantableAt) {
-		return {grant: grants, slots: capacity.getSlots(now), held: getHeldTotal(state, now)};
+		return {grant: grants, slots: capacity.getSlots(now), held: heldAtGrant};
 	}
 
-	const slots = state.earlierCapacity.getSlots(server.slots);
-	const held = getHeldWithSilent(state);
-	return slots === undefined || held === undefined ? undefined : {grant: grants, slots, held};
-}
-
-/** Gets the slots that all entries may use while permits of an earlier leader are in use, or undefined if no permit tells how many those are. */
-function getHeldWithSilent({holdings, inheritance, earlierCapacity}: ColdState): number | undefined {
-	const held = earlierCapacity.getHeld();
-	const allocated = [...holdings.values()].reduce((total, holding) => total + getAllocatedSlots(holding), 0);
-	return held === undefined ? undefined : Math.max(0, held - inheritance.getTotal()) + allocated;
+	const slots = earlierCapacity.getSlots(server.slots);
+	const heldEarlier = earlierCapacity.getHeld();
+	// Entries that have not handed over their permits, silent ones among them, may use the rest.
+	return slots === undefined || heldEarlier === undefined
+		? undefined
+		: {grant: grants, slots, held: Math.max(0, heldEarlier - inheritance.getTotal()) + heldAtGrant};
 }
--- a/source/cold-start/holding.ts
+++ b/source/cold-start/holding.ts
@@ -32,7 +32,12 @@
  * @param holding - Holding of the entry.
  */
 export function getHeldSlots(holding: Holding): number {
-	return Math.max(holding.inFlight, ...getGrantedSlots(holding), ...[...holding.grants.values()].map(({keptSlots}) => keptSlots));
+	let held = Math.max(holding.inFlight, getMostSlots(holding));
+	for (const {keptSlots} of holding.grants.values()) {
+		held = Math.max(held, keptSlots);
+	}
+
+	return held;
 }
 
 /**
@@ -41,7 +46,7 @@
  * @param holding - Holding of the entry.
  */
 export function getAllocatedSlots(holding: Holding): number {
-	return Math.max(Math.min(holding.inFlight, holding.mostGranted), ...getGrantedSlots(holding));
+	return Math.max(Math.min(holding.inFlight, holding.mostGranted), getMostSlots(holding));
 }
 
 /**
@@ -74,8 +79,14 @@
 	holding.inFlight = holding.process === process ? inFlight : Math.max(holding.inFlight, inFlight);
 }
 
-function getGrantedSlots({grants}: Holding): readonly number[] {
-	return [...grants.values()].map(({slots}) => slots);
+/** Gets the slots of the largest grant. A leader calls this for each entry and cold server with each grant, so it creates no list. */
+function getMostSlots({grants}: Holding): number {
+	let most = 0;
+	for (const {slots} of grants.values()) {
+		most = Math.max(most, slots);
+	}
+
+	return most;
 }
 
 /** Records a grant as the newest one. */
@@ -122,7 +133,7 @@
 		recordGrant(holding, acknowledged, slots);
 	}
 
-	holding.mostGranted = Math.max(holding.mostGranted, ...getGrantedSlots(holding));
+	holding.mostGranted = Math.max(holding.mostGranted, getMostSlots(holding));
 }
 
 /**
