Check the new fields of renewals and grants before they are handled

The fields that entries and leaders exchange since the first grants of a new leader, the permits with their capacity and the lent slack were passed to their handlers unchecked, so a malformed one could be applied in part.

--- a/source/control/inbound-check.ts
+++ b/source/control/inbound-check.ts
@@ -1,7 +1,7 @@
 /** Checks the messages that control hosts receive. */
 import * as z from 'zod';
 import {
-	createKindsSchema, createMessageCheck, numberField, numbersField, type MessageReceiver,
+	createKindsSchema, createMessageCheck, numberField, numbersField, textsField, type MessageReceiver,
 } from '../wire/index.js';
 import {type ControlInbound} from './message.js';
 import {environmentField, peerField, permitField} from './message-fields.js';
@@ -9,11 +9,18 @@
 import {requestSchema} from './request-schema.js';
 
 const observation = z.looseObject({
-	server: numberField, inFlight: numberField, successes: numberField, sheds: numberField, isCold: z.boolean(),
+	server: numberField, inFlight: numberField, successes: numberField, sheds: numberField, isCold: z.boolean(), unansweredShedReports: numberField.optional(),
+});
+
+const earlierState = z.looseObject({absent: numbersField, quarantined: textsField, entries: numberField});
+
+const slackReport = z.looseObject({
+	holder: z.string(), total: numberField, part: numberField, used: numberField, wanted: numberField,
 });
 
 const renewal = z.looseObject({
 	entry: z.string(),
+	process: z.string().optional(),
 	environment: environmentField,
 	sequence: numberField,
 	acknowledged: numberField,
@@ -23,6 +30,8 @@
 	logIndex: numberField.optional(),
 	observations: z.array(observation),
 	held: z.array(permitField).optional(),
+	earlier: earlierState.optional(),
+	slack: slackReport.optional(),
 	failedProbes: numbersField,
 	heard: numbersField,
 	crashes: z.array(z.looseObject({fingerprint: z.string()})),
--- a/source/control/message-fields.ts
+++ b/source/control/message-fields.ts
@@ -73,5 +73,11 @@
 /** Schema of the address of an entry. */
 export const peerField = z.looseObject({name: z.string(), host: z.string(), port: numberField});
 
+const capacity = z.looseObject({
+	epoch: numberField, grant: numberField, slots: numberField, held: numberField,
+});
+
 /** Schema of a permit. */
-export const permitField = z.looseObject({server: numberField, slots: numberField, requestsPerSecond: count});
+export const permitField = z.looseObject({
+	server: numberField, slots: numberField, requestsPerSecond: count, capacity: capacity.optional(),
+});
--- a/source/control/outbound-check.ts
+++ b/source/control/outbound-check.ts
@@ -30,6 +30,8 @@
 	zonesOut: textsField,
 	zonesRevision: numberField.optional(),
 	entries: numberField,
+	keepsEarlier: z.boolean().optional(),
+	slack: z.looseObject({part: numberField}).optional(),
 	peers: z.array(peerField).optional(),
 });
 
--- a/source/control/request-schema.ts
+++ b/source/control/request-schema.ts
@@ -34,11 +34,11 @@
 	announce: z.looseObject({announcement: announcementField}),
 	configure: z.looseObject({command: configurationCommand}),
 	ledger: z.looseObject({command: ledgerCommand}),
-	leave: z.looseObject({name: z.string(), bornAt: numberField.optional()}),
+	leave: z.looseObject({name: z.string(), bornAt: numberField.optional(), known: z.looseObject({boot: z.string().optional()}).optional()}),
 	moveZone: z.looseObject({
 		zone: z.string(), isOut: z.boolean(), revision: numberField.optional(), isConfirmed: z.boolean().optional(), order: z.string().optional(),
 	}),
-	drain: z.looseObject({key: z.string()}),
+	drain: z.looseObject({key: z.string(), boot: z.string().optional()}),
 	crash: z.looseObject({fingerprint: z.string()}),
 	clearCrashes: z.looseObject({fingerprint: z.string()}),
 	readVersion: z.looseObject({environment: environmentField}),
