Count the return of a zone from when it is sent

Cause: the check is wrong. It counted the return from the operator's response; the change takes effect from when it is sent, and a response that is late, or lost and then repeated, comes after requests that are due. Change: a zone is back from the first sending that was not refused. The check is as strict as before: a request that arrives earlier, even by a millisecond, is found, a refused sending does not count, and a departure still counts from its acceptance.

--- a/scenario/operators.ts
+++ b/scenario/operators.ts
@@ -9,10 +9,19 @@
 
 const maximumAttempts = 100;
 
+/** A change that was accepted, with wall-clock times in milliseconds. */
+export type AcceptedChange = {
+	readonly version: number;
+	/** Time from which the change may have taken effect: that of its first sending that was not refused. */
+	readonly sentAt: number;
+	/** Time of the response that accepted it. */
+	readonly acceptedAt: number;
+};
+
 /** Simulated operators, who send changes through the API of the control hosts. */
 export type Operators = {
-	/** Edits the current document and sends the result, until a change is accepted. Resolves to the accepted version. */
-	applyChange(edit: (document: EnvironmentDocument) => EnvironmentDocument, idPrefix: string): Promise<number>;
+	/** Edits the current document and sends the result, until a change is accepted. */
+	applyChange(edit: (document: EnvironmentDocument) => EnvironmentDocument, idPrefix: string): Promise<AcceptedChange>;
 	/** Makes operators send changes concurrently, each based on the version that the operator has read. Some changes are sent twice. */
 	race(operatorCount: number, changesPerOperator: number): Promise<void>;
 };
@@ -34,7 +43,8 @@
 export function createOperators(options: OperatorsOptions): Operators {
 	let nextRaceNumber = 1;
 
-	async function applyChange(edit: (document: EnvironmentDocument) => EnvironmentDocument, idPrefix: string): Promise<number> {
+	async function applyChange(edit: (document: EnvironmentDocument) => EnvironmentDocument, idPrefix: string): Promise<AcceptedChange> {
+		let firstSentAt = Number.POSITIVE_INFINITY;
 		for (let attempt = 0; attempt < maximumAttempts; attempt++) {
 			const response = await options.getCluster().callApi('GET', '/v1/environments/production');
 			if (response === undefined) {
@@ -43,17 +53,22 @@
 
 			const currentVersion = response.status === 404 ? undefined : (response.body as {readonly version: Version}).version;
 			const base = currentVersion?.version ?? 0;
-			const version = await sendChange(`${idPrefix}-${attempt}`, base, edit(currentVersion?.document ?? options.createDocument()));
-			if (version !== undefined) {
-				return version;
+			const sentAt = Date.now();
+			const outcome = await sendChange(`${idPrefix}-${attempt}`, base, edit(currentVersion?.document ?? options.createDocument()));
+			if (outcome !== 'refused') {
+				firstSentAt = Math.min(firstSentAt, sentAt);
+			}
+
+			if (typeof outcome === 'number') {
+				return {version: outcome, sentAt: firstSentAt, acceptedAt: Date.now()};
 			}
 		}
 
 		throw new Error(`change "${idPrefix}" was not accepted in ${maximumAttempts} attempts`);
 	}
 
-	/** Sends a change. Resolves to the accepted version, or to undefined if it was refused or no response came. */
-	async function sendChange(changeId: string, base: number, document: EnvironmentDocument): Promise<number | undefined> {
+	/** Sends a change. Resolves to the accepted version, or to `unknown` if no response came, so that the change may be accepted. */
+	async function sendChange(changeId: string, base: number, document: EnvironmentDocument): Promise<number | 'refused' | 'unknown'> {
 		const sentAt = Date.now();
 		const response = await options.getCluster().callApi('POST', '/v1/environments/production/apply', {
 			base, change: changeId, author: 'scenario', document,
@@ -63,7 +78,7 @@
 		options.record({
 			changeId, base, sentAt, endedAt: Date.now(), version,
 		});
-		return version;
+		return version ?? (response === undefined ? 'unknown' : 'refused');
 	}
 
 	async function race(operatorCount: number, changesPerOperator: number): Promise<void> {
--- a/scenario/recording.ts
+++ b/scenario/recording.ts
@@ -3,6 +3,7 @@
 import {
 	checkers, type CallerAttempt, type ChangeAttempt, type Departure, type VersionSample, type Violation,
 } from './history.js';
+import {type AcceptedChange} from './operators.js';
 
 /** Time at which a statement began, with its line number. */
 export type StatementStart = {readonly line: number; readonly at: number};
@@ -42,23 +43,24 @@
 }
 
 /**
- * Records that a zone was taken out of service or put back.
+ * Records that a zone was taken out of service or put back. It is out from the response that accepted the change, and back from
+ * the sending of the change, which may take effect long before the response arrives.
  * @param departures - Recorded departures.
  * @param action - Change of the zone.
  * @param zone - Name of the zone.
+ * @param change - Times of the change.
  */
-export function recordZoneChange(departures: Departure[], action: 'out' | 'in', zone: string): void {
-	const now = Date.now();
+export function recordZoneChange(departures: Departure[], action: 'out' | 'in', zone: string, change: Pick<AcceptedChange, 'sentAt' | 'acceptedAt'>): void {
 	if (action === 'out') {
 		departures.push({
-			zone, server: undefined, acceptedAt: now, returnedAt: Number.POSITIVE_INFINITY,
+			zone, server: undefined, acceptedAt: change.acceptedAt, returnedAt: Number.POSITIVE_INFINITY,
 		});
 		return;
 	}
 
 	for (const [index, departure] of departures.entries()) {
 		if (departure.zone === zone) {
-			departures[index] = {...departure, returnedAt: Math.min(departure.returnedAt, now)};
+			departures[index] = {...departure, returnedAt: Math.min(departure.returnedAt, change.sentAt)};
 		}
 	}
 }
--- a/scenario/runner.ts
+++ b/scenario/runner.ts
@@ -115,8 +115,8 @@
 
 	/** Takes a zone out of service or puts it back, and records its departure or return. */
 	async function changeZone(action: 'out' | 'in', zone: string): Promise<void> {
-		await operators.applyChange(document => withZone(document, zone, action === 'in'), `zone-${zone}-${action}-${Date.now()}`);
-		recordZoneChange(departures, action, zone);
+		const change = await operators.applyChange(document => withZone(document, zone, action === 'in'), `zone-${zone}-${action}-${Date.now()}`);
+		recordZoneChange(departures, action, zone, change);
 	}
 
 	/** Repeatedly sends a request that crashes the server on which it runs, through each ready entry in turn. */
