--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -2,7 +2,7 @@
 import {Agent, request as startRequest, type ClientRequest} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Random} from '../source/randomness/index.js';
-import {readText} from '../stand-in/platform/upstream.js';
+import {readText} from '../stand-in/platform/control-call.js';
 import {createRequestSource, type CallerRequest} from './caller-request.js';
 import {digestBody, type Exchange, type History} from './history.js';
 
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -6,7 +6,7 @@
 import {request as startRequest} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Random} from '../source/randomness/index.js';
-import {readText} from '../stand-in/platform/upstream.js';
+import {readText} from '../stand-in/platform/control-call.js';
 import {type History, type Order, type Version} from './history.js';
 
 const callTimeoutMilliseconds = 1000;
--- a/soak/upstream.ts
+++ b/soak/upstream.ts
@@ -7,7 +7,7 @@
 import {type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Random} from '../source/randomness/index.js';
-import {callControl, readText} from '../stand-in/platform/upstream.js';
+import {callControl, readText} from '../stand-in/platform/control-call.js';
 import {abortConnection} from './abort-connection.js';
 import {digestBody, type Arrival, type History} from './history.js';
 import {chooseManner, type Manner, type Temper} from './manner.js';
--- a/stand-in/platform/raw-upstream.ts
+++ b/stand-in/platform/raw-upstream.ts
@@ -3,7 +3,7 @@
 import {createServer, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {readHeads, type ReceivedRequest} from '../entry-bed.js';
-import {callControl} from './upstream.js';
+import {callControl} from './control-call.js';
 
 const heartbeatIntervalMilliseconds = 300;
 
--- a/stand-in/platform/system.ts
+++ b/stand-in/platform/system.ts
@@ -16,7 +16,7 @@
 import {parse as parseToml} from 'smol-toml';
 import {bundleProgram} from '../../scripts/bundle.js';
 import {waitUntil} from '../wait.js';
-import {callControl, readText} from './upstream.js';
+import {callControl, readText} from './control-call.js';
 
 const testBundleFile = 'target/guavadeck-test.cjs';
 const testDeployFolder = 'deploy';
