--- a/stand-in/server.ts
+++ b/stand-in/server.ts
@@ -5,20 +5,24 @@
  */
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
-import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {type AddressInfo, type Socket} from 'node:net';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {createRandom} from '../source/randomness/index.js';
 import {startAnnouncer} from './announcer.js';
 import {sampleServiceTime, defaultBehaviour, type Behaviour} from './behaviour.js';
 import {
-	crashHeader, getHeader, sendIdHeader, tokenHeader, type RequestRecord, type RequestOutcome, type StatedWithdrawal,
+	crashHeader, getHeader, sendIdHeader, tokenHeader, type RequestRecord, type RequestOutcome,
 } from './request-record.js';
 import {
 	sendCompleteResponse, sendShedResponse, sendTruncatedResponse, sendUnsolicitedResponse, type StatusReport,
 } from './responses.js';
 import {startPollClock} from './poll-clock.js';
+import {createRequestCounts} from './request-counts.js';
+import {createRestartableListener} from './restartable-listener.js';
 import {createSlots, type Job} from './slots.js';
+import {
+	getAnnouncedState, getReportedLoad, getStatedWithdrawal, getStatusReport,
+} from './stated-status.js';
 
 /** Options of a stand-in server. */
 export type StandInOptions = {
@@ -73,23 +77,17 @@
 export async function startStandIn(options: StandInOptions): Promise<StandIn> {
 	let behaviour: Behaviour = {...defaultBehaviour, ...options.behaviour};
 	const random = createRandom(options.seed);
-	const sockets = new Set<Socket>();
 	const startedRequests = new WeakSet<IncomingMessage>();
 	let bootId: string = randomUUID();
-	let inFlightCount = 0;
-	let maximumInFlight = 0;
-	let overloadCount = 0;
-	let requestCount = 0;
-	let isUp = false;
-	let {port} = options;
-	let server = createHttpServer();
+	const counts = createRequestCounts();
+	const listener = createRestartableListener({host: options.host, port: options.port, handle: handleRequest});
 	const slots = createSlots(() => behaviour);
 	const pollClock = startPollClock();
 	const announcer = startAnnouncer({
 		announceTo: options.announceTo,
-		getAnnouncement: () => isUp
+		getAnnouncement: () => listener.isUp()
 			? {
-				service: options.service, name: options.name, host: options.host, port, zone: options.zone, slots: behaviour.slots, connections: options.connections, boot: bootId, state: getState(), load: getLoad(),
+				service: options.service, name: options.name, host: options.host, port: listener.getPort(), zone: options.zone, slots: behaviour.slots, connections: options.connections, boot: bootId, state: getAnnouncedState(behaviour), load: getReportedLoad(behaviour, counts.getInFlight()),
 			}
 			: undefined,
 	});
@@ -101,20 +99,6 @@
 		}
 	}
 
-	function createHttpServer(): ReturnType<typeof createServer> {
-		const httpServer = createServer({keepAliveTimeout: 20_000, noDelay: true}, handleRequest);
-		httpServer.on('connection', socket => {
-			sockets.add(socket);
-			socket.once('close', () => {
-				sockets.delete(socket);
-			});
-			socket.on('error', () => {
-				socket.destroy();
-			});
-		});
-		return httpServer;
-	}
-
 	function handleRequest(request: IncomingMessage, response: ServerResponse): void {
 		if (request.url === '/health') {
 			respondToProbe(response);
@@ -123,13 +107,13 @@
 
 		const startedAt = Date.now();
 		const earliestAt = pollClock.getEarliestArrival(startedAt);
-		requestCount++;
-		inFlightCount++;
-		maximumInFlight = Math.max(maximumInFlight, inFlightCount);
+		const inFlight = counts.begin();
 		const capacity = slots.getCapacity();
-		const inFlight = inFlightCount;
 		const {isCold} = behaviour;
-		overloadCount += behaviour.isCold && inFlight > capacity ? 1 : 0;
+		if (isCold && inFlight > capacity) {
+			counts.countOverload();
+		}
+
 		let isRecorded = false;
 		function recordOutcome(outcome: RequestOutcome): void {
 			if (isRecorded) {
@@ -137,7 +121,7 @@
 			}
 
 			isRecorded = true;
-			inFlightCount--;
+			counts.end();
 			options.record({
 				server: options.name,
 				zone: options.zone,
@@ -153,19 +137,19 @@
 				capacity,
 				isCold,
 				outcome,
-				withdrawal: getStatedWithdrawal(outcome),
+				withdrawal: getStatedWithdrawal(behaviour, outcome),
 			});
 		}
 
 		if (shouldShed(inFlight, capacity)) {
-			sendShedResponse({request, response}, getStatusReport().state, behaviour.declaresSheds, behaviour.pauseMilliseconds);
+			sendShedResponse({request, response}, getStatus().state, behaviour.declaresSheds, behaviour.pauseMilliseconds);
 			recordOutcome('shed');
 			return;
 		}
 
 		if (random() < behaviour.failFastShare) {
 			request.resume();
-			sendCompleteResponse({request, response}, 500, Buffer.from('failed\n'), getStatusReport());
+			sendCompleteResponse({request, response}, 500, Buffer.from('failed\n'), getStatus());
 			recordOutcome('failed');
 			return;
 		}
@@ -254,7 +238,7 @@
 		}
 
 		recordOutcome('ran');
-		sendCompleteResponse({request, response}, 200, body, getStatusReport());
+		sendCompleteResponse({request, response}, 200, body, getStatus());
 		if (random() < behaviour.trailingShare) {
 			sendUnsolicitedResponse({request, response});
 		}
@@ -263,63 +247,31 @@
 	function respondToProbe(response: ServerResponse): void {
 		const now = Date.now();
 		options.record({
-			server: options.name, zone: options.zone, requestId: '', key: undefined, token: undefined, sendId: undefined, hasStarted: false, startedAt: now, earliestAt: pollClock.getEarliestArrival(now), endedAt: now, inFlight: inFlightCount, capacity: slots.getCapacity(), isCold: behaviour.isCold, outcome: 'probe',
+			server: options.name, zone: options.zone, requestId: '', key: undefined, token: undefined, sendId: undefined, hasStarted: false, startedAt: now, earliestAt: pollClock.getEarliestArrival(now), endedAt: now, inFlight: counts.getInFlight(), capacity: slots.getCapacity(), isCold: behaviour.isCold, outcome: 'probe',
 		});
 		response.writeHead(behaviour.isHealthy ? 200 : 500, {'content-length': 0});
 		response.end();
 	}
 
-	/** Gets the load to report: the number of requests in flight, unless the behaviour sets another one. */
-	function getLoad(): number {
-		return behaviour.reportedLoad ?? inFlightCount;
-	}
-
-	function getStatusReport(): StatusReport {
-		return {state: behaviour.statesLeaving ? 'leaving' : getState(), load: getLoad()};
+	function getStatus(): StatusReport {
+		return getStatusReport(behaviour, counts.getInFlight());
 	}
 
-	/** Gets the withdrawal that the response to a request with an outcome states now; only a refusal asks for a pause. */
-	function getStatedWithdrawal(outcome: RequestOutcome): StatedWithdrawal | undefined {
-		if (outcome === 'shed' && behaviour.pauseMilliseconds > 0) {
-			return {kind: 'pause', milliseconds: behaviour.pauseMilliseconds};
-		}
-
-		return getStatusReport().state === 'leaving' ? {kind: 'leaving'} : undefined;
-	}
-
-	function getState(): 'cold' | 'warm' | 'leaving' {
-		if (behaviour.isLeaving) {
-			return 'leaving';
-		}
-
-		return behaviour.isCold ? 'cold' : 'warm';
-	}
-
-	/** Starts to listen and announces the server; a restarted server listens on the same port again. */
+	/** Starts to listen and announces the server. */
 	async function listen(): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			server.once('error', reject);
-			server.listen(port, options.host, resolve);
-		});
-		port = (server.address() as AddressInfo).port;
-		isUp = true;
+		await listener.start();
 		void announcer.announce();
 	}
 
 	function crash(): void {
-		isUp = false;
-		server.close();
-		for (const socket of sockets) {
-			socket.resetAndDestroy();
-		}
-
+		listener.crash();
 		slots.clearQueue();
 	}
 
 	await listen();
 	return {
 		name: options.name,
-		port,
+		port: listener.getPort(),
 		getBehaviour: () => behaviour,
 		updateBehaviour(changes) {
 			behaviour = {...behaviour, ...changes};
@@ -335,7 +287,7 @@
 				await delay(50);
 			}
 
-			while (inFlightCount > 0) {
+			while (counts.getInFlight() > 0) {
 				await delay(10);
 			}
 		},
@@ -346,29 +298,18 @@
 				...behaviour, isCold: true, isLeaving: false, statesLeaving: false,
 			};
 			slots.restartColdStart();
-			server = createHttpServer();
 			await listen();
 		},
 		async stop() {
 			announcer.stop();
 			pollClock.stop();
-			isUp = false;
-			const closed = new Promise(resolve => {
-				server.close(resolve);
-			});
-			server.closeIdleConnections();
-			await Promise.race([closed, delay(500)]);
-			server.closeAllConnections();
-		},
-		getInFlight: () => inFlightCount,
-		getMaximumInFlight: () => maximumInFlight,
-		getOverloadCount: () => overloadCount,
-		getRequestCount: () => requestCount,
-		resetCounters() {
-			maximumInFlight = inFlightCount;
-			overloadCount = 0;
-			requestCount = 0;
+			await listener.stop();
 		},
-		isUp: () => isUp,
+		getInFlight: counts.getInFlight,
+		getMaximumInFlight: counts.getMaximumInFlight,
+		getOverloadCount: counts.getOverloadCount,
+		getRequestCount: counts.getRequestCount,
+		resetCounters: counts.reset,
+		isUp: listener.isUp,
 	};
 }
