Check in the soak that an entry cuts off no answered request at any time

RULES: a machine in touch may close a connection without the answer to a request that it passed on three times at most. The soak checked it around planned work alone.

Requests behind such a response have an outcome of their own now; the response itself is checked as before.

--- a/soak/checks.test.ts
+++ b/soak/checks.test.ts
@@ -149,6 +149,21 @@
 		doTest({pauses: [{...pauses[0]!, instance: 'i-c1-2'}], exchanges, arrivals}, []);
 	});
 
+	test('finds answered requests that an entry in touch cut off more than three times', () => {
+		function doTestCutOffs(count: number, outcome: string, expectedRules: ReadonlyArray<Violation['rule']>, disturbances: Disturbance[] = []): void {
+			const ids = Array.from({length: count}, (_, index) => `r-${index}`);
+			doTest({exchanges: ids.map(id => ({...createExchange(outcome), id})), answers: ids.map(id => ({...answer, id})), disturbances}, expectedRules);
+		}
+
+		doTestCutOffs(4, 'ECONNRESET', ['LOST', 'LOST', 'LOST', 'LOST']);
+		doTestCutOffs(3, 'ECONNRESET', []);
+		doTestCutOffs(4, 'closed', ['LOST', 'LOST', 'LOST', 'LOST']);
+		doTestCutOffs(4, 'closed behind an incomplete response', []);
+		doTestCutOffs(4, 'ECONNRESET', [], [{
+			scope: 'entry', name: 'entry-1', kind: 'kill entry', from: 10, to: 15,
+		}]);
+	});
+
 	test('finds an answered request that planned work cut off', () => {
 		const exchange: Exchange = {...createExchange('ECONNRESET'), sentAt: 5000, endedAt: 5020};
 		const work: Disturbance = {
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -4,7 +4,7 @@
 import {
 	type Arrival, type Exchange, type History, type Order,
 } from './history.js';
-import {checkPlannedWork} from './planned-work-checks.js';
+import {checkCutOffs} from './cut-off-checks.js';
 import {checkVersions} from './version-checks.js';
 import {checkLeaving, checkPauses} from './withdrawal-checks.js';
 
@@ -153,7 +153,7 @@
 		...checkVersions(history),
 		...checkLeaving(history, exchangesById),
 		...checkPauses(history, exchangesById),
-		...checkPlannedWork(history),
+		...checkCutOffs(history),
 		...checkSteadyEnd(history),
 	];
 }
--- a/soak/pipelining-caller.ts
+++ b/soak/pipelining-caller.ts
@@ -13,6 +13,9 @@
 /** Probability that a burst goes to the connection of the one before. */
 const keptProbability = 0.6;
 
+/** Outcome of requests whose connection ended with the incomplete response to an earlier one. */
+export const behindIncomplete = 'closed behind an incomplete response';
+
 type PendingRequest = CallerRequest & {readonly sentAt: number};
 
 function render({id, method, path, deadlineMilliseconds, isChunked}: CallerRequest): string {
@@ -62,9 +65,11 @@
 
 	function open(): Socket {
 		const opened = connect(port, host);
+		let isBrokenOff = false;
 		const reader = createResponseReader({
 			getMethod: () => pending[0]?.method,
 			onResponse(response) {
+				isBrokenOff = response.body === undefined;
 				// What arrives without a request is recorded too: it belongs to none.
 				record(pending.shift() ?? {...createRequest(), id: `${entry}.unasked`, sentAt: history.now()}, getOutcome(response));
 			},
@@ -86,7 +91,7 @@
 			if (socket === opened) {
 				reader.end(isInOrder);
 				socket = undefined;
-				abandon('closed');
+				abandon(isBrokenOff ? behindIncomplete : 'closed');
 			}
 		});
 		return opened;
