Let a control host count only on hosts that know of its planned stop

All three hosts that are told to stop at once stop at once if their announcements take longer than 100 ms to arrive, as beside load, and no quorum is left until they are back. Cause: a host waited 100 ms for the announcements of the others, and then took those that it had not heard for serving. Change: a host answers the announcement of one that asks to stop, and that one counts only on hosts that have answered. Of two hosts that count on each other, one always knows of the other. A host that has not answered for 2 s counts all the same, since earlier releases do not answer; they ignore the new optional field.

--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -153,6 +153,9 @@
 		electionMilliseconds: settings.election.timeoutMilliseconds,
 		patienceMilliseconds: settings.stopPatienceMilliseconds,
 		broadcast: client.broadcast,
+		sendTo(replica, message) {
+			client.sendTo(getHostName(replica), message);
+		},
 		async readStatus() {
 			const response = await forwarder.tryRequest({kind: 'readStatus'});
 			return response.kind === 'status' ? response.status : undefined;
--- a/source/control/message.ts
+++ b/source/control/message.ts
@@ -116,8 +116,8 @@
 /** Availability of a control host: it serves, waits until the other voters form a quorum so that it can stop, or is stopping. */
 export type Availability = 'serving' | 'asking' | 'stopping';
 
-/** Announces the availability of a control host to the others. */
-export type AvailabilityMessage = {readonly kind: 'availability'; readonly replica: string; readonly availability: Availability};
+/** Announces the availability of a control host to the others, or answers the announcement of one that asks to stop. */
+export type AvailabilityMessage = {readonly kind: 'availability'; readonly replica: string; readonly availability: Availability; readonly isAnswer?: true};
 
 /** Informs connected processes of the control hosts and the leader. */
 export type Directory = {
--- a/source/control/planned-stop.test.ts
+++ b/source/control/planned-stop.test.ts
@@ -14,7 +14,7 @@
 describe('isSafeToStop', () => {
 	function doTest(replicas: readonly ReplicaStatus[], expected: boolean, availabilities: ReadonlyArray<readonly [string, Availability]> = [], self = 'b'): void {
 		expect(isSafeToStop({
-			self, replicas, commitIndex: 100, availabilities: new Map(availabilities), maximumSilenceMilliseconds: silenceMilliseconds,
+			self, replicas, commitIndex: 100, availabilities: new Map(availabilities), hasAnswered: () => true, maximumSilenceMilliseconds: silenceMilliseconds,
 		})).toEqual(expected);
 	}
 
@@ -55,6 +55,21 @@
 	});
 });
 
+describe('isSafeToStop: answers', () => {
+	function doTest(voters: readonly string[], unanswered: string, expected: boolean): void {
+		expect(isSafeToStop({
+			self: 'b', replicas: voters.map(voter => createVoter(voter)), commitIndex: 100, availabilities: new Map(), hasAnswered: voter => voter !== unanswered, maximumSilenceMilliseconds: silenceMilliseconds,
+		})).toEqual(expected);
+	}
+
+	test('waits for the answer of a voter that it needs', () => {
+		doTest(['a', 'b', 'c'], 'c', false);
+	});
+	test('does not wait for the answer of a voter that it does not need', () => {
+		doTest(['a', 'b', 'c', 'd', 'e'], 'e', true);
+	});
+});
+
 describe('getSuccessor', () => {
 	function doTest(voters: readonly SuccessorCandidate[], expected: string | undefined): void {
 		expect(getSuccessor(voters, silenceMilliseconds)).toEqual(expected);
--- a/source/control/planned-stop.ts
+++ b/source/control/planned-stop.ts
@@ -1,7 +1,9 @@
 /**
  * Decides whether a control host can stop without a loss of quorum, and which voter becomes the next leader. A planned stop
  * waits until the other voters form a quorum, so that the leases do not expire during a rolling restart. Hosts announce their
- * planned stops to each other; if several hosts are waiting to stop, the one with the lowest replica id stops first.
+ * planned stops to each other; if several hosts are waiting to stop, the one with the lowest replica id stops first. A host counts
+ * on another one only after that has answered its announcement: of two hosts that count on each other, the one that answers late
+ * knows of the other's stop when it decides, and the other one knows its answer.
  */
 import {maximumLearnerLagEntries, isQuorum} from '../consensus/index.js';
 import {type Availability, type ReplicaStatus} from './message.js';
@@ -14,6 +16,8 @@
 	readonly commitIndex: number;
 	/** Latest availability that each of the other replicas announced. */
 	readonly availabilities: ReadonlyMap<string, Availability>;
+	/** Checks whether a replica has answered that it knows of this stop, or need not. */
+	hasAnswered(replica: string): boolean;
 	/** Time without a response after which a replica no longer counts towards the quorum, in milliseconds. */
 	readonly maximumSilenceMilliseconds: number;
 };
@@ -35,7 +39,7 @@
 
 function isAvailable(other: ReplicaStatus, conditions: StopConditions): boolean {
 	const isCurrent = other.silentMilliseconds < conditions.maximumSilenceMilliseconds && other.matchIndex + maximumLearnerLagEntries >= conditions.commitIndex;
-	return isCurrent && !hasStopPriority(other.replica, conditions);
+	return isCurrent && conditions.hasAnswered(other.replica) && !hasStopPriority(other.replica, conditions);
 }
 
 /** Checks whether another replica stops before this one, or is stopping already. */
--- a/source/control/shutdown.ts
+++ b/source/control/shutdown.ts
@@ -11,6 +11,9 @@
 const transferCheckIntervalMilliseconds = 10;
 const stopCheckIntervalMilliseconds = 100;
 
+/** Time after which a host that has not answered the announcement counts all the same; hosts of earlier releases do not answer. */
+const answerTimeoutMilliseconds = 2000;
+
 /** Planned stop of a control host. */
 export type Shutdown = {
 	/** Gets the message that announces the availability of this host. */
@@ -30,6 +33,8 @@
 	readonly patienceMilliseconds: number;
 	/** Sends a message to all other control hosts. */
 	broadcast(message: AvailabilityMessage): void;
+	/** Sends a message to the host of another replica. */
+	sendTo(replica: string, message: AvailabilityMessage): void;
 	/** Reads the status from the leader, or returns undefined if no leader responds. */
 	readStatus(): Promise<ClusterStatus | undefined>;
 };
@@ -42,7 +47,9 @@
 	const {self, driver, log, electionMilliseconds, patienceMilliseconds} = options;
 	const {replica} = driver;
 	const availabilities = new Map<string, Availability>();
+	const answeringReplicas = new Set<string>();
 	let availability: Availability = 'serving';
+	let askedAt = Number.POSITIVE_INFINITY;
 
 	function getAvailability(): AvailabilityMessage {
 		return {kind: 'availability', replica: self, availability};
@@ -53,16 +60,20 @@
 		options.broadcast(getAvailability());
 	}
 
+	function hasAnswered(other: string): boolean {
+		return answeringReplicas.has(other) || performance.now() - askedAt >= answerTimeoutMilliseconds;
+	}
+
 	async function isReadyToStop(): Promise<boolean> {
 		const status = await options.readStatus();
 		return status !== undefined && isSafeToStop({
-			self, replicas: status.replicas, commitIndex: status.commitIndex, availabilities, maximumSilenceMilliseconds: electionMilliseconds,
+			self, replicas: status.replicas, commitIndex: status.commitIndex, availabilities, hasAnswered, maximumSilenceMilliseconds: electionMilliseconds,
 		});
 	}
 
 	async function waitUntilReadyToStop(): Promise<void> {
 		const until = performance.now() + patienceMilliseconds;
-		// Allows hosts that begin a planned stop at the same time to receive each other's announcement.
+		// Allows the others to answer.
 		await delay(Math.min(stopCheckIntervalMilliseconds, patienceMilliseconds));
 		while (!await isReadyToStop()) {
 			if (performance.now() >= until) {
@@ -99,11 +110,17 @@
 		getAvailability,
 		recordAvailability(message) {
 			availabilities.set(message.replica, message.availability);
+			if (message.isAnswer === true) {
+				answeringReplicas.add(message.replica);
+			} else if (message.availability === 'asking') {
+				options.sendTo(message.replica, {...getAvailability(), isAnswer: true});
+			}
 		},
 		async prepare() {
 			const voters = replica.getMembership().voters.length;
 			// Waiting is pointless if there are too few other voters to ever form a quorum.
 			if (isQuorum(voters - 1, voters)) {
+				askedAt = performance.now();
 				setAvailability('asking');
 				await waitUntilReadyToStop();
 			}
