Let elections end while votes wait for the disk

Seen: spared, kept logs, load average 23: 117 requests refused, 100 of them with lease-expired and 16 with ledger-unavailable. The process that relays all links stood still for 0.7 s while one host was down as planned, and the leader stepped down. The two others then took 3.3 s to elect a leader: a pre-vote was answered after 1.5 s, and one host stood in five terms before its votes arrived. Cause: votes are sent after a sync. Where syncs take as long as the election timeout, candidates end their own elections, and those of others, before the votes arrive. Ruled out: two planned stops at once (one host after the other stopped in the trace), a lost link. Change: a replica whose hard state waits for the disk starts no election; once it is synced, the timeout is extended by that time and two syncs of others. A candidate that may still receive votes grants a pre-vote only to a replica with a newer log. Pre-votes, which change no state, wait for no sync. What is promised, and when it is durable, is as before.

--- a/source/consensus/core.ts
+++ b/source/consensus/core.ts
@@ -30,6 +30,10 @@
 	isWritable: boolean;
 	/** Index up to which the log of this replica is synced. */
 	durableIndex: number;
+	/** Number of changes of the hard state. */
+	stateVersion: number;
+	/** Time since which the hard state has waited to be synced, in milliseconds; undefined if it is synced. */
+	stateQueuedAt: number | undefined;
 	snapshot: Snapshot | undefined;
 	membership: Membership;
 	/** Time of the current event in milliseconds. */
@@ -67,6 +71,8 @@
 	let actions: Action[] = [];
 
 	function persistState(): void {
+		core.stateVersion++;
+		core.stateQueuedAt ??= core.now;
 		core.addAction({kind: 'persistState', state: {term: core.term, votedFor: core.votedFor}});
 	}
 
@@ -84,6 +90,8 @@
 		commitIndex: snapshot?.index ?? 0,
 		isWritable: true,
 		durableIndex: log.getLastIndex(),
+		stateVersion: 0,
+		stateQueuedAt: undefined,
 		snapshot,
 		membership: log.getMembership(snapshot?.membership ?? founders),
 		now: options.now,
--- a/source/consensus/election.ts
+++ b/source/consensus/election.ts
@@ -1,6 +1,8 @@
 /**
  * Elections of a replica: pre-votes, votes and the election timeout. A replica that received a message from a leader within
  * the last election timeout grants no vote to another replica, unless that leader requested the election to transfer leadership.
+ * Votes are sent after a sync, which may take longer than the election timeout: a replica whose own vote waits for the disk starts
+ * no election, and the timeout allows for syncs on others that take as long. Otherwise each election would end the one before it.
  */
 import {type Core} from './core.js';
 import {type ReplicaMessage} from './message.js';
@@ -14,6 +16,9 @@
  */
 const shortenedTimeoutShare = 0.1;
 
+/** Number of syncs for which a vote may wait on another replica: the one that is under way, and its own. */
+const syncsOfOthers = 2;
+
 /** Elections of one replica. */
 export type Election = {
 	/** Starts a pre-vote when the election timeout has elapsed. */
@@ -24,6 +29,8 @@
 	receiveVote(from: string, message: Vote): void;
 	/** Records a message from the leader and resets the election timeout. */
 	recordLeaderContact(): void;
+	/** Extends the election timeout after the hard state was synced, by that time and the time that others may take for theirs. */
+	recordSyncedState(syncMilliseconds: number): void;
 	/** Restarts the election timeout in full. */
 	resetTimeout(): void;
 	/** Gets the time in milliseconds at which the election timeout elapses. */
@@ -53,6 +60,7 @@
 	let timeoutAt = core.now + getPreVoteTimeout();
 	let leaderContactAt = Number.NEGATIVE_INFINITY;
 	let votes = new Set<string>();
+	let votesDueAt = Number.NEGATIVE_INFINITY;
 
 	function getElectionTimeout(): number {
 		return electionMilliseconds * (1 + options.random());
@@ -120,15 +128,23 @@
 		}
 	}
 
+	/** Sends a vote after the sync of the state that it depends on; a pre-vote changes no state. */
 	function sendVote(to: string, term: number, isPreVote: boolean, isGranted: boolean): void {
 		core.send(to, {
 			kind: 'vote', term, isPreVote, isGranted,
-		}, true);
+		}, !isPreVote);
+	}
+
+	/** Compares the log of a replica that requests votes with the log of this one; positive if it is newer. */
+	function compareLog(message: VoteRequest): number {
+		return message.lastTerm === log.getLastTerm() ? message.lastIndex - log.getLastIndex() : message.lastTerm - log.getLastTerm();
 	}
 
-	function isUpToDate(message: VoteRequest): boolean {
-		const lastTerm = log.getLastTerm();
-		return message.lastTerm > lastTerm || (message.lastTerm === lastTerm && message.lastIndex >= log.getLastIndex());
+	/** Decides a pre-vote. A candidate whose votes may be on their way grants it only to a replica with a newer log. */
+	function isPreVoteGranted(message: VoteRequest): boolean {
+		const order = compareLog(message);
+		const awaitsVotes = core.role === 'candidate' && (core.stateQueuedAt !== undefined || core.now < votesDueAt);
+		return message.term > core.term && (order > 0 || (order === 0 && !awaitsVotes));
 	}
 
 	function decideVote(from: string, message: VoteRequest): void {
@@ -137,7 +153,7 @@
 		}
 
 		const isVoteAvailable = core.votedFor === undefined || core.votedFor === from;
-		const isGranted = message.term === core.term && isUpToDate(message) && isVoteAvailable;
+		const isGranted = message.term === core.term && compareLog(message) >= 0 && isVoteAvailable;
 		if (isGranted) {
 			if (core.votedFor === undefined) {
 				core.voteFor(from);
@@ -155,7 +171,7 @@
 				return;
 			}
 
-			if (core.isWritable) {
+			if (core.isWritable && core.stateQueuedAt === undefined) {
 				startPreVote();
 			} else {
 				resetTimeout();
@@ -177,9 +193,9 @@
 			}
 
 			if (message.isPreVote) {
-				const isGranted = isUpToDate(message) && message.term > core.term;
+				const isGranted = isPreVoteGranted(message);
 				sendVote(from, isGranted ? message.term : core.term, true, isGranted);
-				if (!isUpToDate(message)) {
+				if (compareLog(message) < 0) {
 					shortenTimeout();
 				}
 
@@ -219,6 +235,10 @@
 			leaderContactAt = core.now;
 			resetTimeout();
 		},
+		recordSyncedState(syncMilliseconds) {
+			timeoutAt += syncMilliseconds * (1 + syncsOfOthers);
+			votesDueAt = core.now + (syncMilliseconds * syncsOfOthers);
+		},
 		resetTimeout,
 		getTimeoutAt: () => timeoutAt,
 	};
--- a/source/consensus/message.ts
+++ b/source/consensus/message.ts
@@ -93,8 +93,8 @@
 export type ReplicaEvent
 	= | {readonly kind: 'tick'}
 		| {readonly kind: 'received'; readonly from: string; readonly message: ReplicaMessage}
-	/** Reports that all persist actions up to this last log entry are synced. */
-		| {readonly kind: 'persisted'; readonly lastIndex: number; readonly lastTerm: number}
+	/** Reports that all persist actions up to this last log entry and version of the hard state, or else up to the newest, are synced. */
+		| {readonly kind: 'persisted'; readonly lastIndex: number; readonly lastTerm: number; readonly stateVersion?: number}
 		| {readonly kind: 'propose'; readonly payload: Payload}
 	/**
 	 * Requests confirmation that this replica was still the leader at some time after this event. An urgent request starts
--- a/source/consensus/replica.ts
+++ b/source/consensus/replica.ts
@@ -26,6 +26,8 @@
 	handle(event: ReplicaEvent, now: number): readonly Action[];
 	getRole(): Role;
 	getTerm(): number;
+	/** Gets the number of changes of the hard state since the start. */
+	getStateVersion(): number;
 	getLeader(): string | undefined;
 	getCommitIndex(): number;
 	getMembership(): Membership;
@@ -139,6 +141,16 @@
 		}
 	}
 
+	function handleSyncedState(stateVersion: number): void {
+		if (core.stateQueuedAt === undefined || stateVersion !== core.stateVersion) {
+			return;
+		}
+
+		const syncMilliseconds = core.now - core.stateQueuedAt;
+		core.stateQueuedAt = undefined;
+		election.recordSyncedState(syncMilliseconds);
+	}
+
 	function handlePersisted(lastIndex: number, lastTerm: number): void {
 		if (log.getTerm(lastIndex) !== lastTerm) {
 			return;
@@ -164,6 +176,7 @@
 			}
 
 			case 'persisted': {
+				handleSyncedState(event.stateVersion ?? core.stateVersion);
 				handlePersisted(event.lastIndex, event.lastTerm);
 				return;
 			}
@@ -206,6 +219,7 @@
 		},
 		getRole: () => core.role,
 		getTerm: () => core.term,
+		getStateVersion: () => core.stateVersion,
 		getLeader: () => core.leader,
 		getCommitIndex: () => core.commitIndex,
 		getMembership: () => core.membership,
--- a/source/consensus/slow-disk.test.ts
+++ b/source/consensus/slow-disk.test.ts
@@ -1,158 +1,46 @@
 /** Runs three replicas in virtual time while the syncs of all disks take longer than election timeouts and leases. */
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {createRandom} from '../randomness/index.js';
-import {
-	createReplica, type Action, type Replica, type ReplicaEvent,
-} from './index.js';
+import {electionMilliseconds, heartbeatMilliseconds, simulateSlowDisks} from './slow-disk-simulation.js';
 
-const ids = ['a', 'b', 'c'];
-const electionMilliseconds = 100;
-const heartbeatMilliseconds = 20;
-const tickMilliseconds = 5;
 const fastPhaseMilliseconds = 1000;
 const slowPhaseMilliseconds = 5000;
 const requestIntervalMilliseconds = 50;
 
-type Host = {readonly id: string; readonly replica: Replica; pending: Action[]; isWriting: boolean};
-type ScheduledEvent = {readonly at: number; readonly run: () => void};
-
 /** Terms, confirmations and commits of the hosts while their disks were slow. */
 type Observation = {readonly terms: ReadonlySet<number>; readonly longestConfirmation: number; readonly confirmed: number; readonly requested: number; readonly committed: boolean};
 
 function observe(seed: number, syncMilliseconds: number): Observation {
-	const random = createRandom(seed);
-	const hosts = new Map<string, Host>(ids.map(id => [id, {
-		id, replica: createReplica({
-			id, state: {term: 0, votedFor: undefined}, snapshot: undefined, entries: [], founders: {voters: ids, learners: []}, electionMilliseconds, heartbeatMilliseconds, random, now: 0,
-		}), pending: [], isWriting: false,
-	}]));
 	const requestedAt = new Map<number, number>();
 	const terms = new Set<number>();
-	let scheduledEvents: ScheduledEvent[] = [];
-	let now = 0;
 	let longestConfirmation = 0;
 	let confirmed = 0;
+	const {hosts, getNow, getLeader, handle, runUntil} = simulateSlowDisks({
+		seed,
+		getSyncMilliseconds: now => now > fastPhaseMilliseconds && now < fastPhaseMilliseconds + slowPhaseMilliseconds ? syncMilliseconds : 1,
+		onConfirmed(token, now) {
+			confirmed++;
+			longestConfirmation = Math.max(longestConfirmation, now - requestedAt.get(token)!);
+		},
+	});
 
-	function schedule(milliseconds: number, run: () => void): void {
-		scheduledEvents.push({at: now + milliseconds, run});
-	}
-
-	function getSyncTime(): number {
-		return now > fastPhaseMilliseconds && now < fastPhaseMilliseconds + slowPhaseMilliseconds ? syncMilliseconds : 1;
-	}
-
-	function handle(host: Host, event: ReplicaEvent): void {
-		for (const action of host.replica.handle(event, now)) {
-			run(host, action);
-		}
-
-		flush(host);
-	}
-
-	function run(host: Host, action: Action): void {
-		switch (action.kind) {
-			case 'send': {
-				if (action.isAfterSync) {
-					host.pending.push(action);
-				} else {
-					transmit(host, action);
-				}
-
-				return;
-			}
-
-			case 'persistState':
-			case 'persistEntries':
-			case 'persistSnapshot': {
-				host.pending.push(action);
-				return;
-			}
-
-			case 'confirmed': {
-				confirmed++;
-				longestConfirmation = Math.max(longestConfirmation, now - requestedAt.get(action.token)!);
-				break;
-			}
-
-			case 'unconfirmed':
-			case 'restore':
-			case 'commit':
-			case 'roleChanged':
-				// The commit index and the leader are read from the replicas; rejected requests are missing from the count of confirmed ones.
-		}
-	}
-
-	function transmit(host: Host, {to, message}: Extract<Action, {readonly kind: 'send'}>): void {
-		schedule(1, () => {
-			handle(hosts.get(to)!, {kind: 'received', from: host.id, message});
-		});
-	}
-
-	/** Writes all pending actions in one batch, as the driver does. */
-	function flush(host: Host): void {
-		const batch = host.pending;
-		if (host.isWriting || batch.length === 0) {
-			return;
-		}
-
-		host.isWriting = true;
-		host.pending = [];
-		const lastIndex = host.replica.getLog().getLastIndex();
-		const lastTerm = host.replica.getLog().getLastTerm();
-		schedule(batch.some(action => action.kind !== 'send') ? getSyncTime() : 0, () => {
-			host.isWriting = false;
-			for (const action of batch) {
-				if (action.kind === 'send') {
-					transmit(host, action);
-				}
-			}
-
-			handle(host, {kind: 'persisted', lastIndex, lastTerm});
-		});
-	}
-
-	function getLeader(): Host | undefined {
-		return [...hosts.values()].find(host => host.replica.getRole() === 'leader');
-	}
-
-	function runUntil(end: number, everyTick: () => void): void {
-		while (now < end) {
-			now += tickMilliseconds;
-			for (;;) {
-				const due = scheduledEvents.filter(event => event.at <= now);
-				if (due.length === 0) {
-					break;
-				}
-
-				scheduledEvents = scheduledEvents.filter(event => event.at > now);
-				for (const event of due) {
-					event.run();
-				}
-			}
-
-			for (const host of hosts.values()) {
-				handle(host, {kind: 'tick'});
-			}
-
-			everyTick();
-		}
-	}
-
-	function requestConfirmation(): void {
+	function requestConfirmation(): boolean {
 		const leader = getLeader();
+		const now = getNow();
 		terms.add(leader?.replica.getTerm() ?? 0);
 		if (leader !== undefined && now % requestIntervalMilliseconds === 0) {
 			requestedAt.set(now, now);
 			handle(leader, {kind: 'confirm', token: now, isUrgent: false});
 			handle(leader, {kind: 'propose', payload: {kind: 'command', command: now}});
 		}
+
+		return false;
 	}
 
-	runUntil(fastPhaseMilliseconds, () => undefined);
+	runUntil(fastPhaseMilliseconds, () => false);
 	runUntil(fastPhaseMilliseconds + slowPhaseMilliseconds, requestConfirmation);
-	runUntil(fastPhaseMilliseconds + slowPhaseMilliseconds + (syncMilliseconds * 2) + fastPhaseMilliseconds, () => undefined);
-	const commits = [...hosts.values()].map(host => host.replica.getCommitIndex());
+	runUntil(fastPhaseMilliseconds + slowPhaseMilliseconds + (syncMilliseconds * 2) + fastPhaseMilliseconds, () => false);
+	const commits = hosts.map(host => host.replica.getCommitIndex());
 	return {
 		terms, longestConfirmation, confirmed, requested: requestedAt.size, committed: commits.every(index => index > slowPhaseMilliseconds / requestIntervalMilliseconds && index === commits[0]),
 	};
@@ -176,3 +64,44 @@
 		doTest(63, 1);
 	});
 });
+
+describe('createReplica: elections with disks whose syncs take longer than an election', () => {
+	const lostAt = 1500;
+	const seeds = Array.from({length: 40}, (_, index) => 71 + index);
+
+	/** Gets the time from the loss of the leader until there is another one. */
+	function getElectionTime(seed: number, syncMilliseconds: number): number {
+		const {getNow, getLeader, handle, runUntil} = simulateSlowDisks({
+			seed,
+			getSyncMilliseconds: now => now > fastPhaseMilliseconds ? syncMilliseconds : 1,
+			onConfirmed() {
+				// No confirmations are requested.
+			},
+		});
+		runUntil(fastPhaseMilliseconds, () => false);
+		const leader = getLeader()!;
+		runUntil(lostAt, () => {
+			handle(leader, {kind: 'propose', payload: {kind: 'command', command: getNow()}});
+			return false;
+		});
+		leader.isLost = true;
+		runUntil(lostAt + 20_000, () => getLeader() !== undefined);
+		return getNow() - lostAt;
+	}
+
+	function doTest(syncMilliseconds: number, expected: {readonly median: number; readonly longest: number}): void {
+		const times = seeds.map(seed => getElectionTime(seed, syncMilliseconds)).toSorted((left, right) => left - right);
+		expect([times[seeds.length / 2]! <= expected.median, times.at(-1)! <= expected.longest]).toEqual([true, true]);
+	}
+
+	// Guards against candidates that end each other's elections, and their own, while votes wait for the disk.
+	test('end when each sync takes as long as the election timeout', () => {
+		doTest(electionMilliseconds, {median: electionMilliseconds * 5, longest: electionMilliseconds * 12});
+	});
+	test('end when each sync takes three times as long', () => {
+		doTest(electionMilliseconds * 3, {median: electionMilliseconds * 12, longest: electionMilliseconds * 40});
+	});
+	test('take no longer when syncs are fast', () => {
+		doTest(1, {median: electionMilliseconds * 2, longest: electionMilliseconds * 5});
+	});
+});
--- a/source/control/batch-writer.ts
+++ b/source/control/batch-writer.ts
@@ -28,8 +28,8 @@
 	readonly replica: Replica;
 	readonly store: Store;
 	send(to: string, message: ReplicaMessage): void;
-	/** Called with the last entry of the log at the time when a batch was begun that is persisted now. */
-	onPersist(lastIndex: number, lastTerm: number): void;
+	/** Called with the last entry of the log and the version of the hard state at the time when a batch was begun that is persisted now. */
+	onPersist(synced: {readonly lastIndex: number; readonly lastTerm: number; readonly stateVersion: number}): void;
 	/** Called when the disk becomes full, and when it accepts writes again. */
 	onWritabilityChange(isWritable: boolean): void;
 	/** Called each time a full disk refuses a batch. */
@@ -100,6 +100,7 @@
 		const persists = batch.filter(action => action.kind !== 'send');
 		const lastIndex = replica.getLog().getLastIndex();
 		const lastTerm = replica.getLog().getLastTerm();
+		const stateVersion = replica.getStateVersion();
 		if (persists.length > 0) {
 			syncCount++;
 			try {
@@ -123,7 +124,7 @@
 		}
 
 		if (persists.length > 0) {
-			options.onPersist(lastIndex, lastTerm);
+			options.onPersist({lastIndex, lastTerm, stateVersion});
 		}
 	}
 
--- a/source/control/driver.ts
+++ b/source/control/driver.ts
@@ -103,8 +103,8 @@
 		replica,
 		store,
 		send: options.send,
-		onPersist(lastIndex, lastTerm) {
-			handleEvent({kind: 'persisted', lastIndex, lastTerm});
+		onPersist(synced) {
+			handleEvent({kind: 'persisted', ...synced});
 			void compaction.compactIfDue();
 		},
 		onWritabilityChange(isWritable) {
