Renew the lease at once after a suspension or a step of the clock

After a suspension of the host, or a step of its wall clock by some seconds, an entry refused requests for one to two renewal intervals (0.5 to 1 s) longer than it had to, and had no permits for cold servers and no part of the slack for as long.

Cause: a renewal whose own sending noticed the suspension (it reads the permits) was counted as sent before it, so its grant was refused as expired. Otherwise the next regular renewal was awaited. Besides, a grant that was the first to run after a suspension was judged before the suspension was counted: what the entry keeps from an earlier leader looked as if its lease had lasted (mayUsePermits withheld the permits, not the time of the zones).

Now the suspension is counted before a renewal is sent and before a grant is judged, and the entry renews at once when one has revoked its permits. Ruled out: to keep the permits while the shortened lease lasts. A step back at the end of a suspension hides a part of it, and the bound of a cold server is a hard one.

The options of keepLease moved to a file of their own, unchanged but for the new one.

--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -112,11 +112,11 @@
 		renewMilliseconds: settings.lease.renewMilliseconds,
 		peer: peerExchange === undefined || settings.peers === undefined ? undefined : {name: settings.name, host: settings.peers.host, port: peerExchange.port},
 		getClient: () => client,
-		takeObservations: fleet.takeObservations,
-		getPermits() {
+		observeSuspension() {
 			readiness.revokePermitsIfNeeded();
-			return fleet.getPermits();
 		},
+		takeObservations: fleet.takeObservations,
+		getPermits: fleet.getPermits,
 		getSlackReport: now => slackPart?.getReport(now),
 		takeFailedProbes: prober.takeFailedServers,
 		takeUnchangedServers: announcementHandler.takeUnchangedServers,
@@ -134,7 +134,7 @@
 	});
 	const lease = leaseKeeper.holder;
 	const readiness = createReadiness({
-		state, fleet, slackPart, lease, log, isServingWithoutControl,
+		state, fleet, slackPart, lease, log, isServingWithoutControl, onSuspension: leaseKeeper.expedite,
 	});
 	const claims = createClaims(client, settings.environment);
 	const crashTracker = createCrashTracker(client);
--- a/source/entry/lease/lease-keeper.ts
+++ b/source/entry/lease/lease-keeper.ts
@@ -3,13 +3,13 @@
 import {performance} from 'node:perf_hooks';
 import {Subject, type Observable} from 'rxjs';
 import {
-	applyDocumentUpdate, noVersion, type DocumentUpdate, type Environment, type EnvironmentDocument,
+	applyDocumentUpdate, noVersion, type DocumentUpdate, type EnvironmentDocument,
 } from '../../configuration/index.js';
 import {
-	createLeaseHolder, createRenewalPacing, createUnansweredSheds, withoutKeptPermits, type CrashReport, type EarlierState, type Grant, type LeaseHolder, type Observation, type PeerAddress, type Permit, type Renewal, type SlackReport,
+	createLeaseHolder, createRenewalPacing, createUnansweredSheds, withoutKeptPermits, type Grant, type LeaseHolder, type Renewal,
 } from '../../lease/index.js';
-import {type ControlClient} from '../../control-client/index.js';
 import {type ControlOutbound} from '../../control/message.js';
+import {type LeaseKeeperOptions} from './lease-keeper-options.js';
 
 /** Time beyond the renewal interval without an answer after which a renewal counts as lost and the leader as unknown. */
 const leaderTimeoutMilliseconds = 300;
@@ -22,6 +22,8 @@
 	receive(host: string, message: ControlOutbound): void;
 	/** Sends a renewal immediately. */
 	renew(): void;
+	/** Sends a renewal as soon as possible, because the grant of the one on its way may be of no use. */
+	expedite(): void;
 	/** Sends the renewal that is on its way to a host that has just been connected, if no leader is known. */
 	handleConnect(host: string): void;
 	/** Ends the lease, and sends a final renewal to the leader. */
@@ -29,31 +31,6 @@
 	stop(): void;
 };
 
-/** Options of `keepLease`. */
-export type LeaseKeeperOptions = {
-	readonly entry: string;
-	readonly environment: Environment;
-	readonly renewMilliseconds: number;
-	/** Address on which other entries reach this one; undefined if it exchanges no counts. */
-	readonly peer: PeerAddress | undefined;
-	getClient(): ControlClient;
-	takeObservations(): readonly Observation[];
-	/** Gets the permits for cold servers that the entry holds. */
-	getPermits(): readonly Permit[];
-	/** Gets the report on the part of the slack that entries share, if they share one. */
-	getSlackReport?(now: number): SlackReport | undefined;
-	takeFailedProbes(): readonly number[];
-	takeUnchangedServers(): readonly number[];
-	/** Gets the crashes that were reported lately. */
-	getCrashReports(): readonly CrashReport[];
-	/** Gets what the entry keeps from earlier leaders, or undefined once the current one knows it. */
-	getEarlierState(): EarlierState | undefined;
-	/** Applies a grant of a control host, with its document if the grant carries a new version. Runs before the grant is acknowledged. */
-	applyGrant(grant: Grant, document: EnvironmentDocument | undefined, host: string): void;
-	/** Replaces the fingerprints of quarantined requests. */
-	setQuarantined(fingerprints: readonly string[]): void;
-};
-
 /**
  * Starts to renew a lease.
  * @param options - Entry, timing and callbacks.
@@ -74,6 +51,8 @@
 	let crashesEpoch = 0;
 
 	function send(isFinal: boolean): void {
+		// Noticed later, a suspension would count for this renewal too, and its grant would be refused.
+		options.observeSuspension?.();
 		const now = performance.now();
 		const client = options.getClient();
 		if (pacing.isUnanswered(now)) {
@@ -131,6 +110,7 @@
 	}
 
 	function handleGrant(host: string, grant: Grant): void {
+		options.observeSuspension?.();
 		if (grant.sequence === lastRenewal?.sequence) {
 			pacing.recordAnswer();
 		}
@@ -229,6 +209,10 @@
 		renew() {
 			send(false);
 		},
+		expedite() {
+			pacing.expedite();
+			schedule();
+		},
 		handleConnect(host) {
 			const client = options.getClient();
 			if (lastRenewal === undefined || !pacing.isOnItsWay()) {
--- a/source/entry/lease/readiness.ts
+++ b/source/entry/lease/readiness.ts
@@ -27,6 +27,8 @@
 	readonly slackPart?: Pick<SlackPart, 'revoke'> | undefined;
 	readonly lease: LeaseHolder;
 	readonly log: Log;
+	/** Called when a suspension, or a step of the wall clock, has revoked the permits. */
+	onSuspension?(): void;
 	/** Whether the entry goes on to send requests after its lease has ended. */
 	readonly isServingWithoutControl: boolean;
 };
@@ -55,6 +57,7 @@
 			suspendedAt = now;
 			lease.addSuspension(Math.max(0, jump));
 			revoke();
+			options.onSuspension?.();
 		} else if (!lease.isValid(now)) {
 			revoke();
 		}
--- a/source/lease/suspension.ts
+++ b/source/lease/suspension.ts
@@ -2,7 +2,7 @@
  * Detects that the host was suspended. The monotonic clock may stop during a suspension while the wall clock continues, so a
  * lease counted on the monotonic clock would still appear valid after a suspension of ten seconds. If both clocks continue,
  * nothing is detected, and the lease expires on the monotonic clock. An adjustment of the wall clock is detected as well; the
- * entry then revokes its permits, which the next grant restores, and shortens its lease if the wall clock was put forward.
+ * entry then revokes its permits, shortens its lease if the wall clock was put forward, and renews it at once.
  */
 
 /** Change of the difference between the clocks, from one reading to the next, above which a suspension is assumed, in milliseconds. */
