Send no renewal after the final one

An entry that stops returns its lease and ends 20 ms later. In between, a renewal that was due, a nudge (each change of a server or a document sends one), or a new connection made it ask for a lease again, which nobody returned: for the term of 3 s the leader counted the entry among those that must have a new document, and left its part of cold servers, of the slack and its probes unused. Found by reading; how often it happened was not measured.

Cause: the final renewal was followed by the regular schedule.

Now the final renewal is the last. The 2 tests of returned-lease.test.ts failed before; after, 28 of 28 in entry/lease.

--- a/source/entry/lease/lease-keeper.ts
+++ b/source/entry/lease/lease-keeper.ts
@@ -97,6 +97,11 @@
 		}
 	}
 
+	function stopRenewals(): void {
+		isStopped = true;
+		clearTimeout(timer);
+	}
+
 	function scheduleRenewal(): void {
 		pacing.request();
 		schedule();
@@ -216,7 +221,9 @@
 		handleConnect(host) {
 			const client = options.getClient();
 			if (lastRenewal === undefined || !pacing.isOnItsWay()) {
-				send(false);
+				if (!isStopped) {
+					send(false);
+				}
 			} else if (client.getLeader() === undefined) {
 				client.sendTo(host, lastRenewal);
 			}
@@ -224,10 +231,11 @@
 		release() {
 			send(true);
 			holder.release();
+			// A renewal after the final one would be granted a lease that nobody returns.
+			stopRenewals();
 		},
 		stop() {
-			isStopped = true;
-			clearTimeout(timer);
+			stopRenewals();
 			grants.complete();
 		},
 	};
