Count only the sheds of a renewal that a later one has overtaken

A cold server could get more requests than it can handle: an entry with four requests in flight and no permit any more was believed to have none, and two of its four slots were granted to another entry. Its capacity could also grow twice by the same successes, and a configuration was in force later.

Cause: an entry sends its last renewal again through a new link, and what it sent through the earlier one may arrive after later ones. The leader applied each renewal as the newest; only one that is equal to the newest was known as repeated.

Now the lease table keeps the newest renewal of a process. One that was overtaken extends the lease, unless it was returned, and its sheds count. Entries of earlier releases, which do not name their process, are as before: their numbers may start anew.

--- a/source/cold-start/allocator.ts
+++ b/source/cold-start/allocator.ts
@@ -7,7 +7,7 @@
 import {type GrantedCapacity, type Observation, type Permit} from '../lease/index.js';
 import {getEvenShare} from './even-share.js';
 import {
-	applyObservation, createColdState, getGrantedCapacity, getHeldTotal, getHolding, inheritPermit, removeReleased, updateServer, type ColdServer, type ColdState,
+	applyObservation, countSheds, createColdState, getGrantedCapacity, getHeldTotal, getHolding, inheritPermit, removeReleased, updateServer, type ColdServer, type ColdState,
 } from './cold-state.js';
 import {
 	acknowledge, getAllocatedSlots, getHeldSlots, recordGrant, recordKeptGrant, switchProcess, type Holding,
@@ -23,6 +23,8 @@
 	setProcess(entry: string, process: string | undefined): void;
 	/** Applies a holder's acknowledgement and observations. */
 	report(entry: string, acknowledged: number, observations: readonly Observation[], now: number): void;
+	/** Counts the sheds of observations, and nothing else of them. */
+	countSheds(observations: readonly Observation[], now: number): void;
 	/** Applies what an entry reports to hold. The entry may hold it from an earlier leader. */
 	inherit(held: HeldPermits, now: number): void;
 	/** Releases the slots of a holder whose lease has expired once its requests in flight have ended. */
@@ -158,6 +160,14 @@
 				}
 			}
 		},
+		countSheds(observations, now) {
+			for (const {server, sheds} of observations) {
+				const state = states.get(server);
+				if (state !== undefined) {
+					countSheds(state, sheds, now);
+				}
+			}
+		},
 		inherit({entry, acknowledged, permits, hasLease}, now) {
 			const byServer = new Map(permits.map(permit => [permit.server, permit]));
 			for (const state of states.values()) {
--- a/source/cold-start/cold-state.ts
+++ b/source/cold-start/cold-state.ts
@@ -131,8 +131,19 @@
  */
 export function applyObservation(state: ColdState, {entry, process}: Observer, observation: Observation, now: number): void {
 	recordInFlight(getHolding(state, entry), process, observation.inFlight);
-	state.capacity.report(observation.successes, observation.sheds, now);
-	if (observation.sheds > 0) {
+	state.capacity.report(observation.successes, 0, now);
+	countSheds(state, observation.sheds, now);
+}
+
+/**
+ * Reduces the capacity of a server if it has shed requests.
+ * @param state - State of the server.
+ * @param sheds - Number of requests that an entry reports.
+ * @param now - Time in milliseconds.
+ */
+export function countSheds(state: ColdState, sheds: number, now: number): void {
+	state.capacity.report(0, sheds, now);
+	if (sheds > 0) {
 		state.isReduced = true;
 		state.earlierCapacity.recordShed();
 	}
--- a/source/control/cold-servers.ts
+++ b/source/control/cold-servers.ts
@@ -26,6 +26,8 @@
 	recordChange(server: RegisteredServer): void;
 	/** Records what an entry observed, and the permits that it acknowledges and holds. */
 	recordRenewal(renewal: Renewal, receivedAt: number): void;
+	/** Records a renewal that arrives after a later one of its process: only its sheds tell something new. */
+	recordOvertaken(renewal: Renewal, receivedAt: number): void;
 	/** Records which warm servers an entry found to behave like cold ones. */
 	collectCooled(renewal: Renewal): void;
 	expireLease(entry: string, now: number): void;
@@ -133,6 +135,10 @@
 			allocator.inherit(held, receivedAt);
 			rateAllocator.inherit(held, receivedAt + termMilliseconds, receivedAt);
 		},
+		recordOvertaken({entry, acknowledged, observations}, receivedAt) {
+			allocator.report(entry, acknowledged, [], receivedAt);
+			allocator.countSheds(observations, receivedAt);
+		},
 		collectCooled(renewal) {
 			for (const observation of renewal.observations) {
 				if (observation.isCold && machine.registry.getById(observation.server).map(server => server.state === 'warm').unwrapOr(false)) {
--- a/source/control/granted-leases.ts
+++ b/source/control/granted-leases.ts
@@ -7,6 +7,8 @@
 export type GrantedLeases = {
 	/** Checks whether a renewal is the one that its entry's lease was renewed with last. */
 	isRepeated(renewal: Renewal): boolean;
+	/** Checks whether a later renewal of the same process was recorded. */
+	isOvertaken(renewal: Renewal): boolean;
 	/** Records a renewal. The leadership must have been confirmed after its receipt. */
 	record(renewal: Renewal, receivedAt: number): void;
 	/** Expires the leases that have ended. */
@@ -72,6 +74,7 @@
 			const last = leases.get(entry);
 			return last?.sequence === sequence && last.process === process;
 		},
+		isOvertaken: leases.isOvertaken,
 		record(renewal, receivedAt) {
 			const previous = leases.get(renewal.entry);
 			leases.record(renewal, receivedAt);
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -9,6 +9,7 @@
 import {type Grant, type Renewal} from '../lease/index.js';
 import {createQuarantine} from '../quarantine/index.js';
 import {createColdServers} from './cold-servers.js';
+import {getCountedRenewal} from './counted-renewal.js';
 import {createDueCommands, removalTimeoutMilliseconds} from './due-commands.js';
 import {recordEarlierState} from './earlier-state.js';
 import {createGrantedLeases} from './granted-leases.js';
@@ -108,8 +109,13 @@
 		return documents.flatMap(document => document?.services.filter(service => service.name === name) ?? []);
 	}
 
-	function recordRenewal(renewal: Renewal, receivedAt: number, now: number): void {
-		coldServers.recordRenewal(renewal, receivedAt);
+	function recordRenewal(renewal: Renewal, isOvertaken: boolean, receivedAt: number, now: number): void {
+		if (isOvertaken) {
+			coldServers.recordOvertaken(renewal, receivedAt);
+		} else {
+			coldServers.recordRenewal(renewal, receivedAt);
+		}
+
 		probing.acknowledge(renewal);
 		for (const id of renewal.failedProbes) {
 			presence.recordFailedProbe(id);
@@ -144,9 +150,10 @@
 		epoch,
 		grant(renewal, receivedAt, now) {
 			leases.expire(now);
-			const counted = leases.isRepeated(renewal) ? withoutCounts(renewal) : renewal;
+			const isOvertaken = leases.isOvertaken(renewal);
+			const counted = getCountedRenewal(renewal, {isOvertaken, isRepeated: leases.isRepeated(renewal)});
 			leases.record(renewal, receivedAt);
-			recordRenewal(counted, receivedAt, now);
+			recordRenewal(counted, isOvertaken, receivedAt, now);
 			// The lease has ended if the entry returns it or the decision is late. What the entry reported with it is released then.
 			leases.expire(now);
 			coldServers.collectCooled(renewal);
@@ -239,9 +246,3 @@
 		getUrgentRevision: () => urgentRevision,
 	};
 }
-
-/** Removes from a renewal that arrives again what was counted when it arrived first. */
-function withoutCounts(renewal: Renewal): Renewal {
-	const observations = renewal.observations.map(observation => ({...observation, successes: 0, sheds: 0}));
-	return {...renewal, observations, failedProbes: []};
-}
--- a/source/lease/table.ts
+++ b/source/lease/table.ts
@@ -17,12 +17,16 @@
 	readonly acknowledged: number;
 	readonly peer: PeerAddress | undefined;
 	readonly environment: string;
+	/** Whether the process returned the lease. */
+	readonly isReturned: boolean;
 };
 
 /** Leases that a leader granted. */
 export type LeaseTable = {
-	/** Records a renewal. The leadership must have been confirmed after its receipt. */
+	/** Records a renewal. The leadership must have been confirmed after its receipt. One that was overtaken only extends a lease that was not returned. */
 	record(renewal: Renewal, receivedAt: number): void;
+	/** Checks whether a later renewal of the same process was recorded. Entries of earlier releases do not name their process. */
+	isOvertaken(renewal: Renewal): boolean;
 	/** Gets the leases that have not expired. */
 	getLive(now: number): readonly LeaseRecord[];
 	isLive(entry: string, now: number): boolean;
@@ -55,21 +59,33 @@
 		return [...records.values()].filter(record => isLive(record, now));
 	}
 
+	function isOvertaken({entry, process, sequence}: Renewal): boolean {
+		const last = records.get(entry);
+		return process !== undefined && last?.process === process && sequence < last.sequence;
+	}
+
 	return {
+		isOvertaken,
 		record(renewal, receivedAt) {
 			const {
-				entry, process, sequence, version, acknowledged, peer, environment,
+				entry, process, sequence, version, acknowledged, peer, environment, isFinal,
 			} = renewal;
 			const previous = records.get(entry);
+			if (previous !== undefined && isOvertaken(renewal)) {
+				const expiresAt = previous.isReturned ? previous.expiresAt : Math.max(previous.expiresAt, receivedAt + termMilliseconds);
+				records.set(entry, {...previous, expiresAt});
+				return;
+			}
+
 			const isOfPredecessor = isLive(previous, receivedAt) && previous?.process !== process;
-			if (renewal.isFinal && isOfPredecessor) {
+			if (isFinal && isOfPredecessor) {
 				// The lease is that of another process by now.
 				return;
 			}
 
-			const newExpiry = renewal.isFinal ? receivedAt : receivedAt + termMilliseconds;
+			const newExpiry = isFinal ? receivedAt : receivedAt + termMilliseconds;
 			records.set(entry, {
-				entry, process, sequence, version, acknowledged, peer, environment, expiresAt: renewal.isFinal ? newExpiry : Math.max(newExpiry, previous?.expiresAt ?? 0),
+				entry, process, sequence, version, acknowledged, peer, environment, isReturned: isFinal, expiresAt: isFinal ? newExpiry : Math.max(newExpiry, previous?.expiresAt ?? 0),
 			});
 		},
 		getLive,
