Name the holder of a part of the slack by the process of its renewal

Nothing changes for callers. A renewal carried two random ids of the same process, of which either alone tells an entry that was started again from the earlier one.

The report on the slack has no `holder` any more; the leader takes `process` of the renewal. Every release that reports slack names its process. Compatibility: the release before knows neither field.

The check of malformed messages had "a report on slack without a holder"; it has one without a total in its place, which is as strict.

--- a/source/control/inbound-check.ts
+++ b/source/control/inbound-check.ts
@@ -15,7 +15,7 @@
 const earlierState = z.looseObject({absent: numbersField, quarantined: textsField, entries: numberField});
 
 const slackReport = z.looseObject({
-	holder: z.string(), total: numberField, part: numberField, used: numberField, wanted: numberField,
+	total: numberField, part: numberField, used: numberField, wanted: numberField,
 });
 
 const renewal = z.looseObject({
--- a/source/control/slack-lending.test.ts
+++ b/source/control/slack-lending.test.ts
@@ -34,7 +34,7 @@
 			? {}
 			: {
 				slack: {
-					holder: entry, total, part: 0, used: 0, wanted: 100, ...slack,
+					total, part: 0, used: 0, wanted: 100, ...slack,
 				},
 			}),
 	};
@@ -67,4 +67,12 @@
 		doTest(leadership, createRenewal('old', undefined), 10, undefined);
 		doTest(leadership, createRenewal('one', {}), 10, {part: 0});
 	});
+	test('counts what another process of the same entry may have used', () => {
+		const machine = createMachine();
+		const leadership = startLeadership(machine, 0);
+		doTest(leadership, {...createRenewal('one', {}), process: 'killed'}, 5, {part: 0, isKept: true});
+		commitDocument(machine);
+		doTest(leadership, {...createRenewal('one', {}), process: 'killed'}, 10, {part: 40});
+		doTest(leadership, {...createRenewal('one', {}), process: 'next'}, 20, {part: 0});
+	});
 });
--- a/source/control/slack-lending.ts
+++ b/source/control/slack-lending.ts
@@ -38,7 +38,7 @@
 	return {
 		grant(renewal, entryCount, receivedAt) {
 			const {
-				entry, environment, sequence, acknowledged, slack, isFinal,
+				entry, process, environment, sequence, acknowledged, slack, isFinal,
 			} = renewal;
 			if (slack === undefined) {
 				account.countEqualPart(entry, entryCount, receivedAt);
@@ -47,7 +47,7 @@
 
 			return {
 				slack: account.lend({
-					sequence, acknowledged, report: slack, isFinal, hasDocument: hasDocument(environment), receivedAt,
+					holder: process ?? entry, sequence, acknowledged, report: slack, isFinal, hasDocument: hasDocument(environment), receivedAt,
 				}),
 			};
 		},
--- a/source/entry/lease/entry-slack-part.ts
+++ b/source/entry/lease/entry-slack-part.ts
@@ -1,5 +1,4 @@
 /** Creates the part that a process has in the slack of extra attempts which all entries share. */
-import {randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {createSlackPart, type SlackPart} from '../../retry/index.js';
 import {type EntrySettings} from '../../settings/index.js';
@@ -13,6 +12,6 @@
 	return attemptBudget === undefined
 		? undefined
 		: createSlackPart({
-			...attemptBudget, holder: randomUUID(), getTime: () => performance.now(), revokeIfNeeded,
+			...attemptBudget, getTime: () => performance.now(), revokeIfNeeded,
 		});
 }
--- a/source/entry/lease/readiness.test.ts
+++ b/source/entry/lease/readiness.test.ts
@@ -80,7 +80,7 @@
 		const fleet = createColdFleet();
 		const lease = createLeaseHolder();
 		const slackPart = createSlackPart({
-			holder: 'one', ratio: 0.2, slack: 10, getTime: () => performance.now(), revokeIfNeeded: () => undefined,
+			ratio: 0.2, slack: 10, getTime: () => performance.now(), revokeIfNeeded: () => undefined,
 		});
 		const readiness = createReadiness({
 			state, fleet, slackPart, lease, log: log as Log, isServingWithoutControl: false,
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -35,8 +35,6 @@
 
 /** What an entry reports about its part of the slack of extra attempts that all entries share. Each service has the whole slack, and an entry may use its part for each. */
 export type SlackReport = {
-	/** Random identifier of the process: one that starts again does not know what the earlier one used. */
-	readonly holder: string;
 	/** Slack of all entries together. */
 	readonly total: number;
 	/** Part that the entry holds under a valid lease. */
--- a/source/retry/simulated-slack-process.ts
+++ b/source/retry/simulated-slack-process.ts
@@ -8,7 +8,7 @@
 export const usedShare = 0.85;
 
 /** A renewal, as far as it matters here. */
-export type SimulatedRenewal = {readonly sequence: number; readonly acknowledged: number; readonly slack: SlackReport | undefined};
+export type SimulatedRenewal = {readonly holder: string; readonly sequence: number; readonly acknowledged: number; readonly slack: SlackReport | undefined};
 
 /** A grant, as far as it matters here. */
 export type SimulatedGrant = {readonly sequence: number; readonly epoch: number; readonly termMilliseconds: number; readonly slack: SlackGrant | undefined};
@@ -43,7 +43,7 @@
 export function createSimulatedProcess({holder, ratio, slack, clockRate, getTime}: SimulatedProcessOptions): SimulatedProcess {
 	const lease = createLeaseHolder();
 	const part = createSlackPart({
-		holder, ratio, slack, getTime: () => getTime() * clockRate, revokeIfNeeded,
+		ratio, slack, getTime: () => getTime() * clockRate, revokeIfNeeded,
 	});
 	const budget = part.getBudget('stock');
 
@@ -60,7 +60,9 @@
 
 	return {
 		isEarlierRelease: false,
-		createRenewal: now => ({sequence: lease.startRenewal(now * clockRate), acknowledged: lease.getAcknowledged(), slack: part.getReport(now * clockRate)}),
+		createRenewal: now => ({
+			holder, sequence: lease.startRenewal(now * clockRate), acknowledged: lease.getAcknowledged(), slack: part.getReport(now * clockRate),
+		}),
 		apply(simulatedGrant, now) {
 			const grant = {
 				...simulatedGrant, kind: 'grant', version: 0, permits: [],
@@ -86,7 +88,9 @@
 	let sequence = 0;
 	return {
 		isEarlierRelease: true,
-		createRenewal: () => ({sequence: ++sequence, acknowledged: 0, slack: undefined}),
+		createRenewal: () => ({
+			holder: 'earlier', sequence: ++sequence, acknowledged: 0, slack: undefined,
+		}),
 		apply() {
 			// Its part is the same at all times.
 		},
--- a/source/retry/slack-account.test.ts
+++ b/source/retry/slack-account.test.ts
@@ -29,8 +29,8 @@
 			holder, at, sequence, acknowledged = 0, part = 0, used = 0, wanted = 30, isFinal = false, hasDocument = true,
 		} = report;
 		return account.lend({
-			sequence, acknowledged, isFinal, hasDocument, receivedAt: at, report: {
-				holder, total, part, used, wanted,
+			holder, sequence, acknowledged, isFinal, hasDocument, receivedAt: at, report: {
+				total, part, used, wanted,
 			},
 		}).part;
 	}
--- a/source/retry/slack-account.ts
+++ b/source/retry/slack-account.ts
@@ -23,6 +23,8 @@
 
 /** A request of an entry, with its report. */
 export type SlackRequest = {
+	/** Process of the entry. One that starts again does not know what the earlier one used. */
+	readonly holder: string;
 	readonly sequence: number;
 	readonly acknowledged: number;
 	readonly report: SlackReport;
@@ -111,8 +113,8 @@
 		return sum;
 	}
 
-	function getHolding({report, sequence}: SlackRequest): Holding {
-		const existing = holdings.get(report.holder);
+	function getHolding({holder, report, sequence}: SlackRequest): Holding {
+		const existing = holdings.get(holder);
 		if (existing !== undefined) {
 			return existing;
 		}
@@ -120,7 +122,7 @@
 		const created: Holding = {
 			grants: new Map(), report, sequence, held: 0, expiresAt: Number.NEGATIVE_INFINITY,
 		};
-		holdings.set(report.holder, created);
+		holdings.set(holder, created);
 		dividedAt = Number.NEGATIVE_INFINITY;
 		return created;
 	}
@@ -142,12 +144,12 @@
 		recordGrant(holding, acknowledged, report.part);
 	}
 
-	function getPart({report, receivedAt}: SlackRequest): number {
+	function getPart({holder, report, receivedAt}: SlackRequest): number {
 		if (receivedAt < dividedAt || receivedAt >= dividedAt + divisionMilliseconds) {
 			divide(receivedAt);
 		}
 
-		return Math.max(0, Math.min(shares.get(getWanted(report)), total - getHeldByOthers(report.holder)));
+		return Math.max(0, Math.min(shares.get(getWanted(report)), total - getHeldByOthers(holder)));
 	}
 
 	return {
--- a/source/retry/slack-part.test.ts
+++ b/source/retry/slack-part.test.ts
@@ -7,7 +7,7 @@
 	/** Applies grants one after the other, and takes as many extra attempts as it can. */
 	function doTest(grants: ReadonlyArray<SlackGrant | undefined | 'revoked'>, expected: number): void {
 		const part = createSlackPart({
-			holder: 'one', ratio: 0.2, slack: 100, getTime: () => 0, revokeIfNeeded: doNothing,
+			ratio: 0.2, slack: 100, getTime: () => 0, revokeIfNeeded: doNothing,
 		});
 		const budget = part.getBudget('stock');
 		for (const grant of grants) {
@@ -50,7 +50,7 @@
 	});
 	test('is for each service, also one that was left out of the document for a while', () => {
 		const part = createSlackPart({
-			holder: 'one', ratio: 0.2, slack: 100, getTime: () => 0, revokeIfNeeded: doNothing,
+			ratio: 0.2, slack: 100, getTime: () => 0, revokeIfNeeded: doNothing,
 		});
 		part.apply({part: 2});
 		const taken = ['stock', 'stock', 'price', 'stock', 'price'].map(service => part.getBudget(service).tryWithdraw());
@@ -58,7 +58,7 @@
 	});
 	test('is reported with what was used and refused', () => {
 		const part = createSlackPart({
-			holder: 'one', ratio: 0.2, slack: 100, getTime: () => 0, revokeIfNeeded: doNothing,
+			ratio: 0.2, slack: 100, getTime: () => 0, revokeIfNeeded: doNothing,
 		});
 		part.apply({part: 2});
 		const budget = part.getBudget('stock');
@@ -68,7 +68,7 @@
 
 		budget.deposit();
 		expect(part.getReport(0)).toEqual({
-			holder: 'one', total: 85, part: 2, used: 2, wanted: 5,
+			total: 85, part: 2, used: 2, wanted: 5,
 		});
 	});
 });
--- a/source/retry/slack-part.ts
+++ b/source/retry/slack-part.ts
@@ -24,8 +24,6 @@
 
 /** Options of `createSlackPart`. */
 export type SlackPartOptions = {
-	/** Random identifier of the process. */
-	readonly holder: string;
 	/** Number of extra attempts per request. */
 	readonly ratio: number;
 	/** Number of extra attempts beyond the ratio that all entries together may make in the time that counts. */
@@ -41,7 +39,7 @@
  * @param options - Ratio, slack and clock.
  */
 export function createSlackPart(options: SlackPartOptions): SlackPart {
-	const {holder, slack, getTime, revokeIfNeeded} = options;
+	const {slack, getTime, revokeIfNeeded} = options;
 	const ratio = options.ratio * usedBudgetShare;
 	const total = slack * usedBudgetShare;
 	/** Meters by service. They outlive their service, which may come back within the window. */
@@ -82,7 +80,6 @@
 			revokeIfNeeded();
 			const all = [...meters.values()];
 			return {
-				holder,
 				total,
 				part,
 				used: Math.max(0, ...all.map(meter => meter.getPeak(now))),
--- a/source/retry/slack-simulation.ts
+++ b/source/retry/slack-simulation.ts
@@ -122,7 +122,7 @@
 	}
 
 	function decide(account: SlackAccount, {name}: Entry, {renewal, receivedAt}: {readonly renewal: SimulatedRenewal; readonly receivedAt: number}): SlackGrant | undefined {
-		const {sequence, acknowledged, slack: report} = renewal;
+		const {holder, sequence, acknowledged, slack: report} = renewal;
 		if (report === undefined) {
 			if (fault !== 'counts-no-equal-parts') {
 				account.countEqualPart(name, entryCount, receivedAt);
@@ -132,6 +132,7 @@
 		}
 
 		return account.lend({
+			holder,
 			sequence,
 			acknowledged: fault === 'counts-newest-grant' ? sequence : acknowledged,
 			report: {...report, part: fault === 'counts-newest-grant' ? 0 : report.part, used: fault === 'reports-nothing-used' ? 0 : report.used},
--- a/stand-in/malformed-messages.ts
+++ b/stand-in/malformed-messages.ts
@@ -65,11 +65,7 @@
 	'that is a renewal with the permits that it holds as a number': {...renewal, held: 5},
 	'that is a renewal whose last list is none': {...renewal, heard: 3},
 	'that is a renewal that keeps absent servers as a number': {...renewal, earlier: {absent: 5, quarantined: [], entries: 1}},
-	'that is a renewal with a report on slack without a holder': {
-		...renewal, slack: {
-			total: 1, part: 0, used: 0, wanted: 0,
-		},
-	},
+	'that is a renewal with a report on slack without a total': {...renewal, slack: {part: 0, used: 0, wanted: 0}},
 	'that is a renewal with a permit whose capacity is a number': {...renewal, held: [{server: 1, slots: 1, capacity: 5}]},
 	'that is a burn report without services': {
 		kind: 'burnReport', entry: 'a', environment: 'production', startedAt: 0,
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -68,7 +68,7 @@
 export function createEntryModel(options: EntryModelOptions): EntryModel {
 	const {upstreams, document, random, zone} = options;
 	const slackPart = createSlackPart({
-		holder: String(options.number), ratio: retryRatio, slack: retrySlack, getTime: () => performance.now(), revokeIfNeeded: ignore,
+		ratio: retryRatio, slack: retrySlack, getTime: () => performance.now(), revokeIfNeeded: ignore,
 	});
 	slackPart.apply({part: slackPart.getReport(performance.now()).total / options.entryCount});
 	const fleet = createFleet(random, slackPart.getBudget);
