Keep the sums of what entries hold of a cold server

Cold servers with a request rate are not concerned.

Cause: each grant added up, for each cold server, what each entry holds, so the work for a grant grew with servers times entries.

Now the sums change with what one entry holds (`cold-start/holdings.ts`), through which all changes go.

No test fails for the time itself.

--- a/source/cold-start/allocator.ts
+++ b/source/cold-start/allocator.ts
@@ -7,10 +7,10 @@
 import {type GrantedCapacity, type Observation, type Permit} from '../lease/index.js';
 import {getEvenShare} from './even-share.js';
 import {
-	applyObservation, countSheds, createColdState, getGrantedCapacity, getHeldTotal, getHolding, inheritPermit, removeReleased, updateServer, type ColdServer, type ColdState,
+	applyObservation, countSheds, createColdState, getGrantedCapacity, getHeldTotal, inheritPermit, updateServer, type ColdServer, type ColdState,
 } from './cold-state.js';
 import {
-	acknowledge, getAllocatedSlots, getHeldSlots, recordGrant, recordKeptGrant, switchProcess, type Holding,
+	acknowledge, getAllocatedSlots, getHeldSlots, recordGrant, recordKeptGrant, switchProcess,
 } from './holding.js';
 
 /** Allocates slots of cold servers. */
@@ -77,21 +77,16 @@
 		return now < grantableAt ? Math.max(0, Math.min(slots, inheritance.getTotal() - earlierCapacity.getExcess(server.slots))) : slots;
 	}
 
-	/** Gets how many of the slots that this leader may allocate an entry holds. */
-	function getCountedSlots(state: ColdState, holding: Holding, now: number): number {
-		return now < state.grantableAt ? getAllocatedSlots(holding) : getHeldSlots(holding);
+	/** Gets how many of the slots that this leader may allocate are held by all entries. */
+	function getCountedSlots({holdings, grantableAt}: ColdState, now: number): number {
+		return now < grantableAt ? holdings.getAllocated() : holdings.getHeld();
 	}
 
 	/** Gets how many of the slots that this leader may allocate are held by other entries than the given one. */
 	function getSlotsHeldByOthers(state: ColdState, entry: string, now: number): number {
-		let total = 0;
-		for (const [other, holding] of state.holdings) {
-			if (other !== entry) {
-				total += getCountedSlots(state, holding, now);
-			}
-		}
-
-		return total;
+		const holding = state.holdings.get(entry);
+		const own = holding === undefined ? 0 : (now < state.grantableAt ? getAllocatedSlots(holding) : getHeldSlots(holding));
+		return getCountedSlots(state, now) - own;
 	}
 
 	/** Gets the entries that share what this leader may allocate. Those that still keep their permits have a part of their own. */
@@ -105,23 +100,27 @@
 		const evenShare = getEvenShare(state.server.id, entry, getSharers(state, liveEntries, now), slots);
 		const heldByOthers = getSlotsHeldByOthers(state, entry, now);
 		const granted = Math.max(0, Math.min(evenShare, slots - heldByOthers));
-		const holding = getHolding(state, entry);
-		recordGrant(holding, sequence, granted);
-		state.heldAtGrant = heldByOthers + getCountedSlots(state, holding, now);
+		state.holdings.change(entry, holding => {
+			recordGrant(holding, sequence, granted);
+		});
+		state.heldAtGrant = getCountedSlots(state, now);
 		return granted;
 	}
 
 	/** Gets the permit of an entry for one server, which it keeps from an earlier leader or which this leader grants. */
 	function grantPermit(state: ColdState, request: GrantRequest): Permit {
 		const {entry, sequence, now} = request;
-		const holding = getHolding(state, entry);
-		switchProcess(holding, processes.get(entry), sequence);
+		state.holdings.change(entry, holding => {
+			switchProcess(holding, processes.get(entry), sequence);
+		});
 		const kept = getKeptSlots(state, entry, now);
 		if (kept === undefined) {
 			return {server: state.server.id, slots: grantSlots(state, request)};
 		}
 
-		recordKeptGrant(holding, sequence, kept);
+		state.holdings.change(entry, holding => {
+			recordKeptGrant(holding, sequence, kept);
+		});
 		return {server: state.server.id, slots: kept, isKept: true};
 	}
 
@@ -146,11 +145,10 @@
 		report(entry, acknowledged, observations, now) {
 			const process = processes.get(entry);
 			for (const state of states.values()) {
-				const holding = state.holdings.get(entry);
-				if (holding !== undefined) {
+				state.holdings.changeKnown(entry, holding => {
 					acknowledge(holding, process, acknowledged);
 					holding.releasedAt = undefined;
-				}
+				});
 			}
 
 			for (const observation of observations) {
@@ -180,16 +178,15 @@
 		},
 		expireLease(entry, now) {
 			for (const state of states.values()) {
-				const holding = state.holdings.get(entry);
-				if (holding !== undefined && holding.releasedAt === undefined) {
-					holding.releasedAt = now + state.server.deadlineMilliseconds;
-				}
+				state.holdings.changeKnown(entry, holding => {
+					holding.releasedAt ??= now + state.server.deadlineMilliseconds;
+				});
 			}
 		},
 		grant(entry, sequence, liveEntries, now) {
 			const permits: Permit[] = [];
 			for (const state of states.values()) {
-				removeReleased(state, now);
+				state.holdings.removeReleased(now);
 				state.grants++;
 				const permit = grantPermit(state, {
 					entry, sequence, liveEntries, now,
--- a/source/cold-start/cold-state.ts
+++ b/source/cold-start/cold-state.ts
@@ -2,9 +2,8 @@
 import {type GrantedCapacity, type Observation, type Permit} from '../lease/index.js';
 import {createCapacity, type Capacity, type SlowStartOptions} from './capacity.js';
 import {createEarlierCapacity, type EarlierCapacity} from './earlier-capacity.js';
-import {
-	createHolding, getHeldSlots, recordConfirmation, recordInFlight, type Holding,
-} from './holding.js';
+import {getHeldSlots, recordConfirmation, recordInFlight} from './holding.js';
+import {createHoldings, type Holdings} from './holdings.js';
 import {createInheritance, type Inheritance} from './inheritance.js';
 
 /** A cold server whose slots are allocated. */
@@ -22,7 +21,7 @@
 export type ColdState = {
 	server: ColdServer;
 	readonly capacity: Capacity;
-	readonly holdings: Map<string, Holding>;
+	readonly holdings: Holdings;
 	readonly inheritance: Inheritance;
 	readonly earlierCapacity: EarlierCapacity;
 	/** Number of grants so far. */
@@ -56,7 +55,7 @@
 	return {
 		server,
 		capacity: createCapacity(server.slots, server.easing, now),
-		holdings: new Map(),
+		holdings: createHoldings(),
 		inheritance: createInheritance(),
 		earlierCapacity: createEarlierCapacity(server.easing.initialSlots),
 		grants: 0,
@@ -78,35 +77,6 @@
 	state.server = {...server, deadlineMilliseconds: Math.max(server.deadlineMilliseconds, state.server.deadlineMilliseconds)};
 }
 
-/**
- * Gets what an entry holds of a server, and creates it if it is missing.
- * @param state - State of the server.
- * @param entry - Name of the entry.
- */
-export function getHolding(state: ColdState, entry: string): Holding {
-	const existing = state.holdings.get(entry);
-	if (existing !== undefined) {
-		return existing;
-	}
-
-	const created = createHolding();
-	state.holdings.set(entry, created);
-	return created;
-}
-
-/**
- * Removes what holders with an expired lease have released.
- * @param state - State of the server.
- * @param now - Time in milliseconds.
- */
-export function removeReleased(state: ColdState, now: number): void {
-	for (const [entry, holding] of state.holdings) {
-		if (holding.releasedAt !== undefined && holding.releasedAt <= now) {
-			state.holdings.delete(entry);
-		}
-	}
-}
-
 /**
  * Gets the slots that all entries together may use.
  * @param state - State of the server.
@@ -114,7 +84,7 @@
  */
 export function getHeldTotal(state: ColdState, now: number): number {
 	let total = 0;
-	for (const holding of state.holdings.values()) {
+	for (const holding of state.holdings.getAll()) {
 		const isReleased = holding.releasedAt !== undefined && holding.releasedAt <= now;
 		total += isReleased ? 0 : getHeldSlots(holding);
 	}
@@ -130,7 +100,9 @@
  * @param now - Time in milliseconds.
  */
 export function applyObservation(state: ColdState, {entry, process}: Observer, observation: Observation, now: number): void {
-	recordInFlight(getHolding(state, entry), process, observation.inFlight);
+	state.holdings.change(entry, holding => {
+		recordInFlight(holding, process, observation.inFlight);
+	});
 	state.capacity.report(observation.successes, 0, now);
 	countSheds(state, observation.sheds, now);
 }
@@ -156,7 +128,7 @@
  */
 export function inheritPermit(state: ColdState, {entry, acknowledged, permit, hasLease}: HeldPermit): void {
 	const {
-		server, inheritance, earlierCapacity, capacity,
+		server, inheritance, earlierCapacity, capacity, holdings,
 	} = state;
 	if (permit?.capacity !== undefined && !inheritance.isSettled(entry)) {
 		earlierCapacity.learn(permit.capacity);
@@ -164,7 +136,9 @@
 
 	const confirmed = inheritance.report({entry, amount: permit?.slots ?? 0, hasLease});
 	if (confirmed > 0) {
-		recordConfirmation(getHolding(state, entry), acknowledged, confirmed);
+		holdings.change(entry, holding => {
+			recordConfirmation(holding, acknowledged, confirmed);
+		});
 		capacity.inherit(earlierCapacity.getInheritable(inheritance.getTotal(), server.slots));
 	}
 }
