Count short suspensions for the lease

An entry whose host was suspended again and again, each time for less than 0.4 s, could send requests under a lease that had ended at the leader: ten times 0.3 s kept it for 3 s longer. Found by reading.

Cause: a change of the difference of the clocks below 0.4 s was forgotten.

Now changes of more than 20 ms, the error of two readings taken in turn, count for the lease; permits are revoked from 0.4 s on, as before. Smaller steps and the usual slewing of a clock (0.5 ms a second) cost nothing.

The new test of readiness.test.ts failed before.

--- a/source/entry/lease/readiness.test.ts
+++ b/source/entry/lease/readiness.test.ts
@@ -163,4 +163,23 @@
 		doTest(1000, undefined, true);
 		doTest(-suspendedMilliseconds, undefined, true);
 	});
+	test('ends after many short suspensions that add up to the term', () => {
+		mock.timers.enable({apis: ['Date'], now: 1_000_000});
+		const lease = createLeaseHolder();
+		const fleet = createColdFleet();
+		const readiness = createReadiness({
+			state: createEntryState(), fleet, lease, log: log as Log, isServingWithoutControl: false,
+		});
+		readiness.revokePermitsIfNeeded();
+		lease.accept({...getGrant(lease.startRenewal(performance.now())), termMilliseconds}, performance.now());
+		for (let suspended = 300; suspended <= termMilliseconds; suspended += 300) {
+			expect(readiness.mayDispatch(performance.now())).toEqual(true);
+			mock.timers.setTime(1_000_000 + suspended);
+		}
+
+		const isValid = readiness.mayDispatch(performance.now());
+		mock.timers.reset();
+		fleet.close();
+		expect(isValid).toEqual(false);
+	});
 });
--- a/source/entry/lease/readiness.ts
+++ b/source/entry/lease/readiness.ts
@@ -1,6 +1,6 @@
 /** Tells whether an entry may send requests and whether it is ready for callers, by its lease and its document. */
 import {performance} from 'node:perf_hooks';
-import {createSuspensionDetector, type LeaseHolder} from '../../lease/index.js';
+import {createSuspensionDetector, isSuspension, type LeaseHolder} from '../../lease/index.js';
 import {type SlackPart} from '../../retry/index.js';
 import {type Log} from '../../telemetry/index.js';
 import {type EntryState} from '../entry-state.js';
@@ -53,9 +53,12 @@
 	function revokePermitsIfNeeded(): void {
 		const now = performance.now();
 		const jump = suspension.getJump(Date.now(), now);
-		if (jump !== 0) {
+		if (jump > 0) {
+			lease.addSuspension(jump);
+		}
+
+		if (isSuspension(jump)) {
 			suspendedAt = now;
-			lease.addSuspension(Math.max(0, jump));
 			revoke();
 			options.onSuspension?.();
 		} else if (!lease.isValid(now)) {
--- a/source/lease/suspension.ts
+++ b/source/lease/suspension.ts
@@ -8,15 +8,26 @@
 /** Change of the difference between the clocks, from one reading to the next, above which a suspension is assumed, in milliseconds. */
 const toleratedJumpMilliseconds = 400;
 
+/** Change that the two readings may differ by when they are taken one after the other, in milliseconds. Short suspensions above it add up, so the lease counts them. */
+const readingErrorMilliseconds = 20;
+
 /** Detector of suspensions of the host. */
 export type SuspensionDetector = {
 	/**
 	 * Gets by how much the wall clock advanced more than the monotonic clock since the previous reading, in milliseconds, or 0 if that
-	 * is tolerated. A negative jump is no suspension, but may hide one.
+	 * may be an error of the readings. A negative jump is no suspension, but may hide one.
 	 */
 	getJump(wallClock: number, monotonicClock: number): number;
 };
 
+/**
+ * Checks whether a jump is so large that permits must be revoked, rather than only counted for the lease.
+ * @param jump - Jump of the wall clock in milliseconds.
+ */
+export function isSuspension(jump: number): boolean {
+	return Math.abs(jump) > toleratedJumpMilliseconds;
+}
+
 /** Creates a detector without a previous reading. */
 export function createSuspensionDetector(): SuspensionDetector {
 	let lastDifference: number | undefined;
@@ -26,7 +37,7 @@
 			const difference = wallClock - monotonicClock;
 			const jump = difference - (lastDifference ?? difference);
 			lastDifference = difference;
-			return Math.abs(jump) > toleratedJumpMilliseconds ? jump : 0;
+			return Math.abs(jump) > readingErrorMilliseconds ? jump : 0;
 		},
 	};
 }
