Run all scenario files, wherever the seed stands

The file right after `--seed N` was left out without a word, and so was any file whose name ends otherwise. The test script printed the known failures as skipped also when files are given by name, which skips none.

--- a/scenario/main.ts
+++ b/scenario/main.ts
@@ -4,6 +4,7 @@
  */
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
+import {parseArguments, type ScenarioArguments} from './arguments.js';
 import {parse, SyntaxError as GrammarError} from './grammar.js';
 import {runScenario} from './runner.js';
 import {type Statement} from './statement.js';
@@ -18,15 +19,17 @@
 	}
 }
 
-async function main(): Promise<void> {
-	const seedIndex = process.argv.indexOf('--seed');
-	const seed = seedIndex === -1 ? undefined : Number(process.argv[seedIndex + 1]);
-	const files = process.argv.slice(2).filter((argument, index) => argument.endsWith('.scenario') && index !== seedIndex);
-	if (files.length === 0) {
-		process.stderr.write('no scenario file given; usage: npm run scenario -- FILE.scenario… [--seed <n>]\n');
+function readArguments(): ScenarioArguments {
+	try {
+		return parseArguments(process.argv.slice(2));
+	} catch (error) {
+		process.stderr.write(`${(error as Error).message}\n`);
 		process.exit(2);
 	}
+}
 
+async function main(): Promise<void> {
+	const {files, seed} = readArguments();
 	const scenarios = files.map(file => ({file, statements: readScenario(file)}));
 	for (const {file, statements} of scenarios) {
 		const result = await runScenario(statements, seed);
--- a/scripts/test.js
+++ b/scripts/test.js
@@ -28,11 +28,11 @@
 
 const files = folders.flatMap(folder => findTestFiles(folder)).toSorted((left, right) => left.localeCompare(right));
 const knownFailures = readKnownFailures();
-for (const name of knownFailures) {
+const selectedFiles = process.argv.slice(2);
+for (const name of selectedFiles.length === 0 ? knownFailures : []) {
 	console.log(`skipped, listed in KNOWN-RED.txt: ${name}`);
 }
 
-const selectedFiles = process.argv.slice(2);
 const requiredFiles = files.filter(file => !knownFailures.includes(file));
 const {status} = spawnSync(process.execPath, [
 	'--import',
