Store no response that is larger than ledger.maximumAnswerBytes

Operators: the setting was accepted and had no effect; only the entries' own bound of 16384 bytes held.

Change: the ledger stores no larger response, so a retry of its key gets 409. The default equals the entries' bound, so nothing changes without the setting. It is part of the replicated state: it must be the same on every control host, and takes effect with the release that all of them run.

The tests that create a ledger name the new limit; the case of the total size got a second one, since its body exceeds both limits now.

--- a/bench/slopes/fixtures.ts
+++ b/bench/slopes/fixtures.ts
@@ -7,7 +7,9 @@
 export const leaseTermMilliseconds = 3000;
 
 /** Limits of the ledger; no measurement reaches them. */
-export const ledgerLimits = {retentionMilliseconds: 600_000_000, maximumClaims: 10_000_000, maximumStoredBytes: 4_000_000_000};
+export const ledgerLimits = {
+	retentionMilliseconds: 600_000_000, maximumClaims: 10_000_000, maximumAnswerBytes: 4_000_000_000, maximumStoredBytes: 4_000_000_000,
+};
 
 /**
  * Creates the announcement of a server.
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -81,6 +81,7 @@
 	const limits = {
 		retentionMilliseconds: settings.ledger.retentionHours * millisecondsPerHour,
 		maximumClaims: settings.ledger.maximumClaims,
+		maximumAnswerBytes: settings.ledger.maximumAnswerBytes,
 		maximumStoredBytes: settings.ledger.maximumStoredBytes,
 	};
 	const machine = createStateMachine(limits);
--- a/source/control/driver.test.ts
+++ b/source/control/driver.test.ts
@@ -13,7 +13,9 @@
 /** Time after which a request counts as not answered. */
 const patienceMilliseconds = 500;
 
-const limits = {retentionMilliseconds: 1_000_000, maximumClaims: 10_000, maximumStoredBytes: 100_000_000};
+const limits = {
+	retentionMilliseconds: 1_000_000, maximumClaims: 10_000, maximumAnswerBytes: 100_000_000, maximumStoredBytes: 100_000_000,
+};
 
 async function lead(driver: Driver): Promise<void> {
 	await new Promise<void>(resolve => {
--- a/source/control/earlier-leader.test.ts
+++ b/source/control/earlier-leader.test.ts
@@ -60,7 +60,9 @@
 const getSlots = (entry: Entry): number => entry.permits[0]?.slots ?? 0;
 
 function start(slots: number, deadlineMilliseconds: number) {
-	const machine = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 10});
+	const machine = createStateMachine({
+		retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 10, maximumStoredBytes: 10,
+	});
 	setDeadline(machine, 0, deadlineMilliseconds);
 	announce(machine, undefined, slots, 0);
 	const entries = ['a', 'b'].map((name): Entry => ({
--- a/source/control/earlier-state-exploration.test.ts
+++ b/source/control/earlier-state-exploration.test.ts
@@ -24,7 +24,9 @@
 const serverIds = Array.from({length: serverCount}, (_, index) => index + 1);
 
 function createMachine(): StateMachine {
-	const machine = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 10});
+	const machine = createStateMachine({
+		retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 10, maximumStoredBytes: 10,
+	});
 	for (const id of serverIds) {
 		const announcement = announcementSchema.parse({
 			service: 'stock', name: `s${id}`, host: '10.0.0.1', port: id, zone: 'north', slots: 4, connections: 100, boot: 'b', state: 'warm',
--- a/source/control/first-grant.test.ts
+++ b/source/control/first-grant.test.ts
@@ -20,7 +20,9 @@
 const names = ['a', 'b', 'c'];
 
 function createMachine(): StateMachine {
-	const machine = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 10});
+	const machine = createStateMachine({
+		retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 10, maximumStoredBytes: 10,
+	});
 	const document = documentSchema.parse({zones: [{name: 'north'}], services: [{name: 'stock'}]});
 	machine.apply({
 		area: 'configuration', command: {
--- a/source/control/full-disk.test.ts
+++ b/source/control/full-disk.test.ts
@@ -11,7 +11,9 @@
 import {startDriver, type Driver} from './driver.js';
 import {createStateMachine, stateMachineCodec, type StateMachine} from './state-machine.js';
 
-const limits = {retentionMilliseconds: 1_000_000, maximumClaims: 10_000, maximumStoredBytes: 100_000_000};
+const limits = {
+	retentionMilliseconds: 1_000_000, maximumClaims: 10_000, maximumAnswerBytes: 100_000_000, maximumStoredBytes: 100_000_000,
+};
 const ids = ['a', 'b', 'c'];
 
 /** Time within which a host with a full disk must not lead any more. */
--- a/source/control/leader-change-simulation.test.ts
+++ b/source/control/leader-change-simulation.test.ts
@@ -35,7 +35,9 @@
 type Delivery = {readonly at: number; readonly entry: SimulatedEntry; readonly grant: Grant};
 
 function createMachine(): StateMachine {
-	const machine = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 10});
+	const machine = createStateMachine({
+		retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 10, maximumStoredBytes: 10,
+	});
 	machine.apply({
 		area: 'configuration', command: {
 			kind: 'apply', environment: 'production', base: 0, change: 'c', author: 'a', at: 0, update: {kind: 'whole', document: documentSchema.parse({zones: [{name: 'north'}], services: [{name: 'stock'}]})},
--- a/source/control/leadership.test.ts
+++ b/source/control/leadership.test.ts
@@ -21,7 +21,9 @@
 }
 
 function start(): {readonly machine: StateMachine; readonly leadership: Leadership} {
-	const machine = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 10});
+	const machine = createStateMachine({
+		retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 10, maximumStoredBytes: 10,
+	});
 	machine.apply({
 		area: 'configuration', command: {
 			kind: 'apply', environment: 'production', base: 0, change: 'c', author: 'a', at: 0, update: {kind: 'whole', document: documentSchema.parse({zones: [{name: 'north'}], services: [{name: 'stock', deadlineMilliseconds}]})},
@@ -98,7 +100,9 @@
 describe('createLeadership: an entry that knows the servers from an earlier leader', () => {
 	/** Announces `old` at index 1 and `other` at index 2, and lets a new leader grant a renewal that knows the servers up to an index. */
 	function doTest(knownIndex: number | undefined, change: (machine: StateMachine) => void, expected: {readonly isWhole: boolean; readonly servers: readonly number[]; readonly listed: readonly number[] | undefined}): void {
-		const machine = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 10});
+		const machine = createStateMachine({
+			retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 10, maximumStoredBytes: 10,
+		});
 		for (const [index, name] of ['old', 'other'].entries()) {
 			machine.apply({area: 'registry', command: {kind: 'announced', announcement: {...getAnnouncement(name), port: index + 1, bornAt: 1}, at: 0}}, index + 1);
 		}
--- a/source/control/overtaken-renewal.test.ts
+++ b/source/control/overtaken-renewal.test.ts
@@ -10,7 +10,9 @@
 
 /** Starts a leader with one cold server of four slots at first, which gains a slot with ten successes. */
 function start(): Leadership {
-	const machine = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 10});
+	const machine = createStateMachine({
+		retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 10, maximumStoredBytes: 10,
+	});
 	const document = documentSchema.parse({
 		zones: [{name: 'north'}],
 		services: [{name: 'stock', deadlineMilliseconds: 500, easing: {initialSlots: 4, growthPerSuccess: 0.1, ceilingMilliseconds: 30_000}}],
--- a/source/control/permit-simulation.ts
+++ b/source/control/permit-simulation.ts
@@ -67,7 +67,9 @@
 }
 
 function createMachine({slotServers, rateServers, deadlineMilliseconds, initialSlots}: PermitSimulationOptions): StateMachine {
-	const machine = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 10});
+	const machine = createStateMachine({
+		retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 10, maximumStoredBytes: 10,
+	});
 	const document = documentSchema.parse({
 		zones: [{name: 'north'}],
 		services: [
--- a/source/control/returned-permits.test.ts
+++ b/source/control/returned-permits.test.ts
@@ -13,7 +13,9 @@
 
 /** Starts a leader with one cold server, whose slots or rate are allocated. */
 function start(service: 'stock' | 'price'): Leadership {
-	const machine = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 10});
+	const machine = createStateMachine({
+		retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 10, maximumStoredBytes: 10,
+	});
 	const document = documentSchema.parse({
 		zones: [{name: 'north'}],
 		services: [
--- a/source/control/slack-lending.test.ts
+++ b/source/control/slack-lending.test.ts
@@ -10,7 +10,9 @@
 const total = 40;
 
 function createMachine(): StateMachine {
-	return createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 10});
+	return createStateMachine({
+		retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 10, maximumStoredBytes: 10,
+	});
 }
 
 function commitDocument(machine: StateMachine): void {
--- a/source/control/snapshot-transfer.test.ts
+++ b/source/control/snapshot-transfer.test.ts
@@ -8,7 +8,9 @@
 import {createStateMachine, stateMachineCodec, type StateMachineSnapshot} from './state-machine.js';
 import {createSnapshotReceiver, createSnapshotSender, type SnapshotPart} from './snapshot-transfer.js';
 
-const limits = {retentionMilliseconds: 1_000_000, maximumClaims: 100_000, maximumStoredBytes: 1_000_000};
+const limits = {
+	retentionMilliseconds: 1_000_000, maximumClaims: 100_000, maximumAnswerBytes: 1_000_000, maximumStoredBytes: 1_000_000,
+};
 
 function createStateMachineSnapshot(claims: number): StateMachineSnapshot {
 	const machine = createStateMachine(limits);
--- a/source/control/zone-change.test.ts
+++ b/source/control/zone-change.test.ts
@@ -21,7 +21,9 @@
 /** Runs a test with the request handler of the only host of a system, which leads. */
 async function withSingleHost(run: (host: SingleHost) => Promise<void>): Promise<void> {
 	const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-zones-'));
-	const machine = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 1000});
+	const machine = createStateMachine({
+		retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 1000, maximumStoredBytes: 1000,
+	});
 	let leadership: Leadership | undefined;
 	const driver = startDriver({
 		id: 'a',
@@ -179,7 +181,9 @@
 	test('keeps the revision in snapshots', async () => {
 		await withSingleHost(async ({handler, machine}) => {
 			await handler.handle({kind: 'moveZone', zone: 'south', isOut: true});
-			const restored = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 1000});
+			const restored = createStateMachine({
+				retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 1000, maximumStoredBytes: 1000,
+			});
 			restored.restore(machine.takeSnapshot());
 			expect(machine.getZonesRevision() > 0).toEqual(true);
 			expect(restored.getZonesRevision()).toEqual(machine.getZonesRevision());
--- a/source/control/zone-log.test.ts
+++ b/source/control/zone-log.test.ts
@@ -4,7 +4,9 @@
 import {createStateMachine, type ZoneCommand} from './state-machine.js';
 import {createZoneLog} from './zone-log.js';
 
-const limits = {retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 1000};
+const limits = {
+	retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 1000, maximumStoredBytes: 1000,
+};
 
 describe('createZoneLog', () => {
 	const command: ZoneCommand = {
--- a/source/ledger/ledger.test.ts
+++ b/source/ledger/ledger.test.ts
@@ -3,7 +3,9 @@
 import fc from 'fast-check';
 import {createLedger, type LedgerCommand} from './index.js';
 
-const limits = {retentionMilliseconds: 1000, maximumClaims: 3, maximumStoredBytes: 10};
+const limits = {
+	retentionMilliseconds: 1000, maximumClaims: 3, maximumAnswerBytes: 6, maximumStoredBytes: 10,
+};
 
 function claim(key: string, attempt: string, at = 0, digest = 'd'): LedgerCommand {
 	return {
@@ -49,11 +51,16 @@
 	test('replays a stored response', () => {
 		doTest([claim('k', '1'), finish('k', '1', 'ok'), claim('k', '2')], ['granted', 'done', 'replay']);
 	});
+	test('stores no response that is larger than the limit for one', () => {
+		doTest([claim('k', '1'), finish('k', '1', 'seven b'), claim('k', '2')], ['granted', 'done', 'alreadyRan']);
+		doTest([claim('k', '1'), finish('k', '1', 'six by'), claim('k', '2')], ['granted', 'done', 'replay']);
+	});
 	test('reports that a request already ran when its response was too large to store', () => {
 		doTest([claim('k', '1'), finish('k', '1'), claim('k', '2')], ['granted', 'done', 'alreadyRan']);
 	});
 	test('does not store responses above the size limit', () => {
 		doTest([claim('k', '1'), finish('k', '1', 'more than ten bytes'), claim('k', '2')], ['granted', 'done', 'alreadyRan']);
+		doTest([claim('k', '1'), finish('k', '1', 'six by'), claim('l', '1'), finish('l', '1', 'fives'), claim('l', '2')], ['granted', 'done', 'granted', 'done', 'alreadyRan']);
 	});
 	test('refuses a different request with the same key', () => {
 		doTest([claim('k', '1'), claim('k', '2', 0, 'other')], ['granted', 'mismatch']);
--- a/source/ledger/ledger.ts
+++ b/source/ledger/ledger.ts
@@ -56,6 +56,8 @@
 	readonly retentionMilliseconds: number;
 	/** Maximum number of claims. The same limit applies to the released attempts. */
 	readonly maximumClaims: number;
+	/** Maximum size of a stored response body in bytes; a larger one is not stored, so that its key only states that the request ran. */
+	readonly maximumAnswerBytes: number;
 	/** Maximum total size of the stored response bodies in bytes. */
 	readonly maximumStoredBytes: number;
 };
@@ -147,7 +149,7 @@
 		}
 
 		const bytes = command.answer?.body.length ?? 0;
-		const isStored = storedBytes + bytes <= limits.maximumStoredBytes;
+		const isStored = bytes <= limits.maximumAnswerBytes && storedBytes + bytes <= limits.maximumStoredBytes;
 		storedBytes += isStored ? bytes : 0;
 		claims.set(command.key, {...existing, state: 'finished', answer: isStored ? command.answer : undefined});
 		return {kind: 'done'};
--- a/stand-in/control-model/host.ts
+++ b/stand-in/control-model/host.ts
@@ -59,7 +59,9 @@
 		process: {name}, hostNames, links, store, random, log,
 	} = options;
 	const self = getReplicaId(name);
-	const machine = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumStoredBytes: 1000});
+	const machine = createStateMachine({
+		retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 1000, maximumStoredBytes: 1000,
+	});
 	const client = createControlClient({
 		identity: {name, sharedKey: '', certificates: undefined},
 		hosts: hostNames.filter(host => host !== name).map(host => parseHostName(host)),
