Let a leader that stood still read its responses first

Seen: five, kept logs, load average 24: 15 requests refused with lease-expired. While two of five hosts were down, the leader did not run for 1,049 ms (it used 1 ms of processor time). It stepped down 2 ms after it ran again, and the next election took 1.1 s more; the leases ended meanwhile. Cause: after a standstill the overdue tick runs before the responses that wait in the sockets, and finds none for two election timeouts. Change: a leader steps down for want of responses only if it has run for an election timeout. Confirmations and commits need a quorum of responses as before; where the others have elected another leader meanwhile, its higher term ends the leadership at once.

--- a/source/consensus/core.ts
+++ b/source/consensus/core.ts
@@ -13,6 +13,7 @@
 	readonly entries: readonly LogEntry[];
 	/** Membership in force before the first membership entry. */
 	readonly founders: Membership;
+	readonly electionMilliseconds: number;
 	/** Time at the start in milliseconds. */
 	readonly now: number;
 };
@@ -38,6 +39,8 @@
 	membership: Membership;
 	/** Time of the current event in milliseconds. */
 	now: number;
+	/** Time of the last event that came more than an election timeout after the one before, in milliseconds. */
+	resumedAt: number;
 	addAction(action: Action): void;
 	send(to: string, message: ReplicaMessage, isAfterSync: boolean): void;
 	/** Sets the time of a new event and discards the actions of the previous one. */
@@ -95,6 +98,7 @@
 		snapshot,
 		membership: log.getMembership(snapshot?.membership ?? founders),
 		now: options.now,
+		resumedAt: Number.NEGATIVE_INFINITY,
 		addAction(action) {
 			actions.push(action);
 		},
@@ -104,6 +108,10 @@
 			});
 		},
 		beginEvent(now) {
+			if (now - core.now > options.electionMilliseconds) {
+				core.resumedAt = now;
+			}
+
 			core.now = Math.max(core.now, now);
 			actions = [];
 		},
--- a/source/consensus/leader-role.ts
+++ b/source/consensus/leader-role.ts
@@ -1,6 +1,6 @@
 /**
  * Leader side of log replication: appends and commits entries, confirms leadership and transfers it. The leader steps down when
- * it has had no response from a quorum for two election timeouts, or when a membership that excludes it is committed.
+ * it has had no response from a quorum for two election timeouts, during the last of which it ran itself, or when a membership that excludes it is committed.
  */
 import {createConfirmations} from './confirmation.js';
 import {type Core} from './core.js';
@@ -144,6 +144,11 @@
 		}
 	}
 
+	/** Checks whether this process has run for an election timeout; after it stood still, responses wait unread. */
+	function hasListened(): boolean {
+		return core.now - core.resumedAt >= electionMilliseconds;
+	}
+
 	function startHeartbeat(): void {
 		replication.rewindUnacknowledged();
 		if (confirmations.isRoundRequested()) {
@@ -171,7 +176,7 @@
 			transferTarget = undefined;
 		},
 		tick() {
-			if (!core.hasQuorum(voter => voter === core.id || replication.isActive(voter))) {
+			if (hasListened() && !core.hasQuorum(voter => voter === core.id || replication.isActive(voter))) {
 				options.becomeFollower(core.term);
 				return;
 			}
--- a/source/consensus/replica.ts
+++ b/source/consensus/replica.ts
@@ -14,7 +14,6 @@
 
 /** Options of a replica. */
 export type ReplicaOptions = CoreOptions & {
-	readonly electionMilliseconds: number;
 	readonly heartbeatMilliseconds: number;
 	/** Returns a number from 0 up to 1. */
 	random(): number;
