Acknowledge that no server has left only if none is registered

The leave call of a server that had just announced itself could be acknowledged without an effect: the server went on to get requests until its announcements had been missing for 3.5 s. It took a host that had not learned of the server, and a leader that applied the registration while it confirmed its leadership, or had just been elected. Found by reading.

Cause: the leader looked for the server before the confirmation and not after it, and did so before it had applied what was committed in earlier terms.

Now it looks again after the confirmation, and has the call sent again if there is a server; a leader that has not applied the earlier commands hands no leave call on, as with orders for zones.

2 of the 4 tests of confirmed-departure.test.ts failed before. After, 4 of 4, 5 of 5 in server-departure.test.ts and 1 of 1 in late-leave-call.test.ts.

--- a/source/control/leader-request-handler.ts
+++ b/source/control/leader-request-handler.ts
@@ -101,13 +101,18 @@
 	}
 
 	async function leave({name, bornAt, known}: ControlRequest & {readonly kind: 'leave'}): Promise<ControlResponse> {
+		if (getLeadership() === undefined) {
+			// A server that an earlier leader registered may not be known yet.
+			return getNotLeaderResponse();
+		}
+
 		const registered = machine.registry.getByName(name).map(server => server.announcement).unwrapOr(undefined);
 		if (bornAt === undefined && known !== undefined && known.boot !== registered?.boot) {
 			return {kind: 'serverChanged'};
 		}
 
 		if (bornAt === undefined && registered === undefined) {
-			return readConfirmed(() => ({kind: 'left'}));
+			return readConfirmed(() => machine.registry.getByName(name).isJust ? {kind: 'unknown'} : {kind: 'left'});
 		}
 
 		return propose({
