--- a/source/control/membership-manager.test.ts
+++ b/source/control/membership-manager.test.ts
@@ -54,7 +54,7 @@
 			}
 		}
 
-		if (actions.some(({kind}) => kind === 'persistEntries' || kind === 'persistSnapshot')) {
+		if (actions.some(({kind}) => kind === 'persistState' || kind === 'persistEntries' || kind === 'persistSnapshot')) {
 			const log = host.replica.getLog();
 			host.handle({kind: 'persisted', lastIndex: log.getLastIndex(), lastTerm: log.getLastTerm()});
 		}
