Keep to the rate of a cold server when its permit is granted again

A cold server got an additional request from an entry each time that its permit ended and came back: after a lease that had lapsed, a suspension, a step of the wall clock, another rate, or a permit that another entry had in between. With a permit that comes back every 50 ms the entry sent 200 requests in 10 s instead of the 20 that its rate of 2 a second allows.

Cause: a candidate took the time of its next request from the permit, which was new each time.

Now it counts from its last request to the cold server, which outlives the permit.

--- a/source/choice/candidate.ts
+++ b/source/choice/candidate.ts
@@ -42,7 +42,7 @@
 	/** Gets the slots and the rate that the entry may use while the server is cold. */
 	getPermit(): {readonly slots: number; readonly requestsPerSecond: number | undefined};
 	/** Sets the requests a second that the entry may send while the server is cold; undefined if slots limit it instead. */
-	setRate(requestsPerSecond: number | undefined, now: number): void;
+	setRate(requestsPerSecond: number | undefined): void;
 	/** Revokes the permits for a cold server when the lease that granted them has ended. */
 	revokePermits(): void;
 	setPeerInFlight(count: number): void;
@@ -96,7 +96,9 @@
 	let state = initialState;
 	let isAbsent = false;
 	let permit = 0;
-	let rate: {readonly requestsPerSecond: number; nextAt: number} | undefined;
+	let rate: number | undefined;
+	/** Time of the last request to the cold server. It outlives the permit, so that one that is granted again allows no request at once. */
+	let coldRequestAt = Number.NEGATIVE_INFINITY;
 	let peerInFlight = 0;
 	let connectionShare = initial.connections;
 	let reportedLoad = 0;
@@ -128,7 +130,7 @@
 			return permit;
 		}
 
-		return now >= rate.nextAt ? inFlight + 1 : 0;
+		return now >= coldRequestAt + (millisecondsPerSecond / rate) ? inFlight + 1 : 0;
 	}
 
 	function getLimit(now: number): number {
@@ -170,11 +172,9 @@
 		setPermit(slots) {
 			permit = slots;
 		},
-		getPermit: () => ({slots: permit, requestsPerSecond: rate?.requestsPerSecond}),
-		setRate(requestsPerSecond, now) {
-			if (requestsPerSecond !== rate?.requestsPerSecond) {
-				rate = requestsPerSecond === undefined ? undefined : {requestsPerSecond, nextAt: now};
-			}
+		getPermit: () => ({slots: permit, requestsPerSecond: rate}),
+		setRate(requestsPerSecond) {
+			rate = requestsPerSecond;
 		},
 		revokePermits() {
 			permit = 0;
@@ -207,8 +207,8 @@
 		},
 		start(now = 0) {
 			inFlight++;
-			if (rate !== undefined && state === 'cold') {
-				rate.nextAt = now + (millisecondsPerSecond / rate.requestsPerSecond);
+			if (state === 'cold') {
+				coldRequestAt = now;
 			}
 		},
 		finish(result, now) {
--- a/source/cold-start/rate-allocator-exploration.test.ts
+++ b/source/cold-start/rate-allocator-exploration.test.ts
@@ -62,7 +62,7 @@
 			entry: holder.name, expiresAt: holder.expiresAt, entryCount, now,
 		});
 		for (const candidate of holder.candidates) {
-			candidate.setRate(permits.find(permit => permit.server === candidate.id)?.requestsPerSecond, now);
+			candidate.setRate(permits.find(permit => permit.server === candidate.id)?.requestsPerSecond);
 		}
 	}
 
--- a/source/cold-start/rate-allocator.test.ts
+++ b/source/cold-start/rate-allocator.test.ts
@@ -35,7 +35,7 @@
 					const [permit] = allocator.grant({
 						entry: entry.name, expiresAt: entry.expiresAt, entryCount, now,
 					});
-					entry.candidate.setRate(permit?.requestsPerSecond, now);
+					entry.candidate.setRate(permit?.requestsPerSecond);
 				}
 
 				if (entry.candidate.isAvailable(now)) {
--- a/source/entry/fleet/fleet.test.ts
+++ b/source/entry/fleet/fleet.test.ts
@@ -88,7 +88,7 @@
 		const fleet = createFleet(createRandom(1), undefined);
 		fleet.update([getView(1), getView(2), getView(3)], true);
 		for (const permits of granted) {
-			fleet.setPermits(permits, 0);
+			fleet.setPermits(permits);
 		}
 
 		expect(fleet.getPermits()).toEqual([...expected]);
@@ -117,7 +117,7 @@
 	test('are gone once they are revoked', () => {
 		const fleet = createFleet(createRandom(1), undefined);
 		fleet.update([getView(1)], true);
-		fleet.setPermits(first, 0);
+		fleet.setPermits(first);
 		fleet.revokePermits();
 		expect(fleet.getPermits()).toEqual([]);
 		fleet.close();
--- a/source/entry/fleet/fleet.ts
+++ b/source/entry/fleet/fleet.ts
@@ -27,7 +27,7 @@
 	getAbsent(): readonly number[];
 	/** Marks servers as absent; ignores those that are not known. */
 	markAbsent(ids: readonly number[]): void;
-	setPermits(permits: readonly Permit[], now: number): void;
+	setPermits(permits: readonly Permit[]): void;
 	/** Gets the permits for cold servers that the entry holds. */
 	getPermits(): readonly Permit[];
 	/** Revokes the permits for cold servers, because the lease has ended. */
@@ -158,14 +158,14 @@
 				candidate.update(candidate.getAnnouncement(), candidate.getState(), true);
 			}
 		},
-		setPermits(permits, now) {
+		setPermits(permits) {
 			const byServer = new Map(permits.map(permit => [permit.server, permit]));
 			const earlier = new Map(getPermits().map(permit => [permit.server, permit]));
 			permitCapacities.clear();
 			for (const {candidate} of servers.getAll()) {
 				const permit = getNextPermit(earlier.get(candidate.id), byServer.get(candidate.id));
 				candidate.setPermit(permit?.slots ?? 0);
-				candidate.setRate(permit?.requestsPerSecond, now);
+				candidate.setRate(permit?.requestsPerSecond);
 				if (permit?.capacity !== undefined) {
 					permitCapacities.set(candidate.id, permit.capacity);
 				}
--- a/source/entry/lease/grant-application.ts
+++ b/source/entry/lease/grant-application.ts
@@ -67,7 +67,7 @@
 	fleet.setZonesOutOfService(grant.zonesOut);
 	zoneView.recordGrant(grant, host, lease.getRenewedAt());
 	const mayUsePermits = readiness.mayUsePermits(lease.getRenewedAt());
-	fleet.setPermits(mayUsePermits ? grant.permits : [], performance.now());
+	fleet.setPermits(mayUsePermits ? grant.permits : []);
 	slackPart?.apply(mayUsePermits ? grant.slack : undefined);
 	if (grant.peers !== undefined) {
 		fleet.setConnectionShare(grant.peers.length + 1);
