Shorten the id of the process in renewals

It tells processes of one entry apart, for which six random bytes suffice; a renewal is 28 bytes shorter.

--- a/source/entry/lease/lease-keeper.ts
+++ b/source/entry/lease/lease-keeper.ts
@@ -1,5 +1,5 @@
 /** Keeps the entry's lease: sends renewals to the leader of the control hosts and applies the grants that it returns. */
-import {randomUUID} from 'node:crypto';
+import {randomBytes} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
 import {Subject, type Observable} from 'rxjs';
 import {
@@ -14,6 +14,9 @@
 /** Time beyond the renewal interval without an answer after which a renewal counts as lost and the leader as unknown. */
 const leaderTimeoutMilliseconds = 300;
 
+/** Size of the random id of the process in bytes. It tells processes of one entry apart, and is part of every renewal. */
+const processIdBytes = 6;
+
 /** Renews a lease at regular intervals. */
 export type LeaseKeeper = {
 	readonly holder: LeaseHolder;
@@ -36,7 +39,7 @@
  * @param options - Entry, timing and callbacks.
  */
 export function keepLease(options: LeaseKeeperOptions): LeaseKeeper {
-	const process = randomUUID();
+	const process = randomBytes(processIdBytes).toString('base64url');
 	const holder = createLeaseHolder();
 	const grants = new Subject<Grant>();
 	const unansweredSheds = createUnansweredSheds();
