Skip empty lines before a status line in the checks of spoiled bytes

Cause: the reader took empty lines after an informational response for the head of the next one, so it found no whole body in what the upstream sent. Node's parser skips such lines.

--- a/stand-in/platform/response-text.ts
+++ b/stand-in/platform/response-text.ts
@@ -87,6 +87,12 @@
 	const responses: TextResponse[] = [];
 	let position = 0;
 	while (position < text.length) {
+		// Empty lines before a status line belong to no response; Node's parser skips them as well.
+		if (text.startsWith('\r\n', position)) {
+			position += 2;
+			continue;
+		}
+
 		const headEnd = text.indexOf('\r\n\r\n', position);
 		if (headEnd === -1) {
 			break;
