End the wait for syncs once all that run have denied their votes

Cause: after a split vote both candidates extended their timeouts by three times the sync that was over.

Change: a candidate remembers who answered its pre-vote, and so runs. Once all of those have denied their votes, no vote can be on its way, and the timeout is an ordinary one again. Ending the wait on any denial was tried and reverted: with three hosts and syncs of three election timeouts no leader was found in 60 s.

--- a/source/consensus/election.ts
+++ b/source/consensus/election.ts
@@ -4,6 +4,7 @@
  * Votes are sent after a sync, which may take longer than the election timeout: a replica whose own vote waits for the disk starts
  * no election, and the timeout allows for syncs on others that take as long. Otherwise each election would end the one before it.
  */
+import {createAwaitedVotes} from './awaited-votes.js';
 import {type Core} from './core.js';
 import {type ReplicaMessage} from './message.js';
 
@@ -16,9 +17,6 @@
  */
 const shortenedTimeoutShare = 0.1;
 
-/** Number of syncs for which a vote may wait on another replica: the one that is under way, and its own. */
-const syncsOfOthers = 2;
-
 /** Elections of one replica. */
 export type Election = {
 	/** Starts a pre-vote when the election timeout has elapsed. */
@@ -56,11 +54,11 @@
 export function createElection(options: ElectionOptions): Election {
 	const {core, electionMilliseconds} = options;
 	const {log} = core;
+	const awaitedVotes = createAwaitedVotes();
 	// After a start no leader is known. The shorter timeout is safe, because a pre-vote does not disrupt an existing leader.
 	let timeoutAt = core.now + getPreVoteTimeout();
 	let leaderContactAt = Number.NEGATIVE_INFINITY;
 	let votes = new Set<string>();
-	let votesDueAt = Number.NEGATIVE_INFINITY;
 
 	function getElectionTimeout(): number {
 		return electionMilliseconds * (1 + options.random());
@@ -95,6 +93,7 @@
 
 		core.changeRole('preCandidate', undefined);
 		votes = new Set([core.id]);
+		awaitedVotes.restart();
 		requestVotes(true, false);
 		if (hasMajority()) {
 			startElection(false);
@@ -135,15 +134,10 @@
 		}, !isPreVote);
 	}
 
-	/** Compares the log of a replica that requests votes with the log of this one; positive if it is newer. */
-	function compareLog(message: VoteRequest): number {
-		return message.lastTerm === log.getLastTerm() ? message.lastIndex - log.getLastIndex() : message.lastTerm - log.getLastTerm();
-	}
-
 	/** Decides a pre-vote. A candidate whose votes may be on their way grants it only to a replica with a newer log. */
 	function isPreVoteGranted(message: VoteRequest): boolean {
-		const order = compareLog(message);
-		const awaitsVotes = core.role === 'candidate' && (core.stateQueuedAt !== undefined || core.now < votesDueAt);
+		const order = log.compareEnd(message);
+		const awaitsVotes = core.role === 'candidate' && (core.stateQueuedAt !== undefined || awaitedVotes.areDue(core.now));
 		return message.term > core.term && (order > 0 || (order === 0 && !awaitsVotes));
 	}
 
@@ -153,7 +147,7 @@
 		}
 
 		const isVoteAvailable = core.votedFor === undefined || core.votedFor === from;
-		const isGranted = message.term === core.term && compareLog(message) >= 0 && isVoteAvailable;
+		const isGranted = message.term === core.term && log.compareEnd(message) >= 0 && isVoteAvailable;
 		if (isGranted) {
 			if (core.votedFor === undefined) {
 				core.voteFor(from);
@@ -195,7 +189,7 @@
 			if (message.isPreVote) {
 				const isGranted = isPreVoteGranted(message);
 				sendVote(from, isGranted ? message.term : core.term, true, isGranted);
-				if (compareLog(message) < 0) {
+				if (log.compareEnd(message) < 0) {
 					shortenTimeout();
 				}
 
@@ -205,9 +199,16 @@
 			decideVote(from, message);
 		},
 		receiveVote(from, message) {
+			if (message.isPreVote) {
+				awaitedVotes.recordAnswer(from);
+			}
+
 			if (!message.isGranted) {
 				if (message.term > core.term) {
 					options.becomeFollower(message.term);
+				} else if (!message.isPreVote && core.role === 'candidate' && message.term === core.term && awaitedVotes.recordDenial(from)) {
+					// The time that was allowed for syncs after a single long one must not delay the next election.
+					timeoutAt = Math.min(timeoutAt, core.now + getElectionTimeout());
 				}
 
 				return;
@@ -236,8 +237,7 @@
 			resetTimeout();
 		},
 		recordSyncedState(syncMilliseconds) {
-			timeoutAt += syncMilliseconds * (1 + syncsOfOthers);
-			votesDueAt = core.now + (syncMilliseconds * syncsOfOthers);
+			timeoutAt += syncMilliseconds + awaitedVotes.recordSync(core.now, syncMilliseconds);
 		},
 		resetTimeout,
 		getTimeoutAt: () => timeoutAt,
--- a/source/consensus/log.ts
+++ b/source/consensus/log.ts
@@ -14,6 +14,8 @@
 	truncate(from: number): void;
 	/** Removes the entries up to an index, which a snapshot covers. */
 	compact(index: number, term: number): void;
+	/** Compares the end of the log of another replica with the end of this one; positive if the other one is newer. */
+	compareEnd(other: {readonly lastIndex: number; readonly lastTerm: number}): number;
 	/** Gets the membership of the newest membership entry, or the fallback if there is none. */
 	getMembership(fallback: Membership): Membership;
 	/** Gets the index of the newest membership entry or, if there is none, of the snapshot, whose membership is the newest one known. */
@@ -35,7 +37,7 @@
 		return memberships.at(-1);
 	}
 
-	return {
+	const log: Log = {
 		getFirstIndex: () => baseIndex + 1,
 		getLastIndex: () => baseIndex + entries.length,
 		getLastTerm: () => entries.at(-1)?.term ?? baseTerm,
@@ -69,10 +71,14 @@
 			baseTerm = term;
 			memberships = memberships.filter(entry => entry.index > index);
 		},
+		compareEnd({lastIndex, lastTerm}) {
+			return lastTerm === log.getLastTerm() ? lastIndex - log.getLastIndex() : lastTerm - log.getLastTerm();
+		},
 		getMembership(fallback) {
 			const payload = getMembershipEntry()?.payload;
 			return payload?.kind === 'membership' ? payload.membership : fallback;
 		},
 		getMembershipIndex: () => getMembershipEntry()?.index ?? baseIndex,
 	};
+	return log;
 }
--- a/source/consensus/slow-disk-simulation.ts
+++ b/source/consensus/slow-disk-simulation.ts
@@ -33,8 +33,8 @@
 /** Options of `simulateSlowDisks`. */
 export type SlowDiskOptions = {
 	readonly seed: number;
-	/** Gets the time that a sync takes that begins at a time, in milliseconds. */
-	getSyncMilliseconds(now: number): number;
+	/** Gets the time that a sync of a host takes that begins at a time, in milliseconds. */
+	getSyncMilliseconds(now: number, host: string): number;
 	onConfirmed(token: number, now: number): void;
 };
 
@@ -118,7 +118,7 @@
 		const lastIndex = host.replica.getLog().getLastIndex();
 		const lastTerm = host.replica.getLog().getLastTerm();
 		const stateVersion = host.replica.getStateVersion();
-		schedule(batch.some(action => action.kind !== 'send') ? options.getSyncMilliseconds(now) : 0, () => {
+		schedule(batch.some(action => action.kind !== 'send') ? options.getSyncMilliseconds(now, host.id) : 0, () => {
 			host.isWriting = false;
 			for (const action of batch) {
 				if (action.kind === 'send' && !host.isLost) {
--- a/source/consensus/slow-disk.test.ts
+++ b/source/consensus/slow-disk.test.ts
@@ -70,10 +70,10 @@
 	const seeds = Array.from({length: 40}, (_, index) => 71 + index);
 
 	/** Gets the time from the loss of the leader until there is another one. */
-	function getElectionTime(seed: number, syncMilliseconds: number): number {
+	function getElectionTime(seed: number, getSyncMilliseconds: (now: number) => number): number {
 		const {getNow, getLeader, handle, runUntil} = simulateSlowDisks({
 			seed,
-			getSyncMilliseconds: now => now > fastPhaseMilliseconds ? syncMilliseconds : 1,
+			getSyncMilliseconds,
 			onConfirmed() {
 				// No confirmations are requested.
 			},
@@ -90,7 +90,11 @@
 	}
 
 	function doTest(syncMilliseconds: number, expected: {readonly median: number; readonly longest: number}): void {
-		const times = seeds.map(seed => getElectionTime(seed, syncMilliseconds)).toSorted((left, right) => left - right);
+		doTestOf(now => now > fastPhaseMilliseconds ? syncMilliseconds : 1, expected);
+	}
+
+	function doTestOf(getSyncMilliseconds: (now: number) => number, expected: {readonly median: number; readonly longest: number}): void {
+		const times = seeds.map(seed => getElectionTime(seed, getSyncMilliseconds)).toSorted((left, right) => left - right);
 		expect([times[seeds.length / 2]! <= expected.median, times.at(-1)! <= expected.longest]).toEqual([true, true]);
 	}
 
@@ -104,4 +108,11 @@
 	test('take no longer when syncs are fast', () => {
 		doTest(1, {median: electionMilliseconds * 2, longest: electionMilliseconds * 5});
 	});
+	// Guards against candidates of a split vote that go on to allow for syncs as long as the one that is over.
+	test('end soon after all disks have stood still once', () => {
+		const stallMilliseconds = electionMilliseconds * 30;
+		const end = lostAt + stallMilliseconds;
+		const longest = stallMilliseconds + (electionMilliseconds * 5);
+		doTestOf(now => now >= lostAt && now < end ? end - now : 1, {median: longest, longest});
+	});
 });
