Let a candidate wait longer for a replica with a slower disk

Callers would have had no leader for as long as the disk of one of the two hosts that remain after a loss is slower than the elections of the other one: no leader within 20 s of virtual time for syncs of three and ten election timeouts. Cause: the candidate with the fast disk ends each election before the vote of the other host is synced, and the other host, whose state always waits for its disk, starts none.

Change: a candidate that knows that a replica runs (it answered the pre-vote) and has neither granted nor denied its vote waits on, twice as long with each election, up to 31 election timeouts, until there is a leader. It still grants pre-votes to others meanwhile, and a pre-vote request of a replica with an older log ends the wait for that replica. Counting granted votes of earlier terms as answers was tried: the case of three election timeouts failed; only those of the current term count.

The two new cases with one slow disk failed before.

--- a/source/consensus/election.ts
+++ b/source/consensus/election.ts
@@ -102,6 +102,7 @@
 
 	function startElection(isTransfer: boolean): void {
 		resetTimeout();
+		awaitedVotes.startElection();
 		core.voteForSelf();
 		core.changeRole('candidate', undefined);
 		votes = new Set([core.id]);
@@ -165,7 +166,10 @@
 				return;
 			}
 
-			if (core.isWritable && core.stateQueuedAt === undefined) {
+			const patience = core.role === 'candidate' ? awaitedVotes.takePatience() : 0;
+			if (patience > 0) {
+				timeoutAt = core.now + (patience * electionMilliseconds);
+			} else if (core.isWritable && core.stateQueuedAt === undefined) {
 				startPreVote();
 			} else {
 				resetTimeout();
@@ -190,6 +194,7 @@
 				const isGranted = isPreVoteGranted(message);
 				sendVote(from, isGranted ? message.term : core.term, true, isGranted);
 				if (log.compareEnd(message) < 0) {
+					awaitedVotes.recordDenial(from);
 					shortenTimeout();
 				}
 
@@ -199,15 +204,11 @@
 			decideVote(from, message);
 		},
 		receiveVote(from, message) {
-			if (message.isPreVote) {
-				awaitedVotes.recordAnswer(from);
-			}
-
+			awaitedVotes.recordAnswer(from, message, core.term);
 			if (!message.isGranted) {
 				if (message.term > core.term) {
 					options.becomeFollower(message.term);
 				} else if (!message.isPreVote && core.role === 'candidate' && message.term === core.term && awaitedVotes.recordDenial(from)) {
-					// The time that was allowed for syncs after a single long one must not delay the next election.
 					timeoutAt = Math.min(timeoutAt, core.now + getElectionTimeout());
 				}
 
@@ -229,11 +230,13 @@
 			if (message.isPreVote) {
 				startElection(false);
 			} else {
+				awaitedVotes.resetPatience();
 				options.becomeLeader();
 			}
 		},
 		recordLeaderContact() {
 			leaderContactAt = core.now;
+			awaitedVotes.resetPatience();
 			resetTimeout();
 		},
 		recordSyncedState(syncMilliseconds) {
--- a/source/consensus/slow-disk.test.ts
+++ b/source/consensus/slow-disk.test.ts
@@ -69,17 +69,22 @@
 	const lostAt = 1500;
 	const seeds = Array.from({length: 40}, (_, index) => 71 + index);
 
+	/** Time of a sync that begins at a time, on the host that stays fast or on another one. */
+	type SyncTime = (now: number, isFast: boolean) => number;
+
 	/** Gets the time from the loss of the leader until there is another one. */
-	function getElectionTime(seed: number, getSyncMilliseconds: (now: number) => number): number {
-		const {getNow, getLeader, handle, runUntil} = simulateSlowDisks({
+	function getElectionTime(seed: number, getSyncMilliseconds: SyncTime): number {
+		let fast = '';
+		const {hosts, getNow, getLeader, handle, runUntil} = simulateSlowDisks({
 			seed,
-			getSyncMilliseconds,
+			getSyncMilliseconds: (now, host) => getSyncMilliseconds(now, host === fast),
 			onConfirmed() {
 				// No confirmations are requested.
 			},
 		});
 		runUntil(fastPhaseMilliseconds, () => false);
 		const leader = getLeader()!;
+		fast = hosts.find(host => host !== leader)!.id;
 		runUntil(lostAt, () => {
 			handle(leader, {kind: 'propose', payload: {kind: 'command', command: getNow()}});
 			return false;
@@ -93,7 +98,7 @@
 		doTestOf(now => now > fastPhaseMilliseconds ? syncMilliseconds : 1, expected);
 	}
 
-	function doTestOf(getSyncMilliseconds: (now: number) => number, expected: {readonly median: number; readonly longest: number}): void {
+	function doTestOf(getSyncMilliseconds: SyncTime, expected: {readonly median: number; readonly longest: number}): void {
 		const times = seeds.map(seed => getElectionTime(seed, getSyncMilliseconds)).toSorted((left, right) => left - right);
 		expect([times[seeds.length / 2]! <= expected.median, times.at(-1)! <= expected.longest]).toEqual([true, true]);
 	}
@@ -108,6 +113,19 @@
 	test('take no longer when syncs are fast', () => {
 		doTest(1, {median: electionMilliseconds * 2, longest: electionMilliseconds * 5});
 	});
+	// Guards against a candidate with a fast disk that ends each election before the vote of the other host is synced.
+	test('end when each sync of one of the two hosts takes three times as long', () => {
+		doTestOf((now, isFast) => now > lostAt - electionMilliseconds && !isFast ? electionMilliseconds * 3 : 1, {median: electionMilliseconds * 12, longest: electionMilliseconds * 20});
+	});
+	test('end when each sync of one of the two hosts takes ten times as long', () => {
+		doTestOf((now, isFast) => now > lostAt - electionMilliseconds && !isFast ? electionMilliseconds * 10 : 1, {median: electionMilliseconds * 50, longest: electionMilliseconds * 60});
+	});
+	test('end soon after the disk of one of the two hosts has stood still once', () => {
+		const stallMilliseconds = electionMilliseconds * 10;
+		const end = lostAt + stallMilliseconds;
+		const longest = stallMilliseconds + (electionMilliseconds * 5);
+		doTestOf((now, isFast) => now >= lostAt - electionMilliseconds && now < end && !isFast ? end - now : 1, {median: longest, longest});
+	});
 	// Guards against candidates of a split vote that go on to allow for syncs as long as the one that is over.
 	test('end soon after all disks have stood still once', () => {
 		const stallMilliseconds = electionMilliseconds * 30;
