--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -3,7 +3,6 @@
 import path from 'node:path';
 import {interval, type Subscription} from 'rxjs';
 import {Result} from 'true-myth';
-import {type Environment} from '../configuration/index.js';
 import {type ReplicaMessage} from '../consensus/index.js';
 import {createControlClient} from '../control-client/index.js';
 import {createRandom} from '../randomness/index.js';
@@ -11,18 +10,17 @@
 import {getSeeds, type ControlSettings, type Security} from '../settings/index.js';
 import {getHostName, openStore, retryWhileDiskFull} from '../storage/index.js';
 import {type Log} from '../telemetry/index.js';
-import {
-	createLinkFailureLog, listenForLinks, receiveMessages, type Link,
-} from '../wire/index.js';
+import {createLinkFailureLog, type Link} from '../wire/index.js';
 import {createApi, type Api, type ApiOptions} from './api.js';
+import {createApiOptions} from './api-options.js';
 import {startApiServer} from './api-server.js';
 import {createCommitHandler} from './committed-changes.js';
 import {startDriver, type RoleChange} from './driver.js';
 import {createLeaderRequestHandler} from './leader-request-handler.js';
 import {createLeadership, type Leadership} from './leadership.js';
 import {createStateMachine, stateMachineCodec, type StateMachineSnapshot} from './state-machine.js';
-import {checkInbound} from './inbound-check.js';
 import {createInboundHandler} from './inbound-handler.js';
+import {serveLinks} from './link-server.js';
 import {createNudges} from './nudges.js';
 import {createRequestForwarder, forwardAttemptTimeoutMilliseconds} from './request-forwarder.js';
 import {createHostDiscovery} from './host-discovery.js';
@@ -32,7 +30,6 @@
 import {createStallWatch} from './stall-watch.js';
 import {logStoredState} from './stored-state-log.js';
 import {createZoneLog} from './zone-log.js';
-import {createZoneOrderLog} from './zone-order-log.js';
 import {createSnapshotReceiver, createSnapshotSender} from './snapshot-transfer.js';
 import {type ControlInbound} from './message.js';
 
@@ -195,23 +192,8 @@
 	const receive = createInboundHandler({
 		self, driver, requestHandler, snapshotReceiver, checkSnapshot, membershipManager, shutdown, burnRateTracker, metrics, getLeadership: () => leadership,
 	});
-	const listener = await listenForLinks<ControlInbound>({
-		identity: {...security.link, name: discovery.name},
-		setting: 'links',
-		host: settings.links.host,
-		port: settings.links.port,
-		onConnect(link) {
-			links.add(link);
-			membershipManager.sendDirectory(link);
-			receiveMessages<ControlInbound>(link, {
-				check: checkInbound,
-				handle: async message => receive(link, message),
-				onClose() {
-					links.delete(link);
-				},
-				onFailure: recordLinkFailure,
-			});
-		},
+	const listener = await serveLinks({
+		identity: {...security.link, name: discovery.name}, address: settings.links, links, receive, sendDirectory: membershipManager.sendDirectory, onFailure: recordLinkFailure,
 	});
 
 	const nudges = createNudges({machine, links, getLeadership: () => leadership});
@@ -261,26 +243,9 @@
 	subscription.add(interval(housekeepingIntervalMilliseconds).subscribe(runHousekeeping));
 	subscription.add(interval(joinIntervalMilliseconds).subscribe(membershipManager.requestToJoin));
 
-	const api = (options.createApi ?? createApi)({
-		log,
-		operatorKey: security.operatorKey,
-		submit: forwarder.forward,
-		getBurnSummary(environment: Environment) {
-			const current = machine.register.getCurrent(environment);
-			return current.isJust ? burnRateTracker?.getSummary(environment, current.value.document, Date.now()) : undefined;
-		},
-		zoneOrderLog: createZoneOrderLog({
-			log, host: discovery.name, submit: forwarder.forward, countOrder: metrics.countZoneOrder, getTime: () => performance.now(),
-		}),
-		hasStalledRecently: stallWatch.hasStalledRecently,
-		getMetrics: metrics.getText,
-		isReady: () => driver.replica.getLeader() !== undefined,
-		getBoot: name => machine.registry.getByName(name).map(server => server.announcement.boot).unwrapOr(undefined),
-		getLeaderHost() {
-			const leaderId = driver.replica.getLeader();
-			return leaderId === undefined ? undefined : getHostName(leaderId);
-		},
-	});
+	const api = (options.createApi ?? createApi)(createApiOptions({
+		log, host: discovery.name, operatorKey: security.operatorKey, forwarder, machine, driver, metrics, stallWatch, burnRateTracker,
+	}));
 	const apiServer = await startApiServer({
 		log, api, address: settings.api, maximumRequestMilliseconds: settings.forwardMilliseconds + forwardAttemptTimeoutMilliseconds,
 	});
