--- a/source/control/confirmed-departure.test.ts
+++ b/source/control/confirmed-departure.test.ts
@@ -11,7 +11,9 @@
 describe('createLeaderRequestHandler: the leave call of a server that has just been registered', () => {
 	/** Sends the call to a leader that applies the registration before or during the call, or never, or that has not applied what was committed before its term. */
 	async function doTest(registeredAt: 'before' | 'during' | 'never', isApplied: boolean, expected: ControlResponse['kind']): Promise<void> {
-		const machine = createStateMachine({retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 10, maximumStoredBytes: 10});
+		const machine = createStateMachine({
+			retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 10, maximumStoredBytes: 10,
+		});
 
 		function register(when: typeof registeredAt): void {
 			if (registeredAt === when) {
