--- a/source/configuration/document.ts
+++ b/source/configuration/document.ts
@@ -47,6 +47,28 @@
 	priority: z.number().int().min(0).max(1000).default(0),
 	/** Maximum number of servers to which one request may be sent. */
 	attempts: z.number().int().min(1).max(100),
+	// The following fields have no default, so that documents without them stay short.
+	/** Whether requests of the route need no key, although the document has workspaces. */
+	isPublic: z.boolean().optional(),
+	/** Whether responses of the route are so large that they occupy the network link of an entry. */
+	hasLargeResponses: z.boolean().optional(),
+}).readonly();
+
+const quota = z.strictObject({
+	/** Requests per second, summed over all entries. */
+	requestsPerSecond: z.number().positive().max(1_000_000_000),
+	/** Requests that may exceed the rate at once after a time without requests. */
+	burst: z.number().min(0).max(1_000_000_000).default(0),
+}).readonly();
+
+const workspace = z.strictObject({
+	/** Name that servers receive; printable, because it is the value of a header. */
+	name: z.string().regex(/^[\u0021-\u007E]{1,256}$/v, 'use 1 to 256 printable ASCII characters without spaces'),
+	/** SHA-256 digests of the keys of its callers, in hexadecimal. The keys themselves are not part of the document. */
+	keyDigests: z.array(z.string().regex(/^[\da-f]{64}$/v, 'use the SHA-256 digest of the key, 64 hexadecimal digits')).readonly(),
+	/** Priority of its requests; 0 is the highest. It goes before the priority of the route. */
+	priority: z.number().int().min(0).max(1000).optional(),
+	quota: quota.optional(),
 }).readonly();
 
 const clientLimits = z.strictObject({
@@ -108,8 +130,11 @@
 	/** Routes to services; a service without a route is matched by its own host and path. */
 	routes: z.array(route).readonly().optional(),
 	clientLimits: clientLimits.optional(),
+	/** Workspaces whose callers identify themselves by keys; without any, requests need no key. */
+	workspaces: z.array(workspace).readonly().optional(),
 }).readonly().superRefine((document, context) => {
 	reportRouteIssues(document, context);
+	reportWorkspaceIssues(document.workspaces ?? [], context);
 	reportDuplicateNames(document.zones.map(zone => zone.name), 'zones', context);
 	reportDuplicateNames(document.services.map(service => service.name), 'services', context);
 	for (const {value, index, first} of findDuplicates(document.services.map(service => `${service.host ?? '*'} ${service.path}`))) {
@@ -143,6 +168,16 @@
 	}
 }
 
+function reportWorkspaceIssues(workspaces: readonly Workspace[], context: z.RefinementCtx): void {
+	reportDuplicateNames(workspaces.map(({name}) => name), 'workspaces', context);
+	const owners = workspaces.flatMap(({keyDigests}, index) => [...new Set(keyDigests)].map(digest => ({digest, index})));
+	for (const {value, index, first} of findDuplicates(owners.map(({digest}) => digest))) {
+		context.addIssue({
+			code: 'custom', path: ['workspaces', owners[index]!.index, 'keyDigests'], message: `a key is also listed in workspaces.${owners[first]!.index}; give each workspace keys of its own`, input: value,
+		});
+	}
+}
+
 function reportDuplicateNames(names: readonly string[], path: string, context: z.RefinementCtx): void {
 	for (const {value, index, first} of findDuplicates(names)) {
 		context.addIssue({
@@ -178,6 +213,9 @@
 /** Route of a document. */
 export type Route = z.infer<typeof route>;
 
+/** Workspace of a document. */
+export type Workspace = z.infer<typeof workspace>;
+
 /** Limits of the size and the duration of callers' requests. */
 export type ClientLimits = z.infer<typeof clientLimits>;
 
--- a/source/configuration/update.ts
+++ b/source/configuration/update.ts
@@ -1,10 +1,26 @@
 /**
  * Updates of environment documents, encoded as the complete document or as a delta from a base document.
- * A delta carries the digest of its result, so that applying it to a different base is detected.
+ * A delta carries the digest of its result, so that applying it to a different base is detected. Services and workspaces are
+ * compared one by one, so that a new key of one workspace does not carry the keys of all others.
  */
 import {createHash} from 'node:crypto';
 import {Result} from 'true-myth';
-import {type EnvironmentDocument, type Route, type Service} from './document.js';
+import {
+	type EnvironmentDocument, type Route, type Service, type Workspace,
+} from './document.js';
+
+/** Part of a document that a delta identifies by its name. */
+type NamedPart = Service | Workspace;
+
+/** Changes of a list of named parts. */
+export type ListDelta<Part extends NamedPart> = {
+	/** Parts that were added or changed. */
+	readonly changed: readonly Part[];
+	/** Names of removed parts. */
+	readonly removed: readonly string[];
+	/** Names of all parts in order, if merging the changes into the base gives a different order. */
+	readonly order: readonly string[] | undefined;
+};
 
 /** Share of changed services above which the complete document is the shorter update. */
 const maximumChangedShare = 0.5;
@@ -17,6 +33,8 @@
 	/** All routes, if any of them changed. */
 	readonly routes?: readonly Route[];
 	readonly clientLimits?: EnvironmentDocument['clientLimits'];
+	/** Changes of the workspaces, if any of them changed. */
+	readonly workspaces?: ListDelta<Workspace>;
 	/** Services that were added or changed. */
 	readonly services: readonly Service[];
 	/** Names of removed services. */
@@ -33,7 +51,7 @@
 		| {readonly kind: 'delta'; readonly delta: DocumentDelta};
 
 const cachedDigests = new WeakMap<EnvironmentDocument, string>();
-const canonicalTexts = new WeakMap<Service, string>();
+const canonicalTexts = new WeakMap<NamedPart, string>();
 
 /**
  * Gets the SHA-256 digest of a document in hexadecimal.
@@ -49,8 +67,8 @@
 	const {routes, clientLimits} = document;
 	const header = routes === undefined && clientLimits === undefined ? [zones, measuring, outliers] : [zones, measuring, outliers, routes, clientLimits];
 	const hash = createHash('sha256').update(JSON.stringify(header));
-	for (const service of services) {
-		hash.update(getCanonicalText(service));
+	for (const part of [...services, ...document.workspaces ?? []]) {
+		hash.update(getCanonicalText(part));
 	}
 
 	const digest = hash.digest('hex');
@@ -58,16 +76,16 @@
 	return digest;
 }
 
-/** Serializes a service with sorted fields, so that equal services have equal texts. */
-function getCanonicalText(service: Service): string {
-	const cached = canonicalTexts.get(service);
+/** Serializes a part with sorted fields, so that equal parts have equal texts. */
+function getCanonicalText(part: NamedPart): string {
+	const cached = canonicalTexts.get(part);
 	if (cached !== undefined) {
 		return cached;
 	}
 
-	const fields = Object.entries(service).toSorted(([left], [right]) => left < right ? -1 : 1);
+	const fields = Object.entries(part).toSorted(([left], [right]) => left < right ? -1 : 1);
 	const text = JSON.stringify(Object.fromEntries(fields));
-	canonicalTexts.set(service, text);
+	canonicalTexts.set(part, text);
 	return text;
 }
 
@@ -77,25 +95,21 @@
  * @param next - Document that the update results in.
  */
 export function getDocumentUpdate(base: EnvironmentDocument, next: EnvironmentDocument): DocumentUpdate {
-	const baseServices = new Map(base.services.map(service => [service.name, service]));
-	const names = new Set(next.services.map(service => service.name));
-	const services = next.services.filter(service => !areServicesEqual(baseServices.get(service.name), service));
-	const removed = base.services.map(service => service.name).filter(name => !names.has(name));
+	const {changed: services, removed, order} = getListDelta(base.services, next.services);
 	if (services.length + removed.length > next.services.length * maximumChangedShare || !isDeltaPossible(base, next)) {
 		return {kind: 'whole', document: next};
 	}
 
-	const order = next.services.map(service => service.name);
-	const mergedOrder = mergeServices(base.services, services, removed).map(service => service.name);
 	return {
 		kind: 'delta', delta: {
 			zones: getIfChanged(base.zones, next.zones),
 			measuring: getIfChanged(base.measuring, next.measuring),
 			outliers: getIfChanged(base.outliers, next.outliers),
 			...getChangedRoutes(base, next),
+			...getChangedWorkspaces(base, next),
 			services,
 			removed,
-			order: mergedOrder.every((name, index) => name === order[index]) ? undefined : order,
+			order,
 			digest: getDocumentDigest(next),
 		},
 	};
@@ -116,8 +130,8 @@
 	}
 
 	const {delta} = update;
-	const merged = mergeServices(base.services, delta.services, delta.removed);
-	const services = delta.order === undefined ? merged : sortServices(merged, delta.order);
+	const services = applyListDelta(base.services, {changed: delta.services, removed: delta.removed, order: delta.order});
+	const workspaces = delta.workspaces === undefined ? base.workspaces : applyListDelta(base.workspaces ?? [], delta.workspaces);
 	const routes = delta.routes ?? base.routes;
 	const clientLimits = delta.clientLimits ?? base.clientLimits;
 	const document: EnvironmentDocument = {
@@ -127,36 +141,65 @@
 		outliers: delta.outliers ?? base.outliers,
 		...(routes === undefined ? {} : {routes}),
 		...(clientLimits === undefined ? {} : {clientLimits}),
+		...(workspaces === undefined ? {} : {workspaces}),
 	};
 	return getDocumentDigest(document) === delta.digest ? Result.ok(document) : Result.err('the digest of the result does not match: the delta was computed from a different base document');
 }
 
-/** Checks whether a delta can express the change: it identifies services by their names, and cannot remove an optional field. */
+/** Checks whether a delta can express the change: it identifies services and workspaces by their names, and cannot remove an optional field. */
 function isDeltaPossible(base: EnvironmentDocument, next: EnvironmentDocument): boolean {
-	const hasLostField = (base.routes !== undefined && next.routes === undefined) || (base.clientLimits !== undefined && next.clientLimits === undefined);
-	return !hasLostField && hasDistinctServices(base) && hasDistinctServices(next);
+	const hasLostField = (['routes', 'clientLimits', 'workspaces'] as const).some(field => base[field] !== undefined && next[field] === undefined);
+	const lists = [base.services, next.services, base.workspaces ?? [], next.workspaces ?? []];
+	return !hasLostField && lists.every(parts => hasDistinctNames(parts));
 }
 
-function hasDistinctServices({services}: EnvironmentDocument): boolean {
-	return new Set(services.map(service => service.name)).size === services.length;
+function hasDistinctNames(parts: readonly NamedPart[]): boolean {
+	return new Set(parts.map(({name}) => name)).size === parts.length;
 }
 
-function areServicesEqual(left: Service | undefined, right: Service): boolean {
+function arePartsEqual(left: NamedPart | undefined, right: NamedPart): boolean {
 	return left !== undefined && (left === right || getCanonicalText(left) === getCanonicalText(right));
 }
 
-/** Replaces changed services in place, removes the removed ones and appends the added ones. */
-function mergeServices(base: readonly Service[], changed: readonly Service[], removed: readonly string[]): readonly Service[] {
-	const replacements = new Map(changed.map(service => [service.name, service]));
+/** Gets the changes from one list to another. */
+function getListDelta<Part extends NamedPart>(base: readonly Part[], next: readonly Part[]): ListDelta<Part> {
+	const baseParts = new Map(base.map(part => [part.name, part]));
+	const order = next.map(({name}) => name);
+	const names = new Set(order);
+	const changed = next.filter(part => !arePartsEqual(baseParts.get(part.name), part));
+	const removed = base.map(({name}) => name).filter(name => !names.has(name));
+	const mergedOrder = mergeParts(base, changed, removed).map(({name}) => name);
+	return {changed, removed, order: mergedOrder.every((name, index) => name === order[index]) ? undefined : order};
+}
+
+function applyListDelta<Part extends NamedPart>(base: readonly Part[], {changed, removed, order}: ListDelta<Part>): readonly Part[] {
+	const merged = mergeParts(base, changed, removed);
+	return order === undefined ? merged : sortParts(merged, order);
+}
+
+/** Replaces changed parts in place, removes the removed ones and appends the added ones. */
+function mergeParts<Part extends NamedPart>(base: readonly Part[], changed: readonly Part[], removed: readonly string[]): readonly Part[] {
+	const replacements = new Map(changed.map(part => [part.name, part]));
 	const removedNames = new Set(removed);
-	const baseNames = new Set(base.map(service => service.name));
-	const kept = base.filter(service => !removedNames.has(service.name)).map(service => replacements.get(service.name) ?? service);
-	return [...kept, ...changed.filter(service => !baseNames.has(service.name))];
+	const baseNames = new Set(base.map(({name}) => name));
+	const kept = base.filter(({name}) => !removedNames.has(name)).map(part => replacements.get(part.name) ?? part);
+	return [...kept, ...changed.filter(({name}) => !baseNames.has(name))];
 }
 
-function sortServices(services: readonly Service[], order: readonly string[]): readonly Service[] {
+function sortParts<Part extends NamedPart>(parts: readonly Part[], order: readonly string[]): readonly Part[] {
 	const positions = new Map(order.map((name, index) => [name, index]));
-	return services.toSorted((left, right) => (positions.get(left.name) ?? 0) - (positions.get(right.name) ?? 0));
+	return parts.toSorted((left, right) => (positions.get(left.name) ?? 0) - (positions.get(right.name) ?? 0));
+}
+
+/** Gets the changes of the workspaces, if there are any. The first list, even an empty one, is a change. */
+function getChangedWorkspaces({workspaces: base}: EnvironmentDocument, {workspaces: next}: EnvironmentDocument): Pick<DocumentDelta, 'workspaces'> {
+	if (next === undefined || next === base) {
+		return {};
+	}
+
+	const delta = getListDelta(base ?? [], next);
+	const isUnchanged = base !== undefined && delta.changed.length + delta.removed.length === 0 && delta.order === undefined;
+	return isUnchanged ? {} : {workspaces: delta};
 }
 
 /** Gets the new routes and limits if they changed; unchanged or absent ones are omitted from the delta. */
--- a/source/entry/dialect.ts
+++ b/source/entry/dialect.ts
@@ -40,6 +40,10 @@
 	readonly serverHeader: string | undefined;
 	/** Header that each successful response of a server carries once, as the proof that it is the server's, if the dialect has one. */
 	readonly proofHeader: string | undefined;
+	/** Header with the key by which a caller identifies its workspace. It is not forwarded where the document has workspaces. */
+	readonly keyHeader: string;
+	/** Header with the name of the caller's workspace, which the entry sets for servers. */
+	readonly workspaceHeader: string;
 	/** Whether responses of the entry itself carry the verdict in headers. */
 	readonly hasVerdictHeaders: boolean;
 	/** Response headers of servers that are not forwarded to callers. */
@@ -91,6 +95,8 @@
 	repeatsRequestId: 'optionally',
 	serverHeader: undefined,
 	proofHeader: undefined,
+	keyHeader: 'guavadeck-key',
+	workspaceHeader: 'guavadeck-workspace',
 	hasVerdictHeaders: true,
 	hiddenResponseHeaders: new Set([stateHeader, loadHeader, requestIdHeader]),
 	getReport(headers, status) {
--- a/source/entry/entrance/request-entrance.ts
+++ b/source/entry/entrance/request-entrance.ts
@@ -1,5 +1,6 @@
-/** Receives callers' requests: checks their heads, finds their routes, and refuses those without a service. */
+/** Receives callers' requests: checks their heads, finds their routes, and refuses those without a service or a key. */
 import {notRun, type NotRunReason} from '../../verdict/index.js';
+import {getAccess} from '../../workspace/index.js';
 import {type Exchange, sendVerdict} from '../callers/index.js';
 import {type EntryState} from '../entry-state.js';
 import {type RequestContext} from '../requests/index.js';
@@ -56,7 +57,15 @@
 			return;
 		}
 
+		const access = getAccess(state.workspaces, {key: request.headers[context.dialect.keyHeader], isPublic: route.isPublic});
+		if (access.kind === 'denied') {
+			refuseUnrouted(exchange, 'unknown-key');
+			return;
+		}
+
 		state.inFlight++;
-		void handleRequest(context, route, serviceState, exchange);
+		void handleRequest({
+			context, route, access, state: serviceState, exchange,
+		});
 	};
 }
--- a/source/entry/entrance/request-handler.ts
+++ b/source/entry/entrance/request-handler.ts
@@ -3,6 +3,7 @@
 import {type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {mayHaveRun, notRun, type Verdict} from '../../verdict/index.js';
+import {getRequestRank, type Access} from '../../workspace/index.js';
 import {
 	sendVerdict, getRetrySpread, writeResponseHead, type Exchange,
 } from '../callers/index.js';
@@ -24,15 +25,27 @@
 /** Share of the target latency after which a request that has not been dispatched is unlikely to meet the target. */
 const lateTargetShare = 0.5;
 
+/** Request of a caller whose route and access have been found. */
+export type RoutedRequest = {
+	/** Dependencies that all requests share. */
+	readonly context: RequestContext;
+	readonly route: RoutePolicy;
+	readonly access: Access;
+	/** State of the service of the request. */
+	readonly state: ServiceState;
+	readonly exchange: Exchange;
+};
+
 /**
  * Admits a request and dispatches it, or responds to it without contacting a server.
- * @param context - Dependencies that all requests share.
- * @param route - Route of the request.
- * @param state - Service of the request.
- * @param exchange - Request of the caller with its response.
+ * @param routed - Request with its route, access and service.
  */
-export async function handleRequest(context: RequestContext, route: RoutePolicy, state: ServiceState, exchange: Exchange): Promise<void> {
+export async function handleRequest(routed: RoutedRequest): Promise<void> {
+	const {
+		context, route, access, state, exchange,
+	} = routed;
 	const {request: incoming, response, arrivedAt} = exchange;
+	const workspace = access.kind === 'granted' ? access.workspace.name : undefined;
 	const service = state.getService();
 	const startedAt = performance.now();
 	const requestId = getRequestId(context, incoming);
@@ -47,6 +60,7 @@
 		id: requestId,
 		route: route.name,
 		service: service.name,
+		...(workspace === undefined ? {} : {workspace}),
 		targetMilliseconds: route.targetMilliseconds,
 		elapsedMilliseconds: requestTime?.elapsedMilliseconds ?? 0,
 		at: startedAt,
@@ -141,7 +155,7 @@
 		if (key !== undefined) {
 			const body = prepared.body ?? Buffer.alloc(0);
 			const outcome = await context.claims.claim({
-				service: service.name, key, digest: getRequestDigest(method, target, body), remainingMilliseconds: deadlineAt - performance.now(),
+				service: service.name, workspace, key, digest: getRequestDigest(method, target, body), remainingMilliseconds: deadlineAt - performance.now(),
 			});
 			if (outcome.kind === 'refused') {
 				refuse(outcome.verdict);
@@ -160,7 +174,7 @@
 		}
 
 		dispatchRequest({
-			context, state, service, route, request, exchange, requestId, deadlineAt, isLate, claim, refuse, fail, onEnd: recordEnd, recordDecision: trace.record, computeFingerprint,
+			context, state, service, route, access, rank: getRequestRank(context.getWorkspaces(), access, route), request, exchange, requestId, deadlineAt, isLate, claim, refuse, fail, onEnd: recordEnd, recordDecision: trace.record, computeFingerprint,
 		});
 	}
 }
--- a/source/entry/entry-state.ts
+++ b/source/entry/entry-state.ts
@@ -1,5 +1,6 @@
 /** The state that the parts of an entry share: what is in force in its environment, and what the entry does at present. */
 import {type EnvironmentDocument} from '../configuration/index.js';
+import {type WorkspaceIndex} from '../workspace/index.js';
 import {createRouter, type Router} from './routing/index.js';
 
 /** Number of entries that is assumed until the first grant arrives. */
@@ -11,6 +12,8 @@
 	document: EnvironmentDocument | undefined;
 	/** Router of the document in force. */
 	router: Router;
+	/** Workspaces of the document in force, or undefined if it has none. */
+	workspaces: WorkspaceIndex | undefined;
 	/** Number of entries in the environment. */
 	entryCount: number;
 	/** Number of callers' requests in flight. */
@@ -22,6 +25,6 @@
 /** Creates the state of an entry without a document. */
 export function createEntryState(): EntryState {
 	return {
-		document: undefined, router: createRouter([]), entryCount: assumedEntryCount, inFlight: 0, isDraining: false,
+		document: undefined, router: createRouter([]), workspaces: undefined, entryCount: assumedEntryCount, inFlight: 0, isDraining: false,
 	};
 }
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -179,6 +179,7 @@
 		maximumResponseBytes: settings.maximumAnswerBytes,
 		maximumStoredBytes: maximumStoredResponseBytes,
 		startAttempt,
+		getWorkspaces: () => state.workspaces,
 		mayDispatch: readiness.mayDispatch,
 		onReport: applyServerReport,
 		reportCrash: createCrashReporter({
--- a/source/entry/lease/grant-application.ts
+++ b/source/entry/lease/grant-application.ts
@@ -5,6 +5,7 @@
 import {type Random} from '../../randomness/index.js';
 import {type SlackPart} from '../../retry/index.js';
 import {type Log} from '../../telemetry/index.js';
+import {createWorkspaceIndex} from '../../workspace/index.js';
 import {type CallerServer} from '../callers/index.js';
 import {type CrashTracker} from '../crashes/index.js';
 import {type EntryState} from '../entry-state.js';
@@ -85,8 +86,10 @@
 	} = targets;
 	// Created before anything changes, so that a document that it cannot use changes nothing.
 	const router = createRouter(document.services, document.routes, random);
+	const workspaces = document.workspaces === undefined ? undefined : createWorkspaceIndex(document.workspaces);
 	state.document = document;
 	state.router = router;
+	state.workspaces = workspaces;
 	callerServer.applyLimits(document.clientLimits);
 	fleet.setDocument(document);
 	log.info({version}, 'document in force');
--- a/source/entry/placement/server-attempt.ts
+++ b/source/entry/placement/server-attempt.ts
@@ -2,6 +2,7 @@
 import {performance} from 'node:perf_hooks';
 import {type Candidate} from '../../choice/index.js';
 import {notRun} from '../../verdict/index.js';
+import {isAccessValid} from '../../workspace/index.js';
 import {type AttemptOutcome, getForwardedHeaders} from '../servers/index.js';
 import {
 	fail, protect, refuse, type RequestProgress, type RunningAttempt,
@@ -41,10 +42,16 @@
 		return;
 	}
 
+	if (!isAccessValid(context.getWorkspaces(), admitted.access)) {
+		refuse(progress, notRun('unknown-key'));
+		return;
+	}
+
 	const headers = getForwardedHeaders({
 		dialect: context.dialect,
 		incoming: admitted.exchange.request,
 		requestId,
+		access: admitted.access,
 		server: candidate.getAnnouncement().name,
 		remainingMilliseconds: deadlineAt - now,
 		body: request.body,
@@ -97,5 +104,6 @@
  */
 export function mayDispatch({admitted, isSettled}: RequestProgress): boolean {
 	const now = performance.now();
-	return !isSettled && admitted.context.mayDispatch(now) && now < admitted.deadlineAt;
+	const {context, access, deadlineAt} = admitted;
+	return !isSettled && context.mayDispatch(now) && now < deadlineAt && isAccessValid(context.getWorkspaces(), access);
 }
--- a/source/entry/placement/server-selector.test.ts
+++ b/source/entry/placement/server-selector.test.ts
@@ -51,8 +51,9 @@
 		const state = {
 			getCandidates: () => candidates, getSubset: () => undefined, getService: () => services[0]!, shortageEstimate,
 		} as unknown as ServiceState;
+		const route = createRouter(services, routes).get('any', '/1')!;
 		const selector = createServerSelector({
-			context, state, route: createRouter(services, routes).get('any', '/1')!, excluded: new Set(), avoidedZones: new Set(), isLate: false, recordDecision() {
+			context, state, route, rank: route, excluded: new Set(), avoidedZones: new Set(), isLate: false, recordDecision() {
 				// Decisions are ignored here.
 			},
 		});
--- a/source/entry/placement/server-selector.ts
+++ b/source/entry/placement/server-selector.ts
@@ -10,6 +10,7 @@
 import {type CandidateReading} from '../servers/index.js';
 import {type RequestContext} from '../requests/index.js';
 import {type ServiceState} from '../fleet/index.js';
+import {type RequestRank} from '../../workspace/index.js';
 import {type RoutePolicy} from '../routing/index.js';
 import {type Decision} from '../reporting/index.js';
 import {
@@ -69,6 +70,7 @@
 	readonly context: RequestContext;
 	readonly state: ServiceState;
 	readonly route: RoutePolicy;
+	readonly rank: RequestRank;
 	/** Servers that have already received an attempt. */
 	readonly excluded: ReadonlySet<number>;
 	/** Zones in which an attempt has failed. */
@@ -214,7 +216,7 @@
 	function getCriteria(): ReadingCriteria {
 		return {
 			admission: {
-				isUrgent: route.isUrgent, isOutranked: route.isOutranked, isLate: options.isLate, shortage: state.shortageEstimate.getShortage(),
+				isUrgent: options.rank.isUrgent, isOutranked: options.rank.isOutranked, isLate: options.isLate, shortage: state.shortageEstimate.getShortage(),
 			},
 			zone,
 			now: performance.now(),
--- a/source/entry/reporting/request-log.ts
+++ b/source/entry/reporting/request-log.ts
@@ -38,6 +38,8 @@
 	readonly id: string;
 	readonly route: string;
 	readonly service: string;
+	/** Workspace of the caller; missing if the request belongs to none. */
+	readonly workspace?: string;
 	/** Version of the document in force. */
 	readonly version: number;
 	readonly targetMilliseconds: number | undefined;
--- a/source/entry/reporting/service-level-recorder.ts
+++ b/source/entry/reporting/service-level-recorder.ts
@@ -58,6 +58,7 @@
 		case 'headers-too-large':
 		case 'in-progress':
 		case 'key-mismatch':
+		case 'unknown-key':
 		case 'unknown-service': {
 			return true;
 		}
--- a/source/entry/requests/admitted-request.ts
+++ b/source/entry/requests/admitted-request.ts
@@ -3,6 +3,7 @@
 import {type IncomingMessage} from 'node:http';
 import {type Service} from '../../configuration/index.js';
 import {type Verdict} from '../../verdict/index.js';
+import {type Access, type RequestRank} from '../../workspace/index.js';
 import {type Exchange} from '../callers/index.js';
 import {type ServiceState} from '../fleet/index.js';
 import {type Decision} from '../reporting/index.js';
@@ -26,6 +27,8 @@
 	readonly state: ServiceState;
 	readonly service: Service;
 	readonly route: RoutePolicy;
+	readonly access: Access;
+	readonly rank: RequestRank;
 	readonly request: RequestContent;
 	readonly exchange: Exchange;
 	readonly requestId: string;
--- a/source/entry/requests/claims.ts
+++ b/source/entry/requests/claims.ts
@@ -32,6 +32,8 @@
 /** Options of a claim. */
 export type ClaimOptions = {
 	readonly service: string;
+	/** Workspace of the caller, if the request belongs to one. Workspaces may use the same keys for different requests. */
+	readonly workspace?: string | undefined;
 	readonly key: string;
 	/** Digest of the request, from `getRequestDigest`. */
 	readonly digest: string;
@@ -124,7 +126,8 @@
 
 	return {
 		async claim(options) {
-			const key = `${environment}/${options.service}/${options.key}`;
+			const scope = options.workspace === undefined ? options.service : `${options.service}/${options.workspace}`;
+			const key = `${environment}/${scope}/${options.key}`;
 			const attempt = randomUUID();
 			const response = await client.submit({
 				kind: 'ledger',
--- a/source/entry/requests/request-context.ts
+++ b/source/entry/requests/request-context.ts
@@ -5,6 +5,7 @@
 import {type LoadQueryBudget} from '../../measuring/index.js';
 import {type Random} from '../../randomness/index.js';
 import {type Verdict} from '../../verdict/index.js';
+import {type WorkspaceIndex} from '../../workspace/index.js';
 import {type CrashTracker} from '../crashes/index.js';
 import {type Dialect, type ServerReport} from '../dialect.js';
 import {type DiscardedAnswers, type LoadQuerier, type startAttempt} from '../servers/index.js';
@@ -33,6 +34,8 @@
 	readonly maximumStoredBytes: number;
 	/** Starts an attempt on a server. */
 	readonly startAttempt: typeof startAttempt;
+	/** Gets the workspaces of the document in force, or undefined if it has none. */
+	getWorkspaces(): WorkspaceIndex | undefined;
 	/** Checks whether the entry may accept and dispatch new requests. */
 	mayDispatch(now: number): boolean;
 	/** Called with the report that a server attaches to a response. */
--- a/source/entry/routing/router.ts
+++ b/source/entry/routing/router.ts
@@ -5,21 +5,22 @@
  */
 import {type Route, type Service} from '../../configuration/index.js';
 import {createElapsedEstimate, type ElapsedEstimate} from '../../limits/index.js';
+import {type RouteRank} from '../../workspace/index.js';
 
 const anyHost = '*';
 
 /** Policy for a request, from a route of the document or from a service that is reached directly. */
-export type RoutePolicy = {
+export type RoutePolicy = RouteRank & {
 	readonly name: string;
+	/** Whether its requests need no key. */
+	readonly isPublic: boolean;
+	/** Whether its responses are so large that they occupy the network link of the entry. */
+	readonly hasLargeResponses: boolean;
 	/** Whether its requests may run more than once; undefined when it depends on the method. */
 	readonly isIdempotent: boolean | undefined;
 	readonly timeoutMilliseconds: number;
 	/** Target latency, if the document sets one. */
 	readonly targetMilliseconds: number | undefined;
-	/** Whether it has the most urgent priority at one of its services, and another route there is less urgent. */
-	readonly isUrgent: boolean;
-	/** Whether each of its services has a route with a more urgent priority. */
-	readonly isOutranked: boolean;
 	/** Estimates how long callers waited before the request arrived. */
 	readonly elapsedEstimate: ElapsedEstimate;
 	/** Maximum number of servers to which one request may be sent, if the document sets one. */
@@ -71,17 +72,13 @@
 	return ranges;
 }
 
-/** Checks whether a route has the most urgent priority at one of its services, and another route there is less urgent. */
-function isMostUrgent(route: Route, ranges: ReadonlyMap<string, PriorityRange>): boolean {
-	return route.parts.some(({service}) => {
-		const {mostUrgent, leastUrgent} = ranges.get(service)!;
-		return route.priority === mostUrgent && mostUrgent < leastUrgent;
-	});
-}
-
-/** Checks whether each service of a route has a more urgent route. */
-function isOutranked(route: Route, ranges: ReadonlyMap<string, PriorityRange>): boolean {
-	return route.parts.every(({service}) => ranges.get(service)!.mostUrgent < route.priority);
+function getRouteRank({parts, priority}: Route, ranges: ReadonlyMap<string, PriorityRange>): RouteRank {
+	const serviceRanges = parts.map(({service}) => ranges.get(service)!);
+	return {
+		isUrgent: serviceRanges.some(({mostUrgent, leastUrgent}) => priority === mostUrgent && mostUrgent < leastUrgent),
+		isOutranked: serviceRanges.every(({mostUrgent}) => mostUrgent < priority),
+		isFirst: serviceRanges.some(({mostUrgent}) => priority === mostUrgent),
+	};
 }
 
 function createRoutePolicy(route: Route, ranges: ReadonlyMap<string, PriorityRange>, random: () => number): RoutePolicy {
@@ -91,8 +88,9 @@
 		isIdempotent,
 		timeoutMilliseconds,
 		targetMilliseconds,
-		isUrgent: isMostUrgent(route, ranges),
-		isOutranked: isOutranked(route, ranges),
+		...getRouteRank(route, ranges),
+		isPublic: route.isPublic ?? false,
+		hasLargeResponses: route.hasLargeResponses ?? false,
 		elapsedEstimate: createElapsedEstimate(),
 		attempts,
 		selectService: createWeightedRoundRobin(route, random),
@@ -107,6 +105,9 @@
 		targetMilliseconds: undefined,
 		isUrgent: false,
 		isOutranked: false,
+		isFirst: true,
+		isPublic: false,
+		hasLargeResponses: false,
 		elapsedEstimate: createElapsedEstimate(),
 		attempts: undefined,
 		selectService: () => service.name,
--- a/source/entry/servers/headers.ts
+++ b/source/entry/servers/headers.ts
@@ -1,6 +1,7 @@
 /** Filters and adds headers of requests and responses that an entry forwards. */
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
+import {type Access} from '../../workspace/index.js';
 import {type Dialect} from '../dialect.js';
 import {type RoutePolicy} from '../routing/index.js';
 
@@ -36,6 +37,7 @@
 	readonly dialect: Dialect;
 	readonly incoming: IncomingMessage;
 	readonly requestId: string;
+	readonly access: Access;
 	/** Name of the server that receives the request. */
 	readonly server: string;
 	readonly remainingMilliseconds: number;
@@ -50,37 +52,39 @@
  * @param request - Request of the caller, with the values that the entry adds.
  */
 export function getForwardedHeaders(request: ForwardedRequest): string[] {
-	const {incoming, dialect} = request;
+	const {incoming, dialect, access} = request;
 	// The headers of the entry come first, since some servers ignore headers beyond a certain number.
 	const headers = ['host', incoming.headers.host ?? '', dialect.deadlineHeader, String(Math.max(1, Math.round(request.remainingMilliseconds))), dialect.requestIdHeader, request.requestId];
 	if (dialect.serverHeader !== undefined) {
 		headers.push(dialect.serverHeader, request.server);
 	}
 
+	if (access.kind === 'granted') {
+		headers.push(dialect.workspaceHeader, access.workspace.name);
+	}
+
 	const address = incoming.socket.remoteAddress;
 	if (address !== undefined) {
 		headers.push('x-forwarded-for', address);
 	}
 
-	return [...headers, ...getLengthHeaders(request), ...filterHeaders(incoming.rawHeaders, incoming.headers.connection, getEntryRequestHeaders(dialect))];
+	return [...headers, ...getLengthHeaders(request), ...filterHeaders(incoming.rawHeaders, incoming.headers.connection, getWithheldHeaders(dialect, access))];
 }
 
-const entryRequestHeaders = new WeakMap<Dialect, ReadonlySet<string>>();
+type WithheldHeaders = {readonly withWorkspaces: ReadonlySet<string>; readonly withoutWorkspaces: ReadonlySet<string>};
 
-/** Gets the names of headers that the entry sets itself and therefore does not forward. */
-function getEntryRequestHeaders(dialect: Dialect): ReadonlySet<string> {
-	const cachedNames = entryRequestHeaders.get(dialect);
-	if (cachedNames !== undefined) {
-		return cachedNames;
-	}
+const withheldHeaders = new WeakMap<Dialect, WithheldHeaders>();
 
-	const names = new Set([dialect.deadlineHeader, dialect.requestIdHeader, 'content-length', 'host', 'x-forwarded-for']);
-	if (dialect.serverHeader !== undefined) {
-		names.add(dialect.serverHeader);
-	}
+/** Gets the names of headers that are not forwarded: those that the entry sets itself, and the key of a document with workspaces. */
+function getWithheldHeaders(dialect: Dialect, access: Access): ReadonlySet<string> {
+	const names = withheldHeaders.get(dialect) ?? createWithheldHeaders(dialect);
+	withheldHeaders.set(dialect, names);
+	return access.kind === 'open' ? names.withoutWorkspaces : names.withWorkspaces;
+}
 
-	entryRequestHeaders.set(dialect, names);
-	return names;
+function createWithheldHeaders(dialect: Dialect): WithheldHeaders {
+	const names = [dialect.deadlineHeader, dialect.requestIdHeader, 'content-length', 'host', 'x-forwarded-for', ...(dialect.serverHeader === undefined ? [] : [dialect.serverHeader])];
+	return {withoutWorkspaces: new Set(names), withWorkspaces: new Set([...names, dialect.keyHeader, dialect.workspaceHeader])};
 }
 
 function getLengthHeaders({incoming, body, isStreamed}: ForwardedRequest): readonly string[] {
--- a/source/verdict/verdict.ts
+++ b/source/verdict/verdict.ts
@@ -18,6 +18,7 @@
 		| 'lease-expired'
 		| 'no-server'
 		| 'overload'
+		| 'unknown-key'
 		| 'unknown-service'
 		| 'unreachable'
 		| 'unsendable'
@@ -114,6 +115,10 @@
 			return 400;
 		}
 
+		case 'unknown-key': {
+			return 401;
+		}
+
 		case 'unknown-service': {
 			return 404;
 		}
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -143,6 +143,7 @@
 		startAttempt: attempt => startModelAttempt({
 			attempt, upstream: byPool.get(attempt.pool)!, entry: options.number, connectMilliseconds: options.connectMilliseconds, ...callerTimes.get(attempt.requestId)!,
 		}),
+		getWorkspaces: () => undefined,
 		mayDispatch: () => true,
 		onReport,
 		reportCrash: async () => false,
@@ -166,7 +167,9 @@
 					request.onResponse(response);
 				},
 			});
-			void handleRequest(context, route, state, exchange);
+			void handleRequest({
+				context, route, access: {kind: 'open'}, state, exchange,
+			});
 		},
 		applyStatement(upstream, statement) {
 			applyReport(fleet.get(upstreams.indexOf(upstream) + 1)!.candidate, {...emptyReport, ...statement});
