--- a/source/configuration/update.test.ts
+++ b/source/configuration/update.test.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
@@ -6,12 +7,23 @@
 	applyDocumentUpdate, documentSchema, getDocumentUpdate, type DocumentUpdate, type EnvironmentDocument,
 } from './index.js';
 
-type DocumentShape = {readonly names: readonly string[]; readonly deadlines: readonly number[]; readonly isNorthInService: boolean};
+type DocumentShape = {
+	readonly names: readonly string[];
+	readonly deadlines: readonly number[];
+	readonly isNorthInService: boolean;
+	/** Names of the workspaces and a number that changes their keys; no workspaces when undefined. */
+	readonly workspaces?: ReadonlyArray<readonly [name: string, key: number]> | undefined;
+};
+
+function getDigest(key: string): string {
+	return createHash('sha256').update(key).digest('hex');
+}
 
 function getDocument(shape: DocumentShape): EnvironmentDocument {
 	return documentSchema.parse({
 		zones: [{name: 'north', inService: shape.isNorthInService}, {name: 'south'}],
 		services: shape.names.map((name, index) => ({name, path: `/${name}`, deadlineMilliseconds: shape.deadlines[index % shape.deadlines.length]})),
+		...(shape.workspaces === undefined ? {} : {workspaces: shape.workspaces.map(([name, key]) => ({name, keyDigests: [getDigest(`${name} ${key}`)]}))}),
 	});
 }
 
@@ -19,6 +31,7 @@
 	names: fc.uniqueArray(fc.constantFrom('a', 'b', 'c', 'd', 'e', 'f'), {minLength: 1}),
 	deadlines: fc.array(fc.constantFrom(100, 200), {minLength: 1, maxLength: 3}),
 	isNorthInService: fc.boolean(),
+	workspaces: fc.option(fc.uniqueArray(fc.tuple(fc.constantFrom('p', 'q', 'r', 's'), fc.nat(1)), {selector: ([name]) => name}), {nil: undefined}),
 });
 
 /** Encodes and decodes an update, as when it is sent to another process. */
@@ -74,3 +87,16 @@
 		doTest(150, 'whole');
 	});
 });
+
+// Guards against updates that carry the keys of all workspaces when one of them changes.
+describe('getDocumentUpdate: a new key of one among many workspaces', () => {
+	test('is sent without the other workspaces', () => {
+		const names = Array.from({length: 2000}, (_, index) => [`workspace-${index}`, 0] as const);
+		const shape = {names: ['a', 'b', 'c'], deadlines: [100], isNorthInService: true};
+		const base = getDocument({...shape, workspaces: names});
+		const next = getDocument({...shape, workspaces: names.map(([name], index) => [name, index === 1000 ? 1 : 0])});
+		const update = getDocumentUpdate(base, next);
+		expect(encode(update).length < 1000).toEqual(true);
+		expect(applyDocumentUpdate(base, sendOverWire(update)).unwrapOr(base)).toEqual(next);
+	});
+});
--- /dev/null
+++ b/source/workspace/access.test.ts
@@ -0,0 +1,60 @@
+import {describe, test} from 'node:test';
+import {expect} from 'earl';
+import {type Workspace} from '../configuration/index.js';
+import {getAccess, isAccessValid} from './access.js';
+import {getKeyDigest} from './key-digest.js';
+import {createWorkspaceIndex, type WorkspaceIndex} from './workspace-index.js';
+
+const clinic: Workspace = {name: 'clinic', keyDigests: [getKeyDigest('one'), getKeyDigest('two')]};
+const shop: Workspace = {name: 'shop', keyDigests: [getKeyDigest('three')]};
+const index = createWorkspaceIndex([clinic, shop]);
+
+// Guards against requests that are served for the wrong workspace, or without a key.
+describe('getAccess', () => {
+	function doTest(request: {readonly key: string | string[] | undefined; readonly isPublic?: boolean}, expected: string, workspaces: WorkspaceIndex | undefined = index): void {
+		const access = getAccess(workspaces, {isPublic: false, ...request});
+		expect(access.kind === 'granted' ? `granted ${access.workspace.name}` : access.kind).toEqual(expected);
+	}
+
+	test('grants each key of a workspace', () => {
+		doTest({key: 'one'}, 'granted clinic');
+		doTest({key: 'two'}, 'granted clinic');
+		doTest({key: 'three'}, 'granted shop');
+	});
+	test('denies an unknown, an empty, a repeated and a missing key', () => {
+		for (const key of ['four', '', ['one', 'three'], undefined]) {
+			doTest({key}, 'denied');
+		}
+	});
+	test('denies the digest of a key', () => {
+		doTest({key: getKeyDigest('one')}, 'denied');
+	});
+	test('lets requests of a public route pass without a known key, and finds the workspace of a known one', () => {
+		doTest({key: undefined, isPublic: true}, 'anonymous');
+		doTest({key: 'four', isPublic: true}, 'anonymous');
+		doTest({key: 'one', isPublic: true}, 'granted clinic');
+	});
+	test('does not look at keys of a document without workspaces', () => {
+		expect(getAccess(undefined, {key: 'one', isPublic: false}).kind).toEqual('open');
+	});
+});
+
+// Guards against waiting requests that are sent although their key was withdrawn meanwhile.
+describe('isAccessValid', () => {
+	function doTest(next: readonly Workspace[] | undefined, expected: boolean): void {
+		const access = getAccess(index, {key: 'one', isPublic: false});
+		expect(isAccessValid(next === undefined ? undefined : createWorkspaceIndex(next), access)).toEqual(expected);
+	}
+
+	test('accepts a key that is still in force', () => {
+		doTest([clinic], true);
+		doTest(undefined, true);
+	});
+	test('rejects a withdrawn key', () => {
+		doTest([{...clinic, keyDigests: [getKeyDigest('two')]}], false);
+		doTest([shop], false);
+	});
+	test('rejects a key that now belongs to another workspace', () => {
+		doTest([{...shop, keyDigests: clinic.keyDigests}], false);
+	});
+});
