Query servers over the connections that carry requests

Cause: load queries had connections of their own, so that an entry held two to each server that it uses and a request to a server that had just answered a query still had to connect, or to use a connection that had been idle for long and may have been forgotten.

Change: queries use the pool of the server. A response that repeats the id of a request is not the reply to a query, which carries none; its connection is closed, since the reply may follow on it.

--- a/source/configuration/document.ts
+++ b/source/configuration/document.ts
@@ -173,7 +173,10 @@
 	const owners = workspaces.flatMap(({keyDigests}, index) => [...new Set(keyDigests)].map(digest => ({digest, index})));
 	for (const {value, index, first} of findDuplicates(owners.map(({digest}) => digest))) {
 		context.addIssue({
-			code: 'custom', path: ['workspaces', owners[index]!.index, 'keyDigests'], message: `a key is also listed in workspaces.${owners[first]!.index}; give each workspace keys of its own`, input: value,
+			code: 'custom',
+			path: ['workspaces', owners[index]!.index, 'keyDigests'],
+			message: `a key is also listed in workspaces.${owners[first]!.index}; give each workspace keys of its own`,
+			input: value,
 		});
 	}
 }
--- a/source/entry/entrance/request-handler.ts
+++ b/source/entry/entrance/request-handler.ts
@@ -174,7 +174,23 @@
 		}
 
 		dispatchRequest({
-			context, state, service, route, access, rank: getRequestRank(context.getWorkspaces(), access, route), request, exchange, requestId, deadlineAt, isLate, claim, refuse, fail, onEnd: recordEnd, recordDecision: trace.record, computeFingerprint,
+			context,
+			state,
+			service,
+			route,
+			access,
+			rank: getRequestRank(context.getWorkspaces(), access, route),
+			request,
+			exchange,
+			requestId,
+			deadlineAt,
+			isLate,
+			claim,
+			refuse,
+			fail,
+			onEnd: recordEnd,
+			recordDecision: trace.record,
+			computeFingerprint,
 		});
 	}
 }
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -149,6 +149,7 @@
 
 	const loadQuerier = createLoadQuerier({
 		dialect,
+		getAgent: candidate => fleet.get(candidate.id)?.pool.agent,
 		getPath: service => fleet.getState(service)?.getService().probePath ?? defaultProbePath,
 		onReport: applyServerReport,
 		onMiss(candidate) {
@@ -258,7 +259,6 @@
 			client.close();
 			await peerExchange?.peers.stop();
 			fleet.close();
-			loadQuerier.close();
 			adminServer.close();
 			adminServer.closeAllConnections();
 			log.info({}, 'entry stopped');
--- a/source/entry/servers/load-querier.test.ts
+++ b/source/entry/servers/load-querier.test.ts
@@ -8,6 +8,7 @@
 import {createCandidate} from '../../choice/index.js';
 import {defaultDialect, type Dialect} from '../dialect.js';
 import {createLoadQuerier, type CandidateReading} from './load-querier.js';
+import {createPool} from './pool.js';
 
 const dialect: Dialect = {
 	...defaultDialect,
@@ -29,8 +30,9 @@
 		await once(server, 'listening');
 		const {port} = server.address() as {readonly port: number};
 		let missed = 0;
+		const pool = createPool('127.0.0.1', port, 100);
 		const asker = createLoadQuerier({
-			dialect, getPath: () => '/', onReport() {
+			dialect, getAgent: () => pool.agent, getPath: () => '/', onReport() {
 				// Server reports are ignored here.
 			}, onMiss() {
 				missed++;
@@ -46,7 +48,7 @@
 				candidates: [candidate], waitMilliseconds: 1000, isSufficient: () => true, onReadings: resolve,
 			});
 		});
-		asker.close();
+		pool.close();
 		server.close();
 		expect({readings: readings.length, missed}).toEqual(expected);
 	}
@@ -82,8 +84,9 @@
 		server.listen(0, '127.0.0.1');
 		await once(server, 'listening');
 		const {port} = server.address() as {readonly port: number};
+		const pool = createPool('127.0.0.1', port, 100);
 		const querier = createLoadQuerier({
-			dialect: {
+			getAgent: () => pool.agent, dialect: {
 				...defaultDialect, getReport: (headers, status) => ({
 					...dialect.getReport(headers, status), load: {
 						running: Number(headers['x-count']), waiting: 0, slots: 4, slowness: 1,
@@ -112,7 +115,7 @@
 			await delay(20);
 		}
 
-		querier.close();
+		pool.close();
 		server.close();
 		for (const socket of sockets) {
 			socket.destroy();
@@ -138,3 +141,46 @@
 		expect(await getReadings(async () => undefined, 'OHTTP/1.1 200 OK')).toEqual([]);
 	});
 });
+
+// Guards against a late response to an earlier request of the connection that is taken for the reply to a query.
+describe('createLoadQuerier: a response that repeats the id of a request', () => {
+	test('does not count, and ends the connection on which the reply would follow', async () => {
+		const server = createRawServer(socket => {
+			socket.on('data', () => {
+				socket.write(`HTTP/1.1 200 OK\r\n${defaultDialect.requestIdHeader}: r-1\r\ncontent-length: 0\r\n\r\n`);
+			});
+			socket.on('error', () => {
+				socket.destroy();
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const {port} = server.address() as {readonly port: number};
+		const pool = createPool('127.0.0.1', port, 100);
+		const querier = createLoadQuerier({
+			dialect, getAgent: () => pool.agent, getPath: () => '/', onReport() {
+				// Server reports are ignored here.
+			}, onMiss() {
+				// Misses are seen by the readings.
+			}, onResult() {
+				// Results are not counted here.
+			},
+		});
+		const closed = new Promise(resolve => {
+			server.once('connection', (socket: Socket) => {
+				socket.once('close', resolve);
+			});
+		});
+		const readings = await new Promise(resolve => {
+			querier.query({
+				candidates: [createCandidate(1, announcementSchema.parse({
+					service: 'stock', name: 'one', host: '127.0.0.1', port, zone: 'north', slots: 4, connections: 100, boot: 'b', state: 'warm',
+				}), 'warm')], waitMilliseconds: 1000, isSufficient: () => true, onReadings: resolve,
+			});
+		});
+		await closed;
+		pool.close();
+		server.close();
+		expect(readings).toEqual([]);
+	});
+});
--- a/source/entry/servers/load-querier.ts
+++ b/source/entry/servers/load-querier.ts
@@ -1,14 +1,14 @@
 /**
- * Queries servers for their load just before a request is sent, over dedicated
- * connections. A server that does not reply in time is not selected for the request,
+ * Queries servers for their load just before a request is sent, over the connections that carry requests: the request then finds
+ * a connection that is open and was used a moment before. A server that does not reply in time is not selected for the request,
  * and its connection is closed after a longer timeout.
  */
-import {Agent} from 'node:http';
+import {type Agent, type IncomingMessage} from 'node:http';
 import {getExpectedSlowdown, type Candidate, type LoadReading} from '../../choice/index.js';
 import {discardBody} from '../../bytes/index.js';
 import {type Dialect, type ServerReport} from '../dialect.js';
 import {isWellFormedHead} from '../http/index.js';
-import {guardIdleSockets} from './idle-sockets.js';
+import {getRepeatedId} from './response-origin.js';
 import {startServerRequest} from './server-request.js';
 
 /** Time after which a query counts as lost and its connection is closed. */
@@ -17,9 +17,6 @@
 /** Limits of the body of a reply, which is not used. */
 const responseLimits = {maximumBytes: 16_384, maximumMilliseconds: queryTimeoutMilliseconds};
 
-/** Maximum number of query connections to one server. */
-const connectionsPerServer = 2;
-
 /** Factor for the slowness of a server that reports itself unhealthy; others are preferred, but the report may be false. */
 const unhealthySlownessFactor = 4;
 
@@ -44,12 +41,13 @@
 export type LoadQuerier = {
 	/** Sends a query; the returned function cancels it. */
 	query(query: LoadQuery): () => void;
-	close(): void;
 };
 
 /** Options of a load querier. */
 export type LoadQuerierOptions = {
 	readonly dialect: Dialect;
+	/** Gets the agent of the connections to a server, or undefined if the server has been removed. */
+	getAgent(candidate: Candidate): Agent | undefined;
 	/** Gets the path at which the servers of a service report their load. */
 	getPath(service: string): string;
 	/** Called with the status that a server reports. */
@@ -65,10 +63,12 @@
  * @param options - Dialect, paths and event callbacks.
  */
 export function createLoadQuerier(options: LoadQuerierOptions): LoadQuerier {
-	const agent = new Agent({
-		keepAlive: true, maxSockets: connectionsPerServer, maxFreeSockets: connectionsPerServer, scheduling: 'lifo',
-	});
-	guardIdleSockets(agent);
+	const {dialect} = options;
+
+	/** Checks whether a response is the reply of the candidate, and not one of another server at its address or a late one to an earlier request. */
+	function isOwnReply(response: IncomingMessage, report: ServerReport, name: string): boolean {
+		return getRepeatedId(dialect, response) === undefined && (report.server === undefined || report.server === name);
+	}
 
 	function queryOne(candidate: Candidate, onReading: (reading: LoadReading | undefined) => void): void {
 		const {host, port, service, name} = candidate.getAnnouncement();
@@ -82,33 +82,36 @@
 			}
 		}
 
-		const headers = options.dialect.serverHeader === undefined ? {} : {[options.dialect.serverHeader]: name};
-		const started = startServerRequest({
-			host, port, path: options.getPath(service), method: 'GET', agent, headers,
-		});
+		const agent = options.getAgent(candidate);
+		const headers = dialect.serverHeader === undefined ? {} : {[dialect.serverHeader]: name};
+		const started = agent === undefined
+			? undefined
+			: startServerRequest({
+				host, port, path: options.getPath(service), method: 'GET', agent, headers,
+			});
 		const timer = setTimeout(() => {
-			started.map(request => request.destroy());
+			started?.map(request => request.destroy());
 		}, queryTimeoutMilliseconds);
-		if (started.isErr) {
+		if (started === undefined || started.isErr) {
 			setImmediate(end, undefined);
 			return;
 		}
 
 		const request = started.value;
 		request.once('response', response => {
-			discardBody(response, responseLimits);
 			if (!isWellFormedHead(response)) {
-				end(undefined);
+				fail();
 				return;
 			}
 
-			const report = options.dialect.getReport(response.headers, response.statusCode ?? 0);
-			if (report.server !== undefined && report.server !== name) {
-				// Another server has taken over the address, so its report does not apply to the candidate.
-				end(undefined);
+			const report = dialect.getReport(response.headers, response.statusCode ?? 0);
+			if (!isOwnReply(response, report, name)) {
+				fail();
 				return;
 			}
 
+			discardBody(response, responseLimits);
+
 			options.onReport(candidate, report);
 			end(getReading(report, response.statusCode === 200));
 		});
@@ -119,6 +122,12 @@
 			end(undefined);
 		});
 		request.end();
+
+		/** Counts the query as lost, and closes its connection: what comes next on it may be the reply. */
+		function fail(): void {
+			end(undefined);
+			request.destroy();
+		}
 	}
 
 	return {
@@ -157,8 +166,5 @@
 				clearTimeout(timer);
 			};
 		},
-		close() {
-			agent.destroy();
-		},
 	};
 }
--- a/source/entry/servers/server-request.test.ts
+++ b/source/entry/servers/server-request.test.ts
@@ -63,8 +63,9 @@
 	test('counts as a missed reply of a load query', async () => {
 		const dialect: Dialect = {...defaultDialect, serverHeader: 'target-instance'};
 		let missed = 0;
+		const pool = createPool('127.0.0.1', 1, 1);
 		const querier = createLoadQuerier({
-			dialect, getPath: () => '/', onReport() {
+			dialect, getAgent: () => pool.agent, getPath: () => '/', onReport() {
 				// No server reports anything here.
 			}, onMiss() {
 				missed++;
@@ -77,7 +78,7 @@
 				candidates: [createUnsendableCandidate()], waitMilliseconds: 1000, isSufficient: () => true, onReadings: resolve,
 			});
 		});
-		querier.close();
+		pool.close();
 		expect([readings, missed]).toEqual([[], 1]);
 	});
 });
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -123,7 +123,7 @@
 	const context: RequestContext = {
 		zone,
 		dialect: modelDialect,
-		loadQuerier: {query, close: ignore},
+		loadQuerier: {query},
 		queryBudget: {take: requested => requested},
 		random,
 		fleet,
