Start the first election as soon as links to other replicas open

Cause: after all hosts have lost power, each waits for a pre-vote timeout of half to one election timeout before the first pre-vote, so that entries get their leases late.

Change: a replica that has heard no leader since its start asks for pre-votes within a tenth of the election timeout of each link that opens. A pre-vote changes no state and does not disturb a leader.

--- a/source/consensus/election.ts
+++ b/source/consensus/election.ts
@@ -12,8 +12,8 @@
 type Vote = Extract<ReplicaMessage, {readonly kind: 'vote'}>;
 
 /**
- * Share of the election timeout within which a replica starts its own pre-vote after it rejected one from a replica with an
- * older log. The delay is random within this share, so that two replicas rarely start at the same time.
+ * Share of the election timeout within which a replica starts a pre-vote after a link has opened, or after it rejected one from a replica
+ * with an older log. The delay is random within this share, so that two replicas rarely start at the same time.
  */
 const shortenedTimeoutShare = 0.1;
 
@@ -25,6 +25,11 @@
 	startTransferElection(): void;
 	receiveVoteRequest(from: string, message: VoteRequest): void;
 	receiveVote(from: string, message: Vote): void;
+	/**
+	 * Records that a link to another replica has opened. A replica that has heard no leader since its start asks for pre-votes soon, because
+	 * all hosts may have been without power: the election then needs no more time than the links, and a leader that exists is not disturbed.
+	 */
+	recordConnection(): void;
 	/** Records a message from the leader and resets the election timeout. */
 	recordLeaderContact(): void;
 	/** Extends the election timeout after the hard state was synced, by that time and the time that others may take for theirs. */
@@ -65,8 +70,8 @@
 	}
 
 	/**
-	 * Shortens the timeout after a pre-vote request from a replica with an older log, which has no leader either and cannot win.
-	 * After a power loss of all hosts, the first ones to restart may lack entries that only hosts restarting later have.
+	 * Shortens the timeout after a link has opened, or after a pre-vote request from a replica with an older log, which has no leader
+	 * either and cannot win. After a power loss of all hosts, the first ones to restart may lack entries that only hosts restarting later have.
 	 */
 	function shortenTimeout(): void {
 		timeoutAt = Math.min(timeoutAt, core.now + (options.random() * electionMilliseconds * shortenedTimeoutShare));
@@ -234,6 +239,11 @@
 				options.becomeLeader();
 			}
 		},
+		recordConnection() {
+			if (leaderContactAt === Number.NEGATIVE_INFINITY && (core.role === 'follower' || core.role === 'preCandidate')) {
+				shortenTimeout();
+			}
+		},
 		recordLeaderContact() {
 			leaderContactAt = core.now;
 			awaitedVotes.resetPatience();
--- a/source/consensus/message.ts
+++ b/source/consensus/message.ts
@@ -102,6 +102,8 @@
 	 */
 		| {readonly kind: 'confirm'; readonly token: number; readonly isUrgent: boolean}
 		| {readonly kind: 'transfer'; readonly to: string}
+	/** Reports that a link to another replica has opened. */
+		| {readonly kind: 'connected'}
 	/** Reports whether durable state can be written. */
 		| {readonly kind: 'writability'; readonly isWritable: boolean}
 	/** Replaces the log up to an applied index with a snapshot of the state machine. */
--- a/source/consensus/replica.test.ts
+++ b/source/consensus/replica.test.ts
@@ -250,3 +250,31 @@
 		doTest(1, true, 160);
 	});
 });
+
+// Guards against an election that waits for its timeout although a quorum is connected, after all hosts have lost power.
+describe('createReplica: links that open after a start', () => {
+	function getPreVoteRequests(replica: Replica, now: number): number {
+		return replica.handle({kind: 'tick'}, now).filter(action => action.kind === 'send' && action.message.kind === 'voteRequest' && action.message.isPreVote).length;
+	}
+
+	test('start a pre-vote within a tenth of the election timeout', () => {
+		const replica = createTestReplica(0, []);
+		replica.handle({kind: 'connected'}, 5);
+		expect(getPreVoteRequests(replica, 15)).toEqual(2);
+	});
+	test('start another one, because answers may have found no link', () => {
+		const replica = createTestReplica(0, []);
+		replica.handle({kind: 'connected'}, 5);
+		replica.handle({kind: 'tick'}, 15);
+		replica.handle({kind: 'connected'}, 16);
+		expect(getPreVoteRequests(replica, 26)).toEqual(2);
+	});
+	test('change nothing once a leader has been heard', () => {
+		const replica = createTestReplica(1, []);
+		replica.handle(receive('b', {
+			kind: 'append', term: 1, previousIndex: 0, previousTerm: 0, entries: [], commitIndex: 0, round: 1,
+		}), 5);
+		replica.handle({kind: 'connected'}, 6);
+		expect(getPreVoteRequests(replica, 16)).toEqual(0);
+	});
+});
--- a/source/consensus/replica.ts
+++ b/source/consensus/replica.ts
@@ -195,6 +195,11 @@
 				return;
 			}
 
+			case 'connected': {
+				election.recordConnection();
+				return;
+			}
+
 			case 'writability': {
 				core.isWritable = event.isWritable;
 				if (!event.isWritable) {
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -137,6 +137,7 @@
 		},
 		onConnect(host) {
 			log.info({host}, 'connected to a control host');
+			driver.recordConnection();
 			membershipManager.requestToJoin();
 			client.sendTo(host, shutdown.getAvailability());
 		},
--- a/source/control/driver.ts
+++ b/source/control/driver.ts
@@ -26,6 +26,8 @@
 	/** Emits the current term once this replica leads and has applied all entries committed in earlier terms. */
 	readonly leadershipStarts: Observable<number>;
 	receive(from: string, message: ReplicaMessage): void;
+	/** Records that a link to another replica has opened. */
+	recordConnection(): void;
 	propose(command: Command): Promise<ProposalOutcome>;
 	proposeMembership(membership: Membership): void;
 	/** Resolves to whether a quorum confirmed, after the call, that this replica leads. An urgent call starts a round at once; others wait for the next heartbeat. */
@@ -219,6 +221,9 @@
 		receive(from, message) {
 			handleEvent({kind: 'received', from, message});
 		},
+		recordConnection() {
+			handleEvent({kind: 'connected'});
+		},
 		async propose(command) {
 			const previousLastIndex = replica.getLog().getLastIndex();
 			const place = {index: previousLastIndex + 1, term: replica.getTerm()};
