--- a/source/consensus/exploration.test.ts
+++ b/source/consensus/exploration.test.ts
@@ -212,6 +212,11 @@
 					start(other);
 				}
 			}
+
+			// The links to hosts that start open again.
+			for (const other of all) {
+				handle(other, {kind: 'connected'});
+			}
 		} else if (kind < 95) {
 			const token = nextToken++;
 			committedAtRequest.set(`${node.id} ${token}`, getHighestCommitted());
