--- a/source/control/api.ts
+++ b/source/control/api.ts
@@ -255,6 +255,7 @@
 		case 'history':
 		case 'inForce':
 		case 'ledger':
+		case 'quota':
 		case 'status': {
 			return 200;
 		}
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -169,7 +169,7 @@
 	const membershipManager = createMembershipManager({
 		self, driver, discovery, client, links, log,
 	});
-	const metrics = createControlMetrics(driver, machine, stallWatch);
+	const metrics = createControlMetrics(driver, machine, stallWatch, () => leadership?.quotas.getOutstanding() ?? 0);
 	const recordLinkFailure = createLinkFailureLog({log, count: metrics.countInternalError, getTime: () => performance.now()});
 	const zoneLog = createZoneLog(log, machine);
 
@@ -229,7 +229,7 @@
 	function startLeadership(term: number): void {
 		nudges.restart();
 		leadership = createLeadership({
-			epoch: term, startedAt: performance.now(), termMilliseconds: settings.lease.termMilliseconds, machine, getWallClock: Date.now, getAppliedIndex: driver.replica.getCommitIndex,
+			epoch: term, startedAt: performance.now(), termMilliseconds: settings.lease.termMilliseconds, machine, quotaTolerance: settings.quotaTolerance, getWallClock: Date.now, getAppliedIndex: driver.replica.getCommitIndex,
 		});
 		nudges.schedule();
 	}
--- a/source/control/inbound-check.ts
+++ b/source/control/inbound-check.ts
@@ -4,7 +4,9 @@
 	createKindsSchema, createMessageCheck, numberField, numbersField, textsField, type MessageReceiver,
 } from '../wire/index.js';
 import {type ControlInbound} from './message.js';
-import {environmentField, peerField, permitField} from './message-fields.js';
+import {
+	environmentField, peerField, permitField, quotaReportField,
+} from './message-fields.js';
 import {installSchema, replicaMessageSchema} from './replica-message-schema.js';
 import {requestSchema} from './request-schema.js';
 
@@ -32,6 +34,7 @@
 	held: z.array(permitField).optional(),
 	earlier: earlierState.optional(),
 	slack: slackReport.optional(),
+	quota: z.array(quotaReportField).optional(),
 	failedProbes: numbersField,
 	heard: numbersField,
 	crashes: z.array(z.looseObject({fingerprint: z.string()})),
--- a/source/control/leader-request-handler.ts
+++ b/source/control/leader-request-handler.ts
@@ -11,7 +11,7 @@
 import {getReplicaStatuses} from './replica-statuses.js';
 import {type Command, type CommandResult, type StateMachine} from './state-machine.js';
 import {
-	type ClusterStatus, type ControlResponse, type ControlRequest,
+	type ClusterStatus, type ControlResponse, type ControlRequest, type QuotaQuestion,
 } from './message.js';
 
 /** Handles requests; responds with `notLeader` while its replica does not lead. */
@@ -35,6 +35,7 @@
 export function createLeaderRequestHandler(options: LeaderRequestHandlerOptions): LeaderRequestHandler {
 	const {driver, machine, getLeadership} = options;
 	const zoneChanges = new Map<string, {readonly term: number}>();
+	let quotaConfirmation: Promise<void> | undefined;
 
 	function getNotLeaderResponse(): ControlResponse {
 		const leader = driver.replica.getLeader();
@@ -164,6 +165,30 @@
 		return isConfirmed && leadership !== undefined ? toResponse(leadership) : getNotLeaderResponse();
 	}
 
+	/** Confirms the leadership for all questions that wait for it. */
+	async function confirmQuotas(leadership: Leadership): Promise<void> {
+		const startedAt = performance.now();
+		if (await driver.confirm(true)) {
+			leadership.quotas.confirm(startedAt);
+		}
+	}
+
+	async function answerQuota(question: QuotaQuestion): Promise<ControlResponse> {
+		const leadership = getLeadership();
+		if (leadership === undefined) {
+			return getNotLeaderResponse();
+		}
+
+		if (!leadership.quotas.isConfirmed(performance.now())) {
+			quotaConfirmation ??= confirmQuotas(leadership).finally(() => {
+				quotaConfirmation = undefined;
+			});
+			await quotaConfirmation;
+		}
+
+		return getLeadership() === leadership ? leadership.quotas.answer(question, performance.now()) : getNotLeaderResponse();
+	}
+
 	/** Counts a crash. A new quarantine is sent to the entries before the response, so that it precedes the answer to the caller. */
 	function reportCrash(leadership: Leadership, fingerprint: string, server: number): ControlResponse {
 		const now = performance.now();
@@ -226,6 +251,10 @@
 					return runLedgerCommand(request.command);
 				}
 
+				case 'quota': {
+					return answerQuota(request);
+				}
+
 				case 'drain': {
 					return drain(request.key, request.boot);
 				}
--- a/source/control/leadership.ts
+++ b/source/control/leadership.ts
@@ -1,5 +1,5 @@
 /**
- * Soft state of a leader: leases, permits for cold servers, the lent slack, probe duties, liveness of servers and quarantine. A new leader rebuilds it
+ * Soft state of a leader: leases, permits for cold servers, the lent slack and tokens, probe duties, liveness of servers and quarantine. A new leader rebuilds it
  * from renewals and announcements. An earlier leader may have granted permits and duties for the servers that were registered
  * then, so until the earlier leases have expired a new leader grants no duties for these servers, and only those permits that entries
  * report to hold.
@@ -8,6 +8,7 @@
 import {type EnvironmentDocument, type Service} from '../configuration/index.js';
 import {type Grant, type Renewal} from '../lease/index.js';
 import {createQuarantine} from '../quarantine/index.js';
+import {defaultQuotaTolerance, type QuotaTolerance} from '../quota/index.js';
 import {createColdServers} from './cold-servers.js';
 import {getCountedRenewal} from './counted-renewal.js';
 import {createDueCommands, removalTimeoutMilliseconds} from './due-commands.js';
@@ -17,12 +18,15 @@
 import {createProbing} from './probing.js';
 import {createServerList} from './server-list.js';
 import {createServerPresence} from './server-presence.js';
+import {createQuotaLending, type QuotaLending} from './quota-lending.js';
 import {createSlackLending} from './slack-lending.js';
 import {type StateMachine} from './state-machine.js';
 
 /** Soft state of one leader during one term. */
 export type Leadership = {
 	readonly epoch: number;
+	/** Lends tokens of quotas. */
+	readonly quotas: Omit<QuotaLending, 'grant'>;
 	/** Grants a lease. Call it only if leadership was confirmed after the renewal was received. */
 	grant(renewal: Renewal, receivedAt: number, now: number): Grant;
 	/** Applies a committed change of the environment documents. */
@@ -55,6 +59,8 @@
 	readonly startedAt: number;
 	readonly termMilliseconds: number;
 	readonly machine: StateMachine;
+	/** By how much requests may exceed quotas; the default if it is missing. */
+	readonly quotaTolerance?: QuotaTolerance;
 	/** Gets the wall-clock time in milliseconds. */
 	getWallClock(): number;
 	/** Gets the index of the replicated log up to which the state machine has applied commands. */
@@ -80,6 +86,9 @@
 		startedAt, termMilliseconds, machine, inheritedServers,
 	});
 	const slackLending = createSlackLending({startedAt, termMilliseconds, machine});
+	const quotas = createQuotaLending({
+		epoch, startedAt, termMilliseconds, machine, tolerance: options.quotaTolerance ?? defaultQuotaTolerance,
+	});
 	const dueCommands = createDueCommands({
 		termMilliseconds, machine, presence, coldServers, getWallClock: options.getWallClock,
 	});
@@ -148,6 +157,7 @@
 
 	return {
 		epoch,
+		quotas,
 		grant(renewal, receivedAt, now) {
 			leases.expire(now);
 			const isOvertaken = leases.isOvertaken(renewal);
@@ -171,6 +181,7 @@
 				document: version === renewal.version ? undefined : machine.register.getUpdate(renewal.environment, renewal.version),
 				permits: renewal.isFinal ? [] : coldServers.grant(renewal, liveEntries, receivedAt),
 				...slackLending.grant(renewal, liveEntries.length, receivedAt),
+				...quotas.grant(renewal, receivedAt, now),
 				...probing.grant(renewal, getDocument(renewal.environment)),
 				quarantined: quarantine.getQuarantined(now),
 				zonesOut: machine.getZonesOut(),
--- a/source/control/message-fields.ts
+++ b/source/control/message-fields.ts
@@ -81,3 +81,9 @@
 export const permitField = z.looseObject({
 	server: numberField, slots: numberField, requestsPerSecond: count, capacity: capacity.optional(),
 });
+
+/** Schema of the report on the tokens of one workspace. */
+export const quotaReportField = z.tuple([z.string(), numberField, numberField, numberField, numberField, numberField.optional()], z.unknown());
+
+/** Schema of the tokens of one workspace that were lent. */
+export const quotaGrantField = z.tuple([z.string(), numberField, numberField.optional()], z.unknown());
--- a/source/control/message.ts
+++ b/source/control/message.ts
@@ -5,7 +5,7 @@
 } from '../configuration/index.js';
 import {type ReplicaMessage} from '../consensus/index.js';
 import {
-	type Grant, type Nudge, type QuarantineNotice, type Refusal, type Renewal,
+	type Grant, type Nudge, type QuarantineNotice, type QuotaReport, type Refusal, type Renewal,
 } from '../lease/index.js';
 import {type LedgerResult, type LedgerCommand} from '../ledger/index.js';
 import {type BurnReport} from '../service-level/index.js';
@@ -35,7 +35,21 @@
 		| {readonly kind: 'readVersion'; readonly environment: Environment}
 		| {readonly kind: 'readHistory'; readonly environment: Environment}
 		| {readonly kind: 'readInForce'; readonly environment: Environment; readonly version: number}
-		| {readonly kind: 'readStatus'};
+		| {readonly kind: 'readStatus'}
+		| QuotaQuestion;
+
+/** Question of an entry's process for tokens of a workspace, sent when requests wait for them. Asked twice, it lends nothing more. */
+export type QuotaQuestion = {
+	readonly kind: 'quota';
+	readonly environment: Environment;
+	readonly process: string;
+	/** Newest consensus term that the process knows. A leader of an earlier one must not answer. */
+	readonly epoch: number;
+	readonly report: QuotaReport;
+	readonly waiting: number;
+	/** Requests that were refused since the last question. */
+	readonly refused: number;
+};
 
 /** Response to a request. */
 export type ControlResponse
@@ -57,6 +71,7 @@
 		| {readonly kind: 'history'; readonly versions: readonly Version[]}
 		| {readonly kind: 'inForce'; readonly isInForce: boolean}
 		| {readonly kind: 'status'; readonly status: ClusterStatus}
+		| {readonly kind: 'quota'; readonly epoch: number; readonly granted: number; readonly retryMilliseconds: number}
 		| {readonly kind: 'notLeader'; readonly leader: string | undefined}
 	/** It is not known whether the request has taken effect. */
 		| {readonly kind: 'unknown'};
--- a/source/control/metrics.ts
+++ b/source/control/metrics.ts
@@ -25,8 +25,9 @@
  * @param driver - Driver of the replica.
  * @param machine - Replicated state machine.
  * @param stallWatch - Watch for times in which the process did not run.
+ * @param getOutstandingTokens - Gets the number of tokens of quotas that entries hold, if this host leads.
  */
-export function createControlMetrics(driver: Driver, machine: StateMachine, stallWatch: StallWatch): ControlMetrics {
+export function createControlMetrics(driver: Driver, machine: StateMachine, stallWatch: StallWatch, getOutstandingTokens: () => number): ControlMetrics {
 	const registry = new Registry();
 	addProcessMetrics(registry);
 	const renewals = new Counter({
@@ -51,6 +52,7 @@
 	addGauge(registry, 'guavadeck_zones_revision', 'Index of the last command for a zone that this host applied', () => machine.getZonesRevision());
 	addGauge(registry, 'guavadeck_zones_out', 'Zones that operators took out of service', () => machine.getZonesOut().length);
 
+	addGauge(registry, 'guavadeck_quota_tokens_outstanding', 'Tokens of quotas that entries hold, if this host leads', getOutstandingTokens);
 	addGauge(registry, 'guavadeck_stalls_total', 'Times in which this process did not run', stallWatch.getStallCount);
 	addGauge(registry, 'guavadeck_stalled_seconds_total', 'Duration of the times in which this process did not run', () => stallWatch.getStalledMilliseconds() / millisecondsPerSecond);
 
--- a/source/control/outbound-check.ts
+++ b/source/control/outbound-check.ts
@@ -5,7 +5,7 @@
 } from '../wire/index.js';
 import {type ControlOutbound} from './message.js';
 import {
-	announcementField, peerField, permitField, updateField,
+	announcementField, peerField, permitField, quotaGrantField, updateField,
 } from './message-fields.js';
 
 const server = z.looseObject({
@@ -32,6 +32,8 @@
 	entries: numberField,
 	keepsEarlier: z.boolean().optional(),
 	slack: z.looseObject({part: numberField}).optional(),
+	quota: z.array(quotaGrantField).optional(),
+	aboveShare: textsField.optional(),
 	peers: z.array(peerField).optional(),
 });
 
--- a/source/control/request-schema.ts
+++ b/source/control/request-schema.ts
@@ -2,7 +2,7 @@
 import * as z from 'zod';
 import {createKindsSchema, numberField, textsField} from '../wire/index.js';
 import {
-	announcementField, documentField, environmentField, updateField,
+	announcementField, documentField, environmentField, quotaReportField, updateField,
 } from './message-fields.js';
 
 const configurationCommand = z.discriminatedUnion('kind', [
@@ -41,6 +41,9 @@
 	drain: z.looseObject({key: z.string(), boot: z.string().optional()}),
 	crash: z.looseObject({fingerprint: z.string()}),
 	clearCrashes: z.looseObject({fingerprint: z.string()}),
+	quota: z.looseObject({
+		environment: environmentField, process: z.string(), epoch: numberField, report: quotaReportField, waiting: numberField, refused: numberField,
+	}),
 	readVersion: z.looseObject({environment: environmentField}),
 	readHistory: z.looseObject({environment: environmentField}),
 	readInForce: z.looseObject({environment: environmentField, version: numberField}),
--- a/source/entry/callers/response.ts
+++ b/source/entry/callers/response.ts
@@ -10,7 +10,7 @@
 import {type Dialect} from '../dialect.js';
 import {relayBody} from './body-relay.js';
 
-const retryAfterSeconds = '1';
+const minimumRetryAfterSeconds = 1;
 const maximumSpreadValue = 65_535;
 const millisecondsPerSecond = 1000;
 
@@ -56,8 +56,8 @@
 	}
 
 	headers.push(dialect.requestIdHeader, requestId);
-	if (status === 503) {
-		headers.push('retry-after', dialect.hasVerdictHeaders ? retryAfterSeconds : (options.retryAfterMilliseconds / millisecondsPerSecond).toFixed(3));
+	if (status === 503 || status === 429) {
+		headers.push('retry-after', getRetryAfter(dialect, status, options.retryAfterMilliseconds));
 	}
 
 	if (isClosing) {
@@ -68,6 +68,16 @@
 	response.end(body);
 }
 
+/** Gets the value of the Retry-After header. The standard one has whole seconds, and a quota must be available again after them. */
+function getRetryAfter(dialect: Dialect, status: number, milliseconds: number): string {
+	const seconds = milliseconds / millisecondsPerSecond;
+	if (!dialect.hasVerdictHeaders) {
+		return seconds.toFixed(3);
+	}
+
+	return String(status === 429 ? Math.max(minimumRetryAfterSeconds, Math.ceil(seconds)) : minimumRetryAfterSeconds);
+}
+
 /**
  * Writes the head of a server's response.
  * @param dialect - Header dialect of the caller.
--- a/source/entry/entrance/request-handler.ts
+++ b/source/entry/entrance/request-handler.ts
@@ -12,6 +12,7 @@
 } from '../requests/index.js';
 import {type ServiceState} from '../fleet/index.js';
 import {getRequestTime} from '../servers/index.js';
+import {type QuotaToken} from '../../quota/index.js';
 import {type RoutePolicy} from '../routing/index.js';
 import {dispatchRequest} from '../placement/index.js';
 import {getFingerprint} from '../crashes/index.js';
@@ -55,6 +56,7 @@
 	const key = isIdempotent || route.isIdempotent !== undefined ? undefined : getIdempotencyKey(incoming, service.keyHeader);
 	const requestTime = getRequestTime(incoming.headers[context.dialect.deadlineHeader], route, arrivedAt);
 
+	let token: QuotaToken | undefined;
 	let hasEnded = false;
 	const trace = context.startTrace({
 		id: requestId,
@@ -72,6 +74,7 @@
 		}
 
 		hasEnded = true;
+		token?.end(verdict.kind !== 'notRun');
 		const milliseconds = performance.now() - startedAt;
 		trace.end(verdict, milliseconds);
 		context.onRequestEnd(service, verdict, milliseconds);
@@ -85,7 +88,7 @@
 		return Math.max(pauseMilliseconds * (1 + (spread * maximumPauseSpread)), state.shortageEstimate.getRetryAfterMilliseconds(now, spread));
 	}
 
-	function refuse(verdict: Verdict): void {
+	function refuse(verdict: Verdict, retryAfterMilliseconds = getRetryAfterMilliseconds()): void {
 		if (!response.headersSent && !response.destroyed) {
 			sendVerdict({
 				dialect: context.dialect,
@@ -93,7 +96,7 @@
 				verdict,
 				requestId,
 				isClosing: exchange.decideClose(false),
-				retryAfterMilliseconds: getRetryAfterMilliseconds(),
+				retryAfterMilliseconds,
 			});
 		}
 
@@ -133,6 +136,14 @@
 		}
 
 		const deadlineAt = arrivedAt + requestTime.remainingMilliseconds;
+		const entered = context.quotaGate.enter(access, deadlineAt);
+		const quota = entered instanceof Promise ? await entered : entered;
+		if (quota.kind === 'refused') {
+			refuse(notRun(quota.reason), quota.retryAfterMilliseconds);
+			return;
+		}
+
+		token = quota.kind === 'taken' ? quota.token : undefined;
 		const isLate = requestTime.elapsedMilliseconds + (startedAt - arrivedAt) > (route.targetMilliseconds ?? Number.POSITIVE_INFINITY) * lateTargetShare;
 		const prepared = await prepareBody({
 			limits: context, incoming, response, isClaimed: key !== undefined, deadlineAt,
@@ -163,6 +174,8 @@
 			}
 
 			if (outcome.kind === 'replay') {
+				// The stored response was paid for by the request that ran.
+				token?.end(false);
 				const {status, headers, body: storedBody} = outcome.response;
 				writeResponseHead(context.dialect, response, {status, headers: [...headers, 'guavadeck-replayed', 'true'], isCloseDelimited: false}, requestId, exchange.decideClose(false));
 				response.end(storedBody);
@@ -174,7 +187,7 @@
 		}
 
 		dispatchRequest({
-			context, state, service, route, access, rank: getRequestRank(context.getWorkspaces(), access, route), request, exchange, requestId, deadlineAt, isLate, claim, refuse, fail, onEnd: recordEnd, recordDecision: trace.record, computeFingerprint,
+			context, state, service, route, access, rank: getRequestRank(context.getWorkspaces(), access, route), request, exchange, requestId, deadlineAt, isLate, claim, token, refuse, fail, onEnd: recordEnd, recordDecision: trace.record, computeFingerprint,
 		});
 	}
 }
--- a/source/entry/entry-gauges.ts
+++ b/source/entry/entry-gauges.ts
@@ -2,6 +2,7 @@
 import {performance} from 'node:perf_hooks';
 import {type StallWatch} from '../control/stall-watch.js';
 import {type LeaseHolder} from '../lease/index.js';
+import {type QuotaTokens} from '../quota/index.js';
 import {type SlackPart} from '../retry/index.js';
 import {type EntryMetrics} from './reporting/index.js';
 import {type Peers} from './peers/index.js';
@@ -17,6 +18,7 @@
 	readonly lease: LeaseHolder;
 	/** Part of the slack that entries share; undefined if they share none. */
 	readonly slackPart: SlackPart | undefined;
+	readonly quotaTokens: Pick<QuotaTokens, 'getHeld'>;
 	readonly zoneView: ZoneView;
 	readonly stallWatch: StallWatch;
 	readonly prober: Prober;
@@ -31,12 +33,14 @@
  */
 export function registerGauges(metrics: EntryMetrics, sources: GaugeSources): void {
 	const {
-		state, lease, slackPart, zoneView, stallWatch, prober, peers,
+		state, lease, slackPart, quotaTokens, zoneView, stallWatch, prober, peers,
 	} = sources;
 	metrics.addGauge('guavadeck_in_flight', 'Requests in flight', () => state.inFlight);
 	metrics.addGauge('guavadeck_document_version', 'Version of the document in force', () => lease.getVersion());
 	metrics.addGauge('guavadeck_lease_seconds', 'Time until the lease ends', () => Math.max(0, lease.getExpiresAt() - performance.now()) / millisecondsPerSecond);
 	metrics.addGauge('guavadeck_slack_part', 'Extra attempts beyond the ratio that the leader lends to this entry', () => slackPart?.getPart() ?? 0);
+	metrics.addGauge('guavadeck_quota_tokens_held', 'Tokens of quotas that this entry holds, free or taken by requests', quotaTokens.getHeld);
+	metrics.addGauge('guavadeck_workspaces_above_share', 'Workspaces that use more of their quota than others', () => state.aboveShare.size);
 	metrics.addGauge('guavadeck_zones_revision', 'Revision of the zones that the entry acts on', zoneView.getRevision);
 	metrics.addGauge('guavadeck_zones_out', 'Zones out of service that the entry acts on', zoneView.getZonesOutCount);
 	metrics.addGauge('guavadeck_grant_age_seconds', 'Time since the renewal of the last grant was sent', zoneView.getGrantAgeSeconds);
--- a/source/entry/entry-state.ts
+++ b/source/entry/entry-state.ts
@@ -14,6 +14,8 @@
 	router: Router;
 	/** Workspaces of the document in force, or undefined if it has none. */
 	workspaces: WorkspaceIndex | undefined;
+	/** Workspaces that use more of their quota than others do, as the leader has told. */
+	aboveShare: ReadonlySet<string>;
 	/** Number of entries in the environment. */
 	entryCount: number;
 	/** Number of callers' requests in flight. */
@@ -25,6 +27,6 @@
 /** Creates the state of an entry without a document. */
 export function createEntryState(): EntryState {
 	return {
-		document: undefined, router: createRouter([]), workspaces: undefined, entryCount: assumedEntryCount, inFlight: 0, isDraining: false,
+		document: undefined, router: createRouter([]), workspaces: undefined, aboveShare: new Set(), entryCount: assumedEntryCount, inFlight: 0, isDraining: false,
 	};
 }
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -9,6 +9,7 @@
 import {createStallWatch} from '../control/stall-watch.js';
 import {createLoadQueryBudget} from '../measuring/index.js';
 import {createRandom} from '../randomness/index.js';
+import {createQuotaTokens} from '../quota/index.js';
 import {isSafeMethod} from '../retry/index.js';
 import {periodMilliseconds} from '../service-level/report.js';
 import {type EntrySettings, type Security} from '../settings/index.js';
@@ -20,7 +21,9 @@
 	createAnnouncementHandler, createFleet, createProber, drainQueues, createReportHandler,
 } from './fleet/index.js';
 import {createCallerServer} from './callers/index.js';
-import {createClaims, type RequestContext, createRequestIds} from './requests/index.js';
+import {
+	createClaims, createQuotaGate, type RequestContext, createRequestIds,
+} from './requests/index.js';
 import {
 	openControlLinks, applyGrant, createEntrySlackPart, type GrantTargets, keepLease, createEarlierStateKeeper, createReadiness, createZoneView,
 } from './lease/index.js';
@@ -82,6 +85,7 @@
 	const slackPart = createEntrySlackPart(settings.attemptBudget, () => {
 		readiness.revokePermitsIfNeeded();
 	});
+	const quotaTokens = createQuotaTokens();
 	const recordLinkFailure = createLinkFailureLog({log, count: metrics.countInternalError, getTime: () => performance.now()});
 	const stallWatch = createStallWatch({log, intervalMilliseconds: housekeepingIntervalMilliseconds});
 	const zoneView = createZoneView({log, isServingWithoutControl, getTime: () => performance.now()});
@@ -118,12 +122,15 @@
 		takeObservations: fleet.takeObservations,
 		getPermits: fleet.getPermits,
 		getSlackReport: now => slackPart?.getReport(now),
+		getQuotaReports: quotaTokens.getReports,
+		isQuotaReportOwed: quotaTokens.isReportOwed,
 		takeFailedProbes: prober.takeFailedServers,
 		takeUnchangedServers: announcementHandler.takeUnchangedServers,
 		getCrashReports: () => crashTracker.getReports(),
 		getEarlierState: earlierState.get,
 		applyGrant(grant, document, host) {
 			applyGrant(grantTargets, {grant, document, host});
+			quotaGate.serveWaiting();
 		},
 		setQuarantined(fingerprints) {
 			crashTracker.setQuarantined([...fingerprints, ...earlierState.get()?.quarantined ?? []]);
@@ -134,10 +141,23 @@
 	});
 	const lease = leaseKeeper.holder;
 	const readiness = createReadiness({
-		state, fleet, slackPart, lease, log, isServingWithoutControl, onSuspension: leaseKeeper.expedite,
+		state, fleet, slackPart, quotaTokens, lease, log, isServingWithoutControl, onSuspension: leaseKeeper.expedite,
 	});
 	const claims = createClaims(client, settings.environment);
 	const crashTracker = createCrashTracker(client);
+	const quotaGate = createQuotaGate({
+		environment: settings.environment,
+		process: leaseKeeper.process,
+		tokens: quotaTokens,
+		metrics,
+		log,
+		getClient: () => client,
+		mayHoldTokens(now) {
+			readiness.revokePermitsIfNeeded();
+			return lease.isValid(now);
+		},
+		mayUseAnswer: readiness.mayUsePermits,
+	});
 
 	function recordEnd(service: Service, verdict: Verdict, milliseconds: number): void {
 		state.inFlight--;
@@ -166,6 +186,7 @@
 		random,
 		fleet,
 		claims,
+		quotaGate,
 		crashTracker,
 		metrics,
 		discardedAnswers,
@@ -201,7 +222,7 @@
 		handle: createRequestEntrance({context, state, maximumHeaderBytes: settings.maximumHeaderBytes}),
 	});
 	const grantTargets: GrantTargets = {
-		state, fleet, slackPart, zoneView, prober, crashTracker, earlierState, peers: peerExchange?.peers, callerServer, lease, readiness, random, log,
+		state, fleet, slackPart, quotaTokens, zoneView, prober, crashTracker, earlierState, peers: peerExchange?.peers, callerServer, lease, readiness, random, log,
 	};
 	const admin = createAdminHandler({
 		announce: announcementHandler.handle,
@@ -217,7 +238,7 @@
 	const callersPort = await listen(callerServer.server, {setting: 'callers', ...settings.callers});
 	const adminPort = await listen(adminServer, {setting: 'admin', ...settings.admin});
 	registerGauges(metrics, {
-		state, lease, slackPart, zoneView, stallWatch, prober, peers: peerExchange?.peers,
+		state, lease, slackPart, quotaTokens, zoneView, stallWatch, prober, peers: peerExchange?.peers,
 	});
 
 	function reportServiceLevels(): void {
--- a/source/entry/lease/grant-application.ts
+++ b/source/entry/lease/grant-application.ts
@@ -3,6 +3,7 @@
 import {type EnvironmentDocument} from '../../configuration/index.js';
 import {type Grant, type LeaseHolder} from '../../lease/index.js';
 import {type Random} from '../../randomness/index.js';
+import {type QuotaTokens} from '../../quota/index.js';
 import {type SlackPart} from '../../retry/index.js';
 import {type Log} from '../../telemetry/index.js';
 import {createWorkspaceIndex} from '../../workspace/index.js';
@@ -25,6 +26,8 @@
 	readonly fleet: Fleet;
 	/** Part of the slack that entries share; undefined if they share none. */
 	readonly slackPart: SlackPart | undefined;
+	/** Tokens of quotas; undefined in tests without any. */
+	readonly quotaTokens?: QuotaTokens | undefined;
 	readonly zoneView: ZoneView;
 	readonly prober: Prober;
 	readonly crashTracker: CrashTracker;
@@ -54,7 +57,7 @@
  */
 export function applyGrant(targets: GrantTargets, received: ReceivedGrant): void {
 	const {
-		state, fleet, slackPart, zoneView, prober, crashTracker, earlierState, peers, lease, readiness,
+		state, fleet, slackPart, quotaTokens, zoneView, prober, crashTracker, earlierState, peers, lease, readiness,
 	} = targets;
 	const {grant, document, host} = received;
 	const kept = earlierState.record(grant, lease.getRenewedAt());
@@ -70,6 +73,8 @@
 	const mayUsePermits = readiness.mayUsePermits(lease.getRenewedAt());
 	fleet.setPermits(mayUsePermits ? grant.permits : []);
 	slackPart?.apply(mayUsePermits ? grant.slack : undefined);
+	quotaTokens?.applyGrant(grant, {now: performance.now(), leaseEndsAt: lease.getExpiresAt(), mayUse: mayUsePermits});
+	state.aboveShare = grant.aboveShare === undefined ? state.aboveShare : new Set(grant.aboveShare);
 	if (grant.peers !== undefined) {
 		fleet.setConnectionShare(grant.peers.length + 1);
 		peers?.setAddresses(grant.peers);
@@ -90,6 +95,7 @@
 	state.document = document;
 	state.router = router;
 	state.workspaces = workspaces;
+	targets.quotaTokens?.setWorkspaces(document.workspaces ?? []);
 	callerServer.applyLimits(document.clientLimits);
 	fleet.setDocument(document);
 	log.info({version}, 'document in force');
--- a/source/entry/lease/lease-keeper-options.ts
+++ b/source/entry/lease/lease-keeper-options.ts
@@ -2,7 +2,7 @@
 import {type Environment, type EnvironmentDocument} from '../../configuration/index.js';
 import {type ControlClient} from '../../control-client/index.js';
 import {
-	type CrashReport, type EarlierState, type Grant, type Observation, type PeerAddress, type Permit, type SlackReport,
+	type CrashReport, type EarlierState, type Grant, type Observation, type PeerAddress, type Permit, type QuotaReport, type SlackReport,
 } from '../../lease/index.js';
 
 /** Options of `keepLease`. */
@@ -20,6 +20,10 @@
 	getPermits(): readonly Permit[];
 	/** Gets the report on the part of the slack that entries share, if they share one. */
 	getSlackReport?(now: number): SlackReport | undefined;
+	/** Gets the reports on the tokens of quotas, if the document has any. */
+	getQuotaReports?(renewal: {readonly sequence: number; readonly isFinal: boolean}, now: number): readonly QuotaReport[] | undefined;
+	/** Checks whether a new leader has to learn of tokens that the entry holds. */
+	isQuotaReportOwed?(): boolean;
 	takeFailedProbes(): readonly number[];
 	takeUnchangedServers(): readonly number[];
 	/** Gets the crashes that were reported lately. */
--- a/source/entry/lease/lease-keeper.ts
+++ b/source/entry/lease/lease-keeper.ts
@@ -20,6 +20,8 @@
 /** Renews a lease at regular intervals. */
 export type LeaseKeeper = {
 	readonly holder: LeaseHolder;
+	/** Random id of the process, which is part of every renewal. */
+	readonly process: string;
 	/** Emits each grant after it was applied. */
 	readonly grants: Observable<Grant>;
 	receive(host: string, message: ControlOutbound): void;
@@ -65,6 +67,7 @@
 		pacing.recordSent(now);
 		const earlier = options.getEarlierState();
 		const sequence = holder.startRenewal(now);
+		const quota = options.getQuotaReports?.({sequence, isFinal}, now);
 		const renewal: Renewal = {
 			kind: 'renewal',
 			entry: options.entry,
@@ -80,6 +83,7 @@
 			observations: unansweredSheds.addTo(sequence, options.takeObservations()),
 			held: holder.isValid(now) ? options.getPermits() : [],
 			slack: options.getSlackReport?.(now),
+			...(quota === undefined ? {} : {quota}),
 			failedProbes: options.takeFailedProbes(),
 			heard: options.takeUnchangedServers(),
 			crashes: holder.getEpoch() === crashesEpoch ? [] : options.getCrashReports(),
@@ -150,7 +154,7 @@
 		options.applyGrant(hasHeldLease ? grant : withoutKeptPermits(grant), isNewVersion ? document : undefined, host);
 		grants.next(grant);
 		const isOwedCrashes = crashesEpoch !== grant.epoch && options.getCrashReports().length > 0;
-		if (isFirst || isNewVersion || isOwedCrashes) {
+		if (isFirst || isNewVersion || isOwedCrashes || options.isQuotaReportOwed?.() === true) {
 			scheduleRenewal();
 		}
 	}
@@ -184,6 +188,7 @@
 
 	return {
 		holder,
+		process,
 		grants,
 		receive(host, message) {
 			switch (message.kind) {
--- a/source/entry/lease/readiness.ts
+++ b/source/entry/lease/readiness.ts
@@ -1,6 +1,7 @@
 /** Tells whether an entry may send requests and whether it is ready for callers, by its lease and its document. */
 import {performance} from 'node:perf_hooks';
 import {createSuspensionDetector, isSuspension, type LeaseHolder} from '../../lease/index.js';
+import {type QuotaTokens} from '../../quota/index.js';
 import {type SlackPart} from '../../retry/index.js';
 import {type Log} from '../../telemetry/index.js';
 import {type EntryState} from '../entry-state.js';
@@ -8,7 +9,7 @@
 
 /** Readiness of an entry. */
 export type Readiness = {
-	/** Revokes the permits for cold servers and the part of the slack when the lease has ended or the host was suspended. */
+	/** Revokes the permits for cold servers, the part of the slack and the tokens of quotas when the lease has ended or the host was suspended. */
 	revokePermitsIfNeeded(): void;
 	/** Checks whether permits for which a renewal was sent at a time may be used: not if the host was suspended since, because they may have ended meanwhile. */
 	mayUsePermits(renewedAt: number): boolean;
@@ -25,6 +26,8 @@
 	readonly fleet: Fleet;
 	/** Part of the slack that entries share; undefined if they share none. */
 	readonly slackPart?: Pick<SlackPart, 'revoke'> | undefined;
+	/** Tokens of quotas; undefined in tests without any. */
+	readonly quotaTokens?: Pick<QuotaTokens, 'revoke'> | undefined;
 	readonly lease: LeaseHolder;
 	readonly log: Log;
 	/** Called when a suspension, or a step of the wall clock, has revoked the permits. */
@@ -39,7 +42,7 @@
  */
 export function createReadiness(options: ReadinessOptions): Readiness {
 	const {
-		state, fleet, slackPart, lease, log, isServingWithoutControl,
+		state, fleet, slackPart, quotaTokens, lease, log, isServingWithoutControl,
 	} = options;
 	const suspension = createSuspensionDetector();
 	let suspendedAt = Number.NEGATIVE_INFINITY;
@@ -48,6 +51,7 @@
 	function revoke(): void {
 		fleet.revokePermits();
 		slackPart?.revoke();
+		quotaTokens?.revoke();
 	}
 
 	function revokePermitsIfNeeded(): void {
--- a/source/entry/placement/server-attempt.ts
+++ b/source/entry/placement/server-attempt.ts
@@ -47,6 +47,11 @@
 		return;
 	}
 
+	if (admitted.token?.isValid(now) === false) {
+		refuse(progress, notRun('quota-unavailable'));
+		return;
+	}
+
 	const headers = getForwardedHeaders({
 		dialect: context.dialect,
 		incoming: admitted.exchange.request,
@@ -77,7 +82,7 @@
 		maximumBufferedBytes: context.maximumBufferedBytes,
 		bufferedResponses: context.bufferedResponses,
 		maximumBodyBytes: context.maximumBodyBytes,
-		mayDispatch: () => mayDispatch(progress),
+		mayDispatch: () => mayDispatch(progress) && isTokenUsed(progress, candidate),
 		hasServerWithdrawn: () => candidate.hasWithdrawn(performance.now()),
 		onReport(hints) {
 			context.onReport(candidate, hints);
@@ -98,6 +103,12 @@
 	progress.running.add(runningAttempt);
 }
 
+/** Uses the token of a request that is about to be sent. A server that has withdrawn gets no request, so none is used for it. */
+function isTokenUsed({admitted: {token}}: RequestProgress, candidate: Candidate): boolean {
+	const now = performance.now();
+	return token === undefined || candidate.hasWithdrawn(now) || token.tryUse(now);
+}
+
 /**
  * Checks whether an attempt of a request may be dispatched now.
  * @param progress - Progress of the request.
--- a/source/entry/reporting/metrics.ts
+++ b/source/entry/reporting/metrics.ts
@@ -18,6 +18,10 @@
 	/** Counts a server that says that it leaves, or that it wants a pause. */
 	countWithdrawal(service: string, kind: 'leaving' | 'pause'): void;
 	countDiscardedAnswer(reason: DiscardReason): void;
+	/** Counts a token of a quota that a request took. */
+	countQuotaToken(): void;
+	/** Counts a question for tokens to the leader. */
+	countQuotaQuestion(isAnswered: boolean): void;
 	/** Counts a request that an unexpected error ended. */
 	countInternalError(): void;
 	/** Adds a gauge whose value is read on each scrape. */
@@ -52,6 +56,12 @@
 	const discardedAnswers = new Counter({
 		name: 'guavadeck_discarded_answers_total', help: 'Answers of servers that were discarded, by reason', labelNames: ['reason'], registers: [registry],
 	});
+	const quotaTokens = new Counter({
+		name: 'guavadeck_quota_tokens_total', help: 'Tokens of quotas that requests took', registers: [registry],
+	});
+	const quotaQuestions = new Counter({
+		name: 'guavadeck_quota_questions_total', help: 'Questions to the leader for tokens of quotas', labelNames: ['outcome'], registers: [registry],
+	});
 	const internalErrors = new Counter({
 		name: 'guavadeck_internal_errors_total', help: 'Requests and links that an unexpected error ended', registers: [registry],
 	});
@@ -83,6 +93,12 @@
 		countDiscardedAnswer(reason) {
 			discardedAnswers.inc({reason});
 		},
+		countQuotaToken() {
+			quotaTokens.inc();
+		},
+		countQuotaQuestion(isAnswered) {
+			quotaQuestions.inc({outcome: isAnswered ? 'answered' : 'unanswered'});
+		},
 		countInternalError() {
 			internalErrors.inc();
 		},
--- a/source/entry/reporting/service-level-recorder.ts
+++ b/source/entry/reporting/service-level-recorder.ts
@@ -58,6 +58,7 @@
 		case 'headers-too-large':
 		case 'in-progress':
 		case 'key-mismatch':
+		case 'quota':
 		case 'unknown-key':
 		case 'unknown-service': {
 			return true;
@@ -77,6 +78,7 @@
 		case 'ledger-unavailable':
 		case 'no-server':
 		case 'overload':
+		case 'quota-unavailable':
 		case 'server-shed':
 		case 'server-withdrawn':
 		case 'unreachable':
--- a/source/entry/requests/request-context.ts
+++ b/source/entry/requests/request-context.ts
@@ -12,6 +12,7 @@
 import {type Fleet} from '../fleet/index.js';
 import {type EntryMetrics, type RequestTrace, type RequestTraceHead} from '../reporting/index.js';
 import {type Claims} from './claims.js';
+import {type QuotaGate} from './quota-gate.js';
 
 /** Dependencies that all requests of an entry share. */
 export type RequestContext = {
@@ -22,6 +23,7 @@
 	readonly random: Random;
 	readonly fleet: Fleet;
 	readonly claims: Claims;
+	readonly quotaGate: Pick<QuotaGate, 'enter'>;
 	readonly crashTracker: CrashTracker;
 	readonly metrics: EntryMetrics;
 	readonly discardedAnswers: DiscardedAnswers;
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -1,6 +1,6 @@
 /**
  * Messages of the entry lease. Besides the right to dispatch, renewals and grants carry the newest document, the servers, the
- * permits for cold servers, the part of the slack of extra attempts and the probe duties.
+ * permits for cold servers, the part of the slack of extra attempts, the tokens of quotas and the probe duties.
  */
 import {type Announcement, type ServerState} from '../announcement/index.js';
 import {type DocumentUpdate, type Environment} from '../configuration/index.js';
@@ -52,6 +52,15 @@
 	readonly isKept?: true;
 };
 
+/**
+ * Report of an entry's process on its tokens of one workspace with a quota; see `HolderReport` in `quota/`. A list rather than named fields,
+ * because every entry sends several of them with each renewal.
+ */
+export type QuotaReport = readonly [workspace: string, granted: number, spent: number, unused: number, goal: number, earlier?: number];
+
+/** Tokens of one workspace that were ever lent to an entry's process, and the time in milliseconds after which one is likely to be available if there is none. */
+export type QuotaGrant = readonly [workspace: string, granted: number, retryMilliseconds?: number];
+
 /** Request for a lease or its renewal. */
 export type Renewal = {
 	readonly kind: 'renewal';
@@ -76,6 +85,8 @@
 	readonly failedProbes: readonly number[];
 	/** Part of the slack of extra attempts; missing if entries share none, and from earlier releases, whose entries take equal parts. */
 	readonly slack?: SlackReport;
+	/** Changes of the tokens since the last acknowledged renewal; missing if the document has no quotas, and from earlier releases, whose entries get no tokens. */
+	readonly quota?: readonly QuotaReport[];
 	/** Servers that repeated an unchanged announcement to the entry since its last renewal. */
 	readonly heard: readonly number[];
 	/** Crashes that the entry has reported lately, in its first renewal at a new leader, which does not know them. */
@@ -144,6 +155,10 @@
 	readonly permits: readonly Permit[];
 	/** Part of the slack of extra attempts; missing if the entry did not report one, and from control hosts of earlier releases. */
 	readonly slack?: SlackGrant;
+	/** Tokens that the entry may not know of; missing if the entry reports none, and from control hosts of earlier releases. */
+	readonly quota?: readonly QuotaGrant[];
+	/** All workspaces that use more of their quota than others, if the entry may not know them. */
+	readonly aboveShare?: readonly string[];
 	readonly duties: readonly number[];
 	readonly probeMilliseconds: number;
 	readonly quarantined: readonly string[];
--- /dev/null
+++ b/source/quota/index.ts
@@ -0,0 +1,6 @@
+export type * from './holder-report.js';
+export * from './quota-account.js';
+export * from './quota-limits.js';
+export * from './quota-message.js';
+export * from './quota-tokens.js';
+export * from './token-holder.js';
--- /dev/null
+++ b/source/quota/quota-account.ts
@@ -0,0 +1,306 @@
+/**
+ * The leader's account of the quota of one workspace. It lends tokens to processes of entries, each of which lets one request run. What is held
+ * and what was spent lately never exceeds what may run in a window; see `getQuotaLimits`. Tokens of a process that is lost count as held until its
+ * lease has ended, and as spent then. Until the leases of an earlier leader have ended, a new one counts what entries may hold from it: the most
+ * that it may have lent, less what entries report to hold.
+ */
+import {createConfirmedBucket} from './confirmed-bucket.js';
+import {createHolderShares, type HolderShares} from './holder-shares.js';
+import {type HolderReport} from './holder-report.js';
+import {type QuotaLimits} from './quota-limits.js';
+import {createRecentCount} from './recent-count.js';
+
+const millisecondsPerSecond = 1000;
+
+/** Share of the tokens that entries may hold which is lent for use to come. The rest is for requests that already wait. */
+const reservedForUseShare = 0.8;
+
+/** Share of the bucket that is only lent to requests that wait, unless tokens are scarce. */
+const reservedForWaitingShare = 0.5;
+
+/** Share of the bucket that an entry with its share of the tokens may take only while no other lacks any. */
+const scarceBucketShare = 0.25;
+
+/** Time in milliseconds for which tokens count as scarce after a request found none. */
+const scarcityMilliseconds = 1000;
+
+/** Time in milliseconds for which a division among the holders is used, since each takes all of them. */
+const divisionMilliseconds = 200;
+
+/** Time in milliseconds between two searches for holders whose lease has ended. */
+const sweepMilliseconds = 100;
+
+/** Time for which use is measured. */
+const useMilliseconds = 2000;
+
+/** Shortest and longest time that refused callers are told to wait. */
+const minimumRetryMilliseconds = 50;
+const maximumRetryMilliseconds = 5000;
+
+/** What a holder reports or asks for. */
+export type QuotaExchange = {
+	/** Process of the entry. */
+	readonly holder: string;
+	/** Report; undefined if nothing has changed since the last one. */
+	readonly report: HolderReport | undefined;
+	/** Requests that wait for a token, if the holder asks for them. */
+	readonly waiting?: number;
+	/** Requests that the holder has refused since it last asked. */
+	readonly refused?: number;
+	/** Whether nothing is lent for use to come, because the holder returns its lease, the workspace has no quota any more, or the leadership is not confirmed. */
+	readonly isEnding?: boolean;
+	readonly now: number;
+	/** Time until which the leadership is known to have lasted. */
+	readonly confirmedAt: number;
+};
+
+/** What a holder has been lent. */
+export type QuotaLoan = {
+	/** Tokens that were ever lent to the holder. */
+	readonly granted: number;
+	/** Time after which a token is likely to be available, if the holder wants one and has none; 0 otherwise. */
+	readonly retryMilliseconds: number;
+};
+
+/** Account of one workspace. */
+export type QuotaAccount = {
+	/** Applies a report and lends what is wanted and available. Returns undefined for a holder without a record that reports nothing. */
+	exchange(exchange: QuotaExchange): QuotaLoan | undefined;
+	/** Checks whether a holder wants more tokens than it has. */
+	isWanting(holder: string): boolean;
+	/** Applies a changed quota. */
+	configure(limits: QuotaLimits): void;
+	/** Gets the number of tokens that entries hold, as far as they have reported. */
+	getOutstanding(): number;
+	/** Gets the requests per second of the last two seconds. */
+	getUse(now: number): number;
+};
+
+/** Options of `createQuotaAccount`. */
+export type QuotaAccountOptions = {
+	readonly limits: QuotaLimits;
+	/** Start of the leadership. */
+	readonly startedAt: number;
+	readonly termMilliseconds: number;
+	/** Whether entries may hold tokens from an earlier leader. */
+	readonly hasPredecessor: boolean;
+	/** Gets the time at which the lease of a holder ends. */
+	getExpiry(holder: string): number;
+};
+
+/** Limits within which tokens are lent. */
+type RoomLimits = {readonly maximum: number; readonly reserve: number};
+
+type Holding = {
+	granted: number;
+	spent: number;
+	unused: number;
+	goal: number;
+	/** Tokens that it held when it first reported. */
+	inherited: number;
+	/** Whether what it has from an earlier leader is no longer part of what is unknown. */
+	isEarlierKnown: boolean;
+};
+
+/**
+ * Creates an account without holders.
+ * @param options - Limits and start of the leadership.
+ */
+export function createQuotaAccount(options: QuotaAccountOptions): QuotaAccount {
+	const {startedAt, termMilliseconds, hasPredecessor, getExpiry} = options;
+	const holdings = new Map<string, Holding>();
+	const use = createRecentCount(useMilliseconds);
+	const refusals = createRecentCount(millisecondsPerSecond);
+	const unknownUntil = startedAt + termMilliseconds;
+	let {limits} = options;
+	let spent = createRecentCount(limits.windowMilliseconds);
+	const bucket = createConfirmedBucket({
+		perMillisecond: limits.perMillisecond, capacity: limits.bucket, startedAt, level: hasPredecessor ? -limits.debt : limits.bucket,
+	});
+	/** Tokens that entries may hold from earlier leaders and have not reported. */
+	let unknown = hasPredecessor ? limits.outstanding : 0;
+	let outstanding = 0;
+	let sweptAt = Number.NEGATIVE_INFINITY;
+	let scarceUntil = Number.NEGATIVE_INFINITY;
+	let shares: HolderShares | undefined;
+	let dividedAt = Number.NEGATIVE_INFINITY;
+
+	/** Counts as spent what nobody can use any more, because the leases under which it was held have ended. */
+	function sweep(now: number): void {
+		if (unknown > 0 && now >= unknownUntil) {
+			spent.add(now, unknown);
+			unknown = 0;
+		}
+
+		if (now < sweptAt + sweepMilliseconds) {
+			return;
+		}
+
+		sweptAt = now;
+		for (const [holder, holding] of holdings) {
+			if (getExpiry(holder) <= now) {
+				spent.add(now, getHeld(holding));
+				outstanding -= getHeld(holding);
+				holdings.delete(holder);
+			}
+		}
+	}
+
+	function addHolding(holder: string, report: HolderReport): Holding {
+		const {granted, spent: reported, unused, goal} = report;
+		const holding: Holding = {
+			granted, spent: reported, unused, goal, inherited: 0, isEarlierKnown: false,
+		};
+		holding.inherited = getHeld(holding);
+		holdings.set(holder, holding);
+		outstanding += holding.inherited;
+		return holding;
+	}
+
+	/** Applies what a holder has from an earlier leader. What it spent of that before its first report is not counted yet. */
+	function applyEarlier(holding: Holding, earlier: number, now: number): void {
+		if (!holding.isEarlierKnown && unknown > 0) {
+			holding.isEarlierKnown = true;
+			unknown = Math.max(0, unknown - earlier);
+			spent.add(now, Math.max(0, earlier - holding.inherited));
+		}
+	}
+
+	function applyReport(holder: string, report: HolderReport, now: number): Holding {
+		const holding = holdings.get(holder) ?? addHolding(holder, report);
+		applyEarlier(holding, report.earlier ?? 0, now);
+		const heldBefore = getHeld(holding);
+		const givenBack = Math.max(0, report.unused - holding.unused);
+		const used = Math.max(0, report.spent - holding.spent - givenBack);
+		holding.spent = Math.max(holding.spent, report.spent);
+		holding.unused = Math.max(holding.unused, report.unused);
+		holding.goal = report.goal;
+		const returned = heldBefore - getHeld(holding);
+		outstanding -= returned;
+		bucket.putBack(Math.min(givenBack, returned));
+		spent.add(now, used);
+		use.add(now, used);
+		return holding;
+	}
+
+	/** Gets how many tokens may be lent, while entries may hold a number of tokens and some stay in the bucket. */
+	function getRoom(now: number, {maximum, reserve}: RoomLimits): number {
+		const held = outstanding + unknown;
+		const headStart = now < unknownUntil && hasPredecessor ? limits.headStart : 0;
+		return Math.max(0, Math.floor(Math.min(
+			bucket.getUsable() - reserve,
+			maximum + headStart - held,
+			limits.window - held - spent.get(now),
+		)));
+	}
+
+	function getWholeRoom(): RoomLimits {
+		return {maximum: limits.outstanding, reserve: 0};
+	}
+
+	function getRoomForUse(now: number): RoomLimits {
+		return isScarce(now) ? getWholeRoom() : {maximum: limits.outstanding * reservedForUseShare, reserve: limits.bucket * reservedForWaitingShare};
+	}
+
+	function isScarce(now: number): boolean {
+		return now < scarceUntil;
+	}
+
+	/** Gets the share of each holder: of what may be held for use to come, or of what is there while tokens are scarce. */
+	function getShares(now: number): HolderShares {
+		if (shares === undefined || now >= dividedAt + divisionMilliseconds) {
+			const total = isScarce(now)
+				? outstanding + getRoom(now, getWholeRoom())
+				: Math.max(0, (limits.outstanding * reservedForUseShare) - unknown);
+			shares = createHolderShares([...holdings.values()].map(holding => getWanted(holding)), total);
+			dividedAt = now;
+		}
+
+		return shares;
+	}
+
+	/** Gets how many tokens a holder gets for use to come. */
+	function getLoanForUse(holding: Holding, now: number): number {
+		const share = Math.ceil(getShares(now).get(getWanted(holding)));
+		return Math.max(0, Math.min(holding.goal - holding.granted, share - getHeld(holding), getRoom(now, getRoomForUse(now))));
+	}
+
+	/** Gets how many tokens a holder gets for requests that wait. */
+	function getLoanForWaiting(holding: Holding, waiting: number, now: number): number {
+		const room = getRoom(now, getWholeRoom());
+		const isShareUsed = isScarce(now) && getHeld(holding) >= getShares(now).get(getWanted(holding));
+		return isShareUsed && room < limits.bucket * scarceBucketShare ? 0 : Math.min(waiting, room);
+	}
+
+	function lend(holding: Holding, tokens: number): void {
+		const heldBefore = getHeld(holding);
+		holding.granted += tokens;
+		outstanding += getHeld(holding) - heldBefore;
+		bucket.take(tokens);
+	}
+
+	function getRetryMilliseconds(now: number): number {
+		const missing = 1 + refusals.get(now) - bucket.getUsable();
+		return Math.round(Math.min(maximumRetryMilliseconds, Math.max(minimumRetryMilliseconds, missing / limits.perMillisecond)));
+	}
+
+	/** Lends to requests that wait. The goal of the holder includes them. */
+	function lendToWaiting(holding: Holding, waiting: number, now: number): number {
+		const missing = Math.min(waiting, holding.goal - holding.granted);
+		const tokens = getLoanForWaiting(holding, missing, now);
+		lend(holding, tokens);
+		if (tokens < missing) {
+			refusals.add(now, missing - tokens);
+			scarceUntil = now + scarcityMilliseconds;
+			shares = undefined;
+			return tokens === 0 ? getRetryMilliseconds(now) : 0;
+		}
+
+		return 0;
+	}
+
+	return {
+		exchange({holder, report, waiting = 0, refused = 0, isEnding = false, now, confirmedAt}) {
+			sweep(now);
+			bucket.advance(now, confirmedAt);
+			const holding = report === undefined ? holdings.get(holder) : applyReport(holder, report, now);
+			if (holding === undefined) {
+				return undefined;
+			}
+
+			refusals.add(now, refused);
+			const retryMilliseconds = waiting > 0 ? lendToWaiting(holding, waiting, now) : 0;
+			if (!isEnding) {
+				lend(holding, getLoanForUse(holding, now));
+			}
+
+			const isUsedUp = isScarce(now) && getHeld(holding) === 0 && holding.goal > holding.granted;
+			return {granted: holding.granted, retryMilliseconds: isUsedUp && retryMilliseconds === 0 ? getRetryMilliseconds(now) : retryMilliseconds};
+		},
+		isWanting(holder) {
+			const holding = holdings.get(holder);
+			return holding !== undefined && holding.goal > holding.granted;
+		},
+		configure(next) {
+			if (next.window < limits.window) {
+				spent = createRecentCount(next.windowMilliseconds);
+			}
+
+			limits = next;
+			unknown = Math.min(unknown, limits.outstanding);
+			bucket.configure(limits.perMillisecond, limits.bucket);
+			shares = undefined;
+		},
+		getOutstanding: () => outstanding,
+		getUse: now => use.get(now) * millisecondsPerSecond / useMilliseconds,
+	};
+}
+
+/** Gets the tokens that a holder may have. One that was lent more by an earlier leader than it reported may have spent more than it was lent. */
+function getHeld({granted, spent}: Holding): number {
+	return Math.max(0, granted - spent);
+}
+
+function getWanted({goal, spent}: Holding): number {
+	return Math.max(0, goal - spent);
+}
--- /dev/null
+++ b/source/quota/quota-limits.ts
@@ -0,0 +1,79 @@
+/** What may run of a quota in a window, and the limits that follow from it for the account of a leader. */
+import {type Workspace} from '../configuration/index.js';
+
+const millisecondsPerSecond = 1000;
+
+/** Share of the tolerated excess that accounts use. The rest covers what successive leaders lend within one term beyond what they know of each other. */
+const usedToleranceShare = 0.9;
+
+/** Share of the tolerated excess that the bucket may hold beyond the burst, so that a quota without a burst can be lent in whole tokens. */
+const bucketToleranceShare = 0.2;
+
+/** Share of the tolerated excess that a new leader may lend before it knows what entries hold from earlier leaders. Two leaders may do so within one term. */
+const headStartShare = 0.05;
+
+/**
+ * Share of what accrues in a window by which a new leader lends less than accrues, once, and entries may hold more in return. More tokens at
+ * entries save them questions; the price is a pause of so long a share of the window after each change of the leader.
+ */
+const debtWindowShare = 0.05;
+
+/** Quota of a workspace: requests per second, and requests that may exceed the rate at once. */
+export type Quota = NonNullable<Workspace['quota']>;
+
+/** By how much the requests of a workspace may exceed its quota in any window: a share of what the quota allows in the window, and a number of requests. */
+export type QuotaTolerance = {
+	readonly windowSeconds: number;
+	readonly overshoot: number;
+	readonly slack: number;
+};
+
+/** Tolerance where the settings of the control host name none. */
+export const defaultQuotaTolerance: QuotaTolerance = {windowSeconds: 5, overshoot: 0, slack: 0};
+
+/** Limits of the account of one workspace, in tokens. */
+export type QuotaLimits = {
+	readonly perMillisecond: number;
+	readonly windowMilliseconds: number;
+	/** Tokens that may be spent in a window, or be held by entries at its end. */
+	readonly window: number;
+	/** Tokens that may wait to be lent. */
+	readonly bucket: number;
+	/** Tokens that entries may hold. */
+	readonly outstanding: number;
+	/** Tokens that a new leader lends less than accrue, once. */
+	readonly debt: number;
+	/** Tokens by which a new leader may exceed `outstanding` while it does not know what entries hold. */
+	readonly headStart: number;
+};
+
+/**
+ * Gets the time after its last confirmation for which a leader may lend. It is the time for which a new leader lends nothing, so that no tokens of
+ * an earlier leader's bucket are lent beside those of a later one.
+ * @param tolerance - Tolerance of the deployment.
+ */
+export function getLendingMilliseconds({windowSeconds}: QuotaTolerance): number {
+	return windowSeconds * millisecondsPerSecond * debtWindowShare;
+}
+
+/**
+ * Gets the limits of an account. In any window, at most what entries hold at its start, what the bucket holds then and what accrues can run;
+ * `window` bounds that directly within one leadership, and `outstanding`, `bucket` and `debt` bound it across leaders. Each limit is one token at
+ * least, since a smaller one would block the workspace for good.
+ * @param quota - Quota of the workspace.
+ * @param tolerance - Tolerance of the deployment.
+ */
+export function getQuotaLimits({requestsPerSecond, burst}: Quota, {windowSeconds, overshoot, slack}: QuotaTolerance): QuotaLimits {
+	const allowed = (requestsPerSecond * windowSeconds) + burst;
+	const excess = usedToleranceShare * ((overshoot * allowed) + slack);
+	const debt = requestsPerSecond * windowSeconds * debtWindowShare;
+	return {
+		perMillisecond: requestsPerSecond / millisecondsPerSecond,
+		windowMilliseconds: windowSeconds * millisecondsPerSecond,
+		window: Math.max(1, allowed + excess),
+		bucket: Math.max(1, burst + (bucketToleranceShare * excess)),
+		outstanding: Math.max(1, ((1 - bucketToleranceShare) * excess) + debt),
+		debt,
+		headStart: Math.max(1, headStartShare * excess),
+	};
+}
--- /dev/null
+++ b/source/quota/token-holder.ts
@@ -0,0 +1,233 @@
+/**
+ * The entry's tokens of one workspace. A request takes one when it arrives and keeps it until it has ended: it is spent if the request may have
+ * run, and free again if not. The leader counts a token as held until it is reported as spent, so what runs never exceeds what is counted.
+ */
+import {createDemandMeter} from './demand-meter.js';
+import {type HolderReport} from './holder-report.js';
+
+/** Free tokens beyond the wanted ones that are kept, so that a rate that varies a little causes no reports. */
+const keptSurplus = 1;
+
+/** Requests per second for which no token is wanted beyond the one that is always kept. */
+const negligibleRate = 0.2;
+
+/** Longest time in milliseconds for which an entry without tokens does not ask again. */
+const maximumAskMilliseconds = 500;
+
+/** Token of a request. */
+export type QuotaToken = {
+	/** Checks whether the request may be sent to a server now. Once it may have been sent, repetitions may be as well. */
+	tryUse(now: number): boolean;
+	/** Checks whether `tryUse` would succeed. */
+	isValid(now: number): boolean;
+	/** Ends the use of the token by its request. Only the first call counts. */
+	end(mayHaveRun: boolean): void;
+};
+
+/** What a leader states about the tokens of a holder. */
+export type HolderGrant = {
+	/** Consensus term of the leader. */
+	readonly epoch: number;
+	readonly granted: number;
+	/** Time after which a token is likely to be available; 0 if that is not known or there is one. */
+	readonly retryMilliseconds: number;
+};
+
+/** Report that was sent, and the term of the leader that the holder knew then. */
+export type SentReport = {readonly key: string; readonly epoch: number};
+
+/** Tokens of one workspace. */
+export type TokenHolder = {
+	/** Takes a token for a request that has arrived, or returns undefined if none is free. */
+	tryTake(now: number): QuotaToken | undefined;
+	/** Records the arrival of a request. */
+	recordDemand(now: number): void;
+	/** Gets the report, after giving back what is not wanted. */
+	getReport(now: number, waiting: number): HolderReport;
+	/** Records that a report was sent. */
+	recordSent(report: HolderReport): SentReport;
+	/** Records that a leader has received a report. */
+	acknowledge(epoch: number, sentReport: SentReport): void;
+	/** Checks whether the leader has to learn of a change. */
+	isReportDue(report: HolderReport): boolean;
+	apply(grant: HolderGrant, now: number): void;
+	/** Records that the leader has changed. Tokens of earlier ones end with the lease that these granted, unless the new one knows of them. */
+	beginEpoch(epoch: number, earlierLeaseEndsAt: number): void;
+	/** Ends all tokens, because the lease has ended. */
+	revoke(): void;
+	/** Gives back all free tokens. */
+	giveBack(): void;
+	/** Gets the time until which the quota is used up, as far as the leader has told. */
+	getUsedUpUntil(): number;
+	/** Checks whether the leader may be asked for tokens. */
+	mayAsk(now: number): boolean;
+	getEpoch(): number;
+	/** Gets the number of tokens that are free or taken by requests. */
+	getHeld(): number;
+};
+
+/** Creates a holder without tokens. */
+export function createTokenHolder(): TokenHolder {
+	const demand = createDemandMeter();
+	let epoch = 0;
+	let granted = 0;
+	let spent = 0;
+	let unused = 0;
+	let taken = 0;
+	let wanted = 0;
+	/** Largest number of spent tokens that any leader can have received. */
+	let sent = 0;
+	let earlier = 0;
+	/** Number of revocations; tokens that were taken before the last one are void. */
+	let revocations = 0;
+	let endsAt = Number.POSITIVE_INFINITY;
+	let acknowledgedKey: string | undefined;
+	let usedUpUntil = Number.NEGATIVE_INFINITY;
+	let asksAt = Number.NEGATIVE_INFINITY;
+
+	function getFree(): number {
+		return granted - spent - taken;
+	}
+
+	function giveBack(count: number): void {
+		spent += count;
+		unused += count;
+	}
+
+	function revoke(): void {
+		giveBack(Math.max(0, getFree()));
+		spent += taken;
+		taken = 0;
+		revocations++;
+	}
+
+	function revokeIfEnded(now: number): void {
+		if (now >= endsAt) {
+			endsAt = Number.POSITIVE_INFINITY;
+			revoke();
+		}
+	}
+
+	function goOver(nextEpoch: number): void {
+		earlier = Math.max(0, granted - sent);
+		epoch = nextEpoch;
+		endsAt = Number.POSITIVE_INFINITY;
+	}
+
+	function createToken(): QuotaToken {
+		const takenAfter = revocations;
+		let isUsed = false;
+		let hasEnded = false;
+
+		function isValid(now: number): boolean {
+			revokeIfEnded(now);
+			return isUsed || takenAfter === revocations;
+		}
+
+		return {
+			isValid,
+			tryUse(now) {
+				isUsed = isValid(now);
+				return isUsed;
+			},
+			end(mayHaveRun) {
+				if (!hasEnded && takenAfter === revocations) {
+					taken--;
+					spent += mayHaveRun ? 1 : 0;
+				}
+
+				hasEnded = true;
+			},
+		};
+	}
+
+	/** Updates how many free tokens are wanted. A rate that falls a little changes nothing. */
+	function updateWanted(now: number): void {
+		const next = demand.isExpected(now) ? Math.ceil(demand.getRate(now) - negligibleRate) + 1 : 0;
+		if (next > wanted || next < wanted - keptSurplus || next === 0) {
+			wanted = next;
+		}
+	}
+
+	return {
+		tryTake(now) {
+			revokeIfEnded(now);
+			if (getFree() < 1) {
+				return undefined;
+			}
+
+			taken++;
+			return createToken();
+		},
+		recordDemand: demand.record,
+		getReport(now, waiting) {
+			revokeIfEnded(now);
+			updateWanted(now);
+			const surplus = getFree() - wanted - waiting;
+			if (surplus > (wanted === 0 ? 0 : keptSurplus)) {
+				giveBack(surplus);
+			}
+
+			return {
+				granted, spent, unused, goal: spent + taken + wanted + waiting, ...(earlier > 0 ? {earlier} : {}),
+			};
+		},
+		recordSent(report) {
+			sent = Math.max(sent, report.spent);
+			return {key: getKey(report), epoch};
+		},
+		acknowledge(leaderEpoch, sentReport) {
+			if (leaderEpoch < epoch) {
+				return;
+			}
+
+			acknowledgedKey = sentReport.key;
+			if (leaderEpoch > epoch) {
+				goOver(leaderEpoch);
+			} else if (sentReport.epoch === epoch) {
+				earlier = 0;
+			}
+		},
+		isReportDue(report) {
+			const isKnown = acknowledgedKey === undefined ? report.granted === report.spent && report.goal === report.spent : acknowledgedKey === getKey(report);
+			return earlier > 0 || !isKnown;
+		},
+		apply(grant, now) {
+			if (grant.epoch < epoch) {
+				return;
+			}
+
+			if (grant.epoch > epoch) {
+				goOver(grant.epoch);
+				acknowledgedKey = undefined;
+				granted = grant.granted;
+			}
+
+			granted = Math.max(granted, grant.granted);
+			if (getFree() > 0) {
+				usedUpUntil = Number.NEGATIVE_INFINITY;
+			} else if (grant.retryMilliseconds > 0) {
+				usedUpUntil = now + grant.retryMilliseconds;
+				asksAt = now + Math.min(grant.retryMilliseconds, maximumAskMilliseconds);
+			}
+		},
+		beginEpoch(nextEpoch, earlierLeaseEndsAt) {
+			if (nextEpoch > epoch) {
+				acknowledgedKey = undefined;
+				endsAt = Math.min(endsAt, earlierLeaseEndsAt);
+			}
+		},
+		revoke,
+		giveBack() {
+			giveBack(Math.max(0, getFree()));
+		},
+		getUsedUpUntil: () => usedUpUntil,
+		mayAsk: now => now >= usedUpUntil || now >= asksAt,
+		getEpoch: () => epoch,
+		getHeld: () => granted - spent,
+	};
+}
+
+function getKey({spent, unused, goal}: HolderReport): string {
+	return `${spent} ${unused} ${goal}`;
+}
--- a/source/settings/settings.ts
+++ b/source/settings/settings.ts
@@ -116,6 +116,15 @@
 	maximumStoredBytes: z.number().int().min(0).max(4_294_967_296).default(268_435_456),
 }).readonly();
 
+/** By how much all entries together may exceed the quota of a workspace in any window. */
+const quotaTolerance = z.strictObject({
+	windowSeconds: z.number().min(0.1).max(3600).default(5),
+	/** Share of what the quota allows in the window. */
+	overshoot: z.number().min(0).max(10).default(0),
+	/** Number of requests. */
+	slack: z.number().min(0).max(1_000_000).default(0),
+}).readonly();
+
 /** Schema of the settings of a control process; unknown keys are rejected. */
 export const controlSettingsSchema = z.strictObject({
 	...commonSettings,
@@ -128,6 +137,7 @@
 	api: address,
 	election: election.prefault({}),
 	ledger: ledger.prefault({}),
+	quotaTolerance: quotaTolerance.prefault({}),
 	lease: lease.prefault({}),
 	/** Maximum time for which a request to the API waits for the leader, in milliseconds. */
 	forwardMilliseconds: z.number().int().min(50).max(60_000).default(5000),
--- a/source/verdict/verdict.ts
+++ b/source/verdict/verdict.ts
@@ -18,6 +18,8 @@
 		| 'lease-expired'
 		| 'no-server'
 		| 'overload'
+		| 'quota'
+		| 'quota-unavailable'
 		| 'unknown-key'
 		| 'unknown-service'
 		| 'unreachable'
@@ -127,6 +129,10 @@
 			return 413;
 		}
 
+		case 'quota': {
+			return 429;
+		}
+
 		case 'headers-too-large': {
 			return 431;
 		}
@@ -144,6 +150,7 @@
 		case 'lease-expired':
 		case 'no-server':
 		case 'overload':
+		case 'quota-unavailable':
 		case 'server-shed':
 		case 'server-withdrawn':
 		case 'unreachable':
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -128,6 +128,7 @@
 		random,
 		fleet,
 		claims: unused as RequestContext['claims'],
+		quotaGate: {enter: () => ({kind: 'unlimited'})},
 		crashTracker: {
 			setQuarantined: ignore, getQuarantined: () => [], isQuarantined: () => false, reportCrash: async () => false, getReports: () => [], recordSuccess: ignore,
 		},
