Test quotas in running processes, and lend bursts without a tolerance

Without a tolerance an entry could hold one token at a time, so a burst of four within the quota was refused (source/program/quota.test.ts). Entries may now hold a burst, for which a new leader pauses up to a fifth of the window.

--- a/source/quota/quota-account.ts
+++ b/source/quota/quota-account.ts
@@ -33,6 +33,9 @@
 /** Time for which use is measured. */
 const useMilliseconds = 2000;
 
+/** Error of sums of fractions, which must not make a whole token less than one. */
+const roundingError = 1e-6;
+
 /** Shortest and longest time that refused callers are told to wait. */
 const minimumRetryMilliseconds = 50;
 const maximumRetryMilliseconds = 5000;
@@ -187,7 +190,7 @@
 	function getRoom(now: number, {maximum, reserve}: RoomLimits): number {
 		const held = outstanding + unknown;
 		const headStart = now < unknownUntil && hasPredecessor ? limits.headStart : 0;
-		return Math.max(0, Math.floor(Math.min(
+		return Math.max(0, Math.floor(roundingError + Math.min(
 			bucket.getUsable() - reserve,
 			maximum + headStart - held,
 			limits.window - held - spent.get(now),
--- a/source/quota/quota-limits.ts
+++ b/source/quota/quota-limits.ts
@@ -13,10 +13,13 @@
 const headStartShare = 0.05;
 
 /**
- * Share of what accrues in a window by which a new leader lends less than accrues, once, and entries may hold more in return. More tokens at
- * entries save them questions; the price is a pause of so long a share of the window after each change of the leader.
+ * Share of a window for which a new leader lends nothing, so that entries may hold as much more as accrues in that time. More tokens at entries save
+ * them questions.
  */
-const debtWindowShare = 0.05;
+const pauseWindowShare = 0.05;
+
+/** Largest such share, where entries would otherwise hold fewer tokens than a burst needs at once. */
+const maximumPauseWindowShare = 0.2;
 
 /** Quota of a workspace: requests per second, and requests that may exceed the rate at once. */
 export type Quota = NonNullable<Workspace['quota']>;
@@ -53,7 +56,7 @@
  * @param tolerance - Tolerance of the deployment.
  */
 export function getLendingMilliseconds({windowSeconds}: QuotaTolerance): number {
-	return windowSeconds * millisecondsPerSecond * debtWindowShare;
+	return windowSeconds * millisecondsPerSecond * pauseWindowShare;
 }
 
 /**
@@ -66,14 +69,16 @@
 export function getQuotaLimits({requestsPerSecond, burst}: Quota, {windowSeconds, overshoot, slack}: QuotaTolerance): QuotaLimits {
 	const allowed = (requestsPerSecond * windowSeconds) + burst;
 	const excess = usedToleranceShare * ((overshoot * allowed) + slack);
-	const debt = requestsPerSecond * windowSeconds * debtWindowShare;
+	const accrued = requestsPerSecond * windowSeconds;
+	const excessOutstanding = (1 - bucketToleranceShare) * excess;
+	const outstanding = Math.max(excessOutstanding + (pauseWindowShare * accrued), Math.min(burst, excessOutstanding + (maximumPauseWindowShare * accrued)));
 	return {
 		perMillisecond: requestsPerSecond / millisecondsPerSecond,
 		windowMilliseconds: windowSeconds * millisecondsPerSecond,
 		window: Math.max(1, allowed + excess),
 		bucket: Math.max(1, burst + (bucketToleranceShare * excess)),
-		outstanding: Math.max(1, ((1 - bucketToleranceShare) * excess) + debt),
-		debt,
+		outstanding: Math.max(1, outstanding),
+		debt: outstanding - excessOutstanding,
 		headStart: Math.max(1, headStartShare * excess),
 	};
 }
--- a/stand-in/entry-bed.ts
+++ b/stand-in/entry-bed.ts
@@ -8,7 +8,7 @@
 	connect, createServer, type Server, type Socket,
 } from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
-import {documentSchema} from '../source/configuration/index.js';
+import {documentSchema, type Workspace} from '../source/configuration/index.js';
 import {type Dialect, type Entry} from '../source/entry/index.js';
 import {startLocalProcesses} from '../source/program/local-processes.js';
 import {startAnnouncer} from './announcer.js';
@@ -34,6 +34,7 @@
 	readonly callersPort: number;
 	/** Heads of all requests that servers received except health checks, in order. */
 	readonly received: readonly ReceivedRequest[];
+	stopControl(): Promise<void>;
 	/** Sends raw bytes on a new connection, which stays open on the caller's side if it is half-open. */
 	connect(text: string, isHalfOpen?: boolean): RawConnection;
 	stop(): Promise<void>;
@@ -62,6 +63,8 @@
 	/** Maximum size of a caller's body in bytes. */
 	readonly bodyBytes?: number;
 	readonly entrySettings?: Readonly<Record<string, unknown>>;
+	/** Workspaces of the document, with a key of one of them for the first request. */
+	readonly access?: {readonly workspaces: readonly Workspace[]; readonly key: string};
 	/** Responds to a request with raw bytes on its connection. */
 	respond(request: ReceivedRequest): void;
 };
@@ -131,6 +134,7 @@
  * @param options - Dialect, limits and behaviour of the servers.
  */
 export async function startEntryBed(options: EntryBedOptions): Promise<EntryBed> {
+	const {access} = options;
 	const {entry, applyDocument, stopControl} = await startLocalProcesses({
 		port: 0, dialect: options.dialect, entrySettings: {maximumBodyBytes: options.bodyBytes ?? 1_048_576, ...options.entrySettings},
 	});
@@ -185,6 +189,7 @@
 				name: 'order', path: '/order/', isIdempotent: false, ...route,
 			},
 		],
+		...(access === undefined ? {} : {workspaces: access.workspaces}),
 		...(options.bodyBytes === undefined
 			? {}
 			: {
@@ -198,8 +203,9 @@
 	}
 
 	const until = Date.now() + startLimitMilliseconds;
+	const keyHeader = access === undefined ? '' : `${options.dialect.keyHeader}: ${access.key}\r\n`;
 	for (;;) {
-		const text = await connectRaw(entry.callersPort, 'GET /look/start HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n').waitForClose();
+		const text = await connectRaw(entry.callersPort, `GET /look/start HTTP/1.1\r\nhost: x\r\n${keyHeader}connection: close\r\n\r\n`).waitForClose();
 		if (text.startsWith('HTTP/1.1 200')) {
 			break;
 		}
@@ -216,6 +222,7 @@
 		entry,
 		callersPort: entry.callersPort,
 		received,
+		stopControl,
 		connect: (text, isHalfOpen) => connectRaw(entry.callersPort, text, isHalfOpen),
 		async stop() {
 			for (const announcer of announcers) {
