Take statuses that are no final ones for malformed, not for crashes

Cause: a status that Node's parser refuses (1000, 0200, 20, +200, -200, 2oo, abc, none) and an informational one with a body or a length (104, 199) failed an attempt as a lost connection, which counts as a crash of the server. Two such responses put the request into quarantine: a third server was not tried although it may be (502 after two attempts), and the path was then refused with 503 crashes-servers to all callers. A 104 or 199 without a body was passed over, so the request waited for its deadline (504). A switch of protocols with its headers counted as a crash too. Probes took 000, 099 and 101 for healthy. No caller got such a status before either; 000, 042, 099, 600 and 999 were right on every path of requests and load queries.

Change: data that cannot be parsed is malformed, informational responses are 100, 102 and 103 without a body, and probes check the status.

--- a/source/entry/fleet/prober.test.ts
+++ b/source/entry/fleet/prober.test.ts
@@ -70,6 +70,12 @@
 	test('closes the connection of a body without end', async () => {
 		expect(await doTest('HTTP/1.1 200 OK\r\n\r\n', 'x')).toEqual([true]);
 	});
+	// Guards against a server that counts as healthy although none of its responses can be passed on.
+	test('takes a status of no final response for no health', async () => {
+		for (const status of ['000', '099', '101', '600', '1000', '+200', 'abc']) {
+			expect(await doTest(`HTTP/1.1 ${status} OK\r\n\r\n`, 'x')).toEqual([false]);
+		}
+	});
 	test('closes the connection of informational responses without end, which are no health', async () => {
 		expect(await doTest('', 'HTTP/1.1 102 Processing\r\n\r\n')).toEqual([false]);
 	});
--- a/source/entry/fleet/prober.ts
+++ b/source/entry/fleet/prober.ts
@@ -2,6 +2,7 @@
 import {performance} from 'node:perf_hooks';
 import {createProbeSchedule, type ProbeSchedule} from '../../measuring/index.js';
 import {discardBody} from '../../bytes/index.js';
+import {hasFinalStatus} from '../http/index.js';
 import {startServerRequest} from '../servers/index.js';
 import {type Fleet} from './fleet.js';
 
@@ -71,7 +72,7 @@
 		request.once('response', answer => {
 			clearTimeout(timer);
 			discardBody(answer, responseLimits);
-			settle((answer.statusCode ?? 500) < 500);
+			settle(hasFinalStatus(answer) && answer.statusCode! < 500);
 		});
 		const timer = setTimeout(() => {
 			request.destroy();
--- a/source/entry/http/response-head.ts
+++ b/source/entry/http/response-head.ts
@@ -26,8 +26,15 @@
  * @param response - Server response whose head has arrived.
  */
 export function isWellFormedHead(response: IncomingMessage): boolean {
-	const {statusCode = 0, rawHeaders} = response;
-	return statusCode >= minimumFinalStatus && statusCode <= maximumFinalStatus && areHeadersValid(rawHeaders) && !containsStatusLine(response);
+	return hasFinalStatus(response) && areHeadersValid(response.rawHeaders) && !containsStatusLine(response);
+}
+
+/**
+ * Checks whether the status is one of a final response.
+ * @param response - Server response whose head has arrived.
+ */
+export function hasFinalStatus({statusCode = 0}: IncomingMessage): boolean {
+	return statusCode >= minimumFinalStatus && statusCode <= maximumFinalStatus;
 }
 
 /** Checks whether a head contains a second status line. Its status then belongs to one response, and its id may belong to another. */
--- a/source/entry/servers/attempt-failure.ts
+++ b/source/entry/servers/attempt-failure.ts
@@ -5,16 +5,20 @@
 export type FailureReason = 'deadline' | 'connection-lost' | 'answer-truncated' | 'answer-mismatched' | 'answer-malformed' | 'answer-unproven' | 'bad-request' | 'body-too-large';
 
 /** Reasons for which an answer that was read does not count. */
-const discardReasons: ReadonlySet<string> = new Set<DiscardReason>(['answer-malformed', 'answer-mismatched', 'answer-truncated', 'answer-unproven']);
+const discardReasons: ReadonlySet<FailureReason> = new Set<FailureReason & DiscardReason>(['answer-malformed', 'answer-mismatched', 'answer-truncated', 'answer-unproven']);
 
 /** Reasons that do not indicate that the server has crashed. */
 const harmlessReasons: ReadonlySet<FailureReason> = new Set(['deadline', 'answer-mismatched', 'answer-malformed', 'answer-unproven', 'bad-request', 'body-too-large']);
 
 /**
- * Checks whether a failure discards an answer that was read.
+ * Gets the reason for which an answer was discarded, or undefined if the failure discards none.
  * @param reason - Reason for the failed attempt.
  */
-export function isDiscardReason(reason: FailureReason): reason is FailureReason & DiscardReason {
+export function getDiscardReason(reason: FailureReason): DiscardReason | undefined {
+	return isDiscardReason(reason) ? reason : undefined;
+}
+
+function isDiscardReason(reason: FailureReason): reason is FailureReason & DiscardReason {
 	return discardReasons.has(reason);
 }
 
--- a/source/entry/servers/attempt.ts
+++ b/source/entry/servers/attempt.ts
@@ -2,60 +2,26 @@
  * Attempts a request on one server. The outcome states whether the request may have run; a response counts only when it is complete.
  * Responses up to a size limit are buffered in memory, larger ones are passed on as a stream.
  */
-import {type Buffer} from 'node:buffer';
 import {type ClientRequest, type IncomingMessage} from 'node:http';
 import {performance} from 'node:perf_hooks';
-import {createByteReservation, type ByteBudget, discardBody} from '../../bytes/index.js';
+import {createByteReservation, discardBody} from '../../bytes/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../../verdict/index.js';
-import {type Dialect, type ServerReport} from '../dialect.js';
 import {isSelfDelimited, type ResponseHead} from '../http/index.js';
 import {
-	indicatesCrash, isDiscardReason, isParserError, type FailureReason,
+	getDiscardReason, indicatesCrash, isParserError, type FailureReason,
 } from './attempt-failure.js';
+import {type AttemptOptions} from './attempt-options.js';
 import {type AttemptOutcome, type AttemptResponse} from './attempt-outcome.js';
 import {holdBody} from './body-holding.js';
 import {sendBody} from './body-upload.js';
 import {type ConnectionHistory} from './connection-history.js';
-import {type DiscardedAnswer, type DiscardReason} from './discarded-answers.js';
+import {type DiscardReason} from './discarded-answers.js';
 import {getResponseHeaders} from './headers.js';
-import {type Pool} from './pool.js';
+import {watchInterimResponses} from './interim-responses.js';
 import {findResponseFault} from './response-check.js';
 import {getRepeatedId, isProvenResponse, type ResponseOrigin} from './response-origin.js';
 import {startServerRequest} from './server-request.js';
 
-/** Options of an attempt. */
-export type AttemptOptions = {
-	readonly pool: Pool;
-	readonly dialect: Dialect;
-	readonly requestId: string;
-	readonly method: string;
-	readonly target: string;
-	/** Alternating names and values. */
-	readonly headers: readonly string[];
-	readonly body: Buffer | undefined;
-	/** Body that is streamed from the caller with back-pressure. */
-	readonly stream: IncomingMessage | undefined;
-	readonly deadlineAt: number;
-	readonly maximumBufferedBytes: number;
-	/** Budget of all buffered responses. The receiver of the outcome releases the reservation that it contains. */
-	readonly bufferedResponses: ByteBudget;
-	/** Maximum size of a streamed body, in bytes. */
-	readonly maximumBodyBytes: number;
-	/** Checks, in the event loop turn of the write, whether the request may still be dispatched. */
-	mayDispatch(): boolean;
-	/** Checks, in the same turn, whether the server has withdrawn since it was selected, so that it wants no request. */
-	hasServerWithdrawn(): boolean;
-	onReport(hints: ServerReport): void;
-	/** Called with an answer that does not count. */
-	onDiscard?(answer: DiscardedAnswer): void;
-	/** Called with an unexpected error while a response is handled; the attempt has been cancelled. */
-	onError(error: unknown): void;
-	onEnd(outcome: AttemptOutcome): void;
-};
-
-/** Maximum number of informational responses to one request; a server that sends more never comes to its response. */
-const maximumInformationalResponses = 16;
-
 /** A running attempt. */
 export type Attempt = {
 	/** Cancels the attempt and destroys its connection. */
@@ -92,7 +58,6 @@
 	let isDispatched = false;
 	let isEnded = false;
 	let isDispatchRefused = false;
-	let informationalResponses = 0;
 	let history: ConnectionHistory | undefined;
 	let answer: IncomingMessage | undefined;
 	const reservation = createByteReservation(options.bufferedResponses);
@@ -110,15 +75,15 @@
 		options.onEnd(outcome);
 	}
 
-	function fail(reason: FailureReason): void {
+	function fail(reason: FailureReason, discardReason = getDiscardReason(reason)): void {
 		if (isEnded) {
 			return;
 		}
 
 		const verdict = getFailureVerdict(reason);
 		const hasCrashed = isDispatched && indicatesCrash(reason);
-		if (isDispatched && isDiscardReason(reason)) {
-			reportDiscard(reason);
+		if (isDispatched && discardReason !== undefined) {
+			reportDiscard(discardReason);
 		}
 
 		reservation.release();
@@ -166,18 +131,14 @@
 			});
 		}
 	});
-	request.on('information', () => {
-		informationalResponses++;
-		if (informationalResponses > maximumInformationalResponses) {
-			fail('answer-mismatched');
-		}
-	});
+	watchInterimResponses(request, fail);
 	request.once('error', error => {
-		if (isDispatched && !isEnded && isParserError(error)) {
-			reportDiscard('answer-unparsable');
+		if (isParserError(error)) {
+			// The server has answered, so it has not crashed.
+			fail('answer-malformed', 'answer-unparsable');
+		} else {
+			fail('connection-lost');
 		}
-
-		fail('connection-lost');
 	});
 	request.once('response', response => {
 		try {
--- a/source/entry/servers/load-querier.test.ts
+++ b/source/entry/servers/load-querier.test.ts
@@ -138,3 +138,59 @@
 		expect(await getReadings(async () => undefined, 'OHTTP/1.1 200 OK')).toEqual([]);
 	});
 });
+
+// Guards against a load that steers requests although the head that states it is malformed.
+describe('createLoadQuerier: a reply with a malformed status', () => {
+	/** Queries a server that replies with a status, and gets the number of readings, of reports and of servers without a reply. */
+	async function doTest(status: string): Promise<readonly [number, number, number]> {
+		const sockets = new Set<Socket>();
+		const server = createRawServer(socket => {
+			sockets.add(socket);
+			socket.on('error', () => {
+				socket.destroy();
+			});
+			socket.once('data', () => {
+				socket.write(`HTTP/1.1 ${status} OK\r\ncontent-length: 0\r\n\r\n`);
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const {port} = server.address() as {readonly port: number};
+		let reported = 0;
+		let missed = 0;
+		const querier = createLoadQuerier({
+			dialect, getPath: () => '/', onReport() {
+				reported++;
+			}, onMiss() {
+				missed++;
+			}, onResult() {
+				// Results are not counted here.
+			},
+		});
+		const candidate = createCandidate(1, announcementSchema.parse({
+			service: 'stock', name: 'one', host: '127.0.0.1', port, zone: 'north', slots: 4, connections: 100, boot: 'b', state: 'warm',
+		}), 'warm');
+		const readings = await new Promise<readonly CandidateReading[]>(resolve => {
+			querier.query({
+				candidates: [candidate], waitMilliseconds: 1000, isSufficient: () => true, onReadings: resolve,
+			});
+		});
+		querier.close();
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		return [readings.length, reported, missed];
+	}
+
+	for (const status of ['000', '099', '101', '104', '600', '999', '1000', '20', '+200', '-200', '2oo', 'abc', '']) {
+		test(`"${status}" does not count`, async () => {
+			expect(await doTest(status)).toEqual([0, 0, 1]);
+		});
+	}
+
+	test('200 counts', async () => {
+		expect(await doTest('200')).toEqual([1, 1, 0]);
+	});
+});
--- a/stand-in/attempt-options.ts
+++ b/stand-in/attempt-options.ts
@@ -1,7 +1,7 @@
 /** Options of attempts in tests: a plain lookup that may take a second, and responses of up to 1,000 bytes in memory. */
 import {performance} from 'node:perf_hooks';
 import {createByteBudget} from '../source/bytes/index.js';
-import {type AttemptOptions} from '../source/entry/servers/attempt.js';
+import {type AttemptOptions} from '../source/entry/servers/attempt-options.js';
 import {defaultDialect} from '../source/entry/index.js';
 
 const deadlineMilliseconds = 1000;
--- a/stand-in/entry-bed.ts
+++ b/stand-in/entry-bed.ts
@@ -61,6 +61,9 @@
 	readonly repeatsIds?: boolean;
 	/** Maximum size of a caller's body in bytes. */
 	readonly bodyBytes?: number;
+	/** Fields of the service in the document that differ; without them it has no hedges. */
+	readonly service?: Readonly<Record<string, unknown>>;
+	readonly targetMilliseconds?: number;
 	readonly entrySettings?: Readonly<Record<string, unknown>>;
 	/** Responds to a request with raw bytes on its connection. */
 	respond(request: ReceivedRequest): void;
@@ -172,11 +175,13 @@
 	}
 
 	const route = {
-		parts: [{service: 'stock', weight: 1}], timeoutMilliseconds: options.timeoutMilliseconds ?? 5000, targetMilliseconds: 2000, attempts: options.attempts ?? 2,
+		parts: [{service: 'stock', weight: 1}], timeoutMilliseconds: options.timeoutMilliseconds ?? 5000, targetMilliseconds: options.targetMilliseconds ?? 2000, attempts: options.attempts ?? 2,
 	};
 	await applyDocument(documentSchema.parse({
 		zones: [{name: 'north'}],
-		services: [{name: 'stock', hedgeRatio: 0, easing: {initialSlots: 50, growthPerSuccess: 1}}],
+		services: [{
+			name: 'stock', hedgeRatio: 0, easing: {initialSlots: 50, growthPerSuccess: 1}, ...options.service,
+		}],
 		routes: [
 			{
 				name: 'look', path: '/look/', isIdempotent: true, ...route,
--- a/stand-in/model/attempt.ts
+++ b/stand-in/model/attempt.ts
@@ -1,7 +1,8 @@
 /** Models an attempt on a server in virtual time. A message between an entry and a server takes a millisecond. */
 import {Buffer} from 'node:buffer';
 import {performance} from 'node:perf_hooks';
-import {type Attempt, type AttemptOptions} from '../../source/entry/servers/attempt.js';
+import {type Attempt} from '../../source/entry/servers/attempt.js';
+import {type AttemptOptions} from '../../source/entry/servers/attempt-options.js';
 import {type ServerReport} from '../../source/entry/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../../source/verdict/index.js';
 import {type ModelRequest} from './server.js';
