--- a/stand-in/entry-bed.ts
+++ b/stand-in/entry-bed.ts
@@ -62,6 +62,9 @@
 	readonly repeatsIds?: boolean;
 	/** Maximum size of a caller's body in bytes. */
 	readonly bodyBytes?: number;
+	/** Fields of the service in the document that differ; without them it has no hedges. */
+	readonly service?: Readonly<Record<string, unknown>>;
+	readonly targetMilliseconds?: number;
 	readonly entrySettings?: Readonly<Record<string, unknown>>;
 	/** Workspaces of the document, with a key of one of them for the first request. */
 	readonly access?: {readonly workspaces: readonly Workspace[]; readonly key: string};
@@ -176,11 +179,13 @@
 	}
 
 	const route = {
-		parts: [{service: 'stock', weight: 1}], timeoutMilliseconds: options.timeoutMilliseconds ?? 5000, targetMilliseconds: 2000, attempts: options.attempts ?? 2,
+		parts: [{service: 'stock', weight: 1}], timeoutMilliseconds: options.timeoutMilliseconds ?? 5000, targetMilliseconds: options.targetMilliseconds ?? 2000, attempts: options.attempts ?? 2,
 	};
 	await applyDocument(documentSchema.parse({
 		zones: [{name: 'north'}],
-		services: [{name: 'stock', hedgeRatio: 0, easing: {initialSlots: 50, growthPerSuccess: 1}}],
+		services: [{
+			name: 'stock', hedgeRatio: 0, easing: {initialSlots: 50, growthPerSuccess: 1}, ...options.service,
+		}],
 		routes: [
 			{
 				name: 'look', path: '/look/', isIdempotent: true, ...route,
