Shorten the way from the start of all hosts to the first leases

Entries dialed hosts that were still without power and waited 500 ms for each attempt; and where the first renewal went to the hosts that were connected by then, and one of them named a leader that connected a moment later, that leader never got it, so that the entry waited 800 ms for the answer.

--- a/source/control/compact-messages.test.ts
+++ b/source/control/compact-messages.test.ts
@@ -61,6 +61,9 @@
 	readHistory: [{kind: 'readHistory', environment: 'trial'}],
 	readInForce: [{kind: 'readInForce', environment: 'trial', version: 4}],
 	readStatus: [{kind: 'readStatus'}],
+	quota: [{
+		kind: 'quota', environment: 'production', process: 'p', epoch: 2, report: ['clinic', 4, 3, 0, 6, 1], waiting: 2, refused: 1,
+	}],
 };
 
 const responses: Samples<ControlResponse> = {
@@ -94,6 +97,9 @@
 	}],
 	notLeader: [{kind: 'notLeader', leader: 'a:1'}, {kind: 'notLeader', leader: undefined}],
 	unknown: [{kind: 'unknown'}],
+	quota: [{
+		kind: 'quota', epoch: 2, granted: 6, retryMilliseconds: 0,
+	}],
 };
 
 const replicaMessages: Samples<ReplicaMessage> = {
--- a/source/entry/entrance/request-entrance.ts
+++ b/source/entry/entrance/request-entrance.ts
@@ -5,11 +5,9 @@
 import {type EntryState} from '../entry-state.js';
 import {type RequestContext} from '../requests/index.js';
 import {findRequestFault, normalizeTarget} from './request-check.js';
+import {createStartHold, startRetryMilliseconds} from './start-hold.js';
 import {getRequestId, handleRequest} from './request-handler.js';
 
-/** Retry delay for callers of an entry without a matching route, in milliseconds. A starting entry receives its document within a few hundred. */
-const unroutedRetryMilliseconds = 150;
-
 /** Options of `createRequestEntrance`. */
 export type RequestEntranceOptions = {
 	readonly context: RequestContext;
@@ -24,6 +22,7 @@
  */
 export function createRequestEntrance(options: RequestEntranceOptions): (exchange: Exchange) => void {
 	const {context, state, maximumHeaderBytes} = options;
+	const startHold = createStartHold(state.documentChanges);
 
 	/** Refuses a request before a service is found for it. */
 	function refuseUnrouted(exchange: Exchange, reason: NotRunReason): void {
@@ -34,22 +33,13 @@
 			verdict: notRun(reason),
 			requestId: getRequestId(context, exchange.request),
 			isClosing: exchange.decideClose(false),
-			retryAfterMilliseconds: unroutedRetryMilliseconds,
+			retryAfterMilliseconds: startRetryMilliseconds,
 		});
 	}
 
-	return exchange => {
-		const {request, response} = exchange;
-		response.on('error', () => {
-			response.destroy();
-		});
-		normalizeTarget(request);
-		const fault = findRequestFault(request, state.document?.clientLimits?.headerBytes ?? maximumHeaderBytes);
-		if (fault !== undefined) {
-			refuseUnrouted(exchange, fault === 'malformed' ? 'bad-request' : 'headers-too-large');
-			return;
-		}
-
+	/** Finds the route, the service and the access of a request, and hands it over or refuses it. */
+	function routeRequest(exchange: Exchange): void {
+		const {request} = exchange;
 		const route = state.router.get(request.headers.host, request.url ?? '/');
 		const serviceState = route === undefined ? undefined : context.fleet.getState(route.selectService());
 		if (route === undefined || serviceState === undefined) {
@@ -67,5 +57,25 @@
 		void handleRequest({
 			context, route, access, state: serviceState, exchange,
 		});
+	}
+
+	return exchange => {
+		const {request, response} = exchange;
+		response.on('error', () => {
+			response.destroy();
+		});
+		normalizeTarget(request);
+		const fault = findRequestFault(request, state.document?.clientLimits?.headerBytes ?? maximumHeaderBytes);
+		if (fault !== undefined) {
+			refuseUnrouted(exchange, fault === 'malformed' ? 'bad-request' : 'headers-too-large');
+			return;
+		}
+
+		const isHeld = state.document === undefined && startHold.add(exchange, () => {
+			routeRequest(exchange);
+		});
+		if (!isHeld) {
+			routeRequest(exchange);
+		}
 	};
 }
--- a/source/entry/entry-state.ts
+++ b/source/entry/entry-state.ts
@@ -1,4 +1,5 @@
 /** The state that the parts of an entry share: what is in force in its environment, and what the entry does at present. */
+import {Subject} from 'rxjs';
 import {type EnvironmentDocument} from '../configuration/index.js';
 import {type WorkspaceIndex} from '../workspace/index.js';
 import {createRouter, type Router} from './routing/index.js';
@@ -10,6 +11,8 @@
 export type EntryState = {
 	/** Document in force, or undefined before the first grant. */
 	document: EnvironmentDocument | undefined;
+	/** Emits when a new document and the servers that came with it are in force. */
+	readonly documentChanges: Subject<void>;
 	/** Router of the document in force. */
 	router: Router;
 	/** Workspaces of the document in force, or undefined if it has none. */
@@ -27,6 +30,6 @@
 /** Creates the state of an entry without a document. */
 export function createEntryState(): EntryState {
 	return {
-		document: undefined, router: createRouter([]), workspaces: undefined, aboveShare: new Set(), entryCount: assumedEntryCount, inFlight: 0, isDraining: false,
+		document: undefined, documentChanges: new Subject(), router: createRouter([]), workspaces: undefined, aboveShare: new Set(), entryCount: assumedEntryCount, inFlight: 0, isDraining: false,
 	};
 }
--- a/source/entry/lease/grant-application.ts
+++ b/source/entry/lease/grant-application.ts
@@ -83,6 +83,9 @@
 	prober.schedule.assign(grant.duties, grant.probeMilliseconds, performance.now());
 	crashTracker.setQuarantined([...grant.quarantined, ...kept?.quarantined ?? []]);
 	drainQueues(fleet);
+	if (document !== undefined) {
+		state.documentChanges.next();
+	}
 }
 
 function applyDocument(targets: GrantTargets, document: EnvironmentDocument, version: number): void {
--- a/source/entry/lease/lease-keeper.ts
+++ b/source/entry/lease/lease-keeper.ts
@@ -29,7 +29,7 @@
 	renew(): void;
 	/** Sends a renewal as soon as possible, because the grant of the one on its way may be of no use. */
 	expedite(): void;
-	/** Sends the renewal that is on its way to a host that has just been connected, if no leader is known. */
+	/** Sends the renewal that is on its way to a host that has just been connected, unless another host is known to lead. */
 	handleConnect(host: string): void;
 	/** Ends the lease, and sends a final renewal to the leader. */
 	release(): void;
@@ -232,7 +232,8 @@
 				if (!isStopped) {
 					send(false);
 				}
-			} else if (client.getLeader() === undefined) {
+			} else if ((client.getLeader() ?? host) === host) {
+				// A host that was not connected when the renewal was sent may have been named as the leader since.
 				client.sendTo(host, lastRenewal);
 			}
 		},
--- a/source/wire/dialer.ts
+++ b/source/wire/dialer.ts
@@ -6,8 +6,15 @@
 import {receiveMessages, type MessageReceiver} from './message-boundary.js';
 
 const reconnectDelayMilliseconds = 100;
-/** Time after which an attempt to connect is abandoned: many round trips, but less than an unreachable host needs to become reachable again. */
-const connectTimeoutMilliseconds = 500;
+
+/**
+ * Time after which the first attempt to connect is abandoned, in milliseconds. It doubles with each further attempt. A host without power
+ * does not answer at all, so after a power loss of all hosts a long first attempt would outlast its start.
+ */
+const firstConnectTimeoutMilliseconds = 100;
+
+/** Maximum time after which an attempt to connect is abandoned: many round trips, also between regions. */
+const maximumConnectTimeoutMilliseconds = 500;
 
 /** A link that reconnects whenever its connection breaks. */
 export type Dialer = {
@@ -43,6 +50,7 @@
 	let currentLink: Link<unknown> | undefined;
 	let socket: Socket | undefined;
 	let reconnectTimer: NodeJS.Timeout | undefined;
+	let connectTimeoutMilliseconds = firstConnectTimeoutMilliseconds;
 	let isClosed = false;
 
 	function dial(): void {
@@ -56,8 +64,10 @@
 		const connectTimer = setTimeout(() => {
 			newSocket.destroy();
 		}, connectTimeoutMilliseconds);
+		connectTimeoutMilliseconds = Math.min(maximumConnectTimeoutMilliseconds, connectTimeoutMilliseconds * 2);
 		newSocket.once('connect', () => {
 			clearTimeout(connectTimer);
+			connectTimeoutMilliseconds = firstConnectTimeoutMilliseconds;
 		});
 		startHandshake<unknown>({
 			socket: newSocket,
