Count bytes by kind and zone, and shorten load queries

Bytes between zones are expensive, and no metric showed them. Entries and control hosts now have guavadeck_traffic_bytes_total with the kind (requests, responses, load queries, leases, claims, replication, other), the zone of the other end (own, other, unknown) and the direction. Connections to servers are read from their sockets when they close and on a scrape; frames of links are counted as they are sent and received. Each process states its zone in the hello message of its links; peers of earlier releases state none and count as unknown.

Load queries no longer have the header "Connection: keep-alive", which Node adds and HTTP/1.1 does not need: 24 of about 75 bytes of a query. A test shows that their connections stay open.

--- a/source/control-client/client.ts
+++ b/source/control-client/client.ts
@@ -10,7 +10,7 @@
 } from '../control/message.js';
 import {checkOutbound} from '../control/outbound-check.js';
 import {
-	createDialer as createSocketDialer, type Dialer, type DialerOptions, type LinkIdentity,
+	createDialer as createSocketDialer, type Dialer, type DialerOptions, type LinkIdentity, type Transfer,
 } from '../wire/index.js';
 
 const attemptTimeoutMilliseconds = 1000;
@@ -65,6 +65,8 @@
 	onConnect(host: string): void;
 	/** Called when an open link is closed. */
 	onDisconnect?(host: string): void;
+	/** Called with each frame that is sent or received. */
+	onTransfer?(transfer: Transfer): void;
 	/** Creates the link to a control host; over a socket by default. */
 	createDialer?(options: DialerOptions<ControlOutbound>): Dialer;
 };
@@ -98,6 +100,9 @@
 					options.onMessage(host.name, message);
 				}
 			},
+			onTransfer(transfer) {
+				options.onTransfer?.(transfer);
+			},
 			onConnect() {
 				options.onConnect(host.name);
 			},
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -29,6 +29,7 @@
 import {createShutdown} from './shutdown.js';
 import {createStallWatch} from './stall-watch.js';
 import {logStoredState} from './stored-state-log.js';
+import {createTransferRecorder} from './traffic-kind.js';
 import {createZoneLog} from './zone-log.js';
 import {createSnapshotReceiver, createSnapshotSender} from './snapshot-transfer.js';
 import {type ControlInbound} from './message.js';
@@ -120,8 +121,12 @@
 			}
 		},
 	});
+	const identity = {...security.link, name: discovery.name, zone: settings.zone};
+	const metrics = createControlMetrics(driver, machine, stallWatch, settings.zone);
+	const recordTransfer = createTransferRecorder(metrics.traffic);
 	const client = createControlClient({
-		identity: {...security.link, name: discovery.name},
+		identity,
+		onTransfer: recordTransfer,
 		hosts: discovery.getOtherHosts(driver.replica.getMembership(), []),
 		onMessage(_host, message) {
 			// The client handles replies itself. Of the other messages, only directories are addressed to control hosts.
@@ -169,7 +174,6 @@
 	const membershipManager = createMembershipManager({
 		self, driver, discovery, client, links, log,
 	});
-	const metrics = createControlMetrics(driver, machine, stallWatch);
 	const recordLinkFailure = createLinkFailureLog({log, count: metrics.countInternalError, getTime: () => performance.now()});
 	const zoneLog = createZoneLog(log, machine);
 
@@ -193,7 +197,7 @@
 		self, driver, requestHandler, snapshotReceiver, checkSnapshot, membershipManager, shutdown, burnRateTracker, metrics, getLeadership: () => leadership,
 	});
 	const listener = await serveLinks({
-		identity: {...security.link, name: discovery.name}, address: settings.links, links, receive, sendDirectory: membershipManager.sendDirectory, onFailure: recordLinkFailure,
+		identity, address: settings.links, links, receive, sendDirectory: membershipManager.sendDirectory, onFailure: recordLinkFailure, onTransfer: recordTransfer,
 	});
 
 	const nudges = createNudges({machine, links, getLeadership: () => leadership});
--- a/source/control/link-server.ts
+++ b/source/control/link-server.ts
@@ -1,6 +1,6 @@
 /** Accepts the links of other control hosts and of entries. */
 import {
-	listenForLinks, receiveMessages, type Link, type LinkIdentity, type LinkListener, type MessageReceiver,
+	listenForLinks, receiveMessages, type Link, type LinkIdentity, type LinkListener, type MessageReceiver, type Transfer,
 } from '../wire/index.js';
 import {checkInbound} from './inbound-check.js';
 import {type InboundHandler} from './inbound-handler.js';
@@ -18,6 +18,8 @@
 	readonly sendDirectory: MembershipManager['sendDirectory'];
 	/** Called after a link was ended because of an error. */
 	readonly onFailure: MessageReceiver<ControlInbound>['onFailure'];
+	/** Called with each frame that is sent or received. */
+	readonly onTransfer: (transfer: Transfer) => void;
 };
 
 /**
@@ -31,6 +33,7 @@
 		setting: 'links',
 		host: address.host,
 		port: address.port,
+		onTransfer: options.onTransfer,
 		onConnect(link) {
 			links.add(link);
 			sendDirectory(link);
--- a/source/control/metrics.ts
+++ b/source/control/metrics.ts
@@ -1,6 +1,8 @@
 /** Prometheus metrics of a control host. */
 import {Counter, Registry} from 'prom-client';
-import {addGauge, addProcessMetrics} from '../telemetry/index.js';
+import {
+	addGauge, addProcessMetrics, addTrafficMetrics, createTrafficMeter, type TrafficMeter,
+} from '../telemetry/index.js';
 import {type Driver} from './driver.js';
 import {type StallWatch} from './stall-watch.js';
 import {type StateMachine} from './state-machine.js';
@@ -10,6 +12,8 @@
 
 /** Metrics of a control host. */
 export type ControlMetrics = {
+	/** Counts the bytes that are exchanged on links. */
+	readonly traffic: TrafficMeter;
 	/** Counts a link that an unexpected error ended. */
 	countInternalError(): void;
 	/** Counts a lease renewal. */
@@ -25,10 +29,13 @@
  * @param driver - Driver of the replica.
  * @param machine - Replicated state machine.
  * @param stallWatch - Watch for times in which the process did not run.
+ * @param zone - Availability zone of the host.
  */
-export function createControlMetrics(driver: Driver, machine: StateMachine, stallWatch: StallWatch): ControlMetrics {
+export function createControlMetrics(driver: Driver, machine: StateMachine, stallWatch: StallWatch, zone: string): ControlMetrics {
 	const registry = new Registry();
+	const traffic = createTrafficMeter(zone);
 	addProcessMetrics(registry);
+	addTrafficMetrics(registry, traffic);
 	const renewals = new Counter({
 		name: 'guavadeck_lease_renewals_total', help: 'Lease renewals received', labelNames: ['outcome'], registers: [registry],
 	});
@@ -55,6 +62,7 @@
 	addGauge(registry, 'guavadeck_stalled_seconds_total', 'Duration of the times in which this process did not run', () => stallWatch.getStalledMilliseconds() / millisecondsPerSecond);
 
 	return {
+		traffic,
 		countInternalError() {
 			internalErrors.inc();
 		},
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -7,6 +7,7 @@
 import {type Service} from '../configuration/index.js';
 import {handleSafely} from '../control/http.js';
 import {createStallWatch} from '../control/stall-watch.js';
+import {createTransferRecorder} from '../control/traffic-kind.js';
 import {createLoadQueryBudget} from '../measuring/index.js';
 import {createRandom} from '../randomness/index.js';
 import {isSafeMethod} from '../retry/index.js';
@@ -78,29 +79,37 @@
 	const isServingWithoutControl = settings.withoutControl === 'serve';
 	const state = createEntryState();
 	const random = createRandom(options.seed);
-	const metrics = createEntryMetrics();
+	const metrics = createEntryMetrics(settings.zone);
 	const slackPart = createEntrySlackPart(settings.attemptBudget, () => {
 		readiness.revokePermitsIfNeeded();
 	});
 	const recordLinkFailure = createLinkFailureLog({log, count: metrics.countInternalError, getTime: () => performance.now()});
+	const recordTransfer = createTransferRecorder(metrics.traffic);
 	const stallWatch = createStallWatch({log, intervalMilliseconds: housekeepingIntervalMilliseconds});
 	const zoneView = createZoneView({log, isServingWithoutControl, getTime: () => performance.now()});
 	const discardedAnswers = createDiscardedAnswers({log, countDiscardedAnswer: metrics.countDiscardedAnswer, getTime: () => performance.now()});
-	const fleet = createFleet(random, slackPart?.getBudget, createSubsetChooser({entry: settings.name, zone: settings.zone}), (candidate, history) => {
-		discardedAnswers.record(candidate, {reason: 'answer-unsolicited', history});
+	const fleet = createFleet(random, slackPart?.getBudget, createSubsetChooser({entry: settings.name, zone: settings.zone}), {
+		onUnsolicitedData(candidate, history) {
+			discardedAnswers.record(candidate, {reason: 'answer-unsolicited', history});
+		},
+		onConnect(candidate, socket) {
+			metrics.traffic.track(socket, {sent: 'request', received: 'response'}, candidate.getAnnouncement().zone);
+		},
 	});
 	const requestLog = createRequestLog(log, () => performance.now());
 	const serviceLevels = await createServiceLevelRecorder(settings);
 	const subscription = new Subscription();
 
 	const prober = createProber({
-		fleet, mayProbe: now => leaseKeeper.holder.isValid(now), onResult: metrics.countProbe,
+		fleet, mayProbe: now => leaseKeeper.holder.isValid(now), onResult: metrics.countProbe, onConnect(socket, zone) {
+			metrics.traffic.track(socket, {sent: 'other', received: 'other'}, zone);
+		},
 	});
 	const announcementHandler = createAnnouncementHandler({
 		fleet, getClient: () => client, isLeaseValid: () => leaseKeeper.holder.isValid(performance.now()),
 	});
 	const peerExchange = await startCountsExchange({
-		settings, security, fleet, onFailure: recordLinkFailure,
+		settings, security, fleet, onFailure: recordLinkFailure, onTransfer: recordTransfer,
 	});
 	const earlierState = createEarlierStateKeeper({
 		getCurrent: () => ({absent: fleet.getAbsent(), quarantined: crashTracker.getQuarantined(), entries: state.entryCount}),
@@ -130,7 +139,7 @@
 		},
 	});
 	const {client, setSeeds} = openControlLinks({
-		settings, security, log, leaseKeeper, onFailure: recordLinkFailure,
+		settings, security, log, leaseKeeper, onFailure: recordLinkFailure, onTransfer: recordTransfer,
 	});
 	const lease = leaseKeeper.holder;
 	const readiness = createReadiness({
@@ -155,6 +164,9 @@
 			candidate.recordMissedReply(performance.now());
 		},
 		onResult: metrics.countProbe,
+		onConnect(socket, zone) {
+			metrics.traffic.track(socket, {sent: 'load_query', received: 'load_query'}, zone);
+		},
 	});
 	const context: RequestContext = {
 		zone: settings.zone,
--- a/source/entry/fleet/fleet.ts
+++ b/source/entry/fleet/fleet.ts
@@ -9,8 +9,7 @@
 	getNextPermit, type Observation, type Permit, type ServerView,
 } from '../../lease/index.js';
 import {type Random} from '../../randomness/index.js';
-import {type ConnectionHistory} from '../servers/index.js';
-import {createServerTable, type FleetServer} from './server-table.js';
+import {createServerTable, type ConnectionEvents, type FleetServer} from './server-table.js';
 import {
 	createServiceState, type GetSharedBudget, type MutableServiceState, type ServiceState,
 } from './service-state.js';
@@ -59,10 +58,10 @@
  * @param random - Source of random numbers.
  * @param getSharedBudget - Gets the budget that retries and hedges of a service share; by default each has a budget of its own.
  * @param subsetChooser - Chooser of the servers that the entry prefers to query; by default it prefers none.
- * @param onUnsolicitedData - Called when a server sends data on an idle connection, with its history.
+ * @param events - Callbacks for the connections to servers.
  */
-export function createFleet(random: Random, getSharedBudget?: GetSharedBudget, subsetChooser?: SubsetChooser, onUnsolicitedData?: (candidate: Candidate, history: ConnectionHistory) => void): Fleet {
-	const servers = createServerTable(onUnsolicitedData);
+export function createFleet(random: Random, getSharedBudget?: GetSharedBudget, subsetChooser?: SubsetChooser, events?: ConnectionEvents): Fleet {
+	const servers = createServerTable(events);
 	const states = new Map<string, MutableServiceState>();
 	const permitCapacities = new Map<number, Permit['capacity']>();
 	let document: EnvironmentDocument | undefined;
--- a/source/entry/fleet/prober.ts
+++ b/source/entry/fleet/prober.ts
@@ -1,4 +1,5 @@
 /** Probes the servers that are assigned to this entry while its lease is valid. */
+import {type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
 import {createProbeSchedule, type ProbeSchedule} from '../../measuring/index.js';
 import {discardBody} from '../../bytes/index.js';
@@ -27,6 +28,8 @@
 	mayProbe(now: number): boolean;
 	/** Called with the result of each probe. */
 	onResult(isHealthy: boolean): void;
+	/** Called with the connection of each probe, and the availability zone of its server. */
+	onConnect?(socket: Socket, zone: string): void;
 };
 
 /**
@@ -50,7 +53,9 @@
 			return;
 		}
 
-		const {host, port, probePath} = server.candidate.getAnnouncement();
+		const {
+			host, port, probePath, zone,
+		} = server.candidate.getAnnouncement();
 		let isSettled = false;
 		function settle(isHealthy: boolean): void {
 			if (!isSettled) {
@@ -68,6 +73,9 @@
 		}
 
 		const request = started.value;
+		request.once('socket', socket => {
+			options.onConnect?.(socket, zone);
+		});
 		request.once('response', answer => {
 			clearTimeout(timer);
 			discardBody(answer, responseLimits);
--- a/source/entry/fleet/server-table.ts
+++ b/source/entry/fleet/server-table.ts
@@ -1,4 +1,5 @@
 /** The servers that an entry knows, by id, key and service, with their connections. */
+import {type Socket} from 'node:net';
 import {getServerKey, type ServerKey} from '../../announcement/index.js';
 import {createCandidate, type Candidate} from '../../choice/index.js';
 import {type ServerView} from '../../lease/index.js';
@@ -33,11 +34,19 @@
 	close(): void;
 };
 
+/** Callbacks for the connections to servers. */
+export type ConnectionEvents = {
+	/** Called when a server sends data on an idle connection, with its history. */
+	onUnsolicitedData?(candidate: Candidate, history: ConnectionHistory): void;
+	/** Called with each new connection for requests. */
+	onConnect?(candidate: Candidate, socket: Socket): void;
+};
+
 /**
  * Creates a table without servers.
- * @param onUnsolicitedData - Called when a server sends data on an idle connection, with its history.
+ * @param events - Callbacks for the connections to servers.
  */
-export function createServerTable(onUnsolicitedData?: (candidate: Candidate, history: ConnectionHistory) => void): ServerTable {
+export function createServerTable(events: ConnectionEvents = {}): ServerTable {
 	const servers = new Map<number, FleetServer>();
 	const byKey = new Map<ServerKey, Candidate>();
 	const byService = new Map<string, Set<Candidate>>();
@@ -90,8 +99,13 @@
 
 		byKey.set(getServerKey(announcement), candidate);
 		addToService(candidate);
-		const pool = createPool(announcement.host, announcement.port, announcement.connections, history => {
-			onUnsolicitedData?.(candidate, history);
+		const pool = createPool(announcement.host, announcement.port, announcement.connections, {
+			onUnsolicitedData(history) {
+				events.onUnsolicitedData?.(candidate, history);
+			},
+			onConnect(socket) {
+				events.onConnect?.(candidate, socket);
+			},
 		});
 		servers.set(id, {candidate, pool});
 	}
--- a/source/entry/lease/control-links.ts
+++ b/source/entry/lease/control-links.ts
@@ -23,6 +23,8 @@
 	readonly leaseKeeper: LeaseKeeper;
 	/** Called after a link was ended because of an error. */
 	readonly onFailure: ControlClientOptions['onFailure'];
+	/** Called with each frame that is sent or received. */
+	readonly onTransfer: Required<ControlClientOptions>['onTransfer'];
 };
 
 /**
@@ -33,7 +35,7 @@
 	const {settings, security, log, leaseKeeper} = options;
 	const directory = createHostDirectory({control: settings.control, seeds: getSeeds(settings)});
 	const client: ControlClient = createControlClient({
-		identity: security.link,
+		identity: {...security.link, zone: settings.zone},
 		hosts: directory.getHosts(),
 		onMessage(host, message) {
 			if (message.kind === 'directory') {
@@ -44,6 +46,7 @@
 			leaseKeeper.receive(host, message);
 		},
 		onFailure: options.onFailure,
+		onTransfer: options.onTransfer,
 		onDisconnect(host) {
 			log.warn({host, leaseMilliseconds: Math.round(leaseKeeper.holder.getExpiresAt() - performance.now())}, 'lost the connection to a control host');
 		},
--- a/source/entry/peers/counts-exchange.ts
+++ b/source/entry/peers/counts-exchange.ts
@@ -11,6 +11,8 @@
 	readonly fleet: Fleet;
 	/** Called after a link was ended because of an error. */
 	readonly onFailure: PeerExchangeOptions['onFailure'];
+	/** Called with each frame that is sent or received. */
+	readonly onTransfer: PeerExchangeOptions['onTransfer'];
 };
 
 /**
@@ -18,7 +20,7 @@
  * @param options - Address, keys and servers.
  */
 export async function startCountsExchange({
-	settings, security, fleet, onFailure,
+	settings, security, fleet, onFailure, onTransfer,
 }: CountsExchangeOptions): Promise<PeerExchange | undefined> {
 	if (settings.peers === undefined) {
 		return undefined;
@@ -26,10 +28,11 @@
 
 	const counts = createPeerCounts();
 	return startPeerExchange({
-		identity: security.link,
+		identity: {...security.link, zone: settings.zone},
 		address: settings.peers,
 		counts,
 		onFailure,
+		onTransfer,
 		reporter: createCountsReporter(settings.name),
 		getOwnCounts: () => [...fleet.getServers()].map(({candidate}) => ({server: candidate.id, inFlight: candidate.getInFlight()})),
 		onCountsChange(servers) {
--- a/source/entry/peers/peer-exchange.ts
+++ b/source/entry/peers/peer-exchange.ts
@@ -2,7 +2,7 @@
 import {type PeerCounts, type CountsMessage, type CountsReporter} from '../../choice/index.js';
 import {type PeerAddress} from '../../lease/index.js';
 import {
-	createDialer, listenForLinks, receiveMessages, type Dialer, type LinkIdentity, type LinkListener, type MessageReceiver,
+	createDialer, listenForLinks, receiveMessages, type Dialer, type LinkIdentity, type LinkListener, type MessageReceiver, type Transfer,
 } from '../../wire/index.js';
 import {type Address} from '../../settings/index.js';
 import {checkCounts} from './counts-check.js';
@@ -27,6 +27,8 @@
 	getOwnCounts(): Iterable<{readonly server: number; readonly inFlight: number}>;
 	/** Called after a link was ended because of an error. */
 	readonly onFailure: MessageReceiver<CountsMessage>['onFailure'];
+	/** Called with each frame that is sent or received. */
+	readonly onTransfer?: (transfer: Transfer) => void;
 	/** Called with the ids of the servers whose counts from peers changed. */
 	onCountsChange(servers: readonly number[]): void;
 };
@@ -46,6 +48,9 @@
 		setting: 'peers',
 		host: options.address.host,
 		port: options.address.port,
+		onTransfer(transfer) {
+			options.onTransfer?.(transfer);
+		},
 		onConnect(link) {
 			receiveMessages<CountsMessage>(link, {
 				check: checkCounts,
@@ -67,6 +72,9 @@
 			port: peer.port,
 			check: checkCounts,
 			onFailure: options.onFailure,
+			onTransfer(transfer) {
+				options.onTransfer?.(transfer);
+			},
 			onMessage() {
 				// Peers send their counts on the links that they open themselves.
 			},
--- a/source/entry/reporting/metrics.ts
+++ b/source/entry/reporting/metrics.ts
@@ -1,6 +1,8 @@
 /** Counters, gauges and histograms of an entry. */
 import {Counter, Histogram, Registry} from 'prom-client';
-import {addGauge, addProcessMetrics} from '../../telemetry/index.js';
+import {
+	addGauge, addProcessMetrics, addTrafficMetrics, createTrafficMeter, type TrafficMeter,
+} from '../../telemetry/index.js';
 import {type Verdict} from '../../verdict/index.js';
 import {type DiscardReason} from '../servers/index.js';
 
@@ -9,6 +11,8 @@
 /** Metrics of an entry. */
 export type EntryMetrics = {
 	readonly registry: Registry;
+	/** Counts the bytes that are exchanged with servers, control hosts and peers. */
+	readonly traffic: TrafficMeter;
 	/** Counts an answered request and records its latency. */
 	countRequest(service: string, verdict: Verdict['kind'], seconds: number): void;
 	countAttempt(service: string, kind: 'first' | 'retry' | 'hedge'): void;
@@ -24,10 +28,15 @@
 	addGauge(name: string, help: string, read: () => number): void;
 };
 
-/** Creates the metrics of an entry. */
-export function createEntryMetrics(): EntryMetrics {
+/**
+ * Creates the metrics of an entry.
+ * @param zone - Availability zone of the entry.
+ */
+export function createEntryMetrics(zone: string): EntryMetrics {
 	const registry = new Registry();
+	const traffic = createTrafficMeter(zone);
 	addProcessMetrics(registry);
+	addTrafficMetrics(registry, traffic);
 	const latencyHistogram = new Histogram({
 		name: 'guavadeck_request_seconds', help: 'Time from a request to the end of its answer', labelNames: ['service'], buckets: latencyBucketsSeconds, registers: [registry],
 	});
@@ -59,6 +68,7 @@
 
 	return {
 		registry,
+		traffic,
 		countRequest(service, verdict, seconds) {
 			requests.inc({service, verdict});
 			const histogram = latencyByService.get(service) ?? latencyHistogram.labels(service);
--- a/source/entry/servers/discarded-answers.test.ts
+++ b/source/entry/servers/discarded-answers.test.ts
@@ -99,8 +99,10 @@
 	test('on an idle connection is reported with the number of answers before it', async () => {
 		const {port, close, getSockets} = await listenForTexts([getAnswer('r1')]);
 		let answerCount: number | undefined;
-		const pool = createPool('127.0.0.1', port, 4, history => {
-			answerCount = history.getAnswerCount();
+		const pool = createPool('127.0.0.1', port, 4, {
+			onUnsolicitedData(history) {
+				answerCount = history.getAnswerCount();
+			},
 		});
 		await attempt(pool, 'r1');
 		const [socket] = getSockets();
--- a/source/entry/servers/load-querier.test.ts
+++ b/source/entry/servers/load-querier.test.ts
@@ -138,3 +138,47 @@
 		expect(await getReadings(async () => undefined, 'OHTTP/1.1 200 OK')).toEqual([]);
 	});
 });
+
+// Guards against load queries, which are sent before each request, that carry what servers do not need, or that connect anew each time.
+describe('createLoadQuerier: bytes of queries', () => {
+	test('are those of the path, the address and the name of the server, on one connection', async () => {
+		const heads: string[] = [];
+		const server = createRawServer(socket => {
+			socket.on('data', chunk => {
+				heads.push(chunk.toString('latin1'));
+				socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n');
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const {port} = server.address() as {readonly port: number};
+		const zones: string[] = [];
+		const querier = createLoadQuerier({
+			dialect: {...dialect, serverHeader: 'x-server'}, getPath: () => '/load', onReport() {
+				// Server reports are ignored here.
+			}, onMiss() {
+				// The count of heads shows a miss.
+			}, onResult() {
+				// Results are not counted here.
+			}, onConnect(_socket, zone) {
+				zones.push(zone);
+			},
+		});
+		const candidate = createCandidate(1, announcementSchema.parse({
+			service: 'stock', name: 'one', host: '127.0.0.1', port, zone: 'north', slots: 4, connections: 100, boot: 'b', state: 'warm',
+		}), 'warm');
+		for (let index = 0; index < 3; index++) {
+			await new Promise<readonly CandidateReading[]>(resolve => {
+				querier.query({
+					candidates: [candidate], waitMilliseconds: 1000, isSufficient: () => true, onReadings: resolve,
+				});
+			});
+			await delay(5);
+		}
+
+		querier.close();
+		server.close();
+		const head = `GET /load HTTP/1.1\r\nx-server: one\r\nHost: 127.0.0.1:${port}\r\n\r\n`;
+		expect({heads, zones}).toEqual({heads: [head, head, head], zones: ['north']});
+	});
+});
--- a/source/entry/servers/load-querier.ts
+++ b/source/entry/servers/load-querier.ts
@@ -4,6 +4,7 @@
  * and its connection is closed after a longer timeout.
  */
 import {Agent} from 'node:http';
+import {connect, type Socket, type TcpNetConnectOpts} from 'node:net';
 import {getExpectedSlowdown, type Candidate, type LoadReading} from '../../choice/index.js';
 import {discardBody} from '../../bytes/index.js';
 import {type Dialect, type ServerReport} from '../dialect.js';
@@ -58,8 +59,13 @@
 	onMiss(candidate: Candidate): void;
 	/** Called with whether a query to one server succeeded. */
 	onResult(isSuccess: boolean): void;
+	/** Called with each new connection, and the availability zone of its server. */
+	onConnect?(socket: Socket, zone: string): void;
 };
 
+/** Options of Node's agent for a new connection, with the zone that the request was started with. */
+type ConnectionOptions = TcpNetConnectOpts & {readonly serverZone: string};
+
 /**
  * Creates a load querier.
  * @param options - Dialect, paths and event callbacks.
@@ -69,9 +75,18 @@
 		keepAlive: true, maxSockets: connectionsPerServer, maxFreeSockets: connectionsPerServer, scheduling: 'lifo',
 	});
 	guardIdleSockets(agent);
+	Object.assign(agent, {
+		createConnection(connectionOptions: ConnectionOptions): Socket {
+			const socket = connect(connectionOptions);
+			options.onConnect?.(socket, connectionOptions.serverZone);
+			return socket;
+		},
+	});
 
 	function queryOne(candidate: Candidate, onReading: (reading: LoadReading | undefined) => void): void {
-		const {host, port, service, name} = candidate.getAnnouncement();
+		const {
+			host, port, service, name, zone,
+		} = candidate.getAnnouncement();
 		let isEnded = false;
 		function end(reading: LoadReading | undefined): void {
 			if (!isEnded) {
@@ -84,7 +99,7 @@
 
 		const headers = options.dialect.serverHeader === undefined ? {} : {[options.dialect.serverHeader]: name};
 		const started = startServerRequest({
-			host, port, path: options.getPath(service), method: 'GET', agent, headers,
+			host, port, path: options.getPath(service), method: 'GET', agent, headers, serverZone: zone,
 		});
 		const timer = setTimeout(() => {
 			started.map(request => request.destroy());
@@ -95,6 +110,8 @@
 		}
 
 		const request = started.value;
+		// Connections of HTTP/1.1 persist unless a header says otherwise, so the header that Node adds has no use.
+		request.removeHeader('connection');
 		request.once('response', response => {
 			discardBody(response, responseLimits);
 			if (!isWellFormedHead(response)) {
--- a/source/entry/servers/pool.ts
+++ b/source/entry/servers/pool.ts
@@ -5,13 +5,13 @@
 import {Agent, type AgentOptions} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
-import {type Duplex} from 'node:stream';
 import {createConnectionHistories, type ConnectionHistories, type ConnectionHistory} from './connection-history.js';
 import {guardIdleSockets} from './idle-sockets.js';
 
 const connectTimeoutMilliseconds = 1000;
 
-type SocketCallback = (error: Error | undefined, socket?: Duplex) => void;
+type SocketCallback = (error: Error | undefined, socket?: Socket) => void;
+type Address = {readonly host: string; readonly port: number};
 
 /** Methods of Node's `Agent` that a pool overrides. */
 type AgentMethods = {
@@ -55,12 +55,18 @@
 	socket.once('error', settle);
 }
 
-function createAgent(host: string, port: number, options: AgentOptions, onIdleData: (socket: Socket) => void): Agent {
+function createAgent({host, port}: Address, options: AgentOptions, onConnect: (socket: Socket) => void, onIdleData: (socket: Socket) => void): Agent {
 	const agent = new Agent(options);
 	const methods: AgentMethods = {
 		getName: () => '',
 		createConnection(_options, callback) {
-			connectSocket(host, port, callback);
+			connectSocket(host, port, (error, socket) => {
+				if (socket !== undefined) {
+					onConnect(socket);
+				}
+
+				callback(error, socket);
+			});
 			return undefined;
 		},
 	};
@@ -78,19 +84,29 @@
 	close(): void;
 };
 
+/** Callbacks for the connections of a pool. */
+export type PoolEvents = {
+	/** Called with the history of an idle connection on which the server sent data. */
+	onUnsolicitedData?(history: ConnectionHistory): void;
+	/** Called with each new connection. */
+	onConnect?(socket: Socket): void;
+};
+
 /**
  * Creates a pool.
  * @param host - IP address of the server.
  * @param port - Port of the server.
  * @param connections - Maximum number of connections.
- * @param onUnsolicitedData - Called with the history of an idle connection on which the server sent data.
+ * @param events - Callbacks for the connections.
  */
-export function createPool(host: string, port: number, connections: number, onUnsolicitedData?: (history: ConnectionHistory) => void): Pool {
+export function createPool(host: string, port: number, connections: number, events: PoolEvents = {}): Pool {
 	const histories = createConnectionHistories(() => performance.now());
-	const agent = createAgent(host, port, {
+	const agent = createAgent({host, port}, {
 		keepAlive: true, maxSockets: connections, maxFreeSockets: connections, scheduling: 'lifo',
 	}, socket => {
-		onUnsolicitedData?.(histories.get(socket));
+		events.onConnect?.(socket);
+	}, socket => {
+		events.onUnsolicitedData?.(histories.get(socket));
 	});
 	let hasRepeatedId = false;
 	return {
--- a/source/wire/dialer.ts
+++ b/source/wire/dialer.ts
@@ -2,7 +2,7 @@
 import {connect, type Socket} from 'node:net';
 import {connect as connectTls} from 'node:tls';
 import {startHandshake} from './handshake.js';
-import {type Link, type LinkIdentity} from './link.js';
+import {type Link, type LinkIdentity, type Transfer} from './link.js';
 import {receiveMessages, type MessageReceiver} from './message-boundary.js';
 
 const reconnectDelayMilliseconds = 100;
@@ -33,6 +33,8 @@
 	onConnect(): void;
 	/** Called when an open link is closed. */
 	onDisconnect(): void;
+	/** Called with each frame that is sent or received. */
+	onTransfer?(transfer: Transfer): void;
 };
 
 /**
@@ -63,6 +65,9 @@
 			socket: newSocket,
 			identity: options.identity,
 			side: 'client',
+			onTransfer(transfer) {
+				options.onTransfer?.(transfer);
+			},
 			onConnect(link) {
 				currentLink = link;
 				receiveMessages<Message>(link, {check: options.check, handle: options.onMessage, onFailure: options.onFailure});
--- a/source/wire/frame.ts
+++ b/source/wire/frame.ts
@@ -59,12 +59,15 @@
 	return frame;
 }
 
+/** Called with each message that is complete, and the length of its frame. */
+export type FrameReceiver = (message: unknown, bytes: number) => void;
+
 /** Incremental decoder that splits a stream of bytes into messages. */
 export type FrameReader = {
 	/** Adds bytes and returns the messages that are now complete; throws FrameError for a malformed frame. */
 	push(chunk: Buffer): readonly unknown[];
 	/** Adds bytes and passes on the messages that are now complete, each before the next one is decoded; throws FrameError for a malformed frame. */
-	pushEach(chunk: Buffer, receive: (message: unknown) => void): void;
+	pushEach(chunk: Buffer, receive: FrameReceiver): void;
 	/** Sets the coding of the messages that are decoded from now on. */
 	setCoding(coding: Pick<PayloadCoding, 'decode'>): void;
 	/** Sets the maximum payload in bytes that is accepted from now on, also after decompression. */
@@ -119,11 +122,11 @@
 		}
 	}
 
-	function pushEach(chunk: Buffer, receive: (message: unknown) => void): void {
+	function pushEach(chunk: Buffer, receive: FrameReceiver): void {
 		chunks.push(chunk);
 		bufferedBytes += chunk.length;
 		for (let header = peekHeader(); header !== undefined && bufferedBytes >= headerBytes + header.length; header = peekHeader()) {
-			receive(readPayload(header.length, header.isCompressed));
+			receive(readPayload(header.length, header.isCompressed), headerBytes + header.length);
 		}
 	}
 
--- a/source/wire/handshake.ts
+++ b/source/wire/handshake.ts
@@ -10,7 +10,7 @@
 import {
 	createFrameReader, encodeFrame, maximumFrameBytes, maximumHandshakeBytes,
 } from './frame.js';
-import {type Link, type LinkIdentity} from './link.js';
+import {type Link, type LinkIdentity, type Transfer} from './link.js';
 import {
 	createLinkCoding, isCompactForm, ownCompactForm, type CompactForm,
 } from './link-coding.js';
@@ -31,6 +31,9 @@
 /** Interval at which a link checks whether to send a ping or to close the connection. */
 const keepAliveIntervalMilliseconds = 300;
 
+/** Maximum length of the name of a zone, which settings have too. */
+const maximumZoneLength = 63;
+
 /** Keep-alive message, which is not passed on to the receiver. */
 const ping = 0;
 
@@ -40,6 +43,8 @@
 	readonly nonce: Uint8Array;
 	/** Compact form that the sender knows; missing from peers of earlier releases. */
 	readonly compact?: CompactForm;
+	/** Availability zone of the sender; missing from peers of earlier releases. */
+	readonly zone?: string | undefined;
 };
 type Proof = {readonly kind: 'proof'; readonly mac: Uint8Array};
 
@@ -53,9 +58,13 @@
 	return hmac.digest();
 }
 
+function isZone(value: unknown): boolean {
+	return value === undefined || (typeof value === 'string' && value.length <= maximumZoneLength);
+}
+
 function isHello(value: unknown): value is Hello {
 	const hello = value as Partial<Hello> | undefined;
-	return hello?.kind === 'hello' && typeof hello.name === 'string' && hello.nonce instanceof Uint8Array && hello.nonce.length === nonceBytes && isCompactForm(hello.compact);
+	return hello?.kind === 'hello' && typeof hello.name === 'string' && hello.nonce instanceof Uint8Array && hello.nonce.length === nonceBytes && isCompactForm(hello.compact) && isZone(hello.zone);
 }
 
 function isProof(value: unknown): value is Proof {
@@ -72,6 +81,8 @@
 	onConnect(link: Link<Message>): void;
 	/** Called when the connection is closed, also before the handshake has succeeded. */
 	onClose(): void;
+	/** Called with each frame that is sent or received. */
+	onTransfer?(transfer: Transfer): void;
 };
 
 /**
@@ -86,6 +97,7 @@
 	let peer: Hello | undefined;
 	let coding = plainCoding;
 	let isOpen = false;
+	const handshakeBytes = {sent: 0, received: 0};
 	let lastReceivedAt = performance.now();
 	let lastSentAt = lastReceivedAt;
 	let keepAliveTimer: NodeJS.Timeout | undefined;
@@ -94,9 +106,26 @@
 	}, handshakeTimeoutMilliseconds);
 	socket.setNoDelay(true);
 	socket.setKeepAlive(true, 1000);
-	socket.write(encodeFrame({
-		kind: 'hello', name: identity.name, nonce, compact: ownCompactForm,
-	}));
+	sendFrame({
+		kind: 'hello', name: identity.name, nonce, compact: ownCompactForm, zone: identity.zone,
+	});
+
+	/** Reports a frame. Those of the handshake are reported together once it has succeeded, when the zone of the peer is known. */
+	function recordTransfer(direction: Transfer['direction'], message: unknown, bytes: number): void {
+		if (isOpen) {
+			options.onTransfer?.({
+				direction, bytes, peerZone: peer?.zone, message: message === ping ? undefined : message,
+			});
+		} else {
+			handshakeBytes[direction] += bytes;
+		}
+	}
+
+	function sendFrame(message: unknown): void {
+		const frame = encodeFrame(message, coding);
+		socket.write(frame);
+		recordTransfer('sent', message, frame.length);
+	}
 
 	/** Gets the HMAC input of one side: its role, the nonce of its peer, its own nonce and its name. */
 	function getMacParts(prover: 'client' | 'server', hello: Hello): ReadonlyArray<Uint8Array | string> {
@@ -116,7 +145,7 @@
 
 	function write(message: unknown): void {
 		lastSentAt = performance.now();
-		socket.write(encodeFrame(message, coding));
+		sendFrame(message);
 	}
 
 	const link: Omit<Link<Message>, 'peer'> = {
@@ -131,7 +160,8 @@
 		},
 	};
 
-	function receiveMessage(message: unknown): void {
+	function receiveMessage(message: unknown, bytes: number): void {
+		recordTransfer('received', message, bytes);
 		if (isOpen) {
 			if (message !== ping) {
 				messages.next(message as Message);
@@ -142,7 +172,7 @@
 
 		if (peer === undefined && isHello(message)) {
 			peer = message;
-			socket.write(encodeFrame({kind: 'proof', mac: getMac(identity.sharedKey, getMacParts(side, peer))}));
+			sendFrame({kind: 'proof', mac: getMac(identity.sharedKey, getMacParts(side, peer))});
 			return;
 		}
 
@@ -164,6 +194,8 @@
 		reader.setMaximumPayloadBytes(maximumFrameBytes);
 		reader.setCoding(coding);
 		keepAliveTimer = setInterval(keepAlive, keepAliveIntervalMilliseconds);
+		recordTransfer('sent', undefined, handshakeBytes.sent);
+		recordTransfer('received', undefined, handshakeBytes.received);
 		options.onConnect({...link, peer: peer.name});
 	}
 
--- a/source/wire/link.ts
+++ b/source/wire/link.ts
@@ -13,6 +13,19 @@
 	readonly name: string;
 	readonly sharedKey: string;
 	readonly certificates: LinkCertificates | undefined;
+	/** Availability zone of the process, which it states to its peers so that they can count the bytes between zones. */
+	readonly zone?: string;
+};
+
+/** Frame of one message that was sent or received on a link. */
+export type Transfer = {
+	readonly direction: 'sent' | 'received';
+	/** The message; undefined for those of the handshake and for pings. */
+	readonly message: unknown;
+	/** Length of the frame, without what TLS and lower layers add. */
+	readonly bytes: number;
+	/** Availability zone of the peer; undefined if it has not stated it. */
+	readonly peerZone: string | undefined;
 };
 
 /** An authenticated connection. */
--- a/source/wire/listener.ts
+++ b/source/wire/listener.ts
@@ -2,7 +2,7 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import {createServer as createTlsServer} from 'node:tls';
 import {startHandshake} from './handshake.js';
-import {type Link, type LinkIdentity} from './link.js';
+import {type Link, type LinkIdentity, type Transfer} from './link.js';
 import {listen} from './listen.js';
 
 const tlsHandshakeTimeoutMilliseconds = 2000;
@@ -22,6 +22,8 @@
 	readonly port: number;
 	/** Called with each new link, after its handshake has succeeded. */
 	onConnect(link: Link<Message>): void;
+	/** Called with each frame that is sent or received. */
+	onTransfer?(transfer: Transfer): void;
 };
 
 /**
@@ -37,6 +39,9 @@
 			identity: options.identity,
 			side: 'server',
 			onConnect: options.onConnect,
+			onTransfer(transfer) {
+				options.onTransfer?.(transfer);
+			},
 			onClose() {
 				// `trackConnection` removes the socket when it closes.
 			},
