--- a/source/control/metrics.ts
+++ b/source/control/metrics.ts
@@ -1,6 +1,8 @@
 /** Prometheus metrics of a control host. */
 import {Counter, Registry} from 'prom-client';
-import {addGauge, addProcessMetrics} from '../telemetry/index.js';
+import {
+	addGauge, addProcessMetrics, addTrafficMetrics, createTrafficMeter, type TrafficMeter,
+} from '../telemetry/index.js';
 import {type Driver} from './driver.js';
 import {type StallWatch} from './stall-watch.js';
 import {type StateMachine} from './state-machine.js';
@@ -10,6 +12,8 @@
 
 /** Metrics of a control host. */
 export type ControlMetrics = {
+	/** Counts the bytes that are exchanged on links. */
+	readonly traffic: TrafficMeter;
 	/** Counts a link that an unexpected error ended. */
 	countInternalError(): void;
 	/** Counts a lease renewal. */
@@ -20,16 +24,29 @@
 	getText(): Promise<string>;
 };
 
+/** Options of `createControlMetrics`. */
+export type ControlMetricsOptions = {
+	readonly driver: Driver;
+	/** Replicated state machine. */
+	readonly machine: StateMachine;
+	/** Watch for times in which the process did not run. */
+	readonly stallWatch: StallWatch;
+	/** Availability zone of the host. */
+	readonly zone: string;
+	/** Gets the number of tokens of quotas that entries hold, if this host leads. */
+	getOutstandingTokens(): number;
+};
+
 /**
  * Creates the metrics of a control host.
- * @param driver - Driver of the replica.
- * @param machine - Replicated state machine.
- * @param stallWatch - Watch for times in which the process did not run.
- * @param getOutstandingTokens - Gets the number of tokens of quotas that entries hold, if this host leads.
+ * @param options - Replica, zone and what gauges read.
  */
-export function createControlMetrics(driver: Driver, machine: StateMachine, stallWatch: StallWatch, getOutstandingTokens: () => number): ControlMetrics {
+export function createControlMetrics(options: ControlMetricsOptions): ControlMetrics {
+	const {driver, machine, stallWatch, zone, getOutstandingTokens} = options;
 	const registry = new Registry();
+	const traffic = createTrafficMeter(zone);
 	addProcessMetrics(registry);
+	addTrafficMetrics(registry, traffic);
 	const renewals = new Counter({
 		name: 'guavadeck_lease_renewals_total', help: 'Lease renewals received', labelNames: ['outcome'], registers: [registry],
 	});
@@ -57,6 +74,7 @@
 	addGauge(registry, 'guavadeck_stalled_seconds_total', 'Duration of the times in which this process did not run', () => stallWatch.getStalledMilliseconds() / millisecondsPerSecond);
 
 	return {
+		traffic,
 		countInternalError() {
 			internalErrors.inc();
 		},
--- a/source/entry/servers/load-querier.test.ts
+++ b/source/entry/servers/load-querier.test.ts
@@ -7,7 +7,7 @@
 import {announcementSchema} from '../../announcement/index.js';
 import {createCandidate} from '../../choice/index.js';
 import {defaultDialect, type Dialect} from '../dialect.js';
-import {createLoadQuerier, type CandidateReading} from './load-querier.js';
+import {createLoadQuerier, type CandidateReading, type QueryTransfer} from './load-querier.js';
 import {createPool} from './pool.js';
 
 const dialect: Dialect = {
@@ -241,3 +241,50 @@
 		expect(await doTest('200')).toEqual([1, 1, 0]);
 	});
 });
+
+// Guards against load queries, which are sent before each request, that carry what servers do not need, or that connect anew each time.
+describe('createLoadQuerier: bytes of queries', () => {
+	test('are those of the path, the address and the name of the server, on one connection', async () => {
+		const heads: string[] = [];
+		const reply = 'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n';
+		const server = createRawServer(socket => {
+			socket.on('data', chunk => {
+				heads.push(chunk.toString('latin1'));
+				socket.write(reply);
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const {port} = server.address() as {readonly port: number};
+		const transfers: QueryTransfer[] = [];
+		const pool = createPool('127.0.0.1', port, 100);
+		const querier = createLoadQuerier({
+			dialect: {...dialect, serverHeader: 'x-server'}, getAgent: () => pool.agent, getPath: () => '/load', onReport() {
+				// Server reports are ignored here.
+			}, onMiss() {
+				// The count of heads shows a miss.
+			}, onResult() {
+				// Results are not counted here.
+			}, onTransfer(transfer) {
+				transfers.push(transfer);
+			},
+		});
+		const candidate = createCandidate(1, announcementSchema.parse({
+			service: 'stock', name: 'one', host: '127.0.0.1', port, zone: 'north', slots: 4, connections: 100, boot: 'b', state: 'warm',
+		}), 'warm');
+		for (let index = 0; index < 3; index++) {
+			await new Promise<readonly CandidateReading[]>(resolve => {
+				querier.query({
+					candidates: [candidate], waitMilliseconds: 1000, isSufficient: () => true, onReadings: resolve,
+				});
+			});
+			await delay(5);
+		}
+
+		pool.close();
+		server.close();
+		const head = `GET /load HTTP/1.1\r\nx-server: one\r\nHost: 127.0.0.1:${port}\r\n\r\n`;
+		const transfer: QueryTransfer = {zone: 'north', sentBytes: head.length, receivedBytes: reply.length};
+		expect({heads, transfers}).toEqual({heads: [head, head, head], transfers: [transfer, transfer, transfer]});
+	});
+});
--- a/source/entry/servers/load-querier.ts
+++ b/source/entry/servers/load-querier.ts
@@ -37,6 +37,9 @@
 	onReadings(readings: readonly CandidateReading[]): void;
 };
 
+/** Bytes of one query and its reply, and the zone of the server. */
+export type QueryTransfer = {readonly zone: string; readonly sentBytes: number; readonly receivedBytes: number};
+
 /** Queries servers for their load. */
 export type LoadQuerier = {
 	/** Sends a query; the returned function cancels it. */
@@ -54,6 +57,8 @@
 	onReport(candidate: Candidate, report: ServerReport): void;
 	/** Called with a candidate that did not reply. */
 	onMiss(candidate: Candidate): void;
+	/** Called with the bytes of a query and its reply. */
+	onTransfer?(transfer: QueryTransfer): void;
 	/** Called with whether a query to one server succeeded. */
 	onResult(isSuccess: boolean): void;
 };
@@ -71,7 +76,9 @@
 	}
 
 	function queryOne(candidate: Candidate, onReading: (reading: LoadReading | undefined) => void): void {
-		const {host, port, service, name} = candidate.getAnnouncement();
+		const {
+			host, port, service, name, zone,
+		} = candidate.getAnnouncement();
 		let isEnded = false;
 		function end(reading: LoadReading | undefined): void {
 			if (!isEnded) {
@@ -98,6 +105,14 @@
 		}
 
 		const request = started.value;
+		// Connections of HTTP/1.1 persist unless a header says otherwise, so the header that Node adds has no use.
+		request.removeHeader('connection');
+		let sentBefore = 0;
+		let receivedBefore = 0;
+		request.once('socket', socket => {
+			sentBefore = socket.bytesWritten;
+			receivedBefore = socket.bytesRead;
+		});
 		request.once('response', response => {
 			if (!isWellFormedHead(response)) {
 				fail();
@@ -111,6 +126,10 @@
 			}
 
 			discardBody(response, responseLimits);
+			response.once('end', () => {
+				const {bytesWritten, bytesRead} = response.socket;
+				options.onTransfer?.({zone, sentBytes: bytesWritten - sentBefore, receivedBytes: bytesRead - receivedBefore});
+			});
 
 			options.onReport(candidate, report);
 			end(getReading(report, response.statusCode === 200));
