Model uneven zones, servers that never answer when full, and workspaces

The model of entries in virtual time had one distance, servers of six slots that refuse when full, and callers of no workspace, so placement over zones could not be replayed. Servers now have their own slots and queue, messages between zones take longer than within one, and queries, attempts and overfilled servers are counted. RequestContext.isAboveShare reads EntryState.aboveShare, which is empty until the leader states workspaces above their share.

--- a/source/entry/entry-state.ts
+++ b/source/entry/entry-state.ts
@@ -14,6 +14,8 @@
 	router: Router;
 	/** Workspaces of the document in force, or undefined if it has none. */
 	workspaces: WorkspaceIndex | undefined;
+	/** Names of the workspaces that use more than their share of the capacity. */
+	aboveShare: ReadonlySet<string>;
 	/** Number of entries in the environment. */
 	entryCount: number;
 	/** Number of callers' requests in flight. */
@@ -25,6 +27,6 @@
 /** Creates the state of an entry without a document. */
 export function createEntryState(): EntryState {
 	return {
-		document: undefined, router: createRouter([]), workspaces: undefined, entryCount: assumedEntryCount, inFlight: 0, isDraining: false,
+		document: undefined, router: createRouter([]), workspaces: undefined, aboveShare: new Set(), entryCount: assumedEntryCount, inFlight: 0, isDraining: false,
 	};
 }
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -180,6 +180,7 @@
 		maximumStoredBytes: maximumStoredResponseBytes,
 		startAttempt,
 		getWorkspaces: () => state.workspaces,
+		isAboveShare: workspace => state.aboveShare.has(workspace),
 		mayDispatch: readiness.mayDispatch,
 		onReport: applyServerReport,
 		reportCrash: createCrashReporter({
--- a/source/entry/requests/request-context.ts
+++ b/source/entry/requests/request-context.ts
@@ -36,6 +36,8 @@
 	readonly startAttempt: typeof startAttempt;
 	/** Gets the workspaces of the document in force, or undefined if it has none. */
 	getWorkspaces(): WorkspaceIndex | undefined;
+	/** Checks whether a workspace uses more than its share of the capacity, according to the control hosts. */
+	isAboveShare(workspace: string): boolean;
 	/** Checks whether the entry may accept and dispatch new requests. */
 	mayDispatch(now: number): boolean;
 	/** Called with the report that a server attaches to a response. */
--- a/stand-in/model/attempt.ts
+++ b/stand-in/model/attempt.ts
@@ -1,14 +1,12 @@
-/** Models an attempt on a server in virtual time. A message between an entry and a server takes a millisecond. */
+/** Models an attempt on a server in virtual time. */
 import {Buffer} from 'node:buffer';
 import {performance} from 'node:perf_hooks';
+import {type LoadReading} from '../../source/choice/index.js';
 import {type Attempt, type AttemptOptions} from '../../source/entry/servers/attempt.js';
 import {type ServerReport} from '../../source/entry/index.js';
 import {mayHaveRun, notRun, type Verdict} from '../../source/verdict/index.js';
 import {type ModelRequest} from './server.js';
-import {type UpstreamModel} from './upstream.js';
-
-/** Time that a message between an entry and a server takes. */
-export const transferMilliseconds = 1;
+import {type Reception, type UpstreamModel} from './upstream.js';
 
 const okStatus = 200;
 
@@ -40,6 +38,10 @@
 	readonly serviceMilliseconds: number;
 	/** Time until a connection is ready; 0 if one is open. */
 	readonly connectMilliseconds: number;
+	/** Time that a message between the entry and the server takes. */
+	readonly transferMilliseconds: number;
+	/** Called when the request has reached the server, with the load before it and how the server takes it. */
+	onReception?: ((load: LoadReading, kind: Reception['kind']) => void) | undefined;
 };
 
 /**
@@ -47,7 +49,7 @@
  * @param options - Attempt as the entry starts it, and server.
  */
 export function startModelAttempt(options: ModelAttemptOptions): Attempt {
-	const {attempt, upstream} = options;
+	const {attempt, upstream, transferMilliseconds} = options;
 	const request: ModelRequest = {remainingMilliseconds: options.serviceMilliseconds, onComplete: answer};
 	let isEnded = false;
 	let isDispatched = false;
@@ -94,9 +96,12 @@
 	}
 
 	function arrive(): void {
+		const load = upstream.getReading();
 		const reception = upstream.receive({entry: options.entry, sentAt: options.sentAt, at: performance.now()}, request);
+		options.onReception?.(load, reception.kind);
 		switch (reception.kind) {
-			case 'accepted': {
+			case 'accepted':
+			case 'unanswered': {
 				return;
 			}
 
--- a/stand-in/model/caller-exchange.ts
+++ b/stand-in/model/caller-exchange.ts
@@ -2,6 +2,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {performance} from 'node:perf_hooks';
 import {Writable} from 'node:stream';
+import {type Workspace} from '../../source/configuration/index.js';
 import {type Exchange} from '../../source/entry/callers/caller-connections.js';
 import {defaultDialect, type Dialect} from '../../source/entry/index.js';
 
@@ -24,6 +25,8 @@
 	readonly deadlineMilliseconds: number;
 	/** Service time on a server without load. */
 	readonly serviceMilliseconds: number;
+	/** Workspace of the caller; by default callers need no key. */
+	readonly workspace?: Workspace | undefined;
 	onResponse(response: CallerResponse): void;
 };
 
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -4,11 +4,11 @@
 import {performance} from 'node:perf_hooks';
 import {announcementSchema} from '../../source/announcement/index.js';
 import {createByteBudget} from '../../source/bytes/index.js';
-import {getExpectedSlowdown, type Candidate, type LoadReading} from '../../source/choice/index.js';
+import {createSubsetChooser, getExpectedSlowdown, type Candidate, type LoadReading} from '../../source/choice/index.js';
 import {type EnvironmentDocument} from '../../source/configuration/index.js';
 import {createFleet} from '../../source/entry/fleet/fleet.js';
 import {type ServerReport} from '../../source/entry/index.js';
-import {type LoadQuery} from '../../source/entry/servers/load-querier.js';
+import {type CandidateReading, type LoadQuery} from '../../source/entry/servers/load-querier.js';
 import {type EntryMetrics} from '../../source/entry/reporting/metrics.js';
 import {type RequestContext} from '../../source/entry/requests/request-context.js';
 import {handleRequest} from '../../source/entry/entrance/request-handler.js';
@@ -16,13 +16,14 @@
 import {createReportHandler} from '../../source/entry/fleet/server-reports.js';
 import {type Random} from '../../source/randomness/index.js';
 import {createSlackPart} from '../../source/retry/index.js';
-import {
-	emptyReport, getReport, startModelAttempt, transferMilliseconds,
-} from './attempt.js';
+import {emptyReport, getReport, startModelAttempt} from './attempt.js';
 import {createExchange, modelDialect, type CallerRequest} from './caller-exchange.js';
-import {upstreamSlots, type UpstreamModel} from './upstream.js';
+import {type Reception, type UpstreamModel} from './upstream.js';
 
 const upstreamConnections = 250;
+
+/** Time that a message between an entry and a server takes, unless the options set one. */
+const defaultTransferMilliseconds = 1;
 const maximumBytes = 1_000_000;
 
 /** Share of requests that may have an extra attempt, and the slack of all entries together. */
@@ -49,12 +50,20 @@
 	readonly random: Random;
 	/** Time until a connection to a server is ready; 0 if connections are open. */
 	readonly connectMilliseconds: number;
+	/** Times that a message to a server in the own zone and in another one takes. */
+	readonly transferMilliseconds?: {readonly ownZone: number; readonly otherZone: number};
 	/** Whether the entry knows what servers state about leaving and pauses. */
 	readonly knowsStatements: boolean;
 	/** Called when the entry passes on a response of a server, or receives its refusal. */
 	onStatement(entry: number, upstream: UpstreamModel, report: ServerReport): void;
 	/** Called with the requests for their load that servers get. */
 	onQuery(entry: number, upstream: UpstreamModel): void;
+	/** Called with the attempts on servers. */
+	onAttempt?(entry: number, upstream: UpstreamModel): void;
+	/** Called when a request has reached a server, with the load before it and how the server takes it. */
+	onReception?(load: LoadReading, kind: Reception['kind']): void;
+	/** Checks whether a workspace uses more than its share; by default none does. */
+	isAboveShare?(workspace: string): boolean;
 };
 
 function ignore(): void {
@@ -67,11 +76,12 @@
  */
 export function createEntryModel(options: EntryModelOptions): EntryModel {
 	const {upstreams, document, random, zone} = options;
+	const {ownZone, otherZone} = options.transferMilliseconds ?? {ownZone: defaultTransferMilliseconds, otherZone: defaultTransferMilliseconds};
 	const slackPart = createSlackPart({
 		ratio: retryRatio, slack: retrySlack, getTime: () => performance.now(), revokeIfNeeded: ignore,
 	});
 	slackPart.apply({part: slackPart.getReport(performance.now()).total / options.entryCount});
-	const fleet = createFleet(random, slackPart.getBudget);
+	const fleet = createFleet(random, slackPart.getBudget, createSubsetChooser({entry: `entry-${options.number}`, zone}));
 	const router = createRouter(document.services, document.routes, random);
 	const callerTimes = new Map<string, {readonly sentAt: number; readonly serviceMilliseconds: number}>();
 	fleet.setDocument(document);
@@ -82,7 +92,7 @@
 		isRemoved: false,
 		announcement: announcementSchema.parse({
 			service: document.services[0]!.name, name: upstream.name, host: '127.0.0.1', port: index + 1, zone: upstream.zone,
-			slots: upstreamSlots, connections: upstreamConnections, boot: 'one', state: 'warm',
+			slots: upstream.getReading().slots, connections: upstreamConnections, boot: 'one', state: 'warm',
 		}),
 	})), true);
 	const byPool = new Map([...fleet.getServers()].map(({candidate, pool}) => [pool, upstreams[candidate.id - 1]!]));
@@ -96,25 +106,47 @@
 		applyReport(candidate, options.knowsStatements ? report : {...report, isLeaving: false, pauseMilliseconds: undefined});
 	}
 
-	function query({candidates, isSufficient, onReadings}: LoadQuery): () => void {
-		const readings: Array<{readonly candidate: Candidate; readonly reading: LoadReading}> = [];
+	function getTransferMilliseconds(upstream: UpstreamModel): number {
+		return upstream.zone === zone ? ownZone : otherZone;
+	}
+
+	function query({candidates, isSufficient, onReadings, waitMilliseconds}: LoadQuery): () => void {
+		const readings: CandidateReading[] = [];
+		let pendingCount = candidates.length;
 		let isFinished = false;
-		const timer = setTimeout(() => {
-			for (const candidate of candidates) {
-				const upstream = upstreams[candidate.id - 1]!;
-				options.onQuery(options.number, upstream);
-				const now = performance.now();
-				if (!isFinished && !upstream.isGone(now)) {
-					const report = getReport(upstream);
-					onReport(candidate, report);
-					readings.push({candidate, reading: report.load!});
-					isFinished = isSufficient(candidate, report.load!);
-				}
+
+		function finish(): void {
+			if (!isFinished) {
+				isFinished = true;
+				clearTimeout(timer);
+				onReadings(readings.toSorted((one, other) => getExpectedSlowdown(one.reading) - getExpectedSlowdown(other.reading)));
+			}
+		}
+
+		function queryOne(candidate: Candidate, upstream: UpstreamModel): void {
+			if (upstream.isGone(performance.now())) {
+				candidate.recordMissedReply(performance.now());
+				return;
 			}
 
-			onReadings(readings.toSorted((one, other) => getExpectedSlowdown(one.reading) - getExpectedSlowdown(other.reading)));
-		}, transferMilliseconds * 2);
+			const report = getReport(upstream);
+			onReport(candidate, report);
+			readings.push({candidate, reading: report.load!});
+			pendingCount--;
+			if (pendingCount === 0 || isSufficient(candidate, report.load!)) {
+				finish();
+			}
+		}
+
+		const timer = setTimeout(finish, waitMilliseconds);
+		for (const candidate of candidates) {
+			const upstream = upstreams[candidate.id - 1]!;
+			options.onQuery(options.number, upstream);
+			setTimeout(queryOne, getTransferMilliseconds(upstream) * 2, candidate, upstream);
+		}
+
 		return () => {
+			isFinished = true;
 			clearTimeout(timer);
 		};
 	}
@@ -140,10 +172,15 @@
 		bufferedResponses: createByteBudget(maximumBytes),
 		maximumResponseBytes: maximumBytes,
 		maximumStoredBytes: maximumBytes,
-		startAttempt: attempt => startModelAttempt({
-			attempt, upstream: byPool.get(attempt.pool)!, entry: options.number, connectMilliseconds: options.connectMilliseconds, ...callerTimes.get(attempt.requestId)!,
-		}),
+		startAttempt(attempt) {
+			const upstream = byPool.get(attempt.pool)!;
+			options.onAttempt?.(options.number, upstream);
+			return startModelAttempt({
+				attempt, upstream, onReception: options.onReception, entry: options.number, connectMilliseconds: options.connectMilliseconds, transferMilliseconds: getTransferMilliseconds(upstream), ...callerTimes.get(attempt.requestId)!,
+			});
+		},
 		getWorkspaces: () => undefined,
+		isAboveShare: workspace => options.isAboveShare?.(workspace) ?? false,
 		mayDispatch: () => true,
 		onReport,
 		reportCrash: async () => false,
@@ -168,7 +205,7 @@
 				},
 			});
 			void handleRequest({
-				context, route, access: {kind: 'open'}, state, exchange,
+				context, route, access: request.workspace === undefined ? {kind: 'open'} : {kind: 'granted', workspace: request.workspace, digest: ''}, state, exchange,
 			});
 		},
 		applyStatement(upstream, statement) {
--- a/stand-in/model/upstream.ts
+++ b/stand-in/model/upstream.ts
@@ -6,10 +6,10 @@
 import {type Random} from '../../source/randomness/index.js';
 import {createServerModel, type ModelRequest} from './server.js';
 
-/** Maximum number of requests that run at once. */
+/** Maximum number of requests that run at once, unless the options set one. */
 export const upstreamSlots = 6;
 
-const queueLength = 12;
+const defaultQueueLength = 12;
 
 /** Withdrawal of a server. */
 export type Withdrawal
@@ -30,6 +30,8 @@
 export type Reception
 	= | {readonly kind: 'accepted'}
 		| {readonly kind: 'gone'}
+		/** Never answered, because the server is full. */
+		| {readonly kind: 'unanswered'}
 		/** Refused, with the pause that the server asks for, if any. */
 		| {readonly kind: 'refused'; readonly pauseMilliseconds: number | undefined};
 
@@ -55,6 +57,10 @@
 	readonly zone: string;
 	readonly withdrawals: readonly Withdrawal[];
 	readonly random: Random;
+	readonly slots?: number;
+	readonly queueLength?: number;
+	/** Whether the server never answers a request that it has no room for, instead of refusing it. */
+	readonly hangsWhenFull?: boolean;
 };
 
 /**
@@ -62,8 +68,10 @@
  * @param options - Name, zone and withdrawals.
  */
 export function createUpstreamModel(options: UpstreamModelOptions): UpstreamModel {
-	const {name, zone, withdrawals, random} = options;
-	const server = createServerModel(upstreamSlots, queueLength, random);
+	const {
+		name, zone, withdrawals, random, slots = upstreamSlots, queueLength = defaultQueueLength, hangsWhenFull = false,
+	} = options;
+	const server = createServerModel(slots, queueLength, random);
 	const arrivals: Arrival[] = [];
 
 	function getWithdrawal(now: number): Withdrawal | undefined {
@@ -94,7 +102,11 @@
 				return {kind: 'refused', pauseMilliseconds: withdrawal.pauseMilliseconds};
 			}
 
-			return server.tryAdd(request) ? {kind: 'accepted'} : {kind: 'refused', pauseMilliseconds: undefined};
+			if (server.tryAdd(request)) {
+				return {kind: 'accepted'};
+			}
+
+			return hangsWhenFull ? {kind: 'unanswered'} : {kind: 'refused', pauseMilliseconds: undefined};
 		},
 		advance(now) {
 			server.advance(now, 1);
