Query servers one after another, the own zone as far as it has room

Every request queried three servers, also when the first one was free, scored and sorted all candidates for it, and went on to other zones by draw. Servers are now queried one after another until one has room and is not slowed down (two at once where few have room); the next one is chosen from the preferred servers and a sample, by zone: the own zone as long as its servers are about as likely to have room as others, else a zone drawn in proportion to its room (choice/zone-choice.ts, zone-room.ts).

--- a/source/choice/candidate.ts
+++ b/source/choice/candidate.ts
@@ -1,11 +1,7 @@
-/**
- * Tracks the state of one server as an entry sees it: requests in flight from the entry and its peers, recent failures and
- * sheds. A failed request counts as load for a while, so that a server that fails fast does not attract requests.
- */
+/** Tracks the state of one server as an entry sees it: requests in flight from the entry and its peers, recent failures and sheds. */
 import {type Announcement, type ServerState} from '../announcement/index.js';
-
-/** Time constant of the exponential decay of failure load, in milliseconds; after this time a failure counts for about a third. */
-const failureDecayMilliseconds = 1000;
+import {createFailureLoad} from './failure-load.js';
+import {type LoadReading} from './load-reading.js';
 
 /** Load, in requests in flight, that one failure adds. */
 const failureLoad = 2;
@@ -51,9 +47,13 @@
 	setSlotsEnforced(isEnforced: boolean): void;
 	/** Sets whether the entry queries the server before each request; if so, the server is available even while the control hosts report it absent. */
 	setQueriedBeforeRequests(isQueriedBeforeRequests: boolean): void;
-	setReportedLoad(load: number): void;
-	getReportedLoad(): number;
+	/** Records the load that the server reported. */
+	recordReading(reading: LoadReading, now: number): void;
+	/** Gets the load that the server reported last, and when. */
+	getLastReading(): {readonly reading: LoadReading; readonly at: number} | undefined;
 	getInFlight(): number;
+	/** Gets the number of requests that the entry has started on the server so far. */
+	getStartCount(): number;
 	/** Checks whether the server may be sent one more request. */
 	isAvailable(now: number): boolean;
 	/**
@@ -101,11 +101,11 @@
 	let coldRequestAt = Number.NEGATIVE_INFINITY;
 	let peerInFlight = 0;
 	let connectionShare = initial.connections;
-	let reportedLoad = 0;
+	let lastReading: {readonly reading: LoadReading; readonly at: number} | undefined;
 	let inFlight = 0;
-	let failures = 0;
+	let startCount = 0;
+	const failures = createFailureLoad();
 	let consecutiveFailures = 0;
-	let decayedAt = 0;
 	let ejectedUntil = 0;
 	let ejections = 0;
 	let isOnProbation = false;
@@ -119,11 +119,6 @@
 	let successes = 0;
 	let sheds = 0;
 
-	function decayFailures(now: number): void {
-		failures = failures < 0.01 ? 0 : failures * Math.exp((decayedAt - now) / failureDecayMilliseconds);
-		decayedAt = now;
-	}
-
 	/** Gets the maximum requests in flight from this entry to a cold server. */
 	function getColdLimit(now: number): number {
 		if (rate === undefined) {
@@ -147,12 +142,6 @@
 		rampUpLimit = rampUpLimit >= announcement.slots ? Number.POSITIVE_INFINITY : rampUpLimit + 1;
 	}
 
-	function recordFailure(now: number): void {
-		decayFailures(now);
-		failures += failureLoad;
-		consecutiveFailures++;
-	}
-
 	return {
 		id,
 		getAnnouncement: () => announcement,
@@ -192,21 +181,17 @@
 		setQueriedBeforeRequests(next) {
 			isQueriedBeforeRequests = next;
 		},
-		setReportedLoad(load) {
-			reportedLoad = load;
+		recordReading(reading, at) {
+			lastReading = {reading, at};
 		},
-		getReportedLoad: () => reportedLoad,
+		getLastReading: () => lastReading,
 		getInFlight: () => inFlight,
+		getStartCount: () => startCount,
 		isAvailable: now => !isLeaving && state !== 'leaving' && (!isAbsent || isQueriedBeforeRequests) && Math.max(ejectedUntil, unavailableUntil, pausedUntil) <= now && inFlight < getLimit(now),
-		getLoad(now, includesPeers) {
-			if (failures > 0) {
-				decayFailures(now);
-			}
-
-			return (inFlight + (includesPeers ? peerInFlight : 0) + failures) / announcement.slots;
-		},
+		getLoad: (now, includesPeers) => (inFlight + (includesPeers ? peerInFlight : 0) + failures.get(now)) / announcement.slots,
 		start(now = 0) {
 			inFlight++;
+			startCount++;
 			if (state === 'cold') {
 				coldRequestAt = now;
 			}
@@ -220,14 +205,14 @@
 				}
 
 				case 'failure': {
-					recordFailure(now);
+					failures.add(failureLoad, now);
+					consecutiveFailures++;
 					return;
 				}
 
 				case 'shed': {
 					sheds++;
-					decayFailures(now);
-					failures += failureLoad;
+					failures.add(failureLoad, now);
 					return;
 				}
 
@@ -255,8 +240,7 @@
 		},
 		getPausedUntil: () => pausedUntil,
 		recordMissedReply(now) {
-			decayFailures(now);
-			failures = Math.min(failures + 1, maximumMissedReplyLoad);
+			failures.add(1, now, maximumMissedReplyLoad);
 		},
 		isEjected: now => ejectedUntil > now,
 		ejectWhenFailing(limits, now) {
--- a/source/choice/chooser.ts
+++ b/source/choice/chooser.ts
@@ -9,6 +9,9 @@
 /** Name of a policy. */
 export type Policy = Service['policy'];
 
+/** Load of a server that has reported none. */
+const unreportedLoad = {running: 0, waiting: 0};
+
 /** Maximum random draws for an available candidate before all candidates are scanned. */
 const maximumDraws = 6;
 
@@ -72,7 +75,8 @@
 	function getScore(candidate: Candidate, choice: ChoiceOptions): number {
 		switch (policy) {
 			case 'stale-report': {
-				return candidate.getReportedLoad() / candidate.getAnnouncement().slots;
+				const {running, waiting} = candidate.getLastReading()?.reading ?? unreportedLoad;
+				return (running + waiting) / candidate.getAnnouncement().slots;
 			}
 
 			case 'two-joint-choices': {
--- a/source/choice/subset.test.ts
+++ b/source/choice/subset.test.ts
@@ -4,7 +4,7 @@
 import {announcementSchema} from '../announcement/index.js';
 import {createRandom} from '../randomness/index.js';
 import {
-	createCandidate, createSubsetChooser, selectQueryCandidates, type Candidate,
+	chooseQueryCandidate, createCandidate, createCandidatePools, createSubsetChooser, type Candidate,
 } from './index.js';
 
 const seed = 93;
@@ -56,10 +56,11 @@
 	});
 });
 
-describe('selectQueryCandidates with a subset', () => {
+describe('chooseQueryCandidate with a subset', () => {
 	const candidates = createMany(Array.from({length: 30}, (_, index) => index));
 
-	function doTest(prepare: (candidate: Candidate) => void, expectedInSubset: boolean, prefersOwnZone = true): void {
+	/** Chooses three servers one after the other, many times, and checks whether they are in the subset. */
+	function doTest(prepare: (candidate: Candidate) => void, expectedInSubset: boolean): void {
 		const all = createMany(candidates.map(({id}) => id));
 		const subset = choose('e', all);
 		for (const candidate of all.filter(({id}) => subset.has(id))) {
@@ -67,12 +68,17 @@
 		}
 
 		const random = createRandom(seed);
+		const pools = createCandidatePools({candidates: all, subset});
 		for (let round = 0; round < 50; round++) {
-			const selected = selectQueryCandidates({
-				candidates: all, excluded: new Set(), zone: 'north', avoidedZones: new Set(), count: 3, prefersOwnZone, subset, now: 0,
-			}, random);
-			expect(selected.every(({id}) => subset.has(id)) || !expectedInSubset).toEqual(true);
-			expect(selected.some(({id}) => !subset.has(id)) || expectedInSubset).toEqual(true);
+			const chosen: Candidate[] = [];
+			while (chosen.length < 3) {
+				chosen.push(chooseQueryCandidate({
+					pools, excluded: new Set(chosen.map(({id}) => id)), zone: 'north', avoidedZones: new Set(), getZoneShare: () => 0.7, getInsufficientReadings: () => 0, now: 0,
+				}, random)!);
+			}
+
+			expect(chosen.every(({id}) => subset.has(id)) || !expectedInSubset).toEqual(true);
+			expect(chosen.some(({id}) => !subset.has(id)) || expectedInSubset).toEqual(true);
 		}
 	}
 
--- a/source/entry/fleet/server-reports.ts
+++ b/source/entry/fleet/server-reports.ts
@@ -71,7 +71,7 @@
 		}
 
 		if (load !== undefined) {
-			candidate.setReportedLoad(load.running + load.waiting);
+			candidate.recordReading(load, performance.now());
 		}
 
 		if (isLeaving) {
--- a/source/entry/fleet/service-state.ts
+++ b/source/entry/fleet/service-state.ts
@@ -1,5 +1,7 @@
 /** What an entry keeps for one service: its settings, candidates, wait queue, and budgets of retries and hedges. */
-import {createChooser, type Candidate, type Chooser} from '../../choice/index.js';
+import {
+	createCandidatePools, createChooser, createZoneRoom, type Candidate, type CandidatePools, type Chooser, type ZoneRoom,
+} from '../../choice/index.js';
 import {type Service} from '../../configuration/index.js';
 import {
 	createShortageEstimate, createWaitQueue, type ShortageEstimate, type WaitQueue,
@@ -23,8 +25,10 @@
 	readonly hedgeDelay: HedgeDelay;
 	getChooser(): Chooser;
 	getCandidates(): readonly Candidate[];
-	/** Gets the ids of the servers in the own zone that the entry prefers to query; undefined if it prefers none. */
-	getSubset(): ReadonlySet<number> | undefined;
+	/** Gets the candidates by zone, with the servers that the entry prefers to query. */
+	getPools(): CandidatePools;
+	/** Estimated room in each zone. */
+	readonly zoneRoom: ZoneRoom;
 };
 
 /** State of a service with the methods by which the fleet changes it. */
@@ -45,7 +49,7 @@
 export function createServiceState(initial: Service, random: Random, getSharedBudget: GetSharedBudget | undefined): MutableServiceState {
 	let service = initial;
 	let candidates: readonly Candidate[] = [];
-	let subset: ReadonlySet<number> | undefined;
+	let pools = createCandidatePools({candidates, subset: undefined});
 	let chooser = createChooser(service.policy, random);
 	const sharedBudget = getSharedBudget?.(initial.name);
 	return {
@@ -58,7 +62,8 @@
 		hedgeDelay: createHedgeDelay(hedgeQuantile, initialHedgeDelayMilliseconds, () => service.hedgeDelayMilliseconds ?? defaultHedgeDelayMilliseconds),
 		getChooser: () => chooser,
 		getCandidates: () => candidates,
-		getSubset: () => subset,
+		getPools: () => pools,
+		zoneRoom: createZoneRoom(),
 		setService(next) {
 			if (next.policy !== service.policy) {
 				chooser = createChooser(next.policy, random);
@@ -68,7 +73,7 @@
 		},
 		setCandidates(next, nextSubset) {
 			candidates = next;
-			subset = nextSubset;
+			pools = createCandidatePools({candidates, subset: nextSubset});
 		},
 	};
 }
--- a/source/entry/placement/reading-choice.ts
+++ b/source/entry/placement/reading-choice.ts
@@ -24,26 +24,23 @@
 }
 
 /**
- * Gets the best server with room; one in the own zone with an acceptable slowdown is preferred, since traffic between zones is expensive.
- * @param readings - Readings, the ones with the least expected slowdown first.
- * @param criteria - What the request needs.
+ * Checks whether a server has room for any request, and an acceptable slowdown.
+ * @param reading - Reading of the server.
  */
-export function findBestWithRoom(readings: readonly CandidateReading[], {admission, zone, now}: ReadingCriteria): CandidateReading | undefined {
-	const admissible = readings.filter(({candidate, reading}) => candidate.isAvailable(now) && hasRoom(reading, admission));
-	return admissible.find(({candidate, reading}) => candidate.getAnnouncement().zone === zone && isFastEnough(reading)) ?? admissible[0];
+export function hasRoomInTime(reading: LoadReading): boolean {
+	return hasRoom(reading) && isFastEnough(reading);
 }
 
 /**
- * Gets the one of two servers that is expected to respond faster.
- * @param one - Reading that is preferred if both are equal.
- * @param other - Another reading.
+ * Gets the best server with room; one in the own zone with an acceptable slowdown is preferred, since traffic between zones is expensive.
+ * @param readings - Readings in any order.
+ * @param criteria - What the request needs.
  */
-export function getBetter(one: CandidateReading | undefined, other: CandidateReading | undefined): CandidateReading | undefined {
-	if (one === undefined || other === undefined) {
-		return one ?? other;
-	}
-
-	return getExpectedSlowdown(other.reading) < getExpectedSlowdown(one.reading) ? other : one;
+export function findBestWithRoom(readings: readonly CandidateReading[], {admission, zone, now}: ReadingCriteria): CandidateReading | undefined {
+	const admissible = readings
+		.filter(({candidate, reading}) => candidate.isAvailable(now) && hasRoom(reading, admission))
+		.toSorted((one, other) => getExpectedSlowdown(one.reading) - getExpectedSlowdown(other.reading));
+	return admissible.find(({candidate, reading}) => candidate.getAnnouncement().zone === zone && isFastEnough(reading)) ?? admissible[0];
 }
 
 /**
--- a/source/entry/placement/server-selector.ts
+++ b/source/entry/placement/server-selector.ts
@@ -1,27 +1,24 @@
 /**
- * Selects the server of one attempt. If the service is configured for load queries, a few candidates are queried first, and
- * others if none of them has room. If still no queried server has room, possibly after one short wait, none is selected and the
+ * Selects the server of one attempt. If the service is configured for load queries, servers are queried until one has room, up to
+ * a limit. If no queried server has room, possibly after one short wait, none is selected and the
  * request can be refused without being sent.
  */
 import {performance} from 'node:perf_hooks';
-import {
-	isBelowKnee, isUncongested, selectQueryCandidates, type Candidate,
-} from '../../choice/index.js';
+import {type Admission, type Candidate} from '../../choice/index.js';
 import {type CandidateReading} from '../servers/index.js';
 import {type RequestContext} from '../requests/index.js';
 import {type ServiceState} from '../fleet/index.js';
 import {type RequestRank} from '../../workspace/index.js';
 import {type RoutePolicy} from '../routing/index.js';
 import {type Decision} from '../reporting/index.js';
-import {
-	findBestWithRoom, formatReading, getBetter, isFastEnough, type ReadingCriteria,
-} from './reading-choice.js';
+import {createQueryPlan, type QueryPlan} from './query-plan.js';
+import {formatReading, isFastEnough} from './reading-choice.js';
 
 /** Time to wait for replies to a load query, unless the document sets one. */
 const defaultQueryMilliseconds = 10;
 
-/** Query rounds before a request is refused: the first queries the nearest candidates, the second others. */
-const maximumQueryRounds = 2;
+/** Factor by which the number of queried servers may exceed the configured one before a request is refused. */
+const maximumQueryFactor = 2;
 
 /** Share of the target latency for which a request without a server may wait before a last query. */
 const maximumWaitTargetShare = 0.125;
@@ -29,25 +26,23 @@
 /** Minimum wait that is worth another query. */
 const minimumWaitMilliseconds = 4;
 
-/** State of a selection after the query rounds so far. */
-type SelectionState = {
-	readonly count: number;
-	/** Ids of excluded and already queried servers. */
-	readonly queried: Set<number>;
-	readonly roundsLeft: number;
-	/** Number of replies received in earlier rounds. */
-	readonly replyCount: number;
-	/** Whether a server was below its knee, or had an acceptable slowdown beyond it in the first round. */
-	readonly hasFoundCapacity: boolean;
-	/** Formatted readings of all replies, logged when no server has room. */
-	readonly loggedReadings: readonly string[];
-	/** Best server with room among the replies so far. */
-	readonly best: CandidateReading | undefined;
+/** Share of the time to wait for a reply after which another server is queried meanwhile. */
+const delayedReplyShare = 1 / 3;
+
+/** Queries of one selection, and what came before them. */
+type Selection = {
+	readonly plan: QueryPlan;
+	/** Number of queries that the budget of load queries allows. */
+	readonly granted: number;
 	/** Whether another attempt is already running, so that only a fast server is worth a second one. */
 	readonly isHedge: boolean;
 	/** Whether the request may still wait for a server to have room. */
 	readonly mayWait: boolean;
 	readonly startedAt: number;
+	/** Readings of the servers that had no room before the wait. */
+	readonly earlierReadings: readonly CandidateReading[];
+	/** Functions that cancel the pending queries. */
+	readonly cancels: Set<() => void>;
 };
 
 /** Receives the selected server, or undefined when none has room. */
@@ -91,7 +86,6 @@
 	} = options;
 	const {zone} = context;
 	let cancelPending: (() => void) | undefined;
-	let isCancelled = false;
 
 	function choose(now: number): Candidate | undefined {
 		return state.getChooser().choose({
@@ -99,70 +93,100 @@
 		});
 	}
 
-	function selectCandidates(selection: SelectionState): readonly Candidate[] {
+	/** Starts the queries of a selection. */
+	function startQueries(previous: Pick<Selection, 'isHedge' | 'mayWait' | 'startedAt' | 'earlierReadings'>, callback: SelectionCallback): void {
+		const {askedCandidates = 0} = state.getService();
+		const {queryBudget} = context;
 		const now = performance.now();
-		return selectQueryCandidates({
-			candidates: state.getCandidates(),
-			excluded: selection.queried,
+		const granted = queryBudget.take(askedCandidates, now) + (previous.mayWait ? queryBudget.take(askedCandidates * (maximumQueryFactor - 1), now) : 0);
+		const plan = createQueryPlan({
+			pools: state.getPools(),
+			zoneRoom: state.zoneRoom,
 			zone,
+			excluded,
 			avoidedZones,
-			count: context.queryBudget.take(selection.count, now),
-			prefersOwnZone: selection.replyCount === 0 || selection.best !== undefined,
-			subset: state.getSubset(),
-			now,
-		}, context.random);
+			count: Math.min(askedCandidates, granted),
+			maximumCount: granted,
+			getAdmission,
+			random: context.random,
+		});
+		advance({
+			...previous, plan, granted, cancels: new Set(),
+		}, callback);
 	}
 
-	/** Queries some candidates, and others in a further round when none has room or all are slow. */
-	function queryCandidates(selection: SelectionState, callback: SelectionCallback): void {
-		const candidates = selectCandidates(selection);
-		if (candidates.length === 0) {
+	/** Queries servers as the plan requires, and ends the selection when it is complete. */
+	function advance(selection: Selection, callback: SelectionCallback): void {
+		const {plan, cancels} = selection;
+		if (!plan.isComplete(performance.now())) {
+			for (const candidate of plan.getNext(performance.now())) {
+				query(selection, candidate, callback);
+			}
+		}
+
+		cancelPending = () => {
+			for (const cancel of cancels) {
+				cancel();
+			}
+		};
+
+		if (plan.isComplete(performance.now())) {
+			cancelPending();
+			cancelPending = undefined;
+			context.queryBudget.giveBack(selection.granted - plan.getQueryCount());
 			finishQueries(selection, callback);
-			return;
 		}
+	}
 
-		cancelPending = context.loadQuerier.query({
-			candidates,
-			waitMilliseconds: state.getService().askMilliseconds ?? defaultQueryMilliseconds,
-			isSufficient: (candidate, reading) => isInOwnZone(candidate) && isUncongested(reading),
-			onReadings(readings) {
-				cancelPending = undefined;
-				if (!isCancelled) {
-					evaluateReadings(selection, candidates, readings, callback);
+	/** Queries a server. If its reply does not arrive soon, another one is queried meanwhile. */
+	function query(selection: Selection, candidate: Candidate, callback: SelectionCallback): void {
+		const {plan, cancels} = selection;
+		const waitMilliseconds = state.getService().askMilliseconds ?? defaultQueryMilliseconds;
+		const cancelQuery = context.loadQuerier.query({
+			candidates: [candidate],
+			waitMilliseconds,
+			isSufficient: () => true,
+			onReadings([reply]) {
+				cancel();
+				if (reply === undefined) {
+					plan.recordMiss(candidate);
+				} else {
+					plan.recordReading(candidate, reply.reading, performance.now());
 				}
+
+				advance(selection, callback);
 			},
 		});
-	}
-
-	function evaluateReadings(selection: SelectionState, candidates: readonly Candidate[], readings: readonly CandidateReading[], callback: SelectionCallback): void {
-		const best = getBetter(selection.best, findBestWithRoom(readings, getCriteria()));
-		const isAcceptable = best !== undefined && isFastEnough(best.reading);
-		const next: SelectionState = {
-			...selection,
-			best,
-			hasFoundCapacity: selection.hasFoundCapacity || (isAcceptable && selection.roundsLeft === maximumQueryRounds) || readings.some(({reading}) => isBelowKnee(reading)),
-			replyCount: selection.replyCount + readings.length,
-			roundsLeft: selection.roundsLeft - 1,
-			loggedReadings: [...selection.loggedReadings, ...readings.map(({candidate, reading}) => `${candidate.getAnnouncement().name} ${formatReading(reading)}`)],
-		};
-		if (isAcceptable || next.roundsLeft <= 0) {
-			finishQueries(next, callback);
-			return;
-		}
+		// The delay is noticed one event loop turn later, so that replies that have already arrived are read first.
+		const timer = setTimeout(() => {
+			setImmediate(() => {
+				if (cancels.has(cancel)) {
+					plan.recordDelay(candidate, performance.now());
+					advance(selection, callback);
+				}
+			});
+		}, waitMilliseconds * delayedReplyShare);
 
-		for (const candidate of candidates) {
-			selection.queried.add(candidate.id);
+		function cancel(): void {
+			cancels.delete(cancel);
+			clearTimeout(timer);
+			cancelQuery();
 		}
 
-		queryCandidates(next, callback);
+		cancels.add(cancel);
 	}
 
 	/** Selects the best server, waits once for room, or ends without a server. */
-	function finishQueries(selection: SelectionState, callback: SelectionCallback): void {
-		const {best, replyCount, isHedge, hasFoundCapacity} = selection;
+	function finishQueries(selection: Selection, callback: SelectionCallback): void {
+		const {
+			plan, isHedge, mayWait, earlierReadings,
+		} = selection;
+		const now = performance.now();
+		const best = plan.getBest(now);
+		const readings = [...earlierReadings, ...plan.getReadings()];
 		// Each request counts once; one that waited for room has already been counted.
-		if (selection.mayWait && replyCount > 0) {
-			state.shortageEstimate.recordPlacement(hasFoundCapacity, performance.now());
+		if (mayWait && readings.length > 0) {
+			state.shortageEstimate.recordPlacement(plan.hasFoundCapacity(), now);
 		}
 
 		if (isHedge && (best === undefined || !isFastEnough(best.reading))) {
@@ -172,36 +196,38 @@
 
 		if (best !== undefined) {
 			options.recordDecision({
-				kind: 'place', server: best.candidate.getAnnouncement().name, reading: formatReading(best.reading), answered: replyCount,
+				kind: 'place', server: best.candidate.getAnnouncement().name, reading: formatReading(best.reading), answered: readings.length,
 			});
 			callback(best.candidate);
 			return;
 		}
 
 		// If no server replied, the choice falls back to the load that the entry has recorded.
-		if (replyCount === 0) {
-			callback(choose(performance.now()));
+		if (readings.length === 0) {
+			callback(choose(now));
 			return;
 		}
 
-		waitForRoom(selection, callback);
+		waitForRoom(selection, readings, callback);
 	}
 
-	function waitForRoom(selection: SelectionState, callback: SelectionCallback): void {
-		const elapsedMilliseconds = performance.now() - selection.startedAt;
-		const millisecondsPerRound = elapsedMilliseconds / maximumQueryRounds;
-		const waitMilliseconds = ((route.targetMilliseconds ?? 0) * maximumWaitTargetShare) - elapsedMilliseconds - millisecondsPerRound;
-		if (!selection.mayWait || waitMilliseconds < minimumWaitMilliseconds) {
+	function waitForRoom({mayWait, startedAt, isHedge}: Selection, readings: readonly CandidateReading[], callback: SelectionCallback): void {
+		const elapsedMilliseconds = performance.now() - startedAt;
+		const waitMilliseconds = ((route.targetMilliseconds ?? 0) * maximumWaitTargetShare) - elapsedMilliseconds - (elapsedMilliseconds / maximumQueryFactor);
+		if (!mayWait || waitMilliseconds < minimumWaitMilliseconds) {
 			options.recordDecision({
-				kind: 'noRoom', readings: selection.loggedReadings, waited: !selection.mayWait, shortage: roundToHundredths(state.shortageEstimate.getShortage()),
+				kind: 'noRoom',
+				readings: readings.map(({candidate, reading}) => `${candidate.getAnnouncement().name} ${formatReading(reading)}`),
+				waited: !mayWait,
+				shortage: roundToHundredths(state.shortageEstimate.getShortage()),
 			});
 			callback(undefined);
 			return;
 		}
 
 		const timer = setTimeout(() => {
-			queryCandidates({
-				...selection, queried: new Set(excluded), roundsLeft: 1, mayWait: false,
+			startQueries({
+				isHedge, mayWait: false, startedAt, earlierReadings: readings,
 			}, callback);
 		}, waitMilliseconds);
 		cancelPending = () => {
@@ -209,38 +235,21 @@
 		};
 	}
 
-	function isInOwnZone(candidate: Candidate): boolean {
-		return candidate.getAnnouncement().zone === zone;
-	}
-
-	function getCriteria(): ReadingCriteria {
+	function getAdmission(): Admission {
+		const {isUrgent, isOutranked} = options.rank;
 		return {
-			admission: {
-				isUrgent: options.rank.isUrgent, isOutranked: options.rank.isOutranked, isLate: options.isLate, shortage: state.shortageEstimate.getShortage(),
-			},
-			zone,
-			now: performance.now(),
+			isUrgent, isOutranked, isLate: options.isLate, shortage: state.shortageEstimate.getShortage(),
 		};
 	}
 
 	function startSelection(isHedge: boolean, callback: SelectionCallback): void {
-		const {askedCandidates = 0} = state.getService();
-		if (askedCandidates === 0) {
+		if ((state.getService().askedCandidates ?? 0) === 0) {
 			callback(choose(performance.now()));
 			return;
 		}
 
-		queryCandidates({
-			count: askedCandidates,
-			queried: new Set(excluded),
-			roundsLeft: isHedge ? 1 : maximumQueryRounds,
-			replyCount: 0,
-			hasFoundCapacity: false,
-			loggedReadings: [],
-			best: undefined,
-			isHedge,
-			mayWait: !isHedge,
-			startedAt: performance.now(),
+		startQueries({
+			isHedge, mayWait: !isHedge, startedAt: performance.now(), earlierReadings: [],
 		}, callback);
 	}
 
@@ -253,7 +262,6 @@
 			startSelection(true, callback);
 		},
 		cancel() {
-			isCancelled = true;
 			cancelPending?.();
 		},
 	};
--- a/source/measuring/load-query-budget.test.ts
+++ b/source/measuring/load-query-budget.test.ts
@@ -19,6 +19,12 @@
 		doTest(19, 36, 40, rate => rate <= 60);
 		doTest(12, 24, 60, rate => rate <= 60);
 	});
+	test('allows as many queries again as were given back', () => {
+		const budget = createLoadQueryBudget({queriesPerServerPerSecond: 60, getServerCount: () => 1, getEntryCount: () => 60});
+		expect([budget.take(10, 0), budget.take(10, 0)]).toEqual([3, 1]);
+		budget.giveBack(3);
+		expect(budget.take(10, 0)).toEqual(2);
+	});
 	test('allows all requested queries far below the limit', () => {
 		doTest(19, 36, 10, rate => Math.abs(rate - (10 * 6 * 19 / 36)) < 0.01);
 	});
--- a/source/measuring/load-query-budget.ts
+++ b/source/measuring/load-query-budget.ts
@@ -16,6 +16,8 @@
 export type LoadQueryBudget = {
 	/** Withdraws up to the requested number of queries from the budget and gets the number that may be sent now. */
 	take(requested: number, now: number): number;
+	/** Returns queries that were taken and not sent. */
+	giveBack(count: number): void;
 };
 
 /** Options of a load query budget. */
@@ -49,5 +51,8 @@
 			balance -= taken;
 			return taken;
 		},
+		giveBack(count) {
+			balance = (balance ?? 0) + count;
+		},
 	};
 }
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -4,7 +4,9 @@
 import {performance} from 'node:perf_hooks';
 import {announcementSchema} from '../../source/announcement/index.js';
 import {createByteBudget} from '../../source/bytes/index.js';
-import {createSubsetChooser, getExpectedSlowdown, type Candidate, type LoadReading} from '../../source/choice/index.js';
+import {
+	createSubsetChooser, getExpectedSlowdown, type Candidate, type LoadReading,
+} from '../../source/choice/index.js';
 import {type EnvironmentDocument} from '../../source/configuration/index.js';
 import {createFleet} from '../../source/entry/fleet/fleet.js';
 import {type ServerReport} from '../../source/entry/index.js';
@@ -156,7 +158,7 @@
 		zone,
 		dialect: modelDialect,
 		loadQuerier: {query, close: ignore},
-		queryBudget: {take: requested => requested},
+		queryBudget: {take: requested => requested, giveBack: ignore},
 		random,
 		fleet,
 		claims: unused as RequestContext['claims'],
--- a/stand-in/model/placement.ts
+++ b/stand-in/model/placement.ts
@@ -3,7 +3,7 @@
  * not wait for one another and return at other entries after a refusal, and servers that may never answer when they are full.
  */
 import {documentSchema, type EnvironmentDocument, type Workspace} from '../../source/configuration/index.js';
-import {createRandom} from '../../source/randomness/index.js';
+import {createRandom, type Random} from '../../source/randomness/index.js';
 import {createEntryModel, type EntryModel} from './entry.js';
 import {createUpstreamModel, type UpstreamModel, type Withdrawal} from './upstream.js';
 import {startVirtualTime} from './virtual-time.js';
@@ -113,10 +113,18 @@
 	const document = createDocument(options);
 	const time = startVirtualTime();
 	const upstreams: readonly UpstreamModel[] = zones.flatMap(({name, servers}) => Array.from({length: servers}, () => name)).map((zone, index) => createUpstreamModel({
-		name: `stock-${index + 1}`, zone, withdrawals: options.getWithdrawals?.(index) ?? [], random: createRandom(options.seed + 2 + index), slots: options.slots, queueLength: options.queueLength, hangsWhenFull: options.hangsWhenFull,
+		name: `stock-${index + 1}`,
+		zone,
+		withdrawals: options.getWithdrawals?.(index) ?? [],
+		random: createRandom(options.seed + 2 + index),
+		slots: options.slots,
+		queueLength: options.queueLength,
+		hangsWhenFull: options.hangsWhenFull,
 	}));
+	const byKind: Record<string, RequestCounts> = {};
+	const byWorkspace: Record<string, RequestCounts> = {};
 	const result = {
-		total: createCounts(), byKind: {} as Record<string, RequestCounts>, byWorkspace: {} as Record<string, RequestCounts>, queries: {ownZone: 0, otherZone: 0}, attempts: {ownZone: 0, otherZone: 0}, overfilled: 0, unanswered: 0,
+		total: createCounts(), byKind, byWorkspace, queries: {ownZone: 0, otherZone: 0}, attempts: {ownZone: 0, otherZone: 0}, overfilled: 0, unanswered: 0,
 	};
 	const windows: RequestCounts[] = [];
 	let refusalMilliseconds = 0;
@@ -155,10 +163,10 @@
 		},
 	}));
 
-	function chooseEntry(): EntryModel {
-		const {name} = draw(zones, zone => zone.share, arrivalRandom);
+	function chooseEntry(entryRandom: Random): EntryModel {
+		const {name} = draw(zones, zone => zone.share, entryRandom);
 		const inZone = entries.filter((_, index) => entryZones[index] === name);
-		return inZone[Math.floor(arrivalRandom() * inZone.length)]!;
+		return inZone[Math.floor(entryRandom() * inZone.length)]!;
 	}
 
 	function startRequest(now: number): void {
@@ -166,7 +174,10 @@
 		const workspace = workspaces.length === 0 ? undefined : draw(workspaces, ({getWeight}) => getWeight(now), arrivalRandom);
 		const serviceMilliseconds = kind.serviceMilliseconds * (1 + (serviceJitterShare * ((arrivalRandom() * 2) - 1)));
 		windows[Math.floor(now / windowMilliseconds)] ??= createCounts();
-		const counted = [result.total, getCounts(result.byKind, kind.name), windows[Math.floor(now / windowMilliseconds)]!, ...(workspace === undefined ? [] : [getCounts(result.byWorkspace, workspace.name)])];
+		const counted = [result.total, getCounts(byKind, kind.name), windows[Math.floor(now / windowMilliseconds)]!];
+		if (workspace !== undefined) {
+			counted.push(getCounts(byWorkspace, workspace.name));
+		}
 
 		function count(change: Partial<RequestCounts>): void {
 			for (const counts of counted) {
@@ -179,7 +190,7 @@
 		function send(sends: number): void {
 			const sentAt = time.getNow();
 			const remaining = Math.round(now + deadlineMilliseconds - sentAt);
-			chooseEntry().handle({
+			chooseEntry(sends === 1 ? arrivalRandom : random).handle({
 				id: `r-${ids++}`, path: `/${kind.name}`, deadlineMilliseconds: remaining, serviceMilliseconds, workspace, onResponse({status, retryAfterMilliseconds = 0}) {
 					const latency = time.getNow() - now + (2 * callerTransferMilliseconds);
 					const returnsAt = time.getNow() + retryAfterMilliseconds + (2 * callerTransferMilliseconds);
@@ -230,7 +241,7 @@
 
 	return {
 		...result,
-		worstWindow: Math.min(...windows.map(({inTime, requests}) => inTime / requests)),
+		worstWindow: Math.min(...windows.slice(0, options.arrivalMilliseconds / windowMilliseconds).map(({inTime, requests}) => inTime / requests)),
 		refusalMilliseconds: refusalMilliseconds / Math.max(1, ids - result.total.served - result.total.failed),
 		latencyMilliseconds: latencyMilliseconds / Math.max(1, result.total.served),
 	};
