--- a/source/entry/servers/load-querier.ts
+++ b/source/entry/servers/load-querier.ts
@@ -107,11 +107,12 @@
 		const request = started.value;
 		// Connections of HTTP/1.1 persist unless a header says otherwise, so the header that Node adds has no use.
 		request.removeHeader('connection');
-		let sentBefore = 0;
-		let receivedBefore = 0;
+		let countTransfer: (() => void) | undefined;
 		request.once('socket', socket => {
-			sentBefore = socket.bytesWritten;
-			receivedBefore = socket.bytesRead;
+			const {bytesWritten, bytesRead} = socket;
+			countTransfer = () => {
+				options.onTransfer?.({zone, sentBytes: socket.bytesWritten - bytesWritten, receivedBytes: socket.bytesRead - bytesRead});
+			};
 		});
 		request.once('response', response => {
 			if (!isWellFormedHead(response)) {
@@ -126,10 +127,7 @@
 			}
 
 			discardBody(response, responseLimits);
-			response.once('end', () => {
-				const {bytesWritten, bytesRead} = response.socket;
-				options.onTransfer?.({zone, sentBytes: bytesWritten - sentBefore, receivedBytes: bytesRead - receivedBefore});
-			});
+			response.once('end', () => countTransfer?.());
 
 			options.onReport(candidate, report);
 			end(getReading(report, response.statusCode === 200));
