Send fewer pings on links of entries that are not used

An entry has links to all five control hosts and uses only that to the leader; each end pinged the others every 0.6 to 0.9 s. With compact renewals, these pings were more bytes than renewals and grants: 53 of 95 bytes a second for each entry, and two thirds of the packets.

Both ends of a link between an entry and a control host now allow slow pings in the handshake: every 2 s while the link is not used, with a timeout of 4.8 s. From the first message on, sent or received, and until 2.4 s after the last, the link has the usual pace and timeout, so a silent link is given up 1.8 s after it is needed, as before. Links between control hosts, on which elections depend, and links to peers of earlier releases keep the usual pace.

--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -197,7 +197,14 @@
 		self, driver, requestHandler, snapshotReceiver, checkSnapshot, membershipManager, shutdown, burnRateTracker, metrics, getLeadership: () => leadership,
 	});
 	const listener = await serveLinks({
-		identity, address: settings.links, links, receive, sendDirectory: membershipManager.sendDirectory, onFailure: recordLinkFailure, onTransfer: recordTransfer,
+		// Elections need sound links between control hosts, so only links from entries have slow pings.
+		identity: {...identity, allowsSlowPings: true},
+		address: settings.links,
+		links,
+		receive,
+		sendDirectory: membershipManager.sendDirectory,
+		onFailure: recordLinkFailure,
+		onTransfer: recordTransfer,
 	});
 
 	const nudges = createNudges({machine, links, getLeadership: () => leadership});
--- a/source/entry/lease/control-links.ts
+++ b/source/entry/lease/control-links.ts
@@ -35,7 +35,7 @@
 	const {settings, security, log, leaseKeeper} = options;
 	const directory = createHostDirectory({control: settings.control, seeds: getSeeds(settings)});
 	const client: ControlClient = createControlClient({
-		identity: {...security.link, zone: settings.zone},
+		identity: {...security.link, zone: settings.zone, allowsSlowPings: true},
 		hosts: directory.getHosts(),
 		onMessage(host, message) {
 			if (message.kind === 'directory') {
--- a/source/wire/handshake.ts
+++ b/source/wire/handshake.ts
@@ -10,6 +10,7 @@
 import {
 	createFrameReader, encodeFrame, maximumFrameBytes, maximumHandshakeBytes,
 } from './frame.js';
+import {createKeepAlive, keepAliveIntervalMilliseconds} from './keep-alive.js';
 import {type Link, type LinkIdentity, type Transfer} from './link.js';
 import {
 	createLinkCoding, isCompactForm, ownCompactForm, type CompactForm,
@@ -19,17 +20,12 @@
 const nonceBytes = 16;
 const handshakeTimeoutMilliseconds = 2000;
 
-/** Time without a sent message after which a ping is sent. */
-const pingIntervalMilliseconds = 600;
-
-/** Time without received data after which the connection is closed: two ping intervals plus a margin for a busy peer. */
-const idleTimeoutMilliseconds = 1800;
-
 /** Backlog of unsent bytes in a link's socket at which further messages are dropped. */
 const maximumBacklogBytes = 128 * 1024 * 1024;
 
-/** Interval at which a link checks whether to send a ping or to close the connection. */
-const keepAliveIntervalMilliseconds = 300;
+/** Time without data after which the system probes a connection; links with slow pings are silent for longer than others. */
+const usualProbeMilliseconds = 1000;
+const slowProbeMilliseconds = 10_000;
 
 /** Maximum length of the name of a zone, which settings have too. */
 const maximumZoneLength = 63;
@@ -45,6 +41,8 @@
 	readonly compact?: CompactForm;
 	/** Availability zone of the sender; missing from peers of earlier releases. */
 	readonly zone?: string | undefined;
+	/** Whether the sender allows fewer pings while the link is not used; missing from peers of earlier releases. */
+	readonly slowPings?: boolean;
 };
 type Proof = {readonly kind: 'proof'; readonly mac: Uint8Array};
 
@@ -98,16 +96,15 @@
 	let coding = plainCoding;
 	let isOpen = false;
 	const handshakeBytes = {sent: 0, received: 0};
-	let lastReceivedAt = performance.now();
-	let lastSentAt = lastReceivedAt;
+	let keepAlive = createKeepAlive(false, performance.now());
 	let keepAliveTimer: NodeJS.Timeout | undefined;
 	const handshakeTimer = setTimeout(() => {
 		socket.destroy();
 	}, handshakeTimeoutMilliseconds);
 	socket.setNoDelay(true);
-	socket.setKeepAlive(true, 1000);
+	socket.setKeepAlive(true, usualProbeMilliseconds);
 	sendFrame({
-		kind: 'hello', name: identity.name, nonce, compact: ownCompactForm, zone: identity.zone,
+		kind: 'hello', name: identity.name, nonce, compact: ownCompactForm, zone: identity.zone, slowPings: identity.allowsSlowPings === true,
 	});
 
 	/** Reports a frame. Those of the handshake are reported together once it has succeeded, when the zone of the peer is known. */
@@ -133,18 +130,25 @@
 		return isOwnProof ? [prover, hello.nonce, nonce, identity.name] : [prover, nonce, hello.nonce, hello.name];
 	}
 
-	/** Sends a ping after the ping interval without a sent message, and closes the connection after the idle timeout without received data. */
-	function keepAlive(): void {
-		const now = performance.now();
-		if (now - lastReceivedAt >= idleTimeoutMilliseconds) {
+	function startKeepAlive(isSlowAllowed: boolean): void {
+		keepAlive = createKeepAlive(isSlowAllowed, performance.now());
+		keepAliveTimer = setInterval(checkPeer, keepAliveIntervalMilliseconds);
+		if (isSlowAllowed) {
+			socket.setKeepAlive(true, slowProbeMilliseconds);
+		}
+	}
+
+	function checkPeer(): void {
+		const action = keepAlive.getAction(performance.now());
+		if (action === 'close') {
 			socket.destroy();
-		} else if (now - lastSentAt >= pingIntervalMilliseconds) {
+		} else if (action === 'ping') {
 			write(ping);
 		}
 	}
 
 	function write(message: unknown): void {
-		lastSentAt = performance.now();
+		keepAlive.recordSent(performance.now(), message === ping);
 		sendFrame(message);
 	}
 
@@ -164,6 +168,7 @@
 		recordTransfer('received', message, bytes);
 		if (isOpen) {
 			if (message !== ping) {
+				keepAlive.recordMessage(performance.now());
 				messages.next(message as Message);
 			}
 
@@ -193,14 +198,14 @@
 		coding = createLinkCoding(peer.compact);
 		reader.setMaximumPayloadBytes(maximumFrameBytes);
 		reader.setCoding(coding);
-		keepAliveTimer = setInterval(keepAlive, keepAliveIntervalMilliseconds);
+		startKeepAlive(identity.allowsSlowPings === true && peer.slowPings === true);
 		recordTransfer('sent', undefined, handshakeBytes.sent);
 		recordTransfer('received', undefined, handshakeBytes.received);
 		options.onConnect({...link, peer: peer.name});
 	}
 
 	socket.on('data', chunk => {
-		lastReceivedAt = performance.now();
+		keepAlive.recordReceived(performance.now());
 		try {
 			reader.pushEach(chunk, receiveMessage);
 		} catch (error) {
--- a/source/wire/link.ts
+++ b/source/wire/link.ts
@@ -15,6 +15,8 @@
 	readonly certificates: LinkCertificates | undefined;
 	/** Availability zone of the process, which it states to its peers so that they can count the bytes between zones. */
 	readonly zone?: string;
+	/** Whether links may have fewer pings while they are not used, if the peer allows it too. */
+	readonly allowsSlowPings?: boolean;
 };
 
 /** Frame of one message that was sent or received on a link. */
