Let workspaces above their share and of lower priority yield in a shortage

A workspace that sends ten times its load took servers from all others: admission knew no workspaces, and on servers of two slots ranks make no difference. Requests of workspaces above their share are now admitted only as far as late ones, and together with those of lower priority they are throttled by additive increase and multiplicative decrease to what the others leave; a workspace that is placed less than a quarter as often as all does not yield. Refused at once, they cost no load queries.

--- a/source/entry/fleet/service-state.ts
+++ b/source/entry/fleet/service-state.ts
@@ -4,7 +4,7 @@
 } from '../../choice/index.js';
 import {type Service} from '../../configuration/index.js';
 import {
-	createShortageEstimate, createWaitQueue, type ShortageEstimate, type WaitQueue,
+	createAdmissionThrottle, createShortageEstimate, createWaitQueue, createWorkspaceService, type AdmissionThrottle, type ShortageEstimate, type WaitQueue, type WorkspaceService,
 } from '../../limits/index.js';
 import {type Random} from '../../randomness/index.js';
 import {
@@ -20,6 +20,12 @@
 	getService(): Service;
 	readonly queue: WaitQueue;
 	readonly shortageEstimate: ShortageEstimate;
+	/** How often the requests of each workspace were placed lately. */
+	readonly workspaceService: WorkspaceService;
+	/** Throttle of the requests of workspaces that use more than their share. */
+	readonly aboveShareThrottle: AdmissionThrottle;
+	/** Throttle of the requests of workspaces that do not have the most urgent priority. */
+	readonly lowPriorityThrottle: AdmissionThrottle;
 	readonly retries: AttemptBudget;
 	readonly hedges: AttemptBudget;
 	readonly hedgeDelay: HedgeDelay;
@@ -56,6 +62,9 @@
 		getService: () => service,
 		queue: createWaitQueue(() => service.queueLength),
 		shortageEstimate: createShortageEstimate(),
+		workspaceService: createWorkspaceService(),
+		aboveShareThrottle: createAdmissionThrottle(),
+		lowPriorityThrottle: createAdmissionThrottle(),
 		retries: sharedBudget ?? createAttemptBudget(() => service.retryRatio, initialRetryBalance),
 		// If retries and hedges share a budget, each request deposits to it only once, through `retries`.
 		hedges: sharedBudget === undefined ? createAttemptBudget(() => service.hedgeRatio, 0) : {...sharedBudget, deposit: doNothing},
--- a/source/entry/placement/query-plan.ts
+++ b/source/entry/placement/query-plan.ts
@@ -29,7 +29,7 @@
 	readonly count: number;
 	/** Maximum number of servers that are queried. */
 	readonly maximumCount: number;
-	getAdmission(): Admission;
+	getAdmission(now: number): Admission;
 	readonly random: Random;
 };
 
@@ -73,7 +73,7 @@
 	}
 
 	function getCriteria(now: number): ReadingCriteria {
-		return {admission: options.getAdmission(), zone, now};
+		return {admission: options.getAdmission(now), zone, now};
 	}
 
 	function isSufficient({candidate, reading}: CandidateReading, now: number): boolean {
--- a/source/entry/placement/request-progress.ts
+++ b/source/entry/placement/request-progress.ts
@@ -41,7 +41,7 @@
  */
 export function createProgress(admitted: AdmittedRequest): RequestProgress {
 	const {
-		context, state, route, rank, isLate, recordDecision,
+		context, state, route, rank, access, isLate, recordDecision,
 	} = admitted;
 	const excluded = new Set<number>();
 	const avoidedZones = new Set<string>();
@@ -51,7 +51,7 @@
 		excluded,
 		avoidedZones,
 		selector: createServerSelector({
-			context, state, route, rank, excluded, avoidedZones, isLate, recordDecision,
+			context, state, route, rank, access, excluded, avoidedZones, isLate, recordDecision,
 		}),
 		attemptLimit: route.attempts ?? maximumAttempts,
 		attempts: 0,
--- a/source/entry/placement/server-selector.test.ts
+++ b/source/entry/placement/server-selector.test.ts
@@ -5,7 +5,7 @@
 	createCandidate, createCandidatePools, createZoneRoom, type Candidate, type LoadReading,
 } from '../../choice/index.js';
 import {documentSchema} from '../../configuration/index.js';
-import {createShortageEstimate} from '../../limits/index.js';
+import {createAdmissionThrottle, createShortageEstimate, createWorkspaceService} from '../../limits/index.js';
 import {createRandom} from '../../randomness/index.js';
 import {type RequestContext} from '../requests/index.js';
 import {type ServiceState} from '../fleet/index.js';
@@ -50,7 +50,7 @@
 			},
 		};
 		const context = {
-			zone: 'north', random: createRandom(1), queryBudget, loadQuerier,
+			zone: 'north', random: createRandom(1), queryBudget, loadQuerier, getWorkspaces: () => undefined, isAboveShare: () => false,
 		} as unknown as RequestContext;
 		const shortageEstimate = createShortageEstimate();
 		for (let placement = 0; placement < earlierPlacements; placement++) {
@@ -63,10 +63,13 @@
 			zoneRoom: createZoneRoom(),
 			getService: () => services[0]!,
 			shortageEstimate,
+			workspaceService: createWorkspaceService(),
+			aboveShareThrottle: createAdmissionThrottle(),
+			lowPriorityThrottle: createAdmissionThrottle(),
 		} as unknown as ServiceState;
 		const route = createRouter(services, routes).get('any', '/1')!;
 		const selector = createServerSelector({
-			context, state, route, rank: route, excluded: new Set(), avoidedZones: new Set(), isLate: false, recordDecision() {
+			context, state, route, rank: route, access: {kind: 'open'}, excluded: new Set(), avoidedZones: new Set(), isLate: false, recordDecision() {
 				// Decisions are ignored here.
 			},
 		});
--- a/source/entry/placement/server-selector.ts
+++ b/source/entry/placement/server-selector.ts
@@ -8,11 +8,13 @@
 import {type CandidateReading} from '../servers/index.js';
 import {type RequestContext} from '../requests/index.js';
 import {type ServiceState} from '../fleet/index.js';
-import {type RequestRank} from '../../workspace/index.js';
+import {type Access, type RequestRank} from '../../workspace/index.js';
 import {type RoutePolicy} from '../routing/index.js';
 import {type Decision} from '../reporting/index.js';
 import {createQueryPlan, type QueryPlan} from './query-plan.js';
+import {runQueryPlan} from './query-run.js';
 import {formatReading, isFastEnough} from './reading-choice.js';
+import {createWorkspaceAdmission} from './workspace-admission.js';
 
 /** Time to wait for replies to a load query, unless the document sets one. */
 const defaultQueryMilliseconds = 10;
@@ -26,14 +28,9 @@
 /** Minimum wait that is worth another query. */
 const minimumWaitMilliseconds = 4;
 
-/** Share of the time to wait for a reply after which another server is queried meanwhile. */
-const delayedReplyShare = 1 / 3;
-
 /** Queries of one selection, and what came before them. */
 type Selection = {
 	readonly plan: QueryPlan;
-	/** Number of queries that the budget of load queries allows. */
-	readonly granted: number;
 	/** Whether another attempt is already running, so that only a fast server is worth a second one. */
 	readonly isHedge: boolean;
 	/** Whether the request may still wait for a server to have room. */
@@ -41,8 +38,6 @@
 	readonly startedAt: number;
 	/** Readings of the servers that had no room before the wait. */
 	readonly earlierReadings: readonly CandidateReading[];
-	/** Functions that cancel the pending queries. */
-	readonly cancels: Set<() => void>;
 };
 
 /** Receives the selected server, or undefined when none has room. */
@@ -66,6 +61,7 @@
 	readonly state: ServiceState;
 	readonly route: RoutePolicy;
 	readonly rank: RequestRank;
+	readonly access: Access;
 	/** Servers that have already received an attempt. */
 	readonly excluded: ReadonlySet<number>;
 	/** Zones in which an attempt has failed. */
@@ -82,9 +78,10 @@
  */
 export function createServerSelector(options: ServerSelectorOptions): ServerSelector {
 	const {
-		context, state, route, excluded, avoidedZones,
+		context, state, route, access, excluded, avoidedZones,
 	} = options;
 	const {zone} = context;
+	const workspaceAdmission = createWorkspaceAdmission({context, state, access});
 	let cancelPending: (() => void) | undefined;
 
 	function choose(now: number): Candidate | undefined {
@@ -94,9 +91,10 @@
 	}
 
 	/** Starts the queries of a selection. */
-	function startQueries(previous: Pick<Selection, 'isHedge' | 'mayWait' | 'startedAt' | 'earlierReadings'>, callback: SelectionCallback): void {
+	function startQueries(previous: Omit<Selection, 'plan'>, callback: SelectionCallback): void {
 		const {askedCandidates = 0} = state.getService();
 		const {queryBudget} = context;
+		let isComplete = false;
 		const now = performance.now();
 		const granted = queryBudget.take(askedCandidates, now) + (previous.mayWait ? queryBudget.take(askedCandidates * (maximumQueryFactor - 1), now) : 0);
 		const plan = createQueryPlan({
@@ -110,70 +108,24 @@
 			getAdmission,
 			random: context.random,
 		});
-		advance({
-			...previous, plan, granted, cancels: new Set(),
-		}, callback);
-	}
-
-	/** Queries servers as the plan requires, and ends the selection when it is complete. */
-	function advance(selection: Selection, callback: SelectionCallback): void {
-		const {plan, cancels} = selection;
-		if (!plan.isComplete(performance.now())) {
-			for (const candidate of plan.getNext(performance.now())) {
-				query(selection, candidate, callback);
-			}
-		}
-
-		cancelPending = () => {
-			for (const cancel of cancels) {
-				cancel();
-			}
-		};
-
-		if (plan.isComplete(performance.now())) {
-			cancelPending();
-			cancelPending = undefined;
-			context.queryBudget.giveBack(selection.granted - plan.getQueryCount());
-			finishQueries(selection, callback);
-		}
-	}
-
-	/** Queries a server. If its reply does not arrive soon, another one is queried meanwhile. */
-	function query(selection: Selection, candidate: Candidate, callback: SelectionCallback): void {
-		const {plan, cancels} = selection;
-		const waitMilliseconds = state.getService().askMilliseconds ?? defaultQueryMilliseconds;
-		const cancelQuery = context.loadQuerier.query({
-			candidates: [candidate],
-			waitMilliseconds,
-			isSufficient: () => true,
-			onReadings([reply]) {
-				cancel();
-				if (reply === undefined) {
-					plan.recordMiss(candidate);
-				} else {
-					plan.recordReading(candidate, reply.reading, performance.now());
-				}
-
-				advance(selection, callback);
+		cancelPending = undefined;
+		const cancel = runQueryPlan({
+			plan,
+			loadQuerier: context.loadQuerier,
+			waitMilliseconds: state.getService().askMilliseconds ?? defaultQueryMilliseconds,
+			onComplete() {
+				isComplete = true;
+				cancelPending = undefined;
+				queryBudget.giveBack(granted - plan.getQueryCount());
+				finishQueries({...previous, plan}, callback);
 			},
 		});
-		// The delay is noticed one event loop turn later, so that replies that have already arrived are read first.
-		const timer = setTimeout(() => {
-			setImmediate(() => {
-				if (cancels.has(cancel)) {
-					plan.recordDelay(candidate, performance.now());
-					advance(selection, callback);
-				}
-			});
-		}, waitMilliseconds * delayedReplyShare);
-
-		function cancel(): void {
-			cancels.delete(cancel);
-			clearTimeout(timer);
-			cancelQuery();
+		if (!isComplete) {
+			cancelPending = () => {
+				cancel();
+				queryBudget.giveBack(granted - plan.getQueryCount());
+			};
 		}
-
-		cancels.add(cancel);
 	}
 
 	/** Selects the best server, waits once for room, or ends without a server. */
@@ -187,6 +139,7 @@
 		// Each request counts once; one that waited for room has already been counted.
 		if (mayWait && readings.length > 0) {
 			state.shortageEstimate.recordPlacement(plan.hasFoundCapacity(), now);
+			workspaceAdmission.recordPlacement(plan.hasFoundCapacity());
 		}
 
 		if (isHedge && (best === undefined || !isFastEnough(best.reading))) {
@@ -235,10 +188,10 @@
 		};
 	}
 
-	function getAdmission(): Admission {
+	function getAdmission(now: number): Admission {
 		const {isUrgent, isOutranked} = options.rank;
 		return {
-			isUrgent, isOutranked, isLate: options.isLate, shortage: state.shortageEstimate.getShortage(),
+			isUrgent, isOutranked, isLate: options.isLate || workspaceAdmission.isAboveShare(now), shortage: state.shortageEstimate.getShortage(),
 		};
 	}
 
@@ -248,6 +201,12 @@
 			return;
 		}
 
+		if (!workspaceAdmission.mayPlace(performance.now())) {
+			options.recordDecision({kind: 'yield'});
+			callback(undefined);
+			return;
+		}
+
 		startQueries({
 			isHedge, mayWait: !isHedge, startedAt: performance.now(), earlierReadings: [],
 		}, callback);
@@ -256,7 +215,10 @@
 	return {
 		chooseImmediately: choose,
 		select(callback) {
-			startSelection(false, callback);
+			startSelection(false, candidate => {
+				workspaceAdmission.recordResult(candidate !== undefined, performance.now());
+				callback(candidate);
+			});
 		},
 		selectForHedge(callback) {
 			startSelection(true, callback);
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -17,6 +17,7 @@
 import {createRouter} from '../../source/entry/routing/router.js';
 import {createReportHandler} from '../../source/entry/fleet/server-reports.js';
 import {type Random} from '../../source/randomness/index.js';
+import {createWorkspaceIndex} from '../../source/workspace/index.js';
 import {createSlackPart} from '../../source/retry/index.js';
 import {emptyReport, getReport, startModelAttempt} from './attempt.js';
 import {createExchange, modelDialect, type CallerRequest} from './caller-exchange.js';
@@ -84,6 +85,7 @@
 	});
 	slackPart.apply({part: slackPart.getReport(performance.now()).total / options.entryCount});
 	const fleet = createFleet(random, slackPart.getBudget, createSubsetChooser({entry: `entry-${options.number}`, zone}));
+	const workspaces = document.workspaces === undefined ? undefined : createWorkspaceIndex(document.workspaces);
 	const router = createRouter(document.services, document.routes, random);
 	const callerTimes = new Map<string, {readonly sentAt: number; readonly serviceMilliseconds: number}>();
 	fleet.setDocument(document);
@@ -181,7 +183,7 @@
 				attempt, upstream, onReception: options.onReception, entry: options.number, connectMilliseconds: options.connectMilliseconds, transferMilliseconds: getTransferMilliseconds(upstream), ...callerTimes.get(attempt.requestId)!,
 			});
 		},
-		getWorkspaces: () => undefined,
+		getWorkspaces: () => workspaces,
 		isAboveShare: workspace => options.isAboveShare?.(workspace) ?? false,
 		mayDispatch: () => true,
 		onReport,
@@ -207,7 +209,7 @@
 				},
 			});
 			void handleRequest({
-				context, route, access: request.workspace === undefined ? {kind: 'open'} : {kind: 'granted', workspace: request.workspace, digest: ''}, state, exchange,
+				context, route, access: request.workspace === undefined ? {kind: 'open'} : {kind: 'granted', workspace: request.workspace, digest: request.workspace.keyDigests[0]!}, state, exchange,
 			});
 		},
 		applyStatement(upstream, statement) {
--- a/stand-in/model/placement.ts
+++ b/stand-in/model/placement.ts
@@ -74,7 +74,7 @@
 	readonly latencyMilliseconds: number;
 };
 
-function createDocument({kinds, zones}: PlacementOptions): EnvironmentDocument {
+function createDocument({kinds, zones, workspaces}: PlacementOptions): EnvironmentDocument {
 	return documentSchema.parse({
 		zones: zones.map(({name}) => ({name})),
 		services: [{
@@ -83,6 +83,7 @@
 		routes: kinds.map(({name, targetMilliseconds, priority}) => ({
 			name, path: `/${name}`, parts: [{service: 'stock', weight: 1}], isIdempotent: true, timeoutMilliseconds: deadlineMilliseconds, targetMilliseconds, priority, attempts: 3,
 		})),
+		...(workspaces === undefined ? {} : {workspaces: workspaces.map(({name, keyDigests, priority}) => ({name, keyDigests, priority}))}),
 	});
 }
 
