--- /dev/null
+++ b/source/link/index.ts
@@ -0,0 +1,2 @@
+export * from './link.js';
+export type {LinkUse} from './link-use.js';
