Send large responses as the link of an entry carries them

Cause: routes with large responses had no effect at an entry, and its link was not accounted for.

Change: with linkMegabitsPerSecond (limits.link_mbps of the platform), a request of such a route is admitted to the link before its body is read, or refused with 503 link-busy and the time after which the link takes it. Its response is written as the link and the caller take it; the server is read ahead within the budget of buffered responses. No hedge is made while another large response waits for the link. Without the setting or such a route nothing changes. Gauges for admitted and waiting requests and for the bytes of the link; a log line when refusals begin and end.

--- a/source/entry/callers/body-relay.ts
+++ b/source/entry/callers/body-relay.ts
@@ -5,9 +5,10 @@
  * length never looks complete before.
  */
 import {Buffer} from 'node:buffer';
-import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type IncomingMessage} from 'node:http';
 import {createByteCollector} from '../../bytes/index.js';
 import {maximumTurnBytes, setPaused} from '../http/index.js';
+import {type BodyTarget} from './body-target.js';
 
 /** Relay of a body. */
 export type BodyRelay = {
@@ -20,9 +21,9 @@
 /**
  * Relays the body of a response until it ends.
  * @param source - Response of a server.
- * @param target - Response to a caller.
+ * @param target - Receiver of the body.
  */
-export function relayBody(source: IncomingMessage, target: ServerResponse): BodyRelay {
+export function relayBody(source: IncomingMessage, target: BodyTarget): BodyRelay {
 	let collector = createByteCollector();
 	let isFlushScheduled = false;
 	let isBlocked = false;
--- a/source/entry/callers/response.ts
+++ b/source/entry/callers/response.ts
@@ -6,8 +6,10 @@
 import {
 	getVerdictHeaderValue, getVerdictStatus, reasonHeader, verdictHeader, type Verdict,
 } from '../../verdict/index.js';
-import {resetConnection, type ResponseCompletion, type ResponseHead} from '../http/index.js';
+import {type ResponseCompletion, type ResponseHead} from '../http/index.js';
 import {type Dialect} from '../dialect.js';
+import {type BodyTarget} from './body-target.js';
+import {breakOff} from './break-off.js';
 import {relayBody} from './body-relay.js';
 
 const retryAfterSeconds = '1';
@@ -88,6 +90,8 @@
 /** Response of a server that is too large to buffer. */
 export type StreamedResponse = {
 	readonly response: ServerResponse;
+	/** Receiver of the body: the response to the caller, or one that is paced. */
+	readonly target: BodyTarget;
 	/** Chunks of the body that were received so far. */
 	readonly chunks: readonly Buffer[];
 	/** Source of the remaining body. */
@@ -109,7 +113,7 @@
  * @param streamed - Body of the server's response and response to the caller.
  */
 export function streamResponse(streamed: StreamedResponse): void {
-	const {response, rest} = streamed;
+	const {response, target, rest} = streamed;
 	let receivedBytes = 0;
 	function countBytes(chunk: Buffer): void {
 		receivedBytes += chunk.length;
@@ -118,7 +122,7 @@
 		}
 	}
 
-	const relay = relayBody(rest, response);
+	const relay = relayBody(rest, target);
 	for (const chunk of streamed.chunks) {
 		countBytes(chunk);
 		relay.add(chunk);
@@ -140,7 +144,7 @@
 		const isComplete = streamed.completion.isComplete();
 		if (isComplete) {
 			relay.flush();
-			response.end();
+			target.end();
 		} else {
 			breakOff(response, streamed.isFramed);
 		}
@@ -149,15 +153,6 @@
 	});
 }
 
-/** Ends the connection of a response that is not complete. Its orderly end would be the end of a body that has no other. */
-function breakOff(response: ServerResponse, isFramed: boolean): void {
-	if (isFramed || response.socket === null) {
-		response.destroy();
-	} else {
-		resetConnection(response.socket);
-	}
-}
-
 /**
  * Checks whether only the end of the connection can mark the end of a response's body, because its size is unknown and the caller does not know chunks.
  * @param response - Response to the caller.
--- a/source/entry/entrance/request-handler.ts
+++ b/source/entry/entrance/request-handler.ts
@@ -15,6 +15,7 @@
 import {type RoutePolicy} from '../routing/index.js';
 import {dispatchRequest} from '../placement/index.js';
 import {getFingerprint} from '../crashes/index.js';
+import {admitToLink} from './link-admission.js';
 import {prepareBody} from './prepared-body.js';
 
 const maximumKeyLength = 256;
@@ -85,7 +86,7 @@
 		return Math.max(pauseMilliseconds * (1 + (spread * maximumPauseSpread)), state.shortageEstimate.getRetryAfterMilliseconds(now, spread));
 	}
 
-	function refuse(verdict: Verdict): void {
+	function refuse(verdict: Verdict, retryAfterMilliseconds = getRetryAfterMilliseconds()): void {
 		if (!response.headersSent && !response.destroyed) {
 			sendVerdict({
 				dialect: context.dialect,
@@ -93,7 +94,7 @@
 				verdict,
 				requestId,
 				isClosing: exchange.decideClose(false),
-				retryAfterMilliseconds: getRetryAfterMilliseconds(),
+				retryAfterMilliseconds,
 			});
 		}
 
@@ -134,6 +135,14 @@
 
 		const deadlineAt = arrivedAt + requestTime.remainingMilliseconds;
 		const isLate = requestTime.elapsedMilliseconds + (startedAt - arrivedAt) > (route.targetMilliseconds ?? Number.POSITIVE_INFINITY) * lateTargetShare;
+		const linkAdmission = await admitToLink({
+			context, route, method, response, elapsedMilliseconds: requestTime.elapsedMilliseconds, deadlineAt, recordDecision: trace.record,
+		});
+		if (linkAdmission.kind === 'refused') {
+			refuse(linkAdmission.verdict, linkAdmission.retryAfterMilliseconds * (1 + getRetrySpread(requestId)));
+			return;
+		}
+
 		const prepared = await prepareBody({
 			limits: context, incoming, response, isClaimed: key !== undefined, deadlineAt,
 		});
@@ -174,7 +183,7 @@
 		}
 
 		dispatchRequest({
-			context, state, service, route, access, rank: getRequestRank(context.getWorkspaces(), access, route), request, exchange, requestId, deadlineAt, isLate, claim, refuse, fail, onEnd: recordEnd, recordDecision: trace.record, computeFingerprint,
+			context, state, service, route, access, rank: getRequestRank(context.getWorkspaces(), access, route), request, exchange, requestId, deadlineAt, isLate, claim, linkUse: linkAdmission.use, refuse, fail, onEnd: recordEnd, recordDecision: trace.record, computeFingerprint,
 		});
 	}
 }
--- a/source/entry/entry-gauges.ts
+++ b/source/entry/entry-gauges.ts
@@ -2,6 +2,7 @@
 import {performance} from 'node:perf_hooks';
 import {type StallWatch} from '../control/stall-watch.js';
 import {type LeaseHolder} from '../lease/index.js';
+import {type Link} from '../link/index.js';
 import {type SlackPart} from '../retry/index.js';
 import {type EntryMetrics} from './reporting/index.js';
 import {type Peers} from './peers/index.js';
@@ -22,6 +23,8 @@
 	readonly prober: Prober;
 	/** Links to the other entries; undefined if the entry exchanges no counts. */
 	readonly peers: Peers | undefined;
+	/** Link of the entry; undefined if its rate is not known. */
+	readonly link: Link | undefined;
 };
 
 /**
@@ -31,7 +34,7 @@
  */
 export function registerGauges(metrics: EntryMetrics, sources: GaugeSources): void {
 	const {
-		state, lease, slackPart, zoneView, stallWatch, prober, peers,
+		state, lease, slackPart, zoneView, stallWatch, prober, peers, link,
 	} = sources;
 	metrics.addGauge('guavadeck_in_flight', 'Requests in flight', () => state.inFlight);
 	metrics.addGauge('guavadeck_document_version', 'Version of the document in force', () => lease.getVersion());
@@ -44,5 +47,12 @@
 	metrics.addGauge('guavadeck_stalled_seconds_total', 'Duration of the times in which this process did not run', () => stallWatch.getStalledMilliseconds() / millisecondsPerSecond);
 	metrics.addGauge('guavadeck_peers', 'Peers that counts are exchanged with', () => peers?.getCount() ?? 0);
 	metrics.addGauge('guavadeck_exchange_frames_total', 'Count messages sent to peers', () => peers?.getSentFrames() ?? 0);
+	if (link !== undefined) {
+		metrics.addGauge('guavadeck_large_responses', 'Requests with large responses that are admitted to the link', link.getAdmittedCount);
+		metrics.addGauge('guavadeck_large_responses_waiting', 'Requests with large responses that wait for the link', link.getWaitingCount);
+		metrics.addGauge('guavadeck_link_queued_bytes', 'Bytes written to callers that the link has not carried yet, estimated from its rate', link.getQueuedBytes);
+		metrics.addGauge('guavadeck_link_remaining_bytes', 'Bytes that the admitted large responses are expected to send', link.getRemainingBytes);
+	}
+
 	metrics.addGauge('guavadeck_probe_duties', 'Servers that this entry probes', () => prober.schedule.getDuties().length);
 }
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -30,6 +30,7 @@
 import {createEntryMetrics, createRequestLog, createServiceLevelRecorder} from './reporting/index.js';
 import {createRequestEntrance} from './entrance/index.js';
 import {createAdminHandler} from './admin.js';
+import {createEntryLink} from './entry-link.js';
 import {defaultDialect, type Dialect} from './dialect.js';
 import {registerGauges} from './entry-gauges.js';
 import {createEntryState} from './entry-state.js';
@@ -138,6 +139,7 @@
 	});
 	const claims = createClaims(client, settings.environment);
 	const crashTracker = createCrashTracker(client);
+	const link = createEntryLink(settings, log);
 
 	function recordEnd(service: Service, verdict: Verdict, milliseconds: number): void {
 		state.inFlight--;
@@ -177,6 +179,7 @@
 		maximumBufferedBytes: settings.maximumHeldAnswerBytes,
 		bufferedResponses: createByteBudget(settings.maximumHeldAnswersBytes),
 		maximumResponseBytes: settings.maximumAnswerBytes,
+		link,
 		maximumStoredBytes: maximumStoredResponseBytes,
 		startAttempt,
 		getWorkspaces: () => state.workspaces,
@@ -217,7 +220,7 @@
 	const callersPort = await listen(callerServer.server, {setting: 'callers', ...settings.callers});
 	const adminPort = await listen(adminServer, {setting: 'admin', ...settings.admin});
 	registerGauges(metrics, {
-		state, lease, slackPart, zoneView, stallWatch, prober, peers: peerExchange?.peers,
+		state, lease, slackPart, zoneView, stallWatch, prober, peers: peerExchange?.peers, link,
 	});
 
 	function reportServiceLevels(): void {
--- a/source/entry/http/content-length.ts
+++ b/source/entry/http/content-length.ts
@@ -1,4 +1,4 @@
-/** Reads how a request announces its body. */
+/** Reads how a message announces its body. */
 import {type IncomingMessage} from 'node:http';
 
 /**
@@ -12,9 +12,9 @@
 
 /**
  * Gets the value of the Content-Length header in bytes, or undefined when it is missing.
- * @param request - Request of a caller.
+ * @param message - Request of a caller or response of a server.
  */
-export function getContentLength(request: IncomingMessage): number | undefined {
-	const length = request.headers['content-length'];
+export function getContentLength(message: IncomingMessage): number | undefined {
+	const length = message.headers['content-length'];
 	return length === undefined ? undefined : Number(length);
 }
--- a/source/entry/placement/hedging.ts
+++ b/source/entry/placement/hedging.ts
@@ -54,5 +54,10 @@
 function isHedgeObsolete({
 	admitted, isSettled, running, attempts, attemptLimit,
 }: RequestProgress): boolean {
-	return isSettled || running.size !== 1 || attempts >= attemptLimit || admitted.state.queue.getLength() > 0;
+	return isSettled || running.size !== 1 || attempts >= attemptLimit || admitted.state.queue.getLength() > 0 || isLinkBusy(admitted);
+}
+
+/** Checks whether a large response would have to share the link with another one, so that its copy would only delay both. */
+function isLinkBusy({linkUse, context}: RequestProgress['admitted']): boolean {
+	return linkUse !== undefined && context.link?.isBusy() === true;
 }
--- a/source/entry/reporting/request-log.ts
+++ b/source/entry/reporting/request-log.ts
@@ -23,6 +23,8 @@
 		| {readonly kind: 'failed'; readonly server: string; readonly reason: string}
 		| {readonly kind: 'answered'; readonly server: string; readonly status: number}
 		| {readonly kind: 'wait'; readonly before: number}
+	/** The request waited for the link of the entry, or is refused; with the number of bytes that the link had to carry before. */
+		| {readonly kind: 'link'; readonly outcome: 'admitted' | 'refused'; readonly remainingBytes: number}
 		| {readonly kind: 'noRetry'; readonly reason: RetryObstacle | 'budget'};
 
 /** Trace of one request. */
--- a/source/entry/reporting/service-level-recorder.ts
+++ b/source/entry/reporting/service-level-recorder.ts
@@ -75,6 +75,7 @@
 		case 'lease-expired':
 		case 'ledger-full':
 		case 'ledger-unavailable':
+		case 'link-busy':
 		case 'no-server':
 		case 'overload':
 		case 'server-shed':
--- a/source/entry/requests/admitted-request.ts
+++ b/source/entry/requests/admitted-request.ts
@@ -2,6 +2,7 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {type Service} from '../../configuration/index.js';
+import {type LinkUse} from '../../link/index.js';
 import {type Verdict} from '../../verdict/index.js';
 import {type Access, type RequestRank} from '../../workspace/index.js';
 import {type Exchange} from '../callers/index.js';
@@ -36,6 +37,8 @@
 	/** Whether the request is unlikely to meet its target latency. */
 	readonly isLate: boolean;
 	readonly claim: Claim | undefined;
+	/** Use of the link of the entry by a response that is expected to be large. */
+	readonly linkUse: LinkUse | undefined;
 	/** Responds with a verdict of the entry. */
 	refuse(verdict: Verdict): void;
 	/** Ends the request after an unexpected error. */
--- a/source/entry/requests/request-context.ts
+++ b/source/entry/requests/request-context.ts
@@ -2,6 +2,7 @@
 import {type ByteBudget} from '../../bytes/index.js';
 import {type Candidate} from '../../choice/index.js';
 import {type Service} from '../../configuration/index.js';
+import {type Link} from '../../link/index.js';
 import {type LoadQueryBudget} from '../../measuring/index.js';
 import {type Random} from '../../randomness/index.js';
 import {type Verdict} from '../../verdict/index.js';
@@ -31,6 +32,8 @@
 	readonly maximumBufferedBytes: number;
 	readonly bufferedResponses: ByteBudget;
 	readonly maximumResponseBytes: number;
+	/** Link of the entry, if the settings state its rate. */
+	readonly link: Link | undefined;
 	readonly maximumStoredBytes: number;
 	/** Starts an attempt on a server. */
 	readonly startAttempt: typeof startAttempt;
--- a/source/settings/settings.ts
+++ b/source/settings/settings.ts
@@ -101,6 +101,8 @@
 	maximumHeldAnswersBytes: z.number().int().min(0).max(1_073_741_824).default(67_108_864),
 	/** Maximum size in bytes of any response; a larger one is broken off, so that a faulty server cannot occupy a connection with a body without end. */
 	maximumAnswerBytes: z.number().int().min(1024).max(1_099_511_627_776).default(1_073_741_824),
+	/** Rate of the network link of the entry. If it is set, responses of routes with large ones are sent as the link carries them. */
+	linkMegabitsPerSecond: z.number().positive().max(1_000_000).optional(),
 	lease: lease.prefault({}),
 }).readonly().refine(hasControlHosts, missingControlHostsIssue);
 
--- a/source/verdict/verdict.ts
+++ b/source/verdict/verdict.ts
@@ -16,6 +16,7 @@
 		| 'ledger-full'
 		| 'ledger-unavailable'
 		| 'lease-expired'
+		| 'link-busy'
 		| 'no-server'
 		| 'overload'
 		| 'unknown-key'
@@ -142,6 +143,7 @@
 		case 'ledger-full':
 		case 'ledger-unavailable':
 		case 'lease-expired':
+		case 'link-busy':
 		case 'no-server':
 		case 'overload':
 		case 'server-shed':
--- a/stand-in/entry-bed.ts
+++ b/stand-in/entry-bed.ts
@@ -1,6 +1,6 @@
 /**
  * Test bed for the caller side of an entry: a control host and an entry in this process, and servers whose responses the test
- * determines, down to single bytes. One route is idempotent (`/look/`), the other is not (`/order/`).
+ * determines, down to single bytes. Two routes are idempotent (`/look/`, and `/file/` with large responses), one is not (`/order/`).
  */
 import {randomUUID} from 'node:crypto';
 import {once} from 'node:events';
@@ -130,7 +130,7 @@
 }
 
 /**
- * Starts a test bed, and waits until its entry serves both routes.
+ * Starts a test bed, and waits until its entry serves the routes.
  * @param options - Dialect, limits and behaviour of the servers.
  */
 export async function startEntryBed(options: EntryBedOptions): Promise<EntryBed> {
@@ -189,6 +189,9 @@
 			{
 				name: 'order', path: '/order/', isIdempotent: false, ...route,
 			},
+			{
+				name: 'file', path: '/file/', isIdempotent: true, hasLargeResponses: true, ...route,
+			},
 		],
 		...(options.bodyBytes === undefined
 			? {}
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -139,6 +139,7 @@
 		maximumBufferedBytes: maximumBytes,
 		bufferedResponses: createByteBudget(maximumBytes),
 		maximumResponseBytes: maximumBytes,
+		link: undefined,
 		maximumStoredBytes: maximumBytes,
 		startAttempt: attempt => startModelAttempt({
 			attempt, upstream: byPool.get(attempt.pool)!, entry: options.number, connectMilliseconds: options.connectMilliseconds, ...callerTimes.get(attempt.requestId)!,
