--- a/source/entry/entrance/request-handler.ts
+++ b/source/entry/entrance/request-handler.ts
@@ -16,6 +16,7 @@
 import {type RoutePolicy} from '../routing/index.js';
 import {dispatchRequest} from '../placement/index.js';
 import {getFingerprint} from '../crashes/index.js';
+import {admitToLink} from './link-admission.js';
 import {prepareBody} from './prepared-body.js';
 
 const maximumKeyLength = 256;
@@ -145,6 +146,14 @@
 
 		token = quota.kind === 'taken' ? quota.token : undefined;
 		const isLate = requestTime.elapsedMilliseconds + (startedAt - arrivedAt) > (route.targetMilliseconds ?? Number.POSITIVE_INFINITY) * lateTargetShare;
+		const linkAdmission = await admitToLink({
+			context, route, method, response, elapsedMilliseconds: requestTime.elapsedMilliseconds, deadlineAt, recordDecision: trace.record,
+		});
+		if (linkAdmission.kind === 'refused') {
+			refuse(linkAdmission.verdict, linkAdmission.retryAfterMilliseconds * (1 + getRetrySpread(requestId)));
+			return;
+		}
+
 		const prepared = await prepareBody({
 			limits: context, incoming, response, isClaimed: key !== undefined, deadlineAt,
 		});
@@ -200,6 +209,7 @@
 			isLate,
 			claim,
 			token,
+			linkUse: linkAdmission.use,
 			refuse,
 			fail,
 			onEnd: recordEnd,
--- a/source/entry/requests/admitted-request.ts
+++ b/source/entry/requests/admitted-request.ts
@@ -2,6 +2,7 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
 import {type Service} from '../../configuration/index.js';
+import {type LinkUse} from '../../link/index.js';
 import {type QuotaToken} from '../../quota/index.js';
 import {type Verdict} from '../../verdict/index.js';
 import {type Access, type RequestRank} from '../../workspace/index.js';
@@ -39,6 +40,8 @@
 	readonly claim: Claim | undefined;
 	/** Token of the quota of its workspace; undefined if it has no quota. */
 	readonly token: QuotaToken | undefined;
+	/** Use of the link of the entry by a response that is expected to be large. */
+	readonly linkUse: LinkUse | undefined;
 	/** Responds with a verdict of the entry. */
 	refuse(verdict: Verdict): void;
 	/** Ends the request after an unexpected error. */
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -176,6 +176,7 @@
 		maximumBufferedBytes: maximumBytes,
 		bufferedResponses: createByteBudget(maximumBytes),
 		maximumResponseBytes: maximumBytes,
+		link: undefined,
 		maximumStoredBytes: maximumBytes,
 		startAttempt(attempt) {
 			const upstream = byPool.get(attempt.pool)!;
