Make the coding of compact messages cheaper than the plain one

Templates now hold their values in a flat list, and a received message is copied from the last one as a whole.

A test shows that a message that arrives in one piece with the proof has the limits and the form of an open link.

--- a/source/wire/compact-links.test.ts
+++ b/source/wire/compact-links.test.ts
@@ -23,6 +23,30 @@
 	return {name, sharedKey: 'the shared key of both', certificates: undefined};
 }
 
+// Guards against a message that is held against the limits of the handshake because it arrives in one piece with the proof, so that a process
+// that answers late loses the links on which long messages wait.
+describe('a message that arrives together with the proof', () => {
+	test('has the limits and the form of an open link', async () => {
+		const received: unknown[] = [];
+		const listener = await listenForLinks<unknown>({
+			identity: createIdentity('server'), setting: 'links', host, port: 0, onConnect(link) {
+				link.messages.subscribe(other => {
+					received.push(other);
+				});
+			},
+		});
+		const socket = connect(listener.port, host);
+		const peer = startRawLinkPeer(socket, 'client', createIdentity('raw'), {compact: {names: 1}});
+		const long = {kind: 'renewal', absent: Array.from({length: 2000}, (_, index) => 100_000 + index)};
+		peer.sendWithProof([0, long]);
+		peer.sendWithProof([0, 0, 'grant', 1, []]);
+		await waitUntil('both messages have arrived', waitLimitMilliseconds, async () => received.length === 2);
+		socket.destroy();
+		await listener.close();
+		expect(received).toEqual([long, {kind: 'grant', absent: []}]);
+	});
+});
+
 // Guards against an upgrade in which processes of two releases do not understand each other.
 describe('links to peers that know another compact form', () => {
 	type Case = {
--- a/source/wire/link-coding.ts
+++ b/source/wire/link-coding.ts
@@ -13,7 +13,7 @@
 	checkLength, getNumberedCoding, plainCoding, type PayloadCoding,
 } from './payload.js';
 import {
-	applyChanges, createTemplate, getChanges, isPlainObject, TemplateError, updateTemplate, type Template, type TemplateChanges,
+	applyChanges, createTemplate, getChanges, isPlainObject, recordChanges, TemplateError, type Template, type TemplateChanges,
 } from './template.js';
 
 /** Maximum number of templates that an end keeps for each direction of a link. */
@@ -97,7 +97,7 @@
 		const payload = coding.encode([number, ...changes]);
 		// The template must not change for a message that is not sent.
 		checkLength(payload);
-		updateTemplate(template, changes);
+		recordChanges(template, changes);
 		return payload;
 	}
 
@@ -135,9 +135,7 @@
 			throw new TemplateError('changes refer to a template that was not sent');
 		}
 
-		const message = applyChanges(template, changes);
-		updateTemplate(template, changes);
-		return message;
+		return applyChanges(template, changes);
 	}
 
 	return payload => {
--- a/source/wire/template.ts
+++ b/source/wire/template.ts
@@ -4,8 +4,8 @@
  * neither long values nor lists of objects, which are sent each time.
  */
 
-/** Maximum number of fields with a value, including those of nested objects. */
-const maximumValues = 48;
+/** Maximum number of fields, including those of nested objects. */
+const maximumFields = 64;
 
 /** Maximum depth of nested objects, with the message itself as 1. */
 const maximumDepth = 4;
@@ -16,24 +16,38 @@
 /** Maximum number of values in a list. */
 const maximumListLength = 16;
 
-/** Marks in a shape the begin and the end of a nested object. */
-const begin = Symbol('begin');
-const end = Symbol('end');
+/** Name that assignments treat as the prototype of an object. */
+const prototypeName = '__proto__';
 
 /** Stands for a value that a template does not hold. */
 const absent = Symbol('absent');
 
 type PlainObject = Readonly<Record<string, unknown>>;
 
+/** One object of a message. Objects are numbered in the order in which they begin, with the message itself as 0. */
+type TemplateObject = {
+	readonly names: readonly string[];
+	/** For each name, the number of its object, or undefined if it has a value. */
+	readonly objectNumbers: ReadonlyArray<number | undefined>;
+	/** Position of its first field with a value. */
+	readonly firstPosition: number;
+	/** Last values by name, from which new messages are copied. */
+	readonly copied: Record<string, unknown>;
+};
+
+/** Field with a value, and the number of the object that it belongs to. */
+type TemplateField = {readonly objectNumber: number; readonly name: string};
+
 /** Shape of a message and its last values. */
 export type Template = {
-	/** Names of the fields in their order; that of a nested object is followed by its fields between two marks. */
-	readonly shape: ReadonlyArray<string | symbol>;
-	/** Values in the order of their fields. */
+	readonly objects: readonly TemplateObject[];
+	/** Fields with a value by position: those of the first object, then those of the second one, and so on. */
+	readonly fields: readonly TemplateField[];
+	/** Last values by position. */
 	readonly values: unknown[];
 };
 
-/** Positions of values that have changed, each followed by the new value. */
+/** Positions of values that have changed in ascending order, each followed by the new value. */
 export type TemplateChanges = readonly unknown[];
 
 /** Thrown for changes that do not fit the template, or a message that exceeds the limits of templates. */
@@ -68,11 +82,12 @@
 }
 
 function isHeld(held: unknown, value: unknown): boolean {
-	if (Array.isArray(held)) {
-		return Array.isArray(value) && held.length === value.length && held.every((item, index) => Object.is(item, value[index]));
+	if (typeof held !== 'object' || held === null) {
+		return Object.is(held, value);
 	}
 
-	return Object.is(held, value);
+	const list = held as readonly unknown[];
+	return Array.isArray(value) && list.length === value.length && list.every((item, index) => Object.is(item, value[index]));
 }
 
 /**
@@ -80,34 +95,44 @@
  * @param message - Message to which the next ones are compared.
  */
 export function createTemplate(message: PlainObject): Template | undefined {
-	const shape: Array<string | symbol> = [];
+	const objects: TemplateObject[] = [];
+	const fields: TemplateField[] = [];
 	const values: unknown[] = [];
+	const pending: Array<{readonly object: PlainObject; readonly depth: number}> = [{object: message, depth: 1}];
+	let fieldCount = 0;
+	for (let objectNumber = 0; objectNumber < pending.length; objectNumber++) {
+		const {object, depth} = pending[objectNumber]!;
+		const names = Object.keys(object);
+		fieldCount += names.length;
+		if (fieldCount > maximumFields || names.some(name => name.length > maximumTextLength || name === prototypeName)) {
+			return undefined;
+		}
 
-	function add(object: PlainObject, depth: number): boolean {
-		for (const [name, value] of Object.entries(object)) {
-			if (name.length > maximumTextLength || values.length === maximumValues) {
-				return false;
-			}
-
-			shape.push(name);
+		const firstPosition = fields.length;
+		const objectNumbers: Array<number | undefined> = [];
+		const copied: Record<string, unknown> = {};
+		for (const name of names) {
+			const value = object[name];
 			if (isValue(value)) {
+				fields.push({objectNumber, name});
+				objectNumbers.push(undefined);
 				values.push(getHeldValue(value));
+				copied[name] = values.at(-1);
 			} else if (isPlainObject(value) && depth < maximumDepth) {
-				shape.push(begin);
-				if (!add(value, depth + 1)) {
-					return false;
-				}
-
-				shape.push(end);
+				objectNumbers.push(pending.length);
+				pending.push({object: value, depth: depth + 1});
+				copied[name] = undefined;
 			} else {
-				return false;
+				return undefined;
 			}
 		}
 
-		return true;
+		objects.push({
+			names, objectNumbers, firstPosition, copied,
+		});
 	}
 
-	return add(message, 1) && shape.length <= 2 * maximumValues ? {shape, values} : undefined;
+	return {objects, fields, values};
 }
 
 /**
@@ -115,99 +140,117 @@
  * @param template - Template of an earlier message.
  * @param message - Message to send.
  */
-export function getChanges(template: Template, message: PlainObject): TemplateChanges | undefined {
-	const {shape, values} = template;
+export function getChanges({objects, values}: Template, message: PlainObject): TemplateChanges | undefined {
 	const changes: unknown[] = [];
-	let place = 0;
-	let position = 0;
+	const found: PlainObject[] = [message];
+	for (const [objectNumber, object] of objects.entries()) {
+		if (!addChanges(object, values, found, {object: found[objectNumber]!, changes})) {
+			return undefined;
+		}
+	}
+
+	return changes;
+}
+
+type Comparison = {readonly object: PlainObject; readonly changes: unknown[]};
+
+/** Adds the changes of one object, and finds its nested objects. Returns false if its shape differs. */
+function addChanges({names, objectNumbers, firstPosition}: TemplateObject, values: readonly unknown[], found: PlainObject[], {object, changes}: Comparison): boolean {
+	const actualNames = Object.keys(object);
+	if (actualNames.length !== names.length) {
+		return false;
+	}
+
+	let position = firstPosition;
+	for (const [index, name_] of names.entries()) {
+		const name = name_;
+		if (actualNames[index] !== name) {
+			return false;
+		}
 
-	function compare(object: PlainObject): boolean {
-		for (const name of Object.keys(object)) {
-			if (shape[place++] !== name) {
+		const value = object[name];
+		if (objectNumbers[index] !== undefined) {
+			if (!isPlainObject(value)) {
 				return false;
 			}
 
-			const value = object[name];
-			if (isValue(value)) {
-				if (!isHeld(values[position], value)) {
-					changes.push(position, value);
-				}
+			found.push(value);
+			continue;
+		}
 
-				position++;
-			} else if (shape[place++] !== begin || !isPlainObject(value) || !compare(value) || shape[place++] !== end) {
+		if (!isHeld(values[position], value)) {
+			if (!isValue(value)) {
 				return false;
 			}
+
+			changes.push(position, value);
 		}
 
-		return true;
+		position++;
 	}
 
-	return compare(message) && place === shape.length ? changes : undefined;
+	return true;
 }
 
 /**
- * Updates a template with changes that were sent or received.
- * @param template - Template to update.
- * @param changes - Changes that fit the template.
+ * Updates the template of a sender with changes that it has sent. It makes no copies, so just their values are updated.
+ * @param template - Template from which the changes were determined.
+ * @param changes - Changes.
  */
-export function updateTemplate(template: Template, changes: TemplateChanges): void {
+export function recordChanges({values}: Template, changes: TemplateChanges): void {
 	for (let index = 0; index < changes.length; index += 2) {
-		template.values[changes[index] as number] = getHeldValue(changes[index + 1]);
+		values[changes[index] as number] = getHeldValue(changes[index + 1]);
 	}
 }
 
 /**
- * Gets the message that changes stand for. The template is not updated.
+ * Gets the message that received changes stand for, and updates the template of the receiver with it.
  * @param template - Template of an earlier message.
  * @param changes - Received changes.
- * @throws TemplateError when the changes do not fit the template.
+ * @throws TemplateError when the changes do not fit the template, which is not updated then.
  */
 export function applyChanges(template: Template, changes: TemplateChanges): PlainObject {
 	checkChanges(template, changes);
-	const {shape, values} = template;
-	let place = 0;
-	let position = 0;
-	let next = 0;
-
-	function takeValue(): unknown {
-		if (changes[next] === position) {
-			position++;
-			next += 2;
-			return changes[next - 1];
-		}
+	const {objects, fields} = template;
+	const copies = objects.map(({copied}) => ({...copied}));
+	for (let index = 0; index < changes.length; index += 2) {
+		const {objectNumber, name} = fields[changes[index] as number]!;
+		copies[objectNumber]![name] = changes[index + 1];
+	}
 
-		const value = values[position++];
-		if (value === absent) {
-			throw new TemplateError('a value that the template does not hold is missing');
-		}
+	for (const [number, object] of objects.entries()) {
+		completeCopy(object, copies[number]!, copies);
+	}
 
-		return Array.isArray(value) ? [...value as readonly unknown[]] : value;
+	for (let index = 0; index < changes.length; index += 2) {
+		const {objectNumber, name} = fields[changes[index] as number]!;
+		objects[objectNumber]!.copied[name] = getHeldValue(changes[index + 1]);
 	}
 
-	function build(): PlainObject {
-		const object: Record<string, unknown> = {};
-		while (place < shape.length && shape[place] !== end) {
-			const name = shape[place++] as string;
-			if (shape[place] === begin) {
-				place++;
-				object[name] = build();
-				place++;
-			} else {
-				object[name] = takeValue();
-			}
-		}
+	return copies[0]!;
+}
 
-		return object;
+/** Sets the nested objects in a copy, and replaces the lists that the template holds by copies. */
+function completeCopy({names, objectNumbers, copied}: TemplateObject, copy: Record<string, unknown>, copies: ReadonlyArray<Record<string, unknown>>): void {
+	for (const [index, name_] of names.entries()) {
+		const name = name_;
+		const objectNumber = objectNumbers[index];
+		const value = copy[name];
+		if (objectNumber !== undefined) {
+			copy[name] = copies[objectNumber];
+		} else if (value === absent) {
+			throw new TemplateError('a value that the template does not hold is missing');
+		} else if (typeof value === 'object' && value !== null && value === copied[name]) {
+			copy[name] = [...value as readonly unknown[]];
+		}
 	}
-
-	return build();
 }
 
-function checkChanges({values}: Template, changes: TemplateChanges): void {
+function checkChanges({fields}: Template, changes: TemplateChanges): void {
 	let last = -1;
 	for (let index = 0; index < changes.length; index += 2) {
 		const position = changes[index];
-		if (typeof position !== 'number' || !Number.isInteger(position) || position <= last || position >= values.length) {
+		if (typeof position !== 'number' || !Number.isInteger(position) || position <= last || position >= fields.length) {
 			throw new TemplateError('the position of a change is not one of the template');
 		}
 
--- a/stand-in/raw-link-peer.ts
+++ b/stand-in/raw-link-peer.ts
@@ -10,6 +10,8 @@
 	readonly received: unknown[];
 	/** Sends an item in the plain form. */
 	send(item: unknown): void;
+	/** Sends an item in one piece with the proof of this peer, which follows the first message of the other end. */
+	sendWithProof(item: unknown): void;
 };
 
 type Hello = {readonly name: string; readonly nonce: Uint8Array};
@@ -25,6 +27,7 @@
 	const nonce = randomBytes(16);
 	const reader = createFrameReader();
 	const received: unknown[] = [];
+	const firstItems: unknown[] = [];
 	let handshakeMessages = 0;
 
 	function getMac(hello: Hello): Buffer {
@@ -44,7 +47,12 @@
 		for (const item of reader.push(chunk)) {
 			handshakeMessages++;
 			if (handshakeMessages === 1) {
-				send({kind: 'proof', mac: getMac(item as Hello)});
+				socket.cork();
+				for (const first of [{kind: 'proof', mac: getMac(item as Hello)}, ...firstItems]) {
+					send(first);
+				}
+
+				socket.uncork();
 			} else if (handshakeMessages > 2) {
 				received.push(item);
 			}
@@ -56,5 +64,11 @@
 	send({
 		kind: 'hello', name: identity.name, nonce, ...statement,
 	});
-	return {received, send};
+	return {
+		received,
+		send,
+		sendWithProof(item) {
+			firstItems.push(item);
+		},
+	};
 }
