--- a/source/entry/requests/quota-gate.ts
+++ b/source/entry/requests/quota-gate.ts
@@ -13,6 +13,9 @@
 /** Longest time in milliseconds for which a request waits for a token. */
 const maximumWaitMilliseconds = 100;
 
+/** Time in milliseconds after which the leader is asked once more: the question may be lost, or others may have spent the tokens that they hold. */
+const askAgainMilliseconds = 25;
+
 /** Time in milliseconds after which a caller may return to an entry that reached no leader. An election takes a few times longer; another entry may have tokens. */
 const unavailableRetryMilliseconds = 200;
 
@@ -63,6 +66,12 @@
 	usedUpAt: number | undefined;
 };
 
+async function pause(milliseconds: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, Math.max(0, milliseconds));
+	});
+}
+
 /**
  * Creates a gate.
  * @param options - Tokens of the entry and links to the leader.
@@ -128,33 +137,32 @@
 		}
 	}
 
-	/** Asks the leader once for all requests that wait, and refuses them if it does not answer. */
+	/** Asks the leader once for all requests that wait. */
 	async function ask(line: Line): Promise<void> {
 		const askedAt = performance.now();
-		const waiters = [...line.waiters];
-		const {epoch, report, sent} = tokens.createQuestion(line.workspace, waiters.length, askedAt);
+		const {epoch, report, sent} = tokens.createQuestion(line.workspace, line.waiters.size, askedAt);
 		const {refused} = line;
 		line.refused = 0;
 		const answer = await options.getClient().submit({
-			kind: 'quota', environment, process, epoch, report, waiting: waiters.length, refused,
+			kind: 'quota', environment, process, epoch, report, waiting: line.waiters.size, refused,
 		}, maximumWaitMilliseconds);
 		metrics.countQuotaQuestion(answer.kind === 'quota');
 		if (answer.kind === 'quota') {
 			tokens.applyAnswer(line.workspace, sent, answer, {now: performance.now(), mayUse: options.mayUseAnswer(askedAt)});
-			return;
-		}
-
-		for (const waiter of waiters) {
-			settle(line, waiter, getUnavailable());
+			serve(line);
 		}
 	}
 
-	/** Asks the leader until no request waits. */
+	/** Asks the leader until no request waits. A question that is not answered at once is followed by another one, since asking twice lends nothing more. */
 	async function askWhileWaiting(line: Line): Promise<void> {
 		line.isAsking = true;
 		while (line.waiters.size > 0) {
-			await ask(line);
-			serve(line);
+			const asked = [...line.waiters];
+			const askedAt = performance.now();
+			await Promise.race([ask(line), pause(askAgainMilliseconds)]);
+			if (asked.some(waiter => line.waiters.has(waiter))) {
+				await pause(askedAt + askAgainMilliseconds - performance.now());
+			}
 		}
 
 		line.isAsking = false;
--- a/source/program/quota.test.ts
+++ b/source/program/quota.test.ts
@@ -79,7 +79,7 @@
 		const startedAt = performance.now();
 		const texts = await sendMany('bound', 8);
 		expect(performance.now() - startedAt < 1000).toEqual(true);
-		expect(texts.filter(text => text.includes('guavadeck-reason: quota-unavailable')).length > 0).toEqual(true);
+		expect(texts.some(text => text.includes('guavadeck-reason: quota-unavailable'))).toEqual(true);
 		expect(count(texts, 200) + count(texts, 503)).toEqual(8);
 	});
 });
--- a/source/quota/quota-account.ts
+++ b/source/quota/quota-account.ts
@@ -12,11 +12,15 @@
 
 const millisecondsPerSecond = 1000;
 
-/** Share of the tokens that entries may hold which is lent for use to come. The rest is for requests that already wait. */
-const reservedForUseShare = 0.8;
+/**
+ * Tokens that are only lent to requests that already wait, as a multiple of the square root of those that entries may hold: so many standard deviations of
+ * a number of requests that arrive independently.
+ */
+const waitingDeviations = 2.5;
 
-/** Share of the bucket that is only lent to requests that wait, unless tokens are scarce. */
-const reservedForWaitingShare = 0.5;
+/** Tokens of the bucket that are only lent to requests that wait, and the largest share of it, unless the workspace sends more than its quota. */
+const waitingReserve = 10;
+const maximumWaitingReserveShare = 0.6;
 
 /** Share of the bucket that an entry with its share of the tokens may take only while no other lacks any. */
 const scarceBucketShare = 0.25;
@@ -61,7 +65,7 @@
 export type QuotaLoan = {
 	/** Tokens that were ever lent to the holder. */
 	readonly granted: number;
-	/** Time after which a token is likely to be available, if the holder wants one and has none; 0 otherwise. */
+	/** Time after which a token is likely to be available, if the quota is used up and the holder wants more; 0 otherwise. */
 	readonly retryMilliseconds: number;
 };
 
@@ -202,19 +206,29 @@
 	}
 
 	function getRoomForUse(now: number): RoomLimits {
-		return isScarce(now) ? getWholeRoom() : {maximum: limits.outstanding * reservedForUseShare, reserve: limits.bucket * reservedForWaitingShare};
+		return isOverused(now) ? getWholeRoom() : {maximum: getMaximumForUse(limits), reserve: Math.min(waitingReserve, limits.bucket * maximumWaitingReserveShare)};
+	}
+
+	/** Checks whether the quota itself allows nothing more, rather than what entries may hold at once. */
+	function isUsedUp(now: number): boolean {
+		return getRoom(now, {maximum: Number.POSITIVE_INFINITY, reserve: 0}) === 0;
 	}
 
 	function isScarce(now: number): boolean {
 		return now < scarceUntil;
 	}
 
+	/** Checks whether more requests arrive than the quota allows, so that those who have to be refused do not all ask. */
+	function isOverused(now: number): boolean {
+		return isScarce(now) && (use.get(now) / useMilliseconds) + (refusals.get(now) / millisecondsPerSecond) > limits.perMillisecond;
+	}
+
 	/** Gets the share of each holder: of what may be held for use to come, or of what is there while tokens are scarce. */
 	function getShares(now: number): HolderShares {
 		if (shares === undefined || now >= dividedAt + divisionMilliseconds) {
-			const total = isScarce(now)
+			const total = isOverused(now)
 				? outstanding + getRoom(now, getWholeRoom())
-				: Math.max(0, (limits.outstanding * reservedForUseShare) - unknown);
+				: Math.max(0, getMaximumForUse(limits) - unknown);
 			shares = createHolderShares([...holdings.values()].map(holding => getWanted(holding)), total);
 			dividedAt = now;
 		}
@@ -231,7 +245,7 @@
 	/** Gets how many tokens a holder gets for requests that wait. */
 	function getLoanForWaiting(holding: Holding, waiting: number, now: number): number {
 		const room = getRoom(now, getWholeRoom());
-		const isShareUsed = isScarce(now) && getHeld(holding) >= getShares(now).get(getWanted(holding));
+		const isShareUsed = isOverused(now) && getHeld(holding) >= getShares(now).get(getWanted(holding));
 		return isShareUsed && room < limits.bucket * scarceBucketShare ? 0 : Math.min(waiting, room);
 	}
 
@@ -248,18 +262,15 @@
 	}
 
 	/** Lends to requests that wait. The goal of the holder includes them. */
-	function lendToWaiting(holding: Holding, waiting: number, now: number): number {
+	function lendToWaiting(holding: Holding, waiting: number, now: number): void {
 		const missing = Math.min(waiting, holding.goal - holding.granted);
 		const tokens = getLoanForWaiting(holding, missing, now);
 		lend(holding, tokens);
-		if (tokens < missing) {
+		if (tokens < missing && (isOverused(now) || isUsedUp(now))) {
 			refusals.add(now, missing - tokens);
 			scarceUntil = now + scarcityMilliseconds;
 			shares = undefined;
-			return tokens === 0 ? getRetryMilliseconds(now) : 0;
 		}
-
-		return 0;
 	}
 
 	return {
@@ -272,13 +283,14 @@
 			}
 
 			refusals.add(now, refused);
-			const retryMilliseconds = waiting > 0 ? lendToWaiting(holding, waiting, now) : 0;
+			const grantedBefore = holding.granted;
+			lendToWaiting(holding, waiting, now);
 			if (!isEnding) {
 				lend(holding, getLoanForUse(holding, now));
 			}
 
-			const isUsedUp = isScarce(now) && getHeld(holding) === 0 && holding.goal > holding.granted;
-			return {granted: holding.granted, retryMilliseconds: isUsedUp && retryMilliseconds === 0 ? getRetryMilliseconds(now) : retryMilliseconds};
+			const isRefused = isScarce(now) && holding.granted === grantedBefore && holding.goal > holding.granted;
+			return {granted: holding.granted, retryMilliseconds: isRefused ? getRetryMilliseconds(now) : 0};
 		},
 		isWanting(holder) {
 			const holding = holdings.get(holder);
@@ -299,6 +311,11 @@
 	};
 }
 
+/** Gets how many tokens entries may hold together with those that are lent for use to come. */
+function getMaximumForUse({outstanding}: QuotaLimits): number {
+	return Math.max(0, outstanding - (waitingDeviations * Math.sqrt(outstanding)));
+}
+
 /** Gets the tokens that a holder may have. One that was lent more by an earlier leader than it reported may have spent more than it was lent. */
 function getHeld({granted, spent}: Holding): number {
 	return Math.max(0, granted - spent);
--- a/source/quota/quota-limits.ts
+++ b/source/quota/quota-limits.ts
@@ -6,8 +6,12 @@
 /** Share of the tolerated excess that accounts use. The rest covers what successive leaders lend within one term beyond what they know of each other. */
 const usedToleranceShare = 0.9;
 
-/** Share of the tolerated excess that the bucket may hold beyond the burst, so that a quota without a burst can be lent in whole tokens. */
-const bucketToleranceShare = 0.2;
+/**
+ * Tokens that the bucket may hold beyond the burst. Requests that arrive independently at 0.6 of the rate find so many of them used about once in 100,000
+ * times. A workspace with a small quota has at most a share of the tolerated excess for it.
+ */
+const bucketReserve = 15;
+const maximumBucketToleranceShare = 0.5;
 
 /** Share of the tolerated excess that a new leader may lend before it knows what entries hold from earlier leaders. Two leaders may do so within one term. */
 const headStartShare = 0.05;
@@ -70,13 +74,14 @@
 	const allowed = (requestsPerSecond * windowSeconds) + burst;
 	const excess = usedToleranceShare * ((overshoot * allowed) + slack);
 	const accrued = requestsPerSecond * windowSeconds;
-	const excessOutstanding = (1 - bucketToleranceShare) * excess;
+	const bucketExcess = Math.min(bucketReserve, maximumBucketToleranceShare * excess);
+	const excessOutstanding = excess - bucketExcess;
 	const outstanding = Math.max(excessOutstanding + (pauseWindowShare * accrued), Math.min(burst, excessOutstanding + (maximumPauseWindowShare * accrued)));
 	return {
 		perMillisecond: requestsPerSecond / millisecondsPerSecond,
 		windowMilliseconds: windowSeconds * millisecondsPerSecond,
 		window: Math.max(1, allowed + excess),
-		bucket: Math.max(1, burst + (bucketToleranceShare * excess)),
+		bucket: Math.max(1, burst + bucketExcess),
 		outstanding: Math.max(1, outstanding),
 		debt: outstanding - excessOutstanding,
 		headStart: Math.max(1, headStartShare * excess),
