--- a/source/control/message-fields.ts
+++ b/source/control/message-fields.ts
@@ -1,6 +1,6 @@
 /** Schemas of the parts that several messages between our own processes have. */
 import * as z from 'zod';
-import {numberField, textsField} from '../wire/index.js';
+import {numberField, numbersField, textsField} from '../wire/index.js';
 
 const count = numberField.optional();
 
@@ -83,7 +83,7 @@
 });
 
 /** Schema of the report on the tokens of one workspace. */
-export const quotaReportField = z.tuple([z.string(), numberField, numberField, numberField, numberField, numberField.optional()], z.unknown());
+export const quotaReportField = z.tuple([z.string(), numberField, numberField, numberField, numberField, numberField.optional(), numbersField.optional()], z.unknown());
 
 /** Schema of the tokens of one workspace that were lent. */
 export const quotaGrantField = z.tuple([z.string(), numberField, numberField.optional()], z.unknown());
--- a/source/control/quota-lending.ts
+++ b/source/control/quota-lending.ts
@@ -5,7 +5,7 @@
 import {type Environment, type EnvironmentDocument} from '../configuration/index.js';
 import {type Grant, type QuotaGrant, type Renewal} from '../lease/index.js';
 import {
-	createQuotaAccount, getLendingMilliseconds, getQuotaLimits, toHolderReport, type Quota, type QuotaAccount, type QuotaLoan, type QuotaTolerance,
+	createQuotaAccount, getQuotaLimits, lendingMilliseconds, toHolderReport, type Quota, type QuotaAccount, type QuotaLoan, type QuotaTolerance,
 } from '../quota/index.js';
 import {type ControlResponse, type QuotaQuestion} from './message.js';
 import {createQuotaUse, type QuotaUse} from './quota-use.js';
@@ -70,7 +70,6 @@
 	} = options;
 	const holders = new Map<string, Holder>();
 	const books: Readonly<Record<Environment, Book>> = {trial: createBook('trial'), production: createBook('production')};
-	const lendingMilliseconds = getLendingMilliseconds(tolerance);
 	let confirmedAt = startedAt;
 	let forgottenAt = startedAt;
 
--- a/source/entry/entrance/request-handler.ts
+++ b/source/entry/entrance/request-handler.ts
@@ -74,8 +74,8 @@
 		}
 
 		hasEnded = true;
-		token?.end(verdict.kind !== 'notRun');
 		const milliseconds = performance.now() - startedAt;
+		token?.end(verdict.kind !== 'notRun', startedAt + milliseconds);
 		trace.end(verdict, milliseconds);
 		context.onRequestEnd(service, verdict, milliseconds);
 	}
@@ -175,7 +175,7 @@
 
 			if (outcome.kind === 'replay') {
 				// The stored response was paid for by the request that ran.
-				token?.end(false);
+				token?.end(false, performance.now());
 				const {status, headers, body: storedBody} = outcome.response;
 				writeResponseHead(context.dialect, response, {status, headers: [...headers, 'guavadeck-replayed', 'true'], isCloseDelimited: false}, requestId, exchange.decideClose(false));
 				response.end(storedBody);
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -56,7 +56,7 @@
  * Report of an entry's process on its tokens of one workspace with a quota; see `HolderReport` in `quota/`. A list rather than named fields,
  * because every entry sends several of them with each renewal.
  */
-export type QuotaReport = readonly [workspace: string, granted: number, spent: number, unused: number, goal: number, earlier?: number];
+export type QuotaReport = readonly [workspace: string, granted: number, spent: number, unused: number, goal: number, held?: number, recent?: readonly number[]];
 
 /** Tokens of one workspace that were ever lent to an entry's process, and the time in milliseconds after which one is likely to be available if there is none. */
 export type QuotaGrant = readonly [workspace: string, granted: number, retryMilliseconds?: number];
--- a/source/quota/holder-report.ts
+++ b/source/quota/holder-report.ts
@@ -1,5 +1,16 @@
 /** What a process of an entry reports to the leader about its tokens of one workspace. */
 
+/** What a process had from earlier leaders when it went over to the present one. */
+export type EarlierTokens = {
+	/** Tokens that the last of them at least counted as held. */
+	readonly held: number;
+	/** Tokens spent in each of the last steps of `spendingStepMilliseconds`, the newest step first. */
+	readonly recent: readonly number[];
+};
+
+/** Length of the steps in which a process states what it has spent. */
+export const spendingStepMilliseconds = 500;
+
 /** Report of a holder. All numbers count from the start of the process, so that a report that is lost, late or doubled changes nothing. */
 export type HolderReport = {
 	/** Tokens that were ever lent to the process. */
@@ -10,6 +21,6 @@
 	readonly unused: number;
 	/** What `granted` has to become for the process to hold the tokens that it wants. */
 	readonly goal: number;
-	/** Tokens that the leader before the present one at least counted as held by the process, when the process went over to the present one. */
-	readonly earlier?: number;
+	/** What the process has from earlier leaders; missing once the present one knows it. */
+	readonly earlier?: EarlierTokens;
 };
--- a/source/quota/index.ts
+++ b/source/quota/index.ts
@@ -1,4 +1,4 @@
-export type * from './holder-report.js';
+export * from './holder-report.js';
 export * from './quota-account.js';
 export * from './quota-limits.js';
 export * from './quota-message.js';
--- a/source/quota/quota-account.ts
+++ b/source/quota/quota-account.ts
@@ -6,7 +6,8 @@
  */
 import {createConfirmedBucket} from './confirmed-bucket.js';
 import {createHolderShares, type HolderShares} from './holder-shares.js';
-import {type HolderReport} from './holder-report.js';
+import {type EarlierTokens, type HolderReport} from './holder-report.js';
+import {createQuotaInheritance} from './quota-inheritance.js';
 import {type QuotaLimits} from './quota-limits.js';
 import {createRecentCount} from './recent-count.js';
 
@@ -104,7 +105,11 @@
 	unused: number;
 	goal: number;
 	/** Tokens that it held when it first reported. */
-	inherited: number;
+	readonly heldAtFirst: number;
+	/** Tokens that it has spent since. */
+	counted: number;
+	/** Tokens that this leader has lent to it. */
+	lent: number;
 	/** Whether what it has from an earlier leader is no longer part of what is unknown. */
 	isEarlierKnown: boolean;
 };
@@ -118,15 +123,17 @@
 	const holdings = new Map<string, Holding>();
 	const use = createRecentCount(useMilliseconds);
 	const refusals = createRecentCount(millisecondsPerSecond);
-	const unknownUntil = startedAt + termMilliseconds;
 	let {limits} = options;
+	/** Tokens spent since the start, as far as holders have reported. */
 	let spent = createRecentCount(limits.windowMilliseconds);
 	const bucket = createConfirmedBucket({
-		perMillisecond: limits.perMillisecond, capacity: limits.bucket, startedAt, level: hasPredecessor ? -limits.debt : limits.bucket,
+		perMillisecond: limits.perMillisecond, capacity: limits.bucket, startedAt, level: hasPredecessor ? 0 : limits.bucket,
 	});
-	/** Tokens that entries may hold from earlier leaders and have not reported. */
-	let unknown = hasPredecessor ? limits.outstanding : 0;
+	const inheritance = createQuotaInheritance({limits, startedAt, termMilliseconds, hasPredecessor});
 	let outstanding = 0;
+	/** Tokens lent since the start, less those given back. */
+	let lent = 0;
+	let confirmedAt = startedAt;
 	let sweptAt = Number.NEGATIVE_INFINITY;
 	let scarceUntil = Number.NEGATIVE_INFINITY;
 	let shares: HolderShares | undefined;
@@ -134,11 +141,6 @@
 
 	/** Counts as spent what nobody can use any more, because the leases under which it was held have ended. */
 	function sweep(now: number): void {
-		if (unknown > 0 && now >= unknownUntil) {
-			spent.add(now, unknown);
-			unknown = 0;
-		}
-
 		if (now < sweptAt + sweepMilliseconds) {
 			return;
 		}
@@ -156,26 +158,23 @@
 	function addHolding(holder: string, report: HolderReport): Holding {
 		const {granted, spent: reported, unused, goal} = report;
 		const holding: Holding = {
-			granted, spent: reported, unused, goal, inherited: 0, isEarlierKnown: false,
+			granted, spent: reported, unused, goal, heldAtFirst: Math.max(0, granted - reported), counted: 0, lent: 0, isEarlierKnown: false,
 		};
-		holding.inherited = getHeld(holding);
 		holdings.set(holder, holding);
-		outstanding += holding.inherited;
+		outstanding += holding.heldAtFirst;
 		return holding;
 	}
 
-	/** Applies what a holder has from an earlier leader. What it spent of that before its first report is not counted yet. */
-	function applyEarlier(holding: Holding, earlier: number, now: number): void {
-		if (!holding.isEarlierKnown && unknown > 0) {
+	/** Applies what a holder has from earlier leaders. What it spent before its first report was not counted by this one. */
+	function applyEarlier(holding: Holding, earlier: EarlierTokens, now: number): void {
+		if (!holding.isEarlierKnown) {
 			holding.isEarlierKnown = true;
-			unknown = Math.max(0, unknown - earlier);
-			spent.add(now, Math.max(0, earlier - holding.inherited));
+			inheritance.learn(earlier, {held: getHeld(holding), heldAtFirst: holding.heldAtFirst, counted: holding.counted, lent: holding.lent, now});
 		}
 	}
 
 	function applyReport(holder: string, report: HolderReport, now: number): Holding {
 		const holding = holdings.get(holder) ?? addHolding(holder, report);
-		applyEarlier(holding, report.earlier ?? 0, now);
 		const heldBefore = getHeld(holding);
 		const givenBack = Math.max(0, report.unused - holding.unused);
 		const used = Math.max(0, report.spent - holding.spent - givenBack);
@@ -185,20 +184,21 @@
 		const returned = heldBefore - getHeld(holding);
 		outstanding -= returned;
 		bucket.putBack(Math.min(givenBack, returned));
+		lent -= Math.min(givenBack, returned);
 		spent.add(now, used);
 		use.add(now, used);
+		holding.counted += used;
+		if (report.earlier !== undefined) {
+			applyEarlier(holding, report.earlier, now);
+		}
+
 		return holding;
 	}
 
 	/** Gets how many tokens may be lent, while entries may hold a number of tokens and some stay in the bucket. */
 	function getRoom(now: number, {maximum, reserve}: RoomLimits): number {
-		const held = outstanding + unknown;
-		const headStart = now < unknownUntil && hasPredecessor ? limits.headStart : 0;
-		return Math.max(0, Math.floor(roundingError + Math.min(
-			bucket.getUsable() - reserve,
-			maximum + headStart - held,
-			limits.window - held - spent.get(now),
-		)));
+		const {held, window} = inheritance.getRoom({outstanding, spent: spent.get(now), lent, confirmedAt, now});
+		return Math.max(0, Math.floor(roundingError + Math.min(bucket.getUsable() - reserve, maximum - limits.outstanding + held, window)));
 	}
 
 	function getWholeRoom(): RoomLimits {
@@ -211,7 +211,7 @@
 
 	/** Checks whether the quota itself allows nothing more, rather than what entries may hold at once. */
 	function isUsedUp(now: number): boolean {
-		return getRoom(now, {maximum: Number.POSITIVE_INFINITY, reserve: 0}) === 0;
+		return !inheritance.isUnknown(now) && getRoom(now, {maximum: Number.POSITIVE_INFINITY, reserve: 0}) === 0;
 	}
 
 	function isScarce(now: number): boolean {
@@ -228,7 +228,7 @@
 		if (shares === undefined || now >= dividedAt + divisionMilliseconds) {
 			const total = isOverused(now)
 				? outstanding + getRoom(now, getWholeRoom())
-				: Math.max(0, getMaximumForUse(limits) - unknown);
+				: getMaximumForUse(limits);
 			shares = createHolderShares([...holdings.values()].map(holding => getWanted(holding)), total);
 			dividedAt = now;
 		}
@@ -254,6 +254,8 @@
 		holding.granted += tokens;
 		outstanding += getHeld(holding) - heldBefore;
 		bucket.take(tokens);
+		lent += tokens;
+		holding.lent += tokens;
 	}
 
 	function getRetryMilliseconds(now: number): number {
@@ -274,7 +276,8 @@
 	}
 
 	return {
-		exchange({holder, report, waiting = 0, refused = 0, isEnding = false, now, confirmedAt}) {
+		exchange({holder, report, waiting = 0, refused = 0, isEnding = false, now, confirmedAt: nextConfirmedAt}) {
+			confirmedAt = nextConfirmedAt;
 			sweep(now);
 			bucket.advance(now, confirmedAt);
 			const holding = report === undefined ? holdings.get(holder) : applyReport(holder, report, now);
@@ -302,7 +305,7 @@
 			}
 
 			limits = next;
-			unknown = Math.min(unknown, limits.outstanding);
+			inheritance.configure(limits);
 			bucket.configure(limits.perMillisecond, limits.bucket);
 			shares = undefined;
 		},
--- a/source/quota/quota-limits.ts
+++ b/source/quota/quota-limits.ts
@@ -17,13 +17,16 @@
 const headStartShare = 0.05;
 
 /**
- * Share of a window for which a new leader lends nothing, so that entries may hold as much more as accrues in that time. More tokens at entries save
- * them questions.
+ * Share of what accrues in a window that entries may hold. A new leader that learns nothing from entries pauses until as much has accrued. More tokens at
+ * entries save them questions.
  */
-const pauseWindowShare = 0.05;
+const debtWindowShare = 0.2;
 
-/** Largest such share, where entries would otherwise hold fewer tokens than a burst needs at once. */
-const maximumPauseWindowShare = 0.2;
+/**
+ * Time in milliseconds after its last confirmation for which a leader lends, and for which a new one does not, so that no two lend at the same time. A
+ * confirmation takes a heartbeat.
+ */
+export const lendingMilliseconds = 150;
 
 /** Quota of a workspace: requests per second, and requests that may exceed the rate at once. */
 export type Quota = NonNullable<Workspace['quota']>;
@@ -48,21 +51,12 @@
 	readonly bucket: number;
 	/** Tokens that entries may hold. */
 	readonly outstanding: number;
-	/** Tokens that a new leader lends less than accrue, once. */
+	/** Tokens that a new leader lends less than accrue, once, unless it learns from entries what they have spent. */
 	readonly debt: number;
 	/** Tokens by which a new leader may exceed `outstanding` while it does not know what entries hold. */
 	readonly headStart: number;
 };
 
-/**
- * Gets the time after its last confirmation for which a leader may lend. It is the time for which a new leader lends nothing, so that no tokens of
- * an earlier leader's bucket are lent beside those of a later one.
- * @param tolerance - Tolerance of the deployment.
- */
-export function getLendingMilliseconds({windowSeconds}: QuotaTolerance): number {
-	return windowSeconds * millisecondsPerSecond * pauseWindowShare;
-}
-
 /**
  * Gets the limits of an account. In any window, at most what entries hold at its start, what the bucket holds then and what accrues can run;
  * `window` bounds that directly within one leadership, and `outstanding`, `bucket` and `debt` bound it across leaders. Each limit is one token at
@@ -73,17 +67,16 @@
 export function getQuotaLimits({requestsPerSecond, burst}: Quota, {windowSeconds, overshoot, slack}: QuotaTolerance): QuotaLimits {
 	const allowed = (requestsPerSecond * windowSeconds) + burst;
 	const excess = usedToleranceShare * ((overshoot * allowed) + slack);
-	const accrued = requestsPerSecond * windowSeconds;
 	const bucketExcess = Math.min(bucketReserve, maximumBucketToleranceShare * excess);
 	const excessOutstanding = excess - bucketExcess;
-	const outstanding = Math.max(excessOutstanding + (pauseWindowShare * accrued), Math.min(burst, excessOutstanding + (maximumPauseWindowShare * accrued)));
+	const debt = requestsPerSecond * windowSeconds * debtWindowShare;
 	return {
 		perMillisecond: requestsPerSecond / millisecondsPerSecond,
 		windowMilliseconds: windowSeconds * millisecondsPerSecond,
 		window: Math.max(1, allowed + excess),
 		bucket: Math.max(1, burst + bucketExcess),
-		outstanding: Math.max(1, outstanding),
-		debt: outstanding - excessOutstanding,
+		outstanding: Math.max(1, excessOutstanding + debt),
+		debt,
 		headStart: Math.max(1, headStartShare * excess),
 	};
 }
--- a/source/quota/quota-tokens.ts
+++ b/source/quota/quota-tokens.ts
@@ -90,7 +90,7 @@
 		}
 
 		epoch = next;
-		isOwed = getHeld() > 0;
+		isOwed = holders.size > 0;
 	}
 
 	function applyTold({sequence, epoch: leaderEpoch, quota = []}: Pick<Grant, 'sequence' | 'epoch' | 'quota'>, now: number): void {
--- a/source/quota/recent-count.ts
+++ b/source/quota/recent-count.ts
@@ -5,48 +5,54 @@
 
 /** Count of a recent time. */
 export type RecentCount = {
-	add(now: number, amount: number): void;
+	/** Counts an amount at a time, which may be past. */
+	add(at: number, amount: number): void;
 	get(now: number): number;
 	clear(): void;
 };
 
-type Step = {readonly from: number; until: number; amount: number};
-
 /**
  * Creates a count of nothing.
  * @param milliseconds - Time for which an amount counts.
  */
 export function createRecentCount(milliseconds: number): RecentCount {
 	const stepMilliseconds = milliseconds / stepCount;
-	let steps: Step[] = [];
+	const amounts = new Map<number, number>();
 	let sum = 0;
+	let removedStep = Number.NEGATIVE_INFINITY;
 
+	/** Removes the steps that ended before the counted time. */
 	function removePast(now: number): void {
-		const first = steps[0];
-		if (first !== undefined && first.until + milliseconds < now) {
-			steps = steps.filter(({until}) => until + milliseconds >= now);
-			sum = steps.reduce((total, {amount}) => total + amount, 0);
+		const lastPastStep = Math.ceil(now / stepMilliseconds) - stepCount - 1;
+		if (lastPastStep === removedStep) {
+			return;
 		}
-	}
 
-	return {
-		add(now, amount) {
-			const last = steps.at(-1);
-			if (last !== undefined && now < last.from + stepMilliseconds) {
-				last.until = now;
-				last.amount += amount;
+		removedStep = lastPastStep;
+		sum = 0;
+		for (const [step, amount] of amounts) {
+			if (step <= lastPastStep) {
+				amounts.delete(step);
 			} else {
-				steps.push({from: now, until: now, amount});
+				sum += amount;
 			}
+		}
+	}
 
-			sum += amount;
+	return {
+		add(at, amount) {
+			const step = Math.ceil(at / stepMilliseconds);
+			if (amount > 0 && step > removedStep) {
+				amounts.set(step, (amounts.get(step) ?? 0) + amount);
+				sum += amount;
+			}
 		},
 		get(now) {
 			removePast(now);
 			return sum;
 		},
 		clear() {
-			steps = [];
+			amounts.clear();
 			sum = 0;
 		},
 	};
--- a/source/quota/token-holder.ts
+++ b/source/quota/token-holder.ts
@@ -3,7 +3,8 @@
  * run, and free again if not. The leader counts a token as held until it is reported as spent, so what runs never exceeds what is counted.
  */
 import {createDemandMeter} from './demand-meter.js';
-import {type HolderReport} from './holder-report.js';
+import {type EarlierTokens, type HolderReport} from './holder-report.js';
+import {createSpendingHistory} from './spending-history.js';
 
 /** Free tokens beyond the wanted ones that are kept, so that a rate that varies a little causes no reports. */
 const keptSurplus = 1;
@@ -21,7 +22,7 @@
 	/** Checks whether `tryUse` would succeed. */
 	isValid(now: number): boolean;
 	/** Ends the use of the token by its request. Only the first call counts. */
-	end(mayHaveRun: boolean): void;
+	end(mayHaveRun: boolean, now: number): void;
 };
 
 /** What a leader states about the tokens of a holder. */
@@ -69,6 +70,9 @@
 /** Creates a holder without tokens. */
 export function createTokenHolder(): TokenHolder {
 	const demand = createDemandMeter();
+	/** Term of the leader that stated `granted`. */
+	let toldEpoch = 0;
+	/** Term of the leader that the holder deals with, after which it sends nothing to earlier ones. */
 	let epoch = 0;
 	let granted = 0;
 	let spent = 0;
@@ -77,7 +81,9 @@
 	let wanted = 0;
 	/** Largest number of spent tokens that any leader can have received. */
 	let sent = 0;
-	let earlier = 0;
+	/** Tokens that the last leader at least counted as held, until the present one knows what this process had from earlier ones. */
+	let earlierHeld: number | undefined;
+	const history = createSpendingHistory();
 	/** Number of revocations; tokens that were taken before the last one are void. */
 	let revocations = 0;
 	let endsAt = Number.POSITIVE_INFINITY;
@@ -109,8 +115,17 @@
 	}
 
 	function goOver(nextEpoch: number): void {
-		earlier = Math.max(0, granted - sent);
-		epoch = nextEpoch;
+		if (nextEpoch > epoch) {
+			earlierHeld = epoch === 0 ? undefined : Math.max(0, granted - sent);
+			epoch = nextEpoch;
+			acknowledgedKey = undefined;
+		}
+	}
+
+	/** Records that a leader knows what the holder has. */
+	function recordKnown(leaderEpoch: number): void {
+		goOver(leaderEpoch);
+		toldEpoch = leaderEpoch;
 		endsAt = Number.POSITIVE_INFINITY;
 	}
 
@@ -130,7 +145,11 @@
 				isUsed = isValid(now);
 				return isUsed;
 			},
-			end(mayHaveRun) {
+			end(mayHaveRun, now) {
+				if (!hasEnded && mayHaveRun) {
+					history.record(now);
+				}
+
 				if (!hasEnded && takenAfter === revocations) {
 					taken--;
 					spent += mayHaveRun ? 1 : 0;
@@ -141,6 +160,11 @@
 		};
 	}
 
+	function getEarlier(now: number): {readonly earlier?: EarlierTokens} {
+		const recent = earlierHeld === undefined ? [] : history.get(now);
+		return earlierHeld === undefined || (earlierHeld === 0 && recent.length === 0) ? {} : {earlier: {held: earlierHeld, recent}};
+	}
+
 	/** Updates how many free tokens are wanted. A rate that falls a little changes nothing. */
 	function updateWanted(now: number): void {
 		const next = demand.isExpected(now) ? Math.ceil(demand.getRate(now) - negligibleRate) + 1 : 0;
@@ -169,7 +193,7 @@
 			}
 
 			return {
-				granted, spent, unused, goal: spent + taken + wanted + waiting, ...(earlier > 0 ? {earlier} : {}),
+				granted, spent, unused, goal: spent + taken + wanted + waiting, ...getEarlier(now),
 			};
 		},
 		recordSent(report) {
@@ -181,29 +205,25 @@
 				return;
 			}
 
+			recordKnown(leaderEpoch);
 			acknowledgedKey = sentReport.key;
-			if (leaderEpoch > epoch) {
-				goOver(leaderEpoch);
-			} else if (sentReport.epoch === epoch) {
-				earlier = 0;
+			if (sentReport.epoch === epoch) {
+				earlierHeld = undefined;
 			}
 		},
 		isReportDue(report) {
 			const isKnown = acknowledgedKey === undefined ? report.granted === report.spent && report.goal === report.spent : acknowledgedKey === getKey(report);
-			return earlier > 0 || !isKnown;
+			return report.earlier !== undefined || !isKnown;
 		},
 		apply(grant, now) {
 			if (grant.epoch < epoch) {
 				return;
 			}
 
-			if (grant.epoch > epoch) {
-				goOver(grant.epoch);
-				acknowledgedKey = undefined;
-				granted = grant.granted;
-			}
-
-			granted = Math.max(granted, grant.granted);
+			// What the holder has from earlier leaders is recorded before the number of the new one replaces theirs.
+			goOver(grant.epoch);
+			granted = grant.epoch > toldEpoch ? grant.granted : Math.max(granted, grant.granted);
+			recordKnown(grant.epoch);
 			if (getFree() > 0) {
 				usedUpUntil = Number.NEGATIVE_INFINITY;
 			} else if (grant.retryMilliseconds > 0) {
@@ -212,8 +232,8 @@
 			}
 		},
 		beginEpoch(nextEpoch, earlierLeaseEndsAt) {
-			if (nextEpoch > epoch) {
-				acknowledgedKey = undefined;
+			if (nextEpoch > toldEpoch) {
+				goOver(nextEpoch);
 				endsAt = Math.min(endsAt, earlierLeaseEndsAt);
 			}
 		},
--- a/stand-in/model/quota-entry.ts
+++ b/stand-in/model/quota-entry.ts
@@ -31,6 +31,8 @@
 	handle(workspace: string): void;
 	/** Applies a grant, once the entry runs. */
 	receive(grant: QuotaModelGrant): void;
+	/** Renews at once. */
+	nudge(): void;
 	freeze(milliseconds: number): void;
 	kill(): void;
 	isAlive(): boolean;
@@ -173,7 +175,7 @@
 				}
 
 				runLater(mayRun ? serviceMilliseconds : 1, () => {
-					token.end(mayRun);
+					token.end(mayRun, performance.now());
 				});
 			});
 		},
@@ -182,6 +184,9 @@
 				applyGrant(grant);
 			});
 		},
+		nudge() {
+			runLater(0, renew);
+		},
 		freeze(milliseconds) {
 			frozenUntil = performance.now() + milliseconds;
 		},
--- a/stand-in/model/quota-system.ts
+++ b/stand-in/model/quota-system.ts
@@ -121,9 +121,22 @@
 		started.workspaces = workspaces;
 		leaders.push(started);
 		current = started;
+		nudge(started);
 		return started;
 	}
 
+	/** Tells the entries that a leader reaches of its start. */
+	function nudge(leader: Leader): void {
+		for (const member of members) {
+			send(() => {
+				if (isReached(member, leader)) {
+					member.leader = leader;
+					member.model.nudge();
+				}
+			});
+		}
+	}
+
 	const documents = new Map<readonly Workspace[], {readonly workspaces: readonly Workspace[]}>();
 	function getDocument(list: readonly Workspace[]): {readonly workspaces: readonly Workspace[]} {
 		const document = documents.get(list) ?? {workspaces: list};
@@ -249,8 +262,8 @@
 		return model;
 	}
 
-	startLeader(false);
 	const members: Member[] = [];
+	startLeader(false);
 	for (let number = 0; number < options.entryCount; number++) {
 		members.push({
 			model: startEntry(number, 0), leader: undefined, cutUntil: 0, reaches: undefined, generation: 0,
