--- a/source/control/message-fields.ts
+++ b/source/control/message-fields.ts
@@ -82,8 +82,16 @@
 	server: numberField, slots: numberField, requestsPerSecond: count, capacity: capacity.optional(),
 });
 
+const earlierTokens = z.looseObject({
+	held: numberField,
+	recent: numbersField,
+	told: z.looseObject({
+		total: numberField, held: numberField, age: numberField, requestsPerSecond: numberField,
+	}).optional(),
+});
+
 /** Schema of the report on the tokens of one workspace. */
-export const quotaReportField = z.tuple([z.string(), numberField, numberField, numberField, numberField, numberField.optional(), numbersField.optional()], z.unknown());
+export const quotaReportField = z.tuple([z.string(), numberField, numberField, numberField, numberField, earlierTokens.optional()], z.unknown());
 
 /** Schema of the tokens of one workspace that were lent. */
-export const quotaGrantField = z.tuple([z.string(), numberField, numberField.optional()], z.unknown());
+export const quotaGrantField = z.tuple([z.string(), numberField, numberField, numberField, numberField.optional()], z.unknown());
--- a/source/control/message.ts
+++ b/source/control/message.ts
@@ -71,7 +71,7 @@
 		| {readonly kind: 'history'; readonly versions: readonly Version[]}
 		| {readonly kind: 'inForce'; readonly isInForce: boolean}
 		| {readonly kind: 'status'; readonly status: ClusterStatus}
-		| {readonly kind: 'quota'; readonly epoch: number; readonly granted: number; readonly retryMilliseconds: number}
+		| {readonly kind: 'quota'; readonly epoch: number; readonly granted: number; readonly total: number; readonly held: number; readonly retryMilliseconds: number}
 		| {readonly kind: 'notLeader'; readonly leader: string | undefined}
 	/** It is not known whether the request has taken effect. */
 		| {readonly kind: 'unknown'};
--- a/source/control/quota-lending.ts
+++ b/source/control/quota-lending.ts
@@ -142,7 +142,7 @@
 	}
 
 	/** Gets what a grant tells of a workspace: what the process may not know, as far as it has reported or acknowledged. */
-	function tell(holder: Holder, {sequence, acknowledged}: Renewal, {workspace, granted, retryMilliseconds, reported}: Telling): readonly QuotaGrant[] {
+	function tell(holder: Holder, {sequence, acknowledged}: Renewal, {workspace, granted, totals, retryMilliseconds, reported}: Telling): readonly QuotaGrant[] {
 		const told = holder.told.get(workspace);
 		const isTold = reported === undefined ? told?.granted === granted && acknowledged >= told.sequence : reported === granted;
 		if (isTold) {
@@ -151,11 +151,12 @@
 			holder.told.set(workspace, {granted, sequence});
 		}
 
+		const {total, held} = totals;
 		if (retryMilliseconds > 0) {
-			return [[workspace, granted, retryMilliseconds]];
+			return [[workspace, granted, total, held, retryMilliseconds]];
 		}
 
-		return isTold ? [] : [[workspace, granted]];
+		return isTold ? [] : [[workspace, granted, total, held]];
 	}
 
 	function getReportedGrants(book: Book, holder: Holder, renewal: Renewal, now: number): readonly QuotaGrant[] {
@@ -234,7 +235,10 @@
 				holder.told.set(workspace, {granted: loan.granted, sequence: Number.POSITIVE_INFINITY});
 			}
 
-			return {kind: 'quota', epoch, ...loan};
+			const {granted, totals, retryMilliseconds} = loan;
+			return {
+				kind: 'quota', epoch, granted, ...totals, retryMilliseconds,
+			};
 		},
 		getOutstanding() {
 			const accounts = Object.values(books).flatMap(({accounts}) => [...accounts.values()]);
--- a/source/entry/lease/grant-application.ts
+++ b/source/entry/lease/grant-application.ts
@@ -73,7 +73,9 @@
 	const mayUsePermits = readiness.mayUsePermits(lease.getRenewedAt());
 	fleet.setPermits(mayUsePermits ? grant.permits : []);
 	slackPart?.apply(mayUsePermits ? grant.slack : undefined);
-	quotaTokens?.applyGrant(grant, {now: performance.now(), leaseEndsAt: lease.getExpiresAt(), mayUse: mayUsePermits});
+	quotaTokens?.applyGrant(grant, {
+		now: performance.now(), renewedAt: lease.getRenewedAt(), leaseEndsAt: lease.getExpiresAt(), mayUse: mayUsePermits,
+	});
 	state.aboveShare = grant.aboveShare === undefined ? state.aboveShare : new Set(grant.aboveShare);
 	if (grant.peers !== undefined) {
 		fleet.setConnectionShare(grant.peers.length + 1);
--- a/source/entry/requests/quota-gate.ts
+++ b/source/entry/requests/quota-gate.ts
@@ -148,7 +148,10 @@
 		}, maximumWaitMilliseconds);
 		metrics.countQuotaQuestion(answer.kind === 'quota');
 		if (answer.kind === 'quota') {
-			tokens.applyAnswer(line.workspace, sent, answer, {now: performance.now(), mayUse: options.mayUseAnswer(askedAt)});
+			const {epoch: leaderEpoch, granted, total, held, retryMilliseconds} = answer;
+			tokens.applyAnswer(line.workspace, sent, {
+				epoch: leaderEpoch, granted, totals: {total, held}, askedAt, retryMilliseconds,
+			}, {now: performance.now(), mayUse: options.mayUseAnswer(askedAt)});
 			serve(line);
 		}
 	}
--- a/source/lease/message.ts
+++ b/source/lease/message.ts
@@ -52,14 +52,24 @@
 	readonly isKept?: true;
 };
 
+/** What an entry's process has from earlier leaders of its tokens of a workspace; see `EarlierTokens` in `quota/`. */
+export type EarlierQuotaReport = {
+	readonly held: number;
+	readonly recent: readonly number[];
+	readonly told?: {readonly total: number; readonly held: number; readonly age: number; readonly requestsPerSecond: number};
+};
+
 /**
  * Report of an entry's process on its tokens of one workspace with a quota; see `HolderReport` in `quota/`. A list rather than named fields,
  * because every entry sends several of them with each renewal.
  */
-export type QuotaReport = readonly [workspace: string, granted: number, spent: number, unused: number, goal: number, held?: number, recent?: readonly number[]];
+export type QuotaReport = readonly [workspace: string, granted: number, spent: number, unused: number, goal: number, earlier?: EarlierQuotaReport];
 
-/** Tokens of one workspace that were ever lent to an entry's process, and the time in milliseconds after which one is likely to be available if there is none. */
-export type QuotaGrant = readonly [workspace: string, granted: number, retryMilliseconds?: number];
+/**
+ * Tokens of one workspace that were ever lent to an entry's process, what the leader counts over all (see `QuotaTotals`), and the time in milliseconds
+ * after which a token is likely to be available if the quota is used up.
+ */
+export type QuotaGrant = readonly [workspace: string, granted: number, total: number, held: number, retryMilliseconds?: number];
 
 /** Request for a lease or its renewal. */
 export type Renewal = {
--- a/source/quota/confirmed-bucket.ts
+++ b/source/quota/confirmed-bucket.ts
@@ -12,6 +12,8 @@
 	advance(now: number, confirmedAt: number): void;
 	/** Gets the tokens that may be lent, which are negative while a debt is left. */
 	getUsable(): number;
+	/** Gets all tokens, also those that are not confirmed. */
+	getLevel(): number;
 	take(tokens: number): void;
 	/** Puts back tokens that were lent and not used. */
 	putBack(tokens: number): void;
@@ -80,6 +82,7 @@
 			}
 		},
 		getUsable: () => level - unconfirmed,
+		getLevel: () => level,
 		take(tokens) {
 			level -= tokens;
 		},
--- a/source/quota/holder-report.ts
+++ b/source/quota/holder-report.ts
@@ -1,9 +1,19 @@
 /** What a process of an entry reports to the leader about its tokens of one workspace. */
 
+/** What a leader counts over all holders of a workspace, with what it may lend at once. */
+export type QuotaTotals = {
+	/** Tokens that are held or were spent in the last window. */
+	readonly total: number;
+	/** Tokens that are held. */
+	readonly held: number;
+};
+
 /** What a process had from earlier leaders when it went over to the present one. */
 export type EarlierTokens = {
-	/** Tokens that the last of them at least counted as held. */
+	/** Tokens that the last of them at least counted as held by the process. */
 	readonly held: number;
+	/** What one of them last told of all holders, no less than its age in milliseconds, and the requests per second that were allowed then. */
+	readonly told?: QuotaTotals & {readonly age: number; readonly requestsPerSecond: number};
 	/** Tokens spent in each of the last steps of `spendingStepMilliseconds`, the newest step first. */
 	readonly recent: readonly number[];
 };
--- a/source/quota/quota-account.ts
+++ b/source/quota/quota-account.ts
@@ -6,19 +6,13 @@
  */
 import {createConfirmedBucket} from './confirmed-bucket.js';
 import {createHolderShares, type HolderShares} from './holder-shares.js';
-import {type EarlierTokens, type HolderReport} from './holder-report.js';
+import {type EarlierTokens, type HolderReport, type QuotaTotals} from './holder-report.js';
 import {createQuotaInheritance} from './quota-inheritance.js';
 import {type QuotaLimits} from './quota-limits.js';
 import {createRecentCount} from './recent-count.js';
 
 const millisecondsPerSecond = 1000;
 
-/**
- * Tokens that are only lent to requests that already wait, as a multiple of the square root of those that entries may hold: so many standard deviations of
- * a number of requests that arrive independently.
- */
-const waitingDeviations = 2.5;
-
 /** Tokens of the bucket that are only lent to requests that wait, and the largest share of it, unless the workspace sends more than its quota. */
 const waitingReserve = 10;
 const maximumWaitingReserveShare = 0.6;
@@ -66,6 +60,8 @@
 export type QuotaLoan = {
 	/** Tokens that were ever lent to the holder. */
 	readonly granted: number;
+	/** What the account counts over all holders, with what it may lend at once. */
+	readonly totals: QuotaTotals;
 	/** Time after which a token is likely to be available, if the quota is used up and the holder wants more; 0 otherwise. */
 	readonly retryMilliseconds: number;
 };
@@ -206,7 +202,7 @@
 	}
 
 	function getRoomForUse(now: number): RoomLimits {
-		return isOverused(now) ? getWholeRoom() : {maximum: getMaximumForUse(limits), reserve: Math.min(waitingReserve, limits.bucket * maximumWaitingReserveShare)};
+		return isOverused(now) ? getWholeRoom() : {maximum: limits.outstandingForUse, reserve: Math.min(waitingReserve, limits.bucket * maximumWaitingReserveShare)};
 	}
 
 	/** Checks whether the quota itself allows nothing more, rather than what entries may hold at once. */
@@ -214,6 +210,12 @@
 		return !inheritance.isUnknown(now) && getRoom(now, {maximum: Number.POSITIVE_INFINITY, reserve: 0}) === 0;
 	}
 
+	function getTotals(now: number): QuotaTotals {
+		const {total, held} = inheritance.getTotals({outstanding, spent: spent.get(now), now});
+		const level = Math.max(0, bucket.getLevel());
+		return {total: Math.ceil(total + level), held: Math.ceil(held + level)};
+	}
+
 	function isScarce(now: number): boolean {
 		return now < scarceUntil;
 	}
@@ -228,7 +230,7 @@
 		if (shares === undefined || now >= dividedAt + divisionMilliseconds) {
 			const total = isOverused(now)
 				? outstanding + getRoom(now, getWholeRoom())
-				: getMaximumForUse(limits);
+				: limits.outstandingForUse;
 			shares = createHolderShares([...holdings.values()].map(holding => getWanted(holding)), total);
 			dividedAt = now;
 		}
@@ -293,7 +295,7 @@
 			}
 
 			const isRefused = isScarce(now) && holding.granted === grantedBefore && holding.goal > holding.granted;
-			return {granted: holding.granted, retryMilliseconds: isRefused ? getRetryMilliseconds(now) : 0};
+			return {granted: holding.granted, totals: getTotals(now), retryMilliseconds: isRefused ? getRetryMilliseconds(now) : 0};
 		},
 		isWanting(holder) {
 			const holding = holdings.get(holder);
@@ -314,11 +316,6 @@
 	};
 }
 
-/** Gets how many tokens entries may hold together with those that are lent for use to come. */
-function getMaximumForUse({outstanding}: QuotaLimits): number {
-	return Math.max(0, outstanding - (waitingDeviations * Math.sqrt(outstanding)));
-}
-
 /** Gets the tokens that a holder may have. One that was lent more by an earlier leader than it reported may have spent more than it was lent. */
 function getHeld({granted, spent}: Holding): number {
 	return Math.max(0, granted - spent);
--- a/source/quota/quota-inheritance.ts
+++ b/source/quota/quota-inheritance.ts
@@ -5,13 +5,15 @@
  * counts what entries may hold until the leases of earlier leaders have ended.
  *
  * The second one goes by what processes report. Whatever earlier leaders lent, at most `window` tokens were held then or spent within the last window. What
- * processes report of both is known; the rest counts as unknown. So the leader may lend what is spent and ages out of the window, which is as much as
- * entries have used before.
+ * processes report of both is known; the rest counts as unknown. Processes also report what earlier leaders told them of all holders, which leaves
+ * little unknown.
  */
-import {type EarlierTokens, spendingStepMilliseconds} from './holder-report.js';
+import {type EarlierTokens, type QuotaTotals, spendingStepMilliseconds} from './holder-report.js';
 import {lendingMilliseconds, type QuotaLimits} from './quota-limits.js';
 import {createRecentCount} from './recent-count.js';
 
+const millisecondsPerSecond = 1000;
+
 /** What the leader knows of a holder that reports what it has from earlier leaders. */
 export type InheritedHolder = {
 	/** Tokens that it holds. */
@@ -43,6 +45,8 @@
 	/** Learns what a holder has from earlier leaders; once for each. */
 	learn(earlier: EarlierTokens, holder: InheritedHolder): void;
 	getRoom(circumstances: InheritanceCircumstances): InheritanceRoom;
+	/** Gets what is counted over all holders. */
+	getTotals(circumstances: Pick<InheritanceCircumstances, 'outstanding' | 'spent' | 'now'>): QuotaTotals;
 	/** Checks whether little may be lent because entries may hold tokens from earlier leaders. */
 	isUnknown(now: number): boolean;
 	configure(limits: QuotaLimits): void;
@@ -66,10 +70,12 @@
 	const {startedAt, termMilliseconds, hasPredecessor} = options;
 	const leasesEndAt = startedAt + termMilliseconds;
 	let {limits} = options;
-	/** Tokens that unknown holders may hold. */
-	let unknownHeld = hasPredecessor ? limits.outstanding : 0;
-	/** Tokens that unknown holders may hold or have spent in the last window. */
-	let unknown = hasPredecessor ? limits.window : 0;
+	/** Tokens that holders had from earlier leaders, at most: held, and held or spent in the last window. */
+	let totalHeld = hasPredecessor ? limits.outstanding : 0;
+	let total = hasPredecessor ? limits.window : 0;
+	/** The part of them that is known from reports. */
+	let knownHeld = 0;
+	let known = 0;
 	/** What was spent under the first and the second rule, beside what holders have reported since the start. */
 	const assumed = createRecentCount(limits.windowMilliseconds);
 	const inherited = createRecentCount(limits.windowMilliseconds);
@@ -77,14 +83,32 @@
 	/** Counts as spent what unknown holders had, once their leases have ended. */
 	function endLeases(now: number): void {
 		if (now >= leasesEndAt) {
-			assumed.add(now, unknownHeld);
-			inherited.add(now, unknown);
-			unknownHeld = 0;
-			unknown = 0;
+			assumed.add(now, getUnknownHeld());
+			inherited.add(now, getUnknown());
+			totalHeld = 0;
+			total = 0;
 		}
 	}
 
-	/** Counts the spending of a holder from before its first report, and returns how much of it certainly lies in the window of every decision to come. */
+	function getUnknownHeld(): number {
+		return Math.max(0, totalHeld - knownHeld);
+	}
+
+	function getUnknown(): number {
+		return Math.max(0, total - known);
+	}
+
+	/** Applies what an earlier leader told of all holders. Since then, leaders have lent what it might lend at once and what accrued. */
+	function limitTotals({age, requestsPerSecond, ...told}: NonNullable<EarlierTokens['told']>): void {
+		const accrued = (age + lendingMilliseconds) * Math.max(limits.perMillisecond, requestsPerSecond / millisecondsPerSecond);
+		totalHeld = Math.min(totalHeld, told.held + accrued);
+		total = Math.min(total, told.total + accrued);
+	}
+
+	/**
+	 * Counts the spending of a holder from before its first report. Returns how much of its spending certainly lies in the last window of the earlier
+	 * leaders, in which `total` was counted.
+	 */
 	function countSpending(recent: readonly number[], counted: number, now: number): number {
 		let skipped = counted;
 		let certain = 0;
@@ -92,7 +116,7 @@
 			const before = Math.max(0, amount - skipped);
 			skipped -= amount - before;
 			inherited.add(now - (step * spendingStepMilliseconds), before);
-			const isCertain = ((step + 1) * spendingStepMilliseconds) + lendingMilliseconds <= limits.windowMilliseconds;
+			const isCertain = ((step + 1) * spendingStepMilliseconds) + lendingMilliseconds <= limits.windowMilliseconds + now - startedAt;
 			certain += isCertain ? amount : 0;
 		}
 
@@ -110,10 +134,14 @@
 				return;
 			}
 
-			unknownHeld = Math.max(0, unknownHeld - earlier.held);
+			if (earlier.told !== undefined) {
+				limitTotals(earlier.told);
+			}
+
+			knownHeld += earlier.held;
 			assumed.add(now, Math.max(0, earlier.held - heldAtFirst));
 			const spent = countSpending(earlier.recent, counted, now);
-			unknown = Math.max(0, unknown - Math.max(0, held + spent - lent));
+			known += Math.max(0, held + spent - lent);
 		},
 		getRoom(circumstances) {
 			const {outstanding, spent, now} = circumstances;
@@ -127,15 +155,17 @@
 			}
 
 			const headStart = now < leasesEndAt ? limits.headStart : 0;
-			const first = Math.min(getAccrued(circumstances), limits.window - outstanding - unknownHeld - spent - assumed.get(now));
-			const second = limits.window - outstanding - unknown - spent - inherited.get(now);
-			return {held: limits.outstanding + headStart - outstanding - unknownHeld, window: Math.max(first, second)};
+			const first = Math.min(getAccrued(circumstances), limits.window - outstanding - getUnknownHeld() - spent - assumed.get(now));
+			const second = limits.window - outstanding - getUnknown() - spent - inherited.get(now);
+			return {held: limits.outstanding + headStart - outstanding - getUnknownHeld(), window: Math.max(first, second)};
+		},
+		getTotals({outstanding, spent, now}) {
+			endLeases(now);
+			return {total: outstanding + getUnknown() + spent + inherited.get(now), held: outstanding + getUnknownHeld()};
 		},
 		isUnknown: now => hasPredecessor && now < leasesEndAt,
 		configure(next) {
 			limits = next;
-			unknownHeld = Math.min(unknownHeld, limits.outstanding);
-			unknown = Math.min(unknown, limits.window);
 		},
 	};
 }
--- a/source/quota/quota-limits.ts
+++ b/source/quota/quota-limits.ts
@@ -17,10 +17,19 @@
 const headStartShare = 0.05;
 
 /**
- * Share of what accrues in a window that entries may hold. A new leader that learns nothing from entries pauses until as much has accrued. More tokens at
- * entries save them questions.
+ * Share of what accrues in a window that entries may hold beyond a part of the tolerated excess. A new leader that learns nothing from entries pauses
+ * until as much has accrued, and one that learns something still has to assume that much of it is held.
  */
-const debtWindowShare = 0.2;
+const debtWindowShare = 0.6;
+
+/** Share of what accrues in a window that entries may hold for use to come. More tokens at entries save them questions. */
+const forUseWindowShare = 0.2;
+
+/**
+ * Tokens that are only lent to requests that already wait, as a multiple of the square root of those that entries may hold for use: so many standard
+ * deviations of a number of requests that arrive independently.
+ */
+const waitingDeviations = 2.5;
 
 /**
  * Time in milliseconds after its last confirmation for which a leader lends, and for which a new one does not, so that no two lend at the same time. A
@@ -51,6 +60,8 @@
 	readonly bucket: number;
 	/** Tokens that entries may hold. */
 	readonly outstanding: number;
+	/** Tokens that entries may hold when some are lent for use to come. */
+	readonly outstandingForUse: number;
 	/** Tokens that a new leader lends less than accrue, once, unless it learns from entries what they have spent. */
 	readonly debt: number;
 	/** Tokens by which a new leader may exceed `outstanding` while it does not know what entries hold. */
@@ -69,6 +80,7 @@
 	const excess = usedToleranceShare * ((overshoot * allowed) + slack);
 	const bucketExcess = Math.min(bucketReserve, maximumBucketToleranceShare * excess);
 	const excessOutstanding = excess - bucketExcess;
+	const forUse = excessOutstanding + (requestsPerSecond * windowSeconds * forUseWindowShare);
 	const debt = requestsPerSecond * windowSeconds * debtWindowShare;
 	return {
 		perMillisecond: requestsPerSecond / millisecondsPerSecond,
@@ -76,6 +88,7 @@
 		window: Math.max(1, allowed + excess),
 		bucket: Math.max(1, burst + bucketExcess),
 		outstanding: Math.max(1, excessOutstanding + debt),
+		outstandingForUse: Math.max(0, forUse - (waitingDeviations * Math.sqrt(forUse))),
 		debt,
 		headStart: Math.max(1, headStartShare * excess),
 	};
--- a/source/quota/quota-message.ts
+++ b/source/quota/quota-message.ts
@@ -8,15 +8,15 @@
  * @param report - Report of the holder.
  */
 export function toQuotaReport(workspace: string, {granted, spent, unused, goal, earlier}: HolderReport): QuotaReport {
-	return earlier === undefined ? [workspace, granted, spent, unused, goal] : [workspace, granted, spent, unused, goal, earlier.held, earlier.recent];
+	return earlier === undefined ? [workspace, granted, spent, unused, goal] : [workspace, granted, spent, unused, goal, earlier];
 }
 
 /**
  * Gets the report of a holder from a message.
  * @param report - Report as it was received.
  */
-export function toHolderReport([, granted, spent, unused, goal, held, recent = []]: QuotaReport): HolderReport {
+export function toHolderReport([, granted, spent, unused, goal, earlier]: QuotaReport): HolderReport {
 	return {
-		granted, spent, unused, goal, ...(held === undefined ? {} : {earlier: {held, recent}}),
+		granted, spent, unused, goal, ...(earlier === undefined ? {} : {earlier}),
 	};
 }
--- a/source/quota/quota-tokens.ts
+++ b/source/quota/quota-tokens.ts
@@ -21,6 +21,8 @@
 /** What an entry needs to know to apply a grant. */
 export type GrantCircumstances = {
 	readonly now: number;
+	/** Time at which the renewal was sent. */
+	readonly renewedAt: number;
 	/** Time at which the lease ends, with the grant. */
 	readonly leaseEndsAt: number;
 	/** Whether tokens of the grant may be used; not if the host was suspended since the renewal was sent. */
@@ -93,9 +95,11 @@
 		isOwed = holders.size > 0;
 	}
 
-	function applyTold({sequence, epoch: leaderEpoch, quota = []}: Pick<Grant, 'sequence' | 'epoch' | 'quota'>, now: number): void {
-		for (const [workspace, granted, retryMilliseconds = 0] of quota) {
-			getHolder(workspace).apply({epoch: leaderEpoch, granted, retryMilliseconds}, now);
+	function applyTold({sequence, epoch: leaderEpoch, quota = []}: Pick<Grant, 'sequence' | 'epoch' | 'quota'>, {now, renewedAt}: GrantCircumstances): void {
+		for (const [workspace, granted, total, held, retryMilliseconds = 0] of quota) {
+			getHolder(workspace).apply({
+				epoch: leaderEpoch, granted, totals: {total, held}, askedAt: renewedAt, retryMilliseconds,
+			}, now);
 		}
 
 		if (sentReports?.sequence === sequence) {
@@ -115,6 +119,9 @@
 			}
 
 			quotas = next;
+			for (const [name, {requestsPerSecond}] of quotas) {
+				getHolder(name).setRate(requestsPerSecond);
+			}
 		},
 		hasQuota: workspace => quotas.has(workspace),
 		getHolder,
@@ -149,7 +156,7 @@
 
 			leaseEndsAt = circumstances.leaseEndsAt;
 			if (grant.quota !== undefined) {
-				applyTold(grant, circumstances.now);
+				applyTold(grant, circumstances);
 			}
 
 			// A renewal without reports is answered without tokens by any leader.
--- a/source/quota/token-holder.ts
+++ b/source/quota/token-holder.ts
@@ -3,7 +3,7 @@
  * run, and free again if not. The leader counts a token as held until it is reported as spent, so what runs never exceeds what is counted.
  */
 import {createDemandMeter} from './demand-meter.js';
-import {type EarlierTokens, type HolderReport} from './holder-report.js';
+import {type EarlierTokens, type HolderReport, type QuotaTotals} from './holder-report.js';
 import {createSpendingHistory} from './spending-history.js';
 
 /** Free tokens beyond the wanted ones that are kept, so that a rate that varies a little causes no reports. */
@@ -30,6 +30,10 @@
 	/** Consensus term of the leader. */
 	readonly epoch: number;
 	readonly granted: number;
+	/** What the leader counts over all holders. */
+	readonly totals: QuotaTotals;
+	/** Time at which the renewal or the question was sent. */
+	readonly askedAt: number;
 	/** Time after which a token is likely to be available; 0 if that is not known or there is one. */
 	readonly retryMilliseconds: number;
 };
@@ -37,6 +41,9 @@
 /** Report that was sent, and the term of the leader that the holder knew then. */
 export type SentReport = {readonly key: string; readonly epoch: number};
 
+/** What a leader told of all holders, when it was asked, and the rate of the quota then. */
+type Told = {readonly totals: QuotaTotals; readonly askedAt: number; readonly requestsPerSecond: number};
+
 /** Tokens of one workspace. */
 export type TokenHolder = {
 	/** Takes a token for a request that has arrived, or returns undefined if none is free. */
@@ -58,6 +65,8 @@
 	revoke(): void;
 	/** Gives back all free tokens. */
 	giveBack(): void;
+	/** Records the rate of the quota. */
+	setRate(requestsPerSecond: number): void;
 	/** Gets the time until which the quota is used up, as far as the leader has told. */
 	getUsedUpUntil(): number;
 	/** Checks whether the leader may be asked for tokens. */
@@ -83,6 +92,10 @@
 	let sent = 0;
 	/** Tokens that the last leader at least counted as held, until the present one knows what this process had from earlier ones. */
 	let earlierHeld: number | undefined;
+	/** What the present leader, and the ones before it, last told of all holders. */
+	let told: Told | undefined;
+	let earlierTold: Told | undefined;
+	let requestsPerSecond = 0;
 	const history = createSpendingHistory();
 	/** Number of revocations; tokens that were taken before the last one are void. */
 	let revocations = 0;
@@ -117,6 +130,8 @@
 	function goOver(nextEpoch: number): void {
 		if (nextEpoch > epoch) {
 			earlierHeld = epoch === 0 ? undefined : Math.max(0, granted - sent);
+			earlierTold = told ?? earlierTold;
+			told = undefined;
 			epoch = nextEpoch;
 			acknowledgedKey = undefined;
 		}
@@ -161,8 +176,12 @@
 	}
 
 	function getEarlier(now: number): {readonly earlier?: EarlierTokens} {
-		const recent = earlierHeld === undefined ? [] : history.get(now);
-		return earlierHeld === undefined || (earlierHeld === 0 && recent.length === 0) ? {} : {earlier: {held: earlierHeld, recent}};
+		if (earlierHeld === undefined) {
+			return {};
+		}
+
+		const toldEarlier = earlierTold === undefined ? {} : {told: {...earlierTold.totals, age: Math.ceil(now - earlierTold.askedAt), requestsPerSecond: earlierTold.requestsPerSecond}};
+		return {earlier: {held: earlierHeld, recent: history.get(now), ...toldEarlier}};
 	}
 
 	/** Updates how many free tokens are wanted. A rate that falls a little changes nothing. */
@@ -224,6 +243,10 @@
 			goOver(grant.epoch);
 			granted = grant.epoch > toldEpoch ? grant.granted : Math.max(granted, grant.granted);
 			recordKnown(grant.epoch);
+			if (told === undefined || grant.askedAt > told.askedAt) {
+				told = {totals: grant.totals, askedAt: grant.askedAt, requestsPerSecond};
+			}
+
 			if (getFree() > 0) {
 				usedUpUntil = Number.NEGATIVE_INFINITY;
 			} else if (grant.retryMilliseconds > 0) {
@@ -241,6 +264,9 @@
 		giveBack() {
 			giveBack(Math.max(0, getFree()));
 		},
+		setRate(rate) {
+			requestsPerSecond = rate;
+		},
 		getUsedUpUntil: () => usedUpUntil,
 		mayAsk: now => now >= usedUpUntil || now >= asksAt,
 		getEpoch: () => epoch,
--- a/stand-in/model/quota-entry.ts
+++ b/stand-in/model/quota-entry.ts
@@ -137,7 +137,9 @@
 			runLater(1, renew);
 		}
 
-		tokens.applyGrant(grant, {now, leaseEndsAt: lease.getExpiresAt(), mayUse: true});
+		tokens.applyGrant(grant, {
+			now, renewedAt: lease.getRenewedAt(), leaseEndsAt: lease.getExpiresAt(), mayUse: true,
+		});
 		if (tokens.isReportOwed()) {
 			runLater(1, renew);
 		}
