--- a/source/control/quota-lending.ts
+++ b/source/control/quota-lending.ts
@@ -14,6 +14,9 @@
 /** Time in milliseconds without a live lease after which a process is forgotten. */
 const forgetMilliseconds = 10_000;
 
+/** Number of renewals of which one lends tokens of the workspaces for which it reports no change. */
+const otherGrantsInterval = 4;
+
 /** Tokens that one leader lends during one term. */
 export type QuotaLending = {
 	/** Applies the reports of a renewal and lends tokens. The leadership was confirmed after the renewal was received. */
@@ -37,8 +40,8 @@
 	readonly tolerance: QuotaTolerance;
 };
 
-/** What a process was told of its tokens of a workspace, and the newest grant that told it. */
-type Told = {readonly granted: number; readonly sequence: number};
+/** What a process was told of its tokens of a workspace, the first grant that told it, and whether it got none although it wanted some. */
+type Told = {readonly granted: number; readonly sequence: number; readonly isRefused: boolean};
 
 type Holder = {
 	expiresAt: number;
@@ -145,11 +148,8 @@
 	function tell(holder: Holder, {sequence, acknowledged}: Renewal, {workspace, granted, totals, retryMilliseconds, reported}: Telling): readonly QuotaGrant[] {
 		const told = holder.told.get(workspace);
 		const isTold = reported === undefined ? told?.granted === granted && acknowledged >= told.sequence : reported === granted;
-		if (isTold) {
-			holder.told.set(workspace, {granted, sequence: 0});
-		} else if (told?.granted !== granted || reported !== undefined) {
-			holder.told.set(workspace, {granted, sequence});
-		}
+		const isRepeated = !isTold && reported === undefined && told?.granted === granted;
+		holder.told.set(workspace, {granted, sequence: isTold ? 0 : (isRepeated ? told.sequence : sequence), isRefused: retryMilliseconds > 0});
 
 		const {total, held} = totals;
 		if (retryMilliseconds > 0) {
@@ -170,11 +170,12 @@
 		});
 	}
 
-	/** Lends to a process what it wants of the workspaces for which its renewal reports no change. */
+	/** Lends to a process what it wants of the workspaces for which its renewal reports no change: now and then, and at once where it was refused. */
 	function getOtherGrants(book: Book, holder: Holder, renewal: Renewal, now: number): readonly QuotaGrant[] {
 		const {process = '', quota = [], acknowledged} = renewal;
 		const reported = new Set(quota.map(([workspace]) => workspace));
-		const others = [...holder.told].filter(([workspace, {sequence}]) => !reported.has(workspace) && book.quotas.has(workspace)
+		const isDue = renewal.sequence % otherGrantsInterval === 0;
+		const others = [...holder.told].filter(([workspace, {sequence, isRefused}]) => (isDue || isRefused) && !reported.has(workspace) && book.quotas.has(workspace)
 			&& (acknowledged < sequence || book.accounts.get(workspace)?.account.isWanting(process) === true));
 		return others.flatMap(([workspace]) => {
 			const loan = book.accounts.get(workspace)?.account.exchange({
@@ -232,7 +233,7 @@
 
 			if (!holder.told.has(workspace)) {
 				// The next grant tells it once more, since the answer may be lost.
-				holder.told.set(workspace, {granted: loan.granted, sequence: Number.POSITIVE_INFINITY});
+				holder.told.set(workspace, {granted: loan.granted, sequence: Number.POSITIVE_INFINITY, isRefused: false});
 			}
 
 			const {granted, totals, retryMilliseconds} = loan;
--- a/source/quota/quota-account.ts
+++ b/source/quota/quota-account.ts
@@ -202,7 +202,7 @@
 	}
 
 	function getRoomForUse(now: number): RoomLimits {
-		return isOverused(now) ? getWholeRoom() : {maximum: limits.outstandingForUse, reserve: Math.min(waitingReserve, limits.bucket * maximumWaitingReserveShare)};
+		return {maximum: limits.outstandingForUse, reserve: isOverused(now) ? 0 : Math.min(waitingReserve, limits.bucket * maximumWaitingReserveShare)};
 	}
 
 	/** Checks whether the quota itself allows nothing more, rather than what entries may hold at once. */
--- a/source/quota/quota-inheritance.ts
+++ b/source/quota/quota-inheritance.ts
@@ -80,11 +80,13 @@
 	const assumed = createRecentCount(limits.windowMilliseconds);
 	const inherited = createRecentCount(limits.windowMilliseconds);
 
-	/** Counts as spent what unknown holders had, once their leases have ended. */
+	/** Counts as spent what unknown holders had, once their leases have ended: what they held until now, and the rest before the first loan of this leader. */
 	function endLeases(now: number): void {
 		if (now >= leasesEndAt) {
+			const held = Math.min(getUnknownHeld(), getUnknown());
 			assumed.add(now, getUnknownHeld());
-			inherited.add(now, getUnknown());
+			inherited.add(now, held);
+			inherited.add(startedAt + lendingMilliseconds, getUnknown() - held);
 			totalHeld = 0;
 			total = 0;
 		}
--- a/source/quota/quota-limits.ts
+++ b/source/quota/quota-limits.ts
@@ -20,7 +20,7 @@
  * Share of what accrues in a window that entries may hold beyond a part of the tolerated excess. A new leader that learns nothing from entries pauses
  * until as much has accrued, and one that learns something still has to assume that much of it is held.
  */
-const debtWindowShare = 0.6;
+const debtWindowShare = 0.25;
 
 /** Share of what accrues in a window that entries may hold for use to come. More tokens at entries save them questions. */
 const forUseWindowShare = 0.2;
