--- a/source/quota/quota-account.test.ts
+++ b/source/quota/quota-account.test.ts
@@ -41,7 +41,9 @@
 		const account = createAccount();
 		ask(account, 'one', 1000);
 		const granted = Math.floor(bucket);
-		expect(ask(account, 'one', 1000, {granted, spent: granted, now: 1000, confirmedAt: 500}) - granted).toEqual(5);
+		expect(ask(account, 'one', 1000, {
+			granted, spent: granted, now: 1000, confirmedAt: 500,
+		}) - granted).toEqual(5);
 	});
 	test('lends no more than entries may hold at once', () => {
 		const account = createAccount({quota: {requestsPerSecond: 100, burst: 500}});
@@ -64,11 +66,11 @@
 		expect([account.getOutstanding(), limits.window]).toEqual([1, 50]);
 		ask(account, 'one', 0, {now: termMilliseconds - 1});
 		expect(account.getOutstanding()).toEqual(1);
-		const totals = account.exchange({
+		const {totals} = account.exchange({
 			holder: 'one', report: {
 				granted: 0, spent: 0, unused: 0, goal: 0,
 			}, now: termMilliseconds + 200, confirmedAt: 0,
-		})!.totals;
+		})!;
 		expect([account.getOutstanding(), totals.held, totals.total]).toEqual([0, 1, 2]);
 	});
 	test('puts back what was given back unused, once', () => {
--- a/source/quota/quota-account.ts
+++ b/source/quota/quota-account.ts
@@ -125,7 +125,9 @@
 	const bucket = createConfirmedBucket({
 		perMillisecond: limits.perMillisecond, capacity: limits.bucket, startedAt, level: hasPredecessor ? 0 : limits.bucket,
 	});
-	const inheritance = createQuotaInheritance({limits, startedAt, termMilliseconds, hasPredecessor});
+	const inheritance = createQuotaInheritance({
+		limits, startedAt, termMilliseconds, hasPredecessor,
+	});
 	let outstanding = 0;
 	/** Tokens lent since the start, less those given back. */
 	let lent = 0;
@@ -165,7 +167,9 @@
 	function applyEarlier(holding: Holding, earlier: EarlierTokens, now: number): void {
 		if (!holding.isEarlierKnown) {
 			holding.isEarlierKnown = true;
-			inheritance.learn(earlier, {held: getHeld(holding), heldAtFirst: holding.heldAtFirst, counted: holding.counted, lent: holding.lent, now});
+			inheritance.learn(earlier, {
+				held: getHeld(holding), heldAtFirst: holding.heldAtFirst, counted: holding.counted, lent: holding.lent, now,
+			});
 		}
 	}
 
@@ -193,7 +197,9 @@
 
 	/** Gets how many tokens may be lent, while entries may hold a number of tokens and some stay in the bucket. */
 	function getRoom(now: number, {maximum, reserve}: RoomLimits): number {
-		const {held, window} = inheritance.getRoom({outstanding, spent: spent.get(now), lent, confirmedAt, now});
+		const {held, window} = inheritance.getRoom({
+			outstanding, spent: spent.get(now), lent, confirmedAt, now,
+		});
 		return Math.max(0, Math.floor(roundingError + Math.min(bucket.getUsable() - reserve, maximum - limits.outstanding + held, window)));
 	}
 
--- a/source/quota/token-holder.test.ts
+++ b/source/quota/token-holder.test.ts
@@ -64,7 +64,11 @@
 		report(holder, 1, 0);
 		holder.tryTake(0)!.end(true, 600);
 		holder.beginEpoch(2, 3000);
-		expect(report(holder, 2, 700).earlier).toEqual({held: 4 - holder.getReport(700, 0).unused, recent: [1], told: {total: 4, held: 4, age: 700, requestsPerSecond: 0}});
+		expect(report(holder, 2, 700).earlier).toEqual({
+			held: 4 - holder.getReport(700, 0).unused, recent: [1], told: {
+				total: 4, held: 4, age: 700, requestsPerSecond: 0,
+			},
+		});
 		expect(holder.isReportDue(holder.getReport(700, 0))).toEqual(false);
 	});
 	test('ends with their lease the tokens that a new leader does not know of', () => {
--- a/stand-in/model/quota-entry.ts
+++ b/stand-in/model/quota-entry.ts
@@ -145,39 +145,44 @@
 		gate.serveWaiting();
 	}
 
-	runLater(random() * renewMilliseconds, renewRegularly);
-	return {
-		async handle(workspace) {
-			if (!isAlive || performance.now() < frozenUntil) {
-				return;
-			}
+	/** Runs a request at a server if it gets a token. */
+	async function run(workspace: string): Promise<void> {
+		if (!isAlive || performance.now() < frozenUntil) {
+			return;
+		}
 
-			const arrivedAt = performance.now();
-			const access: Access = {kind: 'granted', workspace: {name: workspace, keyDigests: []}, digest: ''};
-			const outcome = await gate.enter(access, arrivedAt + deadlineMilliseconds);
-			if (!isAlive) {
-				return;
-			}
+		const arrivedAt = performance.now();
+		const access: Access = {kind: 'granted', workspace: {name: workspace, keyDigests: []}, digest: ''};
+		const outcome = await gate.enter(access, arrivedAt + deadlineMilliseconds);
+		if (!isAlive) {
+			return;
+		}
 
-			options.onOutcome({workspace, kind: outcome.kind === 'refused' ? outcome.reason : 'passed', waitedMilliseconds: performance.now() - arrivedAt});
-			if (outcome.kind !== 'taken') {
-				return;
+		options.onOutcome({workspace, kind: outcome.kind === 'refused' ? outcome.reason : 'passed', waitedMilliseconds: performance.now() - arrivedAt});
+		if (outcome.kind !== 'taken') {
+			return;
+		}
+
+		const {token} = outcome;
+		const queueMilliseconds = options.isDisturbed && random() < queueShare ? random() * maximumQueueMilliseconds : 0;
+		runLater(queueMilliseconds, () => {
+			const now = performance.now();
+			revokeIfNeeded(now);
+			const mayRun = token.tryUse(now) && !(options.isDisturbed && random() < declinedShare);
+			if (mayRun) {
+				options.onRun(workspace);
 			}
 
-			const {token} = outcome;
-			const queueMilliseconds = options.isDisturbed && random() < queueShare ? random() * maximumQueueMilliseconds : 0;
-			runLater(queueMilliseconds, () => {
-				const now = performance.now();
-				revokeIfNeeded(now);
-				const mayRun = token.tryUse(now) && !(options.isDisturbed && random() < declinedShare);
-				if (mayRun) {
-					options.onRun(workspace);
-				}
-
-				runLater(mayRun ? serviceMilliseconds : 1, () => {
-					token.end(mayRun, performance.now());
-				});
+			runLater(mayRun ? serviceMilliseconds : 1, () => {
+				token.end(mayRun, performance.now());
 			});
+		});
+	}
+
+	runLater(random() * renewMilliseconds, renewRegularly);
+	return {
+		handle(workspace) {
+			void run(workspace);
 		},
 		receive(grant) {
 			runLater(0, () => {
--- a/stand-in/model/quota-system.ts
+++ b/stand-in/model/quota-system.ts
@@ -279,7 +279,9 @@
 				if (current !== undefined) {
 					current.endsAt = fault.isNoticed ? now : now + oblivionMilliseconds;
 					current = undefined;
-					setTimeout(startLeader, fault.gapMilliseconds, true);
+					setTimeout(() => {
+						startLeader(true);
+					}, fault.gapMilliseconds);
 				}
 
 				return;
@@ -336,7 +338,7 @@
 
 		setTimeout(() => {
 			const reached = options.entriesByWorkspace[workspace]!;
-			void members[reached[Math.floor(random() * reached.length)]!]!.model.handle(options.workspaces[workspace]!.name);
+			members[reached[Math.floor(random() * reached.length)]!]!.model.handle(options.workspaces[workspace]!.name);
 			arrive(workspace);
 		}, milliseconds);
 	}
