Lend no negative number of tokens, and keep the records of holders in a module of their own

A holder whose goal was below what it had been lent was lent a negative number with its renewal, so the leader counted fewer tokens than the entry held.

--- a/source/quota/quota-account.ts
+++ b/source/quota/quota-account.ts
@@ -7,6 +7,9 @@
 import {createConfirmedBucket} from './confirmed-bucket.js';
 import {createHolderShares, type HolderShares} from './holder-shares.js';
 import {type EarlierTokens, type HolderReport, type QuotaTotals} from './holder-report.js';
+import {
+	createQuotaHoldings, getHeld, getWanted, type Holding,
+} from './quota-holdings.js';
 import {createQuotaInheritance} from './quota-inheritance.js';
 import {type QuotaLimits} from './quota-limits.js';
 import {createRecentCount} from './recent-count.js';
@@ -26,9 +29,6 @@
 /** Time in milliseconds for which a division among the holders is used, since each takes all of them. */
 const divisionMilliseconds = 200;
 
-/** Time in milliseconds between two searches for holders whose lease has ended. */
-const sweepMilliseconds = 100;
-
 /** Time for which use is measured. */
 const useMilliseconds = 2000;
 
@@ -95,28 +95,13 @@
 /** Limits within which tokens are lent. */
 type RoomLimits = {readonly maximum: number; readonly reserve: number};
 
-type Holding = {
-	granted: number;
-	spent: number;
-	unused: number;
-	goal: number;
-	/** Tokens that it held when it first reported. */
-	readonly heldAtFirst: number;
-	/** Tokens that it has spent since. */
-	counted: number;
-	/** Tokens that this leader has lent to it. */
-	lent: number;
-	/** Whether what it has from an earlier leader is no longer part of what is unknown. */
-	isEarlierKnown: boolean;
-};
-
 /**
  * Creates an account without holders.
  * @param options - Limits and start of the leadership.
  */
 export function createQuotaAccount(options: QuotaAccountOptions): QuotaAccount {
 	const {startedAt, termMilliseconds, hasPredecessor, getExpiry} = options;
-	const holdings = new Map<string, Holding>();
+	const holdings = createQuotaHoldings(getExpiry);
 	const use = createRecentCount(useMilliseconds);
 	const refusals = createRecentCount(millisecondsPerSecond);
 	let {limits} = options;
@@ -128,66 +113,27 @@
 	const inheritance = createQuotaInheritance({
 		limits, startedAt, termMilliseconds, hasPredecessor,
 	});
-	let outstanding = 0;
 	/** Tokens lent since the start, less those given back. */
 	let lent = 0;
 	let confirmedAt = startedAt;
-	let sweptAt = Number.NEGATIVE_INFINITY;
 	let scarceUntil = Number.NEGATIVE_INFINITY;
 	let shares: HolderShares | undefined;
 	let dividedAt = Number.NEGATIVE_INFINITY;
 
-	/** Counts as spent what nobody can use any more, because the leases under which it was held have ended. */
-	function sweep(now: number): void {
-		if (now < sweptAt + sweepMilliseconds) {
-			return;
-		}
-
-		sweptAt = now;
-		for (const [holder, holding] of holdings) {
-			if (getExpiry(holder) <= now) {
-				spent.add(now, getHeld(holding));
-				outstanding -= getHeld(holding);
-				holdings.delete(holder);
-			}
-		}
-	}
-
-	function addHolding(holder: string, report: HolderReport): Holding {
-		const {granted, spent: reported, unused, goal} = report;
-		const holding: Holding = {
-			granted, spent: reported, unused, goal, heldAtFirst: Math.max(0, granted - reported), counted: 0, lent: 0, isEarlierKnown: false,
-		};
-		holdings.set(holder, holding);
-		outstanding += holding.heldAtFirst;
-		return holding;
-	}
-
 	/** Applies what a holder has from earlier leaders. What it spent before its first report was not counted by this one. */
 	function applyEarlier(holding: Holding, earlier: EarlierTokens, now: number): void {
 		if (!holding.isEarlierKnown) {
 			holding.isEarlierKnown = true;
-			inheritance.learn(earlier, {
-				held: getHeld(holding), heldAtFirst: holding.heldAtFirst, counted: holding.counted, lent: holding.lent, now,
-			});
+			inheritance.learn(earlier, {...holding, held: getHeld(holding), now});
 		}
 	}
 
 	function applyReport(holder: string, report: HolderReport, now: number): Holding {
-		const holding = holdings.get(holder) ?? addHolding(holder, report);
-		const heldBefore = getHeld(holding);
-		const givenBack = Math.max(0, report.unused - holding.unused);
-		const used = Math.max(0, report.spent - holding.spent - givenBack);
-		holding.spent = Math.max(holding.spent, report.spent);
-		holding.unused = Math.max(holding.unused, report.unused);
-		holding.goal = report.goal;
-		const returned = heldBefore - getHeld(holding);
-		outstanding -= returned;
-		bucket.putBack(Math.min(givenBack, returned));
-		lent -= Math.min(givenBack, returned);
+		const {holding, used, givenBack} = holdings.apply(holder, report);
+		bucket.putBack(givenBack);
+		lent -= givenBack;
 		spent.add(now, used);
 		use.add(now, used);
-		holding.counted += used;
 		if (report.earlier !== undefined) {
 			applyEarlier(holding, report.earlier, now);
 		}
@@ -198,7 +144,7 @@
 	/** Gets how many tokens may be lent, while entries may hold a number of tokens and some stay in the bucket. */
 	function getRoom(now: number, {maximum, reserve}: RoomLimits): number {
 		const {held, window} = inheritance.getRoom({
-			outstanding, spent: spent.get(now), lent, confirmedAt, now,
+			outstanding: holdings.getOutstanding(), spent: spent.get(now), lent, confirmedAt, now,
 		});
 		return Math.max(0, Math.floor(roundingError + Math.min(bucket.getUsable() - reserve, maximum - limits.outstanding + held, window)));
 	}
@@ -217,27 +163,23 @@
 	}
 
 	function getTotals(now: number): QuotaTotals {
-		const {total, held} = inheritance.getTotals({outstanding, spent: spent.get(now), now});
+		const {total, held} = inheritance.getTotals({outstanding: holdings.getOutstanding(), spent: spent.get(now), now});
 		const level = Math.max(0, bucket.getLevel());
 		return {total: Math.ceil(total + level), held: Math.ceil(held + level)};
 	}
 
-	function isScarce(now: number): boolean {
-		return now < scarceUntil;
-	}
-
-	/** Checks whether more requests arrive than the quota allows, so that those who have to be refused do not all ask. */
+	/** Checks whether tokens are scarce because more requests arrive than the quota allows. */
 	function isOverused(now: number): boolean {
-		return isScarce(now) && (use.get(now) / useMilliseconds) + (refusals.get(now) / millisecondsPerSecond) > limits.perMillisecond;
+		return now < scarceUntil && (use.get(now) / useMilliseconds) + (refusals.get(now) / millisecondsPerSecond) > limits.perMillisecond;
 	}
 
 	/** Gets the share of each holder: of what may be held for use to come, or of what is there while tokens are scarce. */
 	function getShares(now: number): HolderShares {
 		if (shares === undefined || now >= dividedAt + divisionMilliseconds) {
 			const total = isOverused(now)
-				? outstanding + getRoom(now, getWholeRoom())
+				? holdings.getOutstanding() + getRoom(now, getWholeRoom())
 				: limits.outstandingForUse;
-			shares = createHolderShares([...holdings.values()].map(holding => getWanted(holding)), total);
+			shares = createHolderShares(holdings.getWanted(), total);
 			dividedAt = now;
 		}
 
@@ -258,12 +200,9 @@
 	}
 
 	function lend(holding: Holding, tokens: number): void {
-		const heldBefore = getHeld(holding);
-		holding.granted += tokens;
-		outstanding += getHeld(holding) - heldBefore;
+		holdings.lend(holding, tokens);
 		bucket.take(tokens);
 		lent += tokens;
-		holding.lent += tokens;
 	}
 
 	function getRetryMilliseconds(now: number): number {
@@ -273,7 +212,7 @@
 
 	/** Lends to requests that wait. The goal of the holder includes them. */
 	function lendToWaiting(holding: Holding, waiting: number, now: number): void {
-		const missing = Math.min(waiting, holding.goal - holding.granted);
+		const missing = Math.max(0, Math.min(waiting, holding.goal - holding.granted));
 		const tokens = getLoanForWaiting(holding, missing, now);
 		lend(holding, tokens);
 		if (tokens < missing && (isOverused(now) || isUsedUp(now))) {
@@ -286,7 +225,7 @@
 	return {
 		exchange({holder, report, waiting = 0, refused = 0, isEnding = false, now, confirmedAt: nextConfirmedAt}) {
 			confirmedAt = nextConfirmedAt;
-			sweep(now);
+			spent.add(now, holdings.removeEnded(now));
 			bucket.advance(now, confirmedAt);
 			const holding = report === undefined ? holdings.get(holder) : applyReport(holder, report, now);
 			if (holding === undefined) {
@@ -300,7 +239,7 @@
 				lend(holding, getLoanForUse(holding, now));
 			}
 
-			const isRefused = isScarce(now) && holding.granted === grantedBefore && holding.goal > holding.granted;
+			const isRefused = holding.granted === grantedBefore && holding.goal > holding.granted && (isOverused(now) || (waiting > 0 && isUsedUp(now)));
 			return {granted: holding.granted, totals: getTotals(now), retryMilliseconds: isRefused ? getRetryMilliseconds(now) : 0};
 		},
 		isWanting(holder) {
@@ -317,16 +256,7 @@
 			bucket.configure(limits.perMillisecond, limits.bucket);
 			shares = undefined;
 		},
-		getOutstanding: () => outstanding,
+		getOutstanding: holdings.getOutstanding,
 		getUse: now => use.get(now) * millisecondsPerSecond / useMilliseconds,
 	};
 }
-
-/** Gets the tokens that a holder may have. One that was lent more by an earlier leader than it reported may have spent more than it was lent. */
-function getHeld({granted, spent}: Holding): number {
-	return Math.max(0, granted - spent);
-}
-
-function getWanted({goal, spent}: Holding): number {
-	return Math.max(0, goal - spent);
-}
