--- a/source/control/quota-lending.ts
+++ b/source/control/quota-lending.ts
@@ -5,7 +5,7 @@
 import {type Environment, type EnvironmentDocument} from '../configuration/index.js';
 import {type Grant, type QuotaGrant, type Renewal} from '../lease/index.js';
 import {
-	createQuotaAccount, getLendingMilliseconds, getQuotaLimits, toHolderReport, type Quota, type QuotaAccount, type QuotaLoan, type QuotaTolerance,
+	createQuotaAccount, getQuotaLimits, lendingMilliseconds, toHolderReport, type Quota, type QuotaAccount, type QuotaLoan, type QuotaTolerance,
 } from '../quota/index.js';
 import {type ControlResponse, type QuotaQuestion} from './message.js';
 import {createQuotaUse, type QuotaUse} from './quota-use.js';
@@ -14,6 +14,9 @@
 /** Time in milliseconds without a live lease after which a process is forgotten. */
 const forgetMilliseconds = 10_000;
 
+/** Number of renewals of which one lends tokens of the workspaces for which it reports no change. */
+const otherGrantsInterval = 4;
+
 /** Tokens that one leader lends during one term. */
 export type QuotaLending = {
 	/** Applies the reports of a renewal and lends tokens. The leadership was confirmed after the renewal was received. */
@@ -37,8 +40,8 @@
 	readonly tolerance: QuotaTolerance;
 };
 
-/** What a process was told of its tokens of a workspace, and the newest grant that told it. */
-type Told = {readonly granted: number; readonly sequence: number};
+/** What a process was told of its tokens of a workspace, the first grant that told it, and whether it got none although it wanted some. */
+type Told = {readonly granted: number; readonly sequence: number; readonly isRefused: boolean};
 
 type Holder = {
 	expiresAt: number;
@@ -70,7 +73,6 @@
 	} = options;
 	const holders = new Map<string, Holder>();
 	const books: Readonly<Record<Environment, Book>> = {trial: createBook('trial'), production: createBook('production')};
-	const lendingMilliseconds = getLendingMilliseconds(tolerance);
 	let confirmedAt = startedAt;
 	let forgottenAt = startedAt;
 
@@ -143,20 +145,18 @@
 	}
 
 	/** Gets what a grant tells of a workspace: what the process may not know, as far as it has reported or acknowledged. */
-	function tell(holder: Holder, {sequence, acknowledged}: Renewal, {workspace, granted, retryMilliseconds, reported}: Telling): readonly QuotaGrant[] {
+	function tell(holder: Holder, {sequence, acknowledged}: Renewal, {workspace, granted, totals, retryMilliseconds, reported}: Telling): readonly QuotaGrant[] {
 		const told = holder.told.get(workspace);
 		const isTold = reported === undefined ? told?.granted === granted && acknowledged >= told.sequence : reported === granted;
-		if (isTold) {
-			holder.told.set(workspace, {granted, sequence: 0});
-		} else if (told?.granted !== granted || reported !== undefined) {
-			holder.told.set(workspace, {granted, sequence});
-		}
+		const isRepeated = !isTold && reported === undefined && told?.granted === granted;
+		holder.told.set(workspace, {granted, sequence: isTold ? 0 : (isRepeated ? told.sequence : sequence), isRefused: retryMilliseconds > 0});
 
+		const {total, held} = totals;
 		if (retryMilliseconds > 0) {
-			return [[workspace, granted, retryMilliseconds]];
+			return [[workspace, granted, total, held, retryMilliseconds]];
 		}
 
-		return isTold ? [] : [[workspace, granted]];
+		return isTold ? [] : [[workspace, granted, total, held]];
 	}
 
 	function getReportedGrants(book: Book, holder: Holder, renewal: Renewal, now: number): readonly QuotaGrant[] {
@@ -170,11 +170,12 @@
 		});
 	}
 
-	/** Lends to a process what it wants of the workspaces for which its renewal reports no change. */
+	/** Lends to a process what it wants of the workspaces for which its renewal reports no change: now and then, and at once where it was refused. */
 	function getOtherGrants(book: Book, holder: Holder, renewal: Renewal, now: number): readonly QuotaGrant[] {
 		const {process = '', quota = [], acknowledged} = renewal;
 		const reported = new Set(quota.map(([workspace]) => workspace));
-		const others = [...holder.told].filter(([workspace, {sequence}]) => !reported.has(workspace) && book.quotas.has(workspace)
+		const isDue = renewal.sequence % otherGrantsInterval === 0;
+		const others = [...holder.told].filter(([workspace, {sequence, isRefused}]) => (isDue || isRefused) && !reported.has(workspace) && book.quotas.has(workspace)
 			&& (acknowledged < sequence || book.accounts.get(workspace)?.account.isWanting(process) === true));
 		return others.flatMap(([workspace]) => {
 			const loan = book.accounts.get(workspace)?.account.exchange({
@@ -232,10 +233,13 @@
 
 			if (!holder.told.has(workspace)) {
 				// The next grant tells it once more, since the answer may be lost.
-				holder.told.set(workspace, {granted: loan.granted, sequence: Number.POSITIVE_INFINITY});
+				holder.told.set(workspace, {granted: loan.granted, sequence: Number.POSITIVE_INFINITY, isRefused: false});
 			}
 
-			return {kind: 'quota', epoch, ...loan};
+			const {granted, totals, retryMilliseconds} = loan;
+			return {
+				kind: 'quota', epoch, granted, ...totals, retryMilliseconds,
+			};
 		},
 		getOutstanding() {
 			const accounts = Object.values(books).flatMap(({accounts}) => [...accounts.values()]);
--- a/source/quota/quota-account.ts
+++ b/source/quota/quota-account.ts
@@ -6,17 +6,19 @@
  */
 import {createConfirmedBucket} from './confirmed-bucket.js';
 import {createHolderShares, type HolderShares} from './holder-shares.js';
-import {type HolderReport} from './holder-report.js';
+import {type EarlierTokens, type HolderReport, type QuotaTotals} from './holder-report.js';
+import {
+	createQuotaHoldings, getHeld, getWanted, type Holding,
+} from './quota-holdings.js';
+import {createQuotaInheritance} from './quota-inheritance.js';
 import {type QuotaLimits} from './quota-limits.js';
 import {createRecentCount} from './recent-count.js';
 
 const millisecondsPerSecond = 1000;
 
-/** Share of the tokens that entries may hold which is lent for use to come. The rest is for requests that already wait. */
-const reservedForUseShare = 0.8;
-
-/** Share of the bucket that is only lent to requests that wait, unless tokens are scarce. */
-const reservedForWaitingShare = 0.5;
+/** Tokens of the bucket that are only lent to requests that wait, and the largest share of it, unless the workspace sends more than its quota. */
+const waitingReserve = 10;
+const maximumWaitingReserveShare = 0.6;
 
 /** Share of the bucket that an entry with its share of the tokens may take only while no other lacks any. */
 const scarceBucketShare = 0.25;
@@ -27,9 +29,6 @@
 /** Time in milliseconds for which a division among the holders is used, since each takes all of them. */
 const divisionMilliseconds = 200;
 
-/** Time in milliseconds between two searches for holders whose lease has ended. */
-const sweepMilliseconds = 100;
-
 /** Time for which use is measured. */
 const useMilliseconds = 2000;
 
@@ -61,7 +60,9 @@
 export type QuotaLoan = {
 	/** Tokens that were ever lent to the holder. */
 	readonly granted: number;
-	/** Time after which a token is likely to be available, if the holder wants one and has none; 0 otherwise. */
+	/** What the account counts over all holders, with what it may lend at once. */
+	readonly totals: QuotaTotals;
+	/** Time after which a token is likely to be available, if the quota is used up and the holder wants more; 0 otherwise. */
 	readonly retryMilliseconds: number;
 };
 
@@ -94,107 +95,58 @@
 /** Limits within which tokens are lent. */
 type RoomLimits = {readonly maximum: number; readonly reserve: number};
 
-type Holding = {
-	granted: number;
-	spent: number;
-	unused: number;
-	goal: number;
-	/** Tokens that it held when it first reported. */
-	inherited: number;
-	/** Whether what it has from an earlier leader is no longer part of what is unknown. */
-	isEarlierKnown: boolean;
-};
-
 /**
  * Creates an account without holders.
  * @param options - Limits and start of the leadership.
  */
 export function createQuotaAccount(options: QuotaAccountOptions): QuotaAccount {
 	const {startedAt, termMilliseconds, hasPredecessor, getExpiry} = options;
-	const holdings = new Map<string, Holding>();
+	const holdings = createQuotaHoldings(getExpiry);
 	const use = createRecentCount(useMilliseconds);
 	const refusals = createRecentCount(millisecondsPerSecond);
-	const unknownUntil = startedAt + termMilliseconds;
 	let {limits} = options;
+	/** Tokens spent since the start, as far as holders have reported. */
 	let spent = createRecentCount(limits.windowMilliseconds);
 	const bucket = createConfirmedBucket({
-		perMillisecond: limits.perMillisecond, capacity: limits.bucket, startedAt, level: hasPredecessor ? -limits.debt : limits.bucket,
+		perMillisecond: limits.perMillisecond, capacity: limits.bucket, startedAt, level: hasPredecessor ? 0 : limits.bucket,
 	});
-	/** Tokens that entries may hold from earlier leaders and have not reported. */
-	let unknown = hasPredecessor ? limits.outstanding : 0;
-	let outstanding = 0;
-	let sweptAt = Number.NEGATIVE_INFINITY;
+	const inheritance = createQuotaInheritance({
+		limits, startedAt, termMilliseconds, hasPredecessor,
+	});
+	/** Tokens lent since the start, less those given back. */
+	let lent = 0;
+	let confirmedAt = startedAt;
 	let scarceUntil = Number.NEGATIVE_INFINITY;
 	let shares: HolderShares | undefined;
 	let dividedAt = Number.NEGATIVE_INFINITY;
 
-	/** Counts as spent what nobody can use any more, because the leases under which it was held have ended. */
-	function sweep(now: number): void {
-		if (unknown > 0 && now >= unknownUntil) {
-			spent.add(now, unknown);
-			unknown = 0;
-		}
-
-		if (now < sweptAt + sweepMilliseconds) {
-			return;
-		}
-
-		sweptAt = now;
-		for (const [holder, holding] of holdings) {
-			if (getExpiry(holder) <= now) {
-				spent.add(now, getHeld(holding));
-				outstanding -= getHeld(holding);
-				holdings.delete(holder);
-			}
-		}
-	}
-
-	function addHolding(holder: string, report: HolderReport): Holding {
-		const {granted, spent: reported, unused, goal} = report;
-		const holding: Holding = {
-			granted, spent: reported, unused, goal, inherited: 0, isEarlierKnown: false,
-		};
-		holding.inherited = getHeld(holding);
-		holdings.set(holder, holding);
-		outstanding += holding.inherited;
-		return holding;
-	}
-
-	/** Applies what a holder has from an earlier leader. What it spent of that before its first report is not counted yet. */
-	function applyEarlier(holding: Holding, earlier: number, now: number): void {
-		if (!holding.isEarlierKnown && unknown > 0) {
+	/** Applies what a holder has from earlier leaders. What it spent before its first report was not counted by this one. */
+	function applyEarlier(holding: Holding, earlier: EarlierTokens, now: number): void {
+		if (!holding.isEarlierKnown) {
 			holding.isEarlierKnown = true;
-			unknown = Math.max(0, unknown - earlier);
-			spent.add(now, Math.max(0, earlier - holding.inherited));
+			inheritance.learn(earlier, {...holding, held: getHeld(holding), now});
 		}
 	}
 
 	function applyReport(holder: string, report: HolderReport, now: number): Holding {
-		const holding = holdings.get(holder) ?? addHolding(holder, report);
-		applyEarlier(holding, report.earlier ?? 0, now);
-		const heldBefore = getHeld(holding);
-		const givenBack = Math.max(0, report.unused - holding.unused);
-		const used = Math.max(0, report.spent - holding.spent - givenBack);
-		holding.spent = Math.max(holding.spent, report.spent);
-		holding.unused = Math.max(holding.unused, report.unused);
-		holding.goal = report.goal;
-		const returned = heldBefore - getHeld(holding);
-		outstanding -= returned;
-		bucket.putBack(Math.min(givenBack, returned));
+		const {holding, used, givenBack} = holdings.apply(holder, report);
+		bucket.putBack(givenBack);
+		lent -= givenBack;
 		spent.add(now, used);
 		use.add(now, used);
+		if (report.earlier !== undefined) {
+			applyEarlier(holding, report.earlier, now);
+		}
+
 		return holding;
 	}
 
 	/** Gets how many tokens may be lent, while entries may hold a number of tokens and some stay in the bucket. */
 	function getRoom(now: number, {maximum, reserve}: RoomLimits): number {
-		const held = outstanding + unknown;
-		const headStart = now < unknownUntil && hasPredecessor ? limits.headStart : 0;
-		return Math.max(0, Math.floor(roundingError + Math.min(
-			bucket.getUsable() - reserve,
-			maximum + headStart - held,
-			limits.window - held - spent.get(now),
-		)));
+		const {held, window} = inheritance.getRoom({
+			outstanding: holdings.getOutstanding(), spent: spent.get(now), lent, confirmedAt, now,
+		});
+		return Math.max(0, Math.floor(roundingError + Math.min(bucket.getUsable() - reserve, maximum - limits.outstanding + held, window)));
 	}
 
 	function getWholeRoom(): RoomLimits {
@@ -202,20 +154,32 @@
 	}
 
 	function getRoomForUse(now: number): RoomLimits {
-		return isScarce(now) ? getWholeRoom() : {maximum: limits.outstanding * reservedForUseShare, reserve: limits.bucket * reservedForWaitingShare};
+		return {maximum: limits.outstandingForUse, reserve: isOverused(now) ? 0 : Math.min(waitingReserve, limits.bucket * maximumWaitingReserveShare)};
 	}
 
-	function isScarce(now: number): boolean {
-		return now < scarceUntil;
+	/** Checks whether the quota itself allows nothing more, rather than what entries may hold at once. */
+	function isUsedUp(now: number): boolean {
+		return !inheritance.isUnknown(now) && getRoom(now, {maximum: Number.POSITIVE_INFINITY, reserve: 0}) === 0;
+	}
+
+	function getTotals(now: number): QuotaTotals {
+		const {total, held} = inheritance.getTotals({outstanding: holdings.getOutstanding(), spent: spent.get(now), now});
+		const level = Math.max(0, bucket.getLevel());
+		return {total: Math.ceil(total + level), held: Math.ceil(held + level)};
+	}
+
+	/** Checks whether tokens are scarce because more requests arrive than the quota allows. */
+	function isOverused(now: number): boolean {
+		return now < scarceUntil && (use.get(now) / useMilliseconds) + (refusals.get(now) / millisecondsPerSecond) > limits.perMillisecond;
 	}
 
 	/** Gets the share of each holder: of what may be held for use to come, or of what is there while tokens are scarce. */
 	function getShares(now: number): HolderShares {
 		if (shares === undefined || now >= dividedAt + divisionMilliseconds) {
-			const total = isScarce(now)
-				? outstanding + getRoom(now, getWholeRoom())
-				: Math.max(0, (limits.outstanding * reservedForUseShare) - unknown);
-			shares = createHolderShares([...holdings.values()].map(holding => getWanted(holding)), total);
+			const total = isOverused(now)
+				? holdings.getOutstanding() + getRoom(now, getWholeRoom())
+				: limits.outstandingForUse;
+			shares = createHolderShares(holdings.getWanted(), total);
 			dividedAt = now;
 		}
 
@@ -231,15 +195,14 @@
 	/** Gets how many tokens a holder gets for requests that wait. */
 	function getLoanForWaiting(holding: Holding, waiting: number, now: number): number {
 		const room = getRoom(now, getWholeRoom());
-		const isShareUsed = isScarce(now) && getHeld(holding) >= getShares(now).get(getWanted(holding));
+		const isShareUsed = isOverused(now) && getHeld(holding) >= getShares(now).get(getWanted(holding));
 		return isShareUsed && room < limits.bucket * scarceBucketShare ? 0 : Math.min(waiting, room);
 	}
 
 	function lend(holding: Holding, tokens: number): void {
-		const heldBefore = getHeld(holding);
-		holding.granted += tokens;
-		outstanding += getHeld(holding) - heldBefore;
+		holdings.lend(holding, tokens);
 		bucket.take(tokens);
+		lent += tokens;
 	}
 
 	function getRetryMilliseconds(now: number): number {
@@ -248,23 +211,21 @@
 	}
 
 	/** Lends to requests that wait. The goal of the holder includes them. */
-	function lendToWaiting(holding: Holding, waiting: number, now: number): number {
-		const missing = Math.min(waiting, holding.goal - holding.granted);
+	function lendToWaiting(holding: Holding, waiting: number, now: number): void {
+		const missing = Math.max(0, Math.min(waiting, holding.goal - holding.granted));
 		const tokens = getLoanForWaiting(holding, missing, now);
 		lend(holding, tokens);
-		if (tokens < missing) {
+		if (tokens < missing && (isOverused(now) || isUsedUp(now))) {
 			refusals.add(now, missing - tokens);
 			scarceUntil = now + scarcityMilliseconds;
 			shares = undefined;
-			return tokens === 0 ? getRetryMilliseconds(now) : 0;
 		}
-
-		return 0;
 	}
 
 	return {
-		exchange({holder, report, waiting = 0, refused = 0, isEnding = false, now, confirmedAt}) {
-			sweep(now);
+		exchange({holder, report, waiting = 0, refused = 0, isEnding = false, now, confirmedAt: nextConfirmedAt}) {
+			confirmedAt = nextConfirmedAt;
+			spent.add(now, holdings.removeEnded(now));
 			bucket.advance(now, confirmedAt);
 			const holding = report === undefined ? holdings.get(holder) : applyReport(holder, report, now);
 			if (holding === undefined) {
@@ -272,13 +233,14 @@
 			}
 
 			refusals.add(now, refused);
-			const retryMilliseconds = waiting > 0 ? lendToWaiting(holding, waiting, now) : 0;
+			const grantedBefore = holding.granted;
+			lendToWaiting(holding, waiting, now);
 			if (!isEnding) {
 				lend(holding, getLoanForUse(holding, now));
 			}
 
-			const isUsedUp = isScarce(now) && getHeld(holding) === 0 && holding.goal > holding.granted;
-			return {granted: holding.granted, retryMilliseconds: isUsedUp && retryMilliseconds === 0 ? getRetryMilliseconds(now) : retryMilliseconds};
+			const isRefused = holding.granted === grantedBefore && holding.goal > holding.granted && (isOverused(now) || (waiting > 0 && isUsedUp(now)));
+			return {granted: holding.granted, totals: getTotals(now), retryMilliseconds: isRefused ? getRetryMilliseconds(now) : 0};
 		},
 		isWanting(holder) {
 			const holding = holdings.get(holder);
@@ -290,20 +252,11 @@
 			}
 
 			limits = next;
-			unknown = Math.min(unknown, limits.outstanding);
+			inheritance.configure(limits);
 			bucket.configure(limits.perMillisecond, limits.bucket);
 			shares = undefined;
 		},
-		getOutstanding: () => outstanding,
+		getOutstanding: holdings.getOutstanding,
 		getUse: now => use.get(now) * millisecondsPerSecond / useMilliseconds,
 	};
 }
-
-/** Gets the tokens that a holder may have. One that was lent more by an earlier leader than it reported may have spent more than it was lent. */
-function getHeld({granted, spent}: Holding): number {
-	return Math.max(0, granted - spent);
-}
-
-function getWanted({goal, spent}: Holding): number {
-	return Math.max(0, goal - spent);
-}
--- a/source/quota/quota-limits.ts
+++ b/source/quota/quota-limits.ts
@@ -6,20 +6,36 @@
 /** Share of the tolerated excess that accounts use. The rest covers what successive leaders lend within one term beyond what they know of each other. */
 const usedToleranceShare = 0.9;
 
-/** Share of the tolerated excess that the bucket may hold beyond the burst, so that a quota without a burst can be lent in whole tokens. */
-const bucketToleranceShare = 0.2;
+/**
+ * Tokens that the bucket may hold beyond the burst. Requests that arrive independently at 0.6 of the rate find so many of them used about once in 100,000
+ * times. A workspace with a small quota has at most a share of the tolerated excess for it.
+ */
+const bucketReserve = 15;
+const maximumBucketToleranceShare = 0.5;
 
 /** Share of the tolerated excess that a new leader may lend before it knows what entries hold from earlier leaders. Two leaders may do so within one term. */
 const headStartShare = 0.05;
 
 /**
- * Share of a window for which a new leader lends nothing, so that entries may hold as much more as accrues in that time. More tokens at entries save
- * them questions.
+ * Share of what accrues in a window that entries may hold beyond a part of the tolerated excess. A new leader that learns nothing from entries pauses
+ * until as much has accrued, and one that learns something still has to assume that much of it is held.
  */
-const pauseWindowShare = 0.05;
+const debtWindowShare = 0.25;
 
-/** Largest such share, where entries would otherwise hold fewer tokens than a burst needs at once. */
-const maximumPauseWindowShare = 0.2;
+/** Share of what accrues in a window that entries may hold for use to come. More tokens at entries save them questions. */
+const forUseWindowShare = 0.2;
+
+/**
+ * Tokens that are only lent to requests that already wait, as a multiple of the square root of those that entries may hold for use: so many standard
+ * deviations of a number of requests that arrive independently.
+ */
+const waitingDeviations = 2.5;
+
+/**
+ * Time in milliseconds after its last confirmation for which a leader lends, and for which a new one does not, so that no two lend at the same time. A
+ * confirmation takes a heartbeat.
+ */
+export const lendingMilliseconds = 150;
 
 /** Quota of a workspace: requests per second, and requests that may exceed the rate at once. */
 export type Quota = NonNullable<Workspace['quota']>;
@@ -44,21 +60,14 @@
 	readonly bucket: number;
 	/** Tokens that entries may hold. */
 	readonly outstanding: number;
-	/** Tokens that a new leader lends less than accrue, once. */
+	/** Tokens that entries may hold when some are lent for use to come. */
+	readonly outstandingForUse: number;
+	/** Tokens that a new leader lends less than accrue, once, unless it learns from entries what they have spent. */
 	readonly debt: number;
 	/** Tokens by which a new leader may exceed `outstanding` while it does not know what entries hold. */
 	readonly headStart: number;
 };
 
-/**
- * Gets the time after its last confirmation for which a leader may lend. It is the time for which a new leader lends nothing, so that no tokens of
- * an earlier leader's bucket are lent beside those of a later one.
- * @param tolerance - Tolerance of the deployment.
- */
-export function getLendingMilliseconds({windowSeconds}: QuotaTolerance): number {
-	return windowSeconds * millisecondsPerSecond * pauseWindowShare;
-}
-
 /**
  * Gets the limits of an account. In any window, at most what entries hold at its start, what the bucket holds then and what accrues can run;
  * `window` bounds that directly within one leadership, and `outstanding`, `bucket` and `debt` bound it across leaders. Each limit is one token at
@@ -69,16 +78,18 @@
 export function getQuotaLimits({requestsPerSecond, burst}: Quota, {windowSeconds, overshoot, slack}: QuotaTolerance): QuotaLimits {
 	const allowed = (requestsPerSecond * windowSeconds) + burst;
 	const excess = usedToleranceShare * ((overshoot * allowed) + slack);
-	const accrued = requestsPerSecond * windowSeconds;
-	const excessOutstanding = (1 - bucketToleranceShare) * excess;
-	const outstanding = Math.max(excessOutstanding + (pauseWindowShare * accrued), Math.min(burst, excessOutstanding + (maximumPauseWindowShare * accrued)));
+	const bucketExcess = Math.min(bucketReserve, maximumBucketToleranceShare * excess);
+	const excessOutstanding = excess - bucketExcess;
+	const forUse = excessOutstanding + (requestsPerSecond * windowSeconds * forUseWindowShare);
+	const debt = requestsPerSecond * windowSeconds * debtWindowShare;
 	return {
 		perMillisecond: requestsPerSecond / millisecondsPerSecond,
 		windowMilliseconds: windowSeconds * millisecondsPerSecond,
 		window: Math.max(1, allowed + excess),
-		bucket: Math.max(1, burst + (bucketToleranceShare * excess)),
-		outstanding: Math.max(1, outstanding),
-		debt: outstanding - excessOutstanding,
+		bucket: Math.max(1, burst + bucketExcess),
+		outstanding: Math.max(1, excessOutstanding + debt),
+		outstandingForUse: Math.max(0, forUse - (waitingDeviations * Math.sqrt(forUse))),
+		debt,
 		headStart: Math.max(1, headStartShare * excess),
 	};
 }
