Replay policies of hedging, and hedge by latencies and stated slowness where settings ask for it

Change: with [hedging] in the settings of an entry, a running attempt is checked from the time on at which it is late for its route. It is hedged if its server states that it is slow, and from a high quantile on in any case; never while requests wait, in a shortage or while most servers are congested. Each request deposits a share of a token, and hedges use at most half of the part of the slack. Without the section, nothing changes. The bench 'hedging' replays policies in virtual time with the request path of the product.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import {runChoice} from './choice.js';
 import {printReport, type BenchOptions, type BenchReport} from './report.js';
 import {runCost} from './cost.js';
+import {runHedging} from './hedging.js';
 import {runLimits} from './limits.js';
 import {runSlopes} from './slopes/index.js';
 import {runThroughput} from './throughput.js';
@@ -14,6 +15,7 @@
 	'added-latency': runAddedLatency,
 	choice: runChoice,
 	cost: runCost,
+	hedging: runHedging,
 	limits: runLimits,
 	slopes: runSlopes,
 	throughput: runThroughput,
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -17,7 +17,7 @@
 import {createLinkFailureLog, listen} from '../wire/index.js';
 import {createByteBudget} from '../bytes/index.js';
 import {
-	createAnnouncementHandler, createFleet, createProber, drainQueues, createReportHandler,
+	createAnnouncementHandler, createFleet, createProber, drainQueues, createReportHandler, getHedgingOptions,
 } from './fleet/index.js';
 import {createCallerServer} from './callers/index.js';
 import {createClaims, type RequestContext, createRequestIds} from './requests/index.js';
@@ -86,7 +86,7 @@
 	const stallWatch = createStallWatch({log, intervalMilliseconds: housekeepingIntervalMilliseconds});
 	const zoneView = createZoneView({log, isServingWithoutControl, getTime: () => performance.now()});
 	const discardedAnswers = createDiscardedAnswers({log, countDiscardedAnswer: metrics.countDiscardedAnswer, getTime: () => performance.now()});
-	const fleet = createFleet(random, slackPart?.getBudget, createSubsetChooser({entry: settings.name, zone: settings.zone}), (candidate, history) => {
+	const fleet = createFleet(random, {shared: slackPart, hedging: getHedgingOptions(settings)}, createSubsetChooser({entry: settings.name, zone: settings.zone}), (candidate, history) => {
 		discardedAnswers.record(candidate, {reason: 'answer-unsolicited', history});
 	});
 	const requestLog = createRequestLog(log, () => performance.now());
--- a/source/entry/fleet/fleet.ts
+++ b/source/entry/fleet/fleet.ts
@@ -12,7 +12,7 @@
 import {type ConnectionHistory} from '../servers/index.js';
 import {createServerTable, type FleetServer} from './server-table.js';
 import {
-	createServiceState, type GetSharedBudget, type MutableServiceState, type ServiceState,
+	createServiceState, type ExtraAttemptOptions, type MutableServiceState, type ServiceState,
 } from './service-state.js';
 
 /** The servers that an entry may send requests to. */
@@ -57,11 +57,11 @@
 /**
  * Creates a fleet without servers.
  * @param random - Source of random numbers.
- * @param getSharedBudget - Gets the budget that retries and hedges of a service share; by default each has a budget of its own.
+ * @param extraAttempts - Limits of retries and hedges that do not come from the document.
  * @param subsetChooser - Chooser of the servers that the entry prefers to query; by default it prefers none.
  * @param onUnsolicitedData - Called when a server sends data on an idle connection, with its history.
  */
-export function createFleet(random: Random, getSharedBudget?: GetSharedBudget, subsetChooser?: SubsetChooser, onUnsolicitedData?: (candidate: Candidate, history: ConnectionHistory) => void): Fleet {
+export function createFleet(random: Random, extraAttempts?: ExtraAttemptOptions, subsetChooser?: SubsetChooser, onUnsolicitedData?: (candidate: Candidate, history: ConnectionHistory) => void): Fleet {
 	const servers = createServerTable(onUnsolicitedData);
 	const states = new Map<string, MutableServiceState>();
 	const permitCapacities = new Map<number, Permit['capacity']>();
@@ -103,7 +103,7 @@
 			for (const service of next.services) {
 				const existing = states.get(service.name);
 				if (existing === undefined) {
-					states.set(service.name, createServiceState(service, random, getSharedBudget));
+					states.set(service.name, createServiceState(service, random, extraAttempts));
 				} else {
 					existing.setService(service);
 				}
--- a/source/entry/fleet/server-reports.ts
+++ b/source/entry/fleet/server-reports.ts
@@ -72,6 +72,7 @@
 
 		if (load !== undefined) {
 			candidate.setReportedLoad(load.running + load.waiting);
+			fleet.getState(candidate.getAnnouncement().service)?.hedging?.loads.record(candidate, load);
 		}
 
 		if (isLeaving) {
--- a/source/entry/fleet/service-state.ts
+++ b/source/entry/fleet/service-state.ts
@@ -6,8 +6,9 @@
 } from '../../limits/index.js';
 import {type Random} from '../../randomness/index.js';
 import {
-	createAttemptBudget, createHedgeDelay, defaultHedgeDelayMilliseconds, type AttemptBudget, type HedgeDelay,
+	createAttemptBudget, createHedgeDelay, defaultHedgeDelayMilliseconds, type AttemptBudget, type HedgeDelay, type SlackPart,
 } from '../../retry/index.js';
+import {createServiceHedging, type HedgingOptions, type ServiceHedging} from './service-hedging.js';
 
 const initialRetryBalance = 10;
 const initialHedgeDelayMilliseconds = 50;
@@ -21,6 +22,8 @@
 	readonly retries: AttemptBudget;
 	readonly hedges: AttemptBudget;
 	readonly hedgeDelay: HedgeDelay;
+	/** State for hedges by recent latencies and stated slowness; undefined if the settings do not ask for them. */
+	readonly hedging: ServiceHedging | undefined;
 	getChooser(): Chooser;
 	getCandidates(): readonly Candidate[];
 	/** Gets the ids of the servers in the own zone that the entry prefers to query; undefined if it prefers none. */
@@ -33,21 +36,27 @@
 	setCandidates(candidates: readonly Candidate[], subset: ReadonlySet<number> | undefined): void;
 };
 
-/** Gets the budget of extra attempts that retries and hedges of a service share. */
-export type GetSharedBudget = (service: string) => AttemptBudget;
+/** Limits of extra attempts that do not come from the document. */
+export type ExtraAttemptOptions = {
+	/** Budgets that all entries share; by default, retries and hedges of a service each have a budget of the entry's own. */
+	readonly shared?: Pick<SlackPart, 'getBudget' | 'getHedgeBudget'> | undefined;
+	/** Limits of hedges by recent latencies and stated slowness; by default, hedges start at a fixed share of the target. */
+	readonly hedging?: HedgingOptions | undefined;
+};
 
 /**
  * Creates the state of a service without candidates.
  * @param initial - Service of the document.
  * @param random - Source of random numbers.
- * @param getSharedBudget - Gets the budget that retries and hedges share; by default each has a budget of its own.
+ * @param extraAttempts - Limits of retries and hedges that do not come from the document.
  */
-export function createServiceState(initial: Service, random: Random, getSharedBudget: GetSharedBudget | undefined): MutableServiceState {
+export function createServiceState(initial: Service, random: Random, extraAttempts: ExtraAttemptOptions | undefined): MutableServiceState {
 	let service = initial;
 	let candidates: readonly Candidate[] = [];
 	let subset: ReadonlySet<number> | undefined;
 	let chooser = createChooser(service.policy, random);
-	const sharedBudget = getSharedBudget?.(initial.name);
+	const {shared, hedging} = extraAttempts ?? {};
+	const sharedBudget = shared?.getBudget(initial.name);
 	return {
 		getService: () => service,
 		queue: createWaitQueue(() => service.queueLength),
@@ -56,6 +65,7 @@
 		// If retries and hedges share a budget, each request deposits to it only once, through `retries`.
 		hedges: sharedBudget === undefined ? createAttemptBudget(() => service.hedgeRatio, 0) : {...sharedBudget, deposit: doNothing},
 		hedgeDelay: createHedgeDelay(hedgeQuantile, initialHedgeDelayMilliseconds, () => service.hedgeDelayMilliseconds ?? defaultHedgeDelayMilliseconds),
+		hedging: hedging === undefined ? undefined : createServiceHedging(hedging, () => service, shared?.getHedgeBudget(initial.name)),
 		getChooser: () => chooser,
 		getCandidates: () => candidates,
 		getSubset: () => subset,
--- a/source/entry/placement/request-dispatch.ts
+++ b/source/entry/placement/request-dispatch.ts
@@ -7,11 +7,12 @@
 import {getAttemptResult, hasReachedNoServer} from './attempt-result.js';
 import {startOrEnqueue} from './first-attempt.js';
 import {retryOrRefuse} from './further-attempt.js';
+import {recordAnswer, recordFailure} from './hedging.js';
 import {
-	cancelRunning, createProgress, refuse, settle, type RequestProgress, type RunningAttempt,
+	cancelRunning, createProgress, refuse, settle, type AttemptKind, type RequestProgress, type RunningAttempt,
 } from './request-progress.js';
 import {discardResponse, relayResponse} from './response-relay.js';
-import {startServerAttempt, type AttemptKind} from './server-attempt.js';
+import {startServerAttempt} from './server-attempt.js';
 
 /** Maximum number of unreachable servers that do not count as attempts of a request. */
 const maximumUnreachedServers = 4;
@@ -29,6 +30,7 @@
 		}
 	});
 	admitted.state.retries.deposit();
+	admitted.state.hedging?.budget.deposit();
 	if (response.destroyed) {
 		handleDisconnect(progress);
 	} else {
@@ -56,6 +58,7 @@
 	if (outcome.kind === 'failed') {
 		const {verdict} = outcome;
 		admitted.recordDecision({kind: 'failed', server: name, reason: verdict.kind === 'ran' ? '' : `${verdict.kind} ${verdict.reason}`});
+		recordFailure(progress, runningAttempt, verdict, now);
 		handleFailure(progress, candidate, outcome);
 	} else {
 		admitted.recordDecision({kind: 'answered', server: name, status: outcome.head.status});
@@ -65,12 +68,14 @@
 	queue.drain(now);
 }
 
-function handleResponse(progress: RequestProgress, {candidate, startedAt}: RunningAttempt, outcome: AttemptResponse, now: number): void {
+function handleResponse(progress: RequestProgress, runningAttempt: RunningAttempt, outcome: AttemptResponse, now: number): void {
+	const {candidate, startedAt} = runningAttempt;
 	const {admitted} = progress;
 	const {context, state, request} = admitted;
 	releaseAtEnd(admitted, outcome);
 	state.hedgeDelay.record(now - startedAt);
 	if (outcome.head.status >= 500) {
+		recordFailure(progress, runningAttempt, undefined, now);
 		ejectFailing(admitted, candidate, now);
 	}
 
@@ -95,6 +100,10 @@
 		return;
 	}
 
+	if (outcome.head.status < 500) {
+		recordAnswer(progress, runningAttempt, now);
+	}
+
 	cancelRunning(progress);
 	context.crashTracker.recordSuccess(admitted.computeFingerprint);
 	relayResponse(admitted, outcome);
--- a/source/entry/placement/request-progress.ts
+++ b/source/entry/placement/request-progress.ts
@@ -7,8 +7,11 @@
 import {type Attempt, type AttemptResponse} from '../servers/index.js';
 import {createServerSelector, type ServerSelector} from './server-selector.js';
 
+/** Why an attempt is made. */
+export type AttemptKind = 'first' | 'retry' | 'hedge';
+
 /** An attempt on a server that has not ended. */
-export type RunningAttempt = {readonly attempt: Attempt; readonly candidate: Candidate; readonly startedAt: number};
+export type RunningAttempt = {readonly attempt: Attempt; readonly candidate: Candidate; readonly kind: AttemptKind; readonly startedAt: number};
 
 /** Progress of a request. */
 export type RequestProgress = {
@@ -133,8 +136,12 @@
  */
 export function cancelRunning({running, admitted}: RequestProgress): void {
 	const now = performance.now();
-	for (const {attempt, candidate} of running) {
+	for (const {attempt, candidate, kind} of running) {
 		attempt.cancel();
+		if (kind === 'hedge') {
+			admitted.context.metrics.countHedge(admitted.service.name, 'cancelled');
+		}
+
 		candidate.finish('cancelled', now);
 	}
 
--- a/source/entry/placement/server-attempt.ts
+++ b/source/entry/placement/server-attempt.ts
@@ -5,12 +5,9 @@
 import {isAccessValid} from '../../workspace/index.js';
 import {type AttemptOutcome, getForwardedHeaders} from '../servers/index.js';
 import {
-	fail, protect, refuse, type RequestProgress, type RunningAttempt,
+	fail, protect, refuse, type AttemptKind, type RequestProgress, type RunningAttempt,
 } from './request-progress.js';
 
-/** Why an attempt is made. */
-export type AttemptKind = 'first' | 'retry' | 'hedge';
-
 /** Starts an attempt on a server. */
 export type AttemptStart = (progress: RequestProgress, candidate: Candidate, kind: AttemptKind) => void;
 
@@ -94,7 +91,9 @@
 			});
 		},
 	});
-	const runningAttempt: RunningAttempt = {attempt, candidate, startedAt: now};
+	const runningAttempt: RunningAttempt = {
+		attempt, candidate, kind, startedAt: now,
+	};
 	progress.running.add(runningAttempt);
 }
 
--- a/source/entry/reporting/metrics.ts
+++ b/source/entry/reporting/metrics.ts
@@ -1,17 +1,25 @@
 /** Counters, gauges and histograms of an entry. */
 import {Counter, Histogram, Registry} from 'prom-client';
 import {addGauge, addProcessMetrics} from '../../telemetry/index.js';
+import {type HedgeObstacle} from '../../retry/index.js';
 import {type Verdict} from '../../verdict/index.js';
 import {type DiscardReason} from '../servers/index.js';
 
 const latencyBucketsSeconds = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10];
 
+/** How a hedge ended. */
+export type HedgeOutcome = 'won' | 'cancelled' | 'failed';
+
 /** Metrics of an entry. */
 export type EntryMetrics = {
 	readonly registry: Registry;
 	/** Counts an answered request and records its latency. */
 	countRequest(service: string, verdict: Verdict['kind'], seconds: number): void;
 	countAttempt(service: string, kind: 'first' | 'retry' | 'hedge'): void;
+	/** Counts the end of a hedge: it answered the request, was cancelled since the other attempt did, or failed. */
+	countHedge(service: string, outcome: HedgeOutcome): void;
+	/** Counts a request whose hedge is withheld; once for each reason that follows another one. */
+	countWithheldHedge(service: string, reason: HedgeObstacle): void;
 	countRefusal(reason: string): void;
 	countProbe(isHealthy: boolean): void;
 	countEjection(service: string): void;
@@ -37,6 +45,12 @@
 	const attempts = new Counter({
 		name: 'guavadeck_attempts_total', help: 'Attempts on servers', labelNames: ['service', 'kind'], registers: [registry],
 	});
+	const hedges = new Counter({
+		name: 'guavadeck_hedges_total', help: 'Hedges by their end', labelNames: ['service', 'outcome'], registers: [registry],
+	});
+	const withheldHedges = new Counter({
+		name: 'guavadeck_hedges_withheld_total', help: 'Requests whose hedge was withheld, by reason', labelNames: ['service', 'reason'], registers: [registry],
+	});
 	const refusals = new Counter({
 		name: 'guavadeck_refusals_total', help: 'Answers that the entry made itself, by reason', labelNames: ['reason'], registers: [registry],
 	});
@@ -68,6 +82,12 @@
 		countAttempt(service, kind) {
 			attempts.inc({service, kind});
 		},
+		countHedge(service, outcome) {
+			hedges.inc({service, outcome});
+		},
+		countWithheldHedge(service, reason) {
+			withheldHedges.inc({service, reason});
+		},
 		countRefusal(reason) {
 			refusals.inc({reason});
 		},
--- a/source/entry/requests/request-context.ts
+++ b/source/entry/requests/request-context.ts
@@ -34,6 +34,8 @@
 	readonly maximumStoredBytes: number;
 	/** Starts an attempt on a server. */
 	readonly startAttempt: typeof startAttempt;
+	/** Checks whether the link of the entry is too busy for a second large response; without it, large responses are not hedged. */
+	isLinkBusy?(): boolean;
 	/** Gets the workspaces of the document in force, or undefined if it has none. */
 	getWorkspaces(): WorkspaceIndex | undefined;
 	/** Checks whether the entry may accept and dispatch new requests. */
--- a/source/retry/attempt-budget.ts
+++ b/source/retry/attempt-budget.ts
@@ -3,7 +3,7 @@
  * hedge withdraws one. Under overload, extra attempts therefore stay a fixed share of the load.
  */
 
-const maximumBalance = 100;
+const defaultMaximumBalance = 100;
 
 /** Budget of extra attempts. */
 export type AttemptBudget = {
@@ -18,8 +18,9 @@
  * Creates a budget.
  * @param getRatio - Gets the share of requests that may have an extra attempt.
  * @param initial - Initial balance.
+ * @param maximumBalance - Largest balance, which limits the extra attempts of a burst.
  */
-export function createAttemptBudget(getRatio: () => number, initial: number): AttemptBudget {
+export function createAttemptBudget(getRatio: () => number, initial: number, maximumBalance = defaultMaximumBalance): AttemptBudget {
 	let balance = initial;
 	return {
 		deposit() {
--- a/source/retry/index.ts
+++ b/source/retry/index.ts
@@ -4,3 +4,7 @@
 export * from './slack-account.js';
 export * from './slack-meter.js';
 export * from './slack-part.js';
+export * from './hedge-budget.js';
+export * from './hedge-decision.js';
+export * from './hedge-times.js';
+export * from './latency-histogram.js';
--- a/source/settings/settings.ts
+++ b/source/settings/settings.ts
@@ -69,6 +69,11 @@
 	slack: z.number().min(0),
 }).readonly();
 
+const hedging = z.strictObject({
+	/** Number of hedges per request of a service, over all entries together; by default the one that the document sets. */
+	ratio: z.number().min(0).max(1).optional(),
+}).readonly();
+
 /** Schema of the settings of an entry process; unknown keys are rejected. */
 export const entrySettingsSchema = z.strictObject({
 	...commonSettings,
@@ -77,6 +82,8 @@
 	withoutControl: z.enum(['stop', 'serve']).default('stop'),
 	/** Budget of extra attempts for a service, shared by all entries. */
 	attemptBudget: attemptBudget.optional(),
+	/** Hedges by the latencies of routes and the slowness that servers state; without it, hedges start at a fixed share of the target. */
+	hedging: hedging.optional(),
 	/** Maximum number of load queries per second to one server, summed over all entries, for services that query the load before each request. */
 	questionsPerServerAndSecond: z.number().min(0).default(60),
 	callers: address,
--- a/stand-in/model/attempt.ts
+++ b/stand-in/model/attempt.ts
@@ -40,6 +40,8 @@
 	readonly serviceMilliseconds: number;
 	/** Time until a connection is ready; 0 if one is open. */
 	readonly connectMilliseconds: number;
+	/** Called when the attempt is cancelled, with the work that the server did for it. */
+	readonly onCancelledWork?: ((milliseconds: number) => void) | undefined;
 };
 
 /**
@@ -144,5 +146,11 @@
 		send();
 	}
 
-	return {cancel, wasDispatched: () => isDispatched};
+	return {
+		cancel() {
+			options.onCancelledWork?.(options.serviceMilliseconds - Math.min(options.serviceMilliseconds, Math.max(0, request.remainingMilliseconds)));
+			cancel();
+		},
+		wasDispatched: () => isDispatched,
+	};
 }
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -7,7 +7,9 @@
 import {getExpectedSlowdown, type Candidate, type LoadReading} from '../../source/choice/index.js';
 import {type EnvironmentDocument} from '../../source/configuration/index.js';
 import {createFleet} from '../../source/entry/fleet/fleet.js';
+import {type HedgingOptions} from '../../source/entry/fleet/index.js';
 import {type ServerReport} from '../../source/entry/index.js';
+import {type AttemptKind} from '../../source/entry/placement/request-progress.js';
 import {type LoadQuery} from '../../source/entry/servers/load-querier.js';
 import {type EntryMetrics} from '../../source/entry/reporting/metrics.js';
 import {type RequestContext} from '../../source/entry/requests/request-context.js';
@@ -20,7 +22,7 @@
 	emptyReport, getReport, startModelAttempt, transferMilliseconds,
 } from './attempt.js';
 import {createExchange, modelDialect, type CallerRequest} from './caller-exchange.js';
-import {upstreamSlots, type UpstreamModel} from './upstream.js';
+import {type UpstreamModel} from './upstream.js';
 
 const upstreamConnections = 250;
 const maximumBytes = 1_000_000;
@@ -55,6 +57,12 @@
 	onStatement(entry: number, upstream: UpstreamModel, report: ServerReport): void;
 	/** Called with the requests for their load that servers get. */
 	onQuery(entry: number, upstream: UpstreamModel): void;
+	/** Limits of hedges by recent latencies; by default, hedges start at a fixed share of the target. */
+	readonly hedging?: HedgingOptions | undefined;
+	/** Called with each attempt that the entry starts. */
+	onAttempt?(kind: AttemptKind): void;
+	/** Called with the work that a server did for an attempt that was then cancelled, in milliseconds on a server without load. */
+	onCancelledWork?(milliseconds: number): void;
 };
 
 function ignore(): void {
@@ -71,7 +79,7 @@
 		ratio: retryRatio, slack: retrySlack, getTime: () => performance.now(), revokeIfNeeded: ignore,
 	});
 	slackPart.apply({part: slackPart.getReport(performance.now()).total / options.entryCount});
-	const fleet = createFleet(random, slackPart.getBudget);
+	const fleet = createFleet(random, {shared: slackPart, hedging: options.hedging});
 	const router = createRouter(document.services, document.routes, random);
 	const callerTimes = new Map<string, {readonly sentAt: number; readonly serviceMilliseconds: number}>();
 	fleet.setDocument(document);
@@ -82,12 +90,19 @@
 		isRemoved: false,
 		announcement: announcementSchema.parse({
 			service: document.services[0]!.name, name: upstream.name, host: '127.0.0.1', port: index + 1, zone: upstream.zone,
-			slots: upstreamSlots, connections: upstreamConnections, boot: 'one', state: 'warm',
+			slots: upstream.slots, connections: upstreamConnections, boot: 'one', state: 'warm',
 		}),
 	})), true);
 	const byPool = new Map([...fleet.getServers()].map(({candidate, pool}) => [pool, upstreams[candidate.id - 1]!]));
 	const metrics = {
-		countAttempt: ignore, countRefusal: ignore, countEjection: ignore, countWithdrawal: ignore,
+		countAttempt(_service: string, kind: AttemptKind) {
+			options.onAttempt?.(kind);
+		},
+		countHedge: ignore,
+		countWithheldHedge: ignore,
+		countRefusal: ignore,
+		countEjection: ignore,
+		countWithdrawal: ignore,
 	} as unknown as EntryMetrics;
 	const applyReport = createReportHandler({fleet, metrics, log: {info: ignore, warn: ignore, error: ignore}});
 
@@ -141,7 +156,12 @@
 		maximumResponseBytes: maximumBytes,
 		maximumStoredBytes: maximumBytes,
 		startAttempt: attempt => startModelAttempt({
-			attempt, upstream: byPool.get(attempt.pool)!, entry: options.number, connectMilliseconds: options.connectMilliseconds, ...callerTimes.get(attempt.requestId)!,
+			attempt,
+			upstream: byPool.get(attempt.pool)!,
+			entry: options.number,
+			connectMilliseconds: options.connectMilliseconds,
+			onCancelledWork: options.onCancelledWork,
+			...callerTimes.get(attempt.requestId)!,
 		}),
 		getWorkspaces: () => undefined,
 		mayDispatch: () => true,
--- a/stand-in/model/server.ts
+++ b/stand-in/model/server.ts
@@ -25,6 +25,8 @@
 export type ModelRequest = {
 	/** Remaining service time, in milliseconds on a server without load on a normal host. */
 	remainingMilliseconds: number;
+	/** Factor by which the request takes longer, if the host determines it when the request starts to run. */
+	slownessAtStart?: number | undefined;
 	/** Called when the request has completed. */
 	onComplete(now: number): void;
 };
@@ -44,8 +46,9 @@
  * @param slots - Maximum number of requests that run at once.
  * @param queueLength - Maximum number of requests that wait for a slot.
  * @param random - Source of random numbers.
+ * @param isSlownessFixedAtStart - Whether a request keeps the slowness that its host has when it starts to run; by default it follows the host.
  */
-export function createServerModel(slots: number, queueLength: number, random: Random): ServerModel {
+export function createServerModel(slots: number, queueLength: number, random: Random, isSlownessFixedAtStart = false): ServerModel {
 	let running: ModelRequest[] = [];
 	const waiting: ModelRequest[] = [];
 	let slowness = 1;
@@ -53,7 +56,9 @@
 
 	function startWaitingRequests(): void {
 		while (running.length < slots && waiting.length > 0) {
-			running.push(waiting.shift()!);
+			const request = waiting.shift()!;
+			request.slownessAtStart = isSlownessFixedAtStart ? slowness : undefined;
+			running.push(request);
 		}
 	}
 
@@ -77,9 +82,8 @@
 			}
 
 			const isBeyondKnee = running.length > slots * kneeShare;
-			const progress = stepMilliseconds / (slowness * (isBeyondKnee ? kneeSlowdown : 1));
 			for (const request of running) {
-				request.remainingMilliseconds -= progress;
+				request.remainingMilliseconds -= stepMilliseconds / ((request.slownessAtStart ?? slowness) * (isBeyondKnee ? kneeSlowdown : 1));
 			}
 
 			const completed = running.filter(request => request.remainingMilliseconds <= 0);
--- a/stand-in/model/upstream.ts
+++ b/stand-in/model/upstream.ts
@@ -6,10 +6,11 @@
 import {type Random} from '../../source/randomness/index.js';
 import {createServerModel, type ModelRequest} from './server.js';
 
-/** Maximum number of requests that run at once. */
-export const upstreamSlots = 6;
+/** Maximum number of requests that run at once, by default. */
+const defaultSlots = 6;
 
-const queueLength = 12;
+/** Maximum number of requests that wait for a slot, by default. */
+const defaultQueueLength = 12;
 
 /** Withdrawal of a server. */
 export type Withdrawal
@@ -37,6 +38,7 @@
 export type UpstreamModel = {
 	readonly name: string;
 	readonly zone: string;
+	readonly slots: number;
 	readonly arrivals: readonly Arrival[];
 	getReading(): LoadReading;
 	/** Gets the withdrawal that is under way. */
@@ -55,6 +57,12 @@
 	readonly zone: string;
 	readonly withdrawals: readonly Withdrawal[];
 	readonly random: Random;
+	readonly slots?: number;
+	readonly queueLength?: number;
+	/** Whether a request keeps the slowness that the host has when it starts to run. */
+	readonly isSlownessFixedAtStart?: boolean;
+	/** Share of the requests that occupy a slot and are never answered; by default none. */
+	readonly lostShare?: number;
 };
 
 /**
@@ -62,8 +70,10 @@
  * @param options - Name, zone and withdrawals.
  */
 export function createUpstreamModel(options: UpstreamModelOptions): UpstreamModel {
-	const {name, zone, withdrawals, random} = options;
-	const server = createServerModel(upstreamSlots, queueLength, random);
+	const {
+		name, zone, withdrawals, random, slots = defaultSlots, queueLength = defaultQueueLength, lostShare = 0,
+	} = options;
+	const server = createServerModel(slots, queueLength, random, options.isSlownessFixedAtStart);
 	const arrivals: Arrival[] = [];
 
 	function getWithdrawal(now: number): Withdrawal | undefined {
@@ -78,6 +88,7 @@
 	return {
 		name,
 		zone,
+		slots,
 		arrivals,
 		getReading: server.getReading,
 		getWithdrawal,
@@ -94,6 +105,10 @@
 				return {kind: 'refused', pauseMilliseconds: withdrawal.pauseMilliseconds};
 			}
 
+			if (lostShare > 0 && random() < lostShare) {
+				request.remainingMilliseconds = Number.POSITIVE_INFINITY;
+			}
+
 			return server.tryAdd(request) ? {kind: 'accepted'} : {kind: 'refused', pauseMilliseconds: undefined};
 		},
 		advance(now) {
