--- a/source/entry/placement/hedging.ts
+++ b/source/entry/placement/hedging.ts
@@ -3,7 +3,7 @@
  * from the time on at which it is late, and until it ends, a hedge is sent or the request has no further attempt.
  */
 import {performance} from 'node:perf_hooks';
-import {isUncongested, type Candidate, type LoadReading} from '../../choice/index.js';
+import {getExpectedSlowdown, type Candidate, type LoadReading} from '../../choice/index.js';
 import {
 	decideHedge, mayHedge, type HedgeObstacle, type HedgeSituation, type HedgeTimes,
 } from '../../retry/index.js';
@@ -13,7 +13,7 @@
 import {protect, type RequestProgress, type RunningAttempt} from './request-progress.js';
 import {mayDispatch, type AttemptStart} from './server-attempt.js';
 
-/** Slowness beyond which a server counts as slow. */
+/** Slowness beyond which a server counts as slow, and expected slowdown beyond which another one is unlikely to be sooner. */
 const maximumUsualSlowness = 1.5;
 
 /** Factor by which the time between two checks grows, so that an attempt that never ends is checked only a few times. */
@@ -205,7 +205,7 @@
 }
 
 function isLikelySooner(reading: LoadReading | undefined): boolean {
-	return reading === undefined || isUncongested(reading);
+	return reading === undefined || getExpectedSlowdown(reading) <= maximumUsualSlowness;
 }
 
 /** Gets the running attempt of a request that may have a hedge, if it is the only one. */
--- a/source/retry/hedge-decision.ts
+++ b/source/retry/hedge-decision.ts
@@ -8,7 +8,7 @@
 const certainReserveTokens = 1;
 
 /** Share of congested servers from which on hedges are withheld: the work of a hedge then delays other requests by more than it gains. */
-const maximumCongestedShare = 0.5;
+const maximumCongestedShare = 0.4;
 
 /**
  * Reason to withhold a hedge:
--- a/source/retry/hedge-times.ts
+++ b/source/retry/hedge-times.ts
@@ -66,9 +66,9 @@
 	}
 
 	const usual = latencies.getQuantile(0.5);
+	const secondAttempt = usual + queryMilliseconds;
 	const certain = latencies.getQuantile(1 - (ratio * certainHedgeShare));
 	const earliest = latencies.getQuantile(1 - Math.min(maximumCheckedShare, ratio * checksPerHedge));
-	const secondAttempt = latencies.getQuantile(0.75) + queryMilliseconds;
 	return {
 		first: Math.min(certain, Math.max(earliest, (targetMilliseconds ?? Number.POSITIVE_INFINITY) - secondAttempt)),
 		certain,
