--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import {runChoice} from './choice.js';
 import {printReport, type BenchOptions, type BenchReport} from './report.js';
 import {runCost} from './cost.js';
+import {runHedging} from './hedging.js';
 import {runLimits} from './limits.js';
 import {runLinkBytes} from './link-bytes.js';
 import {runSlopes} from './slopes/index.js';
@@ -15,6 +16,7 @@
 	'added-latency': runAddedLatency,
 	choice: runChoice,
 	cost: runCost,
+	hedging: runHedging,
 	limits: runLimits,
 	'link-bytes': runLinkBytes,
 	slopes: runSlopes,
--- a/source/control/compact-messages.test.ts
+++ b/source/control/compact-messages.test.ts
@@ -62,7 +62,7 @@
 	readInForce: [{kind: 'readInForce', environment: 'trial', version: 4}],
 	readStatus: [{kind: 'readStatus'}],
 	quota: [{
-		kind: 'quota', environment: 'production', process: 'p', epoch: 2, report: ['clinic', 4, 3, 0, 6, 1], waiting: 2, refused: 1,
+		kind: 'quota', environment: 'production', process: 'p', epoch: 2, report: ['clinic', 4, 3, 0, 6], waiting: 2, refused: 1,
 	}],
 };
 
@@ -98,7 +98,7 @@
 	notLeader: [{kind: 'notLeader', leader: 'a:1'}, {kind: 'notLeader', leader: undefined}],
 	unknown: [{kind: 'unknown'}],
 	quota: [{
-		kind: 'quota', epoch: 2, granted: 6, retryMilliseconds: 0,
+		kind: 'quota', epoch: 2, granted: 6, total: 20, held: 2, retryMilliseconds: 0,
 	}],
 };
 
--- a/stand-in/model/attempt.ts
+++ b/stand-in/model/attempt.ts
@@ -43,6 +43,8 @@
 	readonly transferMilliseconds: number;
 	/** Called when the request has reached the server, with the load before it and how the server takes it. */
 	onReception?: ((load: LoadReading, kind: Reception['kind']) => void) | undefined;
+	/** Called when the attempt is cancelled, with the work that the server did for it. */
+	readonly onCancelledWork?: ((milliseconds: number) => void) | undefined;
 };
 
 /**
@@ -150,5 +152,11 @@
 		send();
 	}
 
-	return {cancel, wasDispatched: () => isDispatched};
+	return {
+		cancel() {
+			options.onCancelledWork?.(options.serviceMilliseconds - Math.min(options.serviceMilliseconds, Math.max(0, request.remainingMilliseconds)));
+			cancel();
+		},
+		wasDispatched: () => isDispatched,
+	};
 }
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -9,7 +9,9 @@
 } from '../../source/choice/index.js';
 import {type EnvironmentDocument} from '../../source/configuration/index.js';
 import {createFleet} from '../../source/entry/fleet/fleet.js';
+import {type HedgingOptions} from '../../source/entry/fleet/index.js';
 import {type ServerReport} from '../../source/entry/index.js';
+import {type AttemptKind} from '../../source/entry/placement/request-progress.js';
 import {type CandidateReading, type LoadQuery} from '../../source/entry/servers/load-querier.js';
 import {type EntryMetrics} from '../../source/entry/reporting/metrics.js';
 import {type RequestContext} from '../../source/entry/requests/request-context.js';
@@ -67,6 +69,12 @@
 	onReception?(load: LoadReading, kind: Reception['kind']): void;
 	/** Checks whether a workspace uses more than its share; by default none does. */
 	isAboveShare?(workspace: string): boolean;
+	/** Limits of hedges by recent latencies; by default, hedges start at a fixed share of the target. */
+	readonly hedging?: HedgingOptions | undefined;
+	/** Called with each attempt that the entry starts. */
+	onAttemptKind?(kind: AttemptKind): void;
+	/** Called with the work that a server did for an attempt that was then cancelled, in milliseconds on a server without load. */
+	onCancelledWork?(milliseconds: number): void;
 };
 
 function ignore(): void {
@@ -84,7 +92,7 @@
 		ratio: retryRatio, slack: retrySlack, getTime: () => performance.now(), revokeIfNeeded: ignore,
 	});
 	slackPart.apply({part: slackPart.getReport(performance.now()).total / options.entryCount});
-	const fleet = createFleet(random, slackPart.getBudget, createSubsetChooser({entry: `entry-${options.number}`, zone}));
+	const fleet = createFleet(random, {shared: slackPart, hedging: options.hedging}, createSubsetChooser({entry: `entry-${options.number}`, zone}));
 	const workspaces = document.workspaces === undefined ? undefined : createWorkspaceIndex(document.workspaces);
 	const router = createRouter(document.services, document.routes, random);
 	const callerTimes = new Map<string, {readonly sentAt: number; readonly serviceMilliseconds: number}>();
@@ -96,12 +104,19 @@
 		isRemoved: false,
 		announcement: announcementSchema.parse({
 			service: document.services[0]!.name, name: upstream.name, host: '127.0.0.1', port: index + 1, zone: upstream.zone,
-			slots: upstream.getReading().slots, connections: upstreamConnections, boot: 'one', state: 'warm',
+			slots: upstream.slots, connections: upstreamConnections, boot: 'one', state: 'warm',
 		}),
 	})), true);
 	const byPool = new Map([...fleet.getServers()].map(({candidate, pool}) => [pool, upstreams[candidate.id - 1]!]));
 	const metrics = {
-		countAttempt: ignore, countRefusal: ignore, countEjection: ignore, countWithdrawal: ignore,
+		countAttempt(_service: string, kind: AttemptKind) {
+			options.onAttemptKind?.(kind);
+		},
+		countHedge: ignore,
+		countWithheldHedge: ignore,
+		countRefusal: ignore,
+		countEjection: ignore,
+		countWithdrawal: ignore,
 	} as unknown as EntryMetrics;
 	const applyReport = createReportHandler({fleet, metrics, log: {info: ignore, warn: ignore, error: ignore}});
 
@@ -182,7 +197,14 @@
 			const upstream = byPool.get(attempt.pool)!;
 			options.onAttempt?.(options.number, upstream);
 			return startModelAttempt({
-				attempt, upstream, onReception: options.onReception, entry: options.number, connectMilliseconds: options.connectMilliseconds, transferMilliseconds: getTransferMilliseconds(upstream), ...callerTimes.get(attempt.requestId)!,
+				attempt,
+				upstream,
+				onReception: options.onReception,
+				onCancelledWork: options.onCancelledWork,
+				entry: options.number,
+				connectMilliseconds: options.connectMilliseconds,
+				transferMilliseconds: getTransferMilliseconds(upstream),
+				...callerTimes.get(attempt.requestId)!,
 			});
 		},
 		getWorkspaces: () => workspaces,
--- a/stand-in/model/upstream.ts
+++ b/stand-in/model/upstream.ts
@@ -6,9 +6,10 @@
 import {type Random} from '../../source/randomness/index.js';
 import {createServerModel, type ModelRequest} from './server.js';
 
-/** Maximum number of requests that run at once, unless the options set one. */
-export const upstreamSlots = 6;
+/** Maximum number of requests that run at once, by default. */
+const defaultSlots = 6;
 
+/** Maximum number of requests that wait for a slot, by default. */
 const defaultQueueLength = 12;
 
 /** Withdrawal of a server. */
@@ -39,6 +40,7 @@
 export type UpstreamModel = {
 	readonly name: string;
 	readonly zone: string;
+	readonly slots: number;
 	readonly arrivals: readonly Arrival[];
 	getReading(): LoadReading;
 	/** Gets the withdrawal that is under way. */
@@ -61,6 +63,10 @@
 	readonly queueLength?: number;
 	/** Whether the server never answers a request that it has no room for, instead of refusing it. */
 	readonly hangsWhenFull?: boolean;
+	/** Whether a request keeps the slowness that the host has when it starts to run. */
+	readonly isSlownessFixedAtStart?: boolean;
+	/** Share of the requests that occupy a slot and are never answered; by default none. */
+	readonly lostShare?: number;
 };
 
 /**
@@ -69,9 +75,9 @@
  */
 export function createUpstreamModel(options: UpstreamModelOptions): UpstreamModel {
 	const {
-		name, zone, withdrawals, random, slots = upstreamSlots, queueLength = defaultQueueLength, hangsWhenFull = false,
+		name, zone, withdrawals, random, slots = defaultSlots, queueLength = defaultQueueLength, lostShare = 0, hangsWhenFull = false,
 	} = options;
-	const server = createServerModel(slots, queueLength, random);
+	const server = createServerModel(slots, queueLength, random, options.isSlownessFixedAtStart);
 	const arrivals: Arrival[] = [];
 
 	function getWithdrawal(now: number): Withdrawal | undefined {
@@ -86,6 +92,7 @@
 	return {
 		name,
 		zone,
+		slots,
 		arrivals,
 		getReading: server.getReading,
 		getWithdrawal,
@@ -102,6 +109,10 @@
 				return {kind: 'refused', pauseMilliseconds: withdrawal.pauseMilliseconds};
 			}
 
+			if (lostShare > 0 && random() < lostShare) {
+				request.remainingMilliseconds = Number.POSITIVE_INFINITY;
+			}
+
 			if (server.tryAdd(request)) {
 				return {kind: 'accepted'};
 			}
