Order waiting requests by rank and workspace, and refuse early at a late entry

The wait queue was first in, first out: a workspace with many requests delayed all others. It now starts the most urgent rank first, then the workspace with the fewest starts in the last second, then the earliest deadline; a workspace may take half of the places while others wait, and the expected wait counts only what goes before. In a sustained shortage, late requests neither query a second time nor wait. An entry of a document with workspaces whose event loop is late refuses a share of its requests at once.

--- a/source/entry/entry-gauges.ts
+++ b/source/entry/entry-gauges.ts
@@ -2,6 +2,7 @@
 import {performance} from 'node:perf_hooks';
 import {type StallWatch} from '../control/stall-watch.js';
 import {type LeaseHolder} from '../lease/index.js';
+import {type LatenessEstimate} from '../limits/index.js';
 import {type SlackPart} from '../retry/index.js';
 import {type EntryMetrics} from './reporting/index.js';
 import {type Peers} from './peers/index.js';
@@ -19,6 +20,7 @@
 	readonly slackPart: SlackPart | undefined;
 	readonly zoneView: ZoneView;
 	readonly stallWatch: StallWatch;
+	readonly lateness: LatenessEstimate;
 	readonly prober: Prober;
 	/** Links to the other entries; undefined if the entry exchanges no counts. */
 	readonly peers: Peers | undefined;
@@ -31,7 +33,7 @@
  */
 export function registerGauges(metrics: EntryMetrics, sources: GaugeSources): void {
 	const {
-		state, lease, slackPart, zoneView, stallWatch, prober, peers,
+		state, lease, slackPart, zoneView, stallWatch, lateness, prober, peers,
 	} = sources;
 	metrics.addGauge('guavadeck_in_flight', 'Requests in flight', () => state.inFlight);
 	metrics.addGauge('guavadeck_document_version', 'Version of the document in force', () => lease.getVersion());
@@ -42,6 +44,7 @@
 	metrics.addGauge('guavadeck_grant_age_seconds', 'Time since the renewal of the last grant was sent', zoneView.getGrantAgeSeconds);
 	metrics.addGauge('guavadeck_stalls_total', 'Times in which this process did not run', stallWatch.getStallCount);
 	metrics.addGauge('guavadeck_stalled_seconds_total', 'Duration of the times in which this process did not run', () => stallWatch.getStalledMilliseconds() / millisecondsPerSecond);
+	metrics.addGauge('guavadeck_event_loop_lateness_seconds', 'Mean lateness of the event loop', () => lateness.getMilliseconds() / millisecondsPerSecond);
 	metrics.addGauge('guavadeck_peers', 'Peers that counts are exchanged with', () => peers?.getCount() ?? 0);
 	metrics.addGauge('guavadeck_exchange_frames_total', 'Count messages sent to peers', () => peers?.getSentFrames() ?? 0);
 	metrics.addGauge('guavadeck_probe_duties', 'Servers that this entry probes', () => prober.schedule.getDuties().length);
--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -7,6 +7,7 @@
 import {type Service} from '../configuration/index.js';
 import {handleSafely} from '../control/http.js';
 import {createStallWatch} from '../control/stall-watch.js';
+import {createLatenessEstimate} from '../limits/index.js';
 import {createLoadQueryBudget} from '../measuring/index.js';
 import {createRandom} from '../randomness/index.js';
 import {isSafeMethod} from '../retry/index.js';
@@ -84,6 +85,7 @@
 	});
 	const recordLinkFailure = createLinkFailureLog({log, count: metrics.countInternalError, getTime: () => performance.now()});
 	const stallWatch = createStallWatch({log, intervalMilliseconds: housekeepingIntervalMilliseconds});
+	const lateness = createLatenessEstimate(housekeepingIntervalMilliseconds);
 	const zoneView = createZoneView({log, isServingWithoutControl, getTime: () => performance.now()});
 	const discardedAnswers = createDiscardedAnswers({log, countDiscardedAnswer: metrics.countDiscardedAnswer, getTime: () => performance.now()});
 	const fleet = createFleet(random, slackPart?.getBudget, createSubsetChooser({entry: settings.name, zone: settings.zone}), (candidate, history) => {
@@ -164,6 +166,7 @@
 			queriesPerServerPerSecond: settings.questionsPerServerAndSecond, getServerCount: fleet.getSize, getEntryCount: () => state.entryCount,
 		}),
 		random,
+		lateness,
 		fleet,
 		claims,
 		crashTracker,
@@ -218,7 +221,7 @@
 	const callersPort = await listen(callerServer.server, {setting: 'callers', ...settings.callers});
 	const adminPort = await listen(adminServer, {setting: 'admin', ...settings.admin});
 	registerGauges(metrics, {
-		state, lease, slackPart, zoneView, stallWatch, prober, peers: peerExchange?.peers,
+		state, lease, slackPart, zoneView, stallWatch, lateness, prober, peers: peerExchange?.peers,
 	});
 
 	function reportServiceLevels(): void {
@@ -227,6 +230,7 @@
 
 	function runHousekeeping(): void {
 		stallWatch.observe();
+		lateness.observe(performance.now());
 		readiness.revokePermitsIfNeeded();
 		drainQueues(fleet);
 		readiness.logChange();
--- a/source/entry/fleet/fleet.test.ts
+++ b/source/entry/fleet/fleet.test.ts
@@ -3,6 +3,7 @@
 import {announcementSchema} from '../../announcement/index.js';
 import {documentSchema, type EnvironmentDocument} from '../../configuration/index.js';
 import {type Permit, type ServerView} from '../../lease/index.js';
+import {type Waiter} from '../../limits/index.js';
 import {createRandom} from '../../randomness/index.js';
 import {createFleet, type Fleet} from './fleet.js';
 
@@ -21,8 +22,8 @@
 		fleet.setDocument(documentSchema.parse({zones: [{name: 'north'}], services: [{name: 'stock'}]}));
 		const {queue} = fleet.getState('stock')!;
 		let refused = 0;
-		const waiter = {
-			deadlineAt: 1000, start: () => false, expire() {
+		const waiter: Waiter = {
+			deadlineAt: 1000, rank: 1, workspace: undefined, start: () => false, expire() {
 				refused++;
 			}, isSettled: () => false,
 		};
--- a/source/entry/placement/first-attempt.ts
+++ b/source/entry/placement/first-attempt.ts
@@ -1,6 +1,8 @@
 /** Starts the first attempt of a request, at once or after a wait in the queue of its service. */
 import {performance} from 'node:perf_hooks';
+import {type WaiterRank} from '../../limits/index.js';
 import {notRun} from '../../verdict/index.js';
+import {type RequestRank} from '../../workspace/index.js';
 import {scheduleHedge} from './hedging.js';
 import {protect, refuse, type RequestProgress} from './request-progress.js';
 import {type AttemptStart} from './server-attempt.js';
@@ -17,11 +19,23 @@
  * @param start - Starts the attempt.
  */
 export function startOrEnqueue(progress: RequestProgress, start: AttemptStart): void {
+	if (isEntryOverloaded(progress)) {
+		progress.admitted.recordDecision({kind: 'lateEntry'});
+		refuse(progress, notRun('overload'));
+		return;
+	}
+
 	if (progress.admitted.state.queue.getLength() > 0 || !startFirstAttempt(progress, start)) {
 		enqueue(progress, start);
 	}
 }
 
+/** Checks whether the event loop is so late that the request should rather be sent to another entry. Only documents with workspaces ask for this. */
+function isEntryOverloaded({admitted: {context, route}}: RequestProgress): boolean {
+	const {targetMilliseconds} = route;
+	return context.getWorkspaces() !== undefined && targetMilliseconds !== undefined && context.lateness.shouldRefuse(targetMilliseconds, context.random());
+}
+
 /** Starts the selection of a server for the first attempt; returns false when no server is available. */
 function startFirstAttempt(progress: RequestProgress, start: AttemptStart): boolean {
 	const {selector} = progress;
@@ -44,9 +58,17 @@
 	return true;
 }
 
+function getWaiterRank({isUrgent, isOutranked}: RequestRank): WaiterRank {
+	if (isUrgent) {
+		return 0;
+	}
+
+	return isOutranked ? 2 : 1;
+}
+
 function enqueue(progress: RequestProgress, start: AttemptStart): void {
 	const {
-		context, state, service, route, deadlineAt,
+		context, state, service, route, rank, access, deadlineAt,
 	} = progress.admitted;
 	const {targetMilliseconds} = route;
 	const now = performance.now();
@@ -54,6 +76,8 @@
 	const pauseEndsAt = context.fleet.getPauseEnd(service.name, now) ?? now;
 	const isQueued = pauseEndsAt < waitDeadlineAt && state.getCandidates().length > 0 && state.queue.add({
 		deadlineAt: waitDeadlineAt,
+		rank: getWaiterRank(rank),
+		workspace: access.kind === 'granted' ? access.workspace.name : undefined,
 		start: () => startFirstAttempt(progress, start),
 		expire() {
 			refuse(progress, notRun(waitDeadlineAt < deadlineAt ? 'overload' : 'deadline'));
--- a/source/entry/placement/server-selector.ts
+++ b/source/entry/placement/server-selector.ts
@@ -5,6 +5,7 @@
  */
 import {performance} from 'node:perf_hooks';
 import {type Admission, type Candidate} from '../../choice/index.js';
+import {sustainedShortage} from '../../limits/index.js';
 import {type CandidateReading} from '../servers/index.js';
 import {type RequestContext} from '../requests/index.js';
 import {type ServiceState} from '../fleet/index.js';
@@ -131,13 +132,13 @@
 	/** Selects the best server, waits once for room, or ends without a server. */
 	function finishQueries(selection: Selection, callback: SelectionCallback): void {
 		const {
-			plan, isHedge, mayWait, earlierReadings,
+			plan, isHedge, earlierReadings,
 		} = selection;
 		const now = performance.now();
 		const best = plan.getBest(now);
 		const readings = [...earlierReadings, ...plan.getReadings()];
 		// Each request counts once; one that waited for room has already been counted.
-		if (mayWait && readings.length > 0) {
+		if (!isHedge && earlierReadings.length === 0 && readings.length > 0) {
 			state.shortageEstimate.recordPlacement(plan.hasFoundCapacity(), now);
 			workspaceAdmission.recordPlacement(plan.hasFoundCapacity());
 		}
@@ -188,6 +189,12 @@
 		};
 	}
 
+	/** Checks whether the request goes last in a sustained shortage, so that more queries and a wait would rarely find it a server. */
+	function yields(): boolean {
+		const {isLate, shortage} = getAdmission(performance.now());
+		return isLate && shortage >= sustainedShortage;
+	}
+
 	function getAdmission(now: number): Admission {
 		const {isUrgent, isOutranked} = options.rank;
 		return {
@@ -208,7 +215,7 @@
 		}
 
 		startQueries({
-			isHedge, mayWait: !isHedge, startedAt: performance.now(), earlierReadings: [],
+			isHedge, mayWait: !isHedge && !yields(), startedAt: performance.now(), earlierReadings: [],
 		}, callback);
 	}
 
--- a/source/entry/reporting/request-log.ts
+++ b/source/entry/reporting/request-log.ts
@@ -21,6 +21,8 @@
 		| {readonly kind: 'noRoom'; readonly readings: readonly string[]; readonly waited: boolean; readonly shortage: number}
 	/** Refused, because other workspaces need the capacity and its own uses more than its share or has a lower priority. */
 		| {readonly kind: 'yield'}
+	/** Refused, because the event loop of the entry is late. */
+		| {readonly kind: 'lateEntry'}
 		| {readonly kind: 'send'; readonly attempt: 'first' | 'retry' | 'hedge'; readonly server: string; readonly leftMilliseconds: number}
 		| {readonly kind: 'failed'; readonly server: string; readonly reason: string}
 		| {readonly kind: 'answered'; readonly server: string; readonly status: number}
--- a/source/entry/requests/request-context.ts
+++ b/source/entry/requests/request-context.ts
@@ -2,6 +2,7 @@
 import {type ByteBudget} from '../../bytes/index.js';
 import {type Candidate} from '../../choice/index.js';
 import {type Service} from '../../configuration/index.js';
+import {type LatenessEstimate} from '../../limits/index.js';
 import {type LoadQueryBudget} from '../../measuring/index.js';
 import {type Random} from '../../randomness/index.js';
 import {type Verdict} from '../../verdict/index.js';
@@ -20,6 +21,8 @@
 	readonly loadQuerier: LoadQuerier;
 	readonly queryBudget: LoadQueryBudget;
 	readonly random: Random;
+	/** Lateness of the entry's event loop. */
+	readonly lateness: LatenessEstimate;
 	readonly fleet: Fleet;
 	readonly claims: Claims;
 	readonly crashTracker: CrashTracker;
--- a/source/limits/shortage-estimate.ts
+++ b/source/limits/shortage-estimate.ts
@@ -16,7 +16,7 @@
 const fullShortageShare = 0.6;
 
 /** Shortage from which on it counts as sustained. */
-const sustainedShortage = 0.5;
+export const sustainedShortage = 0.5;
 
 /** Time after which a refused caller may retry, as a share of the duration of the shortage. */
 const retryAfterShare = 0.5;
--- a/source/limits/wait-queue.test.ts
+++ b/source/limits/wait-queue.test.ts
@@ -1,9 +1,9 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {createWaitQueue} from './index.js';
+import {createWaitQueue, type WaiterRank} from './index.js';
 
 type Step
-	= | {readonly kind: 'add'; readonly name: string; readonly deadlineAt: number; readonly at: number}
+	= | {readonly kind: 'add'; readonly name: string; readonly deadlineAt: number; readonly at: number; readonly rank: WaiterRank; readonly workspace: string | undefined}
 		| {readonly kind: 'departed' | 'drain' | 'expire' | 'open'; readonly at: number};
 
 describe('createWaitQueue', () => {
@@ -17,6 +17,8 @@
 					const {name} = step;
 					const isAdded = queue.add({
 						deadlineAt: step.deadlineAt,
+						rank: step.rank,
+						workspace: step.workspace,
 						start() {
 							if (open === 0) {
 								return false;
@@ -63,12 +65,21 @@
 		expect(events).toEqual([...expected]);
 	}
 
-	function add(name: string, at = 0, deadlineAt = 1000): Step {
+	function add(name: string, at = 0, deadlineAt = 1000, rank: WaiterRank = 1, workspace?: string): Step {
 		return {
-			kind: 'add', name, at, deadlineAt,
+			kind: 'add', name, at, deadlineAt, rank, workspace,
 		};
 	}
 
+	/** Adds a request of a workspace, whose name is the first letter of the request's. */
+	function addOf(name: string, deadlineAt = 1000): Step {
+		return add(name, 0, deadlineAt, 1, name[0]);
+	}
+
+	function openAndDrain(count: number, at = 1): readonly Step[] {
+		return [...Array.from({length: count}, (): Step => ({kind: 'open', at})), {kind: 'drain', at}];
+	}
+
 	test('starts requests in the order of their arrival', () => {
 		doTest([add('a'), add('b'), {kind: 'open', at: 1}, {kind: 'drain', at: 1}, {kind: 'open', at: 2}, {kind: 'drain', at: 2}], ['start a', 'start b']);
 	});
@@ -88,6 +99,28 @@
 		const departures: Step[] = [100, 400, 700].map(at => ({kind: 'departed', at}));
 		doTest([add('a', 0, 9000), add('b', 0, 9000), ...departures, add('late', 700, 900), add('c', 700, 9000)], ['shed late']);
 	});
+	test('starts requests of urgent ranks first', () => {
+		doTest([add('low', 0, 1000, 2), add('normal'), add('urgent', 0, 1000, 0), ...openAndDrain(3)], ['start urgent', 'start normal', 'start low']);
+	});
+	test('starts requests of workspaces in turn', () => {
+		doTest([addOf('a1'), addOf('a2'), addOf('a3'), addOf('b1'), addOf('c1'), ...openAndDrain(4)], ['start a1', 'start b1', 'start c1', 'start a2'], 10);
+	});
+	test('starts requests of the workspace first that had the fewest starts lately', () => {
+		doTest([addOf('a1'), ...openAndDrain(1), addOf('a2'), addOf('b1'), ...openAndDrain(2, 100)], ['start a1', 'start b1', 'start a2'], 10);
+	});
+	test('starts requests of a workspace in the order of their deadlines', () => {
+		doTest([addOf('a1', 1000), addOf('a2', 500), addOf('a3', 500), ...openAndDrain(3)], ['start a2', 'start a3', 'start a1']);
+	});
+	// Guards against a workspace with many requests that leaves no places for others.
+	test('sheds requests of a workspace beyond half of the places while others wait', () => {
+		doTest([addOf('a1'), addOf('a2'), addOf('a3'), addOf('b1'), addOf('a4'), addOf('b2')], ['shed a4'], 6);
+		doTest([addOf('a1'), addOf('a2'), addOf('a3'), addOf('a4')], [], 6);
+	});
+	test('expects no wait for a workspace behind the many requests of another one', () => {
+		const departures: Step[] = [100, 400, 700].map(at => ({kind: 'departed', at}));
+		const many = Array.from({length: 8}, (_, index) => addOf(`a${index}`, 9000));
+		doTest([...many, ...departures, add('a9', 700, 1500, 1, 'a'), add('b', 700, 1500, 1, 'b')], ['shed a9'], 100);
+	});
 });
 
 describe('createWaitQueue: a waiter that ends while others are started or expired', () => {
@@ -99,6 +132,8 @@
 		for (const [index, deadlineAt] of deadlines.entries()) {
 			queue.add({
 				deadlineAt,
+				rank: 1,
+				workspace: undefined,
 				start() {
 					events.push(`start ${index}`);
 					queue.drain(now);
--- a/source/limits/wait-queue.ts
+++ b/source/limits/wait-queue.ts
@@ -1,22 +1,21 @@
 /**
- * Bounded queue of requests that wait for an available server. A request that is unlikely to start before
- * its deadline is refused on arrival, since it has certainly not run by then and a refusal costs little.
+ * Bounded queue of requests that wait for an available server. They start in the order of their ranks; among requests of a rank, that of
+ * the workspace with the fewest starts in the last second comes first, and within a workspace the one with the earliest deadline, so that
+ * a workspace with many requests delays its own. A request that is unlikely to start before its deadline is refused on arrival, since
+ * it has certainly not run by then and a refusal costs little.
  */
+import {createRecentCounts} from './recent-counts.js';
+import {createWaiterGroup, type WaiterGroup} from './waiter-group.js';
+import {type Waiter} from './waiter.js';
 
 /** Period for which the departure rate is measured, in milliseconds. */
 const rateWindowMilliseconds = 250;
 
-/** A waiting request. */
-export type Waiter = {
-	/** Deadline in milliseconds. */
-	readonly deadlineAt: number;
-	/** Tries to start the request; returns false if no server is available for it. */
-	start(): boolean;
-	/** Refuses the request because its deadline has passed, or because no server will be available for it. */
-	expire(): void;
-	/** Checks whether the request has already ended, for example because its caller disconnected. */
-	isSettled(): boolean;
-};
+/** Time constant of the decay of the starts of a workspace, in milliseconds. */
+const startRetentionMilliseconds = 1000;
+
+/** Largest part of the queue that the requests of one workspace may take while others wait. */
+const maximumWorkspaceShare = 0.5;
 
 /** Bounded queue of waiting requests. */
 export type WaitQueue = {
@@ -33,13 +32,16 @@
 	getLength(): number;
 };
 
+/** Key of the requests that belong to no workspace; no workspace has an empty name. */
+const noWorkspace = '';
+
 /**
  * Creates an empty queue.
  * @param getMaximumLength - Gets the maximum number of waiting requests.
  */
 export function createWaitQueue(getMaximumLength: () => number): WaitQueue {
-	let waiters: Waiter[] = [];
-	let head = 0;
+	const groups = new Map<string, WaiterGroup>();
+	const starts = createRecentCounts(startRetentionMilliseconds);
 	let departuresPerMillisecond = 0;
 	let departures = 0;
 	let windowStartedAt: number | undefined;
@@ -47,51 +49,120 @@
 	let isClosed = false;
 
 	function getLength(): number {
-		return waiters.length - head;
+		return [...groups.values()].reduce((sum, group) => sum + group.getLength(), 0);
 	}
 
-	function compact(): void {
-		if (head > 64 && head * 2 > waiters.length) {
-			waiters = waiters.slice(head);
-			head = 0;
-		}
+	function getKey({rank, workspace = noWorkspace}: Waiter): string {
+		return `${rank} ${workspace}`;
 	}
 
-	function getExpectedWaitMilliseconds(): number {
-		return departuresPerMillisecond === 0 || windowStartedAt === undefined ? 0 : getLength() / departuresPerMillisecond;
+	function insert(waiter: Waiter): void {
+		const key = getKey(waiter);
+		const group = groups.get(key) ?? createWaiterGroup(waiter.rank, waiter.workspace ?? noWorkspace);
+		groups.set(key, group);
+		group.add(waiter);
 	}
 
-	function removeEnded(now: number): void {
-		while (head < waiters.length) {
-			const waiter = waiters[head]!;
-			if (!waiter.isSettled() && waiter.deadlineAt > now) {
-				return;
+	function removeEmptyGroups(): void {
+		for (const [key, group] of groups) {
+			if (group.getLength() === 0) {
+				groups.delete(key);
 			}
+		}
+	}
+
+	/** Gets the number of requests that start before one that arrives now. */
+	function countAhead(waiter: Waiter): number {
+		const ownGroup = groups.get(getKey(waiter));
+		const own = ownGroup?.getLength() ?? 0;
+		let ahead = own;
+		for (const group of groups.values()) {
+			if (group.rank < waiter.rank) {
+				ahead += group.getLength();
+			} else if (group.rank === waiter.rank && group !== ownGroup) {
+				// Each other workspace starts about as many requests as the own one until then.
+				ahead += Math.min(group.getLength(), own + 1);
+			}
+		}
 
-			head++;
+		return ahead;
+	}
+
+	function getExpectedWaitMilliseconds(waiter: Waiter): number {
+		return departuresPerMillisecond === 0 || windowStartedAt === undefined ? 0 : countAhead(waiter) / departuresPerMillisecond;
+	}
+
+	function isBeyondWorkspaceShare({workspace = noWorkspace}: Waiter): boolean {
+		const own = [...groups.values()].filter(group => group.workspace === workspace).reduce((sum, group) => sum + group.getLength(), 0);
+		return own < getLength() && own >= getMaximumLength() * maximumWorkspaceShare;
+	}
+
+	/** Removes the requests that have ended, and refuses those whose deadlines have passed. */
+	function expire(now: number): void {
+		// The queue is updated before waiters expire, because a callback may start others.
+		const ended = [...groups.values()].flatMap(group => group.removeAll(waiter => waiter.isSettled() || waiter.deadlineAt <= now));
+		removeEmptyGroups();
+		for (const waiter of ended) {
 			if (!waiter.isSettled()) {
 				waiter.expire();
 			}
 		}
 	}
 
+	function isEnded(waiter: Waiter | undefined, now: number): waiter is Waiter {
+		return waiter !== undefined && (waiter.isSettled() || waiter.deadlineAt <= now);
+	}
+
+	function removeEnded(now: number): void {
+		for (const group of groups.values()) {
+			for (let first = group.getFirst(); isEnded(first, now); first = group.getFirst()) {
+				group.remove(first);
+				if (!first.isSettled()) {
+					first.expire();
+				}
+			}
+		}
+
+		removeEmptyGroups();
+	}
+
+	function compare(one: WaiterGroup, other: WaiterGroup, now: number): number {
+		return one.rank - other.rank
+			|| starts.get(one.workspace, now) - starts.get(other.workspace, now)
+			|| one.getFirst()!.deadlineAt - other.getFirst()!.deadlineAt;
+	}
+
+	/** Gets the group whose first request starts next. */
+	function findNext(now: number): WaiterGroup | undefined {
+		let next: WaiterGroup | undefined;
+		for (const group of groups.values()) {
+			next = next === undefined || compare(group, next, now) < 0 ? group : next;
+		}
+
+		return next;
+	}
+
 	function startWaiters(now: number): void {
 		removeEnded(now);
-		while (head < waiters.length && waiters[head]!.start()) {
-			head++;
+		for (let group = findNext(now); group !== undefined; group = findNext(now)) {
+			const waiter = group.getFirst()!;
+			if (!waiter.start()) {
+				return;
+			}
+
+			group.remove(waiter);
+			starts.add(group.workspace, now);
 			removeEnded(now);
 		}
-
-		compact();
 	}
 
 	return {
 		add(waiter, now) {
-			if (isClosed || getLength() >= getMaximumLength() || now + getExpectedWaitMilliseconds() > waiter.deadlineAt) {
+			if (isClosed || getLength() >= getMaximumLength() || isBeyondWorkspaceShare(waiter) || now + getExpectedWaitMilliseconds(waiter) > waiter.deadlineAt) {
 				return false;
 			}
 
-			waiters.push(waiter);
+			insert(waiter);
 			return true;
 		},
 		drain(now) {
@@ -109,7 +180,7 @@
 		},
 		recordDeparture(now) {
 			// The departure rate reflects the capacity of the servers only while requests wait.
-			if (getLength() === 0) {
+			if (groups.size === 0) {
 				windowStartedAt = undefined;
 				return;
 			}
@@ -127,24 +198,15 @@
 				departures = 0;
 			}
 		},
-		expire(now) {
-			const queued = waiters.slice(head).filter(waiter => !waiter.isSettled());
-			// The queue is updated before waiters expire, because a callback may start others.
-			waiters = queued.filter(waiter => waiter.deadlineAt > now);
-			head = 0;
-			for (const waiter of queued) {
-				if (waiter.deadlineAt <= now) {
-					waiter.expire();
-				}
-			}
-		},
+		expire,
 		close() {
 			isClosed = true;
-			const queued = waiters.slice(head).filter(waiter => !waiter.isSettled());
-			waiters = [];
-			head = 0;
+			const queued = [...groups.values()].flatMap(group => group.removeAll(() => true));
+			removeEmptyGroups();
 			for (const waiter of queued) {
-				waiter.expire();
+				if (!waiter.isSettled()) {
+					waiter.expire();
+				}
 			}
 		},
 		getLength,
--- a/source/limits/workspace-service.ts
+++ b/source/limits/workspace-service.ts
@@ -4,18 +4,14 @@
  * servers now and then, so that its callers notice that the service is there.
  */
 
+import {createRecentCounts} from './recent-counts.js';
+
 /** Time constant of the decay of the counts, in milliseconds. */
 const retentionMilliseconds = 2000;
 
 /** Share of the mean below which a workspace counts as starved. */
 const starvedShare = 0.25;
 
-/** Number of workspaces above which those without recent requests are forgotten. */
-const maximumWorkspaces = 1000;
-
-/** Count below which a workspace has no recent requests. */
-const negligibleCount = 0.01;
-
 /** Placements of the requests of workspaces. */
 export type WorkspaceService = {
 	/** Records whether a request was placed. */
@@ -24,55 +20,27 @@
 	isStarved(workspace: string, now: number): boolean;
 };
 
-/** Counts that decay over time. */
-type Counts = {requests: number; placed: number; decayedAt: number};
-
-function decay(counts: Counts, now: number): Counts {
-	const factor = Math.exp((counts.decayedAt - now) / retentionMilliseconds);
-	counts.requests *= factor;
-	counts.placed *= factor;
-	counts.decayedAt = now;
-	return counts;
-}
-
-function add(counts: Counts, isPlaced: boolean, now: number): void {
-	decay(counts, now);
-	counts.requests++;
-	counts.placed += isPlaced ? 1 : 0;
-}
+/** Key of the counts of all workspaces together; no workspace has an empty name. */
+const all = '';
 
 /** Creates a record without requests. */
 export function createWorkspaceService(): WorkspaceService {
-	const total: Counts = {requests: 0, placed: 0, decayedAt: 0};
-	const byWorkspace = new Map<string, Counts>();
+	const requests = createRecentCounts(retentionMilliseconds);
+	const placements = createRecentCounts(retentionMilliseconds);
 
-	function forgetOld(now: number): void {
-		for (const [workspace, counts] of byWorkspace) {
-			if (decay(counts, now).requests < negligibleCount) {
-				byWorkspace.delete(workspace);
-			}
-		}
+	function getPlacedShare(workspace: string, now: number): number {
+		return placements.get(workspace, now) / requests.get(workspace, now);
 	}
 
 	return {
 		record(workspace, isPlaced, now) {
-			const counts = byWorkspace.get(workspace) ?? {requests: 0, placed: 0, decayedAt: now};
-			byWorkspace.set(workspace, counts);
-			add(counts, isPlaced, now);
-			add(total, isPlaced, now);
-			if (byWorkspace.size > maximumWorkspaces) {
-				forgetOld(now);
+			for (const key of [workspace, all]) {
+				requests.add(key, now);
+				if (isPlaced) {
+					placements.add(key, now);
+				}
 			}
 		},
-		isStarved(workspace, now) {
-			const counts = byWorkspace.get(workspace);
-			if (counts === undefined) {
-				return false;
-			}
-
-			const {requests, placed} = decay(counts, now);
-			decay(total, now);
-			return requests > 0 && placed / requests < starvedShare * total.placed / total.requests;
-		},
+		isStarved: (workspace, now) => requests.get(workspace, now) > 0 && getPlacedShare(workspace, now) < starvedShare * getPlacedShare(all, now),
 	};
 }
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -18,6 +18,7 @@
 import {createReportHandler} from '../../source/entry/fleet/server-reports.js';
 import {type Random} from '../../source/randomness/index.js';
 import {createWorkspaceIndex} from '../../source/workspace/index.js';
+import {createLatenessEstimate} from '../../source/limits/index.js';
 import {createSlackPart} from '../../source/retry/index.js';
 import {emptyReport, getReport, startModelAttempt} from './attempt.js';
 import {createExchange, modelDialect, type CallerRequest} from './caller-exchange.js';
@@ -162,6 +163,7 @@
 		loadQuerier: {query, close: ignore},
 		queryBudget: {take: requested => requested, giveBack: ignore},
 		random,
+		lateness: createLatenessEstimate(1),
 		fleet,
 		claims: unused as RequestContext['claims'],
 		crashTracker: {
