--- a/source/entry/entry.ts
+++ b/source/entry/entry.ts
@@ -8,6 +8,7 @@
 import {handleSafely} from '../control/http.js';
 import {createStallWatch} from '../control/stall-watch.js';
 import {createTransferRecorder} from '../control/traffic-kind.js';
+import {createLatenessEstimate} from '../limits/index.js';
 import {createLoadQueryBudget} from '../measuring/index.js';
 import {createRandom} from '../randomness/index.js';
 import {createQuotaTokens} from '../quota/index.js';
@@ -91,6 +92,7 @@
 	const recordLinkFailure = createLinkFailureLog({log, count: metrics.countInternalError, getTime: () => performance.now()});
 	const recordTransfer = createTransferRecorder(metrics.traffic);
 	const stallWatch = createStallWatch({log, intervalMilliseconds: housekeepingIntervalMilliseconds});
+	const lateness = createLatenessEstimate(housekeepingIntervalMilliseconds);
 	const zoneView = createZoneView({log, isServingWithoutControl, getTime: () => performance.now()});
 	const discardedAnswers = createDiscardedAnswers({log, countDiscardedAnswer: metrics.countDiscardedAnswer, getTime: () => performance.now()});
 	const fleet = createFleet(random, {shared: slackPart, hedging: getHedgingOptions(settings)}, createSubsetChooser({entry: settings.name, zone: settings.zone}), {
@@ -200,6 +202,7 @@
 			queriesPerServerPerSecond: settings.questionsPerServerAndSecond, getServerCount: fleet.getSize, getEntryCount: () => state.entryCount,
 		}),
 		random,
+		lateness,
 		fleet,
 		claims,
 		quotaGate,
@@ -256,7 +259,7 @@
 	const callersPort = await listen(callerServer.server, {setting: 'callers', ...settings.callers});
 	const adminPort = await listen(adminServer, {setting: 'admin', ...settings.admin});
 	registerGauges(metrics, {
-		state, lease, slackPart, quotaTokens, zoneView, stallWatch, prober, peers: peerExchange?.peers, link,
+		state, lease, slackPart, quotaTokens, zoneView, stallWatch, lateness, prober, peers: peerExchange?.peers, link,
 	});
 
 	function reportServiceLevels(): void {
@@ -265,6 +268,7 @@
 
 	function runHousekeeping(): void {
 		stallWatch.observe();
+		lateness.observe(performance.now());
 		readiness.revokePermitsIfNeeded();
 		drainQueues(fleet);
 		readiness.logChange();
