--- a/source/quota/demand-meter.ts
+++ b/source/quota/demand-meter.ts
@@ -1,4 +1,4 @@
-/** Estimates how many requests of a workspace an entry receives a second, and whether it has received any lately. */
+/** Estimates from the requests of a workspace that an entry receives how many tokens it will need before the next ones arrive. */
 
 const millisecondsPerSecond = 1000;
 
@@ -8,19 +8,21 @@
 /** Time in milliseconds without a request after which no more are expected. */
 const expectedMilliseconds = 10_000;
 
+/** Requests per second for which no token is wanted beyond the one that is always kept. */
+const negligibleRate = 0.2;
+
 /** Meter of the requests of one workspace. */
 export type DemandMeter = {
 	record(now: number): void;
-	/** Gets the expected requests per second. */
-	getRate(now: number): number;
-	/** Checks whether requests are expected. */
-	isExpected(now: number): boolean;
+	/** Gets how many free tokens are wanted: those for a second, and one more. A rate that falls a little changes nothing, so that it causes no reports. */
+	getWanted(now: number): number;
 };
 
 /** Creates a meter without requests. */
 export function createDemandMeter(): DemandMeter {
 	let recordedAt = Number.NEGATIVE_INFINITY;
 	let weight = 0;
+	let wanted = 0;
 
 	function getWeight(now: number): number {
 		return weight * Math.exp((recordedAt - now) / averagingMilliseconds);
@@ -31,7 +33,14 @@
 			weight = getWeight(now) + 1;
 			recordedAt = now;
 		},
-		getRate: now => getWeight(now) * millisecondsPerSecond / averagingMilliseconds,
-		isExpected: now => now < recordedAt + expectedMilliseconds,
+		getWanted(now) {
+			const rate = getWeight(now) * millisecondsPerSecond / averagingMilliseconds;
+			const next = now < recordedAt + expectedMilliseconds ? Math.ceil(rate - negligibleRate) + 1 : 0;
+			if (next > wanted || next < wanted - 1 || next === 0) {
+				wanted = next;
+			}
+
+			return wanted;
+		},
 	};
 }
--- a/source/quota/quota-account.test.ts
+++ b/source/quota/quota-account.test.ts
@@ -1,6 +1,7 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {createQuotaAccount, type QuotaAccount, type QuotaExchange} from './quota-account.js';
+import {createQuotaAccount, type QuotaAccount} from './quota-account.js';
+import {type QuotaExchange} from './quota-exchange.js';
 import {getQuotaLimits, type Quota} from './quota-limits.js';
 
 const termMilliseconds = 3000;
--- a/source/quota/quota-exploration.test.ts
+++ b/source/quota/quota-exploration.test.ts
@@ -2,8 +2,9 @@
 import {expect} from 'earl';
 import fc from 'fast-check';
 import {
-	playQuotas, type QuotaFault, type QuotaLinks, type QuotaMistake, type QuotaRunOptions,
-} from '../../stand-in/model/quota-system.js';
+	type QuotaFault, type QuotaLinks, type QuotaMistake, type QuotaRunOptions,
+} from '../../stand-in/model/quota-run.js';
+import {playQuotas} from '../../stand-in/model/quota-system.js';
 
 const tolerance = {windowSeconds: 5, overshoot: 0.1, slack: 20};
 const seed = 6001;
--- a/source/quota/quota-replay.test.ts
+++ b/source/quota/quota-replay.test.ts
@@ -1,8 +1,9 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
 import {
-	playQuotas, type QuotaFault, type QuotaRequest, type QuotaRun, type QuotaRunOptions,
-} from '../../stand-in/model/quota-system.js';
+	type QuotaFault, type QuotaRequest, type QuotaRun, type QuotaRunOptions,
+} from '../../stand-in/model/quota-run.js';
+import {playQuotas} from '../../stand-in/model/quota-system.js';
 import {createRandom, type Random} from '../randomness/index.js';
 
 const entryCount = 150;
--- a/source/quota/quota-tokens.ts
+++ b/source/quota/quota-tokens.ts
@@ -6,9 +6,8 @@
 import {type Grant, type QuotaReport} from '../lease/index.js';
 import {type Quota} from './quota-limits.js';
 import {toQuotaReport} from './quota-message.js';
-import {
-	createTokenHolder, type HolderGrant, type SentReport, type TokenHolder,
-} from './token-holder.js';
+import {type HolderGrant, type SentReport} from './quota-token.js';
+import {createTokenHolder, type TokenHolder} from './token-holder.js';
 
 /** Question for tokens of a workspace. */
 export type TokenQuestion = {
--- a/source/quota/token-holder.test.ts
+++ b/source/quota/token-holder.test.ts
@@ -1,6 +1,7 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {createTokenHolder, type HolderGrant, type TokenHolder} from './token-holder.js';
+import {type HolderGrant} from './quota-token.js';
+import {createTokenHolder, type TokenHolder} from './token-holder.js';
 
 function createGrant(epoch: number, granted: number, changes: Partial<HolderGrant> = {}): HolderGrant {
 	return {
--- a/source/quota/token-holder.ts
+++ b/source/quota/token-holder.ts
@@ -4,43 +4,15 @@
  */
 import {createDemandMeter} from './demand-meter.js';
 import {type EarlierTokens, type HolderReport, type QuotaTotals} from './holder-report.js';
+import {type HolderGrant, type QuotaToken, type SentReport} from './quota-token.js';
 import {createSpendingHistory} from './spending-history.js';
 
 /** Free tokens beyond the wanted ones that are kept, so that a rate that varies a little causes no reports. */
 const keptSurplus = 1;
 
-/** Requests per second for which no token is wanted beyond the one that is always kept. */
-const negligibleRate = 0.2;
-
 /** Longest time in milliseconds for which an entry without tokens does not ask again. */
 const maximumAskMilliseconds = 500;
 
-/** Token of a request. */
-export type QuotaToken = {
-	/** Checks whether the request may be sent to a server now. Once it may have been sent, repetitions may be as well. */
-	tryUse(now: number): boolean;
-	/** Checks whether `tryUse` would succeed. */
-	isValid(now: number): boolean;
-	/** Ends the use of the token by its request. Only the first call counts. */
-	end(mayHaveRun: boolean, now: number): void;
-};
-
-/** What a leader states about the tokens of a holder. */
-export type HolderGrant = {
-	/** Consensus term of the leader. */
-	readonly epoch: number;
-	readonly granted: number;
-	/** What the leader counts over all holders. */
-	readonly totals: QuotaTotals;
-	/** Time at which the renewal or the question was sent. */
-	readonly askedAt: number;
-	/** Time after which a token is likely to be available; 0 if that is not known or there is one. */
-	readonly retryMilliseconds: number;
-};
-
-/** Report that was sent, and the term of the leader that the holder knew then. */
-export type SentReport = {readonly key: string; readonly epoch: number};
-
 /** What a leader told of all holders, when it was asked, and the rate of the quota then. */
 type Told = {readonly totals: QuotaTotals; readonly askedAt: number; readonly requestsPerSecond: number};
 
@@ -87,7 +59,6 @@
 	let spent = 0;
 	let unused = 0;
 	let taken = 0;
-	let wanted = 0;
 	/** Largest number of spent tokens that any leader can have received. */
 	let sent = 0;
 	/** Tokens that the last leader at least counted as held, until the present one knows what this process had from earlier ones. */
@@ -184,14 +155,6 @@
 		return {earlier: {held: earlierHeld, recent: history.get(now), ...toldEarlier}};
 	}
 
-	/** Updates how many free tokens are wanted. A rate that falls a little changes nothing. */
-	function updateWanted(now: number): void {
-		const next = demand.isExpected(now) ? Math.ceil(demand.getRate(now) - negligibleRate) + 1 : 0;
-		if (next > wanted || next < wanted - keptSurplus || next === 0) {
-			wanted = next;
-		}
-	}
-
 	return {
 		tryTake(now) {
 			revokeIfEnded(now);
@@ -205,7 +168,7 @@
 		recordDemand: demand.record,
 		getReport(now, waiting) {
 			revokeIfEnded(now);
-			updateWanted(now);
+			const wanted = demand.getWanted(now);
 			const surplus = getFree() - wanted - waiting;
 			if (surplus > (wanted === 0 ? 0 : keptSurplus)) {
 				giveBack(surplus);
--- a/stand-in/model/quota-system.ts
+++ b/stand-in/model/quota-system.ts
@@ -3,23 +3,22 @@
  * leaders are replaced, some without noticing it. Counts what runs in any window.
  */
 import {performance} from 'node:perf_hooks';
-import process from 'node:process';
-import {type Workspace} from '../../source/configuration/index.js';
 import {type ControlResponse, type QuotaQuestion} from '../../source/control/index.js';
-import {createQuotaLending, type QuotaLending} from '../../source/control/quota-lending.js';
-import {type StateMachine} from '../../source/control/state-machine.js';
 import {type Renewal} from '../../source/lease/index.js';
-import {type QuotaTolerance} from '../../source/quota/index.js';
+import {type Quota} from '../../source/quota/index.js';
 import {createRandom} from '../../source/randomness/index.js';
 import {encode} from '../../source/wire/index.js';
+import {createQuotaEntryModel, type QuotaEntryModel, type QuotaRenewal} from './quota-entry.js';
+import {answerQuestion, createQuotaLeader, type QuotaLeader} from './quota-leader.js';
+import {createQuotaLinks} from './quota-links.js';
 import {
-	createQuotaEntryModel, type QuotaEntryModel, type QuotaModelOutcome, type QuotaRenewal,
-} from './quota-entry.js';
+	type QuotaFault, type QuotaRequest, type QuotaRun, type QuotaRunOptions,
+} from './quota-run.js';
+import {getLargestShare} from './quota-windows.js';
 import {startVirtualTime} from './virtual-time.js';
 
 const termMilliseconds = 3000;
 const heartbeatMilliseconds = 100;
-const urgentMilliseconds = 6;
 const millisecondsPerSecond = 1000;
 
 /** Time for which requests arrive at one rate. */
@@ -28,108 +27,39 @@
 /** Time after its end for which a leader that does not notice it answers questions. */
 const oblivionMilliseconds = 6000;
 
-/** Ways in which a leader or an entry may be wrong. */
-export type QuotaMistake = 'none' | 'new-leader-is-first' | 'confirms-without-quorum' | 'restarts-as-same-process';
-
-/** What happens at a time. */
-export type QuotaFault = {readonly at: number} & (
-	| {readonly kind: 'replaceLeader'; readonly gapMilliseconds: number; readonly isNoticed: boolean}
-	| {readonly kind: 'kill' | 'restart'; readonly entry: number}
-	| {readonly kind: 'freeze'; readonly entry: number; readonly milliseconds: number}
-	/** The entry reaches no control host, or only the present leader, which is then cut off with it if it is replaced. */
-	| {readonly kind: 'cut'; readonly entry: number; readonly milliseconds: number; readonly keepsLeader: boolean}
-	| {readonly kind: 'lower'; readonly workspace: number; readonly factor: number}
-);
-
-/** Links of a run. */
-export type QuotaLinks = {
-	readonly lossShare: number;
-	/** Whether a lost message is sent again, as TCP does, or never arrives. */
-	readonly isRepeating: boolean;
-	readonly doubledShare: number;
-	readonly lateShare: number;
-	readonly lateMilliseconds: number;
-	readonly latencyMilliseconds: number;
-};
-
-/** Options of `playQuotas`. */
-export type QuotaRunOptions = {
-	readonly seed: number;
-	readonly milliseconds: number;
-	readonly entryCount: number;
-	readonly workspaces: ReadonlyArray<Workspace & {readonly quota: NonNullable<Workspace['quota']>}>;
-	/** Entries that the callers of a workspace reach. */
-	readonly entriesByWorkspace: ReadonlyArray<readonly number[]>;
-	readonly tolerance: QuotaTolerance;
-	readonly links: QuotaLinks;
-	readonly faults: readonly QuotaFault[];
-	readonly mistake: QuotaMistake;
-	readonly isDisturbed: boolean;
-	/** Gets the requests per second of a workspace. */
-	getLoad(workspace: number, now: number): number;
-};
-
-/** Request of a run. */
-export type QuotaRequest = QuotaModelOutcome & {readonly at: number};
-
-/** What a run showed. */
-export type QuotaRun = {
-	/** Most that ran in any window, as a share of what may run in it, for the workspace where it was most. */
-	readonly largestShare: number;
-	readonly requests: readonly QuotaRequest[];
-	readonly questions: number;
-	/** Bytes of reports, grants and questions about quotas, in both directions. */
-	readonly bytes: number;
-	/** Processor time of the leader's decisions, in milliseconds. */
-	readonly leaderMilliseconds: number;
-};
-
-type Leader = {
-	readonly epoch: number;
-	readonly lending: QuotaLending;
-	workspaces: readonly Workspace[] | undefined;
-	endsAt: number;
-};
-
-type Member = {model: QuotaEntryModel; leader: Leader | undefined; cutUntil: number; reaches: Leader | undefined; generation: number};
+type Member = {model: QuotaEntryModel; leader: QuotaLeader | undefined; cutUntil: number; reaches: QuotaLeader | undefined; generation: number};
 
 /**
  * Plays a run.
  * @param options - Workspaces, load, links and faults.
  */
 export async function playQuotas(options: QuotaRunOptions): Promise<QuotaRun> {
-	const {tolerance, links, mistake} = options;
+	const {tolerance, mistake} = options;
 	const random = createRandom(options.seed);
+	const send = createQuotaLinks(options.links, random);
 	const time = startVirtualTime();
-	const leaders: Leader[] = [];
+	const leaders: QuotaLeader[] = [];
 	const runs = options.workspaces.map((): number[] => []);
 	const numbers = new Map(options.workspaces.map(({name}, number) => [name, number]));
 	const requests: QuotaRequest[] = [];
-	/** Quotas by version, each with the time from which no entry can act on an earlier one. */
 	let workspaces = [...options.workspaces];
-	const lowered: Array<{readonly workspace: number; readonly at: number; readonly quota: NonNullable<Workspace['quota']>}> = [];
+	const lowered: Array<{readonly workspace: number; readonly at: number; readonly quota: Quota}> = [];
 	let version = 1;
-	let current: Leader | undefined;
+	let current: QuotaLeader | undefined;
 	let questions = 0;
 	let bytes = 0;
-	let leaderNanoseconds = 0n;
 
-	function startLeader(hasDocument: boolean): Leader {
-		const leader: {workspaces: readonly Workspace[] | undefined} = {workspaces: hasDocument && mistake !== 'new-leader-is-first' ? workspaces : undefined};
-		const register = {getCurrent: () => leader.workspaces === undefined ? {isJust: false} : {isJust: true, value: {document: getDocument(leader.workspaces)}}};
-		const lending = createQuotaLending({
-			epoch: leaders.length + 1, startedAt: performance.now(), termMilliseconds, machine: {register} as unknown as StateMachine, tolerance,
+	function startLeader(hasPredecessor: boolean): void {
+		const started = createQuotaLeader({
+			epoch: leaders.length + 1, workspaces, hasPredecessor: hasPredecessor && mistake !== 'new-leader-is-first', tolerance, termMilliseconds,
 		});
-		const started: Leader = Object.assign(leader, {epoch: leaders.length + 1, lending, endsAt: Number.POSITIVE_INFINITY});
-		started.workspaces = workspaces;
 		leaders.push(started);
 		current = started;
 		nudge(started);
-		return started;
 	}
 
 	/** Tells the entries that a leader reaches of its start. */
-	function nudge(leader: Leader): void {
+	function nudge(leader: QuotaLeader): void {
 		for (const member of members) {
 			send(() => {
 				if (isReached(member, leader)) {
@@ -140,48 +70,20 @@
 		}
 	}
 
-	const documents = new Map<readonly Workspace[], {readonly workspaces: readonly Workspace[]}>();
-	function getDocument(list: readonly Workspace[]): {readonly workspaces: readonly Workspace[]} {
-		const document = documents.get(list) ?? {workspaces: list};
-		documents.set(list, document);
-		return document;
-	}
-
-	/** Sends a message over a link. */
-	function send(step: () => void): void {
-		const copies = random() < links.doubledShare ? 2 : 1;
-		for (let copy = 0; copy < copies; copy++) {
-			const isLost = random() < links.lossShare;
-			if (!isLost || links.isRepeating) {
-				const late = random() < links.lateShare ? random() * links.lateMilliseconds : 0;
-				setTimeout(step, (links.latencyMilliseconds * (0.5 + random())) + late + (isLost ? 200 : 0));
-			}
-		}
-	}
-
-	function isReached(member: Member, leader: Leader): boolean {
+	function isReached(member: Member, leader: QuotaLeader): boolean {
 		return performance.now() >= member.cutUntil || member.reaches === leader;
 	}
 
-	function decide<Result>(step: () => Result): Result {
-		const startedAt = process.hrtime.bigint();
-		const result = step();
-		leaderNanoseconds += process.hrtime.bigint() - startedAt;
-		return result;
-	}
-
-	function grant(member: Member, model: QuotaEntryModel, leader: Leader, renewal: QuotaRenewal, receivedAt: number): void {
+	function grant(member: Member, model: QuotaEntryModel, leader: QuotaLeader, renewal: QuotaRenewal, receivedAt: number): void {
 		// The leadership was confirmed; the decision can still be late.
 		setTimeout(() => {
-			const granted = decide(() => leader.lending.grant(renewal as Renewal, receivedAt, performance.now()));
+			const granted = leader.lending.grant(renewal as Renewal, receivedAt, performance.now());
 			bytes += encode(granted).length;
-			const sentVersion = version;
-			const sentWorkspaces = leader.workspaces ?? [];
 			send(() => {
 				if (isReached(member, leader)) {
 					member.leader = leader.epoch >= (member.leader?.epoch ?? 0) ? leader : member.leader;
 					model.receive({
-						sequence: renewal.sequence, epoch: leader.epoch, termMilliseconds, version: leader === current ? sentVersion : 0, workspaces: sentWorkspaces, ...granted,
+						sequence: renewal.sequence, epoch: leader.epoch, termMilliseconds, version: leader === current ? version : 0, workspaces: leader.workspaces, ...granted,
 					});
 				}
 			});
@@ -202,22 +104,6 @@
 		}
 	}
 
-	async function answer(leader: Leader, question: QuotaQuestion): Promise<ControlResponse> {
-		const receivedAt = performance.now();
-		if (mistake === 'confirms-without-quorum') {
-			leader.lending.confirm(receivedAt);
-		} else if (!leader.lending.isConfirmed(receivedAt)) {
-			await new Promise(resolve => {
-				setTimeout(resolve, urgentMilliseconds);
-			});
-			if (leader === current) {
-				leader.lending.confirm(receivedAt);
-			}
-		}
-
-		return decide(() => leader.lending.answer(question, performance.now()));
-	}
-
 	async function ask(member: Member, question: QuotaQuestion, timeoutMilliseconds: number): Promise<ControlResponse> {
 		questions++;
 		bytes += encode(question).length;
@@ -233,7 +119,7 @@
 					return;
 				}
 
-				void answer(leader, question).then(response => {
+				void answerQuestion(leader, question, () => leader === current || mistake === 'confirms-without-quorum').then(response => {
 					bytes += encode(response).length;
 					send(() => {
 						if (isReached(member, leader)) {
@@ -354,30 +240,12 @@
 	time.stop();
 
 	/** Gets the quota that was in force in a whole window: the largest one that an entry may have acted on. */
-	function getQuotaAt(workspace: number, from: number): NonNullable<Workspace['quota']> {
-		const inForce = lowered.findLast(change => change.workspace === workspace && change.at + termMilliseconds + millisecondsPerSecond + (tolerance.windowSeconds * millisecondsPerSecond) <= from);
-		return inForce?.quota ?? options.workspaces[workspace]!.quota;
-	}
-
-	function getLargestShare(workspace: number): number {
-		const times = runs[workspace]!;
-		const windowMilliseconds = tolerance.windowSeconds * millisecondsPerSecond;
-		let first = 0;
-		let largest = 0;
-		for (const [index, at] of times.entries()) {
-			while (times[first]! <= at - windowMilliseconds) {
-				first++;
-			}
-
-			const {requestsPerSecond, burst} = getQuotaAt(workspace, times[first]!);
-			const bound = (((requestsPerSecond * tolerance.windowSeconds) + burst) * (1 + tolerance.overshoot)) + tolerance.slack;
-			largest = Math.max(largest, (index - first + 1) / bound);
-		}
-
-		return largest;
+	function getQuotaAt(workspace: number, from: number): Quota {
+		const inForceMilliseconds = termMilliseconds + millisecondsPerSecond + (tolerance.windowSeconds * millisecondsPerSecond);
+		return lowered.findLast(change => change.workspace === workspace && change.at + inForceMilliseconds <= from)?.quota ?? options.workspaces[workspace]!.quota;
 	}
 
 	return {
-		largestShare: Math.max(...runs.map((_, workspace) => getLargestShare(workspace))), requests, questions, bytes, leaderMilliseconds: Number(leaderNanoseconds) / 1_000_000,
+		largestShare: Math.max(...runs.map((times, workspace) => getLargestShare(times, tolerance, from => getQuotaAt(workspace, from)))), requests, questions, bytes,
 	};
 }
