--- a/source/entry/fleet/stated-loads.ts
+++ b/source/entry/fleet/stated-loads.ts
@@ -19,6 +19,11 @@
 	let congestedShare = 0;
 	return {
 		record(candidate, reading) {
+			// Servers of some dialects state their load without their slots, which says nothing about congestion.
+			if (reading.slots === 0) {
+				return;
+			}
+
 			readings.set(candidate, reading);
 			congestedShare += ((isUncongested(reading) ? 0 : 1) - congestedShare) * smoothingFactor;
 		},
--- a/source/retry/hedge-decision.test.ts
+++ b/source/retry/hedge-decision.test.ts
@@ -1,6 +1,8 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {decideHedge, type HedgeDecision, type HedgeObstacle, type HedgeSituation} from './index.js';
+import {
+	decideHedge, type HedgeDecision, type HedgeObstacle, type HedgeSituation,
+} from './index.js';
 
 const situation: HedgeSituation = {
 	elapsedMilliseconds: 150, times: {
--- a/stand-in/entry-bed.ts
+++ b/stand-in/entry-bed.ts
@@ -57,6 +57,8 @@
 	readonly servers?: number;
 	readonly timeoutMilliseconds?: number;
 	readonly attempts?: number;
+	/** Share of requests that may be hedged; 0 by default. */
+	readonly hedgeRatio?: number;
 	/** Whether the servers repeat the ids of requests before the test begins; true by default. */
 	readonly repeatsIds?: boolean;
 	/** Maximum size of a caller's body in bytes. */
@@ -176,7 +178,7 @@
 	};
 	await applyDocument(documentSchema.parse({
 		zones: [{name: 'north'}],
-		services: [{name: 'stock', hedgeRatio: 0, easing: {initialSlots: 50, growthPerSuccess: 1}}],
+		services: [{name: 'stock', hedgeRatio: options.hedgeRatio ?? 0, easing: {initialSlots: 50, growthPerSuccess: 1}}],
 		routes: [
 			{
 				name: 'look', path: '/look/', isIdempotent: true, ...route,
