--- a/stand-in/entry-bed.ts
+++ b/stand-in/entry-bed.ts
@@ -58,6 +58,8 @@
 	readonly servers?: number;
 	readonly timeoutMilliseconds?: number;
 	readonly attempts?: number;
+	/** Share of requests that may be hedged; 0 by default. */
+	readonly hedgeRatio?: number;
 	/** Whether the servers repeat the ids of requests before the test begins; true by default. */
 	readonly repeatsIds?: boolean;
 	/** Maximum size of a caller's body in bytes. */
@@ -184,7 +186,7 @@
 	await applyDocument(documentSchema.parse({
 		zones: [{name: 'north'}],
 		services: [{
-			name: 'stock', hedgeRatio: 0, easing: {initialSlots: 50, growthPerSuccess: 1}, ...options.service,
+			name: 'stock', hedgeRatio: options.hedgeRatio ?? 0, easing: {initialSlots: 50, growthPerSuccess: 1}, ...options.service,
 		}],
 		routes: [
 			{
