--- a/stand-in/model/quota-system.ts
+++ b/stand-in/model/quota-system.ts
@@ -213,7 +213,6 @@
 		setTimeout(apply, fault.at, fault);
 	}
 
-	/** Lets the requests of a workspace arrive, at random times. */
 	function arrive(workspace: number): void {
 		const load = options.getLoad(workspace, performance.now());
 		const milliseconds = -Math.log(1 - random()) * millisecondsPerSecond / load;
