--- a/source/entry/placement/request-dispatch.ts
+++ b/source/entry/placement/request-dispatch.ts
@@ -95,6 +95,8 @@
 		return;
 	}
 
+	// A large response may take long to pass on, and its token would count as held meanwhile.
+	admitted.token?.end(true, now);
 	cancelRunning(progress);
 	context.crashTracker.recordSuccess(admitted.computeFingerprint);
 	relayResponse(admitted, outcome);
