--- a/source/wire/frame.ts
+++ b/source/wire/frame.ts
@@ -10,7 +10,7 @@
 import {
 	checkLength, FrameError, maximumFrameBytes, plainCoding, type PayloadCoding,
 } from './payload.js';
-import {TemplateError} from './template.js';
+import {TemplateError} from './template-changes.js';
 
 export {FrameError, maximumFrameBytes} from './payload.js';
 
--- a/source/wire/link-coding.ts
+++ b/source/wire/link-coding.ts
@@ -12,9 +12,10 @@
 import {
 	checkLength, getNumberedCoding, plainCoding, type PayloadCoding,
 } from './payload.js';
+import {createTemplate, isPlainObject, type Template} from './template.js';
 import {
-	applyChanges, createTemplate, getChanges, isPlainObject, recordChanges, TemplateError, type Template, type TemplateChanges,
-} from './template.js';
+	applyChanges, getChanges, recordChanges, TemplateError, type TemplateChanges,
+} from './template-changes.js';
 
 /** Maximum number of templates that an end keeps for each direction of a link. */
 const slotCount = 8;
