--- a/source/retry/hedge-times.ts
+++ b/source/retry/hedge-times.ts
@@ -17,7 +17,7 @@
 const maximumCheckedShare = 0.5;
 
 /** Share of the hedges that is kept for attempts which are later than the stated slowness explains. */
-const certainHedgeShare = 0.5;
+const certainHedgeShare = 0.2;
 
 /** Factor by which an attempt exceeds the latencies that count as certainly late if its server has probably lost it. */
 const overdueFactor = 2;
@@ -66,7 +66,7 @@
 	}
 
 	const usual = latencies.getQuantile(0.5);
-	const secondAttempt = usual + queryMilliseconds;
+	const secondAttempt = latencies.getQuantile(0.75) + queryMilliseconds;
 	const certain = latencies.getQuantile(1 - (ratio * certainHedgeShare));
 	const earliest = latencies.getQuantile(1 - Math.min(maximumCheckedShare, ratio * checksPerHedge));
 	return {
