--- a/bench/link-messages.ts
+++ b/bench/link-messages.ts
@@ -6,10 +6,14 @@
 } from './slopes/fixtures.js';
 
 const serverCount = 258;
+/** Number of entries of the fleet. */
 export const entryCount = 142;
+
+/** Number of control hosts that follow the leader. */
 export const followerCount = 4;
 const renewalsPerSecond = 2;
 const renewalIntervalMilliseconds = 500;
+
 /** Heartbeats of 100 ms, as in `deploy/control.toml`. */
 const heartbeatsPerSecond = 10;
 
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -243,7 +243,8 @@
 	function startLeadership(term: number): void {
 		nudges.restart();
 		leadership = createLeadership({
-			epoch: term, startedAt: performance.now(), termMilliseconds: settings.lease.termMilliseconds, machine, quotaTolerance: settings.quotaTolerance, getWallClock: Date.now, getAppliedIndex: driver.replica.getCommitIndex,
+			epoch: term, startedAt: performance.now(), termMilliseconds: settings.lease.termMilliseconds, machine, quotaTolerance: settings.quotaTolerance,
+			getWallClock: Date.now, getAppliedIndex: driver.replica.getCommitIndex,
 		});
 		nudges.schedule();
 	}
--- a/source/control/quota-lending.ts
+++ b/source/control/quota-lending.ts
@@ -1,5 +1,5 @@
 /**
- * Lends the tokens of the quotas of all workspaces to the entries, with their grants and on question. An earlier leader can have lent some only if
+ * Lends the tokens of the quotas of all workspaces to the entries, with their grants and in answer to their questions. An earlier leader can have lent some only if
  * a document was committed then, since an entry without a document runs no request.
  */
 import {type Environment, type EnvironmentDocument} from '../configuration/index.js';
@@ -14,8 +14,8 @@
 /** Time in milliseconds without a live lease after which a process is forgotten. */
 const forgetMilliseconds = 10_000;
 
-/** Number of renewals of which one lends tokens of the workspaces for which it reports no change. */
-const otherGrantsInterval = 4;
+/** Number of renewals among which one lends tokens of the workspaces for which it reports no change. */
+const otherGrantsRenewals = 4;
 
 /** Tokens that one leader lends during one term. */
 export type QuotaLending = {
@@ -41,21 +41,21 @@
 };
 
 /** What a process was told of its tokens of a workspace, the first grant that told it, and whether it got none although it wanted some. */
-type Told = {readonly granted: number; readonly sequence: number; readonly isRefused: boolean};
+type LastGrant = {readonly granted: number; readonly sequence: number; readonly isRefused: boolean};
 
 type Holder = {
 	expiresAt: number;
-	/** Accounts that have a record of the process, by workspace. */
-	readonly told: Map<string, Told>;
+	/** What it was told last, by workspace. Its accounts of these workspaces have a record of it. */
+	readonly told: Map<string, LastGrant>;
 };
 
 /** What a process has been lent of a workspace, and what it reported to have been lent, if its renewal did. */
-type Telling = QuotaLoan & {readonly workspace: string; readonly reported: number | undefined};
+type HolderLoan = QuotaLoan & {readonly workspace: string; readonly reported: number | undefined};
 
 type Account = {readonly account: QuotaAccount; quota: Quota};
 
-/** Accounts of one environment. */
-type Book = {
+/** Quotas and accounts of one environment. */
+type EnvironmentQuotas = {
 	readonly hasPredecessor: boolean;
 	readonly accounts: Map<string, Account>;
 	readonly use: QuotaUse;
@@ -72,7 +72,7 @@
 		epoch, startedAt, termMilliseconds, machine, tolerance,
 	} = options;
 	const holders = new Map<string, Holder>();
-	const books: Readonly<Record<Environment, Book>> = {trial: createBook('trial'), production: createBook('production')};
+	const quotasByEnvironment: Readonly<Record<Environment, EnvironmentQuotas>> = {trial: createEnvironmentQuotas('trial'), production: createEnvironmentQuotas('production')};
 	let confirmedAt = startedAt;
 	let forgottenAt = startedAt;
 
@@ -81,25 +81,25 @@
 		return current.isJust ? current.value.document : undefined;
 	}
 
-	function createBook(environment: Environment): Book {
+	function createEnvironmentQuotas(environment: Environment): EnvironmentQuotas {
 		return {
 			hasPredecessor: getDocument(environment) !== undefined, accounts: new Map(), use: createQuotaUse(), document: undefined, quotas: new Map(),
 		};
 	}
 
 	/** Gets the accounts of an environment, with the quotas of its present document. */
-	function getBook(environment: Environment): Book {
-		const book = books[environment];
+	function getEnvironmentQuotas(environment: Environment): EnvironmentQuotas {
+		const environmentQuotas = quotasByEnvironment[environment];
 		const document = getDocument(environment);
-		if (document !== book.document) {
-			book.document = document;
-			book.quotas = new Map(document?.workspaces?.flatMap(({name, quota}) => quota === undefined ? [] : [[name, quota] as const]));
-			for (const [workspace, account] of book.accounts) {
-				updateQuota(account, book.quotas.get(workspace));
+		if (document !== environmentQuotas.document) {
+			environmentQuotas.document = document;
+			environmentQuotas.quotas = new Map(document?.workspaces?.flatMap(({name, quota}) => quota === undefined ? [] : [[name, quota] as const]));
+			for (const [workspace, account] of environmentQuotas.accounts) {
+				updateQuota(account, environmentQuotas.quotas.get(workspace));
 			}
 		}
 
-		return book;
+		return environmentQuotas;
 	}
 
 	function updateQuota(account: Account, quota: Quota | undefined): void {
@@ -110,7 +110,7 @@
 	}
 
 	/** Gets the account of a workspace, or undefined if it never had a quota under this leader. */
-	function getAccount({accounts, quotas, hasPredecessor}: Book, workspace: string): QuotaAccount | undefined {
+	function getAccount({accounts, quotas, hasPredecessor}: EnvironmentQuotas, workspace: string): QuotaAccount | undefined {
 		const existing = accounts.get(workspace);
 		const quota = quotas.get(workspace);
 		if (existing !== undefined || quota === undefined) {
@@ -125,7 +125,7 @@
 	}
 
 	function getHolder(process: string): Holder {
-		const holder = holders.get(process) ?? {expiresAt: Number.NEGATIVE_INFINITY, told: new Map<string, Told>()};
+		const holder = holders.get(process) ?? {expiresAt: Number.NEGATIVE_INFINITY, told: new Map<string, LastGrant>()};
 		holders.set(process, holder);
 		return holder;
 	}
@@ -145,7 +145,7 @@
 	}
 
 	/** Gets what a grant tells of a workspace: what the process may not know, as far as it has reported or acknowledged. */
-	function tell(holder: Holder, {sequence, acknowledged}: Renewal, {workspace, granted, totals, retryMilliseconds, reported}: Telling): readonly QuotaGrant[] {
+	function getQuotaGrants(holder: Holder, {sequence, acknowledged}: Renewal, {workspace, granted, totals, retryMilliseconds, reported}: HolderLoan): readonly QuotaGrant[] {
 		const told = holder.told.get(workspace);
 		const isTold = reported === undefined ? told?.granted === granted && acknowledged >= told.sequence : reported === granted;
 		const isRepeated = !isTold && reported === undefined && told?.granted === granted;
@@ -159,29 +159,29 @@
 		return isTold ? [] : [[workspace, granted, total, held]];
 	}
 
-	function getReportedGrants(book: Book, holder: Holder, renewal: Renewal, now: number): readonly QuotaGrant[] {
+	function getReportedGrants(environmentQuotas: EnvironmentQuotas, holder: Holder, renewal: Renewal, now: number): readonly QuotaGrant[] {
 		const {process = '', quota = [], isFinal} = renewal;
 		return quota.flatMap(report => {
 			const [workspace, reported] = report;
-			const loan = getAccount(book, workspace)?.exchange({
-				holder: process, report: toHolderReport(report), isEnding: isFinal || !book.quotas.has(workspace) || !isConfirmed(now), now, confirmedAt,
+			const loan = getAccount(environmentQuotas, workspace)?.exchange({
+				holder: process, report: toHolderReport(report), isEnding: isFinal || !environmentQuotas.quotas.has(workspace) || !isConfirmed(now), now, confirmedAt,
 			});
-			return loan === undefined ? [] : tell(holder, renewal, {workspace, ...loan, reported});
+			return loan === undefined ? [] : getQuotaGrants(holder, renewal, {workspace, ...loan, reported});
 		});
 	}
 
-	/** Lends to a process what it wants of the workspaces for which its renewal reports no change: now and then, and at once where it was refused. */
-	function getOtherGrants(book: Book, holder: Holder, renewal: Renewal, now: number): readonly QuotaGrant[] {
+	/** Lends to a process what it wants of the workspaces for which its renewal reports no change: with one of several renewals, or with the next one where it was refused. */
+	function getOtherGrants(environmentQuotas: EnvironmentQuotas, holder: Holder, renewal: Renewal, now: number): readonly QuotaGrant[] {
 		const {process = '', quota = [], acknowledged} = renewal;
 		const reported = new Set(quota.map(([workspace]) => workspace));
-		const isDue = renewal.sequence % otherGrantsInterval === 0;
-		const others = [...holder.told].filter(([workspace, {sequence, isRefused}]) => (isDue || isRefused) && !reported.has(workspace) && book.quotas.has(workspace)
-			&& (acknowledged < sequence || book.accounts.get(workspace)?.account.isWanting(process) === true));
+		const isDue = renewal.sequence % otherGrantsRenewals === 0;
+		const others = [...holder.told].filter(([workspace, {sequence, isRefused}]) => (isDue || isRefused) && !reported.has(workspace) && environmentQuotas.quotas.has(workspace)
+			&& (acknowledged < sequence || environmentQuotas.accounts.get(workspace)?.account.isWanting(process) === true));
 		return others.flatMap(([workspace]) => {
-			const loan = book.accounts.get(workspace)?.account.exchange({
+			const loan = environmentQuotas.accounts.get(workspace)?.account.exchange({
 				holder: process, report: undefined, isEnding: !isConfirmed(now), now, confirmedAt,
 			});
-			return loan === undefined ? [] : tell(holder, renewal, {workspace, ...loan, reported: undefined});
+			return loan === undefined ? [] : getQuotaGrants(holder, renewal, {workspace, ...loan, reported: undefined});
 		});
 	}
 
@@ -204,20 +204,20 @@
 			}
 
 			forgetLost(now);
-			const book = getBook(environment);
+			const environmentQuotas = getEnvironmentQuotas(environment);
 			const holder = getHolder(process);
 			holder.expiresAt = isFinal ? receivedAt : Math.max(holder.expiresAt, receivedAt + termMilliseconds);
 			return {
-				quota: [...getReportedGrants(book, holder, renewal, now), ...isFinal ? [] : getOtherGrants(book, holder, renewal, now)],
-				...book.use.getChange(renewal, () => [...book.accounts].map(([workspace, {account, quota: {requestsPerSecond}}]) => ({
+				quota: [...getReportedGrants(environmentQuotas, holder, renewal, now), ...isFinal ? [] : getOtherGrants(environmentQuotas, holder, renewal, now)],
+				...environmentQuotas.use.getChange(renewal, () => [...environmentQuotas.accounts].map(([workspace, {account, quota: {requestsPerSecond}}]) => ({
 					workspace, use: account.getUse(now), requestsPerSecond,
 				})), now),
 			};
 		},
 		answer({environment, process, epoch: knownEpoch, report, waiting, refused}, now) {
-			const book = getBook(environment);
+			const environmentQuotas = getEnvironmentQuotas(environment);
 			const [workspace] = report;
-			const account = book.quotas.has(workspace) ? getAccount(book, workspace) : undefined;
+			const account = environmentQuotas.quotas.has(workspace) ? getAccount(environmentQuotas, workspace) : undefined;
 			if (account === undefined || knownEpoch > epoch || !isConfirmed(now)) {
 				return {kind: 'unknown'};
 			}
@@ -242,7 +242,7 @@
 			};
 		},
 		getOutstanding() {
-			const accounts = Object.values(books).flatMap(({accounts}) => [...accounts.values()]);
+			const accounts = Object.values(quotasByEnvironment).flatMap(({accounts}) => [...accounts.values()]);
 			return accounts.reduce((sum, {account}) => sum + account.getOutstanding(), 0);
 		},
 	};
--- a/source/entry/placement/hedging.ts
+++ b/source/entry/placement/hedging.ts
@@ -221,8 +221,8 @@
 }
 
 /**
- * Records that an attempt has answered a request: its latency, and those of the attempts that it makes needless, which would have
- * taken longer than until now.
+ * Records that an attempt has answered a request: its latency, and the times that the attempts beside it have taken so far, since their latencies
+ * would have been longer.
  * @param progress - Progress of the request.
  * @param answered - Attempt that answered; it does not count as running any more.
  * @param now - Current time.
--- a/source/entry/requests/quota-gate.ts
+++ b/source/entry/requests/quota-gate.ts
@@ -55,7 +55,7 @@
 type Waiter = {readonly timer: NodeJS.Timeout; readonly resolve: (outcome: QuotaOutcome) => void};
 
 /** Requests of one workspace that wait. */
-type Line = {
+type WorkspaceQueue = {
 	readonly workspace: string;
 	readonly holder: TokenHolder;
 	readonly waiters: Set<Waiter>;
@@ -80,108 +80,108 @@
 	const {
 		environment, process, tokens, metrics, log,
 	} = options;
-	const lines = new Map<string, Line>();
+	const queues = new Map<string, WorkspaceQueue>();
 
-	function getLine(workspace: string): Line {
-		const line = lines.get(workspace) ?? {
+	function getQueue(workspace: string): WorkspaceQueue {
+		const queue = queues.get(workspace) ?? {
 			workspace, holder: tokens.getHolder(workspace), waiters: new Set<Waiter>(), isAsking: false, refused: 0, usedUpAt: undefined,
 		};
-		lines.set(workspace, line);
-		return line;
+		queues.set(workspace, queue);
+		return queue;
 	}
 
-	function getRefusal(line: Line, now: number): QuotaOutcome {
-		if (line.usedUpAt === undefined) {
-			log.info({workspace: line.workspace}, 'the quota of a workspace is used up');
+	function getRefusal(queue: WorkspaceQueue, now: number): QuotaOutcome {
+		if (queue.usedUpAt === undefined) {
+			log.info({workspace: queue.workspace}, 'the quota of a workspace is used up');
 		}
 
-		line.usedUpAt = now;
-		return {kind: 'refused', reason: 'quota', retryAfterMilliseconds: Math.max(0, line.holder.getUsedUpUntil() - now)};
+		queue.usedUpAt = now;
+		return {kind: 'refused', reason: 'quota', retryAfterMilliseconds: Math.max(0, queue.holder.getUsedUpUntil() - now)};
 	}
 
 	function getUnavailable(): QuotaOutcome {
 		return {kind: 'refused', reason: 'quota-unavailable', retryAfterMilliseconds: unavailableRetryMilliseconds};
 	}
 
-	function tryTake(line: Line, now: number): QuotaOutcome | undefined {
-		const token = line.holder.tryTake(now);
+	function tryTake(queue: WorkspaceQueue, now: number): QuotaOutcome | undefined {
+		const token = queue.holder.tryTake(now);
 		if (token === undefined) {
 			return undefined;
 		}
 
 		metrics.countQuotaToken();
-		if (line.usedUpAt !== undefined && now > line.usedUpAt + availableMilliseconds) {
-			line.usedUpAt = undefined;
-			log.info({workspace: line.workspace}, 'the quota of a workspace is available again');
+		if (queue.usedUpAt !== undefined && now > queue.usedUpAt + availableMilliseconds) {
+			queue.usedUpAt = undefined;
+			log.info({workspace: queue.workspace}, 'the quota of a workspace is available again');
 		}
 
 		return {kind: 'taken', token};
 	}
 
-	function settle(line: Line, waiter: Waiter, outcome: QuotaOutcome): void {
+	function settle(queue: WorkspaceQueue, waiter: Waiter, outcome: QuotaOutcome): void {
 		clearTimeout(waiter.timer);
-		line.waiters.delete(waiter);
+		queue.waiters.delete(waiter);
 		waiter.resolve(outcome);
 	}
 
 	/** Gives free tokens to the requests that wait, and refuses the others if the quota is used up. */
-	function serve(line: Line): void {
+	function serve(queue: WorkspaceQueue): void {
 		const now = performance.now();
-		for (const waiter of line.waiters) {
-			const outcome = tryTake(line, now) ?? (line.holder.getUsedUpUntil() > now ? getRefusal(line, now) : undefined);
+		for (const waiter of queue.waiters) {
+			const outcome = tryTake(queue, now) ?? (queue.holder.getUsedUpUntil() > now ? getRefusal(queue, now) : undefined);
 			if (outcome === undefined) {
 				return;
 			}
 
-			settle(line, waiter, outcome);
+			settle(queue, waiter, outcome);
 		}
 	}
 
 	/** Asks the leader once for all requests that wait. */
-	async function ask(line: Line): Promise<void> {
+	async function ask(queue: WorkspaceQueue): Promise<void> {
 		const askedAt = performance.now();
-		const {epoch, report, sent} = tokens.createQuestion(line.workspace, line.waiters.size, askedAt);
-		const {refused} = line;
-		line.refused = 0;
+		const {epoch, report, sent} = tokens.createQuestion(queue.workspace, queue.waiters.size, askedAt);
+		const {refused} = queue;
+		queue.refused = 0;
 		const answer = await options.getClient().submit({
-			kind: 'quota', environment, process, epoch, report, waiting: line.waiters.size, refused,
+			kind: 'quota', environment, process, epoch, report, waiting: queue.waiters.size, refused,
 		}, maximumWaitMilliseconds);
 		metrics.countQuotaQuestion(answer.kind === 'quota');
 		if (answer.kind === 'quota') {
 			const {epoch: leaderEpoch, granted, total, held, retryMilliseconds} = answer;
-			tokens.applyAnswer(line.workspace, sent, {
+			tokens.applyAnswer(queue.workspace, sent, {
 				epoch: leaderEpoch, granted, totals: {total, held}, askedAt, retryMilliseconds,
 			}, {now: performance.now(), mayUse: options.mayUseAnswer(askedAt)});
-			serve(line);
+			serve(queue);
 		}
 	}
 
 	/** Asks the leader until no request waits. A question that is not answered at once is followed by another one, since asking twice lends nothing more. */
-	async function askWhileWaiting(line: Line): Promise<void> {
-		line.isAsking = true;
-		while (line.waiters.size > 0) {
-			const asked = [...line.waiters];
+	async function askWhileWaiting(queue: WorkspaceQueue): Promise<void> {
+		queue.isAsking = true;
+		while (queue.waiters.size > 0) {
+			const asked = [...queue.waiters];
 			const askedAt = performance.now();
-			await Promise.race([ask(line), pause(askAgainMilliseconds)]);
-			if (asked.some(waiter => line.waiters.has(waiter))) {
+			await Promise.race([ask(queue), pause(askAgainMilliseconds)]);
+			if (asked.some(waiter => queue.waiters.has(waiter))) {
 				await pause(askedAt + askAgainMilliseconds - performance.now());
 			}
 		}
 
-		line.isAsking = false;
+		queue.isAsking = false;
 	}
 
-	async function wait(line: Line, milliseconds: number): Promise<QuotaOutcome> {
+	async function wait(queue: WorkspaceQueue, milliseconds: number): Promise<QuotaOutcome> {
 		return new Promise(resolve => {
 			const waiter: Waiter = {
 				resolve,
 				timer: setTimeout(() => {
-					settle(line, waiter, getUnavailable());
+					settle(queue, waiter, getUnavailable());
 				}, milliseconds),
 			};
-			line.waiters.add(waiter);
-			if (!line.isAsking) {
-				void askWhileWaiting(line);
+			queue.waiters.add(waiter);
+			if (!queue.isAsking) {
+				void askWhileWaiting(queue);
 			}
 		});
 	}
@@ -193,28 +193,28 @@
 			}
 
 			const now = performance.now();
-			const line = getLine(access.workspace.name);
-			line.holder.recordDemand(now);
+			const queue = getQueue(access.workspace.name);
+			queue.holder.recordDemand(now);
 			if (!options.mayHoldTokens(now)) {
 				return getUnavailable();
 			}
 
-			const taken = tryTake(line, now);
+			const taken = tryTake(queue, now);
 			if (taken !== undefined) {
 				return taken;
 			}
 
-			if (!line.holder.mayAsk(now)) {
-				line.refused++;
-				return getRefusal(line, now);
+			if (!queue.holder.mayAsk(now)) {
+				queue.refused++;
+				return getRefusal(queue, now);
 			}
 
 			const milliseconds = Math.min(maximumWaitMilliseconds, deadlineAt - now);
-			return tokens.mayAsk() && milliseconds > 0 ? wait(line, milliseconds) : getUnavailable();
+			return tokens.mayAsk() && milliseconds > 0 ? wait(queue, milliseconds) : getUnavailable();
 		},
 		serveWaiting() {
-			for (const line of lines.values()) {
-				serve(line);
+			for (const queue of queues.values()) {
+				serve(queue);
 			}
 		},
 	};
--- a/source/link/large-admission.ts
+++ b/source/link/large-admission.ts
@@ -27,7 +27,7 @@
 	readonly expectedWaitMilliseconds: number;
 	/** Target latency, in milliseconds. */
 	readonly targetMilliseconds: number;
-	/** Time that is left of the target, in milliseconds; less than nothing if the request is late already. */
+	/** Time that is left of the target, in milliseconds; negative if the request is late already. */
 	readonly leftMilliseconds: number;
 };
 
@@ -67,12 +67,13 @@
 	getRemainingBytes(rate: number): number;
 };
 
-type Entry = {readonly request: LargeRequest; readonly onAdmitted: () => void; remainingBytes: number; isBlocked: boolean};
+/** A request that was admitted or waits, and what its response still has to send. */
+type Admission = {readonly request: LargeRequest; readonly onAdmitted: () => void; remainingBytes: number; isBlocked: boolean};
 
 /** Creates an admission without requests. */
 export function createLargeAdmission(): LargeAdmission {
-	const admitted = new Set<Entry>();
-	const waiting = new Set<Entry>();
+	const admitted = new Set<Admission>();
+	const waiting = new Set<Admission>();
 
 	function getRemainingBytes(rate: number): number {
 		let sum = 0;
@@ -101,17 +102,17 @@
 		return getWaitBehind(request, getRemainingBytes(rate) + waitingBytes, rate);
 	}
 
-	function createTicket(entry: Entry): LargeTicket {
+	function createTicket(admission: Admission): LargeTicket {
 		return {
 			setRemaining(bytes) {
-				entry.remainingBytes = bytes;
+				admission.remainingBytes = bytes;
 			},
 			setBlocked(isBlocked) {
-				entry.isBlocked = isBlocked;
+				admission.isBlocked = isBlocked;
 			},
 			end() {
-				admitted.delete(entry);
-				waiting.delete(entry);
+				admitted.delete(admission);
+				waiting.delete(admission);
 			},
 		};
 	}
@@ -124,27 +125,27 @@
 				return {kind: 'refused', retryAfterMilliseconds: waitMilliseconds};
 			}
 
-			const entry: Entry = {
+			const admission: Admission = {
 				request, onAdmitted, remainingBytes: getReservedBytes(request), isBlocked: false,
 			};
-			const ticket = createTicket(entry);
+			const ticket = createTicket(admission);
 			if (waitMilliseconds > 0) {
-				waiting.add(entry);
+				waiting.add(admission);
 				return {kind: 'waiting', ticket, maximumMilliseconds};
 			}
 
-			admitted.add(entry);
+			admitted.add(admission);
 			return {kind: 'admitted', ticket};
 		},
 		admitWaiting(rate) {
-			for (const entry of waiting) {
-				if (getWaitBehind(entry.request, getRemainingBytes(rate), rate) > 0) {
+			for (const admission of waiting) {
+				if (getWaitBehind(admission.request, getRemainingBytes(rate), rate) > 0) {
 					return;
 				}
 
-				waiting.delete(entry);
-				admitted.add(entry);
-				entry.onAdmitted();
+				waiting.delete(admission);
+				admitted.add(admission);
+				admission.onAdmitted();
 			}
 		},
 		getWait,
--- a/source/quota/holder-report.ts
+++ b/source/quota/holder-report.ts
@@ -8,11 +8,11 @@
 	readonly held: number;
 };
 
-/** What a process had from earlier leaders when it went over to the present one. */
+/** What a process had from earlier leaders when it learned of the present one. */
 export type EarlierTokens = {
-	/** Tokens that the last of them at least counted as held by the process. */
+	/** Minimum number of tokens that the last of them counted as held by the process. */
 	readonly held: number;
-	/** What one of them last told of all holders, no less than its age in milliseconds, and the requests per second that were allowed then. */
+	/** What one of them last told of all holders, the maximum age of that in milliseconds, and the requests per second that were allowed then. */
 	readonly told?: QuotaTotals & {readonly age: number; readonly requestsPerSecond: number};
 	/** Tokens spent in each of the last steps of `spendingStepMilliseconds`, the newest step first. */
 	readonly recent: readonly number[];
@@ -21,7 +21,7 @@
 /** Length of the steps in which a process states what it has spent. */
 export const spendingStepMilliseconds = 500;
 
-/** Report of a holder. All numbers count from the start of the process, so that a report that is lost, late or doubled changes nothing. */
+/** Report of a holder. All numbers count from the start of the process, so that a report that is lost, late or duplicated changes nothing. */
 export type HolderReport = {
 	/** Tokens that were ever lent to the process. */
 	readonly granted: number;
--- a/source/quota/quota-holdings.ts
+++ b/source/quota/quota-holdings.ts
@@ -32,7 +32,7 @@
 /** Records of all holders. */
 export type QuotaHoldings = {
 	get(holder: string): Holding | undefined;
-	/** Applies a report. A report that is late or doubled changes nothing but the goal. */
+	/** Applies a report. A report that is late or duplicated changes nothing but the goal. */
 	apply(holder: string, report: HolderReport): HoldingChange;
 	lend(holding: Holding, tokens: number): void;
 	/** Removes the holders whose lease has ended, and returns the tokens that they held. */
--- a/source/quota/token-holder.ts
+++ b/source/quota/token-holder.ts
@@ -13,8 +13,8 @@
 /** Longest time in milliseconds for which an entry without tokens does not ask again. */
 const maximumAskMilliseconds = 500;
 
-/** What a leader told of all holders, when it was asked, and the rate of the quota then. */
-type Told = {readonly totals: QuotaTotals; readonly askedAt: number; readonly requestsPerSecond: number};
+/** What a leader told of all holders, the time at which it was asked, and the rate of the quota then. */
+type ToldTotals = {readonly totals: QuotaTotals; readonly askedAt: number; readonly requestsPerSecond: number};
 
 /** Tokens of one workspace. */
 export type TokenHolder = {
@@ -52,8 +52,8 @@
 export function createTokenHolder(): TokenHolder {
 	const demand = createDemandMeter();
 	/** Term of the leader that stated `granted`. */
-	let toldEpoch = 0;
-	/** Term of the leader that the holder deals with, after which it sends nothing to earlier ones. */
+	let grantedEpoch = 0;
+	/** Newest term that the holder knows; grants of earlier leaders are ignored. */
 	let epoch = 0;
 	let granted = 0;
 	let spent = 0;
@@ -61,11 +61,12 @@
 	let taken = 0;
 	/** Largest number of spent tokens that any leader can have received. */
 	let sent = 0;
-	/** Tokens that the last leader at least counted as held, until the present one knows what this process had from earlier ones. */
+	/** Minimum number of tokens that the last leader counted as held; undefined once the present leader knows what this process had from earlier ones. */
 	let earlierHeld: number | undefined;
-	/** What the present leader, and the ones before it, last told of all holders. */
-	let told: Told | undefined;
-	let earlierTold: Told | undefined;
+	/** What the present leader last told of all holders. */
+	let told: ToldTotals | undefined;
+	/** What an earlier leader last told of all holders. */
+	let earlierTold: ToldTotals | undefined;
 	let requestsPerSecond = 0;
 	const history = createSpendingHistory();
 	/** Number of revocations; tokens that were taken before the last one are void. */
@@ -98,7 +99,8 @@
 		}
 	}
 
-	function goOver(nextEpoch: number): void {
+	/** Keeps what the process has from earlier leaders, to report it to the leader of a newer term. */
+	function enterEpoch(nextEpoch: number): void {
 		if (nextEpoch > epoch) {
 			earlierHeld = epoch === 0 ? undefined : Math.max(0, granted - sent);
 			earlierTold = told ?? earlierTold;
@@ -110,8 +112,8 @@
 
 	/** Records that a leader knows what the holder has. */
 	function recordKnown(leaderEpoch: number): void {
-		goOver(leaderEpoch);
-		toldEpoch = leaderEpoch;
+		enterEpoch(leaderEpoch);
+		grantedEpoch = leaderEpoch;
 		endsAt = Number.POSITIVE_INFINITY;
 	}
 
@@ -203,8 +205,8 @@
 			}
 
 			// What the holder has from earlier leaders is recorded before the number of the new one replaces theirs.
-			goOver(grant.epoch);
-			granted = grant.epoch > toldEpoch ? grant.granted : Math.max(granted, grant.granted);
+			enterEpoch(grant.epoch);
+			granted = grant.epoch > grantedEpoch ? grant.granted : Math.max(granted, grant.granted);
 			recordKnown(grant.epoch);
 			if (told === undefined || grant.askedAt > told.askedAt) {
 				told = {totals: grant.totals, askedAt: grant.askedAt, requestsPerSecond};
@@ -218,8 +220,8 @@
 			}
 		},
 		beginEpoch(nextEpoch, earlierLeaseEndsAt) {
-			if (nextEpoch > toldEpoch) {
-				goOver(nextEpoch);
+			if (nextEpoch > grantedEpoch) {
+				enterEpoch(nextEpoch);
 				endsAt = Math.min(endsAt, earlierLeaseEndsAt);
 			}
 		},
--- a/stand-in/model/quota-entry.ts
+++ b/stand-in/model/quota-entry.ts
@@ -19,8 +19,10 @@
 const queueShare = 0.1;
 const declinedShare = 0.05;
 
-/** Renewal and grant, as far as quotas are concerned. */
+/** Renewal, as far as quotas are concerned. */
 export type QuotaRenewal = Pick<Renewal, 'process' | 'environment' | 'sequence' | 'acknowledged' | 'quota' | 'isFinal'>;
+
+/** Grant, as far as quotas are concerned, with the workspaces of the document. */
 export type QuotaModelGrant = Pick<Grant, 'sequence' | 'epoch' | 'termMilliseconds' | 'version' | 'quota' | 'aboveShare'> & {readonly workspaces: readonly Workspace[]};
 
 /** What became of a request. */
--- a/stand-in/model/quota-links.ts
+++ b/stand-in/model/quota-links.ts
@@ -1,4 +1,4 @@
-/** Links between modelled entries and leaders, which lose, double and delay messages. */
+/** Links between modelled entries and leaders, which lose, duplicate and delay messages. */
 import {type Random} from '../../source/randomness/index.js';
 import {type QuotaLinks} from './quota-run.js';
 
--- a/stand-in/model/quota-system.ts
+++ b/stand-in/model/quota-system.ts
@@ -1,5 +1,5 @@
 /**
- * Plays entries and leaders that share quotas, in virtual time: links lose, double and delay messages, entries are killed, frozen and cut off, and
+ * Plays entries and leaders that share quotas, in virtual time: links lose, duplicate and delay messages, entries are killed, frozen and cut off, and
  * leaders are replaced, some without noticing it. Counts what runs in any window.
  */
 import {performance} from 'node:perf_hooks';
