--- a/source/entry/placement/hedging.test.ts
+++ b/source/entry/placement/hedging.test.ts
@@ -10,7 +10,8 @@
 import {type Service} from '../../configuration/index.js';
 import {type HedgeObstacle} from '../../retry/index.js';
 import {createServiceHedging} from '../fleet/service-hedging.js';
-import {recordAnswer, scheduleHedge} from './hedging.js';
+import {recordAnswer} from './attempt-recording.js';
+import {scheduleHedge} from './hedging.js';
 import {type RequestProgress, type RunningAttempt} from './request-progress.js';
 
 const times = {
--- a/source/entry/placement/request-dispatch.ts
+++ b/source/entry/placement/request-dispatch.ts
@@ -4,10 +4,10 @@
 import {mayHaveRun, notRun} from '../../verdict/index.js';
 import {type AdmittedRequest} from '../requests/index.js';
 import {type AttemptOutcome, type AttemptResponse, type FailedAttempt} from '../servers/index.js';
+import {recordAnswer, recordFailure} from './attempt-recording.js';
 import {getAttemptResult, hasReachedNoServer} from './attempt-result.js';
 import {startOrEnqueue} from './first-attempt.js';
 import {retryOrRefuse} from './further-attempt.js';
-import {recordAnswer, recordFailure} from './hedging.js';
 import {
 	cancelRunning, createProgress, refuse, settle, type AttemptKind, type RequestProgress, type RunningAttempt,
 } from './request-progress.js';
