Query more servers where few have room, and confirm a last free slot

Near full load the search ended after six servers although others had room, a zone with few servers was left only when its share of servers with room fell below a fixed difference, and a reading could be several queries old when its server was chosen. Up to nine servers are queried now (six in a sustained shortage), two or three at once where few have room; another zone must have room about twice as often; a server with one free slot is queried again if its reading is older than 1.5 ms, and in a sustained shortage the first slot that is free is taken.

--- a/source/choice/zone-choice.ts
+++ b/source/choice/zone-choice.ts
@@ -1,15 +1,18 @@
 /**
  * Chooses the zone whose server is queried next. Bytes between zones are expensive, so the own zone is chosen as long as its servers
- * are about as likely to have room as those elsewhere, less a price of the distance. Beyond that, zones are drawn in proportion to
+ * are about half as likely to have room as those elsewhere. Beyond that, zones are drawn in proportion to
  * their room, so that entries with the same estimates do not all choose the same zone.
  */
 import {type Random} from '../randomness/index.js';
 
-/** Difference in the share of servers with room that justifies a server in another zone: more than half of the usual share. */
-const distancePrice = 0.4;
+/** Factor of the share of servers with room in another zone, which must be much larger than in the own one. */
+const otherZoneFactor = 0.6;
 
-/** Difference that justifies a zone in which no attempt has failed. */
-const failurePrice = 0.5;
+/** Difference that justifies a server in another zone when hardly any server has room, so that a common shortage does not send all requests around. */
+const otherZonePrice = 0.08;
+
+/** Factor of the share in a zone in which an attempt has failed. */
+const failureFactor = 0.25;
 
 /** Factor of the share of servers with room for each server of the zone that had none for this request. */
 const insufficientReadingFactor = 0.9;
@@ -32,7 +35,8 @@
 }
 
 function getValue(option: ZoneOption, ownZone: string): number {
-	return getExpectedShare(option) - (option.zone === ownZone ? 0 : distancePrice) - (option.isAvoided ? failurePrice : 0);
+	const share = getExpectedShare(option) * (option.isAvoided ? failureFactor : 1);
+	return option.zone === ownZone ? share : (share * otherZoneFactor) - otherZonePrice;
 }
 
 /**
--- a/source/entry/placement/query-plan.ts
+++ b/source/entry/placement/query-plan.ts
@@ -6,14 +6,22 @@
 import {
 	chooseQueryCandidate, isBelowKnee, isUncongested, wasUncongested, type Admission, type Candidate, type LoadReading, type ZoneRoom, type CandidatePools,
 } from '../../choice/index.js';
+import {sustainedShortage} from '../../limits/index.js';
 import {type Random} from '../../randomness/index.js';
 import {type CandidateReading} from '../servers/index.js';
 import {
 	findBestWithRoom, hasRoomInTime, isFastEnough, type ReadingCriteria,
 } from './reading-choice.js';
 
-/** Share of the servers of a zone with room below which two are queried at once. */
+/** Age beyond which the reading of a server with one free slot is confirmed before the request is sent, in milliseconds; others may have taken it. */
+const maximumReadingAgeMilliseconds = 1.5;
+
+/** Maximum number of servers whose readings are confirmed. */
+const maximumConfirmations = 2;
+
+/** Shares of the servers of a zone with room below which two and three are queried at once. */
 const singleQueryShare = 0.5;
+const doubleQueryShare = 0.25;
 
 /** Options of a query plan. */
 export type QueryPlanOptions = {
@@ -53,7 +61,7 @@
 	getQueryCount(): number;
 };
 
-type Query = {readonly candidate: Candidate; readonly startCount: number; state: 'awaited' | 'delayed' | 'ended'; reading: LoadReading | undefined};
+type Query = {readonly candidate: Candidate; startCount: number; state: 'awaited' | 'delayed' | 'ended'; reading: LoadReading | undefined; readAt: number};
 
 /**
  * Creates a plan without queries.
@@ -65,6 +73,7 @@
 	const insufficientReadings = new Map<string, number>();
 	let hasFoundCapacity = false;
 	let isExhausted = false;
+	let confirmations = 0;
 
 	function getReadings(): readonly CandidateReading[] {
 		return [...queries.values()].flatMap(({candidate, reading, startCount}) => reading === undefined
@@ -76,8 +85,11 @@
 		return {admission: options.getAdmission(now), zone, now};
 	}
 
+	/** Checks whether a server is taken at once. In a shortage, a slot that is free now would be taken by others during further queries. */
 	function isSufficient({candidate, reading}: CandidateReading, now: number): boolean {
-		return isUncongested(reading) && findBestWithRoom([{candidate, reading}], getCriteria(now)) !== undefined;
+		const criteria = getCriteria(now);
+		const isShort = criteria.admission.shortage >= sustainedShortage;
+		return (isUncongested(reading) || (isShort && isFastEnough(reading))) && findBestWithRoom([{candidate, reading}], criteria) !== undefined;
 	}
 
 	function countQueries(state: Query['state']): number {
@@ -100,7 +112,16 @@
 		return findBestWithRoom(getReadings(), getCriteria(now));
 	}
 
-	function isComplete(now: number): boolean {
+	/** Gets the query whose reading is confirmed before the request is sent. */
+	function findUnconfirmed(now: number): Query | undefined {
+		const best = getBest(now);
+		const query = best === undefined ? undefined : queries.get(best.candidate.id)!;
+		const isLastSlot = best !== undefined && best.reading.running + best.reading.waiting + 1 >= best.reading.slots;
+		return isLastSlot && confirmations < maximumConfirmations && now - query!.readAt > maximumReadingAgeMilliseconds ? query : undefined;
+	}
+
+	/** Checks whether no further server is queried. */
+	function isSearchComplete(now: number): boolean {
 		const readings = getReadings();
 		if (readings.some(reading => isSufficient(reading, now))) {
 			return true;
@@ -125,11 +146,33 @@
 
 	/** Gets the number of servers that may be queried at once. */
 	function getWidth(next: Candidate, now: number): number {
-		return wasUncongested(next, now) || zoneRoom.getShare(next.getAnnouncement().zone, now) >= singleQueryShare ? 1 : 2;
+		const share = wasUncongested(next, now) ? 1 : zoneRoom.getShare(next.getAnnouncement().zone, now);
+		if (share >= singleQueryShare) {
+			return 1;
+		}
+
+		return share >= doubleQueryShare ? 2 : 3;
+	}
+
+	function confirm(now: number): readonly Candidate[] {
+		const query = findUnconfirmed(now);
+		if (query === undefined) {
+			return [];
+		}
+
+		confirmations++;
+		query.state = 'awaited';
+		query.reading = undefined;
+		query.startCount = query.candidate.getStartCount();
+		return [query.candidate];
 	}
 
 	return {
 		getNext(now) {
+			if (isSearchComplete(now)) {
+				return confirm(now);
+			}
+
 			const next: Candidate[] = [];
 			const limit = hasAcceptable(now) ? count : maximumCount;
 			for (let awaited = countQueries('awaited'), width = 1; awaited < width && queries.size < limit && !isExhausted; awaited++) {
@@ -141,7 +184,7 @@
 
 				width = Math.max(width, getWidth(candidate, now));
 				queries.set(candidate.id, {
-					candidate, startCount: candidate.getStartCount(), state: 'awaited', reading: undefined,
+					candidate, startCount: candidate.getStartCount(), state: 'awaited', reading: undefined, readAt: now,
 				});
 				next.push(candidate);
 			}
@@ -153,6 +196,7 @@
 			const {zone: serverZone} = candidate.getAnnouncement();
 			query.state = 'ended';
 			query.reading = reading;
+			query.readAt = now;
 			zoneRoom.record(serverZone, hasRoomInTime(reading), now);
 			hasFoundCapacity ||= isBelowKnee(reading) || (queries.size <= count && hasAcceptable(now));
 			if (!isSufficient({candidate, reading}, now)) {
@@ -171,10 +215,10 @@
 		recordMiss(candidate) {
 			queries.get(candidate.id)!.state = 'ended';
 		},
-		isComplete,
+		isComplete: now => isSearchComplete(now) && findUnconfirmed(now) === undefined,
 		getBest,
 		getReadings,
 		hasFoundCapacity: () => hasFoundCapacity,
-		getQueryCount: () => queries.size,
+		getQueryCount: () => queries.size + confirmations,
 	};
 }
--- a/source/entry/placement/server-selector.ts
+++ b/source/entry/placement/server-selector.ts
@@ -20,12 +20,16 @@
 /** Time to wait for replies to a load query, unless the document sets one. */
 const defaultQueryMilliseconds = 10;
 
-/** Factor by which the number of queried servers may exceed the configured one before a request is refused. */
-const maximumQueryFactor = 2;
+/** Factors by which the number of queried servers may exceed the configured one before a request is refused, and in a sustained shortage. */
+const maximumQueryFactor = 3;
+const shortageQueryFactor = 2;
 
 /** Share of the target latency for which a request without a server may wait before a last query. */
 const maximumWaitTargetShare = 0.125;
 
+/** Time of the last queries as a share of that of the first ones, of which there are more. */
+const lastQueryShare = 0.5;
+
 /** Minimum wait that is worth another query. */
 const minimumWaitMilliseconds = 4;
 
@@ -97,7 +101,8 @@
 		const {queryBudget} = context;
 		let isComplete = false;
 		const now = performance.now();
-		const granted = queryBudget.take(askedCandidates, now) + (previous.mayWait ? queryBudget.take(askedCandidates * (maximumQueryFactor - 1), now) : 0);
+		const factor = state.shortageEstimate.getShortage() < sustainedShortage ? maximumQueryFactor : shortageQueryFactor;
+		const granted = queryBudget.take(askedCandidates, now) + (previous.mayWait ? queryBudget.take(askedCandidates * (factor - 1), now) : 0);
 		const plan = createQueryPlan({
 			pools: state.getPools(),
 			zoneRoom: state.zoneRoom,
@@ -167,7 +172,7 @@
 
 	function waitForRoom({mayWait, startedAt, isHedge}: Selection, readings: readonly CandidateReading[], callback: SelectionCallback): void {
 		const elapsedMilliseconds = performance.now() - startedAt;
-		const waitMilliseconds = ((route.targetMilliseconds ?? 0) * maximumWaitTargetShare) - elapsedMilliseconds - (elapsedMilliseconds / maximumQueryFactor);
+		const waitMilliseconds = ((route.targetMilliseconds ?? 0) * maximumWaitTargetShare) - elapsedMilliseconds - (elapsedMilliseconds * lastQueryShare);
 		if (!mayWait || waitMilliseconds < minimumWaitMilliseconds) {
 			options.recordDecision({
 				kind: 'noRoom',
