--- a/stand-in/model/quota-replay.ts
+++ b/stand-in/model/quota-replay.ts
@@ -1,6 +1,8 @@
 /** Replays a day of 150 entries and 90 workspaces, some of which send a multiple of their usual load. */
 import {createRandom, type Random} from '../../source/randomness/index.js';
-import {type QuotaFault, type QuotaRequest, type QuotaRun, type QuotaRunOptions} from './quota-run.js';
+import {
+	type QuotaFault, type QuotaRequest, type QuotaRun, type QuotaRunOptions,
+} from './quota-run.js';
 
 /** Number of entries of the replay. */
 export const entryCount = 150;
