Spend hedges that would be lost whatever a server states

Change: once an entry has saved as many tokens as it may, a late attempt is hedged without a question.

--- a/source/entry/placement/hedging.ts
+++ b/source/entry/placement/hedging.ts
@@ -127,7 +127,7 @@
 			}
 
 			case 'send': {
-				selectServer(attempt, true);
+				selectServer(attempt);
 			}
 		}
 	}
@@ -153,14 +153,15 @@
 					if (first !== undefined && first.reading.slowness <= maximumUsualSlowness) {
 						withhold('not-slow', attempt);
 					} else {
-						selectServer(attempt, false);
+						selectServer(attempt);
 					}
 				});
 			},
 		});
 	}
 
-	function selectServer(attempt: RunningAttempt, isCertain: boolean): void {
+	function selectServer(attempt: RunningAttempt): void {
+		const isCertain = getElapsed(attempt) >= times.certain;
 		progress.selector.selectForHedge(candidate => {
 			protect(progress, () => {
 				if (getOnlyAttempt(progress) !== attempt || !mayDispatch(progress)) {
--- a/source/retry/hedge-budget.ts
+++ b/source/retry/hedge-budget.ts
@@ -4,8 +4,8 @@
  */
 import {createAttemptBudget, type AttemptBudget} from './attempt-budget.js';
 
-/** Tokens that an entry saves for a burst of slow responses. */
-const maximumTokens = 3;
+/** Tokens that an entry saves for a burst of slow responses; further deposits are lost. */
+export const maximumHedgeTokens = 3;
 
 /** Budget of hedges. */
 export type HedgeBudget = {
@@ -25,7 +25,7 @@
  * @param shared - Part of the hedges in the budget that all entries share, if there is one.
  */
 export function createHedgeBudget(getRatio: () => number, shared: Pick<AttemptBudget, 'getBalance' | 'tryWithdraw'> | undefined): HedgeBudget {
-	const own = createAttemptBudget(getRatio, 0, maximumTokens);
+	const own = createAttemptBudget(getRatio, 0, maximumHedgeTokens);
 	return {
 		deposit: own.deposit,
 		getTokens: own.getBalance,
--- a/source/retry/hedge-decision.test.ts
+++ b/source/retry/hedge-decision.test.ts
@@ -22,6 +22,11 @@
 	test('asks the server of an attempt that is late', () => {
 		doTest({}, 'ask');
 	});
+	test('spends tokens that would be lost without a question', () => {
+		doTest({tokens: 2.99}, 'ask');
+		doTest({tokens: 3}, 'send');
+		doTest({tokens: 3, elapsedMilliseconds: 99}, 'wait');
+	});
 	test('hedges an attempt that is certainly late without a question', () => {
 		doTest({elapsedMilliseconds: 200}, 'send');
 	});
--- a/source/retry/hedge-decision.ts
+++ b/source/retry/hedge-decision.ts
@@ -2,6 +2,7 @@
  * Decides about a hedge at one check of a running attempt: whether to send it, to ask the server of the attempt for its load
  * first, or to withhold it, and why.
  */
+import {maximumHedgeTokens} from './hedge-budget.js';
 import {type HedgeTimes} from './hedge-times.js';
 
 /** Tokens that a hedge before the certain time must leave, so that attempts which are later than the stated slowness explains find one. */
@@ -69,7 +70,8 @@
 		return {kind: 'withhold', obstacle};
 	}
 
-	return {kind: isCertain ? 'send' : 'ask'};
+	// Tokens that would be lost go to late attempts whatever their servers state: some servers state only how they treat later requests.
+	return {kind: isCertain || situation.tokens >= maximumHedgeTokens ? 'send' : 'ask'};
 }
 
 function getObstacle(situation: HedgeSituation, isCertain: boolean): HedgeObstacle | undefined {
--- a/source/retry/hedge-times.ts
+++ b/source/retry/hedge-times.ts
@@ -32,7 +32,7 @@
 
 /** Times of an attempt, in milliseconds since its start. */
 export type HedgeTimes = {
-	/** From this time on, the attempt is hedged if its server states that it is slow. */
+	/** From this time on, the attempt is hedged if its server states that it is slow, or if tokens would be lost otherwise. */
 	readonly first: number;
 	/** From this time on, it is hedged whatever its server states. */
 	readonly certain: number;
