--- a/source/telemetry/traffic.ts
+++ b/source/telemetry/traffic.ts
@@ -6,13 +6,18 @@
 import {Counter, type Registry} from 'prom-client';
 
 /**
- * Kind of bytes: of requests to servers and their responses, load queries, leases (renewals, grants and nudges), claims in the ledger,
- * replication of the log, or other ones, such as pings and probes.
+ * Kinds of bytes: of requests to servers and their responses, load queries, leases (renewals, grants and nudges), claims in the ledger,
+ * replication of the log, and other ones, such as pings and probes.
  */
-export type TrafficKind = 'request' | 'response' | 'load_query' | 'lease' | 'claim' | 'replication' | 'other';
+const kinds = ['request', 'response', 'load_query', 'lease', 'claim', 'replication', 'other'] as const;
+const directions = ['sent', 'received'] as const;
+const zones = ['own', 'other', 'unknown'] as const;
+
+/** Kind of bytes. */
+export type TrafficKind = typeof kinds[number];
 
 /** Direction of bytes, as seen from this process. */
-export type TrafficDirection = 'sent' | 'received';
+export type TrafficDirection = typeof directions[number];
 
 /** Kinds of what is sent and received on a connection. */
 export type ConnectionKinds = Readonly<Record<TrafficDirection, TrafficKind>>;
@@ -21,7 +26,7 @@
 export type TrafficTotal = {
 	readonly kind: TrafficKind;
 	/** Zone of the other end compared to that of this process; unknown for peers that do not state theirs. */
-	readonly zone: 'own' | 'other' | 'unknown';
+	readonly zone: typeof zones[number];
 	readonly direction: TrafficDirection;
 	readonly bytes: number;
 };
@@ -32,6 +37,7 @@
 	add(kind: TrafficKind, direction: TrafficDirection, zone: string | undefined, bytes: number): void;
 	/** Counts all bytes of a new connection to a process in a zone. */
 	track(socket: Socket, kinds: ConnectionKinds, zone: string): void;
+	/** Gets the sums that are not 0. */
 	getTotals(): readonly TrafficTotal[];
 };
 
@@ -42,33 +48,26 @@
  * @param ownZone - Zone of this process.
  */
 export function createTrafficMeter(ownZone: string): TrafficMeter {
-	const totals = new Map<string, TrafficTotal>();
+	// One sum for each kind, direction and zone, since frames are counted one by one.
+	const totals = new Float64Array(kinds.length * directions.length * zones.length);
 	const connections = new Set<Tracked>();
 
-	function addTo(sums: Map<string, TrafficTotal>, {kind, direction, zone, bytes}: TrafficTotal): void {
-		const key = `${kind} ${direction} ${zone}`;
-		const sum = sums.get(key)?.bytes ?? 0;
-		sums.set(key, {
-			kind, direction, zone, bytes: sum + bytes,
-		});
-	}
-
-	function add(sums: Map<string, TrafficTotal>, total: Omit<TrafficTotal, 'zone'>, zone: string | undefined): void {
-		const isOwn = zone === ownZone;
-		addTo(sums, {...total, zone: zone === undefined ? 'unknown' : (isOwn ? 'own' : 'other')});
+	function getIndex(kind: TrafficKind, direction: TrafficDirection, zone: string | undefined): number {
+		const zoneIndex = zones.indexOf(zone === undefined ? 'unknown' : (zone === ownZone ? 'own' : 'other'));
+		return (((kinds.indexOf(kind) * directions.length) + directions.indexOf(direction)) * zones.length) + zoneIndex;
 	}
 
-	function addConnection(sums: Map<string, TrafficTotal>, {socket, kinds, zone}: Tracked): void {
-		add(sums, {kind: kinds.sent, direction: 'sent', bytes: socket.bytesWritten}, zone);
-		add(sums, {kind: kinds.received, direction: 'received', bytes: socket.bytesRead}, zone);
+	function addConnection(sums: Float64Array, {socket, kinds: {sent, received}, zone}: Tracked): void {
+		sums[getIndex(sent, 'sent', zone)]! += socket.bytesWritten;
+		sums[getIndex(received, 'received', zone)]! += socket.bytesRead;
 	}
 
 	return {
 		add(kind, direction, zone, bytes) {
-			add(totals, {kind, direction, bytes}, zone);
+			totals[getIndex(kind, direction, zone)]! += bytes;
 		},
-		track(socket, kinds, zone) {
-			const tracked = {socket, kinds, zone};
+		track(socket, connectionKinds, zone) {
+			const tracked = {socket, kinds: connectionKinds, zone};
 			connections.add(tracked);
 			socket.once('close', () => {
 				connections.delete(tracked);
@@ -76,12 +75,13 @@
 			});
 		},
 		getTotals() {
-			const sums = new Map(totals);
+			const sums = Float64Array.from(totals);
 			for (const tracked of connections) {
 				addConnection(sums, tracked);
 			}
 
-			return [...sums.values()];
+			const labels = kinds.flatMap(kind => directions.flatMap(direction => zones.map(zone => ({kind, direction, zone}))));
+			return labels.map((label, index) => ({...label, bytes: sums[index]!})).filter(({bytes}) => bytes > 0);
 		},
 	};
 }
