--- a/source/limits/wait-queue.test.ts
+++ b/source/limits/wait-queue.test.ts
@@ -65,15 +65,17 @@
 		expect(events).toEqual([...expected]);
 	}
 
-	function add(name: string, at = 0, deadlineAt = 1000, rank: WaiterRank = 1, workspace?: string): Step {
+	function add(name: string, at = 0, deadlineAt = 1000, rank: WaiterRank = 1): Step {
 		return {
-			kind: 'add', name, at, deadlineAt, rank, workspace,
+			kind: 'add', name, at, deadlineAt, rank, workspace: undefined,
 		};
 	}
 
 	/** Adds a request of a workspace, whose name is the first letter of the request's. */
-	function addOf(name: string, deadlineAt = 1000): Step {
-		return add(name, 0, deadlineAt, 1, name[0]);
+	function addOf(name: string, deadlineAt = 1000, at = 0): Step {
+		return {
+			kind: 'add', name, at, deadlineAt, rank: 1, workspace: name[0],
+		};
 	}
 
 	function openAndDrain(count: number, at = 1): readonly Step[] {
@@ -119,7 +121,7 @@
 	test('expects no wait for a workspace behind the many requests of another one', () => {
 		const departures: Step[] = [100, 400, 700].map(at => ({kind: 'departed', at}));
 		const many = Array.from({length: 8}, (_, index) => addOf(`a${index}`, 9000));
-		doTest([...many, ...departures, add('a9', 700, 1500, 1, 'a'), add('b', 700, 1500, 1, 'b')], ['shed a9'], 100);
+		doTest([...many, ...departures, addOf('a9', 1500, 700), addOf('b', 1500, 700)], ['shed a9'], 100);
 	});
 });
 
--- a/stand-in/model/attempt.ts
+++ b/stand-in/model/attempt.ts
@@ -40,6 +40,8 @@
 	readonly connectMilliseconds: number;
 	/** Time that a message between the entry and the server takes. */
 	readonly transferMilliseconds: number;
+	/** Checks whether messages between the entry and the server arrive. */
+	isReachable(): boolean;
 	/** Called when the request has reached the server, with the load before it and how the server takes it. */
 	onReception?: ((load: LoadReading, kind: Reception['kind']) => void) | undefined;
 };
@@ -119,7 +121,7 @@
 	function send(): void {
 		isDispatched = true;
 		setTimeout(() => {
-			if (!isEnded) {
+			if (!isEnded && options.isReachable()) {
 				arrive();
 			}
 		}, transferMilliseconds);
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -66,6 +66,8 @@
 	onAttempt?(entry: number, upstream: UpstreamModel): void;
 	/** Called when a request has reached a server, with the load before it and how the server takes it. */
 	onReception?(load: LoadReading, kind: Reception['kind']): void;
+	/** Checks whether messages between the entry and a server arrive; by default they do. */
+	isReachable?(upstream: UpstreamModel): boolean;
 	/** Checks whether a workspace uses more than its share; by default none does. */
 	isAboveShare?(workspace: string): boolean;
 };
@@ -115,6 +117,10 @@
 		return upstream.zone === zone ? ownZone : otherZone;
 	}
 
+	function isReachable(upstream: UpstreamModel): boolean {
+		return options.isReachable?.(upstream) ?? true;
+	}
+
 	function query({candidates, isSufficient, onReadings, waitMilliseconds}: LoadQuery): () => void {
 		const readings: CandidateReading[] = [];
 		let pendingCount = candidates.length;
@@ -129,7 +135,7 @@
 		}
 
 		function queryOne(candidate: Candidate, upstream: UpstreamModel): void {
-			if (upstream.isGone(performance.now())) {
+			if (upstream.isGone(performance.now()) || !isReachable(upstream)) {
 				candidate.recordMissedReply(performance.now());
 				return;
 			}
@@ -182,7 +188,14 @@
 			const upstream = byPool.get(attempt.pool)!;
 			options.onAttempt?.(options.number, upstream);
 			return startModelAttempt({
-				attempt, upstream, onReception: options.onReception, entry: options.number, connectMilliseconds: options.connectMilliseconds, transferMilliseconds: getTransferMilliseconds(upstream), ...callerTimes.get(attempt.requestId)!,
+				attempt,
+				upstream,
+				onReception: options.onReception,
+				entry: options.number,
+				connectMilliseconds: options.connectMilliseconds,
+				transferMilliseconds: getTransferMilliseconds(upstream),
+				isReachable: () => isReachable(upstream),
+				...callerTimes.get(attempt.requestId)!,
 			});
 		},
 		getWorkspaces: () => workspaces,
--- a/stand-in/model/placement.ts
+++ b/stand-in/model/placement.ts
@@ -48,6 +48,8 @@
 	readonly hangsWhenFull: boolean;
 	/** Gets the withdrawals of a server; by default there are none. */
 	getWithdrawals?(index: number): readonly Withdrawal[];
+	/** Checks whether messages between two zones arrive; by default they do. */
+	isReachable?(zone: string, otherZone: string): boolean;
 	readonly workspaces?: readonly ModelWorkspace[];
 	/** Gets the workspaces that use more than their share. */
 	getAboveShare?(now: number): ReadonlySet<string>;
@@ -148,6 +150,7 @@
 		connectMilliseconds: 0,
 		transferMilliseconds,
 		knowsStatements: true,
+		isReachable: upstream => options.isReachable?.(zone, upstream.zone) ?? true,
 		isAboveShare: workspace => options.getAboveShare?.(time.getNow()).has(workspace) ?? false,
 		onStatement() {
 			// What servers state is not recorded.
