--- a/source/choice/zone-room.ts
+++ b/source/choice/zone-room.ts
@@ -3,8 +3,8 @@
  * reported lately. An estimate that is not renewed returns to the usual value, so that a zone that was full is tried again.
  */
 
-/** Weight of the newest reading in the moving average, which covers about the last seven readings. */
-const smoothingFactor = 0.15;
+/** Weight of the newest reading in the moving average, which covers about the last twelve readings. */
+const smoothingFactor = 0.08;
 
 /** Share of servers that are not slowed down by other processes of their hosts. */
 const usualShare = 0.7;
