--- a/source/choice/candidate.ts
+++ b/source/choice/candidate.ts
@@ -2,6 +2,7 @@
 import {type Announcement, type ServerState} from '../announcement/index.js';
 import {createFailureLoad} from './failure-load.js';
 import {type LoadReading} from './load-reading.js';
+import {createOutlierEjection, type OutlierLimits} from './outlier-ejection.js';
 
 /** Load, in requests in flight, that one failure adds. */
 const failureLoad = 2;
@@ -12,16 +13,8 @@
 /** Maximum load that missed replies to load queries add. */
 const maximumMissedReplyLoad = 12;
 
-const maximumEjectionExponent = 5;
 const millisecondsPerSecond = 1000;
 
-/** Limits of outlier ejection. */
-export type OutlierLimits = {
-	readonly consecutiveFailures: number;
-	readonly ejectionMilliseconds: number;
-	readonly largestShare: number;
-};
-
 /** Result of one attempt, as far as it matters to the choice of servers. */
 export type AttemptResult = 'success' | 'failure' | 'shed' | 'cancelled';
 
@@ -105,10 +98,7 @@
 	let inFlight = 0;
 	let startCount = 0;
 	const failures = createFailureLoad();
-	let consecutiveFailures = 0;
-	let ejectedUntil = 0;
-	let ejections = 0;
-	let isOnProbation = false;
+	const ejection = createOutlierEjection();
 	let overcommit = overcommitFactor;
 	let rampUpLimit = Number.POSITIVE_INFINITY;
 	let hasBecomeCold = false;
@@ -131,14 +121,12 @@
 	function getLimit(now: number): number {
 		const limit = state === 'cold' ? getColdLimit(now) : (announcement.slots * overcommit) - peerInFlight;
 		const bounded = Math.min(limit, connectionShare, rampUpLimit);
-		return isOnProbation ? Math.min(1, bounded) : bounded;
+		return ejection.isOnProbation() ? Math.min(1, bounded) : bounded;
 	}
 
 	function recordSuccess(): void {
 		successes++;
-		consecutiveFailures = 0;
-		ejections = 0;
-		isOnProbation = false;
+		ejection.recordSuccess();
 		rampUpLimit = rampUpLimit >= announcement.slots ? Number.POSITIVE_INFINITY : rampUpLimit + 1;
 	}
 
@@ -187,7 +175,10 @@
 		getLastReading: () => lastReading,
 		getInFlight: () => inFlight,
 		getStartCount: () => startCount,
-		isAvailable: now => !isLeaving && state !== 'leaving' && (!isAbsent || isQueriedBeforeRequests) && Math.max(ejectedUntil, unavailableUntil, pausedUntil) <= now && inFlight < getLimit(now),
+		isAvailable(now) {
+			const isPresent = !isLeaving && state !== 'leaving' && (!isAbsent || isQueriedBeforeRequests);
+			return isPresent && Math.max(ejection.getEnd(), unavailableUntil, pausedUntil) <= now && inFlight < getLimit(now);
+		},
 		getLoad: (now, includesPeers) => (inFlight + (includesPeers ? peerInFlight : 0) + failures.get(now)) / announcement.slots,
 		start(now = 0) {
 			inFlight++;
@@ -206,7 +197,7 @@
 
 				case 'failure': {
 					failures.add(failureLoad, now);
-					consecutiveFailures++;
+					ejection.recordFailure();
 					return;
 				}
 
@@ -217,7 +208,9 @@
 				}
 
 				case 'cancelled': {
-					isOnProbation &&= inFlight > 0;
+					if (inFlight === 0) {
+						ejection.endProbation();
+					}
 				}
 			}
 		},
@@ -242,18 +235,8 @@
 		recordMissedReply(now) {
 			failures.add(1, now, maximumMissedReplyLoad);
 		},
-		isEjected: now => ejectedUntil > now,
-		ejectWhenFailing(limits, now) {
-			const hasFailedProbation = isOnProbation && consecutiveFailures > 0;
-			if (ejectedUntil > now || (consecutiveFailures < limits.consecutiveFailures && !hasFailedProbation)) {
-				return false;
-			}
-
-			ejectedUntil = now + (limits.ejectionMilliseconds * (2 ** Math.min(ejections, maximumEjectionExponent)));
-			ejections++;
-			isOnProbation = true;
-			return true;
-		},
+		isEjected: now => ejection.getEnd() > now,
+		ejectWhenFailing: ejection.ejectWhenFailing,
 		takeCounts() {
 			const counts = {successes, sheds, isCold: hasBecomeCold};
 			successes = 0;
--- a/source/choice/index.ts
+++ b/source/choice/index.ts
@@ -7,3 +7,4 @@
 export * from './subset.js';
 export * from './candidate-pools.js';
 export * from './zone-room.js';
+export type {OutlierLimits} from './outlier-ejection.js';
--- a/source/entry/placement/first-attempt.ts
+++ b/source/entry/placement/first-attempt.ts
@@ -20,7 +20,8 @@
  */
 export function startOrEnqueue(progress: RequestProgress, start: AttemptStart): void {
 	if (isEntryOverloaded(progress)) {
-		progress.admitted.recordDecision({kind: 'lateEntry'});
+		progress.admitted.context.metrics.countYield('late-entry');
+		progress.admitted.recordDecision({kind: 'yield', reason: 'late-entry'});
 		refuse(progress, notRun('overload'));
 		return;
 	}
--- a/source/entry/placement/server-selector.ts
+++ b/source/entry/placement/server-selector.ts
@@ -213,8 +213,10 @@
 			return;
 		}
 
-		if (!workspaceAdmission.mayPlace(performance.now())) {
-			options.recordDecision({kind: 'yield'});
+		const yieldReason = workspaceAdmission.getYieldReason(performance.now());
+		if (yieldReason !== undefined) {
+			context.metrics.countYield(yieldReason);
+			options.recordDecision({kind: 'yield', reason: yieldReason});
 			callback(undefined);
 			return;
 		}
--- a/source/entry/placement/workspace-admission.ts
+++ b/source/entry/placement/workspace-admission.ts
@@ -6,12 +6,15 @@
 import {type RequestContext} from '../requests/index.js';
 import {type ServiceState} from '../fleet/index.js';
 
+/** Why a request yields to others. */
+export type YieldReason = 'above-share' | 'low-priority';
+
 /** Admission of one request by its workspace. */
 export type WorkspaceAdmission = {
 	/** Checks whether the workspace uses more than its share. */
 	isAboveShare(now: number): boolean;
-	/** Checks whether servers may be queried for the request; if not, it is refused at once. */
-	mayPlace(now: number): boolean;
+	/** Gets why the request is refused at once, or undefined if servers may be queried for it. */
+	getYieldReason(now: number): YieldReason | undefined;
 	/** Records whether the queries for the request found spare capacity. */
 	recordPlacement(hasSpareCapacity: boolean): void;
 	/** Records whether a server was found for the request. */
@@ -48,9 +51,12 @@
 
 	return {
 		isAboveShare,
-		mayPlace(now) {
-			const passesShare = !isAboveShare(now) || aboveShareThrottle.mayPlace(context.random());
-			return passesShare && (!isLowPriority() || lowPriorityThrottle.mayPlace(context.random()) || isStarved(now));
+		getYieldReason(now) {
+			if (isAboveShare(now) && !aboveShareThrottle.mayPlace(context.random())) {
+				return 'above-share';
+			}
+
+			return isLowPriority() && !lowPriorityThrottle.mayPlace(context.random()) && !isStarved(now) ? 'low-priority' : undefined;
 		},
 		recordPlacement(hasSpareCapacity) {
 			aboveShareThrottle.recordPlacement(hasSpareCapacity);
--- a/source/entry/reporting/metrics.ts
+++ b/source/entry/reporting/metrics.ts
@@ -13,6 +13,8 @@
 	countRequest(service: string, verdict: Verdict['kind'], seconds: number): void;
 	countAttempt(service: string, kind: 'first' | 'retry' | 'hedge'): void;
 	countRefusal(reason: string): void;
+	/** Counts a request that is refused at once, because it yields to others or the event loop is late. */
+	countYield(reason: 'above-share' | 'low-priority' | 'late-entry'): void;
 	countProbe(isHealthy: boolean): void;
 	countEjection(service: string): void;
 	/** Counts a server that says that it leaves, or that it wants a pause. */
@@ -40,6 +42,9 @@
 	const refusals = new Counter({
 		name: 'guavadeck_refusals_total', help: 'Answers that the entry made itself, by reason', labelNames: ['reason'], registers: [registry],
 	});
+	const yields = new Counter({
+		name: 'guavadeck_yields_total', help: 'Requests that were refused at once, by reason', labelNames: ['reason'], registers: [registry],
+	});
 	const probes = new Counter({
 		name: 'guavadeck_probes_total', help: 'Probes sent', labelNames: ['result'], registers: [registry],
 	});
@@ -71,6 +76,9 @@
 		countRefusal(reason) {
 			refusals.inc({reason});
 		},
+		countYield(reason) {
+			yields.inc({reason});
+		},
 		countProbe(isHealthy) {
 			probes.inc({result: isHealthy ? 'healthy' : 'failed'});
 		},
--- a/source/entry/reporting/request-log.ts
+++ b/source/entry/reporting/request-log.ts
@@ -19,10 +19,8 @@
 	= | {readonly kind: 'place'; readonly server: string; readonly reading: string; readonly answered: number}
 	/** No server that replied has room; with the name and the reported load of each. */
 		| {readonly kind: 'noRoom'; readonly readings: readonly string[]; readonly waited: boolean; readonly shortage: number}
-	/** Refused, because other workspaces need the capacity and its own uses more than its share or has a lower priority. */
-		| {readonly kind: 'yield'}
-	/** Refused, because the event loop of the entry is late. */
-		| {readonly kind: 'lateEntry'}
+	/** Refused at once: other workspaces need the capacity, or the event loop of the entry is late. */
+		| {readonly kind: 'yield'; readonly reason: 'above-share' | 'low-priority' | 'late-entry'}
 		| {readonly kind: 'send'; readonly attempt: 'first' | 'retry' | 'hedge'; readonly server: string; readonly leftMilliseconds: number}
 		| {readonly kind: 'failed'; readonly server: string; readonly reason: string}
 		| {readonly kind: 'answered'; readonly server: string; readonly status: number}
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -104,7 +104,7 @@
 	})), true);
 	const byPool = new Map([...fleet.getServers()].map(({candidate, pool}) => [pool, upstreams[candidate.id - 1]!]));
 	const metrics = {
-		countAttempt: ignore, countRefusal: ignore, countEjection: ignore, countWithdrawal: ignore,
+		countAttempt: ignore, countYield: ignore, countRefusal: ignore, countEjection: ignore, countWithdrawal: ignore,
 	} as unknown as EntryMetrics;
 	const applyReport = createReportHandler({fleet, metrics, log: {info: ignore, warn: ignore, error: ignore}});
 
