--- a/source/entry/reporting/metrics.ts
+++ b/source/entry/reporting/metrics.ts
@@ -25,6 +25,8 @@
 	/** Counts a request whose hedge is withheld; once for each reason that follows another one. */
 	countWithheldHedge(service: string, reason: HedgeObstacle): void;
 	countRefusal(reason: string): void;
+	/** Counts a request that is refused at once, because it yields to others or the event loop is late. */
+	countYield(reason: 'above-share' | 'low-priority' | 'late-entry'): void;
 	countProbe(isHealthy: boolean): void;
 	countEjection(service: string): void;
 	/** Counts a server that says that it leaves, or that it wants a pause. */
@@ -67,6 +69,9 @@
 	const refusals = new Counter({
 		name: 'guavadeck_refusals_total', help: 'Answers that the entry made itself, by reason', labelNames: ['reason'], registers: [registry],
 	});
+	const yields = new Counter({
+		name: 'guavadeck_yields_total', help: 'Requests that were refused at once, by reason', labelNames: ['reason'], registers: [registry],
+	});
 	const probes = new Counter({
 		name: 'guavadeck_probes_total', help: 'Probes sent', labelNames: ['result'], registers: [registry],
 	});
@@ -111,6 +116,9 @@
 		countRefusal(reason) {
 			refusals.inc({reason});
 		},
+		countYield(reason) {
+			yields.inc({reason});
+		},
 		countProbe(isHealthy) {
 			probes.inc({result: isHealthy ? 'healthy' : 'failed'});
 		},
--- a/stand-in/model/entry.ts
+++ b/stand-in/model/entry.ts
@@ -117,6 +117,7 @@
 		},
 		countHedge: ignore,
 		countWithheldHedge: ignore,
+		countYield: ignore,
 		countRefusal: ignore,
 		countEjection: ignore,
 		countWithdrawal: ignore,
