--- a/source/entry/placement/server-selector.ts
+++ b/source/entry/placement/server-selector.ts
@@ -20,9 +20,8 @@
 /** Time to wait for replies to a load query, unless the document sets one. */
 const defaultQueryMilliseconds = 10;
 
-/** Factors by which the number of queried servers may exceed the configured one before a request is refused, and in a sustained shortage. */
+/** Factor by which the number of queried servers may exceed the configured one before a request is refused; with 2, slots stay free for longer in a shortage. */
 const maximumQueryFactor = 3;
-const shortageQueryFactor = 2;
 
 /** Share of the target latency for which a request without a server may wait before a last query. */
 const maximumWaitTargetShare = 0.125;
@@ -101,8 +100,7 @@
 		const {queryBudget} = context;
 		let isComplete = false;
 		const now = performance.now();
-		const factor = state.shortageEstimate.getShortage() < sustainedShortage ? maximumQueryFactor : shortageQueryFactor;
-		const granted = queryBudget.take(askedCandidates, now) + (previous.mayWait ? queryBudget.take(askedCandidates * (factor - 1), now) : 0);
+		const granted = queryBudget.take(askedCandidates, now) + (previous.mayWait ? queryBudget.take(askedCandidates * (maximumQueryFactor - 1), now) : 0);
 		const plan = createQueryPlan({
 			pools: state.getPools(),
 			zoneRoom: state.zoneRoom,
