--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
 import {printReport, type BenchOptions, type BenchReport} from './report.js';
 import {runCost} from './cost.js';
 import {runLimits} from './limits.js';
+import {runPlacement} from './placement.js';
 import {runSlopes} from './slopes/index.js';
 import {runThroughput} from './throughput.js';
 import {runZone} from './zone.js';
@@ -15,6 +16,7 @@
 	choice: runChoice,
 	cost: runCost,
 	limits: runLimits,
+	placement: runPlacement,
 	slopes: runSlopes,
 	throughput: runThroughput,
 	zone: runZone,
