--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import {runHedging} from './hedging.js';
 import {runLimits} from './limits.js';
 import {runLinkBytes} from './link-bytes.js';
+import {runPlacement} from './placement.js';
 import {runSlopes} from './slopes/index.js';
 import {runThroughput} from './throughput.js';
 import {runZone} from './zone.js';
@@ -19,6 +20,7 @@
 	hedging: runHedging,
 	limits: runLimits,
 	'link-bytes': runLinkBytes,
+	placement: runPlacement,
 	slopes: runSlopes,
 	throughput: runThroughput,
 	zone: runZone,
--- a/source/entry/placement/fixed-hedging.ts
+++ b/source/entry/placement/fixed-hedging.ts
@@ -45,10 +45,7 @@
 	return isSettled || running.size !== 1 || attempts >= attemptLimit || admitted.state.queue.getLength() > 0 || isLinkBusy(admitted);
 }
 
-/**
- * Checks whether a large response would have to share the link with another one, so that its copy would only delay both.
- * @param admitted - Request with its use of the link.
- */
-export function isLinkBusy({linkUse, context}: AdmittedRequest): boolean {
+/** Checks whether a large response would have to share the link with another one, so that its copy would only delay both. */
+function isLinkBusy({linkUse, context}: AdmittedRequest): boolean {
 	return linkUse !== undefined && context.link?.isBusy() === true;
 }
--- a/source/entry/placement/hedging.test.ts
+++ b/source/entry/placement/hedging.test.ts
@@ -110,7 +110,7 @@
 					},
 					mayDispatch: () => true,
 					getWorkspaces: () => undefined,
-					...(options.isLinkBusy === undefined ? {} : {isLinkBusy: () => options.isLinkBusy}),
+					...(options.isLinkBusy === undefined ? {} : {link: {isBusy: () => options.isLinkBusy}}),
 				},
 				fail(error: unknown) {
 					throw error;
--- a/source/entry/placement/hedging.ts
+++ b/source/entry/placement/hedging.ts
@@ -8,7 +8,7 @@
 	decideHedge, mayHedge, type HedgeObstacle, type HedgeSituation, type HedgeTimes,
 } from '../../retry/index.js';
 import {type ServiceHedging} from '../fleet/index.js';
-import {isLinkBusy, scheduleFixedHedge} from './fixed-hedging.js';
+import {scheduleFixedHedge} from './fixed-hedging.js';
 import {protect, type RequestProgress, type RunningAttempt} from './request-progress.js';
 import {mayDispatch, type AttemptStart} from './server-attempt.js';
 
@@ -97,7 +97,8 @@
 			waitingRequests: state.queue.getLength(),
 			shortage: state.shortageEstimate.getShortage(),
 			congestedShare: hedging.loads.getCongestedShare(),
-			isLinkBusy: isLinkBusy(progress.admitted),
+			// Without a link of known rate, a copy of a large response could delay all others.
+			isLinkBusy: route.hasLargeResponses && (context.link?.isBusy() ?? true),
 			tokens: hedging.budget.getTokens(),
 			isWithinBudget: hedging.budget.isWithinSharedBudget(),
 		};
