End a run of the tests with the failed ones and their errors

The run now ends with file, names, error and standard error of each failed test. The results themselves stay in TAP, as before.

--- a/scripts/test.js
+++ b/scripts/test.js
@@ -1,7 +1,8 @@
 /**
  * Runs the test files given as arguments, or all test files if there are none, with Node's test runner. The files listed in
  * KNOWN-RED.txt, which contain only tests of known faults, are printed and are skipped in a run of all files; every other file must
- * pass. A file that hangs is reported as failed after a timeout instead of blocking the run.
+ * pass. A file that hangs is reported as failed after a timeout instead of blocking the run. The output ends with the failed tests and
+ * their errors.
  */
 import {spawnSync} from 'node:child_process';
 import {existsSync, readdirSync, readFileSync} from 'node:fs';
@@ -40,6 +41,7 @@
 	'--test',
 	'--test-concurrency=1',
 	`--test-timeout=${testTimeoutMilliseconds}`,
+	...['tap', './scripts/failure-reporter.js'].flatMap(reporter => [`--test-reporter=${reporter}`, '--test-reporter-destination=stdout']),
 	...(selectedFiles.length > 0 ? selectedFiles : requiredFiles),
 ], {stdio: 'inherit'});
 process.exitCode = status ?? 1;
