Refuse texts that disks and links would alter, and let a host with unreadable state join anew

What callers saw: configurations with half of a surrogate pair in a route's name were answered with 200.

Cause: JSON carries half of a surrogate pair, JavaScript keeps it, UTF-8 has no form for it.

Ruled out: the log (its entries carry whole documents, and the host starts from them); numbers, NUL, U+FEFF and long texts, which survive the codec; names in paths, which are refused already.

Change: bodies of calls are refused if they are not UTF-8 or a text or name in them is not well formed, once for all fields and for both interfaces; the leader proposes only a configuration that its codec gives back as it is; a host whose state cannot be read sets it aside and joins the others under a new identity instead of ending. A disk that an earlier release wrote is restored with the replacement, as the other hosts have it, and a warning. Tests that restored state from a copy in memory go through the records of the disk now.

--- a/source/announcement/registry-simulation.test.ts
+++ b/source/announcement/registry-simulation.test.ts
@@ -1,6 +1,7 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
+import {getStoredCopy} from '../../stand-in/stored-copy.js';
 import {announcementSchema} from './announcement.js';
 import {createRegistry, type Registry, type RegistryCommand} from './registry.js';
 
@@ -64,10 +65,10 @@
 
 	/** Takes a snapshot and continues with a registry restored from it. */
 	function restoreFromSnapshot(): void {
-		const snapshot = registry.takeSnapshot();
+		const snapshot = getStoredCopy(registry.takeSnapshot());
 		registry = createRegistry();
 		registry.restore(snapshot);
-		expect(registry.takeSnapshot()).toEqual(snapshot);
+		expect(getStoredCopy(registry.takeSnapshot())).toEqual(snapshot);
 	}
 
 	function checkInvariants(): void {
--- a/source/announcement/registry.test.ts
+++ b/source/announcement/registry.test.ts
@@ -1,5 +1,6 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
+import {getStoredCopy} from '../../stand-in/stored-copy.js';
 import {announcementSchema, type Announcement} from './announcement.js';
 import {createRegistry, type RegistryCommand} from './registry.js';
 
@@ -20,7 +21,7 @@
 			registry.apply(command);
 			const {nextId, servers, departed} = registry.takeSnapshot();
 			registry = createRegistry();
-			registry.restore({nextId, servers, departed});
+			registry.restore(getStoredCopy({nextId, servers, departed}));
 		}
 
 		expect(Object.fromEntries([...registry.getAll()].map(server => [server.key, `${server.state} ${server.announcement.boot}`]))).toEqual(expected);
--- a/source/configuration/declaration.test.ts
+++ b/source/configuration/declaration.test.ts
@@ -1,5 +1,6 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
+import {getStoredCopy} from '../../stand-in/stored-copy.js';
 import {createRandom} from '../randomness/index.js';
 import {createRegister, documentSchema, type ConfigurationCommand} from './index.js';
 
@@ -19,7 +20,7 @@
 		let register = createRegister();
 		const results: string[] = commands.map(command => {
 			const result = register.apply(command);
-			const snapshot = register.takeSnapshot();
+			const snapshot = getStoredCopy(register.takeSnapshot());
 			register = createRegister();
 			register.restore(snapshot);
 			return result.kind;
--- a/source/configuration/register.test.ts
+++ b/source/configuration/register.test.ts
@@ -1,5 +1,6 @@
 import {describe, test, type TestContext} from 'node:test';
 import {expect} from 'earl';
+import {getStoredCopy} from '../../stand-in/stored-copy.js';
 import {createRandom} from '../randomness/index.js';
 import {
 	createRegister, documentSchema, withZone, type ConfigurationCommand, type EnvironmentDocument,
@@ -23,7 +24,7 @@
 	function doTest(commands: readonly ConfigurationCommand[], context: TestContext): void {
 		let register = createRegister();
 		const results = commands.map(command => {
-			const snapshot = structuredClone(register.takeSnapshot());
+			const snapshot = getStoredCopy(register.takeSnapshot());
 			register = createRegister();
 			register.restore(snapshot);
 			return register.apply(command);
@@ -73,7 +74,7 @@
 		}
 
 		const restored = createRegister();
-		restored.restore(structuredClone(register.takeSnapshot()));
+		restored.restore(getStoredCopy(register.takeSnapshot()));
 		expect(restored.getHistory('production').map(version => version.document)).toEqual([...documents]);
 	}
 
@@ -97,7 +98,7 @@
 		register.apply(apply(1, '2', withZone(document, 'b', false)));
 		const encoded = register.encodeAsDelta(command);
 		const restored = createRegister();
-		restored.restore(structuredClone(register.takeSnapshot()));
+		restored.restore(getStoredCopy(register.takeSnapshot()));
 		const results = [register.apply(encoded), restored.apply(command)];
 		expect(encoded.kind === 'apply' ? encoded.update.kind : '').toEqual(expected.update);
 		expect(results.map(result => result.kind)).toEqual([expected.result as 'accepted', expected.result as 'accepted']);
--- a/source/configuration/register.ts
+++ b/source/configuration/register.ts
@@ -5,7 +5,9 @@
  */
 import {Maybe} from 'true-myth';
 import {type EnvironmentDocument} from './document.js';
-import {applyDocumentUpdate, getDocumentUpdate, type DocumentUpdate} from './update.js';
+import {
+	applyDocumentUpdate, getDocumentUpdate, hasExpectedDigest, mergeDocumentUpdate, type DocumentUpdate,
+} from './update.js';
 
 /** Name of an environment. */
 export type Environment = 'trial' | 'production';
@@ -22,6 +24,9 @@
 /** Maximum number of declared versions stored for each environment; older ones remain in the author's version control. */
 const maximumDeclaredVersions = 8;
 
+/** Character that decoders of UTF-8 put in place of what is none. */
+const replacementCharacter = '\uFFFD';
+
 /** A command of the register. */
 export type ConfigurationCommand
 	= | {
@@ -98,6 +103,8 @@
 	getCurrent(environment: Environment): Maybe<Version>;
 	/** Gets the number of the current version, or 0 before the first. */
 	getCurrentNumber(environment: Environment): number;
+	/** Gets the numbers of the stored versions whose text contains a replacement character, so that it may not be what their author sent. */
+	getReplacedVersions(environment: Environment): readonly number[];
 	/** Gets the stored versions, oldest first. */
 	getHistory(environment: Environment): readonly Version[];
 	takeSnapshot(): RegisterSnapshot;
@@ -200,6 +207,7 @@
 		getUpdate,
 		getCurrent: environment => Maybe.of(versions[environment].at(-1)),
 		getCurrentNumber,
+		getReplacedVersions: environment => versions[environment].filter(({document}) => hasReplacedText(document)).map(({version}) => version),
 		getHistory: environment => versions[environment],
 		takeSnapshot: () => ({
 			trial: encodeVersions(versions.trial),
@@ -221,16 +229,29 @@
 	});
 }
 
+/**
+ * Decodes the versions of a snapshot. Earlier releases accepted texts with half of a surrogate pair, which disks and links replace, and
+ * computed the digests of deltas before that. Such a document is restored as the other hosts received it, with the replacement.
+ */
 function decodeVersions(encodedVersions: readonly EncodedVersion[]): Version[] {
 	const versions: Version[] = [];
 	for (const {update, ...rest} of encodedVersions) {
-		const document = applyDocumentUpdate(versions.at(-1)?.document, update);
+		const document = mergeDocumentUpdate(versions.at(-1)?.document, update);
 		if (document.isErr) {
 			throw new Error(`version ${rest.version} in the snapshot cannot be decoded: ${document.error}`);
 		}
 
+		if (!hasExpectedDigest(document.value, update) && !hasReplacedText(document.value)) {
+			throw new Error(`version ${rest.version} in the snapshot cannot be decoded: the digest of the result does not match`);
+		}
+
 		versions.push({...rest, document: document.value});
 	}
 
 	return versions;
 }
+
+/** Checks whether a document contains the character that stands in place of text that could not be stored. */
+function hasReplacedText(document: EnvironmentDocument): boolean {
+	return JSON.stringify(document).includes(replacementCharacter);
+}
--- a/source/configuration/update.ts
+++ b/source/configuration/update.ts
@@ -121,6 +121,17 @@
  * @param update - Update to apply.
  */
 export function applyDocumentUpdate(base: EnvironmentDocument | undefined, update: DocumentUpdate): Result<EnvironmentDocument, string> {
+	return mergeDocumentUpdate(base, update).andThen(document => hasExpectedDigest(document, update)
+		? Result.ok(document)
+		: Result.err('the digest of the result does not match: the delta was computed from a different base document'));
+}
+
+/**
+ * Merges an update into a base document without a check of the digest.
+ * @param base - Current document, or undefined before the first.
+ * @param update - Update to apply.
+ */
+export function mergeDocumentUpdate(base: EnvironmentDocument | undefined, update: DocumentUpdate): Result<EnvironmentDocument, string> {
 	if (update.kind === 'whole') {
 		return Result.ok(update.document);
 	}
@@ -134,7 +145,7 @@
 	const workspaces = delta.workspaces === undefined ? base.workspaces : applyListDelta(base.workspaces ?? [], delta.workspaces);
 	const routes = delta.routes ?? base.routes;
 	const clientLimits = delta.clientLimits ?? base.clientLimits;
-	const document: EnvironmentDocument = {
+	return Result.ok({
 		zones: delta.zones ?? base.zones,
 		services,
 		measuring: delta.measuring ?? base.measuring,
@@ -142,8 +153,16 @@
 		...(routes === undefined ? {} : {routes}),
 		...(clientLimits === undefined ? {} : {clientLimits}),
 		...(workspaces === undefined ? {} : {workspaces}),
-	};
-	return getDocumentDigest(document) === delta.digest ? Result.ok(document) : Result.err('the digest of the result does not match: the delta was computed from a different base document');
+	});
+}
+
+/**
+ * Checks whether a document is the one that an update was computed for.
+ * @param document - Result of the update.
+ * @param update - Update that was merged.
+ */
+export function hasExpectedDigest(document: EnvironmentDocument, update: DocumentUpdate): boolean {
+	return update.kind === 'whole' || getDocumentDigest(document) === update.delta.digest;
 }
 
 /** Checks whether a delta can express the change: it identifies services and workspaces by their names, and cannot remove an optional field. */
--- a/source/control/api.ts
+++ b/source/control/api.ts
@@ -239,6 +239,10 @@
 			return response.version === undefined ? 404 : 200;
 		}
 
+		case 'notStorable': {
+			return 400;
+		}
+
 		case 'notLeader':
 		case 'unknown':
 		case 'serverChanged':
--- a/source/control/compact-messages.test.ts
+++ b/source/control/compact-messages.test.ts
@@ -69,6 +69,7 @@
 const responses: Samples<ControlResponse> = {
 	announced: [{kind: 'announced', state: 'warm'}],
 	configured: [{kind: 'configured', answer: {kind: 'accepted', environment: 'production', version: 3}}],
+	notStorable: [{kind: 'notStorable'}],
 	ledger: [{kind: 'ledger', answer: {kind: 'granted'}}, {kind: 'ledger', answer: {kind: 'replay', answer: stored}}],
 	drained: [{kind: 'drained', isKnown: true}],
 	left: [{kind: 'left'}],
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -1,6 +1,5 @@
 /** Control host: runs the replica, links, leases and the operators' API in one process. */
 import {performance} from 'node:perf_hooks';
-import path from 'node:path';
 import {interval, type Subscription} from 'rxjs';
 import {Result} from 'true-myth';
 import {type ReplicaMessage} from '../consensus/index.js';
@@ -8,7 +7,7 @@
 import {createRandom} from '../randomness/index.js';
 import {type BurnRateTracker} from '../service-level/index.js';
 import {getSeeds, type ControlSettings, type Security} from '../settings/index.js';
-import {getHostName, openStore, retryWhileDiskFull} from '../storage/index.js';
+import {getHostName, retryWhileDiskFull} from '../storage/index.js';
 import {type Log} from '../telemetry/index.js';
 import {createLinkFailureLog, type Link} from '../wire/index.js';
 import {createApi, type Api, type ApiOptions} from './api.js';
@@ -28,7 +27,7 @@
 import {createControlMetrics} from './metrics.js';
 import {createShutdown} from './shutdown.js';
 import {createStallWatch} from './stall-watch.js';
-import {logStoredState} from './stored-state-log.js';
+import {openStoredReplica} from './stored-replica.js';
 import {createTransferRecorder} from './traffic-kind.js';
 import {createZoneLog} from './zone-log.js';
 import {createSnapshotReceiver, createSnapshotSender} from './snapshot-transfer.js';
@@ -75,25 +74,26 @@
 	}
 
 	const folder = opened.value;
-	const self = folder.replica;
 	const limits = {
 		retentionMilliseconds: settings.ledger.retentionHours * millisecondsPerHour,
 		maximumClaims: settings.ledger.maximumClaims,
 		maximumAnswerBytes: settings.ledger.maximumAnswerBytes,
 		maximumStoredBytes: settings.ledger.maximumStoredBytes,
 	};
-	const machine = createStateMachine(limits);
+	const {
+		self, founders, store, machine,
+	} = await openStoredReplica({
+		settings, discovery, folder, limits, log,
+	});
 	const links = new Set<Link<ControlInbound>>();
 	// Loaded only if service levels are tracked, since the histograms take memory.
 	const burnRateTracker: BurnRateTracker | undefined = settings.serviceLevels ? await loadBurnRateTracker() : undefined;
 	const stallWatch = createStallWatch({log, intervalMilliseconds: housekeepingIntervalMilliseconds});
 	let leadership: Leadership | undefined;
 
-	const store = await retryWhileDiskFull(async () => openStore(path.join(settings.dataFolder, 'log'), stateMachineCodec));
-	logStoredState(log, self, store);
 	const driver = startDriver({
 		id: self,
-		founders: discovery.getFounders(folder),
+		founders,
 		store,
 		machine,
 		electionMilliseconds: settings.election.timeoutMilliseconds,
--- a/source/control/driver.ts
+++ b/source/control/driver.ts
@@ -42,6 +42,7 @@
 	readonly id: string;
 	readonly founders: Membership;
 	readonly store: Store;
+	/** State machine that was restored from the snapshot of the store. */
 	readonly machine: StateMachine;
 	readonly electionMilliseconds: number;
 	readonly heartbeatMilliseconds: number;
@@ -65,10 +66,6 @@
 	const {store, machine} = options;
 	const state = createDriverState();
 	const {storedState} = store;
-	if (storedState.snapshot !== undefined) {
-		machine.restore(storedState.snapshot.data as StateMachineSnapshot);
-	}
-
 	const replica = createReplica({
 		id: options.id,
 		state: storedState.state,
--- a/source/control/http.ts
+++ b/source/control/http.ts
@@ -2,9 +2,10 @@
 import {Buffer} from 'node:buffer';
 import {timingSafeEqual, createHash} from 'node:crypto';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {Result} from 'true-myth';
+import {type Result} from 'true-myth';
 import {type Log} from '../telemetry/index.js';
 import {type CallBodyFault, type CallBodyReader} from './call-body.js';
+import {decodeJsonBody} from './json-body.js';
 
 /** Maximum size of the body of an operator's request, in bytes. */
 export const maximumApiBodyBytes = 16 * 1024 * 1024;
@@ -31,7 +32,8 @@
 	const body = await bodies.read(request, maximumBytes);
 	return body
 		.mapErr(fault => explainFault(fault, maximumBytes))
-		.andThen(bytes => parseJson(bytes));
+		.andThen(bytes => decodeJsonBody(bytes))
+		.map(({value}) => value);
 }
 
 function explainFault(fault: CallBodyFault, maximumBytes: number): string {
@@ -50,14 +52,6 @@
 	}
 }
 
-function parseJson(bytes: Buffer): Result<unknown, string> {
-	try {
-		return Result.ok(JSON.parse(bytes.toString('utf8')));
-	} catch {
-		return Result.err('the body is not valid JSON');
-	}
-}
-
 /**
  * Checks whether a request carries the expected bearer key, in constant time.
  * @param request - Request to check.
--- a/source/control/index.ts
+++ b/source/control/index.ts
@@ -3,6 +3,7 @@
 export * from './control.js';
 export * from './driver.js';
 export * from './http.js';
+export * from './json-body.js';
 export * from './leader-request-handler.js';
 export * from './leadership.js';
 export * from './planned-stop.js';
--- a/source/control/leader-request-handler.ts
+++ b/source/control/leader-request-handler.ts
@@ -9,6 +9,7 @@
 import {type ProposalOutcome} from './proposals.js';
 import {type Leadership} from './leadership.js';
 import {getReplicaStatuses} from './replica-statuses.js';
+import {isStorable} from './storable-command.js';
 import {type Command, type CommandResult, type StateMachine} from './state-machine.js';
 import {
 	type ClusterStatus, type ControlResponse, type ControlRequest, type QuotaQuestion,
@@ -81,7 +82,12 @@
 	}
 
 	async function configure(command: ConfigurationCommand): Promise<ControlResponse> {
-		return propose({area: 'configuration', command: machine.register.encodeAsDelta({...command, at: Date.now()})}, result => result.area === 'configuration' ? {kind: 'configured', answer: result.answer} : {kind: 'unknown'});
+		const encoded = machine.register.encodeAsDelta({...command, at: Date.now()});
+		if (!isStorable(encoded)) {
+			return {kind: 'notStorable'};
+		}
+
+		return propose({area: 'configuration', command: encoded}, result => result.area === 'configuration' ? {kind: 'configured', answer: result.answer} : {kind: 'unknown'});
 	}
 
 	async function runLedgerCommand(command: LedgerCommand): Promise<ControlResponse> {
--- a/source/control/message.ts
+++ b/source/control/message.ts
@@ -55,6 +55,8 @@
 export type ControlResponse
 	= | {readonly kind: 'announced'; readonly state: string}
 		| {readonly kind: 'configured'; readonly answer: ConfigurationResult}
+	/** The command would be stored as another one than it is, so it was not proposed. */
+		| {readonly kind: 'notStorable'}
 		| {readonly kind: 'ledger'; readonly answer: LedgerResult}
 		| {readonly kind: 'drained'; readonly isKnown: boolean}
 		| {readonly kind: 'left'}
--- a/source/control/zone-change.test.ts
+++ b/source/control/zone-change.test.ts
@@ -1,66 +1,15 @@
-import {rmSync, mkdtempSync} from 'node:fs';
 import {once} from 'node:events';
 import {createServer, request as startRequest} from 'node:http';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
 import {describe, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'earl';
-import {createRandom} from '../randomness/index.js';
-import {openStore} from '../storage/index.js';
+import {withSingleHost, type SingleHost} from '../../stand-in/single-host.js';
+import {getStoredCopy} from '../../stand-in/stored-copy.js';
 import {isCallAwaited} from './awaited-call.js';
-import {startDriver, type Driver} from './driver.js';
-import {createLeaderRequestHandler, type LeaderRequestHandler} from './leader-request-handler.js';
-import {createLeadership, type Leadership} from './leadership.js';
-import {createStateMachine, stateMachineCodec, type StateMachine} from './state-machine.js';
+import {createStateMachine} from './state-machine.js';
 import {changeZone, type ZoneChangeOutcome} from './zone-change.js';
 import {type ControlRequest, type ControlResponse} from './message.js';
 
-type SingleHost = {readonly handler: LeaderRequestHandler; readonly machine: StateMachine; readonly driver: Driver};
-
-/** Runs a test with the request handler of the only host of a system, which leads. */
-async function withSingleHost(run: (host: SingleHost) => Promise<void>): Promise<void> {
-	const folder = mkdtempSync(path.join(tmpdir(), 'guavadeck-zones-'));
-	const machine = createStateMachine({
-		retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 1000, maximumStoredBytes: 1000,
-	});
-	let leadership: Leadership | undefined;
-	const driver = startDriver({
-		id: 'a',
-		founders: {voters: ['a'], learners: []},
-		store: await openStore(folder, stateMachineCodec),
-		machine,
-		electionMilliseconds: 30,
-		heartbeatMilliseconds: 10,
-		snapshotEvery: 1000,
-		snapshotBytes: 1_000_000,
-		random: createRandom(5),
-		send() {
-			// There is no other host.
-		},
-		onFailure(error) {
-			throw error;
-		},
-	});
-	const started = new Promise<void>(resolve => {
-		driver.leadershipStarts.subscribe(epoch => {
-			leadership = createLeadership({
-				epoch, startedAt: 0, termMilliseconds: 3000, machine, getWallClock: Date.now, getAppliedIndex: driver.replica.getCommitIndex,
-			});
-			resolve();
-		});
-	});
-	await started;
-	const handler = createLeaderRequestHandler({
-		driver, machine, getLeadership: () => leadership, broadcastQuarantine() {
-			// There are no entries.
-		},
-	});
-	await run({handler, machine, driver});
-	await driver.stop();
-	rmSync(folder, {recursive: true});
-}
-
 // Guards against an evacuation that was undone by an older order, whose sender had given up on the host that carried it out late.
 describe('changeZone', () => {
 	type Moment = 'never' | 'before the revision is read' | 'after the revision is read';
@@ -184,7 +133,7 @@
 			const restored = createStateMachine({
 				retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 1000, maximumStoredBytes: 1000,
 			});
-			restored.restore(machine.takeSnapshot());
+			restored.restore(getStoredCopy(machine.takeSnapshot()));
 			expect(machine.getZonesRevision() > 0).toEqual(true);
 			expect(restored.getZonesRevision()).toEqual(machine.getZonesRevision());
 		});
--- a/source/control/zone-log.test.ts
+++ b/source/control/zone-log.test.ts
@@ -1,5 +1,6 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
+import {getStoredCopy} from '../../stand-in/stored-copy.js';
 import {createRecordedLog} from '../../stand-in/recorded-log.js';
 import {createStateMachine, type ZoneCommand} from './state-machine.js';
 import {createZoneLog} from './zone-log.js';
@@ -39,7 +40,7 @@
 		apply(5, {});
 		const other = createStateMachine(limits);
 		other.apply({...command, zone: 'north'}, 12);
-		machine.restore(other.takeSnapshot());
+		machine.restore(getStoredCopy(other.takeSnapshot()));
 		zoneLog.recordRestoredZones();
 		zoneLog.recordRestoredZones();
 		expect(lines).toMatchSnapshot(context);
--- a/source/control/zone-orders.test.ts
+++ b/source/control/zone-orders.test.ts
@@ -1,5 +1,6 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
+import {getStoredCopy} from '../../stand-in/stored-copy.js';
 import {createZoneOrders, type ZoneOrders, type ZoneOrdersSnapshot} from './zone-orders.js';
 
 // Guards against an order that is carried out although a later one for its zone was acknowledged.
@@ -15,7 +16,7 @@
 
 	function restore(snapshot: ZoneOrdersSnapshot): ZoneOrders {
 		const orders = createZoneOrders();
-		orders.restore(snapshot);
+		orders.restore(getStoredCopy(snapshot));
 		return orders;
 	}
 
--- a/source/ledger/ledger.test.ts
+++ b/source/ledger/ledger.test.ts
@@ -1,6 +1,7 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
 import fc from 'fast-check';
+import {getStoredCopy} from '../../stand-in/stored-copy.js';
 import {createLedger, type LedgerCommand} from './index.js';
 
 const limits = {
@@ -31,7 +32,7 @@
 		let ledger = createLedger(limits);
 		const kinds: string[] = commands.map(command => {
 			// A replica may restart from a snapshot between any two commands.
-			const snapshot = structuredClone(ledger.takeSnapshot());
+			const snapshot = getStoredCopy(ledger.takeSnapshot());
 			ledger = createLedger(limits);
 			ledger.restore(snapshot);
 			return ledger.apply(command).kind;
--- a/source/storage/data-folder.ts
+++ b/source/storage/data-folder.ts
@@ -11,7 +11,8 @@
 import path from 'node:path';
 import {Result} from 'true-myth';
 
-const identityFile = 'identity';
+/** Name of the file with the id of the replica whose state a folder holds. */
+export const identityFile = 'identity';
 
 /** A locked data folder. */
 export type DataFolder = {
@@ -123,7 +124,22 @@
 	syncFile(folder);
 }
 
-function syncFile(file: string): void {
+/**
+ * Gives a folder the identity of a new replica, which is not a founding member, and gets its id.
+ * @param folder - Path of the folder.
+ * @param name - Name of the control host.
+ */
+export function renewIdentity(folder: string, name: string): string {
+	const replica = getRandomId(name);
+	writeIdentity(folder, replica);
+	return replica;
+}
+
+/**
+ * Makes a file durable, or the names in a folder.
+ * @param file - Path of the file or folder.
+ */
+export function syncFile(file: string): void {
 	const descriptor = openSync(file, 'r');
 	fsyncSync(descriptor);
 	closeSync(descriptor);
--- a/stand-in/control-model/host.ts
+++ b/stand-in/control-model/host.ts
@@ -4,11 +4,12 @@
  */
 import {createControlClient, parseHostName} from '../../source/control-client/index.js';
 import {
-	createLeaderRequestHandler, createLeadership, createStallWatch, createStateMachine, createZoneOrderLog, startDriver, type Api, type ApiOptions, type Driver, type Leadership, type StateMachine,
+	createLeaderRequestHandler, createLeadership, createStallWatch, createZoneOrderLog, startDriver, type Api, type ApiOptions, type Driver, type Leadership, type StateMachine,
 } from '../../source/control/index.js';
 import {createInboundHandler} from '../../source/control/inbound-handler.js';
 import {createNudges} from '../../source/control/nudges.js';
 import {createRequestForwarder} from '../../source/control/request-forwarder.js';
+import {restoreMachine} from '../../source/control/stored-replica.js';
 import {type Random} from '../../source/randomness/index.js';
 import {getHostName} from '../../source/storage/index.js';
 import {type Log} from '../../source/telemetry/index.js';
@@ -59,9 +60,9 @@
 		process: {name}, hostNames, links, store, random, log,
 	} = options;
 	const self = getReplicaId(name);
-	const machine = createStateMachine({
+	const machine = restoreMachine({
 		retentionMilliseconds: 1000, maximumClaims: 10, maximumAnswerBytes: 1000, maximumStoredBytes: 1000,
-	});
+	}, store);
 	const client = createControlClient({
 		identity: {name, sharedKey: '', certificates: undefined},
 		hosts: hostNames.filter(host => host !== name).map(host => parseHostName(host)),
--- a/stand-in/platform/control-call.ts
+++ b/stand-in/platform/control-call.ts
@@ -32,9 +32,9 @@
  * @param address - Address of the control host, as `host:port`.
  * @param method - HTTP method.
  * @param path - Path of the resource.
- * @param body - JSON text, if any.
+ * @param body - JSON text or its bytes, if any.
  */
-export async function callControlOnce(address: string, method: string, path: string, body?: string): Promise<ControlCallResponse> {
+export async function callControlOnce(address: string, method: string, path: string, body?: string | Uint8Array): Promise<ControlCallResponse> {
 	const [host, port] = address.split(':');
 	return new Promise(resolve => {
 		const request = startRequest({
--- a/stand-in/platform/system.ts
+++ b/stand-in/platform/system.ts
@@ -56,6 +56,8 @@
 	start(machine: Machine, isFirstStart: boolean): void;
 	/** Sends a signal to the process of a machine and waits until it has exited. */
 	terminate(machine: Machine, signal: NodeJS.Signals): Promise<void>;
+	/** Gets the data folder of a control host. */
+	getDataFolder(machine: Machine): string;
 	/** Deletes the data folder of a control host whose process has exited. */
 	deleteData(machine: Machine): void;
 	/** Gets the API addresses of the control hosts, as `host:port`. */
@@ -233,6 +235,7 @@
 			closeSync(logFileDescriptor);
 		},
 		terminate,
+		getDataFolder,
 		deleteData(machine) {
 			rmSync(getDataFolder(machine), {recursive: true, force: true});
 		},
