Let the limits of a document end with it, and take no idle time of 0 for unlimited

What callers would see: once a configuration left out its limits, entries kept those of the version before, so a head beyond them was still refused with 431; with idle_timeout_ms 0, idle connections stayed open for ever.

Cause: absent limits were read as unchanged, and Node reads a keep-alive time of 0 as none.

--- a/source/entry/callers/caller-server.ts
+++ b/source/entry/callers/caller-server.ts
@@ -10,6 +10,10 @@
 import {createCallerConnections, type CallerConnections, type CallerConnectionsOptions} from './caller-connections.js';
 
 const keepAliveMilliseconds = 65_000;
+
+/** Shortest time for which idle connections stay open; to Node, 0 means for ever. */
+const minimumKeepAliveMilliseconds = 1;
+
 const headersTimeoutMilliseconds = 10_000;
 const requestTimeoutMilliseconds = 60_000;
 
@@ -86,12 +90,10 @@
 		server,
 		connections,
 		applyLimits(limits) {
-			if (limits !== undefined) {
-				server.keepAliveTimeout = limits.idleMilliseconds;
-				server.headersTimeout = limits.headerMilliseconds + headersMarginMilliseconds;
-				// Node applies the size to new connections. Larger heads are refused before they are read to their end.
-				Object.assign(server, {maxHeaderSize: limits.headerBytes + parserMarginBytes});
-			}
+			server.keepAliveTimeout = Math.max(minimumKeepAliveMilliseconds, limits?.idleMilliseconds ?? keepAliveMilliseconds);
+			server.headersTimeout = limits === undefined ? headersTimeoutMilliseconds : limits.headerMilliseconds + headersMarginMilliseconds;
+			// Node applies the size to new connections. Larger heads are refused before they are read to their end.
+			Object.assign(server, {maxHeaderSize: (limits?.headerBytes ?? options.maximumHeaderBytes) + parserMarginBytes});
 		},
 	};
 }
