Tell an empty list of workspaces from none

Cause: readWorkspaces made the document of a configuration without the field out of an empty list, and that one asks nobody for a key.

Ruled out: a late document at the entry (the requests come after the time in which it must be in force, and with one tenant left they get 401); a tenant without keys, which was read properly.

Change: the list stays in the document.

--- a/source/configuration/document.ts
+++ b/source/configuration/document.ts
@@ -130,7 +130,7 @@
 	/** Routes to services; a service without a route is matched by its own host and path. */
 	routes: z.array(route).readonly().optional(),
 	clientLimits: clientLimits.optional(),
-	/** Workspaces whose callers identify themselves by keys; without any, requests need no key. */
+	/** Workspaces whose callers identify themselves by keys. Without the list, requests need no key; with an empty one, no key is accepted. */
 	workspaces: z.array(workspace).readonly().optional(),
 }).readonly().superRefine((document, context) => {
 	reportRouteIssues(document, context);
--- a/source/configuration/register.test.ts
+++ b/source/configuration/register.test.ts
@@ -3,7 +3,7 @@
 import {getStoredCopy} from '../../stand-in/stored-copy.js';
 import {createRandom} from '../randomness/index.js';
 import {
-	createRegister, documentSchema, withZone, type ConfigurationCommand, type EnvironmentDocument,
+	createRegister, documentSchema, getEarlierDigest, withZone, type ConfigurationCommand, type DocumentUpdate, type EnvironmentDocument,
 } from './index.js';
 
 const document = documentSchema.parse({zones: [{name: 'a'}, {name: 'b'}], services: [{name: 'stock'}]});
@@ -84,11 +84,40 @@
 	test('are restored when the routes are left out', () => {
 		doTest([full, withoutRoutes, full]);
 	});
+	test('are restored when the workspaces are left out, and when their list is empty', () => {
+		const withWorkspace: EnvironmentDocument = {...full, workspaces: [{name: 'clinic', keyDigests: []}]};
+		doTest([full, {...full, workspaces: []}, full, withWorkspace, {...full, workspaces: []}, withWorkspace, full]);
+	});
 	test('are restored when a service is listed twice', () => {
 		doTest([full, doubled, full]);
 	});
 });
 
+// Guards against hosts whose register differs from that of hosts of an earlier release, or that cannot read its snapshot.
+describe('createRegister: deltas of earlier releases to an empty list of workspaces', () => {
+	const closed: EnvironmentDocument = {...document, workspaces: []};
+	const update: DocumentUpdate = {
+		kind: 'delta', delta: {
+			zones: undefined, measuring: undefined, outliers: undefined, services: [], removed: [], order: undefined, workspaces: {changed: [], removed: [], order: undefined}, digest: getEarlierDigest(closed),
+		},
+	};
+
+	test('are applied', () => {
+		const register = createRegister();
+		register.apply(apply(0, '1'));
+		const {kind} = register.apply({...apply(1, '2'), update});
+		expect([kind, register.getHistory('trial').at(-1)!.document.workspaces]).toEqual(['accepted', []]);
+	});
+	test('are restored from snapshots', () => {
+		const register = createRegister();
+		register.apply(apply(0, '1'));
+		const snapshot = register.takeSnapshot();
+		const restored = createRegister();
+		restored.restore(getStoredCopy({...snapshot, trial: [...snapshot.trial, {...snapshot.trial[0]!, version: 2, update}]}));
+		expect(restored.getHistory('trial').map(version => version.document.workspaces)).toEqual([undefined, []]);
+	});
+});
+
 describe('createRegister: commands encoded as deltas', () => {
 	const changedDocument = {...document, measuring: {...document.measuring, probesPerSecond: 9}};
 
--- a/source/configuration/register.ts
+++ b/source/configuration/register.ts
@@ -6,7 +6,7 @@
 import {Maybe} from 'true-myth';
 import {type EnvironmentDocument} from './document.js';
 import {
-	applyDocumentUpdate, getDocumentUpdate, hasExpectedDigest, mergeDocumentUpdate, type DocumentUpdate,
+	getDocumentUpdate, hasExpectedDigest, mergeDocumentUpdate, type DocumentUpdate,
 } from './update.js';
 
 /** Name of an environment. */
@@ -132,8 +132,8 @@
 
 	function compareAndSet(environment: Environment, command: Exclude<ConfigurationCommand, {readonly kind: 'declare'}>, update: DocumentUpdate): ConfigurationResult {
 		const current = getCurrentNumber(environment);
-		const document = applyDocumentUpdate(versions[environment].at(-1)?.document, update);
-		if (command.base !== current || document.isErr) {
+		const document = mergeDocumentUpdate(versions[environment].at(-1)?.document, update);
+		if (command.base !== current || document.isErr || !hasExpectedDigest(document.value, update)) {
 			return recordResult(command.change, {
 				kind: 'conflict', environment, base: command.base, current,
 			});
--- a/source/configuration/update.test.ts
+++ b/source/configuration/update.test.ts
@@ -64,6 +64,19 @@
 		});
 		expect(failedCount > 50).toEqual(true);
 	});
+	test('fail where one document has no list of workspaces, and the other an empty one', () => {
+		const open = getDocument({names: ['a', 'b', 'c'], deadlines: [100], isNorthInService: true});
+		const next = {...open, measuring: {...open.measuring, probesPerSecond: 7}};
+		const update = getDocumentUpdate(open, next);
+		expect([update.kind, applyDocumentUpdate({...open, workspaces: []}, sendOverWire(update)).isErr]).toEqual(['delta', true]);
+	});
+	test('give an empty list of workspaces as the complete document, which earlier releases read too', () => {
+		const open = getDocument({names: ['a', 'b', 'c'], deadlines: [100], isNorthInService: true});
+		const withWorkspace = {...open, workspaces: [{name: 'p', keyDigests: []}]};
+		for (const base of [open, {...open, workspaces: []}, withWorkspace]) {
+			expect(sendOverWire(getDocumentUpdate(base, {...open, workspaces: []}))).toEqual({kind: 'whole', document: {...open, workspaces: []}});
+		}
+	});
 	test('fail without a base', () => {
 		const document = getDocument({names: ['a', 'b'], deadlines: [100], isNorthInService: true});
 		expect(applyDocumentUpdate(undefined, getDocumentUpdate(document, document)).isErr).toEqual(true);
--- a/source/configuration/update.ts
+++ b/source/configuration/update.ts
@@ -3,7 +3,7 @@
  * A delta carries the digest of its result, so that applying it to a different base is detected. Services and workspaces are
  * compared one by one, so that a new key of one workspace does not carry the keys of all others.
  */
-import {createHash} from 'node:crypto';
+import {createHash, type Hash} from 'node:crypto';
 import {Result} from 'true-myth';
 import {
 	type EnvironmentDocument, type Route, type Service, type Workspace,
@@ -50,6 +50,9 @@
 	= | {readonly kind: 'whole'; readonly document: EnvironmentDocument}
 		| {readonly kind: 'delta'; readonly delta: DocumentDelta};
 
+/** Text that the digest of a document with an empty list of workspaces covers beside its parts. */
+const emptyWorkspacesMark = 'workspaces: []';
+
 const cachedDigests = new WeakMap<EnvironmentDocument, string>();
 const canonicalTexts = new WeakMap<NamedPart, string>();
 
@@ -63,12 +66,9 @@
 		return cached;
 	}
 
-	const {zones, measuring, outliers, services} = document;
-	const {routes, clientLimits} = document;
-	const header = routes === undefined && clientLimits === undefined ? [zones, measuring, outliers] : [zones, measuring, outliers, routes, clientLimits];
-	const hash = createHash('sha256').update(JSON.stringify(header));
-	for (const part of [...services, ...document.workspaces ?? []]) {
-		hash.update(getCanonicalText(part));
+	const hash = hashParts(document);
+	if (hasEmptyWorkspaces(document)) {
+		hash.update(emptyWorkspacesMark);
 	}
 
 	const digest = hash.digest('hex');
@@ -76,6 +76,28 @@
 	return digest;
 }
 
+/**
+ * Gets the digest by which earlier releases identify a document. They do not tell one with an empty list of workspaces from one without a list.
+ * @param document - Validated document.
+ */
+export function getEarlierDigest(document: EnvironmentDocument): string {
+	return hasEmptyWorkspaces(document) ? hashParts(document).digest('hex') : getDocumentDigest(document);
+}
+
+function hasEmptyWorkspaces({workspaces}: EnvironmentDocument): boolean {
+	return workspaces?.length === 0;
+}
+
+function hashParts({zones, measuring, outliers, services, routes, clientLimits, workspaces}: EnvironmentDocument): Hash {
+	const header = routes === undefined && clientLimits === undefined ? [zones, measuring, outliers] : [zones, measuring, outliers, routes, clientLimits];
+	const hash = createHash('sha256').update(JSON.stringify(header));
+	for (const part of [...services, ...workspaces ?? []]) {
+		hash.update(getCanonicalText(part));
+	}
+
+	return hash;
+}
+
 /** Serializes a part with sorted fields, so that equal parts have equal texts. */
 function getCanonicalText(part: NamedPart): string {
 	const cached = canonicalTexts.get(part);
@@ -121,7 +143,7 @@
  * @param update - Update to apply.
  */
 export function applyDocumentUpdate(base: EnvironmentDocument | undefined, update: DocumentUpdate): Result<EnvironmentDocument, string> {
-	return mergeDocumentUpdate(base, update).andThen(document => hasExpectedDigest(document, update)
+	return mergeDocumentUpdate(base, update).andThen(document => update.kind === 'whole' || getDocumentDigest(document) === update.delta.digest
 		? Result.ok(document)
 		: Result.err('the digest of the result does not match: the delta was computed from a different base document'));
 }
@@ -157,19 +179,22 @@
 }
 
 /**
- * Checks whether a document is the one that an update was computed for.
+ * Checks whether a document is the one that an update was computed for, by a host of this release or of an earlier one.
  * @param document - Result of the update.
  * @param update - Update that was merged.
  */
 export function hasExpectedDigest(document: EnvironmentDocument, update: DocumentUpdate): boolean {
-	return update.kind === 'whole' || getDocumentDigest(document) === update.delta.digest;
+	return update.kind === 'whole' || [getDocumentDigest(document), getEarlierDigest(document)].includes(update.delta.digest);
 }
 
-/** Checks whether a delta can express the change: it identifies services and workspaces by their names, and cannot remove an optional field. */
+/**
+ * Checks whether a delta can express the change: it identifies services and workspaces by their names, and cannot remove an optional field.
+ * Peers of earlier releases compute another digest for an empty list of workspaces.
+ */
 function isDeltaPossible(base: EnvironmentDocument, next: EnvironmentDocument): boolean {
 	const hasLostField = (['routes', 'clientLimits', 'workspaces'] as const).some(field => base[field] !== undefined && next[field] === undefined);
 	const lists = [base.services, next.services, base.workspaces ?? [], next.workspaces ?? []];
-	return !hasLostField && lists.every(parts => hasDistinctNames(parts));
+	return !hasLostField && !hasEmptyWorkspaces(next) && lists.every(parts => hasDistinctNames(parts));
 }
 
 function hasDistinctNames(parts: readonly NamedPart[]): boolean {
--- a/source/entry/placement/server-attempt.ts
+++ b/source/entry/placement/server-attempt.ts
@@ -2,7 +2,7 @@
 import {performance} from 'node:perf_hooks';
 import {type Candidate} from '../../choice/index.js';
 import {notRun} from '../../verdict/index.js';
-import {isAccessValid} from '../../workspace/index.js';
+import {isAccessValid, updateAccess, type Access} from '../../workspace/index.js';
 import {type AttemptOutcome, getForwardedHeaders} from '../servers/index.js';
 import {
 	fail, protect, refuse, type AttemptKind, type RequestProgress, type RunningAttempt,
@@ -39,7 +39,10 @@
 		return;
 	}
 
-	if (!isAccessValid(context.getWorkspaces(), admitted.access)) {
+	const access = updateAccess(context.getWorkspaces(), admitted.access, {
+		key: admitted.exchange.request.headers[context.dialect.keyHeader], isPublic: admitted.route.isPublic,
+	});
+	if (access.kind === 'denied') {
 		refuse(progress, notRun('unknown-key'));
 		return;
 	}
@@ -53,7 +56,7 @@
 		dialect: context.dialect,
 		incoming: admitted.exchange.request,
 		requestId,
-		access: admitted.access,
+		access,
 		server: candidate.getAnnouncement().name,
 		remainingMilliseconds: deadlineAt - now,
 		body: request.body,
@@ -79,7 +82,7 @@
 		maximumBufferedBytes: context.maximumBufferedBytes,
 		bufferedResponses: context.bufferedResponses,
 		maximumBodyBytes: context.maximumBodyBytes,
-		mayDispatch: () => mayDispatch(progress) && isTokenUsed(progress, candidate),
+		mayDispatch: () => mayDispatch(progress, access) && isTokenUsed(progress, candidate),
 		hasServerWithdrawn: () => candidate.hasWithdrawn(performance.now()),
 		onReport(hints) {
 			context.onReport(candidate, hints);
@@ -111,9 +114,10 @@
 /**
  * Checks whether an attempt of a request may be dispatched now.
  * @param progress - Progress of the request.
+ * @param access - Access for which the attempt was prepared.
  */
-export function mayDispatch({admitted, isSettled}: RequestProgress): boolean {
+export function mayDispatch({admitted, isSettled}: RequestProgress, access: Access = admitted.access): boolean {
 	const now = performance.now();
-	const {context, access, deadlineAt} = admitted;
+	const {context, deadlineAt} = admitted;
 	return !isSettled && context.mayDispatch(now) && now < deadlineAt && isAccessValid(context.getWorkspaces(), access);
 }
--- a/source/workspace/access.test.ts
+++ b/source/workspace/access.test.ts
@@ -1,7 +1,7 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
 import {type Workspace} from '../configuration/index.js';
-import {getAccess, isAccessValid} from './access.js';
+import {getAccess, isAccessValid, updateAccess} from './access.js';
 import {getKeyDigest} from './key-digest.js';
 import {createWorkspaceIndex, type WorkspaceIndex} from './workspace-index.js';
 
@@ -58,3 +58,42 @@
 		doTest([{...shop, keyDigests: clinic.keyDigests}], false);
 	});
 });
+
+// Guards against an empty list of workspaces that is taken for none, so that every key is accepted.
+describe('getAccess: an empty list of workspaces', () => {
+	test('denies every key', () => {
+		expect(['one', undefined].map(key => getAccess(createWorkspaceIndex([]), {key, isPublic: false}).kind)).toEqual(['denied', 'denied']);
+	});
+	test('has no priorities that are not numbers', () => {
+		expect(createWorkspaceIndex([]).priorities).toEqual({mostUrgent: 0, leastUrgent: 0});
+	});
+});
+
+// Guards against keys that are passed on to servers, by requests that waited while the first workspaces came.
+describe('updateAccess', () => {
+	function doTest(before: WorkspaceIndex | undefined, key: string | undefined, after: WorkspaceIndex | undefined, expected: string, isPublic = false): void {
+		const request = {key, isPublic};
+		const access = updateAccess(after, getAccess(before, request), request);
+		expect(access.kind === 'granted' ? `granted ${access.workspace.name}` : access.kind).toEqual(expected);
+	}
+
+	test('keeps what is still valid', () => {
+		doTest(undefined, 'one', undefined, 'open');
+		doTest(index, 'one', createWorkspaceIndex([clinic]), 'granted clinic');
+		doTest(index, undefined, index, 'anonymous', true);
+	});
+	test('decides anew when the first workspaces come', () => {
+		doTest(undefined, 'one', index, 'granted clinic');
+		doTest(undefined, 'four', index, 'denied');
+		doTest(undefined, undefined, index, 'denied');
+		doTest(undefined, undefined, index, 'anonymous', true);
+		doTest(undefined, 'one', createWorkspaceIndex([]), 'denied');
+	});
+	test('denies a withdrawn key, also when the last workspace is gone', () => {
+		doTest(index, 'one', createWorkspaceIndex([shop]), 'denied');
+		doTest(index, 'one', createWorkspaceIndex([]), 'denied');
+	});
+	test('keeps the workspace when the list is left out', () => {
+		doTest(index, 'one', undefined, 'granted clinic');
+	});
+});
--- a/source/workspace/access.ts
+++ b/source/workspace/access.ts
@@ -8,7 +8,7 @@
 
 /** Access of a request. */
 export type Access
-	/** The document has no workspaces, and the key header means nothing. */
+	/** The document has no list of workspaces, and the key header means nothing. */
 	= | {readonly kind: 'open'}
 		| {readonly kind: 'granted'; readonly workspace: Workspace; readonly digest: string}
 	/** The route needs no key, and the request has none that is known. */
@@ -24,7 +24,7 @@
 
 /**
  * Decides about the access of a request.
- * @param index - Workspaces of the document in force, if it has any.
+ * @param index - Workspaces of the document in force, if it has a list of them.
  * @param request - Key and route of the request.
  */
 export function getAccess(index: WorkspaceIndex | undefined, {key, isPublic}: AccessRequest): Access {
@@ -42,8 +42,23 @@
 }
 
 /**
- * Checks whether access that was granted before is still valid.
- * @param index - Workspaces of the document in force, if it has any.
+ * Gets the access of a request that was decided earlier. One from before the document had workspaces is decided anew, so that its key is
+ * not passed on to servers.
+ * @param index - Workspaces of the document in force, if it has a list of them.
+ * @param access - Access as it was decided.
+ * @param request - Key and route of the request.
+ */
+export function updateAccess(index: WorkspaceIndex | undefined, access: Access, request: AccessRequest): Access {
+	if (isAccessValid(index, access)) {
+		return access;
+	}
+
+	return access.kind === 'open' ? getAccess(index, request) : {kind: 'denied'};
+}
+
+/**
+ * Checks whether access that was decided before is still valid.
+ * @param index - Workspaces of the document in force, if it has a list of them.
  * @param access - Access as it was decided.
  */
 export function isAccessValid(index: WorkspaceIndex | undefined, access: Access): boolean {
@@ -52,7 +67,10 @@
 			return index === undefined || index.get(access.digest)?.name === access.workspace.name;
 		}
 
-		case 'open':
+		case 'open': {
+			return index === undefined;
+		}
+
 		case 'anonymous': {
 			return true;
 		}
--- a/source/workspace/workspace-index.ts
+++ b/source/workspace/workspace-index.ts
@@ -5,7 +5,7 @@
 export type WorkspaceIndex = {
 	/** Gets the workspace that a key belongs to. */
 	get(digest: string): Workspace | undefined;
-	/** Most and least urgent priority of the workspaces; the lowest number is the most urgent. */
+	/** Most and least urgent priority of the workspaces; the lowest number is the most urgent. Both are 0 if there are none. */
 	readonly priorities: {readonly mostUrgent: number; readonly leastUrgent: number};
 };
 
@@ -26,6 +26,6 @@
 	const priorities = workspaces.map(workspace => getWorkspacePriority(workspace));
 	return {
 		get: digest => byDigest.get(digest),
-		priorities: {mostUrgent: Math.min(...priorities), leastUrgent: Math.max(...priorities)},
+		priorities: priorities.length === 0 ? {mostUrgent: 0, leastUrgent: 0} : {mostUrgent: Math.min(...priorities), leastUrgent: Math.max(...priorities)},
 	};
 }
--- a/stand-in/platform/system.ts
+++ b/stand-in/platform/system.ts
@@ -67,7 +67,7 @@
 	/** Waits until every control host responds with the configuration. */
 	waitForControls(): Promise<void>;
 	/** Sends a client's request to an entry. */
-	send(entry: Machine, request: {readonly id: string; readonly method?: string; readonly path: string; readonly body?: string; readonly deadlineMilliseconds?: number}): Promise<ClientResponse>;
+	send(entry: Machine, request: {readonly id: string; readonly method?: string; readonly path: string; readonly body?: string; readonly deadlineMilliseconds?: number; readonly headers?: Readonly<Record<string, string>>}): Promise<ClientResponse>;
 	/** Checks whether an entry reports itself ready. */
 	isReady(entry: Machine): Promise<boolean>;
 	/** Reads the log of all processes that ran on a machine. */
@@ -266,7 +266,7 @@
 		async send(entry, request) {
 			return sendHttpRequest(entry.host, ports.front, {
 				method: request.method, path: request.path, body: request.body, headers: {
-					Host: 'shop.example', 'Request-Id': request.id, 'Deadline-Ms': String(request.deadlineMilliseconds ?? defaultDeadlineMilliseconds), ...(request.body === undefined ? {} : {'Content-Length': String(request.body.length)}),
+					Host: 'shop.example', 'Request-Id': request.id, 'Deadline-Ms': String(request.deadlineMilliseconds ?? defaultDeadlineMilliseconds), ...(request.body === undefined ? {} : {'Content-Length': String(request.body.length)}), ...request.headers,
 				},
 			});
 		},
--- a/stand-in/platform/upstream.ts
+++ b/stand-in/platform/upstream.ts
@@ -6,7 +6,7 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
+	createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {callControl, readText} from './control-call.js';
@@ -22,6 +22,7 @@
 	readonly id: string;
 	readonly path: string;
 	readonly body: string;
+	readonly headers: IncomingHttpHeaders;
 	readonly startedAt: number;
 	/** Time at which the connection closed while the request was running, or undefined if it stayed open. */
 	disconnectedAt: number | undefined;
@@ -138,7 +139,7 @@
 		running++;
 		const body = await readText(request);
 		const recordedRun: Run = {
-			id: String(request.headers['request-id']), path: request.url ?? '', body: body ?? '', startedAt: Date.now(), disconnectedAt: undefined,
+			id: String(request.headers['request-id']), path: request.url ?? '', body: body ?? '', headers: request.headers, startedAt: Date.now(), disconnectedAt: undefined,
 		};
 		runs.push(recordedRun);
 		const recordDisconnect = (): void => {
