Have senders confirm each order that a later one may have overtaken

An evacuation that came late emptied a zone that had been withdrawn, until the next order.

Cause: these two were the exceptions from the confirmation by the revision of the zones, and were left to checks of time: the close of the sender, which may come 50 ms after its call or never, and stalls of the host.

Change: each order that would change a zone which had orders before needs its sender's confirmation. A sender that follows no redirect gives it by sending the order again: to a host that answered it, within 4 s, on a connection that was opened after the answer, for the revision that the answer named; the leader still refuses it if the zone was ordered since.

The exploration of control hosts ran with these orders excepted and checked that the exceptions were needed; they are gone, and it holds without them.

--- a/source/control/api-options.ts
+++ b/source/control/api-options.ts
@@ -4,9 +4,11 @@
 import {getHostName} from '../storage/index.js';
 import {type Log} from '../telemetry/index.js';
 import {type ApiOptions} from './api.js';
+import {type ConnectionTimes} from './connection-times.js';
 import {type Driver} from './driver.js';
 import {type ControlMetrics} from './metrics.js';
 import {type RequestForwarder} from './request-forwarder.js';
+import {createRepeatedOrders} from './repeated-orders.js';
 import {type StallWatch} from './stall-watch.js';
 import {type StateMachine} from './state-machine.js';
 import {createZoneOrderLog} from './zone-order-log.js';
@@ -22,6 +24,7 @@
 	readonly driver: Driver;
 	readonly metrics: ControlMetrics;
 	readonly stallWatch: StallWatch;
+	readonly connectionTimes: ConnectionTimes;
 	readonly burnRateTracker: BurnRateTracker | undefined;
 };
 
@@ -30,7 +33,9 @@
  * @param parts - Parts of the control host.
  */
 export function createApiOptions(parts: ApiParts): ApiOptions {
-	const {log, host, operatorKey, forwarder, machine, driver, metrics, stallWatch, burnRateTracker} = parts;
+	const {
+		log, host, operatorKey, forwarder, machine, driver, metrics, stallWatch, connectionTimes, burnRateTracker,
+	} = parts;
 	return {
 		log,
 		operatorKey,
@@ -42,6 +47,8 @@
 		zoneOrderLog: createZoneOrderLog({
 			log, host, submit: forwarder.forward, countOrder: metrics.countZoneOrder, getTime: () => performance.now(),
 		}),
+		repeatedOrders: createRepeatedOrders(),
+		getConnectedAt: connectionTimes.get,
 		hasStalledRecently: stallWatch.hasStalledRecently,
 		getMetrics: metrics.getText,
 		isReady: () => driver.replica.getLeader() !== undefined,
--- a/source/control/api-server.ts
+++ b/source/control/api-server.ts
@@ -5,6 +5,7 @@
 import {type Log} from '../telemetry/index.js';
 import {listen} from '../wire/index.js';
 import {type Api} from './api.js';
+import {type ConnectionTimes} from './connection-times.js';
 import {handleSafely} from './http.js';
 
 const requestCheckIntervalMilliseconds = 10;
@@ -21,6 +22,7 @@
 	readonly log: Log;
 	readonly api: Api;
 	readonly address: {readonly host: string; readonly port: number};
+	readonly connectionTimes: ConnectionTimes;
 	/** Maximum duration of a request; a stop does not wait longer. */
 	readonly maximumRequestMilliseconds: number;
 };
@@ -30,7 +32,9 @@
  * @param options - API and address.
  */
 export async function startApiServer(options: ApiServerOptions): Promise<ApiServer> {
-	const {log, api, address, maximumRequestMilliseconds} = options;
+	const {
+		log, api, address, connectionTimes, maximumRequestMilliseconds,
+	} = options;
 	let openRequests = 0;
 	const server = createServer((request, response) => {
 		openRequests++;
@@ -39,6 +43,7 @@
 		});
 		void handleSafely({log, request, response}, api);
 	});
+	connectionTimes.watch(server);
 	const port = await listen(server, {setting: 'api', ...address});
 
 	async function waitForRequests(): Promise<void> {
--- a/source/control/api.ts
+++ b/source/control/api.ts
@@ -11,6 +11,7 @@
 	sendJson, isAuthorized, maximumApiBodyBytes, readJson,
 } from './http.js';
 import {type ControlResponse, type ControlRequest, type BurnSummary} from './message.js';
+import {type RepeatedOrders} from './repeated-orders.js';
 import {type ZoneOrderLog} from './zone-order-log.js';
 
 const maximumAnnouncementBytes = 16_384;
@@ -44,6 +45,9 @@
 	readonly operatorKey: string | undefined;
 	submit(request: ControlRequest): Promise<ControlResponse>;
 	readonly zoneOrderLog: ZoneOrderLog;
+	readonly repeatedOrders: RepeatedOrders;
+	/** Gets the time at which the connection of a call was opened, in milliseconds. */
+	getConnectedAt(request: IncomingMessage): number;
 	/** Checks whether calls that are read now may have waited unread until their senders gave up. */
 	hasStalledRecently(): boolean;
 	getBurnSummary(environment: Environment): BurnSummary | undefined;
--- a/source/control/control.ts
+++ b/source/control/control.ts
@@ -14,6 +14,7 @@
 import {createApiOptions} from './api-options.js';
 import {startApiServer} from './api-server.js';
 import {createCommitHandler} from './committed-changes.js';
+import {createConnectionTimes} from './connection-times.js';
 import {startDriver, type RoleChange} from './driver.js';
 import {createLeaderRequestHandler} from './leader-request-handler.js';
 import {createLeadership, type Leadership} from './leadership.js';
@@ -258,11 +259,12 @@
 	subscription.add(interval(housekeepingIntervalMilliseconds).subscribe(runHousekeeping));
 	subscription.add(interval(joinIntervalMilliseconds).subscribe(membershipManager.requestToJoin));
 
+	const connectionTimes = createConnectionTimes(() => performance.now());
 	const api = (options.createApi ?? createApi)(createApiOptions({
-		log, host: discovery.name, operatorKey: security.operatorKey, forwarder, machine, driver, metrics, stallWatch, burnRateTracker,
+		log, host: discovery.name, operatorKey: security.operatorKey, forwarder, machine, driver, metrics, stallWatch, connectionTimes, burnRateTracker,
 	}));
 	const apiServer = await startApiServer({
-		log, api, address: settings.api, maximumRequestMilliseconds: settings.forwardMilliseconds + forwardAttemptTimeoutMilliseconds,
+		log, api, address: settings.api, connectionTimes, maximumRequestMilliseconds: settings.forwardMilliseconds + forwardAttemptTimeoutMilliseconds,
 	});
 
 	log.info({replica: self, commitIndex: driver.replica.getCommitIndex()}, 'control host started');
--- a/source/control/index.ts
+++ b/source/control/index.ts
@@ -1,5 +1,6 @@
 export * from './awaited-call.js';
 export * from './call-body.js';
+export * from './connection-times.js';
 export * from './control.js';
 export * from './driver.js';
 export * from './http.js';
@@ -7,6 +8,7 @@
 export * from './leader-request-handler.js';
 export * from './leadership.js';
 export * from './planned-stop.js';
+export * from './repeated-orders.js';
 export * from './stall-detector.js';
 export * from './stall-watch.js';
 export * from './state-machine.js';
--- a/source/control/zone-change.test.ts
+++ b/source/control/zone-change.test.ts
@@ -14,18 +14,15 @@
 describe('changeZone', () => {
 	type Moment = 'never' | 'before the revision is read' | 'after the revision is read';
 
-	/** Orders a zone back into service; at the given moment the sender gives up, and the zone is taken out through another host. */
+	/** Orders a zone out of service for the first time; at the given moment the sender gives up, and the zone is ordered back through another host. */
 	async function doTest(givesUp: Moment, expected: {readonly kind: ZoneChangeOutcome['kind']; readonly zonesOut: readonly string[]}): Promise<void> {
 		await withSingleHost(async ({handler, machine}) => {
-			await changeZone({
-				zone: 'south', isOut: true, isAwaited: async () => true, submit: handler.handle,
-			});
 			let isAwaited = true;
 
 			async function giveUp(): Promise<void> {
 				isAwaited = false;
 				await changeZone({
-					zone: 'south', isOut: true, isAwaited: async () => true, submit: handler.handle,
+					zone: 'south', isOut: false, isAwaited: async () => true, submit: handler.handle,
 				});
 			}
 
@@ -42,22 +39,55 @@
 			}
 
 			const {kind} = await changeZone({
-				zone: 'south', isOut: false, isAwaited: async () => isAwaited, submit,
+				zone: 'south', isOut: true, isAwaited: async () => isAwaited, submit,
 			});
 			expect({kind, zonesOut: machine.getZonesOut()}).toEqual({...expected});
 		});
 	}
 
-	test('carries out an order whose sender waits', async () => doTest('never', {kind: 'zoneMoved', zonesOut: []}));
-	test('drops an order whose sender gave up before it was read', async () => doTest('before the revision is read', {kind: 'abandoned', zonesOut: ['south']}));
-	test('drops an order whose sender gave up while it was on its way to the leader', async () => doTest('after the revision is read', {kind: 'abandoned', zonesOut: ['south']}));
+	test('carries out an order whose sender waits', async () => doTest('never', {kind: 'zoneMoved', zonesOut: ['south']}));
+	test('drops an order whose sender gave up before it was read', async () => doTest('before the revision is read', {kind: 'abandoned', zonesOut: []}));
+	test('drops an order whose sender gave up while it was on its way to the leader', async () => doTest('after the revision is read', {kind: 'abandoned', zonesOut: []}));
+
+	/** Has orders for a zone carried out, each confirmed by its sender if needed, and returns what then becomes of a further one. */
+	async function doOvertakenTest(earlier: readonly boolean[], isOut: boolean, expected: ZoneChangeOutcome['kind']): Promise<void> {
+		await withSingleHost(async ({handler, machine}) => {
+			const change = async (isZoneOut: boolean, confirmedRevision?: number): Promise<ZoneChangeOutcome> => changeZone({
+				zone: 'south', isOut: isZoneOut, confirmedRevision, isAwaited: async () => true, submit: handler.handle,
+			});
+			for (const isZoneOut of earlier) {
+				const first = await change(isZoneOut);
+				const {kind} = first.kind === 'confirmationNeeded' ? await change(isZoneOut, first.revision) : first;
+				expect(kind).toEqual('zoneMoved');
+			}
+
+			const zonesOut = machine.getZonesOut();
+			const {kind} = await change(isOut);
+			expect(kind).toEqual(expected);
+			expect(machine.getZonesOut()).toEqual(expected === 'confirmationNeeded' ? zonesOut : (isOut ? ['south'] : []));
+		});
+	}
+
+	test('asks the sender of the first order that puts a zone back to confirm it', async () => doOvertakenTest([true], false, 'confirmationNeeded'));
+	test('asks the sender of an order that takes a zone out again to confirm it', async () => {
+		await doOvertakenTest([true, false], true, 'confirmationNeeded');
+		await doOvertakenTest([false], true, 'confirmationNeeded');
+	});
+	test('carries out at once the first order for a zone, and orders that change nothing', async () => {
+		await doOvertakenTest([], true, 'zoneMoved');
+		await doOvertakenTest([], false, 'zoneMoved');
+		await doOvertakenTest([true], true, 'zoneMoved');
+		await doOvertakenTest([true, false], false, 'zoneMoved');
+	});
+
 	/** Has a zone taken out, put back and taken out, each acknowledged, and returns what then becomes of an order to put it back. */
 	async function withOvertakenOrder(run: (host: SingleHost, putBack: (confirmedRevision?: number) => Promise<ZoneChangeOutcome>) => Promise<void>): Promise<void> {
 		await withSingleHost(async host => {
 			const change = async (isOut: boolean, confirmedRevision?: number): Promise<ZoneChangeOutcome> => changeZone({
 				zone: 'south', isOut, confirmedRevision, isAwaited: async () => true, submit: host.handler.handle,
 			});
-			expect([await change(true), await change(false), await change(true)]).toEqual([{kind: 'zoneMoved'}, {kind: 'zoneMoved'}, {kind: 'zoneMoved'}]);
+			const changeConfirmed = async (isOut: boolean): Promise<ZoneChangeOutcome> => change(isOut, host.machine.getZonesRevision());
+			expect([await change(true), await changeConfirmed(false), await changeConfirmed(true)]).toEqual([{kind: 'zoneMoved'}, {kind: 'zoneMoved'}, {kind: 'zoneMoved'}]);
 			await run(host, async confirmedRevision => change(false, confirmedRevision));
 		});
 	}
--- a/source/control/zone-order-log.ts
+++ b/source/control/zone-order-log.ts
@@ -23,6 +23,8 @@
 	readonly call: string;
 	/** Address and port of the sender. */
 	readonly sender: string;
+	/** Revision of the zones for which its sender has confirmed the order, in the path of the call or by sending it again; undefined if it has not. */
+	readonly confirmedRevision?: number;
 };
 
 /** End of an order: the outcome of the change, or why there was none. */
@@ -114,9 +116,9 @@
 	};
 }
 
-function getFields({zone, isOut, call, sender}: ReceivedZoneOrder): ReceivedZoneOrder {
+function getFields({zone, isOut, call, sender, confirmedRevision}: ReceivedZoneOrder): ReceivedZoneOrder {
 	return {
-		zone: zone.slice(0, maximumTextLength), isOut, call: call.slice(0, maximumTextLength), sender,
+		zone: zone.slice(0, maximumTextLength), isOut, call: call.slice(0, maximumTextLength), sender, ...(confirmedRevision === undefined ? {} : {confirmedRevision}),
 	};
 }
 
--- a/source/control/zone-orders.test.ts
+++ b/source/control/zone-orders.test.ts
@@ -31,8 +31,8 @@
 			expect([orders, restore(orders.takeSnapshot())].map(each => each.mayBeOvertaken({zone: 'south', isOut}))).toEqual([expected, expected]);
 		}
 
-		test('is false for the first order that puts a zone back', () => {
-			doTest(['out'], false, false);
+		test('is true for the first order that puts a zone back', () => {
+			doTest(['out'], false, true);
 		});
 		test('is true where the zone was put back before', () => {
 			doTest(['out', 'in', 'out'], false, true);
@@ -40,10 +40,15 @@
 		test('is true where the zone was ordered out twice', () => {
 			doTest(['out', 'out'], false, true);
 		});
-		test('is false for orders that take a zone out or change nothing', () => {
+		test('is true for an order that takes a zone out which had orders before', () => {
+			doTest(['out', 'in'], true, true);
+			doTest(['in'], true, true);
+		});
+		test('is false for the first order, and for orders that change nothing', () => {
+			doTest([], true, false);
+			doTest([], false, false);
 			doTest(['out', 'in', 'out'], true, false);
 			doTest(['out', 'in'], false, false);
-			doTest(['out', 'in'], true, false);
 		});
 		test('is true after a snapshot that names no index at all', () => {
 			const orders = restore({zonesOut: ['south']});
--- a/source/control/zone-orders.ts
+++ b/source/control/zone-orders.ts
@@ -28,8 +28,9 @@
 	/** Checks whether a zone was ordered out of service or back after the given index. */
 	isOrderedSince(zone: string, index: number): boolean;
 	/**
-	 * Checks whether an order may have been overtaken by a later one for its zone. Only one that would put a zone back into service
-	 * counts, and only if the zone had orders before the one that took it out; before that, there was nothing to put back.
+	 * Checks whether an order may have been overtaken by a later one for its zone. One that would change nothing does no harm, and so does
+	 * the first order for a zone. Any other may have been sent before the orders that were carried out, also one that puts a zone back for the
+	 * first time: its sender may have withdrawn an evacuation that was never acknowledged.
 	 */
 	mayBeOvertaken(order: ZoneOrder): boolean;
 	/**
@@ -58,8 +59,8 @@
 		getRevision: () => revision,
 		isOrderedSince: (zone, index) => getOrderedZone(zone).last > index,
 		mayBeOvertaken({zone, isOut}) {
-			const {first, last} = getOrderedZone(zone);
-			return !isOut && zonesOut.includes(zone) && first !== last;
+			const hasChange = zonesOut.includes(zone) !== isOut;
+			return hasChange && (zonesOut.includes(zone) || getOrderedZone(zone).last > 0);
 		},
 		apply({zone, isOut}, index) {
 			revision = index ?? revision + 1;
--- a/stand-in/control-model/calls.ts
+++ b/stand-in/control-model/calls.ts
@@ -11,15 +11,23 @@
 	readonly sender: string;
 	/** Host that the call is sent to, as `host:port`. */
 	readonly host: string;
-	/** Called when a host takes the sender for one that waits. */
-	onBelievedAwaited(): void;
 };
 
 /** Response to a call; status 0 if there was none. */
 export type CallResponse = {readonly status: number; readonly text: string; readonly location?: string};
 
 /** Connection that a call came on, as its host sees it. */
-export type CallConnection = {isClosed: boolean};
+export type CallConnection = {readonly openedAt: number; isClosed: boolean};
+
+type CallSocket = {readonly openedAt: number};
+
+/**
+ * Gets the time at which the connection of a call was opened.
+ * @param request - Request as the API received it.
+ */
+export function getOpenedAt({socket}: IncomingMessage): number {
+	return (socket as unknown as CallSocket).openedAt;
+}
 
 /**
  * Has an API handle a call.
@@ -32,15 +40,12 @@
 	const [localAddress, localPort] = call.host.split(':');
 	const socket = {
 		get destroyed() {
-			if (!connection.isClosed) {
-				call.onBelievedAwaited();
-			}
-
 			return connection.isClosed;
 		},
 		get readableEnded() {
 			return connection.isClosed;
 		},
+		openedAt: connection.openedAt,
 		localAddress,
 		localPort: Number(localPort),
 		remoteAddress: call.sender,
@@ -65,17 +70,22 @@
 	};
 	let status = 0;
 	let location: string | undefined;
+	let onFinish: (() => void) | undefined;
 	const response = {
 		headersSent: false,
 		setHeader(name: string, value: string) {
 			location = name === 'location' ? value : location;
 		},
+		once(_event: 'finish', run: () => void) {
+			onFinish = run;
+		},
 		writeHead(code: number) {
 			status = code;
 			response.headersSent = true;
 		},
 		end(text: Uint8Array | string) {
 			respond({status, text: Buffer.from(text).toString('utf8'), location});
+			onFinish?.();
 		},
 	};
 	void api(request as unknown as IncomingMessage, response as unknown as ServerResponse);
--- a/stand-in/control-model/check.ts
+++ b/stand-in/control-model/check.ts
@@ -6,14 +6,12 @@
 /**
  * Finds what is wrong with a run; undefined if nothing is.
  * @param run - Played run.
- * @param knownFaults - Whether late orders that need no confirmation are excepted or found, too.
  */
-export function findFault({history, zonesOut, leases, failures}: PlayedRun, knownFaults: 'excepted' | 'found' = 'excepted'): string | undefined {
+export function findFault({history, zonesOut, leases, failures}: PlayedRun): string | undefined {
 	for (const zone of new Set(history.zoneReads.map(read => read.zone))) {
 		const fault = findZoneFault({
 			orders: history.orders.filter(order => order.zone === zone),
 			reads: history.zoneReads.filter(read => read.zone === zone),
-			lateOrders: knownFaults === 'excepted' ? history.lateOrders.filter(order => order.zone === zone) : [],
 		});
 		if (fault !== undefined) {
 			return fault;
--- a/stand-in/control-model/history.ts
+++ b/stand-in/control-model/history.ts
@@ -15,9 +15,6 @@
 /** What a reader was told of a zone between two moments. */
 export type ZoneRead = {readonly zone: string; readonly isOut: boolean; readonly startedAt: number; readonly endedAt: number; readonly reader: string};
 
-/** Order that a host took for one whose sender waits after it had ended. Known faults, see `control-exploration.test.ts`. */
-export type LateZoneOrder = {readonly zone: string; readonly isOut: boolean; readonly startedAt: number};
-
 /** Declaration of a version of the configuration. */
 export type DeclarationRecord = {readonly version: number; readonly startedAt: number; endedAt: number; isAcknowledged: boolean};
 
@@ -28,7 +25,6 @@
 export type History = {
 	readonly orders: readonly ZoneOrderRecord[];
 	readonly zoneReads: readonly ZoneRead[];
-	readonly lateOrders: readonly LateZoneOrder[];
 	readonly declarations: readonly DeclarationRecord[];
 	readonly versionReads: readonly VersionRead[];
 };
@@ -42,15 +38,12 @@
 	end(record: ZoneOrderRecord | DeclarationRecord, isAcknowledged: boolean): void;
 	recordZones(reader: string, zones: readonly string[], zonesOut: readonly string[], startedAt: number): void;
 	recordVersion(reader: string, version: number, startedAt: number): void;
-	/** Records that a host took the sender of an order for one that waits. */
-	recordBelievedAwaited(order: ZoneOrderRecord): void;
 };
 
 /** Creates an empty history. */
 export function createHistory(): HistoryRecorder {
 	const orders: ZoneOrderRecord[] = [];
 	const zoneReads: ZoneRead[] = [];
-	const lateOrders: LateZoneOrder[] = [];
 	const declarations: DeclarationRecord[] = [];
 	const versionReads: VersionRead[] = [];
 	let moment = 0;
@@ -60,16 +53,9 @@
 		return moment;
 	}
 
-	/** Checks whether an order is one that is carried out without a confirmation: one that takes a zone out, or a first withdrawal. */
-	function needsNoConfirmation({zone, isOut, startedAt}: ZoneOrderRecord): boolean {
-		const acknowledged = orders.filter(order => order.zone === zone && order.isAcknowledged && order.endedAt !== Number.POSITIVE_INFINITY);
-		return isOut || (acknowledged.length <= 1 && acknowledged.every(order => order.isOut && order.endedAt > startedAt));
-	}
-
 	return {
 		orders,
 		zoneReads,
-		lateOrders,
 		declarations,
 		versionReads,
 		takeMoment,
@@ -104,10 +90,5 @@
 				version, startedAt, endedAt: takeMoment(), reader,
 			});
 		},
-		recordBelievedAwaited(order) {
-			if (order.endedAt !== Number.POSITIVE_INFINITY && needsNoConfirmation(order)) {
-				lateOrders.push({zone: order.zone, isOut: order.isOut, startedAt: takeMoment()});
-			}
-		},
 	};
 }
--- a/stand-in/control-model/host.ts
+++ b/stand-in/control-model/host.ts
@@ -4,7 +4,7 @@
  */
 import {createControlClient, parseHostName} from '../../source/control-client/index.js';
 import {
-	createLeaderRequestHandler, createLeadership, createStallWatch, createZoneOrderLog, startDriver, type Api, type ApiOptions, type Driver, type Leadership, type StateMachine,
+	createLeaderRequestHandler, createLeadership, createStallWatch, createRepeatedOrders, createZoneOrderLog, startDriver, type Api, type ApiOptions, type Driver, type Leadership, type StateMachine,
 } from '../../source/control/index.js';
 import {createInboundHandler} from '../../source/control/inbound-handler.js';
 import {createNudges} from '../../source/control/nudges.js';
@@ -13,6 +13,7 @@
 import {type Random} from '../../source/randomness/index.js';
 import {getHostName} from '../../source/storage/index.js';
 import {type Log} from '../../source/telemetry/index.js';
+import {getOpenedAt} from './calls.js';
 import {type Links} from './links.js';
 import {type MemoryStore} from './memory-store.js';
 import {type VirtualProcess} from './virtual-world.js';
@@ -165,6 +166,8 @@
 				// Nobody reads the metrics.
 			},
 		}),
+		repeatedOrders: createRepeatedOrders(),
+		getConnectedAt: getOpenedAt,
 		hasStalledRecently: stallWatch.hasStalledRecently,
 		getMetrics: async () => '',
 		isReady: () => driver.replica.getLeader() !== undefined,
--- a/stand-in/control-model/operator.ts
+++ b/stand-in/control-model/operator.ts
@@ -17,8 +17,6 @@
 	readonly history: HistoryRecorder;
 	/** Gets a running control host. */
 	getHost(name: string): ModelHost | undefined;
-	/** Checks whether a control host stood still until shortly before, so that what it reads may be old. */
-	isCatchingUp(name: string): boolean;
 	/** Calls a function once the process of a control host ends. */
 	onceEnded(name: string, run: () => void): void;
 	renderConfiguration(version: number): string;
@@ -26,7 +24,7 @@
 };
 
 /** Order with the calls that carry it. */
-type Order = {readonly method: string; readonly path: string; readonly body?: string; readonly attempts: number; onBelievedAwaited(): void};
+type Order = {readonly method: string; readonly path: string; readonly body?: string; readonly attempts: number};
 
 const patienceMilliseconds = 1000;
 const backoffMilliseconds = 50;
@@ -55,7 +53,7 @@
 			return noResponse;
 		}
 
-		const connection: CallConnection = {isClosed: false};
+		const connection: CallConnection = {openedAt: performance.now(), isClosed: false};
 		trace?.(`${name} sends ${call.method} ${call.path} to ${call.host}`);
 		const response = await new Promise<CallResponse>(resolve => {
 			const timer = setTimeout(resolve, patienceMilliseconds, noResponse);
@@ -74,9 +72,8 @@
 						return;
 					}
 
-					const isOld = options.isCatchingUp(call.host);
 					trace?.(`${call.host} reads ${call.method} ${call.path} of ${name}`);
-					handleCall(host.api, isOld ? {...call, onBelievedAwaited: ignore} : call, isCopy ? {isClosed: false} : connection, result => {
+					handleCall(host.api, call, isCopy ? {...connection, isClosed: false} : connection, result => {
 						trace?.(`${call.host} answers ${call.method} ${call.path} of ${name}: ${result.status}`);
 						network.send({
 							from: call.host, to: name, kind: 'response', deliver() {
@@ -125,7 +122,7 @@
 	async function read(host: string): Promise<void> {
 		const startedAt = history.takeMoment();
 		const {status, text} = await sendOnce({
-			method: 'GET', path: '/-/config', attempts: 1, onBelievedAwaited: ignore,
+			method: 'GET', path: '/-/config', attempts: 1,
 		}, host);
 		if (status === 200) {
 			const {version} = JSON.parse(text) as {readonly version: string};
@@ -141,9 +138,7 @@
 				const isOut = step.kind === 'evacuate';
 				const record = history.startOrder(zone, isOut);
 				history.end(record, await sendAgain({
-					method: isOut ? 'POST' : 'DELETE', path: `/-/evacuations/${zone}`, attempts: step.attempts, onBelievedAwaited() {
-						history.recordBelievedAwaited(record);
-					},
+					method: isOut ? 'POST' : 'DELETE', path: `/-/evacuations/${zone}`, attempts: step.attempts,
 				}, step.firstHost));
 				return;
 			}
@@ -151,7 +146,7 @@
 			case 'declare': {
 				const record = history.startDeclaration(step.version);
 				history.end(record, await sendAgain({
-					method: 'PUT', path: '/-/config', body: options.renderConfiguration(step.version), attempts: step.attempts, onBelievedAwaited: ignore,
+					method: 'PUT', path: '/-/config', body: options.renderConfiguration(step.version), attempts: step.attempts,
 				}, step.firstHost));
 				return;
 			}
@@ -167,7 +162,3 @@
 		await runStep(step);
 	}
 }
-
-function ignore(): void {
-	// Only orders for zones depend on whether their senders wait.
-}
--- a/stand-in/control-model/play.ts
+++ b/stand-in/control-model/play.ts
@@ -167,7 +167,6 @@
 				trace,
 				renderConfiguration: options.renderConfiguration,
 				getHost: name => hosts.get(name),
-				isCatchingUp: name => world.getTime() < (processes.get(name)?.catchUpUntil ?? 0),
 				onceEnded(name, run) {
 					endListeners.set(name, [...endListeners.get(name) ?? [], () => {
 						world.schedule(1, {process, run});
--- a/stand-in/control-model/virtual-world.ts
+++ b/stand-in/control-model/virtual-world.ts
@@ -13,10 +13,6 @@
 	readonly name: string;
 	isFrozen: boolean;
 	isEnded: boolean;
-	/** Time at which the process last began to stand still. */
-	frozenAt?: number;
-	/** Time until which what it reads may have waited while it stood still for long. */
-	catchUpUntil?: number;
 };
 
 /** Work that a process does at a time. */
@@ -45,12 +41,6 @@
 	runUntil(time: number): Promise<void>;
 };
 
-/** Time beyond which a process that stood still notices it: the interval of its observations and what it tolerates. */
-const stallMilliseconds = 600;
-
-/** Time after a stall in which a process takes what it reads for old. */
-const catchUpMilliseconds = 500;
-
 /** Creates a world at time 0. */
 export function createVirtualWorld(): VirtualWorld {
 	const tasksByTime = new Map<number, Task[]>();
@@ -124,14 +114,9 @@
 		},
 		freeze(process) {
 			process.isFrozen = true;
-			process.frozenAt = now;
 		},
 		thaw(process) {
 			process.isFrozen = false;
-			if (now - (process.frozenAt ?? now) > stallMilliseconds) {
-				process.catchUpUntil = now + catchUpMilliseconds;
-			}
-
 			for (const task of missed.get(process) ?? []) {
 				schedule(0, task);
 			}
--- a/stand-in/control-model/zone-history.test.ts
+++ b/stand-in/control-model/zone-history.test.ts
@@ -1,6 +1,6 @@
 import {describe, test} from 'node:test';
 import {expect} from 'earl';
-import {type LateZoneOrder, type ZoneOrderRecord, type ZoneRead} from './history.js';
+import {type ZoneOrderRecord, type ZoneRead} from './history.js';
 import {findZoneFault} from './zone-history.js';
 
 const zone = 'a';
@@ -18,8 +18,8 @@
 }
 
 describe('findZoneFault', () => {
-	function doTest(orders: readonly ZoneOrderRecord[], reads: readonly ZoneRead[], isSound: boolean, lateOrders: readonly LateZoneOrder[] = []): void {
-		expect(findZoneFault({orders, reads, lateOrders}) === undefined).toEqual(isSound);
+	function doTest(orders: readonly ZoneOrderRecord[], reads: readonly ZoneRead[], isSound: boolean): void {
+		expect(findZoneFault({orders, reads}) === undefined).toEqual(isSound);
 	}
 
 	const evacuation = createOrder(true, 1, 3);
@@ -49,11 +49,4 @@
 	test('accepts an order that takes effect more than once while its sender sends it', () => {
 		doTest([createOrder(true, 1, 20), createOrder(false, 4, 6)], [createRead(true, 2), createRead(false, 8), createRead(true, 12)], true);
 	});
-	test('accepts a late order that is excepted once', () => {
-		const orders = [createOrder(true, 1, 3, false), createOrder(false, 4, 6), createOrder(false, 14, 16)];
-		const late: LateZoneOrder = {zone, isOut: true, startedAt: 10};
-		doTest(orders, [createRead(true, 11)], true, [late]);
-		doTest(orders, [createRead(true, 8)], false, [late]);
-		doTest(orders, [createRead(true, 11), createRead(false, 18), createRead(true, 20)], false, [late]);
-	});
 });
--- a/stand-in/control-model/zone-history.ts
+++ b/stand-in/control-model/zone-history.ts
@@ -4,10 +4,10 @@
  * had ended took effect. Each read shows the state at some moment between its start and its end. As with the check of Wing and Gong for
  * linearizability, all states that the order of the moments allows are followed; the history is wrong if none is left.
  */
-import {type LateZoneOrder, type ZoneOrderRecord, type ZoneRead} from './history.js';
+import {type ZoneOrderRecord, type ZoneRead} from './history.js';
 
 /** History of one zone. */
-export type ZoneHistory = {readonly orders: readonly ZoneOrderRecord[]; readonly reads: readonly ZoneRead[]; readonly lateOrders: readonly LateZoneOrder[]};
+export type ZoneHistory = {readonly orders: readonly ZoneOrderRecord[]; readonly reads: readonly ZoneRead[]};
 
 /** Numbers of orders or reads, in order. */
 type Numbers = readonly number[];
@@ -19,8 +19,6 @@
 	readonly effective: Numbers;
 	/** Orders that can no longer take effect. */
 	readonly closed: Numbers;
-	/** Late orders that took effect, which they do once. */
-	readonly usedLate: Numbers;
 	/** Reads in progress that have found their value. */
 	readonly satisfied: Numbers;
 };
@@ -40,14 +38,13 @@
  * Finds the first thing in a history of a zone that no order of effects explains; undefined if there is none.
  * @param history - Orders and reads of a zone that is in service at first.
  */
-export function findZoneFault({orders, reads, lateOrders}: ZoneHistory): string | undefined {
+export function findZoneFault({orders, reads}: ZoneHistory): string | undefined {
 	const overtaken = orders.map(order => order.isAcknowledged ? getNumbers(orders, other => other.endedAt < order.startedAt) : []);
 	const previousReads = reads.map(({reader, endedAt}) => reads.findLastIndex(other => other.reader === reader && other.endedAt < endedAt));
 	const live = new Set<number>();
-	const liveLate = new Set<number>();
 	const liveReads = new Map<number, ZoneRead>();
 	let states: readonly State[] = [{
-		isOut: false, effective: [], closed: [], usedLate: [], satisfied: [],
+		isOut: false, effective: [], closed: [], satisfied: [],
 	}];
 	let fault: string | undefined;
 
@@ -66,18 +63,14 @@
 	}
 
 	function getSuccessors(state: State): readonly State[] {
-		const byOrders = [...live].filter(index => !state.closed.includes(index)).map(index => satisfy({
+		return [...live].filter(index => !state.closed.includes(index)).map(index => satisfy({
 			...state, isOut: orders[index]!.isOut, effective: add(state.effective, [index]), closed: add(state.closed, overtaken[index]!),
 		}));
-		const byLateOrders = [...liveLate].filter(index => !state.usedLate.includes(index)).map(index => satisfy({
-			...state, isOut: lateOrders[index]!.isOut, usedLate: add(state.usedLate, [index]),
-		}));
-		return [...byOrders, ...byLateOrders];
 	}
 
 	/** Adds the states that can be reached without a further start or end. */
 	function expand(): void {
-		if (live.size === 0 && liveLate.size === 0) {
+		if (live.size === 0) {
 			states = states.map(state => satisfy(state));
 			return;
 		}
@@ -112,11 +105,6 @@
 				keep(state => state.effective.includes(index), () => `${describeOrder(orders[index]!)} was acknowledged without an effect`);
 			},
 		})),
-		...lateOrders.map((late, index): Event => ({
-			at: late.startedAt, apply() {
-				liveLate.add(index);
-			},
-		})),
 		...reads.map((read, index): Event => ({
 			at: read.startedAt, apply() {
 				liveReads.set(index, read);
--- a/stand-in/platform/control-api-bed.ts
+++ b/stand-in/platform/control-api-bed.ts
@@ -1,8 +1,9 @@
 /** Test bed for the API of a control host: serves it on loopback, with a test in place of the leader. */
 import {once} from 'node:events';
 import {createServer} from 'node:http';
+import {performance} from 'node:perf_hooks';
 import {
-	createZoneOrderLog, type Api, type ApiOptions, type Submit,
+	createConnectionTimes, createRepeatedOrders, createZoneOrderLog, type Api, type ApiOptions, type Submit,
 } from '../../source/control/index.js';
 import {createLog} from '../../source/telemetry/index.js';
 
@@ -22,6 +23,7 @@
  */
 export async function startControlApiBed(createApi: (options: ApiOptions) => Api, submit: Submit): Promise<ControlApiBed> {
 	const log = createLog('test', 'fatal');
+	const connectionTimes = createConnectionTimes(() => performance.now());
 	const api = createApi({
 		log,
 		operatorKey: undefined,
@@ -29,6 +31,8 @@
 		zoneOrderLog: createZoneOrderLog({
 			log, host: 'one', submit, countOrder: () => undefined, getTime: () => 0,
 		}),
+		repeatedOrders: createRepeatedOrders(),
+		getConnectedAt: connectionTimes.get,
 		hasStalledRecently: () => false,
 		getBurnSummary: () => undefined,
 		getMetrics: async () => '',
@@ -39,6 +43,7 @@
 	const server = createServer((request, response) => {
 		void api(request, response);
 	});
+	connectionTimes.watch(server);
 	server.listen(0, loopback);
 	await once(server, 'listening');
 	const {port} = server.address() as {readonly port: number};
--- a/stand-in/single-host.ts
+++ b/stand-in/single-host.ts
@@ -53,7 +53,10 @@
 			// There are no entries.
 		},
 	});
-	await run({handler, machine, driver});
-	await driver.stop();
-	rmSync(folder, {recursive: true});
+	try {
+		await run({handler, machine, driver});
+	} finally {
+		await driver.stop();
+		rmSync(folder, {recursive: true});
+	}
 }
