Take no answer in a transfer coding other than chunked

Cause: Node's client reads an unknown coding up to the end of the connection, still coded; the entry drops the header and checked no value.

Ruled out: the framing of sound chunks, which pass as before in any case of the name.

Change: such a head is malformed: 502, or another server where the request may run again.

--- a/source/entry/http/response-head.ts
+++ b/source/entry/http/response-head.ts
@@ -22,11 +22,12 @@
 
 /**
  * Checks whether a received head is one of a final response and follows the syntax of HTTP. Node's parser is more tolerant:
- * it accepts header names with spaces and any status code, which cannot be sent to a caller, and the heads of two responses in one.
+ * it accepts header names with spaces and any status code, which cannot be sent to a caller, the heads of two responses in one, and any
+ * transfer coding.
  * @param response - Server response whose head has arrived.
  */
 export function isWellFormedHead(response: IncomingMessage): boolean {
-	return hasFinalStatus(response) && areHeadersValid(response.rawHeaders) && !containsStatusLine(response);
+	return hasFinalStatus(response) && areHeadersValid(response.rawHeaders) && !containsStatusLine(response) && hasKnownCoding(response);
 }
 
 /**
@@ -37,6 +38,11 @@
 	return statusCode >= minimumFinalStatus && statusCode <= maximumFinalStatus;
 }
 
+/** Checks whether the body is in no transfer coding but `chunked`. That of any other would reach the caller still coded, without the header that names it. */
+function hasKnownCoding({headers}: IncomingMessage): boolean {
+	return (headers['transfer-encoding'] ?? 'chunked').toLowerCase() === 'chunked';
+}
+
 /** Checks whether a head contains a second status line. Its status then belongs to one response, and its id may belong to another. */
 function containsStatusLine({statusMessage, rawHeaders}: IncomingMessage): boolean {
 	return statusLine.test(statusMessage ?? '') || rawHeaders.some(text => statusLine.test(text));
