--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -40,6 +40,8 @@
 	/** Source of random numbers for what else is called, so that these calls, whose number depends on the time, do not change the orders. */
 	readonly otherRandom: Random;
 	readonly controls: readonly ControlAddress[];
+	/** Whether it follows redirections; one that does not sends its order again. */
+	readonly followsRedirections: boolean;
 };
 
 type Call = {readonly address: ControlAddress; readonly method: string; readonly path: string; readonly body?: string; readonly isResponseLost: boolean};
@@ -78,9 +80,11 @@
  */
 export function createOperator(options: OperatorOptions): Operator {
 	const {
-		history, random, otherRandom, controls,
+		history, random, otherRandom, controls, followsRedirections,
 	} = options;
 
+	const redirectionLimit = followsRedirections ? maximumRedirections : 0;
+
 	/** Decides whether the next response is lost; none is after the last fault, when every order must be acknowledged. */
 	function isNextLost(source: Random): boolean {
 		return history.steadyFrom === undefined && source() < lossProbability;
@@ -91,7 +95,7 @@
 		let isResponseLost = isNextLost(source);
 		let trace = `${control.name}@${Math.round(history.now())}`;
 		let result = await sendCall({...call, address: control, isResponseLost});
-		for (let redirections = 0; result.status === 307 && result.location !== undefined && redirections < maximumRedirections; redirections++) {
+		for (let redirections = 0; result.status === 307 && result.location !== undefined && redirections < redirectionLimit; redirections++) {
 			const {hostname, pathname, search} = new URL(result.location);
 			const address = controls.find(({ownHost}) => ownHost === hostname)!;
 			isResponseLost = isNextLost(source);
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -145,10 +145,10 @@
 			system.start(machine, true);
 		}
 
-		const createSeededOperator = (name: string): Operator => createOperator({
-			history, random: createStream(seed, name), otherRandom: createStream(seed, `${name}, other calls`), controls: controlAddresses,
+		const createSeededOperator = (name: string, followsRedirections = true): Operator => createOperator({
+			history, random: createStream(seed, name), otherRandom: createStream(seed, `${name}, other calls`), controls: controlAddresses, followsRedirections,
 		});
-		const operators = [createSeededOperator('operator'), createSeededOperator('second operator'), createSeededOperator('third operator')] as const;
+		const operators = [createSeededOperator('operator'), createSeededOperator('second operator'), createSeededOperator('third operator', false)] as const;
 		const versionRandom = createStream(seed, 'version numbers');
 		const putNext = async (operator: Operator): Promise<void> => putNextVersion(operator, history, versionRandom);
 		while (history.versions.every(({acknowledgedAt}) => acknowledgedAt === undefined)) {
