Carry out the first evacuation of a zone at once, also after an order that changed nothing

Cause: an evacuation needed a confirmation once its zone had any order. But it can undo a withdrawal only if the zone was put back, so after several orders. A withdrawal is confirmed always, as before.

--- a/source/control/zone-change.ts
+++ b/source/control/zone-change.ts
@@ -6,7 +6,7 @@
  * That binds an order to its sender only if the sender knows the revision. An order that a later one may have overtaken is therefore
  * carried out only once its sender has sent it again, with the revision that was read or after an answer that named it
  * (`repeated-orders.ts`). A sender that gave up never does, however late its first call arrives. The other orders do no harm when they are
- * late: they change nothing, or are the first for their zone. For them, a check that the sender's connection is open suffices.
+ * late: they change nothing, or take a zone out that was never put back. For them, a check that the sender's connection is open suffices.
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {type ControlRequest, type ControlResponse} from './message.js';
--- a/source/control/zone-orders.ts
+++ b/source/control/zone-orders.ts
@@ -28,9 +28,9 @@
 	/** Checks whether a zone was ordered out of service or back after the given index. */
 	isOrderedSince(zone: string, index: number): boolean;
 	/**
-	 * Checks whether an order may have been overtaken by a later one for its zone. One that would change nothing does no harm, and so does
-	 * the first order for a zone. Any other may have been sent before the orders that were carried out, also one that puts a zone back for the
-	 * first time: its sender may have withdrawn an evacuation that was never acknowledged.
+	 * Checks whether an order may have been overtaken by a later one for its zone. One that would change nothing does no harm. One that
+	 * would put a zone back always may, also for the first time: its sender may have withdrawn an evacuation that was never acknowledged. One
+	 * that would take a zone out may if the zone had several orders; before that, it was never put back.
 	 */
 	mayBeOvertaken(order: ZoneOrder): boolean;
 	/**
@@ -59,8 +59,9 @@
 		getRevision: () => revision,
 		isOrderedSince: (zone, index) => getOrderedZone(zone).last > index,
 		mayBeOvertaken({zone, isOut}) {
-			const hasChange = zonesOut.includes(zone) !== isOut;
-			return hasChange && (zonesOut.includes(zone) || getOrderedZone(zone).last > 0);
+			const {first, last} = getOrderedZone(zone);
+			const wouldChange = zonesOut.includes(zone) !== isOut;
+			return wouldChange && (!isOut || first !== last);
 		},
 		apply({zone, isOut}, index) {
 			revision = index ?? revision + 1;
